--- /dev/null
+++ b/include/citronlane/admission/admission_options.h
@@ -0,0 +1,17 @@
+#ifndef CITRONLANE_ADMISSION_ADMISSION_OPTIONS_H_
+#define CITRONLANE_ADMISSION_ADMISSION_OPTIONS_H_
+
+namespace citronlane {
+
+/// Switches of admission, so that each mechanism can be measured without it.
+struct AdmissionOptions {
+  bool early_refusal_ = true;
+  bool fair_share_ = true;
+  bool learned_limits_ = true;
+  bool batch_yields_ = true;
+  bool spend_limits_ = true;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_ADMISSION_ADMISSION_OPTIONS_H_
--- /dev/null
+++ b/include/citronlane/config/cluster_config.h
@@ -0,0 +1,30 @@
+#ifndef CITRONLANE_CONFIG_CLUSTER_CONFIG_H_
+#define CITRONLANE_CONFIG_CLUSTER_CONFIG_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "citronlane/config/account_config.h"
+#include "citronlane/config/class_config.h"
+#include "citronlane/config/pipeline_config.h"
+#include "citronlane/config/pool_config.h"
+#include "citronlane/config/service_config.h"
+
+namespace citronlane {
+
+/// One whole version of the configuration that operators apply. Immutable
+/// once shared; every reference between its parts has been checked by
+/// ParseClusterConfig.
+struct ClusterConfig {
+  uint64_t version_ = 0;
+  std::map<std::string, ClassConfig> classes_;
+  std::map<std::string, AccountConfig> accounts_;
+  std::map<std::string, PoolConfig> pools_;
+  std::map<std::string, PipelineConfig> pipelines_;
+  std::map<std::string, ServiceConfig> services_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_CONFIG_CLUSTER_CONFIG_H_
--- /dev/null
+++ b/include/citronlane/consensus/raft_options.h
@@ -0,0 +1,28 @@
+#ifndef CITRONLANE_CONSENSUS_RAFT_OPTIONS_H_
+#define CITRONLANE_CONSENSUS_RAFT_OPTIONS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "citronlane/base/time.h"
+
+namespace citronlane {
+
+/// Timing and size limits of one RaftNode.
+struct RaftOptions {
+  uint64_t id_ = 0;
+  Duration heartbeat_interval_ = std::chrono::milliseconds(50);
+  /// A follower waits this long, and up to twice as long, for its leader.
+  Duration election_timeout_ = std::chrono::milliseconds(300);
+  /// A leader without a quorum for this long steps down. It is shorter than
+  /// election_timeout_ so that two leaders never act at once.
+  Duration leader_lease_ = std::chrono::milliseconds(250);
+  size_t max_entries_per_append_ = 512;
+  size_t max_bytes_per_append_ = 1 << 20;
+  size_t max_inflight_appends_ = 16;
+  size_t snapshot_part_bytes_ = 1 << 18;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_CONSENSUS_RAFT_OPTIONS_H_
--- /dev/null
+++ b/include/citronlane/routing/call_outcome.h
@@ -0,0 +1,27 @@
+#ifndef CITRONLANE_ROUTING_CALL_OUTCOME_H_
+#define CITRONLANE_ROUTING_CALL_OUTCOME_H_
+
+namespace citronlane {
+
+/// How one stage call to a backend server ended.
+enum class CallOutcome {
+  kSuccess,
+  /// No connection was made: nothing ran.
+  kConnectFailed,
+  /// The server answered 429 or 503.
+  kRejected,
+  /// The server answered another 5xx, or a reply that can not be used.
+  kServerError,
+  /// The connection closed after bytes of the call were sent.
+  kClosedAfterSend,
+  /// The call's share of the deadline passed.
+  kTimeout,
+  /// The gateway cancelled the call; says nothing about the server.
+  kCancelled,
+  /// The reply echoed the id of another attempt.
+  kWrongId,
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_ROUTING_CALL_OUTCOME_H_
--- /dev/null
+++ b/include/citronlane/routing/call_shape.h
@@ -0,0 +1,19 @@
+#ifndef CITRONLANE_ROUTING_CALL_SHAPE_H_
+#define CITRONLANE_ROUTING_CALL_SHAPE_H_
+
+#include <cstdint>
+
+namespace citronlane {
+
+/// What the router needs to know of a call before it is placed.
+struct CallShape {
+  /// Hash of the prompt's prefix, for cache affinity; 0 for none.
+  uint64_t prefix_hash_ = 0;
+  /// Expected tokens to generate; 0 for stages without a stream.
+  uint32_t expected_tokens_ = 0;
+  bool batch_ = false;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_ROUTING_CALL_SHAPE_H_
--- /dev/null
+++ b/include/citronlane/routing/router_options.h
@@ -0,0 +1,33 @@
+#ifndef CITRONLANE_ROUTING_ROUTER_OPTIONS_H_
+#define CITRONLANE_ROUTING_ROUTER_OPTIONS_H_
+
+#include <string>
+
+#include "citronlane/base/time.h"
+
+namespace citronlane {
+
+/// How a PoolRouter decides. The switches exist so that each mechanism can be
+/// measured without it.
+struct RouterOptions {
+  enum class Choice { kRoundRobin, kLeastInFlight, kExpectedFinish };
+
+  Choice choice_ = Choice::kExpectedFinish;
+  bool domain_preference_ = true;
+  bool prefix_affinity_ = true;
+  bool ejection_ = true;
+  bool slow_start_ = true;
+  /// Failure domain of this gateway.
+  std::string failure_domain_;
+  /// Affinity holds while the server's load is below this factor of the mean.
+  double affinity_load_factor_ = 1.25;
+  /// Largest part of a pool that may be ejected at once.
+  double max_ejected_ = 0.34;
+  /// Quantile of call times after which a hedge starts.
+  double hedge_quantile_ = 0.95;
+  Duration slow_start_time_ = std::chrono::seconds(10);
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_ROUTING_ROUTER_OPTIONS_H_
--- /dev/null
+++ b/tests/fakes/main.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
