--- /dev/null
+++ b/include/citronlane/app/replica_hooks.h
@@ -0,0 +1,33 @@
+#ifndef CITRONLANE_APP_REPLICA_HOOKS_H_
+#define CITRONLANE_APP_REPLICA_HOOKS_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "citronlane/consensus/role.h"
+
+namespace citronlane {
+
+/// What a Replica calls on its own thread, one call at a time.
+struct ReplicaHooks {
+  /// Applies a committed command; returns the result for its proposer.
+  /// Deterministic: the same commands in the same order give the same results
+  /// on every node.
+  std::function<std::string(uint64_t index, std::string_view payload)> apply_;
+  /// A command entered this node's log, committed or not.
+  std::function<void(uint64_t index, std::string_view payload)> appended_;
+  /// Log entries from `index` on were replaced by another leader's.
+  std::function<void(uint64_t index)> truncated_;
+  /// Returns the whole applied state.
+  std::function<std::string()> take_snapshot_;
+  /// Replaces the applied state.
+  std::function<void(uint64_t index, std::string_view data)> install_snapshot_;
+  /// The node's role or term changed.
+  std::function<void(Role role, uint64_t term)> role_changed_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_REPLICA_HOOKS_H_
