Add first versions of the pool router and admission control

Two random candidates by expected finish, learned load curve per pool, slow factor per server, ejection with a floor, leaving servers by incarnation, prefix affinity by own calls, cache events and consistent hashing; early refusal, fair shares by cost, learned limits, batch yield, leased spend with a floor, and Retry-After with random spread.

--- a/include/citronlane/admission/admission_controller.h
+++ b/include/citronlane/admission/admission_controller.h
@@ -57,6 +57,13 @@
                     double amount,
                     TimePoint valid_until);
 
+  /// Whether the class's share of spend runs low, so that cheaper choices are
+  /// made before requests are refused: no hedges.
+  bool SpendIsTight(TimePoint now, std::string_view class_name) const;
+
+  /// How near the pool is to where targets are missed: 0 idle, 1 at the limit.
+  double Pressure(TimePoint now, std::string_view pool) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/include/citronlane/admission/admission_options.h
+++ b/include/citronlane/admission/admission_options.h
@@ -10,6 +10,9 @@
   bool learned_limits_ = true;
   bool batch_yields_ = true;
   bool spend_limits_ = true;
+  /// Part of a class's hourly limit that one gateway may spend before its first
+  /// lease; at most one over the number of gateways is safe.
+  double unleased_spend_part_ = 1.0 / 16;
 };
 
 }  // namespace citronlane
--- /dev/null
+++ b/include/citronlane/admission/detail/pool_pressure.h
@@ -0,0 +1,44 @@
+#ifndef CITRONLANE_ADMISSION_DETAIL_POOL_PRESSURE_H_
+#define CITRONLANE_ADMISSION_DETAIL_POOL_PRESSURE_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "citronlane/admission/detail/concurrency_limit.h"
+#include "citronlane/base/time.h"
+
+namespace citronlane {
+
+/// How near one pool is to where targets are missed: each class tells what
+/// part of its slack the queues use up; the tightest one counts. Not thread
+/// safe.
+class PoolPressure {
+ public:
+  /// Notes an estimate for a class and returns the part of the slack between
+  /// the class's idle estimate and `allowed` that it uses: 1 is the limit.
+  double Note(TimePoint now,
+              std::string_view class_name,
+              Duration expected,
+              Duration allowed);
+
+  /// Highest part over the classes seen lately.
+  double At(TimePoint now) const;
+
+  ConcurrencyLimit& limit() { return limit_; }
+  const ConcurrencyLimit& limit() const { return limit_; }
+
+ private:
+  struct ClassPressure {
+    double idle_us_ = 0;
+    double pressure_ = 0;
+    TimePoint at_{};
+  };
+
+  std::map<std::string, ClassPressure, std::less<>> classes_;
+  ConcurrencyLimit limit_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_ADMISSION_DETAIL_POOL_PRESSURE_H_
--- /dev/null
+++ b/include/citronlane/routing/detail/finish_estimator.h
@@ -0,0 +1,72 @@
+#ifndef CITRONLANE_ROUTING_DETAIL_FINISH_ESTIMATOR_H_
+#define CITRONLANE_ROUTING_DETAIL_FINISH_ESTIMATOR_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "citronlane/base/time.h"
+#include "citronlane/routing/call_shape.h"
+#include "citronlane/routing/detail/decayed_mean.h"
+#include "citronlane/routing/detail/load_curve.h"
+#include "citronlane/routing/detail/outstanding_call.h"
+#include "citronlane/routing/detail/server_state.h"
+
+namespace citronlane {
+
+/// Learns how long a pool's calls take by load, by work and by server, and
+/// expects the finish of the next one. Not thread safe.
+class FinishEstimator {
+ public:
+  FinishEstimator();
+
+  /// Usual time of the call in the pool at `load`, in microseconds.
+  double Usual(double load, const CallShape& call) const;
+  /// Time of the call at the server if it started now, in microseconds.
+  double Expected(const ServerState& server,
+                  TimePoint now,
+                  const CallShape& call,
+                  bool prefix_hit) const;
+  /// Time to the first byte of a streamed answer, in microseconds.
+  double ExpectedFirstByte(const ServerState& server, TimePoint now) const;
+
+  /// A call at the server ended well after `latency`.
+  void Learn(ServerState* server,
+             TimePoint now,
+             const OutstandingCall& started,
+             Duration latency,
+             uint32_t tokens,
+             const CallShape& call);
+  /// A call at the server was not done after `latency`: evidence only when it
+  /// should have been.
+  void LearnUnfinished(ServerState* server,
+                       TimePoint now,
+                       const OutstandingCall& started,
+                       Duration latency);
+  void LearnFirstByte(const OutstandingCall& started, Duration latency);
+
+  /// Corrects the usual speed by `factor`, so that servers' factors can stay
+  /// around 1.
+  void Scale(double factor);
+
+  size_t samples() const { return curve_.count(); }
+  size_t first_byte_samples() const { return first_byte_.count(); }
+  /// Usual time between two tokens of a stream, in microseconds; 0 if unknown.
+  double TokenInterval() const;
+
+ private:
+  double Work(const CallShape& call) const;
+
+  LoadCurve curve_;
+  LoadCurve first_byte_;
+  /// Tokens generated for each expected one.
+  DecayedMean token_ratio_;
+  DecayedMean hit_;
+  DecayedMean miss_;
+  DecayedMean tokens_;
+  DecayedMean stream_time_;
+  DecayedMean first_byte_time_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_ROUTING_DETAIL_FINISH_ESTIMATOR_H_
--- /dev/null
+++ b/include/citronlane/routing/detail/outstanding_call.h
@@ -0,0 +1,21 @@
+#ifndef CITRONLANE_ROUTING_DETAIL_OUTSTANDING_CALL_H_
+#define CITRONLANE_ROUTING_DETAIL_OUTSTANDING_CALL_H_
+
+#include "citronlane/base/time.h"
+
+namespace citronlane {
+
+/// One call of this gateway that a server has not finished.
+struct OutstandingCall {
+  TimePoint start_{};
+  /// Calls the server had beside it at the start.
+  double load_ = 0;
+  /// Usual time of such a call in the pool at that load.
+  Duration expected_{};
+  /// Whether the server was believed to hold the call's prefix.
+  bool prefix_hit_ = false;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_ROUTING_DETAIL_OUTSTANDING_CALL_H_
--- a/include/citronlane/routing/pool_router.h
+++ b/include/citronlane/routing/pool_router.h
@@ -78,6 +78,10 @@
   /// this incarnation back; a higher incarnation can.
   void OnLeaving(std::string_view server, uint64_t incarnation, TimePoint now);
 
+  /// A server of this incarnation was seen alive. Only a higher incarnation
+  /// than the one that left takes calls again; it starts slowly.
+  void OnAlive(std::string_view server, uint64_t incarnation, TimePoint now);
+
   /// A cache event: the server holds, or dropped, the prefix. `sequence` rises
   /// by one for each event; a gap drops what is believed of the server.
   void OnCacheEvent(std::string_view server,
@@ -96,6 +100,15 @@
   std::optional<Duration> ExpectedFinish(TimePoint now,
                                          const CallShape& call) const;
 
+  /// The same for the first byte of a streamed answer.
+  std::optional<Duration> ExpectedFirstByte(TimePoint now,
+                                            const CallShape& call) const;
+
+  /// How long a stream may pause between two tokens before its server is taken
+  /// for stalled, from the learned pace. Nothing until streams were seen.
+  std::optional<Duration> StreamStallTimeout() const;
+
+  /// Servers that may take calls: neither leaving nor ejected.
   size_t usable_servers(TimePoint now) const;
   size_t in_flight() const;
 
--- /dev/null
+++ b/src/admission/admission_controller.cc
@@ -0,0 +1,359 @@
+#include "citronlane/admission/admission_controller.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "citronlane/admission/detail/account_shares.h"
+#include "citronlane/admission/detail/pool_pressure.h"
+#include "citronlane/admission/detail/retry_after.h"
+#include "citronlane/admission/detail/spend_share.h"
+#include "citronlane/admission/detail/target_margin.h"
+#include "citronlane/config/cluster_config.h"
+
+namespace citronlane {
+namespace {
+
+/// Batch work yields above this pressure of interactive work.
+constexpr double kBatchPressure = 0.3;
+/// An account at or above twice its share is refused above this pressure.
+constexpr double kFairShareFloor = 0.5;
+constexpr double kTightSpend = 0.2;
+constexpr double kUsPerMs = 1000;
+constexpr double kSecondsPerHour = 3600;
+constexpr Duration kBatchReturn = std::chrono::seconds(5);
+
+double Ms(Duration duration) {
+  return static_cast<double>(duration.count()) / kUsPerMs;
+}
+
+double Part(Duration part, Duration whole) {
+  return static_cast<double>(part.count()) /
+         std::max(1.0, static_cast<double>(whole.count()));
+}
+
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+/// The estimate and the target that bind a request most.
+struct BindingTarget {
+  Duration expected_{};
+  Duration target_{};
+};
+
+std::optional<BindingTarget> FindBinding(const AdmissionQuery& query) {
+  std::optional<BindingTarget> binding;
+  if (query.expected_finish_) {
+    binding = {*query.expected_finish_, query.target_};
+  }
+  if (query.expected_first_token_ && query.first_token_target_) {
+    const BindingTarget first = {*query.expected_first_token_,
+                                 *query.first_token_target_};
+    if (!binding || Part(first.expected_, first.target_) >
+                        Part(binding->expected_, binding->target_)) {
+      binding = first;
+    }
+  }
+  return binding;
+}
+
+}  // namespace
+
+class AdmissionController::Impl {
+ public:
+  Impl(const AdmissionOptions& options, RandomHook random)
+      : options_(options), retry_after_(std::move(random)) {}
+
+  void Update(const ClusterConfig& config, TimePoint now);
+  std::optional<Refusal> Check(TimePoint now, const AdmissionQuery& query);
+  void Commit(TimePoint now, const AdmissionQuery& query);
+
+  TargetMargin& MarginOf(const std::string& class_name);
+  SpendShare* SpendOf(std::string_view class_name);
+  PoolPressure& PoolOf(std::string_view pool);
+
+  const AdmissionOptions options_;
+  std::map<std::string, ClassConfig> classes_;
+  std::map<std::string, TargetMargin, std::less<>> margins_;
+  std::map<std::string, SpendShare, std::less<>> spend_;
+  std::map<std::string, PoolPressure, std::less<>> pools_;
+  AccountShares shares_;
+  RetryAfter retry_after_;
+  TimePoint last_now_{};
+
+ private:
+  std::optional<Refusal> CheckSpendPerRequest(const AdmissionQuery& query);
+  std::optional<Refusal> CheckDeadline(TimePoint now,
+                                       const AdmissionQuery& query);
+  std::optional<Refusal> CheckTarget(TimePoint now,
+                                     const AdmissionQuery& query);
+  std::optional<Refusal> CheckBatch(TimePoint now, const AdmissionQuery& query);
+  std::optional<Refusal> CheckFairShare(TimePoint now,
+                                        const AdmissionQuery& query);
+  std::optional<Refusal> CheckLimit(TimePoint now, const AdmissionQuery& query);
+  std::optional<Refusal> CheckSpendPerHour(TimePoint now,
+                                           const AdmissionQuery& query);
+  Refusal Refuse(TimePoint now,
+                 RefusalReason reason,
+                 Duration change,
+                 std::map<std::string, double> figures);
+};
+
+void AdmissionController::Impl::Update(const ClusterConfig& config,
+                                       TimePoint now) {
+  classes_ = config.classes_;
+  for (const auto& [name, declared] : classes_) {
+    MarginOf(name).set_attainment(declared.attainment_);
+    if (!declared.spend_per_hour_) {
+      spend_.erase(name);
+      continue;
+    }
+    const double floor = *declared.spend_per_hour_ / kSecondsPerHour *
+                         options_.unleased_spend_part_;
+    spend_.emplace(name, SpendShare(floor, now));
+  }
+}
+
+TargetMargin& AdmissionController::Impl::MarginOf(
+    const std::string& class_name) {
+  const auto declared = classes_.find(class_name);
+  const double attainment = declared == classes_.end()
+                                ? ClassConfig().attainment_
+                                : declared->second.attainment_;
+  return margins_.emplace(class_name, TargetMargin(attainment)).first->second;
+}
+
+SpendShare* AdmissionController::Impl::SpendOf(std::string_view class_name) {
+  const auto found = spend_.find(class_name);
+  return found == spend_.end() ? nullptr : &found->second;
+}
+
+PoolPressure& AdmissionController::Impl::PoolOf(std::string_view pool) {
+  const auto found = pools_.find(pool);
+  if (found != pools_.end()) {
+    return found->second;
+  }
+  return pools_.emplace(std::string(pool), PoolPressure()).first->second;
+}
+
+Refusal AdmissionController::Impl::Refuse(
+    TimePoint now,
+    RefusalReason reason,
+    Duration change,
+    std::map<std::string, double> figures) {
+  return {reason, retry_after_.OnRefuse(now, change), std::move(figures)};
+}
+
+std::optional<Refusal> AdmissionController::Impl::CheckSpendPerRequest(
+    const AdmissionQuery& query) {
+  const auto declared = classes_.find(query.class_name_);
+  if (!options_.spend_limits_ || declared == classes_.end() ||
+      !declared->second.spend_per_request_ ||
+      query.expected_cost_ <= *declared->second.spend_per_request_) {
+    return std::nullopt;
+  }
+  // Coming back does not make the request cheaper: no Retry-After.
+  return Refusal{RefusalReason::kSpendLimit,
+                 Duration::zero(),
+                 {{"expected_cost", query.expected_cost_},
+                  {"spend_per_request", *declared->second.spend_per_request_}}};
+}
+
+std::optional<Refusal> AdmissionController::Impl::CheckDeadline(
+    TimePoint now,
+    const AdmissionQuery& query) {
+  if (!options_.early_refusal_ || !query.expected_finish_ ||
+      *query.expected_finish_ <= query.deadline_) {
+    return std::nullopt;
+  }
+  const Duration over = *query.expected_finish_ - query.deadline_;
+  return Refuse(now, RefusalReason::kDeadlineUnreachable, over,
+                {{"expected_ms", Ms(*query.expected_finish_)},
+                 {"deadline_ms", Ms(query.deadline_)}});
+}
+
+std::optional<Refusal> AdmissionController::Impl::CheckTarget(
+    TimePoint now,
+    const AdmissionQuery& query) {
+  const auto binding = FindBinding(query);
+  if (!binding) {
+    return std::nullopt;
+  }
+  const double margin = MarginOf(query.class_name_).value();
+  const Duration allowed = Scaled(binding->target_, margin);
+  PoolPressure& pool = PoolOf(query.bottleneck_pool_);
+  if (!query.batch_) {
+    pool.Note(now, query.class_name_, binding->expected_, allowed);
+  }
+  if (!options_.early_refusal_ || binding->expected_ <= allowed) {
+    return std::nullopt;
+  }
+  return Refuse(now, RefusalReason::kDeadlineUnreachable,
+                binding->expected_ - allowed,
+                {{"expected_ms", Ms(binding->expected_)},
+                 {"target_ms", Ms(binding->target_)},
+                 {"margin", margin}});
+}
+
+std::optional<Refusal> AdmissionController::Impl::CheckBatch(
+    TimePoint now,
+    const AdmissionQuery& query) {
+  const double pressure = PoolOf(query.bottleneck_pool_).At(now);
+  if (!options_.batch_yields_ || !query.batch_ || pressure <= kBatchPressure) {
+    return std::nullopt;
+  }
+  return Refuse(now, RefusalReason::kBatchYields, kBatchReturn,
+                {{"pressure", pressure}, {"limit", kBatchPressure}});
+}
+
+std::optional<Refusal> AdmissionController::Impl::CheckFairShare(
+    TimePoint now,
+    const AdmissionQuery& query) {
+  const double pressure = PoolOf(query.bottleneck_pool_).At(now);
+  if (!options_.fair_share_ || pressure <= kFairShareFloor) {
+    return std::nullopt;
+  }
+  const double overuse = shares_.Overuse(now, query.account_);
+  const double allowed =
+      std::max(kFairShareFloor, 1 - (1 - kFairShareFloor) * (overuse - 1));
+  if (overuse <= 1 || pressure <= allowed) {
+    return std::nullopt;
+  }
+  return Refuse(now, RefusalReason::kFairShare,
+                shares_.TimeToShare(now, query.account_),
+                {{"use_over_share", overuse},
+                 {"pressure", pressure},
+                 {"limit", allowed}});
+}
+
+std::optional<Refusal> AdmissionController::Impl::CheckLimit(
+    TimePoint now,
+    const AdmissionQuery& query) {
+  const ConcurrencyLimit& limit = PoolOf(query.bottleneck_pool_).limit();
+  const auto in_flight = static_cast<double>(query.pool_in_flight_);
+  if (!options_.learned_limits_ || in_flight < limit.limit()) {
+    return std::nullopt;
+  }
+  return Refuse(now, RefusalReason::kConcurrencyLimit,
+                Duration(static_cast<Duration::rep>(limit.latency_us())),
+                {{"in_flight", in_flight}, {"limit", limit.limit()}});
+}
+
+std::optional<Refusal> AdmissionController::Impl::CheckSpendPerHour(
+    TimePoint now,
+    const AdmissionQuery& query) {
+  SpendShare* spend = SpendOf(query.class_name_);
+  if (!options_.spend_limits_ || spend == nullptr ||
+      spend->TrySpend(now, query.expected_cost_)) {
+    return std::nullopt;
+  }
+  return Refuse(now, RefusalReason::kSpendLimit,
+                spend->TimeToCover(now, query.expected_cost_),
+                {{"expected_cost", query.expected_cost_},
+                 {"spend_left", spend->Available(now)}});
+}
+
+std::optional<Refusal> AdmissionController::Impl::Check(
+    TimePoint now,
+    const AdmissionQuery& query) {
+  if (auto refusal = CheckSpendPerRequest(query)) {
+    return refusal;
+  }
+  if (auto refusal = CheckDeadline(now, query)) {
+    return refusal;
+  }
+  if (auto refusal = CheckTarget(now, query)) {
+    return refusal;
+  }
+  if (auto refusal = CheckBatch(now, query)) {
+    return refusal;
+  }
+  if (auto refusal = CheckFairShare(now, query)) {
+    return refusal;
+  }
+  if (auto refusal = CheckLimit(now, query)) {
+    return refusal;
+  }
+  // Last, since it takes from the share.
+  return CheckSpendPerHour(now, query);
+}
+
+void AdmissionController::Impl::Commit(TimePoint now,
+                                       const AdmissionQuery& query) {
+  retry_after_.OnAdmit(now);
+  shares_.Add(now, query.account_, query.expected_cost_);
+  shares_.Expire(now);
+}
+
+AdmissionController::AdmissionController(const ClusterConfig& config,
+                                         const AdmissionOptions& options,
+                                         RandomHook random)
+    : impl_(std::make_unique<Impl>(options, std::move(random))) {
+  impl_->Update(config, TimePoint());
+}
+
+AdmissionController::~AdmissionController() = default;
+
+void AdmissionController::Update(const ClusterConfig& config, TimePoint now) {
+  impl_->last_now_ = now;
+  impl_->Update(config, now);
+}
+
+std::optional<Refusal> AdmissionController::Admit(TimePoint now,
+                                                  const AdmissionQuery& query) {
+  impl_->last_now_ = now;
+  auto refusal = impl_->Check(now, query);
+  if (!refusal) {
+    impl_->Commit(now, query);
+  }
+  return refusal;
+}
+
+void AdmissionController::OnFinish(TimePoint now,
+                                   const AdmissionQuery& query,
+                                   double cost,
+                                   bool met_target) {
+  impl_->last_now_ = now;
+  const double difference = cost - query.expected_cost_;
+  impl_->shares_.Add(now, query.account_, difference);
+  if (SpendShare* spend = impl_->SpendOf(query.class_name_)) {
+    spend->Settle(now, difference);
+  }
+  if (const auto binding = FindBinding(query)) {
+    impl_->MarginOf(query.class_name_)
+        .OnFinish(Part(binding->expected_, binding->target_), met_target);
+  }
+}
+
+void AdmissionController::OnCall(TimePoint now,
+                                 std::string_view pool,
+                                 Duration latency,
+                                 size_t in_flight) {
+  impl_->last_now_ = now;
+  impl_->PoolOf(pool).limit().OnCall(now, latency, in_flight);
+}
+
+void AdmissionController::OnSpendShare(std::string_view class_name,
+                                       double amount,
+                                       TimePoint valid_until) {
+  if (SpendShare* spend = impl_->SpendOf(class_name)) {
+    spend->Lease(impl_->last_now_, amount, valid_until);
+  }
+}
+
+bool AdmissionController::SpendIsTight(TimePoint now,
+                                       std::string_view class_name) const {
+  const SpendShare* spend = impl_->SpendOf(class_name);
+  return spend != nullptr && spend->LeaseLeft(now) < kTightSpend;
+}
+
+double AdmissionController::Pressure(TimePoint now,
+                                     std::string_view pool) const {
+  const auto found = impl_->pools_.find(pool);
+  return found == impl_->pools_.end() ? 0 : found->second.At(now);
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/admission/pool_pressure.cc
@@ -0,0 +1,55 @@
+#include "citronlane/admission/detail/pool_pressure.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace citronlane {
+namespace {
+
+/// Growth of the idle estimate per second, so that it is learned anew.
+constexpr double kIdleDriftPerSecond = 0.01;
+/// Half-life of a class's word on the pool.
+constexpr double kHalfLifeSeconds = 0.5;
+/// Smallest slack, as a part of the allowed time.
+constexpr double kLeastSlack = 0.05;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+double Us(Duration duration) {
+  return static_cast<double>(duration.count());
+}
+
+}  // namespace
+
+double PoolPressure::Note(TimePoint now,
+                          std::string_view class_name,
+                          Duration expected,
+                          Duration allowed) {
+  auto found = classes_.find(class_name);
+  if (found == classes_.end()) {
+    found = classes_.emplace(std::string(class_name), ClassPressure()).first;
+    found->second.idle_us_ = Us(expected);
+    found->second.at_ = now;
+  }
+  ClassPressure& entry = found->second;
+  const double drift = 1 + kIdleDriftPerSecond * Seconds(now - entry.at_);
+  entry.idle_us_ = std::min(entry.idle_us_ * drift, Us(expected));
+  const double slack =
+      std::max(Us(allowed) - entry.idle_us_, kLeastSlack * Us(allowed));
+  entry.pressure_ = (Us(expected) - entry.idle_us_) / std::max(slack, 1.0);
+  entry.at_ = now;
+  return entry.pressure_;
+}
+
+double PoolPressure::At(TimePoint now) const {
+  double highest = 0;
+  for (const auto& [name, entry] : classes_) {
+    const double fade = std::exp2(-Seconds(now - entry.at_) / kHalfLifeSeconds);
+    highest = std::max(highest, entry.pressure_ * fade);
+  }
+  return highest;
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/routing/candidate_picker.cc
@@ -0,0 +1,194 @@
+#include "citronlane/routing/detail/candidate_picker.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "citronlane/routing/detail/finish_estimator.h"
+#include "citronlane/routing/detail/prefix_index.h"
+#include "citronlane/routing/detail/server_state.h"
+#include "citronlane/routing/detail/server_table.h"
+
+namespace citronlane {
+namespace {
+
+constexpr size_t kChoices = 2;
+/// Candidates in all when some are taken from the near failure domain.
+constexpr size_t kNearAndFarChoices = 3;
+/// Random draws for each wanted candidate before the list is read in order.
+constexpr size_t kDrawsPerChoice = 4;
+/// A far server must be this much better than the best near one.
+constexpr double kFarPenalty = 1.1;
+/// Weight of the share of failed calls in the cost of a server, in calls.
+constexpr double kFailurePenalty = 4;
+/// The prefix's server may be this much worse than the best candidate.
+constexpr double kAffinityTolerance = 1.25;
+
+bool Contains(const std::vector<uint32_t>& list, uint32_t index) {
+  return std::find(list.begin(), list.end(), index) != list.end();
+}
+
+}  // namespace
+
+CandidatePicker::CandidatePicker(const RouterOptions& options,
+                                 const ServerTable* servers,
+                                 const FinishEstimator* estimator,
+                                 const PrefixIndex* prefixes,
+                                 RandomHook random)
+    : options_(options),
+      servers_(servers),
+      estimator_(estimator),
+      prefixes_(prefixes),
+      random_(std::move(random)) {}
+
+std::optional<uint32_t> CandidatePicker::Pick(
+    TimePoint now,
+    const CallShape& call,
+    absl::Span<const std::string> excluded) {
+  excluded_.clear();
+  for (const std::string& id : excluded) {
+    if (const auto index = servers_->Find(id)) {
+      excluded_.push_back(*index);
+    }
+  }
+  switch (options_.choice_) {
+    case RouterOptions::Choice::kRoundRobin:
+      return PickRoundRobin();
+    case RouterOptions::Choice::kLeastInFlight:
+      return PickLeastInFlight();
+    case RouterOptions::Choice::kExpectedFinish:
+      return PickExpectedFinish(now, call);
+  }
+  return std::nullopt;
+}
+
+bool CandidatePicker::MayTake(uint32_t index) const {
+  const ServerState& server = servers_->at(index);
+  const bool busy_probe = server.probing() && server.in_flight() > 0;
+  return servers_->usable_flags()[index] && !busy_probe &&
+         !Contains(excluded_, index);
+}
+
+std::optional<uint32_t> CandidatePicker::PickRoundRobin() {
+  const std::vector<uint32_t>& usable = servers_->usable();
+  for (size_t i = 0; i < usable.size(); ++i) {
+    const uint32_t index = usable[next_++ % usable.size()];
+    if (!Contains(excluded_, index)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<uint32_t> CandidatePicker::PickLeastInFlight() {
+  const std::vector<uint32_t>& usable = servers_->usable();
+  if (usable.empty()) {
+    return std::nullopt;
+  }
+  std::optional<uint32_t> best;
+  const size_t first = random_(usable.size());
+  for (size_t i = 0; i < usable.size(); ++i) {
+    const uint32_t index = usable[(first + i) % usable.size()];
+    const bool better = !best || servers_->at(index).in_flight() <
+                                     servers_->at(*best).in_flight();
+    if (better && !Contains(excluded_, index)) {
+      best = index;
+    }
+  }
+  return best;
+}
+
+void CandidatePicker::Draw(const std::vector<uint32_t>& from,
+                           size_t count,
+                           std::vector<uint32_t>* drawn) {
+  if (from.empty()) {
+    return;
+  }
+  const size_t wanted = drawn->size() + count;
+  for (size_t i = 0; i < count * kDrawsPerChoice; ++i) {
+    const uint32_t index = from[random_(from.size())];
+    if (MayTake(index) && !Contains(*drawn, index)) {
+      drawn->push_back(index);
+    }
+    if (drawn->size() == wanted) {
+      return;
+    }
+  }
+  const size_t first = random_(from.size());
+  for (size_t i = 0; i < from.size() && drawn->size() < wanted; ++i) {
+    const uint32_t index = from[(first + i) % from.size()];
+    if (MayTake(index) && !Contains(*drawn, index)) {
+      drawn->push_back(index);
+    }
+  }
+}
+
+CandidatePicker::Candidate CandidatePicker::Weigh(TimePoint now,
+                                                  const CallShape& call,
+                                                  uint32_t index) const {
+  const ServerState& server = servers_->at(index);
+  const bool hit =
+      options_.prefix_affinity_ && prefixes_->Holds(index, call.prefix_hash_);
+  double cost = estimator_->Expected(server, now, call, hit);
+  cost *= 1 + kFailurePenalty * server.FailureShare(now);
+  if (options_.slow_start_) {
+    cost /= server.SlowStartShare(now, options_.slow_start_time_);
+  }
+  if (options_.domain_preference_ && !server.near()) {
+    cost *= kFarPenalty;
+  }
+  return {index, cost, server.Load(now)};
+}
+
+std::optional<uint32_t> CandidatePicker::PickExpectedFinish(
+    TimePoint now,
+    const CallShape& call) {
+  drawn_.clear();
+  if (options_.domain_preference_ && !servers_->near().empty()) {
+    Draw(servers_->near(), kChoices, &drawn_);
+    Draw(servers_->far(), kNearAndFarChoices - drawn_.size(), &drawn_);
+  } else {
+    Draw(servers_->usable(), kChoices, &drawn_);
+  }
+  if (drawn_.empty()) {
+    return std::nullopt;
+  }
+  Candidate best = Weigh(now, call, drawn_.front());
+  double load_sum = best.load_;
+  for (size_t i = 1; i < drawn_.size(); ++i) {
+    const Candidate candidate = Weigh(now, call, drawn_[i]);
+    load_sum += candidate.load_;
+    if (candidate.cost_ < best.cost_) {
+      best = candidate;
+    }
+  }
+  if (options_.prefix_affinity_ && call.prefix_hash_ != 0) {
+    const double mean_load = load_sum / static_cast<double>(drawn_.size());
+    if (const auto index = PickByPrefix(now, call, best, mean_load)) {
+      return index;
+    }
+  }
+  return best.index_;
+}
+
+std::optional<uint32_t> CandidatePicker::PickByPrefix(TimePoint now,
+                                                      const CallShape& call,
+                                                      const Candidate& best,
+                                                      double mean_load) const {
+  const double load_bound = options_.affinity_load_factor_ * (mean_load + 1);
+  const std::optional<uint32_t> options[] = {
+      prefixes_->Holder(call.prefix_hash_),
+      prefixes_->Home(call.prefix_hash_, servers_->usable_flags())};
+  for (const auto& index : options) {
+    if (!index || !MayTake(*index)) {
+      continue;
+    }
+    const Candidate candidate = Weigh(now, call, *index);
+    if (candidate.load_ <= load_bound &&
+        candidate.cost_ <= best.cost_ * kAffinityTolerance) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/routing/pool_router.cc
@@ -0,0 +1,295 @@
+#include "citronlane/routing/pool_router.h"
+
+#include <algorithm>
+#include <cmath>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "citronlane/config/pool_config.h"
+#include "citronlane/routing/detail/candidate_picker.h"
+#include "citronlane/routing/detail/finish_estimator.h"
+#include "citronlane/routing/detail/latency_window.h"
+#include "citronlane/routing/detail/prefix_index.h"
+#include "citronlane/routing/detail/server_table.h"
+
+namespace citronlane {
+namespace {
+
+constexpr Duration kLatencyWindow = std::chrono::seconds(20);
+constexpr size_t kPrefixCapacity = 65536;
+constexpr size_t kMinQuantileSamples = 20;
+constexpr size_t kMinEstimateSamples = 10;
+/// Latencies of servers slower than this are left out of the quantiles: a
+/// straggler must not move the time after which it is hedged.
+constexpr double kTypicalSlow = 2;
+constexpr double kStallIntervals = 20;
+constexpr Duration kShortestStall = std::chrono::milliseconds(250);
+/// Servers looked at for an estimate.
+constexpr size_t kEstimateServers = 16;
+
+Duration FromUs(double us) {
+  return Duration(static_cast<Duration::rep>(us));
+}
+
+/// Mean of the better of two servers drawn at random.
+double MeanOfBetter(std::vector<double> times) {
+  std::sort(times.begin(), times.end());
+  const size_t n = times.size();
+  if (n == 1) {
+    return times.front();
+  }
+  double sum = 0;
+  for (size_t i = 0; i < n; ++i) {
+    sum += times[i] * static_cast<double>(n - 1 - i);
+  }
+  return 2 * sum / static_cast<double>(n * (n - 1));
+}
+
+}  // namespace
+
+class PoolRouter::Impl {
+ public:
+  Impl(const RouterOptions& options, RandomHook random)
+      : options_(options),
+        servers_(options),
+        prefixes_(kPrefixCapacity),
+        latencies_(kLatencyWindow),
+        first_bytes_(kLatencyWindow),
+        picker_(options,
+                &servers_,
+                &estimator_,
+                &prefixes_,
+                std::move(random)) {}
+
+  void Update(const PoolConfig& pool, TimePoint now) {
+    if (servers_.Update(pool, now)) {
+      prefixes_.Reset(servers_.ids());
+    }
+  }
+
+  uint32_t GatewayNumber(std::string_view gateway) {
+    const auto next = static_cast<uint32_t>(gateways_.size());
+    return gateways_.emplace(std::string(gateway), next).first->second;
+  }
+
+  /// Calls `time` for an even sample of the usable servers.
+  template <typename Time>
+  std::optional<Duration> Estimate(TimePoint now, const Time& time) const {
+    const std::vector<uint32_t>& usable = servers_.usable();
+    if (usable.empty()) {
+      return std::nullopt;
+    }
+    const size_t count = std::min(usable.size(), kEstimateServers);
+    const auto first = static_cast<size_t>(now.time_since_epoch().count());
+    std::vector<double> times;
+    times.reserve(count);
+    for (size_t i = 0; i < count; ++i) {
+      const size_t place = first + i * usable.size() / count;
+      times.push_back(time(servers_.at(usable[place % usable.size()])));
+    }
+    return FromUs(MeanOfBetter(std::move(times)));
+  }
+
+  const RouterOptions options_;
+  ServerTable servers_;
+  FinishEstimator estimator_;
+  PrefixIndex prefixes_;
+  LatencyWindow latencies_;
+  LatencyWindow first_bytes_;
+  CandidatePicker picker_;
+  std::unordered_map<std::string, uint32_t> gateways_;
+  size_t in_flight_ = 0;
+};
+
+PoolRouter::PoolRouter(const PoolConfig& pool,
+                       const RouterOptions& options,
+                       RandomHook random)
+    : impl_(std::make_unique<Impl>(options, std::move(random))) {
+  impl_->Update(pool, TimePoint());
+}
+
+PoolRouter::~PoolRouter() = default;
+
+void PoolRouter::Update(const PoolConfig& pool, TimePoint now) {
+  impl_->Update(pool, now);
+}
+
+std::optional<ServerChoice> PoolRouter::Choose(
+    TimePoint now,
+    const CallShape& call,
+    absl::Span<const std::string> excluded,
+    Error* error) {
+  impl_->estimator_.Scale(impl_->servers_.Maintain(now));
+  const auto index = impl_->picker_.Pick(now, call, excluded);
+  if (!index) {
+    error->message_ = impl_->servers_.usable().empty()
+                          ? "every server of the pool is leaving or ejected"
+                          : "every usable server was tried";
+    return std::nullopt;
+  }
+  const ServerState& server = impl_->servers_.at(*index);
+  const double us = impl_->estimator_.Expected(
+      server, now, call, impl_->prefixes_.Holds(*index, call.prefix_hash_));
+  return ServerChoice{server.id(), FromUs(us)};
+}
+
+void PoolRouter::OnStart(std::string_view server,
+                         TimePoint now,
+                         const CallShape& call) {
+  const auto index = impl_->servers_.Find(server);
+  if (!index) {
+    return;
+  }
+  ServerState& state = impl_->servers_.at(*index);
+  const double usual = impl_->estimator_.Usual(state.Load(now), call);
+  const bool hit = impl_->prefixes_.Holds(*index, call.prefix_hash_);
+  state.StartCall(now, FromUs(usual), hit);
+  ++impl_->in_flight_;
+}
+
+void PoolRouter::OnFirstByte(std::string_view server,
+                             TimePoint now,
+                             Duration latency) {
+  const auto index = impl_->servers_.Find(server);
+  if (!index) {
+    return;
+  }
+  const ServerState& state = impl_->servers_.at(*index);
+  const OutstandingCall* started = state.FindCall(now, latency);
+  if (started == nullptr || state.SlowFactor(now) > kTypicalSlow) {
+    return;
+  }
+  impl_->estimator_.LearnFirstByte(*started, latency);
+  impl_->first_bytes_.Add(now, latency);
+}
+
+void PoolRouter::OnFinish(std::string_view server,
+                          TimePoint now,
+                          CallOutcome outcome,
+                          Duration latency,
+                          uint32_t tokens,
+                          const CallShape& call) {
+  const auto index = impl_->servers_.Find(server);
+  if (!index) {
+    return;
+  }
+  ServerState& state = impl_->servers_.at(*index);
+  const auto started = state.EndCall(now, latency);
+  if (!started) {
+    return;
+  }
+  --impl_->in_flight_;
+  state.CountOutcome(now, outcome);
+  if (outcome == CallOutcome::kCancelled || outcome == CallOutcome::kTimeout) {
+    impl_->estimator_.LearnUnfinished(&state, now, *started, latency);
+  }
+  if (outcome != CallOutcome::kSuccess) {
+    return;
+  }
+  impl_->estimator_.Learn(&state, now, *started, latency, tokens, call);
+  if (state.SlowFactor(now) <= kTypicalSlow) {
+    impl_->latencies_.Add(now, latency);
+  }
+  if (call.prefix_hash_ != 0) {
+    impl_->prefixes_.OnStored(*index, call.prefix_hash_);
+  }
+}
+
+void PoolRouter::OnLoadReport(std::string_view server,
+                              TimePoint now,
+                              Duration age,
+                              double queued_calls) {
+  if (const auto index = impl_->servers_.Find(server)) {
+    impl_->servers_.at(*index).SetReport(now, age, queued_calls);
+  }
+}
+
+void PoolRouter::OnPeerLoad(std::string_view gateway,
+                            std::string_view server,
+                            TimePoint now,
+                            double in_flight) {
+  if (const auto index = impl_->servers_.Find(server)) {
+    impl_->servers_.at(*index).SetPeerLoad(impl_->GatewayNumber(gateway), now,
+                                           in_flight);
+  }
+}
+
+void PoolRouter::OnLeaving(std::string_view server,
+                           uint64_t incarnation,
+                           TimePoint now) {
+  impl_->servers_.MarkLeaving(server, incarnation);
+  impl_->estimator_.Scale(impl_->servers_.Maintain(now));
+}
+
+void PoolRouter::OnAlive(std::string_view server,
+                         uint64_t incarnation,
+                         TimePoint now) {
+  if (!impl_->servers_.MarkAlive(server, incarnation, now)) {
+    return;
+  }
+  impl_->prefixes_.Forget(*impl_->servers_.Find(server));
+  impl_->estimator_.Scale(impl_->servers_.Maintain(now));
+}
+
+void PoolRouter::OnCacheEvent(std::string_view server,
+                              uint64_t sequence,
+                              uint64_t prefix_hash,
+                              bool stored) {
+  if (const auto index = impl_->servers_.Find(server)) {
+    impl_->prefixes_.OnEvent(*index, sequence, prefix_hash, stored);
+  }
+}
+
+std::optional<Duration> PoolRouter::HedgeDelay(const CallShape& call) const {
+  const LatencyWindow& window =
+      call.expected_tokens_ > 0 ? impl_->first_bytes_ : impl_->latencies_;
+  return window.Quantile(impl_->options_.hedge_quantile_, kMinQuantileSamples);
+}
+
+std::optional<Duration> PoolRouter::LatencyQuantile(double quantile) const {
+  return impl_->latencies_.Quantile(quantile, kMinQuantileSamples);
+}
+
+std::optional<Duration> PoolRouter::ExpectedFinish(
+    TimePoint now,
+    const CallShape& call) const {
+  if (impl_->estimator_.samples() < kMinEstimateSamples) {
+    return std::nullopt;
+  }
+  return impl_->Estimate(now, [&](const ServerState& server) {
+    return impl_->estimator_.Expected(server, now, call, false);
+  });
+}
+
+std::optional<Duration> PoolRouter::ExpectedFirstByte(
+    TimePoint now,
+    const CallShape& call) const {
+  if (call.expected_tokens_ == 0) {
+    return ExpectedFinish(now, call);
+  }
+  if (impl_->estimator_.first_byte_samples() < kMinEstimateSamples) {
+    return std::nullopt;
+  }
+  return impl_->Estimate(now, [&](const ServerState& server) {
+    return impl_->estimator_.ExpectedFirstByte(server, now);
+  });
+}
+
+std::optional<Duration> PoolRouter::StreamStallTimeout() const {
+  const double interval = impl_->estimator_.TokenInterval();
+  if (interval <= 0) {
+    return std::nullopt;
+  }
+  return std::max(kShortestStall, FromUs(interval * kStallIntervals));
+}
+
+size_t PoolRouter::usable_servers(TimePoint /*now*/) const {
+  return impl_->servers_.usable().size();
+}
+
+size_t PoolRouter::in_flight() const {
+  return impl_->in_flight_;
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/routing/server_table.cc
@@ -0,0 +1,152 @@
+#include "citronlane/routing/detail/server_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/types/span.h"
+#include "citronlane/config/pool_config.h"
+
+namespace citronlane {
+namespace {
+
+constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration kRecenterInterval = std::chrono::seconds(2);
+constexpr double kMostCorrection = 1.5;
+
+}  // namespace
+
+ServerTable::ServerTable(const RouterOptions& options)
+    : options_(options), detector_(options.max_ejected_) {}
+
+bool ServerTable::Update(const PoolConfig& pool, TimePoint now) {
+  std::vector<ServerState> servers;
+  servers.reserve(pool.servers_.size());
+  bool changed = servers_.size() != pool.servers_.size();
+  const bool first = servers_.empty();
+  for (const auto& [id, config] : pool.servers_) {
+    const bool near = config.failure_domain_ == options_.failure_domain_;
+    if (const auto known = Find(id)) {
+      servers.push_back(std::move(servers_[*known]));
+      servers.back().set_near(near);
+      continue;
+    }
+    changed = true;
+    servers.emplace_back(id, near);
+    if (!first) {
+      servers.back().BeginSlowStart(now);
+    }
+  }
+  servers_ = std::move(servers);
+  by_id_.clear();
+  for (uint32_t i = 0; i < servers_.size(); ++i) {
+    by_id_.emplace(servers_[i].id(), i);
+  }
+  Rebuild(now);
+  return changed;
+}
+
+std::optional<uint32_t> ServerTable::Find(std::string_view id) const {
+  const auto found = by_id_.find(std::string(id));
+  if (found == by_id_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::vector<std::string> ServerTable::ids() const {
+  std::vector<std::string> ids;
+  ids.reserve(servers_.size());
+  for (const ServerState& server : servers_) {
+    ids.push_back(server.id());
+  }
+  return ids;
+}
+
+void ServerTable::MarkLeaving(std::string_view id, uint64_t incarnation) {
+  Incarnation& known = incarnations_[std::string(id)];
+  if (incarnation < known.number_) {
+    return;
+  }
+  known = {incarnation, true};
+  next_check_ = TimePoint();
+}
+
+bool ServerTable::MarkAlive(std::string_view id,
+                            uint64_t incarnation,
+                            TimePoint now) {
+  Incarnation& known = incarnations_[std::string(id)];
+  if (incarnation <= known.number_) {
+    return false;
+  }
+  const bool returned = known.leaving_;
+  known = {incarnation, false};
+  const auto index = Find(id);
+  if (index && returned) {
+    servers_[*index].Reset(now);
+  }
+  next_check_ = TimePoint();
+  return index && returned;
+}
+
+bool ServerTable::IsLeaving(const std::string& id) const {
+  const auto found = incarnations_.find(id);
+  return found != incarnations_.end() && found->second.leaving_;
+}
+
+double ServerTable::Maintain(TimePoint now) {
+  if (now < next_check_) {
+    return 1;
+  }
+  next_check_ = now + kCheckInterval;
+  EndEjections(now);
+  if (options_.ejection_) {
+    detector_.Eject(now, absl::MakeSpan(servers_));
+  }
+  Rebuild(now);
+  return Recenter(now);
+}
+
+void ServerTable::EndEjections(TimePoint now) {
+  for (uint32_t i = 0; i < servers_.size(); ++i) {
+    ServerState& server = servers_[i];
+    const bool was_ejected = server.ejected_until() != TimePoint();
+    if (was_ejected && !usable_flags_[i] && !server.IsEjected(now)) {
+      server.BeginProbe(now);
+    }
+  }
+}
+
+double ServerTable::Recenter(TimePoint now) {
+  if (now < next_recenter_) {
+    return 1;
+  }
+  next_recenter_ = now + kRecenterInterval;
+  for (ServerState& server : servers_) {
+    server.ExpirePeers(now);
+  }
+  const double median = OutlierDetector::MedianSlow(now, servers_);
+  const double correction =
+      std::clamp(median, 1 / kMostCorrection, kMostCorrection);
+  for (ServerState& server : servers_) {
+    server.ScaleSlow(1 / correction);
+  }
+  return correction;
+}
+
+void ServerTable::Rebuild(TimePoint now) {
+  near_.clear();
+  far_.clear();
+  usable_.clear();
+  usable_flags_.assign(servers_.size(), false);
+  for (uint32_t i = 0; i < servers_.size(); ++i) {
+    const ServerState& server = servers_[i];
+    if (IsLeaving(server.id()) || server.IsEjected(now)) {
+      continue;
+    }
+    usable_flags_[i] = true;
+    usable_.push_back(i);
+    (server.near() ? near_ : far_).push_back(i);
+  }
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/tests/unit-admission.cc
@@ -0,0 +1,233 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "citronlane/admission/admission_controller.h"
+#include "citronlane/config/cluster_config.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kCost = 10;
+
+ClusterConfig MakeConfig() {
+  ClusterConfig config;
+  config.classes_["chat"] = {"chat", seconds(1), seconds(4), 0.95, {}, {}};
+  config.classes_["report"] = {"report", {}, seconds(30), 0.9, 50.0, 1000.0};
+  config.classes_["nightly"] = {"nightly", {}, seconds(60), 0.9, {}, {}, true};
+  return config;
+}
+
+AdmissionQuery MakeQuery(const std::string& class_name,
+                         Duration expected,
+                         const std::string& account = "small") {
+  const ClassConfig declared = MakeConfig().classes_.at(class_name);
+  AdmissionQuery query;
+  query.account_ = account;
+  query.class_name_ = class_name;
+  query.batch_ = declared.batch_;
+  query.target_ = declared.answer_target_;
+  query.deadline_ = seconds(60);
+  query.expected_finish_ = expected;
+  query.expected_cost_ = kCost;
+  query.bottleneck_pool_ = "engines";
+  query.pool_servers_ = 4;
+  return query;
+}
+
+class AdmissionTest {
+ public:
+  explicit AdmissionTest(AdmissionOptions options = {})
+      : controller_(MakeConfig(), options, [this](uint64_t bound) {
+          return random_() % bound;
+        }) {}
+
+  std::optional<RefusalReason> Admit(const AdmissionQuery& query) {
+    last_ = controller_.Admit(now_, query);
+    return last_ ? std::optional(last_->reason_) : std::nullopt;
+  }
+  /// Admits `count` requests of an account while the pool is idle.
+  void Use(const std::string& account, int count) {
+    for (int i = 0; i < count; ++i) {
+      CHECK_FALSE(Admit(MakeQuery("chat", seconds(1), account)));
+    }
+  }
+
+  std::mt19937_64 random_{11};
+  TimePoint now_{seconds(1000)};
+  AdmissionController controller_;
+  std::optional<Refusal> last_;
+};
+
+}  // namespace
+
+TEST_CASE("early refusal") {
+  AdmissionTest test;
+  SECTION("admits what is expected to meet its target") {
+    CHECK_FALSE(test.Admit(MakeQuery("chat", seconds(2))));
+  }
+  SECTION("refuses what is expected to miss it, with the figures") {
+    CHECK(test.Admit(MakeQuery("chat", seconds(5))) ==
+          RefusalReason::kDeadlineUnreachable);
+    CHECK(test.last_->figures_.at("expected_ms") == 5000);
+    CHECK(test.last_->figures_.at("target_ms") == 4000);
+  }
+  SECTION("refuses by the first token as well") {
+    AdmissionQuery query = MakeQuery("chat", seconds(2));
+    query.first_token_target_ = seconds(1);
+    query.expected_first_token_ = milliseconds(1500);
+    CHECK(test.Admit(query) == RefusalReason::kDeadlineUnreachable);
+  }
+  SECTION("refuses what can not make its deadline") {
+    AdmissionQuery query = MakeQuery("report", seconds(9));
+    query.deadline_ = seconds(8);
+    CHECK(test.Admit(query) == RefusalReason::kDeadlineUnreachable);
+  }
+  SECTION("admits when nothing is known") {
+    AdmissionQuery query = MakeQuery("chat", seconds(5));
+    query.expected_finish_.reset();
+    CHECK_FALSE(test.Admit(query));
+  }
+  SECTION("learns from misses to trust estimates less, and again more") {
+    const AdmissionQuery query = MakeQuery("chat", milliseconds(3400));
+    CHECK_FALSE(test.Admit(query));
+    for (int i = 0; i < 5; ++i) {
+      test.controller_.OnFinish(test.now_, query, kCost, false);
+    }
+    CHECK(test.Admit(query) == RefusalReason::kDeadlineUnreachable);
+    for (int i = 0; i < 200; ++i) {
+      test.controller_.OnFinish(test.now_, query, kCost, true);
+    }
+    CHECK_FALSE(test.Admit(query));
+  }
+}
+
+TEST_CASE("large account") {
+  AdmissionTest test;
+  test.Use("large", 90);
+  test.Use("small", 10);
+  const Duration contended = milliseconds(3000);
+  SECTION("is refused over its fair share while the pool is contended") {
+    CHECK(test.Admit(MakeQuery("chat", contended, "large")) ==
+          RefusalReason::kFairShare);
+    CHECK(test.last_->figures_.at("use_over_share") == Approx(1.8));
+  }
+  SECTION("does not cost a small account its place") {
+    CHECK_FALSE(test.Admit(MakeQuery("chat", contended, "small")));
+    CHECK_FALSE(test.Admit(MakeQuery("chat", contended, "new")));
+  }
+  SECTION("may use what nobody else wants") {
+    CHECK_FALSE(test.Admit(MakeQuery("chat", milliseconds(1200), "large")));
+  }
+  SECTION("gets its place back when its use has faded") {
+    test.now_ += seconds(120);
+    test.Use("small", 30);
+    test.Use("large", 10);
+    CHECK_FALSE(test.Admit(MakeQuery("chat", contended, "large")));
+  }
+}
+
+TEST_CASE("batch") {
+  AdmissionTest test;
+  test.Use("small", 1);
+  SECTION("uses what is left") {
+    CHECK_FALSE(test.Admit(MakeQuery("nightly", seconds(2))));
+  }
+  SECTION("yields at once to interactive work") {
+    CHECK_FALSE(test.Admit(MakeQuery("chat", milliseconds(2500))));
+    CHECK(test.Admit(MakeQuery("nightly", seconds(2))) ==
+          RefusalReason::kBatchYields);
+    test.now_ += seconds(3);
+    CHECK_FALSE(test.Admit(MakeQuery("nightly", seconds(2))));
+  }
+}
+
+TEST_CASE("learned concurrency limit") {
+  AdmissionTest test;
+  const auto call = [&](Duration latency, size_t in_flight, int count) {
+    for (int i = 0; i < count; ++i) {
+      test.now_ += milliseconds(20);
+      test.controller_.OnCall(test.now_, "engines", latency, in_flight);
+    }
+  };
+  AdmissionQuery query = MakeQuery("chat", seconds(1));
+  query.pool_in_flight_ = 60;
+  call(milliseconds(100), 10, 100);
+  CHECK_FALSE(test.Admit(query));
+  SECTION("falls when latency rises with the calls in flight") {
+    call(milliseconds(1500), 60, 400);
+    CHECK(test.Admit(query) == RefusalReason::kConcurrencyLimit);
+  }
+  SECTION("grows while latency does not") {
+    call(milliseconds(100), 60, 400);
+    query.pool_in_flight_ = 80;
+    CHECK_FALSE(test.Admit(query));
+  }
+}
+
+TEST_CASE("spend") {
+  AdmissionTest test;
+  const AdmissionQuery query = MakeQuery("report", seconds(1));
+  const auto count_admitted = [&](int tries) {
+    int admitted = 0;
+    for (int i = 0; i < tries; ++i) {
+      admitted += test.Admit(query) ? 0 : 1;
+    }
+    return admitted;
+  };
+  SECTION("over the limit of one request is refused, to no avail later") {
+    AdmissionQuery dear = query;
+    dear.expected_cost_ = 51;
+    CHECK(test.Admit(dear) == RefusalReason::kSpendLimit);
+    CHECK(test.last_->retry_after_ == Duration::zero());
+  }
+  SECTION("holds to the leased share") {
+    CHECK_FALSE(test.Admit(MakeQuery("chat", seconds(1))));
+    test.controller_.OnSpendShare("report", 50, test.now_ + seconds(10));
+    CHECK(count_admitted(20) == 5);
+    CHECK(test.last_->reason_ == RefusalReason::kSpendLimit);
+    CHECK(test.controller_.SpendIsTight(test.now_, "report"));
+  }
+  SECTION("counts what requests really cost") {
+    CHECK_FALSE(test.Admit(MakeQuery("chat", seconds(1))));
+    test.controller_.OnSpendShare("report", 50, test.now_ + seconds(10));
+    CHECK_FALSE(test.Admit(query));
+    test.controller_.OnFinish(test.now_, query, 40, true);
+    CHECK(count_admitted(20) == 1);
+  }
+  SECTION("falls to a floor after the lease, a tenth of its pace") {
+    CHECK_FALSE(test.Admit(MakeQuery("chat", seconds(1))));
+    test.controller_.OnSpendShare("report", 1000, test.now_ + seconds(10));
+    test.now_ += seconds(11);
+    CHECK(count_admitted(50) == 1);
+    test.now_ += seconds(10);
+    CHECK(count_admitted(50) == 10);
+  }
+}
+
+TEST_CASE("Retry-After") {
+  AdmissionTest test;
+  std::set<Duration> times;
+  Duration longest{};
+  for (int i = 0; i < 100; ++i) {
+    test.Admit(MakeQuery("chat", seconds(7)));
+    times.insert(test.last_->retry_after_);
+    longest = std::max(longest, test.last_->retry_after_);
+    CHECK(test.last_->retry_after_ >= seconds(3));
+  }
+  SECTION("differs from caller to caller") {
+    CHECK(times.size() > 90);
+  }
+  SECTION("spreads wider the more are refused") {
+    CHECK(longest > seconds(20));
+    CHECK(longest <= seconds(120));
+  }
+}
+
+}  // namespace citronlane
