--- /dev/null
+++ b/include/citronlane/app/claim_answer.h
@@ -0,0 +1,26 @@
+#ifndef CITRONLANE_APP_CLAIM_ANSWER_H_
+#define CITRONLANE_APP_CLAIM_ANSWER_H_
+
+#include "citronlane/app/stored_answer.h"
+
+namespace citronlane {
+
+/// What the control quorum says of a claim.
+struct ClaimAnswer {
+  enum class Result {
+    /// No quorum answered: the request must not run.
+    kUnavailable,
+    kGranted,
+    kRunning,
+    kFinished,
+    kKeyReused,
+    kOwnerLost,
+  };
+  Result result_ = Result::kUnavailable;
+  /// With kFinished only.
+  StoredAnswer stored_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_CLAIM_ANSWER_H_
--- /dev/null
+++ b/include/citronlane/app/claim_query.h
@@ -0,0 +1,19 @@
+#ifndef CITRONLANE_APP_CLAIM_QUERY_H_
+#define CITRONLANE_APP_CLAIM_QUERY_H_
+
+#include <string>
+
+namespace citronlane {
+
+/// Names one non-idempotent request over the whole fleet.
+struct ClaimQuery {
+  std::string account_;
+  /// The caller's Idempotency-Key.
+  std::string key_;
+  /// SHA-256 of method, path and body, 32 bytes.
+  std::string body_digest_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_CLAIM_QUERY_H_
--- /dev/null
+++ b/include/citronlane/app/stored_answer.h
@@ -0,0 +1,17 @@
+#ifndef CITRONLANE_APP_STORED_ANSWER_H_
+#define CITRONLANE_APP_STORED_ANSWER_H_
+
+#include <string>
+
+namespace citronlane {
+
+/// Final answer of a non-idempotent request, as it is kept under its key.
+struct StoredAnswer {
+  int status_ = 0;
+  std::string content_type_;
+  std::string body_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_STORED_ANSWER_H_
