--- /dev/null
+++ b/include/citronlane/json/object_reader.h
@@ -0,0 +1,130 @@
+#ifndef CITRONLANE_JSON_OBJECT_READER_H_
+#define CITRONLANE_JSON_OBJECT_READER_H_
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/types/span.h"
+#include "citronlane/base/time.h"
+#include "citronlane/json/fault.h"
+#include "citronlane/json/value.h"
+
+namespace citronlane {
+
+/// Reads the members of one JSON object by name and collects every fault
+/// instead of stopping at the first: wrong type, out of range, missing, and, in
+/// Finish(), unknown keys. A member that is absent or wrong leaves the output
+/// as it was. Not thread safe.
+class ObjectReader {
+ public:
+  enum class Need { kOptional, kRequired };
+  using EntryHook = std::function<void(const std::string& name, ObjectReader&)>;
+  using ItemHook = std::function<void(size_t index, ObjectReader&)>;
+
+  /// `value` and `faults` must outlive the reader; `path` is the path of
+  /// `value` from the root. A value that is no object is a fault.
+  ObjectReader(const JsonValue& value,
+               std::string path,
+               std::vector<Fault>* faults);
+  ObjectReader(const ObjectReader&) = delete;
+  ObjectReader& operator=(const ObjectReader&) = delete;
+
+  /// A text that is not empty.
+  bool String(std::string_view key, Need need, std::string* out);
+  /// A text out of `allowed`.
+  bool Choice(std::string_view key,
+              Need need,
+              absl::Span<const std::string_view> allowed,
+              std::string* out);
+  /// 1 to 64 letters, digits, '.', '_' or '-'.
+  bool Name(std::string_view key, Need need, std::string* out);
+  /// An IPv4 or IPv6 number.
+  bool IpAddress(std::string_view key, Need need, std::string* out);
+  /// "IP:port", IPv6 in brackets.
+  bool Endpoint(std::string_view key, Need need, std::string* out);
+  bool Bool(std::string_view key, bool* out);
+  /// A number from `low` to `high`.
+  bool Number(std::string_view key,
+              Need need,
+              double low,
+              double high,
+              double* out);
+  /// A whole number from `low` to `high`, which fit the type.
+  template <typename Integer>
+  bool Whole(std::string_view key,
+             Need need,
+             uint64_t low,
+             uint64_t high,
+             Integer* out) {
+    double number = 0;
+    if (!WholeNumber(key, need, low, high, &number)) {
+      return false;
+    }
+    *out = static_cast<Integer>(number);
+    return true;
+  }
+  /// A whole number of milliseconds from `low` to `high`.
+  bool Milliseconds(std::string_view key,
+                    Need need,
+                    uint64_t low,
+                    uint64_t high,
+                    Duration* out);
+  /// An array of texts that are not empty, each once.
+  bool Strings(std::string_view key, Need need, std::vector<std::string>* out);
+  /// A nested object; `read` gets its reader, Finish() is called after it.
+  bool Object(std::string_view key,
+              Need need,
+              const std::function<void(ObjectReader&)>& read);
+  /// An object keyed by name, every member an object.
+  bool Entries(std::string_view key, Need need, const EntryHook& read);
+  /// An array of `low` to `high` objects.
+  bool Items(std::string_view key,
+             Need need,
+             size_t low,
+             size_t high,
+             const ItemHook& read);
+
+  /// Reports every member that was never asked for. Call once, last.
+  void Finish();
+
+  /// Reports a fault of this object's member `key`, or of the object itself
+  /// when `key` is empty.
+  void AddFault(std::string_view key, std::string message);
+
+  /// Path of a member from the root.
+  std::string PathOf(std::string_view key) const;
+  /// Line of the member, or of the object when it is absent.
+  int LineOf(std::string_view key) const;
+
+ private:
+  const JsonValue* Take(std::string_view key, Need need);
+  const std::string* TakeString(std::string_view key, Need need);
+  bool WholeNumber(std::string_view key,
+                   Need need,
+                   uint64_t low,
+                   uint64_t high,
+                   double* out);
+
+  const JsonValue& value_;
+  const std::string path_;
+  std::vector<Fault>* const faults_;
+  std::vector<std::string> known_;
+};
+
+/// True for 1 to 64 letters, digits, '.', '_' or '-'. Thread safe.
+bool IsName(std::string_view text);
+
+/// True for an IPv4 or IPv6 number. Thread safe.
+bool IsIpAddress(std::string_view text);
+
+/// Sorts faults into document order and returns them as lines
+/// "<path>: line <n>: <message>". Thread safe.
+std::vector<std::string> FormatFaults(absl::Span<const Fault> faults);
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_JSON_OBJECT_READER_H_
--- a/include/citronlane/json/value.h
+++ b/include/citronlane/json/value.h
@@ -43,6 +43,8 @@
 
   /// Precondition: an object. Replaces a member of the same name.
   void Set(std::string_view name, JsonValue value);
+  /// Precondition: an object without a member of that name.
+  void AppendMember(std::string name, JsonValue value);
   /// Precondition: an object. Does nothing when there is no such member.
   void Remove(std::string_view name);
   /// Precondition: an array.
