--- /dev/null
+++ b/include/citronlane/app/control_node.h
@@ -0,0 +1,45 @@
+#ifndef CITRONLANE_APP_CONTROL_NODE_H_
+#define CITRONLANE_APP_CONTROL_NODE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "citronlane/app/control_node_hooks.h"
+#include "citronlane/app/control_options.h"
+#include "citronlane/app/replica_status.h"
+#include "citronlane/base/error.h"
+
+namespace citronlane {
+
+/// One control VM: a Replica, the state machine on it, the service for
+/// gateways and the administration API. Thread safe, but Start and Stop, which
+/// one thread calls.
+class ControlNode {
+ public:
+  ControlNode(ControlOptions options, ControlNodeHooks hooks);
+  ~ControlNode();
+  ControlNode(const ControlNode&) = delete;
+  ControlNode& operator=(const ControlNode&) = delete;
+
+  /// Reads the disk, binds the addresses and starts the threads. Returns false
+  /// and a reason when the disk can't be trusted or an address is taken.
+  bool Start(Error* error);
+
+  /// Hands over the lead, answers what waits, ends the threads. May be called
+  /// twice.
+  void Stop();
+
+  /// Version and digest of the configuration applied here.
+  uint64_t config_version() const;
+  std::string config_digest() const;
+  ReplicaStatus replica_status() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_CONTROL_NODE_H_
--- /dev/null
+++ b/include/citronlane/app/control_run.h
@@ -0,0 +1,19 @@
+#ifndef CITRONLANE_APP_CONTROL_RUN_H_
+#define CITRONLANE_APP_CONTROL_RUN_H_
+
+#include "citronlane/app/control_node_hooks.h"
+#include "citronlane/app/control_options.h"
+#include "citronlane/base/error.h"
+
+namespace citronlane {
+
+/// Runs a control process until SIGTERM or SIGINT. Returns false and a reason
+/// when it can't start. Call once, from the main thread, before other threads
+/// are started: it blocks both signals.
+bool RunControl(const ControlOptions& options,
+                ControlNodeHooks hooks,
+                Error* error);
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_CONTROL_RUN_H_
--- /dev/null
+++ b/include/citronlane/app/operator_key.h
@@ -0,0 +1,21 @@
+#ifndef CITRONLANE_APP_OPERATOR_KEY_H_
+#define CITRONLANE_APP_OPERATOR_KEY_H_
+
+#include <string>
+
+#include "citronlane/app/operator_role.h"
+
+namespace citronlane {
+
+/// One operator's bearer key of the administration API.
+struct OperatorKey {
+  /// Named in the history of each change.
+  std::string operator_;
+  /// Lower-case hexadecimal SHA-256 digest of the key.
+  std::string digest_;
+  OperatorRole role_ = OperatorRole::kRead;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_OPERATOR_KEY_H_
--- /dev/null
+++ b/include/citronlane/transport/control_client_options.h
@@ -0,0 +1,40 @@
+#ifndef CITRONLANE_TRANSPORT_CONTROL_CLIENT_OPTIONS_H_
+#define CITRONLANE_TRANSPORT_CONTROL_CLIENT_OPTIONS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "citronlane/base/time.h"
+#include "citronlane/transport/tls_files.h"
+
+namespace citronlane {
+
+/// How a gateway talks to the control VMs.
+struct ControlClientOptions {
+  std::string gateway_;
+  /// Differs at each start of the gateway, and rises.
+  uint64_t incarnation_ = 0;
+  std::string failure_domain_;
+  /// "IP:port" of control VMs to begin with; others become known through them.
+  std::vector<std::string> addresses_;
+  /// Length of the configuration lease; the same as on the control VMs.
+  Duration lease_ = std::chrono::seconds(3);
+  Duration renew_interval_ = std::chrono::milliseconds(500);
+  /// A watch stream without any sign of life for this long is left.
+  Duration watch_timeout_ = std::chrono::milliseconds(800);
+  /// One try of a call; and a claim, finish or report with all its retries.
+  Duration try_timeout_ = std::chrono::milliseconds(500);
+  Duration claim_timeout_ = std::chrono::seconds(3);
+  Duration finish_timeout_ = std::chrono::seconds(30);
+  Duration retry_delay_ = std::chrono::milliseconds(50);
+  Duration report_interval_ = std::chrono::seconds(1);
+  /// Calls waiting at once; more are answered as unavailable.
+  size_t max_pending_ = 4096;
+  TlsFiles tls_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_TRANSPORT_CONTROL_CLIENT_OPTIONS_H_
