Add the loggers and the metrics registry

Metrics keeps counters, gauges and Boost histograms in shards of threads, each under its own lock, with a bound on series; the stable names are the constants of observe/metric_names.h. Use metrics.Count(kRefusalsTotal, {reason, class, account}) and Metrics::Text() for /metrics.

--- /dev/null
+++ b/include/citronlane/observe/metric_names.h
@@ -0,0 +1,137 @@
+#ifndef CITRONLANE_OBSERVE_METRIC_NAMES_H_
+#define CITRONLANE_OBSERVE_METRIC_NAMES_H_
+
+#include "citronlane/observe/metric.h"
+
+namespace citronlane {
+
+namespace metric_labels {
+
+inline constexpr std::string_view kClassAccountOutcome[] = {"class", "account",
+                                                            "outcome"};
+inline constexpr std::string_view kReasonClassAccount[] = {"reason", "class",
+                                                           "account"};
+inline constexpr std::string_view kClassAccount[] = {"class", "account"};
+inline constexpr std::string_view kReasonPool[] = {"reason", "pool"};
+inline constexpr std::string_view kPoolOutcome[] = {"pool", "outcome"};
+inline constexpr std::string_view kPipelineStageClass[] = {"pipeline", "stage",
+                                                           "class"};
+inline constexpr std::string_view kPipelineStage[] = {"pipeline", "stage"};
+inline constexpr std::string_view kClass[] = {"class"};
+inline constexpr std::string_view kPool[] = {"pool"};
+inline constexpr std::string_view kReason[] = {"reason"};
+inline constexpr std::string_view kVersion[] = {"version"};
+
+}  // namespace metric_labels
+
+/// Names are stable: a metric may be added, none is renamed.
+/// docs/reference/METRICS.md lists each.
+inline constexpr Metric kRequestsTotal{
+    "citronlane_requests_total", Metric::Kind::kCounter,
+    "Requests by how they ended: answered, refused or failed.",
+    metric_labels::kClassAccountOutcome};
+inline constexpr Metric kRefusalsTotal{"citronlane_refusals_total",
+                                       Metric::Kind::kCounter,
+                                       "Refused or failed requests by reason.",
+                                       metric_labels::kReasonClassAccount};
+inline constexpr Metric kTargetsMetTotal{
+    "citronlane_targets_met_total", Metric::Kind::kCounter,
+    "Requests that met every target of their class.",
+    metric_labels::kClassAccount};
+inline constexpr Metric kTargetsMissedTotal{
+    "citronlane_targets_missed_total", Metric::Kind::kCounter,
+    "Requests that missed a target of their class, refused ones included.",
+    metric_labels::kClassAccount};
+inline constexpr Metric kRetriesTotal{
+    "citronlane_retries_total", Metric::Kind::kCounter,
+    "Stage calls made again, by the reason of the first one's end.",
+    metric_labels::kReasonPool};
+inline constexpr Metric kHedgesTotal{
+    "citronlane_hedges_total", Metric::Kind::kCounter,
+    "Second calls beside a slow one, by outcome: won or lost.",
+    metric_labels::kPoolOutcome};
+inline constexpr Metric kAttemptsTotal{
+    "citronlane_attempts_total", Metric::Kind::kCounter,
+    "Stage calls by how they ended.", metric_labels::kPoolOutcome};
+inline constexpr Metric kResultsDroppedTotal{
+    "citronlane_results_dropped_total", Metric::Kind::kCounter,
+    "Results that belonged to no open attempt.", metric_labels::kReasonPool};
+inline constexpr Metric kStageSeconds{
+    "citronlane_stage_seconds", Metric::Kind::kHistogram,
+    "Time of one stage, with its retries.", metric_labels::kPipelineStage};
+inline constexpr Metric kRequestSeconds{
+    "citronlane_request_seconds", Metric::Kind::kHistogram,
+    "Time to the whole answer.", metric_labels::kClass};
+inline constexpr Metric kFirstTokenSeconds{
+    "citronlane_first_token_seconds", Metric::Kind::kHistogram,
+    "Time to the first token of a stream.", metric_labels::kClass};
+inline constexpr Metric kCostTotal{
+    "citronlane_cost_micro_units_total", Metric::Kind::kCounter,
+    "Cost by stage, in micro-units of the declared costs.",
+    metric_labels::kPipelineStageClass};
+inline constexpr Metric kTokensTotal{
+    "citronlane_tokens_total", Metric::Kind::kCounter,
+    "Tokens received from engines.", metric_labels::kPool};
+inline constexpr Metric kConnectionsClosedTotal{
+    "citronlane_connections_closed_total", Metric::Kind::kCounter,
+    "Callers' connections closed by the gateway, by reason.",
+    metric_labels::kReason};
+inline constexpr Metric kRefusalsUnrecordedTotal{
+    "citronlane_refusals_unrecorded_total",
+    Metric::Kind::kCounter,
+    "Refusals dropped before they reached the journal on control.",
+    {}};
+inline constexpr Metric kConnections{"citronlane_connections",
+                                     Metric::Kind::kGauge,
+                                     "Callers' open connections.",
+                                     {}};
+inline constexpr Metric kRequestsInFlight{"citronlane_requests_in_flight",
+                                          Metric::Kind::kGauge,
+                                          "Requests being served.",
+                                          {}};
+inline constexpr Metric kReady{"citronlane_ready",
+                               Metric::Kind::kGauge,
+                               "1 when new work is taken, else 0.",
+                               {}};
+inline constexpr Metric kConfigVersion{"citronlane_config_version",
+                                       Metric::Kind::kGauge,
+                                       "Version of the configuration applied.",
+                                       {}};
+inline constexpr Metric kBuildInfo{
+    "citronlane_build_info", Metric::Kind::kGauge,
+    "1, labelled with the program's version.", metric_labels::kVersion};
+inline constexpr Metric kMetricSeriesDroppedTotal{
+    "citronlane_metric_series_dropped_total",
+    Metric::Kind::kCounter,
+    "Updates counted under the label value \"other\" because a metric had too "
+    "many series.",
+    {}};
+
+/// Every metric of the registry, in the order of the text.
+inline constexpr const Metric* kAllMetrics[] = {
+    &kRequestsTotal,
+    &kRefusalsTotal,
+    &kTargetsMetTotal,
+    &kTargetsMissedTotal,
+    &kRetriesTotal,
+    &kHedgesTotal,
+    &kAttemptsTotal,
+    &kResultsDroppedTotal,
+    &kStageSeconds,
+    &kRequestSeconds,
+    &kFirstTokenSeconds,
+    &kCostTotal,
+    &kTokensTotal,
+    &kConnectionsClosedTotal,
+    &kRefusalsUnrecordedTotal,
+    &kConnections,
+    &kRequestsInFlight,
+    &kReady,
+    &kConfigVersion,
+    &kBuildInfo,
+    &kMetricSeriesDroppedTotal,
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_OBSERVE_METRIC_NAMES_H_
