--- /dev/null
+++ b/include/citronlane/routing/hedge_query.h
@@ -0,0 +1,30 @@
+#ifndef CITRONLANE_ROUTING_HEDGE_QUERY_H_
+#define CITRONLANE_ROUTING_HEDGE_QUERY_H_
+
+#include <optional>
+
+#include "citronlane/base/time.h"
+
+namespace citronlane {
+
+/// A call that is still waiting for its first byte, or for its whole answer
+/// when it does not stream.
+struct HedgeQuery {
+  bool non_idempotent_ = false;
+  bool batch_ = false;
+  Duration elapsed_{};
+  /// PoolRouter::HedgeDelay.
+  std::optional<Duration> delay_;
+  /// What a second call is expected to take to the same point.
+  std::optional<Duration> expected_;
+  /// Time left until the call's deadline.
+  Duration remaining_{};
+  /// AdmissionController::Pressure of the pool.
+  double pressure_ = 0;
+  /// AdmissionController::SpendIsTight of the class.
+  bool spend_tight_ = false;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_ROUTING_HEDGE_QUERY_H_
--- /dev/null
+++ b/include/citronlane/routing/retry_decision.h
@@ -0,0 +1,18 @@
+#ifndef CITRONLANE_ROUTING_RETRY_DECISION_H_
+#define CITRONLANE_ROUTING_RETRY_DECISION_H_
+
+#include "citronlane/base/time.h"
+#include "citronlane/routing/retry_outcome.h"
+
+namespace citronlane {
+
+/// Whether and when a failed call is tried again.
+struct RetryDecision {
+  RetryOutcome outcome_ = RetryOutcome::kNotFailed;
+  /// Wait before the next try; zero when there is none.
+  Duration backoff_{};
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_ROUTING_RETRY_DECISION_H_
