--- a/include/citronlane/json/object_reader.h
+++ b/include/citronlane/json/object_reader.h
@@ -75,6 +75,10 @@
                     Duration* out);
   /// An array of texts that are not empty, each once.
   bool Strings(std::string_view key, Need need, std::vector<std::string>* out);
+  /// An array of "IP:port", each once.
+  bool Endpoints(std::string_view key,
+                 Need need,
+                 std::vector<std::string>* out);
   /// A nested object; `read` gets its reader, Finish() is called after it.
   bool Object(std::string_view key,
               Need need,
@@ -103,6 +107,11 @@
  private:
   const JsonValue* Take(std::string_view key, Need need);
   const std::string* TakeString(std::string_view key, Need need);
+  bool StringList(std::string_view key,
+                  Need need,
+                  std::string_view rule,
+                  const std::function<bool(std::string_view)>& is_allowed,
+                  std::vector<std::string>* out);
   bool WholeNumber(std::string_view key,
                    Need need,
                    uint64_t low,
--- a/src/json/object_reader.cc
+++ b/src/json/object_reader.cc
@@ -16,6 +16,9 @@
 constexpr uint64_t kMaxPort = 65535;
 constexpr std::string_view kNameRule =
     "1 to 64 letters, digits, '.', '_' or '-'";
+constexpr std::string_view kEndpointRule =
+    "\"IP:port\" with an IP number (IPv6 in brackets) and a port from 1 to "
+    "65535";
 
 std::string Join(absl::Span<const std::string_view> parts) {
   std::string text;
@@ -186,9 +189,7 @@
     return false;
   }
   if (!IsEndpoint(*text)) {
-    AddFault(key,
-             "must be \"IP:port\" with an IP number (IPv6 in brackets) and a "
-             "port from 1 to 65535");
+    AddFault(key, "must be " + std::string(kEndpointRule));
     return false;
   }
   *out = *text;
@@ -266,6 +267,22 @@
 bool ObjectReader::Strings(std::string_view key,
                            Need need,
                            std::vector<std::string>* out) {
+  const auto is_allowed = [](std::string_view text) { return !text.empty(); };
+  return StringList(key, need, "a string, not empty", is_allowed, out);
+}
+
+bool ObjectReader::Endpoints(std::string_view key,
+                             Need need,
+                             std::vector<std::string>* out) {
+  return StringList(key, need, kEndpointRule, IsEndpoint, out);
+}
+
+bool ObjectReader::StringList(
+    std::string_view key,
+    Need need,
+    std::string_view rule,
+    const std::function<bool(std::string_view)>& is_allowed,
+    std::vector<std::string>* out) {
   const JsonValue* member = Take(key, need);
   if (member == nullptr) {
     return false;
@@ -279,8 +296,8 @@
   for (size_t i = 0; i < member->items().size(); ++i) {
     const JsonValue& item = member->items()[i];
     const std::string path = PathOf(key) + "[" + std::to_string(i) + "]";
-    if (!item.IsString() || item.AsString().empty()) {
-      faults_->push_back({path, item.line(), "must be a string, not empty"});
+    if (!item.IsString() || !is_allowed(item.AsString())) {
+      faults_->push_back({path, item.line(), "must be " + std::string(rule)});
     } else if (!seen.insert(item.AsString()).second) {
       faults_->push_back({path, item.line(), "stands twice in this list"});
     } else {
