--- a/include/citronlane/app/gateway_options.h
+++ b/include/citronlane/app/gateway_options.h
@@ -38,7 +38,7 @@
   /// How long the configuration holds after its last confirmation.
   Duration config_lease_ = std::chrono::seconds(3);
   /// Largest answer stored under an Idempotency-Key.
-  uint64_t stored_answer_bytes_ = 64 * 1024;
+  uint64_t stored_answer_bytes_ = 64ULL * 1024;
   /// Refusals kept until they are sent to control; older ones are dropped and
   /// counted.
   size_t refusal_backlog_ = 4096;
--- a/include/citronlane/state/state_limits.h
+++ b/include/citronlane/state/state_limits.h
@@ -23,7 +23,7 @@
   uint64_t max_claims_ = 1000000;
   /// Largest stored answer, and all of them together, in bytes. An answer
   /// beyond is not stored; its key stays.
-  uint64_t answer_bytes_ = 64 * 1024;
+  uint64_t answer_bytes_ = 64ULL * 1024;
   uint64_t total_answer_bytes_ = 64ULL * 1024 * 1024;
   /// Refusals kept; the oldest are dropped and counted.
   uint64_t refusals_ = 100000;
--- a/include/citronlane/transport/http_limits.h
+++ b/include/citronlane/transport/http_limits.h
@@ -13,7 +13,7 @@
   /// Bytes of a request's header, all lines together.
   uint32_t header_bytes_ = 16 * 1024;
   /// Bytes of a request's body.
-  uint64_t body_bytes_ = 1024 * 1024;
+  uint64_t body_bytes_ = 1024ULL * 1024;
   /// Open connections over all threads; more are closed at once.
   size_t connections_ = 4096;
   /// From the first byte of a request to its last.
--- a/include/citronlane/transport/stage_limits.h
+++ b/include/citronlane/transport/stage_limits.h
@@ -12,7 +12,7 @@
 struct StageLimits {
   uint32_t reply_header_bytes_ = 16 * 1024;
   /// Bytes of a reply's body; a longer one is an error of the attempt.
-  uint64_t reply_body_bytes_ = 4 * 1024 * 1024;
+  uint64_t reply_body_bytes_ = 4ULL * 1024 * 1024;
   Duration connect_timeout_ = std::chrono::milliseconds(500);
   /// Longest silence within a reply that has begun.
   Duration read_timeout_ = std::chrono::seconds(5);
