--- /dev/null
+++ b/include/citronlane/consensus/detail/lease_rounds.h
@@ -0,0 +1,36 @@
+#ifndef CITRONLANE_CONSENSUS_DETAIL_LEASE_ROUNDS_H_
+#define CITRONLANE_CONSENSUS_DETAIL_LEASE_ROUNDS_H_
+
+#include <cstdint>
+#include <deque>
+
+#include "citronlane/base/time.h"
+
+namespace citronlane {
+
+/// Numbers the rounds in which a leader asks its followers, and remembers when
+/// each began: an answer to a round proves contact no earlier than that. Not
+/// thread safe.
+class LeaseRounds {
+ public:
+  /// Starts a round and forgets those that began before `horizon`.
+  uint64_t Begin(TimePoint now, TimePoint horizon);
+
+  uint64_t current() const { return current_; }
+
+  /// When the round began; the clock's epoch when it is unknown or forgotten.
+  TimePoint BeganAt(uint64_t round) const;
+
+ private:
+  struct Round {
+    uint64_t number_ = 0;
+    TimePoint began_;
+  };
+
+  uint64_t current_ = 0;
+  std::deque<Round> rounds_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_CONSENSUS_DETAIL_LEASE_ROUNDS_H_
--- a/include/citronlane/consensus/membership.h
+++ b/include/citronlane/consensus/membership.h
@@ -12,6 +12,13 @@
 struct Membership {
   std::map<uint64_t, std::string> voters_;
   std::map<uint64_t, std::string> learners_;
+  /// Disk incarnation of each voter, written when it became one. A message from
+  /// the same id with another incarnation comes from a disk that was lost and
+  /// is ignored.
+  std::map<uint64_t, uint64_t> incarnations_;
+  /// Highest node id ever used. A new learner's id lies above it, so that no id
+  /// is used twice.
+  uint64_t last_id_ = 0;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/consensus/message.h
+++ b/include/citronlane/consensus/message.h
@@ -31,6 +31,8 @@
   /// Node ids; an id names one incarnation of a disk and is never reused.
   uint64_t from_ = 0;
   uint64_t to_ = 0;
+  /// Incarnation of the sender's disk; see Membership::incarnations_.
+  uint64_t incarnation_ = 0;
   uint64_t term_ = 0;
   /// Log position the message refers to: the entry before `entries_`, the
   /// candidate's last entry, the acknowledged entry, or the snapshot's last.
@@ -41,7 +43,9 @@
   bool reject_ = false;
   uint64_t hint_index_ = 0;
   uint64_t hint_term_ = 0;
-  /// Echoed by heartbeat replies: confirms a quorum read and the leader lease.
+  /// Round in which the leader sent this, echoed by the reply: confirms a
+  /// quorum read and the leader lease. In a vote: not 0 when the present leader
+  /// asked for the election.
   uint64_t context_ = 0;
   std::vector<Entry> entries_;
   /// Snapshot transfer: one part at `offset_`, and whether it is the last.
--- a/include/citronlane/consensus/raft_node.h
+++ b/include/citronlane/consensus/raft_node.h
@@ -52,9 +52,11 @@
                                   std::string payload,
                                   Error* error);
 
-  /// Proposes a membership that differs from the present one by one node.
-  /// Refused while another change is not yet applied, and for a learner that
-  /// is not caught up to become a voter.
+  /// Proposes a membership that differs from the present one by one node; the
+  /// leader fills in `incarnations_` and `last_id_`. Refused while another
+  /// change is not yet applied, before the leader has committed an entry of its
+  /// term, for a new node that is not a learner with an id above `last_id_`,
+  /// and for a learner that is not caught up to become a voter.
   std::optional<uint64_t> ProposeMembership(TimePoint now,
                                             const Membership& membership,
                                             Error* error);
@@ -70,7 +72,8 @@
   Ready TakeReady();
 
   /// Tells that the last Ready was carried out: its entries are on synced disk
-  /// and its committed entries applied.
+  /// and its committed entries applied. No other call than the getters comes
+  /// between TakeReady and Advance.
   void Advance(TimePoint now);
 
   /// Drops the log up to the snapshot's index, which must have been applied.
@@ -82,9 +85,21 @@
   uint64_t leader() const;
   /// Whether this node leads and a quorum answered within the leader lease.
   bool HasLeaderLease(TimePoint now) const;
+  /// When the leader lease ends unless a quorum answers again; the clock's
+  /// epoch when there is none.
+  TimePoint lease_end() const;
   uint64_t commit_index() const;
+  uint64_t applied_index() const;
   uint64_t last_index() const;
+  /// Membership in force: the newest in the log.
   const Membership& membership() const;
+  /// Membership in force at `index`, which is at or above the last snapshot.
+  const Membership& membership_at(uint64_t index) const;
+  /// Term of the entry at `index`; 0 when it is not in the log (any more).
+  uint64_t TermAt(uint64_t index) const;
+  /// Whether the cluster knows this node's id with another disk's incarnation.
+  /// Such a node does nothing any more: it must join anew under a new id.
+  bool identity_lost() const;
 
  private:
   class Impl;
--- a/include/citronlane/consensus/raft_options.h
+++ b/include/citronlane/consensus/raft_options.h
@@ -11,6 +11,8 @@
 /// Timing and size limits of one RaftNode.
 struct RaftOptions {
   uint64_t id_ = 0;
+  /// Random number drawn when the disk was first used.
+  uint64_t incarnation_ = 0;
   Duration heartbeat_interval_ = std::chrono::milliseconds(50);
   /// A follower waits this long, and up to twice as long, for its leader.
   Duration election_timeout_ = std::chrono::milliseconds(300);
@@ -20,6 +22,9 @@
   size_t max_entries_per_append_ = 512;
   size_t max_bytes_per_append_ = 1 << 20;
   size_t max_inflight_appends_ = 16;
+  /// Entries kept in memory behind a snapshot, so that a follower that lags a
+  /// little needs no snapshot transfer.
+  uint64_t kept_entries_ = 1024;
   size_t snapshot_part_bytes_ = 1 << 18;
 };
 
--- /dev/null
+++ b/include/citronlane/storage/detail/log_reader.h
@@ -0,0 +1,53 @@
+#ifndef CITRONLANE_STORAGE_DETAIL_LOG_READER_H_
+#define CITRONLANE_STORAGE_DETAIL_LOG_READER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "citronlane/base/error.h"
+#include "citronlane/storage/detail/record.h"
+#include "citronlane/storage/recovered_log.h"
+
+namespace citronlane {
+
+/// Replays the segments of a write-ahead log in order. Not thread safe.
+class LogReader {
+ public:
+  /// Replays one segment and returns how many of its bytes are good. Fewer than
+  /// all means a torn tail, allowed only in the last segment. Nothing, with
+  /// file and offset in the reason, when records that were once synced are
+  /// damaged or missing.
+  std::optional<size_t> Read(const std::string& name,
+                             std::string_view data,
+                             bool is_last,
+                             Error* error);
+
+  /// Applies that a snapshot of (`index`, `term`) is durable: keeps the entries
+  /// after it if the log holds it, else starts anew behind it.
+  void ApplySnapshotMark(uint64_t index, uint64_t term);
+
+  RecoveredLog& log() { return log_; }
+  /// Batch number for the next record written.
+  uint64_t next_batch() const { return last_batch_ + 1; }
+  /// Highest entry index seen in the segment read last.
+  uint64_t segment_max_index() const { return segment_max_index_; }
+
+ private:
+  bool Apply(const Record& record, Error* error);
+  bool ApplyEntry(const Record& record, Error* error);
+  bool WasSynced(std::string_view data, size_t bad) const;
+  uint64_t last_index() const {
+    return log_.base_index_ + log_.entries_.size();
+  }
+
+  RecoveredLog log_;
+  uint64_t last_batch_ = 0;
+  bool last_ended_batch_ = true;
+  uint64_t segment_max_index_ = 0;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_STORAGE_DETAIL_LOG_READER_H_
--- /dev/null
+++ b/src/storage/log_reader.cc
@@ -0,0 +1,114 @@
+#include "citronlane/storage/detail/log_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronlane {
+namespace {
+
+std::string At(const std::string& name, size_t offset) {
+  return name + " at offset " + std::to_string(offset);
+}
+
+}  // namespace
+
+std::optional<size_t> LogReader::Read(const std::string& name,
+                                      std::string_view data,
+                                      bool is_last,
+                                      Error* error) {
+  segment_max_index_ = 0;
+  size_t offset = 0;
+  while (offset < data.size()) {
+    size_t size = 0;
+    const auto record = DecodeRecord(data.substr(offset), &size);
+    if (!record) {
+      if (!is_last || WasSynced(data, offset)) {
+        error->message_ = "damaged log record in " + At(name, offset);
+        return std::nullopt;
+      }
+      return offset;
+    }
+    if (!Apply(*record, error)) {
+      error->message_ += " in " + At(name, offset);
+      return std::nullopt;
+    }
+    last_batch_ = record->batch_;
+    last_ended_batch_ = record->ends_batch_;
+    offset += size;
+  }
+  return offset;
+}
+
+// A batch is begun only once the one before it was synced. So what is bad was
+// synced if any good record of a later batch follows it; otherwise the bytes
+// are those of a write that power or a crash cut off.
+bool LogReader::WasSynced(std::string_view data, size_t bad) const {
+  const uint64_t bad_batch = last_ended_batch_ ? last_batch_ + 1 : last_batch_;
+  for (size_t at = FindRecord(data, bad + 1); at != std::string_view::npos;
+       at = FindRecord(data, at + 1)) {
+    size_t size = 0;
+    const auto record = DecodeRecord(data.substr(at), &size);
+    if (record && record->batch_ > bad_batch) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool LogReader::Apply(const Record& record, Error* error) {
+  switch (record.kind_) {
+    case RecordKind::kNoOpEntry:
+    case RecordKind::kCommandEntry:
+    case RecordKind::kMembershipEntry:
+      return ApplyEntry(record, error);
+    case RecordKind::kHardState:
+      log_.hard_state_ = HardState{record.term_, record.index_};
+      return true;
+    case RecordKind::kTruncate:
+      if (record.index_ <= log_.base_index_) {
+        log_.entries_.clear();
+      } else if (record.index_ <= last_index()) {
+        log_.entries_.resize(record.index_ - log_.base_index_ - 1);
+      }
+      return true;
+    case RecordKind::kSnapshotMark:
+      ApplySnapshotMark(record.index_, record.term_);
+      return true;
+    default:
+      error->message_ = "log record of unknown kind";
+      return false;
+  }
+}
+
+bool LogReader::ApplyEntry(const Record& record, Error* error) {
+  segment_max_index_ = std::max(segment_max_index_, record.index_);
+  if (record.index_ != last_index() + 1) {
+    error->message_ = "entry " + std::to_string(record.index_) +
+                      " does not follow entry " + std::to_string(last_index());
+    return false;
+  }
+  log_.entries_.push_back(Entry{record.index_, record.term_,
+                                static_cast<EntryKind>(record.kind_),
+                                std::string(record.payload_)});
+  return true;
+}
+
+void LogReader::ApplySnapshotMark(uint64_t index, uint64_t term) {
+  if (index <= log_.base_index_) {
+    return;
+  }
+  const uint64_t position = index - log_.base_index_;
+  const bool held = position <= log_.entries_.size() &&
+                    log_.entries_[position - 1].term_ == term;
+  if (held) {
+    log_.entries_.erase(
+        log_.entries_.begin(),
+        log_.entries_.begin() + static_cast<ptrdiff_t>(position));
+  } else {
+    log_.entries_.clear();
+  }
+  log_.base_index_ = index;
+  log_.base_term_ = term;
+}
+
+}  // namespace citronlane
