--- a/src/cli/run.cc
+++ b/src/cli/run.cc
@@ -1,20 +1,45 @@
 #include "citronlane/cli/run.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
+#include <iostream>
+
+#include "citronlane/cli/detail/command_context.h"
 
 namespace citronlane {
+namespace {
 
-int RunCommandLine(int argc, char** argv) {
-  CLI::App app{"Serving system for multi-stage model pipelines."};
-  app.set_version_flag("--version", CITRONLANE_VERSION);
+constexpr char kFooter[] =
+    "Exit codes: 0 success, 1 failure, 2 wrong usage or faulty settings.";
+
+}  // namespace
+
+ExitCode RunCommandLine(absl::Span<const std::string> arguments,
+                        std::ostream& out,
+                        std::ostream& err) {
+  CLI::App app{"Serving system for multi-stage model pipelines.", "citronlane"};
+  app.set_version_flag("--version", std::string(CITRONLANE_VERSION));
+  app.require_subcommand(1);
+  app.footer(kFooter);
+  detail::CommandContext context(out, err);
+  detail::AddProcessCommands(&app, &context);
+  detail::AddCheckCommand(&app, &context);
+  detail::AddConfigCommands(&app, &context);
+  detail::AddStatusCommands(&app, &context);
   try {
-    app.parse(argc, argv);
+    // CLI11 takes the arguments in reverse order.
+    app.parse(std::vector<std::string>(arguments.rbegin(), arguments.rend()));
   } catch (const CLI::ParseError& error) {
-    const int code = app.exit(error);
-    return code == 0 ? static_cast<int>(ExitCode::kSuccess)
-                     : static_cast<int>(ExitCode::kUsage);
+    return app.exit(error, out, err) == 0 ? ExitCode::kSuccess
+                                          : ExitCode::kUsage;
   }
-  return static_cast<int>(ExitCode::kSuccess);
+  return context.exit_code_;
+}
+
+int RunCommandLine(int argc, char** argv) {
+  const std::vector<std::string> arguments(argv + std::min(argc, 1),
+                                           argv + argc);
+  return static_cast<int>(RunCommandLine(arguments, std::cout, std::cerr));
 }
 
 }  // namespace citronlane
--- /dev/null
+++ b/tests/unit-cli.cc
@@ -0,0 +1,233 @@
+#include <unistd.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "citronlane/cli/run.h"
+#include "citronlane/json/parse.h"
+
+namespace citronlane {
+namespace {
+
+namespace http = boost::beast::http;
+using Tcp = boost::asio::ip::tcp;
+
+struct Answer {
+  int status_ = 200;
+  std::string body_;
+  std::string location_ = "";
+};
+
+// A control VM that gives prepared answers, one a connection, and keeps what
+// it was asked. An answer of status 0 closes the connection without a reply.
+class FakeControl {
+ public:
+  explicit FakeControl(std::deque<Answer> answers)
+      : answers_(std::move(answers)),
+        acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        thread_([this] { Serve(); }) {}
+  ~FakeControl() { Join(); }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  // Waits until every answer is given; returns "METHOD target body" lines.
+  const std::vector<std::string>& Join() {
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+    return requests_;
+  }
+
+ private:
+  void Serve() {
+    for (const Answer& answer : answers_) {
+      Tcp::socket socket = acceptor_.accept();
+      boost::beast::flat_buffer buffer;
+      http::request<http::string_body> request;
+      boost::system::error_code failure;
+      http::read(socket, buffer, request, failure);
+      std::ostringstream line;
+      line << request.method_string() << ' ' << request.target() << ' '
+           << request.body();
+      requests_.push_back(line.str());
+      if (answer.status_ == 0) {
+        continue;
+      }
+      http::response<http::string_body> response(
+          static_cast<http::status>(answer.status_), 11);
+      if (!answer.location_.empty()) {
+        response.set(http::field::location, answer.location_);
+      }
+      response.body() = answer.body_;
+      response.prepare_payload();
+      http::write(socket, response, failure);
+    }
+  }
+
+  const std::deque<Answer> answers_;
+  boost::asio::io_context context_;
+  Tcp::acceptor acceptor_;
+  std::vector<std::string> requests_;
+  std::thread thread_;
+};
+
+struct Outcome {
+  ExitCode code_;
+  std::string out_;
+  std::string err_;
+};
+
+Outcome Run(const std::vector<std::string>& arguments) {
+  std::ostringstream out;
+  std::ostringstream err;
+  const ExitCode code = RunCommandLine(arguments, out, err);
+  return {code, out.str(), err.str()};
+}
+
+// Writes a file that is removed at the end.
+class TemporaryFile {
+ public:
+  explicit TemporaryFile(const std::string& text)
+      : path_("/tmp/unit-cli-" + std::to_string(getpid()) + ".json") {
+    std::ofstream(path_) << text;
+  }
+  ~TemporaryFile() { std::remove(path_.c_str()); }
+  const std::string& path() const { return path_; }
+
+ private:
+  const std::string path_;
+};
+
+std::string Member(const std::string& request, const std::string& name) {
+  Fault fault;
+  const auto body = ParseJson(request.substr(request.find('{')), &fault);
+  REQUIRE(body);
+  return WriteJson(*body->Find(name));
+}
+
+}  // namespace
+
+TEST_CASE("command line") {
+  SECTION("prints help for each command, and exits by the documented codes") {
+    for (const char* command : {"gateway", "control", "check", "config",
+                                "status", "explain", "version"}) {
+      const Outcome outcome = Run({command, "--help"});
+      CHECK(outcome.code_ == ExitCode::kSuccess);
+      CHECK_THAT(outcome.out_, Catch::Contains("Exit codes: 0 success, 1"));
+    }
+    CHECK(Run({"--version"}).code_ == ExitCode::kSuccess);
+    CHECK(Run({}).code_ == ExitCode::kUsage);
+    CHECK(Run({"fly"}).code_ == ExitCode::kUsage);
+    CHECK(Run({"gateway"}).code_ == ExitCode::kUsage);
+    CHECK(Run({"config", "apply"}).code_ == ExitCode::kUsage);
+    CHECK_THAT(Run({"version", "--json"}).out_,
+               Catch::StartsWith("{\"version\":\""));
+  }
+  SECTION("check prints every fault and exits 2") {
+    const TemporaryFile file("{\"classes\": {\n\"a\": {\"x\": 1}}}");
+    const Outcome text = Run({"check", file.path()});
+    CHECK(text.code_ == ExitCode::kUsage);
+    CHECK_THAT(text.err_,
+               Catch::Contains(file.path() + ": classes.a.answer_ms: line 2:"));
+    CHECK_THAT(text.err_, Catch::Contains("classes.a.x: line 2: unknown key"));
+    const Outcome json = Run({"check", "--json", file.path()});
+    CHECK(json.code_ == ExitCode::kUsage);
+    CHECK_THAT(json.out_,
+               Catch::Contains("\"path\":\"classes.a.x\",\"line\":2"));
+    CHECK(Run({"check", "/nowhere/at/all"}).code_ == ExitCode::kUsage);
+  }
+  SECTION("check knows the kinds of files") {
+    const TemporaryFile file("{\"gateway\": {}}");
+    CHECK_THAT(Run({"check", file.path()}).err_,
+               Catch::Contains("gateway.name: line 1: missing"));
+  }
+  SECTION("processes refuse faulty settings with 2 before they start") {
+    const TemporaryFile file("{\"gateway\": 1,\n \"log\": {\"level\": 3}}");
+    const Outcome outcome = Run({"gateway", "--settings", file.path()});
+    CHECK(outcome.code_ == ExitCode::kUsage);
+    CHECK_THAT(outcome.err_, Catch::Contains("gateway: line 1: must be an"));
+    CHECK_THAT(outcome.err_, Catch::Contains("log.level: line 2: must be a"));
+  }
+}
+
+TEST_CASE("administration client") {
+  SECTION("sends a change again with the same id until it has an answer") {
+    FakeControl control({{200, R"({"version":4})"},
+                         {0, ""},
+                         {503, "{}"},
+                         {200, R"({"outcome":"committed","version":5})"}});
+    const TemporaryFile patch(R"({"classes":{"chat":null}})");
+    const Outcome outcome =
+        Run({"config", "apply", "--patch", patch.path(), "--reason", "less",
+             "--admin", control.address()});
+    const std::vector<std::string>& requests = control.Join();
+    CHECK(outcome.code_ == ExitCode::kSuccess);
+    CHECK_THAT(outcome.out_, Catch::Contains("version: 5"));
+    REQUIRE(requests.size() == 4);
+    CHECK(requests[0] == "GET /v1/config ");
+    CHECK_THAT(requests[1], Catch::StartsWith("POST /v1/config/changes {"));
+    CHECK(Member(requests[1], "base_version") == "4");
+    CHECK(Member(requests[1], "patch") == R"({"classes":{"chat":null}})");
+    CHECK(Member(requests[1], "change_id") == Member(requests[3], "change_id"));
+  }
+  SECTION("follows the pointer to the leader, and tries the next address") {
+    FakeControl leader({{200, R"({"term":3})"}});
+    FakeControl follower(
+        {{307, "", "http://" + leader.address() + "/v1/status"}});
+    const Outcome outcome = Run(
+        {"status", "--json", "--admin", "127.0.0.1:1," + follower.address()});
+    CHECK(outcome.code_ == ExitCode::kSuccess);
+    CHECK(outcome.out_ == "{\"term\":3}\n");
+    CHECK(leader.Join().at(0) == "GET /v1/status ");
+  }
+  SECTION("shows a conflict and fails") {
+    FakeControl control(
+        {{409, R"({"outcome":"conflict","winner_operator":"ana"})"}});
+    const TemporaryFile document("{}");
+    const Outcome outcome =
+        Run({"config", "apply", "--document", document.path(), "--reason", "x",
+             "--base", "3", "--admin", control.address()});
+    CHECK(outcome.code_ == ExitCode::kFailure);
+    CHECK_THAT(outcome.err_, Catch::Contains("control answered 409: conflict"));
+    CHECK_THAT(outcome.err_, Catch::Contains("winner_operator: ana"));
+  }
+  SECTION("waits until the change is in force everywhere") {
+    FakeControl control({{200, R"({"version":9})"},
+                         {200, R"({"in_force":false})"},
+                         {200, R"({"in_force":true,"waited_out":["gw2"]})"}});
+    const Outcome outcome =
+        Run({"config", "rollback", "7", "--reason", "x", "--base", "8",
+             "--wait", "--admin", control.address()});
+    CHECK(outcome.code_ == ExitCode::kSuccess);
+    CHECK_THAT(outcome.out_, Catch::Contains("version 9 is in force"));
+    CHECK_THAT(outcome.out_, Catch::Contains("lease of gateway gw2;"));
+    CHECK(Member(control.Join()[0], "version") == "7");
+    CHECK(control.Join()[2] == "GET /v1/config/status?version=9 ");
+  }
+  SECTION("explains a refusal") {
+    FakeControl control({{200, R"({"id":"gw1-1-2","reason":303})"}});
+    const Outcome outcome =
+        Run({"explain", "gw1-1-2", "--admin", control.address()});
+    CHECK_THAT(outcome.out_, Catch::Contains("name: fair_share"));
+    CHECK(Run({"explain", "a/b", "--admin", "127.0.0.1:1"}).code_ ==
+          ExitCode::kUsage);
+  }
+  SECTION("gives up with the reason") {
+    const Outcome outcome =
+        Run({"status", "--admin", "127.0.0.1:1", "--timeout", "1"});
+    CHECK(outcome.code_ == ExitCode::kFailure);
+    CHECK_THAT(outcome.err_, Catch::Contains("127.0.0.1:1"));
+  }
+}
+
+}  // namespace citronlane
