--- /dev/null
+++ b/include/citronlane/app/pool_estimate.h
@@ -0,0 +1,21 @@
+#ifndef CITRONLANE_APP_POOL_ESTIMATE_H_
+#define CITRONLANE_APP_POOL_ESTIMATE_H_
+
+#include <cstddef>
+#include <optional>
+
+#include "citronlane/base/time.h"
+
+namespace citronlane {
+
+/// What a pool can promise a new call.
+struct PoolEstimate {
+  /// Best expected finish; nothing when it is not known yet.
+  std::optional<Duration> finish_;
+  size_t in_flight_ = 0;
+  size_t usable_servers_ = 0;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_POOL_ESTIMATE_H_
--- /dev/null
+++ b/include/citronlane/app/request_summary.h
@@ -0,0 +1,36 @@
+#ifndef CITRONLANE_APP_REQUEST_SUMMARY_H_
+#define CITRONLANE_APP_REQUEST_SUMMARY_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "citronlane/app/stage_cost.h"
+#include "citronlane/base/refusal_reason.h"
+#include "citronlane/base/time.h"
+#include "citronlane/base/verdict.h"
+#include "citronlane/request/request_counters.h"
+
+namespace citronlane {
+
+/// One admitted request after its end, for metrics.
+struct RequestSummary {
+  std::string account_;
+  std::string class_name_;
+  /// Pipeline or service.
+  std::string target_;
+  bool whole_ = false;
+  /// Why not, when it is not whole.
+  RefusalReason reason_ = RefusalReason::kInternal;
+  Verdict verdict_ = Verdict::kNotRun;
+  /// Whether the class's target was met.
+  bool met_target_ = false;
+  Duration answer_time_{};
+  std::optional<Duration> first_token_time_;
+  std::vector<StageCost> costs_;
+  RequestCounters counters_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_REQUEST_SUMMARY_H_
--- /dev/null
+++ b/include/citronlane/request/arm_hedge.h
@@ -0,0 +1,16 @@
+#ifndef CITRONLANE_REQUEST_ARM_HEDGE_H_
+#define CITRONLANE_REQUEST_ARM_HEDGE_H_
+
+#include "citronlane/request/attempt_id.h"
+
+namespace citronlane {
+
+/// Command: call Request::OnHedgeTime for the attempt after the pool's hedge
+/// delay.
+struct ArmHedge {
+  AttemptId attempt_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_REQUEST_ARM_HEDGE_H_
--- /dev/null
+++ b/include/citronlane/request/retry_reason.h
@@ -0,0 +1,28 @@
+#ifndef CITRONLANE_REQUEST_RETRY_REASON_H_
+#define CITRONLANE_REQUEST_RETRY_REASON_H_
+
+#include <cstddef>
+#include <string_view>
+
+namespace citronlane {
+
+/// Why a stage call is made once more. One counter each.
+enum class RetryReason {
+  kConnectFailed,
+  kRejected,
+  kServerError,
+  kClosedAfterSend,
+  kTimeout,
+  kWrongId,
+  kStreamResumed,
+  kStreamContinued,
+};
+
+constexpr size_t kRetryReasons = 8;
+
+/// Returns the stable snake_case name, e.g. "connect_failed". Thread safe.
+std::string_view ToString(RetryReason reason);
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_REQUEST_RETRY_REASON_H_
--- /dev/null
+++ b/include/citronlane/transport/detail/coroutine.h
@@ -0,0 +1,19 @@
+#ifndef CITRONLANE_TRANSPORT_DETAIL_COROUTINE_H_
+#define CITRONLANE_TRANSPORT_DETAIL_COROUTINE_H_
+
+#include <cstddef>
+
+#include <boost/coroutine/attributes.hpp>
+
+namespace citronlane::detail {
+
+/// Stack of one coroutine. Only the pages that are used take memory.
+constexpr size_t kCoroutineStackBytes = 96 * 1024;
+
+inline boost::coroutines::attributes CoroutineAttributes() {
+  return boost::coroutines::attributes(kCoroutineStackBytes);
+}
+
+}  // namespace citronlane::detail
+
+#endif  // CITRONLANE_TRANSPORT_DETAIL_COROUTINE_H_
--- /dev/null
+++ b/include/citronlane/transport/http_header.h
@@ -0,0 +1,16 @@
+#ifndef CITRONLANE_TRANSPORT_HTTP_HEADER_H_
+#define CITRONLANE_TRANSPORT_HTTP_HEADER_H_
+
+#include <string>
+
+namespace citronlane {
+
+/// One header line.
+struct HttpHeader {
+  std::string name_;
+  std::string value_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_TRANSPORT_HTTP_HEADER_H_
--- /dev/null
+++ b/include/citronlane/transport/http_request.h
@@ -0,0 +1,32 @@
+#ifndef CITRONLANE_TRANSPORT_HTTP_REQUEST_H_
+#define CITRONLANE_TRANSPORT_HTTP_REQUEST_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "citronlane/transport/http_header.h"
+
+namespace citronlane {
+
+/// A caller's request, read whole.
+struct HttpRequest {
+  std::string method_;
+  /// Path and query as sent.
+  std::string target_;
+  std::vector<HttpHeader> headers_;
+  std::string body_;
+
+  /// Returns the first header of that name, without regard to case, or an
+  /// empty view.
+  std::string_view Header(std::string_view name) const;
+  /// Number of headers of that name.
+  size_t CountHeader(std::string_view name) const;
+  /// The target without its query.
+  std::string_view Path() const;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_TRANSPORT_HTTP_REQUEST_H_
--- /dev/null
+++ b/include/citronlane/transport/stage_call_spec.h
@@ -0,0 +1,33 @@
+#ifndef CITRONLANE_TRANSPORT_STAGE_CALL_SPEC_H_
+#define CITRONLANE_TRANSPORT_STAGE_CALL_SPEC_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "citronlane/base/time.h"
+#include "citronlane/transport/http_header.h"
+
+namespace citronlane {
+
+/// One HTTP call to a backend server.
+struct StageCallSpec {
+  /// IP number and port.
+  std::string address_;
+  uint16_t port_ = 0;
+  std::string method_ = "POST";
+  std::string target_;
+  /// Besides Host, Content-Length and Connection. Values hold no line ends.
+  std::vector<HttpHeader> headers_;
+  std::string body_;
+  /// The call may not repeat: never on a kept-alive connection, which the
+  /// server may close just as the call arrives.
+  bool fresh_connection_ = false;
+  /// Body is given piece by piece instead of whole.
+  bool streams_ = false;
+  TimePoint deadline_{};
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_TRANSPORT_STAGE_CALL_SPEC_H_
--- a/include/citronlane/transport/stage_limits.h
+++ b/include/citronlane/transport/stage_limits.h
@@ -14,8 +14,8 @@
   /// Bytes of a reply's body; a longer one is an error of the attempt.
   uint64_t reply_body_bytes_ = 4 * 1024 * 1024;
   Duration connect_timeout_ = std::chrono::milliseconds(500);
-  /// Longest silence within a reply that has begun.
-  Duration read_timeout_ = std::chrono::seconds(5);
+  /// Longest silence within a reply whose body has begun.
+  Duration read_timeout_ = std::chrono::seconds(1);
   /// Kept-alive connections per server and thread.
   size_t idle_connections_ = 64;
   /// A kept-alive connection unused for longer is not used again.
--- /dev/null
+++ b/src/app/pool_shard.cc
@@ -0,0 +1,134 @@
+#include "citronlane/app/pool_shard.h"
+
+#include "citronlane/config/pool_config.h"
+
+namespace citronlane {
+namespace {
+
+/// Extra calls that may be made at once after a quiet time.
+constexpr double kBudgetBurst = 10;
+
+}  // namespace
+
+PoolShard::PoolShard(const PoolConfig& pool,
+                     const RouterOptions& options,
+                     double hedge_ratio,
+                     double retry_ratio,
+                     uint64_t seed)
+    : random_(seed),
+      router_(pool,
+              options,
+              [this](uint64_t bound) { return random_() % bound; }),
+      hedges_(hedge_ratio, kBudgetBurst),
+      retries_(retry_ratio, kBudgetBurst),
+      servers_(pool.servers_.begin(), pool.servers_.end()) {}
+
+void PoolShard::Update(const PoolConfig& pool, TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  router_.Update(pool, now);
+  servers_ = {pool.servers_.begin(), pool.servers_.end()};
+}
+
+std::optional<ServerConfig> PoolShard::Place(
+    TimePoint now,
+    const CallShape& call,
+    absl::Span<const std::string> excluded,
+    bool may_fall_back) {
+  const std::lock_guard lock(mutex_);
+  Error error;
+  auto choice = router_.Choose(now, call, excluded, &error);
+  if (!choice && may_fall_back && !excluded.empty()) {
+    choice = router_.Choose(now, call, {}, &error);
+  }
+  if (!choice) {
+    return std::nullopt;
+  }
+  if (excluded.empty()) {
+    hedges_.Earn();
+    retries_.Earn();
+  }
+  return Started(choice->server_, now, call);
+}
+
+std::optional<ServerConfig> PoolShard::PlaceOn(std::string_view server,
+                                               TimePoint now,
+                                               const CallShape& call) {
+  const std::lock_guard lock(mutex_);
+  return Started(std::string(server), now, call);
+}
+
+std::optional<ServerConfig> PoolShard::Started(const std::string& server,
+                                               TimePoint now,
+                                               const CallShape& call) {
+  const auto found = servers_.find(server);
+  if (found == servers_.end()) {
+    return std::nullopt;
+  }
+  router_.OnStart(server, now, call);
+  return found->second;
+}
+
+void PoolShard::OnFirstByte(std::string_view server,
+                            TimePoint now,
+                            Duration latency) {
+  const std::lock_guard lock(mutex_);
+  router_.OnFirstByte(server, now, latency);
+}
+
+void PoolShard::OnFinish(std::string_view server,
+                         TimePoint now,
+                         CallOutcome outcome,
+                         Duration latency,
+                         uint32_t tokens,
+                         const CallShape& call) {
+  const std::lock_guard lock(mutex_);
+  router_.OnFinish(server, now, outcome, latency, tokens, call);
+}
+
+void PoolShard::OnLoadReport(std::string_view server,
+                             TimePoint now,
+                             Duration age,
+                             double queued_calls) {
+  const std::lock_guard lock(mutex_);
+  router_.OnLoadReport(server, now, age, queued_calls);
+}
+
+void PoolShard::OnLeaving(std::string_view server,
+                          uint64_t incarnation,
+                          TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  router_.OnLeaving(server, incarnation, now);
+}
+
+std::optional<Duration> PoolShard::HedgeDelay(const CallShape& call) const {
+  const std::lock_guard lock(mutex_);
+  return router_.HedgeDelay(call);
+}
+
+std::optional<Duration> PoolShard::LatencyQuantile(double quantile) const {
+  const std::lock_guard lock(mutex_);
+  return router_.LatencyQuantile(quantile);
+}
+
+PoolEstimate PoolShard::Estimate(TimePoint now, const CallShape& call) const {
+  const std::lock_guard lock(mutex_);
+  return PoolEstimate{router_.ExpectedFinish(now, call), router_.in_flight(),
+                      router_.usable_servers(now)};
+}
+
+size_t PoolShard::in_flight() const {
+  const std::lock_guard lock(mutex_);
+  return router_.in_flight();
+}
+
+bool PoolShard::TakeHedge() {
+  const std::lock_guard lock(mutex_);
+  return hedges_.TrySpend();
+}
+
+bool PoolShard::TakeRetry() {
+  const std::lock_guard lock(mutex_);
+  return retries_.TrySpend();
+}
+
+}  // namespace citronlane
