--- /dev/null
+++ b/include/citronlane/app/caller_handler.h
@@ -0,0 +1,84 @@
+#ifndef CITRONLANE_APP_CALLER_HANDLER_H_
+#define CITRONLANE_APP_CALLER_HANDLER_H_
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "citronlane/admission/admission_query.h"
+#include "citronlane/app/answer_writer.h"
+#include "citronlane/app/caller_request.h"
+#include "citronlane/app/caller_service_parts.h"
+#include "citronlane/app/driver_job.h"
+#include "citronlane/app/refusal_context.h"
+#include "citronlane/app/request_claim.h"
+#include "citronlane/app/request_summary.h"
+#include "citronlane/base/time.h"
+#include "citronlane/request/finish_request.h"
+#include "citronlane/transport/http_reply.h"
+
+namespace citronlane {
+
+class HttpExchange;
+class RequestDriver;
+struct HttpRequest;
+struct Refusal;
+
+/// Takes one caller's request from its claim and admission to its one answer.
+/// Runs in the connection's coroutine. Not thread safe; used once.
+class CallerHandler {
+ public:
+  /// All references must outlive the handler.
+  CallerHandler(const CallerServiceParts& parts,
+                const DriverContext& context,
+                const HttpRequest& http,
+                CallerRequest request,
+                RefusalContext refusal_context,
+                HttpExchange* exchange);
+  ~CallerHandler();
+
+  /// Returns when the caller has its answer, or is gone.
+  void Run();
+
+ private:
+  bool TakeClaim();
+  bool Admit();
+  void Drive();
+  DriverJob MakeJob();
+  RequestPlan MakePlan() const;
+  void AnswerClaimed(ClaimAnswer answer);
+  void AnswerWhole();
+  void AnswerWholeStream();
+  HttpReply WholeReply() const;
+  void StoreAnswer(int status, std::string content_type, std::string body);
+  void AnswerFailed();
+  void Refuse(RefusalReason reason, Verdict verdict, std::string_view detail);
+  HttpReply WriteFailure();
+  void FlushText();
+  bool SendStream(std::string_view bytes);
+  RequestSummary Summarize() const;
+  bool MetTarget(const RequestSummary& summary) const;
+
+  const CallerServiceParts& parts_;
+  const DriverContext& context_;
+  const HttpRequest& http_;
+  const CallerRequest request_;
+  const RefusalContext refusal_context_;
+  HttpExchange* const exchange_;
+  const TimePoint start_;
+  const AnswerWriter writer_;
+  AdmissionQuery query_;
+  std::unique_ptr<RequestClaim> claim_;
+  std::shared_ptr<RequestDriver> driver_;
+  std::optional<FinishRequest> finish_;
+  std::string pending_text_;
+  /// All bytes of a streamed answer, kept when it is to be stored.
+  std::string sent_text_;
+  bool stream_started_ = false;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_CALLER_HANDLER_H_
--- /dev/null
+++ b/include/citronlane/app/caller_request_reader.h
@@ -0,0 +1,64 @@
+#ifndef CITRONLANE_APP_CALLER_REQUEST_READER_H_
+#define CITRONLANE_APP_CALLER_REQUEST_READER_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "citronlane/app/caller_request.h"
+#include "citronlane/base/refusal_reason.h"
+
+namespace citronlane {
+
+class ConfigView;
+class JsonValue;
+struct HttpRequest;
+struct ServiceConfig;
+
+/// Reads one caller's request: route, client account, class, body. Keeps the
+/// last reason when it can't. Not thread safe; one for each request.
+class CallerRequestReader {
+ public:
+  /// Both must outlive the reader.
+  CallerRequestReader(const HttpRequest& request, const ConfigView& view);
+
+  /// Returns the request, or nothing; then reason() and detail() say why.
+  std::optional<CallerRequest> Read();
+
+  RefusalReason reason() const { return reason_; }
+  /// What exactly is wrong; holds nothing of the caller's text.
+  const std::string& detail() const { return detail_; }
+  /// As far as they were read; empty before.
+  const std::string& account() const { return account_; }
+  const std::string& class_name() const { return class_name_; }
+  const std::string& target() const { return target_; }
+
+ private:
+  bool Fail(RefusalReason reason, std::string detail);
+  bool CheckHeaders();
+  bool ReadAccount();
+  bool ReadClass();
+  bool ReadRoute();
+  bool ReadPipelinePath(std::string_view name);
+  bool ReadServicePath(std::string_view rest);
+  bool ReadChatBody();
+  bool ReadPipelineBody();
+  bool ReadMessages(const JsonValue& messages);
+  bool ReadOptions(const JsonValue& body);
+  bool TakePipeline(const std::string& name);
+  void TakeServiceRoute(const ServiceConfig& service, std::string_view path);
+  bool ReadIdempotency();
+
+  const HttpRequest& http_;
+  const ConfigView& view_;
+  CallerRequest result_;
+  RefusalReason reason_ = RefusalReason::kInternal;
+  std::string detail_;
+  std::string account_;
+  std::string class_name_;
+  std::string target_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_CALLER_REQUEST_READER_H_
--- a/include/citronlane/app/gateway_hooks.h
+++ b/include/citronlane/app/gateway_hooks.h
@@ -9,6 +9,7 @@
 
 #include "citronlane/app/claim_answer.h"
 #include "citronlane/app/claim_query.h"
+#include "citronlane/app/gateway_events.h"
 #include "citronlane/app/refusal_entry.h"
 
 namespace citronlane {
@@ -36,6 +37,11 @@
   /// call. Returns whether control has them.
   std::function<bool(const std::vector<RefusalEntry>&, uint64_t)>
       report_refusals_;
+  /// Tells control that a backend server says it is leaving; incarnation 0
+  /// when it is not known.
+  std::function<void(std::string_view server, uint64_t incarnation)>
+      report_leaving_;
+  GatewayEvents events_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/app/gateway_options.h
+++ b/include/citronlane/app/gateway_options.h
@@ -16,6 +16,9 @@
 struct GatewayOptions {
   /// Unique among the gateways; part of every request id.
   std::string name_ = "gateway";
+  /// Differs at each start and rises; 0 takes the start time in Unix
+  /// milliseconds.
+  uint64_t incarnation_ = 0;
   std::string failure_domain_;
   /// Listener for callers: an IP number. Port 0 takes any free port.
   std::string address_ = "127.0.0.1";
--- a/include/citronlane/app/pool_estimate.h
+++ b/include/citronlane/app/pool_estimate.h
@@ -12,6 +12,8 @@
 struct PoolEstimate {
   /// Best expected finish; nothing when it is not known yet.
   std::optional<Duration> finish_;
+  /// The same for the first byte of a streamed answer.
+  std::optional<Duration> first_byte_;
   size_t in_flight_ = 0;
   size_t usable_servers_ = 0;
 };
--- a/include/citronlane/transport/http_exchange.h
+++ b/include/citronlane/transport/http_exchange.h
@@ -28,8 +28,8 @@
   /// Closes the connection with the stream visibly cut.
   virtual void Abort() = 0;
 
-  /// Suspends the handler until Notify is called or the caller is gone. A
-  /// Notify before Wait is not lost.
+  /// Suspends the handler until Notify is called; a caller that goes away
+  /// calls it too, once. A Notify before Wait is not lost.
   virtual void Wait() = 0;
   /// Wakes Wait. May be called from any function on the same thread.
   virtual void Notify() = 0;
--- /dev/null
+++ b/src/app/admission_gate.cc
@@ -0,0 +1,52 @@
+#include "citronlane/app/admission_gate.h"
+
+namespace citronlane {
+
+AdmissionGate::AdmissionGate(AdmissionOptions options)
+    : options_(options), random_(std::random_device()()) {}
+
+void AdmissionGate::Update(const ClusterConfig& config, TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  if (controller_ != nullptr) {
+    controller_->Update(config, now);
+    return;
+  }
+  controller_ = std::make_unique<AdmissionController>(
+      config, options_, [this](uint64_t bound) { return random_() % bound; });
+}
+
+std::optional<Refusal> AdmissionGate::Admit(TimePoint now,
+                                            const AdmissionQuery& query) {
+  const std::lock_guard lock(mutex_);
+  if (controller_ == nullptr) {
+    return Refusal{RefusalReason::kNoConfiguration, Duration(0), {}};
+  }
+  return controller_->Admit(now, query);
+}
+
+void AdmissionGate::OnFinish(TimePoint now,
+                             const AdmissionQuery& query,
+                             double cost,
+                             bool met_target) {
+  const std::lock_guard lock(mutex_);
+  controller_->OnFinish(now, query, cost, met_target);
+}
+
+void AdmissionGate::OnCall(TimePoint now,
+                           std::string_view pool,
+                           Duration latency,
+                           size_t in_flight) {
+  const std::lock_guard lock(mutex_);
+  controller_->OnCall(now, pool, latency, in_flight);
+}
+
+void AdmissionGate::OnSpendShare(std::string_view class_name,
+                                 double amount,
+                                 TimePoint valid_until) {
+  const std::lock_guard lock(mutex_);
+  if (controller_ != nullptr) {
+    controller_->OnSpendShare(class_name, amount, valid_until);
+  }
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/app/gateway.cc
@@ -0,0 +1,345 @@
+#include "citronlane/app/gateway.h"
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "citronlane/app/admission_gate.h"
+#include "citronlane/app/caller_service.h"
+#include "citronlane/app/driver_context.h"
+#include "citronlane/app/gateway_state.h"
+#include "citronlane/app/pool_shards.h"
+#include "citronlane/app/refusal_backlog.h"
+#include "citronlane/app/refusal_writer.h"
+#include "citronlane/config/cluster_config.h"
+#include "citronlane/transport/detail/steady_now.h"
+#include "citronlane/transport/http_listener.h"
+#include "citronlane/transport/stage_client.h"
+
+namespace citronlane {
+namespace {
+
+namespace asio = boost::asio;
+using detail::SteadyNow;
+
+constexpr std::chrono::milliseconds kFlushInterval{200};
+constexpr std::chrono::milliseconds kDrainPoll{10};
+/// For the connections to close after the last answer.
+constexpr std::chrono::seconds kCloseLimit{2};
+constexpr std::chrono::seconds kLastFlushLimit{5};
+
+uint64_t UnixMilliseconds() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+RouterOptions MakeRouterOptions(const GatewayOptions& options) {
+  RouterOptions router;
+  router.failure_domain_ = options.failure_domain_;
+  return router;
+}
+
+/// One thread with what it alone touches.
+struct Shard {
+  explicit Shard(const StageLimits& limits)
+      : io_(1), work_(asio::make_work_guard(io_)), client_(&io_, limits) {}
+
+  asio::io_context io_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  StageClient client_;
+  DriverContext context_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+class Gateway::Impl {
+ public:
+  Impl(GatewayOptions options, GatewayHooks hooks)
+      : options_(std::move(options)),
+        hooks_(std::move(hooks)),
+        identity_(options_.name_ + "-" +
+                  std::to_string(options_.incarnation_ != 0
+                                     ? options_.incarnation_
+                                     : UnixMilliseconds())),
+        pools_(MakeRouterOptions(options_),
+               options_.hedge_budget_,
+               options_.retry_budget_),
+        admission_(AdmissionOptions()),
+        backlog_(options_.refusal_backlog_, hooks_.report_refusals_),
+        refusals_(identity_, options_.receipt_key_, [this](const auto& entry) {
+          OnRefusal(entry);
+        }) {
+    for (size_t i = 0; i < std::max<size_t>(1, options_.threads_); ++i) {
+      shards_.push_back(MakeShard());
+    }
+    service_ = std::make_unique<CallerService>(MakeParts());
+    listener_ = MakeListener();
+  }
+
+  bool Start(Error* error) {
+    if (!listener_->Listen(options_.address_, options_.port_, error)) {
+      return false;
+    }
+    for (const auto& shard : shards_) {
+      shard->thread_ = std::thread([io = &shard->io_] { io->run(); });
+    }
+    maintenance_ = std::thread([this] { Maintain(); });
+    Log("serving callers on " + options_.address_ + ":" +
+        std::to_string(listener_->port()) + " as " + identity_);
+    return true;
+  }
+
+  bool ApplyConfig(const std::shared_ptr<const ClusterConfig>& config) {
+    const std::lock_guard lock(config_mutex_);
+    if (config->version_ <= state_.config_version()) {
+      return false;
+    }
+    // Pools and limits first: a request finds all that its version names.
+    const TimePoint now = SteadyNow();
+    pools_.Update(*config, now);
+    admission_.Update(*config, now);
+    state_.ApplyConfig(config);
+    Log("configuration " + std::to_string(config->version_) + " is in force");
+    return true;
+  }
+
+  void Shutdown() {
+    state_.BeginDrain();
+    listener_->CloseAfterReplies();
+    const std::lock_guard lock(stop_mutex_);
+    stopping_ = true;
+    stop_changed_.notify_all();
+  }
+
+  bool Wait() {
+    if (maintenance_.joinable()) {
+      maintenance_.join();
+    }
+    for (const auto& shard : shards_) {
+      shard->work_.reset();
+      shard->io_.stop();
+      if (shard->thread_.joinable()) {
+        shard->thread_.join();
+      }
+    }
+    return !cut_off_;
+  }
+
+  void OnLeaving(std::string_view server, uint64_t incarnation) {
+    pools_.OnLeaving(server, incarnation, SteadyNow());
+  }
+
+  const GatewayOptions options_;
+  const GatewayHooks hooks_;
+  const std::string identity_;
+  GatewayState state_;
+  PoolShards pools_;
+  AdmissionGate admission_;
+  RefusalBacklog backlog_;
+  RefusalWriter refusals_;
+  std::unique_ptr<HttpListener> listener_;
+
+ private:
+  std::unique_ptr<Shard> MakeShard() {
+    auto shard = std::make_unique<Shard>(options_.stage_limits_);
+    DriverContext& context = shard->context_;
+    context.io_ = &shard->io_;
+    context.client_ = &shard->client_;
+    context.pools_ = &pools_;
+    context.on_call_ = [this](std::string_view pool, CallOutcome outcome,
+                              Duration latency, size_t in_flight) {
+      if (outcome == CallOutcome::kSuccess) {
+        admission_.OnCall(SteadyNow(), pool, latency, in_flight);
+      }
+      if (hooks_.events_.on_call_) {
+        hooks_.events_.on_call_(pool, outcome, latency);
+      }
+    };
+    context.on_retry_ = [this](std::string_view pool, RetryReason reason) {
+      if (hooks_.events_.on_retry_) {
+        hooks_.events_.on_retry_(pool, reason);
+      }
+    };
+    context.on_leaving_ = [this](std::string_view server) {
+      OnLeaving(server, 0);
+      if (hooks_.report_leaving_) {
+        hooks_.report_leaving_(server, 0);
+      }
+    };
+    return shard;
+  }
+
+  CallerServiceParts MakeParts() {
+    CallerServiceParts parts;
+    parts.identity_ = identity_;
+    parts.state_ = &state_;
+    parts.pools_ = &pools_;
+    parts.admission_ = &admission_;
+    parts.refusals_ = &refusals_;
+    parts.hooks_ = &hooks_;
+    parts.stored_answer_bytes_ = options_.stored_answer_bytes_;
+    for (const auto& shard : shards_) {
+      parts.contexts_.push_back(&shard->context_);
+    }
+    parts.on_request_ = [this](const RequestSummary& summary) {
+      if (hooks_.events_.on_request_) {
+        hooks_.events_.on_request_(summary);
+      }
+    };
+    return parts;
+  }
+
+  std::unique_ptr<HttpListener> MakeListener() {
+    std::vector<asio::io_context*> contexts;
+    for (const auto& shard : shards_) {
+      contexts.push_back(&shard->io_);
+    }
+    HttpListenerHooks hooks;
+    hooks.serve_ = [this](size_t shard, const HttpRequest& request,
+                          HttpExchange* exchange) {
+      service_->Serve(shard, request, exchange);
+    };
+    hooks.refuse_ = [this](RefusalReason reason) {
+      return service_->RefuseUnread(reason);
+    };
+    return std::make_unique<HttpListener>(
+        std::move(contexts), options_.http_limits_, std::move(hooks));
+  }
+
+  void OnRefusal(const RefusalEntry& entry) {
+    std::string line = "refused " + entry.id_;
+    line.append(" reason=").append(ToString(entry.reason_));
+    line.append(" verdict=").append(ToString(entry.verdict_));
+    line.append(" account=").append(entry.account_);
+    line.append(" class=").append(entry.class_name_);
+    line.append(" target=").append(entry.target_);
+    line.append(" version=").append(std::to_string(entry.config_version_));
+    Log(line);
+    if (hooks_.report_refusals_) {
+      backlog_.Add(entry);
+    }
+    if (hooks_.events_.on_refusal_) {
+      hooks_.events_.on_refusal_(entry);
+    }
+  }
+
+  void Log(std::string_view line) const {
+    if (hooks_.log_) {
+      hooks_.log_(line);
+    }
+  }
+
+  /// Sends refusals until the shutdown, then takes its steps.
+  void Maintain() {
+    std::unique_lock lock(stop_mutex_);
+    while (!stopping_) {
+      stop_changed_.wait_for(lock, kFlushInterval,
+                             [this] { return stopping_; });
+      lock.unlock();
+      backlog_.Flush();
+      lock.lock();
+    }
+    lock.unlock();
+    Drain();
+  }
+
+  void Drain() {
+    Log("draining: not ready, new work is still taken");
+    std::this_thread::sleep_for(options_.drain_notice_);
+    state_.RefuseNewWork();
+    Log("draining: new work is refused");
+    cut_off_ = !WaitUntil(options_.drain_limit_,
+                          [this] { return listener_->active_requests() == 0; });
+    listener_->StopAccepting();
+    WaitUntil(kCloseLimit, [this] { return listener_->connections() == 0; });
+    WaitUntil(kLastFlushLimit,
+              [this] { return !hooks_.report_refusals_ || backlog_.Flush(); });
+    Log(cut_off_ ? "stopped; work was cut off at the drain limit"
+                 : "stopped; no work was cut off");
+  }
+
+  template <typename Condition>
+  static bool WaitUntil(Duration limit, Condition condition) {
+    const TimePoint end = SteadyNow() + limit;
+    while (!condition()) {
+      if (SteadyNow() >= end) {
+        return false;
+      }
+      std::this_thread::sleep_for(kDrainPoll);
+    }
+    return true;
+  }
+
+  std::vector<std::unique_ptr<Shard>> shards_;
+  std::unique_ptr<CallerService> service_;
+  std::thread maintenance_;
+  std::mutex config_mutex_;
+  std::mutex stop_mutex_;
+  std::condition_variable stop_changed_;
+  bool stopping_ = false;
+  std::atomic<bool> cut_off_{false};
+};
+
+Gateway::Gateway(GatewayOptions options, GatewayHooks hooks)
+    : impl_(std::make_unique<Impl>(std::move(options), std::move(hooks))) {}
+
+Gateway::~Gateway() = default;
+
+bool Gateway::Start(Error* error) {
+  return impl_->Start(error);
+}
+
+uint16_t Gateway::port() const {
+  return impl_->listener_->port();
+}
+
+bool Gateway::ApplyConfig(std::shared_ptr<const ClusterConfig> config) {
+  return impl_->ApplyConfig(config);
+}
+
+uint64_t Gateway::config_version() const {
+  return impl_->state_.config_version();
+}
+
+void Gateway::ExtendLease(TimePoint until) {
+  impl_->state_.ExtendLease(until);
+}
+
+void Gateway::OnServerLeaving(std::string_view server, uint64_t incarnation) {
+  impl_->OnLeaving(server, incarnation);
+}
+
+void Gateway::OnSpendShare(std::string_view class_name,
+                           double amount,
+                           TimePoint until) {
+  impl_->admission_.OnSpendShare(class_name, amount, until);
+}
+
+bool Gateway::ready() const {
+  return impl_->state_.Ready(SteadyNow());
+}
+
+void Gateway::Shutdown() {
+  impl_->Shutdown();
+}
+
+bool Gateway::Wait() {
+  return impl_->Wait();
+}
+
+const std::string& Gateway::identity() const {
+  return impl_->identity_;
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/app/receipt.cc
@@ -0,0 +1,31 @@
+#include "citronlane/app/receipt.h"
+
+#include "citronlane/app/detail/digest.h"
+#include "citronlane/app/detail/json_figures.h"
+#include "citronlane/app/refusal_entry.h"
+#include "citronlane/json/parse.h"
+
+namespace citronlane {
+
+std::string ReceiptText(const RefusalEntry& entry) {
+  std::string text = entry.id_;
+  const auto add = [&text](std::string_view field) {
+    text.append("\n").append(field);
+  };
+  add(std::to_string(static_cast<int>(entry.reason_)));
+  add(ToString(entry.verdict_));
+  add(entry.account_);
+  add(entry.class_name_);
+  add(entry.target_);
+  add(entry.gateway_);
+  add(std::to_string(entry.config_version_));
+  add(std::to_string(entry.time_ms_));
+  add(WriteJson(detail::FiguresToJson(entry.figures_)));
+  return text;
+}
+
+std::string SignReceipt(const RefusalEntry& entry, std::string_view key) {
+  return detail::ToHex(detail::HmacSha256(key, ReceiptText(entry)));
+}
+
+}  // namespace citronlane
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -141,7 +141,7 @@
   }
 
   void Wait() override {
-    while (!notified_ && !caller_gone_) {
+    while (!notified_) {
       error_code error;
       wake_.expires_at(asio::steady_timer::time_point::max());
       wake_.async_wait((*yield_)[error]);
@@ -275,7 +275,7 @@
         tcp::socket::wait_read, [self](const error_code& error) {
           if (!error && self->watching_ && self->IsClosed()) {
             self->caller_gone_ = true;
-            self->wake_.cancel();
+            self->Notify();
           }
         });
   }
