--- a/include/citronlane/app/pool_shard.h
+++ b/include/citronlane/app/pool_shard.h
@@ -62,6 +62,7 @@
 
   std::optional<Duration> HedgeDelay(const CallShape& call) const;
   std::optional<Duration> LatencyQuantile(double quantile) const;
+  std::optional<Duration> StreamStallTimeout() const;
   PoolEstimate Estimate(TimePoint now, const CallShape& call) const;
   size_t in_flight() const;
 
--- a/include/citronlane/app/request_driver.h
+++ b/include/citronlane/app/request_driver.h
@@ -66,6 +66,7 @@
   void Launch(const FlightPtr& flight, const StartCall& command);
   StageCallSpec MakeSpec(const Flight& flight, const StartCall& command) const;
   void FillServiceCall(StageCallSpec* spec) const;
+  uint64_t PrefixHash() const;
   TimePoint AttemptDeadline(uint32_t stage) const;
   const PoolConfig& PoolOf(uint32_t stage) const;
 
--- a/include/citronlane/transport/stage_call_spec.h
+++ b/include/citronlane/transport/stage_call_spec.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_TRANSPORT_STAGE_CALL_SPEC_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
   /// Body is given piece by piece instead of whole.
   bool streams_ = false;
   TimePoint deadline_{};
+  /// Longest silence once the body has begun; at most the client's limit,
+  /// which holds when there is none.
+  std::optional<Duration> silence_limit_;
 };
 
 }  // namespace citronlane
--- /dev/null
+++ b/src/app/gateway_run.cc
@@ -0,0 +1,90 @@
+#include "citronlane/app/gateway_run.h"
+
+#include <csignal>
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "citronlane/app/gateway.h"
+#include "citronlane/config/parse_cluster_config.h"
+#include "citronlane/json/object_reader.h"
+
+namespace citronlane {
+namespace {
+
+constexpr uint64_t kBootstrapVersion = 1;
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+std::optional<std::string> ReadFile(const std::string& path, Error* error) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file || text.fail()) {
+    error->message_ = "can't read " + path;
+    return std::nullopt;
+  }
+  return text.str();
+}
+
+std::shared_ptr<const ClusterConfig> ReadBootstrap(const std::string& path,
+                                                   Error* error) {
+  const std::optional<std::string> text = ReadFile(path, error);
+  if (!text) {
+    return nullptr;
+  }
+  std::vector<Fault> faults;
+  auto config = ParseClusterConfig(*text, kBootstrapVersion, &faults);
+  if (!config) {
+    error->message_ = path + ":";
+    for (const std::string& line : FormatFaults(faults)) {
+      error->message_.append("\n").append(line);
+    }
+    return nullptr;
+  }
+  return std::make_shared<const ClusterConfig>(*std::move(config));
+}
+
+}  // namespace
+
+bool RunGateway(const GatewayOptions& options,
+                GatewayHooks hooks,
+                Error* error) {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  std::shared_ptr<const ClusterConfig> bootstrap;
+  if (options.control_addresses_.empty()) {
+    bootstrap = ReadBootstrap(options.bootstrap_config_, error);
+    if (bootstrap == nullptr) {
+      return false;
+    }
+  }
+  Gateway gateway(options, std::move(hooks));
+  if (bootstrap != nullptr) {
+    gateway.ApplyConfig(std::move(bootstrap));
+    gateway.ExtendLease(TimePoint::max());
+  }
+  if (!gateway.Start(error)) {
+    return false;
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  gateway.Shutdown();
+  if (!gateway.Wait()) {
+    error->message_ = "work was cut off at the drain limit";
+    return false;
+  }
+  return true;
+}
+
+}  // namespace citronlane
--- a/src/app/pool_shard.cc
+++ b/src/app/pool_shard.cc
@@ -8,12 +8,6 @@
 /// Extra calls that may be made at once after a quiet time.
 constexpr double kBudgetBurst = 10;
 
-/// The call as far as its first token.
-CallShape FirstTokenOf(CallShape call) {
-  call.expected_tokens_ = call.expected_tokens_ == 0 ? 0 : 1;
-  return call;
-}
-
 }  // namespace
 
 PoolShard::PoolShard(const PoolConfig& pool,
@@ -116,11 +110,16 @@
   return router_.LatencyQuantile(quantile);
 }
 
+std::optional<Duration> PoolShard::StreamStallTimeout() const {
+  const std::lock_guard lock(mutex_);
+  return router_.StreamStallTimeout();
+}
+
 PoolEstimate PoolShard::Estimate(TimePoint now, const CallShape& call) const {
   const std::lock_guard lock(mutex_);
   PoolEstimate estimate;
   estimate.finish_ = router_.ExpectedFinish(now, call);
-  estimate.first_byte_ = router_.ExpectedFinish(now, FirstTokenOf(call));
+  estimate.first_byte_ = router_.ExpectedFirstByte(now, call);
   estimate.in_flight_ = router_.in_flight();
   estimate.usable_servers_ = router_.usable_servers(now);
   return estimate;
--- a/src/app/request_driver.cc
+++ b/src/app/request_driver.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include <xxhash.h>
 #include <boost/asio/io_context.hpp>
 
 #include "citronlane/app/driver_context.h"
@@ -211,7 +212,7 @@
   flight->shape_.batch_ = job_.input_.batch_;
   if (job_.plan_.stages_[stage].streams_) {
     flight->shape_.expected_tokens_ = config.max_tokens_;
-    flight->shape_.prefix_hash_ = std::hash<std::string>()(config.model_);
+    flight->shape_.prefix_hash_ = PrefixHash();
   }
   flight->started_ = SteadyNow();
   flight->deadline_ = AttemptDeadline(stage);
@@ -256,6 +257,17 @@
   flight->call_ = context_->client_->Start(std::move(spec), std::move(hooks));
 }
 
+uint64_t RequestDriver::PrefixHash() const {
+  // The engine's prompt begins with the context: the documents in their order.
+  std::string prefix;
+  if (request_.output().documents_) {
+    for (const Document& document : *request_.output().documents_) {
+      prefix.append(document.id_).append("\n");
+    }
+  }
+  return prefix.empty() ? 0 : XXH3_64bits(prefix.data(), prefix.size());
+}
+
 StageCallSpec RequestDriver::MakeSpec(const Flight& flight,
                                       const StartCall& command) const {
   const uint32_t stage = command.attempt_.stage_;
@@ -265,6 +277,9 @@
   spec.fresh_connection_ = job_.plan_.stages_[stage].non_idempotent_;
   spec.streams_ = job_.plan_.stages_[stage].streams_;
   spec.deadline_ = flight.deadline_;
+  if (spec.streams_) {
+    spec.silence_limit_ = flight.pool_->StreamStallTimeout();
+  }
   const auto left = std::max(Duration(0), flight.deadline_ - flight.started_);
   spec.headers_ = {{"X-Attempt-Id", command.attempt_.ToHeader()},
                    {"X-Deadline-Ms", std::to_string(Milliseconds(left))}};
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -310,8 +310,11 @@
 
   /// Within a reply, silence is bounded besides the deadline.
   void ExtendForRead() {
-    connection_->stream_.expires_at(std::min<TimePoint>(
-        spec_.deadline_, detail::SteadyNow() + pool_->limits().read_timeout_));
+    const Duration limit = pool_->limits().read_timeout_;
+    const Duration silence =
+        std::min(limit, spec_.silence_limit_.value_or(limit));
+    connection_->stream_.expires_at(
+        std::min<TimePoint>(spec_.deadline_, detail::SteadyNow() + silence));
   }
 
   void Keep(bool keep_alive) {
