--- a/include/citronlane/app/request_driver.h
+++ b/include/citronlane/app/request_driver.h
@@ -74,7 +74,7 @@
   void OnData(const FlightPtr& flight, std::string_view piece);
   bool OnToken(const FlightPtr& flight, const Token& token);
   void OnDone(const FlightPtr& flight, CallOutcome outcome, std::string body);
-  void TakeReply(const FlightPtr& flight, std::string body);
+  void TakeReply(const FlightPtr& flight, std::string_view body);
   void TakeServiceReply(const FlightPtr& flight, std::string body);
   void FailFlight(const FlightPtr& flight, CallOutcome outcome);
   void EndFlight(const FlightPtr& flight, CallOutcome outcome);
--- a/include/citronlane/transport/detail/coroutine.h
+++ b/include/citronlane/transport/detail/coroutine.h
@@ -8,7 +8,7 @@
 namespace citronlane::detail {
 
 /// Stack of one coroutine. Only the pages that are used take memory.
-constexpr size_t kCoroutineStackBytes = 96 * 1024;
+constexpr size_t kCoroutineStackBytes = size_t{96} * 1024;
 
 inline boost::coroutines::attributes CoroutineAttributes() {
   return boost::coroutines::attributes(kCoroutineStackBytes);
--- /dev/null
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -0,0 +1,92 @@
+#ifndef CITRONLANE_TRANSPORT_DETAIL_HTTP_CONNECTION_H_
+#define CITRONLANE_TRANSPORT_DETAIL_HTTP_CONNECTION_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/basic_stream_socket.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "citronlane/base/refusal_reason.h"
+#include "citronlane/transport/detail/http_listener_state.h"
+#include "citronlane/transport/http_exchange.h"
+
+namespace citronlane::detail {
+
+/// One caller's connection: reads a request, lends itself to the handler,
+/// reads the next one. Not thread safe: used on its shard's thread.
+class HttpConnection : public HttpExchange,
+                       public std::enable_shared_from_this<HttpConnection> {
+ public:
+  using Socket =
+      boost::asio::basic_stream_socket<boost::asio::ip::tcp,
+                                       boost::asio::io_context::executor_type>;
+
+  HttpConnection(Socket socket,
+                 boost::asio::io_context* io,
+                 std::shared_ptr<HttpListenerState> state,
+                 std::shared_ptr<HttpConnectionSet> peers,
+                 size_t shard);
+  ~HttpConnection() override;
+
+  /// Serves until the connection is over. Call once, in a coroutine.
+  void Run(const boost::asio::yield_context& yield);
+  /// Answers that there is no room and closes. Instead of Run.
+  void RunRefused(const boost::asio::yield_context& yield);
+  /// Closes a connection that waits for its next request.
+  void CloseIfIdle();
+
+  bool Reply(const HttpReply& reply) override;
+  bool StartStream(const HttpReply& head) override;
+  bool Write(std::string_view bytes) override;
+  bool EndStream() override;
+  void Abort() override;
+  void Wait() override;
+  void Notify() override;
+  bool caller_gone() const override { return caller_gone_; }
+
+ private:
+  using Stream =
+      boost::beast::basic_stream<boost::asio::ip::tcp,
+                                 boost::asio::io_context::executor_type>;
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  bool ServeOne();
+  bool WaitForFirstByte();
+  bool ReadRequest(Parser* parser);
+  void RefuseUnreadable(const boost::system::error_code& error);
+  void Refuse(RefusalReason reason);
+  void Linger();
+  bool Send(std::string_view text);
+  void UpdateKeepAlive();
+  void WatchCaller();
+  void StopWatching();
+  bool IsClosed();
+
+  Stream stream_;
+  boost::asio::steady_timer wake_;
+  const std::shared_ptr<HttpListenerState> state_;
+  const std::shared_ptr<HttpConnectionSet> peers_;
+  const size_t shard_;
+  boost::beast::flat_buffer buffer_;
+  const boost::asio::yield_context* yield_ = nullptr;
+  bool keep_alive_ = true;
+  bool head_request_ = false;
+  bool idle_ = false;
+  bool watching_ = false;
+  bool notified_ = false;
+  bool caller_gone_ = false;
+};
+
+}  // namespace citronlane::detail
+
+#endif  // CITRONLANE_TRANSPORT_DETAIL_HTTP_CONNECTION_H_
--- /dev/null
+++ b/include/citronlane/transport/detail/http_listener_state.h
@@ -0,0 +1,34 @@
+#ifndef CITRONLANE_TRANSPORT_DETAIL_HTTP_LISTENER_STATE_H_
+#define CITRONLANE_TRANSPORT_DETAIL_HTTP_LISTENER_STATE_H_
+
+#include <atomic>
+#include <cstddef>
+#include <unordered_set>
+#include <utility>
+
+#include "citronlane/transport/http_limits.h"
+#include "citronlane/transport/http_listener_hooks.h"
+
+namespace citronlane::detail {
+
+class HttpConnection;
+
+/// Connections of one thread; touched on that thread only.
+using HttpConnectionSet = std::unordered_set<HttpConnection*>;
+
+/// What the connections of one listener share.
+struct HttpListenerState {
+  HttpListenerState(const HttpLimits& limits, HttpListenerHooks hooks)
+      : limits_(limits), hooks_(std::move(hooks)) {}
+
+  const HttpLimits limits_;
+  const HttpListenerHooks hooks_;
+  std::atomic<bool> close_after_replies_{false};
+  std::atomic<bool> stopped_{false};
+  std::atomic<size_t> active_requests_{0};
+  std::atomic<size_t> connections_{0};
+};
+
+}  // namespace citronlane::detail
+
+#endif  // CITRONLANE_TRANSPORT_DETAIL_HTTP_LISTENER_STATE_H_
--- a/src/app/caller_handler.cc
+++ b/src/app/caller_handler.cc
@@ -19,7 +19,7 @@
 using detail::SteadyNow;
 
 /// Text that a slow caller may leave waiting before it counts as gone.
-constexpr size_t kMaxPendingText = 1024 * 1024;
+constexpr size_t kMaxPendingText = size_t{1024} * 1024;
 constexpr std::string_view kEventStream = "text/event-stream";
 
 double Milliseconds(Duration time) {
--- a/src/app/caller_request_reader.cc
+++ b/src/app/caller_request_reader.cc
@@ -135,8 +135,8 @@
   result_.target_ = service.name_;
   result_.service_target_ = std::move(target);
   result_.deadline_ = service.deadline_;
-  TakeServiceRoute(service, std::string_view(result_.service_target_)
-                                .substr(0, result_.service_target_.find('?')));
+  const std::string_view path = result_.service_target_;
+  TakeServiceRoute(service, path.substr(0, path.find('?')));
   return true;
 }
 
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -100,7 +100,7 @@
     return true;
   }
 
-  bool ApplyConfig(const std::shared_ptr<const ClusterConfig>& config) {
+  bool ApplyConfig(std::shared_ptr<const ClusterConfig> config) {
     const std::lock_guard lock(config_mutex_);
     if (config->version_ <= state_.config_version()) {
       return false;
@@ -109,8 +109,9 @@
     const TimePoint now = SteadyNow();
     pools_.Update(*config, now);
     admission_.Update(*config, now);
-    state_.ApplyConfig(config);
-    Log("configuration " + std::to_string(config->version_) + " is in force");
+    const uint64_t version = config->version_;
+    state_.ApplyConfig(std::move(config));
+    Log("configuration " + std::to_string(version) + " is in force");
     return true;
   }
 
@@ -305,7 +306,7 @@
 }
 
 bool Gateway::ApplyConfig(std::shared_ptr<const ClusterConfig> config) {
-  return impl_->ApplyConfig(config);
+  return impl_->ApplyConfig(std::move(config));
 }
 
 uint64_t Gateway::config_version() const {
--- a/src/app/request_driver.cc
+++ b/src/app/request_driver.cc
@@ -20,7 +20,7 @@
 
 using detail::SteadyNow;
 
-constexpr size_t kMaxEventBytes = 64 * 1024;
+constexpr size_t kMaxEventBytes = size_t{64} * 1024;
 constexpr double kMedian = 0.5;
 constexpr int kStatusOk = 200;
 constexpr int kStatusTooManyRequests = 429;
@@ -396,11 +396,11 @@
   } else if (job_.service_call_) {
     TakeServiceReply(flight, std::move(body));
   } else {
-    TakeReply(flight, std::move(body));
+    TakeReply(flight, body);
   }
 }
 
-void RequestDriver::TakeReply(const FlightPtr& flight, std::string body) {
+void RequestDriver::TakeReply(const FlightPtr& flight, std::string_view body) {
   if (flight->head_.status_ != kStatusOk) {
     FailFlight(flight, OutcomeOfStatus(flight->head_.status_));
     return;
--- /dev/null
+++ b/src/transport/http_connection.cc
@@ -0,0 +1,266 @@
+#include "citronlane/transport/detail/http_connection.h"
+
+#include <utility>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "citronlane/transport/detail/http_text.h"
+#include "citronlane/transport/http_request.h"
+
+namespace citronlane::detail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr size_t kFirstReadBytes = 4096;
+/// What a refused caller may still send while it reads the refusal.
+constexpr size_t kLingerBytes = size_t{64} * 1024;
+constexpr auto kLingerTime = std::chrono::seconds(1);
+
+template <typename Message>
+HttpRequest ToRequest(Message* message) {
+  HttpRequest request;
+  const auto method = message->method_string();
+  const auto target = message->target();
+  request.method_.assign(method.data(), method.size());
+  request.target_.assign(target.data(), target.size());
+  for (const auto& field : *message) {
+    const auto name = field.name_string();
+    const auto value = field.value();
+    request.headers_.push_back(
+        {{name.data(), name.size()}, {value.data(), value.size()}});
+  }
+  request.body_ = std::move(message->body());
+  return request;
+}
+
+bool IsParseError(const error_code& error) {
+  return error.category() ==
+         http::make_error_code(http::error::bad_method).category();
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(Socket socket,
+                               asio::io_context* io,
+                               std::shared_ptr<HttpListenerState> state,
+                               std::shared_ptr<HttpConnectionSet> peers,
+                               size_t shard)
+    : stream_(std::move(socket)),
+      wake_(*io),
+      state_(std::move(state)),
+      peers_(std::move(peers)),
+      shard_(shard) {
+  ++state_->connections_;
+}
+
+HttpConnection::~HttpConnection() {
+  --state_->connections_;
+}
+
+void HttpConnection::Run(const asio::yield_context& yield) {
+  peers_->insert(this);
+  yield_ = &yield;
+  error_code error;
+  stream_.socket().set_option(tcp::no_delay(true), error);
+  while (keep_alive_ && !state_->stopped_ && ServeOne()) {
+  }
+  stream_.socket().shutdown(tcp::socket::shutdown_both, error);
+  stream_.close();
+  peers_->erase(this);
+  yield_ = nullptr;
+}
+
+void HttpConnection::RunRefused(const asio::yield_context& yield) {
+  yield_ = &yield;
+  keep_alive_ = false;
+  Refuse(RefusalReason::kTooManyConnections);
+  stream_.close();
+  yield_ = nullptr;
+}
+
+void HttpConnection::CloseIfIdle() {
+  if (idle_) {
+    stream_.close();
+  }
+}
+
+bool HttpConnection::Reply(const HttpReply& reply) {
+  UpdateKeepAlive();
+  return Send(WholeReplyText(reply, keep_alive_, head_request_));
+}
+
+bool HttpConnection::StartStream(const HttpReply& head) {
+  UpdateKeepAlive();
+  return Send(StreamHeadText(head, keep_alive_));
+}
+
+bool HttpConnection::Write(std::string_view bytes) {
+  return bytes.empty() || Send(ChunkText(bytes));
+}
+
+bool HttpConnection::EndStream() {
+  return Send(kLastChunk);
+}
+
+void HttpConnection::Abort() {
+  keep_alive_ = false;
+  error_code error;
+  stream_.socket().shutdown(tcp::socket::shutdown_both, error);
+}
+
+void HttpConnection::Wait() {
+  while (!notified_) {
+    error_code error;
+    wake_.expires_at(asio::steady_timer::time_point::max());
+    wake_.async_wait((*yield_)[error]);
+  }
+  notified_ = false;
+}
+
+void HttpConnection::Notify() {
+  notified_ = true;
+  wake_.cancel();
+}
+
+bool HttpConnection::ServeOne() {
+  Parser parser;
+  parser.header_limit(state_->limits_.header_bytes_);
+  parser.body_limit(state_->limits_.body_bytes_);
+  if (!WaitForFirstByte() || !ReadRequest(&parser)) {
+    return false;
+  }
+  keep_alive_ = parser.get().keep_alive();
+  const HttpRequest request = ToRequest(&parser.get());
+  head_request_ = request.method_ == "HEAD";
+  ++state_->active_requests_;
+  WatchCaller();
+  state_->hooks_.serve_(shard_, request, this);
+  StopWatching();
+  --state_->active_requests_;
+  return !caller_gone_;
+}
+
+bool HttpConnection::WaitForFirstByte() {
+  if (buffer_.size() > 0) {
+    return true;
+  }
+  idle_ = true;
+  stream_.expires_after(state_->limits_.idle_timeout_);
+  error_code error;
+  const size_t got = stream_.async_read_some(buffer_.prepare(kFirstReadBytes),
+                                             (*yield_)[error]);
+  buffer_.commit(got);
+  idle_ = false;
+  return !error;
+}
+
+bool HttpConnection::ReadRequest(Parser* parser) {
+  stream_.expires_after(state_->limits_.read_timeout_);
+  error_code error;
+  http::async_read_header(stream_, buffer_, *parser, (*yield_)[error]);
+  if (!error && parser->get()[http::field::expect] == "100-continue") {
+    Send(kContinue);
+    stream_.expires_after(state_->limits_.read_timeout_);
+  }
+  if (!error) {
+    http::async_read(stream_, buffer_, *parser, (*yield_)[error]);
+  }
+  if (!error) {
+    stream_.expires_never();
+    return true;
+  }
+  RefuseUnreadable(error);
+  return false;
+}
+
+void HttpConnection::RefuseUnreadable(const error_code& error) {
+  keep_alive_ = false;
+  if (error == http::error::end_of_stream) {
+    return;
+  }
+  if (error == beast::error::timeout) {
+    // The stream's timeout closed the socket: nothing can be answered.
+    state_->hooks_.refuse_(RefusalReason::kReadTimeout);
+  } else if (error == http::error::header_limit) {
+    Refuse(RefusalReason::kHeaderTooLarge);
+  } else if (error == http::error::body_limit) {
+    Refuse(RefusalReason::kBodyTooLarge);
+  } else if (IsParseError(error)) {
+    Refuse(RefusalReason::kMalformedRequest);
+  }
+}
+
+void HttpConnection::Refuse(RefusalReason reason) {
+  const HttpReply reply = state_->hooks_.refuse_(reason);
+  if (Send(WholeReplyText(reply, false, false))) {
+    Linger();
+  }
+}
+
+void HttpConnection::Linger() {
+  // Closing at once would discard the refusal while the caller still sends.
+  error_code error;
+  stream_.socket().shutdown(tcp::socket::shutdown_send, error);
+  stream_.expires_after(kLingerTime);
+  char sink[kFirstReadBytes];
+  size_t taken = 0;
+  while (!error && taken < kLingerBytes) {
+    taken += stream_.async_read_some(asio::buffer(sink), (*yield_)[error]);
+  }
+}
+
+bool HttpConnection::Send(std::string_view text) {
+  if (caller_gone_) {
+    return false;
+  }
+  stream_.expires_after(state_->limits_.write_timeout_);
+  error_code error;
+  asio::async_write(stream_, asio::buffer(text.data(), text.size()),
+                    (*yield_)[error]);
+  if (error) {
+    caller_gone_ = true;
+    return false;
+  }
+  stream_.expires_never();
+  return true;
+}
+
+void HttpConnection::UpdateKeepAlive() {
+  keep_alive_ = keep_alive_ && !state_->close_after_replies_;
+}
+
+void HttpConnection::WatchCaller() {
+  // Bytes of a next request end the watch: they hide the end of the stream.
+  watching_ = true;
+  auto self = shared_from_this();
+  stream_.socket().async_wait(
+      tcp::socket::wait_read, [self](const error_code& error) {
+        if (!error && self->watching_ && self->IsClosed()) {
+          self->caller_gone_ = true;
+          self->Notify();
+        }
+      });
+}
+
+void HttpConnection::StopWatching() {
+  watching_ = false;
+  error_code error;
+  stream_.socket().cancel(error);
+}
+
+bool HttpConnection::IsClosed() {
+  error_code error;
+  stream_.socket().non_blocking(true, error);
+  char byte = 0;
+  stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                           error);
+  return error && error != asio::error::would_block;
+}
+
+}  // namespace citronlane::detail
--- a/src/transport/stage_adapter.cc
+++ b/src/transport/stage_adapter.cc
@@ -25,8 +25,8 @@
 }
 
 const std::vector<Document>& DocumentsOf(const StageOutput& output) {
-  static const std::vector<Document> kNone;
-  return output.documents_ ? *output.documents_ : kNone;
+  static const std::vector<Document> none;
+  return output.documents_ ? *output.documents_ : none;
 }
 
 /// Writes `{"a":1}` from a value and appends a member that is JSON already.
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -27,7 +27,7 @@
 using boost::system::error_code;
 using Stream = beast::basic_stream<tcp, asio::io_context::executor_type>;
 
-constexpr size_t kStreamPieceBytes = 16 * 1024;
+constexpr size_t kStreamPieceBytes = size_t{16} * 1024;
 
 struct Connection {
   explicit Connection(asio::io_context* io) : stream_(*io) {}
@@ -172,7 +172,7 @@
     }
   }
 
-  void Run(asio::yield_context yield) {
+  void Run(const asio::yield_context& yield) {
     if (!over_ && Connect(yield) && Send(yield)) {
       if (spec_.streams_) {
         ReadStream(yield);
@@ -193,7 +193,7 @@
     }
   }
 
-  bool Connect(asio::yield_context yield) {
+  bool Connect(const asio::yield_context& yield) {
     if (!spec_.fresh_connection_) {
       connection_ = pool_->TakeIdle(key_);
       if (connection_) {
@@ -218,7 +218,7 @@
     return !over_;
   }
 
-  bool Send(asio::yield_context yield) {
+  bool Send(const asio::yield_context& yield) {
     if (detail::SteadyNow() >= spec_.deadline_) {
       Done(CallOutcome::kTimeout);
       return false;
@@ -238,7 +238,7 @@
   }
 
   template <typename Parser>
-  bool ReadReplyHead(Parser* parser, asio::yield_context yield) {
+  bool ReadReplyHead(Parser* parser, const asio::yield_context& yield) {
     parser->header_limit(pool_->limits().reply_header_bytes_);
     parser->body_limit(pool_->limits().reply_body_bytes_);
     error_code error;
@@ -254,7 +254,7 @@
     return !over_;
   }
 
-  void ReadWhole(asio::yield_context yield) {
+  void ReadWhole(const asio::yield_context& yield) {
     http::response_parser<http::string_body> parser;
     parser.skip(spec_.method_ == "HEAD");
     if (!ReadReplyHead(&parser, yield)) {
@@ -274,7 +274,7 @@
     Done(CallOutcome::kSuccess, std::move(parser.get().body()));
   }
 
-  void ReadStream(asio::yield_context yield) {
+  void ReadStream(const asio::yield_context& yield) {
     http::response_parser<http::buffer_body> parser;
     if (!ReadReplyHead(&parser, yield)) {
       return;
@@ -353,7 +353,7 @@
       std::make_shared<Call>(impl_->pool_, std::move(spec), std::move(hooks));
   asio::spawn(
       *impl_->pool_->io(),
-      [call](asio::yield_context yield) { call->Run(yield); },
+      [call](const asio::yield_context& yield) { call->Run(yield); },
       detail::CoroutineAttributes());
   return call;
 }
--- a/tests/unit-gateway.cc
+++ b/tests/unit-gateway.cc
@@ -166,7 +166,7 @@
   return std::make_shared<const ClusterConfig>(*std::move(config));
 }
 
-const Headers kKey = {{"Authorization", "Bearer key-1"}};
+const Headers key_header = {{"Authorization", "Bearer key-1"}};
 
 GatewayOptions TestOptions() {
   GatewayOptions options;
@@ -192,7 +192,7 @@
   }
   Response Ask(const std::string& body, const std::string& pipeline = "ask") {
     return Call(gateway_.port(), http::verb::post, "/v1/pipelines/" + pipeline,
-                body, kKey);
+                body, key_header);
   }
 
   Gateway gateway_;
