--- a/include/citronlane/json/value.h
+++ b/include/citronlane/json/value.h
@@ -43,6 +43,9 @@
 
   /// Precondition: an object. Replaces a member of the same name.
   void Set(std::string_view name, JsonValue value);
+  /// Precondition: an object without that member; not searched for, so that
+  /// large objects are built in linear time.
+  void AddMember(std::string_view name, JsonValue value);
   /// Precondition: an object. Does nothing when there is no such member.
   void Remove(std::string_view name);
   /// Precondition: an array.
--- a/src/json/value.cc
+++ b/src/json/value.cc
@@ -54,6 +54,10 @@
   members_.emplace_back(std::string(name), std::move(value));
 }
 
+void JsonValue::AddMember(std::string_view name, JsonValue value) {
+  members_.emplace_back(std::string(name), std::move(value));
+}
+
 void JsonValue::Remove(std::string_view name) {
   members_.erase(std::remove_if(members_.begin(), members_.end(),
                                 [name](const Member& member) {
