--- /dev/null
+++ b/include/citronlane/fleet/lease_vote.h
@@ -0,0 +1,24 @@
+#ifndef CITRONLANE_FLEET_LEASE_VOTE_H_
+#define CITRONLANE_FLEET_LEASE_VOTE_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "citronlane/base/time.h"
+
+namespace citronlane {
+
+/// One voter's answer to a lease renewal.
+struct LeaseVote {
+  uint64_t node_ = 0;
+  /// Voters in the log of the node that answered, ascending.
+  std::vector<uint64_t> voters_;
+  /// Newest configuration version in that log, committed or not.
+  uint64_t newest_version_ = 0;
+  /// When the question was sent, on the gateway's clock.
+  TimePoint sent_{};
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_FLEET_LEASE_VOTE_H_
