--- a/src/json/value.cc
+++ b/src/json/value.cc
@@ -54,8 +54,8 @@
   members_.emplace_back(std::string(name), std::move(value));
 }
 
-void JsonValue::AddMember(std::string_view name, JsonValue value) {
-  members_.emplace_back(std::string(name), std::move(value));
+void JsonValue::AppendMember(std::string name, JsonValue value) {
+  members_.emplace_back(std::move(name), std::move(value));
 }
 
 void JsonValue::Remove(std::string_view name) {
--- a/src/state/canonical_json.cc
+++ b/src/state/canonical_json.cc
@@ -17,10 +17,10 @@
   if (from.IsObject() && to.IsObject()) {
     JsonValue inner = DiffMergePatch(from, to);
     if (!inner.members().empty()) {
-      patch->AddMember(name, std::move(inner));
+      patch->AppendMember(name, std::move(inner));
     }
   } else if (WriteJson(from) != WriteJson(to)) {
-    patch->AddMember(name, to);
+    patch->AppendMember(name, to);
   }
 }
 
@@ -48,7 +48,7 @@
             });
   JsonValue sorted = JsonValue::Object();
   for (const JsonValue::Member* member : members) {
-    sorted.AddMember(member->first, SortMembers(member->second));
+    sorted.AppendMember(member->first, SortMembers(member->second));
   }
   return sorted;
 }
@@ -71,17 +71,17 @@
   const auto old_end = from.members().end();
   for (const JsonValue::Member& member : to.members()) {
     for (; old != old_end && old->first < member.first; ++old) {
-      patch.AddMember(old->first, JsonValue());
+      patch.AppendMember(old->first, JsonValue());
     }
     if (old == old_end || old->first != member.first) {
-      patch.AddMember(member.first, member.second);
+      patch.AppendMember(member.first, member.second);
       continue;
     }
     AddDifference(member.first, old->second, member.second, &patch);
     ++old;
   }
   for (; old != old_end; ++old) {
-    patch.AddMember(old->first, JsonValue());
+    patch.AppendMember(old->first, JsonValue());
   }
   return patch;
 }
