--- a/include/citronlane/state/spend_ledger.h
+++ b/include/citronlane/state/spend_ledger.h
@@ -22,6 +22,9 @@
   std::vector<wire::SpendShare> Report(uint64_t time_ms,
                                        const wire::ReportCommand& report);
 
+  /// Whether the report, or a later one of the incarnation, is booked.
+  bool IsResend(const wire::ReportCommand& report) const;
+
   /// Spent in the present hour, for reports.
   uint64_t Spent(const std::string& class_name) const;
 
--- a/src/base/sha256.cc
+++ b/src/base/sha256.cc
@@ -16,7 +16,7 @@
   constexpr unsigned kNibbleBits = 4;
   constexpr unsigned kNibbleMask = 0xf;
   std::string hex;
-  hex.reserve(2 * SHA256_DIGEST_LENGTH);
+  hex.reserve(size_t{2} * SHA256_DIGEST_LENGTH);
   for (const char byte : Sha256(data)) {
     const auto value = static_cast<unsigned char>(byte);
     hex.push_back(kDigits[value >> kNibbleBits]);
--- /dev/null
+++ b/src/fleet/config_follower.cc
@@ -0,0 +1,58 @@
+#include "citronlane/fleet/config_follower.h"
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "citronlane/base/sha256.h"
+#include "citronlane/config/cluster_config.h"
+#include "citronlane/config/parse_cluster_config.h"
+#include "citronlane/json/fault.h"
+#include "citronlane/json/parse.h"
+#include "citronlane/state/canonical_json.h"
+#include "control.pb.h"
+
+namespace citronlane {
+
+ConfigFollower::ConfigFollower() : root_(JsonValue::Object()) {}
+
+std::shared_ptr<const ClusterConfig> ConfigFollower::Apply(
+    const wire::ConfigUpdate& update,
+    Error* error) {
+  error->message_.clear();
+  const bool whole = !update.document().empty();
+  if (update.version() <= version_ || (!whole && update.patch().empty())) {
+    return nullptr;
+  }
+  if (!whole && update.base_version() != version_) {
+    error->message_ = "The patch starts from another version.";
+    return nullptr;
+  }
+  Fault fault;
+  std::optional<JsonValue> sent =
+      ParseJson(whole ? update.document() : update.patch(), &fault);
+  if (!sent) {
+    error->message_ = "The update is no JSON: " + fault.message_;
+    return nullptr;
+  }
+  JsonValue root = whole ? JsonValue::Object() : root_;
+  ApplyMergePatch(*sent, &root);
+  root = SortMembers(root);
+  const std::string document = WriteJson(root);
+  if (Sha256Hex(document) != update.digest()) {
+    error->message_ = "The document does not have its digest.";
+    return nullptr;
+  }
+  std::vector<Fault> faults;
+  std::optional<ClusterConfig> config =
+      ParseClusterConfig(document, update.version(), &faults);
+  if (!config) {
+    error->message_ = "The document has faults.";
+    return nullptr;
+  }
+  root_ = std::move(root);
+  version_ = update.version();
+  return std::make_shared<const ClusterConfig>(*std::move(config));
+}
+
+}  // namespace citronlane
--- a/src/fleet/config_lease.cc
+++ b/src/fleet/config_lease.cc
@@ -65,8 +65,7 @@
   }
 }
 
-TimePoint ConfigLease::MajoritySent(
-    const std::vector<uint64_t>& voters) const {
+TimePoint ConfigLease::MajoritySent(const std::vector<uint64_t>& voters) const {
   std::vector<TimePoint> sent;
   for (const uint64_t voter : voters) {
     const auto found = votes_.find(voter);
@@ -74,8 +73,8 @@
       continue;
     }
     const auto& votes = found->second;
-    const auto counts = std::find_if(
-        votes.rbegin(), votes.rend(), [&](const LeaseVote& vote) {
+    const auto counts =
+        std::find_if(votes.rbegin(), votes.rend(), [&](const LeaseVote& vote) {
           return vote.newest_version_ <= version_ && vote.voters_ == voters;
         });
     if (counts != votes.rend()) {
--- a/src/fleet/in_force_tracker.cc
+++ b/src/fleet/in_force_tracker.cc
@@ -71,8 +71,7 @@
   }
   status.leases_end_ = pending.leases_end_;
   // Gateways forgotten before this process began are not known by name.
-  const bool all_reported =
-      pending.silent_.empty() && now >= start_ + lease_;
+  const bool all_reported = pending.silent_.empty() && now >= start_ + lease_;
   status.in_force_ = all_reported || now >= pending.leases_end_;
   return status;
 }
--- a/src/orders/order_book.cc
+++ b/src/orders/order_book.cc
@@ -58,8 +58,8 @@
       order->fencing_number() != command.fencing_number()) {
     return false;
   }
-  const auto failed = command.retry() ? wire::EngineOrder::PENDING
-                                      : wire::EngineOrder::FAILED;
+  const auto failed =
+      command.retry() ? wire::EngineOrder::PENDING : wire::EngineOrder::FAILED;
   order->set_phase(command.done() ? wire::EngineOrder::DONE : failed);
   order->set_error(command.error());
   return true;
@@ -73,15 +73,13 @@
   return found == orders_.end() ? nullptr : &*found;
 }
 
-const wire::EngineOrder* OrderBook::Next(
-    uint64_t time_ms,
-    uint64_t number,
-    const wire::StartOrder& limits) const {
-  const auto found = std::find_if(orders_.begin(), orders_.end(),
-                                  [&](const wire::EngineOrder& order) {
-                                    return MayStart(time_ms, number, limits,
-                                                    order);
-                                  });
+const wire::EngineOrder* OrderBook::Next(uint64_t time_ms,
+                                         uint64_t number,
+                                         const wire::StartOrder& limits) const {
+  const auto found = std::find_if(
+      orders_.begin(), orders_.end(), [&](const wire::EngineOrder& order) {
+        return MayStart(time_ms, number, limits, order);
+      });
   return found == orders_.end() ? nullptr : &*found;
 }
 
--- a/src/state/claim_table.cc
+++ b/src/state/claim_table.cc
@@ -48,6 +48,13 @@
   return reply;
 }
 
+// No other try of the same claim gets another answer.
+wire::ClaimReply Refusal() {
+  wire::ClaimReply reply = Reply(wire::ClaimReply::UNAVAILABLE);
+  reply.set_definite(true);
+  return reply;
+}
+
 wire::ClaimReply StoredReply(const wire::ClaimRecord& record) {
   wire::ClaimReply reply = Reply(wire::ClaimReply::FINISHED);
   reply.set_status(record.status());
@@ -70,15 +77,13 @@
   const auto found = claims_.find(key);
   if (found == claims_.end()) {
     if (claims_.size() >= command.max_claims()) {
-      return Reply(wire::ClaimReply::UNAVAILABLE);
+      return Refusal();
     }
     return Grant(command, &claims_[key]);
   }
   wire::ClaimRecord& record = found->second;
   if (record.phase() == wire::ClaimRecord::RELEASED) {
-    return WasReleased(record, command)
-               ? Reply(wire::ClaimReply::UNAVAILABLE)
-               : Grant(command, &record);
+    return WasReleased(record, command) ? Refusal() : Grant(command, &record);
   }
   if (record.body_digest() != command.body_digest()) {
     return Reply(wire::ClaimReply::KEY_REUSED);
@@ -195,8 +200,8 @@
   // nothing to release, so that the claim is not granted to nobody later.
   const bool is_new = claims_.count(key) == 0;
   wire::ClaimRecord& record = claims_[key];
-  const bool owned = record.phase() == wire::ClaimRecord::RUNNING &&
-                     IsOwner(record, command);
+  const bool owned =
+      record.phase() == wire::ClaimRecord::RUNNING && IsOwner(record, command);
   if (record.phase() == wire::ClaimRecord::FINISHED &&
       IsOwner(record, command)) {
     return false;
--- a/src/state/configuration_history.cc
+++ b/src/state/configuration_history.cc
@@ -18,8 +18,8 @@
   Fault fault;
   std::optional<JsonValue> value = ParseJson(text, &fault);
   if (!value) {
-    error->message_ = "line " + std::to_string(fault.line_) + ": " +
-                      fault.message_;
+    error->message_ =
+        "line " + std::to_string(fault.line_) + ": " + fault.message_;
     return std::nullopt;
   }
   if (!value->IsObject()) {
@@ -176,8 +176,7 @@
   return SortMembers(*sent);
 }
 
-std::optional<JsonValue> ConfigurationHistory::ValueAt(
-    uint64_t version) const {
+std::optional<JsonValue> ConfigurationHistory::ValueAt(uint64_t version) const {
   if (Find(version) == nullptr) {
     return std::nullopt;
   }
--- a/src/state/gateway_registry.cc
+++ b/src/state/gateway_registry.cc
@@ -27,8 +27,7 @@
 bool GatewayRegistry::Contains(const std::string& name,
                                uint64_t incarnation) const {
   const auto found = gateways_.find(name);
-  return found != gateways_.end() &&
-         found->second.incarnation() == incarnation;
+  return found != gateways_.end() && found->second.incarnation() == incarnation;
 }
 
 void GatewayRegistry::Save(wire::GatewaySnapshot* snapshot) const {
--- a/src/state/spend_ledger.cc
+++ b/src/state/spend_ledger.cc
@@ -15,10 +15,9 @@
 std::vector<wire::SpendShare> SpendLedger::Report(
     uint64_t time_ms,
     const wire::ReportCommand& report) {
+  const bool is_resend = IsResend(report);
   wire::ReportMark& mark = marks_[report.gateway().name()];
-  const bool resend = mark.incarnation() == report.gateway().incarnation() &&
-                      report.sequence() <= mark.sequence();
-  if (!resend) {
+  if (!is_resend) {
     for (const wire::ClassSpend& spend : report.spend()) {
       Ledger& ledger = classes_[spend.class_name()];
       Roll(time_ms, &ledger);
@@ -35,6 +34,13 @@
   return {mark.shares().begin(), mark.shares().end()};
 }
 
+bool SpendLedger::IsResend(const wire::ReportCommand& report) const {
+  const auto found = marks_.find(report.gateway().name());
+  return found != marks_.end() &&
+         found->second.incarnation() == report.gateway().incarnation() &&
+         report.sequence() <= found->second.sequence();
+}
+
 uint64_t SpendLedger::Spent(const std::string& class_name) const {
   const auto found = classes_.find(class_name);
   return found == classes_.end() ? 0 : found->second.spent_;
@@ -86,15 +92,13 @@
 void SpendLedger::Roll(uint64_t time_ms, Ledger* ledger) {
   const uint64_t hour = time_ms / kHourMs;
   if (hour != ledger->hour_) {
-    ledger->spent_last_hour_ =
-        hour == ledger->hour_ + 1 ? ledger->spent_ : 0;
+    ledger->spent_last_hour_ = hour == ledger->hour_ + 1 ? ledger->spent_ : 0;
     ledger->spent_ = 0;
     ledger->hour_ = hour;
   }
   for (auto share = ledger->shares_.begin(); share != ledger->shares_.end();) {
-    share = share->second.expires_ms_ <= time_ms
-                ? ledger->shares_.erase(share)
-                : std::next(share);
+    share = share->second.expires_ms_ <= time_ms ? ledger->shares_.erase(share)
+                                                 : std::next(share);
   }
 }
 
--- a/src/state/state_machine.cc
+++ b/src/state/state_machine.cc
@@ -106,7 +106,9 @@
           command.register_peer().peer();
       break;
     case wire::StateCommand::kReport:
-      refusals_.Add(command.report());
+      if (!spend_.IsResend(command.report())) {
+        refusals_.Add(command.report());
+      }
       for (wire::SpendShare& share :
            spend_.Report(time_ms_, command.report())) {
         *result.add_shares() = std::move(share);
@@ -123,8 +125,8 @@
       result.set_done(orders_.Submit(command.submit_order()));
       break;
     case wire::StateCommand::kStartOrder:
-      result.set_done(orders_.Start(time_ms_, fencing_.present(),
-                                    command.start_order()));
+      result.set_done(
+          orders_.Start(time_ms_, fencing_.present(), command.start_order()));
       break;
     case wire::StateCommand::kFinishOrder:
       result.set_done(orders_.Finish(command.finish_order()));
--- a/tests/unit-config-lease.cc
+++ b/tests/unit-config-lease.cc
@@ -13,14 +13,13 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kLength = std::chrono::seconds(3);
-const std::vector<uint64_t> kThree = {1, 2, 3};
 
 TimePoint At(int64_t ms) {
   return TimePoint(milliseconds(ms));
 }
 
 LeaseVote Vote(uint64_t node, uint64_t newest, int64_t sent_ms) {
-  return {node, kThree, newest, At(sent_ms)};
+  return {node, {1, 2, 3}, newest, At(sent_ms)};
 }
 
 // A fleet's log as a gateway's questions meet it: voters whose newest version
@@ -47,7 +46,9 @@
 // a newer one had been committed for longer than the lease.
 bool OutlivesCommit(uint32_t seed) {
   std::mt19937 random(seed);
-  const auto below = [&random](uint32_t limit) { return random() % limit; };
+  const auto below = [&random](int64_t limit) {
+    return static_cast<int64_t>(random() % limit);
+  };
   const std::vector<uint64_t> members = {1, 2, 3, 4, 5};
   ConfigLease lease(kLength);
   lease.Accept(1);
--- a/tests/unit-orders.cc
+++ b/tests/unit-orders.cc
@@ -84,8 +84,9 @@
         if (until) {
           // Bytes on a connection arrive before it is closed; a checking
           // engine may see them at any time.
-          const auto last = std::chrono::duration_cast<
-              std::chrono::milliseconds>(until->time_since_epoch());
+          const auto last =
+              std::chrono::duration_cast<std::chrono::milliseconds>(
+                  until->time_since_epoch());
           const int64_t window = std::max<int64_t>(1, last.count() - sent);
           arrivals.emplace(sent + below(checks ? 20000 : window), number);
         }
--- a/tests/unit-state.cc
+++ b/tests/unit-state.cc
@@ -2,8 +2,8 @@
 #include <random>
 #include <set>
 
-#include <catch2/catch.hpp>
 #include <rapidcheck.h>
+#include <catch2/catch.hpp>
 
 #include "citronlane/base/sha256.h"
 #include "citronlane/json/parse.h"
@@ -149,8 +149,8 @@
     int conflicts = 0;
     for (int i = 0; i < 50; ++i) {
       const std::string who = "op" + std::to_string(i);
-      const Outcome result =
-          driver.Change(1, "race-" + who, who, R"({"a":)" + who.substr(2) + "}");
+      const Outcome result = driver.Change(1, "race-" + who, who,
+                                           R"({"a":)" + who.substr(2) + "}");
       winners += result.outcome() == Outcome::COMMITTED ? 1 : 0;
       conflicts += result.outcome() == Outcome::CONFLICT &&
                            result.winner_operator() == "op0" &&
@@ -234,9 +234,9 @@
         if (kind == 3) {
           value.Append(self(self, depth - 1));
         } else {
-          value.Set(std::string(1, static_cast<char>(
-                                       'a' + *rc::gen::inRange(0, 4))),
-                    self(self, depth - 1));
+          value.Set(
+              std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 4))),
+              self(self, depth - 1));
         }
       }
       return value;
@@ -314,8 +314,12 @@
     }
   }
   SECTION("with its owner gone a key is never granted again") {
-    SECTION("owner restarted") { REQUIRE(driver.Register("g1", 2)); }
-    SECTION("owner forgotten") { driver.Forget("g1", 1); }
+    SECTION("owner restarted") {
+      REQUIRE(driver.Register("g1", 2));
+    }
+    SECTION("owner forgotten") {
+      driver.Forget("g1", 1);
+    }
     CHECK(driver.Claim("g2", 1, 9).result() == Claimed::OWNER_LOST);
     driver.time_ms_ += driver.limits_.claim_retention_ms_ - 1;
     CHECK(driver.Claim("g2", 1, 9).result() == Claimed::OWNER_LOST);
@@ -383,7 +387,7 @@
   }
   SECTION("the next hour begins anew") {
     driver.Report("g", 1, 100);
-    driver.time_ms_ += 3600 * 1000;
+    driver.time_ms_ += 3600000;
     driver.Report("g", 2, 1);
     CHECK(driver.state_.spend().Spent("chat") == 1);
   }
