--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Starts 3 control VMs, 3 gateways and the fakes on loopback, sends requests of
+# both deployments and checks every answer. --keep leaves it running.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ -x build/citronlane ] && [ -x build/tests/citronlane_fakes ] ||
+  bash scripts/setup.sh
+exec python3 scripts/demo.py "$@"
--- a/tests/checker/checker.py
+++ b/tests/checker/checker.py
@@ -38,6 +38,10 @@
     reason: Optional[str] = None
     verdict: Optional[str] = None
     refusal_id: Optional[str] = None
+    # Id under which the gateway ran it: the first part of attempt ids.
+    request_id: Optional[str] = None
+    config_version: int = 0
+    cost_by_stage: dict = dataclasses.field(default_factory=dict)
     # The process that served it was killed by the test.
     server_killed: bool = False
     sent: float = 0.0
@@ -115,12 +119,13 @@
             f"{call.text!r}: {call.status} {call.reason} {call.verdict}")
     if call.verdict != NOT_RUN:
         return
-    # A run counts against the refusal unless another arrival of the same text
-    # may have caused it.
-    if any(other is not call and other.text == call.text for other in calls):
-        return
+    # Without a request id, a run counts against the refusal unless another
+    # arrival of the same text may have caused it.
+    twins = sum(other.text == call.text for other in calls)
     for run in by_text[content.text_digest(call.text)]:
-        if run["ran"]:
+        own = (run["attempt"].split("/")[0] == call.request_id
+               if call.request_id else twins == 1)
+        if run["ran"] and own:
             faults[UNTRUE_REFUSAL].append(
                 f"{call.text!r}: {call.reason} but ran on {run['server']}")
             return
--- a/tests/process/caller.py
+++ b/tests/process/caller.py
@@ -41,7 +41,7 @@
 
 def take_problem(call, problem):
     """Fills the call from a problem document."""
-    call.reason = problem.get("reason")
+    call.reason = problem.get("reason_name")
     call.verdict = problem.get("verdict")
     call.refusal_id = problem.get("refusal_id")
 
@@ -72,13 +72,15 @@
             connection.request("POST", "/v1/chat/completions",
                                json.dumps(body).encode(), headers)
             reply = connection.getresponse()
-            call.status = reply.status
+            _take_head(call, reply.status, reply.headers)
             if reply.status != 200:
                 take_problem(call, json.loads(reply.read()))
             elif stream:
                 _read_stream(reply, call, on_token)
             else:
-                choice = json.loads(reply.read())["choices"][0]
+                answer = json.loads(reply.read())
+                _take_report(call, answer)
+                choice = answer["choices"][0]
                 call.answer = choice["message"]["content"]
                 call.finished = choice["finish_reason"] in ("stop", "length")
         except (OSError, http.client.HTTPException, ValueError):
@@ -97,9 +99,9 @@
         if idempotency_key:
             headers["Idempotency-Key"] = idempotency_key
         try:
-            status, _, answer = exchange(self.port, method, path,
-                                         body.encode(), headers)
-            call.status = status
+            status, head, answer = exchange(self.port, method, path,
+                                            body.encode(), headers)
+            _take_head(call, status, head)
             if status == 200:
                 call.answer = json.loads(answer)["digest"]
                 call.finished = True
@@ -111,6 +113,17 @@
         return call
 
 
+def _take_head(call, status, headers):
+    call.status = status
+    call.request_id = headers.get("X-Request-Id")
+    call.config_version = int(headers.get("X-Config-Version", 0))
+
+
+def _take_report(call, answer):
+    call.cost_by_stage = answer.get("citronlane", {}).get("cost_by_stage",
+                                                          call.cost_by_stage)
+
+
 def _read_stream(reply, call, on_token):
     for line in reply:
         if not line.startswith(b"data: "):
@@ -120,9 +133,10 @@
             call.finished = True
             continue
         event = json.loads(data)
-        if "error" in event:
-            take_problem(call, event["error"])
+        if "reason_name" in event:
+            take_problem(call, event)
             continue
+        _take_report(call, event)
         text = event["choices"][0]["delta"].get("content", "")
         call.answer += text
         if on_token and text:
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -1,5 +1,6 @@
 """A whole system on loopback: fakes, control VMs and gateways."""
 
+import hashlib
 import json
 import os
 import shutil
@@ -18,14 +19,17 @@
     """Owns its processes and its folder; ends and removes them at exit."""
 
     def __init__(self, fleet, controls=3, gateways=3, threads=1,
-                 gateway_settings=None):
+                 gateway_settings=None, control_settings=None):
         self.fleet = fleet
         self.folder = tempfile.mkdtemp(prefix="citronlane-")
+        self.fakes = None
         self.controls = []
         self.gateways = []
         self.ports = {}
         self.gateway_settings = gateway_settings or {}
+        self.control_settings = control_settings or {}
         try:
+            self._write_keys()
             self._start_fakes(threads)
             self.document = deployments.document(fleet,
                                                  self.fake_ports["servers"])
@@ -47,10 +51,18 @@
         """Ends every process by its id; returns {name: exit code}."""
         codes = processes.end(self.gateways)
         codes.update(processes.end(self.controls))
-        codes.update(processes.end([self.fakes]))
+        codes.update(processes.end([self.fakes] if self.fakes else []))
         shutil.rmtree(self.folder, ignore_errors=True)
         return codes
 
+    def _write_keys(self):
+        for name, key in (("receipt.key", "receipt-key-of-the-tests"),
+                          ("operator.key", OPERATOR_KEY)):
+            path = os.path.join(self.folder, name)
+            with open(path, "w", encoding="utf-8") as file:
+                file.write(key + "\n")
+            os.chmod(path, 0o600)
+
     # Fakes.
 
     def _start_fakes(self, threads):
@@ -88,7 +100,19 @@
             self.apply(self.document, base=0)
 
     def _control_settings(self, node, names):
-        return {}
+        peers = [{"id": index + 1,
+                  **{part: f"{processes.LOOPBACK}:{port}"
+                     for part, port in self.ports[name].items()}}
+                 for index, name in enumerate(names)]
+        digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+        platform = self.fake_ports["servers"]["platform"]
+        return {"control": {
+            "id": node, "peers": peers, "data_dir": f"data-{node}",
+            "operators": [{"name": "operator", "key_digest": digest,
+                           "role": "change"}],
+            "vm_list": {"address": f"{processes.LOOPBACK}:{platform}",
+                        "interval_ms": 200},
+            **self.control_settings}}
 
     # Gateways.
 
@@ -102,7 +126,19 @@
         return gateway
 
     def _gateway_settings(self, name):
-        return {}
+        source = {"control": [f"{processes.LOOPBACK}:{self.ports[c.name]['control']}"
+                              for c in self.controls]}
+        if not self.controls:
+            source = {"bootstrap_config": write_json(
+                os.path.join(self.folder, "cluster.json"), self.document)}
+        domains = self.fleet[0].domains
+        return {"gateway": {
+            "name": name,
+            "failure_domain": domains[len(self.gateways) % len(domains)],
+            "listen": {"address": processes.LOOPBACK,
+                       "port": self.ports[name]["callers"]},
+            "receipt_key_file": "receipt.key", "drain_notice_ms": 200,
+            **source, **self.gateway_settings}}
 
     def wait_ready(self):
         for gateway in self.gateways:
