--- a/tests/fakes/fake_server.cc
+++ b/tests/fakes/fake_server.cc
@@ -91,6 +91,11 @@
   streams_.clear();
 }
 
+bool FakeServer::listening() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return acceptor_ && acceptor_->is_open();
+}
+
 void FakeServer::Remove(const std::shared_ptr<Connection>& connection) {
   const std::lock_guard<std::mutex> lock(mutex_);
   connections_.erase(connection);
@@ -100,7 +105,7 @@
   if (BoolAt(order, "stop", false)) {
     Stop();
   }
-  if (BoolAt(order, "start", false)) {
+  if (BoolAt(order, "start", false) && !listening()) {
     Start();
   }
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/tests/fakes/fake_server.h
+++ b/tests/fakes/fake_server.h
@@ -81,6 +81,7 @@
   /// False when the order's fencing number is old and this server checks.
   bool AcceptOrder(int64_t fencing);
   int64_t queued();
+  bool listening();
   void Remove(const std::shared_ptr<Connection>& connection);
 
   boost::asio::io_context* const context_;
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -82,6 +82,9 @@
         """Records of every call that a fake received."""
         return caller.get_json(self.fake_ports["control"], "/record")
 
+    def clear_runs(self):
+        caller.get_json(self.fake_ports["control"], "/clear")
+
     # Control.
 
     def _start_controls(self, count):
--- /dev/null
+++ b/tests/process/cluster_test_case.py
@@ -0,0 +1,77 @@
+"""Base of the tests that run whole processes."""
+
+import json
+import os
+import sys
+import unittest
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(
+    os.path.abspath(__file__))), "checker"))
+
+# pylint: disable=wrong-import-position
+import caller
+import checker
+import deployments
+from cluster import Cluster
+
+TOKENS = deployments.TOKENS
+FIGURES = os.environ.get("CITRONLANE_FIGURES")
+
+
+class ClusterTestCase(unittest.TestCase):
+    """One cluster for all tests of a class; faults are reset before each."""
+
+    controls = 0
+    gateways = 1
+    settings = {}
+
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = Cluster([deployments.small()], controls=cls.controls,
+                              gateways=cls.gateways,
+                              gateway_settings=cls.settings)
+        cls.addClassCleanup(cls.cluster.close)
+
+    def setUp(self):
+        self.cluster.fault("*", reset=True, start=True, leave="no")
+        self.cluster.clear_runs()
+
+    def ask(self, text, gateway=0, **options):
+        return self.cluster.caller(gateway).chat("t-ask", text, TOKENS,
+                                                 **options)
+
+    def order(self, text, key, gateway=0, **options):
+        return self.cluster.caller(gateway).chat(
+            "t-order", text, TOKENS, once_pool="t-engine",
+            idempotency_key=key, **options)
+
+    def ask_at_once(self, count, prefix, **options):
+        """Sends so many requests together; returns their calls."""
+        background = caller.Background()
+        for i in range(count):
+            background.start(self.ask, f"{prefix} {i}", **options)
+        return background.join()
+
+    def runs(self, pool=None, text=None):
+        """Calls that did work, of one pool and text."""
+        digest = text and checker.content.text_digest(text)
+        return [run for run in self.cluster.runs() if run["ran"] and
+                pool in (None, run["pool"]) and digest in (None, run["text"])]
+
+    def assert_clean(self, calls, versions=()):
+        """No invariant is broken."""
+        faults = checker.check(calls, self.cluster.runs(), versions)
+        self.assertEqual(checker.total(faults), 0, checker.report(faults))
+
+    def assert_whole(self, calls):
+        """Every answer is whole, and no invariant is broken."""
+        bad = [(c.text, c.status, c.reason, c.verdict, c.answer)
+               for c in calls if not c.whole]
+        self.assertEqual(bad, [])
+        self.assert_clean(calls)
+
+    def figure(self, **figures):
+        """Notes what was measured, for scripts/prove.sh."""
+        if FIGURES:
+            with open(FIGURES, "a", encoding="utf-8") as file:
+                file.write(json.dumps({"test": self.id(), **figures}) + "\n")
