--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -7,13 +7,12 @@
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-for part in ("checker", "process"):
-    sys.path.insert(0, os.path.join(ROOT, "tests", part))
+sys.path.insert(0, os.path.join(ROOT, "tests"))
 
 # pylint: disable=wrong-import-position
-import checker
-import deployments
-from cluster import Cluster
+from checker import checker
+from process import deployments
+from process.cluster import Cluster
 
 SHOWN = 44
 # Account, pipeline, text, streamed, key of a request that runs once.
--- a/tests/checker/checker.py
+++ b/tests/checker/checker.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import Optional
 
-import content
+from checker import content
 
 LOST = "lost"
 DOUBLED = "doubled"
--- a/tests/checker/checker_test.py
+++ b/tests/checker/checker_test.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-import checker
-import content
-from checker import Call, Seen
+from checker import checker
+from checker import content
+from checker.checker import Call, Seen
 
 TOKENS = 4
 REFUSED = dict(status=503, reason="no_backend_server", refusal_id="r-1")
--- a/tests/process/caller.py
+++ b/tests/process/caller.py
@@ -5,8 +5,8 @@
 import threading
 import time
 
-import content
-from checker import Call
+from checker import content
+from checker.checker import Call
 
 CALL_SECONDS = 30.0
 
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -7,10 +7,10 @@
 import subprocess
 import tempfile
 
-import caller
-import deployments
-import processes
-from processes import Process, free_port, wait_until, write_json
+from process import caller
+from process import deployments
+from process import processes
+from process.processes import Process, free_port, wait_until, write_json
 
 OPERATOR_KEY = "operator-key"
 
@@ -79,8 +79,9 @@
         assert status == 200, server
 
     def runs(self):
-        """Records of every call that a fake received."""
-        return caller.get_json(self.fake_ports["control"], "/record")
+        """Records of every call that a fake received, in order of time."""
+        return sorted(caller.get_json(self.fake_ports["control"], "/record"),
+                      key=lambda run: run["time"])
 
     def clear_runs(self):
         caller.get_json(self.fake_ports["control"], "/clear")
--- a/tests/process/cluster_test_case.py
+++ b/tests/process/cluster_test_case.py
@@ -2,17 +2,12 @@
 
 import json
 import os
-import sys
 import unittest
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(
-    os.path.abspath(__file__))), "checker"))
-
-# pylint: disable=wrong-import-position
-import caller
-import checker
-import deployments
-from cluster import Cluster
+from process import caller
+from checker import checker, content
+from process import deployments
+from process.cluster import Cluster
 
 TOKENS = deployments.TOKENS
 FIGURES = os.environ.get("CITRONLANE_FIGURES")
@@ -54,7 +49,7 @@
 
     def runs(self, pool=None, text=None):
         """Calls that did work, of one pool and text."""
-        digest = text and checker.content.text_digest(text)
+        digest = text and content.text_digest(text)
         return [run for run in self.cluster.runs() if run["ran"] and
                 pool in (None, run["pool"]) and digest in (None, run["text"])]
 
--- a/tests/process/processes.py
+++ b/tests/process/processes.py
@@ -114,6 +114,8 @@
 
 
 def write_json(path, value):
-    with open(path, "w", encoding="utf-8") as file:
+    """Replaces the file as a whole; another process may be reading it."""
+    with open(path + ".new", "w", encoding="utf-8") as file:
         json.dump(value, file, indent=2)
+    os.replace(path + ".new", path)
     return path
--- a/tests/process/stage_faults_test.py
+++ b/tests/process/stage_faults_test.py
@@ -3,9 +3,9 @@
 import threading
 import unittest
 
-import caller
-from cluster_test_case import TOKENS, ClusterTestCase
-from processes import wait_until
+from process import caller
+from process.cluster_test_case import TOKENS, ClusterTestCase
+from process.processes import wait_until
 
 POOLS = ("t-encoder", "t-retriever", "t-reranker", "t-engine")
 HOLD_AT = 5
