--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -1,11 +1,13 @@
 """A whole system on loopback: fakes, control VMs and gateways."""
 
 import hashlib
+import http.client
 import json
 import os
 import shutil
 import subprocess
 import tempfile
+import urllib.parse
 
 from process import caller
 from process import deployments
@@ -13,6 +15,7 @@
 from process.processes import Process, free_port, wait_until, write_json
 
 OPERATOR_KEY = "operator-key"
+ADMIN_SECONDS = 3.0
 
 
 class Cluster:
@@ -101,7 +104,7 @@
                 self.folder))
         if count:
             self.wait_control()
-            self.apply(self.document, base=0)
+            self.apply(self.document, whole=True)
 
     def _control_settings(self, node, names):
         peers = [{"id": index + 1,
@@ -118,6 +121,69 @@
                         "interval_ms": 200},
             **self.control_settings}}
 
+    def restart(self, process):
+        """Starts a process again that was killed."""
+        process.start()
+
+    def wait_control(self):
+        wait_until(self.leader, "a control VM leads")
+
+    def leader(self):
+        """Returns the control process that leads, or None."""
+        for process in self.controls:
+            status, body = self.admin("GET", "/v1/status", ports=[
+                self.ports[process.name]["admin"]], follow=False)
+            if status == 200 and body.get("role") == "leader":
+                return process
+        return None
+
+    def admin(self, method, path, body=None, ports=None, follow=True):
+        """Calls the administration API; returns (status, JSON or {})."""
+        headers = {"Authorization": "Bearer " + OPERATOR_KEY,
+                   "Content-Type": "application/json"}
+        ports = list(ports or (self.ports[control.name]["admin"]
+                               for control in self.controls))
+        status, reply = None, b""
+        while ports:
+            try:
+                status, head, reply = caller.exchange(
+                    ports.pop(0), method, path, body, headers, ADMIN_SECONDS)
+            except (OSError, http.client.HTTPException):
+                continue
+            if status == 307 and follow:
+                ports.insert(0, urllib.parse.urlsplit(head["Location"]).port)
+            elif status != 503 or not follow:
+                break
+        try:
+            return status, json.loads(reply or b"{}")
+        except ValueError:
+            return status, {}
+
+    def change(self, patch, change_id, base):
+        """Sends one change by the API; returns (status, answer)."""
+        return self.admin("POST", "/v1/config/changes", {
+            "change_id": change_id, "base_version": base, "patch": patch,
+            "reason": "test"})
+
+    def config_version(self):
+        return int(self.admin("GET", "/v1/config")[1].get("version", 0))
+
+    def apply(self, value, whole=False):
+        """Runs `citronlane config apply`; returns the new version."""
+        path = write_json(os.path.join(self.folder, "change.json"), value)
+        code, out, err = self.command(
+            "config", "apply", "--document" if whole else "--patch", path,
+            "--reason", "test", "--json", *self.admin_options())
+        assert code == 0, out + err
+        return int(json.loads(out)["version"])
+
+    def admin_options(self):
+        addresses = ",".join(
+            f"{processes.LOOPBACK}:{self.ports[control.name]['admin']}"
+            for control in self.controls)
+        return ["--admin", addresses, "--key-file",
+                os.path.join(self.folder, "operator.key")]
+
     # Gateways.
 
     def add_gateway(self, name):
@@ -153,6 +219,20 @@
         assert gateway.running(), gateway.log()[-2000:]
         return caller.answers(self.ports[gateway.name]["callers"], "/readyz")
 
+    def seen_version(self, gateway):
+        """Configuration version that the gateway names now, or 0."""
+        try:
+            head = caller.exchange(self.ports[gateway.name]["callers"], "GET",
+                                   "/none", seconds=2.0)[1]
+        except (OSError, http.client.HTTPException):
+            return 0
+        return int(head.get("X-Config-Version", 0))
+
+    def wait_version(self, version, seconds=processes.WAIT_SECONDS):
+        for gateway in self.gateways:
+            wait_until(lambda g=gateway: self.seen_version(g) >= version,
+                       f"version {version} at {gateway.name}", seconds)
+
     def caller(self, index=0, account="buyers"):
         """An account's way to the gateway of that index."""
         name = self.gateways[index].name
--- a/tests/process/cluster_test_case.py
+++ b/tests/process/cluster_test_case.py
@@ -18,13 +18,15 @@
 
     controls = 0
     gateways = 1
-    settings = {}
+    gateway_settings = {}
+    control_settings = {}
 
     @classmethod
     def setUpClass(cls):
         cls.cluster = Cluster([deployments.small()], controls=cls.controls,
                               gateways=cls.gateways,
-                              gateway_settings=cls.settings)
+                              gateway_settings=cls.gateway_settings,
+                              control_settings=cls.control_settings)
         cls.addClassCleanup(cls.cluster.close)
 
     def setUp(self):
