--- a/bench/bench-path.cc
+++ b/bench/bench-path.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
@@ -33,6 +34,9 @@
 
 constexpr double kMedian = 0.5;
 constexpr double kTail = 0.99;
+// In place of a number of tokens: the gateway refused the request.
+constexpr size_t kRefused = SIZE_MAX;
+constexpr auto kRefusedPause = std::chrono::milliseconds(20);
 constexpr uint64_t kReplyLimit = 64U << 20U;
 
 struct Options {
@@ -66,10 +70,14 @@
     first_token_.push_back(sample.first_token_);
   }
 
-  void Print(const Options& options, double seconds, size_t failed) {
+  void Print(const Options& options,
+             double seconds,
+             size_t failed,
+             size_t refused) {
     std::cout << "{\"in_flight\":" << options.in_flight_
               << ",\"requests\":" << whole_.size() << ",\"failed\":" << failed
-              << ",\"seconds\":" << seconds << ",\"requests_per_second\":"
+              << ",\"refused\":" << refused << ",\"seconds\":" << seconds
+              << ",\"requests_per_second\":"
               << static_cast<double>(whole_.size()) / seconds
               << ",\"p50_us\":" << Quantile(&whole_, kMedian)
               << ",\"p99_us\":" << Quantile(&whole_, kTail)
@@ -162,7 +170,11 @@
         *first_byte = Clock::now();
       }
     }
+    if (!error && parser.get().result() == http::status::service_unavailable) {
+      return kRefused;
+    }
     if (error || parser.get().result() != http::status::ok) {
+      std::cerr << error.message() << " " << parser.get().body() << "\n";
       return std::nullopt;
     }
     return stream ? Tokens(parser.get().body()) : 0;
@@ -227,7 +239,7 @@
     }
     const double seconds =
         std::chrono::duration<double>(Clock::now() - start).count();
-    totals_.Print(options_, seconds, failed_);
+    totals_.Print(options_, seconds, failed_, refused_);
     return failed_ == 0 ? 0 : 1;
   }
 
@@ -253,6 +265,14 @@
     }
   }
 
+  bool Pause(const Yield& yield) {
+    ++refused_;
+    asio::steady_timer timer(context_, kRefusedPause);
+    beast::error_code error;
+    timer.async_wait(yield[error]);
+    return !error;
+  }
+
   bool One(const std::vector<std::unique_ptr<Link>>& links,
            const std::string& text,
            const Yield& yield) {
@@ -264,6 +284,9 @@
       Clock::time_point first_byte;
       const auto tokens = links[i]->Send(
           calls[i], text + "/" + std::to_string(i) + "/1", &first_byte, yield);
+      if (tokens == kRefused) {
+        return Pause(yield);
+      }
       if (!tokens || (calls[i].stream_ && *tokens < options_.tokens_)) {
         return false;
       }
@@ -279,6 +302,7 @@
   asio::io_context context_;
   std::atomic<size_t> next_{0};
   std::atomic<size_t> failed_{0};
+  std::atomic<size_t> refused_{0};
   Totals totals_;
 };
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 [ -x build/citronlane ] && [ -x build/tests/citronlane_fakes ] ||
   bash scripts/setup.sh
-exec python3 scripts/demo.py "$@"
+exec python3 -B scripts/demo.py "$@"
--- a/tests/process/deployments.py
+++ b/tests/process/deployments.py
@@ -22,6 +22,7 @@
         self.silent = f"{name}-{silent}"
         self.services = services
         self.pace_us = pace_us
+        self.record = True
         self.pipelines = {}
         self.once_routes = {}
 
@@ -53,7 +54,8 @@
 
     def fakes(self):
         return [{"id": id, "kind": kind, "pool": pool, "tokens": TOKENS,
-                 "pace_us": self.pace_us, "reports_load": pool != self.silent}
+                 "pace_us": self.pace_us, "record": self.record,
+                 "reports_load": pool != self.silent}
                 for id, kind, pool, _ in self.servers()]
 
     def pool_document(self, ports):
