--- a/include/citronlane/cli/detail/command_context.h
+++ b/include/citronlane/cli/detail/command_context.h
@@ -35,6 +35,8 @@
   void PrintReply(const AdminReply& reply);
 };
 
+/// Accepts "IP:port".
+CLI::Validator EndpointValidator();
 /// Adds --json.
 void AddJsonOption(CLI::App* command, CommandContext* context);
 /// Adds --admin, --key-file, --ca-file, --timeout and --json.
@@ -46,6 +48,7 @@
 void AddCheckCommand(CLI::App* app, CommandContext* context);
 void AddConfigCommands(CLI::App* app, CommandContext* context);
 void AddStatusCommands(CLI::App* app, CommandContext* context);
+void AddMemberCommands(CLI::App* app, CommandContext* context);
 
 }  // namespace citronlane::detail
 
--- a/include/citronlane/json/object_reader.h
+++ b/include/citronlane/json/object_reader.h
@@ -130,6 +130,10 @@
 /// True for an IPv4 or IPv6 number. Thread safe.
 bool IsIpAddress(std::string_view text);
 
+/// True for "IP:port" with an IP number, IPv6 in brackets, and a port from 1.
+/// Thread safe.
+bool IsEndpoint(std::string_view text);
+
 /// Sorts faults into document order and returns them as lines
 /// "<path>: line <n>: <message>". Thread safe.
 std::vector<std::string> FormatFaults(absl::Span<const Fault> faults);
--- a/src/cli/command_context.cc
+++ b/src/cli/command_context.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "citronlane/cli/admin_reply.h"
+#include "citronlane/json/object_reader.h"
 #include "citronlane/json/parse.h"
 
 namespace citronlane::detail {
@@ -99,6 +100,15 @@
   }
 }
 
+CLI::Validator EndpointValidator() {
+  return CLI::Validator(
+      [](std::string& text) {
+        return IsEndpoint(text) ? std::string()
+                                : "must be IP:port with an IP number";
+      },
+      "IP:port");
+}
+
 void AddJsonOption(CLI::App* command, CommandContext* context) {
   command->add_flag("--json", context->json_, "Print JSON for scripts");
 }
@@ -109,6 +119,7 @@
       ->add_option("--admin", admin->addresses_,
                    "Admin addresses of the control VMs, IP:port, with commas")
       ->delimiter(',')
+      ->check(EndpointValidator())
       ->envname("CITRONLANE_ADMIN")
       ->required();
   command
--- a/src/cli/run.cc
+++ b/src/cli/run.cc
@@ -26,6 +26,7 @@
   detail::AddCheckCommand(&app, &context);
   detail::AddConfigCommands(&app, &context);
   detail::AddStatusCommands(&app, &context);
+  detail::AddMemberCommands(&app, &context);
   try {
     // CLI11 takes the arguments in reverse order.
     app.parse(std::vector<std::string>(arguments.rbegin(), arguments.rend()));
--- a/src/json/object_reader.cc
+++ b/src/json/object_reader.cc
@@ -71,21 +71,6 @@
   return port >= 1 && port <= kMaxPort;
 }
 
-bool IsEndpoint(std::string_view text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos || !IsPort(text.substr(colon + 1))) {
-    return false;
-  }
-  std::string_view host = text.substr(0, colon);
-  const bool bracketed =
-      host.size() > 2 && host.front() == '[' && host.back() == ']';
-  if (bracketed) {
-    host = host.substr(1, host.size() - 2);
-  }
-  const bool is_v6 = host.find(':') != std::string_view::npos;
-  return bracketed == is_v6 && IsIpAddress(host);
-}
-
 }  // namespace
 
 bool IsName(std::string_view text) {
@@ -101,6 +86,21 @@
           inet_pton(AF_INET6, copy.c_str(), &parsed) == 1);
 }
 
+bool IsEndpoint(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || !IsPort(text.substr(colon + 1))) {
+    return false;
+  }
+  std::string_view host = text.substr(0, colon);
+  const bool bracketed =
+      host.size() > 2 && host.front() == '[' && host.back() == ']';
+  if (bracketed) {
+    host = host.substr(1, host.size() - 2);
+  }
+  const bool is_v6 = host.find(':') != std::string_view::npos;
+  return bracketed == is_v6 && IsIpAddress(host);
+}
+
 std::vector<std::string> FormatFaults(absl::Span<const Fault> faults) {
   std::vector<Fault> sorted(faults.begin(), faults.end());
   std::stable_sort(
--- a/tests/unit-cli.cc
+++ b/tests/unit-cli.cc
@@ -119,8 +119,9 @@
 
 TEST_CASE("command line") {
   SECTION("prints help for each command, and exits by the documented codes") {
-    for (const char* command : {"gateway", "control", "check", "config",
-                                "status", "explain", "version"}) {
+    for (const char* command :
+         {"gateway", "control", "check", "config", "status", "explain",
+          "version", "member", "drain"}) {
       const Outcome outcome = Run({command, "--help"});
       CHECK(outcome.code_ == ExitCode::kSuccess);
       CHECK_THAT(outcome.out_, Catch::Contains("Exit codes: 0 success, 1"));
@@ -222,6 +223,27 @@
     CHECK(Run({"explain", "a/b", "--admin", "127.0.0.1:1"}).code_ ==
           ExitCode::kUsage);
   }
+  SECTION("changes the control VMs and drains backend servers") {
+    FakeControl control(
+        {{200, "{}"}, {409, R"({"detail":"not yet"})"}, {200, "{}"}});
+    const std::string& admin = control.address();
+    CHECK(Run({"member", "add", "4", "--replication", "10.0.0.4:1", "--control",
+               "10.0.0.4:2", "--admin-address", "10.0.0.4:3", "--admin", admin})
+              .code_ == ExitCode::kSuccess);
+    CHECK(Run({"member", "promote", "4", "--admin", admin}).err_ ==
+          "error: control answered 409: not yet\n  detail: not yet\n");
+    CHECK(Run({"drain", "engine-1", "--admin", admin}).code_ ==
+          ExitCode::kSuccess);
+    CHECK(control.Join() ==
+          std::vector<std::string>{
+              R"(POST /v1/members {"action":"add","id":4,)"
+              R"("replication":"10.0.0.4:1","control":"10.0.0.4:2",)"
+              R"("admin":"10.0.0.4:3"})",
+              R"(POST /v1/members {"action":"promote","id":4})",
+              "POST /v1/servers/engine-1/drain {}"});
+    CHECK(Run({"member", "add", "4", "--replication", "host:1"}).code_ ==
+          ExitCode::kUsage);
+  }
   SECTION("gives up with the reason") {
     const Outcome outcome =
         Run({"status", "--admin", "127.0.0.1:1", "--timeout", "1"});
