Test the consensus core on seeded schedules

Checked: one leader a term, no vote twice, log matching, leader completeness, committed entries never change, reads never stale, one lease at a time.

--- /dev/null
+++ b/tests/support/consensus_sim.cc
@@ -0,0 +1,441 @@
+#include "support/consensus_sim.h"
+
+#include <algorithm>
+#include <functional>
+
+#include "citronlane/consensus/membership_codec.h"
+
+namespace citronlane {
+namespace {
+
+constexpr uint64_t kTickUs = 5000;
+constexpr uint64_t kMaxDelayUs = 12000;
+constexpr uint64_t kDriftPerMille = 40;
+constexpr size_t kStateBytes = 64;
+
+RaftOptions RaftOptionsOf(uint64_t id, uint64_t incarnation) {
+  RaftOptions options;
+  options.id_ = id;
+  options.incarnation_ = incarnation;
+  options.heartbeat_interval_ = std::chrono::milliseconds(15);
+  options.election_timeout_ = std::chrono::milliseconds(80);
+  options.leader_lease_ = std::chrono::milliseconds(70);
+  options.max_entries_per_append_ = 4;
+  options.max_inflight_appends_ = 3;
+  options.kept_entries_ = 4;
+  options.snapshot_part_bytes_ = 24;
+  return options;
+}
+
+uint64_t Mix(uint64_t hash, uint64_t index, const std::string& payload) {
+  return (hash ^ (index * 0x9E3779B97F4A7C15ULL)) * 0xBF58476D1CE4E5B9ULL +
+         std::hash<std::string>()(payload);
+}
+
+}  // namespace
+
+ConsensusSim::ConsensusSim(const Options& options)
+    : options_(options), random_(options.seed_ * 0x9E3779B97F4A7C15ULL) {
+  Snapshot initial;
+  initial.index_ = 1;
+  initial.term_ = 1;
+  for (uint64_t id = 1; id <= options.voters_; ++id) {
+    initial.membership_.voters_[id] = "node";
+    initial.membership_.incarnations_[id] = next_incarnation_ + id - 1;
+  }
+  initial.membership_.last_id_ = options.voters_;
+  initial.data_.assign(kStateBytes, '0');
+  membership_ = initial.membership_;
+  committed_.resize(2);
+  for (uint64_t id = 1; id <= options.voters_; ++id) {
+    AddNode();
+    nodes_[id].disk_.snapshot_ = initial;
+    nodes_[id].disk_.hard_state_.term_ = 1;
+    Boot(&nodes_[id]);
+  }
+}
+
+uint64_t ConsensusSim::Random(uint64_t below) {
+  random_ += 0x9E3779B97F4A7C15ULL;
+  uint64_t mixed = random_;
+  mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94D049BB133111EBULL;
+  return (mixed ^ (mixed >> 31)) % below;
+}
+
+TimePoint ConsensusSim::ClockOf(const Node& node) const {
+  return TimePoint(Duration(now_us_ * node.rate_ / 1000));
+}
+
+uint64_t ConsensusSim::AddNode() {
+  const uint64_t id = nodes_.empty() ? 1 : nodes_.rbegin()->first + 1;
+  Node& node = nodes_[id];
+  node.id_ = id;
+  node.incarnation_ = next_incarnation_++;
+  node.rate_ = 1000 - kDriftPerMille + Random(2 * kDriftPerMille);
+  Boot(&node);
+  return id;
+}
+
+void ConsensusSim::Boot(Node* node) {
+  const Snapshot& snapshot = node->disk_.snapshot_;
+  node->applied_ = snapshot.index_;
+  node->state_hash_ = snapshot.data_.empty() ? 0 : std::stoull(snapshot.data_);
+  node->role_ = Role::kFollower;
+  node->raft_ = std::make_unique<RaftNode>(
+      RaftOptionsOf(node->id_, node->incarnation_), node->disk_.hard_state_,
+      snapshot, node->disk_.entries_, ClockOf(*node),
+      [this](uint64_t below) { return Random(below); });
+}
+
+void ConsensusSim::Crash(uint64_t id) {
+  nodes_.at(id).raft_.reset();
+}
+
+void ConsensusSim::Retire(uint64_t id) {
+  nodes_.at(id).retired_ = true;
+  Crash(id);
+}
+
+void ConsensusSim::Restart(uint64_t id) {
+  if (!IsUp(id)) {
+    Boot(&nodes_.at(id));
+  }
+}
+
+void ConsensusSim::LoseDisk(uint64_t id) {
+  Node& node = nodes_.at(id);
+  node.disk_ = Disk{};
+  node.disk_lost_ = true;
+  node.incarnation_ = next_incarnation_++;
+  Boot(&node);
+}
+
+void ConsensusSim::Part(const std::set<uint64_t>& part) {
+  part_ = part;
+}
+
+void ConsensusSim::Heal() {
+  part_.clear();
+}
+
+void ConsensusSim::EndFaults() {
+  Heal();
+  options_.drop_ = 0;
+  options_.duplicate_ = 0;
+  options_.crash_ = 0;
+  for (const uint64_t id : Ids()) {
+    Restart(id);
+  }
+}
+
+std::vector<uint64_t> ConsensusSim::Ids() const {
+  std::vector<uint64_t> ids;
+  for (const auto& [id, node] : nodes_) {
+    if (!node.retired_) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+uint64_t ConsensusSim::Leader() const {
+  uint64_t leader = 0;
+  uint64_t term = 0;
+  for (const auto& [id, node] : nodes_) {
+    if (node.raft_ && node.raft_->role() == Role::kLeader &&
+        node.raft_->term() > term) {
+      leader = id;
+      term = node.raft_->term();
+    }
+  }
+  return leader;
+}
+
+bool ConsensusSim::HasLease(uint64_t id) const {
+  const Node& node = nodes_.at(id);
+  return node.raft_ && node.raft_->HasLeaderLease(ClockOf(node));
+}
+
+void ConsensusSim::Propose() {
+  const std::string payload = "c" + std::to_string(++commands_);
+  Error error;
+  for (auto& [id, node] : nodes_) {
+    if (node.raft_) {
+      node.raft_->Propose(ClockOf(node), payload + "@" + std::to_string(id),
+                          &error);
+    }
+  }
+}
+
+void ConsensusSim::Read() {
+  Error error;
+  for (auto& [id, node] : nodes_) {
+    if (node.raft_ &&
+        node.raft_->StartRead(ClockOf(node), ++next_read_, &error)) {
+      read_floor_[next_read_] = committed_.size() - 1;
+    }
+  }
+}
+
+bool ConsensusSim::Change(const Membership& membership) {
+  const uint64_t leader = Leader();
+  return leader != 0 && At(leader)
+                            ->ProposeMembership(ClockOf(nodes_.at(leader)),
+                                                membership, &refusal_)
+                            .has_value();
+}
+
+void ConsensusSim::Run(int ticks) {
+  for (int i = 0; i < ticks; ++i) {
+    Tick();
+  }
+}
+
+void ConsensusSim::Tick() {
+  now_us_ += kTickUs;
+  Deliver();
+  for (auto& [id, node] : nodes_) {
+    if (node.raft_) {
+      node.raft_->Tick(ClockOf(node));
+      CarryOut(&node);
+    }
+  }
+  CheckLeaders();
+}
+
+void ConsensusSim::Send(const Node& from,
+                        const std::vector<Message>& messages) {
+  for (const Message& message : messages) {
+    NoteVotes(from, message);
+    if (nodes_.count(message.to_) == 0 ||
+        part_.count(message.from_) != part_.count(message.to_)) {
+      continue;
+    }
+    const int copies = Chance(options_.duplicate_) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      if (!Chance(options_.drop_)) {
+        network_.emplace(now_us_ + Random(kMaxDelayUs), message);
+      }
+    }
+  }
+}
+
+void ConsensusSim::Deliver() {
+  while (!network_.empty() && network_.begin()->first <= now_us_) {
+    const Message message = std::move(network_.begin()->second);
+    network_.erase(network_.begin());
+    Node& node = nodes_.at(message.to_);
+    if (!node.raft_ || part_.count(message.from_) != part_.count(message.to_)) {
+      continue;
+    }
+    node.raft_->Step(ClockOf(node), message);
+    if (Chance(300)) {
+      CarryOut(&node);
+    }
+  }
+}
+
+bool ConsensusSim::CrashPoint(Node* node) {
+  if (!Chance(options_.crash_)) {
+    return false;
+  }
+  node->raft_.reset();
+  return true;
+}
+
+void ConsensusSim::CarryOut(Node* node) {
+  for (int i = 0; i < 8 && node->raft_; ++i) {
+    const Ready ready = node->raft_->TakeReady();
+    if (ready.IsEmpty()) {
+      return;
+    }
+    Send(*node, ready.early_messages_);
+    if (!Persist(node, ready)) {
+      return;
+    }
+    Send(*node, ready.messages_);
+    if (CrashPoint(node)) {
+      return;
+    }
+    Apply(node, ready);
+    node->raft_->Advance(ClockOf(*node));
+    MaybeSnapshot(node);
+  }
+}
+
+// False when the node crashed; then any prefix of the writes may have stayed.
+bool ConsensusSim::Persist(Node* node, const Ready& ready) {
+  if (CrashPoint(node)) {
+    return false;
+  }
+  Disk& disk = node->disk_;
+  if (ready.snapshot_) {
+    disk.snapshot_ = *ready.snapshot_;
+    disk.entries_.clear();
+    if (CrashPoint(node)) {
+      return false;
+    }
+  }
+  if (ready.hard_state_) {
+    disk.hard_state_ = *ready.hard_state_;
+  }
+  if (!ready.entries_.empty() && CrashPoint(node)) {
+    std::vector<Entry> part = ready.entries_;
+    part.resize(Random(part.size() + 1));
+    StoreEntries(node, part);
+    return false;
+  }
+  StoreEntries(node, ready.entries_);
+  return !CrashPoint(node);
+}
+
+void ConsensusSim::StoreEntries(Node* node, const std::vector<Entry>& entries) {
+  Disk& disk = node->disk_;
+  for (const Entry& entry : entries) {
+    const uint64_t kept = entry.index_ - disk.snapshot_.index_ - 1;
+    if (kept > disk.entries_.size()) {
+      Fault("gap in the log of node " + std::to_string(node->id_));
+      return;
+    }
+    disk.entries_.resize(kept);
+    disk.entries_.push_back(entry);
+  }
+}
+
+void ConsensusSim::Apply(Node* node, const Ready& ready) {
+  if (ready.snapshot_) {
+    node->applied_ = ready.snapshot_->index_;
+    node->state_hash_ = std::stoull(ready.snapshot_->data_);
+    ++installed_snapshots_;
+    if (node->applied_ >= committed_.size() ||
+        committed_[node->applied_].state_hash_ != node->state_hash_) {
+      Fault("snapshot differs at " + std::to_string(node->applied_));
+    }
+  }
+  for (const Entry& entry : ready.committed_) {
+    ApplyEntry(node, entry);
+  }
+  for (const auto& [context, index] : ready.confirmed_reads_) {
+    ++confirmed_reads_;
+    if (index < read_floor_[context] || index > node->applied_) {
+      Fault("stale read " + std::to_string(context) + " at node " +
+            std::to_string(node->id_));
+    }
+  }
+}
+
+void ConsensusSim::ApplyEntry(Node* node, const Entry& entry) {
+  if (entry.index_ != node->applied_ + 1) {
+    Fault("applied out of order at node " + std::to_string(node->id_));
+  }
+  node->applied_ = entry.index_;
+  node->state_hash_ = Mix(node->state_hash_, entry.index_, entry.payload_);
+  if (entry.index_ == committed_.size()) {
+    committed_.push_back({entry.term_, entry.payload_, node->state_hash_});
+  }
+  const Committed& known = committed_[entry.index_];
+  if (known.term_ != entry.term_ || known.payload_ != entry.payload_ ||
+      known.state_hash_ != node->state_hash_) {
+    Fault("committed entry " + std::to_string(entry.index_) +
+          " changed at node " + std::to_string(node->id_));
+  }
+  if (entry.kind_ == EntryKind::kMembership &&
+      entry.index_ > membership_index_) {
+    Error error;
+    membership_ = *DecodeMembership(entry.payload_, &error);
+    membership_index_ = entry.index_;
+  }
+}
+
+void ConsensusSim::MaybeSnapshot(Node* node) {
+  Disk& disk = node->disk_;
+  if (node->applied_ < disk.snapshot_.index_ + options_.snapshot_interval_) {
+    return;
+  }
+  Snapshot snapshot;
+  snapshot.index_ = node->applied_;
+  snapshot.term_ = node->raft_->TermAt(node->applied_);
+  snapshot.membership_ = node->raft_->membership_at(node->applied_);
+  snapshot.data_ = std::to_string(node->state_hash_);
+  snapshot.data_.insert(0, kStateBytes - snapshot.data_.size(), '0');
+  disk.entries_.erase(
+      disk.entries_.begin(),
+      disk.entries_.begin() +
+          static_cast<ptrdiff_t>(snapshot.index_ - disk.snapshot_.index_));
+  disk.snapshot_ = snapshot;
+  if (!CrashPoint(node)) {
+    node->raft_->Compact(std::move(snapshot));
+  }
+}
+
+void ConsensusSim::NoteVotes(const Node& from, const Message& message) {
+  uint64_t candidate = 0;
+  if (message.kind_ == MessageKind::kVote) {
+    candidate = from.id_;
+  } else if (message.kind_ == MessageKind::kVoteReply && !message.reject_) {
+    candidate = message.to_;
+  } else {
+    return;
+  }
+  const auto [it, first] =
+      votes_.emplace(std::make_pair(from.id_, message.term_), candidate);
+  if (!first && it->second != candidate) {
+    Fault("node " + std::to_string(from.id_) + " voted twice in term " +
+          std::to_string(message.term_));
+  }
+}
+
+void ConsensusSim::CheckLeaders() {
+  int leases = 0;
+  for (auto& [id, node] : nodes_) {
+    if (!node.raft_ || node.raft_->role() != Role::kLeader) {
+      node.role_ = Role::kFollower;
+      continue;
+    }
+    leases += HasLease(id) ? 1 : 0;
+    const auto [it, first] = leader_of_term_.emplace(node.raft_->term(), id);
+    if (it->second != id) {
+      Fault("two leaders in term " + std::to_string(node.raft_->term()));
+    }
+    if (node.role_ == Role::kLeader) {
+      continue;
+    }
+    node.role_ = Role::kLeader;
+    const uint64_t last = committed_.size() - 1;
+    const bool holds = node.raft_->TermAt(last) == committed_[last].term_ ||
+                       node.disk_.snapshot_.index_ >= last;
+    if (first && last > 1 && committed_[last].term_ < node.raft_->term() &&
+        !holds) {
+      Fault("leader " + std::to_string(id) + " lacks committed entry " +
+            std::to_string(last));
+    }
+  }
+  if (leases > 1) {
+    Fault("two leaders hold a lease");
+  }
+}
+
+void ConsensusSim::CheckLogs() {
+  std::map<uint64_t, std::map<uint64_t, std::string>> by_position;
+  for (const auto& [id, node] : nodes_) {
+    uint64_t previous = node.disk_.snapshot_.term_;
+    for (const Entry& entry : node.disk_.entries_) {
+      const std::string value = std::to_string(previous) + "/" + entry.payload_;
+      const auto [it, first] =
+          by_position[entry.index_].emplace(entry.term_, value);
+      if (!first && it->second != value) {
+        Fault("logs differ at " + std::to_string(entry.index_));
+      }
+      previous = entry.term_;
+    }
+  }
+}
+
+void ConsensusSim::Fault(const std::string& line) {
+  if (faults_.size() < 8) {
+    faults_.push_back("at " + std::to_string(now_us_) + " us: " + line);
+  }
+}
+
+}  // namespace citronlane
