--- a/include/citronlane/consensus/detail/raft_impl.h
+++ b/include/citronlane/consensus/detail/raft_impl.h
@@ -81,6 +81,7 @@
   void NoteLeader(uint64_t leader);
   void BecomeFollower(uint64_t term, uint64_t leader);
   void BecomeLeader();
+  bool MayCampaign() const;
   void Campaign();
   void StartPreVote();
   void StartElection(bool asked_by_leader);
--- a/src/consensus/raft_election.cc
+++ b/src/consensus/raft_election.cc
@@ -57,8 +57,15 @@
   BroadcastHeartbeat();
 }
 
+// A leader that removed itself may hold the only copy of that change: until it
+// is committed, nobody else can win, so it has to lead once more.
+bool RaftNode::Impl::MayCampaign() const {
+  return IsVoter(options_.id_) ||
+         memberships_.At(log_.commit()).voters_.count(options_.id_) != 0;
+}
+
 void RaftNode::Impl::Campaign() {
-  if (IsVoter(options_.id_)) {
+  if (MayCampaign()) {
     StartPreVote();
   } else {
     leader_ = 0;
