--- a/include/citronlane/storage/detail/log_reader.h
+++ b/include/citronlane/storage/detail/log_reader.h
@@ -28,6 +28,10 @@
   /// after it if the log holds it, else starts anew behind it.
   void ApplySnapshotMark(uint64_t index, uint64_t term);
 
+  /// Whether the entries follow a snapshot: false when the log's first segments
+  /// are missing.
+  bool IsComplete() const { return !needs_mark_; }
+
   RecoveredLog& log() { return log_; }
   /// Batch number for the next record written.
   uint64_t next_batch() const { return last_batch_ + 1; }
@@ -36,6 +40,7 @@
 
  private:
   bool Apply(const Record& record, Error* error);
+  void Truncate(uint64_t index);
   bool ApplyEntry(const Record& record, Error* error);
   bool WasSynced(std::string_view data, size_t bad) const;
   uint64_t last_index() const {
@@ -46,6 +51,8 @@
   uint64_t last_batch_ = 0;
   bool last_ended_batch_ = true;
   uint64_t segment_max_index_ = 0;
+  /// The position before the first entry is not yet marked as a snapshot's.
+  bool needs_mark_ = false;
 };
 
 }  // namespace citronlane
--- a/src/storage/log_reader.cc
+++ b/src/storage/log_reader.cc
@@ -65,11 +65,7 @@
       log_.hard_state_ = HardState{record.term_, record.index_};
       return true;
     case RecordKind::kTruncate:
-      if (record.index_ <= log_.base_index_) {
-        log_.entries_.clear();
-      } else if (record.index_ <= last_index()) {
-        log_.entries_.resize(record.index_ - log_.base_index_ - 1);
-      }
+      Truncate(record.index_);
       return true;
     case RecordKind::kSnapshotMark:
       ApplySnapshotMark(record.index_, record.term_);
@@ -80,8 +76,26 @@
   }
 }
 
+void LogReader::Truncate(uint64_t index) {
+  if (index > log_.base_index_) {
+    log_.entries_.resize(
+        std::min<size_t>(log_.entries_.size(), index - log_.base_index_ - 1));
+    return;
+  }
+  log_.entries_.clear();
+  if (needs_mark_) {
+    log_.base_index_ = index - 1;
+  }
+}
+
 bool LogReader::ApplyEntry(const Record& record, Error* error) {
   segment_max_index_ = std::max(segment_max_index_, record.index_);
+  if (log_.entries_.empty() && record.index_ > last_index() + 1) {
+    // The segments before were removed for a snapshot that is marked later.
+    log_.base_index_ = record.index_ - 1;
+    log_.base_term_ = 0;
+    needs_mark_ = true;
+  }
   if (record.index_ != last_index() + 1) {
     error->message_ = "entry " + std::to_string(record.index_) +
                       " does not follow entry " + std::to_string(last_index());
@@ -94,7 +108,12 @@
 }
 
 void LogReader::ApplySnapshotMark(uint64_t index, uint64_t term) {
-  if (index <= log_.base_index_) {
+  if (index < log_.base_index_ || (index == log_.base_index_ && !needs_mark_)) {
+    return;
+  }
+  needs_mark_ = false;
+  if (index == log_.base_index_) {
+    log_.base_term_ = term;
     return;
   }
   const uint64_t position = index - log_.base_index_;
--- a/src/storage/write_ahead_log.cc
+++ b/src/storage/write_ahead_log.cc
@@ -92,6 +92,11 @@
       }
     }
   }
+  if (!reader.IsComplete()) {
+    error->message_ =
+        "a log segment is missing before " + PathOf(segments_.front().number_);
+    return false;
+  }
   *log = std::move(reader.log());
   log->is_new_ = segments_.empty();
   hard_state_ = log->hard_state_;
