--- a/include/citronlane/app/gateway_options.h
+++ b/include/citronlane/app/gateway_options.h
@@ -16,6 +16,9 @@
 struct GatewayOptions {
   /// Unique among the gateways; part of every request id.
   std::string name_ = "gateway";
+  /// Differs at each start and rises; 0 takes the start time in Unix
+  /// milliseconds.
+  uint64_t incarnation_ = 0;
   std::string failure_domain_;
   /// Listener for callers: an IP number. Port 0 takes any free port.
   std::string address_ = "127.0.0.1";
@@ -38,7 +41,7 @@
   /// How long the configuration holds after its last confirmation.
   Duration config_lease_ = std::chrono::seconds(3);
   /// Largest answer stored under an Idempotency-Key.
-  uint64_t stored_answer_bytes_ = 64 * 1024;
+  uint64_t stored_answer_bytes_ = 64ULL * 1024;
   /// Refusals kept until they are sent to control; older ones are dropped and
   /// counted.
   size_t refusal_backlog_ = 4096;
