--- a/include/citronlane/app/caller_handler.h
+++ b/include/citronlane/app/caller_handler.h
@@ -65,7 +65,7 @@
   const DriverContext& context_;
   const HttpRequest& http_;
   const CallerRequest request_;
-  const RefusalContext refusal_context_;
+  RefusalContext refusal_context_;
   HttpExchange* const exchange_;
   const TimePoint start_;
   const AnswerWriter writer_;
--- /dev/null
+++ b/include/citronlane/app/detail/call_flight.h
@@ -0,0 +1,46 @@
+#ifndef CITRONLANE_APP_DETAIL_CALL_FLIGHT_H_
+#define CITRONLANE_APP_DETAIL_CALL_FLIGHT_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "citronlane/app/pool_shard.h"
+#include "citronlane/base/time.h"
+#include "citronlane/config/server_config.h"
+#include "citronlane/request/attempt_id.h"
+#include "citronlane/routing/call_shape.h"
+#include "citronlane/transport/stage_call.h"
+#include "citronlane/transport/stage_reply_head.h"
+#include "citronlane/transport/stage_token_reader.h"
+
+namespace citronlane::detail {
+
+/// One stage call that a driver has in flight.
+struct CallFlight {
+  explicit CallFlight(boost::asio::io_context* io) : hedge_timer_(*io) {}
+
+  AttemptId id_;
+  bool hedge_ = false;
+  ServerConfig server_;
+  std::string pool_name_;
+  std::shared_ptr<PoolShard> pool_;
+  CallShape shape_;
+  TimePoint started_{};
+  TimePoint deadline_{};
+  bool first_byte_ = false;
+  uint32_t tokens_ = 0;
+  StageReplyHead head_;
+  std::shared_ptr<StageCall> call_;
+  /// Set for calls that stream.
+  std::unique_ptr<StageTokenReader> reader_;
+  boost::asio::steady_timer hedge_timer_;
+  bool ended_ = false;
+};
+
+}  // namespace citronlane::detail
+
+#endif  // CITRONLANE_APP_DETAIL_CALL_FLIGHT_H_
--- a/include/citronlane/app/driver_context.h
+++ b/include/citronlane/app/driver_context.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_APP_DRIVER_CONTEXT_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string_view>
 
@@ -28,9 +29,12 @@
   std::function<void(std::string_view pool,
                      CallOutcome outcome,
                      Duration latency,
+                     uint32_t tokens,
                      size_t in_flight)>
       on_call_;
   std::function<void(std::string_view pool, RetryReason reason)> on_retry_;
+  std::function<void(std::string_view pool, bool won)> on_hedge_;
+  std::function<void(std::string_view pool, std::string_view why)> on_drop_;
   /// A backend server said that it is leaving.
   std::function<void(std::string_view server)> on_leaving_;
 };
--- a/include/citronlane/app/gateway.h
+++ b/include/citronlane/app/gateway.h
@@ -1,6 +1,7 @@
 #ifndef CITRONLANE_APP_GATEWAY_H_
 #define CITRONLANE_APP_GATEWAY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -56,6 +57,12 @@
   /// Whether new work is taken now; what /readyz says.
   bool ready() const;
 
+  /// Callers' open connections, and requests being served.
+  size_t connections() const;
+  size_t requests_in_flight() const;
+  /// Refusals dropped before they reached control.
+  uint64_t refusals_dropped() const;
+
   /// Starts the graceful shutdown: not ready at once, new work is refused
   /// after the drain notice, work in flight ends. Returns at once.
   void Shutdown();
--- a/include/citronlane/app/refusal_context.h
+++ b/include/citronlane/app/refusal_context.h
@@ -14,6 +14,8 @@
   /// Pipeline or service.
   std::string target_;
   uint64_t config_version_ = 0;
+  /// The request was admitted and failed later.
+  bool admitted_ = false;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/app/refusal_writer.h
+++ b/include/citronlane/app/refusal_writer.h
@@ -22,7 +22,7 @@
 class RefusalWriter {
  public:
   /// Called for each refusal, from any thread.
-  using EntryHook = std::function<void(const RefusalEntry&)>;
+  using EntryHook = std::function<void(const RefusalEntry&, bool admitted)>;
 
   /// `identity` is the gateway's name with its incarnation.
   RefusalWriter(std::string identity, std::string receipt_key, EntryHook sink);
--- a/include/citronlane/app/request_driver.h
+++ b/include/citronlane/app/request_driver.h
@@ -18,9 +18,12 @@
 #include "citronlane/transport/stage_call_spec.h"
 #include "citronlane/transport/stage_reply_head.h"
 
+namespace citronlane::detail {
+struct CallFlight;
+}  // namespace citronlane::detail
+
 namespace citronlane {
 
-class PoolShard;
 struct DriverContext;
 struct PoolConfig;
 
@@ -52,8 +55,7 @@
   }
 
  private:
-  struct Flight;
-  using FlightPtr = std::shared_ptr<Flight>;
+  using FlightPtr = std::shared_ptr<detail::CallFlight>;
 
   void Pump();
   void Execute(const StartCall& command);
@@ -64,7 +66,8 @@
 
   FlightPtr Place(const StartCall& command);
   void Launch(const FlightPtr& flight, const StartCall& command);
-  StageCallSpec MakeSpec(const Flight& flight, const StartCall& command) const;
+  StageCallSpec MakeSpec(const detail::CallFlight& flight,
+                         const StartCall& command) const;
   void FillServiceCall(StageCallSpec* spec) const;
   uint64_t PrefixHash() const;
   TimePoint AttemptDeadline(uint32_t stage) const;
@@ -78,6 +81,8 @@
   void TakeServiceReply(const FlightPtr& flight, std::string body);
   void FailFlight(const FlightPtr& flight, CallOutcome outcome);
   void EndFlight(const FlightPtr& flight, CallOutcome outcome);
+  void ReportDrops(const FlightPtr& flight);
+  std::optional<Duration> StageTime(uint32_t stage) const;
   FlightPtr FindFlight(const AttemptId& attempt) const;
 
   const DriverContext* const context_;
@@ -86,6 +91,8 @@
   std::vector<FlightPtr> flights_;
   boost::asio::steady_timer deadline_timer_;
   bool pumping_ = false;
+  std::vector<TimePoint> stage_starts_;
+  RequestCounters reported_;
   std::optional<TimePoint> first_text_;
   std::optional<HttpReply> service_reply_;
 };
--- a/include/citronlane/app/stage_cost.h
+++ b/include/citronlane/app/stage_cost.h
@@ -2,8 +2,11 @@
 #define CITRONLANE_APP_STAGE_COST_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "citronlane/base/time.h"
+
 namespace citronlane {
 
 /// What one stage of a request came to.
@@ -13,6 +16,8 @@
   double cost_ = 0;
   uint32_t calls_ = 0;
   uint64_t tokens_ = 0;
+  /// From the stage's start to its end; nothing when it did not start.
+  std::optional<Duration> time_;
 };
 
 }  // namespace citronlane
--- a/src/app/caller_handler.cc
+++ b/src/app/caller_handler.cc
@@ -55,6 +55,7 @@
   if (!Admit()) {
     return;
   }
+  refusal_context_.admitted_ = true;
   Drive();
   const RequestSummary summary = Summarize();
   double cost = 0;
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -77,9 +77,11 @@
                options_.retry_budget_),
         admission_(AdmissionOptions()),
         backlog_(options_.refusal_backlog_, hooks_.report_refusals_),
-        refusals_(identity_, options_.receipt_key_, [this](const auto& entry) {
-          OnRefusal(entry);
-        }) {
+        refusals_(identity_,
+                  options_.receipt_key_,
+                  [this](const auto& entry, bool admitted) {
+                    OnRefusal(entry, admitted);
+                  }) {
     for (size_t i = 0; i < std::max<size_t>(1, options_.threads_); ++i) {
       shards_.push_back(MakeShard());
     }
@@ -159,12 +161,13 @@
     context.client_ = &shard->client_;
     context.pools_ = &pools_;
     context.on_call_ = [this](std::string_view pool, CallOutcome outcome,
-                              Duration latency, size_t in_flight) {
+                              Duration latency, uint32_t tokens,
+                              size_t in_flight) {
       if (outcome == CallOutcome::kSuccess) {
         admission_.OnCall(SteadyNow(), pool, latency, in_flight);
       }
       if (hooks_.events_.on_call_) {
-        hooks_.events_.on_call_(pool, outcome, latency);
+        hooks_.events_.on_call_(pool, outcome, tokens);
       }
     };
     context.on_retry_ = [this](std::string_view pool, RetryReason reason) {
@@ -172,6 +175,16 @@
         hooks_.events_.on_retry_(pool, reason);
       }
     };
+    context.on_hedge_ = [this](std::string_view pool, bool won) {
+      if (hooks_.events_.on_hedge_) {
+        hooks_.events_.on_hedge_(pool, won);
+      }
+    };
+    context.on_drop_ = [this](std::string_view pool, std::string_view why) {
+      if (hooks_.events_.on_drop_) {
+        hooks_.events_.on_drop_(pool, why);
+      }
+    };
     context.on_leaving_ = [this](std::string_view server) {
       OnLeaving(server, 0);
       if (hooks_.report_leaving_) {
@@ -212,13 +225,16 @@
       service_->Serve(shard, request, exchange);
     };
     hooks.refuse_ = [this](RefusalReason reason) {
+      if (hooks_.events_.on_unread_) {
+        hooks_.events_.on_unread_(reason);
+      }
       return service_->RefuseUnread(reason);
     };
     return std::make_unique<HttpListener>(
         std::move(contexts), options_.http_limits_, std::move(hooks));
   }
 
-  void OnRefusal(const RefusalEntry& entry) {
+  void OnRefusal(const RefusalEntry& entry, bool admitted) {
     std::string line = "refused " + entry.id_;
     line.append(" reason=").append(ToString(entry.reason_));
     line.append(" verdict=").append(ToString(entry.verdict_));
@@ -231,7 +247,7 @@
       backlog_.Add(entry);
     }
     if (hooks_.events_.on_refusal_) {
-      hooks_.events_.on_refusal_(entry);
+      hooks_.events_.on_refusal_(entry, admitted);
     }
   }
 
@@ -248,13 +264,24 @@
       stop_changed_.wait_for(lock, kFlushInterval,
                              [this] { return stopping_; });
       lock.unlock();
-      backlog_.Flush();
+      FlushRefusals();
       lock.lock();
     }
     lock.unlock();
     Drain();
   }
 
+  /// Returns whether nothing waits any more.
+  bool FlushRefusals() {
+    const bool empty = !hooks_.report_refusals_ || backlog_.Flush();
+    const uint64_t dropped = backlog_.dropped();
+    if (dropped > dropped_reported_ && hooks_.events_.on_unrecorded_) {
+      hooks_.events_.on_unrecorded_(dropped - dropped_reported_);
+    }
+    dropped_reported_ = dropped;
+    return empty;
+  }
+
   void Drain() {
     Log("draining: not ready, new work is still taken");
     std::this_thread::sleep_for(options_.drain_notice_);
@@ -264,8 +291,7 @@
                           [this] { return listener_->active_requests() == 0; });
     listener_->StopAccepting();
     WaitUntil(kCloseLimit, [this] { return listener_->connections() == 0; });
-    WaitUntil(kLastFlushLimit,
-              [this] { return !hooks_.report_refusals_ || backlog_.Flush(); });
+    WaitUntil(kLastFlushLimit, [this] { return FlushRefusals(); });
     Log(cut_off_ ? "stopped; work was cut off at the drain limit"
                  : "stopped; no work was cut off");
   }
@@ -289,6 +315,7 @@
   std::mutex stop_mutex_;
   std::condition_variable stop_changed_;
   bool stopping_ = false;
+  uint64_t dropped_reported_ = 0;
   std::atomic<bool> cut_off_{false};
 };
 
@@ -331,6 +358,18 @@
   return impl_->state_.Ready(SteadyNow());
 }
 
+size_t Gateway::connections() const {
+  return impl_->listener_->connections();
+}
+
+size_t Gateway::requests_in_flight() const {
+  return impl_->listener_->active_requests();
+}
+
+uint64_t Gateway::refusals_dropped() const {
+  return impl_->backlog_.dropped();
+}
+
 void Gateway::Shutdown() {
   impl_->Shutdown();
 }
--- a/src/app/gateway_run.cc
+++ b/src/app/gateway_run.cc
@@ -8,8 +8,12 @@
 #include <utility>
 
 #include "citronlane/app/gateway.h"
+#include "citronlane/app/gateway_metrics.h"
 #include "citronlane/config/parse_cluster_config.h"
 #include "citronlane/json/object_reader.h"
+#include "citronlane/observe/logger.h"
+#include "citronlane/observe/metric_names.h"
+#include "citronlane/observe/metrics.h"
 
 namespace citronlane {
 namespace {
@@ -69,7 +73,17 @@
       return false;
     }
   }
+  Metrics metrics;
+  metrics.Set(kBuildInfo, {CITRONLANE_VERSION}, 1);
+  GatewayMetrics counts(&metrics);
+  const Gateway* running = nullptr;
+  hooks.events_ = counts.Events();
+  hooks.metrics_text_ = [&counts, &running] { return counts.Text(*running); };
+  if (!hooks.log_) {
+    hooks.log_ = Logger("gateway").Hook();
+  }
   Gateway gateway(options, std::move(hooks));
+  running = &gateway;
   if (bootstrap != nullptr) {
     gateway.ApplyConfig(std::move(bootstrap));
     gateway.ExtendLease(TimePoint::max());
--- a/src/app/refusal_writer.cc
+++ b/src/app/refusal_writer.cc
@@ -95,7 +95,7 @@
                                Verdict verdict,
                                std::string_view detail) {
   const RefusalEntry entry = MakeEntry(context, refusal, verdict);
-  sink_(entry);
+  sink_(entry, context.admitted_);
   const int64_t retry_after_ms =
       std::chrono::duration_cast<milliseconds>(SpreadRetryAfter(refusal))
           .count();
--- a/src/app/request_driver.cc
+++ b/src/app/request_driver.cc
@@ -7,13 +7,13 @@
 #include <xxhash.h>
 #include <boost/asio/io_context.hpp>
 
+#include "citronlane/app/detail/call_flight.h"
 #include "citronlane/app/driver_context.h"
 #include "citronlane/app/pool_shards.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/transport/detail/steady_now.h"
 #include "citronlane/transport/stage_adapter.h"
 #include "citronlane/transport/stage_client.h"
-#include "citronlane/transport/stage_token_reader.h"
 
 namespace citronlane {
 namespace {
@@ -22,56 +22,13 @@
 
 constexpr size_t kMaxEventBytes = size_t{64} * 1024;
 constexpr double kMedian = 0.5;
-constexpr int kStatusOk = 200;
-constexpr int kStatusTooManyRequests = 429;
-constexpr int kStatusBadGateway = 502;
-constexpr int kStatusUnavailable = 503;
-constexpr int kStatusGatewayTimeout = 504;
-
-CallOutcome OutcomeOfStatus(int status) {
-  const bool rejected =
-      status == kStatusTooManyRequests || status == kStatusUnavailable;
-  return rejected ? CallOutcome::kRejected : CallOutcome::kServerError;
-}
 
 int64_t Milliseconds(Duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
-/// Headers of a service's reply that hold for its connection only, or that the
-/// gateway writes itself.
-bool IsPassedOn(std::string_view name) {
-  constexpr std::string_view kKept[] = {
-      "cache-control", "content-language", "etag", "last-modified",
-      "location",      "retry-after",      "vary"};
-  std::string lower(name);
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return std::find(std::begin(kKept), std::end(kKept), lower) !=
-         std::end(kKept);
-}
-
 }  // namespace
 
-/// One call in flight.
-struct RequestDriver::Flight {
-  explicit Flight(boost::asio::io_context* io) : hedge_timer_(*io) {}
-
-  AttemptId id_;
-  ServerConfig server_;
-  std::shared_ptr<PoolShard> pool_;
-  CallShape shape_;
-  TimePoint started_{};
-  TimePoint deadline_{};
-  bool first_byte_ = false;
-  uint32_t tokens_ = 0;
-  StageReplyHead head_;
-  std::shared_ptr<StageCall> call_;
-  std::unique_ptr<StageTokenReader> reader_;
-  boost::asio::steady_timer hedge_timer_;
-  bool ended_ = false;
-};
-
 RequestDriver::RequestDriver(const DriverContext* context, DriverJob job)
     : context_(context),
       job_(std::move(job)),
@@ -125,6 +82,7 @@
     cost.stage_ = job_.stages_[stage].name_;
     cost.calls_ = request_.sent_calls(stage);
     cost.tokens_ = request_.stage_tokens(stage);
+    cost.time_ = StageTime(stage);
     cost.cost_ = cost.calls_ * pool.cost_per_call_ +
                  static_cast<double>(cost.tokens_) * pool.cost_per_token_;
     costs.push_back(std::move(cost));
@@ -132,6 +90,14 @@
   return costs;
 }
 
+std::optional<Duration> RequestDriver::StageTime(uint32_t stage) const {
+  if (stage >= stage_starts_.size()) {
+    return std::nullopt;
+  }
+  const bool over = stage + 1 < stage_starts_.size();
+  return (over ? stage_starts_[stage + 1] : SteadyNow()) - stage_starts_[stage];
+}
+
 void RequestDriver::Pump() {
   if (pumping_) {
     return;
@@ -150,6 +116,9 @@
   if (request_.finished()) {
     return;
   }
+  if (command.attempt_.stage_ == stage_starts_.size()) {
+    stage_starts_.push_back(SteadyNow());
+  }
   const FlightPtr flight = Place(command);
   if (flight == nullptr) {
     request_.OnNoServer(command.attempt_, SteadyNow());
@@ -203,8 +172,10 @@
 RequestDriver::FlightPtr RequestDriver::Place(const StartCall& command) {
   const uint32_t stage = command.attempt_.stage_;
   const StageConfig& config = job_.stages_[stage];
-  auto flight = std::make_shared<Flight>(context_->io_);
+  auto flight = std::make_shared<detail::CallFlight>(context_->io_);
   flight->id_ = command.attempt_;
+  flight->hedge_ = command.hedge_;
+  flight->pool_name_ = config.pool_;
   flight->pool_ = context_->pools_->Find(config.pool_);
   if (flight->pool_ == nullptr) {
     return nullptr;
@@ -247,8 +218,8 @@
       self->OnData(flight, piece);
     };
     flight->reader_ = std::make_unique<StageTokenReader>(
-        kMaxEventBytes,
-        [this, raw = std::weak_ptr<Flight>(flight)](const Token& token) {
+        kMaxEventBytes, [this, raw = std::weak_ptr<detail::CallFlight>(flight)](
+                            const Token& token) {
           const FlightPtr alive = raw.lock();
           return alive != nullptr && OnToken(alive, token);
         });
@@ -268,7 +239,7 @@
   return prefix.empty() ? 0 : XXH3_64bits(prefix.data(), prefix.size());
 }
 
-StageCallSpec RequestDriver::MakeSpec(const Flight& flight,
+StageCallSpec RequestDriver::MakeSpec(const detail::CallFlight& flight,
                                       const StartCall& command) const {
   const uint32_t stage = command.attempt_.stage_;
   StageCallSpec spec;
@@ -328,146 +299,6 @@
   return job_.config_->pools_.at(job_.stages_[stage].pool_);
 }
 
-bool RequestDriver::OnHead(const FlightPtr& flight,
-                           const StageReplyHead& head) {
-  const TimePoint now = SteadyNow();
-  if (head.load_) {
-    flight->pool_->OnLoadReport(flight->server_.id_, now, head.load_age_,
-                                *head.load_);
-  }
-  if (head.draining_) {
-    context_->on_leaving_(flight->server_.id_);
-  }
-  flight->head_ = head;
-  if (!flight->reader_) {
-    return true;
-  }
-  if (head.status_ != kStatusOk) {
-    FailFlight(flight, OutcomeOfStatus(head.status_));
-    return false;
-  }
-  const bool accepted =
-      request_.OnStreamHead(flight->id_, head.echoed_id_, now);
-  if (!accepted) {
-    EndFlight(flight, CallOutcome::kWrongId);
-    Pump();
-  }
-  return accepted;
-}
-
-void RequestDriver::OnData(const FlightPtr& flight, std::string_view piece) {
-  const bool usable = flight->reader_->Feed(piece);
-  if (!usable && !flight->ended_) {
-    flight->call_->Cancel();
-    FailFlight(flight, CallOutcome::kServerError);
-  }
-}
-
-bool RequestDriver::OnToken(const FlightPtr& flight, const Token& token) {
-  const TimePoint now = SteadyNow();
-  if (flight->ended_) {
-    return true;
-  }
-  if (!flight->first_byte_) {
-    flight->first_byte_ = true;
-    flight->pool_->OnFirstByte(flight->server_.id_, now,
-                               now - flight->started_);
-  }
-  ++flight->tokens_;
-  request_.OnToken(flight->id_, token, now);
-  if (request_.finished() || request_.stage() != flight->id_.stage_) {
-    EndFlight(flight, CallOutcome::kSuccess);
-  }
-  Pump();
-  return true;
-}
-
-void RequestDriver::OnDone(const FlightPtr& flight,
-                           CallOutcome outcome,
-                           std::string body) {
-  if (flight->ended_) {
-    return;
-  }
-  if (outcome != CallOutcome::kSuccess) {
-    FailFlight(flight, outcome);
-  } else if (flight->reader_) {
-    // The stream ended without its last token.
-    FailFlight(flight, CallOutcome::kClosedAfterSend);
-  } else if (job_.service_call_) {
-    TakeServiceReply(flight, std::move(body));
-  } else {
-    TakeReply(flight, body);
-  }
-}
-
-void RequestDriver::TakeReply(const FlightPtr& flight, std::string_view body) {
-  if (flight->head_.status_ != kStatusOk) {
-    FailFlight(flight, OutcomeOfStatus(flight->head_.status_));
-    return;
-  }
-  Error error;
-  const uint32_t stage = flight->id_.stage_;
-  auto output = StageAdapter(PoolOf(stage).kind_)
-                    .ReadReply(body, request_.output(), &error);
-  if (!output) {
-    FailFlight(flight, CallOutcome::kServerError);
-    return;
-  }
-  const bool own = flight->head_.echoed_id_ == flight->id_.ToHeader();
-  EndFlight(flight, own ? CallOutcome::kSuccess : CallOutcome::kWrongId);
-  request_.OnResult(
-      StageResult{flight->id_, flight->head_.echoed_id_, *std::move(output)},
-      SteadyNow());
-  Pump();
-}
-
-void RequestDriver::TakeServiceReply(const FlightPtr& flight,
-                                     std::string body) {
-  const StagePlan& plan = job_.plan_.stages_[flight->id_.stage_];
-  const int status = flight->head_.status_;
-  const bool rejected =
-      OutcomeOfStatus(status) == CallOutcome::kRejected &&
-      (!plan.non_idempotent_ || plan.rejection_means_not_run_);
-  const bool failed =
-      !plan.non_idempotent_ &&
-      (status == kStatusBadGateway || status == kStatusGatewayTimeout);
-  if (rejected || failed) {
-    FailFlight(flight, OutcomeOfStatus(status));
-    return;
-  }
-  // A plain service need not echo the id; a wrong one is an error.
-  const std::string own_id = flight->id_.ToHeader();
-  std::string echoed = flight->head_.echoed_id_;
-  if (echoed.empty()) {
-    echoed = own_id;
-  }
-  if (echoed == own_id) {
-    HttpReply reply;
-    reply.status_ = status;
-    reply.content_type_.clear();
-    for (const HttpHeader& header : flight->head_.headers_) {
-      if (header.name_ == "Content-Type") {
-        reply.content_type_ = header.value_;
-      } else if (IsPassedOn(header.name_)) {
-        reply.headers_.push_back(header);
-      }
-    }
-    reply.body_ = std::move(body);
-    service_reply_ = std::move(reply);
-  }
-  EndFlight(flight,
-            echoed == own_id ? CallOutcome::kSuccess : CallOutcome::kWrongId);
-  request_.OnResult(StageResult{flight->id_, std::move(echoed), {}},
-                    SteadyNow());
-  Pump();
-}
-
-void RequestDriver::FailFlight(const FlightPtr& flight, CallOutcome outcome) {
-  EndFlight(flight, outcome);
-  request_.OnFailure(flight->id_, outcome, SteadyNow());
-  Pump();
-}
-
 void RequestDriver::EndFlight(const FlightPtr& flight, CallOutcome outcome) {
   if (flight->ended_) {
     return;
@@ -478,8 +309,11 @@
   const Duration latency = now - flight->started_;
   flight->pool_->OnFinish(flight->server_.id_, now, outcome, latency,
                           flight->tokens_, flight->shape_);
-  context_->on_call_(job_.stages_[flight->id_.stage_].pool_, outcome, latency,
+  context_->on_call_(flight->pool_name_, outcome, latency, flight->tokens_,
                      flight->pool_->in_flight());
+  if (flight->hedge_) {
+    context_->on_hedge_(flight->pool_name_, outcome == CallOutcome::kSuccess);
+  }
   flights_.erase(std::remove(flights_.begin(), flights_.end(), flight),
                  flights_.end());
 }
