--- a/include/citronlane/app/gateway.h
+++ b/include/citronlane/app/gateway.h
@@ -6,11 +6,13 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "citronlane/app/gateway_hooks.h"
 #include "citronlane/app/gateway_options.h"
 #include "citronlane/base/error.h"
 #include "citronlane/base/time.h"
+#include "citronlane/transport/class_usage.h"
 
 namespace citronlane {
 
@@ -54,6 +56,9 @@
                     double amount,
                     TimePoint until);
 
+  /// What each class used since the last call.
+  std::vector<ClassUsage> TakeUsage();
+
   /// Whether new work is taken now; what /readyz says.
   bool ready() const;
 
--- a/include/citronlane/app/gateway_options.h
+++ b/include/citronlane/app/gateway_options.h
@@ -9,6 +9,7 @@
 #include "citronlane/base/time.h"
 #include "citronlane/transport/http_limits.h"
 #include "citronlane/transport/stage_limits.h"
+#include "citronlane/transport/tls_files.h"
 
 namespace citronlane {
 
@@ -27,6 +28,8 @@
   size_t threads_ = 4;
   /// "IP:port" of the control VMs; empty runs without control.
   std::vector<std::string> control_addresses_;
+  /// Towards the control VMs.
+  TlsFiles control_tls_;
   /// Without control: file with the whole configuration, read once at start.
   std::string bootstrap_config_;
   /// Key of the signature on refusals; the same on all gateways.
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -19,6 +19,7 @@
 #include "citronlane/app/pool_shards.h"
 #include "citronlane/app/refusal_backlog.h"
 #include "citronlane/app/refusal_writer.h"
+#include "citronlane/app/usage_meter.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/transport/detail/steady_now.h"
 #include "citronlane/transport/http_listener.h"
@@ -49,6 +50,14 @@
   return router;
 }
 
+double CostOf(const RequestSummary& summary) {
+  double cost = 0;
+  for (const StageCost& stage : summary.costs_) {
+    cost += stage.cost_;
+  }
+  return cost;
+}
+
 /// One thread with what it alone touches.
 struct Shard {
   explicit Shard(const StageLimits& limits)
@@ -81,7 +90,8 @@
                   options_.receipt_key_,
                   [this](const auto& entry, bool admitted) {
                     OnRefusal(entry, admitted);
-                  }) {
+                  }),
+        usage_(SteadyNow()) {
     for (size_t i = 0; i < std::max<size_t>(1, options_.threads_); ++i) {
       shards_.push_back(MakeShard());
     }
@@ -151,6 +161,7 @@
   AdmissionGate admission_;
   RefusalBacklog backlog_;
   RefusalWriter refusals_;
+  UsageMeter usage_;
   std::unique_ptr<HttpListener> listener_;
 
  private:
@@ -207,6 +218,7 @@
       parts.contexts_.push_back(&shard->context_);
     }
     parts.on_request_ = [this](const RequestSummary& summary) {
+      usage_.Add(summary.class_name_, CostOf(summary));
       if (hooks_.events_.on_request_) {
         hooks_.events_.on_request_(summary);
       }
@@ -354,6 +366,10 @@
   impl_->admission_.OnSpendShare(class_name, amount, until);
 }
 
+std::vector<ClassUsage> Gateway::TakeUsage() {
+  return impl_->usage_.Take(SteadyNow());
+}
+
 bool Gateway::ready() const {
   return impl_->state_.Ready(SteadyNow());
 }
