--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -19,7 +19,7 @@
 
 constexpr size_t kFirstReadBytes = 4096;
 /// What a refused caller may still send while it reads the refusal.
-constexpr size_t kLingerBytes = size_t{64} * 1024;
+constexpr size_t kLingerBytes = size_t{4} * 1024 * 1024;
 constexpr auto kLingerTime = std::chrono::seconds(1);
 
 template <typename Message>
--- /dev/null
+++ b/tests/unit-gateway-lifecycle.cc
@@ -0,0 +1,129 @@
+#include <atomic>
+#include <future>
+#include <mutex>
+
+#include "citronlane/app/receipt.h"
+#include "gateway_harness.h"
+
+namespace citronlane {
+
+TEST_CASE("gateway whose lease lapsed") {
+  Fakes fakes;
+  Gateway gateway(TestOptions(), {});
+  Error error;
+  REQUIRE(gateway.Start(&error));
+  const auto ask = [&] {
+    return Call(gateway.port(), http::verb::post, "/v1/pipelines/ask",
+                R"({"input": "x"})", key_header);
+  };
+  const auto ready = [&] {
+    return Call(gateway.port(), http::verb::get, "/readyz").result_int();
+  };
+  CHECK(RefusalOf(ask().body()) == "503 not_run");
+  CHECK(ready() == 503);
+  CHECK(gateway.ApplyConfig(ConfigOf(fakes)));
+  CHECK(RefusalOf(ask().body()) == "501 not_run");
+  CHECK(ready() == 503);
+  gateway.ExtendLease(TimePoint::max());
+  CHECK(ask().result_int() == 200);
+  CHECK(ready() == 200);
+  CHECK_FALSE(gateway.ApplyConfig(ConfigOf(fakes)));
+  gateway.Shutdown();
+  CHECK(gateway.Wait());
+}
+
+TEST_CASE("gateway that shuts down") {
+  Fakes fakes;
+  Running running(fakes);
+  fakes.SetFault("engines", R"({"hold": true, "hold_at": 4})");
+  auto streamed = std::async(std::launch::async, [&] {
+    return running.Post("/v1/pipelines/ask",
+                        R"({"input": "long", "stream": true})");
+  });
+  REQUIRE(Eventually([&] { return fakes.Calls("engines") == 1; }));
+  running.gateway_.Shutdown();
+  SECTION("is not ready, refuses new work, and cuts nothing off") {
+    CHECK_FALSE(running.gateway_.ready());
+    REQUIRE(Eventually([&] {
+      const Response refused = running.Post("/v1/pipelines/none", "{}");
+      return refused.result_int() == 503 &&
+             RefusalOf(refused.body()) == "701 not_run";
+    }));
+  }
+  fakes.SetFault("engines", R"({"hold": false})");
+  const Response response = streamed.get();
+  CHECK(response.find("X-Test-Cut") == response.end());
+  CHECK(EventsOf(response.body()).back() == "[DONE]");
+  CHECK(running.gateway_.Wait());
+}
+
+TEST_CASE("gateway cancels the stages of a caller that is gone") {
+  Fakes fakes;
+  std::atomic<int> gone{0};
+  GatewayHooks hooks;
+  hooks.events_.on_request_ = [&](const RequestSummary& summary) {
+    gone += summary.reason_ == RefusalReason::kCallerGone ? 1 : 0;
+  };
+  Running running(fakes, hooks);
+  fakes.SetFault("engines", R"({"hold": true, "hold_at": 1})");
+  {
+    asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect(
+        {asio::ip::make_address("127.0.0.1"), running.gateway_.port()});
+    asio::write(socket, asio::buffer(std::string(
+                            "POST /v1/pipelines/ask HTTP/1.1\r\nHost: x\r\n"
+                            "Authorization: Bearer key-1\r\n"
+                            "Content-Length: 14\r\n\r\n{\"input\": \"x\"}")));
+    REQUIRE(Eventually([&] { return fakes.Calls("engines") == 1; }));
+  }
+  CHECK(Eventually([&] { return gone == 1; }));
+  CHECK(running.gateway_.requests_in_flight() == 0);
+}
+
+TEST_CASE("gateway's refusals") {
+  Fakes fakes;
+  std::mutex mutex;
+  std::vector<RefusalEntry> journal;
+  std::vector<std::string> lines;
+  GatewayHooks hooks;
+  hooks.report_refusals_ = [&](const std::vector<RefusalEntry>& batch,
+                               uint64_t) {
+    const std::lock_guard lock(mutex);
+    journal.insert(journal.end(), batch.begin(), batch.end());
+    return true;
+  };
+  hooks.log_ = [&](std::string_view line) {
+    const std::lock_guard lock(mutex);
+    lines.emplace_back(line);
+  };
+  {
+    Running running(fakes, hooks);
+    fakes.SetFault("encoders", R"({"fail": 99})");
+    const JsonValue problem = Json(running.Ask("secret text").body());
+    running.gateway_.Shutdown();
+    running.gateway_.Wait();
+    REQUIRE(journal.size() == 1);
+    const RefusalEntry& entry = journal.front();
+    SECTION("reach the journal and can be proved by their receipt") {
+      CHECK(problem.Find("refusal_id")->AsString() == entry.id_);
+      CHECK(problem.Find("receipt")->AsString() ==
+            SignReceipt(entry, "receipt"));
+      RefusalEntry changed = entry;
+      changed.verdict_ = Verdict::kNotRun;
+      CHECK(SignReceipt(changed, "receipt") !=
+            problem.Find("receipt")->AsString());
+    }
+    SECTION("are one log line each, without the caller's text") {
+      size_t found = 0;
+      for (const std::string& line : lines) {
+        found += line.find(entry.id_) != std::string::npos ? 1 : 0;
+        CHECK(line.find("secret") == std::string::npos);
+        CHECK(line.find("key-1") == std::string::npos);
+      }
+      CHECK(found == 1);
+    }
+  }
+}
+
+}  // namespace citronlane
--- a/tests/unit-gateway.cc
+++ b/tests/unit-gateway.cc
@@ -1,217 +1,173 @@
-#include <catch2/catch.hpp>
-
-#include <fcntl.h>
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
-#include <csignal>
-#include <cstdio>
-
-#include <boost/asio/connect.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-
-#include <fstream>
-#include <memory>
-#include <string>
-#include <thread>
-#include <vector>
-
-#include "citronlane/app/detail/digest.h"
-#include "citronlane/app/gateway.h"
-#include "citronlane/config/parse_cluster_config.h"
-#include "citronlane/json/object_reader.h"
-#include "citronlane/json/parse.h"
-
-extern char** environ;
+#include "gateway_harness.h"
 
 namespace citronlane {
-namespace {
-
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
-using Response = http::response<http::string_body>;
-using Headers = std::vector<std::pair<std::string, std::string>>;
 
-Response Call(uint16_t port,
-              http::verb method,
-              const std::string& target,
-              const std::string& body = "",
-              const Headers& headers = {}) {
-  asio::io_context io;
-  tcp::socket socket(io);
-  socket.connect({asio::ip::make_address("127.0.0.1"), port});
-  http::request<http::string_body> request(method, target, 11);
-  request.set(http::field::host, "127.0.0.1");
-  request.set(http::field::connection, "close");
-  for (const auto& [name, value] : headers) {
-    request.insert(name, value);
-  }
-  request.body() = body;
-  request.prepare_payload();
-  http::write(socket, request);
-  beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(1 << 24);
-  beast::error_code error;
-  http::read(socket, buffer, parser, error);
-  Response response = parser.release();
-  if (error) {
-    response.set("X-Test-Cut", "1");
-  }
-  return response;
-}
+TEST_CASE("gateway answers") {
+  Fakes fakes;
+  Running running(fakes);
 
-/// The fake backend servers in a process of their own.
-class Fakes {
- public:
-  Fakes() {
-    int ends[2];
-    REQUIRE(pipe2(ends, O_CLOEXEC) == 0);
-    const std::string file =
-        "/tmp/citronlane-test-fleet-" + std::to_string(getpid()) + ".json";
-    std::ofstream(file) << kFleet;
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-    std::string program = CITRONLANE_FAKES;
-    std::string argument = file;
-    char* argv[] = {program.data(), argument.data(), nullptr};
-    REQUIRE(posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv,
-                        environ) == 0);
-    posix_spawn_file_actions_destroy(&actions);
-    close(ends[1]);
-    FILE* out = fdopen(ends[0], "r");
-    char line[4096];
-    REQUIRE(std::fgets(line, sizeof(line), out) != nullptr);
-    std::fclose(out);
-    std::remove(file.c_str());
-    Fault fault;
-    ports_ = *ParseJson(line, &fault);
-  }
-  ~Fakes() {
-    kill(pid_, SIGTERM);
-    waitpid(pid_, nullptr, 0);
+  SECTION("a pipeline whole, with cost by stage") {
+    const Response response = running.Ask("which cotton?");
+    CHECK(response.result_int() == 200);
+    CHECK(response["X-Config-Version"] == "7");
+    CHECK(response["X-Cost-By-Stage"] ==
+          "encode;cost=1;calls=1, retrieve;cost=2;calls=1, "
+          "rerank;cost=3;calls=1, generate;cost=8;calls=1");
+    CHECK(TextOf(response) == AnswerTo("which cotton?"));
   }
 
-  int Port(const std::string& id) const {
-    return static_cast<int>(ports_.Find("servers")->Find(id)->AsNumber());
+  SECTION("a chat as a stream that ends cleanly") {
+    const Response response = running.Post("/v1/chat/completions",
+                                           R"({"model": "ask", "stream": true,
+            "messages": [{"role": "user", "content": "colourfast?"}]})");
+    const auto events = EventsOf(response.body());
+    REQUIRE(events.size() == 10);
+    CHECK(events.back() == "[DONE]");
+    std::string text;
+    for (size_t i = 0; i < 8; ++i) {
+      const JsonValue event = Json(events[i]);
+      const JsonValue& choice = event.Find("choices")->items()[0];
+      text += choice.Find("delta")->Find("content")->AsString();
+    }
+    CHECK(text == AnswerTo("colourfast?"));
+    const JsonValue last = Json(events[8]);
+    CHECK(last.Find("citronlane")->Find("cost_by_stage")->Find("generate"));
+    CHECK(response.find("X-Test-Cut") == response.end());
   }
-  void SetFault(const std::string& id, const std::string& fault) {
-    const auto port = static_cast<uint16_t>(ports_.Find("control")->AsNumber());
-    REQUIRE(Call(port, http::verb::post, "/fault/" + id, fault).result_int() ==
-            200);
-  }
-
- private:
-  static constexpr char kFleet[] = R"({"servers": [
-    {"id": "enc1", "kind": "encoder", "pool": "encoders"},
-    {"id": "enc2", "kind": "encoder", "pool": "encoders"},
-    {"id": "ret1", "kind": "retriever", "pool": "retrievers"},
-    {"id": "rer1", "kind": "reranker", "pool": "rerankers"},
-    {"id": "eng1", "kind": "engine", "pool": "engines", "tokens": 8},
-    {"id": "eng2", "kind": "engine", "pool": "engines", "tokens": 8},
-    {"id": "svc1", "kind": "service", "pool": "tills"},
-    {"id": "svc2", "kind": "service", "pool": "tills"}]})";
-
-  pid_t pid_ = 0;
-  JsonValue ports_;
-};
 
-std::string ServersOf(const Fakes& fakes, const std::vector<std::string>& ids) {
-  std::string text;
-  for (const std::string& id : ids) {
-    text += (text.empty() ? "" : ",") + ("\"" + id) +
-            R"(": {"address": "127.0.0.1", "port": )" +
-            std::to_string(fakes.Port(id)) + R"(, "failure_domain": "a"})";
+  SECTION("health, and work by its own connection") {
+    CHECK(Call(running.gateway_.port(), http::verb::get, "/healthz")
+              .result_int() == 200);
+    CHECK(Call(running.gateway_.port(), http::verb::get, "/readyz")
+              .result_int() == 200);
+    running.gateway_.OnServerLeaving("ret1", 1);
+    const Response response = running.Ask("gone?");
+    CHECK(RefusalOf(response.body()) == "403 ran");
   }
-  return "{" + text + "}";
-}
-
-std::shared_ptr<const ClusterConfig> ConfigOf(const Fakes& fakes) {
-  const std::string document =
-      R"({
-    "classes": {"chat": {"answer_ms": 4000}, "night": {"answer_ms": 9000, "batch": true}},
-    "accounts": {"shop": {"key_digests": [")" +
-      detail::ToHex(detail::Sha256("key-1")) +
-      R"("], "default_class": "chat", "classes": ["chat"]}},
-    "pools": {
-      "encoders": {"kind": "encoder", "cost_per_call": 1, "servers": )" +
-      ServersOf(fakes, {"enc1", "enc2"}) + R"(},
-      "retrievers": {"kind": "retriever", "cost_per_call": 2, "servers": )" +
-      ServersOf(fakes, {"ret1"}) + R"(},
-      "rerankers": {"kind": "reranker", "cost_per_call": 3, "servers": )" +
-      ServersOf(fakes, {"rer1"}) + R"(},
-      "engines": {"kind": "engine", "cost_per_call": 4, "cost_per_token": 0.5, "servers": )" +
-      ServersOf(fakes, {"eng1", "eng2"}) + R"(},
-      "tills": {"kind": "service", "rejection_means_not_run": true, "servers": )" +
-      ServersOf(fakes, {"svc1", "svc2"}) + R"(}},
-    "pipelines": {
-      "ask": {"deadline_ms": 5000, "stages": [
-        {"name": "encode", "pool": "encoders"}, {"name": "retrieve", "pool": "retrievers"},
-        {"name": "rerank", "pool": "rerankers"},
-        {"name": "generate", "pool": "engines", "model": "m"}]},
-      "order": {"deadline_ms": 5000, "non_idempotent": true, "stages": [
-        {"name": "encode", "pool": "encoders"},
-        {"name": "generate", "pool": "engines", "model": "m", "non_idempotent": true}]}},
-    "services": {"till": {"pool": "tills", "deadline_ms": 2000, "routes": [
-      {"method": "POST", "prefix": "/orders", "non_idempotent": true}]}}})";
-  std::vector<Fault> faults;
-  auto config = ParseClusterConfig(document, 7, &faults);
-  INFO((faults.empty() ? "" : FormatFaults(faults)[0]));
-  REQUIRE(config);
-  return std::make_shared<const ClusterConfig>(*std::move(config));
 }
 
-const Headers key_header = {{"Authorization", "Bearer key-1"}};
-
-GatewayOptions TestOptions() {
-  GatewayOptions options;
-  options.name_ = "gw";
-  options.port_ = 0;
-  options.threads_ = 2;
-  options.receipt_key_ = "receipt";
-  options.drain_notice_ = std::chrono::milliseconds(1);
-  return options;
-}
-
-struct Running {
-  explicit Running(const Fakes& fakes, GatewayHooks hooks = {})
-      : gateway_(TestOptions(), std::move(hooks)) {
-    gateway_.ApplyConfig(ConfigOf(fakes));
-    gateway_.ExtendLease(TimePoint::max());
-    Error error;
-    REQUIRE(gateway_.Start(&error));
-  }
-  ~Running() {
-    gateway_.Shutdown();
-    CHECK(gateway_.Wait());
+TEST_CASE("gateway refuses what it can't read, and runs nothing of it") {
+  Fakes fakes;
+  Running running(fakes);
+  const std::string good = R"({"input": "x"})";
+  struct Case {
+    std::string target_;
+    std::string body_;
+    Headers headers_;
+    int status_;
+    std::string refusal_;
+  };
+  const std::vector<Case> cases = {
+      {"/v1/pipelines/ask", "{\"input\": ", {}, 400, "101 not_run"},
+      {"/v1/pipelines/ask", R"({"input": 7})", {}, 400, "101 not_run"},
+      {"/v1/pipelines/ask",
+       R"({"input": "x", "stream": "yes"})",
+       {},
+       400,
+       "101 not_run"},
+      {"/v1/pipelines/none", good, {}, 404, "102 not_run"},
+      {"/v1/else", good, {}, 404, "108 not_run"},
+      {"/v1/pipelines/ask", good, {{"X-Class", "no"}}, 400, "103 not_run"},
+      {"/v1/pipelines/ask", good, {{"X-Class", "night"}}, 403, "202 not_run"},
+      {"/v1/pipelines/ask",
+       good,
+       {{"Authorization", "Bearer key-1"}},
+       400,
+       "101 not_run"},
+      {"/v1/pipelines/order", good, {}, 400, "107 not_run"},
+      {"/v1/pipelines/order",
+       good,
+       {{"Idempotency-Key", "k"}},
+       503,
+       "502 not_run"},
+      {"/services/till/orders", good, {}, 400, "107 not_run"},
+      {"/v1/chat/completions",
+       R"({"model": "ask", "messages": []})",
+       {},
+       400,
+       "101 not_run"},
+      {"/v1/pipelines/ask", std::string(1 << 21, 'x'), {}, 413, "104 not_run"},
+  };
+  for (const Case& each : cases) {
+    INFO(each.target_ << " " << each.body_.substr(0, 40));
+    const Response response =
+        running.Post(each.target_, each.body_, each.headers_);
+    CHECK(static_cast<int>(response.result_int()) == each.status_);
+    CHECK(RefusalOf(response.body()) == each.refusal_);
   }
-  Response Ask(const std::string& body, const std::string& pipeline = "ask") {
-    return Call(gateway_.port(), http::verb::post, "/v1/pipelines/" + pipeline,
-                body, key_header);
+  CHECK(
+      Call(running.gateway_.port(), http::verb::post, "/v1/pipelines/ask", good)
+          .result_int() == 401);
+  for (const char* pool : {"encoders", "engines", "tills"}) {
+    CHECK(fakes.Calls(pool) == 0);
   }
+}
 
-  Gateway gateway_;
-};
-
-}  // namespace
-
-TEST_CASE("gateway") {
+TEST_CASE("gateway closes or refuses broken HTTP") {
   Fakes fakes;
   Running running(fakes);
-  SECTION("answers a pipeline whole, with cost by stage") {
-    const Response response = running.Ask(R"({"input": "which cotton?"})");
+  const std::string head = "POST /v1/pipelines/ask HTTP/1.1\r\nHost: x\r\n";
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"nonsense\r\n\r\n", "400"},
+      {head + "Content-Length: 5\r\nContent-Length: 9\r\n\r\nabcde", "400"},
+      {head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nabcde",
+       "400"},
+      {head + "X-Flood: " + std::string(40000, 'x') + "\r\n\r\n", "431"},
+      {head + "Content-Length: 99999999999\r\n\r\n", "413"},
+  };
+  for (const auto& [text, status] : cases) {
+    INFO(text.substr(0, 120));
+    CHECK(Raw(running.gateway_.port(), text).substr(9, 3) == status);
+  }
+  CHECK(running.Ask("still here?").result_int() == 200);
+}
+
+TEST_CASE("gateway gets over failing backend servers") {
+  Fakes fakes;
+  GatewayOptions options = TestOptions();
+  options.retry_budget_ = 10;
+  Running running(fakes, {}, options);
+  struct Case {
+    std::string server_;
+    std::string fault_;
+  };
+  const std::vector<Case> cases = {
+      {"*", R"({"close_after_read": 1})"},
+      {"*", R"({"close_before_run": 1})"},
+      {"*", R"({"wrong_id": 1})"},
+      {"encoders", R"({"garbage": 1})"},
+      {"encoders", R"({"oversize": 1})"},
+      {"*", R"({"reject": 1})"},
+      {"*", R"({"fail": 1})"},
+      {"engines", R"({"cut_stream": 1, "cut_at": 3})"},
+      {"engines", R"({"cut_stream": 2, "cut_at": 5})"},
+      {"enc1", R"({"stop": true})"},
+  };
+  int question = 0;
+  for (const Case& each : cases) {
+    INFO(each.server_ << " " << each.fault_);
+    fakes.SetFault(each.server_, each.fault_);
+    const std::string text = "question " + std::to_string(++question);
+    const Response response = running.Ask(text);
     INFO(response.body());
     CHECK(response.result_int() == 200);
-    CHECK(response["X-Config-Version"] == "7");
-    CHECK(response["X-Cost-By-Stage"] ==
-          "encode;cost=1;calls=1, retrieve;cost=2;calls=1, "
-          "rerank;cost=3;calls=1, generate;cost=8;calls=1");
+    if (response.result_int() == 200) {
+      CHECK(TextOf(response) == AnswerTo(text));
+    }
+    fakes.SetFault("*", R"({"reset": true})");
   }
 }
 
+TEST_CASE("gateway ends a stream that can't be completed with an error") {
+  Fakes fakes;
+  Running running(fakes);
+  fakes.SetFault("engines", R"({"cut_stream": 99, "cut_at": 3})");
+  const Response response =
+      running.Post("/v1/pipelines/ask", R"({"input": "cut", "stream": true})");
+  CHECK(response.find("X-Test-Cut") != response.end());
+  CHECK(response.body().find("event: error") != std::string::npos);
+  CHECK(response.body().find("[DONE]") == std::string::npos);
+  CHECK(RefusalOf(EventsOf(response.body()).back()) == "404 ran");
+}
+
 }  // namespace citronlane
