Add the control node and the gateway's client of it

The node runs the replicated state on a Replica, streams configuration updates that are serialised once for all watchers, answers lease renewals from its own log, and turns claims, reports and registrations into commands. The client watches one node and moves on when that is silent, asks all for its lease, and retries towards the leader; a resend of a claim is safe.

--- a/include/citronlane/app/claim_answer.h
+++ b/include/citronlane/app/claim_answer.h
@@ -19,6 +19,8 @@
   Result result_ = Result::kUnavailable;
   /// With kFinished only.
   StoredAnswer stored_;
+  /// With kFinished: the answer was too large to be stored.
+  bool answer_dropped_ = false;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/orders/order_book.h
+++ b/include/citronlane/orders/order_book.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <string>
 
 #include "state.pb.h"
@@ -32,11 +33,14 @@
   /// Returns the order, or null.
   const wire::EngineOrder* Find(const std::string& order_id) const;
 
-  /// Returns the first order that the leader with this number may open now, or
-  /// null.
+  using Filter = std::function<bool(const wire::EngineOrder&)>;
+
+  /// Returns the first order that the leader with this number may open now and
+  /// that `allowed` lets pass, or null.
   const wire::EngineOrder* Next(uint64_t time_ms,
                                 uint64_t number,
-                                const wire::StartOrder& limits) const;
+                                const wire::StartOrder& limits,
+                                const Filter& allowed) const;
 
   /// Oldest first.
   const std::deque<wire::EngineOrder>& orders() const { return orders_; }
--- a/include/citronlane/state/configuration_history.h
+++ b/include/citronlane/state/configuration_history.h
@@ -52,6 +52,10 @@
   /// nothing when it is not in the history.
   std::optional<std::string> DocumentAt(uint64_t version) const;
 
+  /// Returns the merge patch from a version to the present one, or nothing when
+  /// that version is not in the history.
+  std::optional<std::string> PatchFrom(uint64_t version) const;
+
   size_t remembered_change_ids() const { return change_ids_.size(); }
 
   void Save(wire::ConfigSnapshot* snapshot) const;
--- a/include/citronlane/state/state_machine.h
+++ b/include/citronlane/state/state_machine.h
@@ -15,6 +15,7 @@
 #include "citronlane/state/gateway_registry.h"
 #include "citronlane/state/refusal_journal.h"
 #include "citronlane/state/spend_ledger.h"
+#include "citronlane/state/state_effects.h"
 #include "state.pb.h"
 
 namespace citronlane {
@@ -32,6 +33,9 @@
   /// be read has no effect.
   wire::StateResult Apply(uint64_t index, std::string_view payload);
 
+  /// What the last Apply changed.
+  const StateEffects& effects() const { return effects_; }
+
   /// Returns the whole state: a SealedSnapshot in its one possible encoding.
   std::string TakeSnapshot() const;
 
@@ -59,6 +63,8 @@
 
  private:
   wire::StateResult Execute(uint64_t index, const wire::StateCommand& command);
+  wire::ConfigResult ApplyChange(uint64_t index,
+                                 const wire::ConfigChange& change);
   bool RegisterGateway(const wire::RegisterGateway& command);
   bool ForgetGateway(const wire::ForgetGateway& command);
   bool MergeServers(const wire::ServerCommand& command);
@@ -75,6 +81,7 @@
   ServerStates servers_;
   FencingCounter fencing_;
   OrderBook orders_;
+  StateEffects effects_;
   std::map<uint64_t, wire::PeerRecord> peers_;
 };
 
--- a/include/citronlane/transport/control_client.h
+++ b/include/citronlane/transport/control_client.h
@@ -25,7 +25,7 @@
   /// Whether the control quorum has it.
   using Done = std::function<void(bool)>;
 
-  ControlClient(ControlClientOptions options, ControlClientHooks hooks);
+  ControlClient(const ControlClientOptions& options, ControlClientHooks hooks);
   ~ControlClient();
   ControlClient(const ControlClient&) = delete;
   ControlClient& operator=(const ControlClient&) = delete;
--- a/include/citronlane/transport/control_client_hooks.h
+++ b/include/citronlane/transport/control_client_hooks.h
@@ -25,6 +25,8 @@
   /// A backend server leaves, in this incarnation.
   std::function<void(std::string_view server, uint64_t incarnation)>
       on_leaving_;
+  /// A backend server that was leaving lives again, in a later incarnation.
+  std::function<void(std::string_view server, uint64_t incarnation)> on_live_;
   /// This gateway may spend `amount` for the class until `until`.
   std::function<
       void(std::string_view class_name, double amount, TimePoint until)>
--- a/include/citronlane/transport/control_client_options.h
+++ b/include/citronlane/transport/control_client_options.h
@@ -24,10 +24,12 @@
   Duration renew_interval_ = std::chrono::milliseconds(500);
   /// A watch stream without any sign of life for this long is left.
   Duration watch_timeout_ = std::chrono::milliseconds(800);
-  /// One try of a call; and a claim, finish or report with all its retries.
+  /// One try of a call, and a claim or report with all its retries. A finish is
+  /// answered after finish_timeout_ at the latest and goes on in the
+  /// background.
   Duration try_timeout_ = std::chrono::milliseconds(500);
   Duration claim_timeout_ = std::chrono::seconds(3);
-  Duration finish_timeout_ = std::chrono::seconds(30);
+  Duration finish_timeout_ = std::chrono::seconds(3);
   Duration retry_delay_ = std::chrono::milliseconds(50);
   Duration report_interval_ = std::chrono::seconds(1);
   /// Calls waiting at once; more are answered as unavailable.
--- /dev/null
+++ b/include/citronlane/transport/detail/control_link.h
@@ -0,0 +1,30 @@
+#ifndef CITRONLANE_TRANSPORT_DETAIL_CONTROL_LINK_H_
+#define CITRONLANE_TRANSPORT_DETAIL_CONTROL_LINK_H_
+
+#include "citronlane/transport/control_client_options.h"
+#include "citronlane/transport/detail/call_tracker.h"
+#include "citronlane/transport/detail/control_channels.h"
+#include "citronlane/transport/detail/timer_queue.h"
+
+namespace citronlane {
+
+/// What the parts of a ControlClient share.
+struct ControlLink {
+  explicit ControlLink(const ControlClientOptions& options)
+      : options_(options), channels_(options.addresses_, options.tls_) {
+    gateway_.set_name(options.gateway_);
+    gateway_.set_incarnation(options.incarnation_);
+    gateway_.set_failure_domain(options.failure_domain_);
+  }
+
+  const ControlClientOptions options_;
+  wire::GatewayId gateway_;
+  ControlChannels channels_;
+  CallTracker calls_;
+  /// The client's one thread for everything but the start of claims.
+  TimerQueue timers_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_TRANSPORT_DETAIL_CONTROL_LINK_H_
--- /dev/null
+++ b/src/app/control_leader.cc
@@ -0,0 +1,178 @@
+#include "citronlane/app/detail/control_leader.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "citronlane/app/detail/order_dispatcher.h"
+#include "citronlane/app/detail/steady_now.h"
+
+namespace citronlane {
+namespace {
+
+constexpr Duration kWorkInterval = std::chrono::milliseconds(50);
+
+void Ignore(const std::optional<wire::StateResult>& /*result*/,
+            const Error& /*error*/) {}
+
+}  // namespace
+
+ControlLeader::ControlLeader(const ControlOptions& options,
+                             ControlState* state,
+                             CommandProposer* proposer,
+                             OrderDispatcher* orders,
+                             StatusHook status,
+                             LogHook log)
+    : options_(options),
+      state_(state),
+      proposer_(proposer),
+      status_(std::move(status)),
+      log_(std::move(log)),
+      orders_(orders) {}
+
+ControlLeader::~ControlLeader() {
+  Stop();
+}
+
+void ControlLeader::Start() {
+  thread_ = std::thread([this] { Run(); });
+}
+
+void ControlLeader::Stop() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_one();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void ControlLeader::OnRole(Role role, uint64_t term) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    term_ = role == Role::kLeader ? term : 0;
+    taking_lead_ = false;
+    fencing_number_ = 0;
+  }
+  proposer_->OnLeadLost();
+  orders_->OnLeadLost();
+  wake_.notify_one();
+}
+
+uint64_t ControlLeader::fencing_number() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return fencing_number_;
+}
+
+void ControlLeader::Run() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (!stopping_) {
+    const uint64_t term = term_;
+    const bool must_take = term != 0 && fencing_number_ == 0 && !taking_lead_;
+    taking_lead_ = taking_lead_ || must_take;
+    const bool leads = fencing_number_ != 0;
+    lock.unlock();
+    if (must_take) {
+      TakeLead(term);
+    } else if (leads) {
+      Work();
+    }
+    lock.lock();
+    wake_.wait_for(lock, kWorkInterval);
+  }
+}
+
+void ControlLeader::Work() {
+  KeepPeers();
+  ForgetSilentGateways();
+  orders_->Work();
+}
+
+// The first command of a term: once it is applied, so is everything before.
+void ControlLeader::TakeLead(uint64_t term) {
+  wire::StateCommand command;
+  command.mutable_take_lead()->set_node(options_.replica_.raft_.id_);
+  command.mutable_take_lead()->set_term(term);
+  proposer_->ProposeFirst(
+      command, [this, term](const std::optional<wire::StateResult>& result,
+                            const Error& /*error*/) {
+        uint64_t time_ms = 0;
+        state_->View(
+            [&](const StateMachine& state) { time_ms = state.time_ms(); });
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (term_ != term) {
+          return;
+        }
+        taking_lead_ = false;
+        if (result && result->fencing_number() != 0) {
+          lead_since_ = SteadyNow();
+          fencing_number_ = result->fencing_number();
+          orders_->OnLead(fencing_number_, lead_since_);
+          proposer_->OnLead(time_ms, lead_since_);
+          log_("This node leads with fencing number " +
+               std::to_string(result->fencing_number()) + ".");
+        }
+      });
+}
+
+// Addresses from the settings, for members that the state does not know.
+void ControlLeader::KeepPeers() {
+  std::vector<wire::PeerRecord> missing;
+  state_->View([&](const StateMachine& state) {
+    for (const auto& [node, peer] : options_.peers_) {
+      if (state.peers().count(node) == 0) {
+        wire::PeerRecord record;
+        record.set_node(node);
+        record.set_replication(peer.replication_);
+        record.set_control(peer.control_);
+        record.set_admin(peer.admin_);
+        missing.push_back(std::move(record));
+      }
+    }
+  });
+  for (const wire::PeerRecord& record : missing) {
+    wire::StateCommand command;
+    *command.mutable_register_peer()->mutable_peer() = record;
+    proposer_->Propose(std::move(command), Ignore);
+  }
+}
+
+void ControlLeader::ForgetSilentGateways() {
+  const TimePoint now = SteadyNow();
+  TimePoint since;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    since = lead_since_;
+  }
+  const auto sightings = state_->sightings();
+  std::vector<wire::ForgetGateway> silent;
+  state_->View([&](const StateMachine& state) {
+    for (const auto& [name, gateway] : state.gateways().gateways()) {
+      const auto found = sightings.find(name);
+      const bool seen = found != sightings.end() &&
+                        found->second.incarnation_ == gateway.incarnation();
+      const TimePoint last =
+          seen ? std::max(found->second.seen_, since) : since;
+      if (now - last > options_.gateway_timeout_) {
+        wire::ForgetGateway forget;
+        forget.set_name(name);
+        forget.set_incarnation(gateway.incarnation());
+        forget.set_claim_retention_ms(options_.limits_.claim_retention_ms_);
+        silent.push_back(std::move(forget));
+      }
+    }
+  });
+  for (const wire::ForgetGateway& forget : silent) {
+    log_("Gateway " + forget.name() + " is silent and is forgotten.");
+    wire::StateCommand command;
+    *command.mutable_forget_gateway() = forget;
+    Error error;
+    proposer_->ProposeAndWait(std::move(command), options_.gateway_timeout_,
+                              &error);
+  }
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/app/control_node.cc
@@ -0,0 +1,178 @@
+#include "citronlane/app/control_node.h"
+
+#include <utility>
+
+#include "citronlane/app/detail/command_proposer.h"
+#include "citronlane/app/detail/control_calls.h"
+#include "citronlane/app/detail/control_leader.h"
+#include "citronlane/app/detail/control_state.h"
+#include "citronlane/app/detail/order_dispatcher.h"
+#include "citronlane/app/replica.h"
+#include "citronlane/transport/control_service.h"
+
+namespace citronlane {
+namespace {
+
+std::string ControlAddressOf(const ControlOptions& options) {
+  const auto own = options.peers_.find(options.replica_.raft_.id_);
+  return own == options.peers_.end() ? std::string() : own->second.control_;
+}
+
+ControlOptions Complete(ControlOptions options) {
+  ReplicaOptions& replica = options.replica_;
+  const auto own = options.peers_.find(replica.raft_.id_);
+  if (replica.listen_.empty() && own != options.peers_.end()) {
+    replica.listen_ = own->second.replication_;
+  }
+  if (replica.initial_voters_.empty() && !options.join_) {
+    for (const auto& [id, peer] : options.peers_) {
+      replica.initial_voters_[id] = peer.replication_;
+    }
+  }
+  if (replica.tls_.certificate_.empty()) {
+    replica.tls_ = options.internal_tls_;
+  }
+  return options;
+}
+
+}  // namespace
+
+class ControlNode::Impl {
+ public:
+  Impl(ControlOptions options, ControlNodeHooks hooks);
+
+  bool Start(Error* error);
+  void Stop();
+
+  const ControlState& state() const { return state_; }
+  ReplicaStatus status() const { return replica_.status(); }
+
+ private:
+  ReplicaHooks MakeReplicaHooks();
+  void Log(std::string_view line) const;
+
+  const ControlOptions options_;
+  const ControlNodeHooks hooks_;
+  ControlState state_;
+  CommandProposer proposer_;
+  OrderDispatcher orders_;
+  ControlLeader leader_;
+  ControlCalls calls_;
+  Replica replica_;
+  ControlService service_;
+};
+
+ControlNode::Impl::Impl(ControlOptions options, ControlNodeHooks hooks)
+    : options_(Complete(std::move(options))),
+      hooks_(std::move(hooks)),
+      state_(options_.config_lease_,
+             options_.max_watchers_,
+             [this](std::string_view line) { Log(line); }),
+      proposer_([this](const std::string& payload, auto done) {
+        replica_.Propose(payload, std::move(done));
+      }),
+      orders_(options_,
+              &state_,
+              &proposer_,
+              [this] { return replica_.status().leader_lease_; }),
+      leader_(
+          options_,
+          &state_,
+          &proposer_,
+          &orders_,
+          [this] { return replica_.status(); },
+          [this](std::string_view line) { Log(line); }),
+      calls_(options_,
+             &state_,
+             &proposer_,
+             [this] { return replica_.status(); }),
+      replica_(options_.replica_, MakeReplicaHooks()),
+      service_(ControlAddressOf(options_),
+               options_.internal_tls_,
+               options_.max_pending_calls_,
+               calls_.MakeHooks()) {}
+
+bool ControlNode::Impl::Start(Error* error) {
+  if (!replica_.Start(error)) {
+    return false;
+  }
+  if (!service_.Start(error)) {
+    replica_.Stop();
+    return false;
+  }
+  leader_.Start();
+  return true;
+}
+
+// The lead goes first, so that the gateways find the next leader while this
+// node still answers them.
+void ControlNode::Impl::Stop() {
+  replica_.Stop();
+  leader_.Stop();
+  orders_.Stop();
+  state_.feed().EndAll();
+  service_.Stop();
+}
+
+ReplicaHooks ControlNode::Impl::MakeReplicaHooks() {
+  ReplicaHooks hooks;
+  hooks.apply_ = [this](uint64_t index, std::string_view payload) {
+    return state_.Apply(index, payload);
+  };
+  hooks.appended_ = [this](uint64_t index, std::string_view payload) {
+    state_.OnAppended(index, payload);
+  };
+  hooks.truncated_ = [this](uint64_t index) { state_.OnTruncated(index); };
+  hooks.take_snapshot_ = [this] { return state_.TakeSnapshot(); };
+  hooks.install_snapshot_ = [this](uint64_t /*index*/, std::string_view data) {
+    state_.InstallSnapshot(data);
+  };
+  hooks.role_changed_ = [this](Role role, uint64_t term) {
+    leader_.OnRole(role, term);
+  };
+  hooks.log_ = [this](std::string_view line) { Log(line); };
+  return hooks;
+}
+
+void ControlNode::Impl::Log(std::string_view line) const {
+  if (hooks_.log_) {
+    hooks_.log_(line);
+  }
+}
+
+ControlNode::ControlNode(ControlOptions options, ControlNodeHooks hooks)
+    : impl_(std::make_unique<Impl>(std::move(options), std::move(hooks))) {}
+
+ControlNode::~ControlNode() {
+  Stop();
+}
+
+bool ControlNode::Start(Error* error) {
+  return impl_->Start(error);
+}
+
+void ControlNode::Stop() {
+  impl_->Stop();
+}
+
+uint64_t ControlNode::config_version() const {
+  uint64_t version = 0;
+  impl_->state().View([&version](const StateMachine& state) {
+    version = state.config().version();
+  });
+  return version;
+}
+
+std::string ControlNode::config_digest() const {
+  std::string digest;
+  impl_->state().View([&digest](const StateMachine& state) {
+    digest = state.config().digest();
+  });
+  return digest;
+}
+
+ReplicaStatus ControlNode::replica_status() const {
+  return impl_->status();
+}
+
+}  // namespace citronlane
--- a/src/orders/order_book.cc
+++ b/src/orders/order_book.cc
@@ -75,10 +75,11 @@
 
 const wire::EngineOrder* OrderBook::Next(uint64_t time_ms,
                                          uint64_t number,
-                                         const wire::StartOrder& limits) const {
+                                         const wire::StartOrder& limits,
+                                         const Filter& allowed) const {
   const auto found = std::find_if(
       orders_.begin(), orders_.end(), [&](const wire::EngineOrder& order) {
-        return MayStart(time_ms, number, limits, order);
+        return MayStart(time_ms, number, limits, order) && allowed(order);
       });
   return found == orders_.end() ? nullptr : &*found;
 }
--- a/src/state/configuration_history.cc
+++ b/src/state/configuration_history.cc
@@ -113,6 +113,15 @@
   return CanonicalJson(*value);
 }
 
+std::optional<std::string> ConfigurationHistory::PatchFrom(
+    uint64_t version) const {
+  const std::optional<JsonValue> value = ValueAt(version);
+  if (!value) {
+    return std::nullopt;
+  }
+  return WriteJson(DiffMergePatch(*value, root_));
+}
+
 void ConfigurationHistory::Save(wire::ConfigSnapshot* snapshot) const {
   snapshot->set_version(version_);
   snapshot->set_document(document_);
--- a/src/state/state_machine.cc
+++ b/src/state/state_machine.cc
@@ -26,6 +26,7 @@
   wire::StateCommand command;
   wire::StateResult result;
   applied_index_ = index;
+  effects_ = StateEffects();
   if (command.ParseFromArray(payload.data(),
                              static_cast<int>(payload.size()))) {
     time_ms_ = std::max(time_ms_, command.time_ms());
@@ -86,8 +87,7 @@
   result.set_done(true);
   switch (command.kind_case()) {
     case wire::StateCommand::kChange:
-      *result.mutable_config() =
-          config_.Apply(index, time_ms_, command.change());
+      *result.mutable_config() = ApplyChange(index, command.change());
       break;
     case wire::StateCommand::kClaim:
       *result.mutable_claim() = claims_.Claim(command.claim());
@@ -138,13 +138,23 @@
   return result;
 }
 
+wire::ConfigResult StateMachine::ApplyChange(uint64_t index,
+                                             const wire::ConfigChange& change) {
+  const uint64_t before = config_.version();
+  wire::ConfigResult result = config_.Apply(index, time_ms_, change);
+  effects_.config_changed_ = config_.version() != before;
+  return result;
+}
+
 bool StateMachine::RegisterGateway(const wire::RegisterGateway& command) {
   uint64_t replaced = 0;
   const wire::GatewayId& gateway = command.gateway();
   if (!gateways_.Register(gateway, &replaced)) {
     return false;
   }
+  effects_.registered_.emplace_back(gateway.name(), gateway.incarnation());
   if (replaced != 0) {
+    effects_.forgotten_.emplace_back(gateway.name(), replaced);
     claims_.OnOwnerLost(time_ms_, gateway.name(), replaced,
                         command.claim_retention_ms());
   }
@@ -158,16 +168,18 @@
   claims_.OnOwnerLost(time_ms_, command.name(), command.incarnation(),
                       command.claim_retention_ms());
   spend_.OnGatewayForgotten(command.name());
+  effects_.forgotten_.emplace_back(command.name(), command.incarnation());
   return true;
 }
 
 bool StateMachine::MergeServers(const wire::ServerCommand& command) {
-  bool changed = false;
   for (const wire::ServerRecord& record : command.servers()) {
     const ServerState seen{record.incarnation(), record.leaving()};
-    changed = servers_.Merge(record.server(), seen) || changed;
+    if (servers_.Merge(record.server(), seen)) {
+      effects_.servers_.push_back(record.server());
+    }
   }
-  return changed;
+  return !effects_.servers_.empty();
 }
 
 void StateMachine::Load(const wire::StateSnapshot& snapshot) {
--- /dev/null
+++ b/src/transport/lease_renewer.cc
@@ -0,0 +1,61 @@
+#include "citronlane/transport/detail/lease_renewer.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <chrono>
+#include <memory>
+#include <utility>
+
+#include "citronlane/app/detail/steady_now.h"
+
+namespace citronlane {
+
+struct LeaseRenewer::Question {
+  grpc::ClientContext context_;
+  std::shared_ptr<ControlChannels::Stub> stub_;
+  wire::LeaseRequest request_;
+  wire::LeaseReply reply_;
+  TimePoint sent_{};
+};
+
+LeaseRenewer::LeaseRenewer(ControlLink* link, Hooks hooks)
+    : link_(link), hooks_(std::move(hooks)) {}
+
+void LeaseRenewer::Ask(const std::string& address, uint64_t version) {
+  if (!open_.insert(address).second) {
+    return;
+  }
+  const auto question = std::make_shared<Question>();
+  if (!link_->calls_.Begin(&question->context_)) {
+    return;
+  }
+  *question->request_.mutable_gateway() = link_->gateway_;
+  question->request_.set_version(version);
+  question->request_.set_peers_hash(peers_hash_);
+  question->stub_ = link_->channels_.Get(address);
+  // The node we watch is left when it is silent for watch_timeout_ in all.
+  question->context_.set_deadline(std::chrono::system_clock::now() +
+                                  link_->options_.watch_timeout_ -
+                                  link_->options_.renew_interval_);
+  question->sent_ = SteadyNow();
+  question->stub_->async()->RenewLease(
+      &question->context_, &question->request_, &question->reply_,
+      [this, address, question](const grpc::Status& status) {
+        link_->timers_.Post([this, address, question, ok = status.ok()] {
+          open_.erase(address);
+          hooks_.on_probe_(address, ok);
+          if (ok) {
+            hooks_.on_reply_(question->reply_, question->sent_);
+          }
+        });
+        link_->calls_.End(&question->context_);
+      });
+}
+
+void LeaseRenewer::AskAll(uint64_t version) {
+  for (const std::string& address : link_->channels_.addresses()) {
+    Ask(address, version);
+  }
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/transport/timer_queue.cc
@@ -0,0 +1,76 @@
+#include "citronlane/transport/detail/timer_queue.h"
+
+#include <utility>
+
+#include "citronlane/app/detail/steady_now.h"
+
+namespace citronlane {
+
+TimerQueue::~TimerQueue() {
+  Stop();
+}
+
+void TimerQueue::Start() {
+  thread_ = std::thread([this] { Run(); });
+}
+
+void TimerQueue::Stop() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_one();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void TimerQueue::At(TimePoint time, Task task) {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!is_over_) {
+      tasks_.emplace(time, std::move(task));
+      task = nullptr;
+    }
+  }
+  if (task) {
+    task();
+  } else {
+    wake_.notify_one();
+  }
+}
+
+void TimerQueue::Post(Task task) {
+  At(SteadyNow(), std::move(task));
+}
+
+void TimerQueue::After(Duration delay, Task task) {
+  At(SteadyNow() + delay, std::move(task));
+}
+
+void TimerQueue::Run() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (true) {
+    if (tasks_.empty()) {
+      if (stopping_) {
+        break;
+      }
+      wake_.wait(lock);
+      continue;
+    }
+    const auto first = tasks_.begin();
+    if (!stopping_ && first->first > SteadyNow()) {
+      const TimePoint until = first->first;
+      wake_.wait_until(lock, until);
+      continue;
+    }
+    const Task task = std::move(first->second);
+    tasks_.erase(first);
+    lock.unlock();
+    task();
+    lock.lock();
+  }
+  is_over_ = true;
+}
+
+}  // namespace citronlane
--- a/tests/unit-orders.cc
+++ b/tests/unit-orders.cc
@@ -141,7 +141,8 @@
   SECTION("holds the weight store's rate, also across leaders") {
     REQUIRE(book.Start(1000, 1, Start("a", 1)));
     REQUIRE(book.Start(1000, 1, Start("c", 1)));
-    CHECK(book.Next(1000, 1, Start("", 1))->order_id() == "e");
+    const auto any = [](const wire::EngineOrder&) { return true; };
+    CHECK(book.Next(1000, 1, Start("", 1), any)->order_id() == "e");
     CHECK_FALSE(book.Start(1999, 2, Start("d", 2)));
     CHECK(book.Start(1999, 2, Start("e", 2)));
     wire::OrderSnapshot snapshot;
