--- a/tests/unit-control.cc
+++ b/tests/unit-control.cc
@@ -150,9 +150,10 @@
   }
   ControlClientHooks Hooks() {
     ControlClientHooks hooks;
-    hooks.on_config_ = [this](const std::shared_ptr<const ClusterConfig>& config) {
-      version_ = config->version_;
-    };
+    hooks.on_config_ =
+        [this](const std::shared_ptr<const ClusterConfig>& config) {
+          version_ = config->version_;
+        };
     hooks.on_lease_ = [this](TimePoint until) { lease_ = until; };
     return hooks;
   }
