Add the policy bench: an event queue over service-time models

Drives the real router, admission, hedge, retry and deadline split for both deployments' sizes and compares them with round robin and least in-flight on the same traffic.

--- /dev/null
+++ b/bench/bench-policy.cc
@@ -0,0 +1,72 @@
+#include <cstdint>
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+
+#include "policy/deployment.h"
+#include "policy/policy_options.h"
+#include "policy/report.h"
+#include "policy/scenario.h"
+#include "policy/simulation.h"
+
+namespace citronlane {
+namespace {
+
+struct Arguments {
+  uint64_t seed_ = 1;
+  bool levers_ = false;
+  std::string json_;
+  std::string scenario_;
+  std::string deployment_;
+};
+
+std::vector<RunResult> RunAll(const Arguments& arguments) {
+  std::vector<PolicyOptions> policies = {ProjectPolicy()};
+  for (const PolicyOptions& policy :
+       arguments.levers_ ? LeverPolicies() : BaselinePolicies()) {
+    policies.push_back(policy);
+  }
+  std::vector<RunResult> results;
+  for (const Deployment& deployment : {MakeQurak(), MakeBrazos()}) {
+    if (!arguments.deployment_.empty() &&
+        arguments.deployment_ != deployment.name_) {
+      continue;
+    }
+    for (const Scenario& scenario : MakeScenarios(deployment)) {
+      if (!arguments.scenario_.empty() &&
+          arguments.scenario_ != scenario.name_) {
+        continue;
+      }
+      for (const PolicyOptions& policy : policies) {
+        results.push_back(
+            Simulation(deployment, scenario, policy, arguments.seed_).Run());
+      }
+    }
+  }
+  return results;
+}
+
+}  // namespace
+}  // namespace citronlane
+
+int main(int argc, char** argv) {
+  citronlane::Arguments arguments;
+  CLI::App app("Measures the policy against baselines on modelled servers");
+  app.add_option("--seed", arguments.seed_, "Seed of traffic and decisions");
+  app.add_flag("--levers", arguments.levers_,
+               "Compare with each mechanism switched off");
+  app.add_option("--scenario", arguments.scenario_, "Run this one only");
+  app.add_option("--deployment", arguments.deployment_, "Run this one only");
+  app.add_option("--json", arguments.json_, "File for all counts");
+  CLI11_PARSE(app, argc, argv);
+  const auto results = citronlane::RunAll(arguments);
+  citronlane::WriteMarkdown(results, &std::cout);
+  if (!arguments.json_.empty()) {
+    std::ofstream file(arguments.json_);
+    citronlane::WriteJson(results, &file);
+  }
+  return 0;
+}
--- /dev/null
+++ b/bench/policy/deployment.h
@@ -0,0 +1,44 @@
+#ifndef CITRONLANE_BENCH_POLICY_DEPLOYMENT_H_
+#define CITRONLANE_BENCH_POLICY_DEPLOYMENT_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "citronlane/base/time.h"
+#include "citronlane/config/cluster_config.h"
+#include "policy/pool_model.h"
+
+namespace citronlane {
+
+/// One user's sizes: what the traffic asks for and what serves it.
+struct Deployment {
+  struct Share {
+    std::string name_;
+    double part_ = 0;
+  };
+
+  std::string name_;
+  int gateways_ = 7;
+  int domains_ = 3;
+  Duration domain_distance_{};
+  std::vector<PoolModel> pools_;
+  std::vector<Share> accounts_;
+  std::vector<Share> classes_;
+  /// Pipeline of each class.
+  std::map<std::string, std::string> pipeline_of_;
+  ClusterConfig config_;
+  /// Requests a second that the engines carry at full batches.
+  double capacity_ = 0;
+
+  const PoolModel& pool(const std::string& name) const;
+};
+
+/// Twelve model workers, four pools beside them, three failure domains.
+Deployment MakeQurak();
+/// Eighteen model workers and a large share of batch work.
+Deployment MakeBrazos();
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_BENCH_POLICY_DEPLOYMENT_H_
--- /dev/null
+++ b/bench/policy/policy_options.cc
@@ -0,0 +1,57 @@
+#include "policy/policy_options.h"
+
+namespace citronlane {
+namespace {
+
+PolicyOptions Baseline(const std::string& name, RouterOptions::Choice choice) {
+  PolicyOptions options;
+  options.name_ = name;
+  options.router_.choice_ = choice;
+  options.router_.domain_preference_ = false;
+  options.router_.prefix_affinity_ = false;
+  options.router_.ejection_ = false;
+  options.router_.slow_start_ = false;
+  options.admits_all_ = true;
+  options.hedge_ = false;
+  options.deadline_split_ = false;
+  return options;
+}
+
+}  // namespace
+
+PolicyOptions ProjectPolicy() {
+  PolicyOptions options;
+  options.name_ = "project";
+  return options;
+}
+
+std::vector<PolicyOptions> BaselinePolicies() {
+  return {Baseline("round-robin", RouterOptions::Choice::kRoundRobin),
+          Baseline("least-in-flight", RouterOptions::Choice::kLeastInFlight)};
+}
+
+std::vector<PolicyOptions> LeverPolicies() {
+  std::vector<PolicyOptions> levers;
+  const auto without = [&levers](const std::string& lever) -> PolicyOptions& {
+    levers.push_back(ProjectPolicy());
+    levers.back().name_ = "no-" + lever;
+    return levers.back();
+  };
+  without("admission").admits_all_ = true;
+  without("early-refusal").admission_.early_refusal_ = false;
+  without("fair-share").admission_.fair_share_ = false;
+  without("learned-limits").admission_.learned_limits_ = false;
+  without("batch-yield").admission_.batch_yields_ = false;
+  without("hedge").hedge_ = false;
+  without("deadline-split").deadline_split_ = false;
+  without("stream-continuation").continue_streams_ = false;
+  without("expected-finish").router_.choice_ =
+      RouterOptions::Choice::kLeastInFlight;
+  without("affinity").router_.prefix_affinity_ = false;
+  without("domain-preference").router_.domain_preference_ = false;
+  without("ejection").router_.ejection_ = false;
+  without("slow-start").router_.slow_start_ = false;
+  return levers;
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/bench/policy/pool_model.h
@@ -0,0 +1,34 @@
+#ifndef CITRONLANE_BENCH_POLICY_POOL_MODEL_H_
+#define CITRONLANE_BENCH_POLICY_POOL_MODEL_H_
+
+#include <string>
+
+#include "citronlane/base/time.h"
+#include "citronlane/config/stage_kind.h"
+
+namespace citronlane {
+
+/// How the servers of one pool take time, for ServerModel.
+struct PoolModel {
+  std::string name_;
+  StageKind kind_ = StageKind::kService;
+  int servers_ = 1;
+  /// Calls a server works on at once; the others queue.
+  int slots_ = 1;
+  bool reports_load_ = true;
+  /// Mean time of a call; for engines the time to read the prompt.
+  Duration call_time_{};
+  /// Engines: time of a token with one call, and its growth with each more.
+  Duration token_time_{};
+  double token_time_growth_ = 0;
+  /// Engines: part of the reading time left when the prefix is cached, and
+  /// cached prefixes of a server.
+  double hit_part_ = 1;
+  int cached_prefixes_ = 0;
+  double cost_per_call_ = 0;
+  double cost_per_token_ = 0;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_BENCH_POLICY_POOL_MODEL_H_
--- /dev/null
+++ b/bench/policy/report.cc
@@ -0,0 +1,105 @@
+#include "policy/report.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <ostream>
+#include <string>
+
+namespace citronlane {
+namespace {
+
+constexpr double kPercent = 100;
+
+/// Lowest share over the small accounts.
+double SmallAccounts(const RunResult& result) {
+  double lowest = 1;
+  for (const auto& [account, tally] : result.by_account_) {
+    if (account.rfind("small", 0) == 0) {
+      lowest = std::min(lowest, tally.OfOffered());
+    }
+  }
+  return lowest;
+}
+
+void WriteRow(const RunResult& result, std::ostream* out) {
+  const auto percent = [](double part) { return part * kPercent; };
+  *out << "| " << result.scenario_ << " | " << result.policy_ << " | "
+       << percent(result.interactive_.OfOffered()) << " | "
+       << percent(result.interactive_.OfAdmitted()) << " | "
+       << percent(SmallAccounts(result)) << " | " << percent(result.Goodput())
+       << " | " << std::setprecision(0) << result.Cost() / 1000
+       << std::setprecision(1) << " | " << std::setprecision(3)
+       << result.RetryAmplification() << std::setprecision(1) << " | "
+       << percent(result.HedgeCostPart()) << " |\n";
+}
+
+template <typename Map, typename Write>
+void WriteObject(const std::string& key,
+                 const Map& map,
+                 const Write& write,
+                 std::ostream* out) {
+  *out << ",\n  \"" << key << "\": {";
+  const char* separator = "";
+  for (const auto& [name, value] : map) {
+    *out << separator << "\"" << name << "\": ";
+    write(value);
+    separator = ", ";
+  }
+  *out << "}";
+}
+
+void WriteTally(const Tally& tally, std::ostream* out) {
+  *out << "{\"offered\": " << tally.offered_
+       << ", \"admitted\": " << tally.admitted_ << ", \"met\": " << tally.met_
+       << ", \"failed\": " << tally.failed_ << "}";
+}
+
+void WriteResult(const RunResult& result, std::ostream* out) {
+  const auto tally = [out](const Tally& value) { WriteTally(value, out); };
+  const auto number = [out](auto value) { *out << value; };
+  *out << " {\"deployment\": \"" << result.deployment_ << "\", \"scenario\": \""
+       << result.scenario_ << "\", \"policy\": \"" << result.policy_ << "\""
+       << ",\n  \"goodput\": " << result.Goodput()
+       << ", \"retry_amplification\": " << result.RetryAmplification()
+       << ", \"hedge_cost\": " << result.HedgeCostPart()
+       << ", \"first_calls\": " << result.first_calls_
+       << ", \"hedge_calls\": " << result.hedge_calls_
+       << ", \"retry_calls\": " << result.retry_calls_;
+  WriteObject("classes", result.by_class_, tally, out);
+  WriteObject("accounts", result.by_account_, tally, out);
+  WriteObject("cost_by_stage", result.cost_by_stage_, number, out);
+  WriteObject("refusals", result.refusals_, number, out);
+  WriteObject("failures", result.failures_, number, out);
+  WriteObject("hedges", result.hedges_, number, out);
+  WriteObject("retries", result.retries_, number, out);
+  *out << "}";
+}
+
+}  // namespace
+
+void WriteMarkdown(absl::Span<const RunResult> results, std::ostream* out) {
+  *out << std::fixed << std::setprecision(1);
+  std::string deployment;
+  for (const RunResult& result : results) {
+    if (result.deployment_ != deployment) {
+      deployment = result.deployment_;
+      *out << "\n### " << deployment << "\n\n"
+           << "| scenario | policy | met, % of offered | met, % of admitted |"
+           << " worst small account, % | goodput, % of slots | cost, k |"
+           << " retry ampl. | hedge cost, % |\n"
+           << "| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    }
+    WriteRow(result, out);
+  }
+}
+
+void WriteJson(absl::Span<const RunResult> results, std::ostream* out) {
+  *out << std::setprecision(6) << "[\n";
+  for (size_t i = 0; i < results.size(); ++i) {
+    WriteResult(results[i], out);
+    *out << (i + 1 < results.size() ? ",\n" : "\n");
+  }
+  *out << "]\n";
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/bench/policy/report.h
@@ -0,0 +1,19 @@
+#ifndef CITRONLANE_BENCH_POLICY_REPORT_H_
+#define CITRONLANE_BENCH_POLICY_REPORT_H_
+
+#include <iosfwd>
+
+#include "absl/types/span.h"
+#include "policy/run_result.h"
+
+namespace citronlane {
+
+/// Writes one table for each deployment: scenario and policy a row.
+void WriteMarkdown(absl::Span<const RunResult> results, std::ostream* out);
+
+/// Writes everything that was counted as a JSON array.
+void WriteJson(absl::Span<const RunResult> results, std::ostream* out);
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_BENCH_POLICY_REPORT_H_
--- /dev/null
+++ b/bench/policy/run_result.h
@@ -0,0 +1,45 @@
+#ifndef CITRONLANE_BENCH_POLICY_RUN_RESULT_H_
+#define CITRONLANE_BENCH_POLICY_RUN_RESULT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "citronlane/base/time.h"
+#include "policy/tally.h"
+
+namespace citronlane {
+
+/// What one run came to. Requests of the measured time only, but for the calls.
+struct RunResult {
+  std::string deployment_;
+  std::string scenario_;
+  std::string policy_;
+  /// Interactive requests; by class and by account likewise.
+  Tally interactive_;
+  std::map<std::string, Tally> by_class_;
+  std::map<std::string, Tally> by_account_;
+  std::map<std::string, uint64_t> refusals_;
+  std::map<std::string, uint64_t> failures_;
+  std::map<std::string, uint64_t> hedges_;
+  std::map<std::string, uint64_t> retries_;
+  /// Cost by pool of all calls, hedges and retries included.
+  std::map<std::string, double> cost_by_stage_;
+  double hedge_cost_ = 0;
+  uint64_t first_calls_ = 0;
+  uint64_t hedge_calls_ = 0;
+  uint64_t retry_calls_ = 0;
+  /// Engine time of requests that met their target, over the engines' slot time
+  /// in the measured time.
+  Duration useful_engine_time_{};
+  Duration engine_time_{};
+
+  double Cost() const;
+  double Goodput() const;
+  double RetryAmplification() const;
+  double HedgeCostPart() const;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_BENCH_POLICY_RUN_RESULT_H_
--- /dev/null
+++ b/bench/policy/tally.h
@@ -0,0 +1,30 @@
+#ifndef CITRONLANE_BENCH_POLICY_TALLY_H_
+#define CITRONLANE_BENCH_POLICY_TALLY_H_
+
+#include <cstdint>
+
+namespace citronlane {
+
+/// Requests of one kind by how they went.
+struct Tally {
+  uint64_t offered_ = 0;
+  uint64_t admitted_ = 0;
+  uint64_t met_ = 0;
+  /// Admitted and never answered in full.
+  uint64_t failed_ = 0;
+
+  /// Share that met the target, of all offered: a refusal is a miss.
+  double OfOffered() const { return Share(met_, offered_); }
+  /// The same of the admitted ones alone.
+  double OfAdmitted() const { return Share(met_, admitted_); }
+
+ private:
+  static double Share(uint64_t part, uint64_t whole) {
+    return whole == 0 ? 1
+                      : static_cast<double>(part) / static_cast<double>(whole);
+  }
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_BENCH_POLICY_TALLY_H_
