Count requests on their way to a pool in its estimates

Cause: a request admitted now reaches the engines only after the stages before, so in a burst some 200 ms of traffic is not in any load figure and admission lets too much in. Change: PoolRouter::OnPlanned; estimates add what all gateways plan, taking the others to plan in proportion to their calls in flight.

--- a/bench/bench-policy.cc
+++ b/bench/bench-policy.cc
@@ -21,6 +21,7 @@
   std::string json_;
   std::string scenario_;
   std::string deployment_;
+  std::string policy_;
 };
 
 std::vector<RunResult> RunAll(const Arguments& arguments) {
@@ -41,6 +42,9 @@
         continue;
       }
       for (const PolicyOptions& policy : policies) {
+        if (!arguments.policy_.empty() && arguments.policy_ != policy.name_) {
+          continue;
+        }
         results.push_back(
             Simulation(deployment, scenario, policy, arguments.seed_).Run());
       }
@@ -60,6 +64,7 @@
                "Compare with each mechanism switched off");
   app.add_option("--scenario", arguments.scenario_, "Run this one only");
   app.add_option("--deployment", arguments.deployment_, "Run this one only");
+  app.add_option("--policy", arguments.policy_, "Run this one only");
   app.add_option("--json", arguments.json_, "File for all counts");
   CLI11_PARSE(app, argc, argv);
   const auto results = citronlane::RunAll(arguments);
--- a/bench/policy/gateway_model.cc
+++ b/bench/policy/gateway_model.cc
@@ -126,6 +126,7 @@
   }
   Count(*run, [](Tally* tally) { ++tally->admitted_; });
   runs_.insert(run);
+  Plan(*run, run->stage_ + 1, 1);
   queue_->After(spec.pipeline_->deadline_, [this, run] {
     if (!run->over_) {
       CancelOthers(run, nullptr);
@@ -187,6 +188,13 @@
                        learned);
 }
 
+void GatewayModel::Plan(const RequestRun& run, size_t stage, int calls) {
+  const auto& stages = run.spec_->pipeline_->stages_;
+  for (size_t i = stage; i < stages.size(); ++i) {
+    pools_.at(stages[i].pool_)->router_.OnPlanned(calls);
+  }
+}
+
 void GatewayModel::BeginStage(const RunPtr& run) {
   run->tried_.clear();
   PoolPolicy& pool = PoolOf(*run);
@@ -407,6 +415,7 @@
     return;
   }
   ++run->stage_;
+  PoolOf(*run).router_.OnPlanned(-1);
   BeginStage(run);
 }
 
@@ -455,6 +464,7 @@
     return;
   }
   run->over_ = true;
+  Plan(*run, run->stage_ + 1, -1);
   run->attempts_.clear();
   runs_.erase(run);
   const ClassConfig& declared = *run->spec_->class_;
--- a/bench/policy/gateway_model.h
+++ b/bench/policy/gateway_model.h
@@ -58,6 +58,8 @@
   Duration TargetLeft(const RequestRun& run) const;
   StageTime TimeOfStage(const RequestRun& run);
 
+  /// Tells the pools of the stages from `stage` on what is planned.
+  void Plan(const RequestRun& run, size_t stage, int calls);
   void BeginStage(const RunPtr& run);
   AttemptPtr Launch(const RunPtr& run, bool hedge);
   void Submit(const RunPtr& run, const AttemptPtr& attempt);
--- a/include/citronlane/routing/detail/finish_estimator.h
+++ b/include/citronlane/routing/detail/finish_estimator.h
@@ -22,12 +22,16 @@
   /// Usual time of the call in the pool at `load`, in microseconds.
   double Usual(double load, const CallShape& call) const;
   /// Time of the call at the server if it started now, in microseconds.
+  /// `planned` calls are on their way there before it.
   double Expected(const ServerState& server,
                   TimePoint now,
                   const CallShape& call,
-                  bool prefix_hit) const;
+                  bool prefix_hit,
+                  double planned) const;
   /// Time to the first byte of a streamed answer, in microseconds.
-  double ExpectedFirstByte(const ServerState& server, TimePoint now) const;
+  double ExpectedFirstByte(const ServerState& server,
+                           TimePoint now,
+                           double planned) const;
 
   /// A call at the server ended well after `latency`.
   void Learn(ServerState* server,
--- a/include/citronlane/routing/pool_router.h
+++ b/include/citronlane/routing/pool_router.h
@@ -46,6 +46,11 @@
                                      absl::Span<const std::string> excluded,
                                      Error* error);
 
+  /// Requests were admitted that will call this pool in a later stage, or, when
+  /// negative, have got there or ended before. Estimates count them as load, so
+  /// that a burst is seen before it arrives.
+  void OnPlanned(int calls);
+
   /// Accounts for a call that starts. Unknown servers are ignored, here and
   /// below.
   void OnStart(std::string_view server, TimePoint now, const CallShape& call);
--- a/src/routing/candidate_picker.cc
+++ b/src/routing/candidate_picker.cc
@@ -128,7 +128,7 @@
   const ServerState& server = servers_->at(index);
   const bool hit =
       options_.prefix_affinity_ && prefixes_->Holds(index, call.prefix_hash_);
-  double cost = estimator_->Expected(server, now, call, hit);
+  double cost = estimator_->Expected(server, now, call, hit, 0);
   cost *= 1 + kFailurePenalty * server.FailureShare(now);
   if (options_.slow_start_) {
     cost /= server.SlowStartShare(now, options_.slow_start_time_);
--- a/src/routing/finish_estimator.cc
+++ b/src/routing/finish_estimator.cc
@@ -46,8 +46,9 @@
 double FinishEstimator::Expected(const ServerState& server,
                                  TimePoint now,
                                  const CallShape& call,
-                                 bool prefix_hit) const {
-  const double usual = Usual(server.Load(now), call);
+                                 bool prefix_hit,
+                                 double planned) const {
+  const double usual = Usual(server.Load(now) + planned, call);
   double discount = 1;
   if (prefix_hit && hit_.count() >= kAffinitySamples &&
       miss_.count() >= kAffinitySamples) {
@@ -57,8 +58,9 @@
 }
 
 double FinishEstimator::ExpectedFirstByte(const ServerState& server,
-                                          TimePoint now) const {
-  return first_byte_.At(server.Load(now)) * server.SlowFactor(now);
+                                          TimePoint now,
+                                          double planned) const {
+  return first_byte_.At(server.Load(now) + planned) * server.SlowFactor(now);
 }
 
 void FinishEstimator::Learn(ServerState* server,
--- a/src/routing/pool_router.cc
+++ b/src/routing/pool_router.cc
@@ -82,15 +82,33 @@
     }
     const size_t count = std::min(usable.size(), kEstimateServers);
     const auto first = static_cast<size_t>(now.time_since_epoch().count());
-    std::vector<double> times;
-    times.reserve(count);
+    std::vector<const ServerState*> sample;
     for (size_t i = 0; i < count; ++i) {
       const size_t place = first + i * usable.size() / count;
-      times.push_back(time(servers_.at(usable[place % usable.size()])));
+      sample.push_back(&servers_.at(usable[place % usable.size()]));
+    }
+    const double planned = PlannedPerServer(now, sample);
+    std::vector<double> times;
+    for (const ServerState* server : sample) {
+      times.push_back(time(*server, planned));
     }
     return FromUs(MeanOfBetter(std::move(times)));
   }
 
+  /// Calls on their way to each server, by all gateways: the others are taken
+  /// to plan in the proportion of what they have in flight.
+  double PlannedPerServer(TimePoint now,
+                          const std::vector<const ServerState*>& sample) const {
+    double own = 0;
+    double all = 0;
+    for (const ServerState* server : sample) {
+      own += static_cast<double>(server->in_flight());
+      all += server->Load(now);
+    }
+    const double gateways = std::max(1.0, all / std::max(1.0, own));
+    return planned_ * gateways / static_cast<double>(servers_.usable().size());
+  }
+
   const RouterOptions options_;
   ServerTable servers_;
   FinishEstimator estimator_;
@@ -100,6 +118,7 @@
   CandidatePicker picker_;
   std::unordered_map<std::string, uint32_t> gateways_;
   size_t in_flight_ = 0;
+  int planned_ = 0;
 };
 
 PoolRouter::PoolRouter(const PoolConfig& pool,
@@ -130,10 +149,14 @@
   }
   const ServerState& server = impl_->servers_.at(*index);
   const double us = impl_->estimator_.Expected(
-      server, now, call, impl_->prefixes_.Holds(*index, call.prefix_hash_));
+      server, now, call, impl_->prefixes_.Holds(*index, call.prefix_hash_), 0);
   return ServerChoice{server.id(), FromUs(us)};
 }
 
+void PoolRouter::OnPlanned(int calls) {
+  impl_->planned_ += calls;
+}
+
 void PoolRouter::OnStart(std::string_view server,
                          TimePoint now,
                          const CallShape& call) {
@@ -257,8 +280,8 @@
   if (impl_->estimator_.samples() < kMinEstimateSamples) {
     return std::nullopt;
   }
-  return impl_->Estimate(now, [&](const ServerState& server) {
-    return impl_->estimator_.Expected(server, now, call, false);
+  return impl_->Estimate(now, [&](const ServerState& server, double planned) {
+    return impl_->estimator_.Expected(server, now, call, false, planned);
   });
 }
 
@@ -271,8 +294,8 @@
   if (impl_->estimator_.first_byte_samples() < kMinEstimateSamples) {
     return std::nullopt;
   }
-  return impl_->Estimate(now, [&](const ServerState& server) {
-    return impl_->estimator_.ExpectedFirstByte(server, now);
+  return impl_->Estimate(now, [&](const ServerState& server, double planned) {
+    return impl_->estimator_.ExpectedFirstByte(server, now, planned);
   });
 }
 
