Let first byte estimates grow by departures past the highest load seen

Cause: at the start of a burst loads are new, and the first byte curve was extended in proportion to the load, while a queued call waits for whole calls to end; admitted chat requests missed their first token. Change: each call past the highest load seen adds the time of one departure.

--- a/bench/bench-policy.cc
+++ b/bench/bench-policy.cc
@@ -17,6 +17,7 @@
 
 struct Arguments {
   uint64_t seed_ = 1;
+  uint64_t seeds_ = 3;
   bool levers_ = false;
   std::string json_;
   std::string scenario_;
@@ -24,6 +25,19 @@
   std::string policy_;
 };
 
+/// Sums the counts over the seeds.
+RunResult RunSeeds(const Deployment& deployment,
+                   const Scenario& scenario,
+                   const PolicyOptions& policy,
+                   const Arguments& arguments) {
+  uint64_t seed = arguments.seed_;
+  RunResult sum = Simulation(deployment, scenario, policy, seed).Run();
+  while (++seed < arguments.seed_ + arguments.seeds_) {
+    sum.Add(Simulation(deployment, scenario, policy, seed).Run());
+  }
+  return sum;
+}
+
 std::vector<RunResult> RunAll(const Arguments& arguments) {
   std::vector<PolicyOptions> policies = {ProjectPolicy()};
   for (const PolicyOptions& policy :
@@ -45,8 +59,7 @@
         if (!arguments.policy_.empty() && arguments.policy_ != policy.name_) {
           continue;
         }
-        results.push_back(
-            Simulation(deployment, scenario, policy, arguments.seed_).Run());
+        results.push_back(RunSeeds(deployment, scenario, policy, arguments));
       }
     }
   }
@@ -59,7 +72,9 @@
 int main(int argc, char** argv) {
   citronlane::Arguments arguments;
   CLI::App app("Measures the policy against baselines on modelled servers");
-  app.add_option("--seed", arguments.seed_, "Seed of traffic and decisions");
+  app.add_option("--seed", arguments.seed_,
+                 "First seed of traffic and decisions");
+  app.add_option("--seeds", arguments.seeds_, "Seeds to sum over");
   app.add_flag("--levers", arguments.levers_,
                "Compare with each mechanism switched off");
   app.add_option("--scenario", arguments.scenario_, "Run this one only");
--- a/bench/policy/run_result.h
+++ b/bench/policy/run_result.h
@@ -34,6 +34,9 @@
   Duration useful_engine_time_{};
   Duration engine_time_{};
 
+  /// Adds the counts of another run of the same scenario and policy.
+  void Add(const RunResult& other);
+
   double Cost() const;
   double Goodput() const;
   double RetryAmplification() const;
--- a/bench/policy/tally.h
+++ b/bench/policy/tally.h
@@ -13,6 +13,13 @@
   /// Admitted and never answered in full.
   uint64_t failed_ = 0;
 
+  void Add(const Tally& other) {
+    offered_ += other.offered_;
+    admitted_ += other.admitted_;
+    met_ += other.met_;
+    failed_ += other.failed_;
+  }
+
   /// Share that met the target, of all offered: a refusal is a miss.
   double OfOffered() const { return Share(met_, offered_); }
   /// The same of the admitted ones alone.
--- a/include/citronlane/routing/detail/load_curve.h
+++ b/include/citronlane/routing/detail/load_curve.h
@@ -16,9 +16,13 @@
   LoadCurve();
 
   void Add(double load, double time);
-  /// Time at `load`; proportional to load + 1 beyond what was seen. 0 while
-  /// nothing was seen.
+  /// Time at `load`. 0 while nothing was seen. Beyond the highest load seen each
+  /// call more adds `per_call`.
+  double At(double load, double per_call) const;
+  /// The same, proportional to load + 1 beyond the highest load seen.
   double At(double load) const;
+  /// Mean load of the highest bucket seen; 0 while nothing was seen.
+  double HighestLoad() const;
   void Scale(double factor);
   size_t count() const { return count_; }
 
--- a/src/routing/finish_estimator.cc
+++ b/src/routing/finish_estimator.cc
@@ -60,7 +60,12 @@
 double FinishEstimator::ExpectedFirstByte(const ServerState& server,
                                           TimePoint now,
                                           double planned) const {
-  return first_byte_.At(server.Load(now) + planned) * server.SlowFactor(now);
+  // Past what was seen a call waits for the ones before it to end.
+  const double seen = first_byte_.HighestLoad();
+  const double per_call =
+      curve_.At(seen) * WorkOf(tokens_.value()) / (seen + 1);
+  return first_byte_.At(server.Load(now) + planned, per_call) *
+         server.SlowFactor(now);
 }
 
 void FinishEstimator::Learn(ServerState* server,
--- a/src/routing/load_curve.cc
+++ b/src/routing/load_curve.cc
@@ -32,7 +32,7 @@
   ++count_;
 }
 
-double LoadCurve::At(double load) const {
+double LoadCurve::At(double load, double per_call) const {
   const DecayedMean* low = nullptr;
   double low_load = 0;
   for (size_t i = 0; i < kLoads.size(); ++i) {
@@ -54,7 +54,23 @@
   if (low == nullptr) {
     return 0;
   }
-  return low->value() * (load + 1) / (low_load + 1);
+  return low->value() + per_call * (load - low_load);
+}
+
+double LoadCurve::At(double load) const {
+  const double highest = HighestLoad();
+  if (load <= highest) {
+    return At(load, 0);
+  }
+  return At(highest, 0) * (load + 1) / (highest + 1);
+}
+
+double LoadCurve::HighestLoad() const {
+  double highest = 0;
+  for (const DecayedMean& load : loads_) {
+    highest = std::max(highest, load.value());
+  }
+  return highest;
 }
 
 void LoadCurve::Scale(double factor) {
