Tell engines how urgent a call is, and learn times by priority

Cause: in overload requests with seconds of slack queued before those that wait for a first token. Change: CallPriority derives the priority from the class's target, engines get it, and the estimator has its curves by priority.

--- a/bench/policy/backend_call.h
+++ b/bench/policy/backend_call.h
@@ -18,7 +18,7 @@
   /// Tokens to generate; 0 for no stream.
   uint32_t tokens_ = 0;
   uint64_t prefix_ = 0;
-  bool batch_ = false;
+  uint32_t priority_ = 1;
   std::function<void()> on_first_byte_;
   std::function<void(CallOutcome)> on_done_;
   /// The server stopped while the call was running; nothing more will come.
--- a/bench/policy/gateway_model.cc
+++ b/bench/policy/gateway_model.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "citronlane/base/refusal_reason.h"
+#include "citronlane/routing/call_priority.h"
 #include "citronlane/routing/deadline_split.h"
 
 namespace citronlane {
@@ -80,6 +81,7 @@
   for (const StageConfig& stage : spec.pipeline_->stages_) {
     const PoolPolicy& pool = *pools_.at(stage.pool_);
     CallShape shape;
+    shape.priority_ = PriorityOf(spec);
     const bool stream = pool.config_.kind_ == StageKind::kEngine;
     shape.expected_tokens_ = stream ? spec.max_tokens_ : 0;
     query.expected_cost_ +=
@@ -149,10 +151,15 @@
   return *pools_.at(run.spec_->pipeline_->stages_[run.stage_].pool_);
 }
 
+uint32_t GatewayModel::PriorityOf(const RequestSpec& spec) const {
+  return options_.priorities_ ? CallPriority(*spec.class_) : 0;
+}
+
 CallShape GatewayModel::ShapeOf(const RequestRun& run) const {
   const StageConfig& stage = run.spec_->pipeline_->stages_[run.stage_];
   CallShape shape;
   shape.batch_ = run.spec_->class_->batch_;
+  shape.priority_ = PriorityOf(*run.spec_);
   if (pools_.at(stage.pool_)->config_.kind_ == StageKind::kEngine) {
     shape.prefix_hash_ = run.spec_->prefix_;
     shape.expected_tokens_ =
@@ -235,7 +242,7 @@
   BackendCall& call = *attempt->call_;
   const Duration distance = Distance(*attempt->server_);
   call.work_ = run->spec_->work_[run->stage_];
-  call.batch_ = attempt->shape_.batch_;
+  call.priority_ = attempt->shape_.priority_;
   call.prefix_ = attempt->shape_.prefix_hash_;
   if (attempt->shape_.expected_tokens_ > 0) {
     call.tokens_ =
--- a/bench/policy/gateway_model.h
+++ b/bench/policy/gateway_model.h
@@ -51,6 +51,7 @@
   using AttemptPtr = std::shared_ptr<Attempt>;
 
   AdmissionQuery MakeQuery(const RequestSpec& spec) const;
+  uint32_t PriorityOf(const RequestSpec& spec) const;
   CallShape ShapeOf(const RequestRun& run) const;
   PoolPolicy& PoolOf(const RequestRun& run);
   Duration Distance(const ServerModel& server) const;
--- a/bench/policy/policy_options.cc
+++ b/bench/policy/policy_options.cc
@@ -12,6 +12,7 @@
   options.router_.ejection_ = false;
   options.router_.slow_start_ = false;
   options.admits_all_ = true;
+  options.priorities_ = false;
   options.hedge_ = false;
   options.deadline_split_ = false;
   return options;
@@ -39,10 +40,10 @@
   };
   without("admission").admits_all_ = true;
   without("early-refusal").admission_.early_refusal_ = false;
-  without("class-urgency").admission_.class_urgency_ = false;
   without("fair-share").admission_.fair_share_ = false;
   without("learned-limits").admission_.learned_limits_ = false;
   without("batch-yield").admission_.batch_yields_ = false;
+  without("priorities").priorities_ = false;
   without("hedge").hedge_ = false;
   without("deadline-split").deadline_split_ = false;
   without("stream-continuation").continue_streams_ = false;
--- a/bench/policy/policy_options.h
+++ b/bench/policy/policy_options.h
@@ -15,6 +15,8 @@
   RouterOptions router_;
   AdmissionOptions admission_;
   bool admits_all_ = false;
+  /// Engines are told how urgent a call is.
+  bool priorities_ = true;
   bool hedge_ = true;
   bool deadline_split_ = true;
   /// Broken and stalled streams go on at another server.
--- a/bench/policy/server_model.cc
+++ b/bench/policy/server_model.cc
@@ -39,7 +39,7 @@
     End(call, CallOutcome::kRejected);
     return;
   }
-  (call->batch_ ? batch_ : urgent_).push_back(call);
+  queues_[call->priority_].push_back(call);
   StartNext();
 }
 
@@ -51,18 +51,28 @@
     calls->erase(std::remove(calls->begin(), calls->end(), call), calls->end());
   };
   drop(&running_);
-  drop(&urgent_);
-  drop(&batch_);
+  for (auto& waiting : queues_) {
+    drop(&waiting);
+  }
   call->state_ = BackendCall::State::kOver;
   StartNext();
 }
 
+size_t ServerModel::waiting() const {
+  size_t sum = 0;
+  for (const auto& calls : queues_) {
+    sum += calls.size();
+  }
+  return sum;
+}
+
 void ServerModel::StartNext() {
   while (!stopped_ && up_ &&
          running_.size() < static_cast<size_t>(pool_.slots_) && waiting() > 0) {
-    auto& from = urgent_.empty() ? batch_ : urgent_;
-    const CallPtr call = from.front();
-    from.pop_front();
+    auto* from = std::find_if(queues_.begin(), queues_.end(),
+                              [](const auto& calls) { return !calls.empty(); });
+    const CallPtr call = from->front();
+    from->pop_front();
     Start(call);
   }
 }
@@ -142,11 +152,11 @@
   up_ = false;
   silent_ = silent;
   std::vector<CallPtr> calls(std::move(running_));
-  calls.insert(calls.end(), urgent_.begin(), urgent_.end());
-  calls.insert(calls.end(), batch_.begin(), batch_.end());
   running_.clear();
-  urgent_.clear();
-  batch_.clear();
+  for (auto& waiting : queues_) {
+    calls.insert(calls.end(), waiting.begin(), waiting.end());
+    waiting.clear();
+  }
   for (const CallPtr& call : calls) {
     if (silent) {
       call->on_frozen_();
--- a/bench/policy/server_model.h
+++ b/bench/policy/server_model.h
@@ -1,6 +1,7 @@
 #ifndef CITRONLANE_BENCH_POLICY_SERVER_MODEL_H_
 #define CITRONLANE_BENCH_POLICY_SERVER_MODEL_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -11,14 +12,15 @@
 #include <vector>
 
 #include "citronlane/base/time.h"
+#include "citronlane/routing/call_priority.h"
 #include "policy/backend_call.h"
 #include "policy/event_queue.h"
 #include "policy/pool_model.h"
 
 namespace citronlane {
 
-/// Service times of one backend server: slots, a queue in which interactive
-/// work goes first, batches that slow each other down, a prefix cache, and
+/// Service times of one backend server: slots, a queue by
+/// priority, batches that slow each other down, a prefix cache, and
 /// faults. Not thread safe.
 class ServerModel {
  public:
@@ -60,7 +62,7 @@
   TimePoint published_at() const { return published_at_; }
 
  private:
-  size_t waiting() const { return urgent_.size() + batch_.size(); }
+  size_t waiting() const;
   void StartNext();
   void Start(const CallPtr& call);
   void End(const CallPtr& call, CallOutcome outcome);
@@ -73,8 +75,8 @@
   EventQueue* const queue_;
   const CacheHook on_cache_;
   std::vector<CallPtr> running_;
-  std::deque<CallPtr> urgent_;
-  std::deque<CallPtr> batch_;
+  /// Calls that wait, by priority.
+  std::array<std::deque<CallPtr>, kCallPriorities> queues_;
   std::list<uint64_t> cached_;
   uint64_t cache_sequence_ = 0;
   uint64_t incarnation_ = 1;
--- a/include/citronlane/admission/admission_options.h
+++ b/include/citronlane/admission/admission_options.h
@@ -6,7 +6,6 @@
 /// Switches of admission, so that each mechanism can be measured without it.
 struct AdmissionOptions {
   bool early_refusal_ = true;
-  bool class_urgency_ = true;
   bool fair_share_ = true;
   bool learned_limits_ = true;
   bool batch_yields_ = true;
--- a/include/citronlane/routing/call_shape.h
+++ b/include/citronlane/routing/call_shape.h
@@ -12,6 +12,8 @@
   /// Expected tokens to generate; 0 for stages without a stream.
   uint32_t expected_tokens_ = 0;
   bool batch_ = false;
+  /// From CallPriority: 0 is the most urgent. Engines honour it.
+  uint32_t priority_ = 1;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/routing/detail/finish_estimator.h
+++ b/include/citronlane/routing/detail/finish_estimator.h
@@ -1,10 +1,12 @@
 #ifndef CITRONLANE_ROUTING_DETAIL_FINISH_ESTIMATOR_H_
 #define CITRONLANE_ROUTING_DETAIL_FINISH_ESTIMATOR_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 
 #include "citronlane/base/time.h"
+#include "citronlane/routing/call_priority.h"
 #include "citronlane/routing/call_shape.h"
 #include "citronlane/routing/detail/decayed_mean.h"
 #include "citronlane/routing/detail/load_curve.h"
@@ -31,6 +33,7 @@
   /// Time to the first byte of a streamed answer, in microseconds.
   double ExpectedFirstByte(const ServerState& server,
                            TimePoint now,
+                           const CallShape& call,
                            double planned) const;
 
   /// A call at the server ended well after `latency`.
@@ -52,16 +55,23 @@
   /// around 1.
   void Scale(double factor);
 
-  size_t samples() const { return curve_.count(); }
-  size_t first_byte_samples() const { return first_byte_.count(); }
+  size_t samples() const { return samples_; }
+  size_t first_byte_samples() const { return first_byte_samples_; }
   /// Usual time between two tokens of a stream, in microseconds; 0 if unknown.
   double TokenInterval() const;
 
  private:
+  using Curves = std::array<LoadCurve, kCallPriorities>;
+
   double Work(const CallShape& call) const;
+  /// Curve of the priority, or of another one while it has none.
+  static const LoadCurve& CurveOf(const Curves& curves, uint32_t priority);
 
-  LoadCurve curve_;
-  LoadCurve first_byte_;
+  /// By priority: an urgent call waits for fewer others.
+  Curves curves_;
+  Curves first_bytes_;
+  size_t samples_ = 0;
+  size_t first_byte_samples_ = 0;
   /// Tokens generated for each expected one.
   DecayedMean token_ratio_;
   DecayedMean hit_;
--- a/include/citronlane/routing/detail/load_curve.h
+++ b/include/citronlane/routing/detail/load_curve.h
@@ -16,8 +16,8 @@
   LoadCurve();
 
   void Add(double load, double time);
-  /// Time at `load`. 0 while nothing was seen. Beyond the highest load seen each
-  /// call more adds `per_call`.
+  /// Time at `load`. 0 while nothing was seen. Beyond the highest load seen
+  /// each call more adds `per_call`.
   double At(double load, double per_call) const;
   /// The same, proportional to load + 1 beyond the highest load seen.
   double At(double load) const;
--- a/include/citronlane/routing/detail/outstanding_call.h
+++ b/include/citronlane/routing/detail/outstanding_call.h
@@ -1,6 +1,8 @@
 #ifndef CITRONLANE_ROUTING_DETAIL_OUTSTANDING_CALL_H_
 #define CITRONLANE_ROUTING_DETAIL_OUTSTANDING_CALL_H_
 
+#include <cstdint>
+
 #include "citronlane/base/time.h"
 
 namespace citronlane {
@@ -12,6 +14,7 @@
   double load_ = 0;
   /// Usual time of such a call in the pool at that load.
   Duration expected_{};
+  uint32_t priority_ = 1;
   /// Whether the server was believed to hold the call's prefix.
   bool prefix_hit_ = false;
 };
--- a/include/citronlane/routing/detail/server_state.h
+++ b/include/citronlane/routing/detail/server_state.h
@@ -24,7 +24,10 @@
   void set_near(bool near) { near_ = near; }
 
   /// `expected` is the pool's usual time for such a call at this load.
-  void StartCall(TimePoint now, Duration expected, bool prefix_hit);
+  void StartCall(TimePoint now,
+                 Duration expected,
+                 uint32_t priority,
+                 bool prefix_hit);
   /// Removes and returns the call that began `latency` before `now`.
   std::optional<OutstandingCall> EndCall(TimePoint now, Duration latency);
   /// Returns the same call and keeps it.
--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -22,7 +22,6 @@
 constexpr double kTightSpend = 0.2;
 constexpr double kUsPerMs = 1000;
 constexpr double kSecondsPerHour = 3600;
-constexpr Duration kUrgentReturn = std::chrono::seconds(1);
 constexpr Duration kBatchReturn = std::chrono::seconds(5);
 
 double Ms(Duration duration) {
@@ -91,8 +90,6 @@
                                        const AdmissionQuery& query);
   std::optional<Refusal> CheckTarget(TimePoint now,
                                      const AdmissionQuery& query);
-  std::optional<Refusal> CheckUrgency(TimePoint now,
-                                      const AdmissionQuery& query);
   std::optional<Refusal> CheckBatch(TimePoint now, const AdmissionQuery& query);
   std::optional<Refusal> CheckFairShare(TimePoint now,
                                         const AdmissionQuery& query);
@@ -201,18 +198,6 @@
                  {"margin", margin}});
 }
 
-std::optional<Refusal> AdmissionController::Impl::CheckUrgency(
-    TimePoint now,
-    const AdmissionQuery& query) {
-  const double pressure = PoolOf(query.bottleneck_pool_).At(now);
-  if (!options_.class_urgency_ || pressure <= 1) {
-    return std::nullopt;
-  }
-  // This class could wait; one that shares the pool could not.
-  return Refuse(now, RefusalReason::kConcurrencyLimit, kUrgentReturn,
-                {{"pressure", pressure}, {"limit", 1}});
-}
-
 std::optional<Refusal> AdmissionController::Impl::CheckBatch(
     TimePoint now,
     const AdmissionQuery& query) {
@@ -283,9 +268,6 @@
   if (auto refusal = CheckTarget(now, query)) {
     return refusal;
   }
-  if (auto refusal = CheckUrgency(now, query)) {
-    return refusal;
-  }
   if (auto refusal = CheckBatch(now, query)) {
     return refusal;
   }
--- a/src/routing/finish_estimator.cc
+++ b/src/routing/finish_estimator.cc
@@ -36,11 +36,24 @@
   return WorkOf(call.expected_tokens_ * ratio);
 }
 
+const LoadCurve& FinishEstimator::CurveOf(const Curves& curves,
+                                          uint32_t priority) {
+  const LoadCurve& own =
+      curves[std::min<size_t>(priority, kCallPriorities - 1)];
+  if (own.count() > 0) {
+    return own;
+  }
+  const auto* known =
+      std::find_if(curves.begin(), curves.end(),
+                   [](const LoadCurve& curve) { return curve.count() > 0; });
+  return known == curves.end() ? own : *known;
+}
+
 double FinishEstimator::Usual(double load, const CallShape& call) const {
-  if (curve_.count() == 0) {
+  if (samples_ == 0) {
     return kUnknownTimeUs * (load + 1) * Work(call);
   }
-  return curve_.At(load) * Work(call);
+  return CurveOf(curves_, call.priority_).At(load) * Work(call);
 }
 
 double FinishEstimator::Expected(const ServerState& server,
@@ -59,12 +72,14 @@
 
 double FinishEstimator::ExpectedFirstByte(const ServerState& server,
                                           TimePoint now,
+                                          const CallShape& call,
                                           double planned) const {
   // Past what was seen a call waits for the ones before it to end.
-  const double seen = first_byte_.HighestLoad();
-  const double per_call =
-      curve_.At(seen) * WorkOf(tokens_.value()) / (seen + 1);
-  return first_byte_.At(server.Load(now) + planned, per_call) *
+  const LoadCurve& first_byte = CurveOf(first_bytes_, call.priority_);
+  const double seen = first_byte.HighestLoad();
+  const double whole = CurveOf(curves_, call.priority_).At(seen);
+  const double per_call = whole * WorkOf(tokens_.value()) / (seen + 1);
+  return first_byte.At(server.Load(now) + planned, per_call) *
          server.SlowFactor(now);
 }
 
@@ -81,12 +96,14 @@
   }
   const double unit = Us(latency) / WorkOf(tokens);
   const double slow = server->SlowFactor(now);
-  const double usual = curve_.count() > 0 ? curve_.At(started.load_) : unit;
+  const LoadCurve& curve = CurveOf(curves_, started.priority_);
+  const double usual = curve.count() > 0 ? curve.At(started.load_) : unit;
   if (usual > 0) {
     (started.prefix_hit_ ? hit_ : miss_).Add(unit / usual);
     server->AddSlowSample(now, unit / usual);
   }
-  curve_.Add(started.load_, unit / std::max(1.0, slow));
+  curves_[started.priority_].Add(started.load_, unit / std::max(1.0, slow));
+  ++samples_;
 }
 
 void FinishEstimator::LearnUnfinished(ServerState* server,
@@ -103,12 +120,15 @@
 
 void FinishEstimator::LearnFirstByte(const OutstandingCall& started,
                                      Duration latency) {
-  first_byte_.Add(started.load_, Us(latency));
+  first_bytes_[started.priority_].Add(started.load_, Us(latency));
+  ++first_byte_samples_;
   first_byte_time_.Add(Us(latency));
 }
 
 void FinishEstimator::Scale(double factor) {
-  curve_.Scale(factor);
+  for (LoadCurve& curve : curves_) {
+    curve.Scale(factor);
+  }
 }
 
 double FinishEstimator::TokenInterval() const {
--- a/src/routing/pool_router.cc
+++ b/src/routing/pool_router.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "citronlane/config/pool_config.h"
+#include "citronlane/routing/call_priority.h"
 #include "citronlane/routing/detail/candidate_picker.h"
 #include "citronlane/routing/detail/finish_estimator.h"
 #include "citronlane/routing/detail/latency_window.h"
@@ -167,7 +168,8 @@
   ServerState& state = impl_->servers_.at(*index);
   const double usual = impl_->estimator_.Usual(state.Load(now), call);
   const bool hit = impl_->prefixes_.Holds(*index, call.prefix_hash_);
-  state.StartCall(now, FromUs(usual), hit);
+  const auto priority = std::min<uint32_t>(call.priority_, kCallPriorities - 1);
+  state.StartCall(now, FromUs(usual), priority, hit);
   ++impl_->in_flight_;
 }
 
@@ -295,7 +297,7 @@
     return std::nullopt;
   }
   return impl_->Estimate(now, [&](const ServerState& server, double planned) {
-    return impl_->estimator_.ExpectedFirstByte(server, now, planned);
+    return impl_->estimator_.ExpectedFirstByte(server, now, call, planned);
   });
 }
 
--- a/src/routing/server_state.cc
+++ b/src/routing/server_state.cc
@@ -39,8 +39,11 @@
       failures_(kFailureWeight),
       slow_(kSlowWeight) {}
 
-void ServerState::StartCall(TimePoint now, Duration expected, bool prefix_hit) {
-  calls_.push_back({now, Load(now), expected, prefix_hit});
+void ServerState::StartCall(TimePoint now,
+                            Duration expected,
+                            uint32_t priority,
+                            bool prefix_hit) {
+  calls_.push_back({now, Load(now), expected, priority, prefix_hit});
   start_sum_ += now.time_since_epoch();
   expected_sum_ += expected;
 }
