Count misses towards the margin of a class whatever the margin is

Cause: estimates of a relaxed class in overload are a small part of its target, and its misses were taken for another cause.

--- a/src/admission/target_margin.cc
+++ b/src/admission/target_margin.cc
@@ -6,11 +6,11 @@
 namespace {
 
 constexpr double kFirst = 0.9;
-constexpr double kLowest = 0.5;
+constexpr double kLowest = 0.2;
 constexpr double kHighest = 1.05;
 constexpr double kStepDown = 0.02;
-/// A miss says nothing of the estimates when this little was expected: it had
-/// another cause, such as a straggler.
+/// An end says nothing of the margin when the estimate was below this part of
+/// it: a miss then had another cause, such as a straggler.
 constexpr double kUsedEnough = 0.5;
 constexpr double kHighestAttainment = 0.999;
 
@@ -20,7 +20,7 @@
     : attainment_(attainment), value_(kFirst) {}
 
 void TargetMargin::OnFinish(double used, bool met) {
-  if (used < kUsedEnough) {
+  if (used < kUsedEnough * value_) {
     return;
   }
   const double wanted = std::min(attainment_, kHighestAttainment);
