Estimate a stream as its first byte and an interval for each token

Cause: one time by tokens for the whole call scaled the wait in the queue with the length of the answer, and admitted requests missed. Change: separate curves by load for the first byte and for the interval.

--- a/include/citronlane/routing/detail/finish_estimator.h
+++ b/include/citronlane/routing/detail/finish_estimator.h
@@ -15,22 +15,24 @@
 
 namespace citronlane {
 
-/// Learns how long a pool's calls take by load, by work and by server, and
-/// expects the finish of the next one. Not thread safe.
+/// Learns how long a pool's calls take by load, priority and server, and
+/// expects the finish of the next one. A streamed call takes the time to its
+/// first byte and then one interval for each token; another call has one time.
+/// Times are in microseconds. Not thread safe.
 class FinishEstimator {
  public:
   FinishEstimator();
 
-  /// Usual time of the call in the pool at `load`, in microseconds.
+  /// Usual time of the call in the pool at `load`.
   double Usual(double load, const CallShape& call) const;
-  /// Time of the call at the server if it started now, in microseconds.
-  /// `planned` calls are on their way there before it.
+  /// Time of the call at the server if it started now. `planned` calls are on
+  /// their way there before it.
   double Expected(const ServerState& server,
                   TimePoint now,
                   const CallShape& call,
                   bool prefix_hit,
                   double planned) const;
-  /// Time to the first byte of a streamed answer, in microseconds.
+  /// The same for the first byte of a streamed answer.
   double ExpectedFirstByte(const ServerState& server,
                            TimePoint now,
                            const CallShape& call,
@@ -55,30 +57,37 @@
   /// around 1.
   void Scale(double factor);
 
+  /// Ends and first bytes learned from.
   size_t samples() const { return samples_; }
   size_t first_byte_samples() const { return first_byte_samples_; }
-  /// Usual time between two tokens of a stream, in microseconds; 0 if unknown.
-  double TokenInterval() const;
+  /// Usual time between two tokens of a stream; 0 if unknown.
+  double TokenInterval() const { return interval_.value(); }
 
  private:
   using Curves = std::array<LoadCurve, kCallPriorities>;
 
-  double Work(const CallShape& call) const;
   /// Curve of the priority, or of another one while it has none.
   static const LoadCurve& CurveOf(const Curves& curves, uint32_t priority);
+  double FirstByte(double load, uint32_t priority) const;
+  double Streaming(double load, double tokens) const;
+  void LearnUsual(const OutstandingCall& started,
+                  double latency,
+                  uint32_t tokens,
+                  double slow);
 
   /// By priority: an urgent call waits for fewer others.
-  Curves curves_;
+  Curves whole_;
   Curves first_bytes_;
+  LoadCurve intervals_;
   size_t samples_ = 0;
   size_t first_byte_samples_ = 0;
-  /// Tokens generated for each expected one.
+  /// Tokens generated for each expected one, and for a call.
   DecayedMean token_ratio_;
+  DecayedMean tokens_;
+  DecayedMean interval_;
+  /// Times as a multiple of the usual, by whether the prefix was cached.
   DecayedMean hit_;
   DecayedMean miss_;
-  DecayedMean tokens_;
-  DecayedMean stream_time_;
-  DecayedMean first_byte_time_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/routing/detail/outstanding_call.h
+++ b/include/citronlane/routing/detail/outstanding_call.h
@@ -15,6 +15,8 @@
   /// Usual time of such a call in the pool at that load.
   Duration expected_{};
   uint32_t priority_ = 1;
+  /// Time to the first byte; zero until it came.
+  Duration first_byte_{};
   /// Whether the server was believed to hold the call's prefix.
   bool prefix_hit_ = false;
 };
--- a/include/citronlane/routing/detail/server_state.h
+++ b/include/citronlane/routing/detail/server_state.h
@@ -30,8 +30,8 @@
                  bool prefix_hit);
   /// Removes and returns the call that began `latency` before `now`.
   std::optional<OutstandingCall> EndCall(TimePoint now, Duration latency);
-  /// Returns the same call and keeps it.
-  const OutstandingCall* FindCall(TimePoint now, Duration latency) const;
+  /// Notes the first byte of that call and returns it, or nothing.
+  const OutstandingCall* NoteFirstByte(TimePoint now, Duration latency);
   size_t in_flight() const { return calls_.size(); }
   /// Time the calls in flight have waited, as a multiple of what was expected
   /// of them; 0 without any.
@@ -74,7 +74,7 @@
   void Reset(TimePoint now);
 
  private:
-  std::vector<OutstandingCall>::const_iterator Find(TimePoint start) const;
+  std::vector<OutstandingCall>::iterator Find(TimePoint start);
 
   std::string id_;
   bool near_;
--- a/src/routing/finish_estimator.cc
+++ b/src/routing/finish_estimator.cc
@@ -6,17 +6,11 @@
 namespace {
 
 constexpr double kSampleWeight = 0.02;
-/// Work of a call beside its tokens, in tokens.
-constexpr double kCallWork = 8;
-/// Time assumed for one unit of work while nothing is known.
+/// Time assumed for a call, or a token, while nothing is known.
 constexpr double kUnknownTimeUs = 1000;
 constexpr size_t kAffinitySamples = 20;
 constexpr double kLowestDiscount = 0.3;
 
-double WorkOf(double tokens) {
-  return tokens > 0 ? tokens + kCallWork : 1;
-}
-
 double Us(Duration duration) {
   return static_cast<double>(duration.count());
 }
@@ -25,16 +19,10 @@
 
 FinishEstimator::FinishEstimator()
     : token_ratio_(kSampleWeight),
-      hit_(kSampleWeight),
-      miss_(kSampleWeight),
       tokens_(kSampleWeight),
-      stream_time_(kSampleWeight),
-      first_byte_time_(kSampleWeight) {}
-
-double FinishEstimator::Work(const CallShape& call) const {
-  const double ratio = token_ratio_.count() > 0 ? token_ratio_.value() : 1;
-  return WorkOf(call.expected_tokens_ * ratio);
-}
+      interval_(kSampleWeight),
+      hit_(kSampleWeight),
+      miss_(kSampleWeight) {}
 
 const LoadCurve& FinishEstimator::CurveOf(const Curves& curves,
                                           uint32_t priority) {
@@ -49,11 +37,27 @@
   return known == curves.end() ? own : *known;
 }
 
+double FinishEstimator::Streaming(double load, double tokens) const {
+  return intervals_.At(load) * tokens;
+}
+
+double FinishEstimator::FirstByte(double load, uint32_t priority) const {
+  const LoadCurve& curve = CurveOf(first_bytes_, priority);
+  // Past what was seen a call waits for the ones before it to end.
+  const double seen = curve.HighestLoad();
+  const double whole = curve.At(seen) + Streaming(seen, tokens_.value());
+  return curve.At(load, whole / (seen + 1));
+}
+
 double FinishEstimator::Usual(double load, const CallShape& call) const {
   if (samples_ == 0) {
-    return kUnknownTimeUs * (load + 1) * Work(call);
+    return kUnknownTimeUs * (load + 1) * (1 + call.expected_tokens_);
+  }
+  if (call.expected_tokens_ == 0) {
+    return CurveOf(whole_, call.priority_).At(load);
   }
-  return CurveOf(curves_, call.priority_).At(load) * Work(call);
+  return FirstByte(load, call.priority_) +
+         Streaming(load, call.expected_tokens_ * token_ratio_.value());
 }
 
 double FinishEstimator::Expected(const ServerState& server,
@@ -74,35 +78,45 @@
                                           TimePoint now,
                                           const CallShape& call,
                                           double planned) const {
-  // Past what was seen a call waits for the ones before it to end.
-  const LoadCurve& first_byte = CurveOf(first_bytes_, call.priority_);
-  const double seen = first_byte.HighestLoad();
-  const double whole = CurveOf(curves_, call.priority_).At(seen);
-  const double per_call = whole * WorkOf(tokens_.value()) / (seen + 1);
-  return first_byte.At(server.Load(now) + planned, per_call) *
+  return FirstByte(server.Load(now) + planned, call.priority_) *
          server.SlowFactor(now);
 }
 
+void FinishEstimator::LearnUsual(const OutstandingCall& started,
+                                 double latency,
+                                 uint32_t tokens,
+                                 double slow) {
+  if (tokens == 0) {
+    whole_[started.priority_].Add(started.load_, latency / slow);
+    return;
+  }
+  if (started.first_byte_ > Duration::zero()) {
+    const double interval = (latency - Us(started.first_byte_)) / tokens;
+    intervals_.Add(started.load_, interval / slow);
+    interval_.Add(interval);
+  }
+}
+
 void FinishEstimator::Learn(ServerState* server,
                             TimePoint now,
                             const OutstandingCall& started,
                             Duration latency,
                             uint32_t tokens,
                             const CallShape& call) {
+  const double usual =
+      tokens == 0 ? CurveOf(whole_, started.priority_).At(started.load_)
+                  : FirstByte(started.load_, started.priority_) +
+                        Streaming(started.load_, tokens);
+  const double slow = server->SlowFactor(now);
+  if (usual > 0) {
+    (started.prefix_hit_ ? hit_ : miss_).Add(Us(latency) / usual);
+    server->AddSlowSample(now, Us(latency) / usual);
+  }
+  LearnUsual(started, Us(latency), tokens, std::max(1.0, slow));
   if (call.expected_tokens_ > 0) {
     token_ratio_.Add(static_cast<double>(tokens) / call.expected_tokens_);
     tokens_.Add(tokens);
-    stream_time_.Add(Us(latency));
   }
-  const double unit = Us(latency) / WorkOf(tokens);
-  const double slow = server->SlowFactor(now);
-  const LoadCurve& curve = CurveOf(curves_, started.priority_);
-  const double usual = curve.count() > 0 ? curve.At(started.load_) : unit;
-  if (usual > 0) {
-    (started.prefix_hit_ ? hit_ : miss_).Add(unit / usual);
-    server->AddSlowSample(now, unit / usual);
-  }
-  curves_[started.priority_].Add(started.load_, unit / std::max(1.0, slow));
   ++samples_;
 }
 
@@ -122,21 +136,14 @@
                                      Duration latency) {
   first_bytes_[started.priority_].Add(started.load_, Us(latency));
   ++first_byte_samples_;
-  first_byte_time_.Add(Us(latency));
 }
 
 void FinishEstimator::Scale(double factor) {
-  for (LoadCurve& curve : curves_) {
-    curve.Scale(factor);
-  }
-}
-
-double FinishEstimator::TokenInterval() const {
-  if (tokens_.value() <= 0) {
-    return 0;
+  intervals_.Scale(factor);
+  for (size_t i = 0; i < kCallPriorities; ++i) {
+    whole_[i].Scale(factor);
+    first_bytes_[i].Scale(factor);
   }
-  const double streaming = stream_time_.value() - first_byte_time_.value();
-  return std::max(0.0, streaming) / tokens_.value();
 }
 
 }  // namespace citronlane
--- a/src/routing/pool_router.cc
+++ b/src/routing/pool_router.cc
@@ -180,8 +180,8 @@
   if (!index) {
     return;
   }
-  const ServerState& state = impl_->servers_.at(*index);
-  const OutstandingCall* started = state.FindCall(now, latency);
+  ServerState& state = impl_->servers_.at(*index);
+  const OutstandingCall* started = state.NoteFirstByte(now, latency);
   if (started == nullptr || state.SlowFactor(now) > kTypicalSlow) {
     return;
   }
--- a/src/routing/server_state.cc
+++ b/src/routing/server_state.cc
@@ -43,13 +43,13 @@
                             Duration expected,
                             uint32_t priority,
                             bool prefix_hit) {
-  calls_.push_back({now, Load(now), expected, priority, prefix_hit});
+  calls_.push_back(
+      {now, Load(now), expected, priority, Duration::zero(), prefix_hit});
   start_sum_ += now.time_since_epoch();
   expected_sum_ += expected;
 }
 
-std::vector<OutstandingCall>::const_iterator ServerState::Find(
-    TimePoint start) const {
+std::vector<OutstandingCall>::iterator ServerState::Find(TimePoint start) {
   return std::min_element(
       calls_.begin(), calls_.end(),
       [start](const OutstandingCall& a, const OutstandingCall& b) {
@@ -58,10 +58,14 @@
       });
 }
 
-const OutstandingCall* ServerState::FindCall(TimePoint now,
-                                             Duration latency) const {
+const OutstandingCall* ServerState::NoteFirstByte(TimePoint now,
+                                                  Duration latency) {
   const auto found = Find(now - latency);
-  return found == calls_.end() ? nullptr : &*found;
+  if (found == calls_.end()) {
+    return nullptr;
+  }
+  found->first_byte_ = latency;
+  return &*found;
 }
 
 std::optional<OutstandingCall> ServerState::EndCall(TimePoint now,
