Refuse accounts over their share earlier, and let batch yield to any refusal

Cause: in a flood the queue settled where small accounts were refused or missed. Change: an account at twice its share is refused above 0.3 of the slack (0.5), and batch work yields for a second after any interactive refusal.

--- a/include/citronlane/admission/detail/pool_pressure.h
+++ b/include/citronlane/admission/detail/pool_pressure.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_ADMISSION_DETAIL_POOL_PRESSURE_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,11 @@
   /// Highest part over the classes seen lately.
   double At(TimePoint now) const;
 
+  /// Interactive work was refused for want of this pool.
+  void NoteRefusal(TimePoint now) { refused_at_ = now; }
+  /// Whether that happened just now, so that batch work has to yield.
+  bool RefusedLately(TimePoint now) const;
+
   ConcurrencyLimit& limit() { return limit_; }
   const ConcurrencyLimit& limit() const { return limit_; }
 
@@ -37,6 +43,7 @@
 
   std::map<std::string, ClassPressure, std::less<>> classes_;
   ConcurrencyLimit limit_;
+  std::optional<TimePoint> refused_at_;
 };
 
 }  // namespace citronlane
--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -18,7 +18,7 @@
 /// Batch work yields above this pressure of interactive work.
 constexpr double kBatchPressure = 0.3;
 /// An account at or above twice its share is refused above this pressure.
-constexpr double kFairShareFloor = 0.5;
+constexpr double kFairShareFloor = 0.3;
 constexpr double kTightSpend = 0.2;
 constexpr double kUsPerMs = 1000;
 constexpr double kSecondsPerHour = 3600;
@@ -201,8 +201,10 @@
 std::optional<Refusal> AdmissionController::Impl::CheckBatch(
     TimePoint now,
     const AdmissionQuery& query) {
-  const double pressure = PoolOf(query.bottleneck_pool_).At(now);
-  if (!options_.batch_yields_ || !query.batch_ || pressure <= kBatchPressure) {
+  const auto& pool = PoolOf(query.bottleneck_pool_);
+  const double pressure = pool.At(now);
+  if (!options_.batch_yields_ || !query.batch_ ||
+      (pressure <= kBatchPressure && !pool.RefusedLately(now))) {
     return std::nullopt;
   }
   return Refuse(now, RefusalReason::kBatchYields, kBatchReturn,
@@ -308,6 +310,8 @@
   auto refusal = impl_->Check(now, query);
   if (!refusal) {
     impl_->Commit(now, query);
+  } else if (!query.batch_ && refusal->reason_ != RefusalReason::kSpendLimit) {
+    impl_->PoolOf(query.bottleneck_pool_).NoteRefusal(now);
   }
   return refusal;
 }
--- a/src/admission/pool_pressure.cc
+++ b/src/admission/pool_pressure.cc
@@ -10,6 +10,7 @@
 constexpr double kIdleDriftPerSecond = 0.01;
 /// Half-life of a class's word on the pool.
 constexpr double kHalfLifeSeconds = 0.5;
+constexpr Duration kRefusalMemory = std::chrono::seconds(1);
 /// Smallest slack, as a part of the allowed time.
 constexpr double kLeastSlack = 0.05;
 
@@ -52,4 +53,8 @@
   return highest;
 }
 
+bool PoolPressure::RefusedLately(TimePoint now) const {
+  return refused_at_ && now - *refused_at_ < kRefusalMemory;
+}
+
 }  // namespace citronlane
