Smooth a pool's pressure over the estimates of a class

Cause: single estimates moved the pressure over the fair share's floor in steady load, and large accounts were refused though nothing was contended.

--- a/src/admission/pool_pressure.cc
+++ b/src/admission/pool_pressure.cc
@@ -10,6 +10,7 @@
 constexpr double kIdleDriftPerSecond = 0.01;
 /// Half-life of a class's word on the pool.
 constexpr double kHalfLifeSeconds = 0.5;
+constexpr double kSampleWeight = 0.3;
 constexpr Duration kRefusalMemory = std::chrono::seconds(1);
 /// Smallest slack, as a part of the allowed time.
 constexpr double kLeastSlack = 0.05;
@@ -39,9 +40,11 @@
   entry.idle_us_ = std::min(entry.idle_us_ * drift, Us(expected));
   const double slack =
       std::max(Us(allowed) - entry.idle_us_, kLeastSlack * Us(allowed));
-  entry.pressure_ = (Us(expected) - entry.idle_us_) / std::max(slack, 1.0);
+  const double pressure =
+      (Us(expected) - entry.idle_us_) / std::max(slack, 1.0);
+  entry.pressure_ += kSampleWeight * (pressure - entry.pressure_);
   entry.at_ = now;
-  return entry.pressure_;
+  return pressure;
 }
 
 double PoolPressure::At(TimePoint now) const {
