Bound what a decision costs at 900 servers and 3,500 accounts

Change: a check looks at 64 servers in turn, lists are rebuilt on change only, a comparison reads all servers less often the more there are; sums of use are kept.

--- a/include/citronlane/admission/detail/account_shares.h
+++ b/include/citronlane/admission/detail/account_shares.h
@@ -15,6 +15,8 @@
 /// thread safe.
 class AccountShares {
  public:
+  AccountShares();
+
   /// The account used `cost` more, or less when negative.
   void Add(TimePoint now, std::string_view account, double cost);
 
@@ -25,12 +27,15 @@
   /// Time until the account's use alone would fall to its share.
   Duration TimeToShare(TimePoint now, std::string_view account) const;
 
-  /// Forgets accounts without recent use; call now and then.
-  void Expire(TimePoint now);
+  /// Counts the active accounts anew and forgets those without recent use.
+  /// Does nothing when called again soon.
+  void Refresh(TimePoint now);
 
  private:
   std::map<std::string, DecayedSum, std::less<>> use_;
-  TimePoint next_expiry_{};
+  DecayedSum total_;
+  size_t active_ = 0;
+  TimePoint next_refresh_{};
 };
 
 }  // namespace citronlane
--- a/include/citronlane/admission/detail/pool_pressure.h
+++ b/include/citronlane/admission/detail/pool_pressure.h
@@ -23,8 +23,10 @@
               Duration expected,
               Duration allowed);
 
-  /// Highest part over the classes seen lately.
+  /// Highest part over the classes seen lately, smoothed over their estimates.
   double At(TimePoint now) const;
+  /// The same by the last estimates alone.
+  double Latest(TimePoint now) const;
 
   /// Interactive work was refused for want of this pool.
   void NoteRefusal(TimePoint now) { refused_at_ = now; }
@@ -37,10 +39,13 @@
  private:
   struct ClassPressure {
     double idle_us_ = 0;
-    double pressure_ = 0;
+    double smoothed_ = 0;
+    double latest_ = 0;
     TimePoint at_{};
   };
 
+  double Highest(TimePoint now, double ClassPressure::*pressure) const;
+
   std::map<std::string, ClassPressure, std::less<>> classes_;
   ConcurrencyLimit limit_;
   std::optional<TimePoint> refused_at_;
--- a/include/citronlane/routing/detail/server_state.h
+++ b/include/citronlane/routing/detail/server_state.h
@@ -59,6 +59,10 @@
   void ScaleSlow(double factor) { slow_.Scale(factor); }
   size_t slow_samples() const { return slow_.count(); }
 
+  /// Cheap check whether the server may be an outlier at all: it failed lately,
+  /// was seen slow, or has calls in flight for long.
+  bool MayBeOutlier(TimePoint now) const;
+
   void Eject(TimePoint until);
   bool IsEjected(TimePoint now) const { return now < ejected_until_; }
   TimePoint ejected_until() const { return ejected_until_; }
--- a/include/citronlane/routing/detail/server_table.h
+++ b/include/citronlane/routing/detail/server_table.h
@@ -43,8 +43,9 @@
   /// was news.
   bool MarkAlive(std::string_view id, uint64_t incarnation, TimePoint now);
 
-  /// Ends ejections, ejects outliers, expires peers' figures; cheap when
-  /// called again soon. Returns what to scale the usual speed by.
+  /// Ends ejections, ejects outliers, expires peers' figures, for some servers
+  /// in turn; cheap when called again soon. Returns what to scale the usual
+  /// speed by.
   double Maintain(TimePoint now);
 
   /// Servers that may take calls, split by this gateway's failure domain.
@@ -60,7 +61,7 @@
   };
 
   bool IsLeaving(const std::string& id) const;
-  void EndEjections(TimePoint now);
+  bool EndEjection(TimePoint now, size_t index);
   double Recenter(TimePoint now);
   void Rebuild(TimePoint now);
 
@@ -74,7 +75,10 @@
   std::vector<uint32_t> far_;
   std::vector<uint32_t> usable_;
   std::vector<bool> usable_flags_;
+  bool leaving_changed_ = false;
+  size_t next_server_ = 0;
   TimePoint next_check_{};
+  TimePoint next_comparison_{};
   TimePoint next_recenter_{};
 };
 
--- a/src/admission/account_shares.cc
+++ b/src/admission/account_shares.cc
@@ -7,34 +7,33 @@
 namespace {
 
 constexpr Duration kHalfLife = std::chrono::seconds(10);
-constexpr Duration kExpiryInterval = std::chrono::seconds(10);
-/// An account below this part of the total use is not active.
-constexpr double kActivePart = 0.001;
+constexpr Duration kRefreshInterval = std::chrono::seconds(2);
+/// An account below this part of the total use is not active, and below the
+/// other one forgotten.
+constexpr double kActivePart = 1e-5;
+constexpr double kForgottenPart = 1e-8;
 
 }  // namespace
 
+AccountShares::AccountShares() : total_(kHalfLife) {}
+
 void AccountShares::Add(TimePoint now, std::string_view account, double cost) {
   auto found = use_.find(account);
   if (found == use_.end()) {
     found = use_.emplace(std::string(account), DecayedSum(kHalfLife)).first;
+    ++active_;
   }
   found->second.Add(now, cost);
+  total_.Add(now, cost);
 }
 
 double AccountShares::Overuse(TimePoint now, std::string_view account) const {
-  double total = 0;
-  for (const auto& [name, use] : use_) {
-    total += std::max(0.0, use.At(now));
-  }
   const auto found = use_.find(account);
+  const double total = total_.At(now);
   if (found == use_.end() || total <= 0) {
     return 0;
   }
-  const auto active =
-      std::count_if(use_.begin(), use_.end(), [&](const auto& entry) {
-        return entry.second.At(now) > kActivePart * total;
-      });
-  return found->second.At(now) * static_cast<double>(active) / total;
+  return found->second.At(now) * static_cast<double>(active_) / total;
 }
 
 Duration AccountShares::TimeToShare(TimePoint now,
@@ -44,19 +43,18 @@
       half_lives * static_cast<double>(kHalfLife.count())));
 }
 
-void AccountShares::Expire(TimePoint now) {
-  if (now < next_expiry_) {
+void AccountShares::Refresh(TimePoint now) {
+  if (now < next_refresh_) {
     return;
   }
-  next_expiry_ = now + kExpiryInterval;
-  double total = 0;
-  for (const auto& [name, use] : use_) {
-    total += std::max(0.0, use.At(now));
-  }
+  next_refresh_ = now + kRefreshInterval;
+  const double total = total_.At(now);
+  active_ = 0;
   for (auto entry = use_.begin(); entry != use_.end();) {
-    const bool idle =
-        entry->second.At(now) <= kActivePart * kActivePart * total;
-    entry = idle ? use_.erase(entry) : std::next(entry);
+    const double use = entry->second.At(now);
+    active_ += use > kActivePart * total ? 1 : 0;
+    entry =
+        use <= kForgottenPart * total ? use_.erase(entry) : std::next(entry);
   }
 }
 
--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -202,7 +202,7 @@
     TimePoint now,
     const AdmissionQuery& query) {
   const auto& pool = PoolOf(query.bottleneck_pool_);
-  const double pressure = pool.At(now);
+  const double pressure = pool.Latest(now);
   if (!options_.batch_yields_ || !query.batch_ ||
       (pressure <= kBatchPressure && !pool.RefusedLately(now))) {
     return std::nullopt;
@@ -287,7 +287,7 @@
                                        const AdmissionQuery& query) {
   retry_after_.OnAdmit(now);
   shares_.Add(now, query.account_, query.expected_cost_);
-  shares_.Expire(now);
+  shares_.Refresh(now);
 }
 
 AdmissionController::AdmissionController(const ClusterConfig& config,
--- a/src/admission/pool_pressure.cc
+++ b/src/admission/pool_pressure.cc
@@ -23,6 +23,10 @@
   return static_cast<double>(duration.count());
 }
 
+double Fade(Duration age) {
+  return std::exp2(-Seconds(age) / kHalfLifeSeconds);
+}
+
 }  // namespace
 
 double PoolPressure::Note(TimePoint now,
@@ -40,22 +44,31 @@
   entry.idle_us_ = std::min(entry.idle_us_ * drift, Us(expected));
   const double slack =
       std::max(Us(allowed) - entry.idle_us_, kLeastSlack * Us(allowed));
-  const double pressure =
-      (Us(expected) - entry.idle_us_) / std::max(slack, 1.0);
-  entry.pressure_ += kSampleWeight * (pressure - entry.pressure_);
+  entry.latest_ = (Us(expected) - entry.idle_us_) / std::max(slack, 1.0);
+  // The longer ago the last estimate was, the less it tells.
+  const double kept = (1 - kSampleWeight) * Fade(now - entry.at_);
+  entry.smoothed_ = kept * entry.smoothed_ + (1 - kept) * entry.latest_;
   entry.at_ = now;
-  return pressure;
+  return entry.latest_;
 }
 
-double PoolPressure::At(TimePoint now) const {
+double PoolPressure::Highest(TimePoint now,
+                             double ClassPressure::*pressure) const {
   double highest = 0;
   for (const auto& [name, entry] : classes_) {
-    const double fade = std::exp2(-Seconds(now - entry.at_) / kHalfLifeSeconds);
-    highest = std::max(highest, entry.pressure_ * fade);
+    highest = std::max(highest, entry.*pressure * Fade(now - entry.at_));
   }
   return highest;
 }
 
+double PoolPressure::At(TimePoint now) const {
+  return Highest(now, &ClassPressure::smoothed_);
+}
+
+double PoolPressure::Latest(TimePoint now) const {
+  return Highest(now, &ClassPressure::latest_);
+}
+
 bool PoolPressure::RefusedLately(TimePoint now) const {
   return refused_at_ && now - *refused_at_ < kRefusalMemory;
 }
--- a/src/routing/server_state.cc
+++ b/src/routing/server_state.cc
@@ -18,6 +18,9 @@
 constexpr Duration kReportFade = std::chrono::seconds(1);
 constexpr Duration kPeerExpiry = std::chrono::seconds(3);
 constexpr double kLowestShare = 0.1;
+/// What makes a server worth comparing with its peers.
+constexpr double kSuspectFailures = 0.3;
+constexpr double kSuspectSlow = 2;
 
 double Ratio(Duration part, Duration whole) {
   return static_cast<double>(part.count()) / static_cast<double>(whole.count());
@@ -172,6 +175,11 @@
   slow_at_ = now;
 }
 
+bool ServerState::MayBeOutlier(TimePoint now) const {
+  return consecutive_failures_ > 0 || failures_.value() >= kSuspectFailures ||
+         slow_.value() >= kSuspectSlow || Overdue(now) >= kSuspectSlow;
+}
+
 void ServerState::Eject(TimePoint until) {
   ejected_until_ = until;
   ++ejections_;
--- a/src/routing/server_table.cc
+++ b/src/routing/server_table.cc
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+/// A check looks at this many servers, so that it costs a decision little.
+constexpr size_t kServersPerCheck = 64;
+/// A comparison reads every server; it waits longer the more there are.
+constexpr size_t kServersPerCompare = 256;
 constexpr Duration kRecenterInterval = std::chrono::seconds(2);
 constexpr double kMostCorrection = 1.5;
 
@@ -69,6 +73,7 @@
   }
   known = {incarnation, true};
   next_check_ = TimePoint();
+  leaving_changed_ = true;
 }
 
 bool ServerTable::MarkAlive(std::string_view id,
@@ -85,6 +90,7 @@
     servers_[*index].Reset(now);
   }
   next_check_ = TimePoint();
+  leaving_changed_ = true;
   return index && returned;
 }
 
@@ -97,23 +103,34 @@
   if (now < next_check_) {
     return 1;
   }
-  next_check_ = now + kCheckInterval;
-  EndEjections(now);
-  if (options_.ejection_) {
-    detector_.Eject(now, absl::MakeSpan(servers_));
+  const size_t count = std::min(servers_.size(), kServersPerCheck);
+  next_check_ = now + kCheckInterval * count / std::max<size_t>(1, size());
+  bool suspect = false;
+  bool changed = leaving_changed_;
+  for (size_t i = 0; i < count; ++i) {
+    next_server_ = (next_server_ + 1) % servers_.size();
+    changed = EndEjection(now, next_server_) || changed;
+    suspect = suspect || servers_[next_server_].MayBeOutlier(now);
+  }
+  if (suspect && options_.ejection_ && now >= next_comparison_) {
+    next_comparison_ =
+        next_check_ + kCheckInterval * size() / kServersPerCompare;
+    changed = detector_.Eject(now, absl::MakeSpan(servers_)) || changed;
+  }
+  if (changed) {
+    Rebuild(now);
   }
-  Rebuild(now);
   return Recenter(now);
 }
 
-void ServerTable::EndEjections(TimePoint now) {
-  for (uint32_t i = 0; i < servers_.size(); ++i) {
-    ServerState& server = servers_[i];
-    const bool was_ejected = server.ejected_until() != TimePoint();
-    if (was_ejected && !usable_flags_[i] && !server.IsEjected(now)) {
-      server.BeginProbe(now);
-    }
+bool ServerTable::EndEjection(TimePoint now, size_t index) {
+  ServerState& server = servers_[index];
+  if (usable_flags_[index] || server.IsEjected(now) ||
+      server.ejected_until() == TimePoint()) {
+    return false;
   }
+  server.BeginProbe(now);
+  return true;
 }
 
 double ServerTable::Recenter(TimePoint now) {
@@ -134,6 +151,7 @@
 }
 
 void ServerTable::Rebuild(TimePoint now) {
+  leaving_changed_ = false;
   near_.clear();
   far_.clear();
   usable_.clear();
