--- a/include/citronlane/app/gateway.h
+++ b/include/citronlane/app/gateway.h
@@ -1,15 +1,18 @@
 #ifndef CITRONLANE_APP_GATEWAY_H_
 #define CITRONLANE_APP_GATEWAY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "citronlane/app/gateway_hooks.h"
 #include "citronlane/app/gateway_options.h"
 #include "citronlane/base/error.h"
 #include "citronlane/base/time.h"
+#include "citronlane/transport/class_usage.h"
 
 namespace citronlane {
 
@@ -53,9 +56,18 @@
                     double amount,
                     TimePoint until);
 
+  /// What each class used since the last call.
+  std::vector<ClassUsage> TakeUsage();
+
   /// Whether new work is taken now; what /readyz says.
   bool ready() const;
 
+  /// Callers' open connections, and requests being served.
+  size_t connections() const;
+  size_t requests_in_flight() const;
+  /// Refusals dropped before they reached control.
+  uint64_t refusals_dropped() const;
+
   /// Starts the graceful shutdown: not ready at once, new work is refused
   /// after the drain notice, work in flight ends. Returns at once.
   void Shutdown();
--- /dev/null
+++ b/src/app/request_driver.cc
@@ -0,0 +1,329 @@
+#include "citronlane/app/request_driver.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include <xxhash.h>
+#include <boost/asio/io_context.hpp>
+
+#include "citronlane/app/detail/call_flight.h"
+#include "citronlane/app/driver_context.h"
+#include "citronlane/app/pool_shards.h"
+#include "citronlane/config/cluster_config.h"
+#include "citronlane/transport/detail/steady_now.h"
+#include "citronlane/transport/stage_adapter.h"
+#include "citronlane/transport/stage_client.h"
+
+namespace citronlane {
+namespace {
+
+using detail::SteadyNow;
+
+constexpr size_t kMaxEventBytes = size_t{64} * 1024;
+constexpr double kMedian = 0.5;
+
+int64_t Milliseconds(Duration time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+}  // namespace
+
+RequestDriver::RequestDriver(const DriverContext* context, DriverJob job)
+    : context_(context),
+      job_(std::move(job)),
+      request_(
+          job_.plan_,
+          RequestHooks{[this](uint32_t stage) {
+                         const auto pool =
+                             context_->pools_->Find(job_.stages_[stage].pool_);
+                         return pool != nullptr && pool->TakeHedge();
+                       },
+                       [this](uint32_t stage, RetryReason reason) {
+                         const std::string& name = job_.stages_[stage].pool_;
+                         const auto pool = context_->pools_->Find(name);
+                         // A resumed stream makes no new work.
+                         const bool taken =
+                             pool != nullptr &&
+                             (reason == RetryReason::kStreamResumed ||
+                              pool->TakeRetry());
+                         if (taken) {
+                           context_->on_retry_(name, reason);
+                         }
+                         return taken;
+                       }}),
+      deadline_timer_(*context_->io_) {}
+
+RequestDriver::~RequestDriver() = default;
+
+void RequestDriver::Start() {
+  deadline_timer_.expires_at(job_.plan_.deadline_);
+  deadline_timer_.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error) {
+          self->request_.OnDeadline();
+          self->Pump();
+        }
+      });
+  request_.Start(SteadyNow());
+  Pump();
+}
+
+void RequestDriver::CallerGone() {
+  request_.OnCallerGone();
+  Pump();
+}
+
+std::vector<StageCost> RequestDriver::Costs() const {
+  std::vector<StageCost> costs;
+  for (uint32_t stage = 0; stage < job_.stages_.size(); ++stage) {
+    const PoolConfig& pool = PoolOf(stage);
+    StageCost cost;
+    cost.stage_ = job_.stages_[stage].name_;
+    cost.calls_ = request_.sent_calls(stage);
+    cost.tokens_ = request_.stage_tokens(stage);
+    cost.time_ = StageTime(stage);
+    cost.cost_ = cost.calls_ * pool.cost_per_call_ +
+                 static_cast<double>(cost.tokens_) * pool.cost_per_token_;
+    costs.push_back(std::move(cost));
+  }
+  return costs;
+}
+
+std::optional<Duration> RequestDriver::StageTime(uint32_t stage) const {
+  if (stage >= stage_starts_.size()) {
+    return std::nullopt;
+  }
+  const bool over = stage + 1 < stage_starts_.size();
+  return (over ? stage_starts_[stage + 1] : SteadyNow()) - stage_starts_[stage];
+}
+
+void RequestDriver::Pump() {
+  if (pumping_) {
+    return;
+  }
+  pumping_ = true;
+  for (auto commands = request_.TakeCommands(); !commands.empty();
+       commands = request_.TakeCommands()) {
+    for (const RequestCommand& command : commands) {
+      std::visit([this](const auto& known) { Execute(known); }, command);
+    }
+  }
+  pumping_ = false;
+}
+
+void RequestDriver::Execute(const StartCall& command) {
+  if (request_.finished()) {
+    return;
+  }
+  if (command.attempt_.stage_ == stage_starts_.size()) {
+    stage_starts_.push_back(SteadyNow());
+  }
+  const FlightPtr flight = Place(command);
+  if (flight == nullptr) {
+    request_.OnNoServer(command.attempt_, SteadyNow());
+    return;
+  }
+  request_.OnPlaced(command.attempt_, flight->server_.id_);
+  Launch(flight, command);
+}
+
+void RequestDriver::Execute(const CancelCall& command) {
+  if (const FlightPtr flight = FindFlight(command.attempt_)) {
+    flight->call_->Cancel();
+    EndFlight(flight, CallOutcome::kCancelled);
+  }
+}
+
+void RequestDriver::Execute(const ArmHedge& command) {
+  const FlightPtr flight = FindFlight(command.attempt_);
+  if (flight == nullptr) {
+    return;
+  }
+  const auto delay = flight->pool_->HedgeDelay(flight->shape_);
+  if (!delay) {
+    return;
+  }
+  flight->hedge_timer_.expires_at(flight->started_ + *delay);
+  flight->hedge_timer_.async_wait(
+      [self = shared_from_this(),
+       id = command.attempt_](const boost::system::error_code& error) {
+        if (!error) {
+          self->request_.OnHedgeTime(id, SteadyNow());
+          self->Pump();
+        }
+      });
+}
+
+void RequestDriver::Execute(const EmitText& command) {
+  if (!first_text_) {
+    first_text_ = SteadyNow();
+  }
+  if (job_.on_text_) {
+    job_.on_text_(command);
+  }
+}
+
+void RequestDriver::Execute(const FinishRequest& command) {
+  deadline_timer_.cancel();
+  job_.on_finish_(command);
+}
+
+RequestDriver::FlightPtr RequestDriver::Place(const StartCall& command) {
+  const uint32_t stage = command.attempt_.stage_;
+  const StageConfig& config = job_.stages_[stage];
+  auto flight = std::make_shared<detail::CallFlight>(context_->io_);
+  flight->id_ = command.attempt_;
+  flight->hedge_ = command.hedge_;
+  flight->pool_name_ = config.pool_;
+  flight->pool_ = context_->pools_->Find(config.pool_);
+  if (flight->pool_ == nullptr) {
+    return nullptr;
+  }
+  flight->shape_.batch_ = job_.input_.batch_;
+  if (job_.plan_.stages_[stage].streams_) {
+    flight->shape_.expected_tokens_ = config.max_tokens_;
+    flight->shape_.prefix_hash_ = PrefixHash();
+  }
+  flight->started_ = SteadyNow();
+  flight->deadline_ = AttemptDeadline(stage);
+  const auto server =
+      command.mode_ == CallMode::kResume
+          ? flight->pool_->PlaceOn(command.server_, flight->started_,
+                                   flight->shape_)
+          : flight->pool_->Place(flight->started_, flight->shape_,
+                                 command.excluded_, !command.hedge_);
+  if (!server) {
+    return nullptr;
+  }
+  flight->server_ = *server;
+  return flight;
+}
+
+void RequestDriver::Launch(const FlightPtr& flight, const StartCall& command) {
+  const auto self = shared_from_this();
+  StageCallHooks hooks;
+  hooks.sending_ = [self, flight] {
+    return self->request_.OnSending(flight->id_);
+  };
+  hooks.head_ = [self, flight](const StageReplyHead& head) {
+    return self->OnHead(flight, head);
+  };
+  hooks.done_ = [self, flight](CallOutcome outcome, std::string body) {
+    self->OnDone(flight, outcome, std::move(body));
+  };
+  StageCallSpec spec = MakeSpec(*flight, command);
+  if (spec.streams_) {
+    hooks.data_ = [self, flight](std::string_view piece) {
+      self->OnData(flight, piece);
+    };
+    flight->reader_ = std::make_unique<StageTokenReader>(
+        kMaxEventBytes, [this, raw = std::weak_ptr<detail::CallFlight>(flight)](
+                            const Token& token) {
+          const FlightPtr alive = raw.lock();
+          return alive != nullptr && OnToken(alive, token);
+        });
+  }
+  flights_.push_back(flight);
+  flight->call_ = context_->client_->Start(std::move(spec), std::move(hooks));
+}
+
+uint64_t RequestDriver::PrefixHash() const {
+  // The engine's prompt begins with the context: the documents in their order.
+  std::string prefix;
+  if (request_.output().documents_) {
+    for (const Document& document : *request_.output().documents_) {
+      prefix.append(document.id_).append("\n");
+    }
+  }
+  return prefix.empty() ? 0 : XXH3_64bits(prefix.data(), prefix.size());
+}
+
+StageCallSpec RequestDriver::MakeSpec(const detail::CallFlight& flight,
+                                      const StartCall& command) const {
+  const uint32_t stage = command.attempt_.stage_;
+  StageCallSpec spec;
+  spec.address_ = flight.server_.address_;
+  spec.port_ = flight.server_.port_;
+  spec.fresh_connection_ = job_.plan_.stages_[stage].non_idempotent_;
+  spec.streams_ = job_.plan_.stages_[stage].streams_;
+  spec.deadline_ = flight.deadline_;
+  if (spec.streams_) {
+    spec.silence_limit_ = flight.pool_->StreamStallTimeout();
+  }
+  const auto left = std::max(Duration(0), flight.deadline_ - flight.started_);
+  spec.headers_ = {{"X-Attempt-Id", command.attempt_.ToHeader()},
+                   {"X-Deadline-Ms", std::to_string(Milliseconds(left))}};
+  if (job_.service_call_) {
+    FillServiceCall(&spec);
+    return spec;
+  }
+  const StageAdapter adapter(PoolOf(stage).kind_);
+  spec.target_ = std::string(adapter.Target());
+  spec.headers_.push_back({"Content-Type", "application/json"});
+  spec.body_ =
+      adapter.WriteCall({&job_.stages_[stage], &job_.input_, &request_.output(),
+                         &command, request_.text()});
+  return spec;
+}
+
+void RequestDriver::FillServiceCall(StageCallSpec* spec) const {
+  const HttpRequest& call = *job_.service_call_;
+  spec->method_ = call.method_;
+  spec->target_ = call.target_;
+  spec->body_ = call.body_;
+  for (const char* name : {"Content-Type", "Accept", "Accept-Language",
+                           "Idempotency-Key", "If-None-Match"}) {
+    const std::string_view value = call.Header(name);
+    if (!value.empty()) {
+      spec->headers_.push_back({name, std::string(value)});
+    }
+  }
+}
+
+TimePoint RequestDriver::AttemptDeadline(uint32_t stage) const {
+  const TimePoint now = SteadyNow();
+  const Duration left = job_.plan_.deadline_ - now;
+  Duration later{};
+  for (size_t next = stage + 1; next < job_.stages_.size(); ++next) {
+    const auto pool = context_->pools_->Find(job_.stages_[next].pool_);
+    const auto median =
+        pool == nullptr ? std::nullopt : pool->LatencyQuantile(kMedian);
+    later += median.value_or(Duration(0));
+  }
+  // The later stages' usual time is kept for them, but never over half.
+  return now + left - std::min(later, left / 2);
+}
+
+const PoolConfig& RequestDriver::PoolOf(uint32_t stage) const {
+  return job_.config_->pools_.at(job_.stages_[stage].pool_);
+}
+
+void RequestDriver::EndFlight(const FlightPtr& flight, CallOutcome outcome) {
+  if (flight->ended_) {
+    return;
+  }
+  flight->ended_ = true;
+  flight->hedge_timer_.cancel();
+  const TimePoint now = SteadyNow();
+  const Duration latency = now - flight->started_;
+  flight->pool_->OnFinish(flight->server_.id_, now, outcome, latency,
+                          flight->tokens_, flight->shape_);
+  context_->on_call_(flight->pool_name_, outcome, latency, flight->tokens_,
+                     flight->pool_->in_flight());
+  if (flight->hedge_) {
+    context_->on_hedge_(flight->pool_name_, outcome == CallOutcome::kSuccess);
+  }
+  flights_.erase(std::remove(flights_.begin(), flights_.end(), flight),
+                 flights_.end());
+}
+
+RequestDriver::FlightPtr RequestDriver::FindFlight(
+    const AttemptId& attempt) const {
+  const auto found = std::find_if(
+      flights_.begin(), flights_.end(),
+      [&attempt](const FlightPtr& flight) { return flight->id_ == attempt; });
+  return found == flights_.end() ? nullptr : *found;
+}
+
+}  // namespace citronlane
