--- a/bench/policy/gateway_model.cc
+++ b/bench/policy/gateway_model.cc
@@ -222,7 +222,7 @@
   if (!choice) {
     return nullptr;
   }
-  const auto attempt = std::make_shared<Attempt>();
+  auto attempt = std::make_shared<Attempt>();
   attempt->server_ = backends_->at(choice->server_).get();
   attempt->shape_ = shape;
   attempt->start_ = queue_->now();
--- a/src/routing/pool_router.cc
+++ b/src/routing/pool_router.cc
@@ -84,12 +84,14 @@
     const size_t count = std::min(usable.size(), kEstimateServers);
     const auto first = static_cast<size_t>(now.time_since_epoch().count());
     std::vector<const ServerState*> sample;
+    sample.reserve(count);
     for (size_t i = 0; i < count; ++i) {
       const size_t place = first + i * usable.size() / count;
       sample.push_back(&servers_.at(usable[place % usable.size()]));
     }
     const double planned = PlannedPerServer(now, sample);
     std::vector<double> times;
+    times.reserve(count);
     for (const ServerState* server : sample) {
       times.push_back(time(*server, planned));
     }
