--- a/src/routing/pool_router.cc
+++ b/src/routing/pool_router.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "citronlane/config/pool_config.h"
+#include "citronlane/routing/call_priority.h"
 #include "citronlane/routing/detail/candidate_picker.h"
 #include "citronlane/routing/detail/finish_estimator.h"
 #include "citronlane/routing/detail/latency_window.h"
@@ -82,15 +83,35 @@
     }
     const size_t count = std::min(usable.size(), kEstimateServers);
     const auto first = static_cast<size_t>(now.time_since_epoch().count());
-    std::vector<double> times;
-    times.reserve(count);
+    std::vector<const ServerState*> sample;
+    sample.reserve(count);
     for (size_t i = 0; i < count; ++i) {
       const size_t place = first + i * usable.size() / count;
-      times.push_back(time(servers_.at(usable[place % usable.size()])));
+      sample.push_back(&servers_.at(usable[place % usable.size()]));
+    }
+    const double planned = PlannedPerServer(now, sample);
+    std::vector<double> times;
+    times.reserve(count);
+    for (const ServerState* server : sample) {
+      times.push_back(time(*server, planned));
     }
     return FromUs(MeanOfBetter(std::move(times)));
   }
 
+  /// Calls on their way to each server, by all gateways: the others are taken
+  /// to plan in the proportion of what they have in flight.
+  double PlannedPerServer(TimePoint now,
+                          const std::vector<const ServerState*>& sample) const {
+    double own = 0;
+    double all = 0;
+    for (const ServerState* server : sample) {
+      own += static_cast<double>(server->in_flight());
+      all += server->Load(now);
+    }
+    const double gateways = std::max(1.0, all / std::max(1.0, own));
+    return planned_ * gateways / static_cast<double>(servers_.usable().size());
+  }
+
   const RouterOptions options_;
   ServerTable servers_;
   FinishEstimator estimator_;
@@ -100,6 +121,7 @@
   CandidatePicker picker_;
   std::unordered_map<std::string, uint32_t> gateways_;
   size_t in_flight_ = 0;
+  int planned_ = 0;
 };
 
 PoolRouter::PoolRouter(const PoolConfig& pool,
@@ -130,10 +152,14 @@
   }
   const ServerState& server = impl_->servers_.at(*index);
   const double us = impl_->estimator_.Expected(
-      server, now, call, impl_->prefixes_.Holds(*index, call.prefix_hash_));
+      server, now, call, impl_->prefixes_.Holds(*index, call.prefix_hash_), 0);
   return ServerChoice{server.id(), FromUs(us)};
 }
 
+void PoolRouter::OnPlanned(int calls) {
+  impl_->planned_ += calls;
+}
+
 void PoolRouter::OnStart(std::string_view server,
                          TimePoint now,
                          const CallShape& call) {
@@ -144,7 +170,8 @@
   ServerState& state = impl_->servers_.at(*index);
   const double usual = impl_->estimator_.Usual(state.Load(now), call);
   const bool hit = impl_->prefixes_.Holds(*index, call.prefix_hash_);
-  state.StartCall(now, FromUs(usual), hit);
+  const auto priority = std::min<uint32_t>(call.priority_, kCallPriorities - 1);
+  state.StartCall(now, FromUs(usual), priority, hit);
   ++impl_->in_flight_;
 }
 
@@ -155,8 +182,8 @@
   if (!index) {
     return;
   }
-  const ServerState& state = impl_->servers_.at(*index);
-  const OutstandingCall* started = state.FindCall(now, latency);
+  ServerState& state = impl_->servers_.at(*index);
+  const OutstandingCall* started = state.NoteFirstByte(now, latency);
   if (started == nullptr || state.SlowFactor(now) > kTypicalSlow) {
     return;
   }
@@ -257,8 +284,8 @@
   if (impl_->estimator_.samples() < kMinEstimateSamples) {
     return std::nullopt;
   }
-  return impl_->Estimate(now, [&](const ServerState& server) {
-    return impl_->estimator_.Expected(server, now, call, false);
+  return impl_->Estimate(now, [&](const ServerState& server, double planned) {
+    return impl_->estimator_.Expected(server, now, call, false, planned);
   });
 }
 
@@ -271,8 +298,8 @@
   if (impl_->estimator_.first_byte_samples() < kMinEstimateSamples) {
     return std::nullopt;
   }
-  return impl_->Estimate(now, [&](const ServerState& server) {
-    return impl_->estimator_.ExpectedFirstByte(server, now);
+  return impl_->Estimate(now, [&](const ServerState& server, double planned) {
+    return impl_->estimator_.ExpectedFirstByte(server, now, call, planned);
   });
 }
 
