--- a/tests/unit-consensus.cc
+++ b/tests/unit-consensus.cc
@@ -364,6 +364,27 @@
   CHECK(sim.faults().empty());
 }
 
+TEST_CASE("new term") {
+  SECTION("is on disk before anybody hears of it") {
+    RaftOptions options;
+    options.id_ = 1;
+    Snapshot initial{1, 1, {}, ""};
+    initial.membership_.voters_[1] = "node";
+    initial.membership_.learners_[2] = "node";
+    const TimePoint start(std::chrono::seconds(1));
+    RaftNode node(options, HardState{1, 0}, initial, {}, start,
+                  [](uint64_t) { return uint64_t{0}; });
+    // The only voter needs nobody's vote: it leads at once.
+    node.Tick(start + options.election_timeout_);
+    CHECK(node.role() == Role::kLeader);
+    const Ready ready = node.TakeReady();
+    REQUIRE(ready.hard_state_);
+    CHECK(ready.hard_state_->term_ == 2);
+    CHECK(ready.early_messages_.empty());
+    CHECK_FALSE(ready.messages_.empty());
+  }
+}
+
 TEST_CASE("lost disk under its old id") {
   ConsensusSim sim = CalmSim(3);
   const uint64_t leader = Elect(&sim);
--- a/tests/unit-replica.cc
+++ b/tests/unit-replica.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <filesystem>
@@ -17,7 +18,9 @@
 #include <thread>
 #include <vector>
 
+#include "citronlane/app/detail/cluster_formation.h"
 #include "citronlane/app/replica.h"
+#include "citronlane/storage/posix_file_system.h"
 
 namespace citronlane {
 namespace {
@@ -166,6 +169,9 @@
     options.listen_ = addresses_[id - 1];
     options.data_dir_ = Folder(id);
     options.snapshot_interval_ = snapshot_interval_;
+    if (const auto it = files_.find(id); it != files_.end()) {
+      options.files_ = it->second;
+    }
     if (id <= voters_) {
       for (uint64_t i = 1; i <= voters_; ++i) {
         options.initial_voters_[i] = addresses_[i - 1];
@@ -208,6 +214,8 @@
   }
 
   uint64_t snapshot_interval_ = 4096;
+  /// Disk of each node that has another than the machine's.
+  std::map<uint64_t, FileSystem> files_;
 
  private:
   fs::path root_;
@@ -216,13 +224,29 @@
   std::vector<std::unique_ptr<Node>> nodes_;
 };
 
+/// Proposes all at once and waits for every answer. Returns how many were done.
+size_t ProposeAll(Node* node, size_t count) {
+  std::atomic<size_t> answered{0};
+  std::atomic<size_t> done{0};
+  for (size_t i = 0; i < count; ++i) {
+    node->replica().Propose(
+        std::to_string(i),
+        [&](const std::optional<std::string>& result, const Error&) {
+          done += result ? 1 : 0;
+          ++answered;
+        });
+  }
+  REQUIRE(Eventually([&] { return answered == count; }));
+  return done;
+}
+
 }  // namespace
 
 TEST_CASE("replica of one node") {
   Cluster cluster(1);
-  REQUIRE(cluster.Start(1).empty());
 
   SECTION("commits, reads and remembers across a restart") {
+    REQUIRE(cluster.Start(1).empty());
     CHECK(cluster.Commit("a") == "done a");
     CHECK(cluster.At(1).Read());
     cluster.Stop(1);
@@ -230,22 +254,146 @@
     CHECK(cluster.Commit("b") == "done b");
     CHECK(cluster.At(1).state() == "a;b;");
   }
+  SECTION("syncs once for all that waits") {
+    REQUIRE(cluster.Start(1).empty());
+    cluster.Commit("a");
+    const uint64_t before = cluster.At(1).status().sync_count_;
+    CHECK(ProposeAll(&cluster.At(1), 2000) == 2000);
+    CHECK(cluster.At(1).status().sync_count_ - before < 1000);
+  }
+  SECTION("restarts after 500 changes from one snapshot and a short tail") {
+    constexpr int kInterval = 100;
+    cluster.snapshot_interval_ = kInterval;
+    REQUIRE(cluster.Start(1).empty());
+    for (int i = 0; i < 500; ++i) {
+      cluster.Commit(std::to_string(i));
+    }
+    const std::string state = cluster.At(1).state();
+    cluster.Stop(1);
+    REQUIRE(cluster.Start(1).empty());
+    cluster.Leader();
+    REQUIRE(Eventually([&] { return cluster.At(1).state() == state; }));
+    CHECK(cluster.At(1).installed() == 1);
+    CHECK(cluster.At(1).applied_commands() <= kInterval);
+  }
+  SECTION("refuses a folder of another node") {
+    REQUIRE(cluster.Start(1).empty());
+    cluster.Stop(1);
+    ReplicaOptions options = cluster.Options(1);
+    options.raft_.id_ = 2;
+    Node node(options);
+    Error error;
+    CHECK_FALSE(node.replica().Start(&error));
+    CHECK(error.message_.find("belongs to node 1, not to node 2") !=
+          std::string::npos);
+  }
 }
 
 TEST_CASE("replica of three nodes") {
-  Cluster cluster(3);
+  Cluster cluster(3, 1);
   for (uint64_t id = 1; id <= 3; ++id) {
     REQUIRE(cluster.Start(id).empty());
   }
+  cluster.Commit("a");
 
   SECTION("all apply what was committed, and the lead is handed over") {
-    cluster.Commit("a");
     const uint64_t leader = cluster.Leader().status().id_;
     cluster.Stop(leader);
     CHECK(cluster.Commit("b") == "done b");
     REQUIRE(cluster.Start(leader).empty());
     CHECK(Eventually([&] { return cluster.At(leader).state() == "a;b;"; }));
   }
+  SECTION("replaces a lost disk by a learner under a new id") {
+    const uint64_t lost = cluster.Leader().status().id_ % 3 + 1;
+    cluster.Stop(lost);
+    fs::remove_all(cluster.Folder(lost));
+
+    // The same settings with an empty disk: it says why it stays out.
+    REQUIRE(cluster.Start(lost).empty());
+    REQUIRE(Eventually([&] { return cluster.At(lost).status().failed_; }));
+    CHECK(cluster.At(lost).status().failure_.find("add this VM as a learner") !=
+          std::string::npos);
+    cluster.Stop(lost);
+
+    REQUIRE(cluster.Start(4).empty());
+    const auto change = [&](const auto& act) {
+      REQUIRE(Eventually([&] { return cluster.Leader().Change(act).empty(); }));
+    };
+    change([&](Replica& replica, Replica::ProposeDone done) {
+      replica.AddLearner(4, cluster.Address(4), std::move(done));
+    });
+    change([&](Replica& replica, Replica::ProposeDone done) {
+      replica.Promote(4, std::move(done));
+    });
+    change([&](Replica& replica, Replica::ProposeDone done) {
+      replica.Remove(lost, std::move(done));
+    });
+    cluster.Commit("b");
+
+    // A second disk goes right after the repair: nothing committed is lost.
+    const uint64_t gone = lost % 3 + 1;
+    cluster.Stop(gone);
+    fs::remove_all(cluster.Folder(gone));
+    cluster.Commit("c");
+    CHECK(Eventually([&] { return cluster.At(4).state() == "a;b;c;"; }));
+  }
+}
+
+TEST_CASE("replica whose disk fails") {
+  Cluster cluster(3);
+  std::atomic<bool> broken{false};
+  FileSystem files = PosixFileSystem();
+  files.sync_ = [&broken, sync = files.sync_](int handle, Error* error) {
+    error->message_ = "can not sync file: injected";
+    return !broken && sync(handle, error);
+  };
+  cluster.files_[3] = files;
+  for (uint64_t id = 1; id <= 3; ++id) {
+    REQUIRE(cluster.Start(id).empty());
+  }
+  cluster.Commit("a");
+  broken = true;
+  cluster.Commit("b");
+  CHECK(Eventually([&] { return cluster.At(3).status().failed_; }));
+  CHECK(cluster.At(3).status().failure_ == "can not sync file: injected");
+  CHECK(cluster.At(3).Propose("c").front() == '[');
+  // The others go on without it.
+  CHECK(cluster.Commit("d") == "done d");
+}
+
+TEST_CASE("formation of a new cluster") {
+  using State = ClusterFormation::State;
+  ClusterFormation formation(1, 11, {2, 3});
+  const ReplicationGreeting empty2{2, 22, false, {}};
+  const ReplicationGreeting empty3{3, 33, false, {}};
+  formation.Take(1, empty2);
+
+  SECTION("waits for every initial voter, twice") {
+    CHECK(formation.Take(2, empty2) == State::kWaiting);
+    CHECK(formation.Take(2, empty3) == State::kWaiting);
+    // Asked in the same round as the last one became known: proves nothing.
+    CHECK(formation.Take(2, empty2) == State::kWaiting);
+    CHECK(formation.Take(3, empty2) == State::kWaiting);
+    CHECK(formation.Take(3, empty3) == State::kFormed);
+    CHECK(formation.incarnations().at(3) == 33);
+  }
+  SECTION("starts over when a disk was replaced meanwhile") {
+    formation.Take(1, empty3);
+    formation.Take(2, empty2);
+    CHECK(formation.Take(2, {3, 34, false, {}}) == State::kWaiting);
+    CHECK(formation.Take(3, {3, 34, false, {}}) == State::kWaiting);
+    CHECK(formation.Take(3, empty2) == State::kFormed);
+  }
+  SECTION("follows a voter that formed it with this disk") {
+    const ReplicationGreeting formed{2, 22, true, {{1, 11}, {2, 22}, {3, 35}}};
+    CHECK(formation.Take(2, formed) == State::kFormed);
+    CHECK(formation.incarnations().at(3) == 35);
+  }
+  SECTION("is refused when the cluster knows this node with another disk") {
+    const ReplicationGreeting formed{2, 22, true, {{1, 10}, {2, 22}, {3, 33}}};
+    CHECK(formation.Take(2, formed) == State::kRefused);
+    CHECK(formation.Take(3, empty3) == State::kRefused);
+  }
 }
 
 }  // namespace citronlane
