--- a/include/citronlane/app/detail/cluster_formation.h
+++ b/include/citronlane/app/detail/cluster_formation.h
@@ -11,8 +11,9 @@
 namespace citronlane {
 
 /// Decides whether a node with an empty disk may be a voter of a new cluster.
-/// It may only if all the other initial voters are empty too, or one of them
-/// formed the cluster with this very disk. Pure; not thread safe.
+/// It may only if all the other initial voters are empty too and have the same
+/// voters in their settings, or one of them formed the cluster with this very
+/// disk. Pure; not thread safe.
 class ClusterFormation {
  public:
   enum class State { kWaiting, kFormed, kRefused };
@@ -36,6 +37,8 @@
   void TakeFormed(const ReplicationGreeting& greeting);
   void TakeEmpty(uint64_t round, const ReplicationGreeting& greeting);
   void FormIfConfirmed();
+  bool HasSameVoters(const ReplicationGreeting& greeting) const;
+  void Refuse(std::string reason);
 
   const uint64_t own_id_;
   const uint64_t own_incarnation_;
--- a/include/citronlane/consensus/membership.h
+++ b/include/citronlane/consensus/membership.h
@@ -21,6 +21,15 @@
   uint64_t last_id_ = 0;
 };
 
+inline bool operator==(const Membership& a, const Membership& b) {
+  return a.voters_ == b.voters_ && a.learners_ == b.learners_ &&
+         a.incarnations_ == b.incarnations_ && a.last_id_ == b.last_id_;
+}
+
+inline bool operator!=(const Membership& a, const Membership& b) {
+  return !(a == b);
+}
+
 }  // namespace citronlane
 
 #endif  // CITRONLANE_CONSENSUS_MEMBERSHIP_H_
--- a/include/citronlane/transport/replication_greeting.h
+++ b/include/citronlane/transport/replication_greeting.h
@@ -11,7 +11,8 @@
   uint64_t node_ = 0;
   uint64_t incarnation_ = 0;
   /// Whether its disk belongs to a cluster, and the incarnations of that
-  /// cluster's voters.
+  /// cluster's voters. When it does not: the initial voters of its settings,
+  /// each with 0.
   bool formed_ = false;
   std::map<uint64_t, uint64_t> incarnations_;
 };
--- a/src/app/cluster_formation.cc
+++ b/src/app/cluster_formation.cc
@@ -32,11 +32,10 @@
 void ClusterFormation::TakeFormed(const ReplicationGreeting& greeting) {
   const auto own = greeting.incarnations_.find(own_id_);
   if (own == greeting.incarnations_.end() || own->second != own_incarnation_) {
-    state_ = State::kRefused;
-    refusal_ = "node " + std::to_string(greeting.node_) +
-               " belongs to a cluster that does not know this empty disk; add "
-               "this VM as a learner under an id never used, and remove node " +
-               std::to_string(own_id_);
+    Refuse("node " + std::to_string(greeting.node_) +
+           " belongs to a cluster that does not know this empty disk; add "
+           "this VM as a learner under an id never used, and remove node " +
+           std::to_string(own_id_));
     return;
   }
   for (const uint64_t id : others_) {
@@ -52,6 +51,11 @@
 
 void ClusterFormation::TakeEmpty(uint64_t round,
                                  const ReplicationGreeting& greeting) {
+  if (!HasSameVoters(greeting)) {
+    Refuse("node " + std::to_string(greeting.node_) +
+           " has other initial voters in its settings");
+    return;
+  }
   const auto [it, is_new] =
       seen_.emplace(greeting.node_, greeting.incarnation_);
   if (is_new || it->second != greeting.incarnation_) {
@@ -66,6 +70,19 @@
   FormIfConfirmed();
 }
 
+bool ClusterFormation::HasSameVoters(
+    const ReplicationGreeting& greeting) const {
+  const auto& theirs = greeting.incarnations_;
+  return theirs.size() == others_.size() + 1 && theirs.count(own_id_) != 0 &&
+         std::all_of(others_.begin(), others_.end(),
+                     [&](uint64_t id) { return theirs.count(id) != 0; });
+}
+
+void ClusterFormation::Refuse(std::string reason) {
+  state_ = State::kRefused;
+  refusal_ = std::move(reason);
+}
+
 void ClusterFormation::FormIfConfirmed() {
   if (confirmed_.size() == others_.size()) {
     state_ = State::kFormed;
--- a/src/app/replica.cc
+++ b/src/app/replica.cc
@@ -72,6 +72,7 @@
   if (state->snapshot_.index_ == 0 && is_initial) {
     std::set<uint64_t> others;
     for (const auto& [id, address] : options_.initial_voters_) {
+      greeting_.incarnations_[id] = 0;
       if (id != options_.raft_.id_) {
         others.insert(id);
       }
--- a/src/app/replica_loop.cc
+++ b/src/app/replica_loop.cc
@@ -183,9 +183,16 @@
   status_.commit_index_ = node_->commit_index();
   status_.applied_index_ = node_->applied_index();
   status_.last_index_ = node_->last_index();
-  status_.membership_ = node_->membership();
-  greeting_.formed_ = snapshot_index_ != 0;
-  greeting_.incarnations_ = status_.membership_.incarnations_;
+  // Compared first, since a copy for each batch would cost more.
+  if (status_.membership_ != node_->membership()) {
+    status_.membership_ = node_->membership();
+  }
+  if (snapshot_index_ != 0 &&
+      (!greeting_.formed_ ||
+       greeting_.incarnations_ != status_.membership_.incarnations_)) {
+    greeting_.formed_ = true;
+    greeting_.incarnations_ = status_.membership_.incarnations_;
+  }
 }
 
 }  // namespace citronlane
--- a/tests/unit-consensus.cc
+++ b/tests/unit-consensus.cc
@@ -298,6 +298,25 @@
   CHECK(sim.faults().empty());
 }
 
+TEST_CASE("voter that restarts") {
+  // It forgets whom it heard, but not that there may be a leader with a lease.
+  for (int ticks = 1; ticks < 40; ++ticks) {
+    ConsensusSim sim = CalmSim(3);
+    const uint64_t leader = Elect(&sim);
+    const uint64_t apart = leader % 3 + 1;
+    const uint64_t voter = apart % 3 + 1;
+    sim.CutLink(leader, apart);
+    sim.Run(ticks);
+    for (int i = 0; i < 40; ++i) {
+      sim.Crash(voter);
+      sim.Restart(voter);
+      sim.Run(1 + i % 9);
+    }
+    INFO("restart after " << ticks << " ticks; " << Describe(sim, 1));
+    REQUIRE(sim.faults().empty());
+  }
+}
+
 TEST_CASE("handover of the lead") {
   ConsensusSim sim = CalmSim(3);
   const uint64_t old = Elect(&sim);
