--- a/bench/policy/fault.h
+++ b/bench/policy/fault.h
@@ -14,6 +14,8 @@
     kSlow,
     /// The servers stop mid-work and never answer.
     kStop,
+    /// The servers answer every call at once with an error.
+    kErrors,
     /// The servers refuse connections; a restart ends it.
     kDown,
     /// A failure domain is silent, with its gateways; a restart ends it.
--- a/bench/policy/gateway_model.cc
+++ b/bench/policy/gateway_model.cc
@@ -91,6 +91,8 @@
     const auto expected = pool.router_.ExpectedFinish(queue_->now(), shape);
     known = known && expected && first;
     if (!known) {
+      query.bottleneck_pool_ = stage.pool_;
+      query.pool_in_flight_ = pool.router_.in_flight() + pool.router_.planned();
       continue;
     }
     if (stream) {
@@ -100,7 +102,7 @@
     if (*expected >= longest) {
       longest = *expected;
       query.bottleneck_pool_ = stage.pool_;
-      query.pool_in_flight_ = pool.router_.in_flight();
+      query.pool_in_flight_ = pool.router_.in_flight() + pool.router_.planned();
       query.pool_servers_ = pool.router_.usable_servers(queue_->now());
     }
   }
@@ -379,7 +381,9 @@
   }
   if (attempt->shape_.expected_tokens_ > 0 &&
       attempt->call_->state_ != BackendCall::State::kQueued) {
-    run->engine_time_ += now - attempt->call_->began_;
+    const TimePoint from = std::max(attempt->call_->began_, window_from_);
+    const TimePoint to = std::min(now, window_to_);
+    run->engine_time_ += std::max(Duration::zero(), to - from);
   }
   attempt->server_->Cancel(attempt->call_);
 }
@@ -486,7 +490,7 @@
   if (run->measured_ && !answered) {
     ++result_->failures_[failure];
   }
-  if (run->measured_ && met) {
+  if (met) {
     result_->useful_engine_time_ += run->engine_time_;
   }
   Count(*run, [met, answered](Tally* tally) {
--- a/bench/policy/gateway_model.h
+++ b/bench/policy/gateway_model.h
@@ -38,6 +38,12 @@
   /// The gateway is gone, with every request it had.
   void Lose();
 
+  /// Engine time counts between these.
+  void SetWindow(TimePoint from, TimePoint to) {
+    window_from_ = from;
+    window_to_ = to;
+  }
+
   bool alive() const { return alive_; }
   const std::string& name() const { return name_; }
   PoolRouter& router(const std::string& pool) {
@@ -94,6 +100,8 @@
   AdmissionController admission_;
   std::map<std::string, int> in_flight_;
   std::set<RunPtr> runs_;
+  TimePoint window_from_{};
+  TimePoint window_to_{};
   bool alive_ = true;
 };
 
--- a/bench/policy/scenario.cc
+++ b/bench/policy/scenario.cc
@@ -13,6 +13,9 @@
 constexpr double kFlood = 8;
 /// Load before a burst of five times, as in a quiet hour.
 constexpr double kQuietLoad = 0.4;
+constexpr double kBusyLoad = 0.9;
+/// Slow-down of a whole pool.
+constexpr double kBrownout = 3;
 constexpr Duration kFaultFrom = seconds(10);
 constexpr Duration kFaultTo = seconds(20);
 
@@ -68,12 +71,26 @@
       Named("pool-down", {FaultOf(Fault::Kind::kDown, reranker, 0, rerankers)}),
       Named("half-pool-down",
             {FaultOf(Fault::Kind::kDown, reranker, 0, rerankers / 2)}),
+      Named("brownout", {FaultOf(Fault::Kind::kSlow, engines, 0,
+                                 deployment.pools_[0].servers_, kBrownout)}),
+      Named("errors",
+            {FaultOf(Fault::Kind::kErrors, reranker, 0, 1),
+             FaultOf(Fault::Kind::kErrors, deployment.pools_[4].name_, 0, 1)}),
       Named("rolling-restart",
             {FaultOf(Fault::Kind::kRollingRestart, engines, 0, 3)}),
   };
   Scenario all = Burst("all-at-once", kQuietLoad, kQuietLoad * kBurst);
   all.faults_ = {slow, domain, FaultOf(Fault::Kind::kStop, engines, 2, 1)};
   scenarios.push_back(all);
+  Scenario cold = Burst("cold-start", kQuietLoad * kBurst, kQuietLoad * kBurst);
+  cold.measure_from_ = Duration::zero();
+  cold.measure_to_ = kFaultFrom;
+  scenarios.push_back(cold);
+  Scenario restart = Named(
+      "busy-restart", {FaultOf(Fault::Kind::kRollingRestart, engines, 0, 3)});
+  restart.load_ = kBusyLoad;
+  restart.burst_load_ = kBusyLoad;
+  scenarios.push_back(restart);
   Scenario burst =
       Burst("straggler-and-burst", kQuietLoad, kQuietLoad * kBurst);
   burst.faults_ = {slow};
--- a/bench/policy/server_model.cc
+++ b/bench/policy/server_model.cc
@@ -35,8 +35,8 @@
     }
     return;
   }
-  if (draining_) {
-    End(call, CallOutcome::kRejected);
+  if (draining_ || errors_) {
+    End(call, draining_ ? CallOutcome::kRejected : CallOutcome::kServerError);
     return;
   }
   queues_[call->priority_].push_back(call);
@@ -174,6 +174,7 @@
   silent_ = false;
   stopped_ = false;
   draining_ = false;
+  errors_ = false;
   slow_ = 1;
   cached_.clear();
   cache_sequence_ = 0;
--- a/bench/policy/server_model.h
+++ b/bench/policy/server_model.h
@@ -39,6 +39,8 @@
   void Cancel(const CallPtr& call);
 
   void SetSlow(double factor) { slow_ = factor; }
+  /// Every new call ends at once with an error.
+  void SetErrors(bool errors) { errors_ = errors; }
   /// Stops mid-work: keeps accepting and never answers.
   void Stop();
   /// The process ends; connections are refused or, when `silent`, time out.
@@ -85,6 +87,7 @@
   bool silent_ = false;
   bool stopped_ = false;
   bool draining_ = false;
+  bool errors_ = false;
   TimePoint warm_at_{};
   size_t published_load_ = 0;
   TimePoint published_at_{};
--- a/bench/policy/simulation.cc
+++ b/bench/policy/simulation.cc
@@ -57,6 +57,8 @@
         "gateway-" + std::to_string(i), i % deployment_.domains_, deployment_,
         options, seed + static_cast<uint64_t>(i) + 1, &queue_, &backends_,
         &result_));
+    gateways_.back()->SetWindow(TimePoint(scenario_.measure_from_),
+                                TimePoint(scenario_.measure_to_));
   }
 }
 
@@ -218,6 +220,9 @@
         case Fault::Kind::kStop:
           server->Stop();
           break;
+        case Fault::Kind::kErrors:
+          server->SetErrors(true);
+          break;
         default:
           server->Crash(false);
       }
--- a/include/citronlane/routing/pool_router.h
+++ b/include/citronlane/routing/pool_router.h
@@ -116,6 +116,8 @@
   /// Servers that may take calls: neither leaving nor ejected.
   size_t usable_servers(TimePoint now) const;
   size_t in_flight() const;
+  /// Sum of OnPlanned.
+  size_t planned() const;
 
  private:
   class Impl;
--- a/src/routing/pool_router.cc
+++ b/src/routing/pool_router.cc
@@ -315,6 +315,10 @@
   return impl_->servers_.usable().size();
 }
 
+size_t PoolRouter::planned() const {
+  return static_cast<size_t>(std::max(0, impl_->planned_));
+}
+
 size_t PoolRouter::in_flight() const {
   return impl_->in_flight_;
 }
