--- a/bench/policy/report.h
+++ b/bench/policy/report.h
@@ -11,7 +11,8 @@
 /// Writes one table for each deployment: scenario and policy a row.
 void WriteMarkdown(absl::Span<const RunResult> results, std::ostream* out);
 
-/// Writes everything that was counted as a JSON array.
+/// Writes everything that was counted as JSON, one entry a run in the shape of
+/// Google Benchmark's: a name and figures.
 void WriteJson(absl::Span<const RunResult> results, std::ostream* out);
 
 }  // namespace citronlane
--- a/bench/policy/run_result.cc
+++ b/bench/policy/run_result.cc
@@ -38,6 +38,16 @@
   engine_time_ += other.engine_time_;
 }
 
+double RunResult::SmallAccounts() const {
+  Tally sum;
+  for (const auto& [account, tally] : by_account_) {
+    if (account.rfind("small", 0) == 0) {
+      sum.Add(tally);
+    }
+  }
+  return sum.OfOffered();
+}
+
 double RunResult::Cost() const {
   double sum = 0;
   for (const auto& [pool, cost] : cost_by_stage_) {
--- a/bench/policy/run_result.h
+++ b/bench/policy/run_result.h
@@ -37,6 +37,8 @@
   /// Adds the counts of another run of the same scenario and policy.
   void Add(const RunResult& other);
 
+  /// Share of the small accounts' requests that met their target, of offered.
+  double SmallAccounts() const;
   double Cost() const;
   double Goodput() const;
   double RetryAmplification() const;
