--- a/bench/policy/scenario.cc
+++ b/bench/policy/scenario.cc
@@ -38,6 +38,7 @@
   Scenario scenario = Named(name);
   scenario.load_ = load;
   scenario.burst_load_ = burst_load;
+  scenario.measure_to_ = scenario.burst_to_;
   return scenario;
 }
 
--- a/include/citronlane/admission/admission_controller.h
+++ b/include/citronlane/admission/admission_controller.h
@@ -17,8 +17,8 @@
 struct ClusterConfig;
 
 /// Decides at once whether a request is taken: refuses what can not meet its
-/// deadline, keeps client accounts to fair shares by cost used, learns each
-/// pool's concurrency limit, lets batch yield, and holds spend. Pure. Not
+/// deadline, keeps client accounts to fair shares by cost used, lets batch yield,
+/// and holds spend. Pure. Not
 /// thread safe.
 class AdmissionController {
  public:
@@ -45,12 +45,6 @@
                 double cost,
                 bool met_target);
 
-  /// One call of a pool took `latency`, with `in_flight` calls beside it.
-  void OnCall(TimePoint now,
-              std::string_view pool,
-              Duration latency,
-              size_t in_flight);
-
   /// A lease from control: this gateway may spend `amount` for the class until
   /// `valid_until`; after that a safe floor holds.
   void OnSpendShare(std::string_view class_name,
--- a/include/citronlane/admission/admission_options.h
+++ b/include/citronlane/admission/admission_options.h
@@ -7,7 +7,6 @@
 struct AdmissionOptions {
   bool early_refusal_ = true;
   bool fair_share_ = true;
-  bool learned_limits_ = true;
   bool batch_yields_ = true;
   bool spend_limits_ = true;
   /// Part of a class's hourly limit that one gateway may spend before its first
--- a/include/citronlane/admission/detail/pool_pressure.h
+++ b/include/citronlane/admission/detail/pool_pressure.h
@@ -6,7 +6,6 @@
 #include <string>
 #include <string_view>
 
-#include "citronlane/admission/detail/concurrency_limit.h"
 #include "citronlane/base/time.h"
 
 namespace citronlane {
@@ -33,9 +32,6 @@
   /// Whether that happened just now, so that batch work has to yield.
   bool RefusedLately(TimePoint now) const;
 
-  ConcurrencyLimit& limit() { return limit_; }
-  const ConcurrencyLimit& limit() const { return limit_; }
-
  private:
   struct ClassPressure {
     double idle_us_ = 0;
@@ -47,7 +43,6 @@
   double Highest(TimePoint now, double ClassPressure::*pressure) const;
 
   std::map<std::string, ClassPressure, std::less<>> classes_;
-  ConcurrencyLimit limit_;
   std::optional<TimePoint> refused_at_;
 };
 
--- a/include/citronlane/app/admission_gate.h
+++ b/include/citronlane/app/admission_gate.h
@@ -30,10 +30,6 @@
                 const AdmissionQuery& query,
                 double cost,
                 bool met_target);
-  void OnCall(TimePoint now,
-              std::string_view pool,
-              Duration latency,
-              size_t in_flight);
   void OnSpendShare(std::string_view class_name,
                     double amount,
                     TimePoint valid_until);
--- a/include/citronlane/routing/detail/server_state.h
+++ b/include/citronlane/routing/detail/server_state.h
@@ -70,11 +70,8 @@
   /// Back from ejection: what was learned is doubtful, a few calls will tell.
   void BeginProbe(TimePoint now);
   bool probing() const { return probing_; }
-  /// Starts the ramp of a new or returned server.
-  void BeginSlowStart(TimePoint now) { slow_start_began_ = now; }
-  /// Share of its usual calls, above 0 and at most 1.
-  double SlowStartShare(TimePoint now, Duration ramp) const;
-  /// Forgets everything but the calls in flight: another process answers now.
+  /// Forgets everything but the calls in flight: another process answers now,
+  /// and is probed first.
   void Reset(TimePoint now);
 
  private:
@@ -98,7 +95,6 @@
   TimePoint ejected_until_{};
   int ejections_ = 0;
   bool probing_ = false;
-  std::optional<TimePoint> slow_start_began_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/routing/detail/server_table.h
+++ b/include/citronlane/routing/detail/server_table.h
@@ -26,8 +26,8 @@
  public:
   explicit ServerTable(const RouterOptions& options);
 
-  /// Takes the pool's list. Servers that stay keep their state; new ones start
-  /// slowly unless the table was empty. True when the list changed.
+  /// Takes the pool's list. Servers that stay keep their state; True
+  /// when the list changed.
   bool Update(const PoolConfig& pool, TimePoint now);
 
   std::optional<uint32_t> Find(std::string_view id) const;
@@ -39,7 +39,7 @@
   /// Leaving holds for this and every lower incarnation, also while the server
   /// is absent from the list.
   void MarkLeaving(std::string_view id, uint64_t incarnation);
-  /// A higher incarnation takes calls again, from a slow start. True when it
+  /// A higher incarnation takes calls again, a probe first. True when it
   /// was news.
   bool MarkAlive(std::string_view id, uint64_t incarnation, TimePoint now);
 
--- a/include/citronlane/routing/pool_router.h
+++ b/include/citronlane/routing/pool_router.h
@@ -22,7 +22,7 @@
 
 /// Chooses backend servers of one pool and learns from how calls end: two
 /// random candidates by expected finish, near failure domain first, prefix
-/// affinity with bounded load, slow start, ejection with a floor. Pure: time
+/// affinity with bounded load, ejection with a floor and probes. Pure: time
 /// and randomness come in. Not thread safe; the owner locks one shard a pool.
 class PoolRouter {
  public:
@@ -84,7 +84,7 @@
   void OnLeaving(std::string_view server, uint64_t incarnation, TimePoint now);
 
   /// A server of this incarnation was seen alive. Only a higher incarnation
-  /// than the one that left takes calls again; it starts slowly.
+  /// than the one that left takes calls again, one call as a probe first.
   void OnAlive(std::string_view server, uint64_t incarnation, TimePoint now);
 
   /// A cache event: the server holds, or dropped, the prefix. `sequence` rises
--- a/include/citronlane/routing/router_options.h
+++ b/include/citronlane/routing/router_options.h
@@ -16,7 +16,6 @@
   bool domain_preference_ = true;
   bool prefix_affinity_ = true;
   bool ejection_ = true;
-  bool slow_start_ = true;
   /// Failure domain of this gateway.
   std::string failure_domain_;
   /// Affinity holds while the server's load is below this factor of the mean.
@@ -25,7 +24,6 @@
   double max_ejected_ = 0.34;
   /// Quantile of call times after which a hedge starts.
   double hedge_quantile_ = 0.95;
-  Duration slow_start_time_ = std::chrono::seconds(10);
 };
 
 }  // namespace citronlane
--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -93,7 +93,6 @@
   std::optional<Refusal> CheckBatch(TimePoint now, const AdmissionQuery& query);
   std::optional<Refusal> CheckFairShare(TimePoint now,
                                         const AdmissionQuery& query);
-  std::optional<Refusal> CheckLimit(TimePoint now, const AdmissionQuery& query);
   std::optional<Refusal> CheckSpendPerHour(TimePoint now,
                                            const AdmissionQuery& query);
   Refusal Refuse(TimePoint now,
@@ -231,19 +230,6 @@
                  {"limit", allowed}});
 }
 
-std::optional<Refusal> AdmissionController::Impl::CheckLimit(
-    TimePoint now,
-    const AdmissionQuery& query) {
-  const ConcurrencyLimit& limit = PoolOf(query.bottleneck_pool_).limit();
-  const auto in_flight = static_cast<double>(query.pool_in_flight_);
-  if (!options_.learned_limits_ || in_flight < limit.limit()) {
-    return std::nullopt;
-  }
-  return Refuse(now, RefusalReason::kConcurrencyLimit,
-                Duration(static_cast<Duration::rep>(limit.latency_us())),
-                {{"in_flight", in_flight}, {"limit", limit.limit()}});
-}
-
 std::optional<Refusal> AdmissionController::Impl::CheckSpendPerHour(
     TimePoint now,
     const AdmissionQuery& query) {
@@ -276,9 +262,6 @@
   if (auto refusal = CheckFairShare(now, query)) {
     return refusal;
   }
-  if (auto refusal = CheckLimit(now, query)) {
-    return refusal;
-  }
   // Last, since it takes from the share.
   return CheckSpendPerHour(now, query);
 }
@@ -332,14 +315,6 @@
   }
 }
 
-void AdmissionController::OnCall(TimePoint now,
-                                 std::string_view pool,
-                                 Duration latency,
-                                 size_t in_flight) {
-  impl_->last_now_ = now;
-  impl_->PoolOf(pool).limit().OnCall(now, latency, in_flight);
-}
-
 void AdmissionController::OnSpendShare(std::string_view class_name,
                                        double amount,
                                        TimePoint valid_until) {
--- a/src/app/admission_gate.cc
+++ b/src/app/admission_gate.cc
@@ -32,14 +32,6 @@
   controller_->OnFinish(now, query, cost, met_target);
 }
 
-void AdmissionGate::OnCall(TimePoint now,
-                           std::string_view pool,
-                           Duration latency,
-                           size_t in_flight) {
-  const std::lock_guard lock(mutex_);
-  controller_->OnCall(now, pool, latency, in_flight);
-}
-
 void AdmissionGate::OnSpendShare(std::string_view class_name,
                                  double amount,
                                  TimePoint valid_until) {
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -172,11 +172,8 @@
     context.client_ = &shard->client_;
     context.pools_ = &pools_;
     context.on_call_ = [this](std::string_view pool, CallOutcome outcome,
-                              Duration latency, uint32_t tokens,
-                              size_t in_flight) {
-      if (outcome == CallOutcome::kSuccess) {
-        admission_.OnCall(SteadyNow(), pool, latency, in_flight);
-      }
+                              Duration /*latency*/, uint32_t tokens,
+                              size_t /*in_flight*/) {
       if (hooks_.events_.on_call_) {
         hooks_.events_.on_call_(pool, outcome, tokens);
       }
--- a/src/routing/candidate_picker.cc
+++ b/src/routing/candidate_picker.cc
@@ -130,9 +130,6 @@
       options_.prefix_affinity_ && prefixes_->Holds(index, call.prefix_hash_);
   double cost = estimator_->Expected(server, now, call, hit, 0);
   cost *= 1 + kFailurePenalty * server.FailureShare(now);
-  if (options_.slow_start_) {
-    cost /= server.SlowStartShare(now, options_.slow_start_time_);
-  }
   if (options_.domain_preference_ && !server.near()) {
     cost *= kFarPenalty;
   }
--- a/src/routing/server_state.cc
+++ b/src/routing/server_state.cc
@@ -17,7 +17,8 @@
 /// Time constant by which a load report gives way to the peers' figures.
 constexpr Duration kReportFade = std::chrono::seconds(1);
 constexpr Duration kPeerExpiry = std::chrono::seconds(3);
-constexpr double kLowestShare = 0.1;
+/// Failures below this make earlier ejections forgotten.
+constexpr double kHealthyFailures = 0.1;
 /// What makes a server worth comparing with its peers.
 constexpr double kSuspectFailures = 0.3;
 constexpr double kSuspectSlow = 2;
@@ -149,9 +150,8 @@
   consecutive_failures_ = failed ? consecutive_failures_ + 1 : 0;
   if (!failed && probing_) {
     probing_ = false;
-    BeginSlowStart(now);
   }
-  if (!failed && failures_.value() < kLowestShare) {
+  if (!failed && failures_.value() < kHealthyFailures) {
     ejections_ = 0;
   }
 }
@@ -193,20 +193,11 @@
   slow_at_ = now;
 }
 
-double ServerState::SlowStartShare(TimePoint now, Duration ramp) const {
-  if (!slow_start_began_ || ramp <= Duration::zero()) {
-    return 1;
-  }
-  return std::clamp(Ratio(now - *slow_start_began_, ramp), kLowestShare, 1.0);
-}
-
 void ServerState::Reset(TimePoint now) {
   BeginProbe(now);
-  probing_ = false;
   ejected_until_ = TimePoint();
   ejections_ = 0;
   reported_at_.reset();
-  BeginSlowStart(now);
 }
 
 }  // namespace citronlane
--- a/src/routing/server_table.cc
+++ b/src/routing/server_table.cc
@@ -26,7 +26,6 @@
   std::vector<ServerState> servers;
   servers.reserve(pool.servers_.size());
   bool changed = servers_.size() != pool.servers_.size();
-  const bool first = servers_.empty();
   for (const auto& [id, config] : pool.servers_) {
     const bool near = config.failure_domain_ == options_.failure_domain_;
     if (const auto known = Find(id)) {
@@ -36,9 +35,6 @@
     }
     changed = true;
     servers.emplace_back(id, near);
-    if (!first) {
-      servers.back().BeginSlowStart(now);
-    }
   }
   servers_ = std::move(servers);
   by_id_.clear();
