Take the peers to plan as much as this gateway, each of those heard of

Cause: what all gateways plan was scaled by loads in flight, a ratio that jumps when this gateway has few calls; steady load saw refusals for no reason.

--- a/src/routing/pool_router.cc
+++ b/src/routing/pool_router.cc
@@ -26,6 +26,7 @@
 constexpr double kTypicalSlow = 2;
 constexpr double kStallIntervals = 20;
 constexpr Duration kShortestStall = std::chrono::milliseconds(250);
+constexpr Duration kPeerExpiry = std::chrono::seconds(3);
 /// Servers looked at for an estimate.
 constexpr size_t kEstimateServers = 16;
 
@@ -69,9 +70,14 @@
     }
   }
 
-  uint32_t GatewayNumber(std::string_view gateway) {
+  /// Number of the gateway that was heard of now.
+  uint32_t GatewayNumber(std::string_view gateway, TimePoint now) {
     const auto next = static_cast<uint32_t>(gateways_.size());
-    return gateways_.emplace(std::string(gateway), next).first->second;
+    const uint32_t number =
+        gateways_.emplace(std::string(gateway), next).first->second;
+    heard_.resize(gateways_.size());
+    heard_[number] = now;
+    return number;
   }
 
   /// Calls `time` for an even sample of the usable servers.
@@ -89,7 +95,7 @@
       const size_t place = first + i * usable.size() / count;
       sample.push_back(&servers_.at(usable[place % usable.size()]));
     }
-    const double planned = PlannedPerServer(now, sample);
+    const double planned = PlannedPerServer(now);
     std::vector<double> times;
     times.reserve(count);
     for (const ServerState* server : sample) {
@@ -99,17 +105,13 @@
   }
 
   /// Calls on their way to each server, by all gateways: the others are taken
-  /// to plan in the proportion of what they have in flight.
-  double PlannedPerServer(TimePoint now,
-                          const std::vector<const ServerState*>& sample) const {
-    double own = 0;
-    double all = 0;
-    for (const ServerState* server : sample) {
-      own += static_cast<double>(server->in_flight());
-      all += server->Load(now);
-    }
-    const double gateways = std::max(1.0, all / std::max(1.0, own));
-    return planned_ * gateways / static_cast<double>(servers_.usable().size());
+  /// to plan as many as this one.
+  double PlannedPerServer(TimePoint now) const {
+    const auto heard =
+        std::count_if(heard_.begin(), heard_.end(),
+                      [now](TimePoint at) { return now - at < kPeerExpiry; });
+    return planned_ * (1 + static_cast<double>(heard)) /
+           static_cast<double>(servers_.usable().size());
   }
 
   const RouterOptions options_;
@@ -120,6 +122,8 @@
   LatencyWindow first_bytes_;
   CandidatePicker picker_;
   std::unordered_map<std::string, uint32_t> gateways_;
+  /// When each gateway was last heard of.
+  std::vector<TimePoint> heard_;
   size_t in_flight_ = 0;
   int planned_ = 0;
 };
@@ -237,8 +241,8 @@
                             TimePoint now,
                             double in_flight) {
   if (const auto index = impl_->servers_.Find(server)) {
-    impl_->servers_.at(*index).SetPeerLoad(impl_->GatewayNumber(gateway), now,
-                                           in_flight);
+    impl_->servers_.at(*index).SetPeerLoad(impl_->GatewayNumber(gateway, now),
+                                           now, in_flight);
   }
 }
 
