Start with estimates allowed to use 0.85 of a target

Cause: a burst is over before a gateway has seen enough misses to lower the margin of 0.9 it starts with.

--- a/src/admission/target_margin.cc
+++ b/src/admission/target_margin.cc
@@ -5,7 +5,7 @@
 namespace citronlane {
 namespace {
 
-constexpr double kFirst = 0.9;
+constexpr double kFirst = 0.85;
 constexpr double kLowest = 0.2;
 constexpr double kHighest = 1.05;
 constexpr double kStepDown = 0.02;
