Refuse requests that need a pool which is down

Cause: with the rerankers down, requests ran their first stages for nothing and were then failed, as may have run, where a refusal could say not run. Change: PoolRouter::IsDown after ten failures in a row and until one success; of the requests that need such a pool two in three are refused, the others probe.

--- a/bench/policy/gateway_model.cc
+++ b/bench/policy/gateway_model.cc
@@ -84,6 +84,7 @@
     shape.priority_ = PriorityOf(spec);
     const bool stream = pool.config_.kind_ == StageKind::kEngine;
     shape.expected_tokens_ = stream ? spec.max_tokens_ : 0;
+    query.pool_down_ = query.pool_down_ || pool.router_.IsDown(queue_->now());
     query.expected_cost_ +=
         pool.config_.cost_per_call_ +
         (stream ? kUsualTokens : 0) * pool.config_.cost_per_token_;
--- a/bench/policy/policy_options.cc
+++ b/bench/policy/policy_options.cc
@@ -39,6 +39,7 @@
   };
   without("admission").admits_all_ = true;
   without("early-refusal").admission_.early_refusal_ = false;
+  without("pool-down-refusal").admission_.refuse_pool_down_ = false;
   without("fair-share").admission_.fair_share_ = false;
   without("batch-yield").admission_.batch_yields_ = false;
   without("priorities").priorities_ = false;
--- a/include/citronlane/admission/admission_options.h
+++ b/include/citronlane/admission/admission_options.h
@@ -6,6 +6,7 @@
 /// Switches of admission, so that each mechanism can be measured without it.
 struct AdmissionOptions {
   bool early_refusal_ = true;
+  bool refuse_pool_down_ = true;
   bool fair_share_ = true;
   bool batch_yields_ = true;
   bool spend_limits_ = true;
--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -22,6 +22,9 @@
 constexpr double kTightSpend = 0.2;
 constexpr double kUsPerMs = 1000;
 constexpr double kSecondsPerHour = 3600;
+/// One request in this many goes on to a pool that is down.
+constexpr uint64_t kPoolProbes = 3;
+constexpr Duration kPoolReturn = std::chrono::seconds(2);
 constexpr Duration kBatchReturn = std::chrono::seconds(5);
 
 double Ms(Duration duration) {
@@ -38,6 +41,12 @@
       static_cast<double>(duration.count()) * factor));
 }
 
+/// Whether the request was refused for want of a pool's capacity.
+bool IsContention(RefusalReason reason) {
+  return reason == RefusalReason::kDeadlineUnreachable ||
+         reason == RefusalReason::kFairShare;
+}
+
 /// The estimate and the target that bind a request most.
 struct BindingTarget {
   Duration expected_{};
@@ -65,7 +74,7 @@
 class AdmissionController::Impl {
  public:
   Impl(const AdmissionOptions& options, RandomHook random)
-      : options_(options), retry_after_(std::move(random)) {}
+      : options_(options), random_(random), retry_after_(std::move(random)) {}
 
   void Update(const ClusterConfig& config, TimePoint now);
   std::optional<Refusal> Check(TimePoint now, const AdmissionQuery& query);
@@ -76,6 +85,7 @@
   PoolPressure& PoolOf(std::string_view pool);
 
   const AdmissionOptions options_;
+  const RandomHook random_;
   std::map<std::string, ClassConfig> classes_;
   std::map<std::string, TargetMargin, std::less<>> margins_;
   std::map<std::string, SpendShare, std::less<>> spend_;
@@ -86,6 +96,8 @@
 
  private:
   std::optional<Refusal> CheckSpendPerRequest(const AdmissionQuery& query);
+  std::optional<Refusal> CheckPoolDown(TimePoint now,
+                                       const AdmissionQuery& query);
   std::optional<Refusal> CheckDeadline(TimePoint now,
                                        const AdmissionQuery& query);
   std::optional<Refusal> CheckTarget(TimePoint now,
@@ -161,6 +173,18 @@
                   {"spend_per_request", *declared->second.spend_per_request_}}};
 }
 
+std::optional<Refusal> AdmissionController::Impl::CheckPoolDown(
+    TimePoint now,
+    const AdmissionQuery& query) {
+  // A few go on, or nobody would see the pool come back.
+  if (!options_.refuse_pool_down_ || !query.pool_down_ ||
+      random_(kPoolProbes) == 0) {
+    return std::nullopt;
+  }
+  return Refuse(now, RefusalReason::kNoBackendServer, kPoolReturn,
+                {{"probed_one_in", kPoolProbes}});
+}
+
 std::optional<Refusal> AdmissionController::Impl::CheckDeadline(
     TimePoint now,
     const AdmissionQuery& query) {
@@ -250,6 +274,9 @@
   if (auto refusal = CheckSpendPerRequest(query)) {
     return refusal;
   }
+  if (auto refusal = CheckPoolDown(now, query)) {
+    return refusal;
+  }
   if (auto refusal = CheckDeadline(now, query)) {
     return refusal;
   }
@@ -293,7 +320,7 @@
   auto refusal = impl_->Check(now, query);
   if (!refusal) {
     impl_->Commit(now, query);
-  } else if (!query.batch_ && refusal->reason_ != RefusalReason::kSpendLimit) {
+  } else if (!query.batch_ && IsContention(refusal->reason_)) {
     impl_->PoolOf(query.bottleneck_pool_).NoteRefusal(now);
   }
   return refusal;
--- a/src/routing/pool_router.cc
+++ b/src/routing/pool_router.cc
@@ -26,6 +26,10 @@
 constexpr double kTypicalSlow = 2;
 constexpr double kStallIntervals = 20;
 constexpr Duration kShortestStall = std::chrono::milliseconds(250);
+/// Failed calls in a row after which a pool counts as down.
+constexpr int kDownFailures = 10;
+/// A pool without calls for this long is tried again.
+constexpr Duration kDownMemory = std::chrono::seconds(2);
 constexpr Duration kPeerExpiry = std::chrono::seconds(3);
 /// Servers looked at for an estimate.
 constexpr size_t kEstimateServers = 16;
@@ -126,6 +130,9 @@
   std::vector<TimePoint> heard_;
   size_t in_flight_ = 0;
   int planned_ = 0;
+  /// Failed calls since the last success, over the whole pool.
+  int failures_in_row_ = 0;
+  TimePoint outcome_at_{};
 };
 
 PoolRouter::PoolRouter(const PoolConfig& pool,
@@ -212,6 +219,11 @@
   }
   --impl_->in_flight_;
   state.CountOutcome(now, outcome);
+  if (outcome != CallOutcome::kCancelled) {
+    const bool failed = outcome != CallOutcome::kSuccess;
+    impl_->failures_in_row_ = failed ? impl_->failures_in_row_ + 1 : 0;
+    impl_->outcome_at_ = now;
+  }
   if (outcome == CallOutcome::kCancelled || outcome == CallOutcome::kTimeout) {
     impl_->estimator_.LearnUnfinished(&state, now, *started, latency);
   }
@@ -315,6 +327,12 @@
   return std::max(kShortestStall, FromUs(interval * kStallIntervals));
 }
 
+bool PoolRouter::IsDown(TimePoint now) const {
+  const bool fresh = now - impl_->outcome_at_ < kDownMemory;
+  return impl_->servers_.usable().empty() ||
+         (fresh && impl_->failures_in_row_ >= kDownFailures);
+}
+
 size_t PoolRouter::usable_servers(TimePoint /*now*/) const {
   return impl_->servers_.usable().size();
 }
--- a/tests/unit-admission.cc
+++ b/tests/unit-admission.cc
@@ -89,6 +89,16 @@
     query.deadline_ = seconds(8);
     CHECK(test.Admit(query) == RefusalReason::kDeadlineUnreachable);
   }
+  SECTION("refuses what needs a pool that is down, but for a few probes") {
+    AdmissionQuery query = MakeQuery("chat", seconds(2));
+    query.pool_down_ = true;
+    int refused = 0;
+    for (int i = 0; i < 300; ++i) {
+      refused += test.Admit(query) == RefusalReason::kNoBackendServer ? 1 : 0;
+    }
+    CHECK(refused > 150);
+    CHECK(refused < 250);
+  }
   SECTION("admits when nothing is known") {
     AdmissionQuery query = MakeQuery("chat", seconds(5));
     query.expected_finish_.reset();
@@ -153,6 +163,20 @@
   SECTION("uses what is left") {
     CHECK_FALSE(test.Admit(MakeQuery("nightly", seconds(2))));
   }
+  SECTION("yields while interactive work is refused for want of capacity") {
+    CHECK(test.Admit(MakeQuery("chat", seconds(5))).has_value());
+    test.Use("small", 20);
+    CHECK(test.Admit(MakeQuery("nightly", seconds(2))) ==
+          RefusalReason::kBatchYields);
+  }
+  SECTION("does not yield for a pool that is down elsewhere") {
+    AdmissionQuery query = MakeQuery("chat", seconds(1));
+    query.pool_down_ = true;
+    for (int i = 0; i < 20; ++i) {
+      test.Admit(query);
+    }
+    CHECK_FALSE(test.Admit(MakeQuery("nightly", seconds(2))));
+  }
   SECTION("yields at once to interactive work") {
     CHECK_FALSE(test.Admit(MakeQuery("chat", milliseconds(2500))));
     CHECK(test.Admit(MakeQuery("nightly", seconds(2))) ==
--- a/tests/unit-routing.cc
+++ b/tests/unit-routing.cc
@@ -198,6 +198,15 @@
     fail({"s0", "s1", "s2", "s3", "s4", "s5"});
     CHECK(test.router_->usable_servers(test.now_) == 6);
   }
+  SECTION("tells that the whole pool is down until one call succeeds") {
+    fail({"s0", "s1", "s2"});
+    CHECK_FALSE(test.router_->IsDown(test.now_));
+    fail({"s0", "s1", "s2", "s3", "s4", "s5"});
+    CHECK(test.router_->IsDown(test.now_));
+    test.router_->OnStart("s1", test.now_, kCall);
+    test.Finish("s1", milliseconds(0));
+    CHECK_FALSE(test.router_->IsDown(test.now_));
+  }
   SECTION("sends the work to the half of a pool that is up") {
     fail({"s0", "s1", "s2"});
     const auto counts = test.Run(100, Healthy);
