--- /dev/null
+++ b/tests/unit-stage-client.cc
@@ -0,0 +1,243 @@
+#include <catch2/catch.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <sys/socket.h>
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "citronlane/transport/detail/steady_now.h"
+#include "citronlane/transport/stage_client.h"
+
+namespace citronlane {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+const std::string kept_reply =
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: r/0/0\r\nContent-Length: 2\r\n\r\nok";
+
+/// A server that answers call after call from a script. An empty answer
+/// closes the connection after reading; "!" closes it after the answer before.
+class ScriptedServer {
+ public:
+  explicit ScriptedServer(std::vector<std::string> script)
+      : acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}),
+        script_(std::move(script)),
+        thread_([this] { Accept(); }) {}
+  ~ScriptedServer() {
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    thread_.join();
+    for (auto& [socket, thread] : served_) {
+      ::shutdown(socket->native_handle(), SHUT_RDWR);
+      thread.join();
+    }
+  }
+
+  uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  int reads() const { return reads_; }
+  int connections() const { return connections_; }
+  void WaitForClose() const {
+    while (closed_ == 0) {
+      std::this_thread::yield();
+    }
+  }
+
+ private:
+  void Accept() {
+    boost::system::error_code error;
+    while (!error) {
+      auto socket = std::make_unique<tcp::socket>(io_);
+      acceptor_.accept(*socket, error);
+      if (!error) {
+        ++connections_;
+        tcp::socket* const accepted = socket.get();
+        served_.emplace_back(std::move(socket),
+                             std::thread([this, accepted] { Run(accepted); }));
+      }
+    }
+  }
+
+  void Run(tcp::socket* socket) {
+    std::string text;
+    boost::system::error_code error;
+    bool open = true;
+    while (open) {
+      const size_t got = asio::read_until(*socket, asio::dynamic_buffer(text),
+                                          "\r\n\r\n", error);
+      if (error) {
+        break;
+      }
+      text.erase(0, got);
+      ++reads_;
+      const std::string answer = Next();
+      asio::write(*socket, asio::buffer(answer), error);
+      open = !answer.empty() && !TakeClose();
+    }
+    socket->shutdown(tcp::socket::shutdown_both, error);
+    ++closed_;
+  }
+
+  std::string Next() {
+    const std::lock_guard lock(mutex_);
+    return next_ < script_.size() ? script_[next_++] : "";
+  }
+  bool TakeClose() {
+    const std::lock_guard lock(mutex_);
+    const bool close = next_ < script_.size() && script_[next_] == "!";
+    next_ += close ? 1 : 0;
+    return close;
+  }
+
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  const std::vector<std::string> script_;
+  std::mutex mutex_;
+  size_t next_ = 0;
+  std::vector<std::pair<std::unique_ptr<tcp::socket>, std::thread>> served_;
+  std::atomic<int> reads_{0};
+  std::atomic<int> connections_{0};
+  std::atomic<int> closed_{0};
+  std::thread thread_;
+};
+
+/// A client with what its calls told.
+struct Bench {
+  void Run(uint16_t port, bool fresh = false, bool streams = false) {
+    StageCallSpec spec;
+    spec.address_ = "127.0.0.1";
+    spec.port_ = port;
+    spec.target_ = "/x";
+    spec.fresh_connection_ = fresh;
+    spec.streams_ = streams;
+    spec.deadline_ = detail::SteadyNow() + std::chrono::seconds(10);
+    StageCallHooks hooks;
+    hooks.sending_ = [this] {
+      ++sent_;
+      return true;
+    };
+    hooks.head_ = [this](const StageReplyHead& head) {
+      head_ = head;
+      return true;
+    };
+    hooks.data_ = [this](std::string_view piece) { body_ += piece; };
+    hooks.done_ = [this](CallOutcome outcome, const std::string& body) {
+      outcomes_.push_back(outcome);
+      body_ += body;
+    };
+    client_.Start(std::move(spec), std::move(hooks));
+    io_.restart();
+    io_.run();
+  }
+
+  asio::io_context io_;
+  StageLimits limits_;
+  StageClient client_{&io_, limits_};
+  int sent_ = 0;
+  StageReplyHead head_;
+  std::string body_;
+  std::vector<CallOutcome> outcomes_;
+};
+
+}  // namespace
+
+TEST_CASE("stage client") {
+  Bench bench;
+
+  SECTION("uses a connection again") {
+    ScriptedServer server({kept_reply, kept_reply});
+    bench.Run(server.port());
+    bench.Run(server.port());
+    CHECK(bench.body_ == "okok");
+    CHECK(bench.head_.echoed_id_ == "r/0/0");
+    CHECK(server.connections() == 1);
+  }
+
+  SECTION("sends a call once when the server closes after reading it") {
+    ScriptedServer server({kept_reply, "", kept_reply});
+    bench.Run(server.port());
+    bench.Run(server.port());
+    CHECK(bench.outcomes_.back() == CallOutcome::kClosedAfterSend);
+    CHECK(bench.sent_ == 2);
+    CHECK(server.reads() == 2);
+    bench.Run(server.port());
+    CHECK(bench.outcomes_.back() == CallOutcome::kSuccess);
+  }
+
+  SECTION("leaves a connection that the server closed meanwhile") {
+    ScriptedServer server({kept_reply, "!", kept_reply});
+    bench.Run(server.port());
+    server.WaitForClose();
+    bench.Run(server.port());
+    CHECK(bench.outcomes_.back() == CallOutcome::kSuccess);
+    CHECK(bench.sent_ == 2);
+    CHECK(server.connections() == 2);
+  }
+
+  SECTION("never uses a connection again for a call that may not repeat") {
+    ScriptedServer server({kept_reply, kept_reply});
+    bench.Run(server.port());
+    bench.Run(server.port(), true);
+    CHECK(server.connections() == 2);
+  }
+
+  SECTION("sends nothing when no connection is made") {
+    uint16_t port = 0;
+    {
+      ScriptedServer gone({});
+      port = gone.port();
+    }
+    bench.Run(port);
+    CHECK(bench.outcomes_.back() == CallOutcome::kConnectFailed);
+    CHECK(bench.sent_ == 0);
+  }
+
+  SECTION("tells cut, oversized and malformed replies from whole ones") {
+    const std::vector<std::pair<std::string, CallOutcome>> cases = {
+        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+         CallOutcome::kClosedAfterSend},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+         CallOutcome::kServerError},
+        {"HTTP/1.1 200 OK\r\nX: " + std::string(20000, 'x') + "\r\n\r\n",
+         CallOutcome::kServerError},
+        {"nonsense\r\n\r\n", CallOutcome::kServerError},
+    };
+    for (const auto& [reply, outcome] : cases) {
+      INFO(reply.substr(0, 60));
+      ScriptedServer server({reply, "!"});
+      bench.Run(server.port());
+      CHECK(bench.outcomes_.back() == outcome);
+    }
+  }
+
+  SECTION("gives a stream piece by piece, and knows when it is cut") {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n";
+    ScriptedServer server({head + "1\r\nc\r\n0\r\n\r\n", head, "!"});
+    bench.Run(server.port(), false, true);
+    CHECK(bench.body_ == "abc");
+    CHECK(bench.outcomes_.back() == CallOutcome::kSuccess);
+    bench.Run(server.port(), false, true);
+    CHECK(bench.outcomes_.back() == CallOutcome::kClosedAfterSend);
+  }
+
+  SECTION("reads the load that a server reports") {
+    ScriptedServer server(
+        {"HTTP/1.1 503 Busy\r\nX-Load: 7.5\r\nX-Load-Age-Ms: 20\r\n"
+         "X-Draining: 1\r\nContent-Length: 0\r\n\r\n"});
+    bench.Run(server.port());
+    CHECK(bench.head_.load_ == 7.5);
+    CHECK(bench.head_.load_age_ == std::chrono::milliseconds(20));
+    CHECK(bench.head_.draining_);
+  }
+}
+
+}  // namespace citronlane
