--- a/include/citronlane/app/gateway.h
+++ b/include/citronlane/app/gateway.h
@@ -50,6 +50,8 @@
 
   /// A backend server is leaving: no new calls go to it.
   void OnServerLeaving(std::string_view server, uint64_t incarnation);
+  /// A backend server lives in this incarnation, later than the one it left.
+  void OnServerLive(std::string_view server, uint64_t incarnation);
 
   /// Share of a class's spend that this gateway holds until `until`.
   void OnSpendShare(std::string_view class_name,
--- a/include/citronlane/app/pool_shard.h
+++ b/include/citronlane/app/pool_shard.h
@@ -60,6 +60,8 @@
                     double queued_calls);
   void OnLeaving(std::string_view server, uint64_t incarnation, TimePoint now);
 
+  void OnAlive(std::string_view server, uint64_t incarnation, TimePoint now);
+
   std::optional<Duration> HedgeDelay(const CallShape& call) const;
   std::optional<Duration> LatencyQuantile(double quantile) const;
   std::optional<Duration> StreamStallTimeout() const;
--- a/include/citronlane/app/pool_shards.h
+++ b/include/citronlane/app/pool_shards.h
@@ -29,6 +29,8 @@
 
   /// Tells every pool that the server is leaving.
   void OnLeaving(std::string_view server, uint64_t incarnation, TimePoint now);
+  /// Tells every pool that the server lives in this incarnation.
+  void OnAlive(std::string_view server, uint64_t incarnation, TimePoint now);
 
  private:
   using Map = std::map<std::string, std::shared_ptr<PoolShard>, std::less<>>;
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -360,6 +360,10 @@
   impl_->OnLeaving(server, incarnation);
 }
 
+void Gateway::OnServerLive(std::string_view server, uint64_t incarnation) {
+  impl_->pools_.OnAlive(server, incarnation, SteadyNow());
+}
+
 void Gateway::OnSpendShare(std::string_view class_name,
                            double amount,
                            TimePoint until) {
--- a/src/app/gateway_control.cc
+++ b/src/app/gateway_control.cc
@@ -35,6 +35,10 @@
                                     uint64_t incarnation) {
     gateway_->OnServerLeaving(server, incarnation);
   };
+  client_hooks.on_live_ = [this](std::string_view server,
+                                 uint64_t incarnation) {
+    gateway_->OnServerLive(server, incarnation);
+  };
   client_hooks.on_share_ = [this](std::string_view class_name, double amount,
                                   TimePoint until) {
     gateway_->OnSpendShare(class_name, amount, until);
--- a/src/app/gateway_run.cc
+++ b/src/app/gateway_run.cc
@@ -1,5 +1,6 @@
 #include "citronlane/app/gateway_run.h"
 
+#include <chrono>
 #include <csignal>
 #include <fstream>
 #include <memory>
@@ -8,6 +9,7 @@
 #include <utility>
 
 #include "citronlane/app/gateway.h"
+#include "citronlane/app/gateway_control.h"
 #include "citronlane/app/gateway_metrics.h"
 #include "citronlane/config/parse_cluster_config.h"
 #include "citronlane/json/object_reader.h"
@@ -57,6 +59,37 @@
   return std::make_shared<const ClusterConfig>(*std::move(config));
 }
 
+uint64_t UnixMilliseconds() {
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+/// Serves until a stop signal. `control` may be null.
+bool Serve(const sigset_t& signals,
+           Gateway* gateway,
+           GatewayControl* control,
+           Error* error) {
+  if (!gateway->Start(error)) {
+    return false;
+  }
+  if (control != nullptr) {
+    control->Start(gateway);
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  gateway->Shutdown();
+  const bool whole = gateway->Wait();
+  if (control != nullptr) {
+    control->Stop();
+  }
+  if (!whole) {
+    error->message_ = "work was cut off at the drain limit";
+  }
+  return whole;
+}
+
 }  // namespace
 
 bool RunGateway(const GatewayOptions& options,
@@ -66,9 +99,13 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 
+  GatewayOptions own = options;
+  if (own.incarnation_ == 0) {
+    own.incarnation_ = UnixMilliseconds();
+  }
   std::shared_ptr<const ClusterConfig> bootstrap;
-  if (options.control_addresses_.empty()) {
-    bootstrap = ReadBootstrap(options.bootstrap_config_, error);
+  if (own.control_addresses_.empty()) {
+    bootstrap = ReadBootstrap(own.bootstrap_config_, error);
     if (bootstrap == nullptr) {
       return false;
     }
@@ -82,23 +119,18 @@
   if (!hooks.log_) {
     hooks.log_ = Logger("gateway").Hook();
   }
-  Gateway gateway(options, std::move(hooks));
+  std::unique_ptr<GatewayControl> control;
+  if (bootstrap == nullptr) {
+    control = std::make_unique<GatewayControl>(own, hooks);
+    control->Bind(&hooks);
+  }
+  Gateway gateway(own, std::move(hooks));
   running = &gateway;
   if (bootstrap != nullptr) {
     gateway.ApplyConfig(std::move(bootstrap));
     gateway.ExtendLease(TimePoint::max());
   }
-  if (!gateway.Start(error)) {
-    return false;
-  }
-  int signal = 0;
-  sigwait(&signals, &signal);
-  gateway.Shutdown();
-  if (!gateway.Wait()) {
-    error->message_ = "work was cut off at the drain limit";
-    return false;
-  }
-  return true;
+  return Serve(signals, &gateway, control.get(), error);
 }
 
 }  // namespace citronlane
--- a/src/app/pool_shard.cc
+++ b/src/app/pool_shard.cc
@@ -100,6 +100,13 @@
   router_.OnLeaving(server, incarnation, now);
 }
 
+void PoolShard::OnAlive(std::string_view server,
+                        uint64_t incarnation,
+                        TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  router_.OnAlive(server, incarnation, now);
+}
+
 std::optional<Duration> PoolShard::HedgeDelay(const CallShape& call) const {
   const std::lock_guard lock(mutex_);
   return router_.HedgeDelay(call);
--- a/src/app/pool_shards.cc
+++ b/src/app/pool_shards.cc
@@ -48,4 +48,13 @@
   }
 }
 
+void PoolShards::OnAlive(std::string_view server,
+                         uint64_t incarnation,
+                         TimePoint now) {
+  const std::shared_lock lock(mutex_);
+  for (const auto& [name, pool] : pools_) {
+    pool->OnAlive(server, incarnation, now);
+  }
+}
+
 }  // namespace citronlane
