--- a/include/citronlane/app/detail/replica_impl.h
+++ b/include/citronlane/app/detail/replica_impl.h
@@ -115,6 +115,7 @@
   uint64_t last_term_ = 0;
   uint64_t last_appended_ = 0;
   uint64_t snapshot_index_ = 0;
+  uint64_t bytes_since_snapshot_ = 0;
   bool handing_over_ = false;
   TimePoint hand_over_until_;
 
--- a/include/citronlane/app/replica_options.h
+++ b/include/citronlane/app/replica_options.h
@@ -27,8 +27,9 @@
   TlsFiles tls_;
   /// A file of the log is closed once it holds this much.
   uint64_t segment_bytes_ = 16 << 20;
-  /// Entries applied between two snapshots.
+  /// Entries, and bytes of commands, applied between two snapshots at most.
   uint64_t snapshot_interval_ = 4096;
+  uint64_t snapshot_bytes_ = 64 << 20;
   /// Calls to the operating system; without hooks, the machine's own files.
   FileSystem files_;
 };
--- a/include/citronlane/consensus/detail/raft_log.h
+++ b/include/citronlane/consensus/detail/raft_log.h
@@ -66,8 +66,8 @@
   void MarkApplied(uint64_t index);
 
   /// Takes a snapshot of what is applied and drops the entries up to it, but
-  /// for the last `kept`.
-  void Compact(Snapshot snapshot, uint64_t kept);
+  /// for the last ones within both limits.
+  void Compact(Snapshot snapshot, uint64_t kept_entries, size_t kept_bytes);
   /// Replaces the whole log by a snapshot of another node.
   void Reset(Snapshot snapshot);
 
--- a/include/citronlane/consensus/raft_options.h
+++ b/include/citronlane/consensus/raft_options.h
@@ -22,9 +22,10 @@
   size_t max_entries_per_append_ = 512;
   size_t max_bytes_per_append_ = 1 << 20;
   size_t max_inflight_appends_ = 16;
-  /// Entries kept in memory behind a snapshot, so that a follower that lags a
-  /// little needs no snapshot transfer.
+  /// Entries kept in memory behind a snapshot, and their bytes at most, so that
+  /// a follower that lags a little needs no snapshot transfer.
   uint64_t kept_entries_ = 1024;
+  size_t kept_bytes_ = 16 << 20;
   size_t snapshot_part_bytes_ = 1 << 18;
 };
 
--- a/include/citronlane/transport/replication_server.h
+++ b/include/citronlane/transport/replication_server.h
@@ -39,6 +39,9 @@
   /// Binds the address; false and a reason when it is taken. Call once.
   bool Start(Error* error);
 
+  /// Port it listens on, after Start.
+  int port() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/app/replica_ready.cc
+++ b/src/app/replica_ready.cc
@@ -72,6 +72,7 @@
 
 void Replica::Impl::Apply(const std::vector<Entry>& committed) {
   for (const Entry& entry : committed) {
+    bytes_since_snapshot_ += entry.payload_.size();
     std::string result;
     if (entry.kind_ == EntryKind::kCommand) {
       result = hooks_.apply_(entry.index_, entry.payload_);
@@ -82,8 +83,9 @@
 
 bool Replica::Impl::MaybeSnapshot(Error* error) {
   const uint64_t applied = node_->applied_index();
-  if (applied < snapshot_index_ + options_.snapshot_interval_ ||
-      !hooks_.take_snapshot_) {
+  const bool due = applied >= snapshot_index_ + options_.snapshot_interval_ ||
+                   bytes_since_snapshot_ >= options_.snapshot_bytes_;
+  if (!due || !hooks_.take_snapshot_) {
     return true;
   }
   Snapshot snapshot{applied, node_->TermAt(applied),
@@ -92,6 +94,7 @@
     return false;
   }
   snapshot_index_ = applied;
+  bytes_since_snapshot_ = 0;
   node_->Compact(std::move(snapshot));
   return true;
 }
--- a/src/consensus/raft_log.cc
+++ b/src/consensus/raft_log.cc
@@ -118,13 +118,22 @@
   applied_ = std::max(applied_, index);
 }
 
-void RaftLog::Compact(Snapshot snapshot, uint64_t kept) {
+void RaftLog::Compact(Snapshot snapshot,
+                      uint64_t kept_entries,
+                      size_t kept_bytes) {
   if (snapshot.index_ <= snapshot_->index_ || snapshot.index_ > applied_) {
     return;
   }
   snapshot_ = std::make_shared<const Snapshot>(std::move(snapshot));
-  const uint64_t base = std::max(
-      base_index_, snapshot_->index_ - std::min(snapshot_->index_, kept));
+  uint64_t base = snapshot_->index_;
+  size_t bytes = 0;
+  while (base > base_index_ && snapshot_->index_ - base < kept_entries) {
+    bytes += At(base).payload_.size();
+    if (bytes > kept_bytes) {
+      break;
+    }
+    --base;
+  }
   const uint64_t term = TermAt(base);
   entries_.erase(entries_.begin(),
                  entries_.begin() + static_cast<ptrdiff_t>(base - base_index_));
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -227,7 +227,8 @@
 
 void RaftNode::Impl::Compact(Snapshot snapshot) {
   const uint64_t index = snapshot.index_;
-  log_.Compact(std::move(snapshot), options_.kept_entries_);
+  log_.Compact(std::move(snapshot), options_.kept_entries_,
+               options_.kept_bytes_);
   memberships_.Compact(index);
 }
 
--- a/src/storage/log_reader.cc
+++ b/src/storage/log_reader.cc
@@ -84,7 +84,7 @@
   }
   log_.entries_.clear();
   if (needs_mark_) {
-    log_.base_index_ = index - 1;
+    log_.base_index_ = std::max<uint64_t>(index, 1) - 1;
   }
 }
 
@@ -96,7 +96,7 @@
     log_.base_term_ = 0;
     needs_mark_ = true;
   }
-  if (record.index_ != last_index() + 1) {
+  if (record.index_ == 0 || record.index_ != last_index() + 1) {
     error->message_ = "entry " + std::to_string(record.index_) +
                       " does not follow entry " + std::to_string(last_index());
     return false;
--- a/src/transport/replication_server.cc
+++ b/src/transport/replication_server.cc
@@ -105,8 +105,7 @@
 
   bool Start(Error* error) {
     grpc::ServerBuilder builder;
-    int port = 0;
-    builder.AddListeningPort(listen_, credentials_, &port);
+    builder.AddListeningPort(listen_, credentials_, &port_);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddChannelArgument(
         GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
@@ -114,18 +113,21 @@
     builder.SetMaxReceiveMessageSize(-1);
     builder.RegisterService(&service_);
     server_ = builder.BuildAndStart();
-    if (!server_ || port == 0) {
+    if (!server_ || port_ == 0) {
       error->message_ = "can not listen on " + listen_;
       return false;
     }
     return true;
   }
 
+  int port() const { return port_; }
+
  private:
   const std::string listen_;
   const std::shared_ptr<grpc::ServerCredentials> credentials_;
   const Hooks hooks_;
   Service service_;
+  int port_ = 0;
   std::unique_ptr<grpc::Server> server_;
 };
 
@@ -143,4 +145,8 @@
   return impl_->Start(error);
 }
 
+int ReplicationServer::port() const {
+  return impl_->port();
+}
+
 }  // namespace citronlane
--- a/tests/unit-replica.cc
+++ b/tests/unit-replica.cc
@@ -276,6 +276,16 @@
     CHECK(cluster.At(1).installed() == 1);
     CHECK(cluster.At(1).applied_commands() <= kInterval);
   }
+  SECTION("takes a snapshot once enough bytes were applied") {
+    REQUIRE(cluster.Start(1).empty());
+    for (int i = 0; i < 3; ++i) {
+      cluster.Commit(std::string(30 << 20, 'x'));
+    }
+    cluster.Stop(1);
+    REQUIRE(cluster.Start(1).empty());
+    CHECK(cluster.At(1).installed() == 1);
+    CHECK(cluster.At(1).state().size() > (60 << 20));
+  }
   SECTION("refuses a folder of another node") {
     REQUIRE(cluster.Start(1).empty());
     cluster.Stop(1);
@@ -291,6 +301,7 @@
 
 TEST_CASE("replica of three nodes") {
   Cluster cluster(3, 1);
+  cluster.snapshot_interval_ = 3;
   for (uint64_t id = 1; id <= 3; ++id) {
     REQUIRE(cluster.Start(id).empty());
   }
@@ -303,6 +314,25 @@
     REQUIRE(cluster.Start(leader).empty());
     CHECK(Eventually([&] { return cluster.At(leader).state() == "a;b;"; }));
   }
+  SECTION("sends a learner a snapshot in parts") {
+    // More than the entries kept in memory, in parts of 256 KB.
+    const std::string big(1 << 20, 'x');
+    for (int i = 0; i < 20; ++i) {
+      cluster.Commit(big);
+    }
+    REQUIRE(cluster.Start(4).empty());
+    REQUIRE(Eventually([&] {
+      return cluster.Leader()
+          .Change([&](Replica& replica, Replica::ProposeDone done) {
+            replica.AddLearner(4, cluster.Address(4), std::move(done));
+          })
+          .empty();
+    }));
+    CHECK(Eventually(
+        [&] { return cluster.At(4).state() == cluster.Leader().state(); }));
+    CHECK(cluster.At(4).installed() >= 1);
+    CHECK(cluster.At(4).status().role_ == Role::kLearner);
+  }
   SECTION("replaces a lost disk by a learner under a new id") {
     const uint64_t lost = cluster.Leader().status().id_ % 3 + 1;
     cluster.Stop(lost);
