--- a/tests/unit-replica.cc
+++ b/tests/unit-replica.cc
@@ -169,6 +169,7 @@
     options.listen_ = addresses_[id - 1];
     options.data_dir_ = Folder(id);
     options.snapshot_interval_ = snapshot_interval_;
+    options.snapshot_bytes_ = snapshot_bytes_;
     if (const auto it = files_.find(id); it != files_.end()) {
       options.files_ = it->second;
     }
@@ -214,6 +215,7 @@
   }
 
   uint64_t snapshot_interval_ = 4096;
+  uint64_t snapshot_bytes_ = 64 << 20;
   /// Disk of each node that has another than the machine's.
   std::map<uint64_t, FileSystem> files_;
 
@@ -276,6 +278,16 @@
     CHECK(cluster.At(1).installed() == 1);
     CHECK(cluster.At(1).applied_commands() <= kInterval);
   }
+  SECTION("takes a snapshot once enough bytes were applied") {
+    cluster.snapshot_bytes_ = 5000;
+    REQUIRE(cluster.Start(1).empty());
+    for (int i = 0; i < 3; ++i) {
+      cluster.Commit(std::string(3000, 'x'));
+    }
+    cluster.Stop(1);
+    REQUIRE(cluster.Start(1).empty());
+    CHECK(cluster.At(1).state().size() > 5000);
+  }
   SECTION("refuses a folder of another node") {
     REQUIRE(cluster.Start(1).empty());
     cluster.Stop(1);
@@ -291,6 +303,7 @@
 
 TEST_CASE("replica of three nodes") {
   Cluster cluster(3, 1);
+  cluster.snapshot_interval_ = 3;
   for (uint64_t id = 1; id <= 3; ++id) {
     REQUIRE(cluster.Start(id).empty());
   }
@@ -303,6 +316,25 @@
     REQUIRE(cluster.Start(leader).empty());
     CHECK(Eventually([&] { return cluster.At(leader).state() == "a;b;"; }));
   }
+  SECTION("sends a learner a snapshot in parts") {
+    // More than the entries kept in memory, in parts of 256 KB.
+    const std::string big(1 << 20, 'x');
+    for (int i = 0; i < 20; ++i) {
+      cluster.Commit(big);
+    }
+    REQUIRE(cluster.Start(4).empty());
+    REQUIRE(Eventually([&] {
+      return cluster.Leader()
+          .Change([&](Replica& replica, Replica::ProposeDone done) {
+            replica.AddLearner(4, cluster.Address(4), std::move(done));
+          })
+          .empty();
+    }));
+    CHECK(Eventually(
+        [&] { return cluster.At(4).state() == cluster.Leader().state(); }));
+    CHECK(cluster.At(4).installed() >= 1);
+    CHECK(cluster.At(4).status().role_ == Role::kLearner);
+  }
   SECTION("replaces a lost disk by a learner under a new id") {
     const uint64_t lost = cluster.Leader().status().id_ % 3 + 1;
     cluster.Stop(lost);
