--- a/include/citronlane/admission/admission_controller.h
+++ b/include/citronlane/admission/admission_controller.h
@@ -17,9 +17,8 @@
 struct ClusterConfig;
 
 /// Decides at once whether a request is taken: refuses what can not meet its
-/// deadline, keeps client accounts to fair shares by cost used, lets batch yield,
-/// and holds spend. Pure. Not
-/// thread safe.
+/// deadline, keeps client accounts to fair shares by cost used, lets batch
+/// yield, and holds spend. Pure. Not thread safe.
 class AdmissionController {
  public:
   /// Returns a number below its argument, which is at least 1.
