Make six tests of routing fail without the rule they are for

Breaking each rule of routing, admission, hedging and retries by hand, one of 28 at a time, left six tests green: other rules covered for the broken one. They now switch the others off or load the servers alike; all 28 are red when their rule is broken.

--- a/tests/unit-routing.cc
+++ b/tests/unit-routing.cc
@@ -67,6 +67,15 @@
     return counts;
   }
 
+  /// Starts one call at each server of the pool but `left_out`.
+  void StartEverywhere(const std::string& left_out) {
+    for (const auto& [id, server] : pool_.servers_) {
+      if (id != left_out) {
+        router_->OnStart(id, now_, kCall);
+      }
+    }
+  }
+
   std::set<std::string> Chosen(int calls) {
     std::set<std::string> chosen;
     for (int i = 0; i < calls; ++i) {
@@ -148,31 +157,38 @@
     const auto latency = milliseconds(server == "s1" ? 100 : 10);
     return std::pair<CallOutcome, Duration>(CallOutcome::kSuccess, latency);
   };
+  RouterOptions no_ejection = AnyDomain();
+  no_ejection.ejection_ = false;
   SECTION("ten times as slow gets next to nothing once known") {
-    RouterTest test(6);
+    RouterTest test(6, no_ejection);
     test.Run(100, slow_s1);
     const auto counts = test.Run(200, slow_s1);
     CHECK((counts.count("s1") == 0 || counts.at("s1") < 10));
   }
   SECTION("does not move the hedge delay of its pool") {
-    RouterTest test(6);
+    RouterOptions round_robin = no_ejection;
+    round_robin.choice_ = RouterOptions::Choice::kRoundRobin;
+    RouterTest test(6, round_robin);
     test.Run(400, slow_s1);
     const auto delay = test.router_->HedgeDelay(kCall);
     REQUIRE(delay);
     CHECK(*delay < milliseconds(30));
   }
   SECTION("that stopped is left out though no call of it ends") {
-    RouterTest test(6);
+    RouterTest test(6, no_ejection);
     test.Run(100, Healthy);
     test.router_->OnStart("s1", test.now_, kCall);
     test.now_ += seconds(1);
+    test.StartEverywhere("s1");
     CHECK(test.Chosen(100).count("s1") == 0);
   }
 }
 
 TEST_CASE("ejection") {
-  RouterTest test(6, AnyDomain());
-  test.Run(100, Healthy);
+  RouterTest test(10, AnyDomain());
+  test.Run(200, Healthy);
+  const std::set<std::string> half = {"s0", "s1", "s2", "s3", "s4"};
+  const std::set<std::string> rest = {"s5", "s6", "s7", "s8", "s9"};
   /// Three calls at once on each of the servers, all refused.
   const auto fail = [&](const std::set<std::string>& servers) {
     for (const std::string& server : servers) {
@@ -186,39 +202,45 @@
   };
   SECTION("takes out a server that fails where its peers do not") {
     fail({"s1"});
-    CHECK(test.router_->usable_servers(test.now_) == 5);
+    CHECK(test.router_->usable_servers(test.now_) == 9);
     CHECK(test.Chosen(100).count("s1") == 0);
   }
   SECTION("never takes more than the floor allows") {
-    fail({"s0", "s1"});
-    fail({"s2"});
-    CHECK(test.router_->usable_servers(test.now_) == 4);
+    fail({"s0", "s1", "s2"});
+    CHECK(test.router_->usable_servers(test.now_) == 7);
+    fail({"s3"});
+    CHECK(test.router_->usable_servers(test.now_) == 7);
   }
   SECTION("spares all when the whole pool fails") {
-    fail({"s0", "s1", "s2", "s3", "s4", "s5"});
-    CHECK(test.router_->usable_servers(test.now_) == 6);
+    std::set<std::string> all = half;
+    all.insert(rest.begin(), rest.end());
+    fail(all);
+    CHECK(test.router_->usable_servers(test.now_) == 10);
   }
   SECTION("tells that the whole pool is down until one call succeeds") {
     fail({"s0", "s1", "s2"});
     CHECK_FALSE(test.router_->IsDown(test.now_));
-    fail({"s0", "s1", "s2", "s3", "s4", "s5"});
+    fail(rest);
     CHECK(test.router_->IsDown(test.now_));
     test.router_->OnStart("s1", test.now_, kCall);
     test.Finish("s1", milliseconds(0));
     CHECK_FALSE(test.router_->IsDown(test.now_));
   }
   SECTION("sends the work to the half of a pool that is up") {
-    fail({"s0", "s1", "s2"});
-    const auto counts = test.Run(100, Healthy);
-    CHECK(counts.at("s3") + counts.at("s4") + counts.at("s5") > 85);
+    fail(half);
+    int at_rest = 0;
+    for (const auto& [server, count] : test.Run(100, Healthy)) {
+      at_rest += rest.count(server) > 0 ? count : 0;
+    }
+    CHECK(at_rest > 85);
   }
   SECTION("probes with one call and lets the server come back") {
     fail({"s1"});
     test.now_ += seconds(3);
     test.Choose();
-    CHECK(test.router_->usable_servers(test.now_) == 6);
-    test.router_->OnStart("s1", test.now_, kCall);
-    CHECK(test.Chosen(100).count("s1") == 0);
+    CHECK(test.router_->usable_servers(test.now_) == 10);
+    test.StartEverywhere("");
+    CHECK(test.Chosen(200).count("s1") == 0);
     test.now_ += milliseconds(10);
     test.Finish("s1", milliseconds(10));
     test.now_ += seconds(60);
