--- a/bench/policy/attempt.h
+++ b/bench/policy/attempt.h
@@ -20,6 +20,8 @@
   CallShape shape_;
   TimePoint start_{};
   bool hedge_ = false;
+  /// Known once it is over.
+  double cost_ = 0;
   bool first_byte_ = false;
   bool over_ = false;
 };
--- a/bench/policy/gateway_model.cc
+++ b/bench/policy/gateway_model.cc
@@ -372,10 +372,7 @@
       pool.config_.cost_per_call_ + tokens * pool.config_.cost_per_token_;
   run->cost_ += cost;
   result_->cost_by_stage_[pool.config_.name_] += cost;
-  if (attempt->hedge_ || outcome == CallOutcome::kCancelled) {
-    // Either the hedge or the call it replaced was spent for nothing.
-    result_->hedge_cost_ += outcome == CallOutcome::kCancelled ? cost : 0;
-  }
+  attempt->cost_ = cost;
   if (attempt->shape_.expected_tokens_ > 0 &&
       attempt->call_->state_ != BackendCall::State::kQueued) {
     const TimePoint from = std::max(attempt->call_->began_, window_from_);
@@ -389,6 +386,8 @@
   for (const AttemptPtr& attempt : run->attempts_) {
     if (attempt != kept && !attempt->over_) {
       Close(run, attempt, CallOutcome::kCancelled);
+      // With one kept, either the hedge or what it replaced was for nothing.
+      result_->hedge_cost_ += kept ? attempt->cost_ : 0;
     }
   }
 }
