--- a/tests/fakes/connection.cc
+++ b/tests/fakes/connection.cc
@@ -23,6 +23,9 @@
 constexpr int64_t kManyTokens = 1U << 20U;
 constexpr int64_t kUsPerMs = 1000;
 constexpr size_t kOversizeBytes = 64U << 20U;
+// What a reply of another request's attempt holds.
+constexpr char kOtherAttempt[] = "another-1-1/0/1";
+constexpr char kOtherText[] = "text of another request";
 constexpr char kAttemptHeader[] = "X-Attempt-Id";
 
 std::string Header(const http::request<http::string_body>& request,
@@ -31,6 +34,15 @@
   return {value.data(), value.size()};
 }
 
+Json OtherCall() {
+  Json body(rapidjson::kObjectType);
+  for (const char* name : {"input", "query"}) {
+    body.AddMember(rapidjson::StringRef(name), rapidjson::StringRef(kOtherText),
+                   body.GetAllocator());
+  }
+  return body;
+}
+
 std::string TokenEvent(std::string_view question,
                        size_t index,
                        const char* finish) {
@@ -163,14 +175,17 @@
     server_->EndRecord(index, 0, false);
     return false;
   }
-  std::string answer = AnswerOf(server_->spec(), body, request.body());
+  const Json other = OtherCall();
+  std::string answer = plan.wrong_id_
+                           ? AnswerOf(server_->spec(), other, kOtherText)
+                           : AnswerOf(server_->spec(), body, request.body());
   if (plan.garbage_) {
     answer = "{\"data\": [";
   } else if (plan.oversize_) {
     answer.assign(kOversizeBytes, ' ');
   }
   if (plan.wrong_id_) {
-    attempt_ = "another-1-1/0/1";
+    attempt_ = kOtherAttempt;
   }
   const bool open = Reply(plan.fail_ ? 500 : 200, answer, yield);
   server_->EndRecord(index, 0, open);
@@ -208,7 +223,8 @@
   }
   server_->Remember(attempt_, question);
   if (plan.wrong_id_) {
-    attempt_ = "another-1-1/0/1";
+    attempt_ = kOtherAttempt;
+    question = kOtherText;
   }
   return StreamTokens(question, body, plan, std::move(record), yield);
 }
--- a/tests/process/stage_faults_test.py
+++ b/tests/process/stage_faults_test.py
@@ -12,6 +12,8 @@
 
 
 class StageFaultsTest(ClusterTestCase):
+    # Retries are to be right here, not rare.
+    gateway_settings = {"retry_budget": 1}
 
     def stream_to_hold(self, text, fault):
         """Holds a stream after some tokens, does the fault to its engine."""
