--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -19,6 +19,7 @@
 #include "citronlane/app/pool_shards.h"
 #include "citronlane/app/refusal_backlog.h"
 #include "citronlane/app/refusal_writer.h"
+#include "citronlane/app/usage_meter.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/transport/detail/steady_now.h"
 #include "citronlane/transport/http_listener.h"
@@ -49,6 +50,14 @@
   return router;
 }
 
+double CostOf(const RequestSummary& summary) {
+  double cost = 0;
+  for (const StageCost& stage : summary.costs_) {
+    cost += stage.cost_;
+  }
+  return cost;
+}
+
 /// One thread with what it alone touches.
 struct Shard {
   explicit Shard(const StageLimits& limits)
@@ -77,9 +86,12 @@
                options_.retry_budget_),
         admission_(AdmissionOptions()),
         backlog_(options_.refusal_backlog_, hooks_.report_refusals_),
-        refusals_(identity_, options_.receipt_key_, [this](const auto& entry) {
-          OnRefusal(entry);
-        }) {
+        refusals_(identity_,
+                  options_.receipt_key_,
+                  [this](const auto& entry, bool admitted) {
+                    OnRefusal(entry, admitted);
+                  }),
+        usage_(SteadyNow()) {
     for (size_t i = 0; i < std::max<size_t>(1, options_.threads_); ++i) {
       shards_.push_back(MakeShard());
     }
@@ -149,6 +161,7 @@
   AdmissionGate admission_;
   RefusalBacklog backlog_;
   RefusalWriter refusals_;
+  UsageMeter usage_;
   std::unique_ptr<HttpListener> listener_;
 
  private:
@@ -159,12 +172,13 @@
     context.client_ = &shard->client_;
     context.pools_ = &pools_;
     context.on_call_ = [this](std::string_view pool, CallOutcome outcome,
-                              Duration latency, size_t in_flight) {
+                              Duration latency, uint32_t tokens,
+                              size_t in_flight) {
       if (outcome == CallOutcome::kSuccess) {
         admission_.OnCall(SteadyNow(), pool, latency, in_flight);
       }
       if (hooks_.events_.on_call_) {
-        hooks_.events_.on_call_(pool, outcome, latency);
+        hooks_.events_.on_call_(pool, outcome, tokens);
       }
     };
     context.on_retry_ = [this](std::string_view pool, RetryReason reason) {
@@ -172,6 +186,16 @@
         hooks_.events_.on_retry_(pool, reason);
       }
     };
+    context.on_hedge_ = [this](std::string_view pool, bool won) {
+      if (hooks_.events_.on_hedge_) {
+        hooks_.events_.on_hedge_(pool, won);
+      }
+    };
+    context.on_drop_ = [this](std::string_view pool, std::string_view why) {
+      if (hooks_.events_.on_drop_) {
+        hooks_.events_.on_drop_(pool, why);
+      }
+    };
     context.on_leaving_ = [this](std::string_view server) {
       OnLeaving(server, 0);
       if (hooks_.report_leaving_) {
@@ -194,6 +218,7 @@
       parts.contexts_.push_back(&shard->context_);
     }
     parts.on_request_ = [this](const RequestSummary& summary) {
+      usage_.Add(summary.class_name_, CostOf(summary));
       if (hooks_.events_.on_request_) {
         hooks_.events_.on_request_(summary);
       }
@@ -212,13 +237,16 @@
       service_->Serve(shard, request, exchange);
     };
     hooks.refuse_ = [this](RefusalReason reason) {
+      if (hooks_.events_.on_unread_) {
+        hooks_.events_.on_unread_(reason);
+      }
       return service_->RefuseUnread(reason);
     };
     return std::make_unique<HttpListener>(
         std::move(contexts), options_.http_limits_, std::move(hooks));
   }
 
-  void OnRefusal(const RefusalEntry& entry) {
+  void OnRefusal(const RefusalEntry& entry, bool admitted) {
     std::string line = "refused " + entry.id_;
     line.append(" reason=").append(ToString(entry.reason_));
     line.append(" verdict=").append(ToString(entry.verdict_));
@@ -231,7 +259,7 @@
       backlog_.Add(entry);
     }
     if (hooks_.events_.on_refusal_) {
-      hooks_.events_.on_refusal_(entry);
+      hooks_.events_.on_refusal_(entry, admitted);
     }
   }
 
@@ -248,13 +276,24 @@
       stop_changed_.wait_for(lock, kFlushInterval,
                              [this] { return stopping_; });
       lock.unlock();
-      backlog_.Flush();
+      FlushRefusals();
       lock.lock();
     }
     lock.unlock();
     Drain();
   }
 
+  /// Returns whether nothing waits any more.
+  bool FlushRefusals() {
+    const bool empty = !hooks_.report_refusals_ || backlog_.Flush();
+    const uint64_t dropped = backlog_.dropped();
+    if (dropped > dropped_reported_ && hooks_.events_.on_unrecorded_) {
+      hooks_.events_.on_unrecorded_(dropped - dropped_reported_);
+    }
+    dropped_reported_ = dropped;
+    return empty;
+  }
+
   void Drain() {
     Log("draining: not ready, new work is still taken");
     std::this_thread::sleep_for(options_.drain_notice_);
@@ -264,8 +303,7 @@
                           [this] { return listener_->active_requests() == 0; });
     listener_->StopAccepting();
     WaitUntil(kCloseLimit, [this] { return listener_->connections() == 0; });
-    WaitUntil(kLastFlushLimit,
-              [this] { return !hooks_.report_refusals_ || backlog_.Flush(); });
+    WaitUntil(kLastFlushLimit, [this] { return FlushRefusals(); });
     Log(cut_off_ ? "stopped; work was cut off at the drain limit"
                  : "stopped; no work was cut off");
   }
@@ -289,6 +327,7 @@
   std::mutex stop_mutex_;
   std::condition_variable stop_changed_;
   bool stopping_ = false;
+  uint64_t dropped_reported_ = 0;
   std::atomic<bool> cut_off_{false};
 };
 
@@ -327,10 +366,26 @@
   impl_->admission_.OnSpendShare(class_name, amount, until);
 }
 
+std::vector<ClassUsage> Gateway::TakeUsage() {
+  return impl_->usage_.Take(SteadyNow());
+}
+
 bool Gateway::ready() const {
   return impl_->state_.Ready(SteadyNow());
 }
 
+size_t Gateway::connections() const {
+  return impl_->listener_->connections();
+}
+
+size_t Gateway::requests_in_flight() const {
+  return impl_->listener_->active_requests();
+}
+
+uint64_t Gateway::refusals_dropped() const {
+  return impl_->backlog_.dropped();
+}
+
 void Gateway::Shutdown() {
   impl_->Shutdown();
 }
