--- /dev/null
+++ b/include/citronlane/app/detail/admin_context.h
@@ -0,0 +1,36 @@
+#ifndef CITRONLANE_APP_DETAIL_ADMIN_CONTEXT_H_
+#define CITRONLANE_APP_DETAIL_ADMIN_CONTEXT_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "citronlane/app/control_options.h"
+#include "citronlane/app/detail/command_proposer.h"
+#include "citronlane/app/detail/control_state.h"
+#include "citronlane/app/replica.h"
+#include "citronlane/app/replica_status.h"
+
+namespace citronlane {
+
+/// What the calls of the administration API work on. The pointers must outlive
+/// the API; the hooks are thread safe.
+struct AdminContext {
+  const ControlOptions* options_ = nullptr;
+  ControlState* state_ = nullptr;
+  CommandProposer* proposer_ = nullptr;
+  std::function<ReplicaStatus()> status_;
+  std::function<void(Replica::ReadDone)> read_;
+  std::function<void(uint64_t, std::string, Replica::ProposeDone)> add_learner_;
+  std::function<void(uint64_t, Replica::ProposeDone)> promote_;
+  std::function<void(uint64_t, Replica::ProposeDone)> remove_;
+  std::function<uint64_t()> fencing_number_;
+  /// Milliseconds since 1970.
+  std::function<uint64_t()> unix_ms_;
+  /// Text put before the node's own metrics.
+  std::function<std::string()> metrics_text_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_DETAIL_ADMIN_CONTEXT_H_
--- /dev/null
+++ b/include/citronlane/app/detail/control_metrics.h
@@ -0,0 +1,19 @@
+#ifndef CITRONLANE_APP_DETAIL_CONTROL_METRICS_H_
+#define CITRONLANE_APP_DETAIL_CONTROL_METRICS_H_
+
+#include <string>
+
+#include "citronlane/app/replica_status.h"
+
+namespace citronlane {
+
+class ControlState;
+
+/// Returns what a control VM knows of itself in the Prometheus text format.
+/// Thread safe.
+std::string ControlMetricsText(const ReplicaStatus& status,
+                               ControlState& state);
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_APP_DETAIL_CONTROL_METRICS_H_
--- /dev/null
+++ b/include/citronlane/transport/admin_request.h
@@ -0,0 +1,23 @@
+#ifndef CITRONLANE_TRANSPORT_ADMIN_REQUEST_H_
+#define CITRONLANE_TRANSPORT_ADMIN_REQUEST_H_
+
+#include <string>
+
+namespace citronlane {
+
+/// One call of the administration API.
+struct AdminRequest {
+  std::string method_;
+  /// Without the query.
+  std::string path_;
+  std::string query_;
+  /// Value of the Authorization header.
+  std::string authorization_;
+  std::string body_;
+  /// The body was over the limit and is cut.
+  bool is_cut_ = false;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_TRANSPORT_ADMIN_REQUEST_H_
--- /dev/null
+++ b/src/app/control_admin.cc
@@ -0,0 +1,226 @@
+#include "citronlane/app/detail/control_admin.h"
+
+#include <future>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "citronlane/app/detail/admin_replies.h"
+#include "citronlane/app/detail/control_metrics.h"
+#include "citronlane/base/sha256.h"
+
+namespace citronlane {
+namespace {
+
+constexpr Duration kReadLimit = std::chrono::seconds(2);
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kWildcard = "*";
+
+// Whether the path has the pattern's form; gives the part at '*'.
+bool Matches(std::string_view pattern,
+             std::string_view path,
+             std::string* argument) {
+  const size_t star = pattern.find(kWildcard);
+  if (star == std::string_view::npos) {
+    return pattern == path;
+  }
+  const std::string_view head = pattern.substr(0, star);
+  const std::string_view tail = pattern.substr(star + kWildcard.size());
+  if (path.size() <= head.size() + tail.size() ||
+      path.substr(0, head.size()) != head ||
+      path.substr(path.size() - tail.size()) != tail) {
+    return false;
+  }
+  *argument = std::string(
+      path.substr(head.size(), path.size() - head.size() - tail.size()));
+  return argument->find('/') == std::string::npos;
+}
+
+}  // namespace
+
+ControlAdmin::ControlAdmin(AdminContext context)
+    : context_(std::move(context)), config_(context_), fleet_(context_) {
+  AddRoutes();
+}
+
+AdminResponse ControlAdmin::Handle(const AdminRequest& request) const {
+  if (request.path_ == "/healthz" && request.method_ == "GET") {
+    return Health();
+  }
+  if (request.path_ == "/metrics" && request.method_ == "GET") {
+    return Metrics();
+  }
+  bool path_known = false;
+  for (const Route& route : routes_) {
+    std::string argument;
+    if (!Matches(route.path_, request.path_, &argument)) {
+      continue;
+    }
+    path_known = true;
+    if (route.method_ == request.method_) {
+      return RunRoute(route, request, argument);
+    }
+  }
+  return path_known ? ProblemReply(AdminStatus::kMethodNotAllowed, "")
+                    : ProblemReply(AdminStatus::kNotFound, "");
+}
+
+void ControlAdmin::AddRoutes() {
+  using Request = AdminRequest;
+  using Text = std::string;
+  const auto add = [this](const char* method, const char* path, Where where,
+                          Run run) {
+    routes_.push_back({method, path, where, std::move(run)});
+  };
+  add("GET", "/v1/config", Where::kLeader,
+      [this](const Request& request, const Text&, const Text&) {
+        return config_.Get(request);
+      });
+  add("GET", "/v1/config/history", Where::kLeader,
+      [this](const Request&, const Text&, const Text&) {
+        return config_.History();
+      });
+  add("GET", "/v1/config/status", Where::kLeader,
+      [this](const Request& request, const Text&, const Text&) {
+        return config_.Status(request);
+      });
+  add("POST", "/v1/config/changes", Where::kLeader,
+      [this](const Request& request, const Text&, const Text& who) {
+        return config_.Change(request, who);
+      });
+  add("POST", "/v1/config/rollback", Where::kLeader,
+      [this](const Request& request, const Text&, const Text& who) {
+        return config_.Rollback(request, who);
+      });
+  add("GET", "/v1/refusals/*", Where::kLeader,
+      [this](const Request&, const Text& id, const Text&) {
+        return fleet_.Refusal(id);
+      });
+  add("GET", "/v1/members", Where::kLeader,
+      [this](const Request&, const Text&, const Text&) {
+        return fleet_.Members();
+      });
+  add("POST", "/v1/members", Where::kLeader,
+      [this](const Request& request, const Text&, const Text&) {
+        return fleet_.ChangeMembers(request);
+      });
+  add("GET", "/v1/servers", Where::kLeader,
+      [this](const Request&, const Text&, const Text&) {
+        return fleet_.Servers();
+      });
+  add("POST", "/v1/servers/*/drain", Where::kLeader,
+      [this](const Request&, const Text& server, const Text&) {
+        return fleet_.Drain(server);
+      });
+  add("GET", "/v1/orders", Where::kLeader,
+      [this](const Request&, const Text&, const Text&) {
+        return fleet_.Orders();
+      });
+  add("POST", "/v1/servers/*/orders", Where::kLeader,
+      [this](const Request& request, const Text& server, const Text& who) {
+        return fleet_.SubmitOrder(server, request, who);
+      });
+  add("GET", "/v1/status", Where::kHere,
+      [this](const Request&, const Text&, const Text&) {
+        return fleet_.Status();
+      });
+}
+
+AdminResponse ControlAdmin::RunRoute(const Route& route,
+                                     const AdminRequest& request,
+                                     const std::string& argument) const {
+  const OperatorKey* who = OperatorOf(request);
+  if (who == nullptr) {
+    return ProblemReply(AdminStatus::kUnauthorized, "");
+  }
+  if (route.method_ != "GET" && who->role_ != OperatorRole::kChange) {
+    return ProblemReply(AdminStatus::kForbidden, "");
+  }
+  if (request.is_cut_) {
+    return ProblemReply(AdminStatus::kTooLarge, "");
+  }
+  if (context_.state_->is_broken()) {
+    return UnavailableReply("The state of this VM is damaged.");
+  }
+  if (route.where_ == Where::kLeader && !ConfirmLead()) {
+    return PointToLeader(request);
+  }
+  return route.run_(request, argument, who->operator_);
+}
+
+const OperatorKey* ControlAdmin::OperatorOf(const AdminRequest& request) const {
+  const std::string_view header = request.authorization_;
+  if (header.substr(0, kBearer.size()) != kBearer) {
+    return nullptr;
+  }
+  // Digests are compared, so the time taken says nothing of the key.
+  const std::string digest = Sha256Hex(header.substr(kBearer.size()));
+  for (const OperatorKey& key : context_.options_->operators_) {
+    if (key.digest_ == digest) {
+      return &key;
+    }
+  }
+  return nullptr;
+}
+
+AdminResponse ControlAdmin::PointToLeader(const AdminRequest& request) const {
+  const ReplicaStatus status = context_.status_();
+  std::string address;
+  context_.state_->View([&](const StateMachine& state) {
+    const auto peer = state.peers().find(status.leader_);
+    if (peer != state.peers().end()) {
+      address = peer->second.admin();
+    }
+  });
+  const auto configured = context_.options_->peers_.find(status.leader_);
+  if (address.empty() && configured != context_.options_->peers_.end()) {
+    address = configured->second.admin_;
+  }
+  if (address.empty() || status.leader_ == status.id_) {
+    return UnavailableReply("No leader is known.");
+  }
+  const bool tls = !context_.options_->admin_tls_.certificate_.empty();
+  JsonValue members = JsonValue::Object();
+  members.Set("leader", JsonValue::String(address));
+  AdminResponse response = ProblemReply(
+      AdminStatus::kRedirect, "Another control VM leads.", members);
+  response.location_ = (tls ? "https://" : "http://") + address +
+                       request.path_ +
+                       (request.query_.empty() ? "" : "?" + request.query_);
+  return response;
+}
+
+// Whether this node leads and a quorum says so now.
+bool ControlAdmin::ConfirmLead() const {
+  if (!context_.proposer_->leads()) {
+    return false;
+  }
+  const auto promise = std::make_shared<std::promise<bool>>();
+  std::future<bool> future = promise->get_future();
+  context_.read_(
+      [promise](bool confirmed) { promise->set_value(confirmed); });
+  return future.wait_for(kReadLimit) == std::future_status::ready &&
+         future.get();
+}
+
+AdminResponse ControlAdmin::Health() const {
+  const ReplicaStatus status = context_.status_();
+  if (status.failed_ || context_.state_->is_broken()) {
+    return UnavailableReply(status.failed_ ? status.failure_
+                                           : "The state is damaged.");
+  }
+  AdminResponse response;
+  response.content_type_ = "text/plain";
+  response.body_ = "ok\n";
+  return response;
+}
+
+AdminResponse ControlAdmin::Metrics() const {
+  AdminResponse response;
+  response.content_type_ = "text/plain; version=0.0.4";
+  response.body_ = context_.metrics_text_() +
+                   ControlMetricsText(context_.status_(), *context_.state_);
+  return response;
+}
+
+}  // namespace citronlane
--- a/src/app/control_node.cc
+++ b/src/app/control_node.cc
@@ -1,21 +1,30 @@
 #include "citronlane/app/control_node.h"
 
+#include <chrono>
 #include <utility>
 
 #include "citronlane/app/detail/command_proposer.h"
+#include "citronlane/app/detail/control_admin.h"
 #include "citronlane/app/detail/control_calls.h"
 #include "citronlane/app/detail/control_leader.h"
 #include "citronlane/app/detail/control_state.h"
 #include "citronlane/app/detail/order_dispatcher.h"
 #include "citronlane/app/replica.h"
+#include "citronlane/transport/admin_server.h"
 #include "citronlane/transport/control_service.h"
 
 namespace citronlane {
 namespace {
 
-std::string ControlAddressOf(const ControlOptions& options) {
+ControlPeer OwnPeer(const ControlOptions& options) {
   const auto own = options.peers_.find(options.replica_.raft_.id_);
-  return own == options.peers_.end() ? std::string() : own->second.control_;
+  return own == options.peers_.end() ? ControlPeer() : own->second;
+}
+
+uint64_t SystemUnixMs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
 ControlOptions Complete(ControlOptions options) {
@@ -49,6 +58,7 @@
 
  private:
   ReplicaHooks MakeReplicaHooks();
+  AdminContext MakeAdminContext();
   void Log(std::string_view line) const;
 
   const ControlOptions options_;
@@ -60,6 +70,8 @@
   ControlCalls calls_;
   Replica replica_;
   ControlService service_;
+  ControlAdmin admin_;
+  AdminServer admin_server_;
 };
 
 ControlNode::Impl::Impl(ControlOptions options, ControlNodeHooks hooks)
@@ -87,20 +99,26 @@
              &proposer_,
              [this] { return replica_.status(); }),
       replica_(options_.replica_, MakeReplicaHooks()),
-      service_(ControlAddressOf(options_),
+      service_(OwnPeer(options_).control_,
                options_.internal_tls_,
                options_.max_pending_calls_,
-               calls_.MakeHooks()) {}
+               calls_.MakeHooks()),
+      admin_(MakeAdminContext()),
+      admin_server_(OwnPeer(options_).admin_,
+                    options_.admin_tls_,
+                    [this](const AdminRequest& request) {
+                      return admin_.Handle(request);
+                    }) {}
 
 bool ControlNode::Impl::Start(Error* error) {
   if (!replica_.Start(error)) {
     return false;
   }
-  if (!service_.Start(error)) {
-    replica_.Stop();
+  leader_.Start();
+  if (!service_.Start(error) || !admin_server_.Start(error)) {
+    Stop();
     return false;
   }
-  leader_.Start();
   return true;
 }
 
@@ -110,6 +128,7 @@
   replica_.Stop();
   leader_.Stop();
   orders_.Stop();
+  admin_server_.Stop();
   state_.feed().EndAll();
   service_.Stop();
 }
@@ -134,6 +153,33 @@
   return hooks;
 }
 
+AdminContext ControlNode::Impl::MakeAdminContext() {
+  AdminContext context;
+  context.options_ = &options_;
+  context.state_ = &state_;
+  context.proposer_ = &proposer_;
+  context.status_ = [this] { return replica_.status(); };
+  context.read_ = [this](Replica::ReadDone done) {
+    replica_.Read(std::move(done));
+  };
+  context.add_learner_ = [this](uint64_t id, std::string address,
+                                Replica::ProposeDone done) {
+    replica_.AddLearner(id, std::move(address), std::move(done));
+  };
+  context.promote_ = [this](uint64_t id, Replica::ProposeDone done) {
+    replica_.Promote(id, std::move(done));
+  };
+  context.remove_ = [this](uint64_t id, Replica::ProposeDone done) {
+    replica_.Remove(id, std::move(done));
+  };
+  context.fencing_number_ = [this] { return leader_.fencing_number(); };
+  context.unix_ms_ = hooks_.unix_ms_ ? hooks_.unix_ms_ : SystemUnixMs;
+  context.metrics_text_ = [this] {
+    return hooks_.metrics_text_ ? hooks_.metrics_text_() : std::string();
+  };
+  return context;
+}
+
 void ControlNode::Impl::Log(std::string_view line) const {
   if (hooks_.log_) {
     hooks_.log_(line);
--- /dev/null
+++ b/src/transport/admin_server.cc
@@ -0,0 +1,181 @@
+#include "citronlane/transport/admin_server.h"
+
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/http/responder.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/http/service.h>
+#include <cxxtools/regex.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <exception>
+#include <istream>
+#include <ostream>
+#include <thread>
+#include <utility>
+
+namespace citronlane {
+namespace {
+
+constexpr size_t kMaxBodyBytes = size_t{16} << 20;
+constexpr size_t kReadBytes = 8192;
+constexpr unsigned kMinThreads = 2;
+constexpr unsigned kMaxThreads = 16;
+constexpr int kReadTimeoutMs = 10000;
+constexpr int kKeepAliveMs = 15000;
+constexpr int kVerifyClient = 2;
+
+std::string HeaderOf(const cxxtools::http::Request& request, const char* name) {
+  const char* value = request.getHeader(name);
+  return value == nullptr ? std::string() : std::string(value);
+}
+
+/// Takes one request at a time; the server's threads each use their own.
+class HookResponder final : public cxxtools::http::Responder {
+ public:
+  HookResponder(cxxtools::http::Service& service,
+                const AdminServer::Handler& handler)
+      : cxxtools::http::Responder(service), handler_(handler) {}
+
+  void beginRequest(cxxtools::net::TcpSocket& socket,
+                    std::istream& in,
+                    cxxtools::http::Request& request) override {
+    cxxtools::http::Responder::beginRequest(socket, in, request);
+    body_.clear();
+    is_cut_ = false;
+  }
+
+  // Keeps what fits; the rest is read and dropped, so that the caller gets an
+  // answer.
+  std::size_t readBody(std::istream& in) override {
+    std::array<char, kReadBytes> bytes{};
+    const std::streamsize count = in.readsome(bytes.data(), bytes.size());
+    const auto read = static_cast<size_t>(std::max<std::streamsize>(count, 0));
+    const size_t kept = std::min(read, kMaxBodyBytes - body_.size());
+    body_.append(bytes.data(), kept);
+    is_cut_ = is_cut_ || kept < read;
+    return read;
+  }
+
+  void reply(std::ostream& out,
+             cxxtools::http::Request& request,
+             cxxtools::http::Reply& reply) override {
+    AdminRequest call;
+    call.method_ = request.method();
+    call.path_ = request.url();
+    call.query_ = request.qparams();
+    call.authorization_ = HeaderOf(request, "Authorization");
+    call.body_ = std::move(body_);
+    call.is_cut_ = is_cut_;
+    const AdminResponse response = handler_(call);
+    reply.httpReturn(static_cast<unsigned>(response.status_),
+                     response.status_ < kFirstError ? "OK" : "Error");
+    reply.setHeader("Content-Type", response.content_type_.c_str());
+    if (!response.location_.empty()) {
+      reply.setHeader("Location", response.location_.c_str());
+    }
+    if (response.retry_after_ > 0) {
+      reply.setHeader("Retry-After",
+                      std::to_string(response.retry_after_).c_str());
+    }
+    out << response.body_;
+  }
+
+ private:
+  static constexpr int kFirstError = 300;
+
+  const AdminServer::Handler& handler_;
+  std::string body_;
+  bool is_cut_ = false;
+};
+
+class HookService final : public cxxtools::http::Service {
+ public:
+  explicit HookService(AdminServer::Handler handler)
+      : handler_(std::move(handler)) {}
+
+ protected:
+  cxxtools::http::Responder* createResponder(
+      const cxxtools::http::Request& /*request*/) override {
+    return new HookResponder(*this, handler_);
+  }
+  void releaseResponder(cxxtools::http::Responder* responder) override {
+    delete responder;
+  }
+
+ private:
+  const AdminServer::Handler handler_;
+};
+
+}  // namespace
+
+class AdminServer::Impl {
+ public:
+  Impl(std::string listen, TlsFiles tls, Handler handler)
+      : listen_(std::move(listen)),
+        tls_(std::move(tls)),
+        service_(std::move(handler)) {}
+  ~Impl() { Stop(); }
+
+  bool Start(Error* error) {
+    const size_t colon = listen_.rfind(':');
+    std::string host = listen_.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[') {
+      host = host.substr(1, host.size() - 2);
+    }
+    try {
+      const auto port =
+          static_cast<uint16_t>(std::stoul(listen_.substr(colon + 1)));
+      server_ = std::make_unique<cxxtools::http::Server>(loop_);
+      server_->minThreads(kMinThreads);
+      server_->maxThreads(kMaxThreads);
+      server_->readTimeout(cxxtools::Milliseconds(kReadTimeoutMs));
+      server_->keepAliveTimeout(cxxtools::Milliseconds(kKeepAliveMs));
+      server_->addService(cxxtools::Regex(".*"), service_);
+      server_->listen(host, port, tls_.certificate_, tls_.private_key_,
+                      tls_.ca_.empty() ? 0 : kVerifyClient, tls_.ca_);
+    } catch (const std::exception& failure) {
+      server_.reset();
+      error->message_ = "can not listen on " + listen_ + ": " + failure.what();
+      return false;
+    }
+    thread_ = std::thread([this] { loop_.run(); });
+    return true;
+  }
+
+  void Stop() {
+    if (thread_.joinable()) {
+      loop_.exit();
+      thread_.join();
+    }
+    server_.reset();
+  }
+
+ private:
+  const std::string listen_;
+  const TlsFiles tls_;
+  HookService service_;
+  cxxtools::EventLoop loop_;
+  std::unique_ptr<cxxtools::http::Server> server_;
+  std::thread thread_;
+};
+
+AdminServer::AdminServer(std::string listen, TlsFiles tls, Handler handler)
+    : impl_(std::make_unique<Impl>(std::move(listen),
+                                   std::move(tls),
+                                   std::move(handler))) {}
+
+AdminServer::~AdminServer() = default;
+
+bool AdminServer::Start(Error* error) {
+  return impl_->Start(error);
+}
+
+void AdminServer::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace citronlane
