--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -131,6 +131,7 @@
     def leader(self):
         """Returns the control process that leads, or None."""
         for process in self.controls:
+            assert process.running(), process.log()[-2000:]
             status, body = self.admin("GET", "/v1/status", ports=[
                 self.ports[process.name]["admin"]], follow=False)
             if status == 200 and body.get("role") == "leader":
--- /dev/null
+++ b/tests/process/control_test.py
@@ -0,0 +1,177 @@
+"""The configuration: in force everywhere, decided once, never reverted."""
+
+import threading
+import time
+import unittest
+
+from checker.checker import Seen
+from process import caller
+from process.cluster_test_case import ClusterTestCase
+from process.processes import wait_until
+
+# The brief's "within seconds"; letter 1 names four.
+IN_FORCE_SECONDS = 4.0
+MANY_CHANGES = 300
+
+
+def target(milliseconds):
+    return {"classes": {"interactive": {"answer_ms": milliseconds}}}
+
+
+class Load:
+    """Streams requests and watches versions until it is stopped."""
+
+    def __init__(self, test):
+        self.test = test
+        self.calls, self.versions = [], []
+        self.going = True
+        self.threads = [threading.Thread(target=self.run, args=(index,))
+                        for index in range(len(test.cluster.gateways))]
+
+    def __enter__(self):
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self.going = False
+        for thread in self.threads:
+            thread.join()
+
+    def run(self, index):
+        gateway = self.test.cluster.gateways[index]
+        while self.going:
+            self.calls.append(self.test.ask(
+                f"load {index} {len(self.calls)} {time.time()}", index,
+                stream=True))
+            version = self.test.cluster.seen_version(gateway)
+            if version:
+                self.versions.append(Seen(gateway.name, time.time(), version))
+
+
+class ControlTest(ClusterTestCase):
+    controls = 3
+    gateways = 2
+
+    def setUp(self):
+        super().setUp()
+        for control in self.cluster.controls:
+            control.resume()
+            if not control.running():
+                control.start()
+        self.cluster.wait_control()
+        self.cluster.wait_ready()
+
+    def change(self, patch, change_id):
+        """Makes a change for the present version; returns the new one."""
+        def send():
+            status, answer = self.cluster.change(
+                patch, change_id, self.cluster.config_version())
+            return status == 200 and int(answer["version"])
+        return wait_until(send, f"change {change_id} committed")
+
+    def test_change_is_in_force_everywhere(self):
+        times = []
+        with Load(self) as load:
+            for i in range(5):
+                version = self.change(target(5000 + i), f"force-{i}")
+                start = time.monotonic()
+                self.cluster.wait_version(version, IN_FORCE_SECONDS)
+                times.append(time.monotonic() - start)
+        self.assert_whole(load.calls)
+        self.assert_clean(load.calls, load.versions)
+        self.figure(changes=5, slowest_ms=round(max(times) * 1000))
+
+    def test_of_two_racing_changes_one_wins(self):
+        for i in range(5):
+            base = self.cluster.config_version()
+            race = caller.Background()
+            for name in "ab":
+                race.start(self.cluster.change, target(4000 + ord(name)),
+                           f"race-{i}-{name}", base)
+            answers = sorted(race.join(), key=lambda answer: answer[0])
+            self.assertEqual([status for status, _ in answers], [200, 409])
+            winner = answers[0][1]["change_id"]
+            self.assertIn(winner, str(answers[1][1]))
+            self.assertEqual(self.cluster.config_version(), base + 1)
+
+    def test_change_sent_again_changes_nothing_more(self):
+        base = self.cluster.config_version()
+        first = self.cluster.change(target(4100), "again", base)
+        self.change(target(4200), "between")
+        second = self.cluster.change(target(4100), "again", base)
+        self.assertEqual((first[0], second[0]), (200, 200))
+        self.assertEqual(first[1]["version"], second[1]["version"])
+        self.assertEqual(self.cluster.config_version(), base + 2)
+        # The same id for another change is refused.
+        self.assertEqual(self.cluster.change(target(9), "again", base)[0], 409)
+
+    def test_leader_killed_while_gateways_serve(self):
+        with Load(self) as load:
+            leader = self.cluster.leader()
+            before = self.change(target(4300), "before kill")
+            leader.kill()
+            after = self.change(target(4301), "after kill")
+            self.cluster.wait_version(after)
+            leader.start()
+            wait_until(self.cluster.leader, "a leader")
+        self.assertGreater(after, before)
+        self.assert_whole(load.calls)
+        self.assert_clean(load.calls, load.versions)
+        self.figure(requests=len(load.calls), refused=0, lost=0)
+
+    def test_cut_off_leader_reverts_nothing(self):
+        with Load(self) as load:
+            leader = self.cluster.leader()
+            leader.pause()
+            after = self.change(target(4400), "while paused")
+            self.cluster.wait_version(after)
+            leader.resume()
+            wait_until(lambda: self.cluster.admin("GET", "/v1/config", ports=[
+                self.cluster.ports[leader.name]["admin"]])[1].get("version")
+                == after, "old leader follows")
+        self.assert_whole(load.calls)
+        self.assert_clean(load.calls, load.versions)
+        self.figure(requests=len(load.calls), refused=0, reverted=0)
+
+    def test_all_control_vms_restart_after_many_changes(self):
+        for i in range(MANY_CHANGES):
+            version = self.change(target(4500 + i), f"many-{i}")
+        document = self.cluster.admin("GET", "/v1/config")[1]
+        for control in self.cluster.controls:
+            control.kill()
+        start = time.monotonic()
+        for control in self.cluster.controls:
+            control.start()
+        self.cluster.wait_control()
+        restarted = time.monotonic() - start
+        self.assertEqual(self.cluster.config_version(), version)
+        self.assertEqual(self.cluster.admin("GET", "/v1/config")[1], document)
+        self.assertEqual(self.change(target(4999), "after"), version + 1)
+        self.cluster.wait_version(version + 1)
+        self.figure(changes=MANY_CHANGES,
+                    restart_ms=round(restarted * 1000))
+
+    def test_without_a_quorum_nothing_new_is_accepted(self):
+        version = self.cluster.config_version()
+        for control in self.cluster.controls[:2]:
+            control.pause()
+        def refused(index):
+            call = self.ask(f"no quorum {time.time()}", index)
+            return call.status == 503 and call
+        calls = [wait_until(lambda i=i: refused(i), "lease lapsed")
+                 for i in range(self.gateways)]
+        once = self.order("no quorum", "no-quorum")
+        self.assertEqual({call.verdict for call in calls + [once]},
+                         {"not_run"})
+        self.assert_clean(calls + [once])
+        for control in self.cluster.controls[:2]:
+            control.resume()
+        self.cluster.wait_ready()
+        self.assertEqual(self.cluster.config_version(), version)
+        self.assert_whole([self.ask("quorum again", i)
+                           for i in range(self.gateways)])
+
+
+if __name__ == "__main__":
+    unittest.main()
