--- a/tests/process/control_test.py
+++ b/tests/process/control_test.py
@@ -64,11 +64,17 @@
 
     def change(self, patch, change_id):
         """Makes a change for the present version; returns the new one."""
+        base = wait_until(self.cluster.config_version, "version known")
+        answers = []
+
         def send():
-            status, answer = self.cluster.change(
-                patch, change_id, self.cluster.config_version())
-            return status == 200 and int(answer["version"])
-        return wait_until(send, f"change {change_id} committed")
+            answers.append(self.cluster.change(patch, change_id, base))
+            return answers[-1][0] == 200
+        try:
+            wait_until(send, f"change {change_id} committed")
+        except AssertionError as error:
+            raise AssertionError(f"{error}: {answers[-3:]}") from error
+        return int(answers[-1][1]["version"])
 
     def test_change_is_in_force_everywhere(self):
         times = []
@@ -91,9 +97,13 @@
                            f"race-{i}-{name}", base)
             answers = sorted(race.join(), key=lambda answer: answer[0])
             self.assertEqual([status for status, _ in answers], [200, 409])
-            winner = answers[0][1]["change_id"]
-            self.assertIn(winner, str(answers[1][1]))
             self.assertEqual(self.cluster.config_version(), base + 1)
+            # The loser is told who won; sent again, the winner's stands.
+            winner = answers[1][1]["winner_change_id"]
+            self.assertIn(winner, (f"race-{i}-a", f"race-{i}-b"))
+            again = self.cluster.change(target(4000 + ord(winner[-1])), winner,
+                                        base)
+            self.assertEqual((again[0], again[1]["version"]), (200, base + 1))
 
     def test_change_sent_again_changes_nothing_more(self):
         base = self.cluster.config_version()
@@ -109,9 +119,9 @@
     def test_leader_killed_while_gateways_serve(self):
         with Load(self) as load:
             leader = self.cluster.leader()
-            before = self.change(target(4300), "before kill")
+            before = self.change(target(4300), "before-kill")
             leader.kill()
-            after = self.change(target(4301), "after kill")
+            after = self.change(target(4301), "after-kill")
             self.cluster.wait_version(after)
             leader.start()
             wait_until(self.cluster.leader, "a leader")
@@ -124,7 +134,7 @@
         with Load(self) as load:
             leader = self.cluster.leader()
             leader.pause()
-            after = self.change(target(4400), "while paused")
+            after = self.change(target(4400), "while-paused")
             self.cluster.wait_version(after)
             leader.resume()
             wait_until(lambda: self.cluster.admin("GET", "/v1/config", ports=[
