--- a/include/citronlane/routing/detail/server_state.h
+++ b/include/citronlane/routing/detail/server_state.h
@@ -24,11 +24,14 @@
   void set_near(bool near) { near_ = near; }
 
   /// `expected` is the pool's usual time for such a call at this load.
-  void StartCall(TimePoint now, Duration expected, bool prefix_hit);
+  void StartCall(TimePoint now,
+                 Duration expected,
+                 uint32_t priority,
+                 bool prefix_hit);
   /// Removes and returns the call that began `latency` before `now`.
   std::optional<OutstandingCall> EndCall(TimePoint now, Duration latency);
-  /// Returns the same call and keeps it.
-  const OutstandingCall* FindCall(TimePoint now, Duration latency) const;
+  /// Notes the first byte of that call and returns it, or nothing.
+  const OutstandingCall* NoteFirstByte(TimePoint now, Duration latency);
   size_t in_flight() const { return calls_.size(); }
   /// Time the calls in flight have waited, as a multiple of what was expected
   /// of them; 0 without any.
@@ -56,6 +59,10 @@
   void ScaleSlow(double factor) { slow_.Scale(factor); }
   size_t slow_samples() const { return slow_.count(); }
 
+  /// Cheap check whether the server may be an outlier at all: it failed lately,
+  /// was seen slow, or has calls in flight for long.
+  bool MayBeOutlier(TimePoint now) const;
+
   void Eject(TimePoint until);
   bool IsEjected(TimePoint now) const { return now < ejected_until_; }
   TimePoint ejected_until() const { return ejected_until_; }
@@ -71,7 +78,7 @@
   void Reset(TimePoint now);
 
  private:
-  std::vector<OutstandingCall>::const_iterator Find(TimePoint start) const;
+  std::vector<OutstandingCall>::iterator Find(TimePoint start);
 
   std::string id_;
   bool near_;
