--- a/src/app/config_routes.cc
+++ b/src/app/config_routes.cc
@@ -325,9 +325,8 @@
     if (seen) {
       item.Set("since_ms",
                JsonNumber(unix_ms - ToMs(now - found->second.since_)));
-      item.Set("lease_ms",
-               JsonNumber(ToMs(context_.options_->config_lease_ -
-                               (now - found->second.seen_))));
+      item.Set("lease_ms", JsonNumber(ToMs(context_.options_->config_lease_ -
+                                           (now - found->second.seen_))));
     }
     list.Append(std::move(item));
   }
--- a/src/app/control_admin.cc
+++ b/src/app/control_admin.cc
@@ -182,8 +182,8 @@
   const bool tls = !context_.options_->admin_tls_.certificate_.empty();
   JsonValue members = JsonValue::Object();
   members.Set("leader", JsonValue::String(address));
-  AdminResponse response = ProblemReply(
-      AdminStatus::kRedirect, "Another control VM leads.", members);
+  AdminResponse response = ProblemReply(AdminStatus::kRedirect,
+                                        "Another control VM leads.", members);
   response.location_ = (tls ? "https://" : "http://") + address +
                        request.path_ +
                        (request.query_.empty() ? "" : "?" + request.query_);
@@ -197,8 +197,7 @@
   }
   const auto promise = std::make_shared<std::promise<bool>>();
   std::future<bool> future = promise->get_future();
-  context_.read_(
-      [promise](bool confirmed) { promise->set_value(confirmed); });
+  context_.read_([promise](bool confirmed) { promise->set_value(confirmed); });
   return future.wait_for(kReadLimit) == std::future_status::ready &&
          future.get();
 }
--- a/src/app/control_metrics.cc
+++ b/src/app/control_metrics.cc
@@ -15,8 +15,8 @@
          std::string* text) {
   const std::string full = "citronlane_control_" + std::string(name);
   *text += "# HELP " + full + " " + std::string(help) + "\n# TYPE " + full +
-           " " + std::string(type) + "\n" + full + " " +
-           std::to_string(value) + "\n";
+           " " + std::string(type) + "\n" + full + " " + std::to_string(value) +
+           "\n";
 }
 
 }  // namespace
@@ -33,8 +33,8 @@
       status.commit_index_, &text);
   Add("syncs_total", "counter", "Syncs of the log since the start.",
       status.sync_count_, &text);
-  Add("watchers", "gauge", "Gateways that watch here.",
-      state.feed().watchers(), &text);
+  Add("watchers", "gauge", "Gateways that watch here.", state.feed().watchers(),
+      &text);
   state.View([&text](const StateMachine& machine) {
     Add("applied_index", "gauge", "Newest entry applied here.",
         machine.applied_index(), &text);
--- a/src/app/fleet_routes.cc
+++ b/src/app/fleet_routes.cc
@@ -257,8 +257,7 @@
     return BadBody(faults);
   }
   const auto index = std::find(kKinds.begin(), kKinds.end(), kind);
-  order->set_kind(
-      static_cast<wire::EngineOrder::Kind>(index - kKinds.begin()));
+  order->set_kind(static_cast<wire::EngineOrder::Kind>(index - kKinds.begin()));
   order->set_server(server);
   order->set_operator_name(who);
   order->set_checks_fencing(*checks);
@@ -269,8 +268,8 @@
   const ReplicaStatus status = context_.status_();
   JsonValue body = JsonValue::Object();
   body.Set("node", JsonNumber(status.id_));
-  body.Set("role", JsonValue::String(
-                       kRoles.at(static_cast<size_t>(status.role_))));
+  body.Set("role",
+           JsonValue::String(kRoles.at(static_cast<size_t>(status.role_))));
   body.Set("term", JsonNumber(status.term_));
   body.Set("leader", JsonNumber(status.leader_));
   body.Set("leader_lease", JsonValue::Bool(status.leader_lease_));
@@ -305,7 +304,8 @@
       item.Set("class", JsonValue::String(name));
       item.Set("spent_this_hour", JsonNumber(state.spend().Spent(name)));
       if (declared.spend_per_hour_) {
-        item.Set("limit_per_hour", JsonValue::Number(*declared.spend_per_hour_));
+        item.Set("limit_per_hour",
+                 JsonValue::Number(*declared.spend_per_hour_));
       }
       spend.Append(std::move(item));
     }
@@ -319,7 +319,7 @@
   wire::StateCommand command;
   *command.mutable_register_peer()->mutable_peer() = peer;
   command.mutable_register_peer()->mutable_peer()->set_node(id);
-  const AdminResponse registered = Propose(std::move(command), "");
+  AdminResponse registered = Propose(std::move(command), "");
   if (registered.status_ != static_cast<int>(AdminStatus::kOk)) {
     return registered;
   }
@@ -333,16 +333,15 @@
   // No error: committed.
   const auto promise = std::make_shared<std::promise<std::string>>();
   std::future<std::string> future = promise->get_future();
-  change([promise](const std::optional<std::string>& result,
-                   const Error& error) {
-    promise->set_value(result ? std::string() : error.message_);
-  });
+  change(
+      [promise](const std::optional<std::string>& result, const Error& error) {
+        promise->set_value(result ? std::string() : error.message_);
+      });
   if (future.wait_for(kCommitLimit) != std::future_status::ready) {
     return UnavailableReply("The change is not known to be committed.");
   }
   const std::string reason = future.get();
-  return reason.empty() ? Done()
-                        : ProblemReply(AdminStatus::kConflict, reason);
+  return reason.empty() ? Done() : ProblemReply(AdminStatus::kConflict, reason);
 }
 
 AdminResponse FleetRoutes::Propose(wire::StateCommand command,
