Do not forget a gateway before its first lease renewal

A gateway that had registered but not yet renewed had no sighting, so the leader took its own election as the last sign of life: any gateway started more than gateway_timeout_ms after the election was forgotten at once, again and again, and never became ready. Seen in a loop of gateways started one after another with gateway_timeout_ms 4000: the seventh was not ready within 8 s; after the change 12 of 12 were.

--- a/include/citronlane/app/detail/control_state.h
+++ b/include/citronlane/app/detail/control_state.h
@@ -68,6 +68,9 @@
   wire::ConfigUpdate CatchUp(uint64_t version) const;
   void ReadConfig();
   void AddServer(const std::string& server, wire::ConfigUpdate* update) const;
+  void SeeRegistered(const std::string& gateway,
+                     uint64_t incarnation,
+                     TimePoint now);
   void Note(const wire::LeaseRequest& request);
   void AddPeers(const wire::LeaseRequest& request,
                 wire::LeaseReply* reply) const;
--- a/src/app/control_state.cc
+++ b/src/app/control_state.cc
@@ -143,6 +143,7 @@
   const TimePoint now = SteadyNow();
   for (const auto& [name, incarnation] : effects.registered_) {
     tracker_.OnRegistered(name, incarnation);
+    SeeRegistered(name, incarnation, now);
   }
   for (const auto& [name, incarnation] : effects.forgotten_) {
     tracker_.OnForgotten(name, incarnation, now);
@@ -210,6 +211,19 @@
   entry->set_live(!state.leaving_);
 }
 
+// A gateway is not silent before it had its time to renew its first lease.
+void ControlState::SeeRegistered(const std::string& gateway,
+                                 uint64_t incarnation,
+                                 TimePoint now) {
+  GatewaySighting& sighting = sightings_[gateway];
+  if (sighting.incarnation_ != incarnation) {
+    sighting = GatewaySighting();
+    sighting.incarnation_ = incarnation;
+    sighting.since_ = now;
+  }
+  sighting.seen_ = now;
+}
+
 void ControlState::Note(const wire::LeaseRequest& request) {
   const TimePoint now = SteadyNow();
   const wire::GatewayId& gateway = request.gateway();
