--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -157,7 +157,7 @@
     arguments = argparse.ArgumentParser(description=__doc__)
     arguments.add_argument("--keep", action="store_true",
                            help="leave everything running")
-    arguments.add_argument("--controls", type=int, default=0)
+    arguments.add_argument("--controls", type=int, default=3)
     options = arguments.parse_args()
     cluster = Cluster([deployments.qurak(), deployments.brazos()],
                       controls=options.controls)
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -167,7 +167,9 @@
             "reason": "test"})
 
     def config_version(self):
-        return int(self.admin("GET", "/v1/config")[1].get("version", 0))
+        """Version that control names, or None when it can not answer."""
+        status, answer = self.admin("GET", "/v1/config")
+        return int(answer["version"]) if status == 200 else None
 
     def apply(self, value, whole=False):
         """Runs `citronlane config apply`; returns the new version."""
--- a/tests/process/control_test.py
+++ b/tests/process/control_test.py
@@ -155,7 +155,8 @@
             control.start()
         self.cluster.wait_control()
         restarted = time.monotonic() - start
-        self.assertEqual(self.cluster.config_version(), version)
+        self.assertEqual(wait_until(self.cluster.config_version, "version"),
+                         version)
         self.assertEqual(self.cluster.admin("GET", "/v1/config")[1], document)
         self.assertEqual(self.change(target(4999), "after"), version + 1)
         self.cluster.wait_version(version + 1)
--- a/tests/process/once_test.py
+++ b/tests/process/once_test.py
@@ -33,7 +33,7 @@
             with self.subTest(pool=pool, hold_at=hold_at):
                 text = key = f"killed-{pool}-{hold_at}"
                 victim = self.cluster.add_gateway("victim-" + key)
-                wait_until(lambda v=victim: self.cluster.is_ready(v), "ready")
+                wait_until(lambda v=victim: self.cluster.is_ready(v), "ready: " + victim.log())
                 self.cluster.fault(pool, hold=True, hold_at=hold_at)
                 background = caller.Background()
                 background.start(self.order, text, key,
