--- a/include/citronlane/cli/admin_reply.h
+++ b/include/citronlane/cli/admin_reply.h
@@ -1,6 +1,8 @@
 #ifndef CITRONLANE_CLI_ADMIN_REPLY_H_
 #define CITRONLANE_CLI_ADMIN_REPLY_H_
 
+#include <string>
+
 #include "citronlane/json/value.h"
 
 namespace citronlane {
@@ -8,7 +10,8 @@
 /// What the administration API answered.
 struct AdminReply {
   int status_ = 0;
-  /// Null when the body is no JSON.
+  std::string text_;
+  /// The text as JSON; null when it is none.
   JsonValue body_;
 };
 
--- a/include/citronlane/cli/detail/command_context.h
+++ b/include/citronlane/cli/detail/command_context.h
@@ -3,6 +3,7 @@
 
 #include <CLI/CLI.hpp>
 #include <iosfwd>
+#include <string>
 #include <string_view>
 
 #include "citronlane/cli/admin_options.h"
@@ -35,6 +36,10 @@
   void PrintReply(const AdminReply& reply);
 };
 
+/// Returns a random id, so that a change may be sent again under it.
+std::string NewChangeId();
+/// Prints what the administration API answers to a GET.
+void RunGet(const std::string& path, CommandContext* context);
 /// Accepts "IP:port".
 CLI::Validator EndpointValidator();
 /// Adds --json.
@@ -49,6 +54,7 @@
 void AddConfigCommands(CLI::App* app, CommandContext* context);
 void AddStatusCommands(CLI::App* app, CommandContext* context);
 void AddMemberCommands(CLI::App* app, CommandContext* context);
+void AddOrderCommands(CLI::App* app, CommandContext* context);
 
 }  // namespace citronlane::detail
 
--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -171,6 +171,7 @@
     if (std::optional<JsonValue> value = ParseJson(exchange.body_, &ignored)) {
       reply.body_ = *std::move(value);
     }
+    reply.text_ = std::move(exchange.body_);
     return reply;
   }
   error->message_ = address + ": the control VMs point at each other";
--- a/src/cli/command_context.cc
+++ b/src/cli/command_context.cc
@@ -1,11 +1,14 @@
 #include "citronlane/cli/detail/command_context.h"
 
+#include <openssl/rand.h>
+
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <array>
 #include <ostream>
 #include <string>
 
-#include "citronlane/cli/admin_reply.h"
+#include "citronlane/cli/admin_client.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/json/parse.h"
 
@@ -15,6 +18,7 @@
 constexpr int kFirstErrorStatus = 400;
 constexpr int kMaxTimeoutSeconds = 3600;
 constexpr int kIndent = 2;
+constexpr size_t kChangeIdBytes = 12;
 
 bool IsContainer(const JsonValue& value) {
   return value.IsObject() || value.IsArray();
@@ -109,6 +113,29 @@
       "IP:port");
 }
 
+std::string NewChangeId() {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::array<unsigned char, kChangeIdBytes> bytes{};
+  RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
+  std::string id;
+  for (const unsigned char byte : bytes) {
+    id.push_back(kDigits[byte >> 4]);
+    id.push_back(kDigits[byte & 15]);
+  }
+  return id;
+}
+
+void RunGet(const std::string& path, CommandContext* context) {
+  Error error;
+  const std::optional<AdminReply> reply =
+      AdminClient(context->admin_).Get(path, &error);
+  if (reply) {
+    context->PrintReply(*reply);
+  } else {
+    context->Fail(ExitCode::kFailure, error.message_);
+  }
+}
+
 void AddJsonOption(CLI::App* command, CommandContext* context) {
   command->add_flag("--json", context->json_, "Print JSON for scripts");
 }
--- a/src/cli/config_command.cc
+++ b/src/cli/config_command.cc
@@ -1,7 +1,4 @@
-#include <openssl/rand.h>
-
 #include <CLI/CLI.hpp>
-#include <array>
 #include <chrono>
 #include <memory>
 #include <ostream>
@@ -19,7 +16,6 @@
 using std::chrono::steady_clock;
 
 constexpr int kOk = 200;
-constexpr size_t kChangeIdBytes = 12;
 constexpr std::chrono::milliseconds kPollInterval(50);
 constexpr uint64_t kNoVersion = UINT64_MAX;
 
@@ -34,18 +30,6 @@
   bool wait_ = false;
 };
 
-std::string NewChangeId() {
-  constexpr char kDigits[] = "0123456789abcdef";
-  std::array<unsigned char, kChangeIdBytes> bytes{};
-  RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
-  std::string id;
-  for (const unsigned char byte : bytes) {
-    id.push_back(kDigits[byte >> 4]);
-    id.push_back(kDigits[byte & 15]);
-  }
-  return id;
-}
-
 JsonValue Number(uint64_t number) {
   return JsonValue::Number(static_cast<double>(number));
 }
@@ -193,17 +177,6 @@
   SendChange(options, body, &client, context);
 }
 
-void RunGet(const std::string& path, CommandContext* context) {
-  Error error;
-  const std::optional<AdminReply> reply =
-      AdminClient(context->admin_).Get(path, &error);
-  if (reply) {
-    context->PrintReply(*reply);
-  } else {
-    context->Fail(ExitCode::kFailure, error.message_);
-  }
-}
-
 std::string WithVersion(const std::string& path, uint64_t version) {
   return version == kNoVersion ? path
                                : path + "?version=" + std::to_string(version);
--- a/src/cli/member_command.cc
+++ b/src/cli/member_command.cc
@@ -28,12 +28,6 @@
   }
 }
 
-void RunList(CommandContext* context) {
-  Error error;
-  Report(AdminClient(context->admin_).Get("/v1/members", &error), error,
-         context);
-}
-
 void RunAction(const std::string& action,
                const MemberOptions& options,
                CommandContext* context) {
@@ -98,7 +92,7 @@
   group->require_subcommand(1);
   CLI::App* list = group->add_subcommand("list", "Print the control VMs");
   AddAdminOptions(list, context);
-  list->callback([context] { RunList(context); });
+  list->callback([context] { RunGet("/v1/members", context); });
   AddAdd(group, context);
   AddAction(group, "promote", "Make a learner that caught up a voter",
             std::make_shared<MemberOptions>(), context);
--- a/src/cli/run.cc
+++ b/src/cli/run.cc
@@ -27,6 +27,7 @@
   detail::AddConfigCommands(&app, &context);
   detail::AddStatusCommands(&app, &context);
   detail::AddMemberCommands(&app, &context);
+  detail::AddOrderCommands(&app, &context);
   try {
     // CLI11 takes the arguments in reverse order.
     app.parse(std::vector<std::string>(arguments.rbegin(), arguments.rend()));
--- a/src/cli/status_command.cc
+++ b/src/cli/status_command.cc
@@ -1,11 +1,16 @@
 #include <CLI/CLI.hpp>
+#include <algorithm>
+#include <chrono>
 #include <memory>
 #include <ostream>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/cli/admin_client.h"
 #include "citronlane/cli/detail/command_context.h"
+#include "citronlane/cli/detail/fleet_report.h"
 #include "citronlane/json/object_reader.h"
 
 namespace citronlane::detail {
@@ -13,14 +18,77 @@
 
 constexpr int kOk = 200;
 
-void RunStatus(CommandContext* context) {
-  Error error;
-  const std::optional<AdminReply> reply =
-      AdminClient(context->admin_).Get("/v1/status", &error);
-  if (reply) {
-    context->PrintReply(*reply);
-  } else {
-    context->Fail(ExitCode::kFailure, error.message_);
+// For the status command each VM gets one short try.
+constexpr std::chrono::milliseconds kTryTimeout(1000);
+
+std::optional<AdminReply> GetFrom(const std::string& address,
+                                  const std::string& path,
+                                  AdminOptions options,
+                                  Error* error) {
+  options.addresses_ = {address};
+  options.timeout_ = std::min(options.timeout_, kTryTimeout);
+  std::optional<AdminReply> reply =
+      AdminClient(std::move(options)).Get(path, error);
+  if (reply && reply->status_ != kOk) {
+    error->message_ = address + " answered " + std::to_string(reply->status_);
+    return std::nullopt;
+  }
+  return reply;
+}
+
+JsonValue ErrorItem(const std::string& address, const Error& error) {
+  JsonValue item = JsonValue::Object();
+  item.Set("address", JsonValue::String(address));
+  item.Set("error", JsonValue::String(error.message_));
+  return item;
+}
+
+// Asks every control VM; returns whether one answered.
+bool AddControlVms(const CommandContext& context, JsonValue* status) {
+  JsonValue nodes = JsonValue::Array();
+  bool any = false;
+  for (const std::string& address : context.admin_.addresses_) {
+    Error error;
+    const std::optional<AdminReply> reply =
+        GetFrom(address, "/v1/status", context.admin_, &error);
+    any = any || reply.has_value();
+    nodes.Append(reply ? reply->body_ : ErrorItem(address, error));
+  }
+  status->Set("control", std::move(nodes));
+  return any;
+}
+
+// Sums the metrics of the gateways, over plain HTTP without the key.
+void AddGateways(const std::vector<std::string>& gateways, JsonValue* status) {
+  FleetReport report;
+  JsonValue unreachable = JsonValue::Array();
+  for (const std::string& address : gateways) {
+    Error error;
+    const std::optional<AdminReply> reply =
+        GetFrom(address, "/metrics", AdminOptions(), &error);
+    if (reply) {
+      report.Add(reply->text_);
+    } else {
+      unreachable.Append(ErrorItem(address, error));
+    }
+  }
+  const JsonValue sums = report.ToJson();
+  for (const auto& [name, table] : sums.members()) {
+    status->Set(name, table);
+  }
+  status->Set("unreachable_gateways", std::move(unreachable));
+}
+
+void RunStatus(const std::vector<std::string>& gateways,
+               CommandContext* context) {
+  JsonValue status = JsonValue::Object();
+  const bool any = AddControlVms(*context, &status);
+  if (!gateways.empty()) {
+    AddGateways(gateways, &status);
+  }
+  context->Print(status);
+  if (!any) {
+    context->Fail(ExitCode::kFailure, "no control VM answered");
   }
 }
 
@@ -58,8 +126,14 @@
 void AddStatusCommands(CLI::App* app, CommandContext* context) {
   CLI::App* status = app->add_subcommand(
       "status", "Print the state of the control VMs and the fleet");
+  const auto gateways = std::make_shared<std::vector<std::string>>();
+  status
+      ->add_option("--gateways", *gateways,
+                   "Gateways to ask for attainment, cost by stage and refusals")
+      ->delimiter(',')
+      ->check(EndpointValidator());
   AddAdminOptions(status, context);
-  status->callback([context] { RunStatus(context); });
+  status->callback([gateways, context] { RunStatus(*gateways, context); });
 
   CLI::App* explain = app->add_subcommand(
       "explain", "Print why a request was refused, with its figures");
--- a/tests/unit-reference.cc
+++ b/tests/unit-reference.cc
@@ -39,6 +39,20 @@
   return page.find("`" + item + "`") != std::string::npos;
 }
 
+// Returns the first group of each match in a source file.
+std::vector<std::string> Found(const std::string& file,
+                               const std::string& pattern) {
+  const std::string text = Page("../" + file);
+  const std::regex expression(pattern);
+  std::vector<std::string> found;
+  for (std::sregex_iterator match(text.begin(), text.end(), expression), end;
+       match != end; ++match) {
+    found.push_back(match->str(1));
+  }
+  REQUIRE_FALSE(found.empty());
+  return found;
+}
+
 // Places an object with the probe somewhere in a document.
 struct Place {
   std::string before_;
@@ -226,10 +240,27 @@
         CHECK(Mentions(line, std::string(label)));
       }
     }
+    for (const std::string& name :
+         Found("src/app/control_metrics.cc", R"re(Add\("([a-z_]+)")re")) {
+      INFO(name);
+      CHECK(Mentions(page, "citronlane_control_" + name));
+    }
     for (size_t i = 0; i < kRetryReasons; ++i) {
       CHECK(Mentions(page, std::string(ToString(static_cast<RetryReason>(i)))));
     }
   }
+  SECTION("name every call of the administration API") {
+    const std::string page = Page("reference/ADMIN-API.md");
+    const std::vector<std::string> calls = Found(
+        "src/app/control_admin.cc", R"re(add\("([A-Z]+", "/v1/[a-z/*]+)")re");
+    CHECK(calls.size() >= 13);
+    for (std::string call : calls) {
+      call = std::regex_replace(call, std::regex("\", \""), " ");
+      call = std::regex_replace(call, std::regex("\\*"), "ID");
+      INFO(call);
+      CHECK(Mentions(page, call));
+    }
+  }
   SECTION("name every command and option") {
     CheckCommand(Page("reference/COMMANDS.md"), {});
   }
