--- a/include/citronlane/observe/metrics.h
+++ b/include/citronlane/observe/metrics.h
@@ -22,7 +22,11 @@
 
   static constexpr size_t kDefaultMaxSeries = 20'000;
 
-  explicit Metrics(size_t max_series_per_metric = kDefaultMaxSeries);
+  static constexpr size_t kDefaultShards = 16;
+
+  /// The bound holds for each shard. Precondition: at least one shard.
+  explicit Metrics(size_t max_series_per_metric = kDefaultMaxSeries,
+                   size_t shards = kDefaultShards);
   ~Metrics();
   Metrics(const Metrics&) = delete;
   Metrics& operator=(const Metrics&) = delete;
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -18,7 +18,6 @@
 
 namespace bh = boost::histogram;
 
-constexpr size_t kShards = 16;
 constexpr double kMicrosecondsPerSecond = 1e6;
 // Ends each label value in a key.
 constexpr char kSeparator = '\x1f';
@@ -83,9 +82,10 @@
   return nullptr;
 }
 
-size_t OwnShard() {
+// Number of the calling thread, in the order in which threads first count.
+size_t ThreadNumber() {
   static std::atomic<size_t> next{0};
-  thread_local const size_t own = next++ % kShards;
+  thread_local const size_t own = next++;
   return own;
 }
 
@@ -192,7 +192,10 @@
 
 class Metrics::Impl {
  public:
-  explicit Impl(size_t max_series) : max_series_(max_series) {}
+  Impl(size_t max_series, size_t shards)
+      : max_series_(max_series), shards_(shards) {}
+
+  size_t OwnShard() const { return ThreadNumber() % shards_.size(); }
 
   // Calls `update` on the series, under its shard's lock.
   template <typename Update>
@@ -206,7 +209,7 @@
   Series* FindOrAdd(const Metric& metric, std::string key, Shard* shard) const;
 
   const size_t max_series_;
-  std::array<Shard, kShards> shards_;
+  std::vector<Shard> shards_;
 };
 
 template <typename Update>
@@ -252,20 +255,20 @@
   return sum;
 }
 
-Metrics::Metrics(size_t max_series_per_metric)
-    : impl_(std::make_unique<Impl>(max_series_per_metric)) {}
+Metrics::Metrics(size_t max_series_per_metric, size_t shards)
+    : impl_(std::make_unique<Impl>(max_series_per_metric, shards)) {}
 
 Metrics::~Metrics() = default;
 
 void Metrics::Count(const Metric& metric, Labels labels, double amount) {
-  impl_->Change(metric, labels, OwnShard(),
+  impl_->Change(metric, labels, impl_->OwnShard(),
                 [amount](Series* series) { series->value_ += amount; });
 }
 
 void Metrics::Observe(const Metric& metric, Labels labels, Duration time) {
   const double seconds =
       static_cast<double>(time.count()) / kMicrosecondsPerSecond;
-  impl_->Change(metric, labels, OwnShard(), [seconds](Series* series) {
+  impl_->Change(metric, labels, impl_->OwnShard(), [seconds](Series* series) {
     if (!series->histogram_) {
       series->histogram_ = MakeHistogram();
     }
