--- a/include/citronlane/admission/detail/pool_pressure.h
+++ b/include/citronlane/admission/detail/pool_pressure.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_ADMISSION_DETAIL_POOL_PRESSURE_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,8 +23,15 @@
               Duration expected,
               Duration allowed);
 
-  /// Highest part over the classes seen lately.
+  /// Highest part over the classes seen lately, smoothed over their estimates.
   double At(TimePoint now) const;
+  /// The same by the last estimates alone.
+  double Latest(TimePoint now) const;
+
+  /// Interactive work was refused for want of this pool.
+  void NoteRefusal(TimePoint now) { refused_at_ = now; }
+  /// Whether that happened just now, so that batch work has to yield.
+  bool RefusedLately(TimePoint now) const;
 
   ConcurrencyLimit& limit() { return limit_; }
   const ConcurrencyLimit& limit() const { return limit_; }
@@ -31,12 +39,16 @@
  private:
   struct ClassPressure {
     double idle_us_ = 0;
-    double pressure_ = 0;
+    double smoothed_ = 0;
+    double latest_ = 0;
     TimePoint at_{};
   };
 
+  double Highest(TimePoint now, double ClassPressure::*pressure) const;
+
   std::map<std::string, ClassPressure, std::less<>> classes_;
   ConcurrencyLimit limit_;
+  std::optional<TimePoint> refused_at_;
 };
 
 }  // namespace citronlane
--- a/src/routing/server_state.cc
+++ b/src/routing/server_state.cc
@@ -18,6 +18,9 @@
 constexpr Duration kReportFade = std::chrono::seconds(1);
 constexpr Duration kPeerExpiry = std::chrono::seconds(3);
 constexpr double kLowestShare = 0.1;
+/// What makes a server worth comparing with its peers.
+constexpr double kSuspectFailures = 0.3;
+constexpr double kSuspectSlow = 2;
 
 double Ratio(Duration part, Duration whole) {
   return static_cast<double>(part.count()) / static_cast<double>(whole.count());
@@ -39,14 +42,17 @@
       failures_(kFailureWeight),
       slow_(kSlowWeight) {}
 
-void ServerState::StartCall(TimePoint now, Duration expected, bool prefix_hit) {
-  calls_.push_back({now, Load(now), expected, prefix_hit});
+void ServerState::StartCall(TimePoint now,
+                            Duration expected,
+                            uint32_t priority,
+                            bool prefix_hit) {
+  calls_.push_back(
+      {now, Load(now), expected, priority, Duration::zero(), prefix_hit});
   start_sum_ += now.time_since_epoch();
   expected_sum_ += expected;
 }
 
-std::vector<OutstandingCall>::const_iterator ServerState::Find(
-    TimePoint start) const {
+std::vector<OutstandingCall>::iterator ServerState::Find(TimePoint start) {
   return std::min_element(
       calls_.begin(), calls_.end(),
       [start](const OutstandingCall& a, const OutstandingCall& b) {
@@ -55,10 +61,14 @@
       });
 }
 
-const OutstandingCall* ServerState::FindCall(TimePoint now,
-                                             Duration latency) const {
+const OutstandingCall* ServerState::NoteFirstByte(TimePoint now,
+                                                  Duration latency) {
   const auto found = Find(now - latency);
-  return found == calls_.end() ? nullptr : &*found;
+  if (found == calls_.end()) {
+    return nullptr;
+  }
+  found->first_byte_ = latency;
+  return &*found;
 }
 
 std::optional<OutstandingCall> ServerState::EndCall(TimePoint now,
@@ -165,6 +175,11 @@
   slow_at_ = now;
 }
 
+bool ServerState::MayBeOutlier(TimePoint now) const {
+  return consecutive_failures_ > 0 || failures_.value() >= kSuspectFailures ||
+         slow_.value() >= kSuspectSlow || Overdue(now) >= kSuspectSlow;
+}
+
 void ServerState::Eject(TimePoint until) {
   ejected_until_ = until;
   ++ejections_;
