--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -95,6 +95,25 @@
           location == nullptr ? "" : location, client.body()};
 }
 
+AdminReply ReplyOf(Exchange exchange) {
+  AdminReply reply;
+  reply.status_ = exchange.status_;
+  Fault ignored;
+  if (std::optional<JsonValue> value = ParseJson(exchange.body_, &ignored)) {
+    reply.body_ = *std::move(value);
+  }
+  reply.text_ = std::move(exchange.body_);
+  return reply;
+}
+
+// The reason in a problem's body.
+std::string DetailOf(const AdminReply& reply) {
+  const JsonValue* detail = reply.body_.Find("detail");
+  return detail != nullptr && detail->IsString()
+             ? detail->AsString()
+             : "answered " + std::to_string(reply.status_);
+}
+
 }  // namespace
 
 AdminClient::AdminClient(AdminOptions options) : options_(std::move(options)) {}
@@ -161,17 +180,11 @@
       address = AddressOf(exchange.location_);
       continue;
     }
-    if (exchange.status_ == kUnavailable) {
-      error->message_ = address + ": no leader is known";
+    AdminReply reply = ReplyOf(std::move(exchange));
+    if (reply.status_ == kUnavailable) {
+      error->message_ = address + ": " + DetailOf(reply);
       return std::nullopt;
     }
-    AdminReply reply;
-    reply.status_ = exchange.status_;
-    Fault ignored;
-    if (std::optional<JsonValue> value = ParseJson(exchange.body_, &ignored)) {
-      reply.body_ = *std::move(value);
-    }
-    reply.text_ = std::move(exchange.body_);
     return reply;
   }
   error->message_ = address + ": the control VMs point at each other";
--- a/src/cli/command_context.cc
+++ b/src/cli/command_context.cc
@@ -24,6 +24,10 @@
   return value.IsObject() || value.IsArray();
 }
 
+bool IsEmpty(const JsonValue& value) {
+  return IsContainer(value) && value.items().empty() && value.members().empty();
+}
+
 bool IsFlat(const JsonValue& value) {
   return std::none_of(value.members().begin(), value.members().end(),
                       [](const JsonValue::Member& member) {
@@ -48,7 +52,9 @@
   const std::string margin(static_cast<size_t>(indent), ' ');
   for (const auto& [name, member] : value.members()) {
     out << margin << name << ':';
-    if (IsContainer(member)) {
+    if (IsEmpty(member)) {
+      out << " none\n";
+    } else if (IsContainer(member)) {
       out << '\n';
       PrintText(member, indent + kIndent, out);
     } else {
@@ -100,7 +106,11 @@
        "control answered " + std::to_string(reply.status_) +
            (detail != nullptr ? ": " + ScalarText(*detail) : std::string()));
   if (!json_ && reply.body_.IsObject()) {
-    PrintText(reply.body_, kIndent, err_);
+    JsonValue rest = reply.body_;
+    for (const char* said : {"title", "status", "detail", "outcome"}) {
+      rest.Remove(said);
+    }
+    PrintText(rest, kIndent, err_);
   }
 }
 
--- a/src/cli/process_command.cc
+++ b/src/cli/process_command.cc
@@ -1,3 +1,4 @@
+#include <grpc/support/log.h>
 #include <signal.h>
 
 #include <CLI/CLI.hpp>
@@ -6,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "citronlane/app/control_run.h"
+#include "citronlane/app/gateway_run.h"
 #include "citronlane/cli/detail/command_context.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/observe/logger.h"
@@ -14,12 +17,6 @@
 #include "citronlane/settings/control_settings.h"
 #include "citronlane/settings/files.h"
 #include "citronlane/settings/gateway_settings.h"
-#ifdef CITRONLANE_HAS_GATEWAY
-#include "citronlane/app/gateway_run.h"
-#endif
-#ifdef CITRONLANE_HAS_CONTROL
-#include "citronlane/app/control_run.h"
-#endif
 
 namespace citronlane::detail {
 namespace {
@@ -34,6 +31,13 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+// Takes the gRPC library's lines, so that all have the settings' layout.
+void WriteGrpcLine(gpr_log_func_args* line) {
+  static const Logger logger("grpc");
+  const bool is_error = line->severity == GPR_LOG_SEVERITY_ERROR;
+  logger.Write(is_error ? LogLevel::kWarn : LogLevel::kDebug, line->message);
+}
+
 // Reads the file with `parse`, prints all faults, and sets up logging.
 template <typename Parse>
 auto Load(const std::string& path, const Parse& parse, CommandContext* context)
@@ -58,6 +62,7 @@
     context->Fail(ExitCode::kUsage, error.message_);
     return std::nullopt;
   }
+  gpr_set_log_function(WriteGrpcLine);
   return settings;
 }
 
@@ -66,20 +71,11 @@
   if (!settings) {
     return;
   }
-#ifdef CITRONLANE_HAS_GATEWAY
-  const Logger logger("gateway");
-  Metrics metrics;
-  metrics.Set(kBuildInfo, {CITRONLANE_VERSION}, 1);
-  GatewayHooks hooks;
-  hooks.log_ = logger.Hook();
-  hooks.metrics_text_ = [&metrics] { return metrics.Text(); };
   Error error;
-  if (!RunGateway(settings->gateway_, std::move(hooks), &error)) {
+  if (!RunGateway(settings->gateway_, GatewayHooks(), &error)) {
+    Logger("gateway").Error(error.message_);
     context->Fail(ExitCode::kFailure, error.message_);
   }
-#else
-  context->Fail(ExitCode::kFailure, "the gateway is not available yet");
-#endif
 }
 
 void RunControlCommand(const std::string& path, CommandContext* context) {
@@ -87,7 +83,6 @@
   if (!settings) {
     return;
   }
-#ifdef CITRONLANE_HAS_CONTROL
   const Logger logger("control");
   Metrics metrics;
   metrics.Set(kBuildInfo, {CITRONLANE_VERSION}, 1);
@@ -96,11 +91,9 @@
   hooks.metrics_text_ = [&metrics] { return metrics.Text(); };
   Error error;
   if (!RunControl(settings->control_, std::move(hooks), &error)) {
+    logger.Error(error.message_);
     context->Fail(ExitCode::kFailure, error.message_);
   }
-#else
-  context->Fail(ExitCode::kFailure, "control is not available yet");
-#endif
 }
 
 using Run = void (*)(const std::string& path, CommandContext* context);
