--- a/include/citronlane/transport/detail/lease_renewer.h
+++ b/include/citronlane/transport/detail/lease_renewer.h
@@ -15,7 +15,8 @@
 class LeaseRenewer {
  public:
   struct Hooks {
-    std::function<void(const wire::LeaseReply& reply, TimePoint sent)> on_reply_;
+    std::function<void(const wire::LeaseReply& reply, TimePoint sent)>
+        on_reply_;
     /// Whether the node at the address answered in time.
     std::function<void(const std::string& address, bool answered)> on_probe_;
   };
