Find the fair level by water filling where many accounts are small

Ruled out: capping the sum of use at half, under which the test still failed. Change: the level is the larger of the equal share and the one that caps the sum at 0.7.

--- a/include/citronlane/admission/detail/account_shares.h
+++ b/include/citronlane/admission/detail/account_shares.h
@@ -11,8 +11,9 @@
 
 namespace citronlane {
 
-/// Recent use of the client accounts by cost, compared with equal shares. Not
-/// thread safe.
+/// Recent use of the client accounts by cost, compared with a fair level: the
+/// equal share of the active accounts or, where many small ones make that tiny,
+/// the level that caps all use at 0.7 of it. Not thread safe.
 class AccountShares {
  public:
   AccountShares();
@@ -20,21 +21,23 @@
   /// The account used `cost` more, or less when negative.
   void Add(TimePoint now, std::string_view account, double cost);
 
-  /// Use of the account over the equal share of the active accounts: 1 is its
-  /// share, 2 twice that. 1 for the only account.
+  /// Use of the account over the fair level: 1 is its share, 2 twice that.
   double Overuse(TimePoint now, std::string_view account) const;
 
   /// Time until the account's use alone would fall to its share.
   Duration TimeToShare(TimePoint now, std::string_view account) const;
 
-  /// Counts the active accounts anew and forgets those without recent use.
-  /// Does nothing when called again soon.
+  /// Finds the level anew and forgets accounts without recent use. Does nothing
+  /// when called again soon, unless an account is new.
   void Refresh(TimePoint now);
 
  private:
   std::map<std::string, DecayedSum, std::less<>> use_;
   DecayedSum total_;
-  size_t active_ = 0;
+  /// Fair level as a part of the total use.
+  double level_ = 1;
+  /// Accounts when the level was found.
+  size_t known_ = 0;
   TimePoint next_refresh_{};
 };
 
--- a/src/admission/account_shares.cc
+++ b/src/admission/account_shares.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <utility>
+#include <vector>
 
 namespace citronlane {
 namespace {
@@ -12,6 +15,23 @@
 /// other one forgotten.
 constexpr double kActivePart = 1e-5;
 constexpr double kForgottenPart = 1e-8;
+/// Level and accounts are looked at anew when they grew by one in this many.
+constexpr size_t kGrowthPart = 8;
+constexpr double kKeptUse = 0.7;
+
+/// Level to which uses must be cut so that kKeptUse of their sum of 1 is left.
+double CappingLevel(std::vector<double> uses) {
+  std::sort(uses.begin(), uses.end());
+  double below = 0;
+  for (size_t i = 0; i < uses.size(); ++i) {
+    const auto rest = static_cast<double>(uses.size() - i);
+    if (below + rest * uses[i] >= kKeptUse) {
+      return (kKeptUse - below) / rest;
+    }
+    below += uses[i];
+  }
+  return 1;
+}
 
 }  // namespace
 
@@ -21,7 +41,9 @@
   auto found = use_.find(account);
   if (found == use_.end()) {
     found = use_.emplace(std::string(account), DecayedSum(kHalfLife)).first;
-    ++active_;
+    if (use_.size() > known_ + known_ / kGrowthPart) {
+      next_refresh_ = now;
+    }
   }
   found->second.Add(now, cost);
   total_.Add(now, cost);
@@ -33,7 +55,7 @@
   if (found == use_.end() || total <= 0) {
     return 0;
   }
-  return found->second.At(now) * static_cast<double>(active_) / total;
+  return found->second.At(now) / (level_ * total);
 }
 
 Duration AccountShares::TimeToShare(TimePoint now,
@@ -49,13 +71,21 @@
   }
   next_refresh_ = now + kRefreshInterval;
   const double total = total_.At(now);
-  active_ = 0;
+  std::vector<double> uses;
+  uses.reserve(use_.size());
   for (auto entry = use_.begin(); entry != use_.end();) {
     const double use = entry->second.At(now);
-    active_ += use > kActivePart * total ? 1 : 0;
+    if (use > kActivePart * total) {
+      uses.push_back(use / total);
+    }
     entry =
         use <= kForgottenPart * total ? use_.erase(entry) : std::next(entry);
   }
+  known_ = use_.size();
+  if (!uses.empty()) {
+    const double equal = 1 / static_cast<double>(uses.size());
+    level_ = std::max(equal, CappingLevel(std::move(uses)));
+  }
 }
 
 }  // namespace citronlane
