--- a/include/citronlane/app/admission_gate.h
+++ b/include/citronlane/app/admission_gate.h
@@ -38,6 +38,9 @@
                     double amount,
                     TimePoint valid_until);
 
+  /// Whether the class should make cheaper choices: no hedges.
+  bool SpendIsTight(TimePoint now, std::string_view class_name);
+
  private:
   const AdmissionOptions options_;
   std::mutex mutex_;
--- a/include/citronlane/app/driver_job.h
+++ b/include/citronlane/app/driver_job.h
@@ -28,6 +28,8 @@
   /// The call to pass on, when the only stage is a plain service. Its target
   /// is the path at the service.
   std::optional<HttpRequest> service_call_;
+  /// Whether second calls beside slow ones may be made now.
+  std::function<bool()> may_hedge_;
   /// Next text of the answer. May be empty for answers given whole.
   std::function<void(const EmitText&)> on_text_;
   /// The request is over; called once, last.
--- a/include/citronlane/app/refusal_backlog.h
+++ b/include/citronlane/app/refusal_backlog.h
@@ -13,7 +13,8 @@
 namespace citronlane {
 
 /// Refusals on their way to the journal: bounded, oldest dropped first, every
-/// drop counted. Thread safe.
+/// drop counted. Refusals of bad input take at most half of the room. Thread
+/// safe.
 class RefusalBacklog {
  public:
   /// Sends a batch with the number dropped; returns whether control has it.
--- a/include/citronlane/base/refusal_reason.h
+++ b/include/citronlane/base/refusal_reason.h
@@ -18,6 +18,7 @@
   kMissingIdempotencyKey = 107,
   kUnknownRoute = 108,
   kTooManyConnections = 109,
+  kBodyMemoryExhausted = 110,
   // 2xx: the client account.
   kUnknownAccount = 201,
   kClassNotAllowed = 202,
--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -63,6 +63,8 @@
   bool ServeOne();
   bool WaitForFirstByte();
   bool ReadRequest(Parser* parser);
+  bool ReserveBody(const Parser& parser);
+  void ReleaseBody();
   void RefuseUnreadable(const boost::system::error_code& error);
   void Refuse(RefusalReason reason);
   void Linger();
@@ -79,6 +81,7 @@
   const size_t shard_;
   boost::beast::flat_buffer buffer_;
   const boost::asio::yield_context* yield_ = nullptr;
+  uint64_t reserved_bytes_ = 0;
   bool keep_alive_ = true;
   bool head_request_ = false;
   bool idle_ = false;
--- a/include/citronlane/transport/detail/http_listener_state.h
+++ b/include/citronlane/transport/detail/http_listener_state.h
@@ -27,6 +27,8 @@
   std::atomic<bool> stopped_{false};
   std::atomic<size_t> active_requests_{0};
   std::atomic<size_t> connections_{0};
+  /// Bytes of bodies that are being read or served.
+  std::atomic<uint64_t> body_bytes_{0};
 };
 
 }  // namespace citronlane::detail
--- a/include/citronlane/transport/http_limits.h
+++ b/include/citronlane/transport/http_limits.h
@@ -14,6 +14,8 @@
   uint32_t header_bytes_ = 16 * 1024;
   /// Bytes of a request's body.
   uint64_t body_bytes_ = 1024ULL * 1024;
+  /// Bytes of bodies held at once over all connections.
+  uint64_t total_body_bytes_ = 64ULL * 1024 * 1024;
   /// Open connections over all threads; more are closed at once.
   size_t connections_ = 4096;
   /// From the first byte of a request to its last.
--- a/src/app/admission_gate.cc
+++ b/src/app/admission_gate.cc
@@ -49,4 +49,9 @@
   }
 }
 
+bool AdmissionGate::SpendIsTight(TimePoint now, std::string_view class_name) {
+  const std::lock_guard lock(mutex_);
+  return controller_ != nullptr && controller_->SpendIsTight(now, class_name);
+}
+
 }  // namespace citronlane
--- a/src/app/caller_handler.cc
+++ b/src/app/caller_handler.cc
@@ -164,6 +164,10 @@
     job.service_call_ = http_;
     job.service_call_->target_ = request_.service_target_;
   }
+  job.may_hedge_ = [this] {
+    return !request_.class_->batch_ && !parts_.admission_->SpendIsTight(
+                                           SteadyNow(), request_.class_->name_);
+  };
   if (request_.stream_) {
     job.on_text_ = [this](const EmitText& text) {
       pending_text_ += writer_.TextEvent(text);
--- a/src/app/refusal_backlog.cc
+++ b/src/app/refusal_backlog.cc
@@ -9,6 +9,11 @@
 
 constexpr size_t kBatchSize = 256;
 
+/// The request itself or its client account was wrong: reasons 1xx and 2xx.
+bool IsCallersFault(RefusalReason reason) {
+  return reason < RefusalReason::kDeadlineUnreachable;
+}
+
 }  // namespace
 
 RefusalBacklog::RefusalBacklog(size_t bound, SendHook send)
@@ -16,6 +21,12 @@
 
 void RefusalBacklog::Add(const RefusalEntry& entry) {
   const std::lock_guard lock(mutex_);
+  if (IsCallersFault(entry.reason_) && entries_.size() >= bound_ / 2) {
+    // A flood of bad input must not push out refusals that were ours.
+    ++dropped_unsent_;
+    ++dropped_total_;
+    return;
+  }
   entries_.push_back(entry);
   if (entries_.size() > bound_) {
     entries_.pop_front();
--- a/src/app/refusal_writer.cc
+++ b/src/app/refusal_writer.cc
@@ -20,6 +20,7 @@
 bool PassesByItself(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::kTooManyConnections:
+    case RefusalReason::kBodyMemoryExhausted:
     case RefusalReason::kDeadlineUnreachable:
     case RefusalReason::kConcurrencyLimit:
     case RefusalReason::kFairShare:
--- a/src/app/request_driver.cc
+++ b/src/app/request_driver.cc
@@ -37,7 +37,8 @@
           RequestHooks{[this](uint32_t stage) {
                          const auto pool =
                              context_->pools_->Find(job_.stages_[stage].pool_);
-                         return pool != nullptr && pool->TakeHedge();
+                         return pool != nullptr && job_.may_hedge_() &&
+                                pool->TakeHedge();
                        },
                        [this](uint32_t stage, RetryReason reason) {
                          const std::string& name = job_.stages_[stage].pool_;
--- a/src/app/request_driver_replies.cc
+++ b/src/app/request_driver_replies.cc
@@ -1,13 +1,13 @@
 #include "citronlane/app/request_driver.h"
 
 #include <algorithm>
-#include <cctype>
 #include <iterator>
 #include <utility>
 
 #include "citronlane/app/detail/call_flight.h"
 #include "citronlane/app/driver_context.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/transport/detail/header_name.h"
 #include "citronlane/transport/detail/steady_now.h"
 #include "citronlane/transport/stage_adapter.h"
 
@@ -28,17 +28,16 @@
   return rejected ? CallOutcome::kRejected : CallOutcome::kServerError;
 }
 
-/// Headers of a service's reply that hold for its connection only, or that the
-/// gateway writes itself.
+/// Whether a header of a service's reply is for the caller, not for the
+/// connection or the gateway.
 bool IsPassedOn(std::string_view name) {
   constexpr std::string_view kKept[] = {
-      "cache-control", "content-language", "etag", "last-modified",
-      "location",      "retry-after",      "vary"};
-  std::string lower(name);
-  std::transform(lower.begin(), lower.end(), lower.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return std::find(std::begin(kKept), std::end(kKept), lower) !=
-         std::end(kKept);
+      "Cache-Control", "Content-Language", "ETag", "Last-Modified",
+      "Location",      "Retry-After",      "Vary"};
+  return std::any_of(std::begin(kKept), std::end(kKept),
+                     [name](std::string_view kept) {
+                       return detail::SameHeaderName(kept, name);
+                     });
 }
 
 }  // namespace
@@ -164,7 +163,7 @@
     reply.status_ = status;
     reply.content_type_.clear();
     for (const HttpHeader& header : flight->head_.headers_) {
-      if (header.name_ == "Content-Type") {
+      if (detail::SameHeaderName(header.name_, "Content-Type")) {
         reply.content_type_ = header.value_;
       } else if (IsPassedOn(header.name_)) {
         reply.headers_.push_back(header);
--- a/src/base/refusal_reason.cc
+++ b/src/base/refusal_reason.cc
@@ -12,7 +12,7 @@
   std::string_view sentence_;
 };
 
-constexpr std::array<ReasonRow, 31> kReasons = {{
+constexpr std::array<ReasonRow, 32> kReasons = {{
     {RefusalReason::kMalformedRequest, "malformed_request", 400,
      "The request can not be read."},
     {RefusalReason::kUnknownPipeline, "unknown_pipeline", 404,
@@ -31,6 +31,8 @@
      "No route has this path."},
     {RefusalReason::kTooManyConnections, "too_many_connections", 503,
      "The gateway has no free connection."},
+    {RefusalReason::kBodyMemoryExhausted, "body_memory_exhausted", 503,
+     "The gateway holds as many request bodies as it may."},
     {RefusalReason::kUnknownAccount, "unknown_account", 401,
      "The bearer key belongs to no client account."},
     {RefusalReason::kClassNotAllowed, "class_not_allowed", 403,
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -1,5 +1,6 @@
 #include "citronlane/transport/detail/http_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -133,6 +134,7 @@
   parser.header_limit(state_->limits_.header_bytes_);
   parser.body_limit(state_->limits_.body_bytes_);
   if (!WaitForFirstByte() || !ReadRequest(&parser)) {
+    ReleaseBody();
     return false;
   }
   keep_alive_ = parser.get().keep_alive();
@@ -142,6 +144,7 @@
   WatchCaller();
   state_->hooks_.serve_(shard_, request, this);
   StopWatching();
+  ReleaseBody();
   --state_->active_requests_;
   return !caller_gone_;
 }
@@ -164,6 +167,11 @@
   stream_.expires_after(state_->limits_.read_timeout_);
   error_code error;
   http::async_read_header(stream_, buffer_, *parser, (*yield_)[error]);
+  if (!error && !ReserveBody(*parser)) {
+    keep_alive_ = false;
+    Refuse(RefusalReason::kBodyMemoryExhausted);
+    return false;
+  }
   if (!error && parser->get()[http::field::expect] == "100-continue") {
     Send(kContinue);
     stream_.expires_after(state_->limits_.read_timeout_);
@@ -179,6 +187,28 @@
   return false;
 }
 
+bool HttpConnection::ReserveBody(const Parser& parser) {
+  const auto length = parser.content_length();
+  if (!parser.chunked() && !length) {
+    return true;
+  }
+  reserved_bytes_ =
+      length ? std::min<uint64_t>(*length, state_->limits_.body_bytes_)
+             : state_->limits_.body_bytes_;
+  const uint64_t total = state_->body_bytes_ += reserved_bytes_;
+  // One body is always taken, however small the room is set.
+  if (total <= std::max(state_->limits_.total_body_bytes_,
+                        state_->limits_.body_bytes_)) {
+    return true;
+  }
+  ReleaseBody();
+  return false;
+}
+
+void HttpConnection::ReleaseBody() {
+  state_->body_bytes_ -= std::exchange(reserved_bytes_, 0);
+}
+
 void HttpConnection::RefuseUnreadable(const error_code& error) {
   keep_alive_ = false;
   if (error == http::error::end_of_stream) {
