--- a/include/citronlane/storage/replica_storage.h
+++ b/include/citronlane/storage/replica_storage.h
@@ -48,6 +48,9 @@
 
   uint64_t sync_count() const { return log_.sync_count(); }
 
+  /// After a refused Open: whether the folder is another node's.
+  bool belongs_to_other() const { return belongs_to_other_; }
+
  private:
   bool OpenIdentity(Error* error);
   bool SaveIdentity(Error* error);
@@ -65,6 +68,7 @@
   uint64_t incarnation_ = 0;
   /// Whether a snapshot was ever stored: from then on one must be there.
   bool is_member_ = false;
+  bool belongs_to_other_ = false;
 };
 
 }  // namespace citronlane
--- a/src/cli/process_command.cc
+++ b/src/cli/process_command.cc
@@ -14,6 +14,8 @@
 #include "citronlane/settings/control_settings.h"
 #include "citronlane/settings/files.h"
 #include "citronlane/settings/gateway_settings.h"
+#include "citronlane/storage/posix_file_system.h"
+#include "citronlane/storage/recover.h"
 #ifdef CITRONLANE_HAS_GATEWAY
 #include "citronlane/app/gateway_run.h"
 #endif
@@ -103,18 +105,71 @@
 #endif
 }
 
+// Says what there is to do about the data folder; does it only with --apply.
+void RunRecoverCommand(const std::string& path,
+                       bool apply,
+                       CommandContext* context) {
+  const auto settings = Load(path, ParseControlSettings, context);
+  if (!settings) {
+    return;
+  }
+  const ReplicaOptions& replica = settings->control_.replica_;
+  const FileSystem files = PosixFileSystem();
+  Error error;
+  const auto report =
+      InspectDataFolder(files, replica.data_dir_, replica.raft_.id_, &error);
+  if (!report) {
+    context->Fail(ExitCode::kFailure, error.message_);
+    return;
+  }
+  for (const std::string& line : report->lines_) {
+    context->out_ << line << '\n';
+  }
+  if (report->finding_ != RecoveryReport::Finding::kUntrusted) {
+    return;
+  }
+  if (!apply) {
+    context->out_ << "Nothing was changed; --apply does it.\n";
+  } else if (SetDataFolderAside(files, replica.data_dir_, *report, &error)) {
+    context->out_ << "Done.\n";
+  } else {
+    context->Fail(ExitCode::kFailure, error.message_);
+  }
+}
+
 using Run = void (*)(const std::string& path, CommandContext* context);
 
-void AddProcess(CLI::App* app,
-                const std::string& name,
-                const std::string& help,
-                Run run,
-                CommandContext* context) {
+// Returns where the path of the settings will be.
+std::shared_ptr<std::string> AddProcess(CLI::App* app,
+                                        const std::string& name,
+                                        const std::string& help,
+                                        Run run,
+                                        CommandContext* context) {
   CLI::App* command = app->add_subcommand(name, help);
-  const auto path = std::make_shared<std::string>();
+  auto path = std::make_shared<std::string>();
   command->add_option("--settings", *path, "Settings file, JSON with comments")
       ->required();
   command->callback([path, run, context] { run(*path, context); });
+  return path;
+}
+
+void AddRecovery(CLI::App* control,
+                 const std::shared_ptr<std::string>& path,
+                 CommandContext* context) {
+  const auto recover = std::make_shared<bool>(false);
+  const auto apply = std::make_shared<bool>(false);
+  CLI::Option* flag = control->add_flag(
+      "--recover", *recover,
+      "Do not serve: say what there is to do about the data folder");
+  control->add_flag("--apply", *apply, "With --recover: do what it says")
+      ->needs(flag);
+  control->callback([path, recover, apply, context] {
+    if (*recover) {
+      RunRecoverCommand(*path, *apply, context);
+    } else {
+      RunControlCommand(*path, context);
+    }
+  });
 }
 
 }  // namespace
@@ -123,8 +178,10 @@
   AddProcess(app, "gateway",
              "Serve callers until SIGTERM, then finish what is in flight",
              RunGatewayCommand, context);
-  AddProcess(app, "control", "Serve as one of the control VMs until SIGTERM",
-             RunControlCommand, context);
+  const auto path = AddProcess(app, "control",
+                               "Serve as one of the control VMs until SIGTERM",
+                               RunControlCommand, context);
+  AddRecovery(app->get_subcommand("control"), path, context);
 }
 
 }  // namespace citronlane::detail
--- a/src/storage/replica_storage.cc
+++ b/src/storage/replica_storage.cc
@@ -89,7 +89,8 @@
     error->message_ = "damaged identity file " + folder_ + "/" + name;
     return false;
   }
-  if (record->index_ != id_) {
+  belongs_to_other_ = record->index_ != id_;
+  if (belongs_to_other_) {
     error->message_ = folder_ + " belongs to node " +
                       std::to_string(record->index_) + ", not to node " +
                       std::to_string(id_);
--- a/tests/unit-cli.cc
+++ b/tests/unit-cli.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <string>
@@ -161,6 +162,34 @@
   }
 }
 
+TEST_CASE("recovery of a data folder") {
+  namespace fs = std::filesystem;
+  const fs::path root = fs::temp_directory_path() /
+                        ("citronlane-cli-recover-" + std::to_string(getpid()));
+  const fs::path folder = root / "data";
+  fs::create_directories(folder);
+  std::ofstream(folder / "0000000000000001.wal") << "no log at all";
+  const TemporaryFile file(
+      R"({"control": {"id": 1, "data_dir": ")" + folder.string() +
+      R"(", "peers": [{"id": 1, "replication": "127.0.0.1:1",
+      "control": "127.0.0.1:2", "admin": "127.0.0.1:3"}]}})");
+
+  const Outcome report =
+      Run({"control", "--settings", file.path(), "--recover"});
+  CHECK(report.code_ == ExitCode::kSuccess);
+  CHECK_THAT(report.out_, Catch::Contains("Would rename "));
+  CHECK_THAT(report.out_, Catch::Contains("Nothing was changed"));
+  CHECK(fs::exists(folder));
+  CHECK(Run({"control", "--settings", file.path(), "--apply"}).code_ ==
+        ExitCode::kUsage);
+
+  CHECK(Run({"control", "--settings", file.path(), "--recover", "--apply"})
+            .code_ == ExitCode::kSuccess);
+  CHECK_FALSE(fs::exists(folder));
+  CHECK(fs::exists(root / "data.damaged-1"));
+  fs::remove_all(root);
+}
+
 TEST_CASE("administration client") {
   SECTION("sends a change again with the same id until it has an answer") {
     FakeControl control({{200, R"({"version":4})"},
