--- a/src/app/control_run.cc
+++ b/src/app/control_run.cc
@@ -3,11 +3,18 @@
 #include <pthread.h>
 
 #include <csignal>
+#include <ctime>
 #include <utility>
 
 #include "citronlane/app/control_node.h"
 
 namespace citronlane {
+namespace {
+
+// How soon a node whose replica gave up ends, so that everybody sees it.
+constexpr timespec kReplicaCheckInterval{0, 200'000'000};
+
+}  // namespace
 
 bool RunControl(const ControlOptions& options,
                 ControlNodeHooks hooks,
@@ -23,8 +30,14 @@
   if (!node.Start(error)) {
     return false;
   }
-  int signal = 0;
-  sigwait(&signals, &signal);
+  while (sigtimedwait(&signals, nullptr, &kReplicaCheckInterval) < 0) {
+    const ReplicaStatus status = node.replica_status();
+    if (status.failed_) {
+      node.Stop();
+      error->message_ = status.failure_;
+      return false;
+    }
+  }
   node.Stop();
   return true;
 }
