Let the gateway use priorities, plans, hedge rules and down pools

The gateway asked the hedge budget alone, told the routers nothing of what is on its way, and ran the first stages of requests whose later pool had no server.

--- a/bench/policy/gateway_model.cc
+++ b/bench/policy/gateway_model.cc
@@ -85,6 +85,8 @@
     const bool stream = pool.config_.kind_ == StageKind::kEngine;
     shape.expected_tokens_ = stream ? spec.max_tokens_ : 0;
     query.pool_down_ = query.pool_down_ || pool.router_.IsDown(queue_->now());
+    query.pool_empty_ =
+        query.pool_empty_ || pool.router_.usable_servers(queue_->now()) == 0;
     query.expected_cost_ +=
         pool.config_.cost_per_call_ +
         (stream ? kUsualTokens : 0) * pool.config_.cost_per_token_;
--- a/include/citronlane/admission/admission_query.h
+++ b/include/citronlane/admission/admission_query.h
@@ -25,6 +25,8 @@
   double expected_cost_ = 0;
   /// Whether a pool of the stages ahead is down (PoolRouter::IsDown).
   bool pool_down_ = false;
+  /// Whether a pool of the stages ahead has no usable server.
+  bool pool_empty_ = false;
   /// Pool that the expected finish depends on most, and its servers in use.
   std::string bottleneck_pool_;
   size_t pool_in_flight_ = 0;
--- a/include/citronlane/app/pool_estimate.h
+++ b/include/citronlane/app/pool_estimate.h
@@ -14,6 +14,8 @@
   std::optional<Duration> finish_;
   /// The same for the first byte of a streamed answer.
   std::optional<Duration> first_byte_;
+  /// PoolRouter::IsDown.
+  bool down_ = false;
   size_t in_flight_ = 0;
   size_t usable_servers_ = 0;
 };
--- a/include/citronlane/app/pool_shard.h
+++ b/include/citronlane/app/pool_shard.h
@@ -16,6 +16,7 @@
 #include "citronlane/routing/budget.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/routing/call_shape.h"
+#include "citronlane/routing/hedge_policy.h"
 #include "citronlane/routing/pool_router.h"
 #include "citronlane/routing/router_options.h"
 
@@ -68,8 +69,12 @@
   PoolEstimate Estimate(TimePoint now, const CallShape& call) const;
   size_t in_flight() const;
 
-  /// Take one extra call from the budget; false when it is spent.
-  bool TakeHedge();
+  /// PoolRouter::OnPlanned.
+  void OnPlanned(int calls);
+
+  /// Take one extra call from the budget; false when it is spent or, for a
+  /// hedge, when HedgePolicy has another reason against it.
+  bool TakeHedge(const HedgeQuery& query);
   bool TakeRetry();
 
  private:
@@ -80,7 +85,7 @@
   mutable std::mutex mutex_;
   std::mt19937_64 random_;
   PoolRouter router_;
-  Budget hedges_;
+  HedgePolicy hedges_;
   Budget retries_;
   std::map<std::string, ServerConfig, std::less<>> servers_;
 };
--- a/include/citronlane/app/request_driver.h
+++ b/include/citronlane/app/request_driver.h
@@ -14,6 +14,7 @@
 #include "citronlane/app/stage_cost.h"
 #include "citronlane/base/time.h"
 #include "citronlane/request/request.h"
+#include "citronlane/routing/hedge_query.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/stage_call_spec.h"
 #include "citronlane/transport/stage_reply_head.h"
@@ -26,6 +27,7 @@
 
 struct DriverContext;
 struct PoolConfig;
+class PoolShard;
 
 /// Carries out what one Request commands: places and makes its calls, keeps
 /// its timers, feeds it what comes back. Not thread safe: used on its
@@ -70,6 +72,11 @@
                          const StartCall& command) const;
   void FillServiceCall(StageCallSpec* spec) const;
   uint64_t PrefixHash() const;
+  /// Tells the pools of all stages that this request will call them.
+  void PlanStages();
+  /// Takes that back for the stages before `end`.
+  void ReleasePlanned(size_t end);
+  HedgeQuery MakeHedgeQuery(const PoolShard& pool) const;
   TimePoint AttemptDeadline(uint32_t stage) const;
   const PoolConfig& PoolOf(uint32_t stage) const;
 
@@ -92,6 +99,8 @@
   boost::asio::steady_timer deadline_timer_;
   bool pumping_ = false;
   std::vector<TimePoint> stage_starts_;
+  /// Pools of the stages still to come; null for the others.
+  std::vector<std::shared_ptr<PoolShard>> planned_;
   RequestCounters reported_;
   std::optional<TimePoint> first_text_;
   std::optional<HttpReply> service_reply_;
--- a/include/citronlane/request/pipeline_input.h
+++ b/include/citronlane/request/pipeline_input.h
@@ -15,6 +15,8 @@
   /// Bound set by the caller; 0 for none.
   uint32_t max_tokens_ = 0;
   bool batch_ = false;
+  /// CallPriority of the class: 0 is the most urgent.
+  uint32_t priority_ = 0;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/routing/hedge_policy.h
+++ b/include/citronlane/routing/hedge_policy.h
@@ -15,7 +15,8 @@
 /// Not thread safe.
 class HedgePolicy {
  public:
-  HedgePolicy();
+  /// `budget_ratio` bounds hedges to this part of the first calls.
+  explicit HedgePolicy(double budget_ratio = kDefaultBudgetRatio);
 
   /// A first call was made: earns a part of a hedge.
   void OnFirstCall() { budget_.Earn(); }
@@ -30,6 +31,7 @@
   }
 
  private:
+  static constexpr double kDefaultBudgetRatio = 0.05;
   static constexpr size_t kOutcomes =
       static_cast<size_t>(HedgeOutcome::kBudgetExhausted) + 1;
 
--- a/include/citronlane/routing/pool_router.h
+++ b/include/citronlane/routing/pool_router.h
@@ -113,8 +113,7 @@
   /// for stalled, from the learned pace. Nothing until streams were seen.
   std::optional<Duration> StreamStallTimeout() const;
 
-  /// Whether the pool's last calls all failed, or no server is usable: the pool
-  /// is down until one call succeeds.
+  /// Whether the pool's last calls all failed: it is down until one succeeds.
   bool IsDown(TimePoint now) const;
 
   /// Servers that may take calls: neither leaving nor ejected.
--- a/src/admission/admission_controller.cc
+++ b/src/admission/admission_controller.cc
@@ -176,9 +176,15 @@
 std::optional<Refusal> AdmissionController::Impl::CheckPoolDown(
     TimePoint now,
     const AdmissionQuery& query) {
+  if (!options_.refuse_pool_down_) {
+    return std::nullopt;
+  }
+  if (query.pool_empty_) {
+    return Refuse(now, RefusalReason::kNoBackendServer, kPoolReturn,
+                  {{"usable_servers", 0}});
+  }
   // A few go on, or nobody would see the pool come back.
-  if (!options_.refuse_pool_down_ || !query.pool_down_ ||
-      random_(kPoolProbes) == 0) {
+  if (!query.pool_down_ || random_(kPoolProbes) == 0) {
     return std::nullopt;
   }
   return Refuse(now, RefusalReason::kNoBackendServer, kPoolReturn,
--- a/src/app/admission_estimate.cc
+++ b/src/app/admission_estimate.cc
@@ -62,8 +62,11 @@
     const bool engine = config.kind_ == StageKind::kEngine;
     CallShape shape;
     shape.batch_ = query.batch_;
+    shape.priority_ = request.input_.priority_;
     shape.expected_tokens_ = engine ? ExpectedTokens(request, stage) : 0;
     const PoolEstimate estimate = pool->Estimate(now, shape);
+    query.pool_down_ = query.pool_down_ || estimate.down_;
+    query.pool_empty_ = query.pool_empty_ || estimate.usable_servers_ == 0;
     sums.Add(engine ? estimate.first_byte_ : estimate.finish_,
              estimate.finish_);
     query.expected_cost_ +=
--- a/src/app/caller_request_reader.cc
+++ b/src/app/caller_request_reader.cc
@@ -7,6 +7,7 @@
 #include "citronlane/app/config_view.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/json/parse.h"
+#include "citronlane/routing/call_priority.h"
 #include "citronlane/transport/http_request.h"
 
 namespace citronlane {
@@ -265,6 +266,7 @@
   }
   result_.class_ = &found->second;
   result_.input_.batch_ = found->second.batch_;
+  result_.input_.priority_ = CallPriority(found->second);
   return true;
 }
 
--- a/src/app/pool_shard.cc
+++ b/src/app/pool_shard.cc
@@ -19,7 +19,7 @@
       router_(pool,
               options,
               [this](uint64_t bound) { return random_() % bound; }),
-      hedges_(hedge_ratio, kBudgetBurst),
+      hedges_(hedge_ratio),
       retries_(retry_ratio, kBudgetBurst),
       servers_(pool.servers_.begin(), pool.servers_.end()) {}
 
@@ -44,7 +44,7 @@
     return std::nullopt;
   }
   if (excluded.empty()) {
-    hedges_.Earn();
+    hedges_.OnFirstCall();
     retries_.Earn();
   }
   return Started(choice->server_, now, call);
@@ -127,6 +127,7 @@
   PoolEstimate estimate;
   estimate.finish_ = router_.ExpectedFinish(now, call);
   estimate.first_byte_ = router_.ExpectedFirstByte(now, call);
+  estimate.down_ = router_.IsDown(now);
   estimate.in_flight_ = router_.in_flight();
   estimate.usable_servers_ = router_.usable_servers(now);
   return estimate;
@@ -137,9 +138,14 @@
   return router_.in_flight();
 }
 
-bool PoolShard::TakeHedge() {
+bool PoolShard::TakeHedge(const HedgeQuery& query) {
   const std::lock_guard lock(mutex_);
-  return hedges_.TrySpend();
+  return hedges_.Decide(query) == HedgeOutcome::kHedged;
+}
+
+void PoolShard::OnPlanned(int calls) {
+  const std::lock_guard lock(mutex_);
+  router_.OnPlanned(calls);
 }
 
 bool PoolShard::TakeRetry() {
--- a/src/app/request_driver.cc
+++ b/src/app/request_driver.cc
@@ -38,7 +38,7 @@
                          const auto pool =
                              context_->pools_->Find(job_.stages_[stage].pool_);
                          return pool != nullptr && job_.may_hedge_() &&
-                                pool->TakeHedge();
+                                pool->TakeHedge(MakeHedgeQuery(*pool));
                        },
                        [this](uint32_t stage, RetryReason reason) {
                          const std::string& name = job_.stages_[stage].pool_;
@@ -55,7 +55,42 @@
                        }}),
       deadline_timer_(*context_->io_) {}
 
-RequestDriver::~RequestDriver() = default;
+RequestDriver::~RequestDriver() {
+  ReleasePlanned(planned_.size());
+}
+
+void RequestDriver::PlanStages() {
+  for (const StageConfig& stage : job_.stages_) {
+    planned_.push_back(context_->pools_->Find(stage.pool_));
+    if (planned_.back() != nullptr) {
+      planned_.back()->OnPlanned(1);
+    }
+  }
+}
+
+void RequestDriver::ReleasePlanned(size_t end) {
+  for (size_t stage = 0; stage < std::min(end, planned_.size()); ++stage) {
+    if (const auto pool = std::exchange(planned_[stage], nullptr)) {
+      pool->OnPlanned(-1);
+    }
+  }
+}
+
+HedgeQuery RequestDriver::MakeHedgeQuery(const PoolShard& pool) const {
+  HedgeQuery query;
+  query.batch_ = job_.input_.batch_;
+  if (flights_.empty()) {
+    return query;
+  }
+  const detail::CallFlight& slow = *flights_.front();
+  const TimePoint now = SteadyNow();
+  query.elapsed_ = now - slow.started_;
+  // The timer that asks was set to the delay.
+  query.delay_ = query.elapsed_;
+  query.expected_ = pool.Estimate(now, slow.shape_).first_byte_;
+  query.remaining_ = slow.deadline_ - now;
+  return query;
+}
 
 void RequestDriver::Start() {
   deadline_timer_.expires_at(job_.plan_.deadline_);
@@ -66,6 +101,7 @@
           self->Pump();
         }
       });
+  PlanStages();
   request_.Start(SteadyNow());
   Pump();
 }
@@ -119,6 +155,7 @@
   }
   if (command.attempt_.stage_ == stage_starts_.size()) {
     stage_starts_.push_back(SteadyNow());
+    ReleasePlanned(command.attempt_.stage_ + 1);
   }
   const FlightPtr flight = Place(command);
   if (flight == nullptr) {
@@ -167,6 +204,7 @@
 
 void RequestDriver::Execute(const FinishRequest& command) {
   deadline_timer_.cancel();
+  ReleasePlanned(planned_.size());
   job_.on_finish_(command);
 }
 
@@ -182,6 +220,7 @@
     return nullptr;
   }
   flight->shape_.batch_ = job_.input_.batch_;
+  flight->shape_.priority_ = job_.input_.priority_;
   if (job_.plan_.stages_[stage].streams_) {
     flight->shape_.expected_tokens_ = config.max_tokens_;
     flight->shape_.prefix_hash_ = PrefixHash();
--- a/src/routing/hedge_policy.cc
+++ b/src/routing/hedge_policy.cc
@@ -3,14 +3,14 @@
 namespace citronlane {
 namespace {
 
-constexpr double kBudgetRatio = 0.05;
 constexpr double kBudgetBurst = 5;
 /// A pool under more pressure is not given second calls.
 constexpr double kHighestPressure = 0.5;
 
 }  // namespace
 
-HedgePolicy::HedgePolicy() : budget_(kBudgetRatio, kBudgetBurst) {}
+HedgePolicy::HedgePolicy(double budget_ratio)
+    : budget_(budget_ratio, kBudgetBurst) {}
 
 HedgeOutcome HedgePolicy::Decide(const HedgeQuery& query) {
   const HedgeOutcome outcome = Check(query);
--- a/src/routing/pool_router.cc
+++ b/src/routing/pool_router.cc
@@ -114,7 +114,7 @@
     const auto heard =
         std::count_if(heard_.begin(), heard_.end(),
                       [now](TimePoint at) { return now - at < kPeerExpiry; });
-    return planned_ * (1 + static_cast<double>(heard)) /
+    return std::max(0, planned_) * (1 + static_cast<double>(heard)) /
            static_cast<double>(servers_.usable().size());
   }
 
@@ -329,8 +329,7 @@
 
 bool PoolRouter::IsDown(TimePoint now) const {
   const bool fresh = now - impl_->outcome_at_ < kDownMemory;
-  return impl_->servers_.usable().empty() ||
-         (fresh && impl_->failures_in_row_ >= kDownFailures);
+  return fresh && impl_->failures_in_row_ >= kDownFailures;
 }
 
 size_t PoolRouter::usable_servers(TimePoint /*now*/) const {
--- a/src/transport/stage_adapter.cc
+++ b/src/transport/stage_adapter.cc
@@ -15,8 +15,8 @@
 namespace {
 
 /// Priorities of an engine: a lower one is served first.
-constexpr double kInteractivePriority = 0;
-constexpr double kBatchPriority = 10;
+/// Engines take smaller numbers first; steps leave room between classes.
+constexpr double kPriorityStep = 5;
 
 /// Returns the member when it is an array, else null.
 const JsonValue* FindArray(const JsonValue& object, std::string_view name) {
@@ -105,8 +105,7 @@
   call.Set("max_tokens", JsonValue::Number(max_tokens));
   call.Set("stream", JsonValue::Bool(true));
   call.Set("priority",
-           JsonValue::Number(input.input_->batch_ ? kBatchPriority
-                                                  : kInteractivePriority));
+           JsonValue::Number(input.input_->priority_ * kPriorityStep));
   SetMode(input, &call);
   return WriteJson(call);
 }
--- a/tests/unit-admission.cc
+++ b/tests/unit-admission.cc
@@ -99,6 +99,13 @@
     CHECK(refused > 150);
     CHECK(refused < 250);
   }
+  SECTION("refuses what needs a pool without a usable server, always") {
+    AdmissionQuery query = MakeQuery("chat", seconds(2));
+    query.pool_empty_ = true;
+    for (int i = 0; i < 20; ++i) {
+      CHECK(test.Admit(query) == RefusalReason::kNoBackendServer);
+    }
+  }
   SECTION("admits when nothing is known") {
     AdmissionQuery query = MakeQuery("chat", seconds(5));
     query.expected_finish_.reset();
