--- a/bench/policy/policy_options.cc
+++ b/bench/policy/policy_options.cc
@@ -48,6 +48,7 @@
   without("stream-continuation").continue_streams_ = false;
   without("expected-finish").router_.choice_ =
       RouterOptions::Choice::kLeastInFlight;
+  without("peer-loads").peer_loads_ = false;
   without("affinity").router_.prefix_affinity_ = false;
   without("domain-preference").router_.domain_preference_ = false;
   without("ejection").router_.ejection_ = false;
--- a/bench/policy/policy_options.h
+++ b/bench/policy/policy_options.h
@@ -15,6 +15,8 @@
   RouterOptions router_;
   AdmissionOptions admission_;
   bool admits_all_ = false;
+  /// Gateways tell each other their calls in flight.
+  bool peer_loads_ = true;
   /// Engines are told how urgent a call is.
   bool priorities_ = true;
   bool hedge_ = true;
--- a/bench/policy/simulation.cc
+++ b/bench/policy/simulation.cc
@@ -28,7 +28,10 @@
                        const Scenario& scenario,
                        const PolicyOptions& options,
                        uint64_t seed)
-    : deployment_(deployment), scenario_(scenario), random_(seed) {
+    : deployment_(deployment),
+      scenario_(scenario),
+      peer_loads_(options.peer_loads_),
+      random_(seed) {
   result_.deployment_ = deployment.name_;
   result_.scenario_ = scenario.name_;
   result_.policy_ = options.name_;
@@ -239,7 +242,9 @@
 
 RunResult Simulation::Run() {
   PublishLoads();
-  ExchangeLoads();
+  if (peer_loads_) {
+    ExchangeLoads();
+  }
   ScheduleTraffic();
   for (const Fault& fault : scenario_.faults_) {
     ScheduleFault(fault);
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -49,6 +49,7 @@
 
   const Deployment& deployment_;
   const Scenario scenario_;
+  const bool peer_loads_;
   std::mt19937_64 random_;
   EventQueue queue_;
   RunResult result_;
