--- a/include/citronlane/json/fault.h
+++ b/include/citronlane/json/fault.h
@@ -2,6 +2,9 @@
 #define CITRONLANE_JSON_FAULT_H_
 
 #include <string>
+#include <vector>
+
+#include "absl/types/span.h"
 
 namespace citronlane {
 
@@ -15,6 +18,10 @@
   std::string message_;
 };
 
+/// Sorts faults into document order and returns them as lines
+/// "<path>: line <n>: <message>". Thread safe.
+std::vector<std::string> FormatFaults(absl::Span<const Fault> faults);
+
 }  // namespace citronlane
 
 #endif  // CITRONLANE_JSON_FAULT_H_
--- a/include/citronlane/json/object_reader.h
+++ b/include/citronlane/json/object_reader.h
@@ -11,6 +11,7 @@
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
 #include "citronlane/json/fault.h"
+#include "citronlane/json/text_rules.h"
 #include "citronlane/json/value.h"
 
 namespace citronlane {
@@ -124,20 +125,6 @@
   std::vector<std::string> known_;
 };
 
-/// True for 1 to 64 letters, digits, '.', '_' or '-'. Thread safe.
-bool IsName(std::string_view text);
-
-/// True for an IPv4 or IPv6 number. Thread safe.
-bool IsIpAddress(std::string_view text);
-
-/// True for "IP:port" with an IP number, IPv6 in brackets, and a port from 1.
-/// Thread safe.
-bool IsEndpoint(std::string_view text);
-
-/// Sorts faults into document order and returns them as lines
-/// "<path>: line <n>: <message>". Thread safe.
-std::vector<std::string> FormatFaults(absl::Span<const Fault> faults);
-
 }  // namespace citronlane
 
 #endif  // CITRONLANE_JSON_OBJECT_READER_H_
--- /dev/null
+++ b/include/citronlane/json/text_rules.h
@@ -0,0 +1,20 @@
+#ifndef CITRONLANE_JSON_TEXT_RULES_H_
+#define CITRONLANE_JSON_TEXT_RULES_H_
+
+#include <string_view>
+
+namespace citronlane {
+
+/// True for 1 to 64 letters, digits, '.', '_' or '-'. Thread safe.
+bool IsName(std::string_view text);
+
+/// True for an IPv4 or IPv6 number. Thread safe.
+bool IsIpAddress(std::string_view text);
+
+/// True for "IP:port" with an IP number, IPv6 in brackets, and a port from 1.
+/// Thread safe.
+bool IsEndpoint(std::string_view text);
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_JSON_TEXT_RULES_H_
--- a/include/citronlane/settings/detail/shared_settings.h
+++ b/include/citronlane/settings/detail/shared_settings.h
@@ -22,7 +22,9 @@
                   std::vector<Fault>* faults);
 
 /// Reads {"certificate", "private_key", "ca"} and checks the key file.
+/// `need_ca` says whether the other side must show a certificate too.
 void ReadTls(std::string_view key,
+             ObjectReader::Need need_ca,
              const std::string& path,
              ObjectReader& reader,
              TlsFiles* tls);
--- a/src/settings/control_settings.cc
+++ b/src/settings/control_settings.cc
@@ -174,8 +174,10 @@
   reader.Whole("snapshot_interval", Need::kOptional, 1, kMaxCount,
                &options->replica_.snapshot_interval_);
   ReadServing(reader, options);
-  detail::ReadTls("internal_tls", path, reader, &options->internal_tls_);
-  detail::ReadTls("admin_tls", path, reader, &options->admin_tls_);
+  detail::ReadTls("internal_tls", Need::kRequired, path, reader,
+                  &options->internal_tls_);
+  detail::ReadTls("admin_tls", Need::kOptional, path, reader,
+                  &options->admin_tls_);
 }
 
 }  // namespace
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -123,6 +123,8 @@
   });
   reader.Whole("threads", Need::kOptional, 1, kMaxThreads, &options->threads_);
   ReadControl(path, reader, options);
+  detail::ReadTls("control_tls", Need::kRequired, path, reader,
+                  &options->control_tls_);
   ReadReceiptKey(path, reader, options);
   reader.Object("limits", Need::kOptional, [&](ObjectReader& limits) {
     ReadLimits(limits, &options->http_limits_);
--- a/src/settings/shared_settings.cc
+++ b/src/settings/shared_settings.cc
@@ -56,6 +56,7 @@
 }
 
 void ReadTls(std::string_view key,
+             Need need_ca,
              const std::string& path,
              ObjectReader& reader,
              TlsFiles* tls) {
@@ -76,7 +77,7 @@
     };
     read_file("certificate", Need::kRequired, &tls->certificate_);
     read_file("private_key", Need::kRequired, &tls->private_key_);
-    read_file("ca", Need::kOptional, &tls->ca_);
+    read_file("ca", need_ca, &tls->ca_);
   });
 }
 
--- a/tests/unit-reference.cc
+++ b/tests/unit-reference.cc
@@ -9,14 +9,9 @@
 #include <string>
 #include <vector>
 
-#include "citronlane/base/refusal_reason.h"
-#include "citronlane/cli/run.h"
-#include "citronlane/config/parse_cluster_config.h"
+#include "citronlane/citronlane.h"
 #include "citronlane/json/fault.h"
-#include "citronlane/observe/metric_names.h"
 #include "citronlane/request/retry_reason.h"
-#include "citronlane/settings/control_settings.h"
-#include "citronlane/settings/gateway_settings.h"
 
 namespace citronlane {
 namespace {
--- a/tests/unit-settings.cc
+++ b/tests/unit-settings.cc
@@ -167,6 +167,10 @@
          {"\"drain_notice_ms\"",
           "\"bootstrap_config\": \"config.json\", \"drain_notice_ms\"",
           "gateway.bootstrap_config: line 9: not allowed beside control"},
+         {"\"retry_budget\": 0.2",
+          "\"control_tls\": {\"certificate\": \"short.key\", "
+          "\"private_key\": \"short.key\"}",
+          "gateway.control_tls.ca: line 10: missing"},
          {"\"retry_budget\": 0.2", "\"config_lease_ms\": 5000",
           "gateway.config_lease_ms: line 10: must be a number from 500 to "
           "4000, is 5000"}});
@@ -211,7 +215,7 @@
   SECTION("name the fault of each single break") {
     folder.Write("tls.pem", "x", 0644);
     const std::string tls = R"("internal_tls": {"certificate": "tls.pem",
-      "private_key": "tls.pem"}, "gateway_timeout_ms")";
+      "private_key": "tls.pem", "ca": "tls.pem"}, "gateway_timeout_ms")";
     CheckBreaks(
         parse, kControl,
         {{"\"id\": 2,\n", "\"id\": 9,\n", "control.id: line 3: must be the id"},
