--- a/include/citronlane/storage/recover.h
+++ b/include/citronlane/storage/recover.h
@@ -12,8 +12,9 @@
 namespace citronlane {
 
 /// Reads the data folder of node `id` as a start would, without changing it,
-/// and says what there is to do. Nothing and a reason when the folder is in use,
-/// is another node's, or can not be read at all. Thread safe, if the hooks are.
+/// and says what there is to do. Nothing and a reason when the folder is in
+/// use, is another node's, or can not be read at all. Thread safe, if the hooks
+/// are.
 std::optional<RecoveryReport> InspectDataFolder(const FileSystem& files,
                                                 const std::string& folder,
                                                 uint64_t id,
