End the administration server also after a failed TLS handshake

A plain call to the TLS port, or a client that refuses the certificate, left cxxtools' server unable to stop: its accepting threads wait for each other (one in accept4, one in the read of the wake-up pipe), and its terminate() waits for them. SIGTERM then never ended a control process with admin_tls.

Stop now closes the gate to the handler, waits 2 s for the library, and leaves its threads behind when they do not end; nothing of the owner is touched by them any more.

--- a/src/transport/admin_server.cc
+++ b/src/transport/admin_server.cc
@@ -10,10 +10,13 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <exception>
+#include <future>
 #include <istream>
 #include <ostream>
+#include <shared_mutex>
 #include <thread>
 #include <utility>
 
@@ -27,6 +30,7 @@
 constexpr int kReadTimeoutMs = 10000;
 constexpr int kKeepAliveMs = 15000;
 constexpr int kVerifyClient = 2;
+constexpr std::chrono::seconds kStopLimit(2);
 
 std::string HeaderOf(const cxxtools::http::Request& request, const char* name) {
   const char* value = request.getHeader(name);
@@ -92,22 +96,67 @@
   bool is_cut_ = false;
 };
 
+/// Calls the handler until it is closed; from then on nothing of the owner is
+/// touched.
+class HandlerGate {
+ public:
+  explicit HandlerGate(AdminServer::Handler handler)
+      : handler_(std::move(handler)) {}
+
+  AdminResponse Call(const AdminRequest& request) const {
+    const std::shared_lock lock(mutex_);
+    if (is_closed_) {
+      AdminResponse response;
+      response.status_ = kUnavailable;
+      return response;
+    }
+    return handler_(request);
+  }
+  /// Returns once no call is in the handler.
+  void Close() {
+    const std::unique_lock lock(mutex_);
+    is_closed_ = true;
+  }
+
+ private:
+  static constexpr int kUnavailable = 503;
+
+  const AdminServer::Handler handler_;
+  mutable std::shared_mutex mutex_;
+  bool is_closed_ = false;
+};
+
 class HookService final : public cxxtools::http::Service {
  public:
   explicit HookService(AdminServer::Handler handler)
-      : handler_(std::move(handler)) {}
+      : gate_(std::move(handler)), call_([this](const AdminRequest& request) {
+          return gate_.Call(request);
+        }) {}
+
+  void Close() { gate_.Close(); }
 
  protected:
   cxxtools::http::Responder* createResponder(
       const cxxtools::http::Request& /*request*/) override {
-    return new HookResponder(*this, handler_);
+    return new HookResponder(*this, call_);
   }
   void releaseResponder(cxxtools::http::Responder* responder) override {
     delete responder;
   }
 
  private:
-  const AdminServer::Handler handler_;
+  HandlerGate gate_;
+  const AdminServer::Handler call_;
+};
+
+/// What the library's threads use. They keep it alive when they do not end.
+struct ServerState {
+  explicit ServerState(AdminServer::Handler handler)
+      : service_(std::move(handler)) {}
+
+  HookService service_;
+  cxxtools::EventLoop loop_;
+  std::unique_ptr<cxxtools::http::Server> server_;
 };
 
 }  // namespace
@@ -117,7 +166,7 @@
   Impl(std::string listen, TlsFiles tls, Handler handler)
       : listen_(std::move(listen)),
         tls_(std::move(tls)),
-        service_(std::move(handler)) {}
+        state_(std::make_unique<ServerState>(std::move(handler))) {}
   ~Impl() { Stop(); }
 
   bool Start(Error* error) {
@@ -129,37 +178,57 @@
     try {
       const auto port =
           static_cast<uint16_t>(std::stoul(listen_.substr(colon + 1)));
-      server_ = std::make_unique<cxxtools::http::Server>(loop_);
-      server_->minThreads(kMinThreads);
-      server_->maxThreads(kMaxThreads);
-      server_->readTimeout(cxxtools::Milliseconds(kReadTimeoutMs));
-      server_->keepAliveTimeout(cxxtools::Milliseconds(kKeepAliveMs));
-      server_->addService(cxxtools::Regex(".*"), service_);
-      server_->listen(host, port, tls_.certificate_, tls_.private_key_,
-                      tls_.ca_.empty() ? 0 : kVerifyClient, tls_.ca_);
+      state_->server_ = std::make_unique<cxxtools::http::Server>(state_->loop_);
+      Listen(host, port, state_->server_.get());
     } catch (const std::exception& failure) {
-      server_.reset();
+      state_->server_.reset();
       error->message_ = "can not listen on " + listen_ + ": " + failure.what();
       return false;
     }
-    thread_ = std::thread([this] { loop_.run(); });
+    std::promise<void> ended;
+    ended_ = ended.get_future();
+    thread_ =
+        std::thread([state = state_.get(), ended = std::move(ended)]() mutable {
+          state->loop_.run();
+          ended.set_value();
+        });
     return true;
   }
 
+  // After a failed TLS handshake the library's threads may wait for each other
+  // for ever. They are left behind then, together with what they use.
   void Stop() {
-    if (thread_.joinable()) {
-      loop_.exit();
+    if (!thread_.joinable()) {
+      return;
+    }
+    state_->service_.Close();
+    state_->loop_.exit();
+    if (ended_.wait_for(kStopLimit) == std::future_status::ready) {
       thread_.join();
+      state_->server_.reset();
+    } else {
+      thread_.detach();
+      static_cast<void>(state_.release());
     }
-    server_.reset();
   }
 
  private:
+  void Listen(const std::string& host,
+              uint16_t port,
+              cxxtools::http::Server* server) {
+    server->minThreads(kMinThreads);
+    server->maxThreads(kMaxThreads);
+    server->readTimeout(cxxtools::Milliseconds(kReadTimeoutMs));
+    server->keepAliveTimeout(cxxtools::Milliseconds(kKeepAliveMs));
+    server->addService(cxxtools::Regex(".*"), state_->service_);
+    server->listen(host, port, tls_.certificate_, tls_.private_key_,
+                   tls_.ca_.empty() ? 0 : kVerifyClient, tls_.ca_);
+  }
+
   const std::string listen_;
   const TlsFiles tls_;
-  HookService service_;
-  cxxtools::EventLoop loop_;
-  std::unique_ptr<cxxtools::http::Server> server_;
+  std::unique_ptr<ServerState> state_;
+  std::future<void> ended_;
   std::thread thread_;
 };
 
--- /dev/null
+++ b/tests/unit-admin-server.cc
@@ -0,0 +1,122 @@
+#include <openssl/evp.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "citronlane/transport/admin_server.h"
+
+namespace citronlane {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+constexpr std::chrono::seconds kDeadline(20);
+constexpr int kValidSeconds = 3600;
+
+// A key and a certificate signed by itself, in files removed at the end.
+class TemporaryCertificate {
+ public:
+  TemporaryCertificate() : files_{Path("cert.pem"), Path("key.pem"), ""} {
+    EVP_PKEY* key = EVP_EC_gen("P-256");
+    X509* certificate = X509_new();
+    X509_gmtime_adj(X509_getm_notBefore(certificate), 0);
+    X509_gmtime_adj(X509_getm_notAfter(certificate), kValidSeconds);
+    X509_set_pubkey(certificate, key);
+    X509_sign(certificate, key, EVP_sha256());
+    FILE* file = std::fopen(files_.certificate_.c_str(), "w");
+    PEM_write_X509(file, certificate);
+    std::fclose(file);
+    file = std::fopen(files_.private_key_.c_str(), "w");
+    PEM_write_PrivateKey(file, key, nullptr, nullptr, 0, nullptr, nullptr);
+    std::fclose(file);
+    X509_free(certificate);
+    EVP_PKEY_free(key);
+  }
+  ~TemporaryCertificate() {
+    std::remove(files_.certificate_.c_str());
+    std::remove(files_.private_key_.c_str());
+  }
+  const TlsFiles& files() const { return files_; }
+
+ private:
+  static std::string Path(const std::string& name) {
+    return "/tmp/unit-admin-server-" + std::to_string(getpid()) + "-" + name;
+  }
+
+  const TlsFiles files_;
+};
+
+uint16_t FreePort() {
+  boost::asio::io_context context;
+  const Tcp::acceptor acceptor(context,
+                               {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return acceptor.local_endpoint().port();
+}
+
+// Sends plain HTTP and reads until the server closes or answers.
+void SendPlain(uint16_t port) {
+  boost::asio::io_context context;
+  Tcp::socket socket(context);
+  socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+  boost::system::error_code ignored;
+  const std::string request = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(request), ignored);
+  std::string reply(1, '\0');
+  boost::asio::read(socket, boost::asio::buffer(reply), ignored);
+}
+
+// Whether Stop returns; when it does not, the server is left to itself.
+bool Stops(std::unique_ptr<AdminServer> server) {
+  std::promise<void> stopped;
+  std::future<void> future = stopped.get_future();
+  std::thread thread([&server, &stopped] {
+    server->Stop();
+    stopped.set_value();
+  });
+  if (future.wait_for(kDeadline) == std::future_status::ready) {
+    thread.join();
+    return true;
+  }
+  thread.detach();
+  static_cast<void>(server.release());
+  return false;
+}
+
+}  // namespace
+
+TEST_CASE("administration server") {
+  const TemporaryCertificate certificate;
+  const uint16_t port = FreePort();
+  const std::string listen = "127.0.0.1:" + std::to_string(port);
+  const auto make = [&](const TlsFiles& tls) {
+    return std::make_unique<AdminServer>(
+        listen, tls, [](const AdminRequest&) { return AdminResponse(); });
+  };
+  Error error;
+
+  SECTION("stops after a plain call") {
+    auto server = make(TlsFiles());
+    REQUIRE(server->Start(&error));
+    SendPlain(port);
+    CHECK(Stops(std::move(server)));
+  }
+  SECTION("stops after a plain call to its TLS port") {
+    auto server = make(certificate.files());
+    REQUIRE(server->Start(&error));
+    SendPlain(port);
+    CHECK(Stops(std::move(server)));
+  }
+}
+
+}  // namespace citronlane
