--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -29,6 +29,7 @@
         self.controls = []
         self.gateways = []
         self.ports = {}
+        self.admin_port = None
         self.gateway_settings = gateway_settings or {}
         self.control_settings = control_settings or {}
         try:
@@ -94,23 +95,38 @@
     def _start_controls(self, count):
         names = [f"control-{i + 1}" for i in range(count)]
         for name in names:
-            self.ports[name] = {part: free_port() for part in
-                                ("replication", "control", "admin")}
-        for index, name in enumerate(names):
-            path = write_json(os.path.join(self.folder, name + ".json"),
-                              self._control_settings(index + 1, names))
-            self.controls.append(Process(
-                name, [processes.BINARY, "control", "--settings", path],
-                self.folder))
+            self._take_control_ports(name)
+        for name in names:
+            self._start_control(name, names)
         if count:
             self.wait_control()
             self.apply(self.document, whole=True)
 
+    def _take_control_ports(self, name):
+        self.ports[name] = {part: free_port() for part in
+                            ("replication", "control", "admin")}
+
+    def _start_control(self, name, names, **more):
+        settings = self._control_settings(int(name.split("-")[1]), names)
+        settings["control"].update(more)
+        path = write_json(os.path.join(self.folder, name + ".json"), settings)
+        self.controls.append(Process(
+            name, [processes.BINARY, "control", "--settings", path],
+            self.folder))
+        return self.controls[-1]
+
+    def add_control(self, node):
+        """Starts a new control VM that is to join the running cluster."""
+        name = "control-" + node
+        self._take_control_ports(name)
+        names = [control.name for control in self.controls] + [name]
+        return self._start_control(name, names, join=True)
+
     def _control_settings(self, node, names):
-        peers = [{"id": index + 1,
+        peers = [{"id": int(name.split("-")[1]),
                   **{part: f"{processes.LOOPBACK}:{port}"
                      for part, port in self.ports[name].items()}}
-                 for index, name in enumerate(names)]
+                 for name in names]
         digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
         platform = self.fake_ports["servers"]["platform"]
         return {"control": {
@@ -142,15 +158,21 @@
         """Calls the administration API; returns (status, JSON or {})."""
         headers = {"Authorization": "Bearer " + OPERATOR_KEY,
                    "Content-Type": "application/json"}
-        ports = list(ports or (self.ports[control.name]["admin"]
-                               for control in self.controls))
+        if not ports:
+            ports = [self.ports[control.name]["admin"]
+                     for control in self.controls]
+            # The one that answered last leads, most likely.
+            ports.sort(key=lambda port: port != self.admin_port)
         status, reply = None, b""
         while ports:
+            port = ports.pop(0)
             try:
                 status, head, reply = caller.exchange(
-                    ports.pop(0), method, path, body, headers, ADMIN_SECONDS)
+                    port, method, path, body, headers, ADMIN_SECONDS)
             except (OSError, http.client.HTTPException):
                 continue
+            if status == 200 and follow:
+                self.admin_port = port
             if status == 307 and follow:
                 ports.insert(0, urllib.parse.urlsplit(head["Location"]).port)
             elif status != 503 or not follow:
