--- a/src/cli/command_context.cc
+++ b/src/cli/command_context.cc
@@ -1,11 +1,14 @@
 #include "citronlane/cli/detail/command_context.h"
 
+#include <openssl/rand.h>
+
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <array>
 #include <ostream>
 #include <string>
 
-#include "citronlane/cli/admin_reply.h"
+#include "citronlane/cli/admin_client.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/json/parse.h"
 
@@ -15,11 +18,16 @@
 constexpr int kFirstErrorStatus = 400;
 constexpr int kMaxTimeoutSeconds = 3600;
 constexpr int kIndent = 2;
+constexpr size_t kChangeIdBytes = 12;
 
 bool IsContainer(const JsonValue& value) {
   return value.IsObject() || value.IsArray();
 }
 
+bool IsEmpty(const JsonValue& value) {
+  return IsContainer(value) && value.items().empty() && value.members().empty();
+}
+
 bool IsFlat(const JsonValue& value) {
   return std::none_of(value.members().begin(), value.members().end(),
                       [](const JsonValue::Member& member) {
@@ -44,7 +52,9 @@
   const std::string margin(static_cast<size_t>(indent), ' ');
   for (const auto& [name, member] : value.members()) {
     out << margin << name << ':';
-    if (IsContainer(member)) {
+    if (IsEmpty(member)) {
+      out << " none\n";
+    } else if (IsContainer(member)) {
       out << '\n';
       PrintText(member, indent + kIndent, out);
     } else {
@@ -96,7 +106,11 @@
        "control answered " + std::to_string(reply.status_) +
            (detail != nullptr ? ": " + ScalarText(*detail) : std::string()));
   if (!json_ && reply.body_.IsObject()) {
-    PrintText(reply.body_, kIndent, err_);
+    JsonValue rest = reply.body_;
+    for (const char* said : {"title", "status", "detail", "outcome"}) {
+      rest.Remove(said);
+    }
+    PrintText(rest, kIndent, err_);
   }
 }
 
@@ -109,6 +123,29 @@
       "IP:port");
 }
 
+std::string NewChangeId() {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::array<unsigned char, kChangeIdBytes> bytes{};
+  RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
+  std::string id;
+  for (const unsigned char byte : bytes) {
+    id.push_back(kDigits[byte >> 4]);
+    id.push_back(kDigits[byte & 15]);
+  }
+  return id;
+}
+
+void RunGet(const std::string& path, CommandContext* context) {
+  Error error;
+  const std::optional<AdminReply> reply =
+      AdminClient(context->admin_).Get(path, &error);
+  if (reply) {
+    context->PrintReply(*reply);
+  } else {
+    context->Fail(ExitCode::kFailure, error.message_);
+  }
+}
+
 void AddJsonOption(CLI::App* command, CommandContext* context) {
   command->add_flag("--json", context->json_, "Print JSON for scripts");
 }
