--- /dev/null
+++ b/scripts/prove.py
@@ -0,0 +1,210 @@
+"""Runs the proof of each line of the brief and prints one line for each.
+
+PROVED <point>: <tests that passed>, <figures they measured>
+UNPROVED <point>: <tests that failed or are not there>
+"""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+BUILD = os.environ.get("CITRONLANE_BUILD_DIR", os.path.join(ROOT, "build"))
+TESTS = os.path.join(ROOT, "tests")
+UNIT_SECONDS = 120
+
+FAULTS = "stage_faults_test.StageFaultsTest.test_"
+CONTROL = "control_test.ControlTest.test_"
+ONCE = "once_test.OnceTest.test_"
+RECOVERY = "recovery_test.RecoveryTest.test_"
+STORM = "storm_test.StormTest.test_"
+
+# Point, tests. "unit-x" alone runs that whole program, "unit-x: name" one of
+# its test cases; everything else is a test on real processes.
+ALWAYS = [
+    ("no stage result is lost, doubled or handed to another request", [
+        FAULTS + "late_and_out_of_order_answers_reach_their_own_callers",
+        FAULTS + "reply_under_another_id_is_dropped",
+        FAULTS + "unusable_replies_are_errors_of_their_attempt",
+        "unit-request: request under any order of events"]),
+    ("a caller receives the whole answer to its own request", [
+        FAULTS + "cut_stream_is_resumed_without_gap_or_repeat",
+        FAULTS + "engine_stopped_in_a_stream_is_continued_elsewhere",
+        FAULTS + "engine_that_forgot_the_stream_is_continued",
+        FAULTS + "late_and_out_of_order_answers_reach_their_own_callers"]),
+    ('a refusal that says "not run" is true', [
+        FAULTS + "pool_down_is_refused_with_a_true_verdict",
+        ONCE + "refused_before_any_stage_the_key_is_free_again",
+        CONTROL + "without_a_quorum_nothing_new_is_accepted",
+        "bad_input_test.BadInputTest."
+        "test_each_bad_request_is_refused_and_nothing_of_it_runs"]),
+    ("a non-idempotent request runs at most once", [
+        ONCE + "gateway_killed_at_each_step_and_request_sent_again",
+        ONCE + "second_arrival_gets_the_first_ones_answer",
+        ONCE + "many_arrivals_at_once_run_once",
+        ONCE + "service_call_runs_once_when_its_reply_is_lost",
+        FAULTS + "call_that_may_not_repeat_runs_once_when_its_reply_is_lost",
+        "unit-state: claims", "unit-idempotency"]),
+    ("a backend server that is leaving receives no new work", [
+        "leaving_test.LeavingTest.test_platform_marks_it",
+        "leaving_test.LeavingTest.test_server_says_so_itself",
+        "unit-routing: leaving servers", "unit-config-lease: server states"]),
+    ("a planned stop cuts off no request in flight", [
+        "shutdown_test.ShutdownTest.test_sigterm_under_streams_cuts_none",
+        "unit-gateway-lifecycle: gateway that shuts down"]),
+    ("an accepted configuration is in force everywhere and never reverts", [
+        CONTROL + "change_is_in_force_everywhere",
+        CONTROL + "cut_off_leader_reverts_nothing",
+        CONTROL + "without_a_quorum_nothing_new_is_accepted",
+        "unit-config-lease: in force everywhere",
+        "unit-consensus: consensus keeps its rules"]),
+]
+FAILS = [
+    ("a stage becomes a straggler", [
+        FAULTS + "straggler_loses_nothing", "unit-routing: straggler",
+        "unit-hedging: hedge"]),
+    ("a stage fails outright", [
+        FAULTS + "refused_connection_is_retried",
+        FAULTS + "pool_down_is_refused_with_a_true_verdict",
+        "unit-hedging: retry", "unit-routing: ejection"]),
+    ("traffic arrives in bursts", [
+        STORM + "burst_is_answered_or_refused_truly",
+        "unit-admission: large account",
+        "unit-admission: learned concurrency limit"]),
+    ("processes die", [
+        ONCE + "gateway_killed_at_each_step_and_request_sent_again",
+        CONTROL + "leader_killed_while_gateways_serve",
+        "unit-storage: storage loses nothing when power is cut at any call"]),
+    ("a control VM is cut off by a silent partition for a long time", [
+        CONTROL + "cut_off_leader_reverts_nothing",
+        RECOVERY + "vm_cut_off_through_many_changes_catches_up",
+        "unit-consensus: leader that is cut off"]),
+    ("operators race with changes carrying equal numbers", [
+        CONTROL + "of_two_racing_changes_one_wins",
+        "unit-state: configuration history"]),
+    ("operators resend changes after an answer is lost", [
+        CONTROL + "change_sent_again_changes_nothing_more",
+        "unit-state: configuration history"]),
+    ("a second VM is lost right after a repair", [
+        RECOVERY + "second_vm_lost_right_after_a_repair",
+        "unit-consensus: lost disk under its old id"]),
+    ("processes restart after hundreds of configuration changes", [
+        CONTROL + "all_control_vms_restart_after_many_changes",
+        "unit-storage: restart after 500 changes reads one snapshot and a "
+        "bounded tail"]),
+    ("any of these at any moment, together or twice", [
+        STORM + "faults_together_and_twice"]),
+    ("malformed input", [
+        "bad_input_test.BadInputTest."
+        "test_random_changes_of_a_request_harm_nothing",
+        "bad_input_test.BadInputTest.test_half_open_connections_keep_nobody_"
+        "out", "unit-fuzz"]),
+]
+
+
+class Outcomes(unittest.TestResult):
+    """Notes each test's end under "<module>.<class>.<test>"."""
+
+    def __init__(self):
+        super().__init__()
+        self.by_test = {}
+
+    def note(self, test, error):
+        name = test.id().removeprefix("process.")
+        text = str(error[1]).strip().splitlines() if error else []
+        self.by_test[name] = text[0][:160] if text else "failed" if error else ""
+
+    def addSuccess(self, test):
+        self.by_test.setdefault(test.id().removeprefix("process."), "")
+
+    def addFailure(self, test, err):
+        self.note(test, err)
+
+    def addError(self, test, err):
+        self.note(test, err)
+
+    def addSubTest(self, test, subtest, err):
+        if err:
+            self.note(test, err)
+
+
+def run_process_tests(names, figures_path):
+    """Runs the named tests; returns {test: "" or why it failed}."""
+    os.environ["CITRONLANE_FIGURES"] = figures_path
+    sys.path.insert(0, TESTS)
+    outcomes = Outcomes()
+    by_class = {}
+    for name in sorted(names):
+        by_class.setdefault(name.rsplit(".", 1)[0], []).append(name)
+    for group in by_class.values():
+        suite = unittest.TestSuite()
+        for name in group:
+            print(f"running {name}", file=sys.stderr)
+            suite.addTests(unittest.defaultTestLoader.loadTestsFromName(
+                "process." + name))
+        suite.run(outcomes)
+    return {name: outcomes.by_test.get(name, "did not run") for name in names}
+
+
+def run_unit(name):
+    """Runs a test program or one of its cases; returns why it failed, or ""."""
+    program, _, case = name.partition(": ")
+    path = os.path.join(BUILD, "tests", program)
+    if not os.path.exists(path):
+        return "is not there"
+    print(f"running {name}", file=sys.stderr)
+    command = [path, case] if case else [path]
+    done = subprocess.run(command, capture_output=True, text=True,
+                          timeout=UNIT_SECONDS, check=False)
+    if "No tests ran" in done.stdout + done.stderr:
+        return "is not there"
+    return "" if done.returncode == 0 else "failed"
+
+
+def read_figures(path):
+    """Returns {test: "name value, ..."}."""
+    figures = {}
+    with open(path, encoding="utf-8") as file:
+        for line in file:
+            entry = json.loads(line)
+            name = entry.pop("test").removeprefix("process.")
+            figures[name] = ", ".join(f"{key} {value}"
+                                      for key, value in entry.items())
+    return figures
+
+
+def show(point, tests, outcomes, figures):
+    """Prints the point's line; returns whether it is proved."""
+    bad = [f"{test} {outcomes[test]}" for test in tests if outcomes[test]]
+    if bad:
+        print(f"UNPROVED {point}: {'; '.join(bad)}")
+        return False
+    measured = "; ".join(figures[test] for test in tests if test in figures)
+    names = ", ".join(test.rsplit(".", 1)[-1] for test in tests)
+    print(f"PROVED {point}: {names}" + (f", {measured}" if measured else ""))
+    return True
+
+
+def main():
+    points = ALWAYS + FAILS
+    tests = {test for _, names in points for test in names}
+    units = {test for test in tests if test.startswith("unit-")}
+    with tempfile.NamedTemporaryFile(suffix=".jsonl") as figures_file:
+        outcomes = run_process_tests(tests - units, figures_file.name)
+        figures = read_figures(figures_file.name)
+    outcomes.update({test: run_unit(test) for test in units})
+    proved = 0
+    for title, group in (("What must always hold", ALWAYS),
+                         ("What fails", FAILS)):
+        print(title)
+        proved += sum(show(point, names, outcomes, figures)
+                      for point, names in group)
+    print(f"prove: {proved} of {len(points)} points proved")
+    return 0 if proved == len(points) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/process/cluster.py
+++ b/tests/process/cluster.py
@@ -245,13 +245,15 @@
         return caller.answers(self.ports[gateway.name]["callers"], "/readyz")
 
     def seen_version(self, gateway):
-        """Configuration version that the gateway names now, or 0."""
+        """Version under which the gateway takes work now, or 0 for none."""
         try:
-            head = caller.exchange(self.ports[gateway.name]["callers"], "GET",
-                                   "/none", seconds=2.0)[1]
+            status, head, _ = caller.exchange(
+                self.ports[gateway.name]["callers"], "GET", "/none",
+                seconds=2.0)
         except (OSError, http.client.HTTPException):
             return 0
-        return int(head.get("X-Config-Version", 0))
+        # A gateway that can not confirm its version refuses all work by 503.
+        return 0 if status == 503 else int(head.get("X-Config-Version", 0))
 
     def wait_version(self, version, seconds=processes.WAIT_SECONDS):
         for gateway in self.gateways:
