Follow the platform's VM list; send engine orders from the leader

Shown over loopback: leaving reaches every gateway, an older list does not bring a server back, a later incarnation does; an order goes out once, a new leader's order to an engine that does not check fencing numbers waits until the earlier leader's are over.

--- a/src/app/control_node.cc
+++ b/src/app/control_node.cc
@@ -9,6 +9,7 @@
 #include "citronlane/app/detail/control_leader.h"
 #include "citronlane/app/detail/control_state.h"
 #include "citronlane/app/detail/order_dispatcher.h"
+#include "citronlane/app/detail/vm_list_poller.h"
 #include "citronlane/app/replica.h"
 #include "citronlane/transport/admin_server.h"
 #include "citronlane/transport/control_service.h"
@@ -67,6 +68,7 @@
   CommandProposer proposer_;
   OrderDispatcher orders_;
   ControlLeader leader_;
+  VmListPoller vm_list_;
   ControlCalls calls_;
   Replica replica_;
   ControlService service_;
@@ -94,6 +96,11 @@
           &orders_,
           [this] { return replica_.status(); },
           [this](std::string_view line) { Log(line); }),
+      vm_list_(options_.platform_,
+               options_.platform_interval_,
+               &state_,
+               &proposer_,
+               [this](std::string_view line) { Log(line); }),
       calls_(options_,
              &state_,
              &proposer_,
@@ -115,6 +122,7 @@
     return false;
   }
   leader_.Start();
+  vm_list_.Start();
   if (!service_.Start(error) || !admin_server_.Start(error)) {
     Stop();
     return false;
@@ -127,6 +135,7 @@
 void ControlNode::Impl::Stop() {
   replica_.Stop();
   leader_.Stop();
+  vm_list_.Stop();
   orders_.Stop();
   admin_server_.Stop();
   state_.feed().EndAll();
--- a/src/app/order_dispatcher.cc
+++ b/src/app/order_dispatcher.cc
@@ -23,9 +23,11 @@
 
 wire::StartOrder LimitsOf(const ControlOptions& options) {
   wire::StartOrder limits;
-  limits.set_interval_ms(static_cast<uint64_t>(
-      std::ceil(kMsPerSecond / options.weight_store_rate_)));
-  limits.set_burst(options.weight_store_burst_);
+  const bool any = options.weight_store_rate_ > 0;
+  limits.set_interval_ms(any ? static_cast<uint64_t>(std::ceil(
+                                   kMsPerSecond / options.weight_store_rate_))
+                             : 1);
+  limits.set_burst(any ? options.weight_store_burst_ : 0);
   return limits;
 }
 
--- /dev/null
+++ b/src/app/vm_list_poller.cc
@@ -0,0 +1,102 @@
+#include "citronlane/app/detail/vm_list_poller.h"
+
+#include <optional>
+#include <utility>
+
+namespace citronlane {
+namespace {
+
+constexpr Duration kAnswerLimit = std::chrono::seconds(1);
+constexpr Duration kCommitLimit = std::chrono::seconds(2);
+
+}  // namespace
+
+VmListPoller::VmListPoller(const std::string& address,
+                           Duration interval,
+                           ControlState* state,
+                           CommandProposer* proposer,
+                           LogHook log)
+    : enabled_(!address.empty()),
+      client_(address),
+      interval_(interval),
+      state_(state),
+      proposer_(proposer),
+      log_(std::move(log)) {}
+
+VmListPoller::~VmListPoller() {
+  Stop();
+}
+
+void VmListPoller::Start() {
+  if (enabled_) {
+    thread_ = std::thread([this] { Run(); });
+  }
+}
+
+void VmListPoller::Stop() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_one();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void VmListPoller::Run() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  while (!stopping_) {
+    lock.unlock();
+    if (proposer_->leads()) {
+      Poll();
+    }
+    lock.lock();
+    wake_.wait_for(lock, interval_, [this] { return stopping_; });
+  }
+}
+
+void VmListPoller::Poll() {
+  Error error;
+  const std::optional<VmListClient::States> seen =
+      client_.Get(kAnswerLimit, &error);
+  TellOnce(seen ? std::string() : error.message_);
+  if (seen) {
+    Propose(*seen);
+  }
+}
+
+// Only what the list changes, so that an unchanged list costs no commit.
+void VmListPoller::Propose(const VmListClient::States& seen) {
+  wire::StateCommand command;
+  state_->View([&](const StateMachine& state) {
+    const auto& known = state.servers().states();
+    for (const auto& [server, now] : seen) {
+      const auto found = known.find(server);
+      if (found != known.end() &&
+          ServerStates::Combine(found->second, now) == found->second) {
+        continue;
+      }
+      wire::ServerRecord* record = command.mutable_servers()->add_servers();
+      record->set_server(server);
+      record->set_incarnation(now.incarnation_);
+      record->set_leaving(now.leaving_);
+    }
+  });
+  if (command.has_servers()) {
+    // Waits, so that the next list is compared with the result of this one.
+    Error error;
+    proposer_->ProposeAndWait(std::move(command), kCommitLimit, &error);
+  }
+}
+
+void VmListPoller::TellOnce(const std::string& failure) {
+  if (failure != failure_) {
+    failure_ = failure;
+    log_(failure.empty() ? "The platform's VM list is read again."
+                         : "The platform's VM list can not be read: " +
+                               failure);
+  }
+}
+
+}  // namespace citronlane
--- a/src/orders/order_book.cc
+++ b/src/orders/order_book.cc
@@ -128,7 +128,8 @@
                                   const wire::StartOrder& limits) const {
   // A token bucket kept as the time at which it is full again.
   const uint64_t empty_ms = limits.interval_ms() * limits.burst();
-  return weight_store_full_ms_ + limits.interval_ms() <= time_ms + empty_ms;
+  return std::max(weight_store_full_ms_, time_ms) + limits.interval_ms() <=
+         time_ms + empty_ms;
 }
 
 }  // namespace citronlane
--- a/tests/unit-control.cc
+++ b/tests/unit-control.cc
@@ -20,6 +20,7 @@
 #include "citronlane/cli/admin_client.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/json/parse.h"
+#include "citronlane/transport/admin_server.h"
 #include "citronlane/transport/control_client.h"
 
 namespace citronlane {
@@ -60,6 +61,40 @@
   return false;
 }
 
+// The platform's VM list and two engines, behind one address.
+class Backends {
+ public:
+  Backends() : server_(address_, {}, [this](const AdminRequest& request) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      AdminResponse response;
+      if (request.path_ == "/v1/vms") {
+        response.body_ = vms_;
+      } else {
+        orders_.push_back(request.body_);
+      }
+      return response;
+    }) {
+    Error error;
+    REQUIRE(server_.Start(&error));
+  }
+  void SetVms(const std::string& vms) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    vms_ = R"({"vms":[)" + vms + "]}";
+  }
+  std::vector<std::string> orders() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return orders_;
+  }
+
+  const std::string address_ = FreeAddress();
+
+ private:
+  std::mutex mutex_;
+  std::string vms_ = R"({"vms":[]})";
+  std::vector<std::string> orders_;
+  AdminServer server_;
+};
+
 // Three control nodes in this process, on disk folders of their own.
 class Cluster {
  public:
@@ -96,6 +131,8 @@
     options.replica_.raft_.id_ = id;
     options.replica_.data_dir_ = folder_ / std::to_string(id);
     options.replica_.snapshot_interval_ = 64;
+    options.platform_ = backends_.address_;
+    options.platform_interval_ = std::chrono::milliseconds(20);
     options.peers_ = peers_;
     options.operators_ = {{"ana", Sha256Hex("ana-key"), OperatorRole::kChange},
                           {"ben", Sha256Hex("ben-key"), OperatorRole::kChange},
@@ -122,6 +159,7 @@
     return leader;
   }
 
+  Backends backends_;
   std::map<uint64_t, ControlPeer> peers_;
   std::map<uint64_t, std::unique_ptr<ControlNode>> nodes_;
 
@@ -238,6 +276,10 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       leaving_.insert(std::string(server));
     };
+    hooks.on_live_ = [this](std::string_view server, uint64_t) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      leaving_.erase(std::string(server));
+    };
     return hooks;
   }
 
@@ -398,6 +440,74 @@
     CHECK(eve.Get("/v1/status").status_ == 200);
   }
 
+  SECTION("follow the platform's list, and never an old one back") {
+    cluster.backends_.SetVms(R"({"id":"m1","state":"leaving","incarnation":4})");
+    REQUIRE(WaitUntil([&] {
+      return first.IsLeaving("m1") && second.IsLeaving("m1");
+    }));
+    cluster.backends_.SetVms(
+        R"({"id":"m1","state":"live","incarnation":4},)"
+        R"({"id":"m2","state":"leaving","incarnation":1})");
+    REQUIRE(WaitUntil([&] { return first.IsLeaving("m2"); }));
+    CHECK(first.IsLeaving("m1"));
+    Gateway third(cluster, "g3", 1);
+    REQUIRE(WaitUntil([&] { return third.IsLeaving("m1"); }));
+    cluster.backends_.SetVms(R"({"id":"m1","state":"live","incarnation":5})");
+    REQUIRE(WaitUntil([&] { return !first.IsLeaving("m1"); }));
+    CHECK(first.IsLeaving("m2"));
+  }
+
+  SECTION("send an engine order once, under the leader's fencing number") {
+    const std::string port = cluster.backends_.address_.substr(10);
+    const auto pool = [&port](const std::string& checks, const char* server) {
+      return R"({"kind":"engine","checks_fencing":)" + checks +
+             R"(,"servers":{")" + server +
+             R"(":{"address":"127.0.0.1","failure_domain":"a","port":)" + port +
+             "}}}";
+    };
+    const std::string change =
+        R"({"reason":"t","base_version":1,"change_id":"pools","patch":{"pools":)"
+        R"({"new":)" +
+        pool("true", "m1") + R"(,"old":)" + pool("false", "m2") + "}}}";
+    REQUIRE(ana.Post("/v1/config/changes", change).status_ == 200);
+    const auto order = [&ana](const std::string& server,
+                              const std::string& id) {
+      return ana
+          .Post("/v1/servers/" + server + "/orders",
+                R"({"kind":"change_role","role":"prefill","order_id":")" + id +
+                    "\"}")
+          .status_;
+    };
+    const auto sent = [&cluster](size_t count) {
+      return WaitUntil(
+          [&] { return cluster.backends_.orders().size() == count; });
+    };
+    CHECK(order("m9", "none") == 404);
+    REQUIRE(order("m1", "one") == 200);
+    REQUIRE(order("m1", "one") == 200);
+    REQUIRE(order("m2", "two") == 200);
+    REQUIRE(sent(2));
+    CHECK(cluster.backends_.orders().at(0) ==
+          R"({"fencing":1,"order_id":"one","kind":"change_role",)"
+          R"("role":"prefill"})");
+
+    // A new leader tells a checking engine at once, the other one only after
+    // every order of the earlier leader is over.
+    cluster.Stop(cluster.Leader());
+    cluster.Leader();
+    REQUIRE(order("m2", "three") == 200);
+    REQUIRE(order("m1", "four") == 200);
+    REQUIRE(sent(4));
+    CHECK(cluster.backends_.orders().at(2).find("four") != std::string::npos);
+    CHECK(cluster.backends_.orders().at(3).find(R"("fencing":2)") !=
+          std::string::npos);
+    REQUIRE(WaitUntil([&] {
+      const std::string orders = WriteJson(ana.Get("/v1/orders").body_);
+      return orders.find("started") == std::string::npos &&
+             orders.find("pending") == std::string::npos;
+    }));
+  }
+
   SECTION("tell every gateway of a server that leaves, and keep refusals") {
     REQUIRE(ana.Post("/v1/servers/m1/drain", "{}").status_ == 404);
     first.client_.ReportLeaving("m2", 3);
--- a/tests/unit-orders.cc
+++ b/tests/unit-orders.cc
@@ -152,6 +152,11 @@
     CHECK_FALSE(next.Start(1999, 2, Start("d", 2)));
     CHECK(next.Start(2000, 2, Start("d", 2)));
   }
+  SECTION("reads nothing from a weight store without a budget") {
+    wire::StartOrder none = Start("a", 1);
+    none.set_burst(0);
+    CHECK_FALSE(book.Start(1000, 1, none));
+  }
   SECTION("keeps the first order of an id, and its bound") {
     REQUIRE(Submit(&book, "a", "s9"));
     CHECK(book.Find("a")->server() == "s1");
