--- a/include/citronlane/routing/detail/server_table.h
+++ b/include/citronlane/routing/detail/server_table.h
@@ -64,6 +64,9 @@
   bool EndEjection(TimePoint now, size_t index);
   double Recenter(TimePoint now);
   void Rebuild(TimePoint now);
+  /// Makes the lists of usable servers: those that stay and are accepted.
+  template <typename Accept>
+  void TakeUsable(const Accept& accept);
 
   const RouterOptions options_;
   const OutlierDetector detector_;
--- a/src/routing/server_table.cc
+++ b/src/routing/server_table.cc
@@ -152,13 +152,23 @@
 
 void ServerTable::Rebuild(TimePoint now) {
   leaving_changed_ = false;
+  TakeUsable(
+      [now](const ServerState& server) { return !server.IsEjected(now); });
+  if (usable_.empty()) {
+    // The others left after the ejection: a doubtful server is better.
+    TakeUsable([](const ServerState& /*server*/) { return true; });
+  }
+}
+
+template <typename Accept>
+void ServerTable::TakeUsable(const Accept& accept) {
   near_.clear();
   far_.clear();
   usable_.clear();
   usable_flags_.assign(servers_.size(), false);
   for (uint32_t i = 0; i < servers_.size(); ++i) {
     const ServerState& server = servers_[i];
-    if (IsLeaving(server.id()) || server.IsEjected(now)) {
+    if (IsLeaving(server.id()) || !accept(server)) {
       continue;
     }
     usable_flags_[i] = true;
--- a/tests/unit-routing.cc
+++ b/tests/unit-routing.cc
@@ -203,6 +203,13 @@
     const auto counts = test.Run(100, Healthy);
     CHECK(counts.at("s3") + counts.at("s4") + counts.at("s5") > 85);
   }
+  SECTION("gives way when every other server is leaving") {
+    fail({"s1"});
+    for (const char* server : {"s0", "s2", "s3", "s4", "s5"}) {
+      test.router_->OnLeaving(server, 1, test.now_);
+    }
+    CHECK(test.Choose() == "s1");
+  }
   SECTION("probes with one call and lets the server come back") {
     fail({"s1"});
     test.now_ += seconds(3);
