--- a/tests/process/cluster_test_case.py
+++ b/tests/process/cluster_test_case.py
@@ -16,6 +16,7 @@
 class ClusterTestCase(unittest.TestCase):
     """One cluster for all tests of a class; faults are reset before each."""
 
+    incarnation = 1
     controls = 0
     gateways = 1
     gateway_settings = {}
@@ -30,7 +31,10 @@
         cls.addClassCleanup(cls.cluster.close)
 
     def setUp(self):
-        self.cluster.fault("*", reset=True, start=True, leave="no")
+        # A server that was leaving comes back as a new incarnation only.
+        ClusterTestCase.incarnation += 1
+        self.cluster.fault("*", reset=True, start=True, leave="no",
+                           incarnation=ClusterTestCase.incarnation)
         self.cluster.clear_runs()
 
     def ask(self, text, gateway=0, **options):
--- a/tests/process/control_test.py
+++ b/tests/process/control_test.py
@@ -90,7 +90,7 @@
 
     def test_of_two_racing_changes_one_wins(self):
         for i in range(5):
-            base = self.cluster.config_version()
+            base = wait_until(self.cluster.config_version, "version")
             race = caller.Background()
             for name in "ab":
                 race.start(self.cluster.change, target(4000 + ord(name)),
@@ -106,7 +106,7 @@
             self.assertEqual((again[0], again[1]["version"]), (200, base + 1))
 
     def test_change_sent_again_changes_nothing_more(self):
-        base = self.cluster.config_version()
+        base = wait_until(self.cluster.config_version, "version")
         first = self.cluster.change(target(4100), "again", base)
         self.change(target(4200), "between")
         second = self.cluster.change(target(4100), "again", base)
@@ -179,7 +179,8 @@
         for control in self.cluster.controls[:2]:
             control.resume()
         self.cluster.wait_ready()
-        self.assertEqual(self.cluster.config_version(), version)
+        self.assertEqual(wait_until(self.cluster.config_version, "version"),
+                         version)
         self.assert_whole([self.ask("quorum again", i)
                            for i in range(self.gateways)])
 
