--- a/bench/policy/gateway_model.cc
+++ b/bench/policy/gateway_model.cc
@@ -84,6 +84,7 @@
     shape.priority_ = PriorityOf(spec);
     const bool stream = pool.config_.kind_ == StageKind::kEngine;
     shape.expected_tokens_ = stream ? spec.max_tokens_ : 0;
+    query.pool_down_ = query.pool_down_ || pool.router_.IsDown(queue_->now());
     query.expected_cost_ +=
         pool.config_.cost_per_call_ +
         (stream ? kUsualTokens : 0) * pool.config_.cost_per_token_;
@@ -91,6 +92,8 @@
     const auto expected = pool.router_.ExpectedFinish(queue_->now(), shape);
     known = known && expected && first;
     if (!known) {
+      query.bottleneck_pool_ = stage.pool_;
+      query.pool_in_flight_ = pool.router_.in_flight() + pool.router_.planned();
       continue;
     }
     if (stream) {
@@ -100,7 +103,7 @@
     if (*expected >= longest) {
       longest = *expected;
       query.bottleneck_pool_ = stage.pool_;
-      query.pool_in_flight_ = pool.router_.in_flight();
+      query.pool_in_flight_ = pool.router_.in_flight() + pool.router_.planned();
       query.pool_servers_ = pool.router_.usable_servers(queue_->now());
     }
   }
@@ -363,10 +366,6 @@
   const uint32_t tokens = attempt->call_->TokensAt(now);
   const std::string& server = attempt->server_->id();
   const Duration latency = now - attempt->start_;
-  if (outcome == CallOutcome::kSuccess) {
-    admission_.OnCall(now, pool.config_.name_, latency,
-                      pool.router_.in_flight());
-  }
   --in_flight_[server];
   pool.router_.OnFinish(server, now, outcome, latency, tokens, attempt->shape_);
   const double cost =
@@ -379,7 +378,9 @@
   }
   if (attempt->shape_.expected_tokens_ > 0 &&
       attempt->call_->state_ != BackendCall::State::kQueued) {
-    run->engine_time_ += now - attempt->call_->began_;
+    const TimePoint from = std::max(attempt->call_->began_, window_from_);
+    const TimePoint to = std::min(now, window_to_);
+    run->engine_time_ += std::max(Duration::zero(), to - from);
   }
   attempt->server_->Cancel(attempt->call_);
 }
@@ -486,7 +487,7 @@
   if (run->measured_ && !answered) {
     ++result_->failures_[failure];
   }
-  if (run->measured_ && met) {
+  if (met) {
     result_->useful_engine_time_ += run->engine_time_;
   }
   Count(*run, [met, answered](Tally* tally) {
