--- a/tests/process/processes.py
+++ b/tests/process/processes.py
@@ -11,8 +11,9 @@
 LOOPBACK = "127.0.0.1"
 WAIT_SECONDS = 20.0
 POLL_SECONDS = 0.01
-# Below the ephemeral ports, so that no outgoing connection takes one.
-FIRST_PORT, LAST_PORT = 10000, 30000
+# Below the ephemeral ports, so that no outgoing connection takes one, and
+# apart from the ports of the unit tests.
+FIRST_PORT, LAST_PORT = 10000, 20000
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
     os.path.abspath(__file__))))
