--- a/tests/unit-routing.cc
+++ b/tests/unit-routing.cc
@@ -234,6 +234,13 @@
     }
     CHECK(at_rest > 85);
   }
+  SECTION("gives way when every other server is leaving") {
+    fail({"s1"});
+    for (const char* server : {"s0", "s2", "s3", "s4", "s5"}) {
+      test.router_->OnLeaving(server, 1, test.now_);
+    }
+    CHECK(test.Choose() == "s1");
+  }
   SECTION("probes with one call and lets the server come back") {
     fail({"s1"});
     test.now_ += seconds(3);
