--- a/include/citronlane/transport/stage_call_spec.h
+++ b/include/citronlane/transport/stage_call_spec.h
@@ -30,6 +30,9 @@
   /// Longest silence once the body has begun; at most the client's limit,
   /// which holds when there is none.
   std::optional<Duration> silence_limit_;
+  /// The silence limit holds before the body begins, too: the server has
+  /// nothing to compute first.
+  bool answers_at_once_ = false;
 };
 
 }  // namespace citronlane
--- a/src/app/caller_request_reader.cc
+++ b/src/app/caller_request_reader.cc
@@ -7,6 +7,7 @@
 #include "citronlane/app/config_view.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/json/parse.h"
+#include "citronlane/transport/detail/header_name.h"
 #include "citronlane/transport/http_request.h"
 
 namespace citronlane {
@@ -65,7 +66,7 @@
 
 bool CallerRequestReader::ReadAccount() {
   const std::string_view header = http_.Header("Authorization");
-  if (!StartsWith(header, kBearer)) {
+  if (!detail::SameHeaderName(header.substr(0, kBearer.size()), kBearer)) {
     return Fail(RefusalReason::kUnknownAccount,
                 "the header Authorization holds no bearer key");
   }
--- a/src/app/request_driver.cc
+++ b/src/app/request_driver.cc
@@ -251,6 +251,7 @@
   spec.deadline_ = flight.deadline_;
   if (spec.streams_) {
     spec.silence_limit_ = flight.pool_->StreamStallTimeout();
+    spec.answers_at_once_ = command.mode_ == CallMode::kResume;
   }
   const auto left = std::max(Duration(0), flight.deadline_ - flight.started_);
   spec.headers_ = {{"X-Attempt-Id", command.attempt_.ToHeader()},
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -129,6 +129,7 @@
   }
 
   void GiveBack(const std::string& key, ConnectionPtr connection) {
+    CloseAged();
     std::vector<ConnectionPtr>& idle = idle_[key];
     if (idle.size() < limits_.idle_connections_) {
       connection->idle_since_ = detail::SteadyNow();
@@ -149,8 +150,29 @@
   }
 
  private:
+  /// Servers come and go: connections that nobody asks for any more are
+  /// closed too, now and then.
+  void CloseAged() {
+    const TimePoint now = detail::SteadyNow();
+    if (now < next_close_) {
+      return;
+    }
+    next_close_ = now + limits_.idle_timeout_;
+    for (auto entry = idle_.begin(); entry != idle_.end();) {
+      std::vector<ConnectionPtr>& idle = entry->second;
+      idle.erase(std::remove_if(idle.begin(), idle.end(),
+                                [this, now](const ConnectionPtr& connection) {
+                                  return now - connection->idle_since_ >=
+                                         limits_.idle_timeout_;
+                                }),
+                 idle.end());
+      entry = idle.empty() ? idle_.erase(entry) : std::next(entry);
+    }
+  }
+
   asio::io_context* const io_;
   const StageLimits limits_;
+  TimePoint next_close_{};
   std::map<std::string, std::vector<ConnectionPtr>> idle_;
 };
 
@@ -229,7 +251,11 @@
     }
     const std::string text = RequestText(spec_);
     error_code error;
-    connection_->stream_.expires_at(spec_.deadline_);
+    if (spec_.answers_at_once_) {
+      ExtendForRead();
+    } else {
+      connection_->stream_.expires_at(spec_.deadline_);
+    }
     asio::async_write(connection_->stream_, asio::buffer(text), yield[error]);
     if (error) {
       Done(OutcomeOf(error));
@@ -280,7 +306,7 @@
       return;
     }
     std::vector<char> piece(kStreamPieceBytes);
-    bool begun = false;
+    bool begun = spec_.answers_at_once_;
     while (!parser.is_done() && !over_) {
       auto& body = parser.get().body();
       body.data = piece.data();
--- a/tests/unit-gateway.cc
+++ b/tests/unit-gateway.cc
@@ -162,6 +162,8 @@
       {"*", R"({"fail": 1})"},
       {"engines", R"({"cut_stream": 1, "cut_at": 3})"},
       {"engines", R"({"cut_stream": 2, "cut_at": 5})"},
+      {"eng1", R"({"hold": true, "hold_at": 3})"},
+      {"eng2", R"({"hold": true, "hold_at": 4})"},
       {"enc1", R"({"stop": true})"},
   };
   int question = 0;
