--- a/include/citronlane/consensus/detail/raft_impl.h
+++ b/include/citronlane/consensus/detail/raft_impl.h
@@ -97,6 +97,7 @@
   void Replicate(uint64_t id, Progress* progress);
   void ReplicatePipelined(uint64_t id, Progress* progress);
   size_t SendAppend(uint64_t id, Progress* progress, size_t max_entries);
+  static bool IsWellFormed(const Message& append);
   void HandleAppend(const Message& message);
   void RejectAppend(const Message& message);
   void HandleAppendReply(const Message& message);
--- a/src/consensus/raft_replication.cc
+++ b/src/consensus/raft_replication.cc
@@ -66,7 +66,25 @@
   return sent;
 }
 
+// Guards the log against a peer of another version: its own leader never sends
+// anything else.
+bool RaftNode::Impl::IsWellFormed(const Message& append) {
+  uint64_t index = append.log_index_;
+  uint64_t term = append.log_term_;
+  for (const Entry& entry : append.entries_) {
+    if (entry.index_ != ++index || entry.term_ < term ||
+        entry.term_ > append.term_) {
+      return false;
+    }
+    term = entry.term_;
+  }
+  return true;
+}
+
 void RaftNode::Impl::HandleAppend(const Message& message) {
+  if (!IsWellFormed(message)) {
+    return;
+  }
   NoteLeader(message.from_);
   if (message.log_index_ < log_.commit()) {
     AcknowledgeAppend(message, log_.commit());
@@ -107,7 +125,7 @@
 
 void RaftNode::Impl::HandleAppendReply(const Message& message) {
   Progress* progress = NoteReply(message);
-  if (progress == nullptr) {
+  if (progress == nullptr || message.log_index_ > log_.last_index()) {
     return;
   }
   if (message.reject_) {
