--- a/src/routing/pool_router.cc
+++ b/src/routing/pool_router.cc
@@ -26,6 +26,11 @@
 constexpr double kTypicalSlow = 2;
 constexpr double kStallIntervals = 20;
 constexpr Duration kShortestStall = std::chrono::milliseconds(250);
+/// Failed calls in a row after which a pool counts as down.
+constexpr int kDownFailures = 10;
+/// A pool without calls for this long is tried again.
+constexpr Duration kDownMemory = std::chrono::seconds(2);
+constexpr Duration kPeerExpiry = std::chrono::seconds(3);
 /// Servers looked at for an estimate.
 constexpr size_t kEstimateServers = 16;
 
@@ -69,9 +74,14 @@
     }
   }
 
-  uint32_t GatewayNumber(std::string_view gateway) {
+  /// Number of the gateway that was heard of now.
+  uint32_t GatewayNumber(std::string_view gateway, TimePoint now) {
     const auto next = static_cast<uint32_t>(gateways_.size());
-    return gateways_.emplace(std::string(gateway), next).first->second;
+    const uint32_t number =
+        gateways_.emplace(std::string(gateway), next).first->second;
+    heard_.resize(gateways_.size());
+    heard_[number] = now;
+    return number;
   }
 
   /// Calls `time` for an even sample of the usable servers.
@@ -89,7 +99,7 @@
       const size_t place = first + i * usable.size() / count;
       sample.push_back(&servers_.at(usable[place % usable.size()]));
     }
-    const double planned = PlannedPerServer(now, sample);
+    const double planned = PlannedPerServer(now);
     std::vector<double> times;
     times.reserve(count);
     for (const ServerState* server : sample) {
@@ -99,17 +109,13 @@
   }
 
   /// Calls on their way to each server, by all gateways: the others are taken
-  /// to plan in the proportion of what they have in flight.
-  double PlannedPerServer(TimePoint now,
-                          const std::vector<const ServerState*>& sample) const {
-    double own = 0;
-    double all = 0;
-    for (const ServerState* server : sample) {
-      own += static_cast<double>(server->in_flight());
-      all += server->Load(now);
-    }
-    const double gateways = std::max(1.0, all / std::max(1.0, own));
-    return planned_ * gateways / static_cast<double>(servers_.usable().size());
+  /// to plan as many as this one.
+  double PlannedPerServer(TimePoint now) const {
+    const auto heard =
+        std::count_if(heard_.begin(), heard_.end(),
+                      [now](TimePoint at) { return now - at < kPeerExpiry; });
+    return planned_ * (1 + static_cast<double>(heard)) /
+           static_cast<double>(servers_.usable().size());
   }
 
   const RouterOptions options_;
@@ -120,8 +126,13 @@
   LatencyWindow first_bytes_;
   CandidatePicker picker_;
   std::unordered_map<std::string, uint32_t> gateways_;
+  /// When each gateway was last heard of.
+  std::vector<TimePoint> heard_;
   size_t in_flight_ = 0;
   int planned_ = 0;
+  /// Failed calls since the last success, over the whole pool.
+  int failures_in_row_ = 0;
+  TimePoint outcome_at_{};
 };
 
 PoolRouter::PoolRouter(const PoolConfig& pool,
@@ -208,6 +219,11 @@
   }
   --impl_->in_flight_;
   state.CountOutcome(now, outcome);
+  if (outcome != CallOutcome::kCancelled) {
+    const bool failed = outcome != CallOutcome::kSuccess;
+    impl_->failures_in_row_ = failed ? impl_->failures_in_row_ + 1 : 0;
+    impl_->outcome_at_ = now;
+  }
   if (outcome == CallOutcome::kCancelled || outcome == CallOutcome::kTimeout) {
     impl_->estimator_.LearnUnfinished(&state, now, *started, latency);
   }
@@ -237,8 +253,8 @@
                             TimePoint now,
                             double in_flight) {
   if (const auto index = impl_->servers_.Find(server)) {
-    impl_->servers_.at(*index).SetPeerLoad(impl_->GatewayNumber(gateway), now,
-                                           in_flight);
+    impl_->servers_.at(*index).SetPeerLoad(impl_->GatewayNumber(gateway, now),
+                                           now, in_flight);
   }
 }
 
@@ -311,10 +327,20 @@
   return std::max(kShortestStall, FromUs(interval * kStallIntervals));
 }
 
+bool PoolRouter::IsDown(TimePoint now) const {
+  const bool fresh = now - impl_->outcome_at_ < kDownMemory;
+  return impl_->servers_.usable().empty() ||
+         (fresh && impl_->failures_in_row_ >= kDownFailures);
+}
+
 size_t PoolRouter::usable_servers(TimePoint /*now*/) const {
   return impl_->servers_.usable().size();
 }
 
+size_t PoolRouter::planned() const {
+  return static_cast<size_t>(std::max(0, impl_->planned_));
+}
+
 size_t PoolRouter::in_flight() const {
   return impl_->in_flight_;
 }
