--- a/tests/unit-consensus.cc
+++ b/tests/unit-consensus.cc
@@ -227,6 +227,34 @@
   }
 }
 
+TEST_CASE("append that is not in order") {
+  RaftOptions options;
+  options.id_ = 1;
+  Snapshot initial{1, 1, {}, ""};
+  initial.membership_.voters_ = {{1, "node"}, {2, "node"}, {3, "node"}};
+  const TimePoint now(std::chrono::seconds(1));
+  RaftNode node(options, HardState{1, 0}, initial, {}, now,
+                [](uint64_t) { return uint64_t{0}; });
+  Message append;
+  append.kind_ = MessageKind::kAppend;
+  append.from_ = 2;
+  append.to_ = 1;
+  append.term_ = 2;
+  append.log_index_ = 1;
+  append.log_term_ = 1;
+  const auto step = [&](uint64_t index, uint64_t term) {
+    append.entries_ = {Entry{2, 2, EntryKind::kCommand, "a"},
+                       Entry{index, term, EntryKind::kCommand, "b"}};
+    node.Step(now, append);
+    return node.last_index();
+  };
+  CHECK(step(4, 2) == 1);
+  CHECK(step(2, 2) == 1);
+  CHECK(step(3, 1) == 1);
+  CHECK(step(3, 3) == 1);
+  CHECK(step(3, 2) == 3);
+}
+
 TEST_CASE("new term") {
   SECTION("is on disk before anybody hears of it") {
     RaftOptions options;
