--- a/include/citronlane/app/request_summary.h
+++ b/include/citronlane/app/request_summary.h
@@ -29,6 +29,9 @@
   std::optional<Duration> first_token_time_;
   std::vector<StageCost> costs_;
   RequestCounters counters_;
+
+  /// Cost of all stages together, in micro-units.
+  double Cost() const;
 };
 
 }  // namespace citronlane
--- /dev/null
+++ b/include/citronlane/base/hex.h
@@ -0,0 +1,14 @@
+#ifndef CITRONLANE_BASE_HEX_H_
+#define CITRONLANE_BASE_HEX_H_
+
+#include <string>
+#include <string_view>
+
+namespace citronlane {
+
+/// Returns two lower-case hexadecimal digits a byte. Thread safe.
+std::string ToHex(std::string_view bytes);
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_BASE_HEX_H_
--- a/src/app/caller_handler.cc
+++ b/src/app/caller_handler.cc
@@ -4,10 +4,10 @@
 
 #include "citronlane/app/admission_estimate.h"
 #include "citronlane/app/admission_gate.h"
-#include "citronlane/app/detail/digest.h"
 #include "citronlane/app/driver_context.h"
 #include "citronlane/app/refusal_writer.h"
 #include "citronlane/app/request_driver.h"
+#include "citronlane/base/sha256.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/transport/detail/steady_now.h"
 #include "citronlane/transport/http_exchange.h"
@@ -58,11 +58,8 @@
   refusal_context_.admitted_ = true;
   Drive();
   const RequestSummary summary = Summarize();
-  double cost = 0;
-  for (const StageCost& stage : summary.costs_) {
-    cost += stage.cost_;
-  }
-  parts_.admission_->OnFinish(SteadyNow(), query_, cost, summary.met_target_);
+  parts_.admission_->OnFinish(SteadyNow(), query_, summary.Cost(),
+                              summary.met_target_);
   parts_.on_request_(summary);
   if (finish_->whole_) {
     AnswerWhole();
@@ -76,7 +73,7 @@
   query.account_ = request_.account_->name_;
   query.key_ = request_.idempotency_key_;
   query.body_digest_ =
-      detail::Sha256(http_.method_ + "\n" + http_.target_ + "\n" + http_.body_);
+      Sha256(http_.method_ + "\n" + http_.target_ + "\n" + http_.body_);
   claim_ = std::make_unique<RequestClaim>(std::move(query), parts_.hooks_,
                                           context_.io_, exchange_,
                                           parts_.stored_answer_bytes_);
--- a/src/app/config_view.cc
+++ b/src/app/config_view.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "citronlane/app/detail/digest.h"
+#include "citronlane/base/sha256.h"
 #include "citronlane/config/cluster_config.h"
 
 namespace citronlane {
@@ -17,7 +17,7 @@
 }
 
 const AccountConfig* ConfigView::FindAccount(std::string_view key) const {
-  const auto found = by_digest_.find(detail::ToHex(detail::Sha256(key)));
+  const auto found = by_digest_.find(Sha256Hex(key));
   return found == by_digest_.end() ? nullptr : found->second;
 }
 
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -14,6 +14,7 @@
 
 #include "citronlane/app/admission_gate.h"
 #include "citronlane/app/caller_service.h"
+#include "citronlane/app/detail/unix_time.h"
 #include "citronlane/app/driver_context.h"
 #include "citronlane/app/gateway_state.h"
 #include "citronlane/app/pool_shards.h"
@@ -37,27 +38,12 @@
 constexpr std::chrono::seconds kCloseLimit{2};
 constexpr std::chrono::seconds kLastFlushLimit{5};
 
-uint64_t UnixMilliseconds() {
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 RouterOptions MakeRouterOptions(const GatewayOptions& options) {
   RouterOptions router;
   router.failure_domain_ = options.failure_domain_;
   return router;
 }
 
-double CostOf(const RequestSummary& summary) {
-  double cost = 0;
-  for (const StageCost& stage : summary.costs_) {
-    cost += stage.cost_;
-  }
-  return cost;
-}
-
 /// One thread with what it alone touches.
 struct Shard {
   explicit Shard(const StageLimits& limits)
@@ -80,7 +66,7 @@
         identity_(options_.name_ + "-" +
                   std::to_string(options_.incarnation_ != 0
                                      ? options_.incarnation_
-                                     : UnixMilliseconds())),
+                                     : detail::UnixMilliseconds())),
         pools_(MakeRouterOptions(options_),
                options_.hedge_budget_,
                options_.retry_budget_),
@@ -215,7 +201,7 @@
       parts.contexts_.push_back(&shard->context_);
     }
     parts.on_request_ = [this](const RequestSummary& summary) {
-      usage_.Add(summary.class_name_, CostOf(summary));
+      usage_.Add(summary.class_name_, summary.Cost());
       if (hooks_.events_.on_request_) {
         hooks_.events_.on_request_(summary);
       }
--- a/src/app/gateway_run.cc
+++ b/src/app/gateway_run.cc
@@ -1,6 +1,5 @@
 #include "citronlane/app/gateway_run.h"
 
-#include <chrono>
 #include <csignal>
 #include <fstream>
 #include <memory>
@@ -8,6 +7,7 @@
 #include <sstream>
 #include <utility>
 
+#include "citronlane/app/detail/unix_time.h"
 #include "citronlane/app/gateway.h"
 #include "citronlane/app/gateway_control.h"
 #include "citronlane/app/gateway_metrics.h"
@@ -59,13 +59,6 @@
   return std::make_shared<const ClusterConfig>(*std::move(config));
 }
 
-uint64_t UnixMilliseconds() {
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 /// Serves until a stop signal. `control` may be null.
 bool Serve(const sigset_t& signals,
            Gateway* gateway,
@@ -101,7 +94,7 @@
 
   GatewayOptions own = options;
   if (own.incarnation_ == 0) {
-    own.incarnation_ = UnixMilliseconds();
+    own.incarnation_ = detail::UnixMilliseconds();
   }
   std::shared_ptr<const ClusterConfig> bootstrap;
   if (own.control_addresses_.empty()) {
--- a/src/app/receipt.cc
+++ b/src/app/receipt.cc
@@ -1,8 +1,12 @@
 #include "citronlane/app/receipt.h"
 
-#include "citronlane/app/detail/digest.h"
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/sha.h>
+
 #include "citronlane/app/detail/json_figures.h"
 #include "citronlane/app/refusal_entry.h"
+#include "citronlane/base/hex.h"
 #include "citronlane/json/parse.h"
 
 namespace citronlane {
@@ -25,7 +29,13 @@
 }
 
 std::string SignReceipt(const RefusalEntry& entry, std::string_view key) {
-  return detail::ToHex(detail::HmacSha256(key, ReceiptText(entry)));
+  const std::string text = ReceiptText(entry);
+  std::string digest(SHA256_DIGEST_LENGTH, '\0');
+  unsigned int size = SHA256_DIGEST_LENGTH;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+       reinterpret_cast<unsigned char*>(digest.data()), &size);
+  return ToHex(digest);
 }
 
 }  // namespace citronlane
--- a/src/app/refusal_writer.cc
+++ b/src/app/refusal_writer.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "citronlane/app/detail/json_figures.h"
+#include "citronlane/app/detail/unix_time.h"
 #include "citronlane/app/receipt.h"
 #include "citronlane/json/parse.h"
 
@@ -39,12 +40,6 @@
   }
 }
 
-uint64_t UnixMilliseconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<milliseconds>(now).count());
-}
-
 JsonValue ProblemOf(const RefusalEntry& entry,
                     std::string_view detail,
                     int64_t retry_after_ms,
@@ -132,7 +127,7 @@
   entry.target_ = context.target_;
   entry.gateway_ = identity_;
   entry.config_version_ = context.config_version_;
-  entry.time_ms_ = UnixMilliseconds();
+  entry.time_ms_ = detail::UnixMilliseconds();
   entry.figures_ = refusal.figures_;
   return entry;
 }
--- /dev/null
+++ b/src/app/request_summary.cc
@@ -0,0 +1,13 @@
+#include "citronlane/app/request_summary.h"
+
+namespace citronlane {
+
+double RequestSummary::Cost() const {
+  double cost = 0;
+  for (const StageCost& stage : costs_) {
+    cost += stage.cost_;
+  }
+  return cost;
+}
+
+}  // namespace citronlane
--- a/src/base/sha256.cc
+++ b/src/base/sha256.cc
@@ -2,6 +2,8 @@
 
 #include <openssl/sha.h>
 
+#include "citronlane/base/hex.h"
+
 namespace citronlane {
 
 std::string Sha256(std::string_view data) {
@@ -12,17 +14,7 @@
 }
 
 std::string Sha256Hex(std::string_view data) {
-  constexpr char kDigits[] = "0123456789abcdef";
-  constexpr unsigned kNibbleBits = 4;
-  constexpr unsigned kNibbleMask = 0xf;
-  std::string hex;
-  hex.reserve(size_t{2} * SHA256_DIGEST_LENGTH);
-  for (const char byte : Sha256(data)) {
-    const auto value = static_cast<unsigned char>(byte);
-    hex.push_back(kDigits[value >> kNibbleBits]);
-    hex.push_back(kDigits[value & kNibbleMask]);
-  }
-  return hex;
+  return ToHex(Sha256(data));
 }
 
 }  // namespace citronlane
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -23,8 +23,9 @@
 #include <thread>
 #include <vector>
 
-#include "citronlane/app/detail/digest.h"
 #include "citronlane/app/gateway.h"
+#include "citronlane/base/hex.h"
+#include "citronlane/base/sha256.h"
 #include "citronlane/config/parse_cluster_config.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/json/parse.h"
@@ -183,7 +184,7 @@
       R"({
     "classes": {"chat": {"answer_ms": 4000}, "night": {"answer_ms": 9000, "batch": true}},
     "accounts": {"shop": {"key_digests": [")" +
-      detail::ToHex(detail::Sha256("key-1")) +
+      Sha256Hex("key-1") +
       R"("], "default_class": "chat", "classes": ["chat"]}},
     "pools": {
       "encoders": {"kind": "encoder", "cost_per_call": 1, "servers": )" +
@@ -217,9 +218,8 @@
 inline std::string AnswerTo(const std::string& question) {
   std::string text;
   for (int i = 0; i < 8; ++i) {
-    const std::string hash =
-        detail::Sha256(question + "/token/" + std::to_string(i));
-    text += detail::ToHex(hash.substr(0, 4)) + " ";
+    const std::string hash = Sha256(question + "/token/" + std::to_string(i));
+    text += ToHex(hash.substr(0, 4)) + " ";
   }
   return text;
 }
--- a/tests/unit-fuzz-http.cc
+++ b/tests/unit-fuzz-http.cc
@@ -8,7 +8,7 @@
 
 #include "citronlane/app/caller_request_reader.h"
 #include "citronlane/app/config_view.h"
-#include "citronlane/app/detail/digest.h"
+#include "citronlane/base/sha256.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/transport/http_request.h"
 #include "citronlane/transport/stage_adapter.h"
@@ -65,7 +65,7 @@
   AccountConfig& account = config->accounts_["a"];
   account.name_ = "a";
   account.default_class_ = "c";
-  account.key_digests_ = {detail::ToHex(detail::Sha256("k"))};
+  account.key_digests_ = {Sha256Hex("k")};
   PipelineConfig& pipeline = config->pipelines_["ask"];
   pipeline.name_ = "ask";
   pipeline.stages_.resize(1);
