--- a/src/app/caller_request_reader.cc
+++ b/src/app/caller_request_reader.cc
@@ -8,6 +8,7 @@
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/json/parse.h"
 #include "citronlane/routing/call_priority.h"
+#include "citronlane/transport/detail/header_name.h"
 #include "citronlane/transport/http_request.h"
 
 namespace citronlane {
@@ -66,7 +67,7 @@
 
 bool CallerRequestReader::ReadAccount() {
   const std::string_view header = http_.Header("Authorization");
-  if (!StartsWith(header, kBearer)) {
+  if (!detail::SameHeaderName(header.substr(0, kBearer.size()), kBearer)) {
     return Fail(RefusalReason::kUnknownAccount,
                 "the header Authorization holds no bearer key");
   }
