--- a/include/citronlane/cli/detail/command_context.h
+++ b/include/citronlane/cli/detail/command_context.h
@@ -54,6 +54,7 @@
 void AddConfigCommands(CLI::App* app, CommandContext* context);
 void AddStatusCommands(CLI::App* app, CommandContext* context);
 void AddMemberCommands(CLI::App* app, CommandContext* context);
+void AddVerifyCommand(CLI::App* app, CommandContext* context);
 void AddOrderCommands(CLI::App* app, CommandContext* context);
 
 }  // namespace citronlane::detail
--- a/include/citronlane/json/text_rules.h
+++ b/include/citronlane/json/text_rules.h
@@ -15,6 +15,9 @@
 /// Thread safe.
 bool IsEndpoint(std::string_view text);
 
+/// True for a SHA-256 digest: 64 digits 0-9, a-f. Thread safe.
+bool IsDigest(std::string_view text);
+
 }  // namespace citronlane
 
 #endif  // CITRONLANE_JSON_TEXT_RULES_H_
--- a/src/cli/run.cc
+++ b/src/cli/run.cc
@@ -26,6 +26,7 @@
   detail::AddCheckCommand(&app, &context);
   detail::AddConfigCommands(&app, &context);
   detail::AddStatusCommands(&app, &context);
+  detail::AddVerifyCommand(&app, &context);
   detail::AddMemberCommands(&app, &context);
   detail::AddOrderCommands(&app, &context);
   try {
--- a/src/config/parse_cluster_config.cc
+++ b/src/config/parse_cluster_config.cc
@@ -21,7 +21,6 @@
 constexpr uint64_t kMaxPort = 65535;
 constexpr size_t kMaxStages = 6;
 constexpr size_t kMaxRoutes = 256;
-constexpr size_t kDigestLength = 64;
 
 constexpr std::array<std::string_view, 5> kKinds = {
     "encoder", "retriever", "reranker", "engine", "service"};
@@ -64,13 +63,6 @@
          std::string(name) + "\"";
 }
 
-bool IsKeyDigest(const std::string& text) {
-  return text.size() == kDigestLength &&
-         std::all_of(text.begin(), text.end(), [](char c) {
-           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
-         });
-}
-
 // Sections that others refer to are read first; FormatFaults and the sort at
 // the end bring the faults back into document order.
 void Parser::Read(const JsonValue& root) {
@@ -155,7 +147,7 @@
 void Parser::ReadKeyDigests(ObjectReader& reader, AccountConfig* account) {
   reader.Strings("key_digests", Need::kRequired, &account->key_digests_);
   for (const std::string& digest : account->key_digests_) {
-    if (!IsKeyDigest(digest)) {
+    if (!IsDigest(digest)) {
       reader.AddFault("key_digests",
                       "must be SHA-256 digests: 64 digits 0-9, a-f");
     } else if (!key_digests_.insert(digest).second) {
--- a/src/json/text_rules.cc
+++ b/src/json/text_rules.cc
@@ -11,6 +11,7 @@
 
 constexpr size_t kMaxNameLength = 64;
 constexpr uint64_t kMaxPort = 65535;
+constexpr size_t kDigestLength = 64;
 
 bool IsNameCharacter(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
@@ -58,4 +59,9 @@
   return bracketed == is_v6 && IsIpAddress(host);
 }
 
+bool IsDigest(std::string_view text) {
+  return text.size() == kDigestLength &&
+         text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
 }  // namespace citronlane
--- a/src/settings/control_settings.cc
+++ b/src/settings/control_settings.cc
@@ -17,7 +17,6 @@
 constexpr uint64_t kMaxId = 1'000'000;
 constexpr size_t kMaxPeers = 7;
 constexpr size_t kMaxOperators = 1000;
-constexpr size_t kDigestLength = 64;
 constexpr uint64_t kMaxMilliseconds = 3'600'000;
 constexpr uint64_t kMaxRetentionMs = 366ULL * 24 * 3600 * 1000;
 constexpr uint64_t kMinLeaseMs = 500;
@@ -32,11 +31,6 @@
 constexpr uint64_t kMaxBurst = 1000;
 constexpr std::array<std::string_view, 2> kRoles = {"read", "change"};
 
-bool IsDigest(const std::string& text) {
-  return text.size() == kDigestLength &&
-         text.find_first_not_of("0123456789abcdef") == std::string::npos;
-}
-
 void ReadPeer(ObjectReader& reader,
               std::set<std::string>* endpoints,
               ControlOptions* options) {
--- a/tests/unit-cli.cc
+++ b/tests/unit-cli.cc
@@ -1,3 +1,4 @@
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -13,6 +14,8 @@
 #include <utility>
 #include <vector>
 
+#include "citronlane/app/receipt.h"
+#include "citronlane/app/refusal_entry.h"
 #include "citronlane/cli/run.h"
 #include "citronlane/json/parse.h"
 
@@ -98,8 +101,9 @@
 // Writes a file that is removed at the end.
 class TemporaryFile {
  public:
-  explicit TemporaryFile(const std::string& text)
-      : path_("/tmp/unit-cli-" + std::to_string(getpid()) + ".json") {
+  explicit TemporaryFile(const std::string& text,
+                         const std::string& name = "file.json")
+      : path_("/tmp/unit-cli-" + std::to_string(getpid()) + "-" + name) {
     std::ofstream(path_) << text;
   }
   ~TemporaryFile() { std::remove(path_.c_str()); }
@@ -122,7 +126,7 @@
   SECTION("prints help for each command, and exits by the documented codes") {
     for (const char* command :
          {"gateway", "control", "check", "config", "status", "explain",
-          "version", "member", "drain", "order"}) {
+          "version", "member", "drain", "order", "verify"}) {
       const Outcome outcome = Run({command, "--help"});
       CHECK(outcome.code_ == ExitCode::kSuccess);
       CHECK_THAT(outcome.out_, Catch::Contains("Exit codes: 0 success, 1"));
@@ -190,6 +194,50 @@
   fs::remove_all(root);
 }
 
+TEST_CASE("receipts") {
+  RefusalEntry entry;
+  entry.id_ = "gw1-1-r2";
+  entry.reason_ = RefusalReason::kFairShare;
+  entry.gateway_ = "gw1-1";
+  entry.time_ms_ = 1796238344859;
+  entry.figures_ = {{"limit", 0.75}};
+  const std::string key = "0123456789abcdef";
+  const std::string body =
+      R"({"reason":303,"verdict":"not_run","refusal_id":"gw1-1-r2",)"
+      R"("account":"","class":"","target":"","gateway":"gw1-1",)"
+      R"("config_version":0,"time_ms":1796238344859,"figures":{"limit":0.75},)"
+      R"("receipt":")" +
+      SignReceipt(entry, key) + "\"}";
+  const TemporaryFile key_file(key, "receipt.key");
+  chmod(key_file.path().c_str(), S_IRUSR);
+  const auto verify = [&key_file](const std::string& text) {
+    const TemporaryFile answer(text);
+    return Run({"verify", answer.path(), "--receipt-key-file", key_file.path()})
+        .code_;
+  };
+
+  SECTION("of the answer as it was given are genuine") {
+    CHECK(verify(body) == ExitCode::kSuccess);
+  }
+  SECTION("do not belong to an answer with anything changed") {
+    for (const auto& [from, to] :
+         std::vector<std::pair<const char*, const char*>>{
+             {"303", "302"},
+             {"not_run", "may_have_run"},
+             {"not_run", "x"},
+             {"r2", "r3"},
+             {"\"account\":\"\"", "\"account\":\"a\""},
+             {"0.75", "0.5"},
+             {"859,", "860,"},
+             {"\"gw1-1\"", "\"gw2-1\""}}) {
+      std::string changed = body;
+      changed.replace(changed.find(from), std::string(from).size(), to);
+      INFO(changed);
+      CHECK(verify(changed) == ExitCode::kFailure);
+    }
+  }
+}
+
 TEST_CASE("administration client") {
   SECTION("sends a change again with the same id until it has an answer") {
     FakeControl control({{200, R"({"version":4})"},
