--- a/include/citronlane/app/detail/control_state.h
+++ b/include/citronlane/app/detail/control_state.h
@@ -69,6 +69,9 @@
   void ReadConfig();
   void AddServer(const std::string& server, wire::ConfigUpdate* update) const;
   void Note(const wire::LeaseRequest& request);
+  void NoteRegistered(const std::string& name,
+                      uint64_t incarnation,
+                      TimePoint now);
   void AddPeers(const wire::LeaseRequest& request,
                 wire::LeaseReply* reply) const;
 
--- a/include/citronlane/transport/control_client_options.h
+++ b/include/citronlane/transport/control_client_options.h
@@ -21,9 +21,12 @@
   std::vector<std::string> addresses_;
   /// Length of the configuration lease; the same as on the control VMs.
   Duration lease_ = std::chrono::seconds(3);
-  Duration renew_interval_ = std::chrono::milliseconds(500);
-  /// A watch stream without any sign of life for this long is left.
-  Duration watch_timeout_ = std::chrono::milliseconds(800);
+  /// The node that is watched is asked this often, and as many others as make
+  /// a majority with it half as often.
+  Duration renew_interval_ = std::chrono::milliseconds(650);
+  /// A node that is watched and silent for this long is left. Above
+  /// renew_interval_: the difference is the time a question may take.
+  Duration watch_timeout_ = std::chrono::milliseconds(950);
   /// One try of a call, and a claim or report with all its retries. A finish is
   /// answered after finish_timeout_ at the latest and goes on in the
   /// background.
--- a/include/citronlane/transport/detail/config_holder.h
+++ b/include/citronlane/transport/detail/config_holder.h
@@ -42,6 +42,8 @@
   ConfigWatcher watcher_;
   LeaseRenewer renewer_;
   uint64_t ticks_ = 0;
+  /// Voters, as last heard.
+  size_t voters_ = 0;
   TimePoint told_until_{};
   /// The next watch asks for the whole document.
   bool need_whole_ = false;
--- a/include/citronlane/transport/detail/lease_renewer.h
+++ b/include/citronlane/transport/detail/lease_renewer.h
@@ -1,9 +1,10 @@
 #ifndef CITRONLANE_TRANSPORT_DETAIL_LEASE_RENEWER_H_
 #define CITRONLANE_TRANSPORT_DETAIL_LEASE_RENEWER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <set>
+#include <map>
 #include <string>
 
 #include "citronlane/transport/detail/control_link.h"
@@ -22,19 +23,28 @@
 
   LeaseRenewer(ControlLink* link, Hooks hooks);
 
-  /// Asks one node, unless a question to it is still open.
+  /// Asks one node. While a question to it is open with another version, it is
+  /// asked again after that.
   void Ask(const std::string& address, uint64_t version);
   void AskAll(uint64_t version);
+  /// Asks `count` nodes but `address`, others each time.
+  void AskOthers(const std::string& address, size_t count, uint64_t version);
 
   void set_peers_hash(uint64_t hash) { peers_hash_ = hash; }
 
  private:
   struct Question;
 
+  void OnAnswer(const std::string& address, const Question& question, bool ok);
+
   ControlLink* const link_;
   const Hooks hooks_;
   uint64_t peers_hash_ = 0;
-  std::set<std::string> open_;
+  size_t next_other_ = 0;
+  /// Version of the open question to each address.
+  std::map<std::string, uint64_t> open_;
+  /// Version to ask an address with once its question is over.
+  std::map<std::string, uint64_t> again_;
 };
 
 }  // namespace citronlane
--- a/src/app/control_state.cc
+++ b/src/app/control_state.cc
@@ -66,6 +66,7 @@
   const TimePoint now = SteadyNow();
   for (const auto& [name, gateway] : state_.gateways().gateways()) {
     tracker_.OnRegistered(name, gateway.incarnation());
+    NoteRegistered(name, gateway.incarnation(), now);
   }
   ReadConfig();
   if (state_.config().version() > 0) {
@@ -143,9 +144,15 @@
   const TimePoint now = SteadyNow();
   for (const auto& [name, incarnation] : effects.registered_) {
     tracker_.OnRegistered(name, incarnation);
+    NoteRegistered(name, incarnation, now);
   }
   for (const auto& [name, incarnation] : effects.forgotten_) {
     tracker_.OnForgotten(name, incarnation, now);
+    const auto sighting = sightings_.find(name);
+    if (sighting != sightings_.end() &&
+        sighting->second.incarnation_ == incarnation) {
+      sightings_.erase(sighting);
+    }
   }
   wire::ConfigUpdate update;
   update.set_version(state_.config().version());
@@ -226,6 +233,19 @@
   sighting.seen_ = now;
 }
 
+// One that has just registered had no time to be seen; it is not silent.
+void ControlState::NoteRegistered(const std::string& name,
+                                  uint64_t incarnation,
+                                  TimePoint now) {
+  GatewaySighting& sighting = sightings_[name];
+  if (sighting.incarnation_ != incarnation) {
+    sighting = GatewaySighting();
+    sighting.incarnation_ = incarnation;
+    sighting.since_ = now;
+  }
+  sighting.seen_ = now;
+}
+
 void ControlState::AddPeers(const wire::LeaseRequest& request,
                             wire::LeaseReply* reply) const {
   for (const auto& [node, peer] : state_.peers()) {
--- a/src/transport/config_holder.cc
+++ b/src/transport/config_holder.cc
@@ -12,8 +12,10 @@
 namespace citronlane {
 namespace {
 
-/// The node we watch is asked at each tick, the others at every second one.
+/// The node we watch is asked at each tick, others at every second one.
 constexpr uint64_t kTicksPerRound = 2;
+/// Below this part of its length, a lease is renewed at all nodes.
+constexpr int kShortLease = 2;
 constexpr Duration kMaxBehindLimit = std::chrono::seconds(8);
 
 }  // namespace
@@ -51,9 +53,15 @@
   if (link_->calls_.is_stopping()) {
     return;
   }
-  renewer_.Ask(watcher_.address(), lease_.version());
-  if (ticks_++ % kTicksPerRound == 0) {
-    renewer_.AskAll(lease_.version());
+  const uint64_t version = lease_.version();
+  const Duration left = lease_.valid_until() - SteadyNow();
+  if (left < link_->options_.lease_ / kShortLease) {
+    renewer_.AskAll(version);
+  } else {
+    renewer_.Ask(watcher_.address(), version);
+    if (ticks_++ % kTicksPerRound == 0) {
+      renewer_.AskOthers(watcher_.address(), voters_ / 2, version);
+    }
   }
   CheckBehind();
   link_->timers_.After(link_->options_.renew_interval_, [this] { Tick(); });
@@ -100,6 +108,7 @@
   if (!reply.voter()) {
     return;
   }
+  voters_ = static_cast<size_t>(reply.voters_size());
   newest_seen_ = std::max(newest_seen_, reply.newest_version());
   LeaseVote vote;
   vote.node_ = reply.node();
@@ -111,10 +120,14 @@
 }
 
 void ConfigHolder::OnProbe(const std::string& address, bool answered) {
-  if (!answered && address == watcher_.address() &&
-      !link_->calls_.is_stopping()) {
+  if (answered || link_->calls_.is_stopping()) {
+    return;
+  }
+  if (address == watcher_.address()) {
     watcher_.MoveOn();
   }
+  // Another node has to make the majority.
+  renewer_.AskOthers(address, voters_ / 2, lease_.version());
 }
 
 void ConfigHolder::TellServers(const wire::ConfigUpdate& update) const {
--- a/src/transport/control_channels.cc
+++ b/src/transport/control_channels.cc
@@ -20,6 +20,8 @@
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, kMinBackoffMs);
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMinBackoffMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxBackoffMs);
+  // Messages are small: probing for bandwidth would cost more than they do.
+  arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
   arguments.SetMaxReceiveMessageSize(kMaxMessageBytes);
   // Two clients of one process do not share a connection: each is a gateway.
   arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
--- a/src/transport/control_service.cc
+++ b/src/transport/control_service.cc
@@ -121,6 +121,7 @@
     builder.AddListeningPort(listen_, credentials, &port);
     builder.RegisterService(&handler_);
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_BDP_PROBE, 0);
     builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveTimeMs);
     builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS,
                                kKeepaliveTimeoutMs);
--- a/src/transport/lease_renewer.cc
+++ b/src/transport/lease_renewer.cc
@@ -2,9 +2,11 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "citronlane/app/detail/steady_now.h"
 
@@ -22,7 +24,11 @@
     : link_(link), hooks_(std::move(hooks)) {}
 
 void LeaseRenewer::Ask(const std::string& address, uint64_t version) {
-  if (!open_.insert(address).second) {
+  const auto [open, is_new] = open_.emplace(address, version);
+  if (!is_new) {
+    if (open->second != version) {
+      again_[address] = version;
+    }
     return;
   }
   const auto question = std::make_shared<Question>();
@@ -42,16 +48,39 @@
       &question->context_, &question->request_, &question->reply_,
       [this, address, question](const grpc::Status& status) {
         link_->timers_.Post([this, address, question, ok = status.ok()] {
-          open_.erase(address);
-          hooks_.on_probe_(address, ok);
-          if (ok) {
-            hooks_.on_reply_(question->reply_, question->sent_);
-          }
+          OnAnswer(address, *question, ok);
         });
         link_->calls_.End(&question->context_);
       });
 }
 
+void LeaseRenewer::OnAnswer(const std::string& address,
+                            const Question& question,
+                            bool ok) {
+  open_.erase(address);
+  hooks_.on_probe_(address, ok);
+  if (ok) {
+    hooks_.on_reply_(question.reply_, question.sent_);
+  }
+  const auto again = again_.find(address);
+  if (again != again_.end()) {
+    const uint64_t version = again->second;
+    again_.erase(again);
+    Ask(address, version);
+  }
+}
+
+void LeaseRenewer::AskOthers(const std::string& address,
+                             size_t count,
+                             uint64_t version) {
+  std::vector<std::string> others = link_->channels_.addresses();
+  others.erase(std::remove(others.begin(), others.end(), address),
+               others.end());
+  for (size_t i = 0; i < std::min(count, others.size()); ++i) {
+    Ask(others[next_other_++ % others.size()], version);
+  }
+}
+
 void LeaseRenewer::AskAll(uint64_t version) {
   for (const std::string& address : link_->channels_.addresses()) {
     Ask(address, version);
--- a/tests/unit-control.cc
+++ b/tests/unit-control.cc
@@ -16,6 +16,7 @@
 #include <catch2/catch.hpp>
 
 #include "citronlane/app/control_node.h"
+#include "citronlane/app/detail/control_state.h"
 #include "citronlane/base/sha256.h"
 #include "citronlane/cli/admin_client.h"
 #include "citronlane/config/cluster_config.h"
@@ -292,6 +293,22 @@
 
 }  // namespace
 
+TEST_CASE("control state") {
+  SECTION("counts a gateway as seen when it registers") {
+    ControlState state(std::chrono::seconds(3), 1, [](std::string_view) {});
+    wire::StateCommand command;
+    wire::GatewayId* gateway =
+        command.mutable_register_gateway()->mutable_gateway();
+    gateway->set_name("g");
+    for (const uint64_t incarnation : {1, 2}) {
+      gateway->set_incarnation(incarnation);
+      state.Apply(incarnation, command.SerializeAsString());
+      REQUIRE(state.sightings().count("g") == 1);
+      CHECK(state.sightings().at("g").incarnation_ == incarnation);
+    }
+  }
+}
+
 TEST_CASE("control nodes") {
   Cluster cluster;
   Operator ana(cluster, "ana");
