--- a/bench/bench-control.cc
+++ b/bench/bench-control.cc
@@ -1,16 +1,12 @@
 // Measures control as processes of its own with real syncs: three nodes, and
 // stand-in watchers in this process. Prints JSON in Google Benchmark's form.
-// Usage: bench-control [--benchmark_out=FILE] [FOLDER]; the folder has to lie on
-// the disk that is to be measured.
+// Usage: bench-control [--benchmark_out=FILE] [FOLDER]; the folder has to lie
+// on the disk that is to be measured.
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/resource.h>
-#include <sys/socket.h>
 #include <sys/stat.h>
-#include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -19,7 +15,6 @@
 #include <fstream>
 #include <functional>
 #include <future>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -32,6 +27,7 @@
 #include "citronlane/cli/admin_client.h"
 #include "citronlane/json/fault.h"
 #include "citronlane/json/parse.h"
+#include "control/measure.h"
 #include "control/node_host.h"
 #include "control/traffic.h"
 #include "control/watchers.h"
@@ -39,11 +35,11 @@
 namespace citronlane::bench {
 namespace {
 
-using Clock = std::chrono::steady_clock;
 using Figures = std::vector<std::pair<std::string, double>>;
 
 constexpr uint64_t kNodes = 3;
 constexpr size_t kChanges = 20;
+constexpr uint64_t kAnswerMs = 1000;
 constexpr size_t kRestartChanges = 1000;
 constexpr std::chrono::seconds kIdleTime(6);
 constexpr std::chrono::milliseconds kClaimTime(1500);
@@ -51,59 +47,6 @@
 constexpr std::chrono::seconds kDeadline(60);
 constexpr std::chrono::seconds kFailoverTime(5);
 
-[[noreturn]] void Die(const std::string& reason) {
-  std::fprintf(stderr, "bench: %s\n", reason.c_str());
-  std::exit(1);
-}
-
-double Seconds(Clock::duration time) {
-  return std::chrono::duration<double>(time).count();
-}
-
-double OwnCpuSeconds() {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  constexpr double kMicros = 1e6;
-  const auto seconds = [](const timeval& time) {
-    return static_cast<double>(time.tv_sec) +
-           static_cast<double>(time.tv_usec) / kMicros;
-  };
-  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
-}
-
-void WaitFor(const char* what, const std::function<bool()>& holds) {
-  const auto end = Clock::now() + kDeadline;
-  while (!holds()) {
-    if (Clock::now() > end) {
-      Die(std::string("gave up waiting for ") + what);
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-  }
-}
-
-double Quantile(std::vector<double> values, double share) {
-  if (values.empty()) {
-    return 0;
-  }
-  std::sort(values.begin(), values.end());
-  return values[static_cast<size_t>(share *
-                                    static_cast<double>(values.size() - 1))];
-}
-
-std::string FreeAddress() {
-  const int handle = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  if (bind(handle, reinterpret_cast<sockaddr*>(&address), size) != 0) {
-    Die("no free port");
-  }
-  getsockname(handle, reinterpret_cast<sockaddr*>(&address), &size);
-  close(handle);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 class Bench {
  public:
   explicit Bench(const std::string& folder);
@@ -115,6 +58,8 @@
   static ControlOptions Options();
   void Add(const std::string& name, Figures figures);
   JsonValue Get(const std::string& path);
+  /// Commits one change.
+  void Change();
   /// Applies a change and waits until it is in force everywhere, as the
   /// operators see it; milliseconds.
   double Apply();
@@ -225,24 +170,27 @@
   return reply->body_;
 }
 
-double Bench::Apply() {
-  JsonValue target = JsonValue::Object();
-  target.Set("answer_ms", JsonValue::Number(1000 + double(version_ % 500)));
+void Bench::Change() {
   JsonValue body = JsonValue::Object();
   Fault fault;
-  body.Set("patch", *ParseJson(R"({"classes":{"chat":)" + WriteJson(target) +
-                                   "}}",
-                               &fault));
+  body.Set("patch",
+           *ParseJson(R"({"classes":{"chat":{"answer_ms":)" +
+                          std::to_string(kAnswerMs + version_ % 500) + "}}}",
+                      &fault));
   body.Set("reason", JsonValue::String("bench"));
-  body.Set("base_version", JsonValue::Number(double(version_)));
+  body.Set("base_version", JsonValue::Number(static_cast<double>(version_)));
   body.Set("change_id", JsonValue::String("c" + std::to_string(version_)));
-  const auto begin = Clock::now();
   Error error;
   const auto reply = admin_->Post("/v1/config/changes", body, &error);
   if (!reply || reply->body_.Find("version") == nullptr) {
     Die("a change failed: " + error.message_);
   }
   ++version_;
+}
+
+double Bench::Apply() {
+  const auto begin = Clock::now();
+  Change();
   const std::string path =
       "/v1/config/status?version=" + std::to_string(version_);
   WaitFor("a change to be in force", [&] {
@@ -292,13 +240,12 @@
     times.push_back(Apply());
   }
   const double took = Seconds(Clock::now() - begin);
-  const double bytes =
-      Traffic::Read(ports_).WireBytes() - idle_end.WireBytes();
+  const double bytes = Traffic::Read(ports_).WireBytes() - idle_end.WireBytes();
   figures.emplace_back("bytes_per_watcher_change",
                        (bytes / each - idle_bytes * took) / kChanges);
-  figures.emplace_back("nodes_cpu_ms_per_change",
-                       (host_.CpuSeconds() - changes_node_cpu) * 1000 /
-                           kChanges);
+  figures.emplace_back(
+      "nodes_cpu_ms_per_change",
+      (host_.CpuSeconds() - changes_node_cpu) * 1000 / kChanges);
   figures.emplace_back("in_force_ms_p50", Quantile(times, 0.5));
   figures.emplace_back("in_force_ms_max", Quantile(times, 1));
   figures.emplace_back("node_resident_mb", host_.ResidentMb());
@@ -311,7 +258,6 @@
   size_t failed = 0;
   const auto begin = Clock::now();
   const auto end = begin + kClaimTime;
-  std::vector<std::thread> threads;
   std::atomic<size_t> open{0};
   std::function<void(size_t)> claim = [&](size_t slot) {
     const auto sent = Clock::now();
@@ -325,18 +271,18 @@
       key = std::to_string(++last_key_);
     }
     watchers->client(slot % watchers->size())
-        .Claim({"shop", key, Sha256(key)}, [&, slot, sent](
-                                               const ClaimAnswer& answer) {
-          {
-            const std::lock_guard<std::mutex> lock(mutex);
-            if (answer.result_ == ClaimAnswer::Result::kGranted) {
-              times.push_back(Seconds(Clock::now() - sent) * 1000);
-            } else {
-              ++failed;
-            }
-          }
-          claim(slot);
-        });
+        .Claim({"shop", key, Sha256(key)},
+               [&, slot, sent](const ClaimAnswer& answer) {
+                 {
+                   const std::lock_guard<std::mutex> lock(mutex);
+                   if (answer.result_ == ClaimAnswer::Result::kGranted) {
+                     times.push_back(Seconds(Clock::now() - sent) * 1000);
+                   } else {
+                     ++failed;
+                   }
+                 }
+                 claim(slot);
+               });
   };
   open = in_flight;
   for (size_t slot = 0; slot < in_flight; ++slot) {
@@ -366,12 +312,11 @@
   while (Clock::now() < end) {
     const std::string key = std::to_string(++last_key_);
     std::promise<ClaimAnswer> answer;
-    watchers->client(0).Claim({"shop", key, Sha256(key)},
-                              [&answer](ClaimAnswer result) {
-                                answer.set_value(std::move(result));
-                              });
-    const bool granted = answer.get_future().get().result_ ==
-                         ClaimAnswer::Result::kGranted;
+    watchers->client(0).Claim(
+        {"shop", key, Sha256(key)},
+        [&answer](ClaimAnswer result) { answer.set_value(std::move(result)); });
+    const bool granted =
+        answer.get_future().get().result_ == ClaimAnswer::Result::kGranted;
     failed += granted ? 0 : 1;
     longest = std::max(longest, Seconds(Clock::now() - last) * 1000);
     last = Clock::now();
@@ -387,20 +332,7 @@
 void Bench::RestartRun() {
   const auto begin = Clock::now();
   for (size_t i = 0; i < kRestartChanges; ++i) {
-    JsonValue body = JsonValue::Object();
-    Fault fault;
-    body.Set("patch", *ParseJson(R"({"classes":{"chat":{"answer_ms":)" +
-                                     std::to_string(1000 + i % 500) + "}}}",
-                                 &fault));
-    body.Set("reason", JsonValue::String("bench"));
-    body.Set("base_version", JsonValue::Number(double(version_)));
-    body.Set("change_id", JsonValue::String("r" + std::to_string(version_)));
-    Error error;
-    const auto reply = admin_->Post("/v1/config/changes", body, &error);
-    if (!reply || reply->body_.Find("version") == nullptr) {
-      Die("a change failed: " + error.message_);
-    }
-    ++version_;
+    Change();
   }
   const double changes = Seconds(Clock::now() - begin);
   for (uint64_t id = 1; id <= kNodes; ++id) {
@@ -413,7 +345,8 @@
   WaitFor("the version after a restart", [&] {
     const JsonValue config = Get("/v1/config");
     const JsonValue* version = config.Find("version");
-    return version != nullptr && version->AsNumber() == double(version_);
+    return version != nullptr &&
+           version->AsNumber() == static_cast<double>(version_);
   });
   Add("control/restart",
       {{"changes_per_second", kRestartChanges / changes},
--- a/bench/control/traffic.cc
+++ b/bench/control/traffic.cc
@@ -32,7 +32,8 @@
 
 Traffic Traffic::Read(const std::set<uint16_t>& ports) {
   Traffic sum;
-  for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd")) {
+  for (const auto& entry :
+       std::filesystem::directory_iterator("/proc/self/fd")) {
     const int socket = std::stoi(entry.path().filename().string());
     tcp_info info{};
     socklen_t size = sizeof(info);
--- a/include/citronlane/transport/detail/leader_call.h
+++ b/include/citronlane/transport/detail/leader_call.h
@@ -57,13 +57,12 @@
         std::chrono::system_clock::now() +
         std::min(link_->options_.try_timeout_,
                  std::max(deadline_ - SteadyNow(), kMinTry)));
-    method_(attempt->stub_.get(), &attempt->context_, &request_,
-            &attempt->reply_,
-            [self = this->shared_from_this(),
-             attempt](const grpc::Status& status) {
-              self->OnStatus(*attempt, status);
-              self->link_->calls_.End(&attempt->context_);
-            });
+    method_(
+        attempt->stub_.get(), &attempt->context_, &request_, &attempt->reply_,
+        [self = this->shared_from_this(), attempt](const grpc::Status& status) {
+          self->OnStatus(*attempt, status);
+          self->link_->calls_.End(&attempt->context_);
+        });
   }
 
  private:
--- a/include/citronlane/transport/detail/lease_renewer.h
+++ b/include/citronlane/transport/detail/lease_renewer.h
@@ -16,7 +16,8 @@
 class LeaseRenewer {
  public:
   struct Hooks {
-    std::function<void(const wire::LeaseReply& reply, TimePoint sent)> on_reply_;
+    std::function<void(const wire::LeaseReply& reply, TimePoint sent)>
+        on_reply_;
     /// Whether the node at the address answered in time.
     std::function<void(const std::string& address, bool answered)> on_probe_;
   };
@@ -27,6 +28,9 @@
   /// asked again after that.
   void Ask(const std::string& address, uint64_t version);
   void AskAll(uint64_t version);
+  /// Asks the nodes whose last answer was to another version, so that each
+  /// learns which is in force here.
+  void AskUntold(uint64_t version);
   /// Asks `count` nodes but `address`, others each time.
   void AskOthers(const std::string& address, size_t count, uint64_t version);
 
@@ -43,6 +47,8 @@
   size_t next_other_ = 0;
   /// Version of the open question to each address.
   std::map<std::string, uint64_t> open_;
+  /// Version of the last question that each address answered.
+  std::map<std::string, uint64_t> told_;
   /// Version to ask an address with once its question is over.
   std::map<std::string, uint64_t> again_;
 };
--- a/src/app/vm_list_poller.cc
+++ b/src/app/vm_list_poller.cc
@@ -93,9 +93,9 @@
 void VmListPoller::TellOnce(const std::string& failure) {
   if (failure != failure_) {
     failure_ = failure;
-    log_(failure.empty() ? "The platform's VM list is read again."
-                         : "The platform's VM list can not be read: " +
-                               failure);
+    log_(failure.empty()
+             ? "The platform's VM list is read again."
+             : "The platform's VM list can not be read: " + failure);
   }
 }
 
--- a/src/transport/config_holder.cc
+++ b/src/transport/config_holder.cc
@@ -58,6 +58,7 @@
   if (left < link_->options_.lease_ / kShortLease) {
     renewer_.AskAll(version);
   } else {
+    renewer_.AskUntold(version);
     renewer_.Ask(watcher_.address(), version);
     if (ticks_++ % kTicksPerRound == 0) {
       renewer_.AskOthers(watcher_.address(), voters_ / 2, version);
--- a/src/transport/lease_renewer.cc
+++ b/src/transport/lease_renewer.cc
@@ -60,6 +60,7 @@
   open_.erase(address);
   hooks_.on_probe_(address, ok);
   if (ok) {
+    told_[address] = question.request_.version();
     hooks_.on_reply_(question.reply_, question.sent_);
   }
   const auto again = again_.find(address);
@@ -70,6 +71,15 @@
   }
 }
 
+void LeaseRenewer::AskUntold(uint64_t version) {
+  for (const std::string& address : link_->channels_.addresses()) {
+    const auto told = told_.find(address);
+    if (told == told_.end() || told->second != version) {
+      Ask(address, version);
+    }
+  }
+}
+
 void LeaseRenewer::AskOthers(const std::string& address,
                              size_t count,
                              uint64_t version) {
--- a/tests/unit-control.cc
+++ b/tests/unit-control.cc
@@ -65,16 +65,17 @@
 // The platform's VM list and two engines, behind one address.
 class Backends {
  public:
-  Backends() : server_(address_, {}, [this](const AdminRequest& request) {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      AdminResponse response;
-      if (request.path_ == "/v1/vms") {
-        response.body_ = vms_;
-      } else {
-        orders_.push_back(request.body_);
-      }
-      return response;
-    }) {
+  Backends()
+      : server_(address_, {}, [this](const AdminRequest& request) {
+          const std::lock_guard<std::mutex> lock(mutex_);
+          AdminResponse response;
+          if (request.path_ == "/v1/vms") {
+            response.body_ = vms_;
+          } else {
+            orders_.push_back(request.body_);
+          }
+          return response;
+        }) {
     Error error;
     REQUIRE(server_.Start(&error));
   }
@@ -458,10 +459,10 @@
   }
 
   SECTION("follow the platform's list, and never an old one back") {
-    cluster.backends_.SetVms(R"({"id":"m1","state":"leaving","incarnation":4})");
-    REQUIRE(WaitUntil([&] {
-      return first.IsLeaving("m1") && second.IsLeaving("m1");
-    }));
+    cluster.backends_.SetVms(
+        R"({"id":"m1","state":"leaving","incarnation":4})");
+    REQUIRE(WaitUntil(
+        [&] { return first.IsLeaving("m1") && second.IsLeaving("m1"); }));
     cluster.backends_.SetVms(
         R"({"id":"m1","state":"live","incarnation":4},)"
         R"({"id":"m2","state":"leaving","incarnation":1})");
