--- a/src/app/control_state.cc
+++ b/src/app/control_state.cc
@@ -66,7 +66,7 @@
   const TimePoint now = SteadyNow();
   for (const auto& [name, gateway] : state_.gateways().gateways()) {
     tracker_.OnRegistered(name, gateway.incarnation());
-    NoteRegistered(name, gateway.incarnation(), now);
+    SeeRegistered(name, gateway.incarnation(), now);
   }
   ReadConfig();
   if (state_.config().version() > 0) {
@@ -144,7 +144,7 @@
   const TimePoint now = SteadyNow();
   for (const auto& [name, incarnation] : effects.registered_) {
     tracker_.OnRegistered(name, incarnation);
-    NoteRegistered(name, incarnation, now);
+    SeeRegistered(name, incarnation, now);
   }
   for (const auto& [name, incarnation] : effects.forgotten_) {
     tracker_.OnForgotten(name, incarnation, now);
@@ -217,6 +217,19 @@
   entry->set_live(!state.leaving_);
 }
 
+// A gateway is not silent before it had its time to renew its first lease.
+void ControlState::SeeRegistered(const std::string& gateway,
+                                 uint64_t incarnation,
+                                 TimePoint now) {
+  GatewaySighting& sighting = sightings_[gateway];
+  if (sighting.incarnation_ != incarnation) {
+    sighting = GatewaySighting();
+    sighting.incarnation_ = incarnation;
+    sighting.since_ = now;
+  }
+  sighting.seen_ = now;
+}
+
 void ControlState::Note(const wire::LeaseRequest& request) {
   const TimePoint now = SteadyNow();
   const wire::GatewayId& gateway = request.gateway();
@@ -233,19 +246,6 @@
   sighting.seen_ = now;
 }
 
-// One that has just registered had no time to be seen; it is not silent.
-void ControlState::NoteRegistered(const std::string& name,
-                                  uint64_t incarnation,
-                                  TimePoint now) {
-  GatewaySighting& sighting = sightings_[name];
-  if (sighting.incarnation_ != incarnation) {
-    sighting = GatewaySighting();
-    sighting.incarnation_ = incarnation;
-    sighting.since_ = now;
-  }
-  sighting.seen_ = now;
-}
-
 void ControlState::AddPeers(const wire::LeaseRequest& request,
                             wire::LeaseReply* reply) const {
   for (const auto& [node, peer] : state_.peers()) {
--- a/src/cli/process_command.cc
+++ b/src/cli/process_command.cc
@@ -1,3 +1,4 @@
+#include <grpc/support/log.h>
 #include <signal.h>
 
 #include <CLI/CLI.hpp>
@@ -6,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "citronlane/app/control_run.h"
+#include "citronlane/app/gateway_run.h"
 #include "citronlane/cli/detail/command_context.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/observe/logger.h"
@@ -14,12 +17,8 @@
 #include "citronlane/settings/control_settings.h"
 #include "citronlane/settings/files.h"
 #include "citronlane/settings/gateway_settings.h"
-#ifdef CITRONLANE_HAS_GATEWAY
-#include "citronlane/app/gateway_run.h"
-#endif
-#ifdef CITRONLANE_HAS_CONTROL
-#include "citronlane/app/control_run.h"
-#endif
+#include "citronlane/storage/posix_file_system.h"
+#include "citronlane/storage/recover.h"
 
 namespace citronlane::detail {
 namespace {
@@ -34,6 +33,13 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+// Takes the gRPC library's lines, so that all have the settings' layout.
+void WriteGrpcLine(gpr_log_func_args* line) {
+  static const Logger logger("grpc");
+  const bool is_error = line->severity == GPR_LOG_SEVERITY_ERROR;
+  logger.Write(is_error ? LogLevel::kWarn : LogLevel::kDebug, line->message);
+}
+
 // Reads the file with `parse`, prints all faults, and sets up logging.
 template <typename Parse>
 auto Load(const std::string& path, const Parse& parse, CommandContext* context)
@@ -58,6 +64,7 @@
     context->Fail(ExitCode::kUsage, error.message_);
     return std::nullopt;
   }
+  gpr_set_log_function(WriteGrpcLine);
   return settings;
 }
 
@@ -66,20 +73,11 @@
   if (!settings) {
     return;
   }
-#ifdef CITRONLANE_HAS_GATEWAY
-  const Logger logger("gateway");
-  Metrics metrics;
-  metrics.Set(kBuildInfo, {CITRONLANE_VERSION}, 1);
-  GatewayHooks hooks;
-  hooks.log_ = logger.Hook();
-  hooks.metrics_text_ = [&metrics] { return metrics.Text(); };
   Error error;
-  if (!RunGateway(settings->gateway_, std::move(hooks), &error)) {
+  if (!RunGateway(settings->gateway_, GatewayHooks(), &error)) {
+    Logger("gateway").Error(error.message_);
     context->Fail(ExitCode::kFailure, error.message_);
   }
-#else
-  context->Fail(ExitCode::kFailure, "the gateway is not available yet");
-#endif
 }
 
 void RunControlCommand(const std::string& path, CommandContext* context) {
@@ -87,7 +85,6 @@
   if (!settings) {
     return;
   }
-#ifdef CITRONLANE_HAS_CONTROL
   const Logger logger("control");
   Metrics metrics;
   metrics.Set(kBuildInfo, {CITRONLANE_VERSION}, 1);
@@ -96,25 +93,76 @@
   hooks.metrics_text_ = [&metrics] { return metrics.Text(); };
   Error error;
   if (!RunControl(settings->control_, std::move(hooks), &error)) {
+    logger.Error(error.message_);
+    context->Fail(ExitCode::kFailure, error.message_);
+  }
+}
+
+// Says what there is to do about the data folder; does it only with --apply.
+void RunRecoverCommand(const std::string& path,
+                       bool apply,
+                       CommandContext* context) {
+  const auto settings = Load(path, ParseControlSettings, context);
+  if (!settings) {
+    return;
+  }
+  const ReplicaOptions& replica = settings->control_.replica_;
+  const FileSystem files = PosixFileSystem();
+  Error error;
+  const auto report =
+      InspectDataFolder(files, replica.data_dir_, replica.raft_.id_, &error);
+  if (!report) {
+    context->Fail(ExitCode::kFailure, error.message_);
+    return;
+  }
+  for (const std::string& line : report->lines_) {
+    context->out_ << line << '\n';
+  }
+  if (report->finding_ != RecoveryReport::Finding::kUntrusted) {
+    return;
+  }
+  if (!apply) {
+    context->out_ << "Nothing was changed; --apply does it.\n";
+  } else if (SetDataFolderAside(files, replica.data_dir_, *report, &error)) {
+    context->out_ << "Done.\n";
+  } else {
     context->Fail(ExitCode::kFailure, error.message_);
   }
-#else
-  context->Fail(ExitCode::kFailure, "control is not available yet");
-#endif
 }
 
 using Run = void (*)(const std::string& path, CommandContext* context);
 
-void AddProcess(CLI::App* app,
-                const std::string& name,
-                const std::string& help,
-                Run run,
-                CommandContext* context) {
+// Returns where the path of the settings will be.
+std::shared_ptr<std::string> AddProcess(CLI::App* app,
+                                        const std::string& name,
+                                        const std::string& help,
+                                        Run run,
+                                        CommandContext* context) {
   CLI::App* command = app->add_subcommand(name, help);
-  const auto path = std::make_shared<std::string>();
+  auto path = std::make_shared<std::string>();
   command->add_option("--settings", *path, "Settings file, JSON with comments")
       ->required();
   command->callback([path, run, context] { run(*path, context); });
+  return path;
+}
+
+void AddRecovery(CLI::App* control,
+                 const std::shared_ptr<std::string>& path,
+                 CommandContext* context) {
+  const auto recover = std::make_shared<bool>(false);
+  const auto apply = std::make_shared<bool>(false);
+  CLI::Option* flag = control->add_flag(
+      "--recover", *recover,
+      "Do not serve: say what there is to do about the data folder");
+  control->add_flag("--apply", *apply, "With --recover: do what it says")
+      ->needs(flag);
+  control->callback([path, recover, apply, context] {
+    if (*recover) {
+      RunRecoverCommand(*path, *apply, context);
+    } else {
+      RunControlCommand(*path, context);
+    }
+  });
 }
 
 }  // namespace
@@ -123,8 +171,10 @@
   AddProcess(app, "gateway",
              "Serve callers until SIGTERM, then finish what is in flight",
              RunGatewayCommand, context);
-  AddProcess(app, "control", "Serve as one of the control VMs until SIGTERM",
-             RunControlCommand, context);
+  const auto path = AddProcess(app, "control",
+                               "Serve as one of the control VMs until SIGTERM",
+                               RunControlCommand, context);
+  AddRecovery(app->get_subcommand("control"), path, context);
 }
 
 }  // namespace citronlane::detail
