--- a/tests/unit-admission.cc
+++ b/tests/unit-admission.cc
@@ -99,6 +99,13 @@
     CHECK(refused > 150);
     CHECK(refused < 250);
   }
+  SECTION("refuses what needs a pool without a usable server, always") {
+    AdmissionQuery query = MakeQuery("chat", seconds(2));
+    query.pool_empty_ = true;
+    for (int i = 0; i < 20; ++i) {
+      CHECK(test.Admit(query) == RefusalReason::kNoBackendServer);
+    }
+  }
   SECTION("admits when nothing is known") {
     AdmissionQuery query = MakeQuery("chat", seconds(5));
     query.expected_finish_.reset();
@@ -133,7 +140,18 @@
     CHECK(test.Admit(MakeQuery("chat", contended, "large")) ==
           RefusalReason::kFairShare);
     CHECK(test.last_->figures_.at("use_over_share") ==
-          Approx(2.45).epsilon(0.01));
+          Approx(1.384).epsilon(0.01));
+  }
+  SECTION("is told from middling ones among many") {
+    for (int i = 0; i < 90; ++i) {
+      test.Use("tiny-" + std::to_string(i), 1);
+    }
+    test.Use("middling", 8);
+    test.now_ += seconds(3);
+    contend();
+    CHECK_FALSE(test.Admit(MakeQuery("chat", contended, "middling")));
+    CHECK(test.Admit(MakeQuery("chat", contended, "large")) ==
+          RefusalReason::kFairShare);
   }
   SECTION("does not cost a small account its place") {
     CHECK_FALSE(test.Admit(MakeQuery("chat", contended, "small")));
