Publish a changed membership before it is acknowledged

A gateway's lease counts a majority of the membership that voters name. Told only after the acknowledgement, an older membership could be named by a voter that already counts for the newer one. No test shows it: the window is the time between two calls of one thread.

--- a/src/app/replica_ready.cc
+++ b/src/app/replica_ready.cc
@@ -19,6 +19,9 @@
       Fail(error.message_);
       return;
     }
+    // Lease renewals are answered with this membership: it is told before the
+    // entry that changes it is acknowledged.
+    PublishStatus();
     peers_->Send(SteadyNow(), node_->membership(), std::move(ready.messages_));
     Apply(ready.committed_);
     node_->Advance(SteadyNow());
