--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -72,8 +72,8 @@
         "unit-hedging: retry", "unit-routing: ejection"]),
     ("traffic arrives in bursts", [
         STORM + "burst_is_answered_or_refused_truly",
-        "unit-admission: large account",
-        "unit-admission: learned concurrency limit"]),
+        "unit-admission: early refusal", "unit-admission: large account",
+        "unit-admission: batch"]),
     ("processes die", [
         ONCE + "gateway_killed_at_each_step_and_request_sent_again",
         CONTROL + "leader_killed_while_gateways_serve",
