--- a/tests/unit-gateway.cc
+++ b/tests/unit-gateway.cc
@@ -42,7 +42,7 @@
               .result_int() == 200);
     running.gateway_.OnServerLeaving("ret1", 1);
     const Response response = running.Ask("gone?");
-    CHECK(RefusalOf(response.body()) == "403 ran");
+    CHECK(RefusalOf(response.body()) == "403 not_run");
   }
 }
 
@@ -162,6 +162,8 @@
       {"*", R"({"fail": 1})"},
       {"engines", R"({"cut_stream": 1, "cut_at": 3})"},
       {"engines", R"({"cut_stream": 2, "cut_at": 5})"},
+      {"eng1", R"({"hold": true, "hold_at": 3})"},
+      {"eng2", R"({"hold": true, "hold_at": 4})"},
       {"enc1", R"({"stop": true})"},
   };
   int question = 0;
