--- a/tests/unit-routing.cc
+++ b/tests/unit-routing.cc
@@ -236,8 +236,10 @@
   }
   SECTION("gives way when every other server is leaving") {
     fail({"s1"});
-    for (const char* server : {"s0", "s2", "s3", "s4", "s5"}) {
-      test.router_->OnLeaving(server, 1, test.now_);
+    for (const auto& server : test.pool_.servers_) {
+      if (server.first != "s1") {
+        test.router_->OnLeaving(server.first, 1, test.now_);
+      }
     }
     CHECK(test.Choose() == "s1");
   }
