Destroy the listener before the contexts that its acceptor belongs to

Cause: the gateway destroyed the shards' io_contexts first and the listener after them. When its acceptor was still open then, closing it used the freed reactor and wrote into its freed descriptor state. The acceptor is open when the gateway could not listen, and when the closing that StopAccepting posts was overtaken by io_context::stop(), which happens under load at a shutdown without connections. The write hits the last bytes of the freed block, which is malloc's prev_size: "malloc(): mismatching next->prev_size (unsorted)" at a later allocation of the main thread.

Memcheck names the acceptor's destructor, also when a trial holds the shard's thread until the contexts are stopped.

Ruled out: an overflow of coroutine stacks, which lie in the threads' arenas and not in the main one; the claims' timers, which look at exchange_ before they write; the drivers' late timers, whose requests are finished by then.

Change: the order of the members; the service goes last, since handlers that were cut off unwind with the shards.

--- a/include/citronlane/transport/http_listener.h
+++ b/include/citronlane/transport/http_listener.h
@@ -22,6 +22,7 @@
 /// The public methods are thread safe.
 class HttpListener {
  public:
+  /// Precondition: the contexts outlive the listener.
   HttpListener(std::vector<boost::asio::io_context*> shards,
                const HttpLimits& limits,
                HttpListenerHooks hooks);
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -162,6 +162,10 @@
   RefusalBacklog backlog_;
   RefusalWriter refusals_;
   UsageMeter usage_;
+  std::unique_ptr<CallerService> service_;
+  // Handlers that were cut off end with the shards and refer to the service.
+  std::vector<std::unique_ptr<Shard>> shards_;
+  // Its acceptor belongs to a shard's io_context, so it has to go first.
   std::unique_ptr<HttpListener> listener_;
 
  private:
@@ -317,8 +321,6 @@
     return true;
   }
 
-  std::vector<std::unique_ptr<Shard>> shards_;
-  std::unique_ptr<CallerService> service_;
   std::thread maintenance_;
   std::mutex config_mutex_;
   std::mutex stop_mutex_;
--- a/tests/unit-gateway-lifecycle.cc
+++ b/tests/unit-gateway-lifecycle.cc
@@ -81,6 +81,42 @@
   CHECK(running.gateway_.requests_in_flight() == 0);
 }
 
+TEST_CASE("gateway that can't listen") {
+  Gateway first(TestOptions(), {});
+  Error error;
+  REQUIRE(first.Start(&error));
+  GatewayOptions options = TestOptions();
+  options.port_ = first.port();
+  {
+    Gateway second(options, {});
+    CHECK_FALSE(second.Start(&error));
+    CHECK(error.message_.find("can't listen") == 0);
+  }
+  first.Shutdown();
+  CHECK(first.Wait());
+}
+
+TEST_CASE("gateway that cuts work off at the drain limit") {
+  Fakes fakes;
+  GatewayOptions options = TestOptions();
+  options.drain_limit_ = std::chrono::milliseconds(1);
+  std::future<Response> asked;
+  {
+    Running running(fakes, {}, options);
+    fakes.SetFault("engines", R"({"hold": true, "hold_at": 1})");
+    const uint16_t port = running.gateway_.port();
+    asked = std::async(std::launch::async, [port] {
+      return Call(port, http::verb::post, "/v1/pipelines/ask",
+                  R"({"input": "x"})", key_header);
+    });
+    REQUIRE(Eventually([&] { return fakes.Calls("engines") == 1; }));
+    running.gateway_.Shutdown();
+    CHECK_FALSE(running.gateway_.Wait());
+  }
+  // The connection ends with the gateway.
+  CHECK(asked.get().count("X-Test-Cut") == 1);
+}
+
 TEST_CASE("gateway's refusals") {
   Fakes fakes;
   std::mutex mutex;
