Drop a stage call's hooks also when its context goes

Cause: a call's hooks hold the driver, which holds the call; the call let go of them at the end of its coroutine only. A coroutine that was unwound with its io_context, or never began, left the circle behind: memcheck counted 10,158 bytes definitely and 25,352 indirectly lost for one request cut off at the drain limit.

Change: what the coroutine holds drops the hooks when it goes, however that happens. The new test failed in both sections before. After: memcheck counts no byte lost in the same case.

--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -194,6 +194,9 @@
     }
   }
 
+  /// Hooks may hold their owner, which holds this call.
+  void DropHooks() { hooks_ = StageCallHooks(); }
+
   void Run(const asio::yield_context& yield) {
     if (!over_ && Connect(yield) && Send(yield)) {
       if (spec_.streams_) {
@@ -202,8 +205,6 @@
         ReadWhole(yield);
       }
     }
-    // Hooks may hold their owner, which holds this call.
-    hooks_ = StageCallHooks();
   }
 
  private:
@@ -377,9 +378,12 @@
                                               StageCallHooks hooks) {
   auto call =
       std::make_shared<Call>(impl_->pool_, std::move(spec), std::move(hooks));
+  // Dropped when the coroutine ends, also with its io_context.
+  const std::shared_ptr<Call> running(
+      call.get(), [call](Call* ended) { ended->DropHooks(); });
   asio::spawn(
       *impl_->pool_->io(),
-      [call](const asio::yield_context& yield) { call->Run(yield); },
+      [running](const asio::yield_context& yield) { running->Run(yield); },
       detail::CoroutineAttributes());
   return call;
 }
--- a/tests/unit-stage-client.cc
+++ b/tests/unit-stage-client.cc
@@ -149,6 +149,37 @@
 
 }  // namespace
 
+TEST_CASE("stage call whose io_context goes") {
+  ScriptedServer server({""});
+  struct Owner {
+    std::shared_ptr<StageCall> call_;
+    bool sent_ = false;
+  };
+  auto owner = std::make_shared<Owner>();
+  const std::weak_ptr<Owner> watched = owner;
+  {
+    asio::io_context io;
+    StageClient client(&io, StageLimits());
+    StageCallSpec spec;
+    spec.address_ = "127.0.0.1";
+    spec.port_ = server.port();
+    spec.deadline_ = detail::SteadyNow() + std::chrono::seconds(10);
+    StageCallHooks hooks;
+    hooks.sending_ = [owner] { return owner->sent_ = true; };
+    hooks.head_ = [owner](const StageReplyHead&) { return true; };
+    hooks.done_ = [owner](CallOutcome, const std::string&) {};
+    owner->call_ = client.Start(std::move(spec), std::move(hooks));
+    SECTION("before it began drops its hooks") {}
+    SECTION("while it waits drops its hooks") {
+      while (!owner->sent_) {
+        io.run_one();
+      }
+    }
+    owner.reset();
+  }
+  CHECK(watched.expired());
+}
+
 TEST_CASE("stage client") {
   Bench bench;
 
