Wait for the count of requests in the test of a caller that is gone

The hook that the test waits for runs before the listener counts down, so the check could see 1; with 50 ms in the hook (a trial) it always did.

--- a/tests/unit-gateway-lifecycle.cc
+++ b/tests/unit-gateway-lifecycle.cc
@@ -78,7 +78,7 @@
     REQUIRE(Eventually([&] { return fakes.Calls("engines") == 1; }));
   }
   CHECK(Eventually([&] { return gone == 1; }));
-  CHECK(running.gateway_.requests_in_flight() == 0);
+  CHECK(Eventually([&] { return running.gateway_.requests_in_flight() == 0; }));
 }
 
 TEST_CASE("gateway that can't listen") {
