Tell a caller that a stored answer was dropped

Control drops an answer beyond its limits and keeps the key; the gateway then replayed an empty body as a whole answer. The test failed first. Now it is refused with reason 604 and the verdict that it ran.

--- a/src/app/caller_handler.cc
+++ b/src/app/caller_handler.cc
@@ -111,6 +111,10 @@
     case ClaimAnswer::Result::kGranted:
       break;
   }
+  if (answer.answer_dropped_) {
+    Refuse(RefusalReason::kStoredAnswerTooLarge, Verdict::kRan, "");
+    return;
+  }
   HttpReply reply;
   reply.status_ = answer.stored_.status_;
   reply.content_type_ = answer.stored_.content_type_;
--- a/tests/unit-idempotency.cc
+++ b/tests/unit-idempotency.cc
@@ -37,6 +37,12 @@
     entries_[key].answer_.result_ = result;
     fixed_ = true;
   }
+  // The quorum had no room for the answer.
+  void DropAnswer(const std::string& key) {
+    const std::lock_guard lock(mutex_);
+    entries_.at(key).answer_.stored_.body_.clear();
+    entries_.at(key).answer_.answer_dropped_ = true;
+  }
   bool Holds(const std::string& key) {
     const std::lock_guard lock(mutex_);
     return entries_.count(key) == 1;
@@ -93,6 +99,14 @@
     CHECK(fakes.Calls("engines") == 1);
   }
 
+  SECTION("whose answer was not stored says so, and is not run again") {
+    running.Post(order_path, order_body, Key("k"));
+    claims.DropAnswer("k");
+    const Response again = running.Post(order_path, order_body, Key("k"));
+    CHECK(RefusalOf(again.body()) == "604 ran");
+    CHECK(fakes.Calls("engines") == 1);
+  }
+
   SECTION("streamed: the stored answer holds every event") {
     const std::string body = R"({"input": "two metres", "stream": true})";
     const Response first = running.Post(order_path, body, Key("k"));
