Take callers' bytes in claims and refusals as they are

A mutation test of commands showed it: an Idempotency-Key that is no UTF-8 could be sent but never read, so its claim was tried until the timeout and its release for an hour; a refusal that names such a class or pipeline would have stopped every later report of its gateway. Both tests failed first.

--- a/src/app/fleet_routes.cc
+++ b/src/app/fleet_routes.cc
@@ -31,6 +31,15 @@
 constexpr std::array<std::string_view, 5> kRoles = {
     "follower", "pre_candidate", "candidate", "leader", "learner"};
 
+// What a caller sent, without anything that JSON can't hold.
+JsonValue CallerText(const std::string& text) {
+  std::string shown = text;
+  std::replace_if(
+      shown.begin(), shown.end(), [](char c) { return c < ' ' || c > '~'; },
+      '?');
+  return JsonValue::String(shown);
+}
+
 JsonValue ToJson(const wire::RefusalRecord& record) {
   const auto reason = static_cast<RefusalReason>(record.reason());
   JsonValue body = JsonValue::Object();
@@ -38,9 +47,9 @@
   body.Set("reason", JsonNumber(record.reason()));
   body.Set("name", JsonValue::String(ToString(reason)));
   body.Set("verdict", JsonValue::String(record.verdict()));
-  body.Set("account", JsonValue::String(record.account()));
-  body.Set("class", JsonValue::String(record.class_name()));
-  body.Set("target", JsonValue::String(record.pipeline()));
+  body.Set("account", CallerText(record.account()));
+  body.Set("class", CallerText(record.class_name()));
+  body.Set("target", CallerText(record.pipeline()));
   body.Set("gateway", JsonValue::String(record.gateway()));
   body.Set("config_version", JsonNumber(record.config_version()));
   body.Set("time_ms", JsonNumber(record.time_ms()));
--- a/tests/unit-control.cc
+++ b/tests/unit-control.cc
@@ -328,6 +328,7 @@
     CHECK(first.Claim("a").result_ == ClaimAnswer::Result::kGranted);
     CHECK(first.Claim("a").result_ == ClaimAnswer::Result::kRunning);
     CHECK(second.Claim("a").result_ == ClaimAnswer::Result::kRunning);
+    CHECK(first.Claim("\xff").result_ == ClaimAnswer::Result::kGranted);
     REQUIRE(second.Claim("b").result_ == ClaimAnswer::Result::kGranted);
     REQUIRE(second.Release("b"));
     CHECK(first.Claim("b").result_ == ClaimAnswer::Result::kGranted);
@@ -533,10 +534,12 @@
     RefusalEntry refusal;
     refusal.id_ = "g1-1-7";
     refusal.reason_ = RefusalReason::kFairShare;
+    refusal.class_name_ = "no\xff" "class";
     refusal.figures_ = {{"used", 12}};
     REQUIRE(first.client_.ReportRefusals({refusal}, 3));
     const AdminReply reply = ana.Get("/v1/refusals/g1-1-7");
     CHECK(Text(reply, "name") == "fair_share");
+    CHECK(Text(reply, "class") == "no?class");
     CHECK(WriteJson(*reply.body_.Find("figures")) == R"({"used":12})");
     CHECK(ana.Get("/v1/refusals/other").status_ == 404);
   }
--- a/tests/unit-state.cc
+++ b/tests/unit-state.cc
@@ -2,6 +2,7 @@
 #include <random>
 #include <set>
 
+#include <google/protobuf/stubs/logging.h>
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
@@ -492,6 +493,23 @@
       REQUIRE(other.config().version() == 0);
     }
   }
+  SECTION("hold whatever bytes come as commands") {
+    google::protobuf::SetLogHandler(nullptr);
+    std::mt19937 random(99);
+    random_run(&random, 300);
+    for (uint64_t index = 301; index < 10000; ++index) {
+      std::string bytes = driver.log_[random() % driver.log_.size()];
+      for (int flips = static_cast<int>(random() % 4); flips >= 0; --flips) {
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+      }
+      driver.state_.Apply(index, bytes);
+    }
+    StateMachine restored;
+    Error error;
+    const std::string snapshot = driver.state_.TakeSnapshot();
+    REQUIRE(restored.InstallSnapshot(snapshot, &error));
+    CHECK(restored.TakeSnapshot() == snapshot);
+  }
   SECTION("a command that can't be read has no effect") {
     CHECK_FALSE(driver.state_.Apply(1, "\xff\xff").done());
   }
