--- a/bench/bench-control-state.cc
+++ b/bench/bench-control-state.cc
@@ -49,7 +49,7 @@
 }
 
 // One small change applied on a control VM.
-void BM_ApplyChange(benchmark::State& state) {
+void ApplyChange(benchmark::State& state) {
   StateMachine machine;
   uint64_t index = 1;
   machine.Apply(index, FirstChange(state.range(0)).SerializeAsString());
@@ -60,10 +60,10 @@
   state.counters["document_bytes"] =
       static_cast<double>(machine.config().document().size());
 }
-BENCHMARK(BM_ApplyChange)->Arg(5)->Arg(500)->Arg(3500);
+BENCHMARK(ApplyChange)->Arg(5)->Arg(500)->Arg(3500);
 
 // The same change followed on a gateway, from its patch.
-void BM_FollowChange(benchmark::State& state) {
+void FollowChange(benchmark::State& state) {
   StateMachine machine;
   uint64_t index = 1;
   machine.Apply(index, FirstChange(state.range(0)).SerializeAsString());
@@ -90,7 +90,7 @@
     benchmark::DoNotOptimize(follower.Apply(update, &error));
   }
 }
-BENCHMARK(BM_FollowChange)->Arg(5)->Arg(500)->Arg(3500);
+BENCHMARK(FollowChange)->Arg(5)->Arg(500)->Arg(3500);
 
 void FillClaims(int64_t count, StateMachine* machine) {
   wire::StateCommand command;
@@ -110,20 +110,17 @@
   }
 }
 
-void BM_ApplyClaims(benchmark::State& state) {
+void ApplyClaims(benchmark::State& state) {
   for (auto _ : state) {
     StateMachine machine;
     FillClaims(state.range(0), &machine);
   }
   state.SetItemsProcessed(state.iterations() * state.range(0));
 }
-BENCHMARK(BM_ApplyClaims)
-    ->Arg(1000)
-    ->Arg(100000)
-    ->Unit(benchmark::kMillisecond);
+BENCHMARK(ApplyClaims)->Arg(1000)->Arg(100000)->Unit(benchmark::kMillisecond);
 
 // Taking a snapshot pauses the thread that commits.
-void BM_TakeSnapshot(benchmark::State& state) {
+void TakeSnapshot(benchmark::State& state) {
   StateMachine machine;
   FillClaims(state.range(0), &machine);
   size_t bytes = 0;
@@ -132,10 +129,7 @@
   }
   state.counters["snapshot_bytes"] = static_cast<double>(bytes);
 }
-BENCHMARK(BM_TakeSnapshot)
-    ->Arg(1000)
-    ->Arg(100000)
-    ->Unit(benchmark::kMillisecond);
+BENCHMARK(TakeSnapshot)->Arg(1000)->Arg(100000)->Unit(benchmark::kMillisecond);
 
 }  // namespace
 }  // namespace citronlane
--- a/tests/unit-control.cc
+++ b/tests/unit-control.cc
@@ -29,13 +29,14 @@
 
 constexpr std::chrono::seconds kLimit(20);
 
-// A free port below those the kernel hands out by itself.
+// A free port below those the kernel hands out by itself; another one each
+// time.
 std::string FreeAddress() {
   constexpr uint32_t kFirst = 20000;
   constexpr uint32_t kCount = 12000;
-  static std::mt19937 random(static_cast<uint32_t>(getpid()));
+  static uint32_t next = std::mt19937(static_cast<uint32_t>(getpid()))();
   for (int tries = 0; tries < 1000; ++tries) {
-    const auto port = static_cast<uint16_t>(kFirst + random() % kCount);
+    const auto port = static_cast<uint16_t>(kFirst + next++ % kCount);
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -534,7 +535,9 @@
     RefusalEntry refusal;
     refusal.id_ = "g1-1-7";
     refusal.reason_ = RefusalReason::kFairShare;
-    refusal.class_name_ = "no\xff" "class";
+    refusal.class_name_ =
+        "no\xff"
+        "class";
     refusal.figures_ = {{"used", 12}};
     REQUIRE(first.client_.ReportRefusals({refusal}, 3));
     const AdminReply reply = ana.Get("/v1/refusals/g1-1-7");
