--- a/tests/unit-control.cc
+++ b/tests/unit-control.cc
@@ -30,13 +30,14 @@
 
 constexpr std::chrono::seconds kLimit(20);
 
-// A free port below those the kernel hands out by itself.
+// A free port below those the kernel hands out by itself; another one each
+// time.
 std::string FreeAddress() {
   constexpr uint32_t kFirst = 20000;
   constexpr uint32_t kCount = 12000;
-  static std::mt19937 random(static_cast<uint32_t>(getpid()));
+  static uint32_t next = std::mt19937(static_cast<uint32_t>(getpid()))();
   for (int tries = 0; tries < 1000; ++tries) {
-    const auto port = static_cast<uint16_t>(kFirst + random() % kCount);
+    const auto port = static_cast<uint16_t>(kFirst + next++ % kCount);
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -318,6 +319,7 @@
     CHECK(first.Claim("a").result_ == ClaimAnswer::Result::kGranted);
     CHECK(first.Claim("a").result_ == ClaimAnswer::Result::kRunning);
     CHECK(second.Claim("a").result_ == ClaimAnswer::Result::kRunning);
+    CHECK(first.Claim("\xff").result_ == ClaimAnswer::Result::kGranted);
     REQUIRE(second.Claim("b").result_ == ClaimAnswer::Result::kGranted);
     REQUIRE(second.Release("b"));
     CHECK(first.Claim("b").result_ == ClaimAnswer::Result::kGranted);
@@ -523,10 +525,14 @@
     RefusalEntry refusal;
     refusal.id_ = "g1-1-7";
     refusal.reason_ = RefusalReason::kFairShare;
+    refusal.class_name_ =
+        "no\xff"
+        "class";
     refusal.figures_ = {{"used", 12}};
     REQUIRE(first.client_.ReportRefusals({refusal}, 3));
     const AdminReply reply = ana.Get("/v1/refusals/g1-1-7");
     CHECK(Text(reply, "name") == "fair_share");
+    CHECK(Text(reply, "class") == "no?class");
     CHECK(WriteJson(*reply.body_.Find("figures")) == R"({"used":12})");
     CHECK(ana.Get("/v1/refusals/other").status_ == 404);
   }
