--- a/src/app/control_run.cc
+++ b/src/app/control_run.cc
@@ -1,36 +1,28 @@
 #include "citronlane/app/control_run.h"
 
-#include <pthread.h>
-
-#include <csignal>
-#include <ctime>
+#include <chrono>
 #include <utility>
 
 #include "citronlane/app/control_node.h"
+#include "citronlane/app/stop_signals.h"
 
 namespace citronlane {
 namespace {
 
 // How soon a node whose replica gave up ends, so that everybody sees it.
-constexpr timespec kReplicaCheckInterval{0, 200'000'000};
+constexpr std::chrono::milliseconds kReplicaCheckInterval{200};
 
 }  // namespace
 
 bool RunControl(const ControlOptions& options,
                 ControlNodeHooks hooks,
                 Error* error) {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-
+  const StopSignals signals;
   ControlNode node(options, std::move(hooks));
   if (!node.Start(error)) {
     return false;
   }
-  while (sigtimedwait(&signals, nullptr, &kReplicaCheckInterval) < 0) {
+  while (!signals.WaitFor(kReplicaCheckInterval)) {
     const ReplicaStatus status = node.replica_status();
     if (status.failed_) {
       node.Stop();
--- a/src/app/gateway_run.cc
+++ b/src/app/gateway_run.cc
@@ -1,46 +1,26 @@
 #include "citronlane/app/gateway_run.h"
 
-#include <csignal>
-#include <fstream>
 #include <memory>
 #include <optional>
-#include <sstream>
 #include <utility>
 
 #include "citronlane/app/detail/unix_time.h"
 #include "citronlane/app/gateway.h"
 #include "citronlane/app/gateway_control.h"
 #include "citronlane/app/gateway_metrics.h"
+#include "citronlane/app/stop_signals.h"
 #include "citronlane/config/parse_cluster_config.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/observe/logger.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
+#include "citronlane/settings/files.h"
 
 namespace citronlane {
 namespace {
 
 constexpr uint64_t kBootstrapVersion = 1;
 
-sigset_t StopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  return signals;
-}
-
-std::optional<std::string> ReadFile(const std::string& path, Error* error) {
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file || text.fail()) {
-    error->message_ = "can't read " + path;
-    return std::nullopt;
-  }
-  return text.str();
-}
-
 std::shared_ptr<const ClusterConfig> ReadBootstrap(const std::string& path,
                                                    Error* error) {
   const std::optional<std::string> text = ReadFile(path, error);
@@ -60,7 +40,7 @@
 }
 
 /// Serves until a stop signal. `control` may be null.
-bool Serve(const sigset_t& signals,
+bool Serve(const StopSignals& signals,
            Gateway* gateway,
            GatewayControl* control,
            Error* error) {
@@ -70,8 +50,7 @@
   if (control != nullptr) {
     control->Start(gateway);
   }
-  int signal = 0;
-  sigwait(&signals, &signal);
+  signals.Wait();
   gateway->Shutdown();
   const bool whole = gateway->Wait();
   if (control != nullptr) {
@@ -88,9 +67,7 @@
 bool RunGateway(const GatewayOptions& options,
                 GatewayHooks hooks,
                 Error* error) {
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  const StopSignals signals;
 
   GatewayOptions own = options;
   if (own.incarnation_ == 0) {
--- a/src/cli/process_command.cc
+++ b/src/cli/process_command.cc
@@ -1,6 +1,4 @@
 #include <grpc/support/log.h>
-#include <signal.h>
-
 #include <CLI/CLI.hpp>
 #include <memory>
 #include <ostream>
@@ -9,6 +7,7 @@
 
 #include "citronlane/app/control_run.h"
 #include "citronlane/app/gateway_run.h"
+#include "citronlane/app/stop_signals.h"
 #include "citronlane/cli/detail/command_context.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/observe/logger.h"
@@ -23,16 +22,6 @@
 namespace citronlane::detail {
 namespace {
 
-// Threads of the logging library start before the process's own: they must
-// not take the signals that stop it.
-void BlockStopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-}
-
 // Takes the gRPC library's lines, so that all have the settings' layout.
 void WriteGrpcLine(gpr_log_func_args* line) {
   static const Logger logger("grpc");
@@ -59,7 +48,9 @@
     }
     return std::nullopt;
   }
-  BlockStopSignals();
+  // Threads of the logging library start before the process's own: they must
+  // not take the signals that stop it.
+  const StopSignals signals;
   if (!ConfigureLogging(settings->log_, &error)) {
     context->Fail(ExitCode::kUsage, error.message_);
     return std::nullopt;
