Keep a request's pools when a later configuration drops them

A request in flight lost its later stages when a new configuration removed their pools. The driver now holds the pools it began with. The listener's socket also goes before the threads' contexts: with the address in use it went after them. The new test crashed on the old driver: the answer was a refusal, not whole.

--- a/include/citronlane/app/request_driver.h
+++ b/include/citronlane/app/request_driver.h
@@ -74,8 +74,10 @@
   uint64_t PrefixHash() const;
   /// Tells the pools of all stages that this request will call them.
   void PlanStages();
-  /// Takes that back for the stages before `end`.
-  void ReleasePlanned(size_t end);
+  /// Takes that back; does nothing the second time.
+  void ReleasePlanned();
+  bool TakeHedge(uint32_t stage);
+  bool TakeRetry(uint32_t stage, RetryReason reason);
   HedgeQuery MakeHedgeQuery(const PoolShard& pool) const;
   TimePoint AttemptDeadline(uint32_t stage) const;
   const PoolConfig& PoolOf(uint32_t stage) const;
@@ -94,13 +96,15 @@
 
   const DriverContext* const context_;
   const DriverJob job_;
+  /// One for each stage, kept even if a later configuration drops the pool.
+  const std::vector<std::shared_ptr<PoolShard>> pools_;
   Request request_;
   std::vector<FlightPtr> flights_;
   boost::asio::steady_timer deadline_timer_;
   bool pumping_ = false;
   std::vector<TimePoint> stage_starts_;
-  /// Pools of the stages still to come; null for the others.
-  std::vector<std::shared_ptr<PoolShard>> planned_;
+  /// The pools count this request's stages as calls to come.
+  bool planned_ = false;
   RequestCounters reported_;
   std::optional<TimePoint> first_text_;
   std::optional<HttpReply> service_reply_;
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -85,6 +85,9 @@
     listener_ = MakeListener();
   }
 
+  /// The listener's socket belongs to a shard's io_context.
+  ~Impl() { listener_.reset(); }
+
   bool Start(Error* error) {
     if (!listener_->Listen(options_.address_, options_.port_, error)) {
       return false;
--- a/src/app/request_driver.cc
+++ b/src/app/request_driver.cc
@@ -27,55 +27,71 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+std::vector<std::shared_ptr<PoolShard>> FindPools(
+    const PoolShards& pools,
+    const std::vector<StageConfig>& stages) {
+  std::vector<std::shared_ptr<PoolShard>> found;
+  for (const StageConfig& stage : stages) {
+    found.push_back(pools.Find(stage.pool_));
+  }
+  return found;
+}
+
 }  // namespace
 
 RequestDriver::RequestDriver(const DriverContext* context, DriverJob job)
     : context_(context),
       job_(std::move(job)),
-      request_(
-          job_.plan_,
-          RequestHooks{[this](uint32_t stage) {
-                         const auto pool =
-                             context_->pools_->Find(job_.stages_[stage].pool_);
-                         return pool != nullptr && job_.may_hedge_() &&
-                                pool->TakeHedge(MakeHedgeQuery(*pool));
-                       },
-                       [this](uint32_t stage, RetryReason reason) {
-                         const std::string& name = job_.stages_[stage].pool_;
-                         const auto pool = context_->pools_->Find(name);
-                         // A resumed stream makes no new work.
-                         const bool taken =
-                             pool != nullptr &&
-                             (reason == RetryReason::kStreamResumed ||
-                              pool->TakeRetry());
-                         if (taken) {
-                           context_->on_retry_(name, reason);
-                         }
-                         return taken;
-                       }}),
+      pools_(FindPools(*context_->pools_, job_.stages_)),
+      request_(job_.plan_,
+               RequestHooks{[this](uint32_t stage) { return TakeHedge(stage); },
+                            [this](uint32_t stage, RetryReason reason) {
+                              return TakeRetry(stage, reason);
+                            }}),
       deadline_timer_(*context_->io_) {}
 
 RequestDriver::~RequestDriver() {
-  ReleasePlanned(planned_.size());
+  ReleasePlanned();
 }
 
 void RequestDriver::PlanStages() {
-  for (const StageConfig& stage : job_.stages_) {
-    planned_.push_back(context_->pools_->Find(stage.pool_));
-    if (planned_.back() != nullptr) {
-      planned_.back()->OnPlanned(1);
+  planned_ = true;
+  for (const auto& pool : pools_) {
+    if (pool != nullptr) {
+      pool->OnPlanned(1);
     }
   }
 }
 
-void RequestDriver::ReleasePlanned(size_t end) {
-  for (size_t stage = 0; stage < std::min(end, planned_.size()); ++stage) {
-    if (const auto pool = std::exchange(planned_[stage], nullptr)) {
+void RequestDriver::ReleasePlanned() {
+  if (!std::exchange(planned_, false)) {
+    return;
+  }
+  for (const auto& pool : pools_) {
+    if (pool != nullptr) {
       pool->OnPlanned(-1);
     }
   }
 }
 
+bool RequestDriver::TakeHedge(uint32_t stage) {
+  const auto& pool = pools_[stage];
+  return pool != nullptr && job_.may_hedge_() &&
+         pool->TakeHedge(MakeHedgeQuery(*pool));
+}
+
+bool RequestDriver::TakeRetry(uint32_t stage, RetryReason reason) {
+  const auto& pool = pools_[stage];
+  // A resumed stream makes no new work.
+  const bool taken =
+      pool != nullptr &&
+      (reason == RetryReason::kStreamResumed || pool->TakeRetry());
+  if (taken) {
+    context_->on_retry_(job_.stages_[stage].pool_, reason);
+  }
+  return taken;
+}
+
 HedgeQuery RequestDriver::MakeHedgeQuery(const PoolShard& pool) const {
   HedgeQuery query;
   query.batch_ = job_.input_.batch_;
@@ -204,7 +220,7 @@
 
 void RequestDriver::Execute(const FinishRequest& command) {
   deadline_timer_.cancel();
-  ReleasePlanned(planned_.size());
+  ReleasePlanned();
   job_.on_finish_(command);
 }
 
@@ -215,7 +231,7 @@
   flight->id_ = command.attempt_;
   flight->hedge_ = command.hedge_;
   flight->pool_name_ = config.pool_;
-  flight->pool_ = context_->pools_->Find(config.pool_);
+  flight->pool_ = pools_[stage];
   if (flight->pool_ == nullptr) {
     return nullptr;
   }
@@ -327,7 +343,7 @@
   const Duration left = job_.plan_.deadline_ - now;
   Duration later{};
   for (size_t next = stage + 1; next < job_.stages_.size(); ++next) {
-    const auto pool = context_->pools_->Find(job_.stages_[next].pool_);
+    const auto& pool = pools_[next];
     const auto median =
         pool == nullptr ? std::nullopt : pool->LatencyQuantile(kMedian);
     later += median.value_or(Duration(0));
--- a/tests/unit-gateway-lifecycle.cc
+++ b/tests/unit-gateway-lifecycle.cc
@@ -32,6 +32,37 @@
   CHECK(gateway.Wait());
 }
 
+TEST_CASE("gateway on an address in use says so") {
+  Fakes fakes;
+  Running running(fakes);
+  GatewayOptions options = TestOptions();
+  options.port_ = running.gateway_.port();
+  Gateway second(options, {});
+  Error error;
+  CHECK_FALSE(second.Start(&error));
+  CHECK(error.message_.find("can't listen on 127.0.0.1:") == 0);
+}
+
+TEST_CASE("gateway ends work under the configuration it began with") {
+  Fakes fakes;
+  Running running(fakes);
+  fakes.SetFault("retrievers", R"({"hold": true})");
+  auto answered =
+      std::async(std::launch::async, [&] { return running.Ask("old?"); });
+  REQUIRE(Eventually([&] { return fakes.Calls("retrievers") == 1; }));
+  ClusterConfig bare;
+  bare.version_ = 8;
+  bare.accounts_ = ConfigOf(fakes)->accounts_;
+  bare.classes_ = ConfigOf(fakes)->classes_;
+  CHECK(running.gateway_.ApplyConfig(std::make_shared<ClusterConfig>(bare)));
+  CHECK(RefusalOf(running.Ask("new?").body()) == "102 not_run");
+  fakes.SetFault("retrievers", R"({"hold": false})");
+  const Response response = answered.get();
+  REQUIRE(response.result_int() == 200);
+  CHECK(response["X-Config-Version"] == "7");
+  CHECK(TextOf(response) == AnswerTo("old?"));
+}
+
 TEST_CASE("gateway that shuts down") {
   Fakes fakes;
   Running running(fakes);
