--- a/src/app/control_state.cc
+++ b/src/app/control_state.cc
@@ -66,6 +66,7 @@
   const TimePoint now = SteadyNow();
   for (const auto& [name, gateway] : state_.gateways().gateways()) {
     tracker_.OnRegistered(name, gateway.incarnation());
+    SeeRegistered(name, gateway.incarnation(), now);
   }
   ReadConfig();
   if (state_.config().version() > 0) {
@@ -147,6 +148,11 @@
   }
   for (const auto& [name, incarnation] : effects.forgotten_) {
     tracker_.OnForgotten(name, incarnation, now);
+    const auto sighting = sightings_.find(name);
+    if (sighting != sightings_.end() &&
+        sighting->second.incarnation_ == incarnation) {
+      sightings_.erase(sighting);
+    }
   }
   wire::ConfigUpdate update;
   update.set_version(state_.config().version());
