--- a/include/citronlane/app/request_driver.h
+++ b/include/citronlane/app/request_driver.h
@@ -74,8 +74,8 @@
   uint64_t PrefixHash() const;
   /// Tells the pools of all stages that this request will call them.
   void PlanStages();
-  /// Takes that back; does nothing the second time.
-  void ReleasePlanned();
+  /// Takes that back for the stages before `end`.
+  void ReleasePlanned(size_t end);
   bool TakeHedge(uint32_t stage);
   bool TakeRetry(uint32_t stage, RetryReason reason);
   HedgeQuery MakeHedgeQuery(const PoolShard& pool) const;
@@ -103,8 +103,8 @@
   boost::asio::steady_timer deadline_timer_;
   bool pumping_ = false;
   std::vector<TimePoint> stage_starts_;
-  /// The pools count this request's stages as calls to come.
-  bool planned_ = false;
+  /// Pools of the stages still to come; null for the others.
+  std::vector<std::shared_ptr<PoolShard>> planned_;
   RequestCounters reported_;
   std::optional<TimePoint> first_text_;
   std::optional<HttpReply> service_reply_;
--- a/src/app/request_driver.cc
+++ b/src/app/request_driver.cc
@@ -31,6 +31,7 @@
     const PoolShards& pools,
     const std::vector<StageConfig>& stages) {
   std::vector<std::shared_ptr<PoolShard>> found;
+  found.reserve(stages.size());
   for (const StageConfig& stage : stages) {
     found.push_back(pools.Find(stage.pool_));
   }
@@ -51,24 +52,21 @@
       deadline_timer_(*context_->io_) {}
 
 RequestDriver::~RequestDriver() {
-  ReleasePlanned();
+  ReleasePlanned(planned_.size());
 }
 
 void RequestDriver::PlanStages() {
-  planned_ = true;
-  for (const auto& pool : pools_) {
+  planned_ = pools_;
+  for (const auto& pool : planned_) {
     if (pool != nullptr) {
       pool->OnPlanned(1);
     }
   }
 }
 
-void RequestDriver::ReleasePlanned() {
-  if (!std::exchange(planned_, false)) {
-    return;
-  }
-  for (const auto& pool : pools_) {
-    if (pool != nullptr) {
+void RequestDriver::ReleasePlanned(size_t end) {
+  for (size_t stage = 0; stage < std::min(end, planned_.size()); ++stage) {
+    if (const auto pool = std::exchange(planned_[stage], nullptr)) {
       pool->OnPlanned(-1);
     }
   }
@@ -220,7 +218,7 @@
 
 void RequestDriver::Execute(const FinishRequest& command) {
   deadline_timer_.cancel();
-  ReleasePlanned();
+  ReleasePlanned(planned_.size());
   job_.on_finish_(command);
 }
 
