--- a/include/citronlane/app/request_driver.h
+++ b/include/citronlane/app/request_driver.h
@@ -76,6 +76,8 @@
   void PlanStages();
   /// Takes that back for the stages before `end`.
   void ReleasePlanned(size_t end);
+  bool TakeHedge(uint32_t stage);
+  bool TakeRetry(uint32_t stage, RetryReason reason);
   HedgeQuery MakeHedgeQuery(const PoolShard& pool) const;
   TimePoint AttemptDeadline(uint32_t stage) const;
   const PoolConfig& PoolOf(uint32_t stage) const;
@@ -94,6 +96,8 @@
 
   const DriverContext* const context_;
   const DriverJob job_;
+  /// One for each stage, kept even if a later configuration drops the pool.
+  const std::vector<std::shared_ptr<PoolShard>> pools_;
   Request request_;
   std::vector<FlightPtr> flights_;
   boost::asio::steady_timer deadline_timer_;
