--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -3,6 +3,7 @@
 import argparse
 import collections
 import os
+import signal
 import sys
 import time
 
@@ -139,8 +140,12 @@
     return line, lost == 0 and checker.total(faults) == 0
 
 
+def stop(*_):
+    raise KeyboardInterrupt
+
+
 def keep(cluster):
-    print("running; end with Ctrl-C")
+    print("running; end with Ctrl-C or SIGTERM", flush=True)
     for name, ports in cluster.ports.items():
         print(f"  {name}: " + ", ".join(
             f"{part} 127.0.0.1:{port}" for part, port in ports.items()))
@@ -159,6 +164,9 @@
                            help="leave everything running")
     arguments.add_argument("--controls", type=int, default=3)
     options = arguments.parse_args()
+    # Also when it runs in the background, where SIGINT is ignored.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, stop)
     cluster = Cluster([deployments.qurak(), deployments.brazos()],
                       controls=options.controls)
     with cluster:
