--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -88,7 +88,8 @@
 
 
 def show(target, call):
-    outcome = "whole" if call.whole else f"{call.reason} {call.verdict}"
+    # A whole answer says that its request ran.
+    outcome = "whole, ran" if call.whole else f"{call.reason} {call.verdict}"
     milliseconds = (call.ended - call.sent) * 1000
     answer = call.answer.strip()
     if len(answer) > SHOWN:
