--- a/src/transport/grpc_credentials.cc
+++ b/src/transport/grpc_credentials.cc
@@ -3,13 +3,11 @@
 #include <grpcpp/security/credentials.h>
 #include <grpcpp/security/server_credentials.h>
 
-#include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <optional>
 #include <string>
-#include <system_error>
+#include <utility>
 
+#include "citronlane/settings/files.h"
 #include "citronlane/transport/tls_files.h"
 
 namespace citronlane {
@@ -22,32 +20,18 @@
 };
 
 bool ReadText(const std::string& path, std::string* text, Error* error) {
-  std::ifstream file(path, std::ios::binary);
-  text->assign(std::istreambuf_iterator<char>(file),
-               std::istreambuf_iterator<char>());
-  if (!file || text->empty()) {
+  std::optional<std::string> read = ReadFile(path, error);
+  if (!read || read->empty()) {
     error->message_ = "can not read " + path;
     return false;
   }
-  return true;
-}
-
-bool IsPrivate(const std::string& path, Error* error) {
-  namespace fs = std::filesystem;
-  constexpr fs::perms kOthers = fs::perms::group_all | fs::perms::others_all;
-  std::error_code code;
-  const fs::perms perms = fs::status(path, code).permissions();
-  if (code || (perms & kOthers) != fs::perms::none) {
-    error->message_ =
-        "private key " + path + " may be read by its owner alone (mode 0600)";
-    return false;
-  }
+  *text = *std::move(read);
   return true;
 }
 
 std::optional<PemTexts> ReadPemTexts(const TlsFiles& files, Error* error) {
   PemTexts texts;
-  if (!IsPrivate(files.private_key_, error) ||
+  if (!CheckKeyFile(files.private_key_, error) ||
       !ReadText(files.certificate_, &texts.certificate_, error) ||
       !ReadText(files.private_key_, &texts.private_key_, error)) {
     return std::nullopt;
