--- a/include/citronlane/app/detail/steady_now.h
+++ b/include/citronlane/base/steady_now.h
@@ -1,13 +1,11 @@
-#ifndef CITRONLANE_APP_DETAIL_STEADY_NOW_H_
-#define CITRONLANE_APP_DETAIL_STEADY_NOW_H_
-
-#include <chrono>
+#ifndef CITRONLANE_BASE_STEADY_NOW_H_
+#define CITRONLANE_BASE_STEADY_NOW_H_
 
 #include "citronlane/base/time.h"
 
 namespace citronlane {
 
-/// Reads the monotonic clock. Thread safe.
+/// Reads the monotonic clock; not for decision code. Thread safe.
 inline TimePoint SteadyNow() {
   return std::chrono::time_point_cast<Duration>(
       std::chrono::steady_clock::now());
@@ -15,4 +13,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_STEADY_NOW_H_
+#endif  // CITRONLANE_BASE_STEADY_NOW_H_
--- /dev/null
+++ b/include/citronlane/net/server_list_reader.h
@@ -0,0 +1,61 @@
+#ifndef CITRONLANE_NET_SERVER_LIST_READER_H_
+#define CITRONLANE_NET_SERVER_LIST_READER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "citronlane/base/error.h"
+#include "citronlane/serving/backend_server.h"
+
+namespace citronlane {
+
+class StageCall;
+class StageClient;
+struct Dialect;
+
+/// Reads the platform's list of backend servers, page by page. On the event
+/// loop's thread.
+class ServerListReader {
+ public:
+  /// The whole list, or nothing with the reason.
+  using Done =
+      std::function<void(std::optional<std::vector<BackendServer>> servers,
+                         const Error& error)>;
+
+  /// `client` and `dialect` outlive the reader; `address` is "IP:port".
+  ServerListReader(StageClient* client,
+                   const Dialect* dialect,
+                   std::string address);
+  ~ServerListReader();
+  ServerListReader(const ServerListReader&) = delete;
+  ServerListReader& operator=(const ServerListReader&) = delete;
+
+  /// Starts to read; does nothing while a read is under way. `done` is called
+  /// once, later, unless the reader is destroyed before.
+  void Read(Done done);
+
+  bool is_reading() const { return call_ != nullptr; }
+  /// Pages of the last whole list; 1 before there was one.
+  size_t pages() const { return pages_; }
+
+ private:
+  void ReadPage(const std::string& page);
+  void TakePage(int status, const std::string& body);
+  void Finish(const Error& error);
+
+  StageClient* const client_;
+  const Dialect* const dialect_;
+  const std::string address_;
+  Done done_;
+  std::shared_ptr<StageCall> call_;
+  std::vector<BackendServer> servers_;
+  size_t pages_read_ = 0;
+  size_t pages_ = 1;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_NET_SERVER_LIST_READER_H_
--- a/include/citronlane/routing/call_outcome.h
+++ b/include/citronlane/routing/call_outcome.h
@@ -1,6 +1,8 @@
 #ifndef CITRONLANE_ROUTING_CALL_OUTCOME_H_
 #define CITRONLANE_ROUTING_CALL_OUTCOME_H_
 
+#include <string_view>
+
 namespace citronlane {
 
 /// How one stage call to a backend server ended.
@@ -22,6 +24,9 @@
   kWrongId,
 };
 
+/// Returns the stable snake_case name, e.g. "connect_failed". Thread safe.
+std::string_view ToString(CallOutcome outcome);
+
 }  // namespace citronlane
 
 #endif  // CITRONLANE_ROUTING_CALL_OUTCOME_H_
--- a/include/citronlane/transport/detail/leader_call.h
+++ b/include/citronlane/transport/detail/leader_call.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <utility>
 
-#include "citronlane/app/detail/steady_now.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/transport/detail/control_link.h"
 
 namespace citronlane {
--- a/include/citronlane/transport/stage_call_hooks.h
+++ b/include/citronlane/transport/stage_call_hooks.h
@@ -11,11 +11,14 @@
 namespace citronlane {
 
 /// What a call tells its owner, on the thread of its client. None is called
-/// after StageCall::Cancel. All must be set, but `data_` for calls that do not
-/// stream.
+/// after StageCall::Cancel. All must be set, but `is_mine_`, and `data_` for
+/// calls that do not stream.
 struct StageCallHooks {
   /// The next step hands the first byte to the socket. False stops the call.
   std::function<bool()> sending_;
+  /// Whether a reply belongs to this call; one that does not is read past.
+  /// Optional: without it every reply does.
+  std::function<bool(const StageReplyHead&)> is_mine_;
   /// The reply's head is there. False stops the call.
   std::function<bool(const StageReplyHead&)> head_;
   /// A piece of a streamed body.
--- a/include/citronlane/transport/stage_call_spec.h
+++ b/include/citronlane/transport/stage_call_spec.h
@@ -18,12 +18,17 @@
   uint16_t port_ = 0;
   std::string method_ = "POST";
   std::string target_;
+  /// Value of Host; the address and port when empty.
+  std::string host_;
   /// Besides Host, Content-Length and Connection. Values hold no line ends.
   std::vector<HttpHeader> headers_;
   std::string body_;
   /// The call may not repeat: never on a kept-alive connection, which the
   /// server may close just as the call arrives.
   bool fresh_connection_ = false;
+  /// A kept-alive connection that has been idle for this long is not used;
+  /// with 0 a new one is made, and kept afterwards.
+  std::optional<Duration> longest_idle_;
   /// Body is given piece by piece instead of whole.
   bool streams_ = false;
   TimePoint deadline_{};
--- a/src/app/caller_handler.cc
+++ b/src/app/caller_handler.cc
@@ -8,16 +8,14 @@
 #include "citronlane/app/refusal_writer.h"
 #include "citronlane/app/request_driver.h"
 #include "citronlane/base/sha256.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
-#include "citronlane/transport/detail/steady_now.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_request.h"
 
 namespace citronlane {
 namespace {
 
-using detail::SteadyNow;
-
 /// Text that a slow caller may leave waiting before it counts as gone.
 constexpr size_t kMaxPendingText = size_t{1024} * 1024;
 constexpr std::string_view kEventStream = "text/event-stream";
--- a/src/app/caller_service.cc
+++ b/src/app/caller_service.cc
@@ -9,8 +9,8 @@
 #include "citronlane/app/config_view.h"
 #include "citronlane/app/gateway_state.h"
 #include "citronlane/app/refusal_writer.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
-#include "citronlane/transport/detail/steady_now.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_request.h"
 
@@ -60,7 +60,7 @@
     return true;
   }
   if (path == "/readyz") {
-    const bool ready = parts_.state_->Ready(detail::SteadyNow());
+    const bool ready = parts_.state_->Ready(SteadyNow());
     exchange->Reply(ready ? TextReply(kStatusOk, "ready\n")
                           : TextReply(kStatusUnavailable, "not ready\n"));
     return true;
@@ -86,7 +86,7 @@
   };
   const std::shared_ptr<const ConfigView> view = parts_.state_->config();
   context.config_version_ = view ? view->config()->version_ : 0;
-  if (const auto reason = parts_.state_->Refuses(detail::SteadyNow())) {
+  if (const auto reason = parts_.state_->Refuses(SteadyNow())) {
     refuse(*reason, "");
     return;
   }
--- a/src/app/command_proposer.cc
+++ b/src/app/command_proposer.cc
@@ -4,7 +4,7 @@
 #include <memory>
 #include <utility>
 
-#include "citronlane/app/detail/steady_now.h"
+#include "citronlane/base/steady_now.h"
 
 namespace citronlane {
 
--- a/src/app/config_routes.cc
+++ b/src/app/config_routes.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "citronlane/app/detail/admin_replies.h"
-#include "citronlane/app/detail/steady_now.h"
 #include "citronlane/base/sha256.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/config/parse_cluster_config.h"
 #include "citronlane/json/object_reader.h"
--- a/src/app/control_admin.cc
+++ b/src/app/control_admin.cc
@@ -8,8 +8,8 @@
 
 #include "citronlane/app/detail/admin_replies.h"
 #include "citronlane/app/detail/control_metrics.h"
-#include "citronlane/app/detail/steady_now.h"
 #include "citronlane/base/sha256.h"
+#include "citronlane/base/steady_now.h"
 
 namespace citronlane {
 namespace {
--- a/src/app/control_leader.cc
+++ b/src/app/control_leader.cc
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "citronlane/app/detail/order_dispatcher.h"
-#include "citronlane/app/detail/steady_now.h"
+#include "citronlane/base/steady_now.h"
 
 namespace citronlane {
 namespace {
--- a/src/app/control_state.cc
+++ b/src/app/control_state.cc
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "citronlane/app/detail/steady_now.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/config/parse_cluster_config.h"
 #include "citronlane/json/fault.h"
--- a/src/app/gateway.cc
+++ b/src/app/gateway.cc
@@ -21,8 +21,8 @@
 #include "citronlane/app/refusal_backlog.h"
 #include "citronlane/app/refusal_writer.h"
 #include "citronlane/app/usage_meter.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
-#include "citronlane/transport/detail/steady_now.h"
 #include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/stage_client.h"
 
@@ -30,7 +30,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using detail::SteadyNow;
 
 constexpr std::chrono::milliseconds kFlushInterval{200};
 constexpr std::chrono::milliseconds kDrainPoll{10};
--- a/src/app/gateway_metrics.cc
+++ b/src/app/gateway_metrics.cc
@@ -7,28 +7,6 @@
 namespace citronlane {
 namespace {
 
-std::string_view NameOf(CallOutcome outcome) {
-  switch (outcome) {
-    case CallOutcome::kSuccess:
-      return "success";
-    case CallOutcome::kConnectFailed:
-      return "connect_failed";
-    case CallOutcome::kRejected:
-      return "rejected";
-    case CallOutcome::kServerError:
-      return "server_error";
-    case CallOutcome::kClosedAfterSend:
-      return "closed_after_send";
-    case CallOutcome::kTimeout:
-      return "timeout";
-    case CallOutcome::kCancelled:
-      return "cancelled";
-    case CallOutcome::kWrongId:
-      return "wrong_id";
-  }
-  return "server_error";
-}
-
 /// Whether the caller could have had an answer; a fault of its own misses no
 /// target.
 bool IsSystemsDoing(RefusalReason reason) {
@@ -60,7 +38,7 @@
   };
   events.on_call_ = [this](std::string_view pool, CallOutcome outcome,
                            uint32_t tokens) {
-    metrics_->Count(kAttemptsTotal, {pool, NameOf(outcome)});
+    metrics_->Count(kAttemptsTotal, {pool, ToString(outcome)});
     if (tokens > 0) {
       metrics_->Count(kTokensTotal, {pool}, tokens);
     }
--- a/src/app/order_dispatcher.cc
+++ b/src/app/order_dispatcher.cc
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <utility>
 
-#include "citronlane/app/detail/steady_now.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/json/parse.h"
 #include "citronlane/json/value.h"
--- a/src/app/replica.cc
+++ b/src/app/replica.cc
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "citronlane/app/detail/replica_impl.h"
-#include "citronlane/app/detail/steady_now.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/storage/posix_file_system.h"
 #include "citronlane/transport/grpc_credentials.h"
 
--- a/src/app/replica_formation.cc
+++ b/src/app/replica_formation.cc
@@ -1,7 +1,7 @@
 #include <utility>
 
 #include "citronlane/app/detail/replica_impl.h"
-#include "citronlane/app/detail/steady_now.h"
+#include "citronlane/base/steady_now.h"
 
 namespace citronlane {
 namespace {
--- a/src/app/request_driver.cc
+++ b/src/app/request_driver.cc
@@ -10,16 +10,14 @@
 #include "citronlane/app/detail/call_flight.h"
 #include "citronlane/app/driver_context.h"
 #include "citronlane/app/pool_shards.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
-#include "citronlane/transport/detail/steady_now.h"
 #include "citronlane/transport/stage_adapter.h"
 #include "citronlane/transport/stage_client.h"
 
 namespace citronlane {
 namespace {
 
-using detail::SteadyNow;
-
 constexpr size_t kMaxEventBytes = size_t{64} * 1024;
 constexpr double kMedian = 0.5;
 
--- a/src/app/request_driver_replies.cc
+++ b/src/app/request_driver_replies.cc
@@ -6,16 +6,14 @@
 
 #include "citronlane/app/detail/call_flight.h"
 #include "citronlane/app/driver_context.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/transport/detail/header_name.h"
-#include "citronlane/transport/detail/steady_now.h"
 #include "citronlane/transport/stage_adapter.h"
 
 namespace citronlane {
 namespace {
 
-using detail::SteadyNow;
-
 constexpr int kStatusOk = 200;
 constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusBadGateway = 502;
--- /dev/null
+++ b/src/net/fleet_codec.cc
@@ -0,0 +1,37 @@
+#include "citronlane/net/fleet_codec.h"
+
+#include <utility>
+
+#include "fleet.pb.h"
+
+namespace citronlane {
+
+void EncodeServers(absl::Span<const BackendServer> servers,
+                   wire::fleet::ServerList* out) {
+  for (const BackendServer& server : servers) {
+    auto* entry = out->add_servers();
+    entry->set_id(server.id_);
+    entry->set_service(server.service_);
+    entry->set_address(server.address_);
+    entry->set_failure_domain(server.failure_domain_);
+    entry->set_slots(server.slots_);
+    entry->set_leaving(server.leaving_);
+  }
+}
+
+std::vector<BackendServer> DecodeServers(const wire::fleet::ServerList& in) {
+  std::vector<BackendServer> servers;
+  for (const auto& entry : in.servers()) {
+    BackendServer server;
+    server.id_ = entry.id();
+    server.service_ = entry.service();
+    server.address_ = entry.address();
+    server.failure_domain_ = entry.failure_domain();
+    server.slots_ = entry.slots();
+    server.leaving_ = entry.leaving();
+    servers.push_back(std::move(server));
+  }
+  return servers;
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/net/frame_channel.cc
@@ -0,0 +1,145 @@
+#include "citronlane/net/frame_channel.h"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "citronlane/base/steady_now.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using wire::fleet::Frame;
+
+/// A larger frame is no frame of ours: the largest holds a whole configuration.
+constexpr uint32_t kMaxFrameBytes = 64U << 20;
+/// A peer that leaves this much unread is stuck.
+constexpr size_t kMaxQueuedBytes = size_t{16} << 20;
+constexpr int kByteBits = 8;
+
+std::string WithLength(const Frame& frame) {
+  std::string bytes(4, '\0');
+  frame.AppendToString(&bytes);
+  const auto size = static_cast<uint32_t>(bytes.size() - 4);
+  for (int i = 0; i < 4; ++i) {
+    bytes[static_cast<size_t>(i)] =
+        static_cast<char>(size >> (kByteBits * (3 - i)));
+  }
+  return bytes;
+}
+
+}  // namespace
+
+FrameChannel::FrameChannel(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket)), last_received_(SteadyNow()) {}
+
+void FrameChannel::Start(Hooks hooks) {
+  hooks_ = std::move(hooks);
+  ReadHead();
+}
+
+void FrameChannel::Send(const Frame& frame) {
+  if (!is_open_) {
+    return;
+  }
+  queue_.push_back(WithLength(frame));
+  queued_bytes_ += queue_.back().size();
+  if (queued_bytes_ > kMaxQueuedBytes) {
+    Close();
+    return;
+  }
+  if (queue_.size() == 1) {
+    WriteNext();
+  }
+}
+
+void FrameChannel::Close() {
+  if (!is_open_) {
+    return;
+  }
+  is_open_ = false;
+  error_code ignored;
+  socket_.close(ignored);
+  const Hooks hooks = std::move(hooks_);
+  hooks_ = Hooks();
+  if (hooks.closed_) {
+    hooks.closed_();
+  }
+}
+
+void FrameChannel::ReadHead() {
+  asio::async_read(
+      socket_, asio::buffer(head_),
+      [self = shared_from_this()](const error_code& error, size_t) {
+        if (error || !self->is_open_) {
+          self->Close();
+          return;
+        }
+        uint32_t size = 0;
+        for (const unsigned char byte : self->head_) {
+          size = size << kByteBits | byte;
+        }
+        if (size > kMaxFrameBytes) {
+          self->Close();
+          return;
+        }
+        self->ReadBody(size);
+      });
+}
+
+void FrameChannel::ReadBody(uint32_t size) {
+  body_.resize(size);
+  asio::async_read(
+      socket_, asio::buffer(body_),
+      [self = shared_from_this()](const error_code& error, size_t) {
+        if (error || !self->is_open_) {
+          self->Close();
+          return;
+        }
+        self->Take();
+      });
+}
+
+void FrameChannel::Take() {
+  last_received_ = SteadyNow();
+  Frame frame;
+  if (!frame.ParseFromString(body_)) {
+    Close();
+    return;
+  }
+  if (frame.has_ping()) {
+    Frame pong;
+    pong.mutable_pong();
+    Send(pong);
+  } else if (!frame.has_pong() && hooks_.received_) {
+    // The hook may close this channel, and so end the hooks.
+    const auto received = hooks_.received_;
+    received(&frame);
+  }
+  if (is_open_) {
+    ReadHead();
+  }
+}
+
+void FrameChannel::WriteNext() {
+  asio::async_write(
+      socket_, asio::buffer(queue_.front()),
+      [self = shared_from_this()](const error_code& error, size_t) {
+        if (error || !self->is_open_) {
+          self->Close();
+          return;
+        }
+        self->queued_bytes_ -= self->queue_.front().size();
+        self->queue_.pop_front();
+        if (!self->queue_.empty()) {
+          self->WriteNext();
+        }
+      });
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/net/server_list_reader.cc
@@ -0,0 +1,94 @@
+#include "citronlane/net/server_list_reader.h"
+
+#include <utility>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/net/server_call_spec.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/transport/stage_call.h"
+#include "citronlane/transport/stage_client.h"
+#include "citronlane/transport/stage_reply_head.h"
+
+namespace citronlane {
+namespace {
+
+/// A page that takes longer is asked for again at the next turn.
+constexpr Duration kPageTime = std::chrono::milliseconds(800);
+/// More pages than any platform has: a list that never ends is none.
+constexpr size_t kMostPages = 200;
+constexpr int kOk = 200;
+
+}  // namespace
+
+ServerListReader::ServerListReader(StageClient* client,
+                                   const Dialect* dialect,
+                                   std::string address)
+    : client_(client), dialect_(dialect), address_(std::move(address)) {}
+
+ServerListReader::~ServerListReader() {
+  if (call_) {
+    call_->Cancel();
+  }
+}
+
+void ServerListReader::Read(Done done) {
+  if (call_) {
+    return;
+  }
+  done_ = std::move(done);
+  servers_.clear();
+  pages_read_ = 0;
+  ReadPage("");
+}
+
+void ServerListReader::ReadPage(const std::string& page) {
+  auto status = std::make_shared<int>(0);
+  StageCallHooks hooks;
+  hooks.sending_ = [] { return true; };
+  hooks.head_ = [status](const StageReplyHead& head) {
+    *status = head.status_;
+    return true;
+  };
+  hooks.done_ = [this, status](CallOutcome outcome, const std::string& body) {
+    call_.reset();
+    if (outcome != CallOutcome::kSuccess) {
+      Finish(Error{"the call for the list failed"});
+    } else {
+      TakePage(*status, body);
+    }
+  };
+  call_ = client_->Start(SpecFor(address_, "GET", dialect_->list_target_(page),
+                                 SteadyNow() + kPageTime),
+                         std::move(hooks));
+}
+
+void ServerListReader::TakePage(int status, const std::string& body) {
+  if (status != kOk) {
+    Finish(Error{"the list was refused with " + std::to_string(status)});
+    return;
+  }
+  Error error;
+  auto page = dialect_->read_list_(body, &error);
+  if (!page) {
+    Finish(error);
+    return;
+  }
+  for (BackendServer& server : page->servers_) {
+    servers_.push_back(std::move(server));
+  }
+  ++pages_read_;
+  if (!page->next_.empty() && pages_read_ < kMostPages) {
+    ReadPage(page->next_);
+    return;
+  }
+  pages_ = pages_read_;
+  const Done done = std::move(done_);
+  done(std::move(servers_), Error{});
+}
+
+void ServerListReader::Finish(const Error& error) {
+  const Done done = std::move(done_);
+  done(std::nullopt, error);
+}
+
+}  // namespace citronlane
--- a/src/transport/control_client.cc
+++ b/src/transport/control_client.cc
@@ -7,7 +7,7 @@
 #include <optional>
 #include <utility>
 
-#include "citronlane/app/detail/steady_now.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/json/parse.h"
 #include "citronlane/json/value.h"
 #include "citronlane/transport/detail/config_holder.h"
--- a/src/transport/lease_renewer.cc
+++ b/src/transport/lease_renewer.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "citronlane/app/detail/steady_now.h"
+#include "citronlane/base/steady_now.h"
 
 namespace citronlane {
 
--- a/src/transport/reporter.cc
+++ b/src/transport/reporter.cc
@@ -5,7 +5,7 @@
 #include <memory>
 #include <utility>
 
-#include "citronlane/app/detail/steady_now.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/transport/detail/leader_call.h"
 
 namespace citronlane {
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,8 +15,9 @@
 #include <boost/beast/http.hpp>
 
 #include "absl/strings/numbers.h"
+#include "citronlane/base/steady_now.h"
+#include "citronlane/net/endpoint.h"
 #include "citronlane/transport/detail/coroutine.h"
-#include "citronlane/transport/detail/steady_now.h"
 
 namespace citronlane {
 namespace {
@@ -28,6 +30,12 @@
 using Stream = beast::basic_stream<tcp, asio::io_context::executor_type>;
 
 constexpr size_t kStreamPieceBytes = size_t{16} * 1024;
+/// A server that acknowledges nothing this long is cut off: several times the
+/// kernel's first retransmissions on links of a few milliseconds.
+constexpr int kUnackedMs = 2000;
+/// Interim replies, and replies to other calls, that are read past for one.
+constexpr int kMostPassedReplies = 8;
+constexpr int kFirstFinalStatus = 200;
 
 struct Connection {
   explicit Connection(asio::io_context* io) : stream_(*io) {}
@@ -35,6 +43,8 @@
   Stream stream_;
   beast::flat_buffer buffer_;
   TimePoint idle_since_{};
+  /// How long the server keeps the idle connection, if it said so.
+  std::optional<Duration> idle_limit_;
 };
 
 using ConnectionPtr = std::unique_ptr<Connection>;
@@ -54,8 +64,13 @@
   std::string text;
   text.reserve(512 + spec.body_.size());
   text.append(spec.method_).append(" ").append(spec.target_);
-  text.append(" HTTP/1.1\r\nHost: ").append(spec.address_).append(":");
-  text.append(std::to_string(spec.port_)).append("\r\n");
+  text.append(" HTTP/1.1\r\nHost: ");
+  if (spec.host_.empty()) {
+    text.append(spec.address_).append(":").append(std::to_string(spec.port_));
+  } else {
+    text.append(spec.host_);
+  }
+  text.append("\r\n");
   for (const HttpHeader& header : spec.headers_) {
     text.append(header.name_).append(": ").append(header.value_);
     text.append("\r\n");
@@ -63,8 +78,12 @@
   if (spec.fresh_connection_) {
     text.append("Connection: close\r\n");
   }
-  text.append("Content-Length: ").append(std::to_string(spec.body_.size()));
-  text.append("\r\n\r\n").append(spec.body_);
+  if (!spec.body_.empty() ||
+      (spec.method_ != "GET" && spec.method_ != "HEAD")) {
+    text.append("Content-Length: ").append(std::to_string(spec.body_.size()));
+    text.append("\r\n");
+  }
+  text.append("\r\n").append(spec.body_);
   return text;
 }
 
@@ -96,6 +115,28 @@
   return head;
 }
 
+/// The server's "Keep-Alive: timeout=SECONDS", less a part for the way there:
+/// a call that crosses the server's close may have run.
+template <typename Message>
+std::optional<Duration> IdleLimit(const Message& message) {
+  const auto field = message["Keep-Alive"];
+  const std::string_view text(field.data(), field.size());
+  constexpr std::string_view kTimeout = "timeout=";
+  const size_t at = text.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view rest = text.substr(at + kTimeout.size());
+  const std::string digits(
+      rest.substr(0, rest.find_first_not_of("0123456789")));
+  int64_t seconds = 0;
+  if (!absl::SimpleAtoi(digits, &seconds)) {
+    return std::nullopt;
+  }
+  constexpr auto kReserve = std::chrono::milliseconds(700);
+  return std::chrono::seconds(seconds) - kReserve;
+}
+
 /// How an error after the call was sent counts.
 CallOutcome OutcomeOf(const error_code& error) {
   if (error == beast::error::timeout) {
@@ -114,13 +155,19 @@
   ConnectionPool(asio::io_context* io, const StageLimits& limits)
       : io_(io), limits_(limits) {}
 
-  ConnectionPtr TakeIdle(const std::string& key) {
+  /// The connection that was used last, unless it has been idle for too long.
+  ConnectionPtr TakeIdle(const std::string& key, Duration longest_idle) {
     std::vector<ConnectionPtr>& idle = idle_[key];
     while (!idle.empty()) {
+      const Connection& last = *idle.back();
+      const Duration age = SteadyNow() - last.idle_since_;
+      if (age >= longest_idle && age < limits_.idle_timeout_) {
+        // Another call may still use it.
+        return nullptr;
+      }
       ConnectionPtr connection = std::move(idle.back());
       idle.pop_back();
-      if (detail::SteadyNow() - connection->idle_since_ <
-              limits_.idle_timeout_ &&
+      if (age < connection->idle_limit_.value_or(limits_.idle_timeout_) &&
           !IsStale(connection.get())) {
         return connection;
       }
@@ -132,7 +179,7 @@
     CloseAged();
     std::vector<ConnectionPtr>& idle = idle_[key];
     if (idle.size() < limits_.idle_connections_) {
-      connection->idle_since_ = detail::SteadyNow();
+      connection->idle_since_ = SteadyNow();
       connection->stream_.expires_never();
       idle.push_back(std::move(connection));
     }
@@ -153,7 +200,7 @@
   /// Servers come and go: connections that nobody asks for any more are
   /// closed too, now and then.
   void CloseAged() {
-    const TimePoint now = detail::SteadyNow();
+    const TimePoint now = SteadyNow();
     if (now < next_close_) {
       return;
     }
@@ -218,7 +265,8 @@
 
   bool Connect(const asio::yield_context& yield) {
     if (!spec_.fresh_connection_) {
-      connection_ = pool_->TakeIdle(key_);
+      connection_ = pool_->TakeIdle(
+          key_, spec_.longest_idle_.value_or(pool_->limits().idle_timeout_));
       if (connection_) {
         return true;
       }
@@ -229,20 +277,19 @@
     if (!error) {
       Stream& stream = connection_->stream_;
       stream.expires_at(std::min<TimePoint>(
-          spec_.deadline_,
-          detail::SteadyNow() + pool_->limits().connect_timeout_));
+          spec_.deadline_, SteadyNow() + pool_->limits().connect_timeout_));
       stream.async_connect(tcp::endpoint(address, spec_.port_), yield[error]);
     }
     if (error) {
       Done(CallOutcome::kConnectFailed);
       return false;
     }
-    connection_->stream_.socket().set_option(tcp::no_delay(true), error);
+    SetSocketOptions(connection_->stream_.socket().native_handle(), kUnackedMs);
     return !over_;
   }
 
   bool Send(const asio::yield_context& yield) {
-    if (detail::SteadyNow() >= spec_.deadline_) {
+    if (SteadyNow() >= spec_.deadline_) {
       Done(CallOutcome::kTimeout);
       return false;
     }
@@ -264,73 +311,130 @@
     return !over_;
   }
 
+  /// Reads past interim replies and whole replies to other calls, which a
+  /// faulty server may send late on a kept-alive connection.
+  template <typename Body>
+  bool ReadReplyHead(std::optional<http::response_parser<Body>>* parser,
+                     const asio::yield_context& yield) {
+    for (int passed = 0; passed < kMostPassedReplies && !over_; ++passed) {
+      parser->emplace();
+      (*parser)->header_limit(pool_->limits().reply_header_bytes_);
+      (*parser)->body_limit(pool_->limits().reply_body_bytes_);
+      (*parser)->skip(spec_.method_ == "HEAD");
+      error_code error;
+      http::async_read_header(connection_->stream_, connection_->buffer_,
+                              **parser, yield[error]);
+      if (error) {
+        Done(OutcomeOf(error));
+        return false;
+      }
+      const StageReplyHead head = ReadHead((*parser)->get());
+      if (head.status_ < kFirstFinalStatus) {
+        continue;
+      }
+      if (hooks_.is_mine_ && !over_ && !hooks_.is_mine_(head)) {
+        if (!PassReply(&**parser, yield)) {
+          return false;
+        }
+        continue;
+      }
+      connection_->idle_limit_ = IdleLimit((*parser)->get());
+      if (!over_ && !hooks_.head_(head)) {
+        over_ = true;
+      }
+      return !over_;
+    }
+    Done(CallOutcome::kWrongId);
+    return false;
+  }
+
+  /// Drops the body of a reply that is not this call's.
   template <typename Parser>
-  bool ReadReplyHead(Parser* parser, const asio::yield_context& yield) {
-    parser->header_limit(pool_->limits().reply_header_bytes_);
-    parser->body_limit(pool_->limits().reply_body_bytes_);
+  bool PassReply(Parser* parser, const asio::yield_context& yield) {
+    std::vector<char> sink(kStreamPieceBytes);
     error_code error;
-    http::async_read_header(connection_->stream_, connection_->buffer_, *parser,
-                            yield[error]);
+    while (!parser->is_done() && !error && !over_) {
+      ReadPiece(parser, &sink, yield, &error);
+    }
     if (error) {
-      Done(OutcomeOf(error));
-      return false;
+      Done(CallOutcome::kWrongId);
     }
-    if (!over_ && !hooks_.head_(ReadHead(parser->get()))) {
-      over_ = true;
+    return !error && !over_;
+  }
+
+  /// Returns how many bytes of `piece` were filled.
+  static size_t Prepare(http::response_parser<http::buffer_body>* parser,
+                        std::vector<char>* piece) {
+    auto& body = parser->get().body();
+    body.data = piece->data();
+    body.size = piece->size();
+    body.more = true;
+    return piece->size();
+  }
+
+  size_t ReadPiece(http::response_parser<http::buffer_body>* parser,
+                   std::vector<char>* piece,
+                   const asio::yield_context& yield,
+                   error_code* error) {
+    const size_t room = Prepare(parser, piece);
+    http::async_read_some(connection_->stream_, connection_->buffer_, *parser,
+                          yield[*error]);
+    if (*error == http::error::need_buffer) {
+      *error = {};
     }
-    return !over_;
+    return room - parser->get().body().size;
+  }
+
+  void ReadPiece(http::response_parser<http::string_body>* parser,
+                 std::vector<char>* /*piece*/,
+                 const asio::yield_context& yield,
+                 error_code* error) {
+    http::async_read_some(connection_->stream_, connection_->buffer_, *parser,
+                          yield[*error]);
   }
 
   void ReadWhole(const asio::yield_context& yield) {
-    http::response_parser<http::string_body> parser;
-    parser.skip(spec_.method_ == "HEAD");
+    std::optional<http::response_parser<http::string_body>> parser;
     if (!ReadReplyHead(&parser, yield)) {
       return;
     }
     error_code error;
-    while (!parser.is_done() && !error && !over_) {
+    while (!parser->is_done() && !error && !over_) {
       ExtendForRead();
-      http::async_read_some(connection_->stream_, connection_->buffer_, parser,
-                            yield[error]);
+      ReadPiece(&*parser, nullptr, yield, &error);
     }
     if (error) {
       Done(OutcomeOf(error));
       return;
     }
-    Keep(parser.get().keep_alive());
-    Done(CallOutcome::kSuccess, std::move(parser.get().body()));
+    Keep(parser->get().keep_alive());
+    Done(CallOutcome::kSuccess, std::move(parser->get().body()));
   }
 
   void ReadStream(const asio::yield_context& yield) {
-    http::response_parser<http::buffer_body> parser;
+    std::optional<http::response_parser<http::buffer_body>> parser;
     if (!ReadReplyHead(&parser, yield)) {
       return;
     }
     std::vector<char> piece(kStreamPieceBytes);
     bool begun = spec_.answers_at_once_;
-    while (!parser.is_done() && !over_) {
-      auto& body = parser.get().body();
-      body.data = piece.data();
-      body.size = piece.size();
-      body.more = true;
+    while (!parser->is_done() && !over_) {
       if (begun) {
         ExtendForRead();
       }
       error_code error;
-      http::async_read_some(connection_->stream_, connection_->buffer_, parser,
-                            yield[error]);
-      if (error && error != http::error::need_buffer) {
+      const size_t got = ReadPiece(&*parser, &piece, yield, &error);
+      if (error) {
         Done(OutcomeOf(error));
         return;
       }
-      const size_t got = piece.size() - body.size;
       if (got > 0 && !over_) {
         begun = true;
         hooks_.data_(std::string_view(piece.data(), got));
       }
     }
     if (!over_) {
-      Keep(parser.get().keep_alive());
+      Keep(parser->get().keep_alive());
       Done(CallOutcome::kSuccess);
     }
   }
@@ -341,7 +445,7 @@
     const Duration silence =
         std::min(limit, spec_.silence_limit_.value_or(limit));
     connection_->stream_.expires_at(
-        std::min<TimePoint>(spec_.deadline_, detail::SteadyNow() + silence));
+        std::min<TimePoint>(spec_.deadline_, SteadyNow() + silence));
   }
 
   void Keep(bool keep_alive) {
--- a/tests/unit-stage-client.cc
+++ b/tests/unit-stage-client.cc
@@ -13,7 +13,7 @@
 #include <thread>
 #include <vector>
 
-#include "citronlane/transport/detail/steady_now.h"
+#include "citronlane/base/steady_now.h"
 #include "citronlane/transport/stage_client.h"
 
 namespace citronlane {
@@ -118,7 +118,7 @@
     spec.target_ = "/x";
     spec.fresh_connection_ = fresh;
     spec.streams_ = streams;
-    spec.deadline_ = detail::SteadyNow() + std::chrono::seconds(10);
+    spec.deadline_ = SteadyNow() + std::chrono::seconds(10);
     StageCallHooks hooks;
     hooks.sending_ = [this] {
       ++sent_;
@@ -163,7 +163,7 @@
     StageCallSpec spec;
     spec.address_ = "127.0.0.1";
     spec.port_ = server.port();
-    spec.deadline_ = detail::SteadyNow() + std::chrono::seconds(10);
+    spec.deadline_ = SteadyNow() + std::chrono::seconds(10);
     StageCallHooks hooks;
     hooks.sending_ = [owner] { return owner->sent_ = true; };
     hooks.head_ = [owner](const StageReplyHead&) { return true; };
