--- /dev/null
+++ b/include/citronlane/control/gateway_feed.h
@@ -0,0 +1,82 @@
+#ifndef CITRONLANE_CONTROL_GATEWAY_FEED_H_
+#define CITRONLANE_CONTROL_GATEWAY_FEED_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "citronlane/base/time.h"
+#include "citronlane/serving/backend_server.h"
+
+namespace citronlane {
+
+class ConfigRegister;
+class FrameChannel;
+
+namespace wire::fleet {
+class WatchRequest;
+class WatchUpdate;
+}  // namespace wire::fleet
+
+/// What a control VM tells the gateways that watch it: the configuration, the
+/// list of backend servers, and the other gateways. A VM that does not lead
+/// only says who does. On the event loop's thread.
+class GatewayFeed {
+ public:
+  /// Who leads, in internal endpoints.
+  struct Leadership {
+    bool leads_ = false;
+    /// Empty when not known.
+    std::string leader_;
+    std::vector<std::string> members_;
+  };
+  using LeadershipHook = std::function<Leadership()>;
+
+  /// `config` outlives the feed.
+  GatewayFeed(const ConfigRegister* config, LeadershipHook leadership);
+  ~GatewayFeed();
+  GatewayFeed(const GatewayFeed&) = delete;
+  GatewayFeed& operator=(const GatewayFeed&) = delete;
+
+  /// A gateway asks to be kept up to date, or says something new of itself.
+  void Watch(const std::shared_ptr<FrameChannel>& channel,
+             const wire::fleet::WatchRequest& request,
+             TimePoint now);
+  void Closed(const FrameChannel* channel);
+
+  /// A whole list was read at `now`.
+  void SetServers(std::vector<BackendServer> servers, TimePoint now);
+  /// This node began to lead: what it knows of servers and gateways is old.
+  void StartLeading(TimePoint now);
+
+  /// Sends everybody what is new, and a sign of life. Call at each change and
+  /// every 200 ms.
+  void PushAll(TimePoint now);
+
+  size_t gateways() const { return watchers_.size(); }
+
+ private:
+  struct Watcher;
+
+  void Push(Watcher* watcher, TimePoint now);
+  void AddGateways(Watcher* watcher,
+                   TimePoint now,
+                   wire::fleet::WatchUpdate* update) const;
+
+  const ConfigRegister* const config_;
+  const LeadershipHook leadership_;
+  std::map<const FrameChannel*, std::unique_ptr<Watcher>> watchers_;
+  std::vector<BackendServer> servers_;
+  std::optional<TimePoint> servers_read_;
+  uint64_t servers_number_ = 0;
+  uint64_t gateways_number_ = 0;
+  TimePoint leading_since_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_CONTROL_GATEWAY_FEED_H_
--- /dev/null
+++ b/include/citronlane/control/membership_step.h
@@ -0,0 +1,23 @@
+#ifndef CITRONLANE_CONTROL_MEMBERSHIP_STEP_H_
+#define CITRONLANE_CONTROL_MEMBERSHIP_STEP_H_
+
+#include <cstdint>
+#include <string>
+
+namespace citronlane {
+
+/// One change of the membership, and why it is made.
+struct MembershipStep {
+  enum class Kind { kAddLearner, kPromote, kRemove };
+
+  Kind kind_ = Kind::kAddLearner;
+  uint64_t id_ = 0;
+  /// Of a new learner.
+  std::string address_;
+  /// Short text for the log.
+  std::string reason_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_CONTROL_MEMBERSHIP_STEP_H_
--- /dev/null
+++ b/include/citronlane/control/operator_api.h
@@ -0,0 +1,65 @@
+#ifndef CITRONLANE_CONTROL_OPERATOR_API_H_
+#define CITRONLANE_CONTROL_OPERATOR_API_H_
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "citronlane/app/replica.h"
+#include "citronlane/base/time.h"
+
+namespace citronlane {
+
+class ConfigRegister;
+class EventLog;
+class HttpExchange;
+struct Dialect;
+struct HttpReply;
+struct HttpRequest;
+
+/// The operators' side of a control VM: takes whole configurations and reads
+/// the newest one back. Only the leader answers; the others name it. Runs in
+/// the coroutines of its listener, on the event loop's thread.
+class OperatorApi {
+ public:
+  struct Hooks {
+    /// Whether this VM leads and may answer.
+    std::function<bool()> leads_;
+    /// "IP:port" of the leader's operator address; empty when not known.
+    std::function<std::string()> leader_;
+    std::function<void(std::string command, Replica::ProposeDone done)>
+        propose_;
+    std::function<void(Replica::ReadDone done)> read_;
+    /// Whether as many voters hold what is committed as the tolerated losses
+    /// need.
+    std::function<bool()> has_all_voters_;
+  };
+
+  /// All but the hooks' own state outlive the object.
+  OperatorApi(boost::asio::io_context* io,
+              const Dialect* dialect,
+              const ConfigRegister* config,
+              EventLog* log,
+              Hooks hooks);
+
+  /// Answers one call.
+  void Serve(const HttpRequest& request, HttpExchange* exchange);
+
+ private:
+  HttpReply Replace(const HttpRequest& request, HttpExchange* exchange);
+  HttpReply Read(HttpExchange* exchange);
+  HttpReply Elsewhere(const HttpRequest& request) const;
+  bool WaitForVoters(HttpExchange* exchange, TimePoint until);
+
+  boost::asio::io_context* const io_;
+  const Dialect* const dialect_;
+  const ConfigRegister* const config_;
+  EventLog* const log_;
+  const Hooks hooks_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_CONTROL_OPERATOR_API_H_
--- /dev/null
+++ b/include/citronlane/serving/client_account.h
@@ -0,0 +1,21 @@
+#ifndef CITRONLANE_SERVING_CLIENT_ACCOUNT_H_
+#define CITRONLANE_SERVING_CLIENT_ACCOUNT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace citronlane {
+
+/// A client account and the keys its callers show.
+struct ClientAccount {
+  std::string name_;
+  std::vector<std::string> keys_;
+  /// Goes before the route's priority when set.
+  std::optional<uint32_t> priority_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_SERVING_CLIENT_ACCOUNT_H_
--- /dev/null
+++ b/include/citronlane/serving/dialect.h
@@ -0,0 +1,70 @@
+#ifndef CITRONLANE_SERVING_DIALECT_H_
+#define CITRONLANE_SERVING_DIALECT_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/types/span.h"
+#include "citronlane/base/error.h"
+#include "citronlane/serving/operator_call.h"
+#include "citronlane/serving/request_head.h"
+#include "citronlane/serving/server_call_head.h"
+#include "citronlane/serving/server_page.h"
+#include "citronlane/serving/server_reply_head.h"
+#include "citronlane/serving/serving_config.h"
+#include "citronlane/serving/stage_piece.h"
+#include "citronlane/serving/stage_piece_result.h"
+#include "citronlane/transport/http_header.h"
+
+namespace citronlane {
+
+/// How a platform names and writes what the product says and hears: everything
+/// that knows a platform's headers, paths and bodies stands behind these hooks.
+/// They translate and decide nothing. All are set and thread safe.
+struct Dialect {
+  using Headers = absl::Span<const HttpHeader>;
+
+  /// Reads an operator's document. Null with one line a fault when it can't be
+  /// read or makes no configuration.
+  std::function<std::shared_ptr<const ServingConfig>(
+      std::string_view document,
+      std::vector<std::string>* faults)>
+      read_config_;
+  std::function<OperatorCall(std::string_view method, std::string_view path)>
+      operator_call_;
+  /// Path on which a gateway is asked whether it takes callers.
+  std::string ready_path_;
+
+  std::function<RequestHead(Headers caller)> read_request_;
+  /// Headers for the backend server: the caller's, without those that are a
+  /// gateway's to set, and those of `head`.
+  std::function<std::vector<HttpHeader>(Headers caller,
+                                        const ServerCallHead& head)>
+      write_call_;
+  std::function<ServerReplyHead(int status, Headers reply)> read_reply_;
+
+  /// Target of the call that lists servers from a page on ("" for the first).
+  std::function<std::string(std::string_view page)> list_target_;
+  std::function<std::optional<ServerPage>(std::string_view body, Error* error)>
+      read_list_;
+
+  std::string stage_call_path_;
+  std::function<std::string(absl::Span<const StagePiece> pieces)>
+      write_stage_call_;
+  /// One result a piece, in order.
+  std::function<std::optional<std::vector<StagePieceResult>>(
+      std::string_view body,
+      Error* error)>
+      read_stage_reply_;
+  std::string free_results_path_;
+  std::function<std::string(absl::Span<const std::string> handles)>
+      write_free_results_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_SERVING_DIALECT_H_
--- /dev/null
+++ b/include/citronlane/serving/engine_spec.h
@@ -0,0 +1,18 @@
+#ifndef CITRONLANE_SERVING_ENGINE_SPEC_H_
+#define CITRONLANE_SERVING_ENGINE_SPEC_H_
+
+#include <cstdint>
+
+namespace citronlane {
+
+/// What each model engine of a service can take.
+struct EngineSpec {
+  /// Requests that run at the same time.
+  uint32_t slots_ = 1;
+  /// Tokens that fit its memory.
+  uint64_t memory_tokens_ = 0;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_SERVING_ENGINE_SPEC_H_
--- /dev/null
+++ b/include/citronlane/stages/stage_batch.h
@@ -0,0 +1,25 @@
+#ifndef CITRONLANE_STAGES_STAGE_BATCH_H_
+#define CITRONLANE_STAGES_STAGE_BATCH_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "citronlane/base/time.h"
+#include "citronlane/serving/stage_piece.h"
+
+namespace citronlane {
+
+/// One call to a server of a stage pool.
+struct StageBatch {
+  uint64_t call_ = 0;
+  std::string server_;
+  std::string address_;
+  std::vector<StagePiece> pieces_;
+  /// The call is given up then.
+  TimePoint deadline_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_STAGES_STAGE_BATCH_H_
--- /dev/null
+++ b/include/citronlane/stages/stage_batcher.h
@@ -0,0 +1,157 @@
+#ifndef CITRONLANE_STAGES_STAGE_BATCHER_H_
+#define CITRONLANE_STAGES_STAGE_BATCHER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/types/span.h"
+#include "citronlane/base/time.h"
+#include "citronlane/serving/backend_server.h"
+#include "citronlane/serving/stage_piece_result.h"
+#include "citronlane/serving/stage_pool_spec.h"
+#include "citronlane/stages/stage_batch.h"
+#include "citronlane/stages/stage_outcome.h"
+#include "citronlane/stages/stage_task.h"
+
+namespace citronlane {
+
+/// Forms the calls to the servers of one stage pool from the pieces of many
+/// gateways. A call takes long however few pieces it carries, so pieces wait
+/// while all servers are busy and go together as soon as one is free; none
+/// waits while a server is idle. Pure: commands come out of Next and the Take
+/// methods. Not thread safe.
+class StageBatcher {
+ public:
+  /// Whether a piece may be handed to a server once more now.
+  using RepeatHook = std::function<bool(TimePoint now)>;
+  /// How a call ended that brought no results.
+  enum class CallFailure {
+    /// No server has seen it.
+    kNotSent,
+    /// The server refused it: it has its hands full.
+    kRefused,
+    /// The server may have run it.
+    kLost,
+  };
+
+  StageBatcher(const StagePoolSpec& spec, RepeatHook may_repeat);
+
+  /// Takes a new version of the pool's declaration, and of its servers.
+  void SetSpec(const StagePoolSpec& spec) { spec_ = spec; }
+  void SetServers(absl::Span<const BackendServer* const> servers);
+
+  /// Returns the task's number.
+  uint64_t Add(StageTask task, TimePoint now);
+  /// Nobody wants the task any more.
+  void Cancel(uint64_t task);
+
+  /// The next call that should start now, if any.
+  std::optional<StageBatch> Next(TimePoint now);
+  /// Results of a call, one a piece.
+  void Finished(uint64_t call,
+                absl::Span<const StagePieceResult> results,
+                TimePoint now);
+  void Failed(uint64_t call, CallFailure failure, TimePoint now);
+  /// Passage of time: ends tasks that are too late and frees what a server has
+  /// dropped by itself. Call every 50 ms or so.
+  void Tick(TimePoint now);
+
+  /// Tasks that ended since the last call.
+  std::vector<StageOutcome> TakeOutcomes();
+  /// Results that nobody wants, by the address of the server that keeps them.
+  std::map<std::string, std::vector<std::string>> TakeUnwanted();
+  /// The results are not needed any more: makes room and hands them to
+  /// TakeUnwanted.
+  void Free(absl::Span<const std::string> handles);
+
+  size_t waiting_pieces() const { return waiting_; }
+  size_t tasks() const { return tasks_.size(); }
+  size_t open_calls() const { return calls_.size(); }
+
+ private:
+  struct Piece {
+    uint32_t tries_ = 0;
+    /// Calls that have it in hand.
+    uint32_t in_calls_ = 0;
+    bool waits_ = true;
+    std::string handle_;
+  };
+  struct Task {
+    StageTask task_;
+    std::vector<Piece> pieces_;
+    uint32_t done_ = 0;
+    bool was_sent_ = false;
+  };
+  struct Result {
+    uint64_t bytes_ = 0;
+    TimePoint expires_;
+  };
+  struct Server {
+    std::string id_;
+    std::string address_;
+    bool leaving_ = false;
+    uint32_t calls_ = 0;
+    /// Time of calls against what the declaration says, learned.
+    double slowness_ = 1;
+    TimePoint suspended_until_;
+    int failures_in_row_ = 0;
+    uint64_t held_bytes_ = 0;
+    /// Of calls in hand.
+    uint64_t reserved_bytes_ = 0;
+    std::map<std::string, Result> results_;
+  };
+  struct Call {
+    std::string server_;
+    std::vector<std::pair<uint64_t, uint32_t>> pieces_;
+    TimePoint begun_;
+    Duration expected_{};
+    uint64_t reserved_bytes_ = 0;
+    /// Its pieces were given to another server as well.
+    bool hedged_ = false;
+  };
+
+  Server* PickServer(TimePoint now);
+  uint64_t RoomOf(const Server& server) const;
+  std::vector<std::pair<uint64_t, Task*>> TasksInOrder(TimePoint now);
+  TimePoint OrderOf(const StageTask& task, TimePoint now) const;
+  Duration Expected(const Server& server, size_t pieces) const;
+  StagePiece MakePiece(const Task& task, uint32_t piece, TimePoint now) const;
+  void TakeResult(uint64_t task,
+                  uint32_t piece,
+                  const StagePieceResult& result,
+                  Server* server,
+                  TimePoint now);
+  void KeepResult(Server* server,
+                  const std::string& handle,
+                  uint64_t bytes,
+                  TimePoint now);
+  void Requeue(uint64_t task, uint32_t piece, bool is_repeat, TimePoint now);
+  void End(uint64_t task, StageOutcome::Result result);
+  void Discard(const std::string& handle);
+  void Suspend(Server* server, TimePoint now);
+  void HedgeLateCalls(TimePoint now);
+
+  StagePoolSpec spec_;
+  const RepeatHook may_repeat_;
+  std::map<std::string, Server> servers_;
+  std::map<uint64_t, Task> tasks_;
+  std::map<uint64_t, Call> calls_;
+  /// Which server keeps a result.
+  std::map<std::string, std::string> keepers_;
+  std::map<std::string, std::vector<std::string>> unwanted_;
+  std::vector<StageOutcome> outcomes_;
+  size_t waiting_ = 0;
+  uint64_t last_number_ = 0;
+  /// Time of a piece against what the declaration says, over all servers.
+  double piece_factor_ = 1;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_STAGES_STAGE_BATCHER_H_
--- /dev/null
+++ b/src/control/cluster_member.cc
@@ -0,0 +1,385 @@
+#include "citronlane/control/cluster_member.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "citronlane/app/detail/cluster_formation.h"
+#include "citronlane/base/steady_now.h"
+#include "citronlane/control/member_address.h"
+#include "citronlane/control/replica_driver.h"
+#include "citronlane/net/frame_channel.h"
+#include "citronlane/net/frame_link.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/state/config_register.h"
+#include "citronlane/transport/replication_codec.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+namespace {
+
+using wire::fleet::Frame;
+
+/// The slowest disk to be borne syncs in 150 ms; a leader on it still sends its
+/// heartbeats well within the election timeout.
+constexpr Duration kHeartbeat = std::chrono::milliseconds(100);
+constexpr Duration kElectionTimeout = std::chrono::milliseconds(600);
+constexpr Duration kLeaderLease = std::chrono::milliseconds(500);
+/// Log kept in memory behind a snapshot: peak memory has its price.
+constexpr uint64_t kKeptEntries = 256;
+constexpr size_t kKeptBytes = size_t{2} << 20;
+/// A disk that failed is tried again after this long.
+constexpr Duration kReopenAfter = std::chrono::milliseconds(300);
+
+RaftOptions MakeRaftOptions(uint64_t id) {
+  RaftOptions options;
+  options.id_ = id;
+  options.heartbeat_interval_ = kHeartbeat;
+  options.election_timeout_ = kElectionTimeout;
+  options.leader_lease_ = kLeaderLease;
+  options.kept_entries_ = kKeptEntries;
+  options.kept_bytes_ = kKeptBytes;
+  return options;
+}
+
+MembershipKeeper::Options KeeperOptions(const NodeSettings& settings) {
+  MembershipKeeper::Options options;
+  options.target_voters_ = size_t{2} * settings.tolerated_losses_ + 1;
+  return options;
+}
+
+}  // namespace
+
+ClusterMember::ClusterMember(boost::asio::io_context* io,
+                             const NodeSettings& settings,
+                             ConfigRegister* config,
+                             EventLog* log,
+                             Hooks hooks)
+    : io_(io),
+      settings_(settings),
+      seeds_(settings.seeds_),
+      config_(config),
+      log_(log),
+      hooks_(std::move(hooks)),
+      random_(std::random_device()()),
+      keeper_(KeeperOptions(settings)) {}
+
+ClusterMember::~ClusterMember() = default;
+
+void ClusterMember::SetSeeds(std::vector<std::string> seeds) {
+  if (seeds != seeds_ && !seeds.empty()) {
+    seeds_ = std::move(seeds);
+    log_->Write("member", "seeds changed",
+                {{"seeds", static_cast<uint64_t>(seeds_.size())}});
+  }
+}
+
+void ClusterMember::Tick(TimePoint now) {
+  if (!driver_ && !is_joining_) {
+    if (now >= reopen_at_) {
+      OpenDisk(now);
+    }
+    return;
+  }
+  if (driver_ && !driver_->failure().empty()) {
+    Reopen(driver_->failure(), now);
+    return;
+  }
+  for (const auto& [endpoint, link] : links_) {
+    link->CheckAlive(now);
+  }
+  if (formation_) {
+    TickForming(now);
+    return;
+  }
+  if (is_joining_) {
+    AskToJoin(now);
+    return;
+  }
+  driver_->Tick(now);
+  if (!driver_->failure().empty()) {
+    return;
+  }
+  if (driver_->node().identity_lost()) {
+    LeaveCluster(now);
+    return;
+  }
+  if (driver_->node().leader() != 0) {
+    last_leader_ = now;
+  }
+  TickLeading(now);
+  AskToJoin(now);
+}
+
+void ClusterMember::OpenDisk(TimePoint now) {
+  Error error;
+  identity_ = NodeIdentity::Find(settings_.data_dir_, &error);
+  if (!error.message_.empty()) {
+    Reopen(error.message_, now);
+    return;
+  }
+  if (!identity_) {
+    std::vector<std::string> founders = seeds_;
+    std::sort(founders.begin(), founders.end());
+    const auto own =
+        std::find(founders.begin(), founders.end(), settings_.internal_listen_);
+    if (!settings_.first_start_ || own == founders.end()) {
+      StartJoining();
+      return;
+    }
+    identity_ =
+        NodeIdentity{static_cast<uint64_t>(own - founders.begin()) + 1, true};
+  }
+  MakeDriver(*identity_);
+  if (!driver_->Open(&error)) {
+    Reopen(error.message_, now);
+    return;
+  }
+  disk_failed_ = false;
+  last_leader_ = now;
+  log_->Write("member", "disk opened",
+              {{"id", identity_->id_},
+               {"member", driver_->is_formed() ? "yes" : "no"}});
+  if (driver_->is_formed()) {
+    return;
+  }
+  if (identity_->is_founder_) {
+    StartForming();
+  } else {
+    driver_->Join(now);
+  }
+}
+
+void ClusterMember::MakeDriver(const NodeIdentity& identity) {
+  ReplicaDriver::Options options;
+  options.raft_ = MakeRaftOptions(identity.id_);
+  options.data_dir_ = identity.Folder(settings_.data_dir_);
+  ReplicaDriver::Hooks hooks;
+  hooks.send_ = [this](Message message) { SendMessage(std::move(message)); };
+  hooks.apply_ = [this](const std::string& command) { return Apply(command); };
+  hooks.take_snapshot_ = [this] { return config_->Snapshot(); };
+  hooks.install_snapshot_ = [this](const std::string& snapshot) {
+    config_->Restore(snapshot);
+    hooks_.config_changed_();
+  };
+  hooks.role_changed_ = [this](Role role, uint64_t term) {
+    RoleChanged(role, term);
+  };
+  driver_ =
+      std::make_unique<ReplicaDriver>(std::move(options), std::move(hooks));
+}
+
+void ClusterMember::CloseDriver() {
+  SetLeads(false);
+  driver_.reset();
+  formation_.reset();
+  channels_.clear();
+}
+
+// One line for the first failure; the disk may refuse for many seconds.
+void ClusterMember::Reopen(const std::string& reason, TimePoint now) {
+  if (!disk_failed_) {
+    disk_failed_ = true;
+    log_->Write("member", "disk failed", {{"reason", reason}});
+  }
+  CloseDriver();
+  reopen_at_ = now + kReopenAfter;
+}
+
+std::string ClusterMember::Apply(const std::string& command) {
+  if (config_->Apply(command)) {
+    log_->Write("member", "config applied", {{"version", config_->version()}});
+    hooks_.config_changed_();
+  }
+  return {};
+}
+
+void ClusterMember::Propose(std::string command, Replica::ProposeDone done) {
+  if (!driver_) {
+    done(std::nullopt, Error{"this VM is no member"});
+    return;
+  }
+  driver_->Propose(SteadyNow(), std::move(command), std::move(done));
+}
+
+void ClusterMember::Read(Replica::ReadDone done) {
+  if (!driver_) {
+    done(false);
+    return;
+  }
+  driver_->Read(SteadyNow(), std::move(done));
+}
+
+void ClusterMember::HandOver() {
+  if (driver_) {
+    driver_->HandOver(SteadyNow());
+  }
+}
+
+bool ClusterMember::Leads(TimePoint now) const {
+  return leads_ && driver_ && driver_->failure().empty() &&
+         driver_->node().HasLeaderLease(now);
+}
+
+std::string ClusterMember::leader() const {
+  if (!driver_ || !driver_->is_formed()) {
+    return {};
+  }
+  const RaftNode& node = driver_->node();
+  const auto& voters = node.membership().voters_;
+  const auto it = voters.find(node.leader());
+  return it == voters.end() ? std::string() : EndpointOf(it->second);
+}
+
+std::vector<std::string> ClusterMember::members() const {
+  if (!driver_ || !driver_->is_formed() ||
+      driver_->node().membership().voters_.empty()) {
+    return seeds_;
+  }
+  std::vector<std::string> members;
+  for (const auto& [id, address] : driver_->node().membership().voters_) {
+    members.push_back(EndpointOf(address));
+  }
+  return members;
+}
+
+size_t ClusterMember::target_voters() const {
+  return size_t{2} * settings_.tolerated_losses_ + 1;
+}
+
+bool ClusterMember::has_all_voters() const {
+  return driver_ && driver_->is_formed() &&
+         driver_->node().membership().voters_.size() >= target_voters();
+}
+
+FrameLink* ClusterMember::LinkTo(const std::string& endpoint) {
+  auto& link = links_[endpoint];
+  if (!link) {
+    FrameLink::Hooks hooks;
+    hooks.received_ = [this](Frame* frame) {
+      const TimePoint now = SteadyNow();
+      if (frame->has_greeting()) {
+        TakeGreeting(*frame, now);
+      } else if (frame->has_joined()) {
+        TakeJoinReply(*frame, now);
+      } else if (frame->has_raft()) {
+        Take(nullptr, frame, now);
+      }
+    };
+    link = std::make_unique<FrameLink>(io_, endpoint, std::move(hooks));
+  }
+  return link.get();
+}
+
+void ClusterMember::SendMessage(Message message) {
+  const Membership& membership = driver_->node().membership();
+  const uint64_t to = message.to_;
+  Frame frame;
+  EncodeMessage(std::move(message), frame.mutable_raft());
+  for (const auto* nodes : {&membership.voters_, &membership.learners_}) {
+    const auto it = nodes->find(to);
+    if (it != nodes->end()) {
+      LinkTo(EndpointOf(it->second))->Send(frame);
+      return;
+    }
+  }
+  // A new learner knows nobody until its leader's log says more.
+  if (const auto channel = channels_[to].lock()) {
+    channel->Send(frame);
+  }
+}
+
+bool ClusterMember::Take(const std::shared_ptr<FrameChannel>& channel,
+                         Frame* frame,
+                         TimePoint now) {
+  if (frame->has_greet()) {
+    AnswerGreeting(channel.get(), frame->greet().round());
+    return true;
+  }
+  if (frame->has_join()) {
+    AnswerJoin(channel.get(), *frame);
+    return true;
+  }
+  if (!frame->has_raft()) {
+    return false;
+  }
+  const auto message = DecodeMessage(frame->mutable_raft());
+  if (!message || !driver_ || !driver_->is_formed()) {
+    return true;
+  }
+  if (channel) {
+    channels_[message->from_] = channel;
+  }
+  keeper_.Heard(message->from_, now);
+  driver_->Step(now, *message);
+  return true;
+}
+
+void ClusterMember::RoleChanged(Role role, uint64_t term) {
+  static constexpr const char* kNames[] = {"follower", "pre-candidate",
+                                           "candidate", "leader", "learner"};
+  log_->Write("member", "role changed",
+              {{"role", kNames[static_cast<size_t>(role)]}, {"term", term}});
+  if (role != Role::kLeader) {
+    SetLeads(false);
+    return;
+  }
+  keeper_.StartLeading(driver_->node().membership(), SteadyNow());
+  // Not from within the driver, which is at work.
+  boost::asio::post(*io_, [this, term] { ConfirmLead(term); });
+}
+
+// A new leader may lag behind what was committed before its election: it serves
+// once a quorum read has gone through.
+void ClusterMember::ConfirmLead(uint64_t term) {
+  if (!driver_ || !driver_->is_formed() || !driver_->failure().empty() ||
+      driver_->node().role() != Role::kLeader ||
+      driver_->node().term() != term || leads_) {
+    return;
+  }
+  driver_->Read(SteadyNow(), [this, term](bool confirmed) {
+    if (!driver_ || driver_->node().term() != term) {
+      return;
+    }
+    if (confirmed) {
+      SetLeads(true);
+      return;
+    }
+    const auto timer =
+        std::make_shared<boost::asio::steady_timer>(*io_, kHeartbeat / 2);
+    timer->async_wait([this, term, timer](const boost::system::error_code&) {
+      ConfirmLead(term);
+    });
+  });
+}
+
+void ClusterMember::SetLeads(bool leads) {
+  if (leads != leads_) {
+    leads_ = leads;
+    hooks_.leads_changed_(leads);
+  }
+}
+
+void ClusterMember::TickLeading(TimePoint now) {
+  if (!Leads(now)) {
+    return;
+  }
+  const RaftNode& node = driver_->node();
+  const auto step = keeper_.Next(node.membership(), driver_->id(), now);
+  if (!step) {
+    return;
+  }
+  Error refused;
+  if (driver_->Change(now, *step, &refused)) {
+    static constexpr const char* kNames[] = {"add learner", "make voter",
+                                             "remove"};
+    log_->Write("member", "membership change",
+                {{"change", kNames[static_cast<size_t>(step->kind_)]},
+                 {"id", step->id_},
+                 {"reason", step->reason_}});
+  }
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/control/control_host.cc
@@ -0,0 +1,293 @@
+#include "citronlane/control/control_host.h"
+
+#include <cstdlib>
+#include <filesystem>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "citronlane/base/refusal_reason.h"
+#include "citronlane/base/steady_now.h"
+#include "citronlane/control/cluster_member.h"
+#include "citronlane/control/gateway_feed.h"
+#include "citronlane/control/operator_api.h"
+#include "citronlane/net/endpoint.h"
+#include "citronlane/net/frame_channel.h"
+#include "citronlane/net/process_signals.h"
+#include "citronlane/net/repeating_timer.h"
+#include "citronlane/net/server_list_reader.h"
+#include "citronlane/net/tcp_listener.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/state/config_register.h"
+#include "citronlane/transport/http_exchange.h"
+#include "citronlane/transport/http_listener.h"
+#include "citronlane/transport/http_reply.h"
+#include "citronlane/transport/http_request.h"
+#include "citronlane/transport/stage_client.h"
+#include "citronlane/transport/stage_limits.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+namespace {
+
+using wire::fleet::Frame;
+
+/// Half a heartbeat of the consensus.
+constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kFeedInterval = std::chrono::milliseconds(200);
+/// A leaving server must be known within seconds, and each call has its price.
+constexpr Duration kListInterval = std::chrono::milliseconds(500);
+/// The file may change without a signal; reading it is cheap.
+constexpr Duration kSettingsInterval = std::chrono::seconds(2);
+/// From the stop signal to the end: enough for a hand-over of the lead and for
+/// operators' calls in hand.
+constexpr auto kStopTime = std::chrono::milliseconds(600);
+constexpr int kPeerSilenceMs = 900;
+/// Largest document that an operator may send.
+constexpr uint64_t kDocumentBytes = uint64_t{8} << 20;
+constexpr size_t kOperatorConnections = 512;
+
+HttpLimits OperatorLimits() {
+  HttpLimits limits;
+  limits.body_bytes_ = kDocumentBytes;
+  limits.total_body_bytes_ = 4 * kDocumentBytes;
+  limits.connections_ = kOperatorConnections;
+  return limits;
+}
+
+HttpReply RefuseUnreadable(RefusalReason reason) {
+  HttpReply reply;
+  reply.status_ = HttpStatus(reason);
+  reply.body_ = "{\"error\":\"the request can't be read\"}";
+  return reply;
+}
+
+}  // namespace
+
+class ControlHost::Impl {
+ public:
+  Impl(NodeSettings settings,
+       SettingsHook read_settings,
+       const Dialect* dialect,
+       EventLog* log);
+
+  bool Run(Error* error);
+
+ private:
+  std::string OperatorAddressOfLeader() const;
+  OperatorApi::Hooks ApiHooks();
+  GatewayFeed::Leadership Leadership() const;
+  void Accept(boost::asio::ip::tcp::socket socket);
+  void Take(const std::shared_ptr<FrameChannel>& channel, Frame* frame);
+  void LeadsChanged(bool leads);
+  void ReadServers(TimePoint now);
+  void Reload();
+  void Stop();
+
+  const NodeSettings settings_;
+  const SettingsHook read_settings_;
+  const Dialect* const dialect_;
+  EventLog* const log_;
+
+  boost::asio::io_context io_{1};
+  ConfigRegister config_;
+  StageClient client_;
+  ServerListReader list_reader_;
+  GatewayFeed feed_;
+  ClusterMember member_;
+  OperatorApi api_;
+  TcpListener internal_;
+  HttpListener operators_;
+  /// Kept open until their peers go.
+  std::set<std::shared_ptr<FrameChannel>> channels_;
+  bool list_failing_ = false;
+};
+
+ControlHost::Impl::Impl(NodeSettings settings,
+                        SettingsHook read_settings,
+                        const Dialect* dialect,
+                        EventLog* log)
+    : settings_(std::move(settings)),
+      read_settings_(std::move(read_settings)),
+      dialect_(dialect),
+      log_(log),
+      client_(&io_, StageLimits()),
+      list_reader_(&client_, dialect, settings_.server_list_address_),
+      feed_(&config_, [this] { return Leadership(); }),
+      member_(&io_,
+              settings_,
+              &config_,
+              log,
+              ClusterMember::Hooks{[this](bool leads) { LeadsChanged(leads); },
+                                   [this] { feed_.PushAll(SteadyNow()); }}),
+      api_(&io_, dialect, &config_, log, ApiHooks()),
+      internal_(&io_,
+                settings_.internal_listen_,
+                [this](boost::asio::ip::tcp::socket socket) {
+                  Accept(std::move(socket));
+                }),
+      operators_({&io_},
+                 OperatorLimits(),
+                 HttpListenerHooks{[this](size_t,
+                                          const HttpRequest& request,
+                                          HttpExchange* exchange) {
+                                     api_.Serve(request, exchange);
+                                   },
+                                   RefuseUnreadable}) {}
+
+bool ControlHost::Impl::Run(Error* error) {
+  std::error_code ignored;
+  std::filesystem::create_directories(settings_.data_dir_, ignored);
+  const auto operators = ParseEndpoint(settings_.operator_listen_);
+  if (!operators) {
+    error->message_ = "the settings name no address for operators";
+    return false;
+  }
+  if (!internal_.Start(error) ||
+      !operators_.Listen(operators->address().to_string(), operators->port(),
+                         error)) {
+    return false;
+  }
+  const ProcessSignals signals(
+      &io_, ProcessSignals::Hooks{[this] { Stop(); }, [this] { Reload(); }});
+  const RepeatingTimer tick(&io_, kTick,
+                            [this](TimePoint now) { member_.Tick(now); });
+  const RepeatingTimer feed(&io_, kFeedInterval,
+                            [this](TimePoint now) { feed_.PushAll(now); });
+  const RepeatingTimer list(&io_, kListInterval,
+                            [this](TimePoint now) { ReadServers(now); });
+  const RepeatingTimer reload(&io_, kSettingsInterval,
+                              [this](TimePoint) { Reload(); });
+  log_->Write("control", "started",
+              {{"operators", settings_.operator_listen_},
+               {"internal", settings_.internal_listen_},
+               {"first_start", settings_.first_start_ ? "yes" : "no"}});
+  io_.run();
+  log_->Write("control", "stopped", {});
+  return true;
+}
+
+std::string ControlHost::Impl::OperatorAddressOfLeader() const {
+  const std::string leader = member_.leader();
+  if (leader.empty() || leader == settings_.internal_listen_) {
+    return {};
+  }
+  // All nodes have the same ports.
+  const std::string& own = settings_.operator_listen_;
+  return leader.substr(0, leader.rfind(':')) + own.substr(own.rfind(':'));
+}
+
+OperatorApi::Hooks ControlHost::Impl::ApiHooks() {
+  OperatorApi::Hooks hooks;
+  hooks.leads_ = [this] { return member_.Leads(SteadyNow()); };
+  hooks.leader_ = [this] { return OperatorAddressOfLeader(); };
+  hooks.propose_ = [this](std::string command, Replica::ProposeDone done) {
+    member_.Propose(std::move(command), std::move(done));
+  };
+  hooks.read_ = [this](Replica::ReadDone done) {
+    member_.Read(std::move(done));
+  };
+  hooks.has_all_voters_ = [this] { return member_.has_all_voters(); };
+  return hooks;
+}
+
+GatewayFeed::Leadership ControlHost::Impl::Leadership() const {
+  GatewayFeed::Leadership leadership;
+  leadership.leads_ = member_.Leads(SteadyNow());
+  leadership.leader_ = member_.leader();
+  leadership.members_ = member_.members();
+  return leadership;
+}
+
+void ControlHost::Impl::Accept(boost::asio::ip::tcp::socket socket) {
+  SetSocketOptions(socket.native_handle(), kPeerSilenceMs);
+  const auto channel = std::make_shared<FrameChannel>(std::move(socket));
+  channels_.insert(channel);
+  const std::weak_ptr<FrameChannel> weak = channel;
+  FrameChannel::Hooks hooks;
+  hooks.received_ = [this, weak](Frame* frame) {
+    if (const auto open = weak.lock()) {
+      Take(open, frame);
+    }
+  };
+  hooks.closed_ = [this, weak] {
+    if (const auto closed = weak.lock()) {
+      feed_.Closed(closed.get());
+      channels_.erase(closed);
+    }
+  };
+  channel->Start(std::move(hooks));
+}
+
+void ControlHost::Impl::Take(const std::shared_ptr<FrameChannel>& channel,
+                             Frame* frame) {
+  const TimePoint now = SteadyNow();
+  if (frame->has_watch()) {
+    feed_.Watch(channel, frame->watch(), now);
+  } else {
+    member_.Take(channel, frame, now);
+  }
+}
+
+void ControlHost::Impl::LeadsChanged(bool leads) {
+  const TimePoint now = SteadyNow();
+  if (leads) {
+    feed_.StartLeading(now);
+    ReadServers(now);
+  }
+  feed_.PushAll(now);
+}
+
+void ControlHost::Impl::ReadServers(TimePoint now) {
+  if (!member_.Leads(now)) {
+    return;
+  }
+  list_reader_.Read([this](std::optional<std::vector<BackendServer>> servers,
+                           const Error& error) {
+    if (servers) {
+      if (std::exchange(list_failing_, false)) {
+        log_->Write("control", "server list regained", {});
+      }
+      feed_.SetServers(std::move(*servers), SteadyNow());
+    } else if (!std::exchange(list_failing_, true)) {
+      log_->Write("control", "server list lost", {{"reason", error.message_}});
+    }
+  });
+}
+
+void ControlHost::Impl::Reload() {
+  if (const auto settings = read_settings_()) {
+    member_.SetSeeds(settings->seeds_);
+  }
+}
+
+void ControlHost::Impl::Stop() {
+  log_->Write("control", "stopping", {});
+  operators_.CloseAfterReplies();
+  member_.HandOver();
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(io_, kStopTime);
+  timer->async_wait(
+      [this, timer](const boost::system::error_code&) { io_.stop(); });
+}
+
+ControlHost::ControlHost(NodeSettings settings,
+                         SettingsHook read_settings,
+                         const Dialect* dialect,
+                         EventLog* log)
+    : impl_(std::make_unique<Impl>(std::move(settings),
+                                   std::move(read_settings),
+                                   dialect,
+                                   log)) {}
+
+ControlHost::~ControlHost() = default;
+
+bool ControlHost::Run(Error* error) {
+  return impl_->Run(error);
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/control/gateway_feed.cc
@@ -0,0 +1,148 @@
+#include "citronlane/control/gateway_feed.h"
+
+#include <utility>
+
+#include "citronlane/net/fleet_codec.h"
+#include "citronlane/net/frame_channel.h"
+#include "citronlane/state/config_register.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+namespace {
+
+using wire::fleet::Frame;
+using wire::fleet::WatchRequest;
+using wire::fleet::WatchUpdate;
+
+/// Gateways find a new leader within about a second; until then they keep the
+/// list of their peers that the last one gave them.
+constexpr Duration kGatheringTime = std::chrono::milliseconds(1500);
+
+}  // namespace
+
+struct GatewayFeed::Watcher {
+  std::weak_ptr<FrameChannel> channel_;
+  std::string gateway_;
+  std::string failure_domain_;
+  bool stopping_ = false;
+  /// What the gateway holds, as far as this connection knows.
+  std::optional<uint64_t> config_version_;
+  uint64_t servers_number_ = 0;
+  uint64_t gateways_number_ = 0;
+};
+
+GatewayFeed::GatewayFeed(const ConfigRegister* config,
+                         LeadershipHook leadership)
+    : config_(config), leadership_(std::move(leadership)) {}
+
+GatewayFeed::~GatewayFeed() = default;
+
+void GatewayFeed::Watch(const std::shared_ptr<FrameChannel>& channel,
+                        const WatchRequest& request,
+                        TimePoint now) {
+  auto& watcher = watchers_[channel.get()];
+  if (!watcher) {
+    watcher = std::make_unique<Watcher>();
+    watcher->channel_ = channel;
+  }
+  watcher->gateway_ = request.gateway();
+  watcher->failure_domain_ = request.failure_domain();
+  watcher->stopping_ = request.stopping();
+  if (request.has_config()) {
+    watcher->config_version_ = request.config_version();
+  }
+  // The others hear of it at the next round: a fleet that starts up would
+  // send each of its gateways' names to each of them.
+  ++gateways_number_;
+  Push(watcher.get(), now);
+}
+
+void GatewayFeed::Closed(const FrameChannel* channel) {
+  if (watchers_.erase(channel) > 0) {
+    ++gateways_number_;
+  }
+}
+
+void GatewayFeed::SetServers(std::vector<BackendServer> servers,
+                             TimePoint now) {
+  servers_read_ = now;
+  if (servers != servers_ || servers_number_ == 0) {
+    servers_ = std::move(servers);
+    ++servers_number_;
+  }
+  PushAll(now);
+}
+
+void GatewayFeed::StartLeading(TimePoint now) {
+  leading_since_ = now;
+  servers_read_.reset();
+  ++servers_number_;
+  ++gateways_number_;
+}
+
+void GatewayFeed::PushAll(TimePoint now) {
+  std::vector<std::pair<std::shared_ptr<FrameChannel>, Watcher*>> open;
+  for (const auto& [key, watcher] : watchers_) {
+    if (auto channel = watcher->channel_.lock()) {
+      open.emplace_back(std::move(channel), watcher.get());
+    }
+  }
+  for (const auto& [channel, watcher] : open) {
+    // A channel that a push closes takes its watcher with it.
+    if (watchers_.count(channel.get()) != 0) {
+      Push(watcher, now);
+    }
+  }
+}
+
+void GatewayFeed::Push(Watcher* watcher, TimePoint now) {
+  const auto channel = watcher->channel_.lock();
+  const Leadership leadership = leadership_();
+  Frame frame;
+  WatchUpdate* update = frame.mutable_update();
+  update->set_leads(leadership.leads_);
+  update->set_leader(leadership.leader_);
+  for (const std::string& member : leadership.members_) {
+    update->add_members(member);
+  }
+  if (leadership.leads_) {
+    if (!config_->is_empty() &&
+        (!watcher->config_version_ ||
+         *watcher->config_version_ < config_->version())) {
+      update->set_has_config(true);
+      update->set_config_version(config_->version());
+      update->set_config(config_->document());
+      watcher->config_version_ = config_->version();
+    }
+    if (servers_read_) {
+      if (watcher->servers_number_ != servers_number_) {
+        watcher->servers_number_ = servers_number_;
+        EncodeServers(servers_, update->mutable_servers());
+      }
+      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+          now - *servers_read_);
+      update->set_servers_age_ms(static_cast<uint64_t>(age.count()) + 1);
+    }
+    AddGateways(watcher, now, update);
+  }
+  channel->Send(frame);
+}
+
+void GatewayFeed::AddGateways(Watcher* watcher,
+                              TimePoint now,
+                              WatchUpdate* update) const {
+  if (now < leading_since_ + kGatheringTime ||
+      watcher->gateways_number_ == gateways_number_) {
+    return;
+  }
+  watcher->gateways_number_ = gateways_number_;
+  auto* list = update->mutable_gateways();
+  for (const auto& [key, other] : watchers_) {
+    auto* entry = list->add_gateways();
+    entry->set_endpoint(other->gateway_);
+    entry->set_failure_domain(other->failure_domain_);
+    entry->set_stopping(other->stopping_);
+  }
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/control/member_address.cc
@@ -0,0 +1,18 @@
+#include "citronlane/control/member_address.h"
+
+namespace citronlane {
+namespace {
+
+constexpr char kMark = '#';
+
+}  // namespace
+
+std::string MemberAddress(std::string_view endpoint, uint64_t nonce) {
+  return std::string(endpoint) + kMark + std::to_string(nonce);
+}
+
+std::string EndpointOf(std::string_view address) {
+  return std::string(address.substr(0, address.find(kMark)));
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/control/operator_api.cc
@@ -0,0 +1,191 @@
+#include "citronlane/control/operator_api.h"
+
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "absl/strings/str_join.h"
+#include "citronlane/base/steady_now.h"
+#include "citronlane/json/parse.h"
+#include "citronlane/json/value.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/state/config_register.h"
+#include "citronlane/transport/http_exchange.h"
+#include "citronlane/transport/http_reply.h"
+#include "citronlane/transport/http_request.h"
+
+namespace citronlane {
+namespace {
+
+/// Operators move on to another VM after a second without an answer, so one
+/// that comes later is of little use to them.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(2500);
+/// A cluster that was just formed has all its voters within half a second;
+/// fewer VMs may be all there are.
+constexpr Duration kVotersTime = std::chrono::milliseconds(700);
+constexpr auto kVotersPoll = std::chrono::milliseconds(50);
+
+constexpr int kOk = 200;
+constexpr int kTemporaryRedirect = 307;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+HttpReply ErrorReply(int status, std::string_view message) {
+  JsonValue body = JsonValue::Object();
+  body.AppendMember("error", JsonValue::String(message));
+  HttpReply reply;
+  reply.status_ = status;
+  reply.body_ = WriteJson(body);
+  if (status == kUnavailable) {
+    reply.headers_.push_back({"Retry-After", "0.2"});
+  }
+  return reply;
+}
+
+// One call's wait for the log; outlives the call when the answer comes late.
+struct Wait {
+  explicit Wait(HttpExchange* exchange) : exchange_(exchange) {}
+
+  void Finish(bool succeeded, std::string reason) {
+    is_done_ = true;
+    succeeded_ = succeeded;
+    reason_ = std::move(reason);
+    if (exchange_ != nullptr) {
+      exchange_->Notify();
+    }
+  }
+
+  /// Null once nobody waits any more.
+  HttpExchange* exchange_;
+  bool is_done_ = false;
+  bool succeeded_ = false;
+  std::string reason_;
+};
+
+// Suspends the handler until the wait is done or `limit` is over.
+void WaitAtMost(boost::asio::io_context* io,
+                const std::shared_ptr<Wait>& wait,
+                Duration limit) {
+  boost::asio::steady_timer timer(*io, limit);
+  bool is_over = false;
+  timer.async_wait([wait, &is_over](const boost::system::error_code& error) {
+    if (!error && wait->exchange_ != nullptr) {
+      is_over = true;
+      wait->exchange_->Notify();
+    }
+  });
+  HttpExchange* const exchange = wait->exchange_;
+  while (!wait->is_done_ && !is_over && !exchange->caller_gone()) {
+    exchange->Wait();
+  }
+  wait->exchange_ = nullptr;
+}
+
+}  // namespace
+
+OperatorApi::OperatorApi(boost::asio::io_context* io,
+                         const Dialect* dialect,
+                         const ConfigRegister* config,
+                         EventLog* log,
+                         Hooks hooks)
+    : io_(io),
+      dialect_(dialect),
+      config_(config),
+      log_(log),
+      hooks_(std::move(hooks)) {}
+
+void OperatorApi::Serve(const HttpRequest& request, HttpExchange* exchange) {
+  const OperatorCall call =
+      dialect_->operator_call_(request.method_, request.Path());
+  if (call == OperatorCall::kUnknown) {
+    exchange->Reply(ErrorReply(kNotFound, "no such call"));
+  } else if (!hooks_.leads_()) {
+    exchange->Reply(Elsewhere(request));
+  } else if (call == OperatorCall::kReplaceConfig) {
+    exchange->Reply(Replace(request, exchange));
+  } else {
+    exchange->Reply(Read(exchange));
+  }
+}
+
+HttpReply OperatorApi::Elsewhere(const HttpRequest& request) const {
+  const std::string leader = hooks_.leader_();
+  if (leader.empty()) {
+    return ErrorReply(kUnavailable, "no control VM is known to lead");
+  }
+  HttpReply reply = ErrorReply(kTemporaryRedirect, "another control VM leads");
+  reply.headers_.push_back({"Location", "http://" + leader + request.target_});
+  return reply;
+}
+
+HttpReply OperatorApi::Replace(const HttpRequest& request,
+                               HttpExchange* exchange) {
+  std::vector<std::string> faults;
+  const auto config = dialect_->read_config_(request.body_, &faults);
+  if (!config) {
+    const std::string text = absl::StrJoin(faults, "; ");
+    log_->Write("control", "config refused", {{"faults", text.substr(0, 512)}});
+    return ErrorReply(kBadRequest, text);
+  }
+  const uint64_t version = config->version();
+  const TimePoint begun = SteadyNow();
+  if (config_->is_empty() || version > config_->version()) {
+    const auto wait = std::make_shared<Wait>(exchange);
+    hooks_.propose_(
+        ConfigRegister::Command(version, request.body_),
+        [wait](const std::optional<std::string>& result, const Error& error) {
+          wait->Finish(result.has_value(), error.message_);
+        });
+    WaitAtMost(io_, wait, kAnswerTime);
+    if (!wait->succeeded_) {
+      log_->Write("control", "config not acknowledged",
+                  {{"version", version}, {"reason", wait->reason_}});
+      return ErrorReply(kUnavailable, "not known to be committed");
+    }
+  }
+  if (!WaitForVoters(exchange, begun + kVotersTime)) {
+    log_->Write("control", "acknowledged by fewer voters than wanted",
+                {{"version", version}});
+  }
+  log_->Write("control", "config acknowledged",
+              {{"version", version},
+               {"held_version", config_->version()},
+               {"took_ms", SteadyNow() - begun}});
+  HttpReply reply;
+  reply.status_ = kOk;
+  reply.body_ = "{}";
+  return reply;
+}
+
+bool OperatorApi::WaitForVoters(HttpExchange* exchange, TimePoint until) {
+  while (!hooks_.has_all_voters_()) {
+    if (SteadyNow() >= until || exchange->caller_gone()) {
+      return false;
+    }
+    WaitAtMost(io_, std::make_shared<Wait>(exchange), kVotersPoll);
+  }
+  return true;
+}
+
+HttpReply OperatorApi::Read(HttpExchange* exchange) {
+  const auto wait = std::make_shared<Wait>(exchange);
+  hooks_.read_([wait](bool confirmed) { wait->Finish(confirmed, ""); });
+  WaitAtMost(io_, wait, kAnswerTime);
+  if (!wait->succeeded_) {
+    return ErrorReply(kUnavailable, "no quorum confirmed the newest version");
+  }
+  if (config_->is_empty()) {
+    return ErrorReply(kUnavailable, "there is no configuration yet");
+  }
+  HttpReply reply;
+  reply.status_ = kOk;
+  reply.body_ = config_->document();
+  return reply;
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/routing/repeat_budget.cc
@@ -0,0 +1,48 @@
+#include "citronlane/routing/repeat_budget.h"
+
+#include <algorithm>
+
+namespace citronlane {
+namespace {
+
+/// Part of the bound that is used. The rest covers repeats that arrive in a
+/// later window than they were sent in, and nodes that are not known yet.
+constexpr double kUsedPart = 0.75;
+
+}  // namespace
+
+RepeatBudget::RepeatBudget(const Options& options) : options_(options) {}
+
+void RepeatBudget::OnFirst(TimePoint now) {
+  Forget(now);
+  first_.push_back(now);
+}
+
+bool RepeatBudget::TryTake(TimePoint now, size_t nodes) {
+  Forget(now);
+  const double share =
+      options_.extra_ / static_cast<double>(std::max<size_t>(1, nodes));
+  const double bound =
+      kUsedPart *
+      (options_.ratio_ * static_cast<double>(first_.size()) + share);
+  if (static_cast<double>(repeats_.size() + 1) > bound) {
+    return false;
+  }
+  repeats_.push_back(now);
+  return true;
+}
+
+size_t RepeatBudget::repeats(TimePoint now) {
+  Forget(now);
+  return repeats_.size();
+}
+
+void RepeatBudget::Forget(TimePoint now) {
+  for (auto* times : {&first_, &repeats_}) {
+    while (!times->empty() && now - times->front() >= options_.window_) {
+      times->pop_front();
+    }
+  }
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/serving/serving_config.cc
@@ -0,0 +1,133 @@
+#include "citronlane/serving/serving_config.h"
+
+#include <set>
+#include <utility>
+
+namespace citronlane {
+namespace {
+
+using Parts = ServingConfig::Parts;
+using Lines = std::vector<std::string>;
+
+void CheckStages(const Route& route,
+                 const std::set<std::string>& services,
+                 Lines* faults) {
+  for (size_t i = 0; i < route.stages_.size(); ++i) {
+    const RouteStage& stage = route.stages_[i];
+    if (services.count(stage.service_) == 0) {
+      faults->push_back("route " + route.name_ + ": stage " +
+                        std::to_string(i) + " names an unknown service");
+    }
+    for (const uint32_t before : stage.after_) {
+      if (before >= i) {
+        faults->push_back("route " + route.name_ + ": stage " +
+                          std::to_string(i) +
+                          " needs a stage that does not come before it");
+      }
+    }
+  }
+}
+
+void CheckRoute(const Route& route,
+                const std::set<std::string>& services,
+                Lines* faults) {
+  double weight = 0;
+  for (const WeightedService& part : route.split_) {
+    weight += part.weight_;
+    if (services.count(part.service_) == 0) {
+      faults->push_back("route " + route.name_ +
+                        " names an unknown service: " + part.service_);
+    }
+  }
+  if (weight <= 0) {
+    faults->push_back("route " + route.name_ + ": weights add up to 0");
+  }
+  if (route.timeout_ <= Duration::zero()) {
+    faults->push_back("route " + route.name_ + ": its timeout is 0");
+  }
+  if (route.prefix_.empty() || route.prefix_.front() != '/' ||
+      route.prefix_.back() != '/') {
+    faults->push_back("route " + route.name_ +
+                      ": a prefix begins and ends with '/'");
+  }
+  CheckStages(route, services, faults);
+}
+
+void CheckAccounts(const Parts& parts, Lines* faults) {
+  std::set<std::string> keys;
+  for (const ClientAccount& account : parts.accounts_) {
+    for (const std::string& key : account.keys_) {
+      if (!keys.insert(key).second) {
+        faults->push_back("client account " + account.name_ +
+                          ": one of its keys is held twice");
+      }
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<std::string> ServingConfig::Faults(const Parts& parts) {
+  Lines faults;
+  std::set<std::string> services;
+  for (const Service& service : parts.services_) {
+    if (!services.insert(service.name_).second) {
+      faults.push_back("service " + service.name_ + " is declared twice");
+    }
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (const Route& route : parts.routes_) {
+    CheckRoute(route, services, &faults);
+    if (!places.emplace(route.host_, route.prefix_).second) {
+      faults.push_back("route " + route.name_ +
+                       ": another route has its host and prefix");
+    }
+  }
+  CheckAccounts(parts, &faults);
+  return faults;
+}
+
+ServingConfig::ServingConfig(Parts parts) : parts_(std::move(parts)) {
+  for (const Route& route : parts_.routes_) {
+    by_host_[route.host_][route.prefix_] = &route;
+  }
+  for (const ClientAccount& account : parts_.accounts_) {
+    for (const std::string& key : account.keys_) {
+      by_key_[key] = &account;
+    }
+  }
+  for (const Service& service : parts_.services_) {
+    by_name_[service.name_] = &service;
+  }
+}
+
+const Route* ServingConfig::FindRoute(std::string_view host,
+                                      std::string_view path) const {
+  const auto routes = by_host_.find(host);
+  if (routes == by_host_.end()) {
+    return nullptr;
+  }
+  // Cut the path at each '/', the longest part first.
+  std::string prefix(path.substr(0, path.rfind('/') + 1));
+  while (!prefix.empty()) {
+    const auto route = routes->second.find(prefix);
+    if (route != routes->second.end()) {
+      return route->second;
+    }
+    prefix.pop_back();
+    prefix.resize(prefix.rfind('/') + 1);
+  }
+  return nullptr;
+}
+
+const ClientAccount* ServingConfig::FindAccount(std::string_view key) const {
+  const auto it = by_key_.find(std::string(key));
+  return it == by_key_.end() ? nullptr : it->second;
+}
+
+const Service* ServingConfig::FindService(std::string_view name) const {
+  const auto it = by_name_.find(name);
+  return it == by_name_.end() ? nullptr : it->second;
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/stages/stage_batcher.cc
@@ -0,0 +1,456 @@
+#include "citronlane/stages/stage_batcher.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace citronlane {
+namespace {
+
+/// Results are somewhat larger than declared; a server without room drops a
+/// piece after its call has begun.
+constexpr double kUsedRoom = 0.92;
+/// A piece that failed this often is not tried again.
+constexpr uint32_t kMostTries = 4;
+/// Weight of the newest call in what is learned of a server.
+constexpr double kLearnWeight = 0.3;
+/// A call that takes this many times as long as expected is on a server that
+/// hangs: its pieces are given to another one as well.
+constexpr double kLateFactor = 2.2;
+constexpr Duration kLateReserve = std::chrono::milliseconds(150);
+/// A call that takes longer than this is given up.
+constexpr Duration kLongestCall = std::chrono::seconds(5);
+/// After a failure a server gets no call for this long, twice as long after
+/// each further one in a row.
+constexpr Duration kFirstSuspension = std::chrono::milliseconds(300);
+constexpr int kMostDoublings = 4;
+/// A server that refuses has calls of another gateway in hand.
+constexpr Duration kRefusedPause = std::chrono::milliseconds(60);
+/// What a step of urgency is worth against the time to the target.
+constexpr Duration kPriorityStep = std::chrono::milliseconds(200);
+/// Tasks that missed their target come after those that may meet it, until so
+/// little time is left that they would get no answer at all.
+constexpr Duration kLateTasksBehind = std::chrono::seconds(10);
+constexpr Duration kLastChance = std::chrono::milliseconds(1800);
+
+}  // namespace
+
+StageBatcher::StageBatcher(const StagePoolSpec& spec, RepeatHook may_repeat)
+    : spec_(spec), may_repeat_(std::move(may_repeat)) {}
+
+void StageBatcher::SetServers(absl::Span<const BackendServer* const> servers) {
+  std::map<std::string, Server> next;
+  for (const BackendServer* listed : servers) {
+    const auto known = servers_.find(listed->id_);
+    Server server =
+        known == servers_.end() ? Server() : std::move(known->second);
+    server.id_ = listed->id_;
+    server.address_ = listed->address_;
+    server.leaving_ = listed->leaving_;
+    next.emplace(listed->id_, std::move(server));
+  }
+  // A server with a call in hand is kept until the call ends.
+  for (auto& [id, server] : servers_) {
+    if (server.calls_ > 0 && next.count(id) == 0) {
+      server.leaving_ = true;
+      next.emplace(id, std::move(server));
+    }
+  }
+  servers_ = std::move(next);
+}
+
+uint64_t StageBatcher::Add(StageTask task, TimePoint /*now*/) {
+  const uint64_t number = ++last_number_;
+  Task& added = tasks_[number];
+  added.pieces_.resize(task.pieces_);
+  waiting_ += task.pieces_;
+  added.task_ = std::move(task);
+  return number;
+}
+
+void StageBatcher::Cancel(uint64_t task) {
+  const auto it = tasks_.find(task);
+  if (it == tasks_.end()) {
+    return;
+  }
+  for (const Piece& piece : it->second.pieces_) {
+    waiting_ -= piece.waits_ ? 1 : 0;
+    if (!piece.handle_.empty()) {
+      Discard(piece.handle_);
+    }
+  }
+  tasks_.erase(it);
+}
+
+uint64_t StageBatcher::RoomOf(const Server& server) const {
+  const auto room =
+      static_cast<uint64_t>(static_cast<double>(spec_.room_bytes_) * kUsedRoom);
+  const uint64_t used = server.held_bytes_ + server.reserved_bytes_;
+  return used >= room ? 0 : room - used;
+}
+
+// The fastest idle server; among equals the one with the most room.
+StageBatcher::Server* StageBatcher::PickServer(TimePoint now) {
+  Server* best = nullptr;
+  for (auto& [id, server] : servers_) {
+    if (server.leaving_ || server.calls_ > 0 || server.suspended_until_ > now) {
+      continue;
+    }
+    constexpr double kAlike = 1.15;
+    if (best == nullptr || server.slowness_ * kAlike < best->slowness_ ||
+        (server.slowness_ < best->slowness_ * kAlike &&
+         RoomOf(server) > RoomOf(*best))) {
+      best = &server;
+    }
+  }
+  return best;
+}
+
+TimePoint StageBatcher::OrderOf(const StageTask& task, TimePoint now) const {
+  const Duration least = spec_.call_time_;
+  TimePoint order = task.target_ + kPriorityStep * task.priority_;
+  if (now + least > task.target_) {
+    order = task.deadline_ - now <= kLastChance ? task.target_
+                                                : order + kLateTasksBehind;
+  }
+  return order;
+}
+
+std::vector<std::pair<uint64_t, StageBatcher::Task*>>
+StageBatcher::TasksInOrder(TimePoint now) {
+  std::vector<std::pair<TimePoint, uint64_t>> order;
+  for (const auto& [number, task] : tasks_) {
+    const bool waits =
+        std::any_of(task.pieces_.begin(), task.pieces_.end(),
+                    [](const Piece& piece) { return piece.waits_; });
+    if (waits) {
+      order.emplace_back(OrderOf(task.task_, now), number);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<std::pair<uint64_t, Task*>> tasks;
+  tasks.reserve(order.size());
+  for (const auto& [time, number] : order) {
+    tasks.emplace_back(number, &tasks_.at(number));
+  }
+  return tasks;
+}
+
+Duration StageBatcher::Expected(const Server& server, size_t pieces) const {
+  const double work = static_cast<double>(spec_.piece_time_.count()) *
+                      piece_factor_ * static_cast<double>(pieces);
+  const double all = static_cast<double>(spec_.call_time_.count()) + work;
+  return Duration(std::llround(all * server.slowness_));
+}
+
+StagePiece StageBatcher::MakePiece(const Task& task,
+                                   uint32_t piece,
+                                   TimePoint now) const {
+  StagePiece made;
+  made.request_id_ = task.task_.request_id_;
+  made.stage_ = task.task_.stage_;
+  made.piece_ = piece;
+  made.time_left_ = task.task_.deadline_ - now;
+  made.has_inputs_ = task.task_.has_inputs_;
+  made.inputs_ = task.task_.inputs_;
+  made.key_ = task.task_.key_;
+  return made;
+}
+
+std::optional<StageBatch> StageBatcher::Next(TimePoint now) {
+  if (waiting_ == 0) {
+    return std::nullopt;
+  }
+  Server* server = PickServer(now);
+  if (server == nullptr) {
+    return std::nullopt;
+  }
+  uint64_t room = RoomOf(*server);
+  Call call;
+  StageBatch batch;
+  for (const auto& [number, task] : TasksInOrder(now)) {
+    const uint64_t bytes = task->task_.result_bytes_;
+    for (uint32_t i = 0; i < task->pieces_.size(); ++i) {
+      Piece& piece = task->pieces_[i];
+      if (!piece.waits_ || batch.pieces_.size() >= spec_.batch_ ||
+          bytes > room) {
+        continue;
+      }
+      room -= bytes;
+      call.reserved_bytes_ += bytes;
+      call.pieces_.emplace_back(number, i);
+      batch.pieces_.push_back(MakePiece(*task, i, now));
+      piece.waits_ = false;
+      ++piece.tries_;
+      ++piece.in_calls_;
+      task->was_sent_ = true;
+      --waiting_;
+    }
+    if (batch.pieces_.size() >= spec_.batch_) {
+      break;
+    }
+  }
+  if (batch.pieces_.empty()) {
+    return std::nullopt;
+  }
+  call.server_ = server->id_;
+  call.begun_ = now;
+  call.expected_ = Expected(*server, batch.pieces_.size());
+  server->reserved_bytes_ += call.reserved_bytes_;
+  ++server->calls_;
+  batch.call_ = ++last_number_;
+  batch.server_ = server->id_;
+  batch.address_ = server->address_;
+  batch.deadline_ = now + kLongestCall;
+  calls_.emplace(batch.call_, std::move(call));
+  return batch;
+}
+
+void StageBatcher::Finished(uint64_t number,
+                            absl::Span<const StagePieceResult> results,
+                            TimePoint now) {
+  const auto it = calls_.find(number);
+  if (it == calls_.end()) {
+    return;
+  }
+  const Call call = std::move(it->second);
+  calls_.erase(it);
+  const auto found = servers_.find(call.server_);
+  Server* server = found == servers_.end() ? nullptr : &found->second;
+  if (server != nullptr) {
+    --server->calls_;
+    server->reserved_bytes_ -= call.reserved_bytes_;
+    server->failures_in_row_ = 0;
+    const double took = static_cast<double>((now - call.begun_).count());
+    const double usual = static_cast<double>(call.expected_.count()) /
+                         std::max(server->slowness_, 1e-3);
+    if (usual > 0) {
+      server->slowness_ += kLearnWeight * (took / usual - server->slowness_);
+    }
+  }
+  for (size_t i = 0; i < call.pieces_.size(); ++i) {
+    const auto& [task, piece] = call.pieces_[i];
+    const StagePieceResult result =
+        i < results.size() ? results[i] : StagePieceResult();
+    TakeResult(task, piece, result, server, now);
+  }
+}
+
+void StageBatcher::TakeResult(uint64_t number,
+                              uint32_t index,
+                              const StagePieceResult& result,
+                              Server* server,
+                              TimePoint now) {
+  using Outcome = StagePieceResult::Outcome;
+  const auto it = tasks_.find(number);
+  const uint64_t bytes =
+      it == tasks_.end() ? 0 : it->second.task_.result_bytes_;
+  if (result.outcome_ == Outcome::kDone && server != nullptr) {
+    KeepResult(server, result.handle_, bytes, now);
+  }
+  if (it == tasks_.end()) {
+    if (result.outcome_ == Outcome::kDone) {
+      Discard(result.handle_);
+    }
+    return;
+  }
+  Task& task = it->second;
+  Piece& piece = task.pieces_[index];
+  --piece.in_calls_;
+  switch (result.outcome_) {
+    case Outcome::kDone:
+      if (!piece.handle_.empty()) {
+        Discard(result.handle_);
+        return;
+      }
+      piece.handle_ = result.handle_;
+      waiting_ -= piece.waits_ ? 1 : 0;
+      piece.waits_ = false;
+      if (++task.done_ == task.pieces_.size()) {
+        End(number, StageOutcome::Result::kDone);
+      }
+      return;
+    case Outcome::kLate:
+      End(number, StageOutcome::Result::kLate);
+      return;
+    case Outcome::kInputGone:
+      End(number, StageOutcome::Result::kInputGone);
+      return;
+    case Outcome::kNoRoom:
+      if (server != nullptr) {
+        server->suspended_until_ = now + kRefusedPause;
+      }
+      Requeue(number, index, true, now);
+      return;
+    case Outcome::kFailed:
+      Requeue(number, index, true, now);
+      return;
+  }
+}
+
+void StageBatcher::KeepResult(Server* server,
+                              const std::string& handle,
+                              uint64_t bytes,
+                              TimePoint now) {
+  server->results_[handle] = Result{bytes, now + spec_.result_life_};
+  server->held_bytes_ += bytes;
+  keepers_[handle] = server->id_;
+}
+
+void StageBatcher::Requeue(uint64_t number,
+                           uint32_t index,
+                           bool is_repeat,
+                           TimePoint now) {
+  const auto it = tasks_.find(number);
+  if (it == tasks_.end()) {
+    return;
+  }
+  Piece& piece = it->second.pieces_[index];
+  if (piece.waits_ || !piece.handle_.empty()) {
+    return;
+  }
+  if (piece.tries_ >= kMostTries || (is_repeat && !may_repeat_(now))) {
+    if (piece.in_calls_ == 0) {
+      End(number, StageOutcome::Result::kFailed);
+    }
+    return;
+  }
+  piece.waits_ = true;
+  ++waiting_;
+}
+
+void StageBatcher::Failed(uint64_t number, CallFailure failure, TimePoint now) {
+  const auto it = calls_.find(number);
+  if (it == calls_.end()) {
+    return;
+  }
+  const Call call = std::move(it->second);
+  calls_.erase(it);
+  if (const auto found = servers_.find(call.server_); found != servers_.end()) {
+    Server& server = found->second;
+    --server.calls_;
+    server.reserved_bytes_ -= call.reserved_bytes_;
+    if (failure == CallFailure::kRefused) {
+      server.suspended_until_ = now + kRefusedPause;
+    } else {
+      Suspend(&server, now);
+    }
+  }
+  for (const auto& [task, piece] : call.pieces_) {
+    if (const auto owner = tasks_.find(task); owner != tasks_.end()) {
+      --owner->second.pieces_[piece].in_calls_;
+      if (failure == CallFailure::kNotSent) {
+        // Nobody saw it: this was no try.
+        --owner->second.pieces_[piece].tries_;
+      }
+      Requeue(task, piece, failure != CallFailure::kNotSent, now);
+    }
+  }
+}
+
+void StageBatcher::Suspend(Server* server, TimePoint now) {
+  const int doublings = std::min(server->failures_in_row_, kMostDoublings);
+  server->suspended_until_ = now + kFirstSuspension * (1 << doublings);
+  ++server->failures_in_row_;
+}
+
+void StageBatcher::End(uint64_t number, StageOutcome::Result result) {
+  const auto it = tasks_.find(number);
+  if (it == tasks_.end()) {
+    return;
+  }
+  StageOutcome outcome;
+  outcome.task_ = number;
+  outcome.result_ = result;
+  outcome.not_run_ = !it->second.was_sent_;
+  if (result == StageOutcome::Result::kDone) {
+    for (Piece& piece : it->second.pieces_) {
+      outcome.handles_.push_back(std::move(piece.handle_));
+      piece.handle_.clear();
+    }
+  }
+  outcomes_.push_back(std::move(outcome));
+  Cancel(number);
+}
+
+void StageBatcher::Tick(TimePoint now) {
+  std::vector<uint64_t> late;
+  for (const auto& [number, task] : tasks_) {
+    if (task.task_.deadline_ <= now) {
+      late.push_back(number);
+    }
+  }
+  for (const uint64_t number : late) {
+    End(number, StageOutcome::Result::kLate);
+  }
+  for (auto& [id, server] : servers_) {
+    for (auto it = server.results_.begin(); it != server.results_.end();) {
+      if (it->second.expires_ > now) {
+        ++it;
+        continue;
+      }
+      server.held_bytes_ -= it->second.bytes_;
+      keepers_.erase(it->first);
+      it = server.results_.erase(it);
+    }
+  }
+  HedgeLateCalls(now);
+}
+
+// A server that hangs answers nothing for many seconds; the pieces it holds go
+// to another one too, and whichever result comes first is taken.
+void StageBatcher::HedgeLateCalls(TimePoint now) {
+  for (auto& [number, call] : calls_) {
+    const auto late = std::chrono::duration_cast<Duration>(
+        call.expected_ * kLateFactor + kLateReserve);
+    if (call.hedged_ || now - call.begun_ < late) {
+      continue;
+    }
+    call.hedged_ = true;
+    if (const auto server = servers_.find(call.server_);
+        server != servers_.end()) {
+      server->second.slowness_ =
+          std::max(server->second.slowness_, kLateFactor);
+    }
+    for (const auto& [task, piece] : call.pieces_) {
+      if (const auto owner = tasks_.find(task);
+          owner != tasks_.end() && owner->second.task_.deadline_ > now) {
+        Requeue(task, piece, true, now);
+      }
+    }
+  }
+}
+
+std::vector<StageOutcome> StageBatcher::TakeOutcomes() {
+  return std::exchange(outcomes_, {});
+}
+
+std::map<std::string, std::vector<std::string>> StageBatcher::TakeUnwanted() {
+  return std::exchange(unwanted_, {});
+}
+
+void StageBatcher::Free(absl::Span<const std::string> handles) {
+  for (const std::string& handle : handles) {
+    Discard(handle);
+  }
+}
+
+// The handle begins with its maker's address.
+void StageBatcher::Discard(const std::string& handle) {
+  unwanted_[handle.substr(0, handle.find('/'))].push_back(handle);
+  const auto keeper = keepers_.find(handle);
+  if (keeper == keepers_.end()) {
+    return;
+  }
+  if (const auto server = servers_.find(keeper->second);
+      server != servers_.end()) {
+    const auto result = server->second.results_.find(handle);
+    if (result != server->second.results_.end()) {
+      server->second.held_bytes_ -= result->second.bytes_;
+      server->second.results_.erase(result);
+    }
+  }
+  keepers_.erase(keeper);
+}
+
+}  // namespace citronlane
