--- a/include/citronlane/cli/run.h
+++ b/include/citronlane/cli/run.h
@@ -1,13 +1,22 @@
 #ifndef CITRONLANE_CLI_RUN_H_
 #define CITRONLANE_CLI_RUN_H_
 
+#include <functional>
 #include <iosfwd>
 #include <string>
 
 #include "absl/types/span.h"
 
+namespace CLI {
+class App;
+}  // namespace CLI
+
 namespace citronlane {
 
+namespace detail {
+struct CommandContext;
+}  // namespace detail
+
 /// Exit codes of every command.
 enum class ExitCode {
   kSuccess = 0,
@@ -15,15 +24,20 @@
   kUsage = 2,
 };
 
+/// Adds commands of its own to the program's.
+using ExtraCommands =
+    std::function<void(CLI::App* app, detail::CommandContext* context)>;
+
 /// Runs the command line and returns the process's exit code. Call once, from
 /// the main thread.
-int RunCommandLine(int argc, char** argv);
+int RunCommandLine(int argc, char** argv, const ExtraCommands& extra);
 
 /// The same with the arguments after the program's name and with the streams to
 /// print to.
 ExitCode RunCommandLine(absl::Span<const std::string> arguments,
                         std::ostream& out,
-                        std::ostream& err);
+                        std::ostream& err,
+                        const ExtraCommands& extra = {});
 
 }  // namespace citronlane
 
--- /dev/null
+++ b/include/citronlane/relay/fleet_view.h
@@ -0,0 +1,63 @@
+#ifndef CITRONLANE_RELAY_FLEET_VIEW_H_
+#define CITRONLANE_RELAY_FLEET_VIEW_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "citronlane/base/time.h"
+#include "citronlane/serving/backend_server.h"
+#include "citronlane/serving/serving_config.h"
+
+namespace citronlane {
+
+/// What a gateway knows of the fleet: the configuration in force, the backend
+/// servers and the other gateways, each with its age. Pure. Not thread safe.
+class FleetView {
+ public:
+  struct Gateway {
+    std::string endpoint_;
+    std::string failure_domain_;
+    bool stopping_ = false;
+  };
+
+  /// Takes a configuration of a higher version than the one held. Returns
+  /// whether it did.
+  bool SetConfig(std::shared_ptr<const ServingConfig> config);
+  /// Takes a list that was read at `read`, unless a newer one is held.
+  void SetServers(std::vector<BackendServer> servers, TimePoint read);
+  /// The list held was read again at `read` and is the same.
+  void ConfirmServers(TimePoint read);
+  void SetGateways(std::vector<Gateway> gateways);
+
+  /// Null until the first one came.
+  const std::shared_ptr<const ServingConfig>& config() const { return config_; }
+  /// Servers of a service, leaving ones included.
+  std::vector<const BackendServer*> ServersOf(std::string_view service) const;
+  const BackendServer* FindServer(std::string_view id) const;
+  /// Rises with each change of the list.
+  uint64_t servers_number() const { return servers_number_; }
+  /// Age of the list; nothing until one was read.
+  std::optional<Duration> ServersAge(TimePoint now) const;
+  const std::vector<Gateway>& gateways() const { return gateways_; }
+  /// How many gateways share what all may use: at least those known, and never
+  /// fewer than were known lately.
+  size_t GatewayCount() const;
+
+ private:
+  std::shared_ptr<const ServingConfig> config_;
+  std::vector<BackendServer> servers_;
+  std::map<std::string, size_t, std::less<>> by_id_;
+  std::optional<TimePoint> servers_read_;
+  uint64_t servers_number_ = 0;
+  std::vector<Gateway> gateways_;
+  size_t most_gateways_ = 0;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_RELAY_FLEET_VIEW_H_
--- /dev/null
+++ b/include/citronlane/relay/relay_context.h
@@ -0,0 +1,42 @@
+#ifndef CITRONLANE_RELAY_RELAY_CONTEXT_H_
+#define CITRONLANE_RELAY_RELAY_CONTEXT_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "citronlane/serving/service.h"
+
+namespace citronlane {
+
+class EventLog;
+class FleetView;
+class Metrics;
+class RepeatBudget;
+class ServiceRouter;
+class StageClient;
+class StageOwners;
+struct Dialect;
+
+/// What the requests of one gateway share. Everything outlives the requests;
+/// used on the event loop's thread.
+struct RelayContext {
+  boost::asio::io_context* io_ = nullptr;
+  const Dialect* dialect_ = nullptr;
+  const FleetView* view_ = nullptr;
+  StageClient* client_ = nullptr;
+  StageOwners* owners_ = nullptr;
+  EventLog* log_ = nullptr;
+  Metrics* metrics_ = nullptr;
+  /// Router and budget of a service; made when first asked for.
+  std::function<ServiceRouter*(const Service& service)> router_;
+  std::function<RepeatBudget*(const std::string& service)> budget_;
+  /// Returns a number below its argument, which is at least 1.
+  std::function<uint64_t(uint64_t)> random_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_RELAY_RELAY_CONTEXT_H_
--- /dev/null
+++ b/include/citronlane/relay/service_router.h
@@ -0,0 +1,62 @@
+#ifndef CITRONLANE_RELAY_SERVICE_ROUTER_H_
+#define CITRONLANE_RELAY_SERVICE_ROUTER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/types/span.h"
+#include "citronlane/base/time.h"
+#include "citronlane/routing/call_outcome.h"
+#include "citronlane/routing/engine_router.h"
+#include "citronlane/routing/pool_router.h"
+
+namespace citronlane {
+
+class FleetView;
+
+/// Chooses servers of one service: model engines by what they have read, other
+/// servers by their expected finish. Not thread safe.
+class ServiceRouter {
+ public:
+  using RandomHook = PoolRouter::RandomHook;
+
+  ServiceRouter(std::string service,
+                bool has_engines,
+                const std::string& failure_domain,
+                RandomHook random);
+  ~ServiceRouter();
+
+  /// Takes the servers of the view if they changed since the last call.
+  void Update(const FleetView& view, TimePoint now);
+
+  /// Id of a server that is not in `excluded`; nothing when there is none.
+  std::optional<std::string> Choose(TimePoint now,
+                                    const EngineRouter::Call& call,
+                                    absl::Span<const std::string> excluded);
+  /// Every OnStart is followed by one OnFinish.
+  void OnStart(std::string_view server,
+               TimePoint now,
+               const EngineRouter::Call& call);
+  void OnFirstEvent(std::string_view server, const EngineRouter::Call& call);
+  void OnFinish(std::string_view server,
+                TimePoint now,
+                CallOutcome outcome,
+                Duration took,
+                bool had_first_event,
+                const EngineRouter::Call& call);
+
+ private:
+  const std::string service_;
+  const bool has_engines_;
+  EngineRouter engines_;
+  std::unique_ptr<PoolRouter> pool_;
+  std::optional<uint64_t> servers_number_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_RELAY_SERVICE_ROUTER_H_
--- /dev/null
+++ b/include/citronlane/relay/stage_owners.h
@@ -0,0 +1,111 @@
+#ifndef CITRONLANE_RELAY_STAGE_OWNERS_H_
+#define CITRONLANE_RELAY_STAGE_OWNERS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "absl/types/span.h"
+#include "citronlane/base/time.h"
+#include "citronlane/stages/stage_outcome.h"
+#include "citronlane/stages/stage_task.h"
+
+namespace citronlane {
+
+class EventLog;
+class FleetView;
+class FrameChannel;
+class FrameLink;
+class StagePool;
+
+namespace wire::fleet {
+class Frame;
+}  // namespace wire::fleet
+
+/// Takes stage tasks to the gateway that runs their pool, this one or another,
+/// and serves the tasks of others for the pools that this one runs. Each pool
+/// is run by one gateway, which all find by rendezvous hashing, so that the
+/// pieces of all requests meet in its calls. When that gateway is lost, its
+/// tasks go to the next one: a piece may be made twice. On the event loop's
+/// thread.
+class StageOwners {
+ public:
+  using Done = std::function<void(const StageOutcome& outcome)>;
+  /// The pool of a service, run here; null when the service has none.
+  using PoolHook = std::function<StagePool*(const std::string& service)>;
+
+  /// The pointers outlive the object. `own_endpoint` names this gateway.
+  StageOwners(boost::asio::io_context* io,
+              std::string own_endpoint,
+              const FleetView* view,
+              EventLog* log,
+              PoolHook pool);
+  ~StageOwners();
+  StageOwners(const StageOwners&) = delete;
+  StageOwners& operator=(const StageOwners&) = delete;
+
+  /// `done` is called once, later, unless the task is cancelled.
+  uint64_t Submit(const std::string& service, StageTask task, Done done);
+  void Cancel(uint64_t job);
+  /// The results of a service's stage are not needed any more.
+  void Free(const std::string& service, absl::Span<const std::string> handles);
+
+  /// Takes a frame of another gateway.
+  void Take(const std::shared_ptr<FrameChannel>& channel,
+            wire::fleet::Frame* frame);
+  /// The connection of another gateway ended: its tasks are nobody's.
+  void Closed(const FrameChannel* channel);
+  /// Call every 100 ms.
+  void Tick(TimePoint now);
+
+  size_t open_jobs() const { return jobs_.size(); }
+  /// Tasks of other gateways in hand.
+  size_t served_jobs() const { return served_.size(); }
+
+ private:
+  struct Job {
+    std::string service_;
+    StageTask task_;
+    Done done_;
+    /// Where it is; empty: here.
+    std::string owner_;
+    uint64_t local_task_ = 0;
+    uint32_t moves_ = 0;
+  };
+  struct Served {
+    std::string service_;
+    uint64_t task_ = 0;
+  };
+  using ServedKey = std::pair<const FrameChannel*, uint64_t>;
+
+  std::string OwnerOf(const std::string& service, TimePoint now) const;
+  void Place(uint64_t number);
+  void PlaceHere(uint64_t number, Job* job);
+  void Finish(uint64_t number, const StageOutcome& outcome);
+  void OwnerLost(const std::string& owner);
+  void TakeResult(const wire::fleet::Frame& frame);
+  void Serve(const std::shared_ptr<FrameChannel>& channel,
+             wire::fleet::Frame* frame);
+  FrameLink* LinkTo(const std::string& endpoint);
+
+  boost::asio::io_context* const io_;
+  const std::string own_endpoint_;
+  const FleetView* const view_;
+  EventLog* const log_;
+  const PoolHook pool_;
+  uint64_t last_job_ = 0;
+  std::map<uint64_t, Job> jobs_;
+  std::map<std::string, std::unique_ptr<FrameLink>> links_;
+  /// Gateways whose connection broke, and until when they are passed over.
+  std::map<std::string, TimePoint> lost_until_;
+  std::map<ServedKey, Served> served_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_RELAY_STAGE_OWNERS_H_
--- /dev/null
+++ b/include/citronlane/relay/stage_pool.h
@@ -0,0 +1,76 @@
+#ifndef CITRONLANE_RELAY_STAGE_POOL_H_
+#define CITRONLANE_RELAY_STAGE_POOL_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/types/span.h"
+#include "citronlane/routing/call_outcome.h"
+#include "citronlane/routing/repeat_budget.h"
+#include "citronlane/stages/stage_batcher.h"
+
+namespace citronlane {
+
+class EventLog;
+class FleetView;
+class StageCall;
+class StageClient;
+struct Dialect;
+
+/// Runs one stage pool for all gateways: forms the calls to its servers and
+/// makes them. On the event loop's thread.
+class StagePool {
+ public:
+  using Done = std::function<void(const StageOutcome& outcome)>;
+
+  /// The pointers outlive the pool.
+  StagePool(std::string service,
+            const StagePoolSpec& spec,
+            const RepeatBudget::Options& budget,
+            const FleetView* view,
+            const Dialect* dialect,
+            StageClient* client,
+            EventLog* log);
+  ~StagePool();
+  StagePool(const StagePool&) = delete;
+  StagePool& operator=(const StagePool&) = delete;
+
+  /// Starts a task; `done` is called once, later, unless it is cancelled.
+  uint64_t Submit(StageTask task, Done done);
+  void Cancel(uint64_t task);
+  void Free(absl::Span<const std::string> handles);
+  /// Call every 50 ms or so, and when servers or the declaration changed.
+  void Tick(TimePoint now);
+
+  size_t tasks() const { return batcher_.tasks(); }
+
+ private:
+  void Pump(TimePoint now);
+  void Start(StageBatch batch, TimePoint now);
+  void TakeReply(uint64_t call,
+                 int status,
+                 bool not_run,
+                 const std::string& body);
+  void TakeFailure(uint64_t call, CallOutcome outcome);
+  void SendUnwanted(TimePoint now);
+
+  const std::string service_;
+  const FleetView* const view_;
+  const Dialect* const dialect_;
+  StageClient* const client_;
+  EventLog* const log_;
+  RepeatBudget budget_;
+  StageBatcher batcher_;
+  uint64_t servers_number_ = 0;
+  uint64_t config_version_ = 0;
+  std::map<uint64_t, Done> waiting_;
+  std::map<uint64_t, std::shared_ptr<StageCall>> calls_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_RELAY_STAGE_POOL_H_
--- /dev/null
+++ b/include/citronlane/relay/stage_runner.h
@@ -0,0 +1,83 @@
+#ifndef CITRONLANE_RELAY_STAGE_RUNNER_H_
+#define CITRONLANE_RELAY_STAGE_RUNNER_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "citronlane/stages/stage_outcome.h"
+
+namespace citronlane {
+
+class StageOwners;
+class Waker;
+struct RelayJob;
+
+/// Runs the stages of one request: each as soon as those before it are done,
+/// all of its pieces on the inputs of this request only, and frees each result
+/// once nothing can need it. Used by the request's handler.
+class StageRunner {
+ public:
+  enum class Result { kDone, kLate, kFailed, kCallerGone };
+
+  /// The pointers outlive the runner.
+  StageRunner(const RelayJob* job,
+              StageOwners* owners,
+              std::shared_ptr<Waker> waker);
+  /// Gives up what is under way and frees what is left.
+  ~StageRunner();
+  StageRunner(const StageRunner&) = delete;
+  StageRunner& operator=(const StageRunner&) = delete;
+
+  /// Whether the request has any stage to run.
+  bool HasWork() const;
+
+  /// Runs all stages; called again, it makes them anew. Suspends the handler.
+  Result Run();
+
+  /// Handles of the results that the request itself needs.
+  std::vector<std::string> Inputs() const;
+  /// Approximate size of those results.
+  uint64_t InputBytes() const;
+  /// The request has its inputs: nothing needs the results any more.
+  void FreeAll();
+
+  /// No piece was ever handed to a server.
+  bool not_run() const { return not_run_; }
+
+ private:
+  struct Stage {
+    uint32_t pieces_ = 0;
+    std::optional<uint64_t> job_;
+    bool is_done_ = false;
+    bool is_freed_ = false;
+    std::vector<std::string> handles_;
+  };
+  // What the hooks of jobs fill in; outlives the runner.
+  struct Answers;
+
+  void Reset();
+  void StartReady();
+  void Start(size_t index);
+  void TakeAnswers();
+  void FreeUsed();
+  void FreeStage(size_t index);
+  bool IsReady(size_t index) const;
+  /// Whether another stage of the request follows.
+  bool IsFollowed(size_t index) const;
+  bool AllDone() const;
+
+  const RelayJob* const job_;
+  StageOwners* const owners_;
+  const std::shared_ptr<Waker> waker_;
+  std::vector<Stage> stages_;
+  std::shared_ptr<Answers> answers_;
+  std::optional<StageOutcome::Result> failure_;
+  bool not_run_ = true;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_RELAY_STAGE_RUNNER_H_
--- a/src/cli/run.cc
+++ b/src/cli/run.cc
@@ -16,7 +16,8 @@
 
 ExitCode RunCommandLine(absl::Span<const std::string> arguments,
                         std::ostream& out,
-                        std::ostream& err) {
+                        std::ostream& err,
+                        const ExtraCommands& extra) {
   CLI::App app{"Serving system for multi-stage model pipelines.", "citronlane"};
   app.set_version_flag("--version", std::string(CITRONLANE_VERSION));
   app.require_subcommand(1);
@@ -29,6 +30,9 @@
   detail::AddVerifyCommand(&app, &context);
   detail::AddMemberCommands(&app, &context);
   detail::AddOrderCommands(&app, &context);
+  if (extra) {
+    extra(&app, &context);
+  }
   try {
     // CLI11 takes the arguments in reverse order.
     app.parse(std::vector<std::string>(arguments.rbegin(), arguments.rend()));
@@ -39,10 +43,11 @@
   return context.exit_code_;
 }
 
-int RunCommandLine(int argc, char** argv) {
+int RunCommandLine(int argc, char** argv, const ExtraCommands& extra) {
   const std::vector<std::string> arguments(argv + std::min(argc, 1),
                                            argv + argc);
-  return static_cast<int>(RunCommandLine(arguments, std::cout, std::cerr));
+  return static_cast<int>(
+      RunCommandLine(arguments, std::cout, std::cerr, extra));
 }
 
 }  // namespace citronlane
--- /dev/null
+++ b/src/relay/fleet_view.cc
@@ -0,0 +1,73 @@
+#include "citronlane/relay/fleet_view.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronlane {
+namespace {
+
+/// Until the others are known, as many gateways as small deployments have.
+constexpr size_t kUnknownGateways = 10;
+
+}  // namespace
+
+bool FleetView::SetConfig(std::shared_ptr<const ServingConfig> config) {
+  if (config_ && config->version() <= config_->version()) {
+    return false;
+  }
+  config_ = std::move(config);
+  return true;
+}
+
+void FleetView::SetServers(std::vector<BackendServer> servers, TimePoint read) {
+  if (servers_read_ && read < *servers_read_) {
+    return;
+  }
+  servers_read_ = read;
+  if (servers == servers_) {
+    return;
+  }
+  servers_ = std::move(servers);
+  ++servers_number_;
+  by_id_.clear();
+  for (size_t i = 0; i < servers_.size(); ++i) {
+    by_id_[servers_[i].id_] = i;
+  }
+}
+
+void FleetView::ConfirmServers(TimePoint read) {
+  if (servers_read_) {
+    servers_read_ = std::max(*servers_read_, read);
+  }
+}
+
+void FleetView::SetGateways(std::vector<Gateway> gateways) {
+  gateways_ = std::move(gateways);
+  most_gateways_ = std::max(most_gateways_, gateways_.size());
+}
+
+std::vector<const BackendServer*> FleetView::ServersOf(
+    std::string_view service) const {
+  std::vector<const BackendServer*> servers;
+  for (const BackendServer& server : servers_) {
+    if (server.service_ == service) {
+      servers.push_back(&server);
+    }
+  }
+  return servers;
+}
+
+const BackendServer* FleetView::FindServer(std::string_view id) const {
+  const auto it = by_id_.find(id);
+  return it == by_id_.end() ? nullptr : &servers_[it->second];
+}
+
+std::optional<Duration> FleetView::ServersAge(TimePoint now) const {
+  return servers_read_ ? std::optional(now - *servers_read_) : std::nullopt;
+}
+
+size_t FleetView::GatewayCount() const {
+  return most_gateways_ == 0 ? kUnknownGateways : most_gateways_;
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/relay/gateway_host.cc
@@ -0,0 +1,502 @@
+#include "citronlane/relay/gateway_host.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "citronlane/base/refusal_reason.h"
+#include "citronlane/base/steady_now.h"
+#include "citronlane/net/endpoint.h"
+#include "citronlane/net/fleet_codec.h"
+#include "citronlane/net/frame_channel.h"
+#include "citronlane/net/process_signals.h"
+#include "citronlane/net/repeating_timer.h"
+#include "citronlane/net/server_list_reader.h"
+#include "citronlane/net/tcp_listener.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metric_names.h"
+#include "citronlane/observe/metrics.h"
+#include "citronlane/relay/control_watch.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/relay_answers.h"
+#include "citronlane/relay/relay_context.h"
+#include "citronlane/relay/relay_service.h"
+#include "citronlane/relay/service_router.h"
+#include "citronlane/relay/stage_owners.h"
+#include "citronlane/relay/stage_pool.h"
+#include "citronlane/routing/repeat_budget.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/transport/http_exchange.h"
+#include "citronlane/transport/http_listener.h"
+#include "citronlane/transport/http_reply.h"
+#include "citronlane/transport/http_request.h"
+#include "citronlane/transport/stage_client.h"
+#include "citronlane/transport/stage_limits.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+namespace {
+
+using wire::fleet::Frame;
+using wire::fleet::WatchUpdate;
+
+/// How finely owners' silence, late stage calls and the watch are noticed.
+constexpr Duration kTick = std::chrono::milliseconds(50);
+/// The file may change without a signal; reading it is cheap.
+constexpr Duration kSettingsInterval = std::chrono::seconds(2);
+/// A list that control has not confirmed for this long is read here, well
+/// before a leaving server must be known.
+constexpr Duration kStaleList = std::chrono::milliseconds(1300);
+/// Least pause between two reads of the list by one gateway.
+constexpr Duration kListPause = std::chrono::milliseconds(700);
+/// Part of the list's rate that the gateways use together when control is away.
+constexpr double kListRatePart = 0.5;
+/// After a stop signal callers still come until the balancer has noticed.
+constexpr Duration kBalancerTime = std::chrono::milliseconds(2600);
+/// The process is gone this long before it would be killed.
+constexpr Duration kGraceReserve = std::chrono::milliseconds(400);
+constexpr int kPeerSilenceMs = 900;
+/// A request in hand takes two stacks and its body; this many a megabyte fit
+/// beside the rest.
+constexpr size_t kRequestsPerMegabyte = 3;
+/// Descriptors that callers may take: each request needs one to a server too.
+constexpr double kCallerDescriptors = 0.55;
+/// Bytes of bodies held at once, as a part of memory.
+constexpr uint64_t kBodyMemoryPart = 4;
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+HttpLimits CallerLimitsOf(const NodeSettings& settings) {
+  HttpLimits limits;
+  const CallerLimits defaults;
+  limits.header_bytes_ = static_cast<uint32_t>(defaults.header_bytes_);
+  limits.body_bytes_ = defaults.body_bytes_;
+  limits.total_body_bytes_ =
+      (uint64_t{settings.memory_mb_} << 20) / kBodyMemoryPart;
+  limits.connections_ = static_cast<size_t>(
+      static_cast<double>(settings.max_descriptors_) * kCallerDescriptors);
+  limits.idle_timeout_ = defaults.idle_time_;
+  return limits;
+}
+
+StageLimits ServerLimits() {
+  StageLimits limits;
+  // A stream's length is bounded by its deadline alone.
+  limits.reply_body_bytes_ = uint64_t{1} << 30;
+  limits.read_timeout_ = std::chrono::seconds(30);
+  // Shorter than servers usually keep idle connections.
+  limits.idle_timeout_ = std::chrono::seconds(4);
+  return limits;
+}
+
+}  // namespace
+
+class GatewayHost::Impl {
+ public:
+  Impl(NodeSettings settings,
+       SettingsHook read_settings,
+       const Dialect* dialect,
+       EventLog* log);
+
+  bool Run(Error* error);
+
+ private:
+  bool Listen(HttpListener* listener, const std::string& address, Error* error);
+  RelayContext MakeContext();
+  HttpListenerHooks CallerHooks();
+  HttpListenerHooks ReadyHooks();
+  HttpListenerHooks MetricsHooks();
+  ControlWatch::Hooks WatchHooks();
+  ServiceRouter* RouterOf(const Service& service);
+  RepeatBudget* BudgetOf(const std::string& service);
+  StagePool* PoolOf(const std::string& service);
+
+  void Accept(boost::asio::ip::tcp::socket socket);
+  void TakeUpdate(WatchUpdate* update);
+  void TakeConfig(const std::string& document);
+  void TakeServers(std::vector<BackendServer> servers, TimePoint read);
+  void Tick(TimePoint now);
+  void ReadStaleList(TimePoint now);
+  void Reload();
+  void Stop();
+  void TickStop(TimePoint now);
+  bool IsReady() const { return view_.config() != nullptr && !stopping_; }
+
+  const NodeSettings settings_;
+  const SettingsHook read_settings_;
+  const Dialect* const dialect_;
+  EventLog* const log_;
+  const RepeatBudget::Options budget_options_;
+
+  boost::asio::io_context io_{1};
+  std::mt19937_64 random_{std::random_device()()};
+  Metrics metrics_;
+  FleetView view_;
+  StageClient client_;
+  ServerListReader list_reader_;
+  std::map<std::string, std::unique_ptr<ServiceRouter>> routers_;
+  std::map<std::string, std::unique_ptr<RepeatBudget>> budgets_;
+  std::map<std::string, std::unique_ptr<StagePool>> pools_;
+  StageOwners owners_;
+  RelayContext context_;
+  RelayService relay_;
+  ControlWatch watch_;
+  TcpListener internal_;
+  HttpListener callers_;
+  HttpListener ready_;
+  HttpListener metrics_listener_;
+  std::set<std::shared_ptr<FrameChannel>> channels_;
+  TimePoint next_list_read_;
+  bool list_is_stale_ = false;
+  bool stopping_ = false;
+  bool accepting_ = true;
+  TimePoint stop_began_;
+};
+
+GatewayHost::Impl::Impl(NodeSettings settings,
+                        SettingsHook read_settings,
+                        const Dialect* dialect,
+                        EventLog* log)
+    : settings_(std::move(settings)),
+      read_settings_(std::move(read_settings)),
+      dialect_(dialect),
+      log_(log),
+      budget_options_{settings_.repeat_ratio_, settings_.repeat_extra_,
+                      settings_.repeat_window_},
+      metrics_(Metrics::kDefaultMaxSeries, 1),
+      client_(&io_, ServerLimits()),
+      list_reader_(&client_, dialect, settings_.server_list_address_),
+      owners_(&io_,
+              settings_.internal_listen_,
+              &view_,
+              log,
+              [this](const std::string& service) { return PoolOf(service); }),
+      context_(MakeContext()),
+      relay_(&context_, settings_.memory_mb_ * kRequestsPerMegabyte),
+      watch_(&io_,
+             ControlWatch::Options{settings_.internal_listen_,
+                                   settings_.failure_domain_, settings_.seeds_},
+             log,
+             WatchHooks()),
+      internal_(&io_,
+                settings_.internal_listen_,
+                [this](boost::asio::ip::tcp::socket socket) {
+                  Accept(std::move(socket));
+                }),
+      callers_({&io_}, CallerLimitsOf(settings_), CallerHooks()),
+      ready_({&io_}, HttpLimits(), ReadyHooks()),
+      metrics_listener_({&io_}, HttpLimits(), MetricsHooks()) {}
+
+RelayContext GatewayHost::Impl::MakeContext() {
+  RelayContext context;
+  context.io_ = &io_;
+  context.dialect_ = dialect_;
+  context.view_ = &view_;
+  context.client_ = &client_;
+  context.owners_ = &owners_;
+  context.log_ = log_;
+  context.metrics_ = &metrics_;
+  context.router_ = [this](const Service& service) {
+    return RouterOf(service);
+  };
+  context.budget_ = [this](const std::string& service) {
+    return BudgetOf(service);
+  };
+  context.random_ = [this](uint64_t below) { return random_() % below; };
+  return context;
+}
+
+HttpListenerHooks GatewayHost::Impl::CallerHooks() {
+  HttpListenerHooks hooks;
+  hooks.serve_ = [this](size_t, const HttpRequest& request,
+                        HttpExchange* exchange) {
+    relay_.Serve(request, exchange);
+  };
+  hooks.refuse_ = [this](RefusalReason reason) {
+    metrics_.Count(kRefusalsTotal, {ToString(reason), "", ""});
+    log_->Write("relay", "request not read", {{"reason", ToString(reason)}});
+    return RefusalReply(reason, Verdict::kNotRun);
+  };
+  return hooks;
+}
+
+HttpListenerHooks GatewayHost::Impl::ReadyHooks() {
+  HttpListenerHooks hooks;
+  hooks.serve_ = [this](size_t, const HttpRequest& request,
+                        HttpExchange* exchange) {
+    HttpReply reply;
+    const bool is_ours = request.Path() == dialect_->ready_path_;
+    reply.status_ = !is_ours ? kNotFound : IsReady() ? kOk : kUnavailable;
+    exchange->Reply(reply);
+  };
+  hooks.refuse_ = [](RefusalReason reason) {
+    return RefusalReply(reason, Verdict::kNotRun);
+  };
+  return hooks;
+}
+
+HttpListenerHooks GatewayHost::Impl::MetricsHooks() {
+  HttpListenerHooks hooks;
+  hooks.serve_ = [this](size_t, const HttpRequest&, HttpExchange* exchange) {
+    metrics_.Set(kRequestsInFlight, {},
+                 static_cast<double>(relay_.requests_in_hand()));
+    metrics_.Set(kReady, {}, IsReady() ? 1 : 0);
+    const auto& config = view_.config();
+    metrics_.Set(kConfigVersion, {},
+                 config ? static_cast<double>(config->version()) : 0);
+    HttpReply reply;
+    reply.content_type_ = "text/plain; version=0.0.4";
+    reply.body_ = metrics_.Text();
+    exchange->Reply(reply);
+  };
+  hooks.refuse_ = [](RefusalReason reason) {
+    return RefusalReply(reason, Verdict::kNotRun);
+  };
+  return hooks;
+}
+
+ControlWatch::Hooks GatewayHost::Impl::WatchHooks() {
+  ControlWatch::Hooks hooks;
+  hooks.updated_ = [this](WatchUpdate* update) { TakeUpdate(update); };
+  hooks.config_version_ = [this]() -> std::optional<uint64_t> {
+    const auto& config = view_.config();
+    return config ? std::optional(config->version()) : std::nullopt;
+  };
+  return hooks;
+}
+
+ServiceRouter* GatewayHost::Impl::RouterOf(const Service& service) {
+  auto& router = routers_[service.name_];
+  if (!router) {
+    router = std::make_unique<ServiceRouter>(
+        service.name_, service.engine_.has_value(), settings_.failure_domain_,
+        context_.random_);
+  }
+  return router.get();
+}
+
+RepeatBudget* GatewayHost::Impl::BudgetOf(const std::string& service) {
+  auto& budget = budgets_[service];
+  if (!budget) {
+    budget = std::make_unique<RepeatBudget>(budget_options_);
+  }
+  return budget.get();
+}
+
+StagePool* GatewayHost::Impl::PoolOf(const std::string& service) {
+  auto& pool = pools_[service];
+  if (!pool) {
+    const auto& config = view_.config();
+    const Service* declared = config ? config->FindService(service) : nullptr;
+    if (declared == nullptr || !declared->stage_pool_) {
+      pools_.erase(service);
+      return nullptr;
+    }
+    pool = std::make_unique<StagePool>(service, *declared->stage_pool_,
+                                       budget_options_, &view_, dialect_,
+                                       &client_, log_);
+    pool->Tick(SteadyNow());
+  }
+  return pool.get();
+}
+
+bool GatewayHost::Impl::Listen(HttpListener* listener,
+                               const std::string& address,
+                               Error* error) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    error->message_ = "no address to listen on: " + address;
+    return false;
+  }
+  return listener->Listen(endpoint->address().to_string(), endpoint->port(),
+                          error);
+}
+
+bool GatewayHost::Impl::Run(Error* error) {
+  if (!internal_.Start(error) ||
+      !Listen(&callers_, settings_.caller_listen_, error) ||
+      !Listen(&ready_, settings_.ready_listen_, error) ||
+      !Listen(&metrics_listener_, settings_.metrics_listen_, error)) {
+    return false;
+  }
+  const ProcessSignals signals(
+      &io_, ProcessSignals::Hooks{[this] { Stop(); }, [this] { Reload(); }});
+  const RepeatingTimer tick(&io_, kTick, [this](TimePoint now) { Tick(now); });
+  const RepeatingTimer reload(&io_, kSettingsInterval,
+                              [this](TimePoint) { Reload(); });
+  log_->Write("gateway", "started",
+              {{"callers", settings_.caller_listen_},
+               {"internal", settings_.internal_listen_},
+               {"failure_domain", settings_.failure_domain_}});
+  io_.run();
+  log_->Write("gateway", "stopped",
+              {{"in_hand", static_cast<uint64_t>(relay_.requests_in_hand())},
+               {"log_lines_dropped", log_->dropped()}});
+  return true;
+}
+
+void GatewayHost::Impl::Accept(boost::asio::ip::tcp::socket socket) {
+  SetSocketOptions(socket.native_handle(), kPeerSilenceMs);
+  const auto channel = std::make_shared<FrameChannel>(std::move(socket));
+  channels_.insert(channel);
+  const std::weak_ptr<FrameChannel> weak = channel;
+  FrameChannel::Hooks hooks;
+  hooks.received_ = [this, weak](Frame* frame) {
+    if (const auto open = weak.lock()) {
+      owners_.Take(open, frame);
+    }
+  };
+  hooks.closed_ = [this, weak] {
+    if (const auto closed = weak.lock()) {
+      owners_.Closed(closed.get());
+      channels_.erase(closed);
+    }
+  };
+  channel->Start(std::move(hooks));
+}
+
+void GatewayHost::Impl::TakeUpdate(WatchUpdate* update) {
+  const TimePoint now = SteadyNow();
+  if (update->has_config()) {
+    TakeConfig(update->config());
+  }
+  if (update->servers_age_ms() > 0) {
+    const TimePoint read =
+        now - std::chrono::milliseconds(update->servers_age_ms() - 1);
+    if (update->has_servers()) {
+      TakeServers(DecodeServers(update->servers()), read);
+    } else {
+      view_.ConfirmServers(read);
+    }
+  }
+  if (update->has_gateways()) {
+    std::vector<FleetView::Gateway> gateways;
+    for (const auto& entry : update->gateways().gateways()) {
+      gateways.push_back(
+          {entry.endpoint(), entry.failure_domain(), entry.stopping()});
+    }
+    view_.SetGateways(std::move(gateways));
+  }
+}
+
+void GatewayHost::Impl::TakeConfig(const std::string& document) {
+  std::vector<std::string> faults;
+  auto config = dialect_->read_config_(document, &faults);
+  if (!config) {
+    // Control takes no such document; it speaks another version of ours.
+    log_->Write("gateway", "config not readable",
+                {{"faults", static_cast<uint64_t>(faults.size())}});
+    return;
+  }
+  const uint64_t version = config->version();
+  if (view_.SetConfig(std::move(config))) {
+    log_->Write("gateway", "config in force", {{"version", version}});
+  }
+}
+
+void GatewayHost::Impl::TakeServers(std::vector<BackendServer> servers,
+                                    TimePoint read) {
+  const uint64_t before = view_.servers_number();
+  view_.SetServers(std::move(servers), read);
+  if (view_.servers_number() == before) {
+    return;
+  }
+  log_->Write(
+      "gateway", "server list changed",
+      {{"number", view_.servers_number()}, {"age_ms", SteadyNow() - read}});
+  for (const auto& [service, pool] : pools_) {
+    pool->Tick(SteadyNow());
+  }
+}
+
+void GatewayHost::Impl::Tick(TimePoint now) {
+  watch_.Tick(now);
+  owners_.Tick(now);
+  for (const auto& [service, pool] : pools_) {
+    pool->Tick(now);
+  }
+  ReadStaleList(now);
+  if (stopping_) {
+    TickStop(now);
+  }
+}
+
+// The rate is shared: the more gateways and pages, the longer the pause.
+void GatewayHost::Impl::ReadStaleList(TimePoint now) {
+  const auto age = view_.ServersAge(now);
+  const bool is_stale = !age || *age >= kStaleList;
+  if (is_stale != list_is_stale_) {
+    list_is_stale_ = is_stale;
+    log_->Write("gateway",
+                is_stale ? "server list is stale" : "server list is fresh",
+                {{"age_ms", age.value_or(Duration())}});
+  }
+  if (!is_stale || now < next_list_read_ || list_reader_.is_reading()) {
+    return;
+  }
+  const double calls = static_cast<double>(view_.GatewayCount()) *
+                       static_cast<double>(list_reader_.pages());
+  const std::chrono::duration<double> pause(
+      calls / (settings_.server_list_rate_ * kListRatePart));
+  next_list_read_ =
+      now + std::max(kListPause, std::chrono::duration_cast<Duration>(pause));
+  list_reader_.Read(
+      [this, now](std::optional<std::vector<BackendServer>> servers,
+                  const Error&) {
+        if (servers) {
+          TakeServers(std::move(*servers), now);
+        }
+      });
+}
+
+void GatewayHost::Impl::Reload() {
+  if (const auto settings = read_settings_()) {
+    watch_.SetSeeds(settings->seeds_);
+  }
+}
+
+void GatewayHost::Impl::Stop() {
+  stopping_ = true;
+  stop_began_ = SteadyNow();
+  log_->Write("gateway", "stopping",
+              {{"in_hand", static_cast<uint64_t>(relay_.requests_in_hand())}});
+  callers_.CloseAfterReplies();
+  watch_.SetStopping();
+}
+
+void GatewayHost::Impl::TickStop(TimePoint now) {
+  const Duration passed = now - stop_began_;
+  if (accepting_ && passed >= kBalancerTime) {
+    accepting_ = false;
+    callers_.StopAccepting();
+  }
+  const bool is_idle =
+      relay_.requests_in_hand() == 0 && owners_.served_jobs() == 0;
+  if ((!accepting_ && is_idle) || passed >= settings_.grace_ - kGraceReserve) {
+    io_.stop();
+  }
+}
+
+GatewayHost::GatewayHost(NodeSettings settings,
+                         SettingsHook read_settings,
+                         const Dialect* dialect,
+                         EventLog* log)
+    : impl_(std::make_unique<Impl>(std::move(settings),
+                                   std::move(read_settings),
+                                   dialect,
+                                   log)) {}
+
+GatewayHost::~GatewayHost() = default;
+
+bool GatewayHost::Run(Error* error) {
+  return impl_->Run(error);
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/relay/relay_request.cc
@@ -0,0 +1,476 @@
+#include "citronlane/relay/relay_request.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/net/server_call_spec.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metric_names.h"
+#include "citronlane/observe/metrics.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/forwarded_headers.h"
+#include "citronlane/relay/relay_answers.h"
+#include "citronlane/relay/relay_context.h"
+#include "citronlane/relay/server_attempt.h"
+#include "citronlane/relay/service_router.h"
+#include "citronlane/relay/waker.h"
+#include "citronlane/routing/repeat_budget.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/transport/http_exchange.h"
+#include "citronlane/transport/http_reply.h"
+#include "citronlane/transport/http_request.h"
+
+namespace citronlane {
+namespace {
+
+/// Refused calls are no runs, but each is an arrival at a server.
+constexpr uint32_t kMostRefusals = 2;
+/// Stages whose results were lost are made anew once.
+constexpr uint32_t kMostRemakes = 1;
+/// A server may close an idle connection just as a call arrives, and then the
+/// call may have run: what may not repeat goes on connections that were in use
+/// a moment ago, or on new ones.
+constexpr Duration kUnsafeIdle = std::chrono::milliseconds(400);
+/// A server that answers nothing for this many times the target is taken for
+/// dead where another one may be asked.
+constexpr double kSilentTargets = 1.5;
+constexpr Duration kShortestSilence = std::chrono::milliseconds(1200);
+/// A stream that pauses this many times the declared gap goes on elsewhere.
+constexpr int kStalledGaps = 3;
+constexpr Duration kShortestStall = std::chrono::milliseconds(1000);
+/// Urgency that engines honour: 0 is first, 9 last.
+constexpr uint32_t kFirstUrgency = 1;
+constexpr uint32_t kUrgencyPerPriority = 2;
+constexpr uint32_t kLateUrgency = 2;
+constexpr uint32_t kLastUrgency = 9;
+constexpr int kFirstServerError = 500;
+constexpr int kOk = 200;
+constexpr int kFirstNoSuccess = 300;
+constexpr int kConflict = 409;
+
+}  // namespace
+
+RelayRequest::RelayRequest(const RelayContext* context,
+                           const RelayJob* job,
+                           const HttpRequest* request,
+                           HttpExchange* exchange)
+    : context_(context),
+      job_(job),
+      request_(request),
+      exchange_(exchange),
+      waker_(std::make_shared<Waker>(context->io_, exchange)),
+      stages_(job, context->owners_, waker_),
+      events_(job->head_.last_event_) {}
+
+RelayRequest::~RelayRequest() {
+  waker_->Detach();
+}
+
+void RelayRequest::Run() {
+  service_ = job_->config_->FindService(ServiceName());
+  router_ = context_->router_(*service_);
+  budget_ = context_->budget_(service_->name_);
+  budget_->OnFirst(SteadyNow());
+  if (RunStages()) {
+    RunAttempts();
+  }
+  if (!finished_) {
+    Finish("caller gone", 0);
+  }
+}
+
+// A share of the requests by weight.
+std::string_view RelayRequest::ServiceName() const {
+  const auto& split = job_->route_->split_;
+  double sum = 0;
+  for (const WeightedService& part : split) {
+    sum += std::max(0.0, part.weight_);
+  }
+  constexpr uint64_t kSteps = 1 << 20;
+  double draw = sum * static_cast<double>(context_->random_(kSteps)) / kSteps;
+  for (const WeightedService& part : split) {
+    if (part.weight_ > 0 && draw < part.weight_) {
+      return part.service_;
+    }
+    draw -= std::max(0.0, part.weight_);
+  }
+  return split.back().service_;
+}
+
+bool RelayRequest::RunStages() {
+  if (!stages_.HasWork()) {
+    return true;
+  }
+  const StageRunner::Result result = stages_.Run();
+  stages_took_ = Elapsed();
+  if (!stages_.not_run()) {
+    // A stage is a part of the request: "not run" would not be true any more.
+    verdict_ = RaiseVerdict(verdict_, Verdict::kMayHaveRun);
+  }
+  switch (result) {
+    case StageRunner::Result::kDone:
+      return true;
+    case StageRunner::Result::kCallerGone:
+      break;
+    case StageRunner::Result::kLate:
+      last_failure_ = "stages late";
+      Refuse(RefusalReason::kDeadlineExceeded);
+      break;
+    case StageRunner::Result::kFailed:
+      last_failure_ = "stage failed";
+      RefuseAfterFailure();
+      break;
+  }
+  return false;
+}
+
+void RelayRequest::RunAttempts() {
+  while (!waker_->caller_gone()) {
+    if (SteadyNow() >= job_->deadline_) {
+      Refuse(RefusalReason::kDeadlineExceeded);
+      return;
+    }
+    const BackendServer* server = Choose();
+    if (server == nullptr) {
+      RefuseAfterFailure();
+      return;
+    }
+    const Ended ended = RunAttempt(*server);
+    if (ended.step_ == Step::kAnswered) {
+      return;
+    }
+    last_failure_ = ended.why_;
+    if (ended.step_ == Step::kInputsGone) {
+      if (remakes_++ >= kMostRemakes) {
+        RefuseAfterFailure();
+        return;
+      }
+      if (!RunStages()) {
+        return;
+      }
+      tried_.clear();
+      continue;
+    }
+    if (!MayGoOn(ended)) {
+      RefuseAfterFailure();
+      return;
+    }
+  }
+}
+
+const BackendServer* RelayRequest::Choose() {
+  const TimePoint now = SteadyNow();
+  router_->Update(*context_->view_, now);
+  const auto id = router_->Choose(now, RouterCall(), tried_);
+  return id ? context_->view_->FindServer(*id) : nullptr;
+}
+
+EngineRouter::Call RelayRequest::RouterCall() const {
+  EngineRouter::Call call;
+  call.prompt_ = job_->head_.prompt_;
+  call.near_ = near_domain_;
+  call.input_bytes_ = stages_.InputBytes();
+  return call;
+}
+
+// By what the route declares; a request that is late already gives way.
+uint32_t RelayRequest::Urgency() const {
+  const bool is_late = SteadyNow() > job_->target_;
+  return std::min(kLastUrgency, kFirstUrgency +
+                                    kUrgencyPerPriority * job_->priority_ +
+                                    (is_late ? kLateUrgency : 0));
+}
+
+RelayRequest::Ended RelayRequest::RunAttempt(const BackendServer& server) {
+  const TimePoint now = SteadyNow();
+  const std::string id = server.id_;
+  const EngineRouter::Call call = RouterCall();
+  StageCallSpec spec = SpecFor(server.address_, request_->method_,
+                               request_->target_, job_->deadline_);
+  ServerCallHead head;
+  head.time_left_ = job_->deadline_ - now;
+  head.server_id_ = id;
+  head.account_ = job_->account_;
+  if (service_->engine_) {
+    head.urgency_ = Urgency();
+  }
+  head.inputs_ = stages_.Inputs();
+  head.last_event_ = events_.last_event();
+  spec.host_ = job_->head_.host_;
+  spec.headers_ = context_->dialect_->write_call_(
+      ForwardedHeaders(request_->headers_), head);
+  spec.body_ = request_->body_;
+  spec.silence_limit_ = StallLimit();
+  if (!job_->route_->MayRepeat()) {
+    spec.longest_idle_ = kUnsafeIdle;
+  }
+  tried_.push_back(id);
+  last_server_ = id;
+  had_first_event_ = false;
+  ServerAttempt attempt(context_, waker_, std::move(spec),
+                        job_->head_.request_id_);
+  router_->OnStart(id, now, call);
+  const Ended ended = Relay(&attempt);
+  const CallOutcome outcome = attempt.is_done()       ? attempt.outcome()
+                              : waker_->caller_gone() ? CallOutcome::kCancelled
+                                                      : CallOutcome::kTimeout;
+  const bool refused = attempt.has_head() && attempt.reply().not_run_;
+  const bool failed =
+      attempt.has_head() && attempt.status() >= kFirstServerError && !refused;
+  const CallOutcome counted = refused  ? CallOutcome::kRejected
+                              : failed ? CallOutcome::kServerError
+                                       : outcome;
+  router_->OnFinish(id, SteadyNow(), counted, SteadyNow() - now,
+                    had_first_event_, call);
+  context_->metrics_->Count(kAttemptsTotal,
+                            {service_->name_, ToString(counted)});
+  return ended;
+}
+
+RelayRequest::Ended RelayRequest::Relay(ServerAttempt* attempt) {
+  const bool may_repeat =
+      job_->route_->MayRepeat() && runs_ + 1 < job_->route_->max_attempts_;
+  const TimePoint patience =
+      may_repeat ? std::min(job_->deadline_, SteadyNow() + FirstReplyLimit())
+                 : job_->deadline_;
+  const bool replied = waker_->WaitUntil(
+      [attempt] { return attempt->has_head() || attempt->is_done(); },
+      patience);
+  if (waker_->caller_gone()) {
+    return {};
+  }
+  if (!replied) {
+    attempt->Cancel();
+    return AfterFailure(*attempt);
+  }
+  if (!attempt->has_head()) {
+    return AfterFailure(*attempt);
+  }
+  const ServerReplyHead& reply = attempt->reply();
+  if (reply.not_run_) {
+    const bool inputs_gone =
+        attempt->status() == kConflict && stages_.HasWork();
+    return {inputs_gone ? Step::kInputsGone : Step::kNotRun,
+            inputs_gone ? "inputs gone" : "server refused"};
+  }
+  verdict_ = RaiseVerdict(verdict_, Verdict::kMayHaveRun);
+  const bool is_success =
+      attempt->status() >= kOk && attempt->status() < kFirstNoSuccess;
+  if (job_->route_->kind_ == RouteKind::kStreaming && is_success) {
+    return RelayStream(attempt);
+  }
+  return RelayWhole(attempt);
+}
+
+RelayRequest::Ended RelayRequest::RelayWhole(ServerAttempt* attempt) {
+  const bool is_done = waker_->WaitUntil(
+      [attempt] { return attempt->is_done(); }, job_->deadline_);
+  if (waker_->caller_gone()) {
+    return {};
+  }
+  if (!is_done || attempt->outcome() != CallOutcome::kSuccess) {
+    attempt->Cancel();
+    return AfterFailure(*attempt);
+  }
+  const bool failed = attempt->status() >= kFirstServerError;
+  if (failed && job_->route_->MayRepeat() &&
+      runs_ + 1 < job_->route_->max_attempts_ &&
+      budget_->TryTake(SteadyNow(), context_->view_->GatewayCount())) {
+    return {Step::kMayHaveRun, "server error"};
+  }
+  if (stream_started_) {
+    // The stream broke, and its continuation was answered with a failure.
+    exchange_->Abort();
+    Finish("stream broken", kOk);
+    return {};
+  }
+  HttpReply reply = AnswerOf(attempt->status(), attempt->headers());
+  reply.body_ = attempt->TakeData();
+  verdict_ = RaiseVerdict(verdict_, Verdict::kRan);
+  exchange_->Reply(reply);
+  Finish("answered", attempt->status());
+  return {};
+}
+
+RelayRequest::Ended RelayRequest::RelayStream(ServerAttempt* attempt) {
+  while (true) {
+    const bool is_ready = waker_->WaitUntil(
+        [attempt] { return attempt->has_data() || attempt->is_done(); },
+        job_->deadline_);
+    if (waker_->caller_gone()) {
+      return {};
+    }
+    if (!is_ready) {
+      return AfterFailure(*attempt);
+    }
+    const bool is_done = attempt->is_done();
+    std::string whole;
+    const auto taken = events_.Feed(attempt->TakeData(), &whole);
+    if (!whole.empty() && !PassOn(whole, *attempt)) {
+      return {};
+    }
+    if (taken != EventSplitter::Taken::kGood) {
+      attempt->Cancel();
+      return {Step::kMayHaveRun, "events out of order"};
+    }
+    if (!is_done) {
+      continue;
+    }
+    if (attempt->outcome() != CallOutcome::kSuccess || events_.has_partial()) {
+      return AfterFailure(*attempt);
+    }
+    if (!stream_started_) {
+      exchange_->StartStream(AnswerOf(attempt->status(), attempt->headers()));
+    }
+    exchange_->EndStream();
+    verdict_ = RaiseVerdict(verdict_, Verdict::kRan);
+    Finish("answered", kOk);
+    return {};
+  }
+}
+
+// Hands whole events to the caller; false when it is gone.
+bool RelayRequest::PassOn(const std::string& events,
+                          const ServerAttempt& attempt) {
+  if (!had_first_event_) {
+    had_first_event_ = true;
+    router_->OnFirstEvent(last_server_, RouterCall());
+    // The engine has read its inputs.
+    stages_.FreeAll();
+  }
+  if (!stream_started_) {
+    stream_started_ = true;
+    first_event_after_ = Elapsed();
+    context_->metrics_->Observe(kFirstTokenSeconds, {job_->route_->name_},
+                                first_event_after_);
+    if (!exchange_->StartStream(
+            AnswerOf(attempt.status(), attempt.headers()))) {
+      return false;
+    }
+  }
+  return exchange_->Write(events);
+}
+
+RelayRequest::Ended RelayRequest::AfterFailure(
+    const ServerAttempt& attempt) const {
+  if (attempt.is_done() && attempt.outcome() == CallOutcome::kConnectFailed) {
+    return {Step::kNotRun, "connect failed"};
+  }
+  if (!attempt.was_sent()) {
+    return {Step::kNotRun, "not sent"};
+  }
+  return {Step::kMayHaveRun,
+          attempt.is_done() ? ToString(attempt.outcome()) : "silent"};
+}
+
+bool RelayRequest::MayGoOn(const Ended& ended) {
+  const TimePoint now = SteadyNow();
+  bool goes_on = false;
+  if (ended.step_ == Step::kNotRun) {
+    const bool arrived = ended.why_ == "server refused";
+    refusals_ += arrived ? 1 : 0;
+    goes_on =
+        !arrived || (refusals_ <= kMostRefusals &&
+                     budget_->TryTake(now, context_->view_->GatewayCount()));
+  } else {
+    verdict_ = RaiseVerdict(verdict_, Verdict::kMayHaveRun);
+    ++runs_;
+    events_.DropPartial();
+    const bool paid = ended.why_ == "server error";
+    goes_on = job_->route_->MayRepeat() &&
+              runs_ < job_->route_->max_attempts_ &&
+              (paid || budget_->TryTake(now, context_->view_->GatewayCount()));
+    // What the stages made was freed with the first event.
+    if (goes_on && stages_.HasWork() && stream_started_) {
+      goes_on = RunStages();
+    }
+  }
+  if (goes_on) {
+    context_->metrics_->Count(kRetriesTotal, {ended.why_, service_->name_});
+  }
+  context_->log_->Write(
+      "relay", goes_on ? "retry" : "gave up",
+      {{"request", job_->head_.request_id_},
+       {"server", last_server_},
+       {"why", ended.why_},
+       {"verdict", ToString(verdict_)},
+       {"runs", runs_},
+       {"after_ms", Elapsed()},
+       {"list_age_ms", context_->view_->ServersAge(now).value_or(Duration())}});
+  return goes_on;
+}
+
+std::optional<Duration> RelayRequest::StallLimit() const {
+  if (job_->route_->kind_ != RouteKind::kStreaming ||
+      !job_->route_->resumable_ || job_->route_->target_gap_ == Duration()) {
+    return std::nullopt;
+  }
+  return std::max(kShortestStall, job_->route_->target_gap_ * kStalledGaps);
+}
+
+Duration RelayRequest::FirstReplyLimit() const {
+  const auto silent = std::chrono::duration_cast<Duration>(
+      job_->route_->target_latency_ * kSilentTargets);
+  return std::max(kShortestSilence, silent);
+}
+
+void RelayRequest::RefuseAfterFailure() {
+  if (verdict_ == Verdict::kNotRun) {
+    Refuse(RefusalReason::kNoBackendServer);
+  } else if (SteadyNow() >= job_->deadline_) {
+    Refuse(RefusalReason::kDeadlineExceeded);
+  } else {
+    Refuse(RefusalReason::kStageFailed);
+  }
+}
+
+void RelayRequest::Refuse(RefusalReason reason) {
+  if (waker_->caller_gone()) {
+    return;
+  }
+  if (stream_started_) {
+    exchange_->Abort();
+    Finish("stream broken", kOk);
+    return;
+  }
+  const HttpReply reply = RefusalReply(reason, verdict_);
+  context_->metrics_->Count(
+      kRefusalsTotal, {ToString(reason), job_->route_->name_, job_->account_});
+  exchange_->Reply(reply);
+  Finish(ToString(reason), reply.status_);
+}
+
+void RelayRequest::Finish(std::string_view outcome, int status) {
+  finished_ = true;
+  const TimePoint now = SteadyNow();
+  context_->metrics_->Count(kRequestsTotal,
+                            {job_->route_->name_, job_->account_, outcome});
+  context_->metrics_->Observe(kRequestSeconds, {job_->route_->name_},
+                              Elapsed());
+  context_->log_->Write(
+      "relay", "request ended",
+      {{"request", job_->head_.request_id_},
+       {"route", job_->route_->name_},
+       {"account", job_->account_},
+       {"outcome", outcome},
+       {"status", status},
+       {"verdict", ToString(verdict_)},
+       {"server", last_server_},
+       {"tried", static_cast<uint64_t>(tried_.size())},
+       {"last_failure", last_failure_},
+       {"stages_ms", stages_took_},
+       {"first_event_ms", first_event_after_},
+       {"took_ms", Elapsed()},
+       {"target_ms", job_->target_ - job_->arrived_},
+       {"limit_ms", job_->deadline_ - job_->arrived_},
+       {"events", events_.events()},
+       {"config", job_->config_->version()},
+       {"list_age_ms", context_->view_->ServersAge(now).value_or(Duration())}});
+}
+
+Duration RelayRequest::Elapsed() const {
+  return SteadyNow() - job_->arrived_;
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/relay/relay_service.cc
@@ -0,0 +1,103 @@
+#include "citronlane/relay/relay_service.h"
+
+#include <algorithm>
+#include <string>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metric_names.h"
+#include "citronlane/observe/metrics.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/relay_answers.h"
+#include "citronlane/relay/relay_context.h"
+#include "citronlane/relay/relay_request.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/transport/http_exchange.h"
+#include "citronlane/transport/http_request.h"
+
+namespace citronlane {
+namespace {
+
+// The name without its port.
+std::string_view HostName(std::string_view host) {
+  const size_t colon = host.rfind(':');
+  const bool has_port = colon != std::string_view::npos &&
+                        host.find(']', colon) == std::string_view::npos;
+  return has_port ? host.substr(0, colon) : host;
+}
+
+}  // namespace
+
+RelayService::RelayService(const RelayContext* context, size_t most_requests)
+    : context_(context), most_requests_(most_requests) {}
+
+void RelayService::Serve(const HttpRequest& request, HttpExchange* exchange) {
+  RelayJob job;
+  job.arrived_ = SteadyNow();
+  if (const auto reason = Admit(request, &job)) {
+    Refuse(job, *reason, exchange);
+    return;
+  }
+  ++requests_in_hand_;
+  RelayRequest relay(context_, &job, &request, exchange);
+  relay.Run();
+  --requests_in_hand_;
+}
+
+std::optional<RefusalReason> RelayService::Admit(const HttpRequest& request,
+                                                 RelayJob* job) const {
+  job->head_ = context_->dialect_->read_request_(request.headers_);
+  job->config_ = context_->view_->config();
+  if (!job->config_) {
+    return RefusalReason::kNoConfiguration;
+  }
+  // A second host, or a target that names one, could mean another route to the
+  // server than it does here.
+  if (request.CountHeader("Host") != 1 || request.target_.empty() ||
+      request.target_.front() != '/' || job->head_.request_id_.empty()) {
+    return RefusalReason::kMalformedRequest;
+  }
+  job->route_ =
+      job->config_->FindRoute(HostName(job->head_.host_), request.Path());
+  if (job->route_ == nullptr) {
+    return RefusalReason::kUnknownRoute;
+  }
+  const Route& route = *job->route_;
+  job->priority_ = route.priority_;
+  if (job->config_->has_accounts() && !route.is_public_) {
+    const ClientAccount* account =
+        job->config_->FindAccount(job->head_.account_key_);
+    if (account == nullptr) {
+      return RefusalReason::kUnknownAccount;
+    }
+    job->account_ = account->name_;
+    job->priority_ = account->priority_.value_or(route.priority_);
+  }
+  const Duration limit =
+      std::min(route.timeout_, job->head_.time_left_.value_or(route.timeout_));
+  job->deadline_ = job->arrived_ + limit;
+  job->target_ = job->arrived_ + route.target_latency_;
+  if (requests_in_hand_ >= most_requests_) {
+    return RefusalReason::kConcurrencyLimit;
+  }
+  return std::nullopt;
+}
+
+void RelayService::Refuse(const RelayJob& job,
+                          RefusalReason reason,
+                          HttpExchange* exchange) const {
+  const HttpReply reply = RefusalReply(reason, Verdict::kNotRun);
+  const std::string route = job.route_ == nullptr ? "" : job.route_->name_;
+  context_->metrics_->Count(kRefusalsTotal,
+                            {ToString(reason), route, job.account_});
+  context_->log_->Write("relay", "refused",
+                        {{"request", job.head_.request_id_},
+                         {"route", route},
+                         {"reason", ToString(reason)},
+                         {"status", reply.status_},
+                         {"in_hand", static_cast<uint64_t>(requests_in_hand_)},
+                         {"config", job.config_ ? job.config_->version() : 0}});
+  exchange->Reply(reply);
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/relay/server_attempt.cc
@@ -0,0 +1,112 @@
+#include "citronlane/relay/server_attempt.h"
+
+#include <utility>
+
+#include "citronlane/relay/relay_context.h"
+#include "citronlane/relay/waker.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/transport/stage_call.h"
+#include "citronlane/transport/stage_call_hooks.h"
+#include "citronlane/transport/stage_client.h"
+#include "citronlane/transport/stage_reply_head.h"
+
+namespace citronlane {
+
+struct ServerAttempt::State {
+  bool was_sent_ = false;
+  bool has_head_ = false;
+  bool is_done_ = false;
+  CallOutcome outcome_ = CallOutcome::kCancelled;
+  int status_ = 0;
+  std::vector<HttpHeader> headers_;
+  ServerReplyHead reply_;
+  std::string data_;
+};
+
+ServerAttempt::ServerAttempt(const RelayContext* context,
+                             std::shared_ptr<Waker> waker,
+                             StageCallSpec spec,
+                             std::string request_id)
+    : state_(std::make_shared<State>()) {
+  const auto state = state_;
+  const Dialect* const dialect = context->dialect_;
+  StageCallHooks hooks;
+  hooks.sending_ = [state] {
+    state->was_sent_ = true;
+    return true;
+  };
+  hooks.is_mine_ = [dialect, request_id = std::move(request_id)](
+                       const StageReplyHead& head) {
+    // A reply without an id is the server's refusal to read the call.
+    const auto reply = dialect->read_reply_(head.status_, head.headers_);
+    return reply.request_id_.empty() || reply.request_id_ == request_id;
+  };
+  hooks.head_ = [state, dialect, waker](const StageReplyHead& head) {
+    state->has_head_ = true;
+    state->status_ = head.status_;
+    state->headers_ = head.headers_;
+    state->reply_ = dialect->read_reply_(head.status_, head.headers_);
+    waker->Wake();
+    return true;
+  };
+  hooks.data_ = [state, waker](std::string_view bytes) {
+    state->data_.append(bytes);
+    waker->Wake();
+  };
+  hooks.done_ = [state, waker](CallOutcome outcome, const std::string&) {
+    state->is_done_ = true;
+    state->outcome_ = outcome;
+    waker->Wake();
+  };
+  spec.streams_ = true;
+  call_ = context->client_->Start(std::move(spec), std::move(hooks));
+}
+
+ServerAttempt::~ServerAttempt() {
+  Cancel();
+}
+
+void ServerAttempt::Cancel() {
+  if (call_ && !state_->is_done_) {
+    call_->Cancel();
+  }
+  call_.reset();
+}
+
+bool ServerAttempt::was_sent() const {
+  return state_->was_sent_;
+}
+
+bool ServerAttempt::has_head() const {
+  return state_->has_head_;
+}
+
+bool ServerAttempt::is_done() const {
+  return state_->is_done_;
+}
+
+CallOutcome ServerAttempt::outcome() const {
+  return state_->outcome_;
+}
+
+int ServerAttempt::status() const {
+  return state_->status_;
+}
+
+const std::vector<HttpHeader>& ServerAttempt::headers() const {
+  return state_->headers_;
+}
+
+const ServerReplyHead& ServerAttempt::reply() const {
+  return state_->reply_;
+}
+
+std::string ServerAttempt::TakeData() {
+  return std::exchange(state_->data_, {});
+}
+
+bool ServerAttempt::has_data() const {
+  return !state_->data_.empty();
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/relay/stage_owners.cc
@@ -0,0 +1,357 @@
+#include "citronlane/relay/stage_owners.h"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/fleet/rendezvous.h"
+#include "citronlane/net/frame_channel.h"
+#include "citronlane/net/frame_link.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/stage_pool.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+namespace {
+
+using wire::fleet::Frame;
+using Result = StageOutcome::Result;
+
+/// A gateway whose connection broke is passed over for this long; by then its
+/// going is known everywhere.
+constexpr Duration kPassOver = std::chrono::milliseconds(1200);
+/// A task that was moved this often stays here.
+constexpr uint32_t kMostMoves = 3;
+
+uint64_t MillisecondsLeft(TimePoint until, TimePoint now) {
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(until - now);
+  return left.count() > 0 ? static_cast<uint64_t>(left.count()) : 0;
+}
+
+void EncodeTask(const StageTask& task,
+                TimePoint now,
+                wire::fleet::StageJob* out) {
+  out->set_request(task.request_id_);
+  out->set_stage(task.stage_);
+  out->set_pieces(task.pieces_);
+  out->set_key(task.key_);
+  out->set_has_inputs(task.has_inputs_);
+  for (const std::string& input : task.inputs_) {
+    out->add_inputs(input);
+  }
+  out->set_target_left_ms(MillisecondsLeft(task.target_, now));
+  out->set_deadline_left_ms(MillisecondsLeft(task.deadline_, now));
+  out->set_priority(task.priority_);
+  out->set_result_bytes(task.result_bytes_);
+}
+
+StageTask DecodeTask(const wire::fleet::StageJob& job, TimePoint now) {
+  StageTask task;
+  task.request_id_ = job.request();
+  task.stage_ = job.stage();
+  task.pieces_ = job.pieces();
+  task.key_ = job.key();
+  task.has_inputs_ = job.has_inputs();
+  task.inputs_.assign(job.inputs().begin(), job.inputs().end());
+  task.target_ = now + std::chrono::milliseconds(job.target_left_ms());
+  task.deadline_ = now + std::chrono::milliseconds(job.deadline_left_ms());
+  task.priority_ = job.priority();
+  task.result_bytes_ = job.result_bytes();
+  return task;
+}
+
+const char* NameOf(Result result) {
+  switch (result) {
+    case Result::kDone:
+      return "done";
+    case Result::kLate:
+      return "late";
+    case Result::kInputGone:
+      return "input gone";
+    case Result::kFailed:
+      break;
+  }
+  return "failed";
+}
+
+Result ResultOf(const std::string& name) {
+  for (const Result result :
+       {Result::kDone, Result::kLate, Result::kInputGone}) {
+    if (name == NameOf(result)) {
+      return result;
+    }
+  }
+  return Result::kFailed;
+}
+
+}  // namespace
+
+StageOwners::StageOwners(boost::asio::io_context* io,
+                         std::string own_endpoint,
+                         const FleetView* view,
+                         EventLog* log,
+                         PoolHook pool)
+    : io_(io),
+      own_endpoint_(std::move(own_endpoint)),
+      view_(view),
+      log_(log),
+      pool_(std::move(pool)) {}
+
+StageOwners::~StageOwners() = default;
+
+std::string StageOwners::OwnerOf(const std::string& service,
+                                 TimePoint now) const {
+  std::string owner = own_endpoint_;
+  uint64_t highest = 0;
+  for (const FleetView::Gateway& gateway : view_->gateways()) {
+    const auto lost = lost_until_.find(gateway.endpoint_);
+    if (gateway.stopping_ ||
+        (lost != lost_until_.end() && lost->second > now)) {
+      continue;
+    }
+    const uint64_t weight = RendezvousWeight(service, gateway.endpoint_);
+    if (weight > highest) {
+      owner = gateway.endpoint_;
+      highest = weight;
+    }
+  }
+  return owner;
+}
+
+uint64_t StageOwners::Submit(const std::string& service,
+                             StageTask task,
+                             Done done) {
+  const uint64_t number = ++last_job_;
+  Job& job = jobs_[number];
+  job.service_ = service;
+  job.task_ = std::move(task);
+  job.done_ = std::move(done);
+  Place(number);
+  return number;
+}
+
+void StageOwners::Place(uint64_t number) {
+  const auto it = jobs_.find(number);
+  if (it == jobs_.end()) {
+    return;
+  }
+  Job& job = it->second;
+  const TimePoint now = SteadyNow();
+  job.owner_ =
+      job.moves_ >= kMostMoves ? own_endpoint_ : OwnerOf(job.service_, now);
+  ++job.moves_;
+  if (job.owner_ == own_endpoint_) {
+    PlaceHere(number, &job);
+    return;
+  }
+  Frame frame;
+  auto* out = frame.mutable_job();
+  out->set_job(number);
+  out->set_service(job.service_);
+  EncodeTask(job.task_, now, out);
+  LinkTo(job.owner_)->Send(frame);
+}
+
+void StageOwners::PlaceHere(uint64_t number, Job* job) {
+  job->owner_.clear();
+  StagePool* pool = pool_(job->service_);
+  if (pool == nullptr) {
+    StageOutcome outcome;
+    outcome.not_run_ = true;
+    boost::asio::post(*io_,
+                      [this, number, outcome] { Finish(number, outcome); });
+    return;
+  }
+  // The pool may answer before it returns.
+  const uint64_t task = pool->Submit(
+      job->task_,
+      [this, number](const StageOutcome& outcome) { Finish(number, outcome); });
+  const auto it = jobs_.find(number);
+  if (it != jobs_.end()) {
+    it->second.local_task_ = task;
+  }
+}
+
+void StageOwners::Finish(uint64_t number, const StageOutcome& outcome) {
+  const auto it = jobs_.find(number);
+  if (it == jobs_.end()) {
+    return;
+  }
+  const Done done = std::move(it->second.done_);
+  jobs_.erase(it);
+  done(outcome);
+}
+
+void StageOwners::Cancel(uint64_t number) {
+  const auto it = jobs_.find(number);
+  if (it == jobs_.end()) {
+    return;
+  }
+  const Job job = std::move(it->second);
+  jobs_.erase(it);
+  if (job.owner_.empty()) {
+    if (StagePool* pool = pool_(job.service_)) {
+      pool->Cancel(job.local_task_);
+    }
+    return;
+  }
+  Frame frame;
+  frame.mutable_job_cancel()->set_job(number);
+  LinkTo(job.owner_)->Send(frame);
+}
+
+void StageOwners::Free(const std::string& service,
+                       absl::Span<const std::string> handles) {
+  if (handles.empty()) {
+    return;
+  }
+  const std::string owner = OwnerOf(service, SteadyNow());
+  if (owner == own_endpoint_) {
+    if (StagePool* pool = pool_(service)) {
+      pool->Free(handles);
+    }
+    return;
+  }
+  Frame frame;
+  auto* free = frame.mutable_free();
+  free->set_service(service);
+  for (const std::string& handle : handles) {
+    free->add_handles(handle);
+  }
+  LinkTo(owner)->Send(frame);
+}
+
+FrameLink* StageOwners::LinkTo(const std::string& endpoint) {
+  auto& link = links_[endpoint];
+  if (!link) {
+    FrameLink::Hooks hooks;
+    hooks.received_ = [this](Frame* frame) {
+      if (frame->has_job_result()) {
+        TakeResult(*frame);
+      }
+    };
+    // Not at once: the link may be lost within Send.
+    hooks.lost_ = [this, endpoint] {
+      boost::asio::post(*io_, [this, endpoint] { OwnerLost(endpoint); });
+    };
+    link = std::make_unique<FrameLink>(io_, endpoint, std::move(hooks));
+  }
+  return link.get();
+}
+
+void StageOwners::OwnerLost(const std::string& owner) {
+  lost_until_[owner] = SteadyNow() + kPassOver;
+  std::vector<uint64_t> moved;
+  for (const auto& [number, job] : jobs_) {
+    if (job.owner_ == owner) {
+      moved.push_back(number);
+    }
+  }
+  log_->Write(
+      "stages", "owner lost",
+      {{"owner", owner}, {"tasks", static_cast<uint64_t>(moved.size())}});
+  for (const uint64_t number : moved) {
+    Place(number);
+  }
+}
+
+void StageOwners::TakeResult(const Frame& frame) {
+  const auto& result = frame.job_result();
+  StageOutcome outcome;
+  outcome.result_ =
+      result.reason().empty() ? Result::kDone : ResultOf(result.reason());
+  outcome.handles_.assign(result.handles().begin(), result.handles().end());
+  outcome.not_run_ = result.not_run();
+  Finish(result.job(), outcome);
+}
+
+void StageOwners::Take(const std::shared_ptr<FrameChannel>& channel,
+                       Frame* frame) {
+  if (frame->has_job()) {
+    Serve(channel, frame);
+  } else if (frame->has_job_cancel()) {
+    const auto it = served_.find({channel.get(), frame->job_cancel().job()});
+    if (it != served_.end()) {
+      if (StagePool* pool = pool_(it->second.service_)) {
+        pool->Cancel(it->second.task_);
+      }
+      served_.erase(it);
+    }
+  } else if (frame->has_free()) {
+    if (StagePool* pool = pool_(frame->free().service())) {
+      const std::vector<std::string> handles(frame->free().handles().begin(),
+                                             frame->free().handles().end());
+      pool->Free(handles);
+    }
+  }
+}
+
+void StageOwners::Serve(const std::shared_ptr<FrameChannel>& channel,
+                        Frame* frame) {
+  const auto& job = frame->job();
+  const uint64_t number = job.job();
+  const ServedKey key{channel.get(), number};
+  const std::weak_ptr<FrameChannel> weak = channel;
+  const auto answer = [weak, number](const StageOutcome& outcome) {
+    const auto open = weak.lock();
+    if (!open) {
+      return;
+    }
+    Frame reply;
+    auto* result = reply.mutable_job_result();
+    result->set_job(number);
+    if (outcome.result_ != Result::kDone) {
+      result->set_reason(NameOf(outcome.result_));
+    }
+    for (const std::string& handle : outcome.handles_) {
+      result->add_handles(handle);
+    }
+    result->set_not_run(outcome.not_run_);
+    open->Send(reply);
+  };
+  StagePool* pool = pool_(job.service());
+  if (pool == nullptr) {
+    StageOutcome outcome;
+    outcome.not_run_ = true;
+    answer(outcome);
+    return;
+  }
+  served_[key] = Served{job.service(), 0};
+  const uint64_t task =
+      pool->Submit(DecodeTask(job, SteadyNow()),
+                   [this, key, answer](const StageOutcome& outcome) {
+                     served_.erase(key);
+                     answer(outcome);
+                   });
+  const auto it = served_.find(key);
+  if (it != served_.end()) {
+    it->second.task_ = task;
+  }
+}
+
+void StageOwners::Closed(const FrameChannel* channel) {
+  for (auto it = served_.lower_bound({channel, 0});
+       it != served_.end() && it->first.first == channel;) {
+    if (StagePool* pool = pool_(it->second.service_)) {
+      pool->Cancel(it->second.task_);
+    }
+    it = served_.erase(it);
+  }
+}
+
+void StageOwners::Tick(TimePoint now) {
+  std::map<std::string, bool> awaited;
+  for (const auto& [number, job] : jobs_) {
+    awaited[job.owner_] = true;
+  }
+  for (const auto& [endpoint, link] : links_) {
+    if (awaited.count(endpoint) != 0) {
+      link->CheckAlive(now);
+    }
+  }
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/relay/stage_pool.cc
@@ -0,0 +1,195 @@
+#include "citronlane/relay/stage_pool.h"
+
+#include <utility>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/net/server_call_spec.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/transport/stage_call.h"
+#include "citronlane/transport/stage_client.h"
+#include "citronlane/transport/stage_reply_head.h"
+
+namespace citronlane {
+namespace {
+
+constexpr int kOk = 200;
+/// Freeing is no work; a server that does not answer drops the results itself.
+constexpr Duration kFreeTime = std::chrono::milliseconds(800);
+
+}  // namespace
+
+StagePool::StagePool(std::string service,
+                     const StagePoolSpec& spec,
+                     const RepeatBudget::Options& budget,
+                     const FleetView* view,
+                     const Dialect* dialect,
+                     StageClient* client,
+                     EventLog* log)
+    : service_(std::move(service)),
+      view_(view),
+      dialect_(dialect),
+      client_(client),
+      log_(log),
+      budget_(budget),
+      // One gateway runs the pool, so that the allowance is all its own; two
+      // do for a moment when gateways come and go.
+      batcher_(spec,
+               [this](TimePoint now) { return budget_.TryTake(now, 2); }) {}
+
+StagePool::~StagePool() {
+  for (const auto& [number, call] : calls_) {
+    call->Cancel();
+  }
+}
+
+uint64_t StagePool::Submit(StageTask task, Done done) {
+  const TimePoint now = SteadyNow();
+  budget_.OnFirst(now);
+  const uint64_t number = batcher_.Add(std::move(task), now);
+  waiting_[number] = std::move(done);
+  Pump(now);
+  return number;
+}
+
+void StagePool::Cancel(uint64_t task) {
+  waiting_.erase(task);
+  batcher_.Cancel(task);
+}
+
+void StagePool::Free(absl::Span<const std::string> handles) {
+  batcher_.Free(handles);
+  Pump(SteadyNow());
+}
+
+void StagePool::Tick(TimePoint now) {
+  if (servers_number_ != view_->servers_number()) {
+    servers_number_ = view_->servers_number();
+    batcher_.SetServers(view_->ServersOf(service_));
+  }
+  const auto& config = view_->config();
+  if (config && config->version() != config_version_) {
+    config_version_ = config->version();
+    const Service* service = config->FindService(service_);
+    if (service != nullptr && service->stage_pool_) {
+      batcher_.SetSpec(*service->stage_pool_);
+    }
+  }
+  batcher_.Tick(now);
+  Pump(now);
+}
+
+void StagePool::Pump(TimePoint now) {
+  while (auto batch = batcher_.Next(now)) {
+    Start(std::move(*batch), now);
+  }
+  for (const StageOutcome& outcome : batcher_.TakeOutcomes()) {
+    const auto it = waiting_.find(outcome.task_);
+    if (it != waiting_.end()) {
+      const Done done = std::move(it->second);
+      waiting_.erase(it);
+      done(outcome);
+    }
+  }
+  SendUnwanted(now);
+}
+
+void StagePool::Start(StageBatch batch, TimePoint now) {
+  const uint64_t number = batch.call_;
+  StageCallSpec spec = SpecFor(batch.address_, "POST",
+                               dialect_->stage_call_path_, batch.deadline_);
+  ServerCallHead head;
+  head.server_id_ = batch.server_;
+  head.time_left_ = batch.deadline_ - now;
+  spec.headers_ = dialect_->write_call_({}, head);
+  spec.headers_.push_back({"Content-Type", "application/json"});
+  spec.body_ = dialect_->write_stage_call_(batch.pieces_);
+  log_->Write("stages", "call",
+              {{"service", service_},
+               {"server", batch.server_},
+               {"call", number},
+               {"pieces", static_cast<uint64_t>(batch.pieces_.size())},
+               {"waiting", static_cast<uint64_t>(batcher_.waiting_pieces())},
+               {"first_request", batch.pieces_.front().request_id_}});
+  struct Reply {
+    int status_ = 0;
+    bool not_run_ = false;
+  };
+  auto reply = std::make_shared<Reply>();
+  StageCallHooks hooks;
+  hooks.sending_ = [] { return true; };
+  hooks.head_ = [this, reply](const StageReplyHead& answered) {
+    reply->status_ = answered.status_;
+    reply->not_run_ =
+        dialect_->read_reply_(answered.status_, answered.headers_).not_run_;
+    return true;
+  };
+  hooks.done_ = [this, number, reply](CallOutcome outcome,
+                                      const std::string& body) {
+    calls_.erase(number);
+    if (outcome == CallOutcome::kSuccess) {
+      TakeReply(number, reply->status_, reply->not_run_, body);
+    } else {
+      TakeFailure(number, outcome);
+    }
+  };
+  calls_[number] = client_->Start(std::move(spec), std::move(hooks));
+}
+
+void StagePool::TakeReply(uint64_t call,
+                          int status,
+                          bool not_run,
+                          const std::string& body) {
+  const TimePoint now = SteadyNow();
+  Error error;
+  const auto results =
+      status == kOk ? dialect_->read_stage_reply_(body, &error) : std::nullopt;
+  if (results) {
+    batcher_.Finished(call, *results, now);
+  } else {
+    log_->Write("stages", "call refused",
+                {{"service", service_},
+                 {"call", call},
+                 {"status", status},
+                 {"not_run", not_run ? "yes" : "no"},
+                 {"reason", error.message_}});
+    batcher_.Failed(call,
+                    not_run ? StageBatcher::CallFailure::kRefused
+                            : StageBatcher::CallFailure::kLost,
+                    now);
+  }
+  Pump(now);
+}
+
+void StagePool::TakeFailure(uint64_t call, CallOutcome outcome) {
+  const TimePoint now = SteadyNow();
+  const bool not_sent = outcome == CallOutcome::kConnectFailed;
+  log_->Write("stages", "call failed",
+              {{"service", service_},
+               {"call", call},
+               {"sent", not_sent ? "no" : "yes"},
+               {"outcome", ToString(outcome)}});
+  batcher_.Failed(call,
+                  not_sent ? StageBatcher::CallFailure::kNotSent
+                           : StageBatcher::CallFailure::kLost,
+                  now);
+  Pump(now);
+}
+
+void StagePool::SendUnwanted(TimePoint now) {
+  for (auto& [address, handles] : batcher_.TakeUnwanted()) {
+    StageCallSpec spec =
+        SpecFor(address, "POST", dialect_->free_results_path_, now + kFreeTime);
+    spec.headers_.push_back({"Content-Type", "application/json"});
+    spec.body_ = dialect_->write_free_results_(handles);
+    StageCallHooks hooks;
+    hooks.sending_ = [] { return true; };
+    hooks.head_ = [](const StageReplyHead&) { return true; };
+    hooks.done_ = [](CallOutcome, const std::string&) {};
+    // Nobody waits for the answer; the client keeps the call until it is over.
+    client_->Start(std::move(spec), std::move(hooks));
+  }
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/relay/stage_runner.cc
@@ -0,0 +1,200 @@
+#include "citronlane/relay/stage_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "citronlane/relay/relay_job.h"
+#include "citronlane/relay/stage_owners.h"
+#include "citronlane/relay/waker.h"
+#include "citronlane/stages/stage_task.h"
+
+namespace citronlane {
+
+struct StageRunner::Answers {
+  std::vector<std::pair<size_t, StageOutcome>> new_;
+};
+
+StageRunner::StageRunner(const RelayJob* job,
+                         StageOwners* owners,
+                         std::shared_ptr<Waker> waker)
+    : job_(job), owners_(owners), waker_(std::move(waker)) {
+  Reset();
+}
+
+StageRunner::~StageRunner() {
+  FreeAll();
+}
+
+void StageRunner::Reset() {
+  answers_ = std::make_shared<Answers>();
+  failure_.reset();
+  const auto& counts = job_->head_.stage_pieces_;
+  stages_.assign(job_->route_->stages_.size(), Stage());
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    stages_[i].pieces_ = i < counts.size() ? counts[i] : 0;
+    stages_[i].is_done_ = stages_[i].pieces_ == 0;
+  }
+}
+
+bool StageRunner::HasWork() const {
+  return std::any_of(stages_.begin(), stages_.end(),
+                     [](const Stage& stage) { return stage.pieces_ > 0; });
+}
+
+StageRunner::Result StageRunner::Run() {
+  FreeAll();
+  Reset();
+  StartReady();
+  while (!AllDone()) {
+    const bool answered = waker_->WaitUntil(
+        [this] { return !answers_->new_.empty(); }, job_->deadline_);
+    if (waker_->caller_gone()) {
+      return Result::kCallerGone;
+    }
+    if (!answered) {
+      return Result::kLate;
+    }
+    TakeAnswers();
+    if (failure_) {
+      return *failure_ == StageOutcome::Result::kLate ? Result::kLate
+                                                      : Result::kFailed;
+    }
+    FreeUsed();
+    StartReady();
+  }
+  return Result::kDone;
+}
+
+void StageRunner::StartReady() {
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    if (!stages_[i].is_done_ && !stages_[i].job_ && IsReady(i)) {
+      Start(i);
+    }
+  }
+}
+
+bool StageRunner::IsReady(size_t index) const {
+  const auto& after = job_->route_->stages_[index].after_;
+  return std::all_of(after.begin(), after.end(), [this](uint32_t before) {
+    return stages_[before].is_done_;
+  });
+}
+
+void StageRunner::Start(size_t index) {
+  const RouteStage& declared = job_->route_->stages_[index];
+  StageTask task;
+  task.request_id_ = job_->head_.request_id_;
+  task.stage_ = static_cast<uint32_t>(index);
+  task.pieces_ = stages_[index].pieces_;
+  task.key_ = job_->head_.piece_key_;
+  task.has_inputs_ = !declared.after_.empty();
+  for (const uint32_t before : declared.after_) {
+    const auto& handles = stages_[before].handles_;
+    task.inputs_.insert(task.inputs_.end(), handles.begin(), handles.end());
+  }
+  task.target_ = job_->target_;
+  task.deadline_ = job_->deadline_;
+  task.priority_ = job_->priority_;
+  task.result_bytes_ = declared.result_bytes_;
+  const std::weak_ptr<Answers> weak = answers_;
+  const auto waker = waker_;
+  stages_[index].job_ =
+      owners_->Submit(declared.service_, std::move(task),
+                      [weak, waker, index](const StageOutcome& outcome) {
+                        if (const auto answers = weak.lock()) {
+                          answers->new_.emplace_back(index, outcome);
+                          waker->Wake();
+                        }
+                      });
+}
+
+void StageRunner::TakeAnswers() {
+  for (auto& [index, outcome] : std::exchange(answers_->new_, {})) {
+    Stage& stage = stages_[index];
+    stage.job_.reset();
+    not_run_ = not_run_ && outcome.not_run_;
+    if (outcome.result_ != StageOutcome::Result::kDone) {
+      failure_ = outcome.result_;
+      continue;
+    }
+    stage.is_done_ = true;
+    stage.handles_ = std::move(outcome.handles_);
+  }
+}
+
+// A stage whose followers are all done is needed by nobody.
+void StageRunner::FreeUsed() {
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    if (!stages_[i].is_done_ || !IsFollowed(i)) {
+      continue;
+    }
+    bool is_needed = false;
+    for (size_t j = 0; j < stages_.size(); ++j) {
+      const auto& after = job_->route_->stages_[j].after_;
+      is_needed = is_needed ||
+                  (!stages_[j].is_done_ &&
+                   std::find(after.begin(), after.end(), i) != after.end());
+    }
+    if (!is_needed) {
+      FreeStage(i);
+    }
+  }
+}
+
+void StageRunner::FreeStage(size_t index) {
+  Stage& stage = stages_[index];
+  if (!stage.is_freed_ && !stage.handles_.empty()) {
+    stage.is_freed_ = true;
+    owners_->Free(job_->route_->stages_[index].service_, stage.handles_);
+  }
+}
+
+void StageRunner::FreeAll() {
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    if (stages_[i].job_) {
+      owners_->Cancel(*stages_[i].job_);
+      stages_[i].job_.reset();
+    }
+    FreeStage(i);
+  }
+}
+
+bool StageRunner::IsFollowed(size_t index) const {
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    const auto& after = job_->route_->stages_[i].after_;
+    if (stages_[i].pieces_ > 0 &&
+        std::find(after.begin(), after.end(), index) != after.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool StageRunner::AllDone() const {
+  return std::all_of(stages_.begin(), stages_.end(),
+                     [](const Stage& stage) { return stage.is_done_; });
+}
+
+std::vector<std::string> StageRunner::Inputs() const {
+  std::vector<std::string> inputs;
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    if (!IsFollowed(i)) {
+      inputs.insert(inputs.end(), stages_[i].handles_.begin(),
+                    stages_[i].handles_.end());
+    }
+  }
+  return inputs;
+}
+
+uint64_t StageRunner::InputBytes() const {
+  uint64_t bytes = 0;
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    if (!IsFollowed(i)) {
+      bytes +=
+          stages_[i].handles_.size() * job_->route_->stages_[i].result_bytes_;
+    }
+  }
+  return bytes;
+}
+
+}  // namespace citronlane
