Refuse early what stages can't finish; make pieces near their data and whole tasks at once

Cause: in bursts the second stage's pool held 900 pieces, tasks died half made (85 s of stage work thrown away), results crossed failure domains (0.074 of the credit), callers left after four targets, before the deadline that we counted on. Change: pools tell how long a piece would wait; a request whose stages can't be done is refused before anything runs; tasks go whole into a call and near their inputs; a stream's first event is due within the caller's patience.

--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -39,6 +39,8 @@
   /// Servers of a service, leaving ones included.
   std::vector<const BackendServer*> ServersOf(std::string_view service) const;
   const BackendServer* FindServer(std::string_view id) const;
+  /// Failure domain of the server at "IP:port"; empty when there is none.
+  std::string DomainAt(std::string_view address) const;
   /// Rises with each change of the list.
   uint64_t servers_number() const { return servers_number_; }
   /// Age of the list; nothing until one was read.
@@ -52,6 +54,7 @@
   std::shared_ptr<const ServingConfig> config_;
   std::vector<BackendServer> servers_;
   std::map<std::string, size_t, std::less<>> by_id_;
+  std::map<std::string, size_t, std::less<>> by_address_;
   std::optional<TimePoint> servers_read_;
   uint64_t servers_number_ = 0;
   std::vector<Gateway> gateways_;
--- a/include/citronlane/relay/relay_job.h
+++ b/include/citronlane/relay/relay_job.h
@@ -24,6 +24,8 @@
   TimePoint arrived_;
   /// When its answer should begin.
   TimePoint target_;
+  /// When its caller gives up unless the answer has begun.
+  TimePoint begin_deadline_;
   /// When its caller, or its route, gives up.
   TimePoint deadline_;
 };
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -62,6 +62,7 @@
     std::string_view why_;
   };
 
+  bool MayBeInTime();
   bool RunStages();
   void RunAttempts();
   /// Chooses a server; null when there is none.
@@ -105,6 +106,7 @@
   bool stream_started_ = false;
   bool had_first_event_ = false;
   bool finished_ = false;
+  Duration expected_{};
   Duration stages_took_{};
   Duration first_event_after_{};
   std::string_view last_failure_ = "";
--- a/include/citronlane/relay/service_router.h
+++ b/include/citronlane/relay/service_router.h
@@ -37,6 +37,9 @@
   std::optional<std::string> Choose(TimePoint now,
                                     const EngineRouter::Call& call,
                                     absl::Span<const std::string> excluded);
+  /// Failure domain of the engine that the call would probably go to; empty
+  /// for other services.
+  std::string HomeDomain(TimePoint now, const EngineRouter::Call& call);
   /// Every OnStart is followed by one OnFinish.
   void OnStart(std::string_view server,
                TimePoint now,
--- a/include/citronlane/relay/stage_owners.h
+++ b/include/citronlane/relay/stage_owners.h
@@ -12,6 +12,7 @@
 
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
+#include "citronlane/stages/stage_batcher.h"
 #include "citronlane/stages/stage_outcome.h"
 #include "citronlane/stages/stage_task.h"
 
@@ -63,6 +64,10 @@
   /// Call every 100 ms.
   void Tick(TimePoint now);
 
+  /// How long a piece that came now would wait at the service's pool, as far as
+  /// this gateway knows.
+  StageBatcher::Wait ExpectedWait(const std::string& service, TimePoint now);
+
   size_t open_jobs() const { return jobs_.size(); }
   /// Tasks of other gateways in hand.
   size_t served_jobs() const { return served_.size(); }
@@ -81,6 +86,10 @@
     std::string service_;
     uint64_t task_ = 0;
   };
+  struct ReportedWait {
+    StageBatcher::Wait wait_;
+    TimePoint at_;
+  };
   using ServedKey = std::pair<const FrameChannel*, uint64_t>;
 
   std::string OwnerOf(const std::string& service, TimePoint now) const;
@@ -104,6 +113,8 @@
   /// Gateways whose connection broke, and until when they are passed over.
   std::map<std::string, TimePoint> lost_until_;
   std::map<ServedKey, Served> served_;
+  /// What the gateways that run the pools said last.
+  std::map<std::string, ReportedWait> waits_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -46,6 +46,9 @@
   /// Call every 50 ms or so, and when servers or the declaration changed.
   void Tick(TimePoint now);
 
+  StageBatcher::Wait ExpectedWait(TimePoint now) const {
+    return batcher_.ExpectedWait(now);
+  }
   size_t tasks() const { return batcher_.tasks(); }
 
  private:
--- a/include/citronlane/relay/stage_runner.h
+++ b/include/citronlane/relay/stage_runner.h
@@ -2,15 +2,19 @@
 #define CITRONLANE_RELAY_STAGE_RUNNER_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "citronlane/base/time.h"
 #include "citronlane/stages/stage_outcome.h"
 
 namespace citronlane {
 
+class FleetView;
 class StageOwners;
 class Waker;
 struct RelayJob;
@@ -24,6 +28,7 @@
 
   /// The pointers outlive the runner.
   StageRunner(const RelayJob* job,
+              const FleetView* view,
               StageOwners* owners,
               std::shared_ptr<Waker> waker);
   /// Gives up what is under way and frees what is left.
@@ -34,11 +39,23 @@
   /// Whether the request has any stage to run.
   bool HasWork() const;
 
+  /// How long all stages take, by what is known of their pools now: behind
+  /// everything that waits there, or only behind what may meet its target.
+  /// Nothing when a pool is not declared.
+  std::optional<Duration> ExpectedTime(bool behind_all, TimePoint now) const;
+
+  /// Failure domain in which the request's own server will probably be.
+  void SetResultDomain(std::string domain) {
+    result_domain_ = std::move(domain);
+  }
+
   /// Runs all stages; called again, it makes them anew. Suspends the handler.
   Result Run();
 
   /// Handles of the results that the request itself needs.
   std::vector<std::string> Inputs() const;
+  /// Failure domain in which most of those results lie; empty for none.
+  std::string InputDomain() const;
   /// Approximate size of those results.
   uint64_t InputBytes() const;
   /// The request has its inputs: nothing needs the results any more.
@@ -65,17 +82,21 @@
   void FreeUsed();
   void FreeStage(size_t index);
   bool IsReady(size_t index) const;
+  std::string NearDomainOf(size_t index) const;
+  void AddBytes(size_t index, std::map<std::string, uint64_t>* bytes) const;
   /// Whether another stage of the request follows.
   bool IsFollowed(size_t index) const;
   bool AllDone() const;
 
   const RelayJob* const job_;
+  const FleetView* const view_;
   StageOwners* const owners_;
   const std::shared_ptr<Waker> waker_;
   std::vector<Stage> stages_;
   std::shared_ptr<Answers> answers_;
   std::optional<StageOutcome::Result> failure_;
   bool not_run_ = true;
+  std::string result_domain_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/routing/engine_router.h
+++ b/include/citronlane/routing/engine_router.h
@@ -39,6 +39,10 @@
                                     const Call& call,
                                     absl::Span<const std::string> excluded);
 
+  /// Failure domain of the engine that the call would probably go to; empty
+  /// when there is none.
+  std::string HomeDomain(TimePoint now, const Call& call);
+
   /// Every OnStart is followed by one OnFinish; OnFirstEvent may come between.
   void OnStart(std::string_view server, TimePoint now, const Call& call);
   void OnFirstEvent(std::string_view server, const Call& call);
--- a/include/citronlane/serving/route.h
+++ b/include/citronlane/serving/route.h
@@ -25,6 +25,8 @@
   Duration target_latency_{};
   /// Longest pause between two events that still meets the target; 0: none.
   Duration target_gap_{};
+  /// Callers give up a stream that brings no event for this long; 0: never.
+  Duration caller_patience_{};
   /// 0 is the most urgent.
   uint32_t priority_ = 0;
   /// Most backend servers that one request may be sent to.
--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -70,6 +70,15 @@
   /// TakeUnwanted.
   void Free(absl::Span<const std::string> handles);
 
+  /// How long a piece that came now would wait for its call to begin.
+  struct Wait {
+    /// Behind those that may still meet their target.
+    Duration on_time_{};
+    /// Behind all.
+    Duration all_{};
+  };
+  Wait ExpectedWait(TimePoint now) const;
+
   size_t waiting_pieces() const { return waiting_; }
   size_t tasks() const { return tasks_.size(); }
   size_t open_calls() const { return calls_.size(); }
@@ -84,6 +93,7 @@
   };
   struct Task {
     StageTask task_;
+    TimePoint added_;
     std::vector<Piece> pieces_;
     uint32_t done_ = 0;
     bool was_sent_ = false;
@@ -95,6 +105,7 @@
   struct Server {
     std::string id_;
     std::string address_;
+    std::string failure_domain_;
     bool leaving_ = false;
     uint32_t calls_ = 0;
     /// Time of calls against what the declaration says, learned.
@@ -116,10 +127,16 @@
     bool hedged_ = false;
   };
 
-  Server* PickServer(TimePoint now);
+  std::vector<Server*> IdleServers(TimePoint now);
+  std::optional<StageBatch> NextFor(Server* server, TimePoint now);
   uint64_t RoomOf(const Server& server) const;
-  std::vector<std::pair<uint64_t, Task*>> TasksInOrder(TimePoint now);
+  std::vector<std::pair<uint64_t, Task*>> TasksInOrder(const Server& server,
+                                                       TimePoint now);
   TimePoint OrderOf(const StageTask& task, TimePoint now) const;
+  bool IsLate(const StageTask& task, TimePoint now) const;
+  bool IsNear(const Task& task, const Server& server) const;
+  bool WaitsForNearServer(const Task& task, TimePoint now) const;
+  bool FitsWhole(const Task& task, size_t places, uint64_t room) const;
   Duration Expected(const Server& server, size_t pieces) const;
   StagePiece MakePiece(const Task& task, uint32_t piece, TimePoint now) const;
   void TakeResult(uint64_t task,
--- a/include/citronlane/stages/stage_task.h
+++ b/include/citronlane/stages/stage_task.h
@@ -26,6 +26,9 @@
   uint32_t priority_ = 0;
   /// Approximate size of one result.
   uint64_t result_bytes_ = 0;
+  /// Failure domain in which the pieces should be made: where their inputs lie
+  /// or their results will be needed. Empty for none.
+  std::string near_domain_;
 };
 
 }  // namespace citronlane
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -30,8 +30,10 @@
   servers_ = std::move(servers);
   ++servers_number_;
   by_id_.clear();
+  by_address_.clear();
   for (size_t i = 0; i < servers_.size(); ++i) {
     by_id_[servers_[i].id_] = i;
+    by_address_[servers_[i].address_] = i;
   }
 }
 
@@ -62,6 +64,12 @@
   return it == by_id_.end() ? nullptr : &servers_[it->second];
 }
 
+std::string FleetView::DomainAt(std::string_view address) const {
+  const auto it = by_address_.find(address);
+  return it == by_address_.end() ? std::string()
+                                 : servers_[it->second].failure_domain_;
+}
+
 std::optional<Duration> FleetView::ServersAge(TimePoint now) const {
   return servers_read_ ? std::optional(now - *servers_read_) : std::nullopt;
 }
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -44,6 +44,11 @@
 constexpr uint32_t kUrgencyPerPriority = 2;
 constexpr uint32_t kLateUrgency = 2;
 constexpr uint32_t kLastUrgency = 9;
+/// What an engine takes to its first event when it is not pressed.
+constexpr Duration kServerTime = std::chrono::milliseconds(250);
+/// Part of a caller's patience up to which a late answer is attempted; the rest
+/// covers what the estimate does not know.
+constexpr double kUsedPatience = 0.7;
 constexpr int kFirstServerError = 500;
 constexpr int kOk = 200;
 constexpr int kFirstNoSuccess = 300;
@@ -60,7 +65,7 @@
       request_(request),
       exchange_(exchange),
       waker_(std::make_shared<Waker>(context->io_, exchange)),
-      stages_(job, context->owners_, waker_),
+      stages_(job, context->view_, context->owners_, waker_),
       events_(job->head_.last_event_) {}
 
 RelayRequest::~RelayRequest() {
@@ -72,7 +77,7 @@
   router_ = context_->router_(*service_);
   budget_ = context_->budget_(service_->name_);
   budget_->OnFirst(SteadyNow());
-  if (RunStages()) {
+  if (MayBeInTime() && RunStages()) {
     RunAttempts();
   }
   if (!finished_) {
@@ -98,11 +103,37 @@
   return split.back().service_;
 }
 
+// A request that can't be answered is refused before anything of it runs, so
+// that its caller may come back and its pieces take no places in calls.
+bool RelayRequest::MayBeInTime() {
+  if (!stages_.HasWork()) {
+    return true;
+  }
+  const TimePoint now = SteadyNow();
+  const auto best = stages_.ExpectedTime(false, now);
+  const auto worst = stages_.ExpectedTime(true, now);
+  if (!best || !worst || now + *best + kServerTime <= job_->target_) {
+    return true;
+  }
+  const auto limit = std::chrono::duration_cast<Duration>(
+      (job_->begin_deadline_ - now) * kUsedPatience);
+  if (*worst + kServerTime <= limit) {
+    return true;
+  }
+  last_failure_ = "stages too long";
+  expected_ = *worst;
+  Refuse(RefusalReason::kDeadlineUnreachable);
+  return false;
+}
+
 bool RelayRequest::RunStages() {
   if (!stages_.HasWork()) {
     return true;
   }
+  router_->Update(*context_->view_, SteadyNow());
+  stages_.SetResultDomain(router_->HomeDomain(SteadyNow(), RouterCall()));
   const StageRunner::Result result = stages_.Run();
+  near_domain_ = stages_.InputDomain();
   stages_took_ = Elapsed();
   if (!stages_.not_run()) {
     // A stage is a part of the request: "not run" would not be true any more.
@@ -460,6 +491,7 @@
        {"tried", static_cast<uint64_t>(tried_.size())},
        {"last_failure", last_failure_},
        {"stages_ms", stages_took_},
+       {"stages_expected_ms", expected_},
        {"first_event_ms", first_event_after_},
        {"took_ms", Elapsed()},
        {"target_ms", job_->target_ - job_->arrived_},
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -76,6 +76,10 @@
   const Duration limit =
       std::min(route.timeout_, job->head_.time_left_.value_or(route.timeout_));
   job->deadline_ = job->arrived_ + limit;
+  job->begin_deadline_ =
+      route.caller_patience_ > Duration()
+          ? std::min(job->deadline_, job->arrived_ + route.caller_patience_)
+          : job->deadline_;
   job->target_ = job->arrived_ + route.target_latency_;
   if (requests_in_hand_ >= most_requests_) {
     return RefusalReason::kConcurrencyLimit;
--- a/src/relay/service_router.cc
+++ b/src/relay/service_router.cc
@@ -67,6 +67,11 @@
   return choice ? std::optional(choice->server_) : std::nullopt;
 }
 
+std::string ServiceRouter::HomeDomain(TimePoint now,
+                                      const EngineRouter::Call& call) {
+  return has_engines_ ? engines_.HomeDomain(now, call) : std::string();
+}
+
 void ServiceRouter::OnStart(std::string_view server,
                             TimePoint now,
                             const EngineRouter::Call& call) {
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -1,5 +1,6 @@
 #include "citronlane/relay/stage_owners.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -25,10 +26,10 @@
 /// A task that was moved this often stays here.
 constexpr uint32_t kMostMoves = 3;
 
-uint64_t MillisecondsLeft(TimePoint until, TimePoint now) {
-  const auto left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(until - now);
-  return left.count() > 0 ? static_cast<uint64_t>(left.count()) : 0;
+uint64_t InMilliseconds(Duration time) {
+  const auto whole =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time);
+  return whole.count() > 0 ? static_cast<uint64_t>(whole.count()) : 0;
 }
 
 void EncodeTask(const StageTask& task,
@@ -42,10 +43,11 @@
   for (const std::string& input : task.inputs_) {
     out->add_inputs(input);
   }
-  out->set_target_left_ms(MillisecondsLeft(task.target_, now));
-  out->set_deadline_left_ms(MillisecondsLeft(task.deadline_, now));
+  out->set_target_left_ms(InMilliseconds(task.target_ - now));
+  out->set_deadline_left_ms(InMilliseconds(task.deadline_ - now));
   out->set_priority(task.priority_);
   out->set_result_bytes(task.result_bytes_);
+  out->set_near_domain(task.near_domain_);
 }
 
 StageTask DecodeTask(const wire::fleet::StageJob& job, TimePoint now) {
@@ -60,6 +62,7 @@
   task.deadline_ = now + std::chrono::milliseconds(job.deadline_left_ms());
   task.priority_ = job.priority();
   task.result_bytes_ = job.result_bytes();
+  task.near_domain_ = job.near_domain();
   return task;
 }
 
@@ -265,9 +268,34 @@
       result.reason().empty() ? Result::kDone : ResultOf(result.reason());
   outcome.handles_.assign(result.handles().begin(), result.handles().end());
   outcome.not_run_ = result.not_run();
+  const auto job = jobs_.find(result.job());
+  if (job != jobs_.end()) {
+    waits_[job->second.service_] =
+        ReportedWait{{std::chrono::milliseconds(result.wait_on_time_ms()),
+                      std::chrono::milliseconds(result.wait_all_ms())},
+                     SteadyNow()};
+  }
   Finish(result.job(), outcome);
 }
 
+StageBatcher::Wait StageOwners::ExpectedWait(const std::string& service,
+                                             TimePoint now) {
+  if (OwnerOf(service, now) == own_endpoint_) {
+    const StagePool* pool = pool_(service);
+    return pool == nullptr ? StageBatcher::Wait() : pool->ExpectedWait(now);
+  }
+  const auto it = waits_.find(service);
+  if (it == waits_.end()) {
+    return {};
+  }
+  // What was waiting then has been worked on since.
+  const Duration age = now - it->second.at_;
+  const auto left = [age](Duration wait) {
+    return std::max(Duration(), wait - age);
+  };
+  return {left(it->second.wait_.on_time_), left(it->second.wait_.all_)};
+}
+
 void StageOwners::Take(const std::shared_ptr<FrameChannel>& channel,
                        Frame* frame) {
   if (frame->has_job()) {
@@ -295,7 +323,8 @@
   const uint64_t number = job.job();
   const ServedKey key{channel.get(), number};
   const std::weak_ptr<FrameChannel> weak = channel;
-  const auto answer = [weak, number](const StageOutcome& outcome) {
+  const auto answer = [this, weak, number,
+                       service = job.service()](const StageOutcome& outcome) {
     const auto open = weak.lock();
     if (!open) {
       return;
@@ -310,6 +339,11 @@
       result->add_handles(handle);
     }
     result->set_not_run(outcome.not_run_);
+    if (const StagePool* running = pool_(service)) {
+      const auto wait = running->ExpectedWait(SteadyNow());
+      result->set_wait_on_time_ms(InMilliseconds(wait.on_time_));
+      result->set_wait_all_ms(InMilliseconds(wait.all_));
+    }
     open->Send(reply);
   };
   StagePool* pool = pool_(job.service());
--- a/src/relay/stage_runner.cc
+++ b/src/relay/stage_runner.cc
@@ -3,21 +3,33 @@
 #include <algorithm>
 #include <utility>
 
+#include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/relay_job.h"
 #include "citronlane/relay/stage_owners.h"
 #include "citronlane/relay/waker.h"
 #include "citronlane/stages/stage_task.h"
 
 namespace citronlane {
+namespace {
+
+std::string LargestOf(const std::map<std::string, uint64_t>& bytes) {
+  const auto largest = std::max_element(
+      bytes.begin(), bytes.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  return largest == bytes.end() ? std::string() : largest->first;
+}
+
+}  // namespace
 
 struct StageRunner::Answers {
   std::vector<std::pair<size_t, StageOutcome>> new_;
 };
 
 StageRunner::StageRunner(const RelayJob* job,
+                         const FleetView* view,
                          StageOwners* owners,
                          std::shared_ptr<Waker> waker)
-    : job_(job), owners_(owners), waker_(std::move(waker)) {
+    : job_(job), view_(view), owners_(owners), waker_(std::move(waker)) {
   Reset();
 }
 
@@ -47,7 +59,7 @@
   StartReady();
   while (!AllDone()) {
     const bool answered = waker_->WaitUntil(
-        [this] { return !answers_->new_.empty(); }, job_->deadline_);
+        [this] { return !answers_->new_.empty(); }, job_->begin_deadline_);
     if (waker_->caller_gone()) {
       return Result::kCallerGone;
     }
@@ -93,9 +105,10 @@
     task.inputs_.insert(task.inputs_.end(), handles.begin(), handles.end());
   }
   task.target_ = job_->target_;
-  task.deadline_ = job_->deadline_;
+  task.deadline_ = job_->begin_deadline_;
   task.priority_ = job_->priority_;
   task.result_bytes_ = declared.result_bytes_;
+  task.near_domain_ = NearDomainOf(index);
   const std::weak_ptr<Answers> weak = answers_;
   const auto waker = waker_;
   stages_[index].job_ =
@@ -108,6 +121,63 @@
                       });
 }
 
+// Where most of what each piece fetches lies; a stage that fetches nothing is
+// best made where its results will be needed.
+std::string StageRunner::NearDomainOf(size_t index) const {
+  const auto& after = job_->route_->stages_[index].after_;
+  if (after.empty()) {
+    return IsFollowed(index) ? std::string() : result_domain_;
+  }
+  std::map<std::string, uint64_t> bytes;
+  for (const uint32_t before : after) {
+    AddBytes(before, &bytes);
+  }
+  return LargestOf(bytes);
+}
+
+void StageRunner::AddBytes(size_t index,
+                           std::map<std::string, uint64_t>* bytes) const {
+  for (const std::string& handle : stages_[index].handles_) {
+    // A handle begins with its maker's address.
+    (*bytes)[view_->DomainAt(handle.substr(0, handle.find('/')))] +=
+        job_->route_->stages_[index].result_bytes_;
+  }
+}
+
+std::string StageRunner::InputDomain() const {
+  std::map<std::string, uint64_t> bytes;
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    if (!IsFollowed(i)) {
+      AddBytes(i, &bytes);
+    }
+  }
+  return LargestOf(bytes);
+}
+
+std::optional<Duration> StageRunner::ExpectedTime(bool behind_all,
+                                                  TimePoint now) const {
+  std::vector<Duration> finish(stages_.size());
+  Duration last{};
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    const RouteStage& declared = job_->route_->stages_[i];
+    for (const uint32_t before : declared.after_) {
+      finish[i] = std::max(finish[i], finish[before]);
+    }
+    if (stages_[i].pieces_ > 0) {
+      const Service* service = job_->config_->FindService(declared.service_);
+      if (service == nullptr || !service->stage_pool_) {
+        return std::nullopt;
+      }
+      const auto wait = owners_->ExpectedWait(declared.service_, now);
+      finish[i] += (behind_all ? wait.all_ : wait.on_time_) +
+                   service->stage_pool_->call_time_ +
+                   service->stage_pool_->piece_time_ * stages_[i].pieces_;
+    }
+    last = std::max(last, finish[i]);
+  }
+  return last;
+}
+
 void StageRunner::TakeAnswers() {
   for (auto& [index, outcome] : std::exchange(answers_->new_, {})) {
     Stage& stage = stages_[index];
--- a/src/routing/engine_router.cc
+++ b/src/routing/engine_router.cc
@@ -120,6 +120,11 @@
   return best == nullptr ? std::nullopt : std::optional(best->id_);
 }
 
+std::string EngineRouter::HomeDomain(TimePoint now, const Call& call) {
+  const auto id = Choose(now, call, {});
+  return id ? Find(*id)->failure_domain_ : std::string();
+}
+
 void EngineRouter::OnStart(std::string_view server,
                            TimePoint /*now*/,
                            const Call& call) {
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -27,7 +27,13 @@
 /// A server that refuses has calls of another gateway in hand.
 constexpr Duration kRefusedPause = std::chrono::milliseconds(60);
 /// What a step of urgency is worth against the time to the target.
-constexpr Duration kPriorityStep = std::chrono::milliseconds(200);
+constexpr Duration kPriorityStep = std::chrono::milliseconds(400);
+/// How long a task waits for a server near its data, and what it is worth when
+/// servers are busy: bytes between failure domains have their price.
+constexpr Duration kNearWait = std::chrono::milliseconds(100);
+constexpr Duration kFarStep = std::chrono::milliseconds(150);
+/// Part of the best throughput that calls reach: some are not full.
+constexpr double kReachedPart = 0.8;
 /// Tasks that missed their target come after those that may meet it, until so
 /// little time is left that they would get no answer at all.
 constexpr Duration kLateTasksBehind = std::chrono::seconds(10);
@@ -46,6 +52,7 @@
         known == servers_.end() ? Server() : std::move(known->second);
     server.id_ = listed->id_;
     server.address_ = listed->address_;
+    server.failure_domain_ = listed->failure_domain_;
     server.leaving_ = listed->leaving_;
     next.emplace(listed->id_, std::move(server));
   }
@@ -59,9 +66,10 @@
   servers_ = std::move(next);
 }
 
-uint64_t StageBatcher::Add(StageTask task, TimePoint /*now*/) {
+uint64_t StageBatcher::Add(StageTask task, TimePoint now) {
   const uint64_t number = ++last_number_;
   Task& added = tasks_[number];
+  added.added_ = now;
   added.pieces_.resize(task.pieces_);
   waiting_ += task.pieces_;
   added.task_ = std::move(task);
@@ -89,42 +97,68 @@
   return used >= room ? 0 : room - used;
 }
 
-// The fastest idle server; among equals the one with the most room.
-StageBatcher::Server* StageBatcher::PickServer(TimePoint now) {
-  Server* best = nullptr;
+// The fastest first; among equals the one with the most room.
+std::vector<StageBatcher::Server*> StageBatcher::IdleServers(TimePoint now) {
+  std::vector<Server*> idle;
   for (auto& [id, server] : servers_) {
-    if (server.leaving_ || server.calls_ > 0 || server.suspended_until_ > now) {
-      continue;
-    }
-    constexpr double kAlike = 1.15;
-    if (best == nullptr || server.slowness_ * kAlike < best->slowness_ ||
-        (server.slowness_ < best->slowness_ * kAlike &&
-         RoomOf(server) > RoomOf(*best))) {
-      best = &server;
+    if (!server.leaving_ && server.calls_ == 0 &&
+        server.suspended_until_ <= now) {
+      idle.push_back(&server);
     }
   }
-  return best;
+  // In steps, so that small differences do not count.
+  const auto step = [](const Server* server) {
+    constexpr double kSteps = 5;
+    return std::lround(server->slowness_ * kSteps);
+  };
+  std::sort(idle.begin(), idle.end(), [&](const Server* a, const Server* b) {
+    return std::make_pair(step(a), RoomOf(*b)) <
+           std::make_pair(step(b), RoomOf(*a));
+  });
+  return idle;
+}
+
+bool StageBatcher::IsLate(const StageTask& task, TimePoint now) const {
+  return now + spec_.call_time_ > task.target_;
 }
 
 TimePoint StageBatcher::OrderOf(const StageTask& task, TimePoint now) const {
-  const Duration least = spec_.call_time_;
-  TimePoint order = task.target_ + kPriorityStep * task.priority_;
-  if (now + least > task.target_) {
-    order = task.deadline_ - now <= kLastChance ? task.target_
-                                                : order + kLateTasksBehind;
+  const TimePoint order = task.target_ + kPriorityStep * task.priority_;
+  if (!IsLate(task, now)) {
+    return order;
   }
-  return order;
+  return task.deadline_ - now <= kLastChance ? task.target_
+                                             : order + kLateTasksBehind;
+}
+
+bool StageBatcher::IsNear(const Task& task, const Server& server) const {
+  return task.task_.near_domain_.empty() ||
+         task.task_.near_domain_ == server.failure_domain_;
+}
+
+// A busy server near the task's data is worth a short wait.
+bool StageBatcher::WaitsForNearServer(const Task& task, TimePoint now) const {
+  if (now - task.added_ >= kNearWait || IsLate(task.task_, now)) {
+    return false;
+  }
+  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
+    const Server& server = entry.second;
+    return !server.leaving_ && server.suspended_until_ <= now &&
+           IsNear(task, server);
+  });
 }
 
 std::vector<std::pair<uint64_t, StageBatcher::Task*>>
-StageBatcher::TasksInOrder(TimePoint now) {
+StageBatcher::TasksInOrder(const Server& server, TimePoint now) {
   std::vector<std::pair<TimePoint, uint64_t>> order;
   for (const auto& [number, task] : tasks_) {
     const bool waits =
         std::any_of(task.pieces_.begin(), task.pieces_.end(),
                     [](const Piece& piece) { return piece.waits_; });
-    if (waits) {
-      order.emplace_back(OrderOf(task.task_, now), number);
+    const bool is_near = IsNear(task, server);
+    if (waits && (is_near || !WaitsForNearServer(task, now))) {
+      order.emplace_back(
+          OrderOf(task.task_, now) + (is_near ? Duration() : kFarStep), number);
     }
   }
   std::sort(order.begin(), order.end());
@@ -136,6 +170,48 @@
   return tasks;
 }
 
+// Pieces of one task go together: results of a part would only take room until
+// the rest is made. A task that no call or server could take whole is cut.
+bool StageBatcher::FitsWhole(const Task& task,
+                             size_t places,
+                             uint64_t room) const {
+  const auto waiting = static_cast<size_t>(
+      std::count_if(task.pieces_.begin(), task.pieces_.end(),
+                    [](const Piece& piece) { return piece.waits_; }));
+  const uint64_t bytes = waiting * task.task_.result_bytes_;
+  const bool can_never = waiting > spec_.batch_ ||
+                         static_cast<double>(bytes) >
+                             static_cast<double>(spec_.room_bytes_) * kUsedRoom;
+  return can_never || (waiting <= places && bytes <= room);
+}
+
+StageBatcher::Wait StageBatcher::ExpectedWait(TimePoint now) const {
+  double pieces_per_us = 0;
+  for (const auto& [id, server] : servers_) {
+    if (!server.leaving_ && server.suspended_until_ <= now) {
+      const Duration call = Expected(server, spec_.batch_);
+      pieces_per_us += spec_.batch_ / std::max(1.0, double(call.count()));
+    }
+  }
+  if (pieces_per_us <= 0) {
+    // Nobody takes anything now; how long that lasts is not known.
+    return {kLongestCall, kLongestCall};
+  }
+  double on_time = 0;
+  double all = 0;
+  for (const auto& [number, task] : tasks_) {
+    const auto waiting = static_cast<double>(
+        std::count_if(task.pieces_.begin(), task.pieces_.end(),
+                      [](const Piece& piece) { return piece.waits_; }));
+    all += waiting;
+    on_time += IsLate(task.task_, now) ? 0 : waiting;
+  }
+  const auto wait = [&](double pieces) {
+    return Duration(std::llround(pieces / (pieces_per_us * kReachedPart)));
+  };
+  return {wait(on_time), wait(all)};
+}
+
 Duration StageBatcher::Expected(const Server& server, size_t pieces) const {
   const double work = static_cast<double>(spec_.piece_time_.count()) *
                       piece_factor_ * static_cast<double>(pieces);
@@ -161,15 +237,23 @@
   if (waiting_ == 0) {
     return std::nullopt;
   }
-  Server* server = PickServer(now);
-  if (server == nullptr) {
-    return std::nullopt;
+  for (Server* server : IdleServers(now)) {
+    if (auto batch = NextFor(server, now)) {
+      return batch;
+    }
   }
+  return std::nullopt;
+}
+
+std::optional<StageBatch> StageBatcher::NextFor(Server* server, TimePoint now) {
   uint64_t room = RoomOf(*server);
   Call call;
   StageBatch batch;
-  for (const auto& [number, task] : TasksInOrder(now)) {
+  for (const auto& [number, task] : TasksInOrder(*server, now)) {
     const uint64_t bytes = task->task_.result_bytes_;
+    if (!FitsWhole(*task, spec_.batch_ - batch.pieces_.size(), room)) {
+      continue;
+    }
     for (uint32_t i = 0; i < task->pieces_.size(); ++i) {
       Piece& piece = task->pieces_[i];
       if (!piece.waits_ || batch.pieces_.size() >= spec_.batch_ ||
