Give late stage calls' servers another call; work towards what the chain leaves

Cause: a call whose answer was lost or late blocked its server for good (its count never fell), so that 2 of 5 servers did a pool's work for 12 s; stages worked towards the request's own target, so what was too late went first; input lost on the way failed the request; tasks that were late on arrival got a 504 though nothing had run. Change: one place ends a call at its server; a stage's target leaves time for what follows; stages are made anew once when an input is gone; nothing run is refused as such.

--- a/include/citronlane/relay/stage_runner.h
+++ b/include/citronlane/relay/stage_runner.h
@@ -39,7 +39,7 @@
   /// Whether the request has any stage to run.
   bool HasWork() const;
 
-  /// How long all stages take, by what is known of their pools now: behind
+  /// How long it takes until the request's own answer begins, by what is known of their pools now: behind
   /// everything that waits there, or only behind what may meet its target.
   /// Nothing when a pool is not declared.
   std::optional<Duration> ExpectedTime(bool behind_all, TimePoint now) const;
@@ -75,6 +75,7 @@
   // What the hooks of jobs fill in; outlives the runner.
   struct Answers;
 
+  Result RunOnce();
   void Reset();
   void StartReady();
   void Start(size_t index);
@@ -82,6 +83,7 @@
   void FreeUsed();
   void FreeStage(size_t index);
   bool IsReady(size_t index) const;
+  Duration TimeAfter(size_t index) const;
   std::string NearDomainOf(size_t index) const;
   void AddBytes(size_t index, std::map<std::string, uint64_t>* bytes) const;
   /// Whether another stage of the request follows.
--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -122,6 +122,8 @@
     std::vector<std::pair<uint64_t, uint32_t>> pieces_;
     TimePoint begun_;
     Duration expected_{};
+    /// Of the server when the call began.
+    double slowness_ = 1;
     uint64_t reserved_bytes_ = 0;
     /// Its pieces were given to another server as well.
     bool hedged_ = false;
@@ -139,6 +141,7 @@
   bool FitsWhole(const Task& task, size_t places, uint64_t room) const;
   Duration Expected(const Server& server, size_t pieces) const;
   StagePiece MakePiece(const Task& task, uint32_t piece, TimePoint now) const;
+  Server* ReleaseCall(const Call& call);
   void TakeResult(uint64_t task,
                   uint32_t piece,
                   const StagePieceResult& result,
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -44,8 +44,6 @@
 constexpr uint32_t kUrgencyPerPriority = 2;
 constexpr uint32_t kLateUrgency = 2;
 constexpr uint32_t kLastUrgency = 9;
-/// What an engine takes to its first event when it is not pressed.
-constexpr Duration kServerTime = std::chrono::milliseconds(250);
 /// Part of a caller's patience up to which a late answer is attempted; the rest
 /// covers what the estimate does not know.
 constexpr double kUsedPatience = 0.7;
@@ -112,12 +110,12 @@
   const TimePoint now = SteadyNow();
   const auto best = stages_.ExpectedTime(false, now);
   const auto worst = stages_.ExpectedTime(true, now);
-  if (!best || !worst || now + *best + kServerTime <= job_->target_) {
+  if (!best || !worst || now + *best <= job_->target_) {
     return true;
   }
   const auto limit = std::chrono::duration_cast<Duration>(
       (job_->begin_deadline_ - now) * kUsedPatience);
-  if (*worst + kServerTime <= limit) {
+  if (*worst <= limit) {
     return true;
   }
   last_failure_ = "stages too long";
@@ -146,7 +144,8 @@
       break;
     case StageRunner::Result::kLate:
       last_failure_ = "stages late";
-      Refuse(RefusalReason::kDeadlineExceeded);
+      Refuse(verdict_ == Verdict::kNotRun ? RefusalReason::kDeadlineUnreachable
+                                          : RefusalReason::kDeadlineExceeded);
       break;
     case StageRunner::Result::kFailed:
       last_failure_ = "stage failed";
--- a/src/relay/stage_runner.cc
+++ b/src/relay/stage_runner.cc
@@ -12,6 +12,9 @@
 namespace citronlane {
 namespace {
 
+/// What a server takes to the first event of its answer when it is not pressed.
+constexpr Duration kServerTime = std::chrono::milliseconds(250);
+
 std::string LargestOf(const std::map<std::string, uint64_t>& bytes) {
   const auto largest = std::max_element(
       bytes.begin(), bytes.end(),
@@ -54,6 +57,17 @@
 }
 
 StageRunner::Result StageRunner::Run() {
+  Result result = RunOnce();
+  // A server took results with it, or kept them no longer: there is time for
+  // one more try when the caller is patient.
+  if (result == Result::kFailed &&
+      failure_ == StageOutcome::Result::kInputGone) {
+    result = RunOnce();
+  }
+  return result;
+}
+
+StageRunner::Result StageRunner::RunOnce() {
   FreeAll();
   Reset();
   StartReady();
@@ -104,8 +118,9 @@
     const auto& handles = stages_[before].handles_;
     task.inputs_.insert(task.inputs_.end(), handles.begin(), handles.end());
   }
-  task.target_ = job_->target_;
-  task.deadline_ = job_->begin_deadline_;
+  const Duration rest = TimeAfter(index);
+  task.target_ = job_->target_ - rest;
+  task.deadline_ = job_->begin_deadline_ - rest;
   task.priority_ = job_->priority_;
   task.result_bytes_ = declared.result_bytes_;
   task.near_domain_ = NearDomainOf(index);
@@ -121,6 +136,29 @@
                       });
 }
 
+// What the request still needs at least once this stage is done. A stage that
+// worked towards the request's own target would serve first what is too late
+// already: in a burst of twice the load a quarter of the requests met their
+// target so, and with the rest taken off more than half.
+Duration StageRunner::TimeAfter(size_t index) const {
+  Duration longest = kServerTime;
+  for (size_t i = index + 1; i < stages_.size(); ++i) {
+    const RouteStage& declared = job_->route_->stages_[i];
+    const auto& after = declared.after_;
+    const Service* service = job_->config_->FindService(declared.service_);
+    if (stages_[i].pieces_ == 0 || service == nullptr ||
+        !service->stage_pool_ ||
+        std::find(after.begin(), after.end(), index) == after.end()) {
+      continue;
+    }
+    const Duration call =
+        service->stage_pool_->call_time_ +
+        service->stage_pool_->piece_time_ * stages_[i].pieces_;
+    longest = std::max(longest, call + TimeAfter(i));
+  }
+  return longest;
+}
+
 // Where most of what each piece fetches lies; a stage that fetches nothing is
 // best made where its results will be needed.
 std::string StageRunner::NearDomainOf(size_t index) const {
@@ -175,7 +213,7 @@
     }
     last = std::max(last, finish[i]);
   }
-  return last;
+  return last + kServerTime;
 }
 
 void StageRunner::TakeAnswers() {
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -10,6 +10,8 @@
 /// Results are somewhat larger than declared; a server without room drops a
 /// piece after its call has begun.
 constexpr double kUsedRoom = 0.92;
+/// Keeps what is learned of a server away from 0.
+constexpr double kLeastSlowness = 0.05;
 /// A piece that failed this often is not tried again.
 constexpr uint32_t kMostTries = 4;
 /// Weight of the newest call in what is learned of a server.
@@ -27,7 +29,7 @@
 /// A server that refuses has calls of another gateway in hand.
 constexpr Duration kRefusedPause = std::chrono::milliseconds(60);
 /// What a step of urgency is worth against the time to the target.
-constexpr Duration kPriorityStep = std::chrono::milliseconds(400);
+constexpr Duration kPriorityStep = std::chrono::milliseconds(800);
 /// How long a task waits for a server near its data, and what it is worth when
 /// servers are busy: bytes between failure domains have their price.
 constexpr Duration kNearWait = std::chrono::milliseconds(100);
@@ -136,9 +138,11 @@
          task.task_.near_domain_ == server.failure_domain_;
 }
 
-// A busy server near the task's data is worth a short wait.
+// A busy server near the task's data is worth a short wait, but for when
+// calls are full anyway.
 bool StageBatcher::WaitsForNearServer(const Task& task, TimePoint now) const {
-  if (now - task.added_ >= kNearWait || IsLate(task.task_, now)) {
+  if (waiting_ > spec_.batch_ || now - task.added_ >= kNearWait ||
+      IsLate(task.task_, now)) {
     return false;
   }
   return std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
@@ -280,6 +284,7 @@
   call.server_ = server->id_;
   call.begun_ = now;
   call.expected_ = Expected(*server, batch.pieces_.size());
+  call.slowness_ = server->slowness_;
   server->reserved_bytes_ += call.reserved_bytes_;
   ++server->calls_;
   batch.call_ = ++last_number_;
@@ -290,6 +295,22 @@
   return batch;
 }
 
+// Ends the call at its server; null when that is gone.
+StageBatcher::Server* StageBatcher::ReleaseCall(const Call& call) {
+  const auto found = servers_.find(call.server_);
+  if (found == servers_.end()) {
+    return nullptr;
+  }
+  Server& server = found->second;
+  // A server that was away from the list has begun to count anew.
+  server.reserved_bytes_ -=
+      std::min(server.reserved_bytes_, call.reserved_bytes_);
+  if (!call.hedged_ && server.calls_ > 0) {
+    --server.calls_;
+  }
+  return &server;
+}
+
 void StageBatcher::Finished(uint64_t number,
                             absl::Span<const StagePieceResult> results,
                             TimePoint now) {
@@ -299,15 +320,12 @@
   }
   const Call call = std::move(it->second);
   calls_.erase(it);
-  const auto found = servers_.find(call.server_);
-  Server* server = found == servers_.end() ? nullptr : &found->second;
+  Server* server = ReleaseCall(call);
   if (server != nullptr) {
-    --server->calls_;
-    server->reserved_bytes_ -= call.reserved_bytes_;
     server->failures_in_row_ = 0;
-    const double took = static_cast<double>((now - call.begun_).count());
+    const auto took = static_cast<double>((now - call.begun_).count());
     const double usual = static_cast<double>(call.expected_.count()) /
-                         std::max(server->slowness_, 1e-3);
+                         std::max(call.slowness_, kLeastSlowness);
     if (usual > 0) {
       server->slowness_ += kLearnWeight * (took / usual - server->slowness_);
     }
@@ -410,14 +428,11 @@
   }
   const Call call = std::move(it->second);
   calls_.erase(it);
-  if (const auto found = servers_.find(call.server_); found != servers_.end()) {
-    Server& server = found->second;
-    --server.calls_;
-    server.reserved_bytes_ -= call.reserved_bytes_;
+  if (Server* server = ReleaseCall(call)) {
     if (failure == CallFailure::kRefused) {
-      server.suspended_until_ = now + kRefusedPause;
+      server->suspended_until_ = now + kRefusedPause;
     } else {
-      Suspend(&server, now);
+      Suspend(server, now);
     }
   }
   for (const auto& [task, piece] : call.pieces_) {
@@ -491,10 +506,12 @@
       continue;
     }
     call.hedged_ = true;
-    if (const auto server = servers_.find(call.server_);
-        server != servers_.end()) {
-      server->second.slowness_ =
-          std::max(server->second.slowness_, kLateFactor);
+    if (const auto found = servers_.find(call.server_);
+        found != servers_.end() && found->second.calls_ > 0) {
+      // Slow, or only this answer was lost: the next call will tell.
+      Server& server = found->second;
+      server.slowness_ = std::max(server.slowness_, kLateFactor);
+      --server.calls_;
     }
     for (const auto& [task, piece] : call.pieces_) {
       if (const auto owner = tasks_.find(task);
