Free inputs once fetched; keep late stage tasks behind; hand back a leaving owner's tasks

Cause: room for results bounds the second stage's pool (46 results a server, each held for about 0.75 s); tasks at their last chance pushed everybody behind their target; a gateway that leaves kept its waiting tasks, so that two gateways called the same servers; when all gateways were leaving each ran the pools itself; pieces that met a spent budget failed the request. Change: a stage's inputs are freed 100 ms after the servers have its pieces; late tasks come last; waiting tasks are handed back; one of the leaving gateways runs a pool if there is no other; a repeat is counted a request and waits for budget.

--- a/include/citronlane/relay/stage_owners.h
+++ b/include/citronlane/relay/stage_owners.h
@@ -37,6 +37,7 @@
 class StageOwners {
  public:
   using Done = std::function<void(const StageOutcome& outcome)>;
+  using InputsTaken = std::function<void()>;
   /// The pool of a service, run here; null when the service has none.
   using PoolHook = std::function<StagePool*(const std::string& service)>;
 
@@ -50,8 +51,12 @@
   StageOwners(const StageOwners&) = delete;
   StageOwners& operator=(const StageOwners&) = delete;
 
-  /// `done` is called once, later, unless the task is cancelled.
-  uint64_t Submit(const std::string& service, StageTask task, Done done);
+  /// `done` is called once, later, unless the task is cancelled;
+  /// `inputs_taken` may be called before it: see StagePool::Submit.
+  uint64_t Submit(const std::string& service,
+                  StageTask task,
+                  Done done,
+                  InputsTaken inputs_taken);
   void Cancel(uint64_t job);
   /// The results of a service's stage are not needed any more.
   void Free(const std::string& service, absl::Span<const std::string> handles);
@@ -77,6 +82,7 @@
     std::string service_;
     StageTask task_;
     Done done_;
+    InputsTaken inputs_taken_;
     /// Where it is; empty: here.
     std::string owner_;
     uint64_t local_task_ = 0;
@@ -96,6 +102,7 @@
   void Place(uint64_t number);
   void PlaceHere(uint64_t number, Job* job);
   void Finish(uint64_t number, const StageOutcome& outcome);
+  void NoteInputsTaken(uint64_t number);
   void OwnerLost(const std::string& owner);
   void TakeResult(const wire::fleet::Frame& frame);
   void Serve(const std::shared_ptr<FrameChannel>& channel,
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -26,6 +26,7 @@
 class StagePool {
  public:
   using Done = std::function<void(const StageOutcome& outcome)>;
+  using InputsTaken = std::function<void()>;
 
   /// The pointers outlive the pool.
   StagePool(std::string service,
@@ -39,10 +40,13 @@
   StagePool(const StagePool&) = delete;
   StagePool& operator=(const StagePool&) = delete;
 
-  /// Starts a task; `done` is called once, later, unless it is cancelled.
-  uint64_t Submit(StageTask task, Done done);
+  /// Starts a task; `done` is called once, later, unless it is cancelled, and
+  /// `inputs_taken` before it when servers have fetched what it works on.
+  uint64_t Submit(StageTask task, Done done, InputsTaken inputs_taken);
   void Cancel(uint64_t task);
   void Free(absl::Span<const std::string> handles);
+  /// This gateway is going: tasks of which nothing was sent end as moved.
+  void HandBackWaiting();
   /// Call every 50 ms or so, and when servers or the declaration changed.
   void Tick(TimePoint now);
 
@@ -70,7 +74,12 @@
   StageBatcher batcher_;
   uint64_t servers_number_ = 0;
   uint64_t config_version_ = 0;
-  std::map<uint64_t, Done> waiting_;
+  struct Waiting {
+    Done done_;
+    InputsTaken inputs_taken_;
+  };
+
+  std::map<uint64_t, Waiting> waiting_;
   std::map<uint64_t, std::shared_ptr<StageCall>> calls_;
 };
 
--- a/include/citronlane/relay/stage_runner.h
+++ b/include/citronlane/relay/stage_runner.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -39,9 +40,9 @@
   /// Whether the request has any stage to run.
   bool HasWork() const;
 
-  /// How long it takes until the request's own answer begins, by what is known of their pools now: behind
-  /// everything that waits there, or only behind what may meet its target.
-  /// Nothing when a pool is not declared.
+  /// How long it takes until the request's own answer begins, by what is known
+  /// of their pools now: behind everything that waits there, or only behind
+  /// what may meet its target. Nothing when a pool is not declared.
   std::optional<Duration> ExpectedTime(bool behind_all, TimePoint now) const;
 
   /// Failure domain in which the request's own server will probably be.
@@ -63,12 +64,16 @@
 
   /// No piece was ever handed to a server.
   bool not_run() const { return not_run_; }
+  /// What went wrong, for the log.
+  std::string_view failure() const;
 
  private:
   struct Stage {
     uint32_t pieces_ = 0;
     std::optional<uint64_t> job_;
     bool is_done_ = false;
+    /// What it works on was fetched by the servers that make it.
+    bool has_inputs_ = false;
     bool is_freed_ = false;
     std::vector<std::string> handles_;
   };
--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -28,7 +28,7 @@
 /// methods. Not thread safe.
 class StageBatcher {
  public:
-  /// Whether a piece may be handed to a server once more now.
+  /// Whether a request's pieces may be handed to servers once more now.
   using RepeatHook = std::function<bool(TimePoint now)>;
   /// How a call ended that brought no results.
   enum class CallFailure {
@@ -62,8 +62,15 @@
   /// dropped by itself. Call every 50 ms or so.
   void Tick(TimePoint now);
 
+  /// This gateway is going: ends the tasks of which nothing was sent, so that
+  /// another one may run them.
+  void HandBackWaiting();
+
   /// Tasks that ended since the last call.
   std::vector<StageOutcome> TakeOutcomes();
+  /// Tasks whose inputs were fetched since the last call: they may be freed,
+  /// and if a call is lost all the same, the task ends as kInputGone.
+  std::vector<uint64_t> TakeTasksWithInputsTaken();
   /// Results that nobody wants, by the address of the server that keeps them.
   std::map<std::string, std::vector<std::string>> TakeUnwanted();
   /// The results are not needed any more: makes room and hands them to
@@ -97,6 +104,11 @@
     std::vector<Piece> pieces_;
     uint32_t done_ = 0;
     bool was_sent_ = false;
+    /// When its last piece was handed to a server.
+    TimePoint last_sent_;
+    /// Servers have fetched what it works on.
+    bool inputs_taken_ = false;
+    TimePoint repeat_paid_until_;
   };
   struct Result {
     uint64_t bytes_ = 0;
@@ -152,6 +164,8 @@
                   uint64_t bytes,
                   TimePoint now);
   void Requeue(uint64_t task, uint32_t piece, bool is_repeat, TimePoint now);
+  void RequeueParked(TimePoint now);
+  void NoteTakenInputs(TimePoint now);
   void End(uint64_t task, StageOutcome::Result result);
   void Discard(const std::string& handle);
   void Suspend(Server* server, TimePoint now);
@@ -166,6 +180,9 @@
   std::map<std::string, std::string> keepers_;
   std::map<std::string, std::vector<std::string>> unwanted_;
   std::vector<StageOutcome> outcomes_;
+  std::vector<uint64_t> taken_;
+  /// Pieces that failed and wait for a repeat to be allowed.
+  std::set<std::pair<uint64_t, uint32_t>> parked_;
   size_t waiting_ = 0;
   uint64_t last_number_ = 0;
   /// Time of a piece against what the declaration says, over all servers.
--- a/include/citronlane/stages/stage_outcome.h
+++ b/include/citronlane/stages/stage_outcome.h
@@ -15,6 +15,8 @@
     kLate,
     /// One of its inputs is gone.
     kInputGone,
+    /// Nothing of it was sent, and the gateway that had it is going.
+    kMoved,
     /// Its pieces failed too often, or there is no server.
     kFailed,
   };
--- a/src/net/frame_link.cc
+++ b/src/net/frame_link.cc
@@ -21,9 +21,9 @@
 constexpr auto kConnectTime = std::chrono::milliseconds(500);
 /// A peer that was silent this long is asked for a sign of life, and given up
 /// once it has been silent for kSilence.
-constexpr Duration kPingAfter = std::chrono::milliseconds(250);
-constexpr Duration kSilence = std::chrono::milliseconds(900);
-constexpr int kSilenceMs = 900;
+constexpr Duration kPingAfter = std::chrono::milliseconds(200);
+constexpr Duration kSilence = std::chrono::milliseconds(700);
+constexpr int kSilenceMs = 700;
 /// What waits for a connection to be made, at most.
 constexpr size_t kMaxWaiting = 4096;
 
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/steady_now.h"
@@ -59,6 +60,9 @@
 constexpr double kListRatePart = 0.5;
 /// After a stop signal callers still come until the balancer has noticed.
 constexpr Duration kBalancerTime = std::chrono::milliseconds(2600);
+/// By then every gateway has heard that this one is going: control tells all
+/// every 200 ms.
+constexpr auto kTold = std::chrono::milliseconds(260);
 /// The process is gone this long before it would be killed.
 constexpr Duration kGraceReserve = std::chrono::milliseconds(400);
 constexpr int kPeerSilenceMs = 900;
@@ -469,6 +473,13 @@
               {{"in_hand", static_cast<uint64_t>(relay_.requests_in_hand())}});
   callers_.CloseAfterReplies();
   watch_.SetStopping();
+  // The others know in a moment that this gateway runs no pools any more.
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, kTold);
+  timer->async_wait([this, timer](const boost::system::error_code&) {
+    for (const auto& [service, pool] : pools_) {
+      pool->HandBackWaiting();
+    }
+  });
 }
 
 void GatewayHost::Impl::TickStop(TimePoint now) {
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -148,7 +148,7 @@
                                           : RefusalReason::kDeadlineExceeded);
       break;
     case StageRunner::Result::kFailed:
-      last_failure_ = "stage failed";
+      last_failure_ = stages_.failure();
       RefuseAfterFailure();
       break;
   }
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -74,6 +74,8 @@
       return "late";
     case Result::kInputGone:
       return "input gone";
+    case Result::kMoved:
+      return "moved";
     case Result::kFailed:
       break;
   }
@@ -82,7 +84,7 @@
 
 Result ResultOf(const std::string& name) {
   for (const Result result :
-       {Result::kDone, Result::kLate, Result::kInputGone}) {
+       {Result::kDone, Result::kLate, Result::kInputGone, Result::kMoved}) {
     if (name == NameOf(result)) {
       return result;
     }
@@ -105,19 +107,22 @@
 
 StageOwners::~StageOwners() = default;
 
+// One that stays, or, when all are going, one of those.
 std::string StageOwners::OwnerOf(const std::string& service,
                                  TimePoint now) const {
   std::string owner = own_endpoint_;
+  bool stays = false;
   uint64_t highest = 0;
   for (const FleetView::Gateway& gateway : view_->gateways()) {
     const auto lost = lost_until_.find(gateway.endpoint_);
-    if (gateway.stopping_ ||
-        (lost != lost_until_.end() && lost->second > now)) {
+    if ((lost != lost_until_.end() && lost->second > now) ||
+        (gateway.stopping_ && stays)) {
       continue;
     }
     const uint64_t weight = RendezvousWeight(service, gateway.endpoint_);
-    if (weight > highest) {
+    if (weight > highest || (!stays && !gateway.stopping_)) {
       owner = gateway.endpoint_;
+      stays = !gateway.stopping_;
       highest = weight;
     }
   }
@@ -126,12 +131,14 @@
 
 uint64_t StageOwners::Submit(const std::string& service,
                              StageTask task,
-                             Done done) {
+                             Done done,
+                             InputsTaken inputs_taken) {
   const uint64_t number = ++last_job_;
   Job& job = jobs_[number];
   job.service_ = service;
   job.task_ = std::move(task);
   job.done_ = std::move(done);
+  job.inputs_taken_ = std::move(inputs_taken);
   Place(number);
   return number;
 }
@@ -171,7 +178,8 @@
   // The pool may answer before it returns.
   const uint64_t task = pool->Submit(
       job->task_,
-      [this, number](const StageOutcome& outcome) { Finish(number, outcome); });
+      [this, number](const StageOutcome& outcome) { Finish(number, outcome); },
+      [this, number] { NoteInputsTaken(number); });
   const auto it = jobs_.find(number);
   if (it != jobs_.end()) {
     it->second.local_task_ = task;
@@ -183,11 +191,24 @@
   if (it == jobs_.end()) {
     return;
   }
+  if (outcome.result_ == Result::kMoved) {
+    // Not at once: the pool that had it is at work.
+    boost::asio::post(*io_, [this, number] { Place(number); });
+    return;
+  }
   const Done done = std::move(it->second.done_);
   jobs_.erase(it);
   done(outcome);
 }
 
+void StageOwners::NoteInputsTaken(uint64_t number) {
+  const auto it = jobs_.find(number);
+  if (it != jobs_.end()) {
+    const InputsTaken inputs_taken = it->second.inputs_taken_;
+    inputs_taken();
+  }
+}
+
 void StageOwners::Cancel(uint64_t number) {
   const auto it = jobs_.find(number);
   if (it == jobs_.end()) {
@@ -234,6 +255,8 @@
     hooks.received_ = [this](Frame* frame) {
       if (frame->has_job_result()) {
         TakeResult(*frame);
+      } else if (frame->has_inputs_taken()) {
+        NoteInputsTaken(frame->inputs_taken().job());
       }
     };
     // Not at once: the link may be lost within Send.
@@ -354,12 +377,19 @@
     return;
   }
   served_[key] = Served{job.service(), 0};
-  const uint64_t task =
-      pool->Submit(DecodeTask(job, SteadyNow()),
-                   [this, key, answer](const StageOutcome& outcome) {
-                     served_.erase(key);
-                     answer(outcome);
-                   });
+  const uint64_t task = pool->Submit(
+      DecodeTask(job, SteadyNow()),
+      [this, key, answer](const StageOutcome& outcome) {
+        served_.erase(key);
+        answer(outcome);
+      },
+      [weak, number] {
+        if (const auto open = weak.lock()) {
+          Frame note;
+          note.mutable_inputs_taken()->set_job(number);
+          open->Send(note);
+        }
+      });
   const auto it = served_.find(key);
   if (it != served_.end()) {
     it->second.task_ = task;
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -44,11 +44,13 @@
   }
 }
 
-uint64_t StagePool::Submit(StageTask task, Done done) {
+uint64_t StagePool::Submit(StageTask task,
+                           Done done,
+                           InputsTaken inputs_taken) {
   const TimePoint now = SteadyNow();
   budget_.OnFirst(now);
   const uint64_t number = batcher_.Add(std::move(task), now);
-  waiting_[number] = std::move(done);
+  waiting_[number] = Waiting{std::move(done), std::move(inputs_taken)};
   Pump(now);
   return number;
 }
@@ -63,6 +65,11 @@
   Pump(SteadyNow());
 }
 
+void StagePool::HandBackWaiting() {
+  batcher_.HandBackWaiting();
+  Pump(SteadyNow());
+}
+
 void StagePool::Tick(TimePoint now) {
   if (servers_number_ != view_->servers_number()) {
     servers_number_ = view_->servers_number();
@@ -84,10 +91,17 @@
   while (auto batch = batcher_.Next(now)) {
     Start(std::move(*batch), now);
   }
+  for (const uint64_t task : batcher_.TakeTasksWithInputsTaken()) {
+    const auto it = waiting_.find(task);
+    if (it != waiting_.end()) {
+      const InputsTaken inputs_taken = it->second.inputs_taken_;
+      inputs_taken();
+    }
+  }
   for (const StageOutcome& outcome : batcher_.TakeOutcomes()) {
     const auto it = waiting_.find(outcome.task_);
     if (it != waiting_.end()) {
-      const Done done = std::move(it->second);
+      const Done done = std::move(it->second.done_);
       waiting_.erase(it);
       done(outcome);
     }
--- a/src/relay/stage_runner.cc
+++ b/src/relay/stage_runner.cc
@@ -26,6 +26,8 @@
 
 struct StageRunner::Answers {
   std::vector<std::pair<size_t, StageOutcome>> new_;
+  /// Stages whose inputs were fetched.
+  std::vector<size_t> taken_;
 };
 
 StageRunner::StageRunner(const RelayJob* job,
@@ -73,7 +75,8 @@
   StartReady();
   while (!AllDone()) {
     const bool answered = waker_->WaitUntil(
-        [this] { return !answers_->new_.empty(); }, job_->begin_deadline_);
+        [this] { return !answers_->new_.empty() || !answers_->taken_.empty(); },
+        job_->begin_deadline_);
     if (waker_->caller_gone()) {
       return Result::kCallerGone;
     }
@@ -126,14 +129,20 @@
   task.near_domain_ = NearDomainOf(index);
   const std::weak_ptr<Answers> weak = answers_;
   const auto waker = waker_;
-  stages_[index].job_ =
-      owners_->Submit(declared.service_, std::move(task),
-                      [weak, waker, index](const StageOutcome& outcome) {
-                        if (const auto answers = weak.lock()) {
-                          answers->new_.emplace_back(index, outcome);
-                          waker->Wake();
-                        }
-                      });
+  stages_[index].job_ = owners_->Submit(
+      declared.service_, std::move(task),
+      [weak, waker, index](const StageOutcome& outcome) {
+        if (const auto answers = weak.lock()) {
+          answers->new_.emplace_back(index, outcome);
+          waker->Wake();
+        }
+      },
+      [weak, waker, index] {
+        if (const auto answers = weak.lock()) {
+          answers->taken_.push_back(index);
+          waker->Wake();
+        }
+      });
 }
 
 // What the request still needs at least once this stage is done. A stage that
@@ -217,6 +226,9 @@
 }
 
 void StageRunner::TakeAnswers() {
+  for (const size_t index : std::exchange(answers_->taken_, {})) {
+    stages_[index].has_inputs_ = true;
+  }
   for (auto& [index, outcome] : std::exchange(answers_->new_, {})) {
     Stage& stage = stages_[index];
     stage.job_.reset();
@@ -230,7 +242,7 @@
   }
 }
 
-// A stage whose followers are all done is needed by nobody.
+// A stage whose followers are done, or have fetched it, is needed by nobody.
 void StageRunner::FreeUsed() {
   for (size_t i = 0; i < stages_.size(); ++i) {
     if (!stages_[i].is_done_ || !IsFollowed(i)) {
@@ -240,7 +252,7 @@
     for (size_t j = 0; j < stages_.size(); ++j) {
       const auto& after = job_->route_->stages_[j].after_;
       is_needed = is_needed ||
-                  (!stages_[j].is_done_ &&
+                  (!stages_[j].is_done_ && !stages_[j].has_inputs_ &&
                    std::find(after.begin(), after.end(), i) != after.end());
     }
     if (!is_needed) {
@@ -283,6 +295,11 @@
                      [](const Stage& stage) { return stage.is_done_; });
 }
 
+std::string_view StageRunner::failure() const {
+  return failure_ == StageOutcome::Result::kInputGone ? "stage input gone"
+                                                      : "stage failed";
+}
+
 std::vector<std::string> StageRunner::Inputs() const {
   std::vector<std::string> inputs;
   for (size_t i = 0; i < stages_.size(); ++i) {
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -22,6 +22,8 @@
 constexpr Duration kLateReserve = std::chrono::milliseconds(150);
 /// A call that takes longer than this is given up.
 constexpr Duration kLongestCall = std::chrono::seconds(5);
+/// Pieces of a task that fail within this time are one repeat of its request.
+constexpr Duration kRepeatTogether = std::chrono::milliseconds(50);
 /// After a failure a server gets no call for this long, twice as long after
 /// each further one in a row.
 constexpr Duration kFirstSuspension = std::chrono::milliseconds(300);
@@ -36,10 +38,13 @@
 constexpr Duration kFarStep = std::chrono::milliseconds(150);
 /// Part of the best throughput that calls reach: some are not full.
 constexpr double kReachedPart = 0.8;
-/// Tasks that missed their target come after those that may meet it, until so
-/// little time is left that they would get no answer at all.
+/// Tasks that missed their target come after all that may meet it. Serving them
+/// first when their callers were about to leave made everybody late in bursts:
+/// the mean worth of six days with bursts was 0.05 and 0.10 lower.
 constexpr Duration kLateTasksBehind = std::chrono::seconds(10);
-constexpr Duration kLastChance = std::chrono::milliseconds(1800);
+/// By then a server whose turn for a call has come has fetched its inputs: a
+/// few megabytes over links of gigabits, and a few milliseconds of way.
+constexpr Duration kFetchTime = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -126,11 +131,7 @@
 
 TimePoint StageBatcher::OrderOf(const StageTask& task, TimePoint now) const {
   const TimePoint order = task.target_ + kPriorityStep * task.priority_;
-  if (!IsLate(task, now)) {
-    return order;
-  }
-  return task.deadline_ - now <= kLastChance ? task.target_
-                                             : order + kLateTasksBehind;
+  return IsLate(task, now) ? order + kLateTasksBehind : order;
 }
 
 bool StageBatcher::IsNear(const Task& task, const Server& server) const {
@@ -272,6 +273,7 @@
       ++piece.tries_;
       ++piece.in_calls_;
       task->was_sent_ = true;
+      task->last_sent_ = now;
       --waiting_;
     }
     if (batch.pieces_.size() >= spec_.batch_) {
@@ -411,16 +413,73 @@
   if (piece.waits_ || !piece.handle_.empty()) {
     return;
   }
-  if (piece.tries_ >= kMostTries || (is_repeat && !may_repeat_(now))) {
+  if (it->second.inputs_taken_) {
+    // Its inputs are freed: only the call that has them can still make it.
+    if (piece.in_calls_ == 0) {
+      End(number, StageOutcome::Result::kInputGone);
+    }
+    return;
+  }
+  if (piece.tries_ >= kMostTries) {
     if (piece.in_calls_ == 0) {
       End(number, StageOutcome::Result::kFailed);
     }
     return;
   }
+  // One repeat a task at a time: its pieces go together again.
+  if (is_repeat && now >= it->second.repeat_paid_until_) {
+    if (!may_repeat_(now)) {
+      parked_.emplace(number, index);
+      return;
+    }
+    it->second.repeat_paid_until_ = now + kRepeatTogether;
+  }
   piece.waits_ = true;
   ++waiting_;
 }
 
+// What a stage works on can be freed as soon as it was fetched, well before the
+// stage is done: room for results bounds what the pool before can make.
+void StageBatcher::NoteTakenInputs(TimePoint now) {
+  for (auto& [number, task] : tasks_) {
+    if (!task.task_.has_inputs_ || task.inputs_taken_ ||
+        now - task.last_sent_ < kFetchTime) {
+      continue;
+    }
+    const bool all_sent = std::all_of(
+        task.pieces_.begin(), task.pieces_.end(), [](const Piece& piece) {
+          return piece.in_calls_ > 0 || !piece.handle_.empty();
+        });
+    if (all_sent) {
+      task.inputs_taken_ = true;
+      taken_.push_back(number);
+    }
+  }
+}
+
+std::vector<uint64_t> StageBatcher::TakeTasksWithInputsTaken() {
+  return std::exchange(taken_, {});
+}
+
+// Pieces that may not be repeated yet are tried again until they may.
+void StageBatcher::RequeueParked(TimePoint now) {
+  for (const auto& [task, piece] : std::exchange(parked_, {})) {
+    Requeue(task, piece, true, now);
+  }
+}
+
+void StageBatcher::HandBackWaiting() {
+  std::vector<uint64_t> unsent;
+  for (const auto& [number, task] : tasks_) {
+    if (!task.was_sent_) {
+      unsent.push_back(number);
+    }
+  }
+  for (const uint64_t number : unsent) {
+    End(number, StageOutcome::Result::kMoved);
+  }
+}
+
 void StageBatcher::Failed(uint64_t number, CallFailure failure, TimePoint now) {
   const auto it = calls_.find(number);
   if (it == calls_.end()) {
@@ -494,6 +553,8 @@
     }
   }
   HedgeLateCalls(now);
+  RequeueParked(now);
+  NoteTakenInputs(now);
 }
 
 // A server that hangs answers nothing for many seconds; the pieces it holds go
