--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -103,7 +103,8 @@
     TimePoint added_;
     std::vector<Piece> pieces_;
     uint32_t done_ = 0;
-    bool was_sent_ = false;
+    /// A call with one of its pieces was answered or lost.
+    bool may_have_run_ = false;
     /// When its last piece was handed to a server.
     TimePoint last_sent_;
     /// Servers have fetched what it works on.
@@ -166,6 +167,7 @@
   void Requeue(uint64_t task, uint32_t piece, bool is_repeat, TimePoint now);
   void RequeueParked(TimePoint now);
   void NoteTakenInputs(TimePoint now);
+  static bool HasNotRun(const Task& task);
   void End(uint64_t task, StageOutcome::Result result);
   void Discard(const std::string& handle);
   void Suspend(Server* server, TimePoint now);
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -272,7 +272,6 @@
       piece.waits_ = false;
       ++piece.tries_;
       ++piece.in_calls_;
-      task->was_sent_ = true;
       task->last_sent_ = now;
       --waiting_;
     }
@@ -361,6 +360,7 @@
   Task& task = it->second;
   Piece& piece = task.pieces_[index];
   --piece.in_calls_;
+  task.may_have_run_ = true;
   switch (result.outcome_) {
     case Outcome::kDone:
       if (!piece.handle_.empty()) {
@@ -471,7 +471,7 @@
 void StageBatcher::HandBackWaiting() {
   std::vector<uint64_t> unsent;
   for (const auto& [number, task] : tasks_) {
-    if (!task.was_sent_) {
+    if (HasNotRun(task)) {
       unsent.push_back(number);
     }
   }
@@ -497,6 +497,7 @@
   for (const auto& [task, piece] : call.pieces_) {
     if (const auto owner = tasks_.find(task); owner != tasks_.end()) {
       --owner->second.pieces_[piece].in_calls_;
+      owner->second.may_have_run_ |= failure == CallFailure::kLost;
       if (failure == CallFailure::kNotSent) {
         // Nobody saw it: this was no try.
         --owner->second.pieces_[piece].tries_;
@@ -512,6 +513,13 @@
   ++server->failures_in_row_;
 }
 
+// Calls that no server has seen, or that it refused, ran nothing.
+bool StageBatcher::HasNotRun(const Task& task) {
+  return !task.may_have_run_ &&
+         std::all_of(task.pieces_.begin(), task.pieces_.end(),
+                     [](const Piece& piece) { return piece.in_calls_ == 0; });
+}
+
 void StageBatcher::End(uint64_t number, StageOutcome::Result result) {
   const auto it = tasks_.find(number);
   if (it == tasks_.end()) {
@@ -520,7 +528,7 @@
   StageOutcome outcome;
   outcome.task_ = number;
   outcome.result_ = result;
-  outcome.not_run_ = !it->second.was_sent_;
+  outcome.not_run_ = HasNotRun(it->second);
   if (result == StageOutcome::Result::kDone) {
     for (Piece& piece : it->second.pieces_) {
       outcome.handles_.push_back(std::move(piece.handle_));
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -1,11 +1,13 @@
 #include "citronlane/transport/detail/http_connection.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "citronlane/base/text.h"
 #include "citronlane/transport/detail/http_text.h"
 #include "citronlane/transport/http_request.h"
 
@@ -19,6 +21,7 @@
 using boost::system::error_code;
 
 constexpr size_t kFirstReadBytes = 4096;
+constexpr unsigned kHttp11 = 11;
 /// What a refused caller may still send while it reads the refusal.
 constexpr size_t kLingerBytes = size_t{4} * 1024 * 1024;
 constexpr auto kLingerTime = std::chrono::seconds(1);
@@ -40,6 +43,19 @@
   return request;
 }
 
+/// Whether another reader could take the request's end for somewhere else: the
+/// only coding is "chunked", written once and alone.
+template <typename Message>
+bool HasUnclearFraming(const Message& message) {
+  const auto [begin, end] = message.equal_range(http::field::transfer_encoding);
+  if (begin == end) {
+    return false;
+  }
+  const auto value = begin->value();
+  return std::next(begin) != end || message.version() < kHttp11 ||
+         !EqualsIgnoringCase({value.data(), value.size()}, "chunked");
+}
+
 bool IsParseError(const error_code& error) {
   return error.category() ==
          http::make_error_code(http::error::bad_method).category();
@@ -167,6 +183,11 @@
   stream_.expires_after(state_->limits_.read_timeout_);
   error_code error;
   http::async_read_header(stream_, buffer_, *parser, (*yield_)[error]);
+  if (!error && HasUnclearFraming(parser->get())) {
+    keep_alive_ = false;
+    Refuse(RefusalReason::kMalformedRequest);
+    return false;
+  }
   if (!error && !ReserveBody(*parser)) {
     keep_alive_ = false;
     Refuse(RefusalReason::kBodyMemoryExhausted);
--- /dev/null
+++ b/tests/unit-relay.cc
@@ -0,0 +1,284 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "citronlane/fleet/rendezvous.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/forwarded_headers.h"
+#include "citronlane/relay/relay_answers.h"
+#include "citronlane/routing/engine_router.h"
+#include "citronlane/routing/repeat_budget.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::vector<BackendServer> Engines(size_t count) {
+  std::vector<BackendServer> servers;
+  for (size_t i = 0; i < count; ++i) {
+    BackendServer server;
+    server.id_ = "e" + std::to_string(i);
+    server.service_ = "m";
+    server.address_ = "10.0.0." + std::to_string(i) + ":1";
+    server.failure_domain_ = std::string(1, static_cast<char>('a' + i % 3));
+    servers.push_back(server);
+  }
+  return servers;
+}
+
+std::vector<const BackendServer*> Pointers(
+    const std::vector<BackendServer>& servers) {
+  std::vector<const BackendServer*> pointers;
+  for (const BackendServer& server : servers) {
+    pointers.push_back(&server);
+  }
+  return pointers;
+}
+
+bool HasHeader(const HttpReply& reply, const std::string& name) {
+  return std::any_of(
+      reply.headers_.begin(), reply.headers_.end(),
+      [&](const HttpHeader& header) { return header.name_ == name; });
+}
+
+}  // namespace
+
+TEST_CASE("repeat budget") {
+  RepeatBudget::Options options;
+  options.ratio_ = 0.2;
+  options.extra_ = 56;
+
+  SECTION("all nodes together stay below the bound in any window") {
+    constexpr size_t kNodes = 8;
+    constexpr int kSteps = 6000;
+    std::mt19937 random(7);
+    std::vector<RepeatBudget> nodes(kNodes, RepeatBudget(options));
+    std::vector<TimePoint> first;
+    std::vector<TimePoint> repeats;
+    TimePoint now{seconds(100)};
+    for (int step = 0; step < kSteps; ++step) {
+      now += milliseconds(10);
+      // Traffic that falls to nothing and comes back.
+      const bool is_busy = step / 1000 % 2 == 0;
+      RepeatBudget& node = nodes[random() % kNodes];
+      if (is_busy && random() % 2 == 0) {
+        node.OnFirst(now);
+        first.push_back(now);
+      }
+      if (node.TryTake(now, kNodes)) {
+        repeats.push_back(now);
+      }
+    }
+    for (const TimePoint end : repeats) {
+      const TimePoint begin = end - options.window_;
+      const auto in = [&](const std::vector<TimePoint>& times, TimePoint from) {
+        return std::count_if(times.begin(), times.end(), [&](TimePoint time) {
+          return time > from && time <= from + options.window_;
+        });
+      };
+      const auto most =
+          std::max(in(first, begin), in(first, begin - options.window_ / 2));
+      REQUIRE(static_cast<double>(in(repeats, begin)) <=
+              options.ratio_ * static_cast<double>(most) + options.extra_);
+    }
+    CHECK(repeats.size() > 100);
+  }
+
+  SECTION("more nodes have smaller shares") {
+    RepeatBudget few(options);
+    RepeatBudget many(options);
+    const TimePoint now{seconds(1)};
+    int of_few = 0;
+    int of_many = 0;
+    while (few.TryTake(now, 2)) {
+      ++of_few;
+    }
+    while (many.TryTake(now, 28)) {
+      ++of_many;
+    }
+    CHECK(of_few == 21);
+    CHECK(of_many == 1);
+  }
+}
+
+TEST_CASE("engine router") {
+  const auto servers = Engines(12);
+  EngineRouter router;
+  router.Update(Pointers(servers));
+  const TimePoint now{seconds(100)};
+  const std::vector<PromptPart> prompt = {
+      {"shared", 2000}, {"session", 4000}, {"own", 2000}};
+  EngineRouter::Call call;
+  call.prompt_ = prompt;
+
+  SECTION("requests of a session meet at one engine, whoever sends them") {
+    EngineRouter other;
+    other.Update(Pointers(servers));
+    const auto home = router.Choose(now, call, {});
+    REQUIRE(home);
+    CHECK(other.Choose(now, call, {}) == home);
+    std::set<std::string> homes;
+    for (int i = 0; i < 200; ++i) {
+      const std::vector<PromptPart> session = {
+          {"shared", 2000}, {"s" + std::to_string(i), 4000}, {"own", 2000}};
+      EngineRouter::Call one;
+      one.prompt_ = session;
+      homes.insert(*router.Choose(now, one, {}));
+    }
+    CHECK(homes.size() == servers.size());
+  }
+
+  SECTION("a home with much to read passes the request on") {
+    const auto home = *router.Choose(now, call, {});
+    for (int i = 0; i < 3; ++i) {
+      router.OnStart(home, now, call);
+    }
+    CHECK(*router.Choose(now, call, {}) != home);
+    for (int i = 0; i < 3; ++i) {
+      router.OnFirstEvent(home, call);
+      router.OnFinish(home, now, CallOutcome::kSuccess, true, call);
+    }
+    CHECK(*router.Choose(now, call, {}) == home);
+  }
+
+  SECTION("an engine that failed is left for a while") {
+    const auto home = *router.Choose(now, call, {});
+    router.OnStart(home, now, call);
+    router.OnFinish(home, now, CallOutcome::kConnectFailed, false, call);
+    CHECK(*router.Choose(now, call, {}) != home);
+    CHECK(*router.Choose(now + seconds(1), call, {}) == home);
+  }
+
+  SECTION("when all have failed one is tried all the same") {
+    for (const BackendServer& server : servers) {
+      router.OnStart(server.id_, now, call);
+      router.OnFinish(server.id_, now, CallOutcome::kTimeout, false, call);
+    }
+    CHECK(router.Choose(now, call, {}));
+  }
+
+  SECTION("leaving and excluded engines are not chosen") {
+    auto changed = servers;
+    const auto home = *router.Choose(now, call, {});
+    for (BackendServer& server : changed) {
+      server.leaving_ = server.id_ == home;
+    }
+    router.Update(Pointers(changed));
+    CHECK(*router.Choose(now, call, {}) != home);
+    std::vector<std::string> excluded;
+    for (const BackendServer& server : servers) {
+      excluded.push_back(server.id_);
+    }
+    CHECK_FALSE(router.Choose(now, call, excluded));
+  }
+}
+
+TEST_CASE("rendezvous hashing") {
+  const auto home = [](int key, int nodes) {
+    int best = 0;
+    uint64_t highest = 0;
+    for (int node = 0; node < nodes; ++node) {
+      const uint64_t weight = RendezvousWeight("k" + std::to_string(key),
+                                               "n" + std::to_string(node));
+      if (weight >= highest) {
+        highest = weight;
+        best = node;
+      }
+    }
+    return best;
+  };
+  int moved = 0;
+  std::map<int, int> counts;
+  for (int key = 0; key < 1000; ++key) {
+    ++counts[home(key, 10)];
+    if (home(key, 11) != home(key, 10)) {
+      CHECK(home(key, 11) == 10);
+      ++moved;
+    }
+  }
+  CHECK(moved < 150);
+  for (const auto& [node, count] : counts) {
+    CHECK(count > 50);
+  }
+}
+
+TEST_CASE("fleet view") {
+  FleetView view;
+  const TimePoint now{seconds(100)};
+
+  SECTION("an older configuration never comes back") {
+    ServingConfig::Parts parts;
+    parts.version_ = 5;
+    const auto newer = std::make_shared<const ServingConfig>(parts);
+    parts.version_ = 4;
+    const auto older = std::make_shared<const ServingConfig>(parts);
+    CHECK(view.SetConfig(newer));
+    CHECK_FALSE(view.SetConfig(older));
+    CHECK_FALSE(view.SetConfig(newer));
+    CHECK(view.config()->version() == 5);
+  }
+
+  SECTION("an older list never comes back") {
+    view.SetServers(Engines(3), now);
+    view.SetServers(Engines(2), now - seconds(1));
+    CHECK(view.ServersOf("m").size() == 3);
+    const uint64_t number = view.servers_number();
+    view.SetServers(Engines(3), now + seconds(1));
+    CHECK(view.servers_number() == number);
+    CHECK(*view.ServersAge(now + seconds(3)) == seconds(2));
+    view.ConfirmServers(now + seconds(2));
+    CHECK(*view.ServersAge(now + seconds(3)) == seconds(1));
+    CHECK(view.DomainAt("10.0.0.1:1") == "b");
+    CHECK(view.DomainAt("10.0.0.9:1").empty());
+  }
+
+  SECTION("shares never grow because gateways are out of sight") {
+    CHECK(view.GatewayCount() >= 8);
+    view.SetGateways(std::vector<FleetView::Gateway>(6));
+    CHECK(view.GatewayCount() == 6);
+    view.SetGateways(std::vector<FleetView::Gateway>(2));
+    CHECK(view.GatewayCount() == 6);
+  }
+}
+
+TEST_CASE("forwarded headers") {
+  const std::vector<HttpHeader> headers = {
+      {"Host", "h"},           {"connection", "X-Hop, close"},
+      {"X-Hop", "1"},          {"Transfer-Encoding", "chunked"},
+      {"Content-Length", "5"}, {"Keep-Alive", "timeout=5"},
+      {"TE", "trailers"},      {"Upgrade", "x"},
+      {"X-Kept", "1"},         {"Content-Type", "text/plain"}};
+  const auto kept = ForwardedHeaders(headers);
+  REQUIRE(kept.size() == 2);
+  CHECK(kept[0].name_ == "X-Kept");
+  CHECK(kept[1].name_ == "Content-Type");
+}
+
+TEST_CASE("a refusal promises only what is true") {
+  for (const RefusalReason reason :
+       {RefusalReason::kNoBackendServer, RefusalReason::kDeadlineUnreachable,
+        RefusalReason::kConcurrencyLimit, RefusalReason::kNoConfiguration}) {
+    const HttpReply not_run = RefusalReply(reason, Verdict::kNotRun);
+    CHECK(not_run.status_ == 503);
+    CHECK(HasHeader(not_run, "Retry-After"));
+    const HttpReply may_have_run = RefusalReply(reason, Verdict::kMayHaveRun);
+    CHECK(may_have_run.status_ == 502);
+    CHECK_FALSE(HasHeader(may_have_run, "Retry-After"));
+  }
+  CHECK(RefusalReply(RefusalReason::kUnknownRoute, Verdict::kNotRun).status_ ==
+        404);
+  CHECK(
+      RefusalReply(RefusalReason::kUnknownAccount, Verdict::kNotRun).status_ ==
+      401);
+  CHECK(RefusalReply(RefusalReason::kDeadlineExceeded, Verdict::kMayHaveRun)
+            .status_ == 504);
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/tests/unit-stages.cc
@@ -0,0 +1,427 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "citronlane/stages/stage_batcher.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Failure = StageBatcher::CallFailure;
+using Outcome = StagePieceResult::Outcome;
+using Result = StageOutcome::Result;
+
+constexpr uint64_t kResultBytes = 100;
+
+/// A pool of two servers under a hand-driven clock.
+class Pool {
+ public:
+  Pool() : batcher_(Spec(), [this](TimePoint) { return may_repeat_; }) {
+    SetServers({{"s1", "a"}, {"s2", "b"}});
+  }
+
+  static StagePoolSpec Spec() {
+    StagePoolSpec spec;
+    spec.batch_ = 8;
+    spec.call_time_ = milliseconds(200);
+    spec.piece_time_ = milliseconds(10);
+    spec.room_bytes_ = 20000;
+    spec.result_life_ = seconds(4);
+    return spec;
+  }
+
+  void SetServers(const std::map<std::string, std::string>& domains) {
+    servers_.clear();
+    for (const auto& [id, domain] : domains) {
+      BackendServer server;
+      server.id_ = id;
+      server.address_ = id + ":1";
+      server.failure_domain_ = domain;
+      servers_.push_back(server);
+    }
+    std::vector<const BackendServer*> pointers;
+    for (const BackendServer& server : servers_) {
+      pointers.push_back(&server);
+    }
+    batcher_.SetServers(pointers);
+  }
+
+  uint64_t Add(uint32_t pieces,
+               Duration target = seconds(2),
+               const std::string& near = "") {
+    StageTask task;
+    task.request_id_ = "r" + std::to_string(++added_);
+    task.pieces_ = pieces;
+    task.key_ = "k";
+    task.target_ = now_ + target;
+    task.deadline_ = now_ + seconds(6);
+    task.result_bytes_ = kResultBytes;
+    task.near_domain_ = near;
+    return batcher_.Add(task, now_);
+  }
+
+  uint64_t AddWithInputs(uint32_t pieces) {
+    StageTask task;
+    task.request_id_ = "r" + std::to_string(++added_);
+    task.pieces_ = pieces;
+    task.has_inputs_ = true;
+    task.inputs_ = {"x:1/in"};
+    task.target_ = now_ + seconds(2);
+    task.deadline_ = now_ + seconds(6);
+    task.result_bytes_ = kResultBytes;
+    return batcher_.Add(task, now_);
+  }
+
+  std::vector<StageBatch> Start() {
+    std::vector<StageBatch> batches;
+    while (auto batch = batcher_.Next(now_)) {
+      batches.push_back(std::move(*batch));
+    }
+    return batches;
+  }
+
+  void Finish(const StageBatch& batch, Outcome outcome = Outcome::kDone) {
+    std::vector<StagePieceResult> results;
+    for (const StagePiece& piece : batch.pieces_) {
+      StagePieceResult result;
+      result.outcome_ = outcome;
+      if (outcome == Outcome::kDone) {
+        result.handle_ = batch.address_ + "/" + piece.request_id_ + "-" +
+                         std::to_string(piece.piece_) + "-" +
+                         std::to_string(batch.call_);
+      }
+      results.push_back(result);
+    }
+    batcher_.Finished(batch.call_, results, now_);
+  }
+
+  void Pass(Duration time) {
+    const TimePoint end = now_ + time;
+    while (now_ < end) {
+      now_ += milliseconds(10);
+      batcher_.Tick(now_);
+    }
+  }
+
+  TimePoint now_{seconds(100)};
+  bool may_repeat_ = true;
+  StageBatcher batcher_;
+
+ private:
+  std::vector<BackendServer> servers_;
+  int added_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("stage batches") {
+  Pool pool;
+
+  SECTION("an idle server gets what is there at once") {
+    pool.Add(3);
+    const auto batches = pool.Start();
+    REQUIRE(batches.size() == 1);
+    CHECK(batches[0].pieces_.size() == 3);
+  }
+
+  SECTION("pieces of many requests meet when all servers are busy") {
+    pool.Add(1);
+    pool.Add(1);
+    const auto first = pool.Start();
+    // Both went into one call; the other server takes the next piece.
+    REQUIRE(first.size() == 1);
+    pool.Add(1);
+    REQUIRE(pool.Start().size() == 1);
+    for (int i = 0; i < 8; ++i) {
+      pool.Add(1);
+    }
+    CHECK(pool.Start().empty());
+    pool.Finish(first[0]);
+    const auto next = pool.Start();
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].pieces_.size() == 8);
+  }
+
+  SECTION("a task goes whole or waits for the next call") {
+    pool.SetServers({{"s1", "a"}});
+    pool.Add(6);
+    pool.Add(3);
+    const auto batches = pool.Start();
+    REQUIRE(batches.size() == 1);
+    CHECK(batches[0].pieces_.size() == 6);
+    CHECK(pool.batcher_.waiting_pieces() == 3);
+  }
+
+  SECTION("a task larger than any call is cut") {
+    pool.Add(10);
+    size_t pieces = 0;
+    for (const auto& batch : pool.Start()) {
+      pieces += batch.pieces_.size();
+    }
+    CHECK(pieces == 10);
+  }
+
+  SECTION("what can meet its target goes before what is late already") {
+    pool.SetServers({{"s1", "a"}});
+    const uint64_t blocker = pool.Add(8);
+    const auto first = pool.Start();
+    REQUIRE(first.size() == 1);
+    const uint64_t late = pool.Add(8, milliseconds(50));
+    const uint64_t in_time = pool.Add(8, milliseconds(900));
+    pool.Pass(milliseconds(280));
+    pool.Finish(first[0]);
+    const auto next = pool.Start();
+    REQUIRE(next.size() == 1);
+    pool.Finish(next[0]);
+    const auto outcomes = pool.batcher_.TakeOutcomes();
+    REQUIRE(outcomes.size() == 2);
+    CHECK(outcomes[0].task_ == blocker);
+    CHECK(outcomes[1].task_ == in_time);
+    CHECK(pool.Start().size() == 1);
+    CHECK(late != in_time);
+  }
+
+  SECTION("a leaving server gets nothing") {
+    BackendServer leaving;
+    leaving.id_ = "s1";
+    leaving.leaving_ = true;
+    const BackendServer* const list[] = {&leaving};
+    pool.batcher_.SetServers(list);
+    pool.Add(1);
+    CHECK(pool.Start().empty());
+  }
+}
+
+TEST_CASE("stage results") {
+  Pool pool;
+  pool.SetServers({{"s1", "a"}});
+
+  SECTION("every piece's handle comes back in order") {
+    const uint64_t task = pool.Add(3);
+    pool.Finish(pool.Start().at(0));
+    const auto outcomes = pool.batcher_.TakeOutcomes();
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0].task_ == task);
+    CHECK(outcomes[0].result_ == Result::kDone);
+    REQUIRE(outcomes[0].handles_.size() == 3);
+    CHECK(outcomes[0].handles_[2].find("r1-2") != std::string::npos);
+  }
+
+  SECTION("results of a task that nobody wants any more are freed") {
+    const uint64_t task = pool.Add(2);
+    const auto batch = pool.Start().at(0);
+    pool.batcher_.Cancel(task);
+    pool.Finish(batch);
+    CHECK(pool.batcher_.TakeOutcomes().empty());
+    CHECK(pool.batcher_.TakeUnwanted().at("s1:1").size() == 2);
+  }
+
+  StagePoolSpec tight = Pool::Spec();
+  tight.room_bytes_ = 20 * kResultBytes;
+
+  SECTION("room for results bounds calls until results are freed") {
+    pool.batcher_.SetSpec(tight);
+    std::vector<std::string> handles;
+    for (int i = 0; i < 2; ++i) {
+      pool.Add(8);
+      pool.Finish(pool.Start().at(0));
+      for (const auto& outcome : pool.batcher_.TakeOutcomes()) {
+        handles.insert(handles.end(), outcome.handles_.begin(),
+                       outcome.handles_.end());
+      }
+    }
+    pool.Add(8);
+    CHECK(pool.Start().empty());
+    pool.batcher_.Free(handles);
+    CHECK(pool.Start().size() == 1);
+  }
+
+  SECTION("a server drops results by itself after their life") {
+    pool.batcher_.SetSpec(tight);
+    for (int i = 0; i < 2; ++i) {
+      pool.Add(8);
+      pool.Finish(pool.Start().at(0));
+    }
+    pool.Pass(seconds(4) + milliseconds(50));
+    pool.Add(8);
+    CHECK(pool.Start().size() == 1);
+  }
+
+  SECTION("inputs may be freed once servers have fetched them") {
+    const uint64_t task = pool.AddWithInputs(2);
+    const auto batch = pool.Start().at(0);
+    pool.Pass(milliseconds(50));
+    CHECK(pool.batcher_.TakeTasksWithInputsTaken().empty());
+    pool.Pass(milliseconds(100));
+    CHECK(pool.batcher_.TakeTasksWithInputsTaken() ==
+          std::vector<uint64_t>{task});
+    // A call lost after that can't be made again from what is gone.
+    pool.batcher_.Failed(batch.call_, Failure::kLost, pool.now_);
+    const auto outcomes = pool.batcher_.TakeOutcomes();
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0].result_ == Result::kInputGone);
+    CHECK_FALSE(outcomes[0].not_run_);
+  }
+}
+
+TEST_CASE("stage failures") {
+  Pool pool;
+
+  SECTION("a call whose answer is lost does not block its server") {
+    pool.SetServers({{"s1", "a"}});
+    pool.Add(8);
+    const auto lost = pool.Start().at(0);
+    pool.Pass(seconds(1));
+    // Given up: the pieces are asked for again, at the same server.
+    const auto again = pool.Start();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].pieces_.size() == 8);
+    pool.batcher_.Failed(lost.call_, Failure::kLost, pool.now_);
+    pool.Finish(again[0]);
+    REQUIRE(pool.batcher_.TakeOutcomes().size() == 1);
+    pool.Pass(seconds(5));
+    pool.Add(8);
+    CHECK(pool.Start().size() == 1);
+    pool.Pass(seconds(2));
+    pool.Add(8);
+    CHECK_FALSE(pool.Start().empty());
+  }
+
+  SECTION("the second answer to a piece is freed, not used") {
+    pool.Add(2);
+    const auto slow = pool.Start().at(0);
+    pool.Pass(seconds(1));
+    const auto again = pool.Start().at(0);
+    CHECK(again.server_ != slow.server_);
+    pool.Finish(again);
+    CHECK(pool.batcher_.TakeOutcomes().size() == 1);
+    pool.Finish(slow);
+    CHECK(pool.batcher_.TakeOutcomes().empty());
+    CHECK(pool.batcher_.TakeUnwanted().at(slow.address_).size() == 2);
+  }
+
+  SECTION("a server that is away from the list counts anew") {
+    pool.SetServers({{"s1", "a"}});
+    pool.Add(8);
+    const auto call = pool.Start().at(0);
+    pool.Pass(seconds(1));
+    pool.SetServers({});
+    pool.SetServers({{"s1", "a"}});
+    pool.Finish(call);
+    pool.Pass(seconds(5));
+    pool.Add(8);
+    CHECK(pool.Start().size() == 1);
+  }
+
+  SECTION("a call that no server has seen is no try") {
+    pool.Add(1);
+    for (int i = 0; i < 10; ++i) {
+      const auto batches = pool.Start();
+      REQUIRE(batches.size() == 1);
+      pool.batcher_.Failed(batches[0].call_, Failure::kNotSent, pool.now_);
+      pool.Pass(seconds(5));
+      if (pool.batcher_.tasks() == 0) {
+        break;
+      }
+    }
+    const auto outcomes = pool.batcher_.TakeOutcomes();
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0].result_ == Result::kLate);
+  }
+
+  SECTION("a spent budget delays a repeat and does not fail the request") {
+    pool.Add(1);
+    const auto first = pool.Start().at(0);
+    pool.may_repeat_ = false;
+    pool.batcher_.Failed(first.call_, Failure::kLost, pool.now_);
+    pool.Pass(milliseconds(500));
+    CHECK(pool.Start().empty());
+    CHECK(pool.batcher_.TakeOutcomes().empty());
+    pool.may_repeat_ = true;
+    pool.Pass(milliseconds(50));
+    CHECK(pool.Start().size() == 1);
+  }
+
+  SECTION("a task past its deadline ends, and says whether anything ran") {
+    pool.Add(1);
+    pool.Pass(seconds(7));
+    auto outcomes = pool.batcher_.TakeOutcomes();
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0].result_ == Result::kLate);
+    CHECK(outcomes[0].not_run_);
+    pool.Add(1);
+    pool.Start();
+    pool.Pass(seconds(7));
+    outcomes = pool.batcher_.TakeOutcomes();
+    REQUIRE(outcomes.size() == 1);
+    CHECK_FALSE(outcomes[0].not_run_);
+  }
+
+  SECTION("a leaving gateway hands back only what nobody has seen") {
+    pool.SetServers({{"s1", "a"}});
+    const uint64_t sent = pool.Add(8);
+    pool.Start();
+    const uint64_t waiting = pool.Add(8);
+    pool.batcher_.HandBackWaiting();
+    const auto outcomes = pool.batcher_.TakeOutcomes();
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0].task_ == waiting);
+    CHECK(outcomes[0].result_ == Result::kMoved);
+    CHECK(outcomes[0].not_run_);
+    CHECK(pool.batcher_.tasks() == 1);
+    CHECK(sent != waiting);
+  }
+}
+
+TEST_CASE("stage placement") {
+  Pool pool;
+
+  SECTION("a free server near the data is chosen") {
+    pool.Add(2, seconds(2), "b");
+    CHECK(pool.Start().at(0).server_ == "s2");
+  }
+
+  SECTION("a busy one is waited for, but not long") {
+    pool.Add(1, seconds(2), "b");
+    REQUIRE(pool.Start().size() == 1);
+    pool.Add(1, seconds(2), "b");
+    CHECK(pool.Start().empty());
+    pool.Pass(milliseconds(120));
+    const auto batches = pool.Start();
+    REQUIRE(batches.size() == 1);
+    CHECK(batches[0].server_ == "s1");
+  }
+
+  SECTION("a domain without servers is not waited for") {
+    pool.Add(1, seconds(2), "c");
+    CHECK(pool.Start().size() == 1);
+  }
+}
+
+TEST_CASE("stage waits") {
+  Pool pool;
+  CHECK(pool.batcher_.ExpectedWait(pool.now_).all_ == Duration());
+  for (int i = 0; i < 40; ++i) {
+    pool.Add(8);
+  }
+  pool.Start();
+  const auto wait = pool.batcher_.ExpectedWait(pool.now_);
+  CHECK(wait.all_ > seconds(4));
+  CHECK(wait.on_time_ == wait.all_);
+  // Those that are late no longer stand before a new one.
+  pool.Pass(milliseconds(2000));
+  CHECK(pool.batcher_.ExpectedWait(pool.now_).on_time_ == Duration());
+  CHECK(pool.batcher_.ExpectedWait(pool.now_).all_ > seconds(4));
+
+  SECTION("without servers nobody knows") {
+    pool.SetServers({});
+    CHECK(pool.batcher_.ExpectedWait(pool.now_).on_time_ > seconds(1));
+  }
+}
+
+}  // namespace citronlane
