Mark requests late from the start when their stages can't be done in time

Cause: in bursts requests that just miss their target at the last stage took places there of those that could still meet theirs. Change: a request whose expected stages (times 1.1) pass its target runs behind the others in every stage.

--- a/include/citronlane/relay/stage_runner.h
+++ b/include/citronlane/relay/stage_runner.h
@@ -45,6 +45,10 @@
   /// what may meet its target. Nothing when a pool is not declared.
   std::optional<Duration> ExpectedTime(bool behind_all, TimePoint now) const;
 
+  /// The request can't meet its target: its pieces come after those of requests
+  /// that can.
+  void SetLate() { is_late_ = true; }
+
   /// Failure domain in which the request's own server will probably be.
   void SetResultDomain(std::string domain) {
     result_domain_ = std::move(domain);
@@ -103,6 +107,7 @@
   std::shared_ptr<Answers> answers_;
   std::optional<StageOutcome::Result> failure_;
   bool not_run_ = true;
+  bool is_late_ = false;
   std::string result_domain_;
 };
 
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -47,6 +47,9 @@
 /// Part of a caller's patience up to which a late answer is attempted; the rest
 /// covers what the estimate does not know.
 constexpr double kUsedPatience = 0.7;
+/// What an estimate is multiplied by before a request counts as one that can
+/// meet its target: queues of later stages are still to grow in a burst.
+constexpr double kEstimateReserve = 1.1;
 constexpr int kFirstServerError = 500;
 constexpr int kOk = 200;
 constexpr int kFirstNoSuccess = 300;
@@ -110,9 +113,14 @@
   const TimePoint now = SteadyNow();
   const auto best = stages_.ExpectedTime(false, now);
   const auto worst = stages_.ExpectedTime(true, now);
-  if (!best || !worst || now + *best <= job_->target_) {
+  if (!best || !worst ||
+      std::chrono::duration_cast<Duration>(*best * kEstimateReserve) <=
+          job_->target_ - now) {
     return true;
   }
+  // Too late for its target from the start: it takes no place of one that may
+  // still meet it, all the way through its stages.
+  stages_.SetLate();
   const auto limit = std::chrono::duration_cast<Duration>(
       (job_->begin_deadline_ - now) * kUsedPatience);
   if (*worst <= limit) {
--- a/src/relay/stage_runner.cc
+++ b/src/relay/stage_runner.cc
@@ -122,7 +122,7 @@
     task.inputs_.insert(task.inputs_.end(), handles.begin(), handles.end());
   }
   const Duration rest = TimeAfter(index);
-  task.target_ = job_->target_ - rest;
+  task.target_ = (is_late_ ? job_->arrived_ : job_->target_) - rest;
   task.deadline_ = job_->begin_deadline_ - rest;
   task.priority_ = job_->priority_;
   task.result_bytes_ = declared.result_bytes_;
