Serve a second earlier after everything restarts

Cause: after a loss of power of all VMs gateways had no configuration until a leader was elected (1.2 s and more), refused callers were told to return within that time and were refused again, and each gateway ran the pools itself for three seconds.

--- a/include/citronlane/control/replica_driver.h
+++ b/include/citronlane/control/replica_driver.h
@@ -98,6 +98,8 @@
   bool StoreReady(const Ready& ready, Error* error);
   void Apply(const std::vector<Entry>& committed);
   bool MaybeSnapshot(Error* error);
+  void SnapshotWhenQuiet(TimePoint now);
+  bool TakeSnapshot(Error* error);
   void NotifyRole();
   void Fail(const std::string& reason);
 
@@ -112,6 +114,7 @@
   uint64_t last_term_ = 0;
   uint64_t snapshot_index_ = 0;
   uint64_t bytes_since_snapshot_ = 0;
+  TimePoint last_command_;
   std::string failure_;
 };
 
--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -33,10 +33,12 @@
     std::vector<std::string> seeds_;
   };
   struct Hooks {
-    /// An update of the VM that leads.
+    /// An update of the VM that leads, or a configuration of one that does not,
+    /// for want of any.
     std::function<void(wire::fleet::WatchUpdate* update)> updated_;
     /// Version of the configuration held; nothing when there is none.
     std::function<std::optional<uint64_t>()> config_version_;
+    std::function<bool()> knows_gateways_;
   };
 
   ControlWatch(boost::asio::io_context* io,
--- a/src/control/cluster_member.cc
+++ b/src/control/cluster_member.cc
@@ -23,10 +23,11 @@
 using wire::fleet::Frame;
 
 /// The slowest disk to be borne syncs in 150 ms; a leader on it still sends its
-/// heartbeats well within the election timeout.
-constexpr Duration kHeartbeat = std::chrono::milliseconds(100);
-constexpr Duration kElectionTimeout = std::chrono::milliseconds(600);
-constexpr Duration kLeaderLease = std::chrono::milliseconds(500);
+/// heartbeats well within the election timeout. After a loss of power of all
+/// VMs a leader is there after one to two timeouts.
+constexpr Duration kHeartbeat = std::chrono::milliseconds(80);
+constexpr Duration kElectionTimeout = std::chrono::milliseconds(450);
+constexpr Duration kLeaderLease = std::chrono::milliseconds(380);
 /// Log kept in memory behind a snapshot: peak memory has its price.
 constexpr uint64_t kKeptEntries = 256;
 constexpr size_t kKeptBytes = size_t{2} << 20;
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -37,7 +37,7 @@
 using wire::fleet::Frame;
 
 /// Half a heartbeat of the consensus.
-constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr Duration kTick = std::chrono::milliseconds(40);
 constexpr Duration kFeedInterval = std::chrono::milliseconds(200);
 /// A leaving server must be known within seconds, and each call has its price.
 constexpr Duration kListInterval = std::chrono::milliseconds(500);
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -25,6 +25,7 @@
   std::string gateway_;
   std::string failure_domain_;
   bool stopping_ = false;
+  bool has_gateways_ = false;
   /// What the gateway holds, as far as this connection knows.
   std::optional<uint64_t> config_version_;
   uint64_t servers_number_ = 0;
@@ -48,6 +49,7 @@
   watcher->gateway_ = request.gateway();
   watcher->failure_domain_ = request.failure_domain();
   watcher->stopping_ = request.stopping();
+  watcher->has_gateways_ = request.has_gateways();
   if (request.has_config()) {
     watcher->config_version_ = request.config_version();
   }
@@ -105,15 +107,18 @@
   for (const std::string& member : leadership.members_) {
     update->add_members(member);
   }
+  const bool has_news =
+      !config_->is_empty() && (!watcher->config_version_ ||
+                               *watcher->config_version_ < config_->version());
+  // What was committed once, though it may not be the newest, serves better
+  // than nothing until a leader is found.
+  if (has_news && (leadership.leads_ || !watcher->config_version_)) {
+    update->set_has_config(true);
+    update->set_config_version(config_->version());
+    update->set_config(config_->document());
+    watcher->config_version_ = config_->version();
+  }
   if (leadership.leads_) {
-    if (!config_->is_empty() &&
-        (!watcher->config_version_ ||
-         *watcher->config_version_ < config_->version())) {
-      update->set_has_config(true);
-      update->set_config_version(config_->version());
-      update->set_config(config_->document());
-      watcher->config_version_ = config_->version();
-    }
     if (servers_read_) {
       if (watcher->servers_number_ != servers_number_) {
         watcher->servers_number_ = servers_number_;
@@ -131,7 +136,8 @@
 void GatewayFeed::AddGateways(Watcher* watcher,
                               TimePoint now,
                               WatchUpdate* update) const {
-  if (now < leading_since_ + kGatheringTime ||
+  const bool is_gathering = now < leading_since_ + kGatheringTime;
+  if ((is_gathering && watcher->has_gateways_) ||
       watcher->gateways_number_ == gateways_number_) {
     return;
   }
--- a/src/control/replica_driver.cc
+++ b/src/control/replica_driver.cc
@@ -13,6 +13,8 @@
 // The snapshot that every initial voter starts from.
 constexpr uint64_t kInitialIndex = 1;
 constexpr uint64_t kInitialTerm = 1;
+/// Changes that come closer together share one snapshot.
+constexpr Duration kQuiet = std::chrono::milliseconds(400);
 
 Membership After(Membership membership, const MembershipStep& step) {
   switch (step.kind_) {
@@ -118,6 +120,7 @@
   if (node_ && failure_.empty()) {
     node_->Tick(now);
     CarryOutReady(now);
+    SnapshotWhenQuiet(now);
   }
 }
 
@@ -229,17 +232,35 @@
     std::string result;
     if (entry.kind_ == EntryKind::kCommand) {
       result = hooks_.apply_(entry.payload_);
+      last_command_ = SteadyNow();
     }
     pending_.Applied(entry, std::move(result));
   }
 }
 
 bool ReplicaDriver::MaybeSnapshot(Error* error) {
-  const uint64_t applied = node_->applied_index();
-  if (applied < snapshot_index_ + options_.snapshot_interval_ &&
-      bytes_since_snapshot_ < options_.snapshot_bytes_) {
-    return true;
+  const bool is_due =
+      node_->applied_index() >= snapshot_index_ + options_.snapshot_interval_ ||
+      bytes_since_snapshot_ >= options_.snapshot_bytes_;
+  return !is_due || TakeSnapshot(error);
+}
+
+// What was applied is known at once after a restart only if a snapshot holds
+// it: the log alone does not say what is committed. Gateways that restart with
+// all control VMs so serve a second earlier.
+void ReplicaDriver::SnapshotWhenQuiet(TimePoint now) {
+  if (!failure_.empty() || bytes_since_snapshot_ == 0 ||
+      now - last_command_ < kQuiet) {
+    return;
   }
+  Error error;
+  if (!TakeSnapshot(&error)) {
+    Fail(error.message_);
+  }
+}
+
+bool ReplicaDriver::TakeSnapshot(Error* error) {
+  const uint64_t applied = node_->applied_index();
   Snapshot snapshot{applied, node_->TermAt(applied),
                     node_->membership_at(applied), hooks_.take_snapshot_()};
   if (!storage_->SaveSnapshot(snapshot, false, error)) {
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -90,6 +90,7 @@
     watch->set_has_config(true);
     watch->set_config_version(*version);
   }
+  watch->set_has_gateways(hooks_.knows_gateways_());
   link_->Send(frame);
 }
 
@@ -110,6 +111,9 @@
     hooks_.updated_(update);
     return;
   }
+  if (update->has_config() && !hooks_.config_version_()) {
+    hooks_.updated_(update);
+  }
   // Left at the next tick: the link is at work now.
   leader_hint_ = update->leader() == link_->endpoint() ? "" : update->leader();
   lost_ = true;
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -275,6 +275,7 @@
     const auto& config = view_.config();
     return config ? std::optional(config->version()) : std::nullopt;
   };
+  hooks.knows_gateways_ = [this] { return !view_.gateways().empty(); };
   return hooks;
 }
 
--- a/src/relay/relay_answers.cc
+++ b/src/relay/relay_answers.cc
@@ -12,9 +12,21 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-/// Seconds until a refused caller should come back: a server that failed is
-/// replaced, or another one found, within about this time.
-constexpr const char* kRetryAfter = "0.4";
+
+// Seconds until a refused caller should come back.
+const char* RetryAfter(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kNoConfiguration:
+      // Control VMs that all restart have a leader after about this time.
+      return "1.4";
+    case RefusalReason::kDeadlineUnreachable:
+      // A part of a burst is over by then.
+      return "1";
+    default:
+      // Another server is found, or one that failed is passed over.
+      return "0.4";
+  }
+}
 
 bool PromisesNotRun(int status) {
   return status == kTooManyRequests || status == kUnavailable;
@@ -37,7 +49,7 @@
     reply.status_ = kBadGateway;
   }
   if (PromisesNotRun(reply.status_)) {
-    reply.headers_.push_back({"Retry-After", kRetryAfter});
+    reply.headers_.push_back({"Retry-After", RetryAfter(reason)});
   }
   JsonValue body = JsonValue::Object();
   body.AppendMember("reason", JsonValue::String(ToString(reason)));
