--- a/bench/bench-control-log.cc
+++ b/bench/bench-control-log.cc
@@ -23,7 +23,7 @@
 #include <thread>
 #include <vector>
 
-#include "citronlane/app/replica.h"
+#include "citronlane/control/replica.h"
 #include "citronlane/storage/posix_file_system.h"
 
 namespace citronlane {
--- a/bench/control/node_host.cc
+++ b/bench/control/node_host.cc
@@ -12,7 +12,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "citronlane/app/control_run.h"
+#include "citronlane/control/control_run.h"
 
 namespace citronlane::bench {
 namespace {
--- a/bench/control/node_host.h
+++ b/bench/control/node_host.h
@@ -7,7 +7,7 @@
 #include <map>
 #include <string>
 
-#include "citronlane/app/control_options.h"
+#include "citronlane/control/control_options.h"
 
 namespace citronlane::bench {
 
--- a/include/citronlane/citronlane.h
+++ b/include/citronlane/citronlane.h
@@ -5,10 +5,6 @@
 /// their settings, the configuration, and the decisions behind them.
 
 #include "citronlane/admission/admission_controller.h"
-#include "citronlane/app/control_node.h"
-#include "citronlane/app/control_run.h"
-#include "citronlane/app/gateway.h"
-#include "citronlane/app/gateway_run.h"
 #include "citronlane/base/error.h"
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/time.h"
@@ -17,6 +13,10 @@
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/config/parse_cluster_config.h"
 #include "citronlane/consensus/raft_node.h"
+#include "citronlane/control/control_node.h"
+#include "citronlane/control/control_run.h"
+#include "citronlane/gateway/gateway.h"
+#include "citronlane/gateway/gateway_run.h"
 #include "citronlane/json/parse.h"
 #include "citronlane/observe/logger.h"
 #include "citronlane/observe/metric_names.h"
--- a/include/citronlane/control/cluster_member.h
+++ b/include/citronlane/control/cluster_member.h
@@ -13,11 +13,11 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "citronlane/app/replica.h"
 #include "citronlane/base/time.h"
 #include "citronlane/consensus/message.h"
 #include "citronlane/control/membership_keeper.h"
 #include "citronlane/control/node_identity.h"
+#include "citronlane/control/replica.h"
 #include "citronlane/serving/node_settings.h"
 
 namespace citronlane {
--- a/include/citronlane/app/control_node.h
+++ b/include/citronlane/control/control_node.h
@@ -1,14 +1,14 @@
-#ifndef CITRONLANE_APP_CONTROL_NODE_H_
-#define CITRONLANE_APP_CONTROL_NODE_H_
+#ifndef CITRONLANE_CONTROL_CONTROL_NODE_H_
+#define CITRONLANE_CONTROL_CONTROL_NODE_H_
 
 #include <cstdint>
 #include <memory>
 #include <string>
 
-#include "citronlane/app/control_node_hooks.h"
-#include "citronlane/app/control_options.h"
-#include "citronlane/app/replica_status.h"
 #include "citronlane/base/error.h"
+#include "citronlane/control/control_node_hooks.h"
+#include "citronlane/control/control_options.h"
+#include "citronlane/control/replica_status.h"
 
 namespace citronlane {
 
@@ -42,4 +42,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CONTROL_NODE_H_
+#endif  // CITRONLANE_CONTROL_CONTROL_NODE_H_
--- a/include/citronlane/app/control_node_hooks.h
+++ b/include/citronlane/control/control_node_hooks.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_CONTROL_NODE_HOOKS_H_
-#define CITRONLANE_APP_CONTROL_NODE_HOOKS_H_
+#ifndef CITRONLANE_CONTROL_CONTROL_NODE_HOOKS_H_
+#define CITRONLANE_CONTROL_CONTROL_NODE_HOOKS_H_
 
 #include <cstdint>
 #include <functional>
@@ -21,4 +21,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CONTROL_NODE_HOOKS_H_
+#endif  // CITRONLANE_CONTROL_CONTROL_NODE_HOOKS_H_
--- a/include/citronlane/app/control_options.h
+++ b/include/citronlane/control/control_options.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_CONTROL_OPTIONS_H_
-#define CITRONLANE_APP_CONTROL_OPTIONS_H_
+#ifndef CITRONLANE_CONTROL_CONTROL_OPTIONS_H_
+#define CITRONLANE_CONTROL_CONTROL_OPTIONS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "citronlane/app/control_peer.h"
-#include "citronlane/app/operator_key.h"
-#include "citronlane/app/replica_options.h"
 #include "citronlane/base/time.h"
+#include "citronlane/control/control_peer.h"
+#include "citronlane/control/operator_key.h"
+#include "citronlane/control/replica_options.h"
 #include "citronlane/state/state_limits.h"
 #include "citronlane/transport/tls_files.h"
 
@@ -54,4 +54,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CONTROL_OPTIONS_H_
+#endif  // CITRONLANE_CONTROL_CONTROL_OPTIONS_H_
--- a/include/citronlane/app/control_peer.h
+++ b/include/citronlane/control/control_peer.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_CONTROL_PEER_H_
-#define CITRONLANE_APP_CONTROL_PEER_H_
+#ifndef CITRONLANE_CONTROL_CONTROL_PEER_H_
+#define CITRONLANE_CONTROL_CONTROL_PEER_H_
 
 #include <string>
 
@@ -17,4 +17,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CONTROL_PEER_H_
+#endif  // CITRONLANE_CONTROL_CONTROL_PEER_H_
--- a/include/citronlane/app/control_run.h
+++ b/include/citronlane/control/control_run.h
@@ -1,9 +1,9 @@
-#ifndef CITRONLANE_APP_CONTROL_RUN_H_
-#define CITRONLANE_APP_CONTROL_RUN_H_
+#ifndef CITRONLANE_CONTROL_CONTROL_RUN_H_
+#define CITRONLANE_CONTROL_CONTROL_RUN_H_
 
-#include "citronlane/app/control_node_hooks.h"
-#include "citronlane/app/control_options.h"
 #include "citronlane/base/error.h"
+#include "citronlane/control/control_node_hooks.h"
+#include "citronlane/control/control_options.h"
 
 namespace citronlane {
 
@@ -17,4 +17,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CONTROL_RUN_H_
+#endif  // CITRONLANE_CONTROL_CONTROL_RUN_H_
--- a/include/citronlane/app/detail/admin_context.h
+++ b/include/citronlane/control/detail/admin_context.h
@@ -1,15 +1,15 @@
-#ifndef CITRONLANE_APP_DETAIL_ADMIN_CONTEXT_H_
-#define CITRONLANE_APP_DETAIL_ADMIN_CONTEXT_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_ADMIN_CONTEXT_H_
+#define CITRONLANE_CONTROL_DETAIL_ADMIN_CONTEXT_H_
 
 #include <cstdint>
 #include <functional>
 #include <string>
 
-#include "citronlane/app/control_options.h"
-#include "citronlane/app/detail/command_proposer.h"
-#include "citronlane/app/detail/control_state.h"
-#include "citronlane/app/replica.h"
-#include "citronlane/app/replica_status.h"
+#include "citronlane/control/control_options.h"
+#include "citronlane/control/detail/command_proposer.h"
+#include "citronlane/control/detail/control_state.h"
+#include "citronlane/control/replica.h"
+#include "citronlane/control/replica_status.h"
 
 namespace citronlane {
 
@@ -33,4 +33,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_ADMIN_CONTEXT_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_ADMIN_CONTEXT_H_
--- a/include/citronlane/app/detail/admin_replies.h
+++ b/include/citronlane/control/detail/admin_replies.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DETAIL_ADMIN_REPLIES_H_
-#define CITRONLANE_APP_DETAIL_ADMIN_REPLIES_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_ADMIN_REPLIES_H_
+#define CITRONLANE_CONTROL_DETAIL_ADMIN_REPLIES_H_
 
 #include <cstdint>
 #include <optional>
@@ -54,4 +54,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_ADMIN_REPLIES_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_ADMIN_REPLIES_H_
--- a/include/citronlane/app/detail/config_routes.h
+++ b/include/citronlane/control/detail/config_routes.h
@@ -1,11 +1,11 @@
-#ifndef CITRONLANE_APP_DETAIL_CONFIG_ROUTES_H_
-#define CITRONLANE_APP_DETAIL_CONFIG_ROUTES_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_CONFIG_ROUTES_H_
+#define CITRONLANE_CONTROL_DETAIL_CONFIG_ROUTES_H_
 
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "citronlane/app/detail/admin_context.h"
+#include "citronlane/control/detail/admin_context.h"
 #include "citronlane/json/fault.h"
 #include "citronlane/transport/admin_request.h"
 #include "citronlane/transport/admin_response.h"
@@ -37,4 +37,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_CONFIG_ROUTES_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_CONFIG_ROUTES_H_
--- a/include/citronlane/app/detail/control_admin.h
+++ b/include/citronlane/control/detail/control_admin.h
@@ -1,14 +1,14 @@
-#ifndef CITRONLANE_APP_DETAIL_CONTROL_ADMIN_H_
-#define CITRONLANE_APP_DETAIL_CONTROL_ADMIN_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_CONTROL_ADMIN_H_
+#define CITRONLANE_CONTROL_DETAIL_CONTROL_ADMIN_H_
 
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "citronlane/app/detail/admin_context.h"
-#include "citronlane/app/detail/config_routes.h"
-#include "citronlane/app/detail/fleet_routes.h"
-#include "citronlane/app/operator_key.h"
+#include "citronlane/control/detail/admin_context.h"
+#include "citronlane/control/detail/config_routes.h"
+#include "citronlane/control/detail/fleet_routes.h"
+#include "citronlane/control/operator_key.h"
 #include "citronlane/transport/admin_request.h"
 #include "citronlane/transport/admin_response.h"
 
@@ -59,4 +59,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_CONTROL_ADMIN_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_CONTROL_ADMIN_H_
--- a/include/citronlane/app/detail/control_calls.h
+++ b/include/citronlane/control/detail/control_calls.h
@@ -1,13 +1,13 @@
-#ifndef CITRONLANE_APP_DETAIL_CONTROL_CALLS_H_
-#define CITRONLANE_APP_DETAIL_CONTROL_CALLS_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_CONTROL_CALLS_H_
+#define CITRONLANE_CONTROL_DETAIL_CONTROL_CALLS_H_
 
 #include <functional>
 #include <string>
 
-#include "citronlane/app/control_options.h"
-#include "citronlane/app/detail/command_proposer.h"
-#include "citronlane/app/detail/control_state.h"
-#include "citronlane/app/replica_status.h"
+#include "citronlane/control/control_options.h"
+#include "citronlane/control/detail/command_proposer.h"
+#include "citronlane/control/detail/control_state.h"
+#include "citronlane/control/replica_status.h"
 #include "citronlane/transport/control_service_hooks.h"
 
 namespace citronlane {
@@ -50,4 +50,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_CONTROL_CALLS_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_CONTROL_CALLS_H_
--- a/include/citronlane/app/detail/control_leader.h
+++ b/include/citronlane/control/detail/control_leader.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DETAIL_CONTROL_LEADER_H_
-#define CITRONLANE_APP_DETAIL_CONTROL_LEADER_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_CONTROL_LEADER_H_
+#define CITRONLANE_CONTROL_DETAIL_CONTROL_LEADER_H_
 
 #include <condition_variable>
 #include <cstdint>
@@ -8,11 +8,11 @@
 #include <string_view>
 #include <thread>
 
-#include "citronlane/app/control_options.h"
-#include "citronlane/app/detail/command_proposer.h"
-#include "citronlane/app/detail/control_state.h"
-#include "citronlane/app/replica_status.h"
 #include "citronlane/consensus/role.h"
+#include "citronlane/control/control_options.h"
+#include "citronlane/control/detail/command_proposer.h"
+#include "citronlane/control/detail/control_state.h"
+#include "citronlane/control/replica_status.h"
 
 namespace citronlane {
 
@@ -75,4 +75,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_CONTROL_LEADER_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_CONTROL_LEADER_H_
--- a/include/citronlane/app/detail/control_metrics.h
+++ b/include/citronlane/control/detail/control_metrics.h
@@ -1,9 +1,9 @@
-#ifndef CITRONLANE_APP_DETAIL_CONTROL_METRICS_H_
-#define CITRONLANE_APP_DETAIL_CONTROL_METRICS_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_CONTROL_METRICS_H_
+#define CITRONLANE_CONTROL_DETAIL_CONTROL_METRICS_H_
 
 #include <string>
 
-#include "citronlane/app/replica_status.h"
+#include "citronlane/control/replica_status.h"
 
 namespace citronlane {
 
@@ -16,4 +16,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_CONTROL_METRICS_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_CONTROL_METRICS_H_
--- a/include/citronlane/app/detail/control_state.h
+++ b/include/citronlane/control/detail/control_state.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DETAIL_CONTROL_STATE_H_
-#define CITRONLANE_APP_DETAIL_CONTROL_STATE_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_CONTROL_STATE_H_
+#define CITRONLANE_CONTROL_DETAIL_CONTROL_STATE_H_
 
 #include <condition_variable>
 #include <cstdint>
@@ -10,9 +10,9 @@
 #include <string>
 #include <string_view>
 
-#include "citronlane/app/detail/gateway_sighting.h"
-#include "citronlane/app/replica_status.h"
 #include "citronlane/base/time.h"
+#include "citronlane/control/detail/gateway_sighting.h"
+#include "citronlane/control/replica_status.h"
 #include "citronlane/fleet/in_force_status.h"
 #include "citronlane/fleet/in_force_tracker.h"
 #include "citronlane/state/state_machine.h"
@@ -89,4 +89,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_CONTROL_STATE_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_CONTROL_STATE_H_
--- a/include/citronlane/app/detail/fleet_routes.h
+++ b/include/citronlane/control/detail/fleet_routes.h
@@ -1,10 +1,10 @@
-#ifndef CITRONLANE_APP_DETAIL_FLEET_ROUTES_H_
-#define CITRONLANE_APP_DETAIL_FLEET_ROUTES_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_FLEET_ROUTES_H_
+#define CITRONLANE_CONTROL_DETAIL_FLEET_ROUTES_H_
 
 #include <functional>
 #include <string>
 
-#include "citronlane/app/detail/admin_context.h"
+#include "citronlane/control/detail/admin_context.h"
 #include "citronlane/transport/admin_request.h"
 #include "citronlane/transport/admin_response.h"
 
@@ -40,4 +40,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_FLEET_ROUTES_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_FLEET_ROUTES_H_
--- a/include/citronlane/app/detail/order_dispatcher.h
+++ b/include/citronlane/control/detail/order_dispatcher.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DETAIL_ORDER_DISPATCHER_H_
-#define CITRONLANE_APP_DETAIL_ORDER_DISPATCHER_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_ORDER_DISPATCHER_H_
+#define CITRONLANE_CONTROL_DETAIL_ORDER_DISPATCHER_H_
 
 #include <cstdint>
 #include <functional>
@@ -8,10 +8,10 @@
 #include <set>
 #include <string>
 
-#include "citronlane/app/control_options.h"
-#include "citronlane/app/detail/command_proposer.h"
-#include "citronlane/app/detail/control_state.h"
 #include "citronlane/config/pool_config.h"
+#include "citronlane/control/control_options.h"
+#include "citronlane/control/detail/command_proposer.h"
+#include "citronlane/control/detail/control_state.h"
 #include "citronlane/orders/order_gate.h"
 #include "citronlane/transport/order_sender.h"
 
@@ -61,4 +61,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_ORDER_DISPATCHER_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_ORDER_DISPATCHER_H_
--- a/include/citronlane/app/detail/pending_calls.h
+++ b/include/citronlane/control/detail/pending_calls.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DETAIL_PENDING_CALLS_H_
-#define CITRONLANE_APP_DETAIL_PENDING_CALLS_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_PENDING_CALLS_H_
+#define CITRONLANE_CONTROL_DETAIL_PENDING_CALLS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -7,8 +7,8 @@
 #include <string>
 #include <unordered_map>
 
-#include "citronlane/app/replica.h"
 #include "citronlane/consensus/entry.h"
+#include "citronlane/control/replica.h"
 
 namespace citronlane {
 
@@ -41,4 +41,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_PENDING_CALLS_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_PENDING_CALLS_H_
--- a/include/citronlane/app/detail/replica_impl.h
+++ b/include/citronlane/control/detail/replica_impl.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DETAIL_REPLICA_IMPL_H_
-#define CITRONLANE_APP_DETAIL_REPLICA_IMPL_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_REPLICA_IMPL_H_
+#define CITRONLANE_CONTROL_DETAIL_REPLICA_IMPL_H_
 
 #include <condition_variable>
 #include <cstdint>
@@ -12,11 +12,11 @@
 #include <thread>
 #include <vector>
 
-#include "citronlane/app/detail/cluster_formation.h"
-#include "citronlane/app/detail/pending_calls.h"
-#include "citronlane/app/detail/replica_peers.h"
-#include "citronlane/app/replica.h"
 #include "citronlane/consensus/raft_node.h"
+#include "citronlane/control/detail/cluster_formation.h"
+#include "citronlane/control/detail/pending_calls.h"
+#include "citronlane/control/detail/replica_peers.h"
+#include "citronlane/control/replica.h"
 #include "citronlane/storage/replica_storage.h"
 #include "citronlane/transport/replication_server.h"
 
@@ -132,4 +132,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_REPLICA_IMPL_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_REPLICA_IMPL_H_
--- a/include/citronlane/app/detail/vm_list_poller.h
+++ b/include/citronlane/control/detail/vm_list_poller.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DETAIL_VM_LIST_POLLER_H_
-#define CITRONLANE_APP_DETAIL_VM_LIST_POLLER_H_
+#ifndef CITRONLANE_CONTROL_DETAIL_VM_LIST_POLLER_H_
+#define CITRONLANE_CONTROL_DETAIL_VM_LIST_POLLER_H_
 
 #include <condition_variable>
 #include <functional>
@@ -8,9 +8,9 @@
 #include <string_view>
 #include <thread>
 
-#include "citronlane/app/detail/command_proposer.h"
-#include "citronlane/app/detail/control_state.h"
 #include "citronlane/base/time.h"
+#include "citronlane/control/detail/command_proposer.h"
+#include "citronlane/control/detail/control_state.h"
 #include "citronlane/transport/vm_list_client.h"
 
 namespace citronlane {
@@ -58,4 +58,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DETAIL_VM_LIST_POLLER_H_
+#endif  // CITRONLANE_CONTROL_DETAIL_VM_LIST_POLLER_H_
--- a/include/citronlane/control/operator_api.h
+++ b/include/citronlane/control/operator_api.h
@@ -7,8 +7,8 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "citronlane/app/replica.h"
 #include "citronlane/base/time.h"
+#include "citronlane/control/replica.h"
 
 namespace citronlane {
 
--- a/include/citronlane/app/operator_key.h
+++ b/include/citronlane/control/operator_key.h
@@ -1,9 +1,9 @@
-#ifndef CITRONLANE_APP_OPERATOR_KEY_H_
-#define CITRONLANE_APP_OPERATOR_KEY_H_
+#ifndef CITRONLANE_CONTROL_OPERATOR_KEY_H_
+#define CITRONLANE_CONTROL_OPERATOR_KEY_H_
 
 #include <string>
 
-#include "citronlane/app/operator_role.h"
+#include "citronlane/control/operator_role.h"
 
 namespace citronlane {
 
@@ -18,4 +18,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_OPERATOR_KEY_H_
+#endif  // CITRONLANE_CONTROL_OPERATOR_KEY_H_
--- a/include/citronlane/app/operator_role.h
+++ b/include/citronlane/control/operator_role.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_OPERATOR_ROLE_H_
-#define CITRONLANE_APP_OPERATOR_ROLE_H_
+#ifndef CITRONLANE_CONTROL_OPERATOR_ROLE_H_
+#define CITRONLANE_CONTROL_OPERATOR_ROLE_H_
 
 namespace citronlane {
 
@@ -13,4 +13,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_OPERATOR_ROLE_H_
+#endif  // CITRONLANE_CONTROL_OPERATOR_ROLE_H_
--- a/include/citronlane/app/replica.h
+++ b/include/citronlane/control/replica.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_REPLICA_H_
-#define CITRONLANE_APP_REPLICA_H_
+#ifndef CITRONLANE_CONTROL_REPLICA_H_
+#define CITRONLANE_CONTROL_REPLICA_H_
 
 #include <cstdint>
 #include <functional>
@@ -7,10 +7,10 @@
 #include <optional>
 #include <string>
 
-#include "citronlane/app/replica_hooks.h"
-#include "citronlane/app/replica_options.h"
-#include "citronlane/app/replica_status.h"
 #include "citronlane/base/error.h"
+#include "citronlane/control/replica_hooks.h"
+#include "citronlane/control/replica_options.h"
+#include "citronlane/control/replica_status.h"
 
 namespace citronlane {
 
@@ -58,4 +58,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_REPLICA_H_
+#endif  // CITRONLANE_CONTROL_REPLICA_H_
--- a/include/citronlane/control/replica_driver.h
+++ b/include/citronlane/control/replica_driver.h
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
-#include "citronlane/app/detail/pending_calls.h"
 #include "citronlane/base/error.h"
 #include "citronlane/consensus/raft_node.h"
+#include "citronlane/control/detail/pending_calls.h"
 #include "citronlane/storage/file_system.h"
 #include "citronlane/storage/stored_state.h"
 
--- a/include/citronlane/app/replica_hooks.h
+++ b/include/citronlane/control/replica_hooks.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_REPLICA_HOOKS_H_
-#define CITRONLANE_APP_REPLICA_HOOKS_H_
+#ifndef CITRONLANE_CONTROL_REPLICA_HOOKS_H_
+#define CITRONLANE_CONTROL_REPLICA_HOOKS_H_
 
 #include <cstdint>
 #include <functional>
@@ -32,4 +32,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_REPLICA_HOOKS_H_
+#endif  // CITRONLANE_CONTROL_REPLICA_HOOKS_H_
--- a/include/citronlane/app/replica_options.h
+++ b/include/citronlane/control/replica_options.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_REPLICA_OPTIONS_H_
-#define CITRONLANE_APP_REPLICA_OPTIONS_H_
+#ifndef CITRONLANE_CONTROL_REPLICA_OPTIONS_H_
+#define CITRONLANE_CONTROL_REPLICA_OPTIONS_H_
 
 #include <cstdint>
 #include <map>
@@ -36,4 +36,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_REPLICA_OPTIONS_H_
+#endif  // CITRONLANE_CONTROL_REPLICA_OPTIONS_H_
--- a/include/citronlane/app/replica_status.h
+++ b/include/citronlane/control/replica_status.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_REPLICA_STATUS_H_
-#define CITRONLANE_APP_REPLICA_STATUS_H_
+#ifndef CITRONLANE_CONTROL_REPLICA_STATUS_H_
+#define CITRONLANE_CONTROL_REPLICA_STATUS_H_
 
 #include <cstdint>
 #include <string>
@@ -32,4 +32,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_REPLICA_STATUS_H_
+#endif  // CITRONLANE_CONTROL_REPLICA_STATUS_H_
--- a/include/citronlane/app/admission_estimate.h
+++ b/include/citronlane/gateway/admission_estimate.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_ADMISSION_ESTIMATE_H_
-#define CITRONLANE_APP_ADMISSION_ESTIMATE_H_
+#ifndef CITRONLANE_GATEWAY_ADMISSION_ESTIMATE_H_
+#define CITRONLANE_GATEWAY_ADMISSION_ESTIMATE_H_
 
 #include "citronlane/admission/admission_query.h"
 #include "citronlane/base/time.h"
@@ -17,4 +17,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_ADMISSION_ESTIMATE_H_
+#endif  // CITRONLANE_GATEWAY_ADMISSION_ESTIMATE_H_
--- a/include/citronlane/app/admission_gate.h
+++ b/include/citronlane/gateway/admission_gate.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_ADMISSION_GATE_H_
-#define CITRONLANE_APP_ADMISSION_GATE_H_
+#ifndef CITRONLANE_GATEWAY_ADMISSION_GATE_H_
+#define CITRONLANE_GATEWAY_ADMISSION_GATE_H_
 
 #include <cstddef>
 #include <memory>
@@ -46,4 +46,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_ADMISSION_GATE_H_
+#endif  // CITRONLANE_GATEWAY_ADMISSION_GATE_H_
--- a/include/citronlane/app/answer_writer.h
+++ b/include/citronlane/gateway/answer_writer.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_ANSWER_WRITER_H_
-#define CITRONLANE_APP_ANSWER_WRITER_H_
+#ifndef CITRONLANE_GATEWAY_ANSWER_WRITER_H_
+#define CITRONLANE_GATEWAY_ANSWER_WRITER_H_
 
 #include <cstdint>
 #include <string>
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "absl/types/span.h"
-#include "citronlane/app/caller_request.h"
-#include "citronlane/app/stage_cost.h"
+#include "citronlane/gateway/caller_request.h"
+#include "citronlane/gateway/stage_cost.h"
 #include "citronlane/json/value.h"
 #include "citronlane/request/emit_text.h"
 #include "citronlane/request/stage_output.h"
@@ -54,4 +54,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_ANSWER_WRITER_H_
+#endif  // CITRONLANE_GATEWAY_ANSWER_WRITER_H_
--- a/include/citronlane/app/caller_handler.h
+++ b/include/citronlane/gateway/caller_handler.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_CALLER_HANDLER_H_
-#define CITRONLANE_APP_CALLER_HANDLER_H_
+#ifndef CITRONLANE_GATEWAY_CALLER_HANDLER_H_
+#define CITRONLANE_GATEWAY_CALLER_HANDLER_H_
 
 #include <cstddef>
 #include <memory>
@@ -8,14 +8,14 @@
 #include <string_view>
 
 #include "citronlane/admission/admission_query.h"
-#include "citronlane/app/answer_writer.h"
-#include "citronlane/app/caller_request.h"
-#include "citronlane/app/caller_service_parts.h"
-#include "citronlane/app/driver_job.h"
-#include "citronlane/app/refusal_context.h"
-#include "citronlane/app/request_claim.h"
-#include "citronlane/app/request_summary.h"
 #include "citronlane/base/time.h"
+#include "citronlane/gateway/answer_writer.h"
+#include "citronlane/gateway/caller_request.h"
+#include "citronlane/gateway/caller_service_parts.h"
+#include "citronlane/gateway/driver_job.h"
+#include "citronlane/gateway/refusal_context.h"
+#include "citronlane/gateway/request_claim.h"
+#include "citronlane/gateway/request_summary.h"
 #include "citronlane/request/finish_request.h"
 #include "citronlane/transport/http_reply.h"
 
@@ -81,4 +81,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CALLER_HANDLER_H_
+#endif  // CITRONLANE_GATEWAY_CALLER_HANDLER_H_
--- a/include/citronlane/app/caller_request.h
+++ b/include/citronlane/gateway/caller_request.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_CALLER_REQUEST_H_
-#define CITRONLANE_APP_CALLER_REQUEST_H_
+#ifndef CITRONLANE_GATEWAY_CALLER_REQUEST_H_
+#define CITRONLANE_GATEWAY_CALLER_REQUEST_H_
 
 #include <memory>
 #include <string>
@@ -40,4 +40,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CALLER_REQUEST_H_
+#endif  // CITRONLANE_GATEWAY_CALLER_REQUEST_H_
--- a/include/citronlane/app/caller_request_reader.h
+++ b/include/citronlane/gateway/caller_request_reader.h
@@ -1,12 +1,12 @@
-#ifndef CITRONLANE_APP_CALLER_REQUEST_READER_H_
-#define CITRONLANE_APP_CALLER_REQUEST_READER_H_
+#ifndef CITRONLANE_GATEWAY_CALLER_REQUEST_READER_H_
+#define CITRONLANE_GATEWAY_CALLER_REQUEST_READER_H_
 
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "citronlane/app/caller_request.h"
 #include "citronlane/base/refusal_reason.h"
+#include "citronlane/gateway/caller_request.h"
 
 namespace citronlane {
 
@@ -61,4 +61,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CALLER_REQUEST_READER_H_
+#endif  // CITRONLANE_GATEWAY_CALLER_REQUEST_READER_H_
--- a/include/citronlane/app/caller_service.h
+++ b/include/citronlane/gateway/caller_service.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_CALLER_SERVICE_H_
-#define CITRONLANE_APP_CALLER_SERVICE_H_
+#ifndef CITRONLANE_GATEWAY_CALLER_SERVICE_H_
+#define CITRONLANE_GATEWAY_CALLER_SERVICE_H_
 
 #include <atomic>
 #include <cstddef>
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "citronlane/app/caller_service_parts.h"
 #include "citronlane/base/refusal_reason.h"
+#include "citronlane/gateway/caller_service_parts.h"
 #include "citronlane/transport/http_reply.h"
 
 namespace citronlane {
@@ -41,4 +41,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CALLER_SERVICE_H_
+#endif  // CITRONLANE_GATEWAY_CALLER_SERVICE_H_
--- a/include/citronlane/app/caller_service_parts.h
+++ b/include/citronlane/gateway/caller_service_parts.h
@@ -1,13 +1,13 @@
-#ifndef CITRONLANE_APP_CALLER_SERVICE_PARTS_H_
-#define CITRONLANE_APP_CALLER_SERVICE_PARTS_H_
+#ifndef CITRONLANE_GATEWAY_CALLER_SERVICE_PARTS_H_
+#define CITRONLANE_GATEWAY_CALLER_SERVICE_PARTS_H_
 
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "citronlane/app/gateway_hooks.h"
-#include "citronlane/app/request_summary.h"
+#include "citronlane/gateway/gateway_hooks.h"
+#include "citronlane/gateway/request_summary.h"
 
 namespace citronlane {
 
@@ -34,4 +34,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CALLER_SERVICE_PARTS_H_
+#endif  // CITRONLANE_GATEWAY_CALLER_SERVICE_PARTS_H_
--- a/include/citronlane/app/claim_answer.h
+++ b/include/citronlane/gateway/claim_answer.h
@@ -1,7 +1,7 @@
-#ifndef CITRONLANE_APP_CLAIM_ANSWER_H_
-#define CITRONLANE_APP_CLAIM_ANSWER_H_
+#ifndef CITRONLANE_GATEWAY_CLAIM_ANSWER_H_
+#define CITRONLANE_GATEWAY_CLAIM_ANSWER_H_
 
-#include "citronlane/app/stored_answer.h"
+#include "citronlane/gateway/stored_answer.h"
 
 namespace citronlane {
 
@@ -25,4 +25,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CLAIM_ANSWER_H_
+#endif  // CITRONLANE_GATEWAY_CLAIM_ANSWER_H_
--- a/include/citronlane/app/claim_query.h
+++ b/include/citronlane/gateway/claim_query.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_CLAIM_QUERY_H_
-#define CITRONLANE_APP_CLAIM_QUERY_H_
+#ifndef CITRONLANE_GATEWAY_CLAIM_QUERY_H_
+#define CITRONLANE_GATEWAY_CLAIM_QUERY_H_
 
 #include <string>
 
@@ -16,4 +16,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CLAIM_QUERY_H_
+#endif  // CITRONLANE_GATEWAY_CLAIM_QUERY_H_
--- a/include/citronlane/app/config_view.h
+++ b/include/citronlane/gateway/config_view.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_CONFIG_VIEW_H_
-#define CITRONLANE_APP_CONFIG_VIEW_H_
+#ifndef CITRONLANE_GATEWAY_CONFIG_VIEW_H_
+#define CITRONLANE_GATEWAY_CONFIG_VIEW_H_
 
 #include <memory>
 #include <string>
@@ -30,4 +30,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_CONFIG_VIEW_H_
+#endif  // CITRONLANE_GATEWAY_CONFIG_VIEW_H_
--- a/include/citronlane/app/detail/call_flight.h
+++ b/include/citronlane/gateway/detail/call_flight.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DETAIL_CALL_FLIGHT_H_
-#define CITRONLANE_APP_DETAIL_CALL_FLIGHT_H_
+#ifndef CITRONLANE_GATEWAY_DETAIL_CALL_FLIGHT_H_
+#define CITRONLANE_GATEWAY_DETAIL_CALL_FLIGHT_H_
 
 #include <cstdint>
 #include <memory>
@@ -8,9 +8,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "citronlane/app/pool_shard.h"
 #include "citronlane/base/time.h"
 #include "citronlane/config/server_config.h"
+#include "citronlane/gateway/pool_shard.h"
 #include "citronlane/request/attempt_id.h"
 #include "citronlane/routing/call_shape.h"
 #include "citronlane/transport/stage_call.h"
@@ -43,4 +43,4 @@
 
 }  // namespace citronlane::detail
 
-#endif  // CITRONLANE_APP_DETAIL_CALL_FLIGHT_H_
+#endif  // CITRONLANE_GATEWAY_DETAIL_CALL_FLIGHT_H_
--- a/include/citronlane/app/driver_context.h
+++ b/include/citronlane/gateway/driver_context.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DRIVER_CONTEXT_H_
-#define CITRONLANE_APP_DRIVER_CONTEXT_H_
+#ifndef CITRONLANE_GATEWAY_DRIVER_CONTEXT_H_
+#define CITRONLANE_GATEWAY_DRIVER_CONTEXT_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -41,4 +41,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DRIVER_CONTEXT_H_
+#endif  // CITRONLANE_GATEWAY_DRIVER_CONTEXT_H_
--- a/include/citronlane/app/driver_job.h
+++ b/include/citronlane/gateway/driver_job.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DRIVER_JOB_H_
-#define CITRONLANE_APP_DRIVER_JOB_H_
+#ifndef CITRONLANE_GATEWAY_DRIVER_JOB_H_
+#define CITRONLANE_GATEWAY_DRIVER_JOB_H_
 
 #include <functional>
 #include <memory>
@@ -38,4 +38,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_DRIVER_JOB_H_
+#endif  // CITRONLANE_GATEWAY_DRIVER_JOB_H_
--- a/include/citronlane/app/gateway.h
+++ b/include/citronlane/gateway/gateway.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_GATEWAY_H_
-#define CITRONLANE_APP_GATEWAY_H_
+#ifndef CITRONLANE_GATEWAY_GATEWAY_H_
+#define CITRONLANE_GATEWAY_GATEWAY_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -8,10 +8,10 @@
 #include <string_view>
 #include <vector>
 
-#include "citronlane/app/gateway_hooks.h"
-#include "citronlane/app/gateway_options.h"
 #include "citronlane/base/error.h"
 #include "citronlane/base/time.h"
+#include "citronlane/gateway/gateway_hooks.h"
+#include "citronlane/gateway/gateway_options.h"
 #include "citronlane/transport/class_usage.h"
 
 namespace citronlane {
@@ -87,4 +87,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_GATEWAY_H_
+#endif  // CITRONLANE_GATEWAY_GATEWAY_H_
--- a/include/citronlane/app/gateway_control.h
+++ b/include/citronlane/gateway/gateway_control.h
@@ -1,10 +1,10 @@
-#ifndef CITRONLANE_APP_GATEWAY_CONTROL_H_
-#define CITRONLANE_APP_GATEWAY_CONTROL_H_
+#ifndef CITRONLANE_GATEWAY_GATEWAY_CONTROL_H_
+#define CITRONLANE_GATEWAY_GATEWAY_CONTROL_H_
 
 #include <memory>
 
-#include "citronlane/app/gateway_hooks.h"
-#include "citronlane/app/gateway_options.h"
+#include "citronlane/gateway/gateway_hooks.h"
+#include "citronlane/gateway/gateway_options.h"
 
 namespace citronlane {
 
@@ -37,4 +37,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_GATEWAY_CONTROL_H_
+#endif  // CITRONLANE_GATEWAY_GATEWAY_CONTROL_H_
--- a/include/citronlane/app/gateway_events.h
+++ b/include/citronlane/gateway/gateway_events.h
@@ -1,12 +1,12 @@
-#ifndef CITRONLANE_APP_GATEWAY_EVENTS_H_
-#define CITRONLANE_APP_GATEWAY_EVENTS_H_
+#ifndef CITRONLANE_GATEWAY_GATEWAY_EVENTS_H_
+#define CITRONLANE_GATEWAY_GATEWAY_EVENTS_H_
 
 #include <cstdint>
 #include <functional>
 #include <string_view>
 
-#include "citronlane/app/refusal_entry.h"
-#include "citronlane/app/request_summary.h"
+#include "citronlane/gateway/refusal_entry.h"
+#include "citronlane/gateway/request_summary.h"
 #include "citronlane/request/retry_reason.h"
 #include "citronlane/routing/call_outcome.h"
 
@@ -37,4 +37,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_GATEWAY_EVENTS_H_
+#endif  // CITRONLANE_GATEWAY_GATEWAY_EVENTS_H_
--- a/include/citronlane/app/gateway_hooks.h
+++ b/include/citronlane/gateway/gateway_hooks.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_GATEWAY_HOOKS_H_
-#define CITRONLANE_APP_GATEWAY_HOOKS_H_
+#ifndef CITRONLANE_GATEWAY_GATEWAY_HOOKS_H_
+#define CITRONLANE_GATEWAY_GATEWAY_HOOKS_H_
 
 #include <cstdint>
 #include <functional>
@@ -7,10 +7,10 @@
 #include <string_view>
 #include <vector>
 
-#include "citronlane/app/claim_answer.h"
-#include "citronlane/app/claim_query.h"
-#include "citronlane/app/gateway_events.h"
-#include "citronlane/app/refusal_entry.h"
+#include "citronlane/gateway/claim_answer.h"
+#include "citronlane/gateway/claim_query.h"
+#include "citronlane/gateway/gateway_events.h"
+#include "citronlane/gateway/refusal_entry.h"
 
 namespace citronlane {
 
@@ -46,4 +46,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_GATEWAY_HOOKS_H_
+#endif  // CITRONLANE_GATEWAY_GATEWAY_HOOKS_H_
--- a/include/citronlane/app/gateway_metrics.h
+++ b/include/citronlane/gateway/gateway_metrics.h
@@ -1,9 +1,9 @@
-#ifndef CITRONLANE_APP_GATEWAY_METRICS_H_
-#define CITRONLANE_APP_GATEWAY_METRICS_H_
+#ifndef CITRONLANE_GATEWAY_GATEWAY_METRICS_H_
+#define CITRONLANE_GATEWAY_GATEWAY_METRICS_H_
 
 #include <string>
 
-#include "citronlane/app/gateway_events.h"
+#include "citronlane/gateway/gateway_events.h"
 
 namespace citronlane {
 
@@ -34,4 +34,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_GATEWAY_METRICS_H_
+#endif  // CITRONLANE_GATEWAY_GATEWAY_METRICS_H_
--- a/include/citronlane/app/gateway_options.h
+++ b/include/citronlane/gateway/gateway_options.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_GATEWAY_OPTIONS_H_
-#define CITRONLANE_APP_GATEWAY_OPTIONS_H_
+#ifndef CITRONLANE_GATEWAY_GATEWAY_OPTIONS_H_
+#define CITRONLANE_GATEWAY_GATEWAY_OPTIONS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -55,4 +55,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_GATEWAY_OPTIONS_H_
+#endif  // CITRONLANE_GATEWAY_GATEWAY_OPTIONS_H_
--- a/include/citronlane/app/gateway_run.h
+++ b/include/citronlane/gateway/gateway_run.h
@@ -1,9 +1,9 @@
-#ifndef CITRONLANE_APP_GATEWAY_RUN_H_
-#define CITRONLANE_APP_GATEWAY_RUN_H_
+#ifndef CITRONLANE_GATEWAY_GATEWAY_RUN_H_
+#define CITRONLANE_GATEWAY_GATEWAY_RUN_H_
 
-#include "citronlane/app/gateway_hooks.h"
-#include "citronlane/app/gateway_options.h"
 #include "citronlane/base/error.h"
+#include "citronlane/gateway/gateway_hooks.h"
+#include "citronlane/gateway/gateway_options.h"
 
 namespace citronlane {
 
@@ -19,4 +19,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_GATEWAY_RUN_H_
+#endif  // CITRONLANE_GATEWAY_GATEWAY_RUN_H_
--- a/include/citronlane/app/gateway_state.h
+++ b/include/citronlane/gateway/gateway_state.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_GATEWAY_STATE_H_
-#define CITRONLANE_APP_GATEWAY_STATE_H_
+#ifndef CITRONLANE_GATEWAY_GATEWAY_STATE_H_
+#define CITRONLANE_GATEWAY_GATEWAY_STATE_H_
 
 #include <atomic>
 #include <cstdint>
@@ -49,4 +49,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_GATEWAY_STATE_H_
+#endif  // CITRONLANE_GATEWAY_GATEWAY_STATE_H_
--- a/include/citronlane/app/pool_estimate.h
+++ b/include/citronlane/gateway/pool_estimate.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_POOL_ESTIMATE_H_
-#define CITRONLANE_APP_POOL_ESTIMATE_H_
+#ifndef CITRONLANE_GATEWAY_POOL_ESTIMATE_H_
+#define CITRONLANE_GATEWAY_POOL_ESTIMATE_H_
 
 #include <cstddef>
 #include <optional>
@@ -22,4 +22,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_POOL_ESTIMATE_H_
+#endif  // CITRONLANE_GATEWAY_POOL_ESTIMATE_H_
--- a/include/citronlane/app/pool_shard.h
+++ b/include/citronlane/gateway/pool_shard.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_POOL_SHARD_H_
-#define CITRONLANE_APP_POOL_SHARD_H_
+#ifndef CITRONLANE_GATEWAY_POOL_SHARD_H_
+#define CITRONLANE_GATEWAY_POOL_SHARD_H_
 
 #include <cstdint>
 #include <map>
@@ -10,9 +10,9 @@
 #include <string_view>
 
 #include "absl/types/span.h"
-#include "citronlane/app/pool_estimate.h"
 #include "citronlane/base/time.h"
 #include "citronlane/config/server_config.h"
+#include "citronlane/gateway/pool_estimate.h"
 #include "citronlane/routing/budget.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/routing/call_shape.h"
@@ -92,4 +92,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_POOL_SHARD_H_
+#endif  // CITRONLANE_GATEWAY_POOL_SHARD_H_
--- a/include/citronlane/app/pool_shards.h
+++ b/include/citronlane/gateway/pool_shards.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_POOL_SHARDS_H_
-#define CITRONLANE_APP_POOL_SHARDS_H_
+#ifndef CITRONLANE_GATEWAY_POOL_SHARDS_H_
+#define CITRONLANE_GATEWAY_POOL_SHARDS_H_
 
 #include <cstdint>
 #include <map>
@@ -8,8 +8,8 @@
 #include <string>
 #include <string_view>
 
-#include "citronlane/app/pool_shard.h"
 #include "citronlane/base/time.h"
+#include "citronlane/gateway/pool_shard.h"
 #include "citronlane/routing/router_options.h"
 
 namespace citronlane {
@@ -44,4 +44,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_POOL_SHARDS_H_
+#endif  // CITRONLANE_GATEWAY_POOL_SHARDS_H_
--- a/include/citronlane/app/receipt.h
+++ b/include/citronlane/gateway/receipt.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_RECEIPT_H_
-#define CITRONLANE_APP_RECEIPT_H_
+#ifndef CITRONLANE_GATEWAY_RECEIPT_H_
+#define CITRONLANE_GATEWAY_RECEIPT_H_
 
 #include <string>
 #include <string_view>
@@ -18,4 +18,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_RECEIPT_H_
+#endif  // CITRONLANE_GATEWAY_RECEIPT_H_
--- a/include/citronlane/app/refusal_backlog.h
+++ b/include/citronlane/gateway/refusal_backlog.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_REFUSAL_BACKLOG_H_
-#define CITRONLANE_APP_REFUSAL_BACKLOG_H_
+#ifndef CITRONLANE_GATEWAY_REFUSAL_BACKLOG_H_
+#define CITRONLANE_GATEWAY_REFUSAL_BACKLOG_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -8,7 +8,7 @@
 #include <mutex>
 #include <vector>
 
-#include "citronlane/app/refusal_entry.h"
+#include "citronlane/gateway/refusal_entry.h"
 
 namespace citronlane {
 
@@ -46,4 +46,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_REFUSAL_BACKLOG_H_
+#endif  // CITRONLANE_GATEWAY_REFUSAL_BACKLOG_H_
--- a/include/citronlane/app/refusal_context.h
+++ b/include/citronlane/gateway/refusal_context.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_REFUSAL_CONTEXT_H_
-#define CITRONLANE_APP_REFUSAL_CONTEXT_H_
+#ifndef CITRONLANE_GATEWAY_REFUSAL_CONTEXT_H_
+#define CITRONLANE_GATEWAY_REFUSAL_CONTEXT_H_
 
 #include <cstdint>
 #include <string>
@@ -20,4 +20,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_REFUSAL_CONTEXT_H_
+#endif  // CITRONLANE_GATEWAY_REFUSAL_CONTEXT_H_
--- a/include/citronlane/app/refusal_entry.h
+++ b/include/citronlane/gateway/refusal_entry.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_REFUSAL_ENTRY_H_
-#define CITRONLANE_APP_REFUSAL_ENTRY_H_
+#ifndef CITRONLANE_GATEWAY_REFUSAL_ENTRY_H_
+#define CITRONLANE_GATEWAY_REFUSAL_ENTRY_H_
 
 #include <cstdint>
 #include <map>
@@ -28,4 +28,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_REFUSAL_ENTRY_H_
+#endif  // CITRONLANE_GATEWAY_REFUSAL_ENTRY_H_
--- a/include/citronlane/app/refusal_writer.h
+++ b/include/citronlane/gateway/refusal_writer.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_REFUSAL_WRITER_H_
-#define CITRONLANE_APP_REFUSAL_WRITER_H_
+#ifndef CITRONLANE_GATEWAY_REFUSAL_WRITER_H_
+#define CITRONLANE_GATEWAY_REFUSAL_WRITER_H_
 
 #include <atomic>
 #include <cstdint>
@@ -10,9 +10,9 @@
 #include <string_view>
 
 #include "citronlane/admission/refusal.h"
-#include "citronlane/app/refusal_context.h"
-#include "citronlane/app/refusal_entry.h"
 #include "citronlane/base/verdict.h"
+#include "citronlane/gateway/refusal_context.h"
+#include "citronlane/gateway/refusal_entry.h"
 #include "citronlane/transport/http_reply.h"
 
 namespace citronlane {
@@ -50,4 +50,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_REFUSAL_WRITER_H_
+#endif  // CITRONLANE_GATEWAY_REFUSAL_WRITER_H_
--- a/include/citronlane/app/request_claim.h
+++ b/include/citronlane/gateway/request_claim.h
@@ -1,12 +1,12 @@
-#ifndef CITRONLANE_APP_REQUEST_CLAIM_H_
-#define CITRONLANE_APP_REQUEST_CLAIM_H_
+#ifndef CITRONLANE_GATEWAY_REQUEST_CLAIM_H_
+#define CITRONLANE_GATEWAY_REQUEST_CLAIM_H_
 
 #include <cstdint>
 
-#include "citronlane/app/claim_answer.h"
-#include "citronlane/app/claim_query.h"
-#include "citronlane/app/stored_answer.h"
 #include "citronlane/base/time.h"
+#include "citronlane/gateway/claim_answer.h"
+#include "citronlane/gateway/claim_query.h"
+#include "citronlane/gateway/stored_answer.h"
 
 namespace boost::asio {
 class io_context;
@@ -53,4 +53,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_REQUEST_CLAIM_H_
+#endif  // CITRONLANE_GATEWAY_REQUEST_CLAIM_H_
--- a/include/citronlane/app/request_driver.h
+++ b/include/citronlane/gateway/request_driver.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_REQUEST_DRIVER_H_
-#define CITRONLANE_APP_REQUEST_DRIVER_H_
+#ifndef CITRONLANE_GATEWAY_REQUEST_DRIVER_H_
+#define CITRONLANE_GATEWAY_REQUEST_DRIVER_H_
 
 #include <cstdint>
 #include <memory>
@@ -10,9 +10,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "citronlane/app/driver_job.h"
-#include "citronlane/app/stage_cost.h"
 #include "citronlane/base/time.h"
+#include "citronlane/gateway/driver_job.h"
+#include "citronlane/gateway/stage_cost.h"
 #include "citronlane/request/request.h"
 #include "citronlane/routing/hedge_query.h"
 #include "citronlane/transport/http_reply.h"
@@ -112,4 +112,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_REQUEST_DRIVER_H_
+#endif  // CITRONLANE_GATEWAY_REQUEST_DRIVER_H_
--- a/include/citronlane/app/request_summary.h
+++ b/include/citronlane/gateway/request_summary.h
@@ -1,14 +1,14 @@
-#ifndef CITRONLANE_APP_REQUEST_SUMMARY_H_
-#define CITRONLANE_APP_REQUEST_SUMMARY_H_
+#ifndef CITRONLANE_GATEWAY_REQUEST_SUMMARY_H_
+#define CITRONLANE_GATEWAY_REQUEST_SUMMARY_H_
 
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "citronlane/app/stage_cost.h"
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/time.h"
 #include "citronlane/base/verdict.h"
+#include "citronlane/gateway/stage_cost.h"
 #include "citronlane/request/request_counters.h"
 
 namespace citronlane {
@@ -36,4 +36,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_REQUEST_SUMMARY_H_
+#endif  // CITRONLANE_GATEWAY_REQUEST_SUMMARY_H_
--- a/include/citronlane/app/stage_cost.h
+++ b/include/citronlane/gateway/stage_cost.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_STAGE_COST_H_
-#define CITRONLANE_APP_STAGE_COST_H_
+#ifndef CITRONLANE_GATEWAY_STAGE_COST_H_
+#define CITRONLANE_GATEWAY_STAGE_COST_H_
 
 #include <cstdint>
 #include <optional>
@@ -22,4 +22,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_STAGE_COST_H_
+#endif  // CITRONLANE_GATEWAY_STAGE_COST_H_
--- a/include/citronlane/app/stored_answer.h
+++ b/include/citronlane/gateway/stored_answer.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_STORED_ANSWER_H_
-#define CITRONLANE_APP_STORED_ANSWER_H_
+#ifndef CITRONLANE_GATEWAY_STORED_ANSWER_H_
+#define CITRONLANE_GATEWAY_STORED_ANSWER_H_
 
 #include <string>
 
@@ -14,4 +14,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_STORED_ANSWER_H_
+#endif  // CITRONLANE_GATEWAY_STORED_ANSWER_H_
--- a/include/citronlane/app/usage_meter.h
+++ b/include/citronlane/gateway/usage_meter.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_USAGE_METER_H_
-#define CITRONLANE_APP_USAGE_METER_H_
+#ifndef CITRONLANE_GATEWAY_USAGE_METER_H_
+#define CITRONLANE_GATEWAY_USAGE_METER_H_
 
 #include <map>
 #include <mutex>
@@ -35,4 +35,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_USAGE_METER_H_
+#endif  // CITRONLANE_GATEWAY_USAGE_METER_H_
--- a/include/citronlane/app/detail/json_figures.h
+++ b/include/citronlane/process/detail/json_figures.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DETAIL_JSON_FIGURES_H_
-#define CITRONLANE_APP_DETAIL_JSON_FIGURES_H_
+#ifndef CITRONLANE_PROCESS_DETAIL_JSON_FIGURES_H_
+#define CITRONLANE_PROCESS_DETAIL_JSON_FIGURES_H_
 
 #include <map>
 #include <string>
@@ -19,4 +19,4 @@
 
 }  // namespace citronlane::detail
 
-#endif  // CITRONLANE_APP_DETAIL_JSON_FIGURES_H_
+#endif  // CITRONLANE_PROCESS_DETAIL_JSON_FIGURES_H_
--- a/include/citronlane/app/detail/unix_time.h
+++ b/include/citronlane/process/detail/unix_time.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_DETAIL_UNIX_TIME_H_
-#define CITRONLANE_APP_DETAIL_UNIX_TIME_H_
+#ifndef CITRONLANE_PROCESS_DETAIL_UNIX_TIME_H_
+#define CITRONLANE_PROCESS_DETAIL_UNIX_TIME_H_
 
 #include <chrono>
 #include <cstdint>
@@ -15,4 +15,4 @@
 
 }  // namespace citronlane::detail
 
-#endif  // CITRONLANE_APP_DETAIL_UNIX_TIME_H_
+#endif  // CITRONLANE_PROCESS_DETAIL_UNIX_TIME_H_
--- a/include/citronlane/app/stop_signals.h
+++ b/include/citronlane/process/stop_signals.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_APP_STOP_SIGNALS_H_
-#define CITRONLANE_APP_STOP_SIGNALS_H_
+#ifndef CITRONLANE_PROCESS_STOP_SIGNALS_H_
+#define CITRONLANE_PROCESS_STOP_SIGNALS_H_
 
 #include <signal.h>
 
@@ -26,4 +26,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_APP_STOP_SIGNALS_H_
+#endif  // CITRONLANE_PROCESS_STOP_SIGNALS_H_
--- a/include/citronlane/settings/gateway_settings.h
+++ b/include/citronlane/settings/gateway_settings.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "citronlane/app/gateway_options.h"
+#include "citronlane/gateway/gateway_options.h"
 #include "citronlane/json/fault.h"
 #include "citronlane/observe/log_options.h"
 
--- a/include/citronlane/transport/control_client.h
+++ b/include/citronlane/transport/control_client.h
@@ -7,10 +7,10 @@
 #include <string_view>
 #include <vector>
 
-#include "citronlane/app/claim_answer.h"
-#include "citronlane/app/claim_query.h"
-#include "citronlane/app/refusal_entry.h"
-#include "citronlane/app/stored_answer.h"
+#include "citronlane/gateway/claim_answer.h"
+#include "citronlane/gateway/claim_query.h"
+#include "citronlane/gateway/refusal_entry.h"
+#include "citronlane/gateway/stored_answer.h"
 #include "citronlane/transport/control_client_hooks.h"
 #include "citronlane/transport/control_client_options.h"
 
--- a/src/cli/process_command.cc
+++ b/src/cli/process_command.cc
@@ -5,14 +5,14 @@
 #include <string>
 #include <vector>
 
-#include "citronlane/app/control_run.h"
-#include "citronlane/app/gateway_run.h"
-#include "citronlane/app/stop_signals.h"
 #include "citronlane/cli/detail/command_context.h"
+#include "citronlane/control/control_run.h"
+#include "citronlane/gateway/gateway_run.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/observe/logger.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
+#include "citronlane/process/stop_signals.h"
 #include "citronlane/settings/control_settings.h"
 #include "citronlane/settings/files.h"
 #include "citronlane/settings/gateway_settings.h"
--- a/src/cli/verify_command.cc
+++ b/src/cli/verify_command.cc
@@ -3,9 +3,9 @@
 #include <memory>
 #include <string>
 
-#include "citronlane/app/receipt.h"
-#include "citronlane/app/refusal_entry.h"
 #include "citronlane/cli/detail/command_context.h"
+#include "citronlane/gateway/receipt.h"
+#include "citronlane/gateway/refusal_entry.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/json/parse.h"
 #include "citronlane/settings/files.h"
--- a/src/app/admin_replies.cc
+++ b/src/control/admin_replies.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/detail/admin_replies.h"
+#include "citronlane/control/detail/admin_replies.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/app/cluster_formation.cc
+++ b/src/control/cluster_formation.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/detail/cluster_formation.h"
+#include "citronlane/control/detail/cluster_formation.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/control/cluster_member.cc
+++ b/src/control/cluster_member.cc
@@ -6,8 +6,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "citronlane/app/detail/cluster_formation.h"
 #include "citronlane/base/steady_now.h"
+#include "citronlane/control/detail/cluster_formation.h"
 #include "citronlane/control/member_address.h"
 #include "citronlane/control/replica_driver.h"
 #include "citronlane/net/frame_channel.h"
--- a/src/control/cluster_member_join.cc
+++ b/src/control/cluster_member_join.cc
@@ -1,9 +1,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "citronlane/app/detail/cluster_formation.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/control/cluster_member.h"
+#include "citronlane/control/detail/cluster_formation.h"
 #include "citronlane/control/member_address.h"
 #include "citronlane/control/replica_driver.h"
 #include "citronlane/net/frame_channel.h"
--- a/src/app/command_proposer.cc
+++ b/src/control/command_proposer.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/detail/command_proposer.h"
+#include "citronlane/control/detail/command_proposer.h"
 
 #include <future>
 #include <memory>
--- a/src/app/config_routes.cc
+++ b/src/control/config_routes.cc
@@ -1,13 +1,13 @@
-#include "citronlane/app/detail/config_routes.h"
+#include "citronlane/control/detail/config_routes.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "citronlane/app/detail/admin_replies.h"
 #include "citronlane/base/sha256.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/config/parse_cluster_config.h"
+#include "citronlane/control/detail/admin_replies.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/json/parse.h"
 #include "citronlane/state/canonical_json.h"
--- a/src/app/control_admin.cc
+++ b/src/control/control_admin.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/detail/control_admin.h"
+#include "citronlane/control/detail/control_admin.h"
 
 #include <future>
 #include <memory>
@@ -6,10 +6,10 @@
 #include <thread>
 #include <utility>
 
-#include "citronlane/app/detail/admin_replies.h"
-#include "citronlane/app/detail/control_metrics.h"
 #include "citronlane/base/sha256.h"
 #include "citronlane/base/steady_now.h"
+#include "citronlane/control/detail/admin_replies.h"
+#include "citronlane/control/detail/control_metrics.h"
 
 namespace citronlane {
 namespace {
--- a/src/app/control_calls.cc
+++ b/src/control/control_calls.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/detail/control_calls.h"
+#include "citronlane/control/detail/control_calls.h"
 
 #include <chrono>
 #include <cmath>
--- a/src/app/control_leader.cc
+++ b/src/control/control_leader.cc
@@ -1,12 +1,12 @@
-#include "citronlane/app/detail/control_leader.h"
+#include "citronlane/control/detail/control_leader.h"
 
 #include <algorithm>
 #include <optional>
 #include <utility>
 #include <vector>
 
-#include "citronlane/app/detail/order_dispatcher.h"
 #include "citronlane/base/steady_now.h"
+#include "citronlane/control/detail/order_dispatcher.h"
 
 namespace citronlane {
 namespace {
--- a/src/app/control_metrics.cc
+++ b/src/control/control_metrics.cc
@@ -1,9 +1,9 @@
-#include "citronlane/app/detail/control_metrics.h"
+#include "citronlane/control/detail/control_metrics.h"
 
 #include <cstdint>
 #include <string_view>
 
-#include "citronlane/app/detail/control_state.h"
+#include "citronlane/control/detail/control_state.h"
 
 namespace citronlane {
 namespace {
--- a/src/app/control_node.cc
+++ b/src/control/control_node.cc
@@ -1,16 +1,16 @@
-#include "citronlane/app/control_node.h"
+#include "citronlane/control/control_node.h"
 
 #include <chrono>
 #include <utility>
 
-#include "citronlane/app/detail/command_proposer.h"
-#include "citronlane/app/detail/control_admin.h"
-#include "citronlane/app/detail/control_calls.h"
-#include "citronlane/app/detail/control_leader.h"
-#include "citronlane/app/detail/control_state.h"
-#include "citronlane/app/detail/order_dispatcher.h"
-#include "citronlane/app/detail/vm_list_poller.h"
-#include "citronlane/app/replica.h"
+#include "citronlane/control/detail/command_proposer.h"
+#include "citronlane/control/detail/control_admin.h"
+#include "citronlane/control/detail/control_calls.h"
+#include "citronlane/control/detail/control_leader.h"
+#include "citronlane/control/detail/control_state.h"
+#include "citronlane/control/detail/order_dispatcher.h"
+#include "citronlane/control/detail/vm_list_poller.h"
+#include "citronlane/control/replica.h"
 #include "citronlane/transport/admin_server.h"
 #include "citronlane/transport/control_service.h"
 
--- a/src/app/control_run.cc
+++ b/src/control/control_run.cc
@@ -1,10 +1,10 @@
-#include "citronlane/app/control_run.h"
+#include "citronlane/control/control_run.h"
 
 #include <chrono>
 #include <utility>
 
-#include "citronlane/app/control_node.h"
-#include "citronlane/app/stop_signals.h"
+#include "citronlane/control/control_node.h"
+#include "citronlane/process/stop_signals.h"
 
 namespace citronlane {
 namespace {
--- a/src/app/control_state.cc
+++ b/src/control/control_state.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/detail/control_state.h"
+#include "citronlane/control/detail/control_state.h"
 
 #include <xxhash.h>
 
--- a/src/app/fleet_routes.cc
+++ b/src/control/fleet_routes.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/detail/fleet_routes.h"
+#include "citronlane/control/detail/fleet_routes.h"
 
 #include <algorithm>
 #include <array>
@@ -8,9 +8,9 @@
 #include <utility>
 #include <vector>
 
-#include "citronlane/app/detail/admin_replies.h"
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/control/detail/admin_replies.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/json/parse.h"
 
--- a/src/app/order_dispatcher.cc
+++ b/src/control/order_dispatcher.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/detail/order_dispatcher.h"
+#include "citronlane/control/detail/order_dispatcher.h"
 
 #include <cmath>
 #include <utility>
--- a/src/app/pending_calls.cc
+++ b/src/control/pending_calls.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/detail/pending_calls.h"
+#include "citronlane/control/detail/pending_calls.h"
 
 #include <optional>
 #include <utility>
--- a/src/app/replica.cc
+++ b/src/control/replica.cc
@@ -1,9 +1,9 @@
-#include "citronlane/app/replica.h"
+#include "citronlane/control/replica.h"
 
 #include <utility>
 
-#include "citronlane/app/detail/replica_impl.h"
 #include "citronlane/base/steady_now.h"
+#include "citronlane/control/detail/replica_impl.h"
 #include "citronlane/storage/posix_file_system.h"
 #include "citronlane/transport/grpc_credentials.h"
 
--- a/src/app/replica_formation.cc
+++ b/src/control/replica_formation.cc
@@ -1,7 +1,7 @@
 #include <utility>
 
-#include "citronlane/app/detail/replica_impl.h"
 #include "citronlane/base/steady_now.h"
+#include "citronlane/control/detail/replica_impl.h"
 
 namespace citronlane {
 namespace {
--- a/src/app/replica_peers.cc
+++ b/src/control/replica_peers.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/detail/replica_peers.h"
+#include "citronlane/control/detail/replica_peers.h"
 
 #include <utility>
 
--- a/src/app/replica_ready.cc
+++ b/src/control/replica_ready.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "citronlane/app/detail/replica_impl.h"
 #include "citronlane/base/steady_now.h"
+#include "citronlane/control/detail/replica_impl.h"
 
 namespace citronlane {
 
--- a/src/app/vm_list_poller.cc
+++ b/src/control/vm_list_poller.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/detail/vm_list_poller.h"
+#include "citronlane/control/detail/vm_list_poller.h"
 
 #include <optional>
 #include <utility>
--- a/src/app/admission_estimate.cc
+++ b/src/gateway/admission_estimate.cc
@@ -1,10 +1,10 @@
-#include "citronlane/app/admission_estimate.h"
+#include "citronlane/gateway/admission_estimate.h"
 
 #include <algorithm>
 
-#include "citronlane/app/caller_request.h"
-#include "citronlane/app/pool_shards.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/gateway/caller_request.h"
+#include "citronlane/gateway/pool_shards.h"
 
 namespace citronlane {
 namespace {
--- a/src/app/admission_gate.cc
+++ b/src/gateway/admission_gate.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/admission_gate.h"
+#include "citronlane/gateway/admission_gate.h"
 
 namespace citronlane {
 
--- a/src/app/answer_writer.cc
+++ b/src/gateway/answer_writer.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/answer_writer.h"
+#include "citronlane/gateway/answer_writer.h"
 
 #include <utility>
 
--- a/src/app/caller_handler.cc
+++ b/src/gateway/caller_handler.cc
@@ -1,15 +1,15 @@
-#include "citronlane/app/caller_handler.h"
+#include "citronlane/gateway/caller_handler.h"
 
 #include <utility>
 
-#include "citronlane/app/admission_estimate.h"
-#include "citronlane/app/admission_gate.h"
-#include "citronlane/app/driver_context.h"
-#include "citronlane/app/refusal_writer.h"
-#include "citronlane/app/request_driver.h"
 #include "citronlane/base/sha256.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/gateway/admission_estimate.h"
+#include "citronlane/gateway/admission_gate.h"
+#include "citronlane/gateway/driver_context.h"
+#include "citronlane/gateway/refusal_writer.h"
+#include "citronlane/gateway/request_driver.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_request.h"
 
--- a/src/app/caller_request_reader.cc
+++ b/src/gateway/caller_request_reader.cc
@@ -1,11 +1,11 @@
-#include "citronlane/app/caller_request_reader.h"
+#include "citronlane/gateway/caller_request_reader.h"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-#include "citronlane/app/config_view.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/gateway/config_view.h"
 #include "citronlane/json/parse.h"
 #include "citronlane/routing/call_priority.h"
 #include "citronlane/transport/detail/header_name.h"
--- a/src/app/caller_service.cc
+++ b/src/gateway/caller_service.cc
@@ -1,16 +1,16 @@
-#include "citronlane/app/caller_service.h"
+#include "citronlane/gateway/caller_service.h"
 
 #include <optional>
 #include <utility>
 
 #include "citronlane/admission/refusal.h"
-#include "citronlane/app/caller_handler.h"
-#include "citronlane/app/caller_request_reader.h"
-#include "citronlane/app/config_view.h"
-#include "citronlane/app/gateway_state.h"
-#include "citronlane/app/refusal_writer.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/gateway/caller_handler.h"
+#include "citronlane/gateway/caller_request_reader.h"
+#include "citronlane/gateway/config_view.h"
+#include "citronlane/gateway/gateway_state.h"
+#include "citronlane/gateway/refusal_writer.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_request.h"
 
--- a/src/app/config_view.cc
+++ b/src/gateway/config_view.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/config_view.h"
+#include "citronlane/gateway/config_view.h"
 
 #include <utility>
 
--- a/src/app/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/gateway.h"
+#include "citronlane/gateway/gateway.h"
 
 #include <atomic>
 #include <chrono>
@@ -12,17 +12,17 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include "citronlane/app/admission_gate.h"
-#include "citronlane/app/caller_service.h"
-#include "citronlane/app/detail/unix_time.h"
-#include "citronlane/app/driver_context.h"
-#include "citronlane/app/gateway_state.h"
-#include "citronlane/app/pool_shards.h"
-#include "citronlane/app/refusal_backlog.h"
-#include "citronlane/app/refusal_writer.h"
-#include "citronlane/app/usage_meter.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/gateway/admission_gate.h"
+#include "citronlane/gateway/caller_service.h"
+#include "citronlane/gateway/driver_context.h"
+#include "citronlane/gateway/gateway_state.h"
+#include "citronlane/gateway/pool_shards.h"
+#include "citronlane/gateway/refusal_backlog.h"
+#include "citronlane/gateway/refusal_writer.h"
+#include "citronlane/gateway/usage_meter.h"
+#include "citronlane/process/detail/unix_time.h"
 #include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/stage_client.h"
 
--- a/src/app/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -1,8 +1,8 @@
-#include "citronlane/app/gateway_control.h"
+#include "citronlane/gateway/gateway_control.h"
 
 #include <utility>
 
-#include "citronlane/app/gateway.h"
+#include "citronlane/gateway/gateway.h"
 #include "citronlane/transport/control_client.h"
 
 namespace citronlane {
--- a/src/app/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -1,6 +1,6 @@
-#include "citronlane/app/gateway_metrics.h"
+#include "citronlane/gateway/gateway_metrics.h"
 
-#include "citronlane/app/gateway.h"
+#include "citronlane/gateway/gateway.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
 
--- a/src/app/gateway_run.cc
+++ b/src/gateway/gateway_run.cc
@@ -1,19 +1,19 @@
-#include "citronlane/app/gateway_run.h"
+#include "citronlane/gateway/gateway_run.h"
 
 #include <memory>
 #include <optional>
 #include <utility>
 
-#include "citronlane/app/detail/unix_time.h"
-#include "citronlane/app/gateway.h"
-#include "citronlane/app/gateway_control.h"
-#include "citronlane/app/gateway_metrics.h"
-#include "citronlane/app/stop_signals.h"
 #include "citronlane/config/parse_cluster_config.h"
+#include "citronlane/gateway/gateway.h"
+#include "citronlane/gateway/gateway_control.h"
+#include "citronlane/gateway/gateway_metrics.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/observe/logger.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
+#include "citronlane/process/detail/unix_time.h"
+#include "citronlane/process/stop_signals.h"
 #include "citronlane/settings/files.h"
 
 namespace citronlane {
--- a/src/app/gateway_state.cc
+++ b/src/gateway/gateway_state.cc
@@ -1,9 +1,9 @@
-#include "citronlane/app/gateway_state.h"
+#include "citronlane/gateway/gateway_state.h"
 
 #include <utility>
 
-#include "citronlane/app/config_view.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/gateway/config_view.h"
 
 namespace citronlane {
 
--- a/src/app/pool_shard.cc
+++ b/src/gateway/pool_shard.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/pool_shard.h"
+#include "citronlane/gateway/pool_shard.h"
 
 #include "citronlane/config/pool_config.h"
 
--- a/src/app/pool_shards.cc
+++ b/src/gateway/pool_shards.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/pool_shards.h"
+#include "citronlane/gateway/pool_shards.h"
 
 #include <mutex>
 #include <random>
--- a/src/app/receipt.cc
+++ b/src/gateway/receipt.cc
@@ -1,13 +1,13 @@
-#include "citronlane/app/receipt.h"
+#include "citronlane/gateway/receipt.h"
 
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 #include <openssl/sha.h>
 
-#include "citronlane/app/detail/json_figures.h"
-#include "citronlane/app/refusal_entry.h"
 #include "citronlane/base/hex.h"
+#include "citronlane/gateway/refusal_entry.h"
 #include "citronlane/json/parse.h"
+#include "citronlane/process/detail/json_figures.h"
 
 namespace citronlane {
 
--- a/src/app/refusal_backlog.cc
+++ b/src/gateway/refusal_backlog.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/refusal_backlog.h"
+#include "citronlane/gateway/refusal_backlog.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/app/refusal_writer.cc
+++ b/src/gateway/refusal_writer.cc
@@ -1,13 +1,13 @@
-#include "citronlane/app/refusal_writer.h"
+#include "citronlane/gateway/refusal_writer.h"
 
 #include <algorithm>
 #include <chrono>
 #include <utility>
 
-#include "citronlane/app/detail/json_figures.h"
-#include "citronlane/app/detail/unix_time.h"
-#include "citronlane/app/receipt.h"
+#include "citronlane/gateway/receipt.h"
 #include "citronlane/json/parse.h"
+#include "citronlane/process/detail/json_figures.h"
+#include "citronlane/process/detail/unix_time.h"
 
 namespace citronlane {
 namespace {
--- a/src/app/request_claim.cc
+++ b/src/gateway/request_claim.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/request_claim.h"
+#include "citronlane/gateway/request_claim.h"
 
 #include <chrono>
 #include <memory>
@@ -8,7 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "citronlane/app/gateway_hooks.h"
+#include "citronlane/gateway/gateway_hooks.h"
 #include "citronlane/transport/http_exchange.h"
 
 namespace citronlane {
--- a/src/app/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/request_driver.h"
+#include "citronlane/gateway/request_driver.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,11 +7,11 @@
 #include <xxhash.h>
 #include <boost/asio/io_context.hpp>
 
-#include "citronlane/app/detail/call_flight.h"
-#include "citronlane/app/driver_context.h"
-#include "citronlane/app/pool_shards.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/gateway/detail/call_flight.h"
+#include "citronlane/gateway/driver_context.h"
+#include "citronlane/gateway/pool_shards.h"
 #include "citronlane/transport/stage_adapter.h"
 #include "citronlane/transport/stage_client.h"
 
--- a/src/app/request_driver_replies.cc
+++ b/src/gateway/request_driver_replies.cc
@@ -1,13 +1,13 @@
-#include "citronlane/app/request_driver.h"
+#include "citronlane/gateway/request_driver.h"
 
 #include <algorithm>
 #include <iterator>
 #include <utility>
 
-#include "citronlane/app/detail/call_flight.h"
-#include "citronlane/app/driver_context.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/gateway/detail/call_flight.h"
+#include "citronlane/gateway/driver_context.h"
 #include "citronlane/transport/detail/header_name.h"
 #include "citronlane/transport/stage_adapter.h"
 
--- a/src/app/request_summary.cc
+++ b/src/gateway/request_summary.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/request_summary.h"
+#include "citronlane/gateway/request_summary.h"
 
 namespace citronlane {
 
--- a/src/app/usage_meter.cc
+++ b/src/gateway/usage_meter.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/usage_meter.h"
+#include "citronlane/gateway/usage_meter.h"
 
 namespace citronlane {
 
--- a/src/app/stop_signals.cc
+++ b/src/process/stop_signals.cc
@@ -1,4 +1,4 @@
-#include "citronlane/app/stop_signals.h"
+#include "citronlane/process/stop_signals.h"
 
 #include <csignal>
 #include <ctime>
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -22,10 +22,10 @@
 #include <string>
 #include <vector>
 
-#include "citronlane/app/gateway.h"
 #include "citronlane/base/hex.h"
 #include "citronlane/base/sha256.h"
 #include "citronlane/config/parse_cluster_config.h"
+#include "citronlane/gateway/gateway.h"
 #include "citronlane/json/object_reader.h"
 #include "citronlane/json/parse.h"
 #include "support/eventually.h"
--- a/tests/unit-cli.cc
+++ b/tests/unit-cli.cc
@@ -14,9 +14,9 @@
 #include <utility>
 #include <vector>
 
-#include "citronlane/app/receipt.h"
-#include "citronlane/app/refusal_entry.h"
 #include "citronlane/cli/run.h"
+#include "citronlane/gateway/receipt.h"
+#include "citronlane/gateway/refusal_entry.h"
 #include "citronlane/json/parse.h"
 
 namespace citronlane {
--- a/tests/unit-cluster-formation.cc
+++ b/tests/unit-cluster-formation.cc
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <map>
 
-#include "citronlane/app/detail/cluster_formation.h"
+#include "citronlane/control/detail/cluster_formation.h"
 
 namespace citronlane {
 
--- a/tests/unit-control.cc
+++ b/tests/unit-control.cc
@@ -15,11 +15,11 @@
 
 #include <catch2/catch.hpp>
 
-#include "citronlane/app/control_node.h"
-#include "citronlane/app/detail/control_state.h"
 #include "citronlane/base/sha256.h"
 #include "citronlane/cli/admin_client.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/control/control_node.h"
+#include "citronlane/control/detail/control_state.h"
 #include "citronlane/json/parse.h"
 #include "citronlane/transport/admin_server.h"
 #include "citronlane/transport/control_client.h"
--- a/tests/unit-fuzz-http.cc
+++ b/tests/unit-fuzz-http.cc
@@ -6,10 +6,10 @@
 #include <string>
 #include <vector>
 
-#include "citronlane/app/caller_request_reader.h"
-#include "citronlane/app/config_view.h"
 #include "citronlane/base/sha256.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/gateway/caller_request_reader.h"
+#include "citronlane/gateway/config_view.h"
 #include "citronlane/transport/http_request.h"
 #include "citronlane/transport/stage_adapter.h"
 #include "citronlane/transport/stage_token_reader.h"
--- a/tests/unit-gateway-lifecycle.cc
+++ b/tests/unit-gateway-lifecycle.cc
@@ -2,7 +2,7 @@
 #include <future>
 #include <mutex>
 
-#include "citronlane/app/receipt.h"
+#include "citronlane/gateway/receipt.h"
 #include "gateway_harness.h"
 
 namespace citronlane {
--- a/tests/unit-reference.cc
+++ b/tests/unit-reference.cc
@@ -236,7 +236,7 @@
       }
     }
     for (const std::string& name :
-         Found("src/app/control_metrics.cc", R"re(Add\("([a-z_]+)")re")) {
+         Found("src/control/control_metrics.cc", R"re(Add\("([a-z_]+)")re")) {
       INFO(name);
       CHECK(Mentions(page, "citronlane_control_" + name));
     }
@@ -247,7 +247,7 @@
   SECTION("name every call of the administration API") {
     const std::string page = Page("reference/ADMIN-API.md");
     const std::vector<std::string> calls = Found(
-        "src/app/control_admin.cc", R"re(add\("([A-Z]+", "/v1/[a-z/*]+)")re");
+        "src/control/control_admin.cc", R"re(add\("([A-Z]+", "/v1/[a-z/*]+)")re");
     CHECK(calls.size() >= 13);
     for (std::string call : calls) {
       call = std::regex_replace(call, std::regex("\", \""), " ");
