--- /dev/null
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -0,0 +1,105 @@
+#ifndef CITRONLANE_RELAY_DETAIL_GATEWAY_HOST_IMPL_H_
+#define CITRONLANE_RELAY_DETAIL_GATEWAY_HOST_IMPL_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "citronlane/net/server_list_reader.h"
+#include "citronlane/net/tcp_listener.h"
+#include "citronlane/observe/metrics.h"
+#include "citronlane/relay/control_watch.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/gateway_host.h"
+#include "citronlane/relay/relay_context.h"
+#include "citronlane/relay/relay_service.h"
+#include "citronlane/relay/service_router.h"
+#include "citronlane/relay/stage_owners.h"
+#include "citronlane/relay/stage_pool.h"
+#include "citronlane/routing/repeat_budget.h"
+#include "citronlane/transport/http_listener.h"
+#include "citronlane/transport/stage_client.h"
+
+namespace citronlane {
+
+class FrameChannel;
+
+namespace wire::fleet {
+class WatchUpdate;
+}  // namespace wire::fleet
+
+/// Inner part of GatewayHost: wires the parts of a gateway together. All on the
+/// event loop's thread.
+class GatewayHost::Impl {
+ public:
+  Impl(NodeSettings settings,
+       SettingsHook read_settings,
+       const Dialect* dialect,
+       EventLog* log);
+
+  bool Run(Error* error);
+
+ private:
+  bool Listen(HttpListener* listener, const std::string& address, Error* error);
+  RelayContext MakeContext();
+  HttpListenerHooks CallerHooks();
+  HttpListenerHooks ReadyHooks();
+  HttpListenerHooks MetricsHooks();
+  ControlWatch::Hooks WatchHooks();
+  ServiceRouter* RouterOf(const Service& service);
+  RepeatBudget* BudgetOf(const std::string& service);
+  StagePool* PoolOf(const std::string& service);
+
+  void Accept(boost::asio::ip::tcp::socket socket);
+  // gateway_host_feed.cc: what control and the platform say of the fleet.
+  void TakeUpdate(wire::fleet::WatchUpdate* update);
+  void TakeConfig(const std::string& document);
+  void TakeServers(std::vector<BackendServer> servers, TimePoint read);
+  void ReadStaleList(TimePoint now);
+  void Reload();
+
+  void Tick(TimePoint now);
+  void Stop();
+  void TickStop(TimePoint now);
+  bool IsReady() const { return view_.config() != nullptr && !stopping_; }
+
+  const NodeSettings settings_;
+  const SettingsHook read_settings_;
+  const Dialect* const dialect_;
+  EventLog* const log_;
+  const RepeatBudget::Options budget_options_;
+
+  boost::asio::io_context io_{1};
+  std::mt19937_64 random_{std::random_device()()};
+  Metrics metrics_;
+  FleetView view_;
+  StageClient client_;
+  ServerListReader list_reader_;
+  std::map<std::string, std::unique_ptr<ServiceRouter>> routers_;
+  std::map<std::string, std::unique_ptr<RepeatBudget>> budgets_;
+  std::map<std::string, std::unique_ptr<StagePool>> pools_;
+  StageOwners owners_;
+  RelayContext context_;
+  RelayService relay_;
+  ControlWatch watch_;
+  TcpListener internal_;
+  HttpListener callers_;
+  HttpListener ready_;
+  HttpListener metrics_listener_;
+  std::set<std::shared_ptr<FrameChannel>> channels_;
+  TimePoint next_list_read_;
+  bool list_is_stale_ = false;
+  bool stopping_ = false;
+  bool accepting_ = true;
+  TimePoint stop_began_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_RELAY_DETAIL_GATEWAY_HOST_IMPL_H_
--- /dev/null
+++ b/include/citronlane/transport/detail/stage_connection.h
@@ -0,0 +1,32 @@
+#ifndef CITRONLANE_TRANSPORT_DETAIL_STAGE_CONNECTION_H_
+#define CITRONLANE_TRANSPORT_DETAIL_STAGE_CONNECTION_H_
+
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "citronlane/base/time.h"
+
+namespace citronlane::detail {
+
+/// One connection to a backend server. Not thread safe.
+struct StageConnection {
+  using Stream =
+      boost::beast::basic_stream<boost::asio::ip::tcp,
+                                 boost::asio::io_context::executor_type>;
+
+  explicit StageConnection(boost::asio::io_context* io) : stream_(*io) {}
+
+  Stream stream_;
+  boost::beast::flat_buffer buffer_;
+  TimePoint idle_since_{};
+  /// How long the server keeps the idle connection, if it said so.
+  std::optional<Duration> idle_limit_;
+};
+
+}  // namespace citronlane::detail
+
+#endif  // CITRONLANE_TRANSPORT_DETAIL_STAGE_CONNECTION_H_
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -14,30 +14,17 @@
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/endpoint.h"
-#include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/net/process_signals.h"
 #include "citronlane/net/repeating_timer.h"
-#include "citronlane/net/server_list_reader.h"
-#include "citronlane/net/tcp_listener.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metric_names.h"
-#include "citronlane/observe/metrics.h"
-#include "citronlane/relay/control_watch.h"
-#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/detail/gateway_host_impl.h"
 #include "citronlane/relay/relay_answers.h"
-#include "citronlane/relay/relay_context.h"
-#include "citronlane/relay/relay_service.h"
-#include "citronlane/relay/service_router.h"
-#include "citronlane/relay/stage_owners.h"
-#include "citronlane/relay/stage_pool.h"
-#include "citronlane/routing/repeat_budget.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/transport/http_exchange.h"
-#include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
-#include "citronlane/transport/stage_client.h"
 #include "citronlane/transport/stage_limits.h"
 #include "fleet.pb.h"
 
@@ -51,13 +38,6 @@
 constexpr Duration kTick = std::chrono::milliseconds(50);
 /// The file may change without a signal; reading it is cheap.
 constexpr Duration kSettingsInterval = std::chrono::seconds(2);
-/// A list that control has not confirmed for this long is read here, well
-/// before a leaving server must be known.
-constexpr Duration kStaleList = std::chrono::milliseconds(1300);
-/// Least pause between two reads of the list by one gateway.
-constexpr Duration kListPause = std::chrono::milliseconds(700);
-/// Part of the list's rate that the gateways use together when control is away.
-constexpr double kListRatePart = 0.5;
 /// After a stop signal callers still come until the balancer has noticed.
 constexpr Duration kBalancerTime = std::chrono::milliseconds(2600);
 /// By then every gateway has heard that this one is going: control tells all
@@ -104,68 +84,6 @@
 
 }  // namespace
 
-class GatewayHost::Impl {
- public:
-  Impl(NodeSettings settings,
-       SettingsHook read_settings,
-       const Dialect* dialect,
-       EventLog* log);
-
-  bool Run(Error* error);
-
- private:
-  bool Listen(HttpListener* listener, const std::string& address, Error* error);
-  RelayContext MakeContext();
-  HttpListenerHooks CallerHooks();
-  HttpListenerHooks ReadyHooks();
-  HttpListenerHooks MetricsHooks();
-  ControlWatch::Hooks WatchHooks();
-  ServiceRouter* RouterOf(const Service& service);
-  RepeatBudget* BudgetOf(const std::string& service);
-  StagePool* PoolOf(const std::string& service);
-
-  void Accept(boost::asio::ip::tcp::socket socket);
-  void TakeUpdate(WatchUpdate* update);
-  void TakeConfig(const std::string& document);
-  void TakeServers(std::vector<BackendServer> servers, TimePoint read);
-  void Tick(TimePoint now);
-  void ReadStaleList(TimePoint now);
-  void Reload();
-  void Stop();
-  void TickStop(TimePoint now);
-  bool IsReady() const { return view_.config() != nullptr && !stopping_; }
-
-  const NodeSettings settings_;
-  const SettingsHook read_settings_;
-  const Dialect* const dialect_;
-  EventLog* const log_;
-  const RepeatBudget::Options budget_options_;
-
-  boost::asio::io_context io_{1};
-  std::mt19937_64 random_{std::random_device()()};
-  Metrics metrics_;
-  FleetView view_;
-  StageClient client_;
-  ServerListReader list_reader_;
-  std::map<std::string, std::unique_ptr<ServiceRouter>> routers_;
-  std::map<std::string, std::unique_ptr<RepeatBudget>> budgets_;
-  std::map<std::string, std::unique_ptr<StagePool>> pools_;
-  StageOwners owners_;
-  RelayContext context_;
-  RelayService relay_;
-  ControlWatch watch_;
-  TcpListener internal_;
-  HttpListener callers_;
-  HttpListener ready_;
-  HttpListener metrics_listener_;
-  std::set<std::shared_ptr<FrameChannel>> channels_;
-  TimePoint next_list_read_;
-  bool list_is_stale_ = false;
-  bool stopping_ = false;
-  bool accepting_ = true;
-  TimePoint stop_began_;
-};
-
 GatewayHost::Impl::Impl(NodeSettings settings,
                         SettingsHook read_settings,
                         const Dialect* dialect,
@@ -369,61 +287,6 @@
   channel->Start(std::move(hooks));
 }
 
-void GatewayHost::Impl::TakeUpdate(WatchUpdate* update) {
-  const TimePoint now = SteadyNow();
-  if (update->has_config()) {
-    TakeConfig(update->config());
-  }
-  if (update->servers_age_ms() > 0) {
-    const TimePoint read =
-        now - std::chrono::milliseconds(update->servers_age_ms() - 1);
-    if (update->has_servers()) {
-      TakeServers(DecodeServers(update->servers()), read);
-    } else {
-      view_.ConfirmServers(read);
-    }
-  }
-  if (update->has_gateways()) {
-    std::vector<FleetView::Gateway> gateways;
-    for (const auto& entry : update->gateways().gateways()) {
-      gateways.push_back({entry.endpoint(), entry.failure_domain(),
-                          entry.stopping(),
-                          std::chrono::milliseconds(entry.age_ms())});
-    }
-    view_.SetGateways(std::move(gateways));
-  }
-}
-
-void GatewayHost::Impl::TakeConfig(const std::string& document) {
-  std::vector<std::string> faults;
-  auto config = dialect_->read_config_(document, &faults);
-  if (!config) {
-    // Control takes no such document; it speaks another version of ours.
-    log_->Write("gateway", "config not readable",
-                {{"faults", static_cast<uint64_t>(faults.size())}});
-    return;
-  }
-  const uint64_t version = config->version();
-  if (view_.SetConfig(std::move(config))) {
-    log_->Write("gateway", "config in force", {{"version", version}});
-  }
-}
-
-void GatewayHost::Impl::TakeServers(std::vector<BackendServer> servers,
-                                    TimePoint read) {
-  const uint64_t before = view_.servers_number();
-  view_.SetServers(std::move(servers), read);
-  if (view_.servers_number() == before) {
-    return;
-  }
-  log_->Write(
-      "gateway", "server list changed",
-      {{"number", view_.servers_number()}, {"age_ms", SteadyNow() - read}});
-  for (const auto& [service, pool] : pools_) {
-    pool->Tick(SteadyNow());
-  }
-}
-
 void GatewayHost::Impl::Tick(TimePoint now) {
   watch_.Tick(now);
   owners_.Tick(now);
@@ -436,40 +299,6 @@
   }
 }
 
-// The rate is shared: the more gateways and pages, the longer the pause.
-void GatewayHost::Impl::ReadStaleList(TimePoint now) {
-  const auto age = view_.ServersAge(now);
-  const bool is_stale = !age || *age >= kStaleList;
-  if (is_stale != list_is_stale_) {
-    list_is_stale_ = is_stale;
-    log_->Write("gateway",
-                is_stale ? "server list is stale" : "server list is fresh",
-                {{"age_ms", age.value_or(Duration())}});
-  }
-  if (!is_stale || now < next_list_read_ || list_reader_.is_reading()) {
-    return;
-  }
-  const double calls = static_cast<double>(view_.GatewayCount()) *
-                       static_cast<double>(list_reader_.pages());
-  const std::chrono::duration<double> pause(
-      calls / (settings_.server_list_rate_ * kListRatePart));
-  next_list_read_ =
-      now + std::max(kListPause, std::chrono::duration_cast<Duration>(pause));
-  list_reader_.Read(
-      [this, now](std::optional<std::vector<BackendServer>> servers,
-                  const Error&) {
-        if (servers) {
-          TakeServers(std::move(*servers), now);
-        }
-      });
-}
-
-void GatewayHost::Impl::Reload() {
-  if (const auto settings = read_settings_()) {
-    watch_.SetSeeds(settings->seeds_);
-  }
-}
-
 void GatewayHost::Impl::Stop() {
   stopping_ = true;
   stop_began_ = SteadyNow();
--- /dev/null
+++ b/src/relay/gateway_host_feed.cc
@@ -0,0 +1,117 @@
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/net/fleet_codec.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/relay/detail/gateway_host_impl.h"
+#include "citronlane/serving/dialect.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+namespace {
+
+using wire::fleet::WatchUpdate;
+
+/// A list that control has not confirmed for this long is read here, well
+/// before a leaving server must be known.
+constexpr Duration kStaleList = std::chrono::milliseconds(1300);
+/// Least pause between two reads of the list by one gateway.
+constexpr Duration kListPause = std::chrono::milliseconds(700);
+/// Part of the list's rate that the gateways use together when control is away.
+constexpr double kListRatePart = 0.5;
+
+}  // namespace
+
+void GatewayHost::Impl::TakeUpdate(WatchUpdate* update) {
+  const TimePoint now = SteadyNow();
+  if (update->has_config()) {
+    TakeConfig(update->config());
+  }
+  if (update->servers_age_ms() > 0) {
+    const TimePoint read =
+        now - std::chrono::milliseconds(update->servers_age_ms() - 1);
+    if (update->has_servers()) {
+      TakeServers(DecodeServers(update->servers()), read);
+    } else {
+      view_.ConfirmServers(read);
+    }
+  }
+  if (update->has_gateways()) {
+    std::vector<FleetView::Gateway> gateways;
+    for (const auto& entry : update->gateways().gateways()) {
+      gateways.push_back({entry.endpoint(), entry.failure_domain(),
+                          entry.stopping(),
+                          std::chrono::milliseconds(entry.age_ms())});
+    }
+    view_.SetGateways(std::move(gateways));
+  }
+}
+
+void GatewayHost::Impl::TakeConfig(const std::string& document) {
+  std::vector<std::string> faults;
+  auto config = dialect_->read_config_(document, &faults);
+  if (!config) {
+    // Control takes no such document; it speaks another version of ours.
+    log_->Write("gateway", "config not readable",
+                {{"faults", static_cast<uint64_t>(faults.size())}});
+    return;
+  }
+  const uint64_t version = config->version();
+  if (view_.SetConfig(std::move(config))) {
+    log_->Write("gateway", "config in force", {{"version", version}});
+  }
+}
+
+void GatewayHost::Impl::TakeServers(std::vector<BackendServer> servers,
+                                    TimePoint read) {
+  const uint64_t before = view_.servers_number();
+  view_.SetServers(std::move(servers), read);
+  if (view_.servers_number() == before) {
+    return;
+  }
+  log_->Write(
+      "gateway", "server list changed",
+      {{"number", view_.servers_number()}, {"age_ms", SteadyNow() - read}});
+  for (const auto& [service, pool] : pools_) {
+    pool->Tick(SteadyNow());
+  }
+}
+
+// The rate is shared: the more gateways and pages, the longer the pause.
+void GatewayHost::Impl::ReadStaleList(TimePoint now) {
+  const auto age = view_.ServersAge(now);
+  const bool is_stale = !age || *age >= kStaleList;
+  if (is_stale != list_is_stale_) {
+    list_is_stale_ = is_stale;
+    log_->Write("gateway",
+                is_stale ? "server list is stale" : "server list is fresh",
+                {{"age_ms", age.value_or(Duration())}});
+  }
+  if (!is_stale || now < next_list_read_ || list_reader_.is_reading()) {
+    return;
+  }
+  const double calls = static_cast<double>(view_.GatewayCount()) *
+                       static_cast<double>(list_reader_.pages());
+  const std::chrono::duration<double> pause(
+      calls / (settings_.server_list_rate_ * kListRatePart));
+  next_list_read_ =
+      now + std::max(kListPause, std::chrono::duration_cast<Duration>(pause));
+  list_reader_.Read(
+      [this, now](std::optional<std::vector<BackendServer>> servers,
+                  const Error&) {
+        if (servers) {
+          TakeServers(std::move(*servers), now);
+        }
+      });
+}
+
+void GatewayHost::Impl::Reload() {
+  if (const auto settings = read_settings_()) {
+    watch_.SetSeeds(settings->seeds_);
+  }
+}
+
+}  // namespace citronlane
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -28,13 +28,6 @@
 constexpr uint32_t kMostRefusals = 2;
 /// Stages whose results were lost are made anew once.
 constexpr uint32_t kMostRemakes = 1;
-/// A server that answers nothing for this many times the target is taken for
-/// dead where another one may be asked.
-constexpr double kSilentTargets = 1.5;
-constexpr Duration kShortestSilence = std::chrono::milliseconds(1200);
-/// A stream that pauses this many times the declared gap goes on elsewhere.
-constexpr int kStalledGaps = 3;
-constexpr Duration kShortestStall = std::chrono::milliseconds(1000);
 /// Urgency that engines honour: 0 is first, 9 last.
 constexpr uint32_t kFirstUrgency = 1;
 constexpr uint32_t kUrgencyPerPriority = 2;
@@ -48,8 +41,6 @@
 constexpr double kEstimateReserve = 1.1;
 constexpr int kFirstServerError = 500;
 constexpr int kOk = 200;
-constexpr int kFirstNoSuccess = 300;
-constexpr int kConflict = 409;
 
 }  // namespace
 
@@ -264,142 +255,6 @@
   return ended;
 }
 
-RelayRequest::Ended RelayRequest::Relay(ServerAttempt* attempt) {
-  const bool may_repeat =
-      job_->route_->MayRepeat() && runs_ + 1 < job_->route_->max_attempts_;
-  const TimePoint patience =
-      may_repeat ? std::min(job_->deadline_, SteadyNow() + FirstReplyLimit())
-                 : job_->deadline_;
-  const bool replied = waker_->WaitUntil(
-      [attempt] { return attempt->has_head() || attempt->is_done(); },
-      patience);
-  if (waker_->caller_gone()) {
-    return {};
-  }
-  if (!replied) {
-    attempt->Cancel();
-    return AfterFailure(*attempt);
-  }
-  if (!attempt->has_head()) {
-    return AfterFailure(*attempt);
-  }
-  const ServerReplyHead& reply = attempt->reply();
-  if (reply.not_run_) {
-    const bool inputs_gone =
-        attempt->status() == kConflict && stages_.HasWork();
-    return {inputs_gone ? Step::kInputsGone : Step::kNotRun,
-            inputs_gone ? "inputs gone" : "server refused"};
-  }
-  verdict_ = RaiseVerdict(verdict_, Verdict::kMayHaveRun);
-  const bool is_success =
-      attempt->status() >= kOk && attempt->status() < kFirstNoSuccess;
-  if (job_->route_->kind_ == RouteKind::kStreaming && is_success) {
-    return RelayStream(attempt);
-  }
-  return RelayWhole(attempt);
-}
-
-RelayRequest::Ended RelayRequest::RelayWhole(ServerAttempt* attempt) {
-  const bool is_done = waker_->WaitUntil(
-      [attempt] { return attempt->is_done(); }, job_->deadline_);
-  if (waker_->caller_gone()) {
-    return {};
-  }
-  if (!is_done || attempt->outcome() != CallOutcome::kSuccess) {
-    attempt->Cancel();
-    return AfterFailure(*attempt);
-  }
-  const bool failed = attempt->status() >= kFirstServerError;
-  if (failed && job_->route_->MayRepeat() &&
-      runs_ + 1 < job_->route_->max_attempts_ &&
-      budget_->TryTake(SteadyNow(), context_->view_->GatewayCount())) {
-    return {Step::kMayHaveRun, "server error"};
-  }
-  if (stream_started_) {
-    // The stream broke, and its continuation was answered with a failure.
-    exchange_->Abort();
-    Finish("stream broken", kOk);
-    return {};
-  }
-  HttpReply reply = AnswerOf(attempt->status(), attempt->headers());
-  reply.body_ = attempt->TakeData();
-  verdict_ = RaiseVerdict(verdict_, Verdict::kRan);
-  exchange_->Reply(reply);
-  Finish("answered", attempt->status());
-  return {};
-}
-
-RelayRequest::Ended RelayRequest::RelayStream(ServerAttempt* attempt) {
-  while (true) {
-    const bool is_ready = waker_->WaitUntil(
-        [attempt] { return attempt->has_data() || attempt->is_done(); },
-        job_->deadline_);
-    if (waker_->caller_gone()) {
-      return {};
-    }
-    if (!is_ready) {
-      return AfterFailure(*attempt);
-    }
-    const bool is_done = attempt->is_done();
-    std::string whole;
-    const auto taken = events_.Feed(attempt->TakeData(), &whole);
-    if (!whole.empty() && !PassOn(whole, *attempt)) {
-      return {};
-    }
-    if (taken != EventSplitter::Taken::kGood) {
-      attempt->Cancel();
-      return {Step::kMayHaveRun, "events out of order"};
-    }
-    if (!is_done) {
-      continue;
-    }
-    if (attempt->outcome() != CallOutcome::kSuccess || events_.has_partial()) {
-      return AfterFailure(*attempt);
-    }
-    if (!stream_started_) {
-      exchange_->StartStream(AnswerOf(attempt->status(), attempt->headers()));
-    }
-    exchange_->EndStream();
-    verdict_ = RaiseVerdict(verdict_, Verdict::kRan);
-    Finish("answered", kOk);
-    return {};
-  }
-}
-
-// Hands whole events to the caller; false when it is gone.
-bool RelayRequest::PassOn(const std::string& events,
-                          const ServerAttempt& attempt) {
-  if (!had_first_event_) {
-    had_first_event_ = true;
-    router_->OnFirstEvent(last_server_, RouterCall());
-    // The engine has read its inputs.
-    stages_.FreeAll();
-  }
-  if (!stream_started_) {
-    stream_started_ = true;
-    first_event_after_ = Elapsed();
-    context_->metrics_->Observe(kFirstTokenSeconds, {job_->route_->name_},
-                                first_event_after_);
-    if (!exchange_->StartStream(
-            AnswerOf(attempt.status(), attempt.headers()))) {
-      return false;
-    }
-  }
-  return exchange_->Write(events);
-}
-
-RelayRequest::Ended RelayRequest::AfterFailure(
-    const ServerAttempt& attempt) const {
-  if (attempt.is_done() && attempt.outcome() == CallOutcome::kConnectFailed) {
-    return {Step::kNotRun, "connect failed"};
-  }
-  if (!attempt.was_sent()) {
-    return {Step::kNotRun, "not sent"};
-  }
-  return {Step::kMayHaveRun,
-          attempt.is_done() ? ToString(attempt.outcome()) : "silent"};
-}
-
 bool RelayRequest::MayGoOn(const Ended& ended) {
   const TimePoint now = SteadyNow();
   bool goes_on = false;
@@ -437,20 +292,6 @@
   return goes_on;
 }
 
-std::optional<Duration> RelayRequest::StallLimit() const {
-  if (job_->route_->kind_ != RouteKind::kStreaming ||
-      !job_->route_->resumable_ || job_->route_->target_gap_ == Duration()) {
-    return std::nullopt;
-  }
-  return std::max(kShortestStall, job_->route_->target_gap_ * kStalledGaps);
-}
-
-Duration RelayRequest::FirstReplyLimit() const {
-  const auto silent = std::chrono::duration_cast<Duration>(
-      job_->route_->target_latency_ * kSilentTargets);
-  return std::max(kShortestSilence, silent);
-}
-
 void RelayRequest::RefuseAfterFailure() {
   if (verdict_ == Verdict::kNotRun) {
     Refuse(RefusalReason::kNoBackendServer);
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -13,6 +13,7 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/stage_pool.h"
+#include "citronlane/relay/stage_task_codec.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
@@ -31,72 +32,6 @@
 /// A task that was moved this often stays here.
 constexpr uint32_t kMostMoves = 3;
 
-uint64_t InMilliseconds(Duration time) {
-  const auto whole =
-      std::chrono::duration_cast<std::chrono::milliseconds>(time);
-  return whole.count() > 0 ? static_cast<uint64_t>(whole.count()) : 0;
-}
-
-void EncodeTask(const StageTask& task,
-                TimePoint now,
-                wire::fleet::StageJob* out) {
-  out->set_request(task.request_id_);
-  out->set_stage(task.stage_);
-  out->set_pieces(task.pieces_);
-  out->set_key(task.key_);
-  out->set_has_inputs(task.has_inputs_);
-  for (const std::string& input : task.inputs_) {
-    out->add_inputs(input);
-  }
-  out->set_target_left_ms(InMilliseconds(task.target_ - now));
-  out->set_deadline_left_ms(InMilliseconds(task.deadline_ - now));
-  out->set_priority(task.priority_);
-  out->set_result_bytes(task.result_bytes_);
-  out->set_near_domain(task.near_domain_);
-}
-
-StageTask DecodeTask(const wire::fleet::StageJob& job, TimePoint now) {
-  StageTask task;
-  task.request_id_ = job.request();
-  task.stage_ = job.stage();
-  task.pieces_ = job.pieces();
-  task.key_ = job.key();
-  task.has_inputs_ = job.has_inputs();
-  task.inputs_.assign(job.inputs().begin(), job.inputs().end());
-  task.target_ = now + std::chrono::milliseconds(job.target_left_ms());
-  task.deadline_ = now + std::chrono::milliseconds(job.deadline_left_ms());
-  task.priority_ = job.priority();
-  task.result_bytes_ = job.result_bytes();
-  task.near_domain_ = job.near_domain();
-  return task;
-}
-
-const char* NameOf(Result result) {
-  switch (result) {
-    case Result::kDone:
-      return "done";
-    case Result::kLate:
-      return "late";
-    case Result::kInputGone:
-      return "input gone";
-    case Result::kMoved:
-      return "moved";
-    case Result::kFailed:
-      break;
-  }
-  return "failed";
-}
-
-Result ResultOf(const std::string& name) {
-  for (const Result result :
-       {Result::kDone, Result::kLate, Result::kInputGone, Result::kMoved}) {
-    if (name == NameOf(result)) {
-      return result;
-    }
-  }
-  return Result::kFailed;
-}
-
 }  // namespace
 
 StageOwners::StageOwners(boost::asio::io_context* io,
@@ -308,7 +243,7 @@
   const auto& result = frame.job_result();
   StageOutcome outcome;
   outcome.result_ =
-      result.reason().empty() ? Result::kDone : ResultOf(result.reason());
+      result.reason().empty() ? Result::kDone : StageResultOf(result.reason());
   outcome.handles_.assign(result.handles().begin(), result.handles().end());
   outcome.not_run_ = result.not_run();
   const auto job = jobs_.find(result.job());
@@ -339,93 +274,6 @@
   return {left(it->second.wait_.on_time_), left(it->second.wait_.all_)};
 }
 
-void StageOwners::Take(const std::shared_ptr<FrameChannel>& channel,
-                       Frame* frame) {
-  if (frame->has_job()) {
-    Serve(channel, frame);
-  } else if (frame->has_job_cancel()) {
-    const auto it = served_.find({channel.get(), frame->job_cancel().job()});
-    if (it != served_.end()) {
-      if (StagePool* pool = pool_(it->second.service_)) {
-        pool->Cancel(it->second.task_);
-      }
-      served_.erase(it);
-    }
-  } else if (frame->has_free()) {
-    if (StagePool* pool = pool_(frame->free().service())) {
-      const std::vector<std::string> handles(frame->free().handles().begin(),
-                                             frame->free().handles().end());
-      pool->Free(handles);
-    }
-  }
-}
-
-void StageOwners::Serve(const std::shared_ptr<FrameChannel>& channel,
-                        Frame* frame) {
-  const auto& job = frame->job();
-  const uint64_t number = job.job();
-  const ServedKey key{channel.get(), number};
-  const std::weak_ptr<FrameChannel> weak = channel;
-  const auto answer = [this, weak, number,
-                       service = job.service()](const StageOutcome& outcome) {
-    const auto open = weak.lock();
-    if (!open) {
-      return;
-    }
-    Frame reply;
-    auto* result = reply.mutable_job_result();
-    result->set_job(number);
-    if (outcome.result_ != Result::kDone) {
-      result->set_reason(NameOf(outcome.result_));
-    }
-    for (const std::string& handle : outcome.handles_) {
-      result->add_handles(handle);
-    }
-    result->set_not_run(outcome.not_run_);
-    if (const StagePool* running = pool_(service)) {
-      const auto wait = running->ExpectedWait(SteadyNow());
-      result->set_wait_on_time_ms(InMilliseconds(wait.on_time_));
-      result->set_wait_all_ms(InMilliseconds(wait.all_));
-    }
-    open->Send(reply);
-  };
-  StagePool* pool = pool_(job.service());
-  if (pool == nullptr) {
-    StageOutcome outcome;
-    outcome.not_run_ = true;
-    answer(outcome);
-    return;
-  }
-  served_[key] = Served{job.service(), 0};
-  const uint64_t task = pool->Submit(
-      DecodeTask(job, SteadyNow()),
-      [this, key, answer](const StageOutcome& outcome) {
-        served_.erase(key);
-        answer(outcome);
-      },
-      [weak, number] {
-        if (const auto open = weak.lock()) {
-          Frame note;
-          note.mutable_inputs_taken()->set_job(number);
-          open->Send(note);
-        }
-      });
-  const auto it = served_.find(key);
-  if (it != served_.end()) {
-    it->second.task_ = task;
-  }
-}
-
-void StageOwners::Closed(const FrameChannel* channel) {
-  for (auto it = served_.lower_bound({channel, 0});
-       it != served_.end() && it->first.first == channel;) {
-    if (StagePool* pool = pool_(it->second.service_)) {
-      pool->Cancel(it->second.task_);
-    }
-    it = served_.erase(it);
-  }
-}
-
 void StageOwners::Tick(TimePoint now) {
   std::map<std::string, bool> awaited;
   for (const auto& [number, job] : jobs_) {
--- /dev/null
+++ b/src/relay/stage_owners_serve.cc
@@ -0,0 +1,103 @@
+#include <utility>
+#include <vector>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/net/frame_channel.h"
+#include "citronlane/relay/stage_owners.h"
+#include "citronlane/relay/stage_pool.h"
+#include "citronlane/relay/stage_task_codec.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+
+using wire::fleet::Frame;
+using Result = StageOutcome::Result;
+
+void StageOwners::Take(const std::shared_ptr<FrameChannel>& channel,
+                       Frame* frame) {
+  if (frame->has_job()) {
+    Serve(channel, frame);
+  } else if (frame->has_job_cancel()) {
+    const auto it = served_.find({channel.get(), frame->job_cancel().job()});
+    if (it != served_.end()) {
+      if (StagePool* pool = pool_(it->second.service_)) {
+        pool->Cancel(it->second.task_);
+      }
+      served_.erase(it);
+    }
+  } else if (frame->has_free()) {
+    if (StagePool* pool = pool_(frame->free().service())) {
+      const std::vector<std::string> handles(frame->free().handles().begin(),
+                                             frame->free().handles().end());
+      pool->Free(handles);
+    }
+  }
+}
+
+void StageOwners::Serve(const std::shared_ptr<FrameChannel>& channel,
+                        Frame* frame) {
+  const auto& job = frame->job();
+  const uint64_t number = job.job();
+  const ServedKey key{channel.get(), number};
+  const std::weak_ptr<FrameChannel> weak = channel;
+  const auto answer = [this, weak, number,
+                       service = job.service()](const StageOutcome& outcome) {
+    const auto open = weak.lock();
+    if (!open) {
+      return;
+    }
+    Frame reply;
+    auto* result = reply.mutable_job_result();
+    result->set_job(number);
+    if (outcome.result_ != Result::kDone) {
+      result->set_reason(ToString(outcome.result_));
+    }
+    for (const std::string& handle : outcome.handles_) {
+      result->add_handles(handle);
+    }
+    result->set_not_run(outcome.not_run_);
+    if (const StagePool* running = pool_(service)) {
+      const auto wait = running->ExpectedWait(SteadyNow());
+      result->set_wait_on_time_ms(InMilliseconds(wait.on_time_));
+      result->set_wait_all_ms(InMilliseconds(wait.all_));
+    }
+    open->Send(reply);
+  };
+  StagePool* pool = pool_(job.service());
+  if (pool == nullptr) {
+    StageOutcome outcome;
+    outcome.not_run_ = true;
+    answer(outcome);
+    return;
+  }
+  served_[key] = Served{job.service(), 0};
+  const uint64_t task = pool->Submit(
+      DecodeTask(job, SteadyNow()),
+      [this, key, answer](const StageOutcome& outcome) {
+        served_.erase(key);
+        answer(outcome);
+      },
+      [weak, number] {
+        if (const auto open = weak.lock()) {
+          Frame note;
+          note.mutable_inputs_taken()->set_job(number);
+          open->Send(note);
+        }
+      });
+  const auto it = served_.find(key);
+  if (it != served_.end()) {
+    it->second.task_ = task;
+  }
+}
+
+void StageOwners::Closed(const FrameChannel* channel) {
+  for (auto it = served_.lower_bound({channel, 0});
+       it != served_.end() && it->first.first == channel;) {
+    if (StagePool* pool = pool_(it->second.service_)) {
+      pool->Cancel(it->second.task_);
+    }
+    it = served_.erase(it);
+  }
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/relay/stage_task_codec.cc
@@ -0,0 +1,75 @@
+#include "citronlane/relay/stage_task_codec.h"
+
+#include "fleet.pb.h"
+
+namespace citronlane {
+
+using Result = StageOutcome::Result;
+
+uint64_t InMilliseconds(Duration time) {
+  const auto whole =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time);
+  return whole.count() > 0 ? static_cast<uint64_t>(whole.count()) : 0;
+}
+
+void EncodeTask(const StageTask& task,
+                TimePoint now,
+                wire::fleet::StageJob* out) {
+  out->set_request(task.request_id_);
+  out->set_stage(task.stage_);
+  out->set_pieces(task.pieces_);
+  out->set_key(task.key_);
+  out->set_has_inputs(task.has_inputs_);
+  for (const std::string& input : task.inputs_) {
+    out->add_inputs(input);
+  }
+  out->set_target_left_ms(InMilliseconds(task.target_ - now));
+  out->set_deadline_left_ms(InMilliseconds(task.deadline_ - now));
+  out->set_priority(task.priority_);
+  out->set_result_bytes(task.result_bytes_);
+  out->set_near_domain(task.near_domain_);
+}
+
+StageTask DecodeTask(const wire::fleet::StageJob& job, TimePoint now) {
+  StageTask task;
+  task.request_id_ = job.request();
+  task.stage_ = job.stage();
+  task.pieces_ = job.pieces();
+  task.key_ = job.key();
+  task.has_inputs_ = job.has_inputs();
+  task.inputs_.assign(job.inputs().begin(), job.inputs().end());
+  task.target_ = now + std::chrono::milliseconds(job.target_left_ms());
+  task.deadline_ = now + std::chrono::milliseconds(job.deadline_left_ms());
+  task.priority_ = job.priority();
+  task.result_bytes_ = job.result_bytes();
+  task.near_domain_ = job.near_domain();
+  return task;
+}
+
+const char* ToString(StageOutcome::Result result) {
+  switch (result) {
+    case Result::kDone:
+      return "done";
+    case Result::kLate:
+      return "late";
+    case Result::kInputGone:
+      return "input gone";
+    case Result::kMoved:
+      return "moved";
+    case Result::kFailed:
+      break;
+  }
+  return "failed";
+}
+
+StageOutcome::Result StageResultOf(const std::string& name) {
+  for (const Result result :
+       {Result::kDone, Result::kLate, Result::kInputGone, Result::kMoved}) {
+    if (name == ToString(result)) {
+      return result;
+    }
+  }
+  return Result::kFailed;
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/stages/stage_batcher_results.cc
@@ -0,0 +1,361 @@
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "citronlane/stages/stage_batcher.h"
+
+namespace citronlane {
+namespace {
+
+/// Keeps what is learned of a server away from 0.
+constexpr double kLeastSlowness = 0.05;
+/// A piece that failed this often is not tried again.
+constexpr uint32_t kMostTries = 4;
+/// Weight of the newest call in what is learned of a server.
+constexpr double kLearnWeight = 0.3;
+/// A call that takes this many times as long as expected is on a server that
+/// hangs: its pieces are given to another one as well.
+constexpr double kLateFactor = 2.2;
+constexpr Duration kLateReserve = std::chrono::milliseconds(150);
+/// Pieces of a task that fail within this time are one repeat of its request.
+constexpr Duration kRepeatTogether = std::chrono::milliseconds(50);
+/// After a failure a server gets no call for this long, twice as long after
+/// each further one in a row.
+constexpr Duration kFirstSuspension = std::chrono::milliseconds(300);
+constexpr int kMostDoublings = 4;
+/// A server that refuses has calls of another gateway in hand.
+constexpr Duration kRefusedPause = std::chrono::milliseconds(60);
+/// By then a server whose turn for a call has come has fetched its inputs: a
+/// few megabytes over links of gigabits, and a few milliseconds of way.
+constexpr Duration kFetchTime = std::chrono::milliseconds(100);
+
+}  // namespace
+
+// Ends the call at its server; null when that is gone.
+StageBatcher::Server* StageBatcher::ReleaseCall(const Call& call) {
+  const auto found = servers_.find(call.server_);
+  if (found == servers_.end()) {
+    return nullptr;
+  }
+  Server& server = found->second;
+  // A server that was away from the list has begun to count anew.
+  server.reserved_bytes_ -=
+      std::min(server.reserved_bytes_, call.reserved_bytes_);
+  if (!call.hedged_ && server.calls_ > 0) {
+    --server.calls_;
+  }
+  return &server;
+}
+
+void StageBatcher::Finished(uint64_t number,
+                            absl::Span<const StagePieceResult> results,
+                            TimePoint now) {
+  const auto it = calls_.find(number);
+  if (it == calls_.end()) {
+    return;
+  }
+  const Call call = std::move(it->second);
+  calls_.erase(it);
+  Server* server = ReleaseCall(call);
+  if (server != nullptr) {
+    server->failures_in_row_ = 0;
+    const auto took = static_cast<double>((now - call.begun_).count());
+    const double usual = static_cast<double>(call.expected_.count()) /
+                         std::max(call.slowness_, kLeastSlowness);
+    if (usual > 0) {
+      server->slowness_ += kLearnWeight * (took / usual - server->slowness_);
+    }
+  }
+  for (size_t i = 0; i < call.pieces_.size(); ++i) {
+    const auto& [task, piece] = call.pieces_[i];
+    const StagePieceResult result =
+        i < results.size() ? results[i] : StagePieceResult();
+    TakeResult(task, piece, result, server, now);
+  }
+}
+
+void StageBatcher::TakeResult(uint64_t number,
+                              uint32_t index,
+                              const StagePieceResult& result,
+                              Server* server,
+                              TimePoint now) {
+  using Outcome = StagePieceResult::Outcome;
+  const auto it = tasks_.find(number);
+  const uint64_t bytes =
+      it == tasks_.end() ? 0 : it->second.task_.result_bytes_;
+  if (result.outcome_ == Outcome::kDone && server != nullptr) {
+    KeepResult(server, result.handle_, bytes, now);
+  }
+  if (it == tasks_.end()) {
+    if (result.outcome_ == Outcome::kDone) {
+      Discard(result.handle_);
+    }
+    return;
+  }
+  Task& task = it->second;
+  Piece& piece = task.pieces_[index];
+  --piece.in_calls_;
+  task.may_have_run_ = true;
+  switch (result.outcome_) {
+    case Outcome::kDone:
+      if (!piece.handle_.empty()) {
+        Discard(result.handle_);
+        return;
+      }
+      piece.handle_ = result.handle_;
+      waiting_ -= piece.waits_ ? 1 : 0;
+      piece.waits_ = false;
+      if (++task.done_ == task.pieces_.size()) {
+        End(number, StageOutcome::Result::kDone);
+      }
+      return;
+    case Outcome::kLate:
+      End(number, StageOutcome::Result::kLate);
+      return;
+    case Outcome::kInputGone:
+      End(number, StageOutcome::Result::kInputGone);
+      return;
+    case Outcome::kNoRoom:
+      if (server != nullptr) {
+        server->suspended_until_ = now + kRefusedPause;
+      }
+      Requeue(number, index, true, now);
+      return;
+    case Outcome::kFailed:
+      Requeue(number, index, true, now);
+      return;
+  }
+}
+
+void StageBatcher::KeepResult(Server* server,
+                              const std::string& handle,
+                              uint64_t bytes,
+                              TimePoint now) {
+  server->results_[handle] = Result{bytes, now + spec_.result_life_};
+  server->held_bytes_ += bytes;
+  keepers_[handle] = server->id_;
+}
+
+void StageBatcher::Requeue(uint64_t number,
+                           uint32_t index,
+                           bool is_repeat,
+                           TimePoint now) {
+  const auto it = tasks_.find(number);
+  if (it == tasks_.end()) {
+    return;
+  }
+  Piece& piece = it->second.pieces_[index];
+  if (piece.waits_ || !piece.handle_.empty()) {
+    return;
+  }
+  if (it->second.inputs_taken_) {
+    // Its inputs are freed: only the call that has them can still make it.
+    if (piece.in_calls_ == 0) {
+      End(number, StageOutcome::Result::kInputGone);
+    }
+    return;
+  }
+  if (piece.tries_ >= kMostTries) {
+    if (piece.in_calls_ == 0) {
+      End(number, StageOutcome::Result::kFailed);
+    }
+    return;
+  }
+  // One repeat a task at a time: its pieces go together again.
+  if (is_repeat && now >= it->second.repeat_paid_until_) {
+    if (!may_repeat_(now)) {
+      parked_.emplace(number, index);
+      return;
+    }
+    it->second.repeat_paid_until_ = now + kRepeatTogether;
+  }
+  piece.waits_ = true;
+  ++waiting_;
+}
+
+// What a stage works on can be freed as soon as it was fetched, well before the
+// stage is done: room for results bounds what the pool before can make.
+void StageBatcher::NoteTakenInputs(TimePoint now) {
+  for (auto& [number, task] : tasks_) {
+    if (!task.task_.has_inputs_ || task.inputs_taken_ ||
+        now - task.last_sent_ < kFetchTime) {
+      continue;
+    }
+    const bool all_sent = std::all_of(
+        task.pieces_.begin(), task.pieces_.end(), [](const Piece& piece) {
+          return piece.in_calls_ > 0 || !piece.handle_.empty();
+        });
+    if (all_sent) {
+      task.inputs_taken_ = true;
+      taken_.push_back(number);
+    }
+  }
+}
+
+std::vector<uint64_t> StageBatcher::TakeTasksWithInputsTaken() {
+  return std::exchange(taken_, {});
+}
+
+// Pieces that may not be repeated yet are tried again until they may.
+void StageBatcher::RequeueParked(TimePoint now) {
+  for (const auto& [task, piece] : std::exchange(parked_, {})) {
+    Requeue(task, piece, true, now);
+  }
+}
+
+void StageBatcher::HandBackWaiting() {
+  std::vector<uint64_t> unsent;
+  for (const auto& [number, task] : tasks_) {
+    if (HasNotRun(task)) {
+      unsent.push_back(number);
+    }
+  }
+  for (const uint64_t number : unsent) {
+    End(number, StageOutcome::Result::kMoved);
+  }
+}
+
+void StageBatcher::Failed(uint64_t number, CallFailure failure, TimePoint now) {
+  const auto it = calls_.find(number);
+  if (it == calls_.end()) {
+    return;
+  }
+  const Call call = std::move(it->second);
+  calls_.erase(it);
+  if (Server* server = ReleaseCall(call)) {
+    if (failure == CallFailure::kRefused) {
+      server->suspended_until_ = now + kRefusedPause;
+    } else {
+      Suspend(server, now);
+    }
+  }
+  for (const auto& [task, piece] : call.pieces_) {
+    if (const auto owner = tasks_.find(task); owner != tasks_.end()) {
+      --owner->second.pieces_[piece].in_calls_;
+      owner->second.may_have_run_ |= failure == CallFailure::kLost;
+      if (failure == CallFailure::kNotSent) {
+        // Nobody saw it: this was no try.
+        --owner->second.pieces_[piece].tries_;
+      }
+      Requeue(task, piece, failure != CallFailure::kNotSent, now);
+    }
+  }
+}
+
+void StageBatcher::Suspend(Server* server, TimePoint now) {
+  const int doublings = std::min(server->failures_in_row_, kMostDoublings);
+  server->suspended_until_ = now + kFirstSuspension * (1 << doublings);
+  ++server->failures_in_row_;
+}
+
+// Calls that no server has seen, or that it refused, ran nothing.
+bool StageBatcher::HasNotRun(const Task& task) {
+  return !task.may_have_run_ &&
+         std::all_of(task.pieces_.begin(), task.pieces_.end(),
+                     [](const Piece& piece) { return piece.in_calls_ == 0; });
+}
+
+void StageBatcher::End(uint64_t number, StageOutcome::Result result) {
+  const auto it = tasks_.find(number);
+  if (it == tasks_.end()) {
+    return;
+  }
+  StageOutcome outcome;
+  outcome.task_ = number;
+  outcome.result_ = result;
+  outcome.not_run_ = HasNotRun(it->second);
+  if (result == StageOutcome::Result::kDone) {
+    for (Piece& piece : it->second.pieces_) {
+      outcome.handles_.push_back(std::move(piece.handle_));
+      piece.handle_.clear();
+    }
+  }
+  outcomes_.push_back(std::move(outcome));
+  Cancel(number);
+}
+
+void StageBatcher::Tick(TimePoint now) {
+  std::vector<uint64_t> late;
+  for (const auto& [number, task] : tasks_) {
+    if (task.task_.deadline_ <= now) {
+      late.push_back(number);
+    }
+  }
+  for (const uint64_t number : late) {
+    End(number, StageOutcome::Result::kLate);
+  }
+  for (auto& [id, server] : servers_) {
+    for (auto it = server.results_.begin(); it != server.results_.end();) {
+      if (it->second.expires_ > now) {
+        ++it;
+        continue;
+      }
+      server.held_bytes_ -= it->second.bytes_;
+      keepers_.erase(it->first);
+      it = server.results_.erase(it);
+    }
+  }
+  HedgeLateCalls(now);
+  RequeueParked(now);
+  NoteTakenInputs(now);
+}
+
+// A server that hangs answers nothing for many seconds; the pieces it holds go
+// to another one too, and whichever result comes first is taken.
+void StageBatcher::HedgeLateCalls(TimePoint now) {
+  for (auto& [number, call] : calls_) {
+    const auto late = std::chrono::duration_cast<Duration>(
+        call.expected_ * kLateFactor + kLateReserve);
+    if (call.hedged_ || now - call.begun_ < late) {
+      continue;
+    }
+    call.hedged_ = true;
+    if (const auto found = servers_.find(call.server_);
+        found != servers_.end() && found->second.calls_ > 0) {
+      // Slow, or only this answer was lost: the next call will tell.
+      Server& server = found->second;
+      server.slowness_ = std::max(server.slowness_, kLateFactor);
+      --server.calls_;
+    }
+    for (const auto& [task, piece] : call.pieces_) {
+      if (const auto owner = tasks_.find(task);
+          owner != tasks_.end() && owner->second.task_.deadline_ > now) {
+        Requeue(task, piece, true, now);
+      }
+    }
+  }
+}
+
+std::vector<StageOutcome> StageBatcher::TakeOutcomes() {
+  return std::exchange(outcomes_, {});
+}
+
+std::map<std::string, std::vector<std::string>> StageBatcher::TakeUnwanted() {
+  return std::exchange(unwanted_, {});
+}
+
+void StageBatcher::Free(absl::Span<const std::string> handles) {
+  for (const std::string& handle : handles) {
+    Discard(handle);
+  }
+}
+
+// The handle begins with its maker's address.
+void StageBatcher::Discard(const std::string& handle) {
+  unwanted_[handle.substr(0, handle.find('/'))].push_back(handle);
+  const auto keeper = keepers_.find(handle);
+  if (keeper == keepers_.end()) {
+    return;
+  }
+  if (const auto server = servers_.find(keeper->second);
+      server != servers_.end()) {
+    const auto result = server->second.results_.find(handle);
+    if (result != server->second.results_.end()) {
+      server->second.held_bytes_ -= result->second.bytes_;
+      server->second.results_.erase(result);
+    }
+  }
+  keepers_.erase(keeper);
+}
+
+}  // namespace citronlane
--- /dev/null
+++ b/src/transport/connection_pool.cc
@@ -0,0 +1,95 @@
+#include "citronlane/transport/detail/connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+
+#include "citronlane/base/steady_now.h"
+
+namespace citronlane::detail {
+namespace {
+
+using boost::system::error_code;
+using tcp = boost::asio::ip::tcp;
+namespace asio = boost::asio;
+using Connection = StageConnection;
+using ConnectionPtr = std::unique_ptr<StageConnection>;
+
+/// Whether the server closed an idle connection, or sent what nobody asked
+/// for.
+bool IsStale(Connection* connection) {
+  auto& socket = connection->stream_.socket();
+  error_code error;
+  socket.non_blocking(true, error);
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+}  // namespace
+
+ConnectionPool::ConnectionPool(asio::io_context* io, const StageLimits& limits)
+    : io_(io), limits_(limits) {}
+
+ConnectionPtr ConnectionPool::TakeIdle(const std::string& key,
+                                       Duration longest_idle) {
+  std::vector<ConnectionPtr>& idle = idle_[key];
+  while (!idle.empty()) {
+    const Connection& last = *idle.back();
+    const Duration age = SteadyNow() - last.idle_since_;
+    if (age >= longest_idle && age < limits_.idle_timeout_) {
+      // Another call may still use it.
+      return nullptr;
+    }
+    ConnectionPtr connection = std::move(idle.back());
+    idle.pop_back();
+    if (age < connection->idle_limit_.value_or(limits_.idle_timeout_) &&
+        !IsStale(connection.get())) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void ConnectionPool::GiveBack(const std::string& key,
+                              ConnectionPtr connection) {
+  CloseAged();
+  std::vector<ConnectionPtr>& idle = idle_[key];
+  if (idle.size() < limits_.idle_connections_) {
+    connection->idle_since_ = SteadyNow();
+    connection->stream_.expires_never();
+    idle.push_back(std::move(connection));
+  }
+}
+
+size_t ConnectionPool::idle_connections() const {
+  size_t count = 0;
+  for (const auto& [key, idle] : idle_) {
+    count += idle.size();
+  }
+  return count;
+}
+
+// Servers come and go: connections that nobody asks for any more are closed
+// too, now and then.
+void ConnectionPool::CloseAged() {
+  const TimePoint now = SteadyNow();
+  if (now < next_close_) {
+    return;
+  }
+  next_close_ = now + limits_.idle_timeout_;
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    std::vector<ConnectionPtr>& idle = entry->second;
+    idle.erase(std::remove_if(idle.begin(), idle.end(),
+                              [this, now](const ConnectionPtr& connection) {
+                                return now - connection->idle_since_ >=
+                                       limits_.idle_timeout_;
+                              }),
+               idle.end());
+    entry = idle.empty() ? idle_.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace citronlane::detail
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -17,7 +17,9 @@
 #include "absl/strings/numbers.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/endpoint.h"
+#include "citronlane/transport/detail/connection_pool.h"
 #include "citronlane/transport/detail/coroutine.h"
+#include "citronlane/transport/detail/stage_connection.h"
 
 namespace citronlane {
 namespace {
@@ -27,7 +29,10 @@
 namespace http = boost::beast::http;
 using tcp = boost::asio::ip::tcp;
 using boost::system::error_code;
-using Stream = beast::basic_stream<tcp, asio::io_context::executor_type>;
+using detail::ConnectionPool;
+using Connection = detail::StageConnection;
+using ConnectionPtr = std::unique_ptr<Connection>;
+using Stream = detail::StageConnection::Stream;
 
 constexpr size_t kStreamPieceBytes = size_t{16} * 1024;
 /// A server that acknowledges nothing this long is cut off: several times the
@@ -37,29 +42,6 @@
 constexpr int kMostPassedReplies = 8;
 constexpr int kFirstFinalStatus = 200;
 
-struct Connection {
-  explicit Connection(asio::io_context* io) : stream_(*io) {}
-
-  Stream stream_;
-  beast::flat_buffer buffer_;
-  TimePoint idle_since_{};
-  /// How long the server keeps the idle connection, if it said so.
-  std::optional<Duration> idle_limit_;
-};
-
-using ConnectionPtr = std::unique_ptr<Connection>;
-
-/// Whether the server closed an idle connection, or sent what nobody asked
-/// for.
-bool IsStale(Connection* connection) {
-  auto& socket = connection->stream_.socket();
-  error_code error;
-  socket.non_blocking(true, error);
-  char byte = 0;
-  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error != asio::error::would_block;
-}
-
 std::string RequestText(const StageCallSpec& spec) {
   std::string text;
   text.reserve(512 + spec.body_.size());
@@ -149,80 +131,6 @@
   return closed ? CallOutcome::kClosedAfterSend : CallOutcome::kServerError;
 }
 
-/// Kept-alive connections of one client, by server.
-class ConnectionPool {
- public:
-  ConnectionPool(asio::io_context* io, const StageLimits& limits)
-      : io_(io), limits_(limits) {}
-
-  /// The connection that was used last, unless it has been idle for too long.
-  ConnectionPtr TakeIdle(const std::string& key, Duration longest_idle) {
-    std::vector<ConnectionPtr>& idle = idle_[key];
-    while (!idle.empty()) {
-      const Connection& last = *idle.back();
-      const Duration age = SteadyNow() - last.idle_since_;
-      if (age >= longest_idle && age < limits_.idle_timeout_) {
-        // Another call may still use it.
-        return nullptr;
-      }
-      ConnectionPtr connection = std::move(idle.back());
-      idle.pop_back();
-      if (age < connection->idle_limit_.value_or(limits_.idle_timeout_) &&
-          !IsStale(connection.get())) {
-        return connection;
-      }
-    }
-    return nullptr;
-  }
-
-  void GiveBack(const std::string& key, ConnectionPtr connection) {
-    CloseAged();
-    std::vector<ConnectionPtr>& idle = idle_[key];
-    if (idle.size() < limits_.idle_connections_) {
-      connection->idle_since_ = SteadyNow();
-      connection->stream_.expires_never();
-      idle.push_back(std::move(connection));
-    }
-  }
-
-  asio::io_context* io() const { return io_; }
-  const StageLimits& limits() const { return limits_; }
-
-  size_t idle_connections() const {
-    size_t count = 0;
-    for (const auto& [key, idle] : idle_) {
-      count += idle.size();
-    }
-    return count;
-  }
-
- private:
-  /// Servers come and go: connections that nobody asks for any more are
-  /// closed too, now and then.
-  void CloseAged() {
-    const TimePoint now = SteadyNow();
-    if (now < next_close_) {
-      return;
-    }
-    next_close_ = now + limits_.idle_timeout_;
-    for (auto entry = idle_.begin(); entry != idle_.end();) {
-      std::vector<ConnectionPtr>& idle = entry->second;
-      idle.erase(std::remove_if(idle.begin(), idle.end(),
-                                [this, now](const ConnectionPtr& connection) {
-                                  return now - connection->idle_since_ >=
-                                         limits_.idle_timeout_;
-                                }),
-                 idle.end());
-      entry = idle.empty() ? idle_.erase(entry) : std::next(entry);
-    }
-  }
-
-  asio::io_context* const io_;
-  const StageLimits limits_;
-  TimePoint next_close_{};
-  std::map<std::string, std::vector<ConnectionPtr>> idle_;
-};
-
 /// One call: a coroutine that connects, sends once, and reads the reply.
 class Call : public StageCall, public std::enable_shared_from_this<Call> {
  public:
