Let control name the gateway that runs each pool

Cause: gateways chose it by hashing and age, each from its own list: when many restarted in turn the next oldest, which was to be restarted next, took over, and two to four gateways called the same servers. Change: the leader assigns pools to gateways in slots and keeps what is; a slot changes hands only when its gateway is gone or going, to the youngest settled one with the fewest slots; a new leader learns from the gateways what was assigned.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "citronlane/base/time.h"
+#include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/serving/backend_server.h"
 
 namespace citronlane {
@@ -62,6 +63,7 @@
  private:
   struct Watcher;
 
+  void UpdateAssignment(TimePoint now);
   void Push(Watcher* watcher, TimePoint now);
   void AddGateways(Watcher* watcher,
                    TimePoint now,
@@ -75,6 +77,7 @@
   uint64_t servers_number_ = 0;
   uint64_t gateways_number_ = 0;
   TimePoint leading_since_;
+  PoolAssignment assignment_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/net/fleet_codec.h
+++ b/include/citronlane/net/fleet_codec.h
@@ -1,22 +1,30 @@
 #ifndef CITRONLANE_NET_FLEET_CODEC_H_
 #define CITRONLANE_NET_FLEET_CODEC_H_
 
+#include <cstdint>
 #include <vector>
 
 #include "absl/types/span.h"
+#include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/serving/backend_server.h"
 
 namespace citronlane {
 
 namespace wire::fleet {
+class PoolOwners;
 class ServerList;
 }  // namespace wire::fleet
 
-/// Fills `out` with the servers. Thread safe, as is the other.
+/// Fills `out` with the servers. Thread safe, as are the others.
 void EncodeServers(absl::Span<const BackendServer> servers,
                    wire::fleet::ServerList* out);
 std::vector<BackendServer> DecodeServers(const wire::fleet::ServerList& in);
 
+void EncodeOwners(uint64_t number,
+                  const PoolAssignment::Owners& owners,
+                  wire::fleet::PoolOwners* out);
+PoolAssignment::Owners DecodeOwners(const wire::fleet::PoolOwners& in);
+
 }  // namespace citronlane
 
 #endif  // CITRONLANE_NET_FLEET_CODEC_H_
--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -19,6 +19,7 @@
 
 namespace wire::fleet {
 class Frame;
+class WatchRequest;
 class WatchUpdate;
 }  // namespace wire::fleet
 
@@ -39,6 +40,8 @@
     /// Version of the configuration held; nothing when there is none.
     std::function<std::optional<uint64_t>()> config_version_;
     std::function<bool()> knows_gateways_;
+    /// Adds what the gateway was told of pools and their owners.
+    std::function<void(wire::fleet::WatchRequest* request)> add_owners_;
   };
 
   ControlWatch(boost::asio::io_context* io,
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "citronlane/base/time.h"
+#include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/serving/backend_server.h"
 #include "citronlane/serving/serving_config.h"
 
@@ -23,8 +24,6 @@
     std::string endpoint_;
     std::string failure_domain_;
     bool stopping_ = false;
-    /// How long it had run when the list was made.
-    Duration age_{};
   };
 
   /// Takes a configuration of a higher version than the one held. Returns
@@ -35,6 +34,8 @@
   /// The list held was read again at `read` and is the same.
   void ConfirmServers(TimePoint read);
   void SetGateways(std::vector<Gateway> gateways);
+  /// Takes the owners of stage pools, unless newer ones are held.
+  void SetOwners(uint64_t number, PoolAssignment::Owners owners);
 
   /// Null until the first one came.
   const std::shared_ptr<const ServingConfig>& config() const { return config_; }
@@ -48,6 +49,8 @@
   /// Age of the list; nothing until one was read.
   std::optional<Duration> ServersAge(TimePoint now) const;
   const std::vector<Gateway>& gateways() const { return gateways_; }
+  uint64_t owners_number() const { return owners_number_; }
+  const PoolAssignment::Owners& owners() const { return owners_; }
   /// How many gateways share what all may use: at least those known, and never
   /// fewer than were known lately.
   size_t GatewayCount() const;
@@ -61,6 +64,8 @@
   uint64_t servers_number_ = 0;
   std::vector<Gateway> gateways_;
   size_t most_gateways_ = 0;
+  uint64_t owners_number_ = 0;
+  PoolAssignment::Owners owners_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/stage_owners.h
+++ b/include/citronlane/relay/stage_owners.h
@@ -30,7 +30,7 @@
 
 /// Takes stage tasks to the gateway that runs their pool, this one or another,
 /// and serves the tasks of others for the pools that this one runs. Each pool
-/// is run by one gateway, which all find by hashing and age, so that the
+/// is run by one gateway, which control names, so that the
 /// pieces of all requests meet in its calls. When that gateway is lost, its
 /// tasks go to the next one: a piece may be made twice. On the event loop's
 /// thread.
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -31,6 +31,7 @@
   std::optional<uint64_t> config_version_;
   uint64_t servers_number_ = 0;
   uint64_t gateways_number_ = 0;
+  uint64_t owners_number_ = 0;
 };
 
 GatewayFeed::GatewayFeed(const ConfigRegister* config,
@@ -55,6 +56,11 @@
   if (request.has_config()) {
     watcher->config_version_ = request.config_version();
   }
+  if (request.has_owners()) {
+    watcher->owners_number_ = request.owners().number();
+    assignment_.Adopt(request.owners().number(),
+                      DecodeOwners(request.owners()));
+  }
   // The others hear of it at the next round: a fleet that starts up would
   // send each of its gateways' names to each of them.
   ++gateways_number_;
@@ -79,12 +85,26 @@
 
 void GatewayFeed::StartLeading(TimePoint now) {
   leading_since_ = now;
+  assignment_.StartLeading(now);
   servers_read_.reset();
   ++servers_number_;
   ++gateways_number_;
 }
 
+void GatewayFeed::UpdateAssignment(TimePoint now) {
+  if (!leadership_().leads_) {
+    return;
+  }
+  std::vector<PoolAssignment::Gateway> gateways;
+  for (const auto& [key, watcher] : watchers_) {
+    gateways.push_back(
+        {watcher->gateway_, watcher->stopping_, now - watcher->started_});
+  }
+  assignment_.Update(gateways, now);
+}
+
 void GatewayFeed::PushAll(TimePoint now) {
+  UpdateAssignment(now);
   std::vector<std::pair<std::shared_ptr<FrameChannel>, Watcher*>> open;
   for (const auto& [key, watcher] : watchers_) {
     if (auto channel = watcher->channel_.lock()) {
@@ -131,6 +151,11 @@
       update->set_servers_age_ms(static_cast<uint64_t>(age.count()) + 1);
     }
     AddGateways(watcher, now, update);
+    if (watcher->owners_number_ != assignment_.number()) {
+      watcher->owners_number_ = assignment_.number();
+      EncodeOwners(assignment_.number(), assignment_.owners(),
+                   update->mutable_owners());
+    }
   }
   channel->Send(frame);
 }
@@ -150,10 +175,6 @@
     entry->set_endpoint(other->gateway_);
     entry->set_failure_domain(other->failure_domain_);
     entry->set_stopping(other->stopping_);
-    entry->set_age_ms(static_cast<uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                              other->started_)
-            .count()));
   }
 }
 
--- a/src/net/fleet_codec.cc
+++ b/src/net/fleet_codec.cc
@@ -1,5 +1,6 @@
 #include "citronlane/net/fleet_codec.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "fleet.pb.h"
@@ -34,4 +35,21 @@
   return servers;
 }
 
+void EncodeOwners(uint64_t number,
+                  const PoolAssignment::Owners& owners,
+                  wire::fleet::PoolOwners* out) {
+  out->set_number(number);
+  for (const std::string& owner : owners) {
+    out->add_owners(owner);
+  }
+}
+
+PoolAssignment::Owners DecodeOwners(const wire::fleet::PoolOwners& in) {
+  PoolAssignment::Owners owners;
+  const auto count =
+      std::min<size_t>(owners.size(), static_cast<size_t>(in.owners_size()));
+  std::copy_n(in.owners().begin(), count, owners.begin());
+  return owners;
+}
+
 }  // namespace citronlane
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -92,6 +92,7 @@
     watch->set_config_version(*version);
   }
   watch->set_has_gateways(hooks_.knows_gateways_());
+  hooks_.add_owners_(watch);
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       SteadyNow() - started_);
   watch->set_age_ms(static_cast<uint64_t>(age.count()));
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -48,6 +48,13 @@
   most_gateways_ = std::max(most_gateways_, gateways_.size());
 }
 
+void FleetView::SetOwners(uint64_t number, PoolAssignment::Owners owners) {
+  if (number > owners_number_) {
+    owners_number_ = number;
+    owners_ = std::move(owners);
+  }
+}
+
 std::vector<const BackendServer*> FleetView::ServersOf(
     std::string_view service) const {
   std::vector<const BackendServer*> servers;
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -14,6 +14,7 @@
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/endpoint.h"
+#include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/net/process_signals.h"
 #include "citronlane/net/repeating_timer.h"
@@ -193,6 +194,10 @@
     const auto& config = view_.config();
     return config ? std::optional(config->version()) : std::nullopt;
   };
+  hooks.add_owners_ = [this](wire::fleet::WatchRequest* request) {
+    EncodeOwners(view_.owners_number(), view_.owners(),
+                 request->mutable_owners());
+  };
   hooks.knows_gateways_ = [this] { return !view_.gateways().empty(); };
   return hooks;
 }
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -42,12 +42,14 @@
   if (update->has_gateways()) {
     std::vector<FleetView::Gateway> gateways;
     for (const auto& entry : update->gateways().gateways()) {
-      gateways.push_back({entry.endpoint(), entry.failure_domain(),
-                          entry.stopping(),
-                          std::chrono::milliseconds(entry.age_ms())});
+      gateways.push_back(
+          {entry.endpoint(), entry.failure_domain(), entry.stopping()});
     }
     view_.SetGateways(std::move(gateways));
   }
+  if (update->has_owners()) {
+    view_.SetOwners(update->owners().number(), DecodeOwners(update->owners()));
+  }
 }
 
 void GatewayHost::Impl::TakeConfig(const std::string& document) {
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -1,7 +1,6 @@
 #include "citronlane/relay/stage_owners.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -27,8 +26,6 @@
 constexpr Duration kPassOver = std::chrono::milliseconds(3000);
 /// How long a pool's wait is taken to stand as it was told.
 constexpr Duration kWaitStands = std::chrono::milliseconds(500);
-/// One in so many gateways may run a pool.
-constexpr uint64_t kCandidatePart = 3;
 /// A task that was moved this often stays here.
 constexpr uint32_t kMostMoves = 3;
 
@@ -53,22 +50,22 @@
   return lost != lost_until_.end() && lost->second > now;
 }
 
-// The oldest gateway of those that may run the pool, a third of all by hashing,
-// so that pools are spread. One that has just started takes no pool from
-// another: each change of hands has two gateways call the same servers for a
-// moment. Those that are going run a pool only when there is no other.
+// The one that control named; while that one can't be reached, or is not named
+// yet, one that all find by hashing.
 std::string StageOwners::OwnerOf(const std::string& service,
                                  TimePoint now) const {
+  const std::string& named = view_->owners()[PoolAssignment::SlotOf(service)];
+  if (!named.empty() && !IsPassedOver(named, now)) {
+    return named;
+  }
   const FleetView::Gateway* owner = nullptr;
-  std::tuple<bool, bool, Duration, uint64_t> best;
+  std::pair<bool, uint64_t> best;
   for (const FleetView::Gateway& gateway : view_->gateways()) {
     if (IsPassedOver(gateway.endpoint_, now)) {
       continue;
     }
-    const uint64_t weight = RendezvousWeight(service, gateway.endpoint_);
-    const bool is_candidate = weight % kCandidatePart == 0;
-    const auto order =
-        std::make_tuple(!gateway.stopping_, is_candidate, gateway.age_, weight);
+    const auto order = std::make_pair(
+        !gateway.stopping_, RendezvousWeight(service, gateway.endpoint_));
     if (owner == nullptr || order > best) {
       owner = &gateway;
       best = order;
--- /dev/null
+++ b/tests/unit-pool-assignment.cc
@@ -0,0 +1,132 @@
+#include <catch2/catch.hpp>
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "citronlane/fleet/pool_assignment.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Gateway = PoolAssignment::Gateway;
+
+std::vector<Gateway> Gateways(int count) {
+  std::vector<Gateway> gateways;
+  gateways.reserve(static_cast<size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    gateways.push_back({"g" + std::to_string(i), false, seconds(60)});
+  }
+  return gateways;
+}
+
+}  // namespace
+
+TEST_CASE("pool assignment") {
+  PoolAssignment assignment;
+  TimePoint now{seconds(100)};
+  assignment.StartLeading(now);
+  auto gateways = Gateways(10);
+
+  SECTION("a new leader waits for what gateways know") {
+    CHECK_FALSE(assignment.Update(gateways, now + milliseconds(100)));
+    PoolAssignment::Owners owners;
+    owners.fill("g3");
+    assignment.Adopt(41, owners);
+    assignment.Adopt(40, PoolAssignment::Owners());
+    now += seconds(1);
+    CHECK_FALSE(assignment.Update(gateways, now));
+    CHECK(assignment.owners() == owners);
+    CHECK(assignment.number() == 41);
+  }
+
+  now += seconds(1);
+  REQUIRE(assignment.Update(gateways, now));
+  const PoolAssignment::Owners first = assignment.owners();
+
+  SECTION("slots are spread over the gateways") {
+    const std::set<std::string> distinct(first.begin(), first.end());
+    CHECK(distinct.size() == PoolAssignment::kSlots);
+  }
+
+  SECTION("newcomers take nothing") {
+    gateways.push_back({"new", false, seconds(10)});
+    CHECK_FALSE(assignment.Update(gateways, now + seconds(1)));
+    CHECK(assignment.owners() == first);
+  }
+
+  SECTION("only the slots of one that is gone change hands") {
+    std::vector<Gateway> rest;
+    for (const Gateway& gateway : gateways) {
+      if (gateway.endpoint_ != first[0]) {
+        rest.push_back(gateway);
+      }
+    }
+    // Not at once: its connection may have been reset.
+    CHECK_FALSE(assignment.Update(rest, now));
+    CHECK(assignment.Update(rest, now + milliseconds(400)));
+    CHECK(assignment.owners()[0] != first[0]);
+    for (size_t slot = 1; slot < PoolAssignment::kSlots; ++slot) {
+      CHECK(assignment.owners()[slot] == first[slot]);
+    }
+    CHECK(assignment.number() == 2);
+  }
+
+  SECTION("one that is back in time keeps its slots") {
+    const std::vector<Gateway> rest(gateways.begin() + 1, gateways.end());
+    assignment.Update(rest, now);
+    assignment.Update(gateways, now + milliseconds(200));
+    assignment.Update(rest, now + milliseconds(400));
+    CHECK(assignment.owners() == first);
+  }
+
+  SECTION("a gateway that stops hands over at once") {
+    for (Gateway& gateway : gateways) {
+      gateway.stopping_ = gateway.endpoint_ == first[2];
+    }
+    CHECK(assignment.Update(gateways, now));
+    CHECK(assignment.owners()[2] != first[2]);
+  }
+
+  SECTION("when all stop nobody hands over to one that stops too") {
+    for (Gateway& gateway : gateways) {
+      gateway.stopping_ = true;
+    }
+    CHECK_FALSE(assignment.Update(gateways, now));
+  }
+
+  SECTION("restarted in turn, each pool moves a few times, not with each") {
+    int changes = 0;
+    for (size_t i = 0; i < gateways.size(); ++i) {
+      for (int step = 0; step < 40; ++step) {
+        now += milliseconds(100);
+        for (Gateway& gateway : gateways) {
+          gateway.age_ += milliseconds(100);
+        }
+        if (step == 20) {
+          gateways[i].stopping_ = true;
+        } else if (step == 30) {
+          gateways[i] = {gateways[i].endpoint_, false, Duration()};
+        }
+        const PoolAssignment::Owners before = assignment.owners();
+        assignment.Update(gateways, now);
+        changes += before[0] != assignment.owners()[0] ? 1 : 0;
+      }
+    }
+    CHECK(changes <= 3);
+  }
+}
+
+TEST_CASE("slots of pools") {
+  std::set<size_t> slots;
+  for (int i = 0; i < 100; ++i) {
+    const size_t slot = PoolAssignment::SlotOf("pool" + std::to_string(i));
+    REQUIRE(slot < PoolAssignment::kSlots);
+    slots.insert(slot);
+  }
+  CHECK(slots.size() == PoolAssignment::kSlots);
+}
+
+}  // namespace citronlane
--- a/tests/unit-reference.cc
+++ b/tests/unit-reference.cc
@@ -246,8 +246,9 @@
   }
   SECTION("name every call of the administration API") {
     const std::string page = Page("reference/ADMIN-API.md");
-    const std::vector<std::string> calls = Found(
-        "src/control/control_admin.cc", R"re(add\("([A-Z]+", "/v1/[a-z/*]+)")re");
+    const std::vector<std::string> calls =
+        Found("src/control/control_admin.cc",
+              R"re(add\("([A-Z]+", "/v1/[a-z/*]+)")re");
     CHECK(calls.size() >= 13);
     for (std::string call : calls) {
       call = std::regex_replace(call, std::regex("\", \""), " ");
