--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -102,8 +102,21 @@
     def lose_disk(self, ip):
         """Kills a control VM and empties its disk."""
         self.processes[ip].kill()
+        self.lose_disk_of_dead(ip)
+
+    def lose_disk_of_dead(self, ip):
         shutil.rmtree(self.data_dir(ip))
 
+    def is_voter(self, ip):
+        """What the process itself logged last of its role."""
+        lines = [json.loads(line) for line in
+                 self.processes[ip].log().splitlines()]
+        begun = max((i for i, line in enumerate(lines)
+                     if line["event"] == "started"), default=0)
+        roles = [line.get("role") for line in lines[begun:]
+                 if line["event"] == "role changed"]
+        return bool(roles) and roles[-1] in ("follower", "leader")
+
     def close(self):
         codes = end(list(self.processes.values()))
         for server in self.engines + self.plain + self.stages + [self.list]:
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -345,25 +345,16 @@
             self.put()
             self.fleet.lose_disk(ip)
             self.fleet.start_control(ip)
-            wait_until(lambda ip=ip: self.is_voter(ip), f"{ip} a voter again")
+            wait_until(lambda ip=ip: self.fleet.is_voter(ip), f"{ip} a voter again")
             self.read_everywhere()
 
-    def is_voter(self, ip):
-        lines = [json.loads(line) for line in
-                 self.fleet.processes[ip].log().splitlines()]
-        begun = max((i for i, line in enumerate(lines)
-                     if line["event"] == "started"), default=0)
-        roles = [line.get("role") for line in lines[begun:]
-                 if line["event"] == "role changed"]
-        return bool(roles) and roles[-1] in ("follower", "leader")
-
     def test_an_empty_vm_takes_a_lost_ones_place(self):
         gone = self.fleet.control_ips[0]
         self.fleet.processes[gone].kill()
         new = f"{self.fleet.net}.50"
         self.fleet.control_ips.append(new)
         self.fleet.start_control(new)
-        wait_until(lambda: self.is_voter(new), "the new VM a voter")
+        wait_until(lambda: self.fleet.is_voter(new), "the new VM a voter")
         self.fleet.control_ips.remove(gone)
         self.put()
         self.read_everywhere()
--- a/tests/unit-pool-assignment.cc
+++ b/tests/unit-pool-assignment.cc
@@ -30,18 +30,6 @@
   assignment.StartLeading(now);
   auto gateways = Gateways(10);
 
-  SECTION("a new leader waits for what gateways know") {
-    CHECK_FALSE(assignment.Update(gateways, now + milliseconds(100)));
-    PoolAssignment::Owners owners;
-    owners.fill("g3");
-    assignment.Adopt(41, owners);
-    assignment.Adopt(40, PoolAssignment::Owners());
-    now += seconds(1);
-    CHECK_FALSE(assignment.Update(gateways, now));
-    CHECK(assignment.owners() == owners);
-    CHECK(assignment.number() == 41);
-  }
-
   now += seconds(1);
   REQUIRE(assignment.Update(gateways, now));
   const PoolAssignment::Owners first = assignment.owners();
@@ -119,6 +107,22 @@
   }
 }
 
+TEST_CASE("a new leader waits for what gateways know") {
+  PoolAssignment assignment;
+  TimePoint now{seconds(100)};
+  assignment.StartLeading(now);
+  const auto gateways = Gateways(10);
+  CHECK_FALSE(assignment.Update(gateways, now + milliseconds(100)));
+  PoolAssignment::Owners owners;
+  owners.fill("g3");
+  assignment.Adopt(41, owners);
+  assignment.Adopt(40, PoolAssignment::Owners());
+  now += seconds(1);
+  CHECK_FALSE(assignment.Update(gateways, now));
+  CHECK(assignment.owners() == owners);
+  CHECK(assignment.number() == 41);
+}
+
 TEST_CASE("slots of pools") {
   std::set<size_t> slots;
   for (int i = 0; i < 100; ++i) {
