--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -59,10 +59,13 @@
   void Pump(TimePoint now);
   void Start(StageBatch batch, TimePoint now);
   void TakeReply(uint64_t call,
+                 const std::string& server,
                  int status,
                  bool not_run,
                  const std::string& body);
-  void TakeFailure(uint64_t call, CallOutcome outcome);
+  void TakeFailure(uint64_t call,
+                   const std::string& server,
+                   CallOutcome outcome);
   void SendUnwanted(TimePoint now);
 
   const std::string service_;
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -139,19 +139,20 @@
         dialect_->read_reply_(answered.status_, answered.headers_).not_run_;
     return true;
   };
-  hooks.done_ = [this, number, reply](CallOutcome outcome,
-                                      const std::string& body) {
+  hooks.done_ = [this, number, reply, server = batch.server_](
+                    CallOutcome outcome, const std::string& body) {
     calls_.erase(number);
     if (outcome == CallOutcome::kSuccess) {
-      TakeReply(number, reply->status_, reply->not_run_, body);
+      TakeReply(number, server, reply->status_, reply->not_run_, body);
     } else {
-      TakeFailure(number, outcome);
+      TakeFailure(number, server, outcome);
     }
   };
   calls_[number] = client_->Start(std::move(spec), std::move(hooks));
 }
 
 void StagePool::TakeReply(uint64_t call,
+                          const std::string& server,
                           int status,
                           bool not_run,
                           const std::string& body) {
@@ -164,6 +165,7 @@
   } else {
     log_->Write("stages", "call refused",
                 {{"service", service_},
+                 {"server", server},
                  {"call", call},
                  {"status", status},
                  {"not_run", not_run ? "yes" : "no"},
@@ -176,11 +178,14 @@
   Pump(now);
 }
 
-void StagePool::TakeFailure(uint64_t call, CallOutcome outcome) {
+void StagePool::TakeFailure(uint64_t call,
+                            const std::string& server,
+                            CallOutcome outcome) {
   const TimePoint now = SteadyNow();
   const bool not_sent = outcome == CallOutcome::kConnectFailed;
   log_->Write("stages", "call failed",
               {{"service", service_},
+               {"server", server},
                {"call", call},
                {"sent", not_sent ? "no" : "yes"},
                {"outcome", ToString(outcome)}});
