Tell the waits of stage pools by priority

Cause: an urgent request was marked late because of less urgent pieces that stand behind it. Change: the wait of a request counts the pieces of at least its urgency.

--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -1,6 +1,8 @@
 #ifndef CITRONLANE_STAGES_STAGE_BATCHER_H_
 #define CITRONLANE_STAGES_STAGE_BATCHER_H_
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -79,10 +81,18 @@
 
   /// How long a piece that came now would wait for its call to begin.
   struct Wait {
-    /// Behind those that may still meet their target.
-    Duration on_time_{};
+    /// Priorities that are told apart; less urgent ones count as the last.
+    static constexpr size_t kPriorities = 4;
+
+    /// Behind those of at least that urgency that may still meet their target,
+    /// by priority.
+    std::array<Duration, kPriorities> on_time_{};
     /// Behind all.
     Duration all_{};
+
+    Duration OnTime(uint32_t priority) const {
+      return on_time_[std::min<size_t>(priority, kPriorities - 1)];
+    }
   };
   Wait ExpectedWait(TimePoint now) const;
 
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -245,10 +245,9 @@
   outcome.not_run_ = result.not_run();
   const auto job = jobs_.find(result.job());
   if (job != jobs_.end()) {
-    waits_[job->second.service_] =
-        ReportedWait{{std::chrono::milliseconds(result.wait_on_time_ms()),
-                      std::chrono::milliseconds(result.wait_all_ms())},
-                     SteadyNow()};
+    ReportedWait& reported = waits_[job->second.service_];
+    reported.wait_ = DecodeWait(result);
+    reported.at_ = SteadyNow();
   }
   Finish(result.job(), outcome);
 }
@@ -268,7 +267,11 @@
   const auto left = [age](Duration wait) {
     return std::max(Duration(), wait - age);
   };
-  return {left(it->second.wait_.on_time_), left(it->second.wait_.all_)};
+  StageBatcher::Wait wait = it->second.wait_;
+  std::transform(wait.on_time_.begin(), wait.on_time_.end(),
+                 wait.on_time_.begin(), left);
+  wait.all_ = left(wait.all_);
+  return wait;
 }
 
 void StageOwners::Tick(TimePoint now) {
--- a/src/relay/stage_owners_serve.cc
+++ b/src/relay/stage_owners_serve.cc
@@ -57,9 +57,7 @@
     }
     result->set_not_run(outcome.not_run_);
     if (const StagePool* running = pool_(service)) {
-      const auto wait = running->ExpectedWait(SteadyNow());
-      result->set_wait_on_time_ms(InMilliseconds(wait.on_time_));
-      result->set_wait_all_ms(InMilliseconds(wait.all_));
+      EncodeWait(running->ExpectedWait(SteadyNow()), result);
     }
     open->Send(reply);
   };
--- a/src/relay/stage_runner.cc
+++ b/src/relay/stage_runner.cc
@@ -216,7 +216,7 @@
         return std::nullopt;
       }
       const auto wait = owners_->ExpectedWait(declared.service_, now);
-      finish[i] += (behind_all ? wait.all_ : wait.on_time_) +
+      finish[i] += (behind_all ? wait.all_ : wait.OnTime(job_->priority_)) +
                    service->stage_pool_->call_time_ +
                    service->stage_pool_->piece_time_ * stages_[i].pieces_;
     }
--- a/src/relay/stage_task_codec.cc
+++ b/src/relay/stage_task_codec.cc
@@ -46,6 +46,26 @@
   return task;
 }
 
+void EncodeWait(const StageBatcher::Wait& wait,
+                wire::fleet::StageJobResult* out) {
+  for (const Duration on_time : wait.on_time_) {
+    out->add_wait_on_time_ms(InMilliseconds(on_time));
+  }
+  out->set_wait_all_ms(InMilliseconds(wait.all_));
+}
+
+StageBatcher::Wait DecodeWait(const wire::fleet::StageJobResult& in) {
+  StageBatcher::Wait wait;
+  for (int i = 0; i < in.wait_on_time_ms_size(); ++i) {
+    if (static_cast<size_t>(i) < wait.on_time_.size()) {
+      wait.on_time_[static_cast<size_t>(i)] =
+          std::chrono::milliseconds(in.wait_on_time_ms(i));
+    }
+  }
+  wait.all_ = std::chrono::milliseconds(in.wait_all_ms());
+  return wait;
+}
+
 const char* ToString(StageOutcome::Result result) {
   switch (result) {
     case Result::kDone:
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -180,9 +180,12 @@
   }
   if (pieces_per_us <= 0) {
     // Nobody takes anything now; how long that lasts is not known.
-    return {kLongestCall, kLongestCall};
+    Wait unknown;
+    unknown.on_time_.fill(kLongestCall);
+    unknown.all_ = kLongestCall;
+    return unknown;
   }
-  double on_time = 0;
+  std::array<double, Wait::kPriorities> on_time{};
   double all = 0;
   Duration oldest{};
   for (const auto& [number, task] : tasks_) {
@@ -190,18 +193,24 @@
         std::count_if(task.pieces_.begin(), task.pieces_.end(),
                       [](const Piece& piece) { return piece.waits_; }));
     all += waiting;
-    if (!IsLate(task.task_, now)) {
-      on_time += waiting;
-    } else if (waiting > 0) {
-      oldest = std::max(oldest, now - task.added_);
+    if (IsLate(task.task_, now)) {
+      oldest = waiting > 0 ? std::max(oldest, now - task.added_) : oldest;
+      continue;
+    }
+    for (size_t i = task.task_.priority_; i < on_time.size(); ++i) {
+      on_time[i] += waiting;
     }
   }
-  const auto wait = [&](double pieces) {
+  const auto time_for = [&](double pieces) {
     return Duration(std::llround(pieces / (pieces_per_us * kReachedPart)));
   };
+  Wait wait;
+  std::transform(on_time.begin(), on_time.end(), wait.on_time_.begin(),
+                 time_for);
   // Late tasks wait until those that are in time leave servers free, however
   // few they are: what the oldest has waited, a new one will at least.
-  return {wait(on_time), std::max(wait(all), oldest)};
+  wait.all_ = std::max(time_for(all), oldest);
+  return wait;
 }
 
 Duration StageBatcher::Expected(const Server& server, size_t pieces) const {
--- a/tests/unit-stages.cc
+++ b/tests/unit-stages.cc
@@ -412,15 +412,30 @@
   pool.Start();
   const auto wait = pool.batcher_.ExpectedWait(pool.now_);
   CHECK(wait.all_ > seconds(4));
-  CHECK(wait.on_time_ == wait.all_);
+  CHECK(wait.OnTime(0) == wait.all_);
   // Those that are late no longer stand before a new one.
   pool.Pass(milliseconds(2000));
-  CHECK(pool.batcher_.ExpectedWait(pool.now_).on_time_ == Duration());
+  CHECK(pool.batcher_.ExpectedWait(pool.now_).OnTime(0) == Duration());
   CHECK(pool.batcher_.ExpectedWait(pool.now_).all_ > seconds(4));
 
+  SECTION("less urgent tasks do not stand before more urgent ones") {
+    Pool other;
+    StageTask task;
+    task.pieces_ = 80;
+    task.target_ = other.now_ + seconds(5);
+    task.deadline_ = other.now_ + seconds(6);
+    task.priority_ = 2;
+    other.batcher_.Add(task, other.now_);
+    const auto behind = other.batcher_.ExpectedWait(other.now_);
+    CHECK(behind.OnTime(0) == Duration());
+    CHECK(behind.OnTime(1) == Duration());
+    CHECK(behind.OnTime(2) > milliseconds(500));
+    CHECK(behind.OnTime(9) == behind.OnTime(2));
+  }
+
   SECTION("without servers nobody knows") {
     pool.SetServers({});
-    CHECK(pool.batcher_.ExpectedWait(pool.now_).on_time_ > seconds(1));
+    CHECK(pool.batcher_.ExpectedWait(pool.now_).OnTime(0) > seconds(1));
   }
 }
 
