--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -4,15 +4,13 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
+#include "citronlane/net/frame_listener.h"
 #include "citronlane/net/server_list_reader.h"
-#include "citronlane/net/tcp_listener.h"
 #include "citronlane/observe/metrics.h"
 #include "citronlane/relay/control_watch.h"
 #include "citronlane/relay/fleet_view.h"
@@ -28,8 +26,6 @@
 
 namespace citronlane {
 
-class FrameChannel;
-
 namespace wire::fleet {
 class WatchUpdate;
 }  // namespace wire::fleet
@@ -52,11 +48,11 @@
   HttpListenerHooks ReadyHooks();
   HttpListenerHooks MetricsHooks();
   ControlWatch::Hooks WatchHooks();
+  void ApplyLimits();
   ServiceRouter* RouterOf(const Service& service);
   RepeatBudget* BudgetOf(const std::string& service);
   StagePool* PoolOf(const std::string& service);
 
-  void Accept(boost::asio::ip::tcp::socket socket);
   // gateway_host_feed.cc: what control and the platform say of the fleet.
   void TakeUpdate(wire::fleet::WatchUpdate* update);
   void TakeConfig(const std::string& document);
@@ -88,11 +84,10 @@
   RelayContext context_;
   RelayService relay_;
   ControlWatch watch_;
-  TcpListener internal_;
+  FrameListener internal_;
   HttpListener callers_;
   HttpListener ready_;
   HttpListener metrics_listener_;
-  std::set<std::shared_ptr<FrameChannel>> channels_;
   TimePoint next_list_read_;
   bool list_is_stale_ = false;
   bool stopping_ = false;
--- a/include/citronlane/transport/detail/http_listener_state.h
+++ b/include/citronlane/transport/detail/http_listener_state.h
@@ -21,7 +21,7 @@
   HttpListenerState(const HttpLimits& limits, HttpListenerHooks hooks)
       : limits_(limits), hooks_(std::move(hooks)) {}
 
-  const HttpLimits limits_;
+  HttpLimits limits_;
   const HttpListenerHooks hooks_;
   std::atomic<bool> close_after_replies_{false};
   std::atomic<bool> stopped_{false};
--- a/include/citronlane/transport/http_listener.h
+++ b/include/citronlane/transport/http_listener.h
@@ -38,6 +38,10 @@
   /// Port bound. Precondition: Listen returned true.
   uint16_t port() const;
 
+  /// Bounds requests and connections from now on. Preconditions: one shard;
+  /// called on its thread.
+  void SetLimits(const HttpLimits& limits);
+
   /// Each reply from now on closes its connection.
   void CloseAfterReplies();
 
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -106,6 +106,61 @@
         "out", "unit-fuzz"]),
 ]
 
+PLATFORM = "platform_test."
+
+# The rules of the users' platform, by their names there.
+RULES = [
+    ("MIXED: an answer is a server's own, whole, and its request's", [
+        PLATFORM + "RequestTest.test_stages_and_stream",
+        PLATFORM + "RequestTest.test_extra_reply_reaches_nobody",
+        PLATFORM + "RequestTest.test_server_error_is_passed_on_unchanged",
+        "unit-stages: stage results"]),
+    ("UNASKED: nothing runs that no caller asked for, unchanged", [
+        PLATFORM + "RequestTest.test_headers",
+        PLATFORM + "SmugglingTest.test_both_framings",
+        PLATFORM + "SmugglingTest.test_unknown_framing",
+        PLATFORM + "SmugglingTest.test_two_lengths",
+        "unit-platform: platform request headers"]),
+    ("TWICE: what may not repeat runs at most once", [
+        PLATFORM + "RequestTest."
+        "test_lost_answer_of_unsafe_request_is_not_repeated",
+        "unit-serving: what may repeat"]),
+    ("REFUSED: a promise that nothing ran is true", [
+        PLATFORM + "RequestTest.test_refused_everywhere_is_told_so",
+        "unit-relay: a refusal promises only what is true",
+        "unit-stages: stage failures"]),
+    ("ROUTE, DENIED: routes and keys as configured", [
+        PLATFORM + "RequestTest.test_refusals",
+        PLATFORM + "LeavingTest.test_another_server_at_the_address_"
+        "runs_nothing", "unit-serving: serving configuration"]),
+    ("BUDGET: repeats stay below the bound", [
+        "unit-relay: repeat budget"]),
+    ("GONE: a caller that leaves ends the work", [
+        PLATFORM + "RequestTest.test_caller_that_leaves_ends_the_work"]),
+    ("ORDER: a stream goes on without gap or repeat", [
+        PLATFORM + "RequestTest.test_broken_stream_goes_on",
+        "unit-serving: event splitter"]),
+    ("DRAIN: leaving servers get nothing more", [
+        PLATFORM + "LeavingTest.test_a_leaving_server_gets_nothing_more",
+        PLATFORM + "LeavingTest.test_the_list_is_read_without_control"]),
+    ("LOST: planned work cuts nothing off", [
+        PLATFORM + "StopTest.test_graceful_stop",
+        PLATFORM + "StopTest.test_reload_cuts_nothing"]),
+    ("CONFIG: the highest version, everywhere, never back", [
+        PLATFORM + "ConfigTest.test_versions",
+        PLATFORM + "ConfigTest.test_invalid_documents_change_nothing",
+        PLATFORM + "ConfigTest.test_change_is_in_force",
+        PLATFORM + "ConfigTest.test_a_large_document",
+        "unit-serving: config register", "unit-relay: fleet view"]),
+    ("RECOVER: what was acknowledged survives", [
+        PLATFORM + "ControlLossTest.test_all_killed_at_once",
+        PLATFORM + "ControlLossTest.test_each_disk_lost_in_turn",
+        PLATFORM + "ControlLossTest.test_an_empty_vm_takes_a_lost_ones_place",
+        "unit-membership-keeper: membership keeper"]),
+    ("all of it under random faults", [
+        "platform_soak_test.PlatformSoakTest.test_short"]),
+]
+
 
 class Outcomes(unittest.TestResult):
     """Notes each test's end under "<module>.<class>.<test>"."""
@@ -211,7 +266,7 @@
 
 
 def main():
-    points = ALWAYS + FAILS
+    points = ALWAYS + FAILS + RULES
     tests = {test for _, names in points for test in names}
     if "--check" in sys.argv[1:]:
         gone = missing(tests)
@@ -224,7 +279,8 @@
     outcomes.update({test: run_unit(test) for test in units})
     proved = 0
     for title, group in (("What must always hold", ALWAYS),
-                         ("What fails", FAILS)):
+                         ("What fails", FAILS),
+                         ("Rules of the users' platform", RULES)):
         print(title)
         proved += sum(show(point, names, outcomes, figures)
                       for point, names in group)
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -2,7 +2,6 @@
 
 #include <cstdlib>
 #include <filesystem>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -15,11 +14,10 @@
 #include "citronlane/control/gateway_feed.h"
 #include "citronlane/control/operator_api.h"
 #include "citronlane/net/endpoint.h"
-#include "citronlane/net/frame_channel.h"
+#include "citronlane/net/frame_listener.h"
 #include "citronlane/net/process_signals.h"
 #include "citronlane/net/repeating_timer.h"
 #include "citronlane/net/server_list_reader.h"
-#include "citronlane/net/tcp_listener.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/state/config_register.h"
@@ -46,7 +44,6 @@
 /// From the stop signal to the end: enough for a hand-over of the lead and for
 /// operators' calls in hand.
 constexpr auto kStopTime = std::chrono::milliseconds(600);
-constexpr int kPeerSilenceMs = 900;
 /// Largest document that an operator may send.
 constexpr uint64_t kDocumentBytes = uint64_t{8} << 20;
 constexpr size_t kOperatorConnections = 512;
@@ -81,7 +78,6 @@
   std::string OperatorAddressOfLeader() const;
   OperatorApi::Hooks ApiHooks();
   GatewayFeed::Leadership Leadership() const;
-  void Accept(boost::asio::ip::tcp::socket socket);
   void Take(const std::shared_ptr<FrameChannel>& channel, Frame* frame);
   void LeadsChanged(bool leads);
   void ReadServers(TimePoint now);
@@ -100,10 +96,8 @@
   GatewayFeed feed_;
   ClusterMember member_;
   OperatorApi api_;
-  TcpListener internal_;
+  FrameListener internal_;
   HttpListener operators_;
-  /// Kept open until their peers go.
-  std::set<std::shared_ptr<FrameChannel>> channels_;
   bool list_failing_ = false;
 };
 
@@ -125,11 +119,13 @@
               ClusterMember::Hooks{[this](bool leads) { LeadsChanged(leads); },
                                    [this] { feed_.PushAll(SteadyNow()); }}),
       api_(&io_, dialect, &config_, log, ApiHooks()),
-      internal_(&io_,
-                settings_.internal_listen_,
-                [this](boost::asio::ip::tcp::socket socket) {
-                  Accept(std::move(socket));
-                }),
+      internal_(
+          &io_,
+          settings_.internal_listen_,
+          FrameListener::Hooks{
+              [this](const std::shared_ptr<FrameChannel>& channel,
+                     Frame* frame) { Take(channel, frame); },
+              [this](const FrameChannel* channel) { feed_.Closed(channel); }}),
       operators_({&io_},
                  OperatorLimits(),
                  HttpListenerHooks{[this](size_t,
@@ -203,26 +199,6 @@
   return leadership;
 }
 
-void ControlHost::Impl::Accept(boost::asio::ip::tcp::socket socket) {
-  SetSocketOptions(socket.native_handle(), kPeerSilenceMs);
-  const auto channel = std::make_shared<FrameChannel>(std::move(socket));
-  channels_.insert(channel);
-  const std::weak_ptr<FrameChannel> weak = channel;
-  FrameChannel::Hooks hooks;
-  hooks.received_ = [this, weak](Frame* frame) {
-    if (const auto open = weak.lock()) {
-      Take(open, frame);
-    }
-  };
-  hooks.closed_ = [this, weak] {
-    if (const auto closed = weak.lock()) {
-      feed_.Closed(closed.get());
-      channels_.erase(closed);
-    }
-  };
-  channel->Start(std::move(hooks));
-}
-
 void ControlHost::Impl::Take(const std::shared_ptr<FrameChannel>& channel,
                              Frame* frame) {
   const TimePoint now = SteadyNow();
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -15,7 +15,6 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/endpoint.h"
 #include "citronlane/net/fleet_codec.h"
-#include "citronlane/net/frame_channel.h"
 #include "citronlane/net/process_signals.h"
 #include "citronlane/net/repeating_timer.h"
 #include "citronlane/observe/event_log.h"
@@ -46,28 +45,29 @@
 constexpr auto kTold = std::chrono::milliseconds(260);
 /// The process is gone this long before it would be killed.
 constexpr Duration kGraceReserve = std::chrono::milliseconds(400);
-constexpr int kPeerSilenceMs = 900;
 /// A request in hand takes two stacks and its body; this many a megabyte fit
 /// beside the rest.
 constexpr size_t kRequestsPerMegabyte = 3;
 /// Descriptors that callers may take: each request needs one to a server too.
 constexpr double kCallerDescriptors = 0.55;
+/// What a body may take beyond its head: the largest over a slow link.
+constexpr Duration kBodyTime = std::chrono::seconds(10);
 /// Bytes of bodies held at once, as a part of memory.
 constexpr uint64_t kBodyMemoryPart = 4;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
-HttpLimits CallerLimitsOf(const NodeSettings& settings) {
+HttpLimits LimitsOf(const CallerLimits& callers, const NodeSettings& settings) {
   HttpLimits limits;
-  const CallerLimits defaults;
-  limits.header_bytes_ = static_cast<uint32_t>(defaults.header_bytes_);
-  limits.body_bytes_ = defaults.body_bytes_;
+  limits.header_bytes_ = static_cast<uint32_t>(callers.header_bytes_);
+  limits.body_bytes_ = callers.body_bytes_;
   limits.total_body_bytes_ =
       (uint64_t{settings.memory_mb_} << 20) / kBodyMemoryPart;
   limits.connections_ = static_cast<size_t>(
       static_cast<double>(settings.max_descriptors_) * kCallerDescriptors);
-  limits.idle_timeout_ = defaults.idle_time_;
+  limits.read_timeout_ = callers.header_time_ + kBodyTime;
+  limits.idle_timeout_ = callers.idle_time_;
   return limits;
 }
 
@@ -112,10 +112,15 @@
              WatchHooks()),
       internal_(&io_,
                 settings_.internal_listen_,
-                [this](boost::asio::ip::tcp::socket socket) {
-                  Accept(std::move(socket));
-                }),
-      callers_({&io_}, CallerLimitsOf(settings_), CallerHooks()),
+                FrameListener::Hooks{
+                    [this](const std::shared_ptr<FrameChannel>& channel,
+                           wire::fleet::Frame* frame) {
+                      owners_.Take(channel, frame);
+                    },
+                    [this](const FrameChannel* channel) {
+                      owners_.Closed(channel);
+                    }}),
+      callers_({&io_}, LimitsOf(CallerLimits(), settings_), CallerHooks()),
       ready_({&io_}, HttpLimits(), ReadyHooks()),
       metrics_listener_({&io_}, HttpLimits(), MetricsHooks()) {}
 
@@ -202,6 +207,10 @@
   return hooks;
 }
 
+void GatewayHost::Impl::ApplyLimits() {
+  callers_.SetLimits(LimitsOf(view_.config()->limits(), settings_));
+}
+
 ServiceRouter* GatewayHost::Impl::RouterOf(const Service& service) {
   auto& router = routers_[service.name_];
   if (!router) {
@@ -272,26 +281,6 @@
   return true;
 }
 
-void GatewayHost::Impl::Accept(boost::asio::ip::tcp::socket socket) {
-  SetSocketOptions(socket.native_handle(), kPeerSilenceMs);
-  const auto channel = std::make_shared<FrameChannel>(std::move(socket));
-  channels_.insert(channel);
-  const std::weak_ptr<FrameChannel> weak = channel;
-  FrameChannel::Hooks hooks;
-  hooks.received_ = [this, weak](Frame* frame) {
-    if (const auto open = weak.lock()) {
-      owners_.Take(open, frame);
-    }
-  };
-  hooks.closed_ = [this, weak] {
-    if (const auto closed = weak.lock()) {
-      owners_.Closed(closed.get());
-      channels_.erase(closed);
-    }
-  };
-  channel->Start(std::move(hooks));
-}
-
 void GatewayHost::Impl::Tick(TimePoint now) {
   watch_.Tick(now);
   owners_.Tick(now);
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -165,6 +165,10 @@
   return impl_->port();
 }
 
+void HttpListener::SetLimits(const HttpLimits& limits) {
+  impl_->state()->limits_ = limits;
+}
+
 void HttpListener::CloseAfterReplies() {
   impl_->state()->close_after_replies_ = true;
 }
