Give what a stop can't wait for a final answer

Change: requests taken while stopping are bounded by the end of the grace, and one second before it everything in hand gets its final answer.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -44,6 +44,10 @@
   /// Returns once the caller has its answer or is gone.
   void Run();
 
+  /// The process ends soon: gives the caller a final answer now. `job` is the
+  /// request's own.
+  void GiveUp(RelayJob* job);
+
  private:
   /// How one attempt ended.
   enum class Step {
--- a/include/citronlane/relay/relay_service.h
+++ b/include/citronlane/relay/relay_service.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_RELAY_RELAY_SERVICE_H_
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string_view>
 
@@ -11,6 +12,7 @@
 namespace citronlane {
 
 class HttpExchange;
+class RelayRequest;
 struct HttpRequest;
 struct RelayContext;
 
@@ -26,7 +28,13 @@
   /// Answers one request.
   void Serve(const HttpRequest& request, HttpExchange* exchange);
 
-  size_t requests_in_hand() const { return requests_in_hand_; }
+  /// The process ends at `deadline`: no request is taken that takes longer.
+  void SetStopDeadline(TimePoint deadline) { stop_deadline_ = deadline; }
+  /// Gives every caller in hand a final answer now. A connection that closes
+  /// without one leaves its caller not knowing what happened.
+  void GiveUpAll();
+
+  size_t requests_in_hand() const { return in_hand_.size(); }
 
  private:
   /// Fills `job`; a reason when the request is not to be served.
@@ -38,7 +46,8 @@
 
   const RelayContext* const context_;
   const size_t most_requests_;
-  size_t requests_in_hand_ = 0;
+  TimePoint stop_deadline_ = TimePoint::max();
+  std::map<RelayRequest*, RelayJob*> in_hand_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/waker.h
+++ b/include/citronlane/relay/waker.h
@@ -21,6 +21,8 @@
 
   /// Wakes the handler, if it is still there.
   void Wake();
+  /// Time is over: wakes the handler, and every wait ends from now on.
+  void Expire();
   /// The handler returns: nothing wakes it any more.
   void Detach();
 
@@ -33,6 +35,7 @@
  private:
   /// Null once detached.
   HttpExchange* exchange_;
+  bool is_expired_ = false;
   boost::asio::steady_timer timer_;
 };
 
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -45,6 +45,8 @@
 constexpr auto kTold = std::chrono::milliseconds(260);
 /// The process is gone this long before it would be killed.
 constexpr Duration kGraceReserve = std::chrono::milliseconds(400);
+/// What is in hand then gets a final answer.
+constexpr Duration kGiveUpReserve = std::chrono::milliseconds(1000);
 /// A request in hand takes two stacks and its body; this many a megabyte fit
 /// beside the rest.
 constexpr size_t kRequestsPerMegabyte = 3;
@@ -298,6 +300,7 @@
   stop_began_ = SteadyNow();
   log_->Write("gateway", "stopping",
               {{"in_hand", static_cast<uint64_t>(relay_.requests_in_hand())}});
+  relay_.SetStopDeadline(stop_began_ + settings_.grace_ - kGiveUpReserve);
   callers_.CloseAfterReplies();
   watch_.SetStopping();
   // The others know in a moment that this gateway runs no pools any more.
@@ -315,6 +318,9 @@
     accepting_ = false;
     callers_.StopAccepting();
   }
+  if (passed >= settings_.grace_ - kGiveUpReserve) {
+    relay_.GiveUpAll();
+  }
   const bool is_idle =
       relay_.requests_in_hand() == 0 && owners_.served_jobs() == 0;
   if ((!accepting_ && is_idle) || passed >= settings_.grace_ - kGraceReserve) {
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -73,6 +73,13 @@
   }
 }
 
+void RelayRequest::GiveUp(RelayJob* job) {
+  const TimePoint now = SteadyNow();
+  job->deadline_ = std::min(job->deadline_, now);
+  job->begin_deadline_ = std::min(job->begin_deadline_, now);
+  waker_->Expire();
+}
+
 // A share of the requests by weight.
 std::string_view RelayRequest::ServiceName() const {
   const auto& split = job_->route_->split_;
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -38,10 +38,16 @@
     Refuse(job, *reason, exchange);
     return;
   }
-  ++requests_in_hand_;
   RelayRequest relay(context_, &job, &request, exchange);
+  in_hand_[&relay] = &job;
   relay.Run();
-  --requests_in_hand_;
+  in_hand_.erase(&relay);
+}
+
+void RelayService::GiveUpAll() {
+  for (const auto& [relay, job] : in_hand_) {
+    relay->GiveUp(job);
+  }
 }
 
 std::optional<RefusalReason> RelayService::Admit(const HttpRequest& request,
@@ -75,13 +81,13 @@
   }
   const Duration limit =
       std::min(route.timeout_, job->head_.time_left_.value_or(route.timeout_));
-  job->deadline_ = job->arrived_ + limit;
+  job->deadline_ = std::min(job->arrived_ + limit, stop_deadline_);
   job->begin_deadline_ =
       route.caller_patience_ > Duration()
           ? std::min(job->deadline_, job->arrived_ + route.caller_patience_)
           : job->deadline_;
   job->target_ = job->arrived_ + route.target_latency_;
-  if (requests_in_hand_ >= most_requests_) {
+  if (in_hand_.size() >= most_requests_) {
     return RefusalReason::kConcurrencyLimit;
   }
   return std::nullopt;
@@ -99,7 +105,7 @@
                          {"route", route},
                          {"reason", ToString(reason)},
                          {"status", reply.status_},
-                         {"in_hand", static_cast<uint64_t>(requests_in_hand_)},
+                         {"in_hand", static_cast<uint64_t>(in_hand_.size())},
                          {"config", job.config_ ? job.config_->version() : 0}});
   exchange->Reply(reply);
 }
--- a/src/relay/waker.cc
+++ b/src/relay/waker.cc
@@ -14,6 +14,11 @@
   }
 }
 
+void Waker::Expire() {
+  is_expired_ = true;
+  Wake();
+}
+
 void Waker::Detach() {
   exchange_ = nullptr;
   timer_.cancel();
@@ -30,7 +35,8 @@
           self->Wake();
         }
       });
-  while (!ready() && !exchange_->caller_gone() && SteadyNow() < until) {
+  while (!ready() && !is_expired_ && !exchange_->caller_gone() &&
+         SteadyNow() < until) {
     exchange_->Wait();
   }
   timer_.cancel();
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -433,6 +433,29 @@
         self.fleet.start_gateway(ip)
         self.fleet.wait_ready()
 
+    def test_what_a_stop_cannot_wait_for_gets_an_answer(self):
+        for stage in self.fleet.stages:
+            stage.call_seconds = 30
+        ip = self.fleet.gateway_ips[1]
+        process = self.fleet.processes[ip]
+        try:
+            process.send(signal.SIGTERM)
+            # The balancer still sends callers; this one is more patient than
+            # the process may be.
+            time.sleep(2.0)
+            with self.fleet.connect(1) as sock:
+                sock.sendall(self.fleet.head("POST", "/chat/a", new_id(),
+                                             X_Citronlane_Deadline_Ms="20000"))
+                answer = read_answer(sock)
+            self.assertIn(answer.status, (502, 503, 504))
+            self.assertTrue(answer.whole)
+            self.assertEqual(process.wait(8), 0)
+        finally:
+            for stage in self.fleet.stages:
+                stage.call_seconds = 0.02
+            self.fleet.start_gateway(ip)
+            self.fleet.wait_ready()
+
     def test_reload_cuts_nothing(self):
         for ip in self.fleet.gateway_ips + self.fleet.control_ips:
             self.fleet.processes[ip].send(signal.SIGHUP)
