--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -31,7 +31,6 @@
 namespace citronlane {
 namespace {
 
-using wire::fleet::Frame;
 using wire::fleet::WatchUpdate;
 
 /// How finely owners' silence, late stage calls and the watch are noticed.
