Give each leader's pool owners a number of its own

Cause: owners of stage pools were numbered by counting on from what gateways held. Three pools also met on one gateway in a third of the deployments, with 8 slots.

Change: a number holds the leader's term, and a new leader gives the owners out once under its own number; 64 slots.

Tests: 'two leaders never give one number to different owners' failed before (2 > 2). 'a new leader waits for what gateways know' expected that nothing is given out again and number 41 stays; that was the fault, it now asks for the same owners under a higher number, once. Slots and gateways in the other tests grew with the slots.

--- a/include/citronlane/control/cluster_member.h
+++ b/include/citronlane/control/cluster_member.h
@@ -71,6 +71,8 @@
 
   /// Leads, and a quorum said so just now.
   bool Leads(TimePoint now) const;
+  /// Term of the replicated log; 0 outside of a cluster.
+  uint64_t term() const;
   /// Internal endpoint of the leader; empty when not known.
   std::string leader() const;
   /// Internal endpoints of the members; the seeds while there are none.
--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -34,6 +34,7 @@
     /// Empty when not known.
     std::string leader_;
     std::vector<std::string> members_;
+    uint64_t term_ = 0;
   };
   using LeadershipHook = std::function<Leadership()>;
 
--- a/include/citronlane/fleet/pool_assignment.h
+++ b/include/citronlane/fleet/pool_assignment.h
@@ -19,7 +19,10 @@
 /// Pools share a fixed number of slots. Pure. Not thread safe.
 class PoolAssignment {
  public:
-  static constexpr size_t kSlots = 8;
+  /// So many that pools rarely share one: with 8, three pools met on one
+  /// gateway in a third of the deployments, and its link carried the calls of
+  /// both.
+  static constexpr size_t kSlots = 64;
   /// Owner's endpoint of each slot; empty for none.
   using Owners = std::array<std::string, kSlots>;
 
@@ -34,16 +37,17 @@
   /// Slot of a service's pool. Thread safe.
   static size_t SlotOf(std::string_view service);
 
-  /// This node began to lead: what it knows comes from before.
-  void StartLeading(TimePoint now);
+  /// This node began to lead in `term`: what it knows comes from before.
+  void StartLeading(TimePoint now, uint64_t term);
   /// What a gateway was told last, by this leader or one before; the highest
   /// number is the newest.
   void Adopt(uint64_t number, const Owners& owners);
   /// Gives slots whose gateway is gone or going to others. Returns whether
-  /// anything changed.
+  /// the number rose: with each change, and once for each leader.
   bool Update(absl::Span<const Gateway> gateways, TimePoint now);
 
-  /// Rises with each change, also over leaders.
+  /// Rises with each change, also over leaders. No two leaders give the same
+  /// one: it holds the leader's term.
   uint64_t number() const { return number_; }
   const Owners& owners() const { return owners_; }
 
@@ -55,6 +59,8 @@
   /// Since when each slot's gateway is out of sight.
   std::array<TimePoint, kSlots> missing_since_{};
   TimePoint leading_since_;
+  /// The first number of this leader.
+  uint64_t first_number_ = 0;
 };
 
 }  // namespace citronlane
--- a/src/control/cluster_member.cc
+++ b/src/control/cluster_member.cc
@@ -224,6 +224,10 @@
          driver_->node().HasLeaderLease(now);
 }
 
+uint64_t ClusterMember::term() const {
+  return driver_ && driver_->is_formed() ? driver_->node().term() : 0;
+}
+
 std::string ClusterMember::leader() const {
   if (!driver_ || !driver_->is_formed()) {
     return {};
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -196,6 +196,7 @@
   leadership.leads_ = member_.Leads(SteadyNow());
   leadership.leader_ = member_.leader();
   leadership.members_ = member_.members();
+  leadership.term_ = member_.term();
   return leadership;
 }
 
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -85,7 +85,7 @@
 
 void GatewayFeed::StartLeading(TimePoint now) {
   leading_since_ = now;
-  assignment_.StartLeading(now);
+  assignment_.StartLeading(now, leadership_().term_);
   servers_read_.reset();
   ++servers_number_;
   ++gateways_number_;
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -14,6 +14,11 @@
 constexpr Duration kMissingTime = std::chrono::milliseconds(300);
 /// A gateway that has run this long is not one that fails at each start.
 constexpr Duration kSettledAge = std::chrono::seconds(3);
+/// Bits of a number that count a leader's changes; its term stands above them.
+/// Numbers that only counted on were given twice when a leader was cut off:
+/// gateways then held two owners of a pool under one number until the next
+/// change, and each pool's servers refused or dropped what the other one sent.
+constexpr int kChangeBits = 24;
 
 }  // namespace
 
@@ -21,8 +26,9 @@
   return RendezvousWeight(service, "slot") % kSlots;
 }
 
-void PoolAssignment::StartLeading(TimePoint now) {
+void PoolAssignment::StartLeading(TimePoint now, uint64_t term) {
   leading_since_ = now;
+  first_number_ = term << kChangeBits;
   missing_since_.fill(TimePoint());
 }
 
@@ -87,8 +93,13 @@
     missing_since_[slot] = TimePoint();
     changed = true;
   }
-  number_ += changed ? 1 : 0;
-  return changed;
+  // Also when nothing changed: the leader before may have told some gateways
+  // of a change and others not.
+  const bool is_first = number_ < first_number_;
+  if (changed || is_first) {
+    number_ = std::max(number_ + 1, first_number_);
+  }
+  return changed || is_first;
 }
 
 }  // namespace citronlane
