Send a full pool's next calls before its servers are done

Cause: the way to a server and back, and the sender's wait for its processor, kept servers of full pools idle between calls: the third pool of Qurak grown made 58 to 70 calls in 2 s where 80 fit.

Change: when a full call waits, it is sent to a server that should be done within 60 ms, and its turn begins when the call before ends. Servers without room for anything are passed over before tasks are put in order.

--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -108,8 +108,8 @@
     uint32_t done_ = 0;
     /// A call with one of its pieces was answered or lost.
     bool may_have_run_ = false;
-    /// When its last piece was handed to a server.
-    TimePoint last_sent_;
+    /// When a server began with the last of its pieces that was handed out.
+    TimePoint last_begun_;
     /// Servers have fetched what it works on.
     bool inputs_taken_ = false;
     TimePoint repeat_paid_until_;
@@ -124,6 +124,10 @@
     std::string failure_domain_;
     bool leaving_ = false;
     uint32_t calls_ = 0;
+    /// Number of the call that waits there for its turn; 0 for none.
+    uint64_t waiting_call_ = 0;
+    /// When it should be done with what it has in hand.
+    TimePoint free_at_;
     /// Time of calls against what the declaration says, learned.
     double slowness_ = 1;
     TimePoint suspended_until_;
@@ -136,7 +140,9 @@
   struct Call {
     std::string server_;
     std::vector<std::pair<uint64_t, uint32_t>> pieces_;
+    /// When the server began with it; when it was sent while it waits there.
     TimePoint begun_;
+    bool waits_ = false;
     Duration expected_{};
     /// Of the server when the call began.
     double slowness_ = 1;
@@ -145,8 +151,21 @@
     bool hedged_ = false;
   };
 
+  struct ChosenPiece {
+    uint64_t task_number_;
+    uint32_t index_;
+    Task* task_;
+  };
+
   std::vector<Server*> IdleServers(TimePoint now);
-  std::optional<StageBatch> NextFor(Server* server, TimePoint now);
+  std::vector<Server*> ServersAboutToEnd(TimePoint now);
+  uint64_t LeastRoomWanted() const;
+  std::vector<ChosenPiece> ChooseFor(const Server& server, TimePoint now);
+  StageBatch Start(Server* server,
+                   const std::vector<ChosenPiece>& chosen,
+                   TimePoint now);
+  void EndTurn(Server* server, uint64_t call, TimePoint now);
+  void BeginWaitingCall(Server* server, TimePoint now);
   uint64_t RoomOf(const Server& server) const;
   std::vector<std::pair<uint64_t, Task*>> TasksInOrder(const Server& server,
                                                        TimePoint now);
@@ -159,10 +178,11 @@
   void SetWaiting(Task* task, Piece* piece, bool waits);
   bool IsNear(const Task& task, const Server& server) const;
   bool WaitsForNearServer(const Task& task, TimePoint now) const;
+  bool CanNeverGoWhole(const Task& task) const;
   bool FitsWhole(const Task& task, size_t places, uint64_t room) const;
   Duration Expected(const Server& server, size_t pieces) const;
   StagePiece MakePiece(const Task& task, uint32_t piece, TimePoint now) const;
-  Server* ReleaseCall(const Call& call);
+  Server* ReleaseCall(uint64_t number, const Call& call, TimePoint now);
   void TakeResult(uint64_t task,
                   uint32_t piece,
                   const StagePieceResult& result,
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -10,8 +10,8 @@
 /// Results are somewhat larger than declared; a server without room drops a
 /// piece after its call has begun.
 constexpr double kUsedRoom = 0.92;
-/// A call that takes longer than this is given up.
-constexpr Duration kLongestCall = std::chrono::seconds(5);
+/// What is told while no server takes anything: as long as a call may take.
+constexpr Duration kUnknownWait = std::chrono::seconds(5);
 /// What a step of urgency is worth against the time to the target.
 constexpr Duration kPriorityStep = std::chrono::milliseconds(800);
 /// A task of the usual size goes this much after one of no size: a full pool
@@ -23,10 +23,8 @@
 constexpr double kLargestSize = 3;
 /// Weight of the newest task in the usual size: some hundred tasks.
 constexpr double kSizeLearnWeight = 0.01;
-/// How long a task waits for a server near its data, and what it is worth when
-/// servers are busy: bytes between failure domains have their price.
+/// How long a task waits for a server near its data.
 constexpr Duration kNearWait = std::chrono::milliseconds(100);
-constexpr Duration kFarStep = std::chrono::milliseconds(150);
 /// Part of the best throughput that calls reach: some are not full.
 constexpr double kReachedPart = 0.8;
 /// Tasks that missed their target come after all that may meet it. Serving them
@@ -108,27 +106,6 @@
   return used >= room ? 0 : room - used;
 }
 
-// The fastest first; among equals the one with the most room.
-std::vector<StageBatcher::Server*> StageBatcher::IdleServers(TimePoint now) {
-  std::vector<Server*> idle;
-  for (auto& [id, server] : servers_) {
-    if (!server.leaving_ && server.calls_ == 0 &&
-        server.suspended_until_ <= now) {
-      idle.push_back(&server);
-    }
-  }
-  // In steps, so that small differences do not count.
-  const auto step = [](const Server* server) {
-    constexpr double kSteps = 5;
-    return std::lround(server->slowness_ * kSteps);
-  };
-  std::sort(idle.begin(), idle.end(), [&](const Server* a, const Server* b) {
-    return std::make_pair(step(a), RoomOf(*b)) <
-           std::make_pair(step(b), RoomOf(*a));
-  });
-  return idle;
-}
-
 // By what calls take now: full ones take twice as long as those of one piece.
 bool StageBatcher::IsLate(TimePoint target, TimePoint now) const {
   return now + std::max(spec_.call_time_, usual_call_) > target;
@@ -164,24 +141,11 @@
   });
 }
 
-std::vector<std::pair<uint64_t, StageBatcher::Task*>>
-StageBatcher::TasksInOrder(const Server& server, TimePoint now) {
-  std::vector<std::pair<TimePoint, uint64_t>> order;
-  for (const auto& [number, task] : tasks_) {
-    const bool is_near = IsNear(task, server);
-    if (task.waiting_ > 0 && (is_near || !WaitsForNearServer(task, now))) {
-      const TimePoint by_task = OrderOf(
-          task.task_.target_, task.task_.priority_, task.task_.pieces_, now);
-      order.emplace_back(by_task + (is_near ? Duration() : kFarStep), number);
-    }
-  }
-  std::sort(order.begin(), order.end());
-  std::vector<std::pair<uint64_t, Task*>> tasks;
-  tasks.reserve(order.size());
-  for (const auto& [time, number] : order) {
-    tasks.emplace_back(number, &tasks_.at(number));
-  }
-  return tasks;
+bool StageBatcher::CanNeverGoWhole(const Task& task) const {
+  const uint64_t bytes = task.waiting_ * task.task_.result_bytes_;
+  return task.waiting_ > spec_.batch_ ||
+         static_cast<double>(bytes) >
+             static_cast<double>(spec_.room_bytes_) * kUsedRoom;
 }
 
 // Pieces of one task go together: results of a part would only take room until
@@ -189,11 +153,9 @@
 bool StageBatcher::FitsWhole(const Task& task,
                              size_t places,
                              uint64_t room) const {
-  const uint64_t bytes = task.waiting_ * task.task_.result_bytes_;
-  const bool can_never = task.waiting_ > spec_.batch_ ||
-                         static_cast<double>(bytes) >
-                             static_cast<double>(spec_.room_bytes_) * kUsedRoom;
-  return can_never || (task.waiting_ <= places && bytes <= room);
+  return CanNeverGoWhole(task) ||
+         (task.waiting_ <= places &&
+          task.waiting_ * task.task_.result_bytes_ <= room);
 }
 
 uint64_t StageBatcher::Announce(const StageForecast& forecast) {
@@ -226,8 +188,8 @@
   const double pieces_per_us = PiecesPerMicrosecond(now);
   if (pieces_per_us <= 0) {
     // Nobody takes anything now; how long that lasts is not known.
-    wait.on_time_ = kLongestCall;
-    wait.all_ = kLongestCall;
+    wait.on_time_ = kUnknownWait;
+    wait.all_ = kUnknownWait;
     return wait;
   }
   const TimePoint order =
@@ -271,75 +233,4 @@
   return Duration(std::llround(all * server.slowness_));
 }
 
-StagePiece StageBatcher::MakePiece(const Task& task,
-                                   uint32_t piece,
-                                   TimePoint now) const {
-  StagePiece made;
-  made.request_id_ = task.task_.request_id_;
-  made.stage_ = task.task_.stage_;
-  made.piece_ = piece;
-  made.time_left_ = task.task_.deadline_ - now;
-  made.has_inputs_ = task.task_.has_inputs_;
-  made.inputs_ = task.task_.inputs_;
-  made.key_ = task.task_.key_;
-  return made;
-}
-
-std::optional<StageBatch> StageBatcher::Next(TimePoint now) {
-  if (waiting_ == 0) {
-    return std::nullopt;
-  }
-  for (Server* server : IdleServers(now)) {
-    if (auto batch = NextFor(server, now)) {
-      return batch;
-    }
-  }
-  return std::nullopt;
-}
-
-std::optional<StageBatch> StageBatcher::NextFor(Server* server, TimePoint now) {
-  uint64_t room = RoomOf(*server);
-  Call call;
-  StageBatch batch;
-  for (const auto& [number, task] : TasksInOrder(*server, now)) {
-    const uint64_t bytes = task->task_.result_bytes_;
-    if (!FitsWhole(*task, spec_.batch_ - batch.pieces_.size(), room)) {
-      continue;
-    }
-    for (uint32_t i = 0; i < task->pieces_.size(); ++i) {
-      Piece& piece = task->pieces_[i];
-      if (!piece.waits_ || batch.pieces_.size() >= spec_.batch_ ||
-          bytes > room) {
-        continue;
-      }
-      room -= bytes;
-      call.reserved_bytes_ += bytes;
-      call.pieces_.emplace_back(number, i);
-      batch.pieces_.push_back(MakePiece(*task, i, now));
-      SetWaiting(task, &piece, false);
-      ++piece.tries_;
-      ++piece.in_calls_;
-      task->last_sent_ = now;
-    }
-    if (batch.pieces_.size() >= spec_.batch_) {
-      break;
-    }
-  }
-  if (batch.pieces_.empty()) {
-    return std::nullopt;
-  }
-  call.server_ = server->id_;
-  call.begun_ = now;
-  call.expected_ = Expected(*server, batch.pieces_.size());
-  call.slowness_ = server->slowness_;
-  server->reserved_bytes_ += call.reserved_bytes_;
-  ++server->calls_;
-  batch.call_ = ++last_number_;
-  batch.server_ = server->id_;
-  batch.address_ = server->address_;
-  batch.deadline_ = now + kLongestCall;
-  calls_.emplace(batch.call_, std::move(call));
-  return batch;
-}
-
 }  // namespace citronlane
--- a/src/stages/stage_batcher_results.cc
+++ b/src/stages/stage_batcher_results.cc
@@ -34,7 +34,9 @@
 }  // namespace
 
 // Ends the call at its server; null when that is gone.
-StageBatcher::Server* StageBatcher::ReleaseCall(const Call& call) {
+StageBatcher::Server* StageBatcher::ReleaseCall(uint64_t number,
+                                                const Call& call,
+                                                TimePoint now) {
   const auto found = servers_.find(call.server_);
   if (found == servers_.end()) {
     return nullptr;
@@ -46,9 +48,22 @@
   if (!call.hedged_ && server.calls_ > 0) {
     --server.calls_;
   }
+  if (server.calls_ == 0) {
+    server.free_at_ = now;
+  }
+  EndTurn(&server, number, now);
   return &server;
 }
 
+// The call is over, or was given up: the one that waits behind it has its turn.
+void StageBatcher::EndTurn(Server* server, uint64_t number, TimePoint now) {
+  if (server->waiting_call_ == number) {
+    server->waiting_call_ = 0;
+  } else if (server->waiting_call_ != 0) {
+    BeginWaitingCall(server, now);
+  }
+}
+
 void StageBatcher::Finished(uint64_t number,
                             absl::Span<const StagePieceResult> results,
                             TimePoint now) {
@@ -58,7 +73,7 @@
   }
   const Call call = std::move(it->second);
   calls_.erase(it);
-  Server* server = ReleaseCall(call);
+  Server* server = ReleaseCall(number, call, now);
   if (server != nullptr) {
     server->failures_in_row_ = 0;
     const auto took = static_cast<double>((now - call.begun_).count());
@@ -182,7 +197,7 @@
 void StageBatcher::NoteTakenInputs(TimePoint now) {
   for (auto& [number, task] : tasks_) {
     if (!task.task_.has_inputs_ || task.inputs_taken_ ||
-        now - task.last_sent_ < kFetchTime) {
+        now - task.last_begun_ < kFetchTime) {
       continue;
     }
     const bool all_sent = std::all_of(
@@ -226,7 +241,7 @@
   }
   const Call call = std::move(it->second);
   calls_.erase(it);
-  if (Server* server = ReleaseCall(call)) {
+  if (Server* server = ReleaseCall(number, call, now)) {
     if (failure == CallFailure::kRefused) {
       server->suspended_until_ = now + kRefusedPause;
     } else {
@@ -323,6 +338,7 @@
       Server& server = found->second;
       server.slowness_ = std::max(server.slowness_, kLateFactor);
       --server.calls_;
+      EndTurn(&server, number, now);
     }
     for (const auto& [task, piece] : call.pieces_) {
       if (const auto owner = tasks_.find(task);
