Let new leaders wait for those who know pool owners; free fetched inputs of engines

Cause: when a leader lost its power, most gateways found the next one only 1.2 s after its election, since candidates without power took 0.8 s each; three gateways that had just restarted were there before, knew no owners, and the leader gave them all pools. Besides, results that engines work on were held until the first event, which bounds the first pool.

Change: owners that a new leader has not seen have 2 s to find it, also when it knows none and gateways run that are older than a restart; a candidate has 0.2 s for its first answer, twice as long after each that gave none; engines' inputs are freed 150 ms after the call, stages' 60 ms after their turn began (was 100).

Tests: 'a new leader gives owners time to find it' and 'a new leader that knows no owners waits for those who do' failed before. Two cases started leaders with settled gateways and expected owners after 1 s; they wait 3 s now.

--- a/include/citronlane/fleet/pool_assignment.h
+++ b/include/citronlane/fleet/pool_assignment.h
@@ -58,6 +58,8 @@
   Owners owners_;
   /// Since when each slot's gateway is out of sight.
   std::array<TimePoint, kSlots> missing_since_{};
+  /// Whether this leader has seen the slot's gateway.
+  std::array<bool, kSlots> was_seen_{};
   TimePoint leading_since_;
   /// The first number of this leader.
   uint64_t first_number_ = 0;
--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -77,6 +77,8 @@
   size_t next_candidate_ = 0;
   TimePoint asked_;
   TimePoint last_update_;
+  /// How long a candidate may take to answer at all.
+  Duration first_patience_;
   TimePoint next_connect_;
   bool has_leader_ = false;
   bool stopping_ = false;
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -75,6 +75,7 @@
   Ended Relay(ServerAttempt* attempt);
   Ended RelayWhole(ServerAttempt* attempt);
   Ended RelayStream(ServerAttempt* attempt);
+  void FreeInputs();
   bool PassOn(const std::string& events, const ServerAttempt& attempt);
   Ended AfterFailure(const ServerAttempt& attempt) const;
   /// Whether, after an attempt that ended so, another one may be made.
@@ -109,6 +110,7 @@
   uint32_t remakes_ = 0;
   bool stream_started_ = false;
   bool had_first_event_ = false;
+  bool inputs_freed_ = false;
   bool finished_ = false;
   Duration expected_{};
   Duration stages_took_{};
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -12,6 +12,11 @@
 constexpr Duration kGatheringTime = std::chrono::milliseconds(600);
 /// A gateway whose connection was reset is back sooner.
 constexpr Duration kMissingTime = std::chrono::milliseconds(300);
+/// A new leader gives owners that it has not seen yet this long to find it. When
+/// it moved their pools after 0.9 s, few gateways were there, and one of them got
+/// all pools: more than its link and its part of a core could carry, so that a
+/// full pool's servers made a quarter fewer calls.
+constexpr Duration kFindingTime = std::chrono::seconds(2);
 /// A gateway that has run this long is not one that fails at each start.
 constexpr Duration kSettledAge = std::chrono::seconds(3);
 /// Bits of a number that count a leader's changes; its term stands above them.
@@ -30,6 +35,7 @@
   leading_since_ = now;
   first_number_ = term << kChangeBits;
   missing_since_.fill(TimePoint());
+  was_seen_.fill(false);
 }
 
 void PoolAssignment::Adopt(uint64_t number, const Owners& owners) {
@@ -66,6 +72,16 @@
   if (gateways.empty() || now < leading_since_ + kGatheringTime) {
     return false;
   }
+  // Gateways that run on know owners, but those that have just started are
+  // often the first to find a new leader.
+  const bool may_know =
+      number_ == 0 && std::any_of(gateways.begin(), gateways.end(),
+                                  [](const Gateway& gateway) {
+                                    return gateway.age_ >= kSettledAge;
+                                  });
+  if (may_know && now < leading_since_ + kFindingTime) {
+    return false;
+  }
   const bool some_stay =
       std::any_of(gateways.begin(), gateways.end(),
                   [](const Gateway& gateway) { return !gateway.stopping_; });
@@ -77,6 +93,7 @@
         [&](const Gateway& gateway) { return gateway.endpoint_ == owner; });
     if (found != gateways.end()) {
       missing_since_[slot] = TimePoint();
+      was_seen_[slot] = true;
       if (!found->stopping_ || !some_stay) {
         continue;
       }
@@ -84,13 +101,15 @@
       if (missing_since_[slot] == TimePoint()) {
         missing_since_[slot] = now;
       }
-      if (now - missing_since_[slot] < kMissingTime) {
+      if (now - missing_since_[slot] < kMissingTime ||
+          (!was_seen_[slot] && now - leading_since_ < kFindingTime)) {
         continue;
       }
     }
     owner.clear();
     owner = Choose(gateways, slot)->endpoint_;
     missing_since_[slot] = TimePoint();
+    was_seen_[slot] = true;
     changed = true;
   }
   // Also when nothing changed: the leader before may have told some gateways
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -1,5 +1,6 @@
 #include "citronlane/relay/control_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -16,6 +17,10 @@
 
 /// Control VMs speak every 200 ms.
 constexpr Duration kSilence = std::chrono::milliseconds(800);
+/// One that has no power answers nothing, not even the connection; each further
+/// one in a row gets twice as long, up to kSilence. With kSilence from the start
+/// most gateways found a new leader 1.2 s after its election.
+constexpr Duration kFirstAnswer = std::chrono::milliseconds(200);
 /// Pause between two VMs that do not lead.
 constexpr Duration kRetryPause = std::chrono::milliseconds(60);
 
@@ -29,7 +34,8 @@
       options_(std::move(options)),
       log_(log),
       hooks_(std::move(hooks)),
-      started_(SteadyNow()) {}
+      started_(SteadyNow()),
+      first_patience_(kFirstAnswer) {}
 
 ControlWatch::~ControlWatch() = default;
 
@@ -56,7 +62,11 @@
     }
     return;
   }
-  if (now - std::max(asked_, last_update_) >= kSilence) {
+  const bool has_answered = last_update_ >= asked_;
+  const Duration patience =
+      has_answered ? kSilence : std::min(kSilence, first_patience_);
+  if (now - std::max(asked_, last_update_) >= patience) {
+    first_patience_ = has_answered ? kFirstAnswer : first_patience_ * 2;
     LeaveCandidate("it is silent", now);
   }
 }
@@ -105,6 +115,7 @@
   }
   auto* update = frame->mutable_update();
   last_update_ = SteadyNow();
+  first_patience_ = kFirstAnswer;
   if (update->members_size() > 0) {
     members_.assign(update->members().begin(), update->members().end());
   }
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -131,6 +131,7 @@
     return true;
   }
   router_->Update(*context_->view_, SteadyNow());
+  inputs_freed_ = false;
   stages_.SetResultDomain(router_->HomeDomain(SteadyNow(), RouterCall()));
   const StageRunner::Result result = stages_.Run();
   near_domain_ = stages_.InputDomain();
@@ -279,10 +280,10 @@
     goes_on = job_->route_->MayRepeat() &&
               runs_ < job_->route_->max_attempts_ &&
               (paid || budget_->TryTake(now, context_->view_->GatewayCount()));
-    // What the stages made was freed with the first event.
-    if (goes_on && stages_.HasWork() && stream_started_) {
-      goes_on = RunStages();
-    }
+  }
+  // What the stages made may be freed by now.
+  if (goes_on && stages_.HasWork() && inputs_freed_) {
+    goes_on = RunStages();
   }
   if (goes_on) {
     context_->metrics_->Count(kRetriesTotal, {ended.why_, service_->name_});
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -25,6 +25,8 @@
 /// A stream that pauses this many times the declared gap goes on elsewhere.
 constexpr int kStalledGaps = 3;
 constexpr Duration kShortestStall = std::chrono::milliseconds(1000);
+/// By then a server has fetched the results that the request works on.
+constexpr Duration kFetchTime = std::chrono::milliseconds(150);
 constexpr int kFirstServerError = 500;
 constexpr int kOk = 200;
 constexpr int kFirstNoSuccess = 300;
@@ -38,9 +40,18 @@
   const TimePoint patience =
       may_repeat ? std::min(job_->deadline_, SteadyNow() + FirstReplyLimit())
                  : job_->deadline_;
-  const bool replied = waker_->WaitUntil(
-      [attempt] { return attempt->has_head() || attempt->is_done(); },
-      patience);
+  const auto is_answered = [attempt] {
+    return attempt->has_head() || attempt->is_done();
+  };
+  bool replied = false;
+  if (stages_.HasWork() && !inputs_freed_) {
+    replied = waker_->WaitUntil(is_answered,
+                                std::min(patience, SteadyNow() + kFetchTime));
+    if (!replied && !waker_->caller_gone() && SteadyNow() < patience) {
+      FreeInputs();
+    }
+  }
+  replied = replied || waker_->WaitUntil(is_answered, patience);
   if (waker_->caller_gone()) {
     return {};
   }
@@ -134,6 +145,11 @@
   }
 }
 
+void RelayRequest::FreeInputs() {
+  inputs_freed_ = true;
+  stages_.FreeAll();
+}
+
 // Hands whole events to the caller; false when it is gone.
 bool RelayRequest::PassOn(const std::string& events,
                           const ServerAttempt& attempt) {
@@ -141,7 +157,7 @@
     had_first_event_ = true;
     router_->OnFirstEvent(last_server_, RouterCall());
     // The engine has read its inputs.
-    stages_.FreeAll();
+    FreeInputs();
   }
   if (!stream_started_) {
     stream_started_ = true;
--- a/src/stages/stage_batcher_results.cc
+++ b/src/stages/stage_batcher_results.cc
@@ -29,7 +29,7 @@
 constexpr Duration kRefusedPause = std::chrono::milliseconds(60);
 /// By then a server whose turn for a call has come has fetched its inputs: a
 /// few megabytes over links of gigabits, and a few milliseconds of way.
-constexpr Duration kFetchTime = std::chrono::milliseconds(100);
+constexpr Duration kFetchTime = std::chrono::milliseconds(60);
 
 }  // namespace
 
