Count results of lost calls and unseen ones as room that is taken

Change: what a lost call may have made takes room until it expires; what a server had no room for, for half a second.

Tests: two sections in 'stage results' failed before.

--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -192,6 +192,7 @@
                   const std::string& handle,
                   uint64_t bytes,
                   TimePoint now);
+  void TakeRoom(Server* server, uint64_t bytes, TimePoint until);
   void Requeue(uint64_t task, uint32_t piece, bool is_repeat, TimePoint now);
   void RequeueParked(TimePoint now);
   void NoteTakenInputs(TimePoint now);
--- a/src/stages/stage_batcher_results.cc
+++ b/src/stages/stage_batcher_results.cc
@@ -27,6 +27,9 @@
 constexpr int kMostDoublings = 4;
 /// A server that refuses has calls of another gateway in hand.
 constexpr Duration kRefusedPause = std::chrono::milliseconds(60);
+/// A server without room, though none is missed, holds what another gateway
+/// made or what is about to be freed.
+constexpr Duration kUnseenTime = std::chrono::milliseconds(500);
 /// By then a server whose turn for a call has come has fetched its inputs: a
 /// few megabytes over links of gigabits, and a few milliseconds of way.
 constexpr Duration kFetchTime = std::chrono::milliseconds(60);
@@ -138,6 +141,7 @@
     case Outcome::kNoRoom:
       if (server != nullptr) {
         server->suspended_until_ = now + kRefusedPause;
+        TakeRoom(server, bytes, now + kUnseenTime);
       }
       Requeue(number, index, true, now);
       return;
@@ -156,6 +160,13 @@
   keepers_[handle] = server->id_;
 }
 
+// Something lies there that this pool can't name.
+void StageBatcher::TakeRoom(Server* server, uint64_t bytes, TimePoint until) {
+  server->results_["unnamed " + std::to_string(++last_number_)] =
+      Result{bytes, until};
+  server->held_bytes_ += bytes;
+}
+
 void StageBatcher::Requeue(uint64_t number,
                            uint32_t index,
                            bool is_repeat,
@@ -247,6 +258,9 @@
     } else {
       Suspend(server, now);
     }
+    if (failure == CallFailure::kLost) {
+      TakeRoom(server, call.reserved_bytes_, now + spec_.result_life_);
+    }
   }
   for (const auto& [task, piece] : call.pieces_) {
     if (const auto owner = tasks_.find(task); owner != tasks_.end()) {
--- a/tests/unit-stages.cc
+++ b/tests/unit-stages.cc
@@ -252,6 +252,36 @@
     CHECK(pool.Start().size() == 1);
   }
 
+  SECTION("what a lost call made takes room until it expires") {
+    pool.SetServers({{"s1", "a"}});
+    StagePoolSpec spec = Pool::Spec();
+    spec.room_bytes_ = 1000;
+    pool.batcher_.SetSpec(spec);
+    pool.Add(8);
+    const auto lost = pool.Start();
+    REQUIRE(lost.size() == 1);
+    pool.batcher_.Failed(lost[0].call_, Failure::kLost, pool.now_);
+    pool.Pass(seconds(2));
+    CHECK(pool.Start().empty());
+    pool.Pass(milliseconds(2100));
+    CHECK(pool.Start().size() == 1);
+  }
+
+  SECTION("a server without room gets less for a while") {
+    pool.SetServers({{"s1", "a"}});
+    StagePoolSpec spec = Pool::Spec();
+    spec.room_bytes_ = 1000;
+    pool.batcher_.SetSpec(spec);
+    pool.Add(6);
+    const auto full = pool.Start();
+    REQUIRE(full.size() == 1);
+    pool.Finish(full[0], Outcome::kNoRoom);
+    pool.Pass(milliseconds(100));
+    CHECK(pool.Start().empty());
+    pool.Pass(milliseconds(900));
+    CHECK(pool.Start().size() == 1);
+  }
+
   SECTION("inputs may be freed once servers have fetched them") {
     const uint64_t task = pool.AddWithInputs(2);
     const auto batch = pool.Start().at(0);
