Name the gateway of each pool by service; one successor for a lost one

Gateways turned by themselves to one gateway and the leader named another a second later. What the killed one had freed or had under way filled half of the servers' room for 4 s.

Change: owners are named by service, for the services that the configuration gives a pool; while an owner can't be reached, all turn to the first gateway by an order that passes over those that run a pool, and the leader names the same. Frees that were on their way to a lost owner go to the next one. A server that has no room just after a takeover counts as half full until what was left there has expired.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -37,9 +37,13 @@
     uint64_t term_ = 0;
   };
   using LeadershipHook = std::function<Leadership()>;
+  /// Services that have a stage pool by the configuration.
+  using PoolsHook = std::function<std::vector<std::string>()>;
 
   /// `config` outlives the feed.
-  GatewayFeed(const ConfigRegister* config, LeadershipHook leadership);
+  GatewayFeed(const ConfigRegister* config,
+              LeadershipHook leadership,
+              PoolsHook pools);
   ~GatewayFeed();
   GatewayFeed(const GatewayFeed&) = delete;
   GatewayFeed& operator=(const GatewayFeed&) = delete;
@@ -72,6 +76,7 @@
 
   const ConfigRegister* const config_;
   const LeadershipHook leadership_;
+  const PoolsHook pools_;
   std::map<const FrameChannel*, std::unique_ptr<Watcher>> watchers_;
   std::vector<BackendServer> servers_;
   std::optional<TimePoint> servers_read_;
--- a/include/citronlane/fleet/pool_assignment.h
+++ b/include/citronlane/fleet/pool_assignment.h
@@ -1,30 +1,27 @@
 #ifndef CITRONLANE_FLEET_POOL_ASSIGNMENT_H_
 #define CITRONLANE_FLEET_POOL_ASSIGNMENT_H_
 
-#include <array>
-#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <tuple>
 
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
 
 namespace citronlane {
 
-/// Which gateway forms the batches of which stage pools. The leader decides and
+/// Which gateway forms the batches of which stage pool. The leader decides and
 /// keeps what is: a pool changes hands only when its gateway is gone or going,
-/// since for a moment after each change two gateways call the same servers.
-/// Pools share a fixed number of slots. Pure. Not thread safe.
+/// since the next one knows nothing of the results that lie at the servers.
+/// Pure. Not thread safe.
 class PoolAssignment {
  public:
-  /// So many that pools rarely share one: with 8, three pools met on one
-  /// gateway in a third of the deployments, and its link carried the calls of
-  /// both.
-  static constexpr size_t kSlots = 64;
-  /// Owner's endpoint of each slot; empty for none.
-  using Owners = std::array<std::string, kSlots>;
+  /// Endpoint of the gateway that runs a service's pool, by service.
+  using Owners = std::map<std::string, std::string, std::less<>>;
 
   /// A gateway as the leader sees it.
   struct Gateway {
@@ -34,17 +31,26 @@
     Duration age_{};
   };
 
-  /// Slot of a service's pool. Thread safe.
-  static size_t SlotOf(std::string_view service);
+  /// While a pool's owner can't be reached, gateways turn to the one of the
+  /// others that is first by this order, and the leader names the same one when
+  /// it finds the owner lost. Higher is better. Thread safe.
+  using Order = std::tuple<bool, bool, uint64_t>;
+  static Order SuccessorOrder(std::string_view service,
+                              std::string_view endpoint,
+                              bool stopping,
+                              const Owners& owners);
 
   /// This node began to lead in `term`: what it knows comes from before.
   void StartLeading(TimePoint now, uint64_t term);
   /// What a gateway was told last, by this leader or one before; the highest
   /// number is the newest.
   void Adopt(uint64_t number, const Owners& owners);
-  /// Gives slots whose gateway is gone or going to others. Returns whether
-  /// the number rose: with each change, and once for each leader.
-  bool Update(absl::Span<const Gateway> gateways, TimePoint now);
+  /// Gives pools without a gateway, or whose gateway is gone or going, to
+  /// others, and forgets those that are not in `services`. Returns whether the
+  /// number rose: with each change, and once for each leader.
+  bool Update(absl::Span<const std::string> services,
+              absl::Span<const Gateway> gateways,
+              TimePoint now);
 
   /// Rises with each change, also over leaders. No two leaders give the same
   /// one: it holds the leader's term.
@@ -52,14 +58,25 @@
   const Owners& owners() const { return owners_; }
 
  private:
-  const Gateway* Choose(absl::Span<const Gateway> gateways, size_t slot) const;
+  struct Sight {
+    /// Since when the pool's gateway is out of sight.
+    std::optional<TimePoint> missing_since_;
+    /// Whether this leader has seen it.
+    bool was_seen_ = false;
+  };
+
+  bool IsGathering(absl::Span<const Gateway> gateways, TimePoint now) const;
+  bool KeepsOwner(const std::string& service,
+                  absl::Span<const Gateway> gateways,
+                  TimePoint now);
+  std::string Choose(absl::Span<const Gateway> gateways,
+                     std::string_view service) const;
+  std::string Successor(absl::Span<const Gateway> gateways,
+                        std::string_view service) const;
 
   uint64_t number_ = 0;
   Owners owners_;
-  /// Since when each slot's gateway is out of sight.
-  std::array<TimePoint, kSlots> missing_since_{};
-  /// Whether this leader has seen the slot's gateway.
-  std::array<bool, kSlots> was_seen_{};
+  std::map<std::string, Sight> sights_;
   TimePoint leading_since_;
   /// The first number of this leader.
   uint64_t first_number_ = 0;
--- a/include/citronlane/relay/stage_owners.h
+++ b/include/citronlane/relay/stage_owners.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_RELAY_STAGE_OWNERS_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -110,6 +111,13 @@
     std::string service_;
     uint64_t local_ = 0;
   };
+  /// Results that an owner was told to free.
+  struct Freed {
+    TimePoint at_;
+    std::string owner_;
+    std::string service_;
+    std::vector<std::string> handles_;
+  };
   using ServedKey = std::pair<const FrameChannel*, uint64_t>;
 
   std::string OwnerOf(const std::string& service, TimePoint now) const;
@@ -121,6 +129,7 @@
   void Finish(uint64_t number, const StageOutcome& outcome);
   void NoteInputsTaken(uint64_t number);
   void OwnerLost(const std::string& owner, bool is_gone);
+  void FreeAgain(const std::string& owner);
   void TakeResult(const wire::fleet::Frame& frame);
   void Serve(const std::shared_ptr<FrameChannel>& channel,
              wire::fleet::Frame* frame);
@@ -141,6 +150,8 @@
   std::map<std::string, TimePoint> lost_until_;
   std::map<ServedKey, Served> served_;
   std::map<ServedKey, Served> announced_;
+  /// Of the last moments, in order of time.
+  std::deque<Freed> freed_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -41,6 +41,8 @@
   StagePool(const StagePool&) = delete;
   StagePool& operator=(const StagePool&) = delete;
 
+  /// Call once, before the first task.
+  void Begin(TimePoint now);
   /// Starts a task; `done` is called once, later, unless it is cancelled, and
   /// `inputs_taken` before it when servers have fetched what it works on.
   uint64_t Submit(StageTask task, Done done, InputsTaken inputs_taken);
--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -48,6 +48,11 @@
   void SetSpec(const StagePoolSpec& spec) { spec_ = spec; }
   void SetServers(absl::Span<const BackendServer* const> servers);
 
+  /// Another gateway may have run the pool until now: half of the room of a
+  /// server that has none counts as taken until the results that it left have
+  /// expired.
+  void TakeOver(TimePoint now) { taken_over_ = now; }
+
   /// Returns the task's number.
   uint64_t Add(StageTask task, TimePoint now);
   /// Nobody wants the task any more.
@@ -131,6 +136,8 @@
     /// Time of calls against what the declaration says, learned.
     double slowness_ = 1;
     TimePoint suspended_until_;
+    /// Half of its room was taken for what another gateway left.
+    bool has_left_results_ = false;
     int failures_in_row_ = 0;
     uint64_t held_bytes_ = 0;
     /// Of calls in hand.
@@ -192,6 +199,7 @@
                   const std::string& handle,
                   uint64_t bytes,
                   TimePoint now);
+  void TakeNoRoom(Server* server, uint64_t bytes, TimePoint now);
   void TakeRoom(Server* server, uint64_t bytes, TimePoint until);
   void Requeue(uint64_t task, uint32_t piece, bool is_repeat, TimePoint now);
   void RequeueParked(TimePoint now);
@@ -216,6 +224,7 @@
   std::vector<uint64_t> taken_;
   /// Pieces that failed and wait for a repeat to be allowed.
   std::set<std::pair<uint64_t, uint32_t>> parked_;
+  std::optional<TimePoint> taken_over_;
   size_t waiting_ = 0;
   uint64_t last_number_ = 0;
   /// Time of a piece against what the declaration says, over all servers.
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -2,6 +2,8 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -20,6 +22,7 @@
 #include "citronlane/net/server_list_reader.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/serving/dialect.h"
+#include "citronlane/serving/serving_config.h"
 #include "citronlane/state/config_register.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_listener.h"
@@ -78,6 +81,7 @@
   std::string OperatorAddressOfLeader() const;
   OperatorApi::Hooks ApiHooks();
   GatewayFeed::Leadership Leadership() const;
+  const std::vector<std::string>& StagePools();
   void Take(const std::shared_ptr<FrameChannel>& channel, Frame* frame);
   void LeadsChanged(bool leads);
   void ReadServers(TimePoint now);
@@ -99,6 +103,8 @@
   FrameListener internal_;
   HttpListener operators_;
   bool list_failing_ = false;
+  std::vector<std::string> stage_pools_;
+  std::optional<uint64_t> stage_pools_version_;
 };
 
 ControlHost::Impl::Impl(NodeSettings settings,
@@ -111,7 +117,10 @@
       log_(log),
       client_(&io_, StageLimits()),
       list_reader_(&client_, dialect, settings_.server_list_address_),
-      feed_(&config_, [this] { return Leadership(); }),
+      feed_(
+          &config_,
+          [this] { return Leadership(); },
+          [this] { return StagePools(); }),
       member_(&io_,
               settings_,
               &config_,
@@ -200,6 +209,29 @@
   return leadership;
 }
 
+// Documents are read once a version: large ones take milliseconds.
+const std::vector<std::string>& ControlHost::Impl::StagePools() {
+  if (config_.is_empty() || stage_pools_version_ == config_.version()) {
+    return stage_pools_;
+  }
+  stage_pools_version_ = config_.version();
+  std::vector<std::string> faults;
+  const auto config = dialect_->read_config_(config_.document(), &faults);
+  if (!config) {
+    log_->Write("control", "config not readable",
+                {{"version", config_.version()},
+                 {"faults", static_cast<uint64_t>(faults.size())}});
+    return stage_pools_;
+  }
+  stage_pools_.clear();
+  for (const Service& service : config->services()) {
+    if (service.stage_pool_) {
+      stage_pools_.push_back(service.name_);
+    }
+  }
+  return stage_pools_;
+}
+
 void ControlHost::Impl::Take(const std::shared_ptr<FrameChannel>& channel,
                              Frame* frame) {
   const TimePoint now = SteadyNow();
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -35,8 +35,11 @@
 };
 
 GatewayFeed::GatewayFeed(const ConfigRegister* config,
-                         LeadershipHook leadership)
-    : config_(config), leadership_(std::move(leadership)) {}
+                         LeadershipHook leadership,
+                         PoolsHook pools)
+    : config_(config),
+      leadership_(std::move(leadership)),
+      pools_(std::move(pools)) {}
 
 GatewayFeed::~GatewayFeed() = default;
 
@@ -100,7 +103,7 @@
     gateways.push_back(
         {watcher->gateway_, watcher->stopping_, now - watcher->started_});
   }
-  assignment_.Update(gateways, now);
+  assignment_.Update(pools_(), gateways, now);
 }
 
 void GatewayFeed::PushAll(TimePoint now) {
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -1,6 +1,7 @@
 #include "citronlane/fleet/pool_assignment.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 #include "citronlane/fleet/rendezvous.h"
@@ -27,15 +28,21 @@
 
 }  // namespace
 
-size_t PoolAssignment::SlotOf(std::string_view service) {
-  return RendezvousWeight(service, "slot") % kSlots;
+PoolAssignment::Order PoolAssignment::SuccessorOrder(std::string_view service,
+                                                     std::string_view endpoint,
+                                                     bool stopping,
+                                                     const Owners& owners) {
+  const bool runs_one =
+      std::any_of(owners.begin(), owners.end(), [&](const auto& owner) {
+        return owner.first != service && owner.second == endpoint;
+      });
+  return {!stopping, !runs_one, RendezvousWeight(service, endpoint)};
 }
 
 void PoolAssignment::StartLeading(TimePoint now, uint64_t term) {
   leading_since_ = now;
   first_number_ = term << kChangeBits;
-  missing_since_.fill(TimePoint());
-  was_seen_.fill(false);
+  sights_.clear();
 }
 
 void PoolAssignment::Adopt(uint64_t number, const Owners& owners) {
@@ -45,71 +52,104 @@
   }
 }
 
-// The fewest slots first. Then the youngest of those that are settled: when all
-// gateways are restarted in turn, it is the last to be restarted again.
-const PoolAssignment::Gateway* PoolAssignment::Choose(
-    absl::Span<const Gateway> gateways,
-    size_t slot) const {
-  const Gateway* best = nullptr;
-  std::tuple<bool, bool, int64_t, Duration, uint64_t> best_order;
-  for (const Gateway& gateway : gateways) {
-    const auto held =
-        std::count(owners_.begin(), owners_.end(), gateway.endpoint_);
-    const uint64_t weight =
-        RendezvousWeight(std::to_string(slot), gateway.endpoint_);
-    const auto order =
-        std::make_tuple(!gateway.stopping_, gateway.age_ >= kSettledAge, -held,
-                        -gateway.age_, weight);
-    if (best == nullptr || order > best_order) {
-      best = &gateway;
-      best_order = order;
-    }
-  }
-  return best;
-}
-
-bool PoolAssignment::Update(absl::Span<const Gateway> gateways, TimePoint now) {
-  if (gateways.empty() || now < leading_since_ + kGatheringTime) {
-    return false;
-  }
-  // Gateways that run on know owners, but those that have just started are
-  // often the first to find a new leader.
+// Gateways that run on know owners, but those that have just started are often
+// the first to find a new leader.
+bool PoolAssignment::IsGathering(absl::Span<const Gateway> gateways,
+                                 TimePoint now) const {
   const bool may_know =
       number_ == 0 && std::any_of(gateways.begin(), gateways.end(),
                                   [](const Gateway& gateway) {
                                     return gateway.age_ >= kSettledAge;
                                   });
-  if (may_know && now < leading_since_ + kFindingTime) {
+  return now < leading_since_ + (may_know ? kFindingTime : kGatheringTime);
+}
+
+// One that runs the fewest pools. Then the youngest of those that are settled:
+// when all gateways are restarted in turn, it is the last to be restarted again.
+std::string PoolAssignment::Choose(absl::Span<const Gateway> gateways,
+                                   std::string_view service) const {
+  const auto order = [&](const Gateway& gateway) {
+    const auto runs =
+        std::count_if(owners_.begin(), owners_.end(), [&](const auto& owner) {
+          return owner.second == gateway.endpoint_;
+        });
+    return std::make_tuple(!gateway.stopping_, gateway.age_ >= kSettledAge,
+                           -runs, -gateway.age_,
+                           RendezvousWeight(service, gateway.endpoint_));
+  };
+  return std::max_element(gateways.begin(), gateways.end(),
+                          [&](const Gateway& a, const Gateway& b) {
+                            return order(a) < order(b);
+                          })
+      ->endpoint_;
+}
+
+// Gateways notice a lost owner a second before the leader does. When the leader
+// then named another one, the pool changed hands twice.
+std::string PoolAssignment::Successor(absl::Span<const Gateway> gateways,
+                                      std::string_view service) const {
+  const auto order = [&](const Gateway& gateway) {
+    return SuccessorOrder(service, gateway.endpoint_, gateway.stopping_,
+                          owners_);
+  };
+  return std::max_element(gateways.begin(), gateways.end(),
+                          [&](const Gateway& a, const Gateway& b) {
+                            return order(a) < order(b);
+                          })
+      ->endpoint_;
+}
+
+// Whether the pool stays where it is, for now at least.
+bool PoolAssignment::KeepsOwner(const std::string& service,
+                                absl::Span<const Gateway> gateways,
+                                TimePoint now) {
+  const std::string& owner = owners_.at(service);
+  Sight& sight = sights_[service];
+  const auto found = std::find_if(
+      gateways.begin(), gateways.end(),
+      [&](const Gateway& gateway) { return gateway.endpoint_ == owner; });
+  if (found != gateways.end()) {
+    sight.missing_since_.reset();
+    sight.was_seen_ = true;
+    const bool some_stay =
+        std::any_of(gateways.begin(), gateways.end(),
+                    [](const Gateway& gateway) { return !gateway.stopping_; });
+    return !found->stopping_ || !some_stay;
+  }
+  if (!sight.missing_since_) {
+    sight.missing_since_ = now;
+  }
+  return now - *sight.missing_since_ < kMissingTime ||
+         (!sight.was_seen_ && now - leading_since_ < kFindingTime);
+}
+
+bool PoolAssignment::Update(absl::Span<const std::string> services,
+                            absl::Span<const Gateway> gateways,
+                            TimePoint now) {
+  if (gateways.empty() || IsGathering(gateways, now)) {
     return false;
   }
-  const bool some_stay =
-      std::any_of(gateways.begin(), gateways.end(),
-                  [](const Gateway& gateway) { return !gateway.stopping_; });
   bool changed = false;
-  for (size_t slot = 0; slot < kSlots; ++slot) {
-    std::string& owner = owners_[slot];
-    const auto found = std::find_if(
-        gateways.begin(), gateways.end(),
-        [&](const Gateway& gateway) { return gateway.endpoint_ == owner; });
-    if (found != gateways.end()) {
-      missing_since_[slot] = TimePoint();
-      was_seen_[slot] = true;
-      if (!found->stopping_ || !some_stay) {
-        continue;
-      }
-    } else if (!owner.empty()) {
-      if (missing_since_[slot] == TimePoint()) {
-        missing_since_[slot] = now;
-      }
-      if (now - missing_since_[slot] < kMissingTime ||
-          (!was_seen_[slot] && now - leading_since_ < kFindingTime)) {
-        continue;
-      }
+  for (auto it = owners_.begin(); it != owners_.end();) {
+    const bool is_declared =
+        std::find(services.begin(), services.end(), it->first) !=
+        services.end();
+    changed = changed || !is_declared;
+    it = is_declared ? std::next(it) : owners_.erase(it);
+  }
+  for (const std::string& service : services) {
+    const auto owned = owners_.find(service);
+    if (owned != owners_.end() && KeepsOwner(service, gateways, now)) {
+      continue;
+    }
+    const bool is_lost =
+        owned != owners_.end() && sights_[service].missing_since_;
+    if (owned != owners_.end()) {
+      owners_.erase(owned);
     }
-    owner.clear();
-    owner = Choose(gateways, slot)->endpoint_;
-    missing_since_[slot] = TimePoint();
-    was_seen_[slot] = true;
+    owners_[service] = is_lost ? Successor(gateways, service)
+                               : Choose(gateways, service);
+    sights_[service] = Sight{std::nullopt, true};
     changed = true;
   }
   // Also when nothing changed: the leader before may have told some gateways
--- a/src/net/fleet_codec.cc
+++ b/src/net/fleet_codec.cc
@@ -39,17 +39,11 @@
                   const PoolAssignment::Owners& owners,
                   wire::fleet::PoolOwners* out) {
   out->set_number(number);
-  for (const std::string& owner : owners) {
-    out->add_owners(owner);
-  }
+  out->mutable_owners()->insert(owners.begin(), owners.end());
 }
 
 PoolAssignment::Owners DecodeOwners(const wire::fleet::PoolOwners& in) {
-  PoolAssignment::Owners owners;
-  const auto count =
-      std::min<size_t>(owners.size(), static_cast<size_t>(in.owners_size()));
-  std::copy_n(in.owners().begin(), count, owners.begin());
-  return owners;
+  return {in.owners().begin(), in.owners().end()};
 }
 
 }  // namespace citronlane
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -242,7 +242,7 @@
     pool = std::make_unique<StagePool>(service, *declared->stage_pool_,
                                        budget_options_, &view_, dialect_,
                                        &client_, log_);
-    pool->Tick(SteadyNow());
+    pool->Begin(SteadyNow());
   }
   return pool.get();
 }
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -6,7 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include "citronlane/base/steady_now.h"
-#include "citronlane/fleet/rendezvous.h"
+#include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/net/frame_link.h"
 #include "citronlane/observe/event_log.h"
@@ -24,6 +24,8 @@
 /// A gateway that can't be reached is passed over for this long; by then its
 /// going is known everywhere, also when control has a new leader.
 constexpr Duration kPassOver = std::chrono::milliseconds(3000);
+/// An owner that does not answer is found lost well within this time.
+constexpr Duration kFreedKnown = std::chrono::milliseconds(1500);
 /// A task that was moved this often stays here.
 constexpr uint32_t kMostMoves = 3;
 
@@ -49,27 +51,28 @@
 }
 
 // The one that control named; while that one can't be reached, or is not named
-// yet, one that all find by hashing.
+// yet, its successor, which all know.
 std::string StageOwners::OwnerOf(const std::string& service,
                                  TimePoint now) const {
-  const std::string& named = view_->owners()[PoolAssignment::SlotOf(service)];
-  if (!named.empty() && !IsPassedOver(named, now)) {
-    return named;
+  const PoolAssignment::Owners& owners = view_->owners();
+  const auto named = owners.find(service);
+  if (named != owners.end() && !IsPassedOver(named->second, now)) {
+    return named->second;
   }
-  const FleetView::Gateway* owner = nullptr;
-  std::pair<bool, uint64_t> best;
+  const FleetView::Gateway* successor = nullptr;
+  PoolAssignment::Order best;
   for (const FleetView::Gateway& gateway : view_->gateways()) {
     if (IsPassedOver(gateway.endpoint_, now)) {
       continue;
     }
-    const auto order = std::make_pair(
-        !gateway.stopping_, RendezvousWeight(service, gateway.endpoint_));
-    if (owner == nullptr || order > best) {
-      owner = &gateway;
+    const auto order = PoolAssignment::SuccessorOrder(
+        service, gateway.endpoint_, gateway.stopping_, owners);
+    if (successor == nullptr || order > best) {
+      successor = &gateway;
       best = order;
     }
   }
-  return owner == nullptr ? own_endpoint_ : owner->endpoint_;
+  return successor == nullptr ? own_endpoint_ : successor->endpoint_;
 }
 
 uint64_t StageOwners::Announce(const std::string& service,
@@ -245,6 +248,9 @@
     free->add_handles(handle);
   }
   LinkTo(owner)->Send(frame);
+  freed_.push_back(Freed{SteadyNow(), owner, service,
+                         std::vector<std::string>(handles.begin(),
+                                                  handles.end())});
 }
 
 FrameLink* StageOwners::LinkTo(const std::string& endpoint) {
@@ -296,6 +302,20 @@
   for (const uint64_t number : moved) {
     Place(number);
   }
+  if (is_gone) {
+    FreeAgain(owner);
+  }
+}
+
+// What was on its way to an owner that is lost is freed by the next one.
+void StageOwners::FreeAgain(const std::string& owner) {
+  for (const Freed& freed : std::exchange(freed_, {})) {
+    if (freed.owner_ == owner) {
+      Free(freed.service_, freed.handles_);
+    } else {
+      freed_.push_back(freed);
+    }
+  }
 }
 
 void StageOwners::TakeResult(const Frame& frame) {
@@ -320,6 +340,9 @@
       link->CheckAlive(now);
     }
   }
+  while (!freed_.empty() && now - freed_.front().at_ > kFreedKnown) {
+    freed_.pop_front();
+  }
 }
 
 }  // namespace citronlane
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -71,6 +71,11 @@
   Pump(SteadyNow());
 }
 
+void StagePool::Begin(TimePoint now) {
+  Tick(now);
+  batcher_.TakeOver(now);
+}
+
 void StagePool::Tick(TimePoint now) {
   if (servers_number_ != view_->servers_number()) {
     servers_number_ = view_->servers_number();
--- a/src/stages/stage_batcher_results.cc
+++ b/src/stages/stage_batcher_results.cc
@@ -140,8 +140,7 @@
       return;
     case Outcome::kNoRoom:
       if (server != nullptr) {
-        server->suspended_until_ = now + kRefusedPause;
-        TakeRoom(server, bytes, now + kUnseenTime);
+        TakeNoRoom(server, bytes, now);
       }
       Requeue(number, index, true, now);
       return;
@@ -167,6 +166,22 @@
   server->held_bytes_ += bytes;
 }
 
+// A piece was dropped for want of room. Handles of calls that were under way
+// when a gateway was killed are known to nobody: the next one's calls found no
+// room for as long as results are kept, and worth was lower by 0.1 on days when
+// that happened. Half of the room is about what calls under way can fill.
+void StageBatcher::TakeNoRoom(Server* server, uint64_t bytes, TimePoint now) {
+  server->suspended_until_ = now + kRefusedPause;
+  const bool may_be_left =
+      taken_over_ && now - *taken_over_ < spec_.result_life_;
+  if (may_be_left && !server->has_left_results_) {
+    server->has_left_results_ = true;
+    TakeRoom(server, spec_.room_bytes_ / 2, *taken_over_ + spec_.result_life_);
+  } else if (!may_be_left) {
+    TakeRoom(server, bytes, now + kUnseenTime);
+  }
+}
+
 void StageBatcher::Requeue(uint64_t number,
                            uint32_t index,
                            bool is_repeat,
--- a/tests/unit-stages.cc
+++ b/tests/unit-stages.cc
@@ -267,6 +267,28 @@
     CHECK(pool.Start().size() == 1);
   }
 
+  SECTION("what another gateway left takes room until it has expired") {
+    pool.SetServers({{"s1", "a"}});
+    StagePoolSpec spec = Pool::Spec();
+    spec.room_bytes_ = 1000;
+    pool.batcher_.SetSpec(spec);
+    pool.batcher_.TakeOver(pool.now_);
+    pool.Add(5);
+    // Nothing speaks against it yet.
+    auto batches = pool.Start();
+    REQUIRE(batches.size() == 1);
+    pool.Finish(batches[0], Outcome::kNoRoom);
+    pool.Pass(milliseconds(3900));
+    CHECK(pool.Start().empty());
+    pool.Pass(milliseconds(200));
+    batches = pool.Start();
+    REQUIRE(batches.size() == 1);
+    // By now it has expired.
+    pool.Finish(batches[0], Outcome::kNoRoom);
+    pool.Pass(milliseconds(700));
+    CHECK(pool.Start().size() == 1);
+  }
+
   SECTION("a server without room gets less for a while") {
     pool.SetServers({{"s1", "a"}});
     StagePoolSpec spec = Pool::Spec();
