--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -35,7 +35,7 @@
 constexpr uint32_t kLastUrgency = 9;
 /// Part of a caller's patience up to which a late answer is attempted; the rest
 /// covers what the estimate does not know.
-constexpr double kUsedPatience = 0.6;
+constexpr double kUsedPatience = 0.45;
 /// What an estimate is multiplied by before a request counts as one that can
 /// meet its target: queues of later stages are still to grow in a burst.
 constexpr double kEstimateReserve = 1.1;
