--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -26,6 +26,18 @@
 /// change, and each pool's servers refused or dropped what the other one sent.
 constexpr int kChangeBits = 24;
 
+/// Endpoint of the gateway that is highest by `order`; there is one.
+template <typename Order>
+std::string HighestOf(absl::Span<const PoolAssignment::Gateway> gateways,
+                      const Order& order) {
+  using Gateway = PoolAssignment::Gateway;
+  return std::max_element(gateways.begin(), gateways.end(),
+                          [&](const Gateway& a, const Gateway& b) {
+                            return order(a) < order(b);
+                          })
+      ->endpoint_;
+}
+
 }  // namespace
 
 PoolAssignment::Order PoolAssignment::SuccessorOrder(std::string_view service,
@@ -77,11 +89,7 @@
                            -runs, -gateway.age_,
                            RendezvousWeight(service, gateway.endpoint_));
   };
-  return std::max_element(gateways.begin(), gateways.end(),
-                          [&](const Gateway& a, const Gateway& b) {
-                            return order(a) < order(b);
-                          })
-      ->endpoint_;
+  return HighestOf(gateways, order);
 }
 
 // Gateways notice a lost owner a second before the leader does. When the leader
@@ -92,11 +100,7 @@
     return SuccessorOrder(service, gateway.endpoint_, gateway.stopping_,
                           owners_);
   };
-  return std::max_element(gateways.begin(), gateways.end(),
-                          [&](const Gateway& a, const Gateway& b) {
-                            return order(a) < order(b);
-                          })
-      ->endpoint_;
+  return HighestOf(gateways, order);
 }
 
 // Whether the pool stays where it is, for now at least.
--- a/src/relay/stage_owners_serve.cc
+++ b/src/relay/stage_owners_serve.cc
@@ -130,10 +130,8 @@
   }
   for (auto it = announced_.lower_bound({channel, 0});
        it != announced_.end() && it->first.first == channel;) {
-    if (StagePool* pool = pool_(it->second.service_)) {
-      pool->Withdraw(it->second.local_);
-    }
-    it = announced_.erase(it);
+    const ServedKey key = (it++)->first;
+    DropAnnouncement(key);
   }
 }
 
--- /dev/null
+++ b/src/relay/stage_runner_estimates.cc
@@ -0,0 +1,98 @@
+#include <algorithm>
+#include <vector>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/relay/relay_job.h"
+#include "citronlane/relay/stage_runner.h"
+
+namespace citronlane {
+namespace {
+
+/// What a server takes to the first event of its answer when it is not pressed.
+constexpr Duration kServerTime = std::chrono::milliseconds(250);
+/// Results are dropped this much before their makers say: their call ended
+/// before its answer came here, and the next server must fetch them.
+constexpr Duration kDropReserve = std::chrono::milliseconds(100);
+
+}  // namespace
+
+StageForecast StageRunner::ForecastOf(size_t index) const {
+  const Duration rest = TimeAfter(index);
+  StageForecast forecast;
+  forecast.pieces_ = stages_[index].pieces_;
+  forecast.target_ = (is_late_ ? job_->arrived_ : job_->target_) - rest;
+  forecast.deadline_ = job_->begin_deadline_ - rest;
+  forecast.priority_ = job_->priority_;
+  return forecast;
+}
+
+// What the request still needs at least once this stage is done. A stage that
+// worked towards the request's own target would serve first what is too late
+// already: in a burst of twice the load a quarter of the requests met their
+// target so, and with the rest taken off more than half.
+Duration StageRunner::TimeAfter(size_t index) const {
+  Duration longest = kServerTime;
+  for (size_t i = index + 1; i < stages_.size(); ++i) {
+    const auto& after = job_->route_->stages_[i].after_;
+    if (stages_[i].pieces_ > 0 &&
+        std::find(after.begin(), after.end(), index) != after.end()) {
+      longest = std::max(longest, CallTime(i) + TimeAfter(i));
+    }
+  }
+  return longest;
+}
+
+// As its pool said, or as declared.
+Duration StageRunner::CallTime(size_t index) const {
+  if (stages_[index].wait_) {
+    return stages_[index].wait_->call_;
+  }
+  const RouteStage& declared = job_->route_->stages_[index];
+  const Service* service = job_->config_->FindService(declared.service_);
+  if (service == nullptr || !service->stage_pool_) {
+    return Duration();
+  }
+  return service->stage_pool_->call_time_ +
+         service->stage_pool_->piece_time_ * stages_[index].pieces_;
+}
+
+// When the maker of a stage's results drops them by itself.
+TimePoint StageRunner::DroppedAt(size_t index) const {
+  const Service* service =
+      job_->config_->FindService(job_->route_->stages_[index].service_);
+  return stages_[index].handles_.empty() || service == nullptr ||
+                 !service->stage_pool_
+             ? TimePoint::max()
+             : stages_[index].done_at_ + service->stage_pool_->result_life_ -
+                   kDropReserve;
+}
+
+bool StageRunner::HasTimeToRemake() const {
+  Duration calls{};
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    if (stages_[i].pieces_ > 0) {
+      calls = std::max(calls, CallTime(i) + TimeAfter(i));
+    }
+  }
+  return SteadyNow() + calls <= job_->begin_deadline_;
+}
+
+// What waits at a pool is worked on while the stages before are.
+Duration StageRunner::ExpectedTime(bool behind_all) const {
+  std::vector<Duration> finish(stages_.size());
+  Duration last{};
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    for (const uint32_t before : job_->route_->stages_[i].after_) {
+      finish[i] = std::max(finish[i], finish[before]);
+    }
+    if (stages_[i].pieces_ > 0) {
+      const StageWait wait = stages_[i].wait_.value_or(StageWait());
+      finish[i] = std::max(finish[i], behind_all ? wait.all_ : wait.on_time_) +
+                  CallTime(i);
+    }
+    last = std::max(last, finish[i]);
+  }
+  return last + kServerTime;
+}
+
+}  // namespace citronlane
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -15,9 +15,10 @@
 /// What a step of urgency is worth against the time to the target.
 constexpr Duration kPriorityStep = std::chrono::milliseconds(800);
 /// A task of the usual size goes this much after one of no size: a full pool
-/// serves more requests when the small ones go first. Over days with bursts the
-/// mean worth rose by 0.04 to 0.14 at 400 ms; at 1,000 ms large ones starved
-/// and it was lower by 0.01 again.
+/// serves more requests when the small ones go first. On two deployments' days
+/// with bursts mean worth rose from 0.340 to 0.418 and from 0.503 to 0.546
+/// (late requests waited a little less too); at 1,000 ms it was 0.379 and
+/// 0.538.
 constexpr Duration kSizeStep = std::chrono::milliseconds(400);
 /// Larger tasks wait no longer than ones of this many times the usual size.
 constexpr double kLargestSize = 3;
--- a/tests/unit-replica.cc
+++ b/tests/unit-replica.cc
@@ -308,13 +308,16 @@
       cluster.Commit(big);
     }
     REQUIRE(cluster.Start(4).empty());
-    REQUIRE(Eventually([&] {
-      return cluster.Leader()
-          .Change([&](Replica& replica, Replica::ProposeDone done) {
+    std::string answer;
+    const bool is_added = Eventually([&] {
+      answer = cluster.Leader().Change(
+          [&](Replica& replica, Replica::ProposeDone done) {
             replica.AddLearner(4, cluster.Address(4), std::move(done));
-          })
-          .empty();
-    }));
+          });
+      return answer.empty();
+    });
+    INFO("the last answer was " << answer);
+    REQUIRE(is_added);
     CHECK(Eventually(
         [&] { return cluster.At(4).state() == cluster.Leader().state(); }));
     CHECK(cluster.At(4).installed() >= 1);
