Tell a server's starts apart; pass over list entries of another writer

A server may start again under its id and then knows nothing of before; an entry of the list may come from another writer. Until now a start was taken for the same server (what it kept, its room, its suspension went on), an unknown state for one that leaves, a missing id or address for a name, and one unreadable entry lost the whole page.

Change: a server inside is its name and its start, made in platform/ once; every holder (engine router, stage pool, plain router) keys by it, so that a new start begins from nothing and calls of the former one are lost, never 'not run'. ServerStarts picks the latest start of each server; an earlier one that stays listed counts after 3 s. The list's reader moves into a file of its own, checks each field, and reads a page entry by entry when it is no JSON as a whole; what names no server is counted, logged on change, and a metric. Log lines of stage calls tell the room of their server.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -54,8 +54,10 @@
              TimePoint now);
   void Closed(const FrameChannel* channel);
 
-  /// A whole list was read at `now`.
-  void SetServers(std::vector<BackendServer> servers, TimePoint now);
+  /// A whole list was read at `now`; `unusable` more entries named no server.
+  void SetServers(std::vector<BackendServer> servers,
+                  size_t unusable,
+                  TimePoint now);
   /// This node began to lead: what it knows of servers and gateways is old.
   void StartLeading(TimePoint now);
 
@@ -79,6 +81,7 @@
   const PoolsHook pools_;
   std::map<const FrameChannel*, std::unique_ptr<Watcher>> watchers_;
   std::vector<BackendServer> servers_;
+  size_t unusable_ = 0;
   std::optional<TimePoint> servers_read_;
   uint64_t servers_number_ = 0;
   uint64_t gateways_number_ = 0;
--- a/include/citronlane/net/server_list_reader.h
+++ b/include/citronlane/net/server_list_reader.h
@@ -40,6 +40,8 @@
   bool is_reading() const { return call_ != nullptr; }
   /// Pages of the last whole list; 1 before there was one.
   size_t pages() const { return pages_; }
+  /// Entries of the last whole list that named no server to use.
+  size_t unusable() const { return unusable_; }
 
  private:
   void ReadPage(const std::string& page);
@@ -54,6 +56,8 @@
   std::vector<BackendServer> servers_;
   size_t pages_read_ = 0;
   size_t pages_ = 1;
+  size_t unusable_read_ = 0;
+  size_t unusable_ = 0;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -107,6 +107,12 @@
     "many series.",
     {}};
 
+inline constexpr Metric kServerEntriesUnusableTotal{
+    "citronlane_server_entries_unusable_total", Metric::Kind::kCounter,
+    "Entries of the platform's server list that named no server to use, "
+    "counted when they came.",
+    {}};
+
 /// Every metric of the registry, in the order of the text.
 inline constexpr const Metric* kAllMetrics[] = {
     &kRequestsTotal,
@@ -130,6 +136,7 @@
     &kConfigVersion,
     &kBuildInfo,
     &kMetricSeriesDroppedTotal,
+    &kServerEntriesUnusableTotal,
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -56,7 +56,10 @@
   // gateway_host_feed.cc: what control and the platform say of the fleet.
   void TakeUpdate(wire::fleet::WatchUpdate* update);
   void TakeConfig(const std::string& document);
-  void TakeServers(std::vector<BackendServer> servers, TimePoint read);
+  void TakeServers(std::vector<BackendServer> servers,
+                   size_t unusable,
+                   TimePoint read);
+  void NoteUnusable(size_t unusable);
   void ReadStaleList(TimePoint now);
   void Reload();
 
@@ -90,6 +93,7 @@
   HttpListener metrics_listener_;
   TimePoint next_list_read_;
   bool list_is_stale_ = false;
+  size_t unusable_servers_ = 0;
   bool stopping_ = false;
   bool accepting_ = true;
   TimePoint stop_began_;
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -11,6 +11,7 @@
 
 #include "citronlane/base/time.h"
 #include "citronlane/fleet/pool_assignment.h"
+#include "citronlane/fleet/server_starts.h"
 #include "citronlane/serving/backend_server.h"
 #include "citronlane/serving/serving_config.h"
 
@@ -29,7 +30,8 @@
   /// Takes a configuration of a higher version than the one held. Returns
   /// whether it did.
   bool SetConfig(std::shared_ptr<const ServingConfig> config);
-  /// Takes a list that was read at `read`, unless a newer one is held.
+  /// Takes a list that was read at `read`, unless a newer one is held. Of each
+  /// server the latest start counts.
   void SetServers(std::vector<BackendServer> servers, TimePoint read);
   /// The list held was read again at `read` and is the same.
   void ConfirmServers(TimePoint read);
@@ -42,6 +44,7 @@
   /// Servers of a service, leaving ones included.
   std::vector<const BackendServer*> ServersOf(std::string_view service) const;
   const BackendServer* FindServer(std::string_view id) const;
+  const ServerStarts& starts() const { return starts_; }
   /// Failure domain of the server at "IP:port"; empty when there is none.
   std::string DomainAt(std::string_view address) const;
   /// Rises with each change of the list.
@@ -58,6 +61,7 @@
  private:
   std::shared_ptr<const ServingConfig> config_;
   std::vector<BackendServer> servers_;
+  ServerStarts starts_;
   std::map<std::string, size_t, std::less<>> by_id_;
   std::map<std::string, size_t, std::less<>> by_address_;
   std::optional<TimePoint> servers_read_;
--- a/include/citronlane/serving/server_call_head.h
+++ b/include/citronlane/serving/server_call_head.h
@@ -13,8 +13,9 @@
 /// What a gateway tells a backend server beyond what the caller sent.
 struct ServerCallHead {
   Duration time_left_{};
-  /// The server that is meant: whoever else has its address refuses.
-  std::string server_id_;
+  /// The server that is meant, by its own name: whoever else has its address
+  /// refuses.
+  std::string server_name_;
   /// Empty when the configuration has no accounts.
   std::string account_;
   /// 0 (first) to 9; engines admit the more urgent request first.
--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -125,6 +125,7 @@
   };
   struct Server {
     std::string id_;
+    std::string name_;
     std::string address_;
     std::string failure_domain_;
     bool leaving_ = false;
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -261,7 +261,8 @@
       if (std::exchange(list_failing_, false)) {
         log_->Write("control", "server list regained", {});
       }
-      feed_.SetServers(std::move(*servers), SteadyNow());
+      feed_.SetServers(std::move(*servers), list_reader_.unusable(),
+                       SteadyNow());
     } else if (!std::exchange(list_failing_, true)) {
       log_->Write("control", "server list lost", {{"reason", error.message_}});
     }
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -77,10 +77,12 @@
 }
 
 void GatewayFeed::SetServers(std::vector<BackendServer> servers,
+                             size_t unusable,
                              TimePoint now) {
   servers_read_ = now;
-  if (servers != servers_ || servers_number_ == 0) {
+  if (servers != servers_ || unusable != unusable_ || servers_number_ == 0) {
     servers_ = std::move(servers);
+    unusable_ = unusable;
     ++servers_number_;
   }
   PushAll(now);
@@ -148,6 +150,8 @@
       if (watcher->servers_number_ != servers_number_) {
         watcher->servers_number_ = servers_number_;
         EncodeServers(servers_, update->mutable_servers());
+        update->mutable_servers()->set_unusable(
+            static_cast<uint32_t>(unusable_));
       }
       const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
           now - *servers_read_);
--- a/src/net/fleet_codec.cc
+++ b/src/net/fleet_codec.cc
@@ -12,6 +12,8 @@
   for (const BackendServer& server : servers) {
     auto* entry = out->add_servers();
     entry->set_id(server.id_);
+    entry->set_name(server.name_);
+    entry->set_started_ms(server.started_ms_);
     entry->set_service(server.service_);
     entry->set_address(server.address_);
     entry->set_failure_domain(server.failure_domain_);
@@ -25,6 +27,8 @@
   for (const auto& entry : in.servers()) {
     BackendServer server;
     server.id_ = entry.id();
+    server.name_ = entry.name();
+    server.started_ms_ = entry.started_ms();
     server.service_ = entry.service();
     server.address_ = entry.address();
     server.failure_domain_ = entry.failure_domain();
--- a/src/net/server_list_reader.cc
+++ b/src/net/server_list_reader.cc
@@ -38,6 +38,7 @@
   done_ = std::move(done);
   servers_.clear();
   pages_read_ = 0;
+  unusable_read_ = 0;
   ReadPage("");
 }
 
@@ -77,11 +78,13 @@
     servers_.push_back(std::move(server));
   }
   ++pages_read_;
+  unusable_read_ += page->unusable_;
   if (!page->next_.empty() && pages_read_ < kMostPages) {
     ReadPage(page->next_);
     return;
   }
   pages_ = pages_read_;
+  unusable_ = unusable_read_;
   const Done done = std::move(done_);
   done(std::move(servers_), Error{});
 }
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -24,6 +24,7 @@
     return;
   }
   servers_read_ = read;
+  servers = starts_.Latest(std::move(servers), read);
   if (servers == servers_) {
     return;
   }
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -6,6 +6,7 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metric_names.h"
 #include "citronlane/relay/detail/gateway_host_impl.h"
 #include "citronlane/serving/dialect.h"
 #include "fleet.pb.h"
@@ -34,7 +35,8 @@
     const TimePoint read =
         now - std::chrono::milliseconds(update->servers_age_ms() - 1);
     if (update->has_servers()) {
-      TakeServers(DecodeServers(update->servers()), read);
+      TakeServers(DecodeServers(update->servers()),
+                  update->servers().unusable(), read);
     } else {
       view_.ConfirmServers(read);
     }
@@ -69,7 +71,9 @@
 }
 
 void GatewayHost::Impl::TakeServers(std::vector<BackendServer> servers,
+                                    size_t unusable,
                                     TimePoint read) {
+  NoteUnusable(unusable);
   const uint64_t before = view_.servers_number();
   view_.SetServers(std::move(servers), read);
   if (view_.servers_number() == before) {
@@ -77,12 +81,30 @@
   }
   log_->Write(
       "gateway", "server list changed",
-      {{"number", view_.servers_number()}, {"age_ms", SteadyNow() - read}});
+      {{"number", view_.servers_number()},
+       {"age_ms", SteadyNow() - read},
+       {"unusable", static_cast<uint64_t>(unusable)},
+       {"outdated_starts", static_cast<uint64_t>(view_.starts().outdated())},
+       {"clocks_set_back", static_cast<uint64_t>(view_.starts().set_back())}});
   for (const auto& [service, pool] : pools_) {
     pool->Tick(SteadyNow());
   }
 }
 
+// A line and a count when it changes: the list is read twice a second.
+void GatewayHost::Impl::NoteUnusable(size_t unusable) {
+  if (unusable == unusable_servers_) {
+    return;
+  }
+  if (unusable > unusable_servers_) {
+    metrics_.Count(kServerEntriesUnusableTotal, {},
+                   static_cast<double>(unusable - unusable_servers_));
+  }
+  unusable_servers_ = unusable;
+  log_->Write("gateway", "server entries unusable",
+              {{"entries", static_cast<uint64_t>(unusable)}});
+}
+
 // The rate is shared: the more gateways and pages, the longer the pause.
 void GatewayHost::Impl::ReadStaleList(TimePoint now) {
   const auto age = view_.ServersAge(now);
@@ -106,7 +128,7 @@
       [this, now](std::optional<std::vector<BackendServer>> servers,
                   const Error&) {
         if (servers) {
-          TakeServers(std::move(*servers), now);
+          TakeServers(std::move(*servers), list_reader_.unusable(), now);
         }
       });
 }
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -223,7 +223,7 @@
                                request_->target_, job_->deadline_);
   ServerCallHead head;
   head.time_left_ = job_->deadline_ - now;
-  head.server_id_ = id;
+  head.server_name_ = server.name_;
   head.account_ = job_->account_;
   if (service_->engine_) {
     head.urgency_ = Urgency();
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -120,7 +120,7 @@
   StageCallSpec spec = SpecFor(batch.address_, "POST",
                                dialect_->stage_call_path_, batch.deadline_);
   ServerCallHead head;
-  head.server_id_ = batch.server_;
+  head.server_name_ = batch.server_name_;
   head.time_left_ = batch.deadline_ - now;
   spec.headers_ = dialect_->write_call_({}, head);
   spec.headers_.push_back({"Content-Type", "application/json"});
@@ -131,6 +131,8 @@
                {"call", number},
                {"pieces", static_cast<uint64_t>(batch.pieces_.size())},
                {"waiting", static_cast<uint64_t>(batcher_.waiting_pieces())},
+               {"kept_bytes", batch.kept_bytes_},
+               {"room_left", batch.room_left_},
                {"first_request", batch.pieces_.front().request_id_}});
   struct Reply {
     int status_ = 0;
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -45,6 +45,7 @@
     Server server =
         known == servers_.end() ? Server() : std::move(known->second);
     server.id_ = listed->id_;
+    server.name_ = listed->name_;
     server.address_ = listed->address_;
     server.failure_domain_ = listed->failure_domain_;
     server.leaving_ = listed->leaving_;
--- a/src/stages/stage_batcher_calls.cc
+++ b/src/stages/stage_batcher_calls.cc
@@ -177,8 +177,11 @@
     server->waiting_call_ = batch.call_;
   }
   batch.server_ = server->id_;
+  batch.server_name_ = server->name_;
   batch.address_ = server->address_;
   batch.deadline_ = now + kLongestCall;
+  batch.kept_bytes_ = server->held_bytes_;
+  batch.room_left_ = RoomOf(*server);
   calls_.emplace(batch.call_, std::move(call));
   return batch;
 }
--- a/tests/unit-fuzz-platform.cc
+++ b/tests/unit-fuzz-platform.cc
@@ -10,6 +10,7 @@
 #include "platform/config_reader.h"
 #include "platform/headers.h"
 #include "platform/server_calls.h"
+#include "platform/server_list.h"
 #include "platform/settings_reader.h"
 
 namespace citronlane::platform {
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -9,6 +9,7 @@
 #include "platform/dialect.h"
 #include "platform/headers.h"
 #include "platform/server_calls.h"
+#include "platform/server_list.h"
 #include "platform/settings_reader.h"
 
 namespace citronlane::platform {
@@ -208,7 +209,7 @@
     }
     ServerCallHead head;
     head.time_left_ = milliseconds(1234);
-    head.server_id_ = "i-7";
+    head.server_name_ = "i-7";
     head.account_ = "acc";
     head.urgency_ = 3;
     head.inputs_ = {"a:1/x", "b:1/y"};
@@ -279,6 +280,82 @@
   CHECK_FALSE(ReadList("[", &error));
 }
 
+TEST_CASE("platform servers that start again") {
+  Error error;
+  const auto page = ReadList(
+      R"({"instances":[
+           {"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",
+            "id":"i-1","born":1796253885106},
+           {"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",
+            "id":"i-1","born":1796253999000}],"next":null})",
+      &error);
+  REQUIRE(page);
+  REQUIRE(page->servers_.size() == 2);
+  CHECK(page->servers_[0].name_ == "i-1");
+  CHECK(page->servers_[1].name_ == "i-1");
+  CHECK(page->servers_[0].id_ != page->servers_[1].id_);
+  CHECK(page->servers_[0].started_ms_ == 1796253885106);
+}
+
+TEST_CASE("platform server entries of another writer") {
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",)"
+      R"("id":"i-1","slots":8})";
+  const auto read = [&](const std::string& entry) {
+    Error error;
+    return ReadList(R"({"instances":[)" + good + "," + entry + "," +
+                        Replaced(good, "i-1", "i-2") + R"(],"next":"p-2"})",
+                    &error);
+  };
+
+  SECTION("name no server; the others hold") {
+    for (const std::string& entry :
+         {std::string("{}"),
+          std::string("null"),
+          std::string("7"),
+          std::string("[]"),
+          std::string(R"("i-3")"),
+          Replaced(good, "\"i-1\"", "7"),
+          Replaced(good, "\"i-1\"", "\"\""),
+          Replaced(good, "\"id\"", "\"other\""),
+          Replaced(good, "\"address\"", "\"other\""),
+          Replaced(good, "\"10.0.0.9:80\"", "{}"),
+          Replaced(good, "\"service\"", "\"other\""),
+          Replaced(good, "\"s\"", "[\"s\"]"),
+          Replaced(good, "\"zone\"", "\"other\""),
+          Replaced(good, "\"ready\"", "\"starting\""),
+          Replaced(good, "\"ready\"", "true"),
+          Replaced(good, "\"state\"", "\"other\""),
+          Replaced(good, "8}", "\"8\"}"),
+          Replaced(good, "8}", "-1}"),
+          Replaced(good, "8}", "8,\"born\":\"1796253885106\"}"),
+          Replaced(good, "8}", "8,\"born\":17.5}"),
+          Replaced(good, "8}", "8,\"born\":null}")}) {
+      CAPTURE(entry);
+      const auto page = read(entry);
+      REQUIRE(page);
+      REQUIRE(page->servers_.size() == 2);
+      CHECK(page->servers_[0].id_ == "i-1");
+      CHECK(page->servers_[1].id_ == "i-2");
+      CHECK(page->unusable_ == 1);
+      CHECK(page->next_ == "p-2");
+    }
+  }
+  SECTION("whose bytes can't be read, among others that can") {
+    for (const std::string& entry :
+         {Replaced(good, "i-1", "i-\xff\xfe"), Replaced(good, "8}", "8,}"),
+          Replaced(good, "8}", "8,\"slots\":9}"), Replaced(good, "8}", "x}"),
+          std::string("\x80"), std::string("{\"a\":}")}) {
+      CAPTURE(entry);
+      const auto page = read(entry);
+      REQUIRE(page);
+      REQUIRE(page->servers_.size() == 2);
+      CHECK(page->unusable_ == 1);
+      CHECK(page->next_ == "p-2");
+    }
+  }
+}
+
 TEST_CASE("platform stage calls") {
   SECTION("pieces are written as the platform reads them") {
     StagePiece first;
--- a/tests/unit-relay.cc
+++ b/tests/unit-relay.cc
@@ -26,6 +26,7 @@
   for (size_t i = 0; i < count; ++i) {
     BackendServer server;
     server.id_ = "e" + std::to_string(i);
+    server.name_ = server.id_;
     server.service_ = "m";
     server.address_ = "10.0.0." + std::to_string(i) + ":1";
     server.failure_domain_ = std::string(1, static_cast<char>('a' + i % 3));
@@ -242,6 +243,22 @@
     CHECK(view.DomainAt("10.0.0.9:1").empty());
   }
 
+  SECTION("a server that starts again under its name is another one") {
+    auto servers = Engines(2);
+    view.SetServers(servers, now);
+    servers[0].id_ = "e0@7";
+    servers[0].started_ms_ = 7;
+    view.SetServers(servers, now + seconds(1));
+    CHECK(view.FindServer("e0") == nullptr);
+    CHECK(view.FindServer("e0@7")->name_ == "e0");
+    CHECK(view.FindServer("e1") != nullptr);
+    // A list of before arrives late.
+    view.SetServers(Engines(2), now + seconds(2));
+    CHECK(view.FindServer("e0") == nullptr);
+    CHECK(view.FindServer("e0@7") != nullptr);
+    CHECK(view.starts().outdated() == 1);
+  }
+
   SECTION("shares never grow because gateways are out of sight") {
     CHECK(view.GatewayCount() >= 8);
     view.SetGateways(std::vector<FleetView::Gateway>(6));
@@ -251,6 +268,39 @@
   }
 }
 
+TEST_CASE("an engine that starts again has no past") {
+  // All engines serve one hot prompt; its home fails and starts again.
+  EngineRouter router;
+  auto servers = Engines(3);
+  router.Update(Pointers(servers));
+  const TimePoint now{seconds(100)};
+  const std::vector<PromptPart> prompt = {{"hot", 4000}, {"own", 10}};
+  EngineRouter::Call call;
+  call.prompt_ = prompt;
+  const std::string home = *router.Choose(now, call, {});
+  router.OnStart(home, now, call);
+  router.OnFinish(home, now, CallOutcome::kTimeout, false, call);
+  CHECK(*router.Choose(now, call, {}) != home);
+  for (BackendServer& server : servers) {
+    if (server.id_ == home) {
+      server.id_ += "@7";
+      server.started_ms_ = 7;
+    }
+  }
+  router.Update(Pointers(servers));
+  // What the old start was suspended for does not hold for the new one, and an
+  // answer to the old one's call changes nothing.
+  std::vector<std::string> others;
+  for (const BackendServer& server : servers) {
+    if (server.started_ms_ == 0) {
+      others.push_back(server.id_);
+    }
+  }
+  CHECK(*router.Choose(now, call, others) == home + "@7");
+  router.OnFinish(home, now, CallOutcome::kTimeout, false, call);
+  CHECK(router.servers() == 3);
+}
+
 TEST_CASE("forwarded headers") {
   const std::vector<HttpHeader> headers = {
       {"Host", "h"},           {"connection", "X-Hop, close"},
--- a/tests/unit-stages.cc
+++ b/tests/unit-stages.cc
@@ -40,7 +40,8 @@
     for (const auto& [id, domain] : domains) {
       BackendServer server;
       server.id_ = id;
-      server.address_ = id + ":1";
+      server.name_ = id.substr(0, id.find('@'));
+      server.address_ = server.name_ + ":1";
       server.failure_domain_ = domain;
       servers_.push_back(server);
     }
@@ -370,6 +371,29 @@
     CHECK(pool.Start().size() == 1);
   }
 
+  SECTION("a server that starts again has nothing of its former start") {
+    pool.SetServers({{"s1", "a"}});
+    // Room is full, and a call is in hand.
+    for (int i = 0; i < 25; ++i) {
+      pool.Add(8);
+    }
+    const auto made = pool.Start().at(0);
+    pool.Finish(made);
+    const auto lost = pool.Start().at(0);
+    pool.SetServers({{"s1@7", "a"}});
+    const auto next = pool.Start();
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].server_ == "s1@7");
+    CHECK(next[0].server_name_ == "s1");
+    CHECK(next[0].kept_bytes_ == 0);
+    // The call of the former start is lost: it may have run.
+    pool.batcher_.Failed(lost.call_, Failure::kLost, pool.now_);
+    pool.Finish(next[0]);
+    const auto after = pool.Start();
+    REQUIRE(after.size() == 1);
+    CHECK(after[0].server_ == "s1@7");
+  }
+
   SECTION("a call that no server has seen is no try") {
     pool.Add(1);
     for (int i = 0; i < 10; ++i) {
