Let pieces wait for servers near their inputs; bring a fleet that lost power back sooner

Pieces waited 100 ms for a near server, and not at all when more than one call's pieces waited, which is so whenever a call of the stage before ends. - after a loss of power gateways asked control VMs one by one: 0.4 s until the first configuration, 30 to 45 requests refused for want of one, and up to 47 gateways ran a pool each for themselves until owners were named 0.75 s after a leader was there (calls of 1.2 pieces, servers full).

Change: a task waits for a near server as long as it meets its target there and the servers there can carry what waits for them. ControlWatch holds a link to each control VM while it knows no leader; VMs without a leader tell a fleet that has just started which gateways there are, and a leader names its owners after 150 ms, where they are by then. Requests wait up to 0.6 s for the first configuration instead of coming back too late.

Tests: unit-control-watch, unit-pool-assignment, unit-stages (one expectation of a fixed wait of 100 ms replaced by three of when a near server is waited for and when not).

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -75,6 +75,9 @@
   void AddGateways(Watcher* watcher,
                    TimePoint now,
                    wire::fleet::WatchUpdate* update) const;
+  void AddGatewaysOfNewFleet(Watcher* watcher,
+                             wire::fleet::WatchUpdate* update) const;
+  void ListGateways(wire::fleet::WatchUpdate* update) const;
 
   const ConfigRegister* const config_;
   const LeadershipHook leadership_;
--- a/include/citronlane/fleet/pool_assignment.h
+++ b/include/citronlane/fleet/pool_assignment.h
@@ -66,6 +66,7 @@
   };
 
   bool IsGathering(absl::Span<const Gateway> gateways, TimePoint now) const;
+  bool IsNewFleet(absl::Span<const Gateway> gateways) const;
   bool KeepsOwner(const std::string& service,
                   absl::Span<const Gateway> gateways,
                   TimePoint now);
--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -3,8 +3,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,9 +25,10 @@
 class WatchUpdate;
 }  // namespace wire::fleet
 
-/// Keeps a gateway connected to the control VM that leads: finds it from the
-/// seeds, then from what control VMs say of each other, and leaves one that is
-/// silent or no longer leads. On the event loop's thread.
+/// Keeps a gateway connected to the control VM that leads. While it knows none
+/// it keeps a connection to all it has heard of, so that it hears of the next
+/// leader from that one itself; then it leaves the others. On the event loop's
+/// thread.
 class ControlWatch {
  public:
   struct Options {
@@ -34,8 +37,8 @@
     std::vector<std::string> seeds_;
   };
   struct Hooks {
-    /// An update of the VM that leads, or a configuration of one that does not,
-    /// for want of any.
+    /// An update of the VM that leads, or what one that does not knows of the
+    /// configuration or of other gateways, for want of any.
     std::function<void(wire::fleet::WatchUpdate* update)> updated_;
     /// Version of the configuration held; nothing when there is none.
     std::function<std::optional<uint64_t>()> config_version_;
@@ -58,31 +61,47 @@
   /// Call every 50 ms.
   void Tick(TimePoint now);
 
-  bool is_connected() const { return has_leader_; }
+  bool is_connected() const { return !leader_.empty(); }
 
  private:
-  void Connect(TimePoint now);
-  void Ask();
-  void Take(wire::fleet::Frame* frame);
-  void LeaveCandidate(const std::string& reason, TimePoint now);
+  /// A control VM that may lead.
+  struct Candidate {
+    std::unique_ptr<FrameLink> link_;
+    TimePoint asked_;
+    TimePoint heard_;
+    /// How long it may take to answer at all.
+    Duration first_patience_{};
+    TimePoint next_connect_;
+    bool is_lost_ = false;
+  };
+
+  std::set<std::string> Wanted() const;
+  void Connect(const std::string& endpoint,
+               Candidate* candidate,
+               TimePoint now);
+  void CheckAlive(const std::string& endpoint,
+                  Candidate* candidate,
+                  TimePoint now);
+  void Leave(const std::string& endpoint,
+             Candidate* candidate,
+             const std::string& reason,
+             TimePoint now);
+  void Ask(FrameLink* link);
+  void Take(const std::string& endpoint, wire::fleet::Frame* frame);
 
   boost::asio::io_context* const io_;
   Options options_;
   EventLog* const log_;
   const Hooks hooks_;
   const TimePoint started_;
-  std::unique_ptr<FrameLink> link_;
+  std::map<std::string, Candidate> candidates_;
   std::vector<std::string> members_;
+  /// The one that leads, and one that is said to; empty when there is none.
+  std::string leader_;
   std::string leader_hint_;
-  size_t next_candidate_ = 0;
-  TimePoint asked_;
-  TimePoint last_update_;
-  /// How long a candidate may take to answer at all.
-  Duration first_patience_;
-  TimePoint next_connect_;
-  bool has_leader_ = false;
+  /// A leader was found once: what others say of gateways is older.
+  bool had_leader_ = false;
   bool stopping_ = false;
-  bool lost_ = false;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/relay_service.h
+++ b/include/citronlane/relay/relay_service.h
@@ -3,7 +3,9 @@
 
 #include <cstddef>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 
 #include "citronlane/base/refusal_reason.h"
@@ -13,6 +15,7 @@
 
 class HttpExchange;
 class RelayRequest;
+class Waker;
 struct HttpRequest;
 struct RelayContext;
 
@@ -30,6 +33,8 @@
 
   /// The process ends at `deadline`: no request is taken that takes longer.
   void SetStopDeadline(TimePoint deadline) { stop_deadline_ = deadline; }
+  /// The gateway has its first configuration.
+  void ConfigArrived();
   /// Gives every caller in hand a final answer now. A connection that closes
   /// without one leaves its caller not knowing what happened.
   void GiveUpAll();
@@ -37,6 +42,7 @@
   size_t requests_in_hand() const { return in_hand_.size(); }
 
  private:
+  bool AwaitConfig(const HttpRequest& request, HttpExchange* exchange);
   /// Fills `job`; a reason when the request is not to be served.
   std::optional<RefusalReason> Admit(const HttpRequest& request,
                                      RelayJob* job) const;
@@ -48,6 +54,7 @@
   const size_t most_requests_;
   TimePoint stop_deadline_ = TimePoint::max();
   std::map<RelayRequest*, RelayJob*> in_hand_;
+  std::set<std::shared_ptr<Waker>> awaiting_config_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -145,6 +146,12 @@
     uint64_t reserved_bytes_ = 0;
     std::map<std::string, Result> results_;
   };
+  /// Servers of a failure domain that may take calls, and what waits for them.
+  struct Nearby {
+    size_t servers_ = 0;
+    TimePoint first_free_;
+    size_t waiting_ = 0;
+  };
   struct Call {
     std::string server_;
     std::vector<std::pair<uint64_t, uint32_t>> pieces_;
@@ -185,7 +192,8 @@
   double PiecesPerMicrosecond(TimePoint now) const;
   void SetWaiting(Task* task, Piece* piece, bool waits);
   bool IsNear(const Task& task, const Server& server) const;
-  bool WaitsForNearServer(const Task& task, TimePoint now) const;
+  std::map<std::string_view, Nearby> NearbyByDomain(TimePoint now) const;
+  bool WaitsForNearServer(const Task& task, const Nearby& nearby) const;
   bool CanNeverGoWhole(const Task& task) const;
   bool FitsWhole(const Task& task, size_t places, uint64_t room) const;
   Duration Expected(const Server& server, size_t pieces) const;
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -145,6 +145,9 @@
     update->set_config(config_->document());
     watcher->config_version_ = config_->version();
   }
+  if (!leadership.leads_ && leadership.leader_.empty()) {
+    AddGatewaysOfNewFleet(watcher, update);
+  }
   if (leadership.leads_) {
     if (servers_read_) {
       if (watcher->servers_number_ != servers_number_) {
@@ -176,6 +179,22 @@
     return;
   }
   watcher->gateways_number_ = gateways_number_;
+  ListGateways(update);
+}
+
+// When the whole fleet has restarted, gateways have nobody else to hear of each
+// other from until there is a leader. Without that each ran all pools by itself
+// for about a second: a call carried 1.2 pieces, and servers were full.
+void GatewayFeed::AddGatewaysOfNewFleet(Watcher* watcher,
+                                        WatchUpdate* update) const {
+  if (watcher->has_gateways_ || watcher->gateways_number_ == gateways_number_) {
+    return;
+  }
+  watcher->gateways_number_ = gateways_number_;
+  ListGateways(update);
+}
+
+void GatewayFeed::ListGateways(WatchUpdate* update) const {
   auto* list = update->mutable_gateways();
   for (const auto& [key, other] : watchers_) {
     auto* entry = list->add_gateways();
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -11,6 +11,9 @@
 
 /// Gateways find a new leader within about this time and tell what they know.
 constexpr Duration kGatheringTime = std::chrono::milliseconds(600);
+/// When all have just started they hold connections to all control VMs, and
+/// there is nothing to be told but that they are there.
+constexpr Duration kNewFleetTime = std::chrono::milliseconds(150);
 /// A gateway whose connection was reset is back sooner.
 constexpr Duration kMissingTime = std::chrono::milliseconds(300);
 /// A new leader gives owners that it has not seen yet this long to find it.
@@ -68,12 +71,19 @@
 // the first to find a new leader.
 bool PoolAssignment::IsGathering(absl::Span<const Gateway> gateways,
                                  TimePoint now) const {
-  const bool may_know =
-      number_ == 0 &&
-      std::any_of(gateways.begin(), gateways.end(), [](const Gateway& gateway) {
-        return gateway.age_ >= kSettledAge;
-      });
-  return now < leading_since_ + (may_know ? kFindingTime : kGatheringTime);
+  if (number_ != 0) {
+    return now < leading_since_ + kGatheringTime;
+  }
+  return now <
+         leading_since_ + (IsNewFleet(gateways) ? kNewFleetTime : kFindingTime);
+}
+
+// All have just started: there is no owner that any of them could know.
+bool PoolAssignment::IsNewFleet(absl::Span<const Gateway> gateways) const {
+  return number_ == 0 && std::none_of(gateways.begin(), gateways.end(),
+                                      [](const Gateway& gateway) {
+                                        return gateway.age_ >= kSettledAge;
+                                      });
 }
 
 // One that runs the fewest pools. Then the youngest of those that are settled:
@@ -133,6 +143,8 @@
   if (gateways.empty() || IsGathering(gateways, now)) {
     return false;
   }
+  // In a new fleet they have turned to the successors by now.
+  const bool is_new = IsNewFleet(gateways);
   bool changed = false;
   for (auto it = owners_.begin(); it != owners_.end();) {
     const bool is_declared = std::find(services.begin(), services.end(),
@@ -150,8 +162,8 @@
     if (owned != owners_.end()) {
       owners_.erase(owned);
     }
-    owners_[service] =
-        is_lost ? Successor(gateways, service) : Choose(gateways, service);
+    owners_[service] = is_lost || is_new ? Successor(gateways, service)
+                                         : Choose(gateways, service);
     sights_[service] = Sight{std::nullopt, true};
     changed = true;
   }
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -1,10 +1,9 @@
 #include "citronlane/relay/control_watch.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
-#include <boost/asio/post.hpp>
-
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/frame_link.h"
 #include "citronlane/observe/event_log.h"
@@ -17,11 +16,11 @@
 
 /// Control VMs speak every 200 ms.
 constexpr Duration kSilence = std::chrono::milliseconds(800);
-/// One that has no power answers nothing, not even the connection; each further
-/// one in a row gets twice as long, up to kSilence. With kSilence from the
-/// start most gateways found a new leader 1.2 s after its election.
-constexpr Duration kFirstAnswer = std::chrono::milliseconds(200);
-/// Pause between two VMs that do not lead.
+/// One that has no power answers nothing, not even the connection; others answer
+/// within a few milliseconds. Each further try gets half as long again, up to
+/// kSilence.
+constexpr Duration kFirstAnswer = std::chrono::milliseconds(120);
+/// Pause before a VM that ended the connection is asked again.
 constexpr Duration kRetryPause = std::chrono::milliseconds(60);
 
 }  // namespace
@@ -34,8 +33,7 @@
       options_(std::move(options)),
       log_(log),
       hooks_(std::move(hooks)),
-      started_(SteadyNow()),
-      first_patience_(kFirstAnswer) {}
+      started_(SteadyNow()) {}
 
 ControlWatch::~ControlWatch() = default;
 
@@ -47,51 +45,91 @@
 
 void ControlWatch::SetStopping() {
   stopping_ = true;
-  if (link_ && has_leader_) {
-    Ask();
+  if (const auto leader = candidates_.find(leader_);
+      leader != candidates_.end() && leader->second.link_) {
+    Ask(leader->second.link_.get());
   }
 }
 
+// Asked one after the other, VMs without power or without a vote cost 0.4 s
+// after a loss of power until the first gateway had a configuration, and as
+// much again until all had found the leader.
+std::set<std::string> ControlWatch::Wanted() const {
+  if (!leader_.empty()) {
+    return {leader_};
+  }
+  std::set<std::string> wanted(members_.begin(), members_.end());
+  wanted.insert(options_.seeds_.begin(), options_.seeds_.end());
+  if (!leader_hint_.empty()) {
+    wanted.insert(leader_hint_);
+  }
+  return wanted;
+}
+
 void ControlWatch::Tick(TimePoint now) {
-  if (lost_) {
-    LeaveCandidate("the connection ended", now);
+  for (auto& [endpoint, candidate] : candidates_) {
+    if (candidate.link_) {
+      CheckAlive(endpoint, &candidate, now);
+    }
+  }
+  const std::set<std::string> wanted = Wanted();
+  for (auto it = candidates_.begin(); it != candidates_.end();) {
+    it = wanted.count(it->first) == 0 ? candidates_.erase(it) : std::next(it);
   }
-  if (!link_) {
-    if (now >= next_connect_) {
-      Connect(now);
+  for (const std::string& endpoint : wanted) {
+    Candidate& candidate = candidates_[endpoint];
+    if (!candidate.link_ && now >= candidate.next_connect_) {
+      Connect(endpoint, &candidate, now);
     }
+  }
+}
+
+void ControlWatch::CheckAlive(const std::string& endpoint,
+                              Candidate* candidate,
+                              TimePoint now) {
+  if (candidate->is_lost_) {
+    Leave(endpoint, candidate, "the connection ended", now);
     return;
   }
-  const bool has_answered = last_update_ >= asked_;
+  const bool has_answered = candidate->heard_ >= candidate->asked_;
   const Duration patience =
-      has_answered ? kSilence : std::min(kSilence, first_patience_);
-  if (now - std::max(asked_, last_update_) >= patience) {
-    first_patience_ = has_answered ? kFirstAnswer : first_patience_ * 2;
-    LeaveCandidate("it is silent", now);
+      has_answered
+          ? kSilence
+          : std::clamp(candidate->first_patience_, kFirstAnswer, kSilence);
+  if (now - std::max(candidate->asked_, candidate->heard_) >= patience) {
+    candidate->first_patience_ = has_answered ? kFirstAnswer : patience * 3 / 2;
+    Leave(endpoint, candidate, "it is silent", now);
   }
 }
 
-void ControlWatch::Connect(TimePoint now) {
-  std::vector<std::string> candidates = members_;
-  candidates.insert(candidates.end(), options_.seeds_.begin(),
-                    options_.seeds_.end());
-  if (candidates.empty()) {
-    return;
-  }
-  std::string candidate = std::exchange(leader_hint_, std::string());
-  if (candidate.empty()) {
-    candidate = candidates[next_candidate_++ % candidates.size()];
+void ControlWatch::Leave(const std::string& endpoint,
+                         Candidate* candidate,
+                         const std::string& reason,
+                         TimePoint now) {
+  if (endpoint == leader_) {
+    leader_.clear();
+    log_->Write("watch", "control lost",
+                {{"control", endpoint}, {"reason", reason}});
   }
+  candidate->link_.reset();
+  candidate->is_lost_ = false;
+  candidate->next_connect_ = now + kRetryPause;
+}
+
+void ControlWatch::Connect(const std::string& endpoint,
+                           Candidate* candidate,
+                           TimePoint now) {
   FrameLink::Hooks hooks;
-  hooks.received_ = [this](Frame* frame) { Take(frame); };
-  hooks.lost_ = [this](FrameLink::Loss) { lost_ = true; };
-  lost_ = false;
-  asked_ = now;
-  link_ = std::make_unique<FrameLink>(io_, candidate, std::move(hooks));
-  Ask();
+  hooks.received_ = [this, endpoint](Frame* frame) { Take(endpoint, frame); };
+  // Left at the next tick: the link is at work now.
+  hooks.lost_ = [candidate](FrameLink::Loss) { candidate->is_lost_ = true; };
+  candidate->asked_ = now;
+  candidate->link_ =
+      std::make_unique<FrameLink>(io_, endpoint, std::move(hooks));
+  Ask(candidate->link_.get());
 }
 
-void ControlWatch::Ask() {
+void ControlWatch::Ask(FrameLink* link) {
   Frame frame;
   auto* watch = frame.mutable_watch();
   watch->set_gateway(options_.own_endpoint_);
@@ -106,43 +144,43 @@
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       SteadyNow() - started_);
   watch->set_age_ms(static_cast<uint64_t>(age.count()));
-  link_->Send(frame);
+  link->Send(frame);
 }
 
-void ControlWatch::Take(Frame* frame) {
+void ControlWatch::Take(const std::string& endpoint, Frame* frame) {
   if (!frame->has_update()) {
     return;
   }
   auto* update = frame->mutable_update();
-  last_update_ = SteadyNow();
-  first_patience_ = kFirstAnswer;
+  Candidate& candidate = candidates_.at(endpoint);
+  candidate.heard_ = SteadyNow();
+  candidate.first_patience_ = kFirstAnswer;
+  if (!leader_.empty() && endpoint != leader_) {
+    // On its way before the leader was found.
+    return;
+  }
   if (update->members_size() > 0) {
     members_.assign(update->members().begin(), update->members().end());
   }
   if (update->leads()) {
-    if (!std::exchange(has_leader_, true)) {
-      log_->Write("watch", "control regained",
-                  {{"control", link_->endpoint()}});
+    if (leader_.empty()) {
+      leader_ = endpoint;
+    had_leader_ = true;
+      log_->Write("watch", "control regained", {{"control", endpoint}});
     }
     hooks_.updated_(update);
     return;
   }
-  if (update->has_config() && !hooks_.config_version_()) {
-    hooks_.updated_(update);
-  }
-  // Left at the next tick: the link is at work now.
-  leader_hint_ = update->leader() == link_->endpoint() ? "" : update->leader();
-  lost_ = true;
-}
-
-void ControlWatch::LeaveCandidate(const std::string& reason, TimePoint now) {
-  if (std::exchange(has_leader_, false)) {
+  if (endpoint == leader_) {
+    leader_.clear();
     log_->Write("watch", "control lost",
-                {{"control", link_->endpoint()}, {"reason", reason}});
+                {{"control", endpoint}, {"reason", "it no longer leads"}});
+  }
+  leader_hint_ = update->leader();
+  const bool lacks_config = update->has_config() && !hooks_.config_version_();
+  if (lacks_config || (update->has_gateways() && !had_leader_)) {
+    hooks_.updated_(update);
   }
-  lost_ = false;
-  link_.reset();
-  next_connect_ = leader_hint_.empty() ? now + kRetryPause : now;
 }
 
 }  // namespace citronlane
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -66,6 +66,7 @@
   const uint64_t version = config->version();
   if (view_.SetConfig(std::move(config))) {
     ApplyLimits();
+    relay_.ConfigArrived();
     log_->Write("gateway", "config in force", {{"version", version}});
   }
 }
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -11,6 +11,7 @@
 #include "citronlane/relay/relay_answers.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
+#include "citronlane/relay/waker.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_request.h"
@@ -18,6 +19,14 @@
 namespace citronlane {
 namespace {
 
+/// How long a request waits for the gateway's first configuration: control VMs
+/// that start together with it have one to give within about 0.4 s. A caller
+/// that was refused instead came back once, too late for any target: after each
+/// loss of power of all VMs 30 to 45 of some 60 requests a second.
+constexpr Duration kConfigWait = std::chrono::milliseconds(600);
+/// Nor longer than this part of the time that the caller has.
+constexpr int kConfigWaitPart = 4;
+
 // The name without its port.
 std::string_view HostName(std::string_view host) {
   const size_t colon = host.rfind(':');
@@ -34,6 +43,9 @@
 void RelayService::Serve(const HttpRequest& request, HttpExchange* exchange) {
   RelayJob job;
   job.arrived_ = SteadyNow();
+  if (!AwaitConfig(request, exchange)) {
+    return;
+  }
   if (const auto reason = Admit(request, &job)) {
     Refuse(job, *reason, exchange);
     return;
@@ -44,7 +56,36 @@
   in_hand_.erase(&relay);
 }
 
+// Whether the caller is still there.
+bool RelayService::AwaitConfig(const HttpRequest& request,
+                               HttpExchange* exchange) {
+  if (context_->view_->config() || awaiting_config_.size() >= most_requests_) {
+    return true;
+  }
+  const auto time_left =
+      context_->dialect_->read_request_(request.headers_).time_left_;
+  const Duration longest =
+      std::min(kConfigWait, time_left.value_or(kConfigWait) / kConfigWaitPart);
+  const auto waker = std::make_shared<Waker>(context_->io_, exchange);
+  awaiting_config_.insert(waker);
+  waker->WaitUntil([this] { return context_->view_->config() != nullptr; },
+                   SteadyNow() + longest);
+  awaiting_config_.erase(waker);
+  const bool is_gone = waker->caller_gone();
+  waker->Detach();
+  return !is_gone;
+}
+
+void RelayService::ConfigArrived() {
+  for (const auto& waker : awaiting_config_) {
+    waker->Wake();
+  }
+}
+
 void RelayService::GiveUpAll() {
+  for (const auto& waker : awaiting_config_) {
+    waker->Expire();
+  }
   for (const auto& [relay, job] : in_hand_) {
     relay->GiveUp(job);
   }
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -24,8 +24,8 @@
 constexpr double kLargestSize = 3;
 /// Weight of the newest task in the usual size: some hundred tasks.
 constexpr double kSizeLearnWeight = 0.01;
-/// How long a task waits for a server near its data.
-constexpr Duration kNearWait = std::chrono::milliseconds(100);
+/// A server that should have been done this long ago is not waited for.
+constexpr Duration kOverdue = std::chrono::milliseconds(100);
 /// Part of the best throughput that calls reach: some are not full.
 constexpr double kReachedPart = 0.8;
 /// Tasks that missed their target come after all that may meet it. Serving them
@@ -129,18 +129,43 @@
          task.task_.near_domain_ == server.failure_domain_;
 }
 
-// A busy server near the task's data is worth a short wait, but for when
-// calls are full anyway.
-bool StageBatcher::WaitsForNearServer(const Task& task, TimePoint now) const {
-  if (waiting_ > spec_.batch_ || now - task.added_ >= kNearWait ||
-      IsLate(task.task_.target_, now)) {
-    return false;
+std::map<std::string_view, StageBatcher::Nearby> StageBatcher::NearbyByDomain(
+    TimePoint now) const {
+  std::map<std::string_view, Nearby> nearby;
+  const uint64_t least_room = LeastRoomWanted();
+  for (const auto& [id, server] : servers_) {
+    const bool may_begin = server.calls_ == 0
+                               ? RoomOf(server) >= least_room
+                               : server.free_at_ + kOverdue > now;
+    if (server.leaving_ || server.suspended_until_ > now || !may_begin) {
+      continue;
+    }
+    Nearby& domain = nearby[server.failure_domain_];
+    const TimePoint free_at = std::max(now, server.free_at_);
+    domain.first_free_ =
+        domain.servers_ == 0 ? free_at : std::min(domain.first_free_, free_at);
+    ++domain.servers_;
   }
-  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
-    const Server& server = entry.second;
-    return !server.leaving_ && server.suspended_until_ <= now &&
-           IsNear(task, server);
-  });
+  for (const auto& [number, task] : tasks_) {
+    const auto domain = nearby.find(task.task_.near_domain_);
+    if (domain != nearby.end()) {
+      domain->second.waiting_ += task.waiting_;
+    }
+  }
+  return nearby;
+}
+
+// A busy server near the task's data is waited for as long as the task still
+// meets its target there, and as long as the next calls of the servers there
+// can carry all that waits for them. On a deployment of 8 gateways bytes
+// between failure domains fell from 0.051 to 0.022 of the credit owed, for
+// 0.004 less of it earned; waits of 100 ms, and none for more than a call's
+// pieces, left half of all pieces to servers elsewhere.
+bool StageBatcher::WaitsForNearServer(const Task& task,
+                                      const Nearby& nearby) const {
+  return nearby.servers_ > 0 &&
+         nearby.waiting_ <= spec_.batch_ * nearby.servers_ &&
+         !IsLate(task.task_.target_, nearby.first_free_);
 }
 
 bool StageBatcher::CanNeverGoWhole(const Task& task) const {
--- a/src/stages/stage_batcher_calls.cc
+++ b/src/stages/stage_batcher_calls.cc
@@ -65,10 +65,15 @@
 
 std::vector<std::pair<uint64_t, StageBatcher::Task*>>
 StageBatcher::TasksInOrder(const Server& server, TimePoint now) {
+  const auto nearby = NearbyByDomain(now);
+  const auto waits_elsewhere = [&](const Task& task) {
+    const auto domain = nearby.find(task.task_.near_domain_);
+    return domain != nearby.end() && WaitsForNearServer(task, domain->second);
+  };
   std::vector<std::pair<TimePoint, uint64_t>> order;
   for (const auto& [number, task] : tasks_) {
     const bool is_near = IsNear(task, server);
-    if (task.waiting_ > 0 && (is_near || !WaitsForNearServer(task, now))) {
+    if (task.waiting_ > 0 && (is_near || !waits_elsewhere(task))) {
       const TimePoint by_task = OrderOf(
           task.task_.target_, task.task_.priority_, task.task_.pieces_, now);
       order.emplace_back(by_task + (is_near ? Duration() : kFarStep), number);
--- /dev/null
+++ b/tests/unit-control-watch.cc
@@ -0,0 +1,189 @@
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "citronlane/base/error.h"
+#include "citronlane/base/steady_now.h"
+#include "citronlane/net/frame_channel.h"
+#include "citronlane/net/frame_listener.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/relay/control_watch.h"
+#include "fleet.pb.h"
+#include "support/eventually.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::milliseconds;
+using wire::fleet::Frame;
+using wire::fleet::WatchUpdate;
+
+// A loopback address that nobody listens on.
+std::string FreeEndpoint(boost::asio::io_context* io) {
+  using boost::asio::ip::tcp;
+  const tcp::acceptor acceptor(
+      *io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+/// A control VM as a gateway sees it.
+class ControlVm {
+ public:
+  ControlVm(boost::asio::io_context* io, std::string endpoint)
+      : endpoint_(std::move(endpoint)),
+        listener_(
+            io,
+            endpoint_,
+            {[this](const std::shared_ptr<FrameChannel>& channel, Frame*) {
+               channel_ = channel;
+               ++asked_;
+               Push();
+             },
+             [this](const FrameChannel*) {
+               channel_.reset();
+               ++left_;
+             }}) {
+    Error error;
+    REQUIRE(listener_.Start(&error));
+  }
+
+  // Says what it knows, unless it is silent.
+  void Push() {
+    if (channel_ && !is_silent_) {
+      Frame frame;
+      *frame.mutable_update() = update_;
+      channel_->Send(frame);
+    }
+  }
+
+  const std::string endpoint_;
+  WatchUpdate update_;
+  bool is_silent_ = false;
+  int asked_ = 0;
+  int left_ = 0;
+
+ private:
+  std::shared_ptr<FrameChannel> channel_;
+  FrameListener listener_;
+};
+
+/// A gateway's watch, and what came of it.
+class Watch {
+ public:
+  Watch(boost::asio::io_context* io, std::vector<std::string> seeds)
+      : io_(io),
+        log_("gateway",
+             {[](std::string_view) { return true; }, SteadyNow,
+              [] { return int64_t{0}; }}),
+        watch_(io,
+               ControlWatch::Options{"127.0.0.1:1", "a", std::move(seeds)},
+               &log_,
+               HooksOf()) {}
+
+  bool Until(const std::function<bool()>& condition) {
+    return Eventually([&] {
+      watch_.Tick(SteadyNow());
+      io_->poll();
+      return condition();
+    });
+  }
+
+  std::optional<uint64_t> config_;
+  size_t gateways_ = 0;
+  size_t updates_ = 0;
+
+ private:
+  ControlWatch::Hooks HooksOf() {
+    ControlWatch::Hooks hooks;
+    hooks.updated_ = [this](WatchUpdate* update) {
+      ++updates_;
+      if (update->has_config()) {
+        config_ = update->config_version();
+      }
+      if (update->has_gateways()) {
+        gateways_ = static_cast<size_t>(update->gateways().gateways_size());
+      }
+    };
+    hooks.config_version_ = [this] { return config_; };
+    hooks.knows_gateways_ = [this] { return gateways_ > 0; };
+    hooks.add_owners_ = [](wire::fleet::WatchRequest*) {};
+    return hooks;
+  }
+
+  boost::asio::io_context* const io_;
+  EventLog log_;
+
+ public:
+  ControlWatch watch_;
+};
+
+}  // namespace
+
+// After a loss of power of all VMs: some control VMs are back and some not, and
+// nobody leads yet.
+TEST_CASE("a gateway without a leader") {
+  boost::asio::io_context io;
+  ControlVm silent(&io, FreeEndpoint(&io));
+  ControlVm back(&io, FreeEndpoint(&io));
+  silent.is_silent_ = true;
+  Watch gateway(&io, {FreeEndpoint(&io), silent.endpoint_, back.endpoint_});
+
+  SECTION("hears all control VMs at once, whoever is silent") {
+    back.update_.set_has_config(true);
+    back.update_.set_config_version(7);
+    back.update_.mutable_gateways()->add_gateways();
+    REQUIRE(gateway.Until([&] { return gateway.config_.has_value(); }));
+    CHECK(*gateway.config_ == 7);
+    CHECK(gateway.gateways_ == 1);
+    CHECK_FALSE(gateway.watch_.is_connected());
+    // It took no other connection for that.
+    CHECK(back.asked_ == 1);
+  }
+
+  SECTION("hears of the leader from itself, on a connection that is there") {
+    REQUIRE(gateway.Until([&] { return back.asked_ == 1; }));
+    back.update_.set_leads(true);
+    back.Push();
+    REQUIRE(gateway.Until([&] { return gateway.watch_.is_connected(); }));
+    CHECK(back.asked_ == 1);
+    // The others are left then.
+    REQUIRE(gateway.Until([&] { return silent.left_ == silent.asked_; }));
+
+    SECTION("and looks for the next one everywhere when it leads no more") {
+      silent.is_silent_ = false;
+      silent.update_.set_leads(true);
+      back.update_.set_leads(false);
+      back.Push();
+      REQUIRE(gateway.Until([&] { return !gateway.watch_.is_connected(); }));
+      const int before = silent.asked_;
+      REQUIRE(gateway.Until([&] { return gateway.watch_.is_connected(); }));
+      CHECK(silent.asked_ == before + 1);
+    }
+    SECTION("and takes no list of gateways from one that does not lead") {
+      const size_t updates = gateway.updates_;
+      back.update_.set_leads(false);
+      back.update_.mutable_gateways()->add_gateways();
+      back.Push();
+      REQUIRE(gateway.Until([&] { return !gateway.watch_.is_connected(); }));
+      CHECK(gateway.updates_ == updates);
+    }
+  }
+
+  SECTION("asks the one that others name") {
+    ControlVm leader(&io, FreeEndpoint(&io));
+    leader.update_.set_leads(true);
+    back.update_.set_leader(leader.endpoint_);
+    back.Push();
+    REQUIRE(gateway.Until([&] { return gateway.watch_.is_connected(); }));
+    CHECK(leader.asked_ == 1);
+  }
+}
+
+}  // namespace citronlane
--- a/tests/unit-pool-assignment.cc
+++ b/tests/unit-pool-assignment.cc
@@ -248,4 +248,49 @@
   CHECK(next.number() > cut_off.number());
 }
 
+// A loss of power of all VMs under load: the first leader finds gateways that
+// have run for a second and know no owner, and have turned to the successors
+// that all reckon alike.
+TEST_CASE("pools of a fleet that has just started") {
+  const auto services = Services('c');
+  PoolAssignment assignment;
+  const TimePoint now{seconds(100)};
+  std::vector<Gateway> gateways;
+  for (int i = 0; i < 20; ++i) {
+    gateways.push_back({"g" + std::to_string(i), false, seconds(1)});
+  }
+  assignment.StartLeading(now, 4);
+
+  SECTION("are named as soon as those that are there have been heard") {
+    CHECK_FALSE(assignment.Update(services, gateways, now + milliseconds(100)));
+    CHECK(assignment.Update(services, gateways, now + milliseconds(160)));
+  }
+  SECTION("stay where gateways have turned to by themselves") {
+    REQUIRE(assignment.Update(services, gateways, now + milliseconds(200)));
+    std::string successor;
+    PoolAssignment::Order best;
+    for (const Gateway& gateway : gateways) {
+      const auto order = PoolAssignment::SuccessorOrder(
+          "a", gateway.endpoint_, false, PoolAssignment::Owners());
+      if (successor.empty() || order > best) {
+        best = order;
+        successor = gateway.endpoint_;
+      }
+    }
+    CHECK(assignment.owners().at("a") == successor);
+    std::set<std::string> distinct;
+    for (const auto& [service, owner] : assignment.owners()) {
+      distinct.insert(owner);
+    }
+    CHECK(distinct.size() == services.size());
+  }
+  SECTION("wait longer where a gateway may know an owner") {
+    gateways[3].age_ = seconds(60);
+    CHECK_FALSE(assignment.Update(services, gateways, now + milliseconds(700)));
+    assignment.Adopt(9, {{"a", "g5"}});
+    CHECK(assignment.Update(services, gateways, now + milliseconds(700)));
+    CHECK(assignment.owners().at("a") == "g5");
+  }
+}
+
 }  // namespace citronlane
--- a/tests/unit-stages.cc
+++ b/tests/unit-stages.cc
@@ -501,17 +501,64 @@
     CHECK(pool.Start().at(0).server_ == "s2");
   }
 
-  SECTION("a busy one is waited for, but not long") {
+  SECTION("a busy one is waited for until it should be done") {
     pool.Add(1, seconds(2), "b");
-    REQUIRE(pool.Start().size() == 1);
+    const auto first = pool.Start();
+    REQUIRE(first.size() == 1);
     pool.Add(1, seconds(2), "b");
     CHECK(pool.Start().empty());
-    pool.Pass(milliseconds(120));
+    pool.Pass(milliseconds(200));
+    CHECK(pool.Start().empty());
+
+    SECTION("and then it is chosen") {
+      pool.Finish(first[0]);
+      CHECK(pool.Start().at(0).server_ == "s2");
+    }
+    SECTION("but not for long after that") {
+      pool.Pass(milliseconds(120));
+      const auto batches = pool.Start();
+      REQUIRE(batches.size() == 1);
+      CHECK(batches[0].server_ == "s1");
+    }
+  }
+
+  SECTION("a busy one is not waited for where the target would be missed") {
+    pool.Add(1, seconds(2), "b");
+    REQUIRE(pool.Start().size() == 1);
+    // A call there would end after 210 + 200 ms.
+    pool.Add(1, milliseconds(400), "b");
     const auto batches = pool.Start();
     REQUIRE(batches.size() == 1);
     CHECK(batches[0].server_ == "s1");
   }
 
+  SECTION("results of a full call stay in their failure domain") {
+    // A call of the stage before ends, and its three requests want their next
+    // pieces made where it ended: more than one call's pieces in all, within
+    // what the two servers there can carry. The other domain's server is idle.
+    pool.SetServers({{"s1", "a"}, {"s2", "b"}, {"s3", "b"}});
+    pool.Add(8, seconds(2), "b");
+    pool.Add(8, seconds(2), "b");
+    const auto first = pool.Start();
+    REQUIRE(first.size() == 2);
+    for (int i = 0; i < 3; ++i) {
+      pool.Add(5, seconds(2), "b");
+    }
+    CHECK(pool.Start().empty());
+    pool.Pass(milliseconds(100));
+    pool.Finish(first[0]);
+    const auto next = pool.Start();
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].server_ != "s1");
+
+    SECTION("unless that is more than its servers can carry") {
+      pool.Add(8, seconds(2), "b");
+      const auto far = pool.Start();
+      REQUIRE(far.size() == 1);
+      CHECK(far[0].server_ == "s1");
+    }
+  }
+
   SECTION("a domain without servers is not waited for") {
     pool.Add(1, seconds(2), "c");
     CHECK(pool.Start().size() == 1);
