Keep inputs while another gateway's calls may stand at a server

Cause: who takes a pool over freed a stage's inputs 60 ms after its first calls were sent.

Change: a server's first call after a pool changed hands, and the next one after a refused call, keep their inputs until they are done.

Tests: unit-stages (failed before), and unit-relay-service for requests that wait for the first configuration.

--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -51,8 +51,8 @@
 
   /// Another gateway may have run the pool until now: half of the room of a
   /// server that has none counts as taken until the results that it left have
-  /// expired.
-  void TakeOver(TimePoint now) { taken_over_ = now; }
+  /// expired, and a server's first call may wait for those of the other.
+  void TakeOver(TimePoint now);
 
   /// Returns the task's number.
   uint64_t Add(StageTask task, TimePoint now);
@@ -138,6 +138,8 @@
     /// Time of calls against what the declaration says, learned.
     double slowness_ = 1;
     TimePoint suspended_until_;
+    /// Calls of another gateway may stand before the next one there.
+    bool may_be_busy_ = false;
     /// Half of its room was taken for what another gateway left.
     bool has_left_results_ = false;
     int failures_in_row_ = 0;
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -61,6 +61,13 @@
   servers_ = std::move(next);
 }
 
+void StageBatcher::TakeOver(TimePoint now) {
+  taken_over_ = now;
+  for (auto& [id, server] : servers_) {
+    server.may_be_busy_ = true;
+  }
+}
+
 uint64_t StageBatcher::Add(StageTask task, TimePoint now) {
   const uint64_t number = ++last_number_;
   Task& added = tasks_[number];
--- a/src/stages/stage_batcher_calls.cc
+++ b/src/stages/stage_batcher_calls.cc
@@ -159,7 +159,10 @@
   Call call;
   StageBatch batch;
   // A server that is at work begins with it later, and fetches inputs then.
+  // When another gateway's calls stood there and inputs were freed by the time
+  // that the call should have begun, whole calls found them gone.
   call.waits_ = server->calls_ > 0;
+  const bool may_wait = call.waits_ || server->may_be_busy_;
   for (const auto& [number, index, task] : chosen) {
     Piece& piece = task->pieces_[index];
     call.reserved_bytes_ += task->task_.result_bytes_;
@@ -168,7 +171,7 @@
     SetWaiting(task, &piece, false);
     ++piece.tries_;
     ++piece.in_calls_;
-    task->last_begun_ = call.waits_ ? now + kLongestCall : now;
+    task->last_begun_ = may_wait ? now + kLongestCall : now;
   }
   call.server_ = server->id_;
   call.begun_ = now;
--- a/src/stages/stage_batcher_results.cc
+++ b/src/stages/stage_batcher_results.cc
@@ -72,6 +72,7 @@
   Server* server = ReleaseCall(number, call, now);
   if (server != nullptr) {
     server->failures_in_row_ = 0;
+    server->may_be_busy_ = false;
     const auto took = static_cast<double>((now - call.begun_).count());
     const double usual = static_cast<double>(call.expected_.count()) /
                          std::max(call.slowness_, kLeastSlowness);
@@ -233,6 +234,7 @@
   if (Server* server = ReleaseCall(number, call, now)) {
     if (failure == CallFailure::kRefused) {
       server->suspended_until_ = now + kRefusedPause;
+      server->may_be_busy_ = true;
     } else {
       Suspend(server, now);
     }
--- a/tests/unit-pool-assignment.cc
+++ b/tests/unit-pool-assignment.cc
@@ -256,6 +256,7 @@
   PoolAssignment assignment;
   const TimePoint now{seconds(100)};
   std::vector<Gateway> gateways;
+  gateways.reserve(20);
   for (int i = 0; i < 20; ++i) {
     gateways.push_back({"g" + std::to_string(i), false, seconds(1)});
   }
--- /dev/null
+++ b/tests/unit-relay-service.cc
@@ -0,0 +1,129 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metrics.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/relay_context.h"
+#include "citronlane/relay/relay_service.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/serving/serving_config.h"
+#include "citronlane/transport/http_exchange.h"
+#include "citronlane/transport/http_reply.h"
+#include "citronlane/transport/http_request.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr size_t kMostRequests = 10;
+
+/// A caller whose handler runs the event loop while it waits.
+class Caller : public HttpExchange {
+ public:
+  explicit Caller(boost::asio::io_context* io) : io_(io) {}
+
+  bool Reply(const HttpReply& reply) override {
+    reply_ = reply;
+    return true;
+  }
+  bool StartStream(const HttpReply&) override { return false; }
+  bool Write(std::string_view) override { return false; }
+  bool EndStream() override { return false; }
+  void Abort() override {}
+  void Wait() override {
+    while (!notified_) {
+      REQUIRE(io_->run_one() == 1);
+    }
+    notified_ = false;
+  }
+  void Notify() override { notified_ = true; }
+  bool caller_gone() const override { return is_gone_; }
+
+  void Leave() {
+    is_gone_ = true;
+    Notify();
+  }
+
+  std::optional<HttpReply> reply_;
+
+ private:
+  boost::asio::io_context* const io_;
+  bool notified_ = false;
+  bool is_gone_ = false;
+};
+
+}  // namespace
+
+// A loss of power of all VMs under load: callers come to gateways that are back
+// before any control VM could give them a configuration.
+TEST_CASE("requests before the first configuration") {
+  boost::asio::io_context io;
+  Duration time_left = seconds(6);
+  Dialect dialect;
+  dialect.read_request_ = [&time_left](Dialect::Headers) {
+    RequestHead head;
+    head.request_id_ = "r";
+    head.host_ = "h";
+    head.time_left_ = time_left;
+    return head;
+  };
+  FleetView view;
+  EventLog log("gateway", {[](std::string_view) { return true; }, SteadyNow,
+                           [] { return int64_t{0}; }});
+  Metrics metrics;
+  RelayContext context;
+  context.io_ = &io;
+  context.dialect_ = &dialect;
+  context.view_ = &view;
+  context.log_ = &log;
+  context.metrics_ = &metrics;
+  RelayService service(&context, kMostRequests);
+  HttpRequest request;
+  request.method_ = "GET";
+  request.target_ = "/nowhere";
+  request.headers_ = {{"Host", "h"}};
+  Caller caller(&io);
+
+  SECTION("wait for it") {
+    boost::asio::post(io, [&] {
+      ServingConfig::Parts parts;
+      parts.version_ = 1;
+      view.SetConfig(std::make_shared<const ServingConfig>(parts));
+      service.ConfigArrived();
+    });
+    service.Serve(request, &caller);
+    REQUIRE(caller.reply_);
+    // It names no such route: an answer by the configuration that came.
+    CHECK(caller.reply_->status_ == 404);
+  }
+  SECTION("not for long against the time that the caller has") {
+    time_left = milliseconds(4);
+    service.Serve(request, &caller);
+    REQUIRE(caller.reply_);
+    CHECK(caller.reply_->status_ == 503);
+  }
+  SECTION("not when the process ends") {
+    boost::asio::post(io, [&] { service.GiveUpAll(); });
+    service.Serve(request, &caller);
+    REQUIRE(caller.reply_);
+    CHECK(caller.reply_->status_ == 503);
+  }
+  SECTION("not for callers that leave") {
+    boost::asio::post(io, [&] { caller.Leave(); });
+    service.Serve(request, &caller);
+    CHECK_FALSE(caller.reply_);
+  }
+}
+
+}  // namespace citronlane
--- a/tests/unit-stages.cc
+++ b/tests/unit-stages.cc
@@ -322,6 +322,38 @@
   }
 }
 
+// A pool changes hands while its servers are at work on the calls of the
+// gateway that had it.
+TEST_CASE("inputs of a pool that was taken over") {
+  Pool pool;
+  pool.SetServers({{"s1", "a"}});
+
+  SECTION("are kept until the first call is done") {
+    pool.batcher_.TakeOver(pool.now_);
+    pool.AddWithInputs(2);
+    const auto first = pool.Start();
+    pool.Pass(milliseconds(400));
+    CHECK(pool.batcher_.TakeTasksWithInputsTaken().empty());
+    pool.Finish(first.at(0));
+
+    SECTION("and are freed as soon as they are fetched from then on") {
+      pool.AddWithInputs(2);
+      REQUIRE(pool.Start().size() == 1);
+      pool.Pass(milliseconds(100));
+      CHECK(pool.batcher_.TakeTasksWithInputsTaken().size() == 1);
+    }
+  }
+  SECTION("are kept too where a server was full") {
+    pool.AddWithInputs(2);
+    const auto refused = pool.Start();
+    pool.batcher_.Failed(refused.at(0).call_, Failure::kRefused, pool.now_);
+    pool.Pass(milliseconds(100));
+    REQUIRE(pool.Start().size() == 1);
+    pool.Pass(milliseconds(100));
+    CHECK(pool.batcher_.TakeTasksWithInputsTaken().empty());
+  }
+}
+
 TEST_CASE("stage failures") {
   Pool pool;
 
