Log replies of backend servers that name another request, or none

Cause: the hypotheses of the incident could not be told apart: a reply that was passed over, or taken without an id, left no line, nor did a stage reply with other results than were asked for. Change: lines 'reply of another request' and 'reply of another call', a counter by reason and pool; the scripted server and the recorded caller of two tests are shared.

--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -114,6 +114,12 @@
     "counted when they came.",
     {}};
 
+inline constexpr Metric kOtherRepliesTotal{
+    "citronlane_other_replies_total", Metric::Kind::kCounter,
+    "Replies of backend servers that did not name the request they came for, "
+    "by reason: other_id or no_id.",
+    metric_labels::kReasonPool};
+
 /// Every metric of the registry, in the order of the text.
 inline constexpr const Metric* kAllMetrics[] = {
     &kRequestsTotal,
@@ -138,6 +144,7 @@
     &kBuildInfo,
     &kMetricSeriesDroppedTotal,
     &kServerEntriesUnusableTotal,
+    &kOtherRepliesTotal,
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/server_attempt.h
+++ b/include/citronlane/relay/server_attempt.h
@@ -22,12 +22,19 @@
 /// the handler takes it. Used by the request's handler.
 class ServerAttempt {
  public:
-  /// Starts the call. `request_id` is what the reply must echo. `context`
-  /// outlives the attempt.
+  /// What is called for whom.
+  struct Names {
+    /// What the reply must echo.
+    std::string request_id_;
+    std::string service_;
+    std::string server_;
+  };
+
+  /// Starts the call. `context` outlives the attempt.
   ServerAttempt(const RelayContext* context,
                 const std::shared_ptr<Waker>& waker,
                 StageCallSpec spec,
-                std::string request_id);
+                Names names);
   /// Cancels the call if it is under way.
   ~ServerAttempt();
   ServerAttempt(const ServerAttempt&) = delete;
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -13,6 +13,7 @@
 #include "citronlane/routing/repeat_budget.h"
 #include "citronlane/serving/stage_piece_result.h"
 #include "citronlane/stages/stage_batcher.h"
+#include "citronlane/stages/stage_reply_check.h"
 
 namespace citronlane {
 
@@ -66,8 +67,13 @@
  private:
   void Pump(TimePoint now);
   void Start(StageBatch batch, TimePoint now);
+  void CheckReply(uint64_t call,
+                  const std::string& server,
+                  const std::vector<StagePieceResult>& results,
+                  size_t pieces);
   void TakeReply(uint64_t call,
                  const std::string& server,
+                 size_t pieces,
                  int status,
                  bool not_run,
                  const std::string& body);
@@ -86,6 +92,7 @@
   EventLog* const log_;
   RepeatBudget budget_;
   StageBatcher batcher_;
+  StageReplyCheck reply_check_;
   uint64_t servers_number_ = 0;
   uint64_t config_version_ = 0;
   struct Waiting {
--- /dev/null
+++ b/include/citronlane/stages/stage_reply_check.h
@@ -0,0 +1,48 @@
+#ifndef CITRONLANE_STAGES_STAGE_REPLY_CHECK_H_
+#define CITRONLANE_STAGES_STAGE_REPLY_CHECK_H_
+
+#include <cstddef>
+#include <deque>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "absl/types/span.h"
+#include "citronlane/base/time.h"
+#include "citronlane/serving/stage_piece_result.h"
+
+namespace citronlane {
+
+/// Tells the replies to a pool's calls apart. They name no call, and a server
+/// may send one twice, the second time where the next call's is expected: its
+/// results would go to other requests. Pure. Not thread safe.
+class StageReplyCheck {
+ public:
+  enum class Match {
+    kOwn,
+    /// Not one result a piece.
+    kOtherSize,
+    /// Names a result that an earlier reply named.
+    kSeenBefore,
+  };
+
+  /// Replies are remembered for `memory`: longer than connections are kept
+  /// between two calls.
+  explicit StageReplyCheck(Duration memory);
+
+  /// What a reply is to a call of `pieces`; remembers one that is its own.
+  /// Precondition: `now` does not go back.
+  Match Take(absl::Span<const StagePieceResult> results,
+             size_t pieces,
+             TimePoint now);
+
+ private:
+  const Duration memory_;
+  /// Handles name one result each: the first one stands for its reply.
+  std::set<std::string, std::less<>> seen_;
+  std::deque<std::pair<TimePoint, std::string>> in_order_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_STAGES_STAGE_REPLY_CHECK_H_
--- a/include/citronlane/transport/stage_reply_head.h
+++ b/include/citronlane/transport/stage_reply_head.h
@@ -20,6 +20,9 @@
   Duration load_age_{};
   /// X-Draining: the server is leaving.
   bool draining_ = false;
+  /// The connection had carried other calls before: what comes in on it may
+  /// answer one of them.
+  bool kept_connection_ = false;
   std::vector<HttpHeader> headers_;
 };
 
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -319,7 +319,7 @@
   tried_.push_back(id);
   last_server_ = id;
   ServerAttempt attempt(context_, waker_, std::move(spec),
-                        job_->head_.request_id_);
+                        {job_->head_.request_id_, service_->name_, id});
   NoteStart(id);
   const Ended ended = Relay(&attempt);
   const CallOutcome outcome = attempt.is_done()       ? attempt.outcome()
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metric_names.h"
+#include "citronlane/observe/metrics.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/waker.h"
 #include "citronlane/serving/dialect.h"
@@ -23,10 +26,32 @@
   std::string data_;
 };
 
+namespace {
+
+// What tells a server that answers twice from one that names no request.
+void LogOtherReply(const RelayContext& context,
+                   const ServerAttempt::Names& names,
+                   const StageReplyHead& head,
+                   const ServerReplyHead& reply) {
+  context.log_->Write("relay", "reply of another request",
+                      {{"request", names.request_id_},
+                       {"server", names.server_},
+                       {"reply_to", reply.request_id_},
+                       {"status", head.status_},
+                       {"not_run", reply.not_run_ ? "yes" : "no"},
+                       {"sealed", reply.sealed_ ? "yes" : "no"},
+                       {"connection", head.kept_connection_ ? "kept" : "new"}});
+  context.metrics_->Count(
+      kOtherRepliesTotal,
+      {reply.request_id_.empty() ? "no_id" : "other_id", names.service_});
+}
+
+}  // namespace
+
 ServerAttempt::ServerAttempt(const RelayContext* context,
                              const std::shared_ptr<Waker>& waker,
                              StageCallSpec spec,
-                             std::string request_id)
+                             Names names)
     : state_(std::make_shared<State>()) {
   const auto state = state_;
   const Dialect* const dialect = context->dialect_;
@@ -35,11 +60,15 @@
     state->was_sent_ = true;
     return true;
   };
-  hooks.is_mine_ = [dialect, request_id = std::move(request_id)](
-                       const StageReplyHead& head) {
+  hooks.is_mine_ = [context,
+                    names = std::move(names)](const StageReplyHead& head) {
+    const auto reply =
+        context->dialect_->read_reply_(head.status_, head.headers_);
+    if (reply.request_id_ != names.request_id_) {
+      LogOtherReply(*context, names, head, reply);
+    }
     // A reply without an id is the server's refusal to read the call.
-    const auto reply = dialect->read_reply_(head.status_, head.headers_);
-    return reply.request_id_.empty() || reply.request_id_ == request_id;
+    return reply.request_id_.empty() || reply.request_id_ == names.request_id_;
   };
   hooks.head_ = [state, dialect, waker](const StageReplyHead& head) {
     state->has_head_ = true;
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -18,6 +18,8 @@
 constexpr int kOk = 200;
 /// Freeing is no work; a server that does not answer drops the results itself.
 constexpr Duration kFreeTime = std::chrono::milliseconds(800);
+/// A connection that has rested for 4 s is not used again.
+constexpr Duration kReplyMemory = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -36,8 +38,8 @@
       budget_(budget),
       // One gateway runs the pool, so that the allowance is all its own; two
       // do for a moment when gateways come and go.
-      batcher_(spec,
-               [this](TimePoint now) { return budget_.TryTake(now, 2); }) {}
+      batcher_(spec, [this](TimePoint now) { return budget_.TryTake(now, 2); }),
+      reply_check_(kReplyMemory) {}
 
 StagePool::~StagePool() {
   for (const auto& [number, call] : calls_) {
@@ -147,11 +149,12 @@
         dialect_->read_reply_(answered.status_, answered.headers_).not_run_;
     return true;
   };
-  hooks.done_ = [this, number, reply, server = batch.server_](
-                    CallOutcome outcome, const std::string& body) {
+  hooks.done_ = [this, number, reply, server = batch.server_,
+                 pieces = batch.pieces_.size()](CallOutcome outcome,
+                                                const std::string& body) {
     calls_.erase(number);
     if (outcome == CallOutcome::kSuccess) {
-      TakeReply(number, server, reply->status_, reply->not_run_, body);
+      TakeReply(number, server, pieces, reply->status_, reply->not_run_, body);
     } else {
       TakeFailure(number, server, outcome);
     }
@@ -161,6 +164,7 @@
 
 void StagePool::TakeReply(uint64_t call,
                           const std::string& server,
+                          size_t pieces,
                           int status,
                           bool not_run,
                           const std::string& body) {
@@ -169,6 +173,7 @@
   const auto results =
       status == kOk ? dialect_->read_stage_reply_(body, &error) : std::nullopt;
   if (results) {
+    CheckReply(call, server, *results, pieces);
     LogUnmade(call, server, *results);
     batcher_.Finished(call, *results, now);
   } else {
@@ -187,6 +192,25 @@
   Pump(now);
 }
 
+// Replies name no call: a line for one that can't be this call's.
+void StagePool::CheckReply(uint64_t call,
+                           const std::string& server,
+                           const std::vector<StagePieceResult>& results,
+                           size_t pieces) {
+  const auto match = reply_check_.Take(results, pieces, SteadyNow());
+  if (match == StageReplyCheck::Match::kOwn) {
+    return;
+  }
+  const bool is_seen = match == StageReplyCheck::Match::kSeenBefore;
+  log_->Write("stages", "reply of another call",
+              {{"service", service_},
+               {"server", server},
+               {"call", call},
+               {"pieces", static_cast<uint64_t>(pieces)},
+               {"results", static_cast<uint64_t>(results.size())},
+               {"why", is_seen ? "seen before" : "other size"}});
+}
+
 void StagePool::LogUnmade(uint64_t call,
                           const std::string& server,
                           const std::vector<StagePieceResult>& results) {
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -176,6 +176,7 @@
       connection_ = pool_->TakeIdle(
           key_, spec_.longest_idle_.value_or(pool_->limits().idle_timeout_));
       if (connection_) {
+        kept_connection_ = true;
         return true;
       }
     }
@@ -236,7 +237,8 @@
         Done(OutcomeOf(error));
         return false;
       }
-      const StageReplyHead head = ReadHead((*parser)->get());
+      StageReplyHead head = ReadHead((*parser)->get());
+      head.kept_connection_ = kept_connection_;
       if (head.status_ < kFirstFinalStatus) {
         continue;
       }
@@ -368,6 +370,7 @@
   StageCallHooks hooks_;
   const std::string key_;
   ConnectionPtr connection_;
+  bool kept_connection_ = false;
   bool over_ = false;
 };
 
--- a/tests/unit-relay-service.cc
+++ b/tests/unit-relay-service.cc
@@ -16,9 +16,9 @@
 #include "citronlane/relay/relay_service.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/serving/serving_config.h"
-#include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
+#include "support/recorded_caller.h"
 
 namespace citronlane {
 namespace {
@@ -28,41 +28,6 @@
 
 constexpr size_t kMostRequests = 10;
 
-/// A caller whose handler runs the event loop while it waits.
-class Caller : public HttpExchange {
- public:
-  explicit Caller(boost::asio::io_context* io) : io_(io) {}
-
-  bool Reply(const HttpReply& reply) override {
-    reply_ = reply;
-    return true;
-  }
-  bool StartStream(const HttpReply&) override { return false; }
-  bool Write(std::string_view) override { return false; }
-  bool EndStream() override { return false; }
-  void Abort() override {}
-  void Wait() override {
-    while (!notified_) {
-      REQUIRE(io_->run_one() == 1);
-    }
-    notified_ = false;
-  }
-  void Notify() override { notified_ = true; }
-  bool caller_gone() const override { return is_gone_; }
-
-  void Leave() {
-    is_gone_ = true;
-    Notify();
-  }
-
-  std::optional<HttpReply> reply_;
-
- private:
-  boost::asio::io_context* const io_;
-  bool notified_ = false;
-  bool is_gone_ = false;
-};
-
 }  // namespace
 
 // A loss of power of all VMs under load: callers come to gateways that are back
@@ -93,7 +58,7 @@
   request.method_ = "GET";
   request.target_ = "/nowhere";
   request.headers_ = {{"Host", "h"}};
-  Caller caller(&io);
+  RecordedCaller caller(&io);
 
   SECTION("wait for it") {
     boost::asio::post(io, [&] {
--- a/tests/unit-stage-client.cc
+++ b/tests/unit-stage-client.cc
@@ -1,114 +1,23 @@
 #include <catch2/catch.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 
-#include <sys/socket.h>
-#include <atomic>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/transport/stage_client.h"
+#include "support/scripted_server.h"
 
 namespace citronlane {
 namespace {
 
 namespace asio = boost::asio;
-using tcp = asio::ip::tcp;
 
 const std::string kept_reply =
     "HTTP/1.1 200 OK\r\nX-Attempt-Id: r/0/0\r\nContent-Length: 2\r\n\r\nok";
 
-/// A server that answers call after call from a script. An empty answer
-/// closes the connection after reading; "!" closes it after the answer before.
-class ScriptedServer {
- public:
-  explicit ScriptedServer(std::vector<std::string> script)
-      : acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}),
-        script_(std::move(script)),
-        thread_([this] { Accept(); }) {}
-  ~ScriptedServer() {
-    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
-    thread_.join();
-    for (auto& [socket, thread] : served_) {
-      ::shutdown(socket->native_handle(), SHUT_RDWR);
-      thread.join();
-    }
-  }
-
-  uint16_t port() const { return acceptor_.local_endpoint().port(); }
-  int reads() const { return reads_; }
-  int connections() const { return connections_; }
-  void WaitForClose() const {
-    while (closed_ == 0) {
-      std::this_thread::yield();
-    }
-  }
-
- private:
-  void Accept() {
-    boost::system::error_code error;
-    while (!error) {
-      auto socket = std::make_unique<tcp::socket>(io_);
-      acceptor_.accept(*socket, error);
-      if (!error) {
-        ++connections_;
-        tcp::socket* const accepted = socket.get();
-        served_.emplace_back(std::move(socket),
-                             std::thread([this, accepted] { Run(accepted); }));
-      }
-    }
-  }
-
-  void Run(tcp::socket* socket) {
-    std::string text;
-    boost::system::error_code error;
-    bool open = true;
-    while (open) {
-      const size_t got = asio::read_until(*socket, asio::dynamic_buffer(text),
-                                          "\r\n\r\n", error);
-      if (error) {
-        break;
-      }
-      text.erase(0, got);
-      ++reads_;
-      const std::string answer = Next();
-      asio::write(*socket, asio::buffer(answer), error);
-      open = !answer.empty() && !TakeClose();
-    }
-    socket->shutdown(tcp::socket::shutdown_both, error);
-    ++closed_;
-  }
-
-  std::string Next() {
-    const std::lock_guard lock(mutex_);
-    return next_ < script_.size() ? script_[next_++] : "";
-  }
-  bool TakeClose() {
-    const std::lock_guard lock(mutex_);
-    const bool close = next_ < script_.size() && script_[next_] == "!";
-    next_ += close ? 1 : 0;
-    return close;
-  }
-
-  asio::io_context io_;
-  tcp::acceptor acceptor_;
-  const std::vector<std::string> script_;
-  std::mutex mutex_;
-  size_t next_ = 0;
-  std::vector<std::pair<std::unique_ptr<tcp::socket>, std::thread>> served_;
-  std::atomic<int> reads_{0};
-  std::atomic<int> connections_{0};
-  std::atomic<int> closed_{0};
-  std::thread thread_;
-};
-
 /// A client with what its calls told.
 struct Bench {
   void Run(uint16_t port, bool fresh = false, bool streams = false) {
