--- /dev/null
+++ b/tests/unit-reply-identity.cc
@@ -0,0 +1,269 @@
+// Seen once on 59 gateways: a caller got a whole answer with the seal of
+// another request's. Servers were answering twice then, the second time late,
+// where the next call's reply is expected. A gateway passed over a late reply
+// only when it named another request, so that one that named none, or named
+// two, was handed to whoever called next. Each case below is a late reply of
+// that kind; they failed before a reply had to name its request, once, to be
+// taken for its own. Replies to stage calls name nothing: there the second
+// one's results went to the requests of the next call.
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metrics.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/relay_context.h"
+#include "citronlane/relay/relay_service.h"
+#include "citronlane/relay/service_router.h"
+#include "citronlane/relay/stage_pool.h"
+#include "citronlane/routing/repeat_budget.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/serving/serving_config.h"
+#include "citronlane/stages/stage_outcome.h"
+#include "citronlane/stages/stage_task.h"
+#include "citronlane/transport/http_reply.h"
+#include "citronlane/transport/http_request.h"
+#include "citronlane/transport/stage_client.h"
+#include "citronlane/transport/stage_limits.h"
+#include "platform/dialect.h"
+#include "support/recorded_caller.h"
+#include "support/scripted_server.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr size_t kMostRequests = 10;
+constexpr char kId[] = "X-Citronlane-Request-Id: ";
+constexpr char kSeal[] = "X-Citronlane-Response-Seal: ";
+
+std::string Reply(const std::string& headers, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string ReplyTo(const std::string& request) {
+  return Reply(kId + request + "\r\n" + kSeal + "seal-of-" + request + "\r\n",
+               "answer to " + request);
+}
+
+std::shared_ptr<const ServingConfig> Config() {
+  ServingConfig::Parts parts;
+  parts.version_ = 1;
+  Service service;
+  service.name_ = "desk";
+  service.max_connections_ = 10;
+  parts.services_.push_back(service);
+  Route route;
+  route.name_ = "lookup";
+  route.host_ = "h";
+  route.prefix_ = "/";
+  route.kind_ = RouteKind::kSafe;
+  route.timeout_ = seconds(5);
+  route.target_latency_ = seconds(1);
+  route.max_attempts_ = 1;
+  route.is_public_ = true;
+  route.split_ = {{"desk", 1}};
+  parts.routes_.push_back(route);
+  return std::make_shared<const ServingConfig>(parts);
+}
+
+std::vector<BackendServer> OneServer(const std::string& service,
+                                     uint16_t port) {
+  BackendServer server;
+  server.id_ = "s";
+  server.name_ = "s";
+  server.service_ = service;
+  server.address_ = "127.0.0.1:" + std::to_string(port);
+  server.failure_domain_ = "a";
+  server.slots_ = 1;
+  return {server};
+}
+
+/// A gateway of one route to one scripted server.
+class Gateway {
+ public:
+  explicit Gateway(uint16_t port) {
+    view_.SetConfig(Config());
+    view_.SetServers(OneServer("desk", port), SteadyNow());
+    context_.io_ = &io_;
+    context_.dialect_ = &dialect_;
+    context_.view_ = &view_;
+    context_.client_ = &client_;
+    context_.log_ = &log_;
+    context_.metrics_ = &metrics_;
+    context_.router_ = [this](const Service&) { return &router_; };
+    context_.budget_ = [this](const std::string&) { return &budget_; };
+    context_.random_ = [](uint64_t) { return uint64_t{0}; };
+  }
+
+  RecordedCaller Ask(const std::string& id) {
+    HttpRequest request;
+    request.method_ = "GET";
+    request.target_ = "/x";
+    request.headers_ = {{"Host", "h"},
+                        {"X-Citronlane-Request-Id", id},
+                        {"X-Citronlane-Deadline-Ms", "4000"}};
+    RecordedCaller caller(&io_);
+    service_.Serve(request, &caller);
+    return caller;
+  }
+
+ private:
+  boost::asio::io_context io_;
+  const Dialect dialect_ = platform::MakeDialect();
+  FleetView view_;
+  StageClient client_{&io_, StageLimits()};
+  EventLog log_{"gateway",
+                {[](std::string_view) { return true; }, SteadyNow,
+                 [] { return int64_t{0}; }}};
+  Metrics metrics_;
+  ServiceRouter router_{"desk", false, seconds(1), "a",
+                        [](uint64_t) { return uint64_t{0}; }};
+  RepeatBudget budget_{RepeatBudget::Options()};
+  RelayContext context_;
+  RelayService service_{&context_, kMostRequests};
+};
+
+void CheckOwnOrNone(const RecordedCaller& caller, const std::string& id) {
+  REQUIRE(caller.reply_);
+  if (caller.reply_->status_ == 200) {
+    CHECK(caller.reply_->body_ == "answer to " + id);
+    size_t seals = 0;
+    for (const HttpHeader& header : caller.reply_->headers_) {
+      if (header.name_ == "X-Citronlane-Response-Seal") {
+        ++seals;
+        CHECK(header.value_ == "seal-of-" + id);
+      }
+    }
+    CHECK(seals == 1);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a late second reply is nobody's") {
+  std::string late;
+  SECTION("that names the request it was for") {
+    late = ReplyTo("a");
+  }
+  SECTION("that names no request") {
+    late = Reply(std::string(kSeal) + "seal-of-a\r\n", "answer to a");
+  }
+  SECTION("that names no request and is a failure") {
+    late =
+        "HTTP/1.1 503 No\r\nX-Citronlane-Not-Run: 1\r\n"
+        "Content-Length: 0\r\n\r\n";
+  }
+  SECTION("that is cut in its head, so that the next one runs into it") {
+    late = std::string("HTTP/1.1 200 OK\r\n") + kId + "a\r\n" + kSeal +
+           "seal-of-a\r\nContent-Type: text/pl";
+  }
+  SECTION("that is cut in its body") {
+    late = ReplyTo("a").substr(0, ReplyTo("a").size() - 3);
+  }
+  // The second call's own reply comes right behind.
+  ScriptedServer server({ReplyTo("a"), late + ReplyTo("b"), ReplyTo("c")});
+  Gateway gateway(server.port());
+  const RecordedCaller first = gateway.Ask("a");
+  REQUIRE(first.reply_);
+  CHECK(first.reply_->body_ == "answer to a");
+  CheckOwnOrNone(gateway.Ask("b"), "b");
+  CheckOwnOrNone(gateway.Ask("c"), "c");
+}
+
+TEST_CASE("a reply shows that it is the request's own") {
+  std::string reply;
+  SECTION("by naming it, once") {
+    reply = Reply(
+        std::string(kId) + "a\r\n" + kId + "b\r\n" + kSeal + "seal-of-a\r\n",
+        "answer to a");
+  }
+  SECTION("by one seal") {
+    reply = Reply(std::string(kId) + "b\r\n" + kSeal + "seal-of-a\r\n" + kSeal +
+                      "seal-of-b\r\n",
+                  "answer to b");
+  }
+  SECTION("by a seal at all, when it is a success") {
+    reply = Reply(std::string(kId) + "b\r\n", "answer to b");
+  }
+  ScriptedServer server({reply});
+  Gateway gateway(server.port());
+  const RecordedCaller caller = gateway.Ask("b");
+  REQUIRE(caller.reply_);
+  CHECK(caller.reply_->status_ != 200);
+}
+
+// Two requests' pieces, one after the other, at a server that answers the first
+// call twice.
+TEST_CASE("a stage call takes no other call's results") {
+  std::string late;
+  std::string second = R"({"items":[{"handle":"h/b0"},{"handle":"h/b1"}]})";
+  SECTION("a second reply to the call before it") {
+    late = Reply("", R"({"items":[{"handle":"h/a0"},{"handle":"h/a1"}]})");
+  }
+  SECTION("a reply to a call of another size") {
+    late = Reply("", R"({"items":[{"handle":"h/x0"}]})");
+  }
+  SECTION("a reply to a call that freed results") {
+    late = Reply("", "{}");
+  }
+  ScriptedServer server(
+      {Reply("", R"({"items":[{"handle":"h/a0"},{"handle":"h/a1"}]})"),
+       late + Reply("", second)});
+  boost::asio::io_context io;
+  const Dialect dialect = platform::MakeDialect();
+  FleetView view;
+  view.SetServers(OneServer("press", server.port()), SteadyNow());
+  StageClient client(&io, StageLimits());
+  EventLog log("gateway", {[](std::string_view) { return true; }, SteadyNow,
+                           [] { return int64_t{0}; }});
+  StagePoolSpec spec;
+  spec.slots_ = 1;
+  spec.batch_ = 2;
+  spec.call_time_ = milliseconds(20);
+  spec.room_bytes_ = 1000;
+  spec.result_life_ = seconds(4);
+  StagePool pool("press", spec, RepeatBudget::Options(), &view, &dialect,
+                 &client, &log);
+  pool.Begin(SteadyNow());
+  std::vector<std::string> got;
+  const auto run = [&](const std::string& id) {
+    StageTask task;
+    task.request_id_ = id;
+    task.pieces_ = 2;
+    task.key_ = "k";
+    task.target_ = SteadyNow() + seconds(2);
+    task.deadline_ = SteadyNow() + seconds(5);
+    task.result_bytes_ = 10;
+    bool is_done = false;
+    pool.Submit(
+        std::move(task),
+        [&](const StageOutcome& outcome) {
+          is_done = true;
+          got = outcome.handles_;
+        },
+        [] {});
+    while (!is_done && !io.stopped()) {
+      io.run_one();
+    }
+    io.restart();
+    CHECK(is_done);
+  };
+  run("a");
+  CHECK(got == std::vector<std::string>{"h/a0", "h/a1"});
+  run("b");
+  CHECK(got == std::vector<std::string>{"h/b0", "h/b1"});
+}
+
+}  // namespace citronlane
