Take a server's reply only where it shows whose it is

Cause: a reply counted as a request's own unless it named another one. A late second reply that names none, or that ran into the next reply's head (two ids, two seals, a status line within a header), went to the next caller on the connection; a success without a seal was handed on. Replies to stage calls name nothing at all, so that a second one's results went to the requests of the next call, and each call after it on that connection got the results of the one before. Change: a reply names the request once and, if a success, bears one seal; else it is read past, or its call fails as wrong_id and the connection is closed. Stage replies are told by the number and the handles of their results; where those show nothing the connection is not used again, nor after any reply that was not the call's. The other caller interface keeps a connection only after a reply that names its call; list pages are read on connections of their own.

--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -117,7 +117,7 @@
 inline constexpr Metric kOtherRepliesTotal{
     "citronlane_other_replies_total", Metric::Kind::kCounter,
     "Replies of backend servers that did not name the request they came for, "
-    "by reason: other_id or no_id.",
+    "by reason: other_id, no_id or ambiguous.",
     metric_labels::kReasonPool};
 
 /// Every metric of the registry, in the order of the text.
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -14,6 +14,7 @@
 #include "citronlane/serving/stage_piece_result.h"
 #include "citronlane/stages/stage_batcher.h"
 #include "citronlane/stages/stage_reply_check.h"
+#include "citronlane/transport/reply_owner.h"
 
 namespace citronlane {
 
@@ -67,13 +68,13 @@
  private:
   void Pump(TimePoint now);
   void Start(StageBatch batch, TimePoint now);
-  void CheckReply(uint64_t call,
-                  const std::string& server,
-                  const std::vector<StagePieceResult>& results,
-                  size_t pieces);
+  ReplyOwner OwnerOf(uint64_t call,
+                     const std::string& server,
+                     absl::Span<const StagePiece> pieces,
+                     int status,
+                     std::string_view body);
   void TakeReply(uint64_t call,
                  const std::string& server,
-                 size_t pieces,
                  int status,
                  bool not_run,
                  const std::string& body);
--- a/include/citronlane/serving/server_reply_head.h
+++ b/include/citronlane/serving/server_reply_head.h
@@ -18,6 +18,8 @@
   bool wrong_server_ = false;
   /// Carries the server's proof that the answer is its own.
   bool sealed_ = false;
+  /// The request, or the seal, stands there more than once.
+  bool is_ambiguous_ = false;
   /// How long the server keeps the idle connection.
   std::optional<Duration> idle_time_;
 };
--- a/include/citronlane/stages/stage_reply_check.h
+++ b/include/citronlane/stages/stage_reply_check.h
@@ -1,14 +1,14 @@
 #ifndef CITRONLANE_STAGES_STAGE_REPLY_CHECK_H_
 #define CITRONLANE_STAGES_STAGE_REPLY_CHECK_H_
 
-#include <cstddef>
 #include <deque>
-#include <set>
+#include <map>
 #include <string>
 #include <utility>
 
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
+#include "citronlane/serving/stage_piece.h"
 #include "citronlane/serving/stage_piece_result.h"
 
 namespace citronlane {
@@ -20,9 +20,12 @@
  public:
   enum class Match {
     kOwn,
+    /// It could as well answer another call: nothing was made, or just what an
+    /// earlier reply named too.
+    kMayBeOthers,
     /// Not one result a piece.
     kOtherSize,
-    /// Names a result that an earlier reply named.
+    /// Names a result that an earlier reply named for another piece.
     kSeenBefore,
   };
 
@@ -33,13 +36,14 @@
   /// What a reply is to a call of `pieces`; remembers one that is its own.
   /// Precondition: `now` does not go back.
   Match Take(absl::Span<const StagePieceResult> results,
-             size_t pieces,
+             absl::Span<const StagePiece> pieces,
              TimePoint now);
 
  private:
   const Duration memory_;
-  /// Handles name one result each: the first one stands for its reply.
-  std::set<std::string, std::less<>> seen_;
+  /// Handles name one result each: the first one stands for its reply. With the
+  /// piece that it was made for.
+  std::map<std::string, std::string> seen_;
   std::deque<std::pair<TimePoint, std::string>> in_order_;
 };
 
--- a/include/citronlane/transport/stage_call_hooks.h
+++ b/include/citronlane/transport/stage_call_hooks.h
@@ -6,20 +6,26 @@
 #include <string_view>
 
 #include "citronlane/routing/call_outcome.h"
+#include "citronlane/transport/reply_owner.h"
 #include "citronlane/transport/stage_reply_head.h"
 
 namespace citronlane {
 
 /// What a call tells its owner, on the thread of its client. None is called
-/// after StageCall::Cancel. All must be set, but `is_mine_`, and `data_` for
-/// calls that do not stream.
+/// after StageCall::Cancel. All must be set, but the `owner_` hooks, and
+/// `data_` for calls that do not stream.
 struct StageCallHooks {
   /// The next step hands the first byte to the socket. False stops the call.
   std::function<bool()> sending_;
-  /// Whether a reply belongs to this call; one that does not is read past.
-  /// Optional: without it every reply does.
-  std::function<bool(const StageReplyHead&)> is_mine_;
-  /// The reply's head is there. False stops the call.
+  /// Whose a reply is, by its head. Optional: without it every reply is this
+  /// call's.
+  std::function<ReplyOwner(const StageReplyHead&)> owner_;
+  /// The same by its whole body, where heads name no call. Optional; not for
+  /// streams.
+  std::function<ReplyOwner(const StageReplyHead&, std::string_view body)>
+      owner_by_body_;
+  /// The reply's head is there; called again after a reply that its body showed
+  /// to be another call's. False stops the call.
   std::function<bool(const StageReplyHead&)> head_;
   /// A piece of a streamed body.
   std::function<void(std::string_view)> data_;
--- a/include/citronlane/transport/stage_call_spec.h
+++ b/include/citronlane/transport/stage_call_spec.h
@@ -23,6 +23,9 @@
   /// Besides Host, Content-Length and Connection. Values hold no line ends.
   std::vector<HttpHeader> headers_;
   std::string body_;
+  /// Where replies name their call in X-Attempt-Id: the connection is kept only
+  /// after a reply that names this one.
+  std::string attempt_id_;
   /// The call may not repeat: never on a kept-alive connection, which the
   /// server may close just as the call arrives.
   bool fresh_connection_ = false;
--- a/include/citronlane/transport/stage_reply_head.h
+++ b/include/citronlane/transport/stage_reply_head.h
@@ -20,6 +20,9 @@
   Duration load_age_{};
   /// X-Draining: the server is leaving.
   bool draining_ = false;
+  /// A status line stands within the head: an unfinished reply ran into the
+  /// next one, and it can't be told which header is whose.
+  bool is_two_in_one_ = false;
   /// The connection had carried other calls before: what comes in on it may
   /// answer one of them.
   bool kept_connection_ = false;
--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -305,7 +305,8 @@
     spec.answers_at_once_ = command.mode_ == CallMode::kResume;
   }
   const auto left = std::max(Duration(0), flight.deadline_ - flight.started_);
-  spec.headers_ = {{"X-Attempt-Id", command.attempt_.ToHeader()},
+  spec.attempt_id_ = command.attempt_.ToHeader();
+  spec.headers_ = {{"X-Attempt-Id", spec.attempt_id_},
                    {"X-Deadline-Ms", std::to_string(Milliseconds(left))}};
   if (job_.service_call_) {
     FillServiceCall(&spec);
--- a/src/net/server_list_reader.cc
+++ b/src/net/server_list_reader.cc
@@ -58,9 +58,12 @@
       TakePage(*status, body);
     }
   };
-  call_ = client_->Start(SpecFor(address_, "GET", dialect_->list_target_(page),
-                                 SteadyNow() + kPageTime),
-                         std::move(hooks));
+  StageCallSpec spec = SpecFor(address_, "GET", dialect_->list_target_(page),
+                               SteadyNow() + kPageTime);
+  // Pages name neither themselves nor their call: a late one would be taken for
+  // the next.
+  spec.fresh_connection_ = true;
+  call_ = client_->Start(std::move(spec), std::move(hooks));
 }
 
 void ServerListReader::TakePage(int status, const std::string& body) {
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -72,6 +72,11 @@
   verdict_ = RaiseVerdict(verdict_, Verdict::kMayHaveRun);
   const bool is_success =
       attempt->status() >= kOk && attempt->status() < kFirstNoSuccess;
+  if (is_success && !reply.sealed_) {
+    // Nobody could show later whose answer it was.
+    attempt->Cancel();
+    return {Step::kMayHaveRun, "no seal"};
+  }
   if (job_->route_->kind_ == RouteKind::kStreaming && is_success) {
     return RelayStream(attempt);
   }
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -28,6 +28,25 @@
 
 namespace {
 
+// Servers name the request in each reply, refusals included. One that is taken
+// though it doesn't is handed to whoever called next: a server that answers
+// twice sends the second reply where the next one is expected.
+ReplyOwner OwnerOf(const std::string& request_id,
+                   const ServerReplyHead& reply) {
+  if (reply.is_ambiguous_) {
+    return ReplyOwner::kUnclear;
+  }
+  return reply.request_id_ == request_id ? ReplyOwner::kThisCall
+                                         : ReplyOwner::kOtherCall;
+}
+
+std::string_view WhyOther(const ServerReplyHead& reply) {
+  if (reply.is_ambiguous_) {
+    return "ambiguous";
+  }
+  return reply.request_id_.empty() ? "no_id" : "other_id";
+}
+
 // What tells a server that answers twice from one that names no request.
 void LogOtherReply(const RelayContext& context,
                    const ServerAttempt::Names& names,
@@ -39,11 +58,11 @@
                        {"reply_to", reply.request_id_},
                        {"status", head.status_},
                        {"not_run", reply.not_run_ ? "yes" : "no"},
+                       {"why", WhyOther(reply)},
                        {"sealed", reply.sealed_ ? "yes" : "no"},
                        {"connection", head.kept_connection_ ? "kept" : "new"}});
-  context.metrics_->Count(
-      kOtherRepliesTotal,
-      {reply.request_id_.empty() ? "no_id" : "other_id", names.service_});
+  context.metrics_->Count(kOtherRepliesTotal,
+                          {WhyOther(reply), names.service_});
 }
 
 }  // namespace
@@ -60,15 +79,15 @@
     state->was_sent_ = true;
     return true;
   };
-  hooks.is_mine_ = [context,
-                    names = std::move(names)](const StageReplyHead& head) {
+  hooks.owner_ = [context,
+                  names = std::move(names)](const StageReplyHead& head) {
     const auto reply =
         context->dialect_->read_reply_(head.status_, head.headers_);
-    if (reply.request_id_ != names.request_id_) {
+    const ReplyOwner owner = OwnerOf(names.request_id_, reply);
+    if (owner != ReplyOwner::kThisCall) {
       LogOtherReply(*context, names, head, reply);
     }
-    // A reply without an id is the server's refusal to read the call.
-    return reply.request_id_.empty() || reply.request_id_ == names.request_id_;
+    return owner;
   };
   hooks.head_ = [state, dialect, waker](const StageReplyHead& head) {
     state->has_head_ = true;
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -149,12 +149,16 @@
         dialect_->read_reply_(answered.status_, answered.headers_).not_run_;
     return true;
   };
-  hooks.done_ = [this, number, reply, server = batch.server_,
-                 pieces = batch.pieces_.size()](CallOutcome outcome,
-                                                const std::string& body) {
+  hooks.owner_by_body_ =
+      [this, number, server = batch.server_, pieces = std::move(batch.pieces_)](
+          const StageReplyHead& head, std::string_view body) {
+        return OwnerOf(number, server, pieces, head.status_, body);
+      };
+  hooks.done_ = [this, number, reply, server = batch.server_](
+                    CallOutcome outcome, const std::string& body) {
     calls_.erase(number);
     if (outcome == CallOutcome::kSuccess) {
-      TakeReply(number, server, pieces, reply->status_, reply->not_run_, body);
+      TakeReply(number, server, reply->status_, reply->not_run_, body);
     } else {
       TakeFailure(number, server, outcome);
     }
@@ -164,7 +168,6 @@
 
 void StagePool::TakeReply(uint64_t call,
                           const std::string& server,
-                          size_t pieces,
                           int status,
                           bool not_run,
                           const std::string& body) {
@@ -173,7 +176,6 @@
   const auto results =
       status == kOk ? dialect_->read_stage_reply_(body, &error) : std::nullopt;
   if (results) {
-    CheckReply(call, server, *results, pieces);
     LogUnmade(call, server, *results);
     batcher_.Finished(call, *results, now);
   } else {
@@ -192,23 +194,34 @@
   Pump(now);
 }
 
-// Replies name no call: a line for one that can't be this call's.
-void StagePool::CheckReply(uint64_t call,
-                           const std::string& server,
-                           const std::vector<StagePieceResult>& results,
-                           size_t pieces) {
-  const auto match = reply_check_.Take(results, pieces, SteadyNow());
+// Replies name no call: what they hold has to tell.
+ReplyOwner StagePool::OwnerOf(uint64_t call,
+                              const std::string& server,
+                              absl::Span<const StagePiece> pieces,
+                              int status,
+                              std::string_view body) {
+  Error error;
+  const auto results =
+      status == kOk ? dialect_->read_stage_reply_(body, &error) : std::nullopt;
+  if (!results) {
+    return ReplyOwner::kAssumed;
+  }
+  const auto match = reply_check_.Take(*results, pieces, SteadyNow());
   if (match == StageReplyCheck::Match::kOwn) {
-    return;
+    return ReplyOwner::kThisCall;
+  }
+  if (match == StageReplyCheck::Match::kMayBeOthers) {
+    return ReplyOwner::kAssumed;
   }
   const bool is_seen = match == StageReplyCheck::Match::kSeenBefore;
   log_->Write("stages", "reply of another call",
               {{"service", service_},
                {"server", server},
                {"call", call},
-               {"pieces", static_cast<uint64_t>(pieces)},
-               {"results", static_cast<uint64_t>(results.size())},
+               {"pieces", static_cast<uint64_t>(pieces.size())},
+               {"results", static_cast<uint64_t>(results->size())},
                {"why", is_seen ? "seen before" : "other size"}});
+  return ReplyOwner::kOtherCall;
 }
 
 void StagePool::LogUnmade(uint64_t call,
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -69,6 +69,21 @@
   return text;
 }
 
+/// Whether the text holds what only a status line does: "HTTP/1.1 200".
+bool HoldsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  const size_t at = text.find(kVersion);
+  if (at == std::string_view::npos) {
+    return false;
+  }
+  const std::string_view rest = text.substr(at + kVersion.size());
+  const auto is_digit = [&rest](size_t i) {
+    return i < rest.size() && rest[i] >= '0' && rest[i] <= '9';
+  };
+  return is_digit(0) && rest.size() > 1 && rest[1] == ' ' && is_digit(2) &&
+         is_digit(3) && is_digit(4);
+}
+
 template <typename Message>
 StageReplyHead ReadHead(const Message& message) {
   StageReplyHead head;
@@ -88,9 +103,12 @@
       age_ms > 0) {
     head.load_age_ = std::chrono::milliseconds(age_ms);
   }
+  const auto reason = message.reason();
+  head.is_two_in_one_ = HoldsStatusLine({reason.data(), reason.size()});
   for (const auto& field : message) {
     const auto name = field.name_string();
     const auto value = field.value();
+    head.is_two_in_one_ |= HoldsStatusLine({value.data(), value.size()});
     head.headers_.push_back(
         {{name.data(), name.size()}, {value.data(), value.size()}});
   }
@@ -221,7 +239,7 @@
   }
 
   /// Reads past interim replies and whole replies to other calls, which a
-  /// faulty server may send late on a kept-alive connection.
+  /// server that answers twice sends late, where this call's reply is expected.
   template <typename Body>
   bool ReadReplyHead(std::optional<http::response_parser<Body>>* parser,
                      const asio::yield_context& yield) {
@@ -242,12 +260,18 @@
       if (head.status_ < kFirstFinalStatus) {
         continue;
       }
-      if (hooks_.is_mine_ && !over_ && !hooks_.is_mine_(head)) {
+      const ReplyOwner owner = OwnerOf(head);
+      if (owner == ReplyOwner::kUnclear) {
+        Done(CallOutcome::kWrongId);
+        return false;
+      }
+      if (owner == ReplyOwner::kOtherCall) {
         if (!PassReply(&**parser, yield)) {
           return false;
         }
         continue;
       }
+      may_keep_ = may_keep_ && NamesThisCall(head);
       connection_->idle_limit_ = IdleLimit((*parser)->get());
       if (!over_ && !hooks_.head_(head)) {
         over_ = true;
@@ -258,9 +282,24 @@
     return false;
   }
 
+  ReplyOwner OwnerOf(const StageReplyHead& head) const {
+    if (head.is_two_in_one_) {
+      return ReplyOwner::kUnclear;
+    }
+    return hooks_.owner_ && !over_ ? hooks_.owner_(head)
+                                   : ReplyOwner::kThisCall;
+  }
+
+  /// A reply that names no call may have a second one behind it, which the next
+  /// call on the connection could not tell from its own.
+  bool NamesThisCall(const StageReplyHead& head) const {
+    return spec_.attempt_id_.empty() || head.echoed_id_ == spec_.attempt_id_;
+  }
+
   /// Drops the body of a reply that is not this call's.
   template <typename Parser>
   bool PassReply(Parser* parser, const asio::yield_context& yield) {
+    may_keep_ = false;
     std::vector<char> sink(kStreamPieceBytes);
     error_code error;
     while (!parser->is_done() && !error && !over_) {
@@ -304,21 +343,40 @@
   }
 
   void ReadWhole(const asio::yield_context& yield) {
-    std::optional<http::response_parser<http::string_body>> parser;
-    if (!ReadReplyHead(&parser, yield)) {
-      return;
-    }
-    error_code error;
-    while (!parser->is_done() && !error && !over_) {
-      ExtendForRead();
-      ReadPiece(&*parser, nullptr, yield, &error);
+    for (int passed = 0; passed < kMostPassedReplies && !over_; ++passed) {
+      std::optional<http::response_parser<http::string_body>> parser;
+      if (!ReadReplyHead(&parser, yield)) {
+        return;
+      }
+      error_code error;
+      while (!parser->is_done() && !error && !over_) {
+        ExtendForRead();
+        ReadPiece(&*parser, nullptr, yield, &error);
+      }
+      if (error) {
+        Done(OutcomeOf(error));
+        return;
+      }
+      auto& reply = parser->get();
+      if (IsThisCalls(reply)) {
+        Keep(reply.keep_alive());
+        Done(CallOutcome::kSuccess, std::move(reply.body()));
+        return;
+      }
     }
-    if (error) {
-      Done(OutcomeOf(error));
-      return;
+    Done(CallOutcome::kWrongId);
+  }
+
+  /// By its body, where heads name no call.
+  template <typename Message>
+  bool IsThisCalls(const Message& reply) {
+    if (over_ || !hooks_.owner_by_body_) {
+      return true;
     }
-    Keep(parser->get().keep_alive());
-    Done(CallOutcome::kSuccess, std::move(parser->get().body()));
+    const ReplyOwner owner =
+        hooks_.owner_by_body_(ReadHead(reply), reply.body());
+    may_keep_ = may_keep_ && owner == ReplyOwner::kThisCall;
+    return owner == ReplyOwner::kThisCall || owner == ReplyOwner::kAssumed;
   }
 
   void ReadStream(const asio::yield_context& yield) {
@@ -360,7 +418,8 @@
 
   void Keep(bool keep_alive) {
     const bool drained = connection_->buffer_.size() == 0;
-    if (keep_alive && drained && !spec_.fresh_connection_ && !over_) {
+    if (keep_alive && drained && may_keep_ && !spec_.fresh_connection_ &&
+        !over_) {
       pool_->GiveBack(key_, std::move(connection_));
     }
   }
@@ -371,6 +430,7 @@
   const std::string key_;
   ConnectionPtr connection_;
   bool kept_connection_ = false;
+  bool may_keep_ = true;
   bool over_ = false;
 };
 
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -250,6 +250,15 @@
   CHECK(read(421, {}).not_run_);
   CHECK(read(421, {}).wrong_server_);
   CHECK(read(200, {{"X-Citronlane-Response-Seal", "x"}}).sealed_);
+  CHECK_FALSE(read(200, {{"X-Citronlane-Request-Id", "a"},
+                         {"X-Citronlane-Response-Seal", "x"}})
+                  .is_ambiguous_);
+  CHECK(read(200, {{"X-Citronlane-Request-Id", "a"},
+                   {"X-Citronlane-Request-Id", "a"}})
+            .is_ambiguous_);
+  CHECK(read(200, {{"X-Citronlane-Response-Seal", "x"},
+                   {"X-Citronlane-Response-Seal", "x"}})
+            .is_ambiguous_);
   CHECK(read(200, {{"X-Citronlane-Request-Id", "i"}}).request_id_ == "i");
   CHECK(read(200, {{"Keep-Alive", "timeout=5, max=9"}}).idle_time_ ==
         std::chrono::seconds(5));
--- a/tests/unit-reply-identity.cc
+++ b/tests/unit-reply-identity.cc
@@ -135,8 +135,68 @@
   RelayService service_{&context_, kMostRequests};
 };
 
+/// A stage pool of one scripted server; tasks of two pieces.
+class StagePress {
+ public:
+  explicit StagePress(uint16_t port) {
+    view_.SetServers(OneServer("press", port), SteadyNow());
+    pool_.Begin(SteadyNow());
+  }
+
+  void Run(const std::string& id) {
+    StageTask task;
+    task.request_id_ = id;
+    task.pieces_ = 2;
+    task.key_ = "k";
+    task.target_ = SteadyNow() + seconds(2);
+    task.deadline_ = SteadyNow() + seconds(5);
+    task.result_bytes_ = 10;
+    bool is_done = false;
+    pool_.Submit(
+        std::move(task),
+        [&](const StageOutcome& outcome) {
+          is_done = true;
+          got_ = outcome.handles_;
+        },
+        [] {});
+    while (!is_done) {
+      if (io_.run_one() == 0) {
+        // A piece waits for its next try, which is due by then.
+        io_.restart();
+        pool_.Tick(SteadyNow() + seconds(1));
+      }
+    }
+  }
+
+  std::vector<std::string> got_;
+
+ private:
+  static StagePoolSpec Spec() {
+    StagePoolSpec spec;
+    spec.batch_ = 2;
+    spec.call_time_ = milliseconds(20);
+    spec.room_bytes_ = 1000;
+    spec.result_life_ = seconds(4);
+    return spec;
+  }
+
+  boost::asio::io_context io_;
+  const Dialect dialect_ = platform::MakeDialect();
+  FleetView view_;
+  StageClient client_{&io_, StageLimits()};
+  EventLog log_{"gateway",
+                {[](std::string_view) { return true; }, SteadyNow,
+                 [] { return int64_t{0}; }}};
+  StagePool pool_{
+      "press", Spec(),    RepeatBudget::Options{0.2, 10, seconds(10)},
+      &view_,  &dialect_, &client_,
+      &log_};
+};
+
 void CheckOwnOrNone(const RecordedCaller& caller, const std::string& id) {
   REQUIRE(caller.reply_);
+  // The servers of these tests fail no call.
+  CHECK(caller.reply_->status_ != 500);
   if (caller.reply_->status_ == 200) {
     CHECK(caller.reply_->body_ == "answer to " + id);
     size_t seals = 0;
@@ -169,6 +229,12 @@
     late = std::string("HTTP/1.1 200 OK\r\n") + kId + "a\r\n" + kSeal +
            "seal-of-a\r\nContent-Type: text/pl";
   }
+  SECTION("that is cut before it names anything") {
+    late = "HTTP/1.1 500 Oops\r\nContent-Type: te";
+  }
+  SECTION("that is cut in its status line") {
+    late = "HTTP/1.1 500 Oo";
+  }
   SECTION("that is cut in its body") {
     late = ReplyTo("a").substr(0, ReplyTo("a").size() - 3);
   }
@@ -208,7 +274,8 @@
 // call twice.
 TEST_CASE("a stage call takes no other call's results") {
   std::string late;
-  std::string second = R"({"items":[{"handle":"h/b0"},{"handle":"h/b1"}]})";
+  const std::string second =
+      R"({"items":[{"handle":"h/b0"},{"handle":"h/b1"}]})";
   SECTION("a second reply to the call before it") {
     late = Reply("", R"({"items":[{"handle":"h/a0"},{"handle":"h/a1"}]})");
   }
@@ -221,49 +288,31 @@
   ScriptedServer server(
       {Reply("", R"({"items":[{"handle":"h/a0"},{"handle":"h/a1"}]})"),
        late + Reply("", second)});
-  boost::asio::io_context io;
-  const Dialect dialect = platform::MakeDialect();
-  FleetView view;
-  view.SetServers(OneServer("press", server.port()), SteadyNow());
-  StageClient client(&io, StageLimits());
-  EventLog log("gateway", {[](std::string_view) { return true; }, SteadyNow,
-                           [] { return int64_t{0}; }});
-  StagePoolSpec spec;
-  spec.slots_ = 1;
-  spec.batch_ = 2;
-  spec.call_time_ = milliseconds(20);
-  spec.room_bytes_ = 1000;
-  spec.result_life_ = seconds(4);
-  StagePool pool("press", spec, RepeatBudget::Options(), &view, &dialect,
-                 &client, &log);
-  pool.Begin(SteadyNow());
-  std::vector<std::string> got;
-  const auto run = [&](const std::string& id) {
-    StageTask task;
-    task.request_id_ = id;
-    task.pieces_ = 2;
-    task.key_ = "k";
-    task.target_ = SteadyNow() + seconds(2);
-    task.deadline_ = SteadyNow() + seconds(5);
-    task.result_bytes_ = 10;
-    bool is_done = false;
-    pool.Submit(
-        std::move(task),
-        [&](const StageOutcome& outcome) {
-          is_done = true;
-          got = outcome.handles_;
-        },
-        [] {});
-    while (!is_done && !io.stopped()) {
-      io.run_one();
-    }
-    io.restart();
-    CHECK(is_done);
-  };
-  run("a");
-  CHECK(got == std::vector<std::string>{"h/a0", "h/a1"});
-  run("b");
-  CHECK(got == std::vector<std::string>{"h/b0", "h/b1"});
+  StagePress press(server.port());
+  press.Run("a");
+  CHECK(press.got_ == std::vector<std::string>{"h/a0", "h/a1"});
+  press.Run("b");
+  CHECK(press.got_ == std::vector<std::string>{"h/b0", "h/b1"});
+}
+
+// Such a reply could be any call's: whatever comes behind it on its connection
+// is read by nobody.
+TEST_CASE("a stage reply that names no result is the last on its connection") {
+  std::string reply;
+  SECTION("nothing was made") {
+    reply = Reply("", R"({"items":[{"reason":"room"},{"reason":"room"}]})");
+  }
+  SECTION("the call was refused") {
+    reply =
+        "HTTP/1.1 503 No\r\nX-Citronlane-Not-Run: 1\r\n"
+        "Content-Length: 0\r\n\r\n";
+  }
+  const std::string made = R"({"items":[{"handle":"h/0"},{"handle":"h/1"}]})";
+  ScriptedServer server({reply, Reply("", made)});
+  StagePress press(server.port());
+  press.Run("a");
+  CHECK(press.got_ == std::vector<std::string>{"h/0", "h/1"});
+  CHECK(server.connections() == 2);
 }
 
 }  // namespace citronlane
--- a/tests/unit-stage-client.cc
+++ b/tests/unit-stage-client.cc
@@ -26,6 +26,7 @@
     spec.port_ = port;
     spec.target_ = "/x";
     spec.fresh_connection_ = fresh;
+    spec.attempt_id_ = attempt_id_;
     spec.streams_ = streams;
     spec.deadline_ = SteadyNow() + std::chrono::seconds(10);
     StageCallHooks hooks;
@@ -50,6 +51,7 @@
   asio::io_context io_;
   StageLimits limits_;
   StageClient client_{&io_, limits_};
+  std::string attempt_id_;
   int sent_ = 0;
   StageReplyHead head_;
   std::string body_;
@@ -129,6 +131,22 @@
     CHECK(server.connections() == 2);
   }
 
+  SECTION("keeps no connection after a reply that names no or another call") {
+    const std::string other =
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: r/9/0\r\nContent-Length: 0\r\n\r\n";
+    const std::string nobodys = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    ScriptedServer server({kept_reply, other, nobodys, kept_reply});
+    bench.attempt_id_ = "r/0/0";
+    for (int call = 0; call < 4; ++call) {
+      bench.Run(server.port());
+    }
+    CHECK(server.connections() == 3);
+  }
+  SECTION("takes no reply that an unfinished one ran into") {
+    ScriptedServer server({"HTTP/1.1 200 OK\r\nContent-Type: te" + kept_reply});
+    bench.Run(server.port());
+    CHECK(bench.outcomes_.back() == CallOutcome::kWrongId);
+  }
   SECTION("sends nothing when no connection is made") {
     uint16_t port = 0;
     {
--- a/tests/unit-stages.cc
+++ b/tests/unit-stages.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "citronlane/stages/stage_batcher.h"
+#include "citronlane/stages/stage_reply_check.h"
 
 namespace citronlane {
 namespace {
@@ -758,4 +759,59 @@
   }
 }
 
+TEST_CASE("replies to a pool's calls") {
+  StageReplyCheck check(seconds(10));
+  TimePoint now{seconds(100)};
+  const auto results = [](std::vector<std::string> handles) {
+    std::vector<StagePieceResult> made;
+    for (std::string& handle : handles) {
+      StagePieceResult result;
+      result.outcome_ = handle.empty() ? Outcome::kNoRoom : Outcome::kDone;
+      result.handle_ = std::move(handle);
+      made.push_back(std::move(result));
+    }
+    return made;
+  };
+  // A call's pieces: of one request, from a number on.
+  const auto pieces = [](uint32_t first, uint32_t count) {
+    std::vector<StagePiece> asked(count);
+    for (uint32_t i = 0; i < count; ++i) {
+      asked[i].request_id_ = "r";
+      asked[i].piece_ = first + i;
+    }
+    return asked;
+  };
+  using Match = StageReplyCheck::Match;
+
+  SECTION("are the call's when they hold one new result a piece") {
+    CHECK(check.Take(results({"h/1", "h/2"}), pieces(0, 2), now) ==
+          Match::kOwn);
+    CHECK(check.Take(results({"h/3"}), pieces(2, 1), now) == Match::kOwn);
+  }
+  SECTION("are another call's when the number differs") {
+    CHECK(check.Take(results({"h/1"}), pieces(0, 2), now) == Match::kOtherSize);
+    CHECK(check.Take({}, pieces(0, 2), now) == Match::kOtherSize);
+  }
+  SECTION("are another call's when they come again") {
+    CHECK(check.Take(results({"", "h/2"}), pieces(0, 2), now) == Match::kOwn);
+    now += seconds(9);
+    CHECK(check.Take(results({"", "h/2"}), pieces(2, 2), now) ==
+          Match::kSeenBefore);
+  }
+  SECTION("that made nothing can't be told apart") {
+    CHECK(check.Take(results({"", ""}), pieces(0, 2), now) ==
+          Match::kMayBeOthers);
+  }
+  SECTION("may be the call's when the same piece is made again") {
+    CHECK(check.Take(results({"h/1"}), pieces(0, 1), now) == Match::kOwn);
+    CHECK(check.Take(results({"h/1"}), pieces(0, 1), now) ==
+          Match::kMayBeOthers);
+  }
+  SECTION("are forgotten after a while") {
+    CHECK(check.Take(results({"h/1"}), pieces(0, 1), now) == Match::kOwn);
+    now += seconds(11);
+    CHECK(check.Take(results({"h/1"}), pieces(0, 1), now) == Match::kOwn);
+  }
+}
+
 }  // namespace citronlane
