End a call at once that a server refuses on a new connection without its name

Cause: a reply without a name was read past on any connection, and where the server then kept the connection open the call would have waited to its deadline. Change: on a connection that carried nothing before, a failure without a name is the call's; a success without one is not taken, as before.

--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -28,16 +28,27 @@
 
 namespace {
 
+constexpr int kFirstFailure = 400;
+
 // Servers name the request in each reply, refusals included. One that is taken
 // though it doesn't is handed to whoever called next: a server that answers
 // twice sends the second reply where the next one is expected.
 ReplyOwner OwnerOf(const std::string& request_id,
+                   const StageReplyHead& head,
                    const ServerReplyHead& reply) {
   if (reply.is_ambiguous_) {
     return ReplyOwner::kUnclear;
   }
-  return reply.request_id_ == request_id ? ReplyOwner::kThisCall
-                                         : ReplyOwner::kOtherCall;
+  if (reply.request_id_ == request_id) {
+    return ReplyOwner::kThisCall;
+  }
+  if (!reply.request_id_.empty() || head.kept_connection_) {
+    return ReplyOwner::kOtherCall;
+  }
+  // Nothing came before on this connection. A server may refuse to read a call
+  // and so not know its name, but it can't have answered it.
+  return head.status_ >= kFirstFailure ? ReplyOwner::kAssumed
+                                       : ReplyOwner::kUnclear;
 }
 
 std::string_view WhyOther(const ServerReplyHead& reply) {
@@ -83,7 +94,7 @@
                   names = std::move(names)](const StageReplyHead& head) {
     const auto reply =
         context->dialect_->read_reply_(head.status_, head.headers_);
-    const ReplyOwner owner = OwnerOf(names.request_id_, reply);
+    const ReplyOwner owner = OwnerOf(names.request_id_, head, reply);
     if (owner != ReplyOwner::kThisCall) {
       LogOtherReply(*context, names, head, reply);
     }
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -271,7 +271,8 @@
         }
         continue;
       }
-      may_keep_ = may_keep_ && NamesThisCall(head);
+      may_keep_ =
+          may_keep_ && owner == ReplyOwner::kThisCall && NamesThisCall(head);
       connection_->idle_limit_ = IdleLimit((*parser)->get());
       if (!over_ && !hooks_.head_(head)) {
         over_ = true;
--- a/tests/unit-reply-identity.cc
+++ b/tests/unit-reply-identity.cc
@@ -260,6 +260,9 @@
                       "seal-of-b\r\n",
                   "answer to b");
   }
+  SECTION("by naming it at all, when it is a success") {
+    reply = Reply(std::string(kSeal) + "seal-of-b\r\n", "answer to b");
+  }
   SECTION("by a seal at all, when it is a success") {
     reply = Reply(std::string(kId) + "b\r\n", "answer to b");
   }
@@ -270,6 +273,21 @@
   CHECK(caller.reply_->status_ != 200);
 }
 
+// A server that can't read a call answers without its name. On a connection
+// that carried nothing before it can only mean this call, which ends at once.
+TEST_CASE("a failure without a name on a new connection ends its call") {
+  ScriptedServer server(
+      {"HTTP/1.1 400 No\r\nX-Citronlane-Not-Run: 1\r\n"
+       "Content-Length: 0\r\n\r\n",
+       ReplyTo("c")});
+  Gateway gateway(server.port());
+  const RecordedCaller caller = gateway.Ask("b");
+  REQUIRE(caller.reply_);
+  CHECK(caller.reply_->status_ == 503);
+  CheckOwnOrNone(gateway.Ask("c"), "c");
+  CHECK(server.connections() == 2);
+}
+
 // Two requests' pieces, one after the other, at a server that answers the first
 // call twice.
 TEST_CASE("a stage call takes no other call's results") {
