Make a request's later server calls on connections of their own

Cause: a late second reply to a request's first call names the same request as its second call, so that the id does not tell them apart. Change: only the first call of a request uses a kept connection. Measured: the new case of unit-reply-identity fails without the change (one connection where two are wanted) and passes with it.

--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -314,8 +314,10 @@
   // A server may drop a kept connection just as a call arrives, and then the
   // call may have run. Where idle connections were dropped early, one in
   // twenty of the calls that may not repeat was lost so; a new connection costs
-  // two milliseconds.
-  spec.fresh_connection_ = !job_->route_->MayRepeat();
+  // two milliseconds. A late second reply to an earlier call of this request
+  // names the same request: later calls go where none can come.
+  spec.fresh_connection_ = !job_->route_->MayRepeat() || calls_ > 0;
+  ++calls_;
   tried_.push_back(id);
   last_server_ = id;
   ServerAttempt attempt(context_, waker_, std::move(spec),
--- a/tests/unit-reply-identity.cc
+++ b/tests/unit-reply-identity.cc
@@ -71,7 +71,7 @@
   route.kind_ = RouteKind::kSafe;
   route.timeout_ = seconds(5);
   route.target_latency_ = seconds(1);
-  route.max_attempts_ = 1;
+  route.max_attempts_ = 2;
   route.is_public_ = true;
   route.split_ = {{"desk", 1}};
   parts.routes_.push_back(route);
@@ -90,12 +90,17 @@
   return {server};
 }
 
-/// A gateway of one route to one scripted server.
+/// A gateway of one route to one scripted server, which two entries name.
 class Gateway {
  public:
   explicit Gateway(uint16_t port) {
     view_.SetConfig(Config());
-    view_.SetServers(OneServer("desk", port), SteadyNow());
+    // Two of them at one address share its connections.
+    auto servers = OneServer("desk", port);
+    servers.push_back(servers.front());
+    servers.back().id_ = "s2";
+    servers.back().name_ = "s2";
+    view_.SetServers(std::move(servers), SteadyNow());
     context_.io_ = &io_;
     context_.dialect_ = &dialect_;
     context_.view_ = &view_;
@@ -130,7 +135,7 @@
   Metrics metrics_;
   ServiceRouter router_{"desk", false, seconds(1), "a",
                         [](uint64_t) { return uint64_t{0}; }};
-  RepeatBudget budget_{RepeatBudget::Options()};
+  RepeatBudget budget_{RepeatBudget::Options{0.2, 10, seconds(10)}};
   RelayContext context_;
   RelayService service_{&context_, kMostRequests};
 };
@@ -273,6 +278,19 @@
   CHECK(caller.reply_->status_ != 200);
 }
 
+// Its calls share their name, which so tells nothing.
+TEST_CASE("a request's second call meets no late reply to its first") {
+  const std::string failure = "HTTP/1.1 500 Oops\r\n" + std::string(kId) +
+                              "b\r\n" + kSeal +
+                              "seal-of-b\r\nContent-Length: 0\r\n\r\n";
+  ScriptedServer server({ReplyTo("a"), failure, ReplyTo("b")});
+  Gateway gateway(server.port());
+  gateway.Ask("a");
+  CHECK(server.connections() == 1);
+  CheckOwnOrNone(gateway.Ask("b"), "b");
+  CHECK(server.connections() == 2);
+}
+
 // A server that can't read a call answers without its name. On a connection
 // that carried nothing before it can only mean this call, which ends at once.
 TEST_CASE("a failure without a name on a new connection ends its call") {
