Bring about replies that are still taken for another call's; they fail

Cause: a late second reply is still taken, or costs a call, in five places: a torn head whose last header holds a version before the next status line; a reply to a call that freed results, whose connection stage calls share; a stage reply whose first result was made for the same piece, whatever the others were made for; on the other caller interface a reply without a name on a connection whose service names its calls.

--- /dev/null
+++ b/tests/unit-gateway-reply-identity.cc
@@ -0,0 +1,121 @@
+// The other caller interface: a plain service need not name its calls. One that
+// named the call before has its connection kept, and a late second reply that
+// names none is then read where the next call's reply is expected.
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "gateway_harness.h"
+
+namespace citronlane {
+namespace {
+
+std::string Reply(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\n" +
+         (id.empty() ? id : "X-Attempt-Id: " + id + "\r\n") +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Answers each call by its target, naming it; before the answer to the second
+/// call on a connection comes one without a name.
+class TwiceAnsweringService {
+ public:
+  TwiceAnsweringService()
+      : acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}),
+        thread_([this] { Run(); }) {}
+  ~TwiceAnsweringService() {
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    thread_.join();
+  }
+
+  uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  void Run() {
+    boost::system::error_code error;
+    while (true) {
+      tcp::socket socket(io_);
+      acceptor_.accept(socket, error);
+      if (error) {
+        return;
+      }
+      Serve(&socket);
+    }
+  }
+
+  static void Serve(tcp::socket* socket) {
+    beast::flat_buffer buffer;
+    std::string before;
+    beast::error_code error;
+    while (true) {
+      http::request<http::string_body> request;
+      http::read(*socket, buffer, request, error);
+      if (error) {
+        return;
+      }
+      const auto id = request["X-Attempt-Id"];
+      const auto target = request.target();
+      const std::string body =
+          "answer to " + std::string(target.data(), target.size());
+      const std::string late = before.empty() ? "" : Reply("", before);
+      asio::write(
+          *socket,
+          asio::buffer(late + Reply(std::string(id.data(), id.size()), body)),
+          error);
+      before = body;
+    }
+  }
+
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+std::shared_ptr<const ClusterConfig> ConfigOf(uint16_t port) {
+  const std::string document =
+      R"({"classes": {"chat": {"answer_ms": 4000}},
+    "accounts": {"shop": {"key_digests": [")" +
+      Sha256Hex("key-1") +
+      R"("], "default_class": "chat", "classes": ["chat"]}},
+    "pools": {"desks": {"kind": "service", "servers": {"d": {
+      "address": "127.0.0.1", "port": )" +
+      std::to_string(port) + R"(, "failure_domain": "a"}}}},
+    "pipelines": {},
+    "services": {"desk": {"pool": "desks", "deadline_ms": 2000}}})";
+  std::vector<Fault> faults;
+  auto config = ParseClusterConfig(document, 7, &faults);
+  INFO((faults.empty() ? "" : FormatFaults(faults)[0]));
+  REQUIRE(config);
+  return std::make_shared<const ClusterConfig>(*std::move(config));
+}
+
+}  // namespace
+
+TEST_CASE("a plain service's late second reply without a name is nobody's") {
+  TwiceAnsweringService service;
+  GatewayOptions options = TestOptions();
+  options.threads_ = 1;
+  Gateway gateway(std::move(options), {});
+  gateway.ApplyConfig(ConfigOf(service.port()));
+  gateway.ExtendLease(TimePoint::max());
+  Error error;
+  REQUIRE(gateway.Start(&error));
+  const auto ask = [&](const std::string& path) {
+    return Call(gateway.port(), http::verb::get, "/services/desk" + path, "",
+                key_header);
+  };
+  const Response first = ask("/a");
+  CHECK(first.result_int() == 200);
+  CHECK(first.body() == "answer to /a");
+  const Response second = ask("/b");
+  if (second.result_int() == 200) {
+    CHECK(second.body() == "answer to /b");
+  }
+  gateway.Shutdown();
+  gateway.Wait();
+}
+
+}  // namespace citronlane
--- a/tests/unit-reply-identity.cc
+++ b/tests/unit-reply-identity.cc
@@ -9,12 +9,20 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
+#include <sys/socket.h>
+
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/observe/event_log.h"
@@ -28,6 +36,7 @@
 #include "citronlane/serving/dialect.h"
 #include "citronlane/serving/serving_config.h"
 #include "citronlane/stages/stage_outcome.h"
+#include "citronlane/stages/stage_reply_check.h"
 #include "citronlane/stages/stage_task.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
@@ -45,6 +54,9 @@
 
 constexpr size_t kMostRequests = 10;
 constexpr char kId[] = "X-Citronlane-Request-Id: ";
+constexpr char kRefusal[] =
+    "HTTP/1.1 503 No\r\nX-Citronlane-Not-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
 constexpr char kSeal[] = "X-Citronlane-Response-Seal: ";
 
 std::string Reply(const std::string& headers, const std::string& body) {
@@ -140,7 +152,7 @@
   RelayService service_{&context_, kMostRequests};
 };
 
-/// A stage pool of one scripted server; tasks of two pieces.
+/// A stage pool of one scripted server.
 class StagePress {
  public:
   explicit StagePress(uint16_t port) {
@@ -148,10 +160,10 @@
     pool_.Begin(SteadyNow());
   }
 
-  void Run(const std::string& id) {
+  void Run(const std::string& id, uint32_t pieces = 2) {
     StageTask task;
     task.request_id_ = id;
-    task.pieces_ = 2;
+    task.pieces_ = pieces;
     task.key_ = "k";
     task.target_ = SteadyNow() + seconds(2);
     task.deadline_ = SteadyNow() + seconds(5);
@@ -162,6 +174,7 @@
         [&](const StageOutcome& outcome) {
           is_done = true;
           got_ = outcome.handles_;
+          not_run_ = outcome.not_run_;
         },
         [] {});
     while (!is_done) {
@@ -173,7 +186,16 @@
     }
   }
 
+  /// Frees what was got, and waits until that call is over.
+  void Free() {
+    pool_.Free(got_);
+    io_.restart();
+    io_.run();
+    io_.restart();
+  }
+
   std::vector<std::string> got_;
+  bool not_run_ = false;
 
  private:
   static StagePoolSpec Spec() {
@@ -198,6 +220,81 @@
       &log_};
 };
 
+/// Makes pieces, and answers calls that free them twice, the second time late.
+class FreesTwiceServer {
+ public:
+  /// Makes pieces for the first `most` calls, and refuses the others.
+  explicit FreesTwiceServer(std::string free_reply,
+                            int most = 100,
+                            int pieces = 2)
+      : free_reply_(std::move(free_reply)),
+        most_(most),
+        pieces_(pieces),
+        acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        thread_([this] { Run(); }) {}
+  ~FreesTwiceServer() {
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    thread_.join();
+  }
+
+  uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  int made() const { return made_; }
+
+ private:
+  void Run() {
+    boost::system::error_code error;
+    while (true) {
+      boost::asio::ip::tcp::socket socket(io_);
+      acceptor_.accept(socket, error);
+      if (error) {
+        return;
+      }
+      Serve(&socket);
+    }
+  }
+
+  void Serve(boost::asio::ip::tcp::socket* socket) {
+    std::string text;
+    std::string late;
+    boost::system::error_code error;
+    while (true) {
+      const size_t got = boost::asio::read_until(
+          *socket, boost::asio::dynamic_buffer(text), "\r\n\r\n", error);
+      if (error) {
+        return;
+      }
+      const bool frees =
+          text.substr(0, got).find("/v1/stage-free") != std::string::npos;
+      text.erase(0, got);
+      const std::string reply = frees ? free_reply_ : Make();
+      boost::asio::write(*socket, boost::asio::buffer(late + reply), error);
+      late = frees ? free_reply_ : "";
+    }
+  }
+
+  std::string Make() {
+    if (made_ >= most_) {
+      return kRefusal;
+    }
+    const std::string maker = "127.0.0.1:" + std::to_string(port()) + "/" +
+                              std::to_string(++made_) + "-";
+    std::string items;
+    for (int i = 0; i < pieces_; ++i) {
+      items += (i == 0 ? "" : ",") + (R"({"handle":")" + maker) +
+               std::to_string(i) + "\"}";
+    }
+    return Reply("", R"({"items":[)" + items + "]}");
+  }
+
+  const std::string free_reply_;
+  const int most_;
+  const int pieces_;
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<int> made_{0};
+  std::thread thread_;
+};
+
 void CheckOwnOrNone(const RecordedCaller& caller, const std::string& id) {
   REQUIRE(caller.reply_);
   // The servers of these tests fail no call.
@@ -240,6 +337,12 @@
   SECTION("that is cut in its status line") {
     late = "HTTP/1.1 500 Oo";
   }
+  SECTION("that is cut in a header that names a version itself") {
+    late = "HTTP/1.1 500 Oops\r\nVia: HTTP/1.1 pro";
+  }
+  SECTION("that is cut within what looks like a version") {
+    late = "HTTP/1.1 500 Oops\r\nVia: HTTP/1.";
+  }
   SECTION("that is cut in its body") {
     late = ReplyTo("a").substr(0, ReplyTo("a").size() - 3);
   }
@@ -321,6 +424,14 @@
   SECTION("a reply to a call that freed results") {
     late = Reply("", "{}");
   }
+  SECTION("a reply to a call that freed results, as the platform gives it") {
+    late = Reply("", "");
+  }
+  SECTION("a refusal of a call that freed results") {
+    late =
+        "HTTP/1.1 503 No\r\nX-Citronlane-Not-Run: 1\r\n"
+        "Content-Length: 0\r\n\r\n";
+  }
   ScriptedServer server(
       {Reply("", R"({"items":[{"handle":"h/a0"},{"handle":"h/a1"}]})"),
        late + Reply("", second)});
@@ -351,4 +462,62 @@
   CHECK(server.connections() == 2);
 }
 
+// The first call's pieces are made again (its results were gone) together with
+// another request's, and its late second reply comes first.
+TEST_CASE("a stage reply is checked by all that it names") {
+  const auto piece = [](const std::string& request, uint32_t number) {
+    StagePiece made;
+    made.request_id_ = request;
+    made.piece_ = number;
+    return made;
+  };
+  const auto made = [](const std::string& handle) {
+    StagePieceResult result;
+    result.outcome_ = StagePieceResult::Outcome::kDone;
+    result.handle_ = handle;
+    return result;
+  };
+  using Match = StageReplyCheck::Match;
+  StageReplyCheck check(seconds(10));
+  const TimePoint now = SteadyNow();
+  const std::vector<StagePieceResult> reply = {made("h/a0"), made("h/b0")};
+  CHECK(check.Take(reply, std::vector<StagePiece>{piece("a", 0), piece("b", 0)},
+                   now) == Match::kOwn);
+  CHECK(check.Take(reply, std::vector<StagePiece>{piece("a", 0), piece("c", 0)},
+                   now) == Match::kSeenBefore);
+}
+
+// Calls that free results share the connections of stage calls, and their
+// replies name nothing.
+TEST_CASE("a late second reply to a call that freed results costs no call") {
+  std::string free_reply;
+  SECTION("that was a success") {
+    free_reply = Reply("", "");
+  }
+  SECTION("that was a refusal") {
+    free_reply = kRefusal;
+  }
+  FreesTwiceServer server(free_reply);
+  StagePress press(server.port());
+  press.Run("a");
+  CHECK(press.got_.size() == 2);
+  press.Free();
+  press.Run("b");
+  CHECK(press.got_.size() == 2);
+  // One call made a's pieces, one b's.
+  CHECK(server.made() == 2);
+}
+
+// The server works on b's pieces; its refusals later are of repeats.
+TEST_CASE("a refusal of a call that freed results is no stage call's") {
+  FreesTwiceServer server(kRefusal, 2, 1);
+  StagePress press(server.port());
+  press.Run("a", 1);
+  CHECK(press.got_.size() == 1);
+  press.Free();
+  press.Run("b", 1);
+  CHECK(server.made() == 2);
+  CHECK_FALSE(press.not_run_);
+}
+
 }  // namespace citronlane
