--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -23,6 +23,7 @@
 class StageCall;
 class StageClient;
 struct Dialect;
+struct StageReplyHead;
 
 /// Runs one stage pool for all gateways: forms the calls to its servers and
 /// makes them. On the event loop's thread.
@@ -71,7 +72,7 @@
   ReplyOwner OwnerOf(uint64_t call,
                      const std::string& server,
                      absl::Span<const StagePiece> pieces,
-                     int status,
+                     const StageReplyHead& head,
                      std::string_view body);
   void TakeReply(uint64_t call,
                  const std::string& server,
--- a/include/citronlane/stages/stage_reply_check.h
+++ b/include/citronlane/stages/stage_reply_check.h
@@ -1,9 +1,9 @@
 #ifndef CITRONLANE_STAGES_STAGE_REPLY_CHECK_H_
 #define CITRONLANE_STAGES_STAGE_REPLY_CHECK_H_
 
+#include <cstdint>
 #include <deque>
-#include <map>
-#include <string>
+#include <unordered_map>
 #include <utility>
 
 #include "absl/types/span.h"
@@ -20,8 +20,8 @@
  public:
   enum class Match {
     kOwn,
-    /// It could as well answer another call: nothing was made, or just what an
-    /// earlier reply named too.
+    /// It could as well answer another call: nothing was made, or something
+    /// that an earlier reply named for the same piece.
     kMayBeOthers,
     /// Not one result a piece.
     kOtherSize,
@@ -40,11 +40,16 @@
              TimePoint now);
 
  private:
+  void Forget(TimePoint now);
+  void Remember(absl::Span<const StagePieceResult> results,
+                absl::Span<const StagePiece> pieces,
+                TimePoint now);
+
   const Duration memory_;
-  /// Handles name one result each: the first one stands for its reply. With the
-  /// piece that it was made for.
-  std::map<std::string, std::string> seen_;
-  std::deque<std::pair<TimePoint, std::string>> in_order_;
+  /// By a hash of the result's handle, one of the piece that it was made for: a
+  /// busy pool has thousands of them within the memory.
+  std::unordered_map<uint64_t, uint64_t> seen_;
+  std::deque<std::pair<TimePoint, uint64_t>> in_order_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -84,6 +84,7 @@
   uint64_t reserved_bytes_ = 0;
   bool keep_alive_ = true;
   bool head_request_ = false;
+  bool stream_has_body_ = true;
   bool idle_ = false;
   bool watching_ = false;
   bool notified_ = false;
--- a/include/citronlane/transport/detail/http_text.h
+++ b/include/citronlane/transport/detail/http_text.h
@@ -21,6 +21,10 @@
 /// Returns the bytes of the head of a chunked reply.
 std::string StreamHeadText(const HttpReply& head, bool keep_alive);
 
+/// Whether bytes may follow the head of a reply: what comes behind one that has
+/// no body is read as the start of the next reply.
+bool MayHaveBody(int status, bool head_request);
+
 /// Returns one chunk. Precondition: not empty.
 std::string ChunkText(std::string_view bytes);
 
--- a/include/citronlane/transport/stage_call_hooks.h
+++ b/include/citronlane/transport/stage_call_hooks.h
@@ -21,7 +21,7 @@
   /// call's.
   std::function<ReplyOwner(const StageReplyHead&)> owner_;
   /// The same by its whole body, where heads name no call. Optional; not for
-  /// streams.
+  /// streams, and never kUnclear.
   std::function<ReplyOwner(const StageReplyHead&, std::string_view body)>
       owner_by_body_;
   /// The reply's head is there; called again after a reply that its body showed
--- a/include/citronlane/transport/stage_call_spec.h
+++ b/include/citronlane/transport/stage_call_spec.h
@@ -26,6 +26,9 @@
   /// Where replies name their call in X-Attempt-Id: the connection is kept only
   /// after a reply that names this one.
   std::string attempt_id_;
+  /// Kept connections are shared by calls of one group only: replies that name
+  /// no call can be told apart within it, not beyond.
+  std::string connection_group_;
   /// The call may not repeat: never on a kept-alive connection, which the
   /// server may close just as the call arrives.
   bool fresh_connection_ = false;
--- a/src/gateway/request_driver_replies.cc
+++ b/src/gateway/request_driver_replies.cc
@@ -150,10 +150,12 @@
     FailFlight(flight, OutcomeOfStatus(status));
     return;
   }
-  // A plain service need not echo the id; a wrong one is an error.
+  // A plain service need not echo the id; a wrong one is an error. One that did
+  // so far, and so had its connection kept, always does: a reply without it is
+  // a late one to an earlier call.
   const std::string own_id = flight->id_.ToHeader();
   std::string echoed = flight->head_.echoed_id_;
-  if (echoed.empty()) {
+  if (echoed.empty() && !flight->head_.kept_connection_) {
     echoed = own_id;
   }
   if (echoed == own_id) {
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -152,7 +152,7 @@
   hooks.owner_by_body_ =
       [this, number, server = batch.server_, pieces = std::move(batch.pieces_)](
           const StageReplyHead& head, std::string_view body) {
-        return OwnerOf(number, server, pieces, head.status_, body);
+        return OwnerOf(number, server, pieces, head, body);
       };
   hooks.done_ = [this, number, reply, server = batch.server_](
                     CallOutcome outcome, const std::string& body) {
@@ -198,19 +198,20 @@
 ReplyOwner StagePool::OwnerOf(uint64_t call,
                               const std::string& server,
                               absl::Span<const StagePiece> pieces,
-                              int status,
+                              const StageReplyHead& head,
                               std::string_view body) {
-  Error error;
-  const auto results =
-      status == kOk ? dialect_->read_stage_reply_(body, &error) : std::nullopt;
-  if (!results) {
+  if (head.status_ != kOk) {
     return ReplyOwner::kAssumed;
   }
-  const auto match = reply_check_.Take(*results, pieces, SteadyNow());
+  Error error;
+  const auto results = dialect_->read_stage_reply_(body, &error)
+                           .value_or(std::vector<StagePieceResult>());
+  const auto match = reply_check_.Take(results, pieces, SteadyNow());
   if (match == StageReplyCheck::Match::kOwn) {
     return ReplyOwner::kThisCall;
   }
-  if (match == StageReplyCheck::Match::kMayBeOthers) {
+  // Whatever comes first on a connection can't be another call's.
+  if (match == StageReplyCheck::Match::kMayBeOthers || !head.kept_connection_) {
     return ReplyOwner::kAssumed;
   }
   const bool is_seen = match == StageReplyCheck::Match::kSeenBefore;
@@ -219,7 +220,7 @@
                {"server", server},
                {"call", call},
                {"pieces", static_cast<uint64_t>(pieces.size())},
-               {"results", static_cast<uint64_t>(results->size())},
+               {"results", static_cast<uint64_t>(results.size())},
                {"why", is_seen ? "seen before" : "other size"}});
   return ReplyOwner::kOtherCall;
 }
@@ -269,6 +270,8 @@
   for (auto& [address, handles] : batcher_.TakeUnwanted()) {
     StageCallSpec spec =
         SpecFor(address, "POST", dialect_->free_results_path_, now + kFreeTime);
+    // A late second reply to it would be taken for a stage call's.
+    spec.connection_group_ = " frees";
     spec.headers_.push_back({"Content-Type", "application/json"});
     spec.body_ = dialect_->write_free_results_(handles);
     StageCallHooks hooks;
--- a/src/stages/stage_reply_check.cc
+++ b/src/stages/stage_reply_check.cc
@@ -1,13 +1,19 @@
 #include "citronlane/stages/stage_reply_check.h"
 
-#include <algorithm>
+#include <functional>
+#include <string>
+#include <string_view>
 
 namespace citronlane {
 namespace {
 
-std::string NameOf(const StagePiece& piece) {
-  return piece.request_id_ + "/" + std::to_string(piece.stage_) + "/" +
-         std::to_string(piece.piece_);
+uint64_t HashOf(std::string_view text) {
+  return std::hash<std::string_view>()(text);
+}
+
+uint64_t NameOf(const StagePiece& piece) {
+  return HashOf(piece.request_id_ + "/" + std::to_string(piece.stage_) + "/" +
+                std::to_string(piece.piece_));
 }
 
 }  // namespace
@@ -21,23 +27,46 @@
   if (results.size() != pieces.size()) {
     return Match::kOtherSize;
   }
-  const auto named = std::find_if(
-      results.begin(), results.end(),
-      [](const StagePieceResult& result) { return !result.handle_.empty(); });
-  if (named == results.end()) {
-    return Match::kMayBeOthers;
+  Forget(now);
+  bool names_new = false;
+  bool names_known = false;
+  for (size_t i = 0; i < results.size(); ++i) {
+    if (results[i].handle_.empty()) {
+      continue;
+    }
+    const auto seen = seen_.find(HashOf(results[i].handle_));
+    if (seen == seen_.end()) {
+      names_new = true;
+    } else if (seen->second == NameOf(pieces[i])) {
+      names_known = true;
+    } else {
+      return Match::kSeenBefore;
+    }
   }
+  Remember(results, pieces, now);
+  return names_new && !names_known ? Match::kOwn : Match::kMayBeOthers;
+}
+
+void StageReplyCheck::Forget(TimePoint now) {
   while (!in_order_.empty() && now - in_order_.front().first > memory_) {
     seen_.erase(in_order_.front().second);
     in_order_.pop_front();
   }
-  const std::string piece = NameOf(pieces[named - results.begin()]);
-  const auto [entry, is_new] = seen_.try_emplace(named->handle_, piece);
-  if (!is_new) {
-    return entry->second == piece ? Match::kMayBeOthers : Match::kSeenBefore;
+}
+
+void StageReplyCheck::Remember(absl::Span<const StagePieceResult> results,
+                               absl::Span<const StagePiece> pieces,
+                               TimePoint now) {
+  for (size_t i = 0; i < results.size(); ++i) {
+    const std::string& handle = results[i].handle_;
+    if (handle.empty()) {
+      continue;
+    }
+    const uint64_t hash = HashOf(handle);
+    if (seen_.try_emplace(hash, NameOf(pieces[i])).second) {
+      in_order_.emplace_back(now, hash);
+    }
   }
-  in_order_.emplace_back(now, named->handle_);
-  return Match::kOwn;
 }
 
 }  // namespace citronlane
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -114,15 +114,17 @@
 
 bool HttpConnection::StartStream(const HttpReply& head) {
   UpdateKeepAlive();
-  return Send(StreamHeadText(head, keep_alive_));
+  stream_has_body_ = MayHaveBody(head.status_, head_request_);
+  return Send(stream_has_body_ ? StreamHeadText(head, keep_alive_)
+                               : WholeReplyText(head, keep_alive_, true));
 }
 
 bool HttpConnection::Write(std::string_view bytes) {
-  return bytes.empty() || Send(ChunkText(bytes));
+  return bytes.empty() || !stream_has_body_ || Send(ChunkText(bytes));
 }
 
 bool HttpConnection::EndStream() {
-  return Send(kLastChunk);
+  return !stream_has_body_ || Send(kLastChunk);
 }
 
 void HttpConnection::Abort() {
--- a/src/transport/http_text.cc
+++ b/src/transport/http_text.cc
@@ -64,6 +64,12 @@
   return HeadText(head, keep_alive) + "Transfer-Encoding: chunked\r\n\r\n";
 }
 
+bool MayHaveBody(int status, bool head_request) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return !head_request && status != kNoContent && status != kNotModified;
+}
+
 std::string ChunkText(std::string_view bytes) {
   std::array<char, kSizeDigits> digits;
   const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -72,16 +72,19 @@
 /// Whether the text holds what only a status line does: "HTTP/1.1 200".
 bool HoldsStatusLine(std::string_view text) {
   constexpr std::string_view kVersion = "HTTP/1.";
-  const size_t at = text.find(kVersion);
-  if (at == std::string_view::npos) {
-    return false;
-  }
-  const std::string_view rest = text.substr(at + kVersion.size());
-  const auto is_digit = [&rest](size_t i) {
-    return i < rest.size() && rest[i] >= '0' && rest[i] <= '9';
+  // As in "1 200": the minor version and the status.
+  const auto goes_on = [text](size_t at) {
+    const auto is_digit = [text, at](size_t i) {
+      return at + i < text.size() && text[at + i] >= '0' && text[at + i] <= '9';
+    };
+    return is_digit(0) && text.substr(at + 1, 1) == " " && is_digit(2) &&
+           is_digit(3) && is_digit(4);
   };
-  return is_digit(0) && rest.size() > 1 && rest[1] == ' ' && is_digit(2) &&
-         is_digit(3) && is_digit(4);
+  size_t at = text.find(kVersion);
+  while (at != std::string_view::npos && !goes_on(at + kVersion.size())) {
+    at = text.find(kVersion, at + 1);
+  }
+  return at != std::string_view::npos;
 }
 
 template <typename Message>
@@ -104,7 +107,8 @@
     head.load_age_ = std::chrono::milliseconds(age_ms);
   }
   const auto reason = message.reason();
-  head.is_two_in_one_ = HoldsStatusLine({reason.data(), reason.size()});
+  head.is_two_in_one_ = HoldsStatusLine({reason.data(), reason.size()}) ||
+                        message.count("X-Attempt-Id") > 1;
   for (const auto& field : message) {
     const auto name = field.name_string();
     const auto value = field.value();
@@ -158,7 +162,8 @@
       : pool_(std::move(pool)),
         spec_(std::move(spec)),
         hooks_(std::move(hooks)),
-        key_(spec_.address_ + ":" + std::to_string(spec_.port_)) {}
+        key_(spec_.address_ + ":" + std::to_string(spec_.port_) +
+             spec_.connection_group_) {}
 
   void Cancel() override {
     over_ = true;
@@ -283,6 +288,13 @@
     return false;
   }
 
+  /// Another call's reply came first: this one's may follow until the deadline,
+  /// and more of the other's behind it.
+  void AwaitNextReply() {
+    may_keep_ = false;
+    connection_->stream_.expires_at(spec_.deadline_);
+  }
+
   ReplyOwner OwnerOf(const StageReplyHead& head) const {
     if (head.is_two_in_one_) {
       return ReplyOwner::kUnclear;
@@ -300,7 +312,7 @@
   /// Drops the body of a reply that is not this call's.
   template <typename Parser>
   bool PassReply(Parser* parser, const asio::yield_context& yield) {
-    may_keep_ = false;
+    AwaitNextReply();
     std::vector<char> sink(kStreamPieceBytes);
     error_code error;
     while (!parser->is_done() && !error && !over_) {
@@ -374,10 +386,15 @@
     if (over_ || !hooks_.owner_by_body_) {
       return true;
     }
-    const ReplyOwner owner =
-        hooks_.owner_by_body_(ReadHead(reply), reply.body());
+    StageReplyHead head = ReadHead(reply);
+    head.kept_connection_ = kept_connection_;
+    const ReplyOwner owner = hooks_.owner_by_body_(head, reply.body());
+    if (owner == ReplyOwner::kOtherCall) {
+      AwaitNextReply();
+      return false;
+    }
     may_keep_ = may_keep_ && owner == ReplyOwner::kThisCall;
-    return owner == ReplyOwner::kThisCall || owner == ReplyOwner::kAssumed;
+    return true;
   }
 
   void ReadStream(const asio::yield_context& yield) {
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -256,6 +256,10 @@
   CHECK(read(200, {{"X-Citronlane-Request-Id", "a"},
                    {"X-Citronlane-Request-Id", "a"}})
             .is_ambiguous_);
+  CHECK_FALSE(read(200, {{"X-Citronlane-Response-Seal", ""}}).sealed_);
+  CHECK(read(200, {{"X-Citronlane-Request-Id", ""},
+                   {"X-Citronlane-Request-Id", "a"}})
+            .is_ambiguous_);
   CHECK(read(200, {{"X-Citronlane-Response-Seal", "x"},
                    {"X-Citronlane-Response-Seal", "x"}})
             .is_ambiguous_);
