Move a request's place on an engine into a class of its own

PlacedEngine holds the question, its time limit and what is told of its end. It looks the gateway up once, when an attempt or the plan of one begins. Where the owner changes within an attempt, the attempt keeps what it began with (before, a lookup after the wait could differ from the one before it).

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -11,7 +11,7 @@
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/time.h"
 #include "citronlane/base/verdict.h"
-#include "citronlane/relay/engine_placement.h"
+#include "citronlane/relay/placed_engine.h"
 #include "citronlane/relay/relay_job.h"
 #include "citronlane/relay/stage_runner.h"
 #include "citronlane/routing/engine_router.h"
@@ -72,10 +72,7 @@
   void RunAttempts();
   /// Chooses a server; null when there is none.
   const BackendServer* Choose();
-  /// The engine that the gateway which places the service's requests names.
-  std::string AskForEngine(EnginePlacement::Purpose purpose);
   std::string PlannedDomain();
-  void ForgetPlacement();
   void NoteStart(const std::string& server);
   void NoteFirstEvent();
   void NoteEnd(const std::string& server, CallOutcome outcome, Duration took);
@@ -105,13 +102,12 @@
   HttpExchange* const exchange_;
   const std::shared_ptr<Waker> waker_;
   StageRunner stages_;
+  PlacedEngine engine_;
   const Service* service_ = nullptr;
   ServiceRouter* router_ = nullptr;
   RepeatBudget* budget_ = nullptr;
   EventSplitter events_;
   std::vector<std::string> tried_;
-  /// Number under which another gateway chose the engine.
-  std::optional<uint64_t> placed_;
   /// Tokens that the engine has still to read for it.
   double unread_ = 0;
   std::string near_domain_;
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -40,9 +40,6 @@
 /// What an estimate is multiplied by before a request counts as one that can
 /// meet its target: queues of later stages are still to grow in a burst.
 constexpr double kEstimateReserve = 1.1;
-/// The gateway that places requests on engines answers within a few
-/// milliseconds.
-constexpr Duration kPlacementTime = std::chrono::milliseconds(25);
 constexpr int kFirstServerError = 500;
 constexpr int kOk = 200;
 
@@ -58,10 +55,11 @@
       exchange_(exchange),
       waker_(std::make_shared<Waker>(context->io_, exchange)),
       stages_(job, context->view_, context->owners_, waker_),
+      engine_(context->engines_, waker_),
       events_(job->head_.last_event_) {}
 
 RelayRequest::~RelayRequest() {
-  ForgetPlacement();
+  engine_.Forget();
   waker_->Detach();
 }
 
@@ -200,43 +198,21 @@
 const BackendServer* RelayRequest::Choose() {
   const TimePoint now = SteadyNow();
   router_->Update(*context_->view_, now);
-  if (service_->engine_ && !context_->engines_->IsHere(service_->name_)) {
-    const std::string named = AskForEngine(EnginePlacement::Purpose::kStart);
+  engine_.Begin(service_);
+  if (engine_.is_elsewhere()) {
+    const std::string named =
+        engine_.Ask(EnginePlacement::Purpose::kStart, RouterCall(), tried_);
     const BackendServer* server = context_->view_->FindServer(named);
     if (server != nullptr && !server->leaving_) {
       return server;
     }
     // Of lists of different age, or there is no answer.
-    ForgetPlacement();
+    engine_.Forget();
   }
   const auto id = router_->Choose(SteadyNow(), RouterCall(), tried_);
   return id ? context_->view_->FindServer(*id) : nullptr;
 }
 
-// Empty when there is none or no answer.
-std::string RelayRequest::AskForEngine(EnginePlacement::Purpose purpose) {
-  const auto answer = std::make_shared<std::optional<std::string>>();
-  placed_ = context_->engines_->Ask(
-      purpose, service_->name_, RouterCall(), tried_,
-      [answer, waker = waker_](const std::string& server) {
-        *answer = server;
-        waker->Wake();
-      });
-  waker_->WaitUntil([&answer] { return answer->has_value(); },
-                    SteadyNow() + kPlacementTime);
-  if (!*answer && !waker_->caller_gone()) {
-    context_->engines_->NoAnswer(*placed_);
-  }
-  return answer->value_or(std::string());
-}
-
-void RelayRequest::ForgetPlacement() {
-  if (placed_) {
-    context_->engines_->Finished(*placed_, CallOutcome::kCancelled);
-    placed_.reset();
-  }
-}
-
 void RelayRequest::NoteStart(const std::string& server) {
   had_first_event_ = false;
   unread_ = router_->OnStart(server, SteadyNow(), RouterCall());
@@ -245,30 +221,26 @@
 void RelayRequest::NoteFirstEvent() {
   had_first_event_ = true;
   router_->OnFirstEvent(last_server_, std::exchange(unread_, 0));
-  if (placed_) {
-    context_->engines_->FirstEvent(*placed_);
-  }
+  engine_.NoteFirstEvent();
 }
 
 void RelayRequest::NoteEnd(const std::string& server,
                            CallOutcome outcome,
                            Duration took) {
   router_->OnFinish(server, SteadyNow(), outcome, took, unread_);
-  if (placed_) {
-    context_->engines_->Finished(*placed_, outcome);
-    placed_.reset();
-  }
+  engine_.NoteEnd(outcome);
 }
 
 // Where the engine will be that the request goes to after its stages: heavy
 // results are best made there.
 std::string RelayRequest::PlannedDomain() {
-  if (!service_->engine_ || context_->engines_->IsHere(service_->name_) ||
-      !stages_.HasHeavyResults()) {
+  engine_.Begin(service_);
+  if (!engine_.is_elsewhere() || !stages_.HasHeavyResults()) {
     return router_->HomeDomain(SteadyNow(), RouterCall());
   }
-  const std::string named = AskForEngine(EnginePlacement::Purpose::kPlan);
-  ForgetPlacement();
+  const std::string named =
+      engine_.Ask(EnginePlacement::Purpose::kPlan, RouterCall(), tried_);
+  engine_.Forget();
   const BackendServer* server = context_->view_->FindServer(named);
   return server == nullptr ? router_->HomeDomain(SteadyNow(), RouterCall())
                            : server->failure_domain_;
@@ -279,8 +251,7 @@
   call.prompt_ = job_->head_.prompt_;
   call.near_ = near_domain_;
   call.input_bytes_ = stages_.InputBytes();
-  call.sees_all_ =
-      service_->engine_ && context_->engines_->IsHere(service_->name_);
+  call.sees_all_ = engine_.is_here();
   return call;
 }
 
