--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -11,15 +11,12 @@
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/forwarded_headers.h"
-#include "citronlane/relay/relay_answers.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/server_attempt.h"
 #include "citronlane/relay/service_router.h"
 #include "citronlane/relay/waker.h"
 #include "citronlane/routing/repeat_budget.h"
 #include "citronlane/serving/dialect.h"
-#include "citronlane/transport/http_exchange.h"
-#include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
 
 namespace citronlane {
@@ -41,7 +38,6 @@
 /// meet its target: queues of later stages are still to grow in a burst.
 constexpr double kEstimateReserve = 1.1;
 constexpr int kFirstServerError = 500;
-constexpr int kOk = 200;
 
 }  // namespace
 
@@ -345,32 +341,6 @@
   return goes_on;
 }
 
-void RelayRequest::RefuseAfterFailure() {
-  if (verdict_ == Verdict::kNotRun) {
-    Refuse(RefusalReason::kNoBackendServer);
-  } else if (SteadyNow() >= job_->deadline_) {
-    Refuse(RefusalReason::kDeadlineExceeded);
-  } else {
-    Refuse(RefusalReason::kStageFailed);
-  }
-}
-
-void RelayRequest::Refuse(RefusalReason reason) {
-  if (waker_->caller_gone()) {
-    return;
-  }
-  if (stream_started_) {
-    exchange_->Abort();
-    Finish("stream broken", kOk);
-    return;
-  }
-  const HttpReply reply = RefusalReply(reason, verdict_);
-  context_->metrics_->Count(
-      kRefusalsTotal, {ToString(reason), job_->route_->name_, job_->account_});
-  exchange_->Reply(reply);
-  Finish(ToString(reason), reply.status_);
-}
-
 void RelayRequest::Finish(std::string_view outcome, int status) {
   finished_ = true;
   const TimePoint now = SteadyNow();
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -202,4 +202,30 @@
   return std::max(kShortestSilence, silent);
 }
 
+void RelayRequest::RefuseAfterFailure() {
+  if (verdict_ == Verdict::kNotRun) {
+    Refuse(RefusalReason::kNoBackendServer);
+  } else if (SteadyNow() >= job_->deadline_) {
+    Refuse(RefusalReason::kDeadlineExceeded);
+  } else {
+    Refuse(RefusalReason::kStageFailed);
+  }
+}
+
+void RelayRequest::Refuse(RefusalReason reason) {
+  if (waker_->caller_gone()) {
+    return;
+  }
+  if (stream_started_) {
+    exchange_->Abort();
+    Finish("stream broken", kOk);
+    return;
+  }
+  const HttpReply reply = RefusalReply(reason, verdict_);
+  context_->metrics_->Count(
+      kRefusalsTotal, {ToString(reason), job_->route_->name_, job_->account_});
+  exchange_->Reply(reply);
+  Finish(ToString(reason), reply.status_);
+}
+
 }  // namespace citronlane
