Move the text of calls and replies' heads out of StageClient

RequestText, ReadHead, HoldsStatusLine and IdleLimit stand in stage_messages.cc now. The two that read heads take the fields that all replies share instead of being templates over the body.

--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -1,7 +1,6 @@
 #include "citronlane/transport/stage_client.h"
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -14,12 +13,12 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include "absl/strings/numbers.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/endpoint.h"
 #include "citronlane/transport/detail/connection_pool.h"
 #include "citronlane/transport/detail/coroutine.h"
 #include "citronlane/transport/detail/stage_connection.h"
+#include "citronlane/transport/detail/stage_messages.h"
 
 namespace citronlane {
 namespace {
@@ -42,101 +41,6 @@
 constexpr int kMostPassedReplies = 8;
 constexpr int kFirstFinalStatus = 200;
 
-std::string RequestText(const StageCallSpec& spec) {
-  std::string text;
-  text.reserve(512 + spec.body_.size());
-  text.append(spec.method_).append(" ").append(spec.target_);
-  text.append(" HTTP/1.1\r\nHost: ");
-  if (spec.host_.empty()) {
-    text.append(spec.address_).append(":").append(std::to_string(spec.port_));
-  } else {
-    text.append(spec.host_);
-  }
-  text.append("\r\n");
-  for (const HttpHeader& header : spec.headers_) {
-    text.append(header.name_).append(": ").append(header.value_);
-    text.append("\r\n");
-  }
-  if (spec.fresh_connection_) {
-    text.append("Connection: close\r\n");
-  }
-  if (!spec.body_.empty() ||
-      (spec.method_ != "GET" && spec.method_ != "HEAD")) {
-    text.append("Content-Length: ").append(std::to_string(spec.body_.size()));
-    text.append("\r\n");
-  }
-  text.append("\r\n").append(spec.body_);
-  return text;
-}
-
-/// Whether the text holds what only a status line does: "HTTP/1.1 200".
-bool HoldsStatusLine(std::string_view text) {
-  constexpr std::string_view kVersion = "HTTP/1.";
-  const size_t at = text.find(kVersion);
-  if (at == std::string_view::npos) {
-    return false;
-  }
-  const std::string_view rest = text.substr(at + kVersion.size());
-  const auto is_digit = [&rest](size_t i) {
-    return i < rest.size() && rest[i] >= '0' && rest[i] <= '9';
-  };
-  return is_digit(0) && rest.size() > 1 && rest[1] == ' ' && is_digit(2) &&
-         is_digit(3) && is_digit(4);
-}
-
-template <typename Message>
-StageReplyHead ReadHead(const Message& message) {
-  StageReplyHead head;
-  head.status_ = static_cast<int>(message.result_int());
-  head.draining_ = message["X-Draining"] == "1";
-  const auto id = message["X-Attempt-Id"];
-  head.echoed_id_.assign(id.data(), id.size());
-  const auto load_text = message["X-Load"];
-  double load = 0;
-  if (absl::SimpleAtod({load_text.data(), load_text.size()}, &load) &&
-      load >= 0) {
-    head.load_ = load;
-  }
-  const auto age_text = message["X-Load-Age-Ms"];
-  int64_t age_ms = 0;
-  if (absl::SimpleAtoi({age_text.data(), age_text.size()}, &age_ms) &&
-      age_ms > 0) {
-    head.load_age_ = std::chrono::milliseconds(age_ms);
-  }
-  const auto reason = message.reason();
-  head.is_two_in_one_ = HoldsStatusLine({reason.data(), reason.size()});
-  for (const auto& field : message) {
-    const auto name = field.name_string();
-    const auto value = field.value();
-    head.is_two_in_one_ |= HoldsStatusLine({value.data(), value.size()});
-    head.headers_.push_back(
-        {{name.data(), name.size()}, {value.data(), value.size()}});
-  }
-  return head;
-}
-
-/// The server's "Keep-Alive: timeout=SECONDS", less a part for the way there:
-/// a call that crosses the server's close may have run.
-template <typename Message>
-std::optional<Duration> IdleLimit(const Message& message) {
-  const auto field = message["Keep-Alive"];
-  const std::string_view text(field.data(), field.size());
-  constexpr std::string_view kTimeout = "timeout=";
-  const size_t at = text.find(kTimeout);
-  if (at == std::string_view::npos) {
-    return std::nullopt;
-  }
-  const std::string_view rest = text.substr(at + kTimeout.size());
-  const std::string digits(
-      rest.substr(0, rest.find_first_not_of("0123456789")));
-  int64_t seconds = 0;
-  if (!absl::SimpleAtoi(digits, &seconds)) {
-    return std::nullopt;
-  }
-  constexpr auto kReserve = std::chrono::milliseconds(700);
-  return std::chrono::seconds(seconds) - kReserve;
-}
-
 /// How an error after the call was sent counts.
 CallOutcome OutcomeOf(const error_code& error) {
   if (error == beast::error::timeout) {
@@ -224,7 +128,7 @@
       over_ = true;
       return false;
     }
-    const std::string text = RequestText(spec_);
+    const std::string text = detail::RequestText(spec_);
     error_code error;
     if (spec_.answers_at_once_) {
       ExtendForRead();
@@ -255,7 +159,7 @@
         Done(OutcomeOf(error));
         return false;
       }
-      StageReplyHead head = ReadHead((*parser)->get());
+      StageReplyHead head = detail::ReadHead((*parser)->get());
       head.kept_connection_ = kept_connection_;
       if (head.status_ < kFirstFinalStatus) {
         continue;
@@ -272,7 +176,7 @@
         continue;
       }
       may_keep_ = may_keep_ && NamesThisCall(head);
-      connection_->idle_limit_ = IdleLimit((*parser)->get());
+      connection_->idle_limit_ = detail::IdleLimit((*parser)->get());
       if (!over_ && !hooks_.head_(head)) {
         over_ = true;
       }
@@ -374,7 +278,7 @@
       return true;
     }
     const ReplyOwner owner =
-        hooks_.owner_by_body_(ReadHead(reply), reply.body());
+        hooks_.owner_by_body_(detail::ReadHead(reply), reply.body());
     may_keep_ = may_keep_ && owner == ReplyOwner::kThisCall;
     return owner == ReplyOwner::kThisCall || owner == ReplyOwner::kAssumed;
   }
--- /dev/null
+++ b/src/transport/stage_messages.cc
@@ -0,0 +1,110 @@
+#include "citronlane/transport/detail/stage_messages.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+#include <boost/beast/http/fields.hpp>
+
+#include "absl/strings/numbers.h"
+#include "citronlane/transport/http_header.h"
+#include "citronlane/transport/stage_call_spec.h"
+
+namespace citronlane::detail {
+namespace {
+
+/// Whether the text holds what only a status line does: "HTTP/1.1 200".
+bool HoldsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  const size_t at = text.find(kVersion);
+  if (at == std::string_view::npos) {
+    return false;
+  }
+  const std::string_view rest = text.substr(at + kVersion.size());
+  const auto is_digit = [&rest](size_t i) {
+    return i < rest.size() && rest[i] >= '0' && rest[i] <= '9';
+  };
+  return is_digit(0) && rest.size() > 1 && rest[1] == ' ' && is_digit(2) &&
+         is_digit(3) && is_digit(4);
+}
+
+}  // namespace
+
+std::string RequestText(const StageCallSpec& spec) {
+  std::string text;
+  text.reserve(512 + spec.body_.size());
+  text.append(spec.method_).append(" ").append(spec.target_);
+  text.append(" HTTP/1.1\r\nHost: ");
+  if (spec.host_.empty()) {
+    text.append(spec.address_).append(":").append(std::to_string(spec.port_));
+  } else {
+    text.append(spec.host_);
+  }
+  text.append("\r\n");
+  for (const HttpHeader& header : spec.headers_) {
+    text.append(header.name_).append(": ").append(header.value_);
+    text.append("\r\n");
+  }
+  if (spec.fresh_connection_) {
+    text.append("Connection: close\r\n");
+  }
+  if (!spec.body_.empty() ||
+      (spec.method_ != "GET" && spec.method_ != "HEAD")) {
+    text.append("Content-Length: ").append(std::to_string(spec.body_.size()));
+    text.append("\r\n");
+  }
+  text.append("\r\n").append(spec.body_);
+  return text;
+}
+
+StageReplyHead ReadHead(const StageReplyFields& reply) {
+  StageReplyHead head;
+  head.status_ = static_cast<int>(reply.result_int());
+  head.draining_ = reply["X-Draining"] == "1";
+  const auto id = reply["X-Attempt-Id"];
+  head.echoed_id_.assign(id.data(), id.size());
+  const auto load_text = reply["X-Load"];
+  double load = 0;
+  if (absl::SimpleAtod({load_text.data(), load_text.size()}, &load) &&
+      load >= 0) {
+    head.load_ = load;
+  }
+  const auto age_text = reply["X-Load-Age-Ms"];
+  int64_t age_ms = 0;
+  if (absl::SimpleAtoi({age_text.data(), age_text.size()}, &age_ms) &&
+      age_ms > 0) {
+    head.load_age_ = std::chrono::milliseconds(age_ms);
+  }
+  const auto reason = reply.reason();
+  head.is_two_in_one_ = HoldsStatusLine({reason.data(), reason.size()});
+  for (const auto& field : reply) {
+    const auto name = field.name_string();
+    const auto value = field.value();
+    head.is_two_in_one_ |= HoldsStatusLine({value.data(), value.size()});
+    head.headers_.push_back(
+        {{name.data(), name.size()}, {value.data(), value.size()}});
+  }
+  return head;
+}
+
+std::optional<Duration> IdleLimit(const StageReplyFields& reply) {
+  const auto field = reply["Keep-Alive"];
+  const std::string_view text(field.data(), field.size());
+  constexpr std::string_view kTimeout = "timeout=";
+  const size_t at = text.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view rest = text.substr(at + kTimeout.size());
+  const std::string digits(
+      rest.substr(0, rest.find_first_not_of("0123456789")));
+  int64_t seconds = 0;
+  if (!absl::SimpleAtoi(digits, &seconds)) {
+    return std::nullopt;
+  }
+  constexpr auto kReserve = std::chrono::milliseconds(700);
+  return std::chrono::seconds(seconds) - kReserve;
+}
+
+}  // namespace citronlane::detail
