Compute the least room wanted once a call of StageBatcher::Next

NearbyByDomain went over all tasks for it again for each server that Next tried, with the same result: no task changes until a call starts. Next hands in what it has computed.

--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -177,7 +177,9 @@
   std::vector<Server*> IdleServers(TimePoint now);
   std::vector<Server*> ServersAboutToEnd(TimePoint now);
   uint64_t LeastRoomWanted() const;
-  std::vector<ChosenPiece> ChooseFor(const Server& server, TimePoint now);
+  std::vector<ChosenPiece> ChooseFor(const Server& server,
+                                     uint64_t least_room,
+                                     TimePoint now);
   StageBatch Start(Server* server,
                    const std::vector<ChosenPiece>& chosen,
                    TimePoint now);
@@ -185,6 +187,7 @@
   void BeginWaitingCall(Server* server, TimePoint now);
   uint64_t RoomOf(const Server& server) const;
   std::vector<std::pair<uint64_t, Task*>> TasksInOrder(const Server& server,
+                                                       uint64_t least_room,
                                                        TimePoint now);
   TimePoint OrderOf(TimePoint target,
                     uint32_t priority,
@@ -194,7 +197,8 @@
   double PiecesPerMicrosecond(TimePoint now) const;
   void SetWaiting(Task* task, Piece* piece, bool waits);
   bool IsNear(const Task& task, const Server& server) const;
-  std::map<std::string_view, Nearby> NearbyByDomain(TimePoint now) const;
+  std::map<std::string_view, Nearby> NearbyByDomain(uint64_t least_room,
+                                                    TimePoint now) const;
   bool WaitsForNearServer(const Task& task, const Nearby& nearby) const;
   bool CanNeverGoWhole(const Task& task) const;
   bool FitsWhole(const Task& task, size_t places, uint64_t room) const;
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -137,9 +137,9 @@
 }
 
 std::map<std::string_view, StageBatcher::Nearby> StageBatcher::NearbyByDomain(
+    uint64_t least_room,
     TimePoint now) const {
   std::map<std::string_view, Nearby> nearby;
-  const uint64_t least_room = LeastRoomWanted();
   for (const auto& [id, server] : servers_) {
     const bool may_begin = server.calls_ == 0
                                ? RoomOf(server) >= least_room
--- a/src/stages/stage_batcher_calls.cc
+++ b/src/stages/stage_batcher_calls.cc
@@ -64,8 +64,10 @@
 }
 
 std::vector<std::pair<uint64_t, StageBatcher::Task*>>
-StageBatcher::TasksInOrder(const Server& server, TimePoint now) {
-  const auto nearby = NearbyByDomain(now);
+StageBatcher::TasksInOrder(const Server& server,
+                           uint64_t least_room,
+                           TimePoint now) {
+  const auto nearby = NearbyByDomain(least_room, now);
   const auto waits_elsewhere = [&](const Task& task) {
     const auto domain = nearby.find(task.task_.near_domain_);
     return domain != nearby.end() && WaitsForNearServer(task, domain->second);
@@ -111,7 +113,7 @@
     if (RoomOf(*server) < least) {
       continue;
     }
-    const auto pieces = ChooseFor(*server, now);
+    const auto pieces = ChooseFor(*server, least, now);
     if (!pieces.empty()) {
       return Start(server, pieces, now);
     }
@@ -121,7 +123,7 @@
     if (RoomOf(*server) < least) {
       continue;
     }
-    const auto pieces = ChooseFor(*server, now);
+    const auto pieces = ChooseFor(*server, least, now);
     if (pieces.size() >= full) {
       return Start(server, pieces, now);
     }
@@ -131,10 +133,11 @@
 
 std::vector<StageBatcher::ChosenPiece> StageBatcher::ChooseFor(
     const Server& server,
+    uint64_t least_room,
     TimePoint now) {
   uint64_t room = RoomOf(server);
   std::vector<ChosenPiece> chosen;
-  for (const auto& [number, task] : TasksInOrder(server, now)) {
+  for (const auto& [number, task] : TasksInOrder(server, least_room, now)) {
     const uint64_t bytes = task->task_.result_bytes_;
     if (!FitsWhole(*task, spec_.batch_ - chosen.size(), room)) {
       continue;
