Check in one place whether a gateway has the newest list of the others

AddGateways and AddGatewaysOfNewFleet compared and set the list's number each. A control VM that knows no leader is one at which gateways gather: AddGateways takes whether they do, and the other function is gone. All 46 unit tests pass.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -74,11 +74,8 @@
   void UpdateAssignment(TimePoint now);
   void Push(Watcher* watcher, TimePoint now);
   void AddGateways(Watcher* watcher,
-                   TimePoint now,
+                   bool is_gathering,
                    wire::fleet::WatchUpdate* update) const;
-  void AddGatewaysOfNewFleet(Watcher* watcher,
-                             wire::fleet::WatchUpdate* update) const;
-  void ListGateways(wire::fleet::WatchUpdate* update) const;
 
   const ConfigRegister* const config_;
   const LeadershipHook leadership_;
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -145,8 +145,12 @@
     update->set_config(config_->document());
     watcher->config_version_ = config_->version();
   }
+  // When the whole fleet has restarted, gateways have nobody else to hear of
+  // each other from until there is a leader. Without that each ran all pools by
+  // itself for about a second: a call carried 1.2 pieces, and servers were
+  // full.
   if (!leadership.leads_ && leadership.leader_.empty()) {
-    AddGatewaysOfNewFleet(watcher, update);
+    AddGateways(watcher, true, update);
   }
   if (leadership.leads_) {
     if (servers_read_) {
@@ -160,7 +164,7 @@
           now - *servers_read_);
       update->set_servers_age_ms(static_cast<uint64_t>(age.count()) + 1);
     }
-    AddGateways(watcher, now, update);
+    AddGateways(watcher, now < leading_since_ + kGatheringTime, update);
     if (watcher->owners_number_ != assignment_.number()) {
       watcher->owners_number_ = assignment_.number();
       EncodeOwners(assignment_.number(), assignment_.owners(),
@@ -170,31 +174,15 @@
   channel->Send(frame);
 }
 
+// While gateways gather, the list is not whole: one that has a list keeps it.
 void GatewayFeed::AddGateways(Watcher* watcher,
-                              TimePoint now,
+                              bool is_gathering,
                               WatchUpdate* update) const {
-  const bool is_gathering = now < leading_since_ + kGatheringTime;
   if ((is_gathering && watcher->has_gateways_) ||
       watcher->gateways_number_ == gateways_number_) {
     return;
   }
   watcher->gateways_number_ = gateways_number_;
-  ListGateways(update);
-}
-
-// When the whole fleet has restarted, gateways have nobody else to hear of each
-// other from until there is a leader. Without that each ran all pools by itself
-// for about a second: a call carried 1.2 pieces, and servers were full.
-void GatewayFeed::AddGatewaysOfNewFleet(Watcher* watcher,
-                                        WatchUpdate* update) const {
-  if (watcher->has_gateways_ || watcher->gateways_number_ == gateways_number_) {
-    return;
-  }
-  watcher->gateways_number_ = gateways_number_;
-  ListGateways(update);
-}
-
-void GatewayFeed::ListGateways(WatchUpdate* update) const {
   auto* list = update->mutable_gateways();
   for (const auto& [key, other] : watchers_) {
     auto* entry = list->add_gateways();
