Name ControlHost's list after all services that it holds

StagePools held services with engines as well: those for which one gateway places the requests. It is PlacedServices now.

--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -81,7 +81,7 @@
   std::string OperatorAddressOfLeader() const;
   OperatorApi::Hooks ApiHooks();
   GatewayFeed::Leadership Leadership() const;
-  const std::vector<std::string>& StagePools();
+  const std::vector<std::string>& PlacedServices();
   void Take(const std::shared_ptr<FrameChannel>& channel, Frame* frame);
   void LeadsChanged(bool leads);
   void ReadServers(TimePoint now);
@@ -103,8 +103,8 @@
   FrameListener internal_;
   HttpListener operators_;
   bool list_failing_ = false;
-  std::vector<std::string> stage_pools_;
-  std::optional<uint64_t> stage_pools_version_;
+  std::vector<std::string> placed_services_;
+  std::optional<uint64_t> placed_version_;
 };
 
 ControlHost::Impl::Impl(NodeSettings settings,
@@ -120,7 +120,7 @@
       feed_(
           &config_,
           [this] { return Leadership(); },
-          [this] { return StagePools(); }),
+          [this] { return PlacedServices(); }),
       member_(&io_,
               settings_,
               &config_,
@@ -210,26 +210,26 @@
 }
 
 // Documents are read once a version: large ones take milliseconds.
-const std::vector<std::string>& ControlHost::Impl::StagePools() {
-  if (config_.is_empty() || stage_pools_version_ == config_.version()) {
-    return stage_pools_;
+const std::vector<std::string>& ControlHost::Impl::PlacedServices() {
+  if (config_.is_empty() || placed_version_ == config_.version()) {
+    return placed_services_;
   }
-  stage_pools_version_ = config_.version();
+  placed_version_ = config_.version();
   std::vector<std::string> faults;
   const auto config = dialect_->read_config_(config_.document(), &faults);
   if (!config) {
     log_->Write("control", "config not readable",
                 {{"version", config_.version()},
                  {"faults", static_cast<uint64_t>(faults.size())}});
-    return stage_pools_;
+    return placed_services_;
   }
-  stage_pools_.clear();
+  placed_services_.clear();
   for (const Service& service : config->services()) {
     if (service.stage_pool_ || service.engine_) {
-      stage_pools_.push_back(service.name_);
+      placed_services_.push_back(service.name_);
     }
   }
-  return stage_pools_;
+  return placed_services_;
 }
 
 void ControlHost::Impl::Take(const std::shared_ptr<FrameChannel>& channel,
