--- /dev/null
+++ b/tests/support/free_endpoint.h
@@ -0,0 +1,18 @@
+#ifndef TESTS_SUPPORT_FREE_ENDPOINT_H_
+#define TESTS_SUPPORT_FREE_ENDPOINT_H_
+
+#include <string>
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace citronlane {
+
+/// Returns a loopback address, "127.0.0.1:PORT", that nobody listens on. Uses
+/// `io` only during the call, on the thread that may use it.
+std::string FreeEndpoint(boost::asio::io_context* io);
+
+}  // namespace citronlane
+
+#endif  // TESTS_SUPPORT_FREE_ENDPOINT_H_
--- a/tests/unit-control-watch.cc
+++ b/tests/unit-control-watch.cc
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 #include "citronlane/base/error.h"
 #include "citronlane/base/steady_now.h"
@@ -17,6 +16,7 @@
 #include "citronlane/relay/control_watch.h"
 #include "fleet.pb.h"
 #include "support/eventually.h"
+#include "support/free_endpoint.h"
 
 namespace citronlane {
 namespace {
@@ -25,14 +25,6 @@
 using wire::fleet::Frame;
 using wire::fleet::WatchUpdate;
 
-// A loopback address that nobody listens on.
-std::string FreeEndpoint(boost::asio::io_context* io) {
-  using boost::asio::ip::tcp;
-  const tcp::acceptor acceptor(
-      *io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 /// A control VM as a gateway sees it.
 class ControlVm {
  public:
--- a/tests/unit-engine-placement.cc
+++ b/tests/unit-engine-placement.cc
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 #include "citronlane/base/error.h"
 #include "citronlane/base/steady_now.h"
@@ -20,6 +19,7 @@
 #include "citronlane/relay/service_router.h"
 #include "fleet.pb.h"
 #include "support/eventually.h"
+#include "support/free_endpoint.h"
 
 namespace citronlane {
 namespace {
@@ -29,14 +29,6 @@
 
 constexpr const char* kService = "m";
 
-// A loopback address that nobody listens on.
-std::string FreeEndpoint(boost::asio::io_context* io) {
-  using boost::asio::ip::tcp;
-  const tcp::acceptor acceptor(
-      *io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 FleetView ViewWith(const std::string& owner) {
   std::vector<BackendServer> servers;
   for (const char* name : {"e0", "e1", "e2"}) {
