--- a/include/citronlane/control/detail/admin_replies.h
+++ b/include/citronlane/control/detail/admin_replies.h
@@ -47,6 +47,9 @@
 /// Returns faults as a JSON array.
 JsonValue FaultList(const std::vector<Fault>& faults);
 
+/// Returns the answer to a call whose body has faults.
+AdminResponse BadBody(const std::vector<Fault>& faults);
+
 /// Returns a member of a query such as "version=7", or nothing when it is
 /// absent or no whole number.
 std::optional<uint64_t> QueryNumber(std::string_view query,
--- a/src/control/admin_replies.cc
+++ b/src/control/admin_replies.cc
@@ -85,6 +85,13 @@
   return list;
 }
 
+AdminResponse BadBody(const std::vector<Fault>& faults) {
+  JsonValue members = JsonValue::Object();
+  members.Set("faults", FaultList(faults));
+  return ProblemReply(AdminStatus::kBadRequest, "The body has faults.",
+                      members);
+}
+
 std::optional<uint64_t> QueryNumber(std::string_view query,
                                     std::string_view name) {
   while (!query.empty()) {
--- a/src/control/config_routes.cc
+++ b/src/control/config_routes.cc
@@ -89,13 +89,6 @@
   return item;
 }
 
-AdminResponse BadBody(const std::vector<Fault>& faults) {
-  JsonValue members = JsonValue::Object();
-  members.Set("faults", FaultList(faults));
-  return ProblemReply(AdminStatus::kBadRequest, "The body has faults.",
-                      members);
-}
-
 }  // namespace
 
 AdminResponse ConfigRoutes::Get(const AdminRequest& request) const {
--- a/src/control/fleet_routes.cc
+++ b/src/control/fleet_routes.cc
@@ -90,13 +90,6 @@
   return item;
 }
 
-AdminResponse BadBody(const std::vector<Fault>& faults) {
-  JsonValue members = JsonValue::Object();
-  members.Set("faults", FaultList(faults));
-  return ProblemReply(AdminStatus::kBadRequest, "The body has faults.",
-                      members);
-}
-
 AdminResponse Done() {
   JsonValue body = JsonValue::Object();
   body.Set("outcome", JsonValue::String("committed"));
