--- a/include/citronlane/request/retry_reason.h
+++ b/include/citronlane/request/retry_reason.h
@@ -6,6 +6,9 @@
 
 namespace citronlane {
 
+enum class CallMode;
+enum class CallOutcome;
+
 /// Why a stage call is made once more. One counter each.
 enum class RetryReason {
   kConnectFailed,
@@ -23,6 +26,10 @@
 /// Returns the stable snake_case name, e.g. "connect_failed". Thread safe.
 std::string_view ToString(RetryReason reason);
 
+/// Returns why a call in `mode` is made after one that ended with `outcome`.
+/// Thread safe.
+RetryReason ReasonOf(CallMode mode, CallOutcome outcome);
+
 }  // namespace citronlane
 
 #endif  // CITRONLANE_REQUEST_RETRY_REASON_H_
--- a/src/request/request.cc
+++ b/src/request/request.cc
@@ -4,41 +4,6 @@
 #include <utility>
 
 namespace citronlane {
-namespace {
-
-RetryReason ReasonOf(CallOutcome outcome) {
-  switch (outcome) {
-    case CallOutcome::kConnectFailed:
-      return RetryReason::kConnectFailed;
-    case CallOutcome::kRejected:
-      return RetryReason::kRejected;
-    case CallOutcome::kClosedAfterSend:
-      return RetryReason::kClosedAfterSend;
-    case CallOutcome::kTimeout:
-      return RetryReason::kTimeout;
-    case CallOutcome::kWrongId:
-      return RetryReason::kWrongId;
-    case CallOutcome::kSuccess:
-    case CallOutcome::kServerError:
-    case CallOutcome::kCancelled:
-      break;
-  }
-  return RetryReason::kServerError;
-}
-
-RetryReason ReasonOf(CallMode mode, CallOutcome outcome) {
-  switch (mode) {
-    case CallMode::kResume:
-      return RetryReason::kStreamResumed;
-    case CallMode::kContinue:
-      return RetryReason::kStreamContinued;
-    case CallMode::kFresh:
-      break;
-  }
-  return ReasonOf(outcome);
-}
-
-}  // namespace
 
 Request::Request(RequestPlan plan, RequestHooks hooks)
     : plan_(std::move(plan)), hooks_(std::move(hooks)) {}
--- a/src/request/retry_reason.cc
+++ b/src/request/retry_reason.cc
@@ -1,6 +1,32 @@
 #include "citronlane/request/retry_reason.h"
 
+#include "citronlane/request/call_mode.h"
+#include "citronlane/routing/call_outcome.h"
+
 namespace citronlane {
+namespace {
+
+RetryReason ReasonOf(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kConnectFailed:
+      return RetryReason::kConnectFailed;
+    case CallOutcome::kRejected:
+      return RetryReason::kRejected;
+    case CallOutcome::kClosedAfterSend:
+      return RetryReason::kClosedAfterSend;
+    case CallOutcome::kTimeout:
+      return RetryReason::kTimeout;
+    case CallOutcome::kWrongId:
+      return RetryReason::kWrongId;
+    case CallOutcome::kSuccess:
+    case CallOutcome::kServerError:
+    case CallOutcome::kCancelled:
+      break;
+  }
+  return RetryReason::kServerError;
+}
+
+}  // namespace
 
 std::string_view ToString(RetryReason reason) {
   switch (reason) {
@@ -24,4 +50,16 @@
   return "server_error";
 }
 
+RetryReason ReasonOf(CallMode mode, CallOutcome outcome) {
+  switch (mode) {
+    case CallMode::kResume:
+      return RetryReason::kStreamResumed;
+    case CallMode::kContinue:
+      return RetryReason::kStreamContinued;
+    case CallMode::kFresh:
+      break;
+  }
+  return ReasonOf(outcome);
+}
+
 }  // namespace citronlane
