End a request that has to run its stages again in one place; one answer a request

Cause: MayGoOn ran the stages again after their results were freed. When that ended the request with a refusal, its caller of MayGoOn refused it a second time. The second refusal was the answer to the caller's next request on the connection, and the answer of each request after it went to the one behind. What was ruled out: late second replies of servers (not on that route's connections; they name their request), too small stacks of coroutines (10.6 of 96 KiB used), the landing's other paths (FreeInputs, placement). Change: RunAttempts runs the stages again itself and returns when that ended the request; a connection sends one answer a request, whatever its handler does, says so in a line 'answer not sent', and closes behind a request without a whole answer.

--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -60,7 +60,12 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  /// What of the answer to the request in hand was sent.
+  enum class Answer { kNone, kStreaming, kWhole };
+
   bool ServeOne();
+  bool BeginAnswer(Answer answer);
+  void ReportMisuse(std::string_view what);
   bool WaitForFirstByte();
   bool ReadRequest(Parser* parser);
   bool ReserveBody(const Parser& parser);
@@ -82,6 +87,8 @@
   boost::beast::flat_buffer buffer_;
   const boost::asio::yield_context* yield_ = nullptr;
   uint64_t reserved_bytes_ = 0;
+  const HttpRequest* request_ = nullptr;
+  Answer answer_ = Answer::kNone;
   bool keep_alive_ = true;
   bool head_request_ = false;
   bool stream_has_body_ = true;
--- a/include/citronlane/transport/http_exchange.h
+++ b/include/citronlane/transport/http_exchange.h
@@ -15,10 +15,12 @@
  public:
   virtual ~HttpExchange() = default;
 
-  /// Sends the whole reply. Returns false when the caller is gone.
+  /// Sends the whole reply. Returns false when the caller is gone, or when the
+  /// request was answered before: then nothing is sent.
   virtual bool Reply(const HttpReply& reply) = 0;
 
-  /// Sends the head of a streamed reply; `head.body_` is not used.
+  /// Sends the head of a streamed reply; `head.body_` is not used. Returns as
+  /// Reply does.
   virtual bool StartStream(const HttpReply& head) = 0;
   /// Precondition: a stream was started. Returns when the bytes are handed
   /// over, or false when the caller is gone or takes none.
--- a/include/citronlane/transport/http_listener_hooks.h
+++ b/include/citronlane/transport/http_listener_hooks.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <string_view>
 
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/transport/http_reply.h"
@@ -20,6 +21,9 @@
   std::function<void(size_t shard, const HttpRequest&, HttpExchange*)> serve_;
   /// Builds the reply to a request that can't be read; nothing of it ran.
   std::function<HttpReply(RefusalReason)> refuse_;
+  /// A handler did with its exchange what it must not, which was not done.
+  /// Optional.
+  std::function<void(const HttpRequest&, std::string_view what)> misused_;
 };
 
 }  // namespace citronlane
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -157,6 +157,12 @@
 
 HttpListenerHooks GatewayHost::Impl::CallerHooks() {
   HttpListenerHooks hooks;
+  hooks.misused_ = [this](const HttpRequest& request, std::string_view what) {
+    log_->Write(
+        "relay", "answer not sent",
+        {{"request", dialect_->read_request_(request.headers_).request_id_},
+         {"why", what}});
+  };
   hooks.serve_ = [this](size_t, const HttpRequest& request,
                         HttpExchange* exchange) {
     relay_.Serve(request, exchange);
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -188,6 +188,12 @@
       RefuseAfterFailure();
       return;
     }
+    // What the stages made may be freed by now. When they can't run again, that
+    // has ended the request: a second refusal here was the answer to the
+    // caller's next request on its connection.
+    if (stages_.HasWork() && inputs_freed_ && !RunStages()) {
+      return;
+    }
   }
 }
 
@@ -324,10 +330,6 @@
               runs_ < job_->route_->max_attempts_ &&
               (paid || budget_->TryTake(now, context_->view_->GatewayCount()));
   }
-  // What the stages made may be freed by now.
-  if (goes_on && stages_.HasWork() && inputs_freed_) {
-    goes_on = RunStages();
-  }
   if (goes_on) {
     context_->metrics_->Count(kRetriesTotal, {ended.why_, service_->name_});
   }
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -107,12 +107,35 @@
   }
 }
 
+// Callers pair answers with requests by their order: a second one would be the
+// answer to the next request, and each one after it the next one's.
+bool HttpConnection::BeginAnswer(Answer answer) {
+  if (answer_ != Answer::kNone) {
+    ReportMisuse("answered twice");
+    return false;
+  }
+  answer_ = answer;
+  return true;
+}
+
+void HttpConnection::ReportMisuse(std::string_view what) {
+  if (state_->hooks_.misused_ && request_ != nullptr) {
+    state_->hooks_.misused_(*request_, what);
+  }
+}
+
 bool HttpConnection::Reply(const HttpReply& reply) {
+  if (!BeginAnswer(Answer::kWhole)) {
+    return false;
+  }
   UpdateKeepAlive();
   return Send(WholeReplyText(reply, keep_alive_, head_request_));
 }
 
 bool HttpConnection::StartStream(const HttpReply& head) {
+  if (!BeginAnswer(Answer::kStreaming)) {
+    return false;
+  }
   UpdateKeepAlive();
   stream_has_body_ = MayHaveBody(head.status_, head_request_);
   return Send(stream_has_body_ ? StreamHeadText(head, keep_alive_)
@@ -120,10 +143,17 @@
 }
 
 bool HttpConnection::Write(std::string_view bytes) {
+  if (answer_ != Answer::kStreaming) {
+    return false;
+  }
   return bytes.empty() || !stream_has_body_ || Send(ChunkText(bytes));
 }
 
 bool HttpConnection::EndStream() {
+  if (answer_ != Answer::kStreaming) {
+    return false;
+  }
+  answer_ = Answer::kWhole;
   return !stream_has_body_ || Send(kLastChunk);
 }
 
@@ -160,8 +190,13 @@
   head_request_ = request.method_ == "HEAD";
   ++state_->active_requests_;
   WatchCaller();
+  request_ = &request;
+  answer_ = Answer::kNone;
   state_->hooks_.serve_(shard_, request, this);
   StopWatching();
+  // Without the whole answer the next one would be taken for it.
+  keep_alive_ = keep_alive_ && answer_ == Answer::kWhole;
+  request_ = nullptr;
   ReleaseBody();
   --state_->active_requests_;
   return !caller_gone_;
