Start and stop working threads in one place

ControlLeader, VmListPoller, TimerQueue and Replica each had the same lines that set a flag under the mutex, wake the thread and wait for its end. WorkerThread does that now, on the owner's mutex and condition.

--- a/include/citronlane/control/detail/control_leader.h
+++ b/include/citronlane/control/detail/control_leader.h
@@ -6,13 +6,13 @@
 #include <functional>
 #include <mutex>
 #include <string_view>
-#include <thread>
 
 #include "citronlane/consensus/role.h"
 #include "citronlane/control/control_options.h"
 #include "citronlane/control/detail/command_proposer.h"
 #include "citronlane/control/detail/control_state.h"
 #include "citronlane/control/replica_status.h"
+#include "citronlane/process/worker_thread.h"
 
 namespace citronlane {
 
@@ -64,13 +64,12 @@
 
   mutable std::mutex mutex_;
   std::condition_variable wake_;
-  bool stopping_ = false;
   /// Term this node leads in, 0 for none.
   uint64_t term_ = 0;
   bool taking_lead_ = false;
   TimePoint lead_since_{};
   uint64_t fencing_number_ = 0;
-  std::thread thread_;
+  WorkerThread thread_{&mutex_, &wake_};
 };
 
 }  // namespace citronlane
--- a/include/citronlane/control/detail/replica_impl.h
+++ b/include/citronlane/control/detail/replica_impl.h
@@ -9,7 +9,6 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "citronlane/consensus/raft_node.h"
@@ -17,6 +16,7 @@
 #include "citronlane/control/detail/pending_calls.h"
 #include "citronlane/control/detail/replica_peers.h"
 #include "citronlane/control/replica.h"
+#include "citronlane/process/worker_thread.h"
 #include "citronlane/storage/replica_storage.h"
 #include "citronlane/transport/replication_server.h"
 
@@ -119,12 +119,11 @@
   bool handing_over_ = false;
   TimePoint hand_over_until_;
 
-  std::thread thread_;
   mutable std::mutex mutex_;
   std::condition_variable wake_;
+  WorkerThread thread_{&mutex_, &wake_};
   Inbox inbox_;
   bool running_ = false;
-  bool stopping_ = false;
   ReplicaStatus status_;
   TimePoint lease_end_;
   ReplicationGreeting greeting_;
--- a/include/citronlane/control/detail/vm_list_poller.h
+++ b/include/citronlane/control/detail/vm_list_poller.h
@@ -6,11 +6,11 @@
 #include <mutex>
 #include <string>
 #include <string_view>
-#include <thread>
 
 #include "citronlane/base/time.h"
 #include "citronlane/control/detail/command_proposer.h"
 #include "citronlane/control/detail/control_state.h"
+#include "citronlane/process/worker_thread.h"
 #include "citronlane/transport/vm_list_client.h"
 
 namespace citronlane {
@@ -52,8 +52,7 @@
   std::string failure_;
   std::mutex mutex_;
   std::condition_variable wake_;
-  bool stopping_ = false;
-  std::thread thread_;
+  WorkerThread thread_{&mutex_, &wake_};
 };
 
 }  // namespace citronlane
--- a/include/citronlane/transport/detail/timer_queue.h
+++ b/include/citronlane/transport/detail/timer_queue.h
@@ -5,9 +5,9 @@
 #include <functional>
 #include <map>
 #include <mutex>
-#include <thread>
 
 #include "citronlane/base/time.h"
+#include "citronlane/process/worker_thread.h"
 
 namespace citronlane {
 
@@ -39,9 +39,8 @@
   std::mutex mutex_;
   std::condition_variable wake_;
   std::multimap<TimePoint, Task> tasks_;
-  bool stopping_ = false;
   bool is_over_ = false;
-  std::thread thread_;
+  WorkerThread thread_{&mutex_, &wake_};
 };
 
 }  // namespace citronlane
--- a/src/control/control_leader.cc
+++ b/src/control/control_leader.cc
@@ -36,18 +36,11 @@
 }
 
 void ControlLeader::Start() {
-  thread_ = std::thread([this] { Run(); });
+  thread_.Start([this] { Run(); });
 }
 
 void ControlLeader::Stop() {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    stopping_ = true;
-  }
-  wake_.notify_one();
-  if (thread_.joinable()) {
-    thread_.join();
-  }
+  thread_.Stop();
 }
 
 void ControlLeader::OnRole(Role role, uint64_t term) {
@@ -69,7 +62,7 @@
 
 void ControlLeader::Run() {
   std::unique_lock<std::mutex> lock(mutex_);
-  while (!stopping_) {
+  while (!thread_.is_stopping()) {
     const uint64_t term = term_;
     const bool must_take = term != 0 && fencing_number_ == 0 && !taking_lead_;
     taking_lead_ = taking_lead_ || must_take;
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -49,7 +49,7 @@
   }
   running_ = true;
   PublishStatus();
-  thread_ = std::thread([this] { Run(); });
+  thread_.Start([this] { Run(); });
   return true;
 }
 
@@ -110,14 +110,7 @@
 }
 
 void Replica::Impl::Stop() {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    stopping_ = true;
-  }
-  wake_.notify_one();
-  if (thread_.joinable()) {
-    thread_.join();
-  }
+  thread_.Stop();
   server_.reset();
   if (peers_) {
     peers_->Clear();
--- a/src/control/replica_loop.cc
+++ b/src/control/replica_loop.cc
@@ -125,7 +125,7 @@
 bool Replica::Impl::IsHandedOver() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (!stopping_) {
+    if (!thread_.is_stopping()) {
       return false;
     }
   }
--- a/src/control/vm_list_poller.cc
+++ b/src/control/vm_list_poller.cc
@@ -29,30 +29,23 @@
 
 void VmListPoller::Start() {
   if (enabled_) {
-    thread_ = std::thread([this] { Run(); });
+    thread_.Start([this] { Run(); });
   }
 }
 
 void VmListPoller::Stop() {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    stopping_ = true;
-  }
-  wake_.notify_one();
-  if (thread_.joinable()) {
-    thread_.join();
-  }
+  thread_.Stop();
 }
 
 void VmListPoller::Run() {
   std::unique_lock<std::mutex> lock(mutex_);
-  while (!stopping_) {
+  while (!thread_.is_stopping()) {
     lock.unlock();
     if (proposer_->leads()) {
       Poll();
     }
     lock.lock();
-    wake_.wait_for(lock, interval_, [this] { return stopping_; });
+    wake_.wait_for(lock, interval_, [this] { return thread_.is_stopping(); });
   }
 }
 
--- a/src/transport/timer_queue.cc
+++ b/src/transport/timer_queue.cc
@@ -11,18 +11,11 @@
 }
 
 void TimerQueue::Start() {
-  thread_ = std::thread([this] { Run(); });
+  thread_.Start([this] { Run(); });
 }
 
 void TimerQueue::Stop() {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    stopping_ = true;
-  }
-  wake_.notify_one();
-  if (thread_.joinable()) {
-    thread_.join();
-  }
+  thread_.Stop();
 }
 
 void TimerQueue::At(TimePoint time, Task task) {
@@ -52,14 +45,14 @@
   std::unique_lock<std::mutex> lock(mutex_);
   while (true) {
     if (tasks_.empty()) {
-      if (stopping_) {
+      if (thread_.is_stopping()) {
         break;
       }
       wake_.wait(lock);
       continue;
     }
     const auto first = tasks_.begin();
-    if (!stopping_ && first->first > SteadyNow()) {
+    if (!thread_.is_stopping() && first->first > SteadyNow()) {
       const TimePoint until = first->first;
       wake_.wait_until(lock, until);
       continue;
