--- a/include/citronlane/control/detail/replica_impl.h
+++ b/include/citronlane/control/detail/replica_impl.h
@@ -15,6 +15,7 @@
 #include "citronlane/control/detail/cluster_formation.h"
 #include "citronlane/control/detail/pending_calls.h"
 #include "citronlane/control/detail/replica_peers.h"
+#include "citronlane/control/detail/snapshot_taker.h"
 #include "citronlane/control/replica.h"
 #include "citronlane/process/worker_thread.h"
 #include "citronlane/storage/replica_storage.h"
@@ -91,7 +92,6 @@
   bool StoreReady(const Ready& ready, Error* error);
   void NotifyAppended(const std::vector<Entry>& entries);
   void Apply(const std::vector<Entry>& committed);
-  bool MaybeSnapshot(Error* error);
   void NotifyRole();
 
   // replica_formation.cc: start of a new cluster.
@@ -114,8 +114,7 @@
   Role last_role_ = Role::kFollower;
   uint64_t last_term_ = 0;
   uint64_t last_appended_ = 0;
-  uint64_t snapshot_index_ = 0;
-  uint64_t bytes_since_snapshot_ = 0;
+  SnapshotTaker snapshots_;
   bool handing_over_ = false;
   TimePoint hand_over_until_;
 
--- a/include/citronlane/control/replica_driver.h
+++ b/include/citronlane/control/replica_driver.h
@@ -13,6 +13,7 @@
 #include "citronlane/base/error.h"
 #include "citronlane/consensus/raft_node.h"
 #include "citronlane/control/detail/pending_calls.h"
+#include "citronlane/control/detail/snapshot_taker.h"
 #include "citronlane/storage/file_system.h"
 #include "citronlane/storage/stored_state.h"
 
@@ -97,9 +98,7 @@
   void CarryOutReady(TimePoint now);
   bool StoreReady(const Ready& ready, Error* error);
   void Apply(const std::vector<Entry>& committed);
-  bool MaybeSnapshot(Error* error);
   void SnapshotWhenQuiet(TimePoint now);
-  bool TakeSnapshot(Error* error);
   void NotifyRole();
   void Fail(const std::string& reason);
 
@@ -112,8 +111,7 @@
   PendingCalls pending_;
   Role last_role_ = Role::kFollower;
   uint64_t last_term_ = 0;
-  uint64_t snapshot_index_ = 0;
-  uint64_t bytes_since_snapshot_ = 0;
+  SnapshotTaker snapshots_;
   TimePoint last_command_;
   std::string failure_;
 };
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -23,7 +23,10 @@
 Replica::Impl::Impl(ReplicaOptions options, ReplicaHooks hooks)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
-      random_(std::random_device()()) {
+      random_(std::random_device()()),
+      snapshots_(options_.snapshot_interval_,
+                 options_.snapshot_bytes_,
+                 hooks_.take_snapshot_) {
   const auto own = options_.initial_voters_.find(options_.raft_.id_);
   own_address_ =
       own == options_.initial_voters_.end() ? options_.listen_ : own->second;
--- a/src/control/replica_driver.cc
+++ b/src/control/replica_driver.cc
@@ -41,7 +41,10 @@
 ReplicaDriver::ReplicaDriver(Options options, Hooks hooks)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
-      random_(std::random_device()()) {
+      random_(std::random_device()()),
+      snapshots_(options_.snapshot_interval_,
+                 options_.snapshot_bytes_,
+                 hooks_.take_snapshot_) {
   if (!options_.files_.sync_) {
     options_.files_ = PosixFileSystem();
   }
@@ -99,8 +102,8 @@
 }
 
 void ReplicaDriver::StartNode(StoredState state, TimePoint now) {
-  snapshot_index_ = state.snapshot_.index_;
-  if (snapshot_index_ != 0) {
+  snapshots_.OnInstalled(state.snapshot_.index_);
+  if (snapshots_.index() != 0) {
     hooks_.install_snapshot_(state.snapshot_.data_);
   }
   node_ = std::make_unique<RaftNode>(
@@ -204,7 +207,7 @@
     for (const auto& [context, index] : ready.confirmed_reads_) {
       pending_.FinishRead(context, true);
     }
-    if (!MaybeSnapshot(&error)) {
+    if (!snapshots_.TakeIfDue(node_.get(), storage_.get(), &error)) {
       Fail(error.message_);
       return;
     }
@@ -217,7 +220,7 @@
     if (!storage_->SaveSnapshot(*ready.snapshot_, true, error)) {
       return false;
     }
-    snapshot_index_ = ready.snapshot_->index_;
+    snapshots_.OnInstalled(ready.snapshot_->index_);
     hooks_.install_snapshot_(ready.snapshot_->data_);
   }
   if (!ready.hard_state_ && ready.entries_.empty()) {
@@ -228,7 +231,7 @@
 
 void ReplicaDriver::Apply(const std::vector<Entry>& committed) {
   for (const Entry& entry : committed) {
-    bytes_since_snapshot_ += entry.payload_.size();
+    snapshots_.OnApplied(entry.payload_.size());
     std::string result;
     if (entry.kind_ == EntryKind::kCommand) {
       result = hooks_.apply_(entry.payload_);
@@ -238,40 +241,20 @@
   }
 }
 
-bool ReplicaDriver::MaybeSnapshot(Error* error) {
-  const bool is_due =
-      node_->applied_index() >= snapshot_index_ + options_.snapshot_interval_ ||
-      bytes_since_snapshot_ >= options_.snapshot_bytes_;
-  return !is_due || TakeSnapshot(error);
-}
-
 // What was applied is known at once after a restart only if a snapshot holds
 // it: the log alone does not say what is committed. Gateways that restart with
 // all control VMs so serve a second earlier.
 void ReplicaDriver::SnapshotWhenQuiet(TimePoint now) {
-  if (!failure_.empty() || bytes_since_snapshot_ == 0 ||
+  if (!failure_.empty() || !snapshots_.has_news() ||
       now - last_command_ < kQuiet) {
     return;
   }
   Error error;
-  if (!TakeSnapshot(&error)) {
+  if (!snapshots_.Take(node_.get(), storage_.get(), &error)) {
     Fail(error.message_);
   }
 }
 
-bool ReplicaDriver::TakeSnapshot(Error* error) {
-  const uint64_t applied = node_->applied_index();
-  Snapshot snapshot{applied, node_->TermAt(applied),
-                    node_->membership_at(applied), hooks_.take_snapshot_()};
-  if (!storage_->SaveSnapshot(snapshot, false, error)) {
-    return false;
-  }
-  snapshot_index_ = applied;
-  bytes_since_snapshot_ = 0;
-  node_->Compact(std::move(snapshot));
-  return true;
-}
-
 void ReplicaDriver::NotifyRole() {
   if (!failure_.empty() ||
       (node_->role() == last_role_ && node_->term() == last_term_)) {
--- a/src/control/replica_formation.cc
+++ b/src/control/replica_formation.cc
@@ -14,11 +14,12 @@
 }  // namespace
 
 void Replica::Impl::StartNode(StoredState state) {
-  snapshot_index_ = state.snapshot_.index_;
-  if (snapshot_index_ != 0 && hooks_.install_snapshot_) {
-    hooks_.install_snapshot_(snapshot_index_, state.snapshot_.data_);
+  const uint64_t index = state.snapshot_.index_;
+  snapshots_.OnInstalled(index);
+  if (index != 0 && hooks_.install_snapshot_) {
+    hooks_.install_snapshot_(index, state.snapshot_.data_);
   }
-  last_appended_ = snapshot_index_;
+  last_appended_ = index;
   NotifyAppended(state.entries_);
   node_ = std::make_unique<RaftNode>(
       options_.raft_, state.hard_state_, std::move(state.snapshot_),
--- a/src/control/replica_loop.cc
+++ b/src/control/replica_loop.cc
@@ -187,7 +187,7 @@
   if (status_.membership_ != node_->membership()) {
     status_.membership_ = node_->membership();
   }
-  if (snapshot_index_ != 0 &&
+  if (snapshots_.index() != 0 &&
       (!greeting_.formed_ ||
        greeting_.incarnations_ != status_.membership_.incarnations_)) {
     greeting_.formed_ = true;
--- a/src/control/replica_ready.cc
+++ b/src/control/replica_ready.cc
@@ -28,7 +28,7 @@
     for (const auto& [context, index] : ready.confirmed_reads_) {
       pending_.FinishRead(context, true);
     }
-    if (!MaybeSnapshot(&error)) {
+    if (!snapshots_.TakeIfDue(node_.get(), storage_.get(), &error)) {
       Fail(error.message_);
       return;
     }
@@ -43,13 +43,14 @@
     if (!storage_->SaveSnapshot(*ready.snapshot_, true, error)) {
       return false;
     }
-    snapshot_index_ = ready.snapshot_->index_;
-    if (hooks_.truncated_ && last_appended_ > snapshot_index_) {
-      hooks_.truncated_(snapshot_index_ + 1);
+    const uint64_t index = ready.snapshot_->index_;
+    snapshots_.OnInstalled(index);
+    if (hooks_.truncated_ && last_appended_ > index) {
+      hooks_.truncated_(index + 1);
     }
-    last_appended_ = snapshot_index_;
+    last_appended_ = index;
     if (hooks_.install_snapshot_) {
-      hooks_.install_snapshot_(ready.snapshot_->index_, ready.snapshot_->data_);
+      hooks_.install_snapshot_(index, ready.snapshot_->data_);
     }
   }
   // Whoever asks this node for its newest entry must hear of one before any
@@ -75,7 +76,7 @@
 
 void Replica::Impl::Apply(const std::vector<Entry>& committed) {
   for (const Entry& entry : committed) {
-    bytes_since_snapshot_ += entry.payload_.size();
+    snapshots_.OnApplied(entry.payload_.size());
     std::string result;
     if (entry.kind_ == EntryKind::kCommand) {
       result = hooks_.apply_(entry.index_, entry.payload_);
@@ -84,24 +85,6 @@
   }
 }
 
-bool Replica::Impl::MaybeSnapshot(Error* error) {
-  const uint64_t applied = node_->applied_index();
-  const bool due = applied >= snapshot_index_ + options_.snapshot_interval_ ||
-                   bytes_since_snapshot_ >= options_.snapshot_bytes_;
-  if (!due || !hooks_.take_snapshot_) {
-    return true;
-  }
-  Snapshot snapshot{applied, node_->TermAt(applied),
-                    node_->membership_at(applied), hooks_.take_snapshot_()};
-  if (!storage_->SaveSnapshot(snapshot, false, error)) {
-    return false;
-  }
-  snapshot_index_ = applied;
-  bytes_since_snapshot_ = 0;
-  node_->Compact(std::move(snapshot));
-  return true;
-}
-
 void Replica::Impl::NotifyRole() {
   if (!node_ || (node_->role() == last_role_ && node_->term() == last_term_)) {
     return;
