--- a/include/citronlane/control/detail/replica_impl.h
+++ b/include/citronlane/control/detail/replica_impl.h
@@ -9,14 +9,15 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "citronlane/consensus/raft_node.h"
 #include "citronlane/control/detail/cluster_formation.h"
 #include "citronlane/control/detail/pending_calls.h"
 #include "citronlane/control/detail/replica_peers.h"
+#include "citronlane/control/detail/snapshot_taker.h"
 #include "citronlane/control/replica.h"
+#include "citronlane/process/worker_thread.h"
 #include "citronlane/storage/replica_storage.h"
 #include "citronlane/transport/replication_server.h"
 
@@ -91,7 +92,6 @@
   bool StoreReady(const Ready& ready, Error* error);
   void NotifyAppended(const std::vector<Entry>& entries);
   void Apply(const std::vector<Entry>& committed);
-  bool MaybeSnapshot(Error* error);
   void NotifyRole();
 
   // replica_formation.cc: start of a new cluster.
@@ -114,17 +114,15 @@
   Role last_role_ = Role::kFollower;
   uint64_t last_term_ = 0;
   uint64_t last_appended_ = 0;
-  uint64_t snapshot_index_ = 0;
-  uint64_t bytes_since_snapshot_ = 0;
+  SnapshotTaker snapshots_;
   bool handing_over_ = false;
   TimePoint hand_over_until_;
 
-  std::thread thread_;
   mutable std::mutex mutex_;
   std::condition_variable wake_;
+  WorkerThread thread_{&mutex_, &wake_};
   Inbox inbox_;
   bool running_ = false;
-  bool stopping_ = false;
   ReplicaStatus status_;
   TimePoint lease_end_;
   ReplicationGreeting greeting_;
--- a/src/control/replica.cc
+++ b/src/control/replica.cc
@@ -23,7 +23,10 @@
 Replica::Impl::Impl(ReplicaOptions options, ReplicaHooks hooks)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
-      random_(std::random_device()()) {
+      random_(std::random_device()()),
+      snapshots_(options_.snapshot_interval_,
+                 options_.snapshot_bytes_,
+                 hooks_.take_snapshot_) {
   const auto own = options_.initial_voters_.find(options_.raft_.id_);
   own_address_ =
       own == options_.initial_voters_.end() ? options_.listen_ : own->second;
@@ -49,7 +52,7 @@
   }
   running_ = true;
   PublishStatus();
-  thread_ = std::thread([this] { Run(); });
+  thread_.Start([this] { Run(); });
   return true;
 }
 
@@ -110,14 +113,7 @@
 }
 
 void Replica::Impl::Stop() {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    stopping_ = true;
-  }
-  wake_.notify_one();
-  if (thread_.joinable()) {
-    thread_.join();
-  }
+  thread_.Stop();
   server_.reset();
   if (peers_) {
     peers_->Clear();
--- a/src/control/replica_loop.cc
+++ b/src/control/replica_loop.cc
@@ -125,7 +125,7 @@
 bool Replica::Impl::IsHandedOver() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (!stopping_) {
+    if (!thread_.is_stopping()) {
       return false;
     }
   }
@@ -187,7 +187,7 @@
   if (status_.membership_ != node_->membership()) {
     status_.membership_ = node_->membership();
   }
-  if (snapshot_index_ != 0 &&
+  if (snapshots_.index() != 0 &&
       (!greeting_.formed_ ||
        greeting_.incarnations_ != status_.membership_.incarnations_)) {
     greeting_.formed_ = true;
