Print the fleet's logs when a test of it fails

Cause: test_stages_and_stream failed once under load with 'every result freed' and left nothing to trace it by. Change: a failed fleet test prints the logs of all processes and, for each stage server, what it was asked, made, freed and still holds.

--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -15,6 +15,7 @@
 KEY = "key-one"
 ACCOUNT = "acc"
 HOST = "svc.example"
+LOG_LINES = 600
 
 
 def new_id():
@@ -259,6 +260,19 @@
     def log(self):
         return "".join(process.log() for process in self.processes.values())
 
+    def account(self):
+        """For a failed test: the logs, and what each stage server was asked."""
+        parts = []
+        for ip, process in self.processes.items():
+            parts.append(f"--- {process.name} ({ip}), "
+                         f"{'runs' if process.running() else 'ended'}")
+            parts += process.log().splitlines()[-LOG_LINES:]
+        for stage in self.stages:
+            parts.append(f"--- stage server {stage.id} at {stage.address}, "
+                         f"holds {sorted(stage.held)}")
+            parts += stage.told[-LOG_LINES:]
+        return "\n".join(parts)
+
 
 class LoggedProcess(Process):
     """Writes standard output to the log file too: there the events are."""
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -191,14 +191,29 @@
         self.call_seconds = call_seconds
         self.held = set()
         self.wrong = []
+        self.told = []
+
+    def tell(self, what, names, connection):
+        """A line for a failed test, with the time as in the fleet's logs."""
+        try:
+            peer = connection.sock.getpeername()
+        except OSError as error:
+            peer = error
+        with self.lock:
+            self.told.append(f"{time.time():.3f} {what} {' '.join(names)} "
+                             f"by {peer}")
 
     def answer(self, connection, request, fault=None):
         document = json.loads(request.body)
         if request.target == "/v1/stage-free":
             with self.lock:
                 self.held -= set(document["handles"])
+            self.tell("free", document["handles"], connection)
             connection.reply(200)
             return
+        names = [f"{item['id']}-{item['stage']}-{item['piece']}"
+                 for item in document["items"]]
+        self.tell("run", names, connection)
         time.sleep(self.call_seconds)
         items = []
         for item in document["items"]:
@@ -210,6 +225,10 @@
             with self.lock:
                 self.held.add(handle)
             items.append({"handle": handle})
+        if connection.caller_is_gone():
+            self.tell("made, and nobody is told of", names, connection)
+        else:
+            self.tell("made", names, connection)
         connection.reply(200, json.dumps({"items": items}).encode())
 
 
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -3,6 +3,7 @@
 
 import json
 import signal
+import sys
 import threading
 import time
 import unittest
@@ -19,7 +20,21 @@
     def setUpClass(cls):
         cls.fleet = Fleet(cls.controls, cls.gateways)
         cls.addClassCleanup(cls.fleet.close)
-        cls.fleet.start()
+        try:
+            cls.fleet.start()
+        except Exception:
+            print(cls.fleet.account(), file=sys.stderr, flush=True)
+            raise
+
+    def run(self, result=None):
+        """Tells what the fleet and the stage servers did when a test fails."""
+        result = result or self.defaultTestResult()
+        before = len(result.failures) + len(result.errors)
+        super().run(result)
+        if len(result.failures) + len(result.errors) > before:
+            print(f"{self.id()} failed\n{self.fleet.account()}",
+                  file=sys.stderr, flush=True)
+        return result
 
     def setUp(self):
         for server in (self.fleet.engines + self.fleet.plain +
