Ask only the running process whether it votes

Cause: is_voter read the last role behind the last 'started' line of a log that a restarted process appends to. Until it had written its own 'started', the roles of the process before it counted, so that a control VM with an emptied disk was taken for repaired at once. The soak then emptied the next disk: with two of three lost no majority is left, and no promise holds. test_each_disk_lost_in_turn has the same race. Change: only what the process wrote since its start counts, in whole lines.

--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -109,12 +109,11 @@
         shutil.rmtree(self.data_dir(ip))
 
     def is_voter(self, ip):
-        """What the process itself logged last of its role."""
+        """What the process itself logged last of its role. What the one before
+        it logged says nothing: this one may not have logged yet."""
         lines = [json.loads(line) for line in
-                 self.processes[ip].log().splitlines()]
-        begun = max((i for i, line in enumerate(lines)
-                     if line["event"] == "started"), default=0)
-        roles = [line.get("role") for line in lines[begun:]
+                 self.processes[ip].log_since_start().splitlines()]
+        roles = [line.get("role") for line in lines
                  if line["event"] == "role changed"]
         return bool(roles) and roles[-1] in ("follower", "leader")
 
@@ -280,6 +279,7 @@
     def start(self):
         import subprocess  # As in Process.start.
         with open(self.log_path, "ab") as log:
+            self.log_begin = os.path.getsize(self.log_path)
             self.child = subprocess.Popen(
                 self.arguments, stdout=log, stderr=log,
                 stdin=subprocess.DEVNULL)
@@ -287,6 +287,13 @@
     def wait(self, seconds=20.0):
         return self.child.wait(seconds)
 
+    def log_since_start(self):
+        """Whole lines only: the last one may be half written."""
+        with open(self.log_path, "rb") as log:
+            log.seek(self.log_begin)
+            text = log.read().decode(errors="replace")
+        return text[:text.rfind("\n") + 1]
+
 
 def read_answer(sock):
     """Reads one answer as far as it comes."""
