Give the test of emptied disks a fleet of three control VMs

Cause: it ran behind the test that adds a fourth VM, in the same fleet. There a waiting VM takes the place of the one that lost its disk, which rightly stays a learner; the test expects a voter. Change: that test and the one with a spare VM have fleets of their own.

--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -333,7 +333,7 @@
                          200)
 
 
-class ControlLossTest(FleetTestCase):
+class ControlTestCase(FleetTestCase):
     gateways = 1
 
     def read_everywhere(self):
@@ -343,6 +343,11 @@
                               f"a read at {ip}")
             self.assertEqual(read["version"], version)
 
+
+class ControlLossTest(ControlTestCase):
+    # Three VMs for three voters: one that lost its disk has to be a voter
+    # again, for there is no other to take its place.
+
     def test_all_killed_at_once(self):
         self.put()
         for ip in self.fleet.control_ips:
@@ -354,8 +359,7 @@
         self.put()
 
     def test_each_disk_lost_in_turn(self):
-        # With one loss tolerated there are three voters; each loss is repaired
-        # before the next one.
+        # Each loss is repaired before the next one.
         for ip in self.fleet.control_ips:
             self.put()
             self.fleet.lose_disk(ip)
@@ -363,6 +367,9 @@
             wait_until(lambda ip=ip: self.fleet.is_voter(ip), f"{ip} a voter again")
             self.read_everywhere()
 
+
+class SpareControlTest(ControlTestCase):
+
     def test_an_empty_vm_takes_a_lost_ones_place(self):
         gone = self.fleet.control_ips[0]
         self.fleet.processes[gone].kill()
