--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -131,7 +131,10 @@
         connection = Connection(sock)
         try:
             while True:
-                self._serve_one(connection, connection.read())
+                request = connection.read()
+                self._serve_one(connection, request)
+        except ConnectionResetError:
+            self.reply_unread(connection)
         except (OSError, ValueError):
             pass
         finally:
@@ -159,14 +162,34 @@
         else:
             self.answer(connection, request, fault)
 
+    def reply_unread(self, connection):
+        """The connection was reset: its last reply was not read as a whole."""
+
     def note_run(self, request_id):
         with self.lock:
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
 
+    def seal(self, request):
+        return (SEAL, f"{self.id}.{request.id}")
+
     def answer(self, connection, request, fault=None):
         raise NotImplementedError
 
 
+def fault_of_inputs(request_id, handles):
+    """What is wrong with the pieces that a request was given: another
+    request's, of two stages, or not each piece once. None if they are right."""
+    names = [handle.rsplit("/", 1)[-1].split("-") for handle in handles]
+    if any(len(name) != 3 or name[0] != request_id for name in names):
+        return "another request's"
+    if len({stage for _, stage, _ in names}) > 1:
+        return "of two stages"
+    if (sorted(int(piece.split("~")[0]) for _, _, piece in names) !=
+            list(range(len(names)))):
+        return "not each piece once"
+    return None
+
+
 class PlainServer(Server):
     """Answers with what it was asked; "wait" takes half a second more."""
 
@@ -175,24 +198,51 @@
         if fault == "wait":
             time.sleep(0.5)
         if fault == "error":
-            connection.reply(500, b"no", [(SEAL, self.id)], request.id)
+            connection.reply(500, b"no", [self.seal(request)], request.id)
             return
-        body = json.dumps({"method": request.method, "target": request.target,
+        body = json.dumps({"id": request.id, "method": request.method,
+                           "target": request.target,
                            "body": request.body.decode("latin-1")}).encode()
-        connection.reply(200, body, [(SEAL, self.id)], request.id)
+        connection.reply(200, body, [self.seal(request)], request.id)
 
 
 class StageServer(Server):
-    """Makes pieces; a handle names its request and stage, so that inputs of
-    another request show."""
+    """Makes pieces; a handle names its request, stage and piece, so that inputs
+    of another request show, and the making, which is a new one each time.
+
+    A result lies here until it is freed, or `handle_seconds` after its call
+    ended: callers that were told of it have to free it before, `left` holds
+    those that they did not."""
+
+    handle_seconds = 4
 
     def __init__(self, *args, call_seconds=0.02):
         super().__init__(*args)
         self.call_seconds = call_seconds
-        self.held = set()
+        self.makings = 0
+        self.results = {}  # Handles with the time when each is dropped.
+        self.untold = set()
+        self.left = []
         self.wrong = []
         self.told = []
 
+    @property
+    def held(self):
+        """What takes up space now."""
+        with self.lock:
+            self._drop_old()
+            return set(self.results)
+
+    def _drop_old(self):
+        now = time.monotonic()
+        for handle in [handle for handle, until in self.results.items()
+                       if until <= now]:
+            del self.results[handle]
+            if handle in self.untold:
+                self.untold.remove(handle)
+            else:
+                self.left.append(handle)
+
     def tell(self, what, names, connection):
         """A line for a failed test, with the time as in the fleet's logs."""
         try:
@@ -205,9 +255,12 @@
 
     def answer(self, connection, request, fault=None):
         document = json.loads(request.body)
+        connection.handles = []
         if request.target == "/v1/stage-free":
             with self.lock:
-                self.held -= set(document["handles"])
+                self._drop_old()
+                for handle in document["handles"]:
+                    self.results.pop(handle, None)
             self.tell("free", document["handles"], connection)
             connection.reply(200)
             return
@@ -215,22 +268,34 @@
                  for item in document["items"]]
         self.tell("run", names, connection)
         time.sleep(self.call_seconds)
-        items = []
-        for item in document["items"]:
-            for handle in item.get("inputs", []):
-                if f"/{item['id']}-" not in handle:
-                    self.wrong.append((item, handle))
-            handle = (f"{self.address}/{item['id']}-{item['stage']}"
-                      f"-{item['piece']}")
+        handles = []
+        for item, name in zip(document["items"], names):
+            why = fault_of_inputs(item["id"], item.get("inputs", []))
+            if why:
+                self.wrong.append((item, f"pieces {why}: {item['inputs']}"))
             with self.lock:
-                self.held.add(handle)
-            items.append({"handle": handle})
+                self.makings += 1
+                handles.append(f"{self.address}/{name}~{self.makings}")
+        with self.lock:
+            self._drop_old()
+            for handle in handles:
+                self.results[handle] = time.monotonic() + self.handle_seconds
+        connection.handles = handles
         if connection.caller_is_gone():
-            self.tell("made, and nobody is told of", names, connection)
+            with self.lock:
+                self.untold |= set(handles)
+            self.tell("made, and nobody is told of", handles, connection)
         else:
-            self.tell("made", names, connection)
+            self.tell("made", handles, connection)
+        items = [{"handle": handle} for handle in handles]
         connection.reply(200, json.dumps({"items": items}).encode())
 
+    def reply_unread(self, connection):
+        handles = getattr(connection, "handles", [])
+        with self.lock:
+            self.untold |= set(handles)
+        self.tell("reset, maybe nobody was told of", handles, connection)
+
 
 class Engine(Server):
     """Streams `events` numbered events; goes on behind Last-Event-Id. "break"
@@ -239,15 +304,21 @@
     events = 6
     pause = 0.0
 
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.wrong = []
+
     def answer(self, connection, request, fault=None):
         self.note_run(request.id)
         inputs = request.headers.get("x-citronlane-inputs", "")
-        for handle in filter(None, inputs.split(",")):
-            if f"/{request.id}-" not in handle:
-                connection.reply(400, b"wrong inputs", request_id=request.id)
-                return
+        handles = list(filter(None, inputs.split(",")))
+        why = fault_of_inputs(request.id, handles)
+        if why:
+            self.wrong.append(({"id": request.id}, f"pieces {why}: {handles}"))
+            connection.reply(400, b"wrong inputs", request_id=request.id)
+            return
         first = int(request.headers.get("last-event-id", "-1")) + 1
-        connection.begin_stream(request.id, [(SEAL, self.id)])
+        connection.begin_stream(request.id, [self.seal(request)])
         for number in range(first, self.events):
             event = f"id: {number}\ndata: {request.id} {number}\n\n".encode()
             if fault == "break" and number == 2:
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -79,10 +79,14 @@
             self.assertEqual(len(inputs), 3)
             self.assertTrue(all(f"/{request_id}-1-" in handle
                                 for handle in inputs))
-        for stage in self.fleet.stages:
-            self.assertEqual(stage.wrong, [])
+        for server in self.fleet.stages + self.fleet.engines:
+            self.assertEqual(server.wrong, [])
         wait_until(lambda: not any(stage.held for stage in self.fleet.stages),
                    "every result freed")
+        # None of them because its time was over, but for those that no
+        # gateway was told of.
+        for stage in self.fleet.stages:
+            self.assertEqual(stage.left, [])
 
     def test_headers(self):
         request_id = new_id()
