Answer a request once when its stages run again and are late

Cause: an engine that says nothing makes a request run its stages again. When they are late or fail, RunStages answers the caller; MayGoOn then says that the request does not go on, and RunAttempts answered it once more. On a kept connection the second answer went to the caller's next request, that one's to the next again, and so on: whole answers with the id and the seal of another request. No server has to answer twice for it. Change: RunAttempts refuses only what has no answer yet. Measured: RepeatTest failed before (502 instead of the next request's 200) and passes.

--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -191,7 +191,10 @@
       continue;
     }
     if (!MayGoOn(ended)) {
-      RefuseAfterFailure();
+      // Stages that had to run again may have ended it with an answer.
+      if (!finished_) {
+        RefuseAfterFailure();
+      }
       return;
     }
   }
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -299,9 +299,10 @@
 
 class Engine(Server):
     """Streams `events` numbered events; goes on behind Last-Event-Id. "break"
-    closes in the middle of the third event."""
+    closes in the middle of the third event, "silent" answers nothing."""
 
     events = 6
+    silence = 10
     pause = 0.0
 
     def __init__(self, *args):
@@ -317,6 +318,9 @@
             self.wrong.append(({"id": request.id}, f"pieces {why}: {handles}"))
             connection.reply(400, b"wrong inputs", request_id=request.id)
             return
+        if fault == "silent":
+            time.sleep(self.silence)
+            raise ConnectionError
         first = int(request.headers.get("last-event-id", "-1")) + 1
         connection.begin_stream(request.id, [self.seal(request)])
         for number in range(first, self.events):
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -221,6 +221,38 @@
         self.assertTrue(ended[0]["server"].startswith("p"))
 
 
+class RepeatTest(FleetTestCase):
+    controls = 1
+    gateways = 1
+
+    def test_one_answer_though_repeated_stages_are_late(self):
+        """The engine says nothing, so that the stages run again, and take too
+        long: one answer, and the next request on the connection gets its own."""
+        for engine in self.fleet.engines:
+            engine.faults.append("silent")
+        self.addCleanup(self.calm_stages)
+        request_id, next_id = new_id(), new_id()
+        with self.fleet.connect() as sock:
+            sock.sendall(self.fleet.head("POST", "/chat/a", request_id))
+            wait_until(lambda: self.runs(self.fleet.engines, request_id),
+                       "the engine asked")
+            for stage in self.fleet.stages:
+                stage.call_seconds = 8
+            answer = read_answer(sock)
+            self.assertEqual(answer.status, 504)
+            sock.sendall(self.fleet.head("POST", "/once/a", next_id))
+            answer = read_answer(sock)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["x-citronlane-request-id"], next_id)
+        ended = [line for line in self.fleet.log().splitlines()
+                 if request_id in line and '"request ended"' in line]
+        self.assertEqual(len(ended), 1)
+
+    def calm_stages(self):
+        for stage in self.fleet.stages:
+            stage.call_seconds = 0.02
+
+
 class SmugglingTest(FleetTestCase):
     controls = 1
     gateways = 1
