Keep callers' connections, overlap faults and answer twice in the soak

Change: callers use a connection until its gateway ends it. Servers, two groups of gateways and control VMs are disturbed at the same time, each by a source of its own; a gateway that stops gets a SIGHUP or a pause on top. Servers answer a second time where the next reply is expected: as it was, without an id, cut at several places of its head; stage servers the same reply again. The check looks at id, seal and body of each whole answer, at the id of every answer that has one, and at the inputs of stage and engine calls, and tells what went over the connection of a wrong one. Some more proxies let all pass and there are ten callers, so that enough is answered at all.

--- a/tests/process/platform_soak.py
+++ b/tests/process/platform_soak.py
@@ -1,22 +1,34 @@
 """Randomized soak of the platform's programs: real processes under signals,
-lost disks and a fault proxy before every server, while callers and an operator
-go on. Checks the promises from what callers and servers see.
+lost disks, servers that answer twice and a fault proxy before every server,
+while callers and an operator go on. Faults of gateways, of control VMs and of
+servers overlap. Checks the promises from what callers and servers see.
 
     python3 -B -m process.platform_soak --seeds 5 [--first N] [--seconds S]
+        [--output FOLDER]
+
+Each run leaves a file of its own in FOLDER, named by its seed: what it counted,
+each broken promise and, if there is one, the logs of all processes.
 """
 
 import argparse
+import json
+import os
 import random
 import signal
 import sys
+import traceback
 import threading
 import time
 
 from process.fault_proxy import MODES, FaultProxy
-from process.platform_fleet import Fleet, new_id
-from process.processes import wait_until
+from process.platform_fleet import Fleet, new_id, read_answer
+from process.platform_stand_in import SECOND_ANSWERS
+from process.processes import BUILD, wait_until
 
-CALLERS = 6
+CALLERS = 10
+OUTPUT = os.path.join(BUILD, "soak-output")
+# Some servers work well, so that what others do wrong reaches callers.
+PROXY_MODES = MODES + ("pass",) * 3
 NOT_RUN_PROMISES = (408, 421, 429, 503)
 
 
@@ -24,6 +36,7 @@
     """One seed: `faults` holds every broken promise, a line each."""
 
     def __init__(self, seed, seconds):
+        self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
         self.faults = []
@@ -33,6 +46,9 @@
         self.running = True
         self.lock = threading.Lock()
         self.fleet = Fleet(controls=3, gateways=3)
+        self.account = ""
+        self.kept = 0  # Requests on a connection that had been used before.
+        self.stops_overlapped = 0
         self.proxies = []
         ip = f"{self.fleet.net}.201"
         for server in (self.fleet.engines + self.fleet.plain +
@@ -62,8 +78,13 @@
             for thread in threads:
                 thread.join()
             self.check_answers()
+        except Exception:
+            self.fault(traceback.format_exc())
+            raise
         finally:
             self.running = False
+            if self.faults:
+                self.account = self.fleet.account()
             self.fleet.close()
             for proxy in self.proxies:
                 proxy.close()
@@ -72,21 +93,51 @@
     # What goes on all the time.
 
     def call(self, index):
+        """Keeps a connection to each gateway and uses it until that one ends
+        it, however it is said to stop meanwhile."""
         kinds = (("POST", "/once/a"), ("GET", "/look/a"), ("POST", "/chat/a"))
         source = random.Random(index)
+        connections = {}
         while self.running:
             method, path = source.choice(kinds)
             request_id = new_id()
+            gateway = source.randrange(3)
+            sock, history = connections.pop(gateway, (None, []))
+            begun, answer = time.time(), None
             try:
-                answer = self.fleet.ask(method, path, b"", request_id,
-                                        source.randrange(3))
-            except OSError:
-                answer = None
+                if sock is None:
+                    sock = self.fleet.connect(gateway)
+                else:
+                    self.kept += 1
+                sock.sendall(self.fleet.head(method, path, request_id))
+                answer = read_answer(sock)
+            except OSError as error:
+                history.append(f"{error!r}")
+            self.note(history, begun, request_id, path, gateway, sock, answer)
+            if (answer and answer.whole and
+                    answer.headers.get("connection", "") != "close"):
+                connections[gateway] = sock, history
+            elif sock:
+                sock.close()
             with self.lock:
-                self.answers.append((path, request_id, answer))
+                self.answers.append((path, request_id, answer, history))
                 status = answer.status if answer else 0
                 self.counts[status] = self.counts.get(status, 0) + 1
             time.sleep(0.01 if answer and answer.status == 200 else 0.1)
+        for sock, _ in connections.values():
+            sock.close()
+
+    def note(self, history, begun, request_id, path, gateway, sock, answer):
+        """What went over a connection, to tell of when an answer was wrong."""
+        try:
+            port = sock.getsockname()[1] if sock else 0
+        except OSError:
+            port = -1
+        got = "nothing" if not answer else (
+            f"{answer.status} {'whole' if answer.whole else 'broken'} "
+            f"{answer.headers} {answer.body[:120]}")
+        history.append(f"{begun:.3f} to {time.time():.3f}, port {port}, gateway "
+                       f"{gateway}: {path} {request_id} got {got}")
 
     def operate(self):
         while self.running:
@@ -104,50 +155,94 @@
     # Faults.
 
     def disturb(self):
+        """Each of these goes on by itself, so that their faults overlap. Two
+        gateways are disturbed at once, and one control VM: one loss at a time
+        is tolerated there."""
         end = time.monotonic() + self.seconds
-        steps = (self.proxy_step, self.proxy_step, self.gateway_step,
-                 self.control_step)
+        # Sources of their own, so that the choices of each follow the seed.
+        loops = (("servers", self.server_step, 0.15),
+                 ("gateways a", lambda source: self.gateway_step(
+                     source, self.fleet.gateway_ips[:2]), 0.6),
+                 ("gateways b", lambda source: self.gateway_step(
+                     source, self.fleet.gateway_ips[2:]), 0.6),
+                 ("controls", self.control_step, 0.6))
+        threads = [threading.Thread(target=self.disturb_one,
+                                    args=(*loop, end)) for loop in loops]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def disturb_one(self, name, step, most_pause, end):
+        source = random.Random(f"{self.seed} {name}")
         while time.monotonic() < end:
-            self.random.choice(steps)()
-            time.sleep(self.random.uniform(0.05, 0.4))
+            try:
+                step(source)
+            except Exception:
+                self.fault(f"{name}: {traceback.format_exc()}")
+            time.sleep(source.uniform(0.02, most_pause))
 
-    def proxy_step(self):
-        self.random.choice(self.proxies).set_mode(self.random.choice(MODES))
+    def server_step(self, source):
+        if source.random() < 0.5:
+            source.choice(self.proxies).set_mode(source.choice(PROXY_MODES))
+            return
+        server = source.choice(self.servers())
+        # Replies to stage calls have no id that could be left out or cut.
+        fault = ("twice" if server in self.fleet.stages else
+                 source.choice(SECOND_ANSWERS))
+        server.faults += [fault] * source.randint(1, 4)
+
+    def servers(self):
+        return self.fleet.engines + self.fleet.plain + self.fleet.stages
 
-    def restart(self, ip, start, how):
+    def restart(self, source, ip, start, how):
         process = self.fleet.processes[ip]
         if how == "pause":
             process.pause()
-            time.sleep(self.random.uniform(0.1, 1.2))
+            time.sleep(source.uniform(0.1, 1.2))
             process.resume()
         elif how == "hup":
             process.send(signal.SIGHUP)
         elif how == "term":
             process.terminate()
-            if process.wait(12) != 0:
-                self.fault(f"{ip} ended with an error at SIGTERM")
+            if source.random() < 0.5:
+                self.disturb_stopping(source, process)
+            code = process.wait(15)
+            if code != 0:
+                self.fault(f"{ip} ended with {code} at SIGTERM")
             start(ip)
         else:
             process.kill()
             if how == "wipe":
                 self.fleet.lose_disk_of_dead(ip)
-            time.sleep(self.random.uniform(0, 0.5))
+            time.sleep(source.uniform(0, 0.5))
             start(ip)
 
-    def gateway_step(self):
-        self.restart(self.random.choice(self.fleet.gateway_ips),
-                     self.fleet.start_gateway,
-                     self.random.choice(("kill", "pause", "hup", "term")))
+    def disturb_stopping(self, source, process):
+        time.sleep(source.uniform(0, 0.5))
+        if process.running():
+            self.stops_overlapped += 1
+            process.send(signal.SIGHUP)
+        if source.random() < 0.5:
+            process.pause()
+            time.sleep(source.uniform(0.1, 0.6))
+            process.resume()
 
-    def control_step(self):
+    def gateway_step(self, source, ips):
+        self.restart(source, source.choice(ips), self.fleet.start_gateway,
+                     source.choice(("kill", "pause", "hup", "term")))
+
+    def control_step(self, source):
         # One loss at a time is tolerated, and it is repaired before the next.
-        ip = self.random.choice(self.fleet.control_ips)
-        how = self.random.choice(("kill", "pause", "hup", "term", "wipe"))
-        self.restart(ip, self.fleet.start_control, how)
+        ip = source.choice(self.fleet.control_ips)
+        how = source.choice(("kill", "pause", "hup", "term", "wipe"))
+        self.restart(source, ip, self.fleet.start_control, how)
         if how == "wipe":
             wait_until(lambda: self.fleet.is_voter(ip), f"{ip} a voter again")
 
     def heal(self):
+        for server in self.servers():
+            server.faults.clear()
         for proxy in self.proxies:
             proxy.set_mode("reset")  # Drops what hangs.
             proxy.set_mode("pass")
@@ -173,30 +268,73 @@
 
     def check_answers(self):
         time.sleep(0.5)
-        for path, request_id, answer in self.answers:
-            runs = sum(server.runs.get(request_id, 0) for server in
-                       self.fleet.plain + self.fleet.engines)
-            if path == "/once/a" and runs > 1:
-                self.fault(f"{request_id} may run once and ran {runs} times")
-            if answer is None:
-                continue
-            if answer.status in NOT_RUN_PROMISES and runs > 0:
-                self.fault(f"{request_id} got {answer.status} and ran")
-            if answer.status == 200 and answer.whole:
-                self.check_body(path, request_id, answer)
-        for stage in self.fleet.stages:
-            for item, handle in stage.wrong:
-                self.fault(f"{item['id']} was given {handle}")
+        for path, request_id, answer, history in self.answers:
+            found = len(self.faults)
+            self.check_answer(path, request_id, answer)
+            if len(self.faults) > found:
+                self.fault("on its connection:\n    " + "\n    ".join(history))
+        for server in self.fleet.stages + self.fleet.engines:
+            for item, what in server.wrong:
+                self.fault(f"{server.id}: {item['id']} was given {what}")
+
+    def check_answer(self, path, request_id, answer):
+        runs = sum(server.runs.get(request_id, 0) for server in
+                   self.fleet.plain + self.fleet.engines)
+        if path == "/once/a" and runs > 1:
+            self.fault(f"{request_id} may run once and ran {runs} times")
+        if answer is None:
+            return
+        if answer.status in NOT_RUN_PROMISES and runs > 0:
+            self.fault(f"{request_id} got {answer.status} and ran")
+        named = answer.headers.get("x-citronlane-request-id", request_id)
+        if named != request_id:
+            self.fault(f"{request_id} got {answer.status} for {named}")
+        if answer.status == 200 and answer.whole:
+            self.check_body(path, request_id, answer)
 
     def check_body(self, path, request_id, answer):
         if answer.headers.get("x-citronlane-request-id") != request_id:
             self.fault(f"{request_id} got the answer of another request")
+        # The stand-in's seals name the request that they were made for.
+        seal = answer.headers.get("x-citronlane-response-seal", "")
+        if seal.split(".")[-1] != request_id:
+            self.fault(f"{request_id} got an answer sealed {seal}")
         if path != "/chat/a":
+            try:
+                own = json.loads(answer.body).get("id")
+            except ValueError:
+                own = None
+            if own != request_id:
+                self.fault(f"{request_id} got the body {answer.body}")
             return
         expected = "".join(f"id: {number}\ndata: {request_id} {number}\n\n"
                            for number in range(6))
         if answer.body.decode() != expected:
-            self.fault(f"{request_id} got a stream with a gap or a repeat")
+            self.fault(f"{request_id} got a stream with a gap or a repeat: "
+                       f"{answer.body}")
+
+    def report(self):
+        late = sum(server.second_answers for server in self.servers())
+        return "\n".join(
+            [f"seed {self.seed}, {self.seconds} s: {len(self.answers)} requests "
+             f"({self.kept} on kept connections), "
+             f"{dict(sorted(self.counts.items()))}, {late} second answers, "
+             f"{self.stops_overlapped} signals in a stop, "
+             f"{len(self.faults)} faults"] + [f"  {text}" for text in self.faults])
+
+
+def write_apart(folder, name, text):
+    """Writes a new file; one that is there stays. Returns its path."""
+    os.makedirs(folder, exist_ok=True)
+    number = 1
+    while True:
+        path = os.path.join(folder, f"{name}-run-{number}.txt")
+        try:
+            with open(path, "x", encoding="utf-8") as file:
+                file.write(text)
+            return path
+        except FileExistsError:
+            number += 1
 
 
 def main():
@@ -204,17 +342,21 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--output", default=OUTPUT)
     options = parser.parse_args()
     broken = 0
     for seed in range(options.first, options.first + options.seeds):
         soak = Soak(seed, options.seconds)
-        faults = soak.run()
-        broken += bool(faults)
-        print(f"seed {seed}: {len(soak.answers)} requests, "
-              f"{dict(sorted(soak.counts.items()))}, {len(faults)} faults",
-              flush=True)
-        for text in faults[:10]:
-            print(f"  {text}", flush=True)
+        try:
+            soak.run()
+        except Exception:
+            pass  # It is among the faults, and the next seed is due.
+        broken += bool(soak.faults)
+        path = write_apart(options.output, f"seed-{seed}",
+                           f"{soak.report()}\n{soak.account}\n")
+        print("\n".join(soak.report().splitlines()[:12]), flush=True)
+        if soak.faults:
+            print(f"  all of it: {path}", flush=True)
     return 1 if broken else 0
 
 
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -9,6 +9,8 @@
 
 SEAL = "X-Citronlane-Response-Seal"
 REQUEST_ID = "x-citronlane-request-id"
+# Second answers, late: as they were, without the request's id, cut in the head.
+SECOND_ANSWERS = ("twice", "twice_no_id", "twice_cut")
 
 
 class Request:
@@ -32,6 +34,9 @@
     def __init__(self, sock):
         self.sock = sock
         self.buffer = b""
+        self.sent = b""
+        # Goes out where the reply to the next request is expected.
+        self.late = b""
 
     def _fill(self):
         data = self.sock.recv(65536)
@@ -56,6 +61,7 @@
         return Request(method, target, headers, body)
 
     def send(self, data):
+        self.sent += data
         self.sock.sendall(data)
 
     def reply(self, status, body=b"", headers=(), request_id=""):
@@ -102,6 +108,7 @@
         self.runs = {}
         self.faults = []
         self.lock = threading.Lock()
+        self.second_answers = 0
         self.listener = socket.create_server((ip, 0))
         self.address = f"{ip}:{self.listener.getsockname()[1]}"
         self.sockets = set()
@@ -132,6 +139,12 @@
         try:
             while True:
                 request = connection.read()
+                connection.sent, late = b"", connection.late
+                if late:
+                    connection.late = b""
+                    with self.lock:
+                        self.second_answers += 1
+                    connection.sock.sendall(late)
                 self._serve_one(connection, request)
         except ConnectionResetError:
             self.reply_unread(connection)
@@ -161,6 +174,20 @@
             self.answer(connection, request)
         else:
             self.answer(connection, request, fault)
+            if fault in SECOND_ANSWERS:
+                connection.late = self._second_answer(fault, connection.sent)
+
+    def _second_answer(self, fault, answer):
+        if fault == "twice_no_id":
+            return re.sub(rb"X-Citronlane-Request-Id: [^\r]*\r\n", b"", answer)
+        if fault == "twice_cut":
+            # In turn at each sixth of the head, and right behind the id.
+            size = answer.index(b"\r\n\r\n")
+            cuts = [size * part // 6 for part in range(1, 6)]
+            if b"-Id: " in answer[:size]:
+                cuts.append(answer.index(b"\r\n", answer.index(b"-Id: ")))
+            return answer[:cuts[self.second_answers % len(cuts)]]
+        return answer
 
     def reply_unread(self, connection):
         """The connection was reset: its last reply was not read as a whole."""
