Test how stage tasks reach the gateway that owns their pool

Cause: StageOwners, its announcements and its moves to a successor had no unit test; their parts did, and process tests ran them. Change: unit-stage-owners, over loopback links, with owners that the test plays and with real pools before a stage server that holds its answers back: whose results are whose (in any order, twice, after a cancel, after a restart of either side under the same numbers), where tasks go when their owner goes, what is freed again, announcements, and one owner by number.

--- /dev/null
+++ b/tests/unit-stage-owners.cc
@@ -0,0 +1,984 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "citronlane/base/error.h"
+#include "citronlane/base/steady_now.h"
+#include "citronlane/json/fault.h"
+#include "citronlane/json/parse.h"
+#include "citronlane/json/value.h"
+#include "citronlane/net/frame_channel.h"
+#include "citronlane/net/frame_listener.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/owner_table.h"
+#include "citronlane/relay/stage_owners.h"
+#include "citronlane/relay/stage_pool.h"
+#include "citronlane/routing/repeat_budget.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/transport/http_exchange.h"
+#include "citronlane/transport/http_limits.h"
+#include "citronlane/transport/http_listener.h"
+#include "citronlane/transport/http_reply.h"
+#include "citronlane/transport/http_request.h"
+#include "citronlane/transport/stage_client.h"
+#include "citronlane/transport/stage_limits.h"
+#include "fleet.pb.h"
+#include "platform/dialect.h"
+#include "support/eventually.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using wire::fleet::Frame;
+using Handles = std::vector<std::string>;
+using Result = StageOutcome::Result;
+
+constexpr const char* kService = "press";
+constexpr uint64_t kResultBytes = 10;
+
+/// What all gateways and servers of a test run on.
+class Loopback {
+ public:
+  bool Until(const std::function<bool()>& condition) {
+    return Eventually([&] {
+      io_.poll();
+      return condition();
+    });
+  }
+
+  /// An address that nobody listens on.
+  std::string FreeEndpoint() {
+    using boost::asio::ip::tcp;
+    const tcp::acceptor acceptor(
+        io_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  }
+
+  boost::asio::io_context io_;
+  const Dialect dialect_ = platform::MakeDialect();
+  StageClient client_{&io_, StageLimits()};
+};
+
+/// A stage server that holds its answers back when it is told to. A result
+/// names the request it was made for.
+class PieceServer {
+ public:
+  explicit PieceServer(Loopback* net)
+      : listener_({&net->io_}, HttpLimits(), HooksOf()) {
+    Error error;
+    REQUIRE(listener_.Listen("127.0.0.1", 0, &error));
+    address_ = "127.0.0.1:" + std::to_string(listener_.port());
+  }
+
+  BackendServer Entry(const std::string& name) const {
+    BackendServer server;
+    server.id_ = name;
+    server.name_ = name;
+    server.service_ = kService;
+    server.address_ = address_;
+    server.failure_domain_ = "a";
+    server.slots_ = 1;
+    return server;
+  }
+
+  void Release() {
+    is_holding_ = false;
+    for (HttpExchange* exchange : waiting_) {
+      exchange->Notify();
+    }
+  }
+
+  bool is_holding_ = false;
+  size_t calls_ = 0;
+  /// Requests whose pieces it was asked for, in order.
+  std::vector<std::string> asked_;
+  /// Results that were not freed.
+  std::set<std::string> kept_;
+
+ private:
+  HttpListenerHooks HooksOf() {
+    HttpListenerHooks hooks;
+    hooks.serve_ = [this](size_t, const HttpRequest& request,
+                          HttpExchange* exchange) { Serve(request, exchange); };
+    hooks.refuse_ = [](RefusalReason) { return HttpReply(); };
+    return hooks;
+  }
+
+  void Serve(const HttpRequest& request, HttpExchange* exchange) {
+    Fault fault;
+    const auto root = ParseJson(request.body_, &fault);
+    HttpReply reply;
+    reply.body_ = "{}";
+    if (const JsonValue* freed = root->Find("handles")) {
+      for (const JsonValue& handle : freed->items()) {
+        kept_.erase(handle.AsString());
+      }
+    } else {
+      ++calls_;
+      reply.body_ = Make(*root->Find("items"));
+      waiting_.insert(exchange);
+      while (is_holding_ && !exchange->caller_gone()) {
+        exchange->Wait();
+      }
+      waiting_.erase(exchange);
+    }
+    exchange->Reply(reply);
+  }
+
+  std::string Make(const JsonValue& items) {
+    JsonValue made = JsonValue::Array();
+    for (const JsonValue& item : items.items()) {
+      const std::string request = item.Find("id")->AsString();
+      asked_.push_back(request);
+      const std::string handle =
+          address_ + "/" + request + "-" + std::to_string(asked_.size());
+      kept_.insert(handle);
+      JsonValue result = JsonValue::Object();
+      result.AppendMember("handle", JsonValue::String(handle));
+      made.Append(result);
+    }
+    JsonValue root = JsonValue::Object();
+    root.AppendMember("items", std::move(made));
+    return WriteJson(root);
+  }
+
+  std::string address_;
+  std::set<HttpExchange*> waiting_;
+  HttpListener listener_;
+};
+
+/// What a request heard of a task.
+struct Asked {
+  uint64_t job_ = 0;
+  int waits_ = 0;
+  StageWait wait_;
+  int inputs_taken_ = 0;
+  int done_ = 0;
+  StageOutcome outcome_;
+};
+
+StageForecast ForecastOf(uint32_t pieces) {
+  StageForecast forecast;
+  forecast.pieces_ = pieces;
+  forecast.target_ = SteadyNow() + seconds(20);
+  forecast.deadline_ = SteadyNow() + seconds(30);
+  return forecast;
+}
+
+StageTask TaskOf(const std::string& request, uint32_t pieces) {
+  StageTask task;
+  task.request_id_ = request;
+  task.pieces_ = pieces;
+  task.key_ = "k";
+  task.target_ = SteadyNow() + seconds(20);
+  task.deadline_ = SteadyNow() + seconds(30);
+  task.result_bytes_ = kResultBytes;
+  return task;
+}
+
+FleetView ViewOf(const std::string& owner,
+                 const std::vector<std::string>& gateways,
+                 const std::vector<BackendServer>& servers = {}) {
+  FleetView view;
+  view.SetServers(servers, SteadyNow());
+  view.SetOwners(1, {{kService, owner}});
+  std::vector<FleetView::Gateway> known;
+  known.reserve(gateways.size());
+  for (const std::string& endpoint : gateways) {
+    known.push_back({endpoint, "a", false});
+  }
+  view.SetGateways(known);
+  return view;
+}
+
+/// A gateway; one with servers can run the pool.
+class Gateway {
+ public:
+  Gateway(Loopback* net, const std::string& endpoint, FleetView view)
+      : view_(std::move(view)),
+        log_("gateway",
+             {[this](std::string_view line) {
+                lines_.emplace_back(line);
+                return true;
+              },
+              SteadyNow, [] { return int64_t{0}; }}),
+        pool_(kService,
+              Spec(),
+              RepeatBudget::Options{0.2, 10, seconds(10)},
+              &view_,
+              &net->dialect_,
+              &net->client_,
+              &log_),
+        owners_(&net->io_,
+                endpoint,
+                &view_,
+                &log_,
+                [this](const std::string& service) {
+                  return service == kService && runs_pools_ ? &pool_ : nullptr;
+                }),
+        listener_(
+            &net->io_,
+            endpoint,
+            {[this](const std::shared_ptr<FrameChannel>& channel,
+                    Frame* frame) {
+               channels_.insert(channel);
+               owners_.Take(channel, frame);
+             },
+             [this](const FrameChannel* channel) { owners_.Closed(channel); }}),
+        runs_pools_(!view_.ServersOf(kService).empty()) {
+    pool_.Begin(SteadyNow());
+    Error error;
+    REQUIRE(listener_.Start(&error));
+  }
+  ~Gateway() { CloseAll(); }
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  /// Ends what others connected to it.
+  void CloseAll() {
+    for (const auto& channel : std::exchange(channels_, {})) {
+      channel->Close();
+    }
+  }
+
+  std::shared_ptr<Asked> Announce(uint32_t pieces = 1) {
+    auto asked = std::make_shared<Asked>();
+    asked->job_ = owners_.Announce(kService, ForecastOf(pieces),
+                                   [asked](const StageWait& wait) {
+                                     ++asked->waits_;
+                                     asked->wait_ = wait;
+                                   });
+    return asked;
+  }
+  void Submit(const std::shared_ptr<Asked>& asked,
+              const std::string& request,
+              uint32_t pieces = 1) {
+    owners_.Submit(
+        asked->job_, TaskOf(request, pieces),
+        [asked](const StageOutcome& outcome) {
+          ++asked->done_;
+          asked->outcome_ = outcome;
+        },
+        [asked] { ++asked->inputs_taken_; });
+  }
+  std::shared_ptr<Asked> Ask(const std::string& request, uint32_t pieces = 1) {
+    auto asked = Announce(pieces);
+    Submit(asked, request, pieces);
+    return asked;
+  }
+
+  /// What it logged.
+  std::vector<std::string> lines_;
+  FleetView view_;
+  EventLog log_;
+  StagePool pool_;
+  StageOwners owners_;
+
+ private:
+  static StagePoolSpec Spec() {
+    StagePoolSpec spec;
+    spec.batch_ = 2;
+    spec.call_time_ = milliseconds(20);
+    spec.room_bytes_ = 1000;
+    spec.result_life_ = seconds(4);
+    return spec;
+  }
+
+  std::set<std::shared_ptr<FrameChannel>> channels_;
+  FrameListener listener_;
+  const bool runs_pools_;
+};
+
+/// An owner of pools that the test plays.
+class PlayedOwner {
+ public:
+  PlayedOwner(Loopback* net, const std::string& endpoint)
+      : listener_(&net->io_,
+                  endpoint,
+                  {[this](const std::shared_ptr<FrameChannel>& channel,
+                          Frame* frame) {
+                     channels_.insert(channel);
+                     channel_ = channel;
+                     Take(*frame);
+                   },
+                   [](const FrameChannel*) {}}) {
+    Error error;
+    REQUIRE(listener_.Start(&error));
+  }
+  ~PlayedOwner() { CloseAll(); }
+  PlayedOwner(const PlayedOwner&) = delete;
+  PlayedOwner& operator=(const PlayedOwner&) = delete;
+
+  void Answer(uint64_t job, const Handles& handles) {
+    Frame frame;
+    auto* result = frame.mutable_job_result();
+    result->set_job(job);
+    for (const std::string& handle : handles) {
+      result->add_handles(handle);
+    }
+    channel_->Send(frame);
+  }
+  void End(uint64_t job, const std::string& reason, bool not_run) {
+    Frame frame;
+    frame.mutable_job_result()->set_job(job);
+    frame.mutable_job_result()->set_reason(reason);
+    frame.mutable_job_result()->set_not_run(not_run);
+    channel_->Send(frame);
+  }
+  void TellInputsTaken(uint64_t job) {
+    Frame frame;
+    frame.mutable_inputs_taken()->set_job(job);
+    channel_->Send(frame);
+  }
+  void TellWait(uint64_t job, uint64_t milliseconds) {
+    Frame frame;
+    frame.mutable_pool_wait()->set_job(job);
+    frame.mutable_pool_wait()->set_all_ms(milliseconds);
+    channel_->Send(frame);
+  }
+  /// Ends the connections; new ones are taken.
+  void CloseAll() {
+    for (const auto& channel : std::exchange(channels_, {})) {
+      channel->Close();
+    }
+  }
+
+  /// Requests of the tasks that came, in order.
+  std::vector<std::string> tasks_;
+  /// Pieces announced and not withdrawn, by job.
+  std::map<uint64_t, uint32_t> announced_;
+  std::vector<uint64_t> cancelled_;
+  Handles freed_;
+
+ private:
+  void Take(const Frame& frame) {
+    if (frame.has_job()) {
+      tasks_.push_back(frame.job().request());
+      announced_.erase(frame.job().job());
+    } else if (frame.has_announcement()) {
+      announced_[frame.announcement().job()] = frame.announcement().pieces();
+    } else if (frame.has_job_cancel()) {
+      cancelled_.push_back(frame.job_cancel().job());
+      announced_.erase(frame.job_cancel().job());
+    } else if (frame.has_free()) {
+      freed_.insert(freed_.end(), frame.free().handles().begin(),
+                    frame.free().handles().end());
+    }
+  }
+
+  std::set<std::shared_ptr<FrameChannel>> channels_;
+  std::shared_ptr<FrameChannel> channel_;
+  FrameListener listener_;
+};
+
+// Silence, as the asker's clock tells it: a ping, and nothing for 600 ms.
+void PassInSilence(Gateway* gateway) {
+  const TimePoint now = SteadyNow();
+  gateway->owners_.Tick(now + milliseconds(300));
+  gateway->owners_.Tick(now + milliseconds(900));
+}
+
+bool NamesOnly(const StageOutcome& outcome, const std::string& request) {
+  return !outcome.handles_.empty() &&
+         std::all_of(outcome.handles_.begin(), outcome.handles_.end(),
+                     [&](const std::string& handle) {
+                       return handle.find("/" + request + "-") !=
+                              std::string::npos;
+                     });
+}
+
+}  // namespace
+
+TEST_CASE("results of a stage task reach the request that asked") {
+  Loopback net;
+  const std::string owner_endpoint = net.FreeEndpoint();
+  PlayedOwner owner(&net, owner_endpoint);
+  Gateway gateway(&net, net.FreeEndpoint(), ViewOf(owner_endpoint, {}));
+  const auto one = gateway.Ask("one");
+  const auto two = gateway.Ask("two");
+  REQUIRE(net.Until([&] { return owner.tasks_.size() == 2; }));
+  CHECK(owner.tasks_ == std::vector<std::string>{"one", "two"});
+  CHECK(one->job_ != two->job_);
+
+  SECTION("in the order in which they were asked for") {
+    owner.Answer(one->job_, {"h/one"});
+    owner.Answer(two->job_, {"h/two"});
+    REQUIRE(net.Until([&] { return two->done_ == 1; }));
+    CHECK(one->outcome_.handles_ == Handles{"h/one"});
+    CHECK(two->outcome_.handles_ == Handles{"h/two"});
+  }
+
+  SECTION("in another order") {
+    owner.Answer(two->job_, {"h/two"});
+    REQUIRE(net.Until([&] { return two->done_ == 1; }));
+    CHECK(one->done_ == 0);
+    owner.Answer(one->job_, {"h/one"});
+    REQUIRE(net.Until([&] { return one->done_ == 1; }));
+    CHECK(one->outcome_.handles_ == Handles{"h/one"});
+    CHECK(two->outcome_.handles_ == Handles{"h/two"});
+  }
+
+  SECTION("once, also when they come twice") {
+    owner.Answer(one->job_, {"h/one"});
+    owner.Answer(one->job_, {"h/again"});
+    owner.Answer(two->job_, {"h/two"});
+    REQUIRE(net.Until([&] { return two->done_ == 1; }));
+    CHECK(one->done_ == 1);
+    CHECK(one->outcome_.handles_ == Handles{"h/one"});
+    CHECK(two->outcome_.handles_ == Handles{"h/two"});
+  }
+
+  SECTION("and nobody once the task was cancelled") {
+    gateway.owners_.Cancel(one->job_);
+    // Its number is not given again.
+    const auto three = gateway.Ask("three");
+    REQUIRE(net.Until([&] { return owner.tasks_.size() == 3; }));
+    CHECK(owner.cancelled_ == std::vector<uint64_t>{one->job_});
+    CHECK(three->job_ != one->job_);
+    owner.Answer(one->job_, {"h/one"});
+    owner.TellInputsTaken(one->job_);
+    owner.Answer(two->job_, {"h/two"});
+    REQUIRE(net.Until([&] { return two->done_ == 1; }));
+    CHECK(two->outcome_.handles_ == Handles{"h/two"});
+    CHECK(one->done_ == 0);
+    CHECK(three->done_ == 0);
+    CHECK(three->inputs_taken_ == 0);
+    CHECK(gateway.owners_.open_jobs() == 1);
+  }
+
+  SECTION("and nobody when no task has their number") {
+    owner.Answer(two->job_ + 1, {"h/none"});
+    owner.Answer(0, {"h/none"});
+    owner.Answer(two->job_, {"h/two"});
+    REQUIRE(net.Until([&] { return two->done_ == 1; }));
+    CHECK(two->outcome_.handles_ == Handles{"h/two"});
+    CHECK(one->done_ == 0);
+  }
+
+  SECTION("that its servers have its inputs is told to it alone") {
+    owner.TellInputsTaken(two->job_);
+    REQUIRE(net.Until([&] { return two->inputs_taken_ == 1; }));
+    CHECK(one->inputs_taken_ == 0);
+    CHECK(two->done_ == 0);
+  }
+
+  SECTION("how they failed is told to it alone") {
+    owner.End(two->job_, "input gone", false);
+    REQUIRE(net.Until([&] { return two->done_ == 1; }));
+    CHECK(two->outcome_.result_ == Result::kInputGone);
+    CHECK_FALSE(two->outcome_.not_run_);
+    CHECK(one->done_ == 0);
+    owner.End(one->job_, "late", true);
+    REQUIRE(net.Until([&] { return one->done_ == 1; }));
+    CHECK(one->outcome_.result_ == Result::kLate);
+    CHECK(one->outcome_.not_run_);
+  }
+}
+
+// Each gateway numbers its tasks by itself, from 1 on: the numbers below are
+// the same.
+TEST_CASE("one owner serves the tasks of many gateways") {
+  Loopback net;
+  PieceServer first_server(&net);
+  PieceServer second_server(&net);
+  const std::vector<BackendServer> servers = {first_server.Entry("s1"),
+                                              second_server.Entry("s2")};
+  const std::string owner_endpoint = net.FreeEndpoint();
+  const FleetView view = ViewOf(owner_endpoint, {}, servers);
+  const FleetView others_view = ViewOf(owner_endpoint, {});
+  auto owner = std::make_unique<Gateway>(&net, owner_endpoint, view);
+  const std::string endpoint = net.FreeEndpoint();
+  auto first = std::make_unique<Gateway>(&net, endpoint, others_view);
+  Gateway second(&net, net.FreeEndpoint(), others_view);
+  first_server.is_holding_ = true;
+  second_server.is_holding_ = true;
+  const auto asked = [&] {
+    return first_server.asked_.size() + second_server.asked_.size();
+  };
+  const auto one = first->Ask("one", 2);
+  REQUIRE(net.Until([&] { return asked() == 2; }));
+  const auto two = second.Ask("two", 2);
+  REQUIRE(net.Until([&] { return asked() == 4; }));
+  REQUIRE(one->job_ == two->job_);
+  CHECK(owner->owners_.served_jobs() == 2);
+  const bool is_one_first = first_server.asked_.front() == "one";
+  PieceServer* const server_of_one =
+      is_one_first ? &first_server : &second_server;
+  PieceServer* const server_of_two =
+      is_one_first ? &second_server : &first_server;
+
+  SECTION("each gets its own results, whatever is ready first") {
+    server_of_two->Release();
+    REQUIRE(net.Until([&] { return two->done_ == 1; }));
+    CHECK(one->done_ == 0);
+    CHECK(NamesOnly(two->outcome_, "two"));
+    server_of_one->Release();
+    REQUIRE(net.Until([&] { return one->done_ == 1; }));
+    CHECK(NamesOnly(one->outcome_, "one"));
+    CHECK(two->done_ == 1);
+    CHECK(owner->owners_.served_jobs() == 0);
+  }
+
+  SECTION("a call that holds pieces of both is taken apart") {
+    const auto three = first->Ask("three");
+    const auto four = second.Ask("four");
+    REQUIRE(net.Until([&] { return owner->pool_.tasks() == 4; }));
+    server_of_two->Release();
+    REQUIRE(net.Until([&] { return four->done_ == 1 && three->done_ == 1; }));
+    CHECK(NamesOnly(three->outcome_, "three"));
+    CHECK(NamesOnly(four->outcome_, "four"));
+    // In one call, in either order.
+    REQUIRE(server_of_two->asked_.size() == 4);
+    CHECK(std::set<std::string>(server_of_two->asked_.begin() + 2,
+                                server_of_two->asked_.end()) ==
+          std::set<std::string>{"three", "four"});
+    CHECK(server_of_two->calls_ == 2);
+  }
+
+  SECTION("one that cancels ends only its own") {
+    first->owners_.Cancel(one->job_);
+    REQUIRE(net.Until([&] { return owner->owners_.served_jobs() == 1; }));
+    server_of_one->Release();
+    server_of_two->Release();
+    REQUIRE(net.Until([&] { return two->done_ == 1; }));
+    CHECK(NamesOnly(two->outcome_, "two"));
+    CHECK(one->done_ == 0);
+    // What was made for nobody is freed.
+    CHECK(net.Until([&] { return server_of_one->kept_.empty(); }));
+    CHECK(server_of_two->kept_.size() == 2);
+  }
+
+  SECTION("one that starts again hears nothing of its former tasks") {
+    first.reset();
+    REQUIRE(net.Until([&] { return owner->owners_.served_jobs() == 1; }));
+    first = std::make_unique<Gateway>(&net, endpoint, others_view);
+    const auto again = first->Ask("again", 2);
+    REQUIRE(again->job_ == one->job_);
+    REQUIRE(net.Until([&] { return owner->owners_.served_jobs() == 2; }));
+    server_of_one->Release();
+    server_of_two->Release();
+    REQUIRE(net.Until([&] { return again->done_ == 1 && two->done_ == 1; }));
+    CHECK(NamesOnly(again->outcome_, "again"));
+    CHECK(NamesOnly(two->outcome_, "two"));
+    CHECK(one->done_ == 0);
+  }
+
+  SECTION("an owner that starts again has nothing of its former life") {
+    owner.reset();
+    owner = std::make_unique<Gateway>(&net, owner_endpoint, view);
+    // The tasks are asked for once more, in an order of chance.
+    REQUIRE(net.Until([&] { return owner->owners_.served_jobs() == 2; }));
+    server_of_one->Release();
+    server_of_two->Release();
+    REQUIRE(net.Until([&] { return one->done_ == 1 && two->done_ == 1; }));
+    CHECK(NamesOnly(one->outcome_, "one"));
+    CHECK(NamesOnly(two->outcome_, "two"));
+    CHECK(owner->owners_.served_jobs() == 0);
+    CHECK(owner->pool_.tasks() == 0);
+  }
+
+  SECTION("what a gateway that is gone had asked for is over") {
+    first.reset();
+    REQUIRE(net.Until([&] { return owner->owners_.served_jobs() == 1; }));
+    CHECK(owner->pool_.tasks() == 1);
+    server_of_one->Release();
+    CHECK(net.Until([&] { return server_of_one->kept_.empty(); }));
+    server_of_two->Release();
+    REQUIRE(net.Until([&] { return two->done_ == 1; }));
+    CHECK(NamesOnly(two->outcome_, "two"));
+  }
+}
+
+TEST_CASE("a stage task whose owner goes") {
+  Loopback net;
+  const std::string owner_endpoint = net.FreeEndpoint();
+  const std::string next_endpoint = net.FreeEndpoint();
+  auto owner = std::make_unique<PlayedOwner>(&net, owner_endpoint);
+  PlayedOwner next(&net, next_endpoint);
+  PieceServer server(&net);
+  const std::vector<std::string> both = {owner_endpoint, next_endpoint};
+
+  SECTION("is in hand") {
+    Gateway gateway(&net, net.FreeEndpoint(), ViewOf(owner_endpoint, both));
+    const auto one = gateway.Ask("one");
+    const auto two = gateway.Ask("two");
+    REQUIRE(net.Until([&] { return owner->tasks_.size() == 2; }));
+
+    SECTION("asks the owner once more when only the connection ended") {
+      owner->CloseAll();
+      REQUIRE(net.Until([&] { return owner->tasks_.size() == 4; }));
+      CHECK(next.tasks_.empty());
+      owner->Answer(two->job_, {"h/two"});
+      owner->Answer(one->job_, {"h/one"});
+      REQUIRE(net.Until([&] { return one->done_ == 1; }));
+      CHECK(one->outcome_.handles_ == Handles{"h/one"});
+      CHECK(two->outcome_.handles_ == Handles{"h/two"});
+    }
+
+    SECTION("moves to the successor when it takes no connection") {
+      owner.reset();
+      REQUIRE(net.Until([&] { return next.tasks_.size() == 2; }));
+      CHECK(next.tasks_ == std::vector<std::string>{"one", "two"});
+      next.Answer(two->job_, {"h/two"});
+      next.Answer(one->job_, {"h/one"});
+      REQUIRE(net.Until([&] { return one->done_ == 1; }));
+      CHECK(one->outcome_.handles_ == Handles{"h/one"});
+      CHECK(two->outcome_.handles_ == Handles{"h/two"});
+      // Later ones go there at once.
+      gateway.Ask("three");
+      CHECK(net.Until([&] { return next.tasks_.size() == 3; }));
+    }
+
+    SECTION("moves to the successor when it is silent") {
+      PassInSilence(&gateway);
+      REQUIRE(net.Until([&] { return next.tasks_.size() == 2; }));
+      CHECK(owner->tasks_.size() == 2);
+      // What the silent one says on the connection of before is not read.
+      owner->Answer(one->job_, {"h/stale"});
+      next.Answer(one->job_, {"h/one"});
+      next.Answer(two->job_, {"h/two"});
+      REQUIRE(net.Until([&] { return two->done_ == 1; }));
+      CHECK(one->done_ == 1);
+      CHECK(one->outcome_.handles_ == Handles{"h/one"});
+    }
+
+    SECTION("ended before, or was cancelled: it moves nowhere") {
+      owner->Answer(one->job_, {"h/one"});
+      REQUIRE(net.Until([&] { return one->done_ == 1; }));
+      gateway.owners_.Cancel(two->job_);
+      const auto three = gateway.Ask("three");
+      REQUIRE(net.Until([&] { return owner->tasks_.size() == 3; }));
+      owner.reset();
+      REQUIRE(net.Until([&] { return next.tasks_.size() == 1; }));
+      CHECK(next.tasks_ == std::vector<std::string>{"three"});
+      next.Answer(three->job_, {"h/three"});
+      REQUIRE(net.Until([&] { return three->done_ == 1; }));
+      CHECK(one->done_ == 1);
+      CHECK(two->done_ == 0);
+    }
+
+    SECTION("that hands it back unsent has run nothing of it") {
+      gateway.view_.SetOwners(2, {{kService, next_endpoint}});
+      owner->End(one->job_, "moved", true);
+      REQUIRE(net.Until([&] { return next.tasks_.size() == 1; }));
+      next.End(one->job_, "late", true);
+      REQUIRE(net.Until([&] { return one->done_ == 1; }));
+      CHECK(one->outcome_.result_ == Result::kLate);
+      CHECK(one->outcome_.not_run_);
+    }
+
+    SECTION("that hands it back sends it where the pool is by then") {
+      gateway.view_.SetOwners(2, {{kService, next_endpoint}});
+      owner->End(one->job_, "moved", true);
+      REQUIRE(net.Until([&] { return next.tasks_.size() == 1; }));
+      CHECK(next.tasks_ == std::vector<std::string>{"one"});
+      CHECK(one->done_ == 0);
+      next.Answer(one->job_, {"h/one"});
+      REQUIRE(net.Until([&] { return one->done_ == 1; }));
+      // What was not handed back is still the former one's.
+      owner->Answer(two->job_, {"h/two"});
+      REQUIRE(net.Until([&] { return two->done_ == 1; }));
+      CHECK(two->outcome_.handles_ == Handles{"h/two"});
+    }
+  }
+
+  SECTION("comes to this gateway when there is no other") {
+    Gateway gateway(&net, net.FreeEndpoint(),
+                    ViewOf(owner_endpoint, {}, {server.Entry("s")}));
+    const auto one = gateway.Ask("one");
+    REQUIRE(net.Until([&] { return owner->tasks_.size() == 1; }));
+    owner.reset();
+    REQUIRE(net.Until([&] { return one->done_ == 1; }));
+    CHECK(one->outcome_.result_ == Result::kDone);
+    CHECK(NamesOnly(one->outcome_, "one"));
+  }
+
+  SECTION("again and again ends here") {
+    Gateway gateway(&net, net.FreeEndpoint(),
+                    ViewOf(owner_endpoint, both, {server.Entry("s")}));
+    const auto one = gateway.Ask("one");
+    for (size_t times = 1; times <= 3; ++times) {
+      REQUIRE(net.Until([&] { return owner->tasks_.size() == times; }));
+      owner->CloseAll();
+    }
+    REQUIRE(net.Until([&] { return one->done_ == 1; }));
+    CHECK(NamesOnly(one->outcome_, "one"));
+    CHECK(owner->tasks_.size() == 3);
+    CHECK(next.tasks_.empty());
+  }
+}
+
+TEST_CASE("results that an owner is told to free") {
+  Loopback net;
+  const std::string owner_endpoint = net.FreeEndpoint();
+  const std::string next_endpoint = net.FreeEndpoint();
+  auto owner = std::make_unique<PlayedOwner>(&net, owner_endpoint);
+  PlayedOwner next(&net, next_endpoint);
+  Gateway gateway(&net, net.FreeEndpoint(),
+                  ViewOf(owner_endpoint, {owner_endpoint, next_endpoint}));
+  gateway.owners_.Free(kService, {});
+  gateway.owners_.Free(kService, {"h/1", "h/2"});
+  REQUIRE(net.Until([&] { return owner->freed_.size() == 2; }));
+  CHECK(owner->freed_ == Handles{"h/1", "h/2"});
+
+  SECTION("are freed by its successor once it is found lost") {
+    gateway.owners_.Free(kService, {"h/3"});
+    owner.reset();
+    gateway.Ask("one");
+    REQUIRE(net.Until([&] { return next.freed_.size() == 3; }));
+    CHECK(next.freed_ == Handles{"h/1", "h/2", "h/3"});
+  }
+
+  SECTION("but not those that it must have taken long before") {
+    gateway.owners_.Tick(SteadyNow() + milliseconds(1600));
+    gateway.owners_.Free(kService, {"h/3"});
+    owner.reset();
+    gateway.Ask("one");
+    REQUIRE(net.Until([&] { return !next.freed_.empty(); }));
+    CHECK(next.freed_ == Handles{"h/3"});
+  }
+
+  SECTION("stay with another owner that is not lost") {
+    gateway.view_.SetOwners(2, {{kService, next_endpoint}});
+    gateway.owners_.Free(kService, {"h/3"});
+    REQUIRE(net.Until([&] { return next.freed_ == Handles{"h/3"}; }));
+    owner.reset();
+    const auto one = gateway.Ask("one");
+    REQUIRE(net.Until([&] { return next.tasks_.size() == 1; }));
+    CHECK(next.freed_ == Handles{"h/3"});
+    gateway.owners_.Cancel(one->job_);
+  }
+}
+
+TEST_CASE("announcements of stage tasks") {
+  Loopback net;
+  const std::string owner_endpoint = net.FreeEndpoint();
+  const std::string next_endpoint = net.FreeEndpoint();
+  using Announced = std::map<uint64_t, uint32_t>;
+
+  SECTION("of a gateway") {
+    auto owner = std::make_unique<PlayedOwner>(&net, owner_endpoint);
+    PlayedOwner next(&net, next_endpoint);
+    Gateway gateway(&net, net.FreeEndpoint(),
+                    ViewOf(owner_endpoint, {owner_endpoint, next_endpoint}));
+    const auto one = gateway.Announce(3);
+    const auto two = gateway.Announce(5);
+    REQUIRE(net.Until([&] { return owner->announced_.size() == 2; }));
+    CHECK(owner->announced_ == Announced{{one->job_, 3}, {two->job_, 5}});
+
+    SECTION("what the owner expects is told to the request that asked") {
+      owner->TellWait(two->job_, 70);
+      REQUIRE(net.Until([&] { return two->waits_ == 1; }));
+      CHECK(two->wait_.all_ == milliseconds(70));
+      CHECK(one->waits_ == 0);
+    }
+    SECTION("what it expects of a task that was submitted is told to nobody") {
+      gateway.Submit(one, "one");
+      owner->TellWait(one->job_, 70);
+      owner->TellWait(two->job_, 80);
+      REQUIRE(net.Until([&] { return two->waits_ == 1; }));
+      CHECK(one->waits_ == 0);
+    }
+    SECTION("are withdrawn with their request") {
+      gateway.owners_.Cancel(one->job_);
+      REQUIRE(net.Until([&] { return owner->announced_.size() == 1; }));
+      CHECK(owner->announced_ == Announced{{two->job_, 5}});
+      owner->TellWait(one->job_, 70);
+      owner->TellWait(two->job_, 80);
+      REQUIRE(net.Until([&] { return two->waits_ == 1; }));
+      CHECK(one->waits_ == 0);
+    }
+    SECTION("are replaced by others of the same task") {
+      gateway.owners_.Revise(one->job_, ForecastOf(4));
+      REQUIRE(net.Until([&] { return owner->announced_.at(one->job_) == 4; }));
+      CHECK(owner->announced_.size() == 2);
+      CHECK(owner->cancelled_.empty());
+    }
+    SECTION("are not replaced once the task was submitted") {
+      gateway.Submit(one, "one");
+      gateway.owners_.Revise(one->job_, ForecastOf(4));
+      gateway.Submit(two, "two");
+      REQUIRE(net.Until([&] { return owner->tasks_.size() == 2; }));
+      CHECK(owner->announced_.empty());
+      CHECK(owner->cancelled_.empty());
+    }
+    SECTION("are withdrawn where the pool was before") {
+      gateway.view_.SetOwners(2, {{kService, next_endpoint}});
+      gateway.owners_.Revise(one->job_, ForecastOf(4));
+      gateway.Submit(two, "two", 5);
+      REQUIRE(net.Until([&] {
+        return next.tasks_.size() == 1 && owner->announced_.empty();
+      }));
+      CHECK(next.announced_ == Announced{{one->job_, 4}});
+      CHECK(next.tasks_ == std::vector<std::string>{"two"});
+      CHECK(owner->tasks_.empty());
+    }
+    SECTION("of an owner that is lost are not told to others") {
+      owner.reset();
+      const auto three = gateway.Ask("three");
+      REQUIRE(net.Until([&] { return next.tasks_.size() == 1; }));
+      CHECK(next.announced_.empty());
+      // The tasks go there when they are submitted.
+      gateway.Submit(one, "one");
+      gateway.owners_.Cancel(two->job_);
+      REQUIRE(net.Until([&] { return next.tasks_.size() == 2; }));
+      CHECK(next.tasks_ == std::vector<std::string>{"three", "one"});
+      CHECK(next.cancelled_.empty());
+      CHECK(gateway.owners_.open_jobs() == 2);
+      CHECK(three->done_ == 0);
+    }
+  }
+
+  SECTION("at the owner") {
+    PieceServer server(&net);
+    Gateway owner(&net, owner_endpoint,
+                  ViewOf(owner_endpoint, {}, {server.Entry("s")}));
+    const std::string endpoint = net.FreeEndpoint();
+    auto gateway =
+        std::make_unique<Gateway>(&net, endpoint, ViewOf(owner_endpoint, {}));
+    const auto expected = [&] {
+      return owner.pool_.ExpectedWait(ForecastOf(1), SteadyNow()).all_;
+    };
+    REQUIRE(expected() == Duration());
+    const auto one = gateway->Announce(80);
+    REQUIRE(net.Until([&] { return one->waits_ == 1; }));
+    CHECK(one->wait_.all_ == Duration());
+    const auto two = gateway->Announce(1);
+    REQUIRE(net.Until([&] { return two->waits_ == 1; }));
+    CHECK(two->wait_.all_ > milliseconds(500));
+    CHECK(expected() > milliseconds(500));
+    CHECK(owner.owners_.served_jobs() == 0);
+
+    SECTION("are withdrawn with their request") {
+      gateway->owners_.Cancel(one->job_);
+      CHECK(net.Until([&] { return expected() < milliseconds(100); }));
+    }
+    SECTION("are replaced, not added up") {
+      gateway->owners_.Revise(one->job_, ForecastOf(1));
+      CHECK(net.Until([&] { return expected() < milliseconds(100); }));
+    }
+    SECTION("end with the gateway that made them") {
+      gateway.reset();
+      CHECK(net.Until([&] { return expected() == Duration(); }));
+    }
+    SECTION("end with the connection they came by") {
+      owner.CloseAll();
+      CHECK(expected() == Duration());
+    }
+    SECTION("give way to the task itself") {
+      gateway->owners_.Cancel(two->job_);
+      gateway->Submit(one, "one", 1);
+      REQUIRE(net.Until([&] { return one->done_ == 1; }));
+      CHECK(NamesOnly(one->outcome_, "one"));
+      CHECK(expected() == Duration());
+    }
+    SECTION("of its own are withdrawn too") {
+      gateway->owners_.Cancel(one->job_);
+      gateway->owners_.Cancel(two->job_);
+      REQUIRE(net.Until([&] { return expected() == Duration(); }));
+      const auto own = owner.Announce(80);
+      CHECK(own->waits_ == 1);
+      CHECK(expected() > milliseconds(500));
+      owner.owners_.Revise(own->job_, ForecastOf(80));
+      CHECK(own->waits_ == 1);
+      owner.owners_.Cancel(own->job_);
+      CHECK(expected() == Duration());
+    }
+  }
+}
+
+TEST_CASE("the owner of a stage pool") {
+  const std::string own = "127.0.0.1:1";
+  const std::string first = "127.0.0.1:2";
+  const std::string second = "127.0.0.1:3";
+  const TimePoint now{seconds(100)};
+  FleetView view;
+  OwnerTable table(&view, own);
+
+  SECTION("is this gateway while it knows no other") {
+    CHECK(table.OwnerOf(kService, now) == own);
+  }
+
+  SECTION("is the one of the highest number") {
+    view.SetOwners(7, {{kService, first}});
+    CHECK(table.OwnerOf(kService, now) == first);
+    view.SetOwners(6, {{kService, second}});
+    CHECK(table.OwnerOf(kService, now) == first);
+    view.SetOwners(7, {{kService, second}});
+    CHECK(table.OwnerOf(kService, now) == first);
+    view.SetOwners(8, {{kService, second}});
+    CHECK(table.OwnerOf(kService, now) == second);
+    CHECK(view.owners_number() == 8);
+  }
+
+  SECTION("is the same one for all gateways") {
+    FleetView others;
+    const OwnerTable other(&others, second);
+    for (FleetView* each : {&view, &others}) {
+      each->SetOwners(7, {{kService, first}, {"other", own}});
+      each->SetGateways({{own, "a", false},
+                         {first, "a", false},
+                         {second, "a", false},
+                         {"127.0.0.1:4", "a", true}});
+    }
+    CHECK(table.OwnerOf(kService, now) == other.OwnerOf(kService, now));
+    // Also of a pool that is not named yet, and of one whose owner is lost: by
+    // all that find it so.
+    CHECK(table.OwnerOf("new", now) == other.OwnerOf("new", now));
+    OwnerTable lost(&view, own);
+    OwnerTable other_lost(&others, second);
+    lost.MarkLost(first, now);
+    other_lost.MarkLost(first, now);
+    CHECK(lost.OwnerOf(kService, now) == second);
+    CHECK(other_lost.OwnerOf(kService, now) == second);
+  }
+
+  SECTION("is passed over for a while when it is lost") {
+    view.SetOwners(7, {{kService, first}});
+    view.SetGateways({{first, "a", false}, {second, "a", false}});
+    table.MarkLost(first, now);
+    CHECK(table.OwnerOf(kService, now + milliseconds(2999)) == second);
+    CHECK(table.OwnerOf(kService, now + milliseconds(3000)) == first);
+    table.MarkLost(first, now + seconds(4));
+    table.MarkLost(second, now + seconds(4));
+    CHECK(table.OwnerOf(kService, now + seconds(5)) == own);
+    // Control named another one meanwhile.
+    view.SetOwners(8, {{kService, own}});
+    CHECK(table.OwnerOf(kService, now + seconds(5)) == own);
+  }
+
+  SECTION("is asked by number: an older table sends no task elsewhere") {
+    Loopback net;
+    const std::string owner_endpoint = net.FreeEndpoint();
+    const std::string next_endpoint = net.FreeEndpoint();
+    PlayedOwner owner(&net, owner_endpoint);
+    PlayedOwner next(&net, next_endpoint);
+    Gateway gateway(&net, net.FreeEndpoint(), ViewOf(owner_endpoint, {}));
+    gateway.view_.SetOwners(9, {{kService, owner_endpoint}});
+    gateway.Ask("one");
+    gateway.view_.SetOwners(8, {{kService, next_endpoint}});
+    gateway.view_.SetOwners(9, {{kService, next_endpoint}});
+    gateway.Ask("two");
+    REQUIRE(net.Until([&] { return owner.tasks_.size() == 2; }));
+    gateway.view_.SetOwners(10, {{kService, next_endpoint}});
+    gateway.Ask("three");
+    REQUIRE(net.Until([&] { return next.tasks_.size() == 1; }));
+    CHECK(owner.tasks_ == std::vector<std::string>{"one", "two"});
+    CHECK(next.tasks_ == std::vector<std::string>{"three"});
+  }
+}
+
+}  // namespace citronlane
