--- a/tests/unit-stage-owners.cc
+++ b/tests/unit-stage-owners.cc
@@ -18,6 +18,7 @@
 #include "citronlane/json/parse.h"
 #include "citronlane/json/value.h"
 #include "citronlane/net/frame_channel.h"
+#include "citronlane/net/frame_link.h"
 #include "citronlane/net/frame_listener.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
@@ -981,4 +982,224 @@
   }
 }
 
+// "Not run" is a promise to the caller, and a stage is a part of its request: a
+// lost owner may have handed pieces to servers.
+TEST_CASE("of what a lost owner had nobody says that it has not run") {
+  Loopback net;
+  const std::string owner_endpoint = net.FreeEndpoint();
+  const std::string next_endpoint = net.FreeEndpoint();
+  auto owner = std::make_unique<PlayedOwner>(&net, owner_endpoint);
+  std::vector<std::string> gateways = {owner_endpoint, next_endpoint};
+
+  SECTION("not its successor") {
+    PlayedOwner next(&net, next_endpoint);
+    Gateway gateway(&net, net.FreeEndpoint(), ViewOf(owner_endpoint, gateways));
+    const auto one = gateway.Ask("one");
+    REQUIRE(net.Until([&] { return owner->tasks_.size() == 1; }));
+    SECTION("of one that is gone") {
+      owner.reset();
+    }
+    SECTION("of one that is silent") {
+      PassInSilence(&gateway);
+    }
+    REQUIRE(net.Until([&] { return next.tasks_.size() == 1; }));
+    next.End(one->job_, "late", true);
+    REQUIRE(net.Until([&] { return one->done_ == 1; }));
+    CHECK(one->outcome_.result_ == Result::kLate);
+    CHECK_FALSE(one->outcome_.not_run_);
+  }
+  SECTION("not the owner itself on its next connection") {
+    Gateway gateway(&net, net.FreeEndpoint(), ViewOf(owner_endpoint, gateways));
+    const auto one = gateway.Ask("one");
+    REQUIRE(net.Until([&] { return owner->tasks_.size() == 1; }));
+    owner->CloseAll();
+    REQUIRE(net.Until([&] { return owner->tasks_.size() == 2; }));
+    owner->End(one->job_, "failed", true);
+    REQUIRE(net.Until([&] { return one->done_ == 1; }));
+    CHECK_FALSE(one->outcome_.not_run_);
+  }
+  SECTION("not this gateway, where there is no other and it has no pool") {
+    Gateway gateway(&net, net.FreeEndpoint(), ViewOf(owner_endpoint, {}));
+    const auto one = gateway.Ask("one");
+    REQUIRE(net.Until([&] { return owner->tasks_.size() == 1; }));
+    owner.reset();
+    REQUIRE(net.Until([&] { return one->done_ == 1; }));
+    CHECK(one->outcome_.result_ == Result::kFailed);
+    CHECK_FALSE(one->outcome_.not_run_);
+  }
+}
+
+TEST_CASE("what a gateway hears of tasks that are not the owner's") {
+  Loopback net;
+  const std::string owner_endpoint = net.FreeEndpoint();
+  const std::string next_endpoint = net.FreeEndpoint();
+  PlayedOwner owner(&net, owner_endpoint);
+  PlayedOwner next(&net, next_endpoint);
+  Gateway gateway(&net, net.FreeEndpoint(),
+                  ViewOf(owner_endpoint, {owner_endpoint, next_endpoint}));
+
+  SECTION("of what was only announced changes nothing") {
+    const auto one = gateway.Announce();
+    const auto two = gateway.Ask("two");
+    REQUIRE(net.Until([&] { return owner.tasks_.size() == 1; }));
+    SECTION("be it a result") {
+      owner.Answer(one->job_, {"h/one"});
+    }
+    SECTION("be it that its inputs were taken") {
+      owner.TellInputsTaken(one->job_);
+    }
+    owner.Answer(two->job_, {"h/two"});
+    CHECK_NOTHROW(net.Until([&] { return two->done_ == 1; }));
+    CHECK(two->done_ == 1);
+    CHECK(one->done_ == 0);
+    CHECK(gateway.owners_.open_jobs() == 1);
+  }
+  SECTION("of one that was handed back changes nothing") {
+    const auto one = gateway.Ask("one");
+    REQUIRE(net.Until([&] { return owner.tasks_.size() == 1; }));
+    gateway.view_.SetOwners(2, {{kService, next_endpoint}});
+    owner.End(one->job_, "moved", true);
+    REQUIRE(net.Until([&] { return next.tasks_.size() == 1; }));
+    // Said twice, as by an owner that had it twice.
+    owner.End(one->job_, "late", true);
+    const auto two = gateway.Ask("two");
+    REQUIRE(net.Until([&] { return next.tasks_.size() == 2; }));
+    next.Answer(two->job_, {"h/two"});
+    next.Answer(one->job_, {"h/one"});
+    REQUIRE(net.Until([&] { return two->done_ == 1 && one->done_ == 1; }));
+    CHECK(one->outcome_.result_ == Result::kDone);
+    CHECK(one->outcome_.handles_ == Handles{"h/one"});
+  }
+}
+
+TEST_CASE("a stage task is asked for once on a connection") {
+  Loopback net;
+  const std::string owner_endpoint = net.FreeEndpoint();
+
+  SECTION("also when it is submitted as the one before ends") {
+    PlayedOwner owner(&net, owner_endpoint);
+    Gateway gateway(&net, net.FreeEndpoint(), ViewOf(owner_endpoint, {}));
+    gateway.Ask("one");
+    REQUIRE(net.Until([&] { return owner.tasks_.size() == 1; }));
+    owner.CloseAll();
+    // One at each step until the loss was dealt with.
+    int steps = 0;
+    const auto is_known = [&] {
+      return std::any_of(gateway.lines_.begin(), gateway.lines_.end(),
+                         [](const std::string& line) {
+                           return line.find("owner lost") != std::string::npos;
+                         });
+    };
+    while (!is_known()) {
+      gateway.Ask("step " + std::to_string(++steps));
+      net.io_.poll_one();
+      REQUIRE(steps < 1000);
+    }
+    const auto last = gateway.Ask("last");
+    REQUIRE(net.Until([&] {
+      return std::count(owner.tasks_.begin(), owner.tasks_.end(), "last") > 0;
+    }));
+    CHECK(std::count(owner.tasks_.begin(), owner.tasks_.end(), "one") == 2);
+    for (int step = 1; step <= steps; ++step) {
+      CAPTURE(step, steps);
+      CHECK(std::count(owner.tasks_.begin(), owner.tasks_.end(),
+                       "step " + std::to_string(step)) == 1);
+    }
+  }
+
+  SECTION("one that comes twice is over when its gateway is gone") {
+    PieceServer server(&net);
+    server.is_holding_ = true;
+    Gateway owner(&net, owner_endpoint,
+                  ViewOf(owner_endpoint, {}, {server.Entry("s")}));
+    FrameLink link(&net.io_, owner_endpoint, FrameLink::Hooks());
+    Frame frame;
+    frame.mutable_job()->set_job(1);
+    frame.mutable_job()->set_service(kService);
+    frame.mutable_job()->set_request("one");
+    frame.mutable_job()->set_pieces(1);
+    frame.mutable_job()->set_target_left_ms(20000);
+    frame.mutable_job()->set_deadline_left_ms(30000);
+    frame.mutable_job()->set_result_bytes(kResultBytes);
+    link.Send(frame);
+    link.Send(frame);
+    REQUIRE(net.Until([&] { return owner.pool_.tasks() > 0; }));
+    // What comes after both was read.
+    Frame announcement;
+    announcement.mutable_announcement()->set_job(2);
+    announcement.mutable_announcement()->set_service(kService);
+    announcement.mutable_announcement()->set_pieces(80);
+    announcement.mutable_announcement()->set_target_left_ms(20000);
+    announcement.mutable_announcement()->set_deadline_left_ms(30000);
+    link.Send(announcement);
+    REQUIRE(net.Until([&] {
+      return owner.pool_.ExpectedWait(ForecastOf(1), SteadyNow()).all_ >
+             milliseconds(300);
+    }));
+    CHECK(owner.pool_.tasks() == 1);
+    link.Drop();
+    REQUIRE(net.Until([&] { return owner.owners_.served_jobs() == 0; }));
+    CHECK(owner.pool_.tasks() == 0);
+  }
+}
+
+TEST_CASE("results that nobody takes are freed") {
+  SECTION("those that cross the end of their request on their way") {
+    Loopback owner_net;
+    Loopback net;
+    PieceServer server(&owner_net);
+    const std::string owner_endpoint = owner_net.FreeEndpoint();
+    Gateway owner(&owner_net, owner_endpoint,
+                  ViewOf(owner_endpoint, {}, {server.Entry("s")}));
+    Gateway gateway(&net, net.FreeEndpoint(), ViewOf(owner_endpoint, {}));
+    server.is_holding_ = true;
+    const auto one = gateway.Ask("one");
+    REQUIRE(net.Until([&] {
+      owner_net.io_.poll();
+      return server.asked_.size() == 1;
+    }));
+    server.Release();
+    // The gateway reads nothing meanwhile.
+    REQUIRE(owner_net.Until([&] { return owner.pool_.tasks() == 0; }));
+    gateway.owners_.Cancel(one->job_);
+    const auto two = gateway.Ask("two");
+    REQUIRE(net.Until([&] {
+      owner_net.io_.poll();
+      return two->done_ == 1;
+    }));
+    CHECK(one->done_ == 0);
+    gateway.owners_.Free(kService, two->outcome_.handles_);
+    // This server drops none by itself.
+    CHECK(net.Until([&] {
+      owner_net.io_.poll();
+      return server.kept_.empty();
+    }));
+  }
+
+  SECTION("those an owner was told to free as its connection ended") {
+    Loopback net;
+    const std::string owner_endpoint = net.FreeEndpoint();
+    const std::string next_endpoint = net.FreeEndpoint();
+    auto owner = std::make_unique<PlayedOwner>(&net, owner_endpoint);
+    PlayedOwner next(&net, next_endpoint);
+    Gateway gateway(&net, net.FreeEndpoint(),
+                    ViewOf(owner_endpoint, {owner_endpoint, next_endpoint}));
+    gateway.owners_.Free(kService, {"h/1"});
+    REQUIRE(net.Until([&] { return owner->freed_.size() == 1; }));
+    SECTION("by its successor, when it is gone and nothing else is asked") {
+      owner.reset();
+      gateway.owners_.Free(kService, {"h/2"});
+      REQUIRE(net.Until([&] { return next.freed_.size() == 2; }));
+      CHECK(next.freed_ == Handles{"h/1", "h/2"});
+    }
+    SECTION("by itself, when it takes another connection") {
+      owner->CloseAll();
+      gateway.owners_.Free(kService, {"h/2"});
+      const auto one = gateway.Ask("one");
+      REQUIRE(net.Until([&] { return owner->tasks_.size() == 1; }));
+      CHECK(std::count(owner->freed_.begin(), owner->freed_.end(), "h/2") == 1);
+    }
+  }
+}
+
 }  // namespace citronlane
