Test servers that start again under their name on real processes

Cause: a server that starts again under its name and address, with a later `born`, was told apart by pure tests only. Change: the stand-in can put a later start in a server's place, with the former one's connections cut or standing. StartAgainTest: an unsafe request in hand runs once and may have run, whether its server's connection ends or falls silent; a safe one runs again or may have run; a stage call of the former start may have run; the new start begins with nothing kept, and what an engine gets was made by starts that are there.

--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -91,26 +91,56 @@
 
 class Server:
     """A backend server: `service` and `id` as the list names them. `faults`
-    holds what to do to the next requests instead of serving them."""
+    holds what to do to the next requests instead of serving them. Each is one
+    start of it: the list tells starts apart by `born`, where that is set."""
 
-    def __init__(self, ip, service, identity, domain):
+    def __init__(self, ip, service, identity, domain, port=0, born=None):
         self.service = service
         self.id = identity
         self.domain = domain
         self.state = "ready"
+        self.born = born
         self.requests = []
         self.runs = {}
         self.faults = []
         self.lock = threading.Lock()
-        self.listener = socket.create_server((ip, 0))
+        self.listener = socket.create_server((ip, port))
         self.address = f"{ip}:{self.listener.getsockname()[1]}"
         self.sockets = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def entry(self):
-        return {"id": self.id, "service": self.service,
-                "address": self.address, "zone": self.domain, "slots": 8,
-                "version": "v1", "state": self.state, "cold_left_ms": 0}
+        entry = {"id": self.id, "service": self.service,
+                 "address": self.address, "zone": self.domain, "slots": 8,
+                 "version": "v1", "state": self.state, "cold_left_ms": 0}
+        if self.born is not None:
+            entry["born"] = self.born
+        return entry
+
+    def next_start(self, born):
+        """A later start of the same server, at the same address. This one
+        takes no connection any more; what it has is cut by cut_connections."""
+        # Wakes the thread that accepts, which a close would not.
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        ip, port = self.address.split(":")
+        return type(self)(ip, self.service, self.id, self.domain, int(port),
+                          born)
+
+    def has(self, request_id):
+        """Whether the request, or a piece of it, came here."""
+        with self.lock:
+            return any(request.id == request_id or
+                       f'"id":"{request_id}"'.encode() in request.body
+                       for request in self.requests)
+
+    def cut_connections(self):
+        """As the end of its process does."""
+        for sock in list(self.sockets):
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
 
     def close(self):
         self.listener.close()
@@ -168,10 +198,15 @@
 
 
 class PlainServer(Server):
-    """Answers with what it was asked; "wait" takes half a second more."""
+    """Answers with what it was asked; "wait" takes half a second more, "hang"
+    says nothing until the gateway is gone."""
 
     def answer(self, connection, request, fault=None):
         self.note_run(request.id)
+        if fault == "hang":
+            while not connection.caller_is_gone():
+                time.sleep(0.05)
+            raise ConnectionError
         if fault == "wait":
             time.sleep(0.5)
         if fault == "error":
@@ -189,6 +224,7 @@
     def __init__(self, *args, call_seconds=0.02):
         super().__init__(*args)
         self.call_seconds = call_seconds
+        self.made = set()
         self.held = set()
         self.wrong = []
 
@@ -208,6 +244,7 @@
             handle = (f"{self.address}/{item['id']}-{item['stage']}"
                       f"-{item['piece']}")
             with self.lock:
+                self.made.add(handle)
                 self.held.add(handle)
             items.append({"handle": handle})
         connection.reply(200, json.dumps({"items": items}).encode())
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -409,6 +409,157 @@
             server.id = identity
 
 
+class StartAgainTest(FleetTestCase):
+    """Servers that stop and start again under their name and address, with a
+    later `born`."""
+    controls = 1
+
+    def setUp(self):
+        super().setUp()
+        self.former = []
+
+    def tearDown(self):
+        for server in self.former:
+            server.cut_connections()
+
+    def list_changes(self):
+        return [self.fleet.processes[ip].log().count('"server list changed"')
+                for ip in self.fleet.gateway_ips]
+
+    def start_again(self, servers, server, cut=True):
+        """Puts a later start in the server's place; every gateway knows then.
+        Unless `cut`, connections to the former one stand."""
+        before = self.list_changes()
+        self.former.append(server)
+        again = server.next_start((server.born or 1000) + 1000)
+        if cut:
+            server.cut_connections()
+        self.fleet.list.servers = [
+            again if listed is server else listed
+            for listed in self.fleet.list.servers]
+        servers[servers.index(server)] = again
+        wait_until(lambda: all(
+            now > then for now, then in zip(self.list_changes(), before)),
+            "the later start listed")
+        return again
+
+    def begin(self, method, path, request_id, servers, **headers):
+        """Starts a request; returns its thread, the list its answer will be
+        in, and the server that has it, or a stage of it, by then."""
+        answers = []
+        thread = threading.Thread(target=lambda: answers.append(
+            self.fleet.ask(method, path, b"x" if method == "POST" else b"",
+                           request_id, **headers)))
+        thread.start()
+        server = wait_until(
+            lambda: next((one for one in servers if one.has(request_id)),
+                         None), "the request at a server")
+        return thread, answers, server
+
+    def check_may_have_run(self, answer):
+        self.assertIn(answer.status, (502, 504))
+        self.assertNotIn("retry-after", answer.headers)
+        self.assertEqual(json.loads(answer.body)["verdict"], "may_have_run")
+
+    def served_by(self, server, method="POST", path="/once/a"):
+        """Whether a request that is sent now runs there."""
+        request_id = new_id()
+        self.fleet.ask(method, path, b"x" if method == "POST" else b"",
+                       request_id)
+        return server.runs.get(request_id, 0) == 1
+
+    def test_unsafe_request_in_hand_runs_once(self):
+        for server in self.fleet.plain:
+            server.faults.append("wait")
+        starts = list(self.fleet.plain)
+        request_id = new_id()
+        thread, answers, server = self.begin(
+            "POST", "/once/a", request_id, self.fleet.plain)
+        again = self.start_again(self.fleet.plain, server)
+        thread.join()
+        self.check_may_have_run(answers[0])
+        self.assertEqual(self.runs(starts + [again], request_id), 1)
+        # The later start is served like any other.
+        wait_until(lambda: self.served_by(again), "a request at the new start")
+        self.assertEqual(again.runs.get(request_id, 0), 0)
+
+    def test_unsafe_request_of_a_start_that_fell_silent_runs_once(self):
+        # The list tells of the new start while the former one's connections
+        # stand.
+        for server in self.fleet.plain:
+            server.faults.append("hang")
+        starts = list(self.fleet.plain)
+        request_id = new_id()
+        thread, answers, server = self.begin(
+            "POST", "/once/a", request_id, self.fleet.plain)
+        again = self.start_again(self.fleet.plain, server, cut=False)
+        thread.join()
+        self.check_may_have_run(answers[0])
+        self.assertEqual(self.runs(starts + [again], request_id), 1)
+
+    def test_safe_request_in_hand_ends_elsewhere_or_may_have_run(self):
+        for server in self.fleet.plain:
+            server.faults.append("wait")
+        starts = list(self.fleet.plain)
+        request_id = new_id()
+        thread, answers, server = self.begin(
+            "GET", "/look/a", request_id, self.fleet.plain)
+        again = self.start_again(self.fleet.plain, server)
+        thread.join()
+        if answers[0].status == 200:
+            self.assertEqual(self.runs(starts + [again], request_id), 2)
+        else:
+            self.check_may_have_run(answers[0])
+            self.assertEqual(self.runs(starts + [again], request_id), 1)
+
+    def stage_calls(self, server):
+        """What gateways logged of calls to the start, in order."""
+        name = f"{server.id}@{server.born}" if server.born else server.id
+        lines = [json.loads(line) for line in self.fleet.log().splitlines()
+                 if '"call"' in line and f'"{name}"' in line]
+        return [line for line in lines if line["event"] == "call"]
+
+    def make_slow(self, seconds):
+        for stage in self.fleet.stages:
+            stage.call_seconds = seconds
+        self.addCleanup(self.make_new)
+
+    def make_new(self):
+        for stage in list(self.fleet.stages):
+            self.start_again(self.fleet.stages, stage).call_seconds = 0.02
+
+    def test_nothing_is_held_of_the_former_start_of_a_stage_server(self):
+        self.make_slow(1.0)
+        request_id = new_id()
+        thread, answers, server = self.begin(
+            "POST", "/chat/a", request_id, self.fleet.stages)
+        # Room for what the lost call may have made is kept, of that start.
+        again = self.start_again(self.fleet.stages, server)
+        thread.join()
+        self.assertEqual(answers[0].status, 200)
+        self.assertTrue(answers[0].whole)
+        inputs = self.request_at(self.fleet.engines, request_id).headers[
+            "x-citronlane-inputs"].split(",")
+        self.assertEqual(len(inputs), 3)
+        # None was made by the former start.
+        self.assertTrue(set(inputs) <= set().union(
+            *(one.made for one in self.fleet.stages)))
+        wait_until(lambda: self.fleet.ask("POST", "/chat/a", b"x") and
+                   self.stage_calls(again), "a call at the new start")
+        self.assertEqual(self.stage_calls(again)[0]["kept_bytes"], 0)
+
+    def test_lost_stage_calls_may_have_run(self):
+        self.make_slow(30)
+        request_id = new_id()
+        thread, answers, server = self.begin(
+            "POST", "/chat/a", request_id, self.fleet.stages,
+            X_Citronlane_Deadline_Ms="2500")
+        again = self.start_again(self.fleet.stages, server)
+        again.call_seconds = 30
+        thread.join()
+        self.check_may_have_run(answers[0])
+
+
 class StopTest(FleetTestCase):
     controls = 1
 
