Bring about a call on a connection kept from a former start; it fails

StartAgainTest.test_kept_connections_end_with_their_start FAILS; the product is not changed here.

Cause: kept connections are held by address, so that a later start of a server at the same address is called over those of the one before. The test leaves them standing, as a machine that goes without a word does: there each call on one waits in silence until it is given up.

--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -559,6 +559,19 @@
         thread.join()
         self.check_may_have_run(answers[0])
 
+    def test_kept_connections_end_with_their_start(self):
+        def asks(count):
+            for _ in range(count):
+                self.fleet.ask("GET", "/look/a")
+        server = self.fleet.plain[0]
+        asks(6)
+        self.assertTrue(server.sockets)
+        # Its connections stand, as when a machine goes without a word.
+        self.start_again(self.fleet.plain, server, cut=False)
+        seen = len(server.requests)
+        asks(12)
+        self.assertEqual(len(server.requests), seen)
+
 
 class StopTest(FleetTestCase):
     controls = 1
