Name the proofs of reply identity, stage owners and later starts

Cause: prove.sh named neither the tests that callers get their own answer only nor those of stage owners and of servers that start again. Change: three points under the platform's rules, and the tests of StartAgainTest and of lost owners under TWICE, REFUSED and the later starts of a server. The points REFUSED and "a server that starts again" are UNPROVED as long as the two tests that fail for faults of the product do: "of what a lost owner had nobody says that it has not run" (unit-stage-owners) and StartAgainTest.test_kept_connections_end_with_their_start. The whole of prove.sh was not run.

--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -115,6 +115,22 @@
         PLATFORM + "RequestTest.test_extra_reply_reaches_nobody",
         PLATFORM + "RequestTest.test_server_error_is_passed_on_unchanged",
         "unit-stages: stage results"]),
+    ("MIXED: a server's late or second reply reaches no other request", [
+        "unit-reply-identity: a late second reply is nobody's",
+        "unit-reply-identity: a reply shows that it is the request's own",
+        "unit-reply-identity: a stage call takes no other call's results",
+        "unit-reply-identity: a stage reply that names no result is the last "
+        "on its connection",
+        "unit-stages: replies to a pool's calls"]),
+    ("MIXED: stage results reach the request that asked, through any owner", [
+        "unit-stage-owners: results of a stage task reach the request that "
+        "asked",
+        "unit-stage-owners: one owner serves the tasks of many gateways",
+        "unit-stage-owners: a stage task whose owner goes"]),
+    ("one gateway owns a stage pool, by the highest number", [
+        "unit-stage-owners: the owner of a stage pool",
+        "unit-stage-owners: announcements of stage tasks",
+        "unit-stage-owners: results that an owner is told to free"]),
     ("UNASKED: nothing runs that no caller asked for, unchanged", [
         PLATFORM + "RequestTest.test_headers",
         PLATFORM + "SmugglingTest.test_both_framings",
@@ -124,10 +140,16 @@
     ("TWICE: what may not repeat runs at most once", [
         PLATFORM + "RequestTest."
         "test_lost_answer_of_unsafe_request_is_not_repeated",
+        PLATFORM + "StartAgainTest.test_unsafe_request_in_hand_runs_once",
+        PLATFORM + "StartAgainTest.test_unsafe_request_of_a_start_that_fell_"
+        "silent_runs_once",
         "unit-serving: what may repeat"]),
     ("REFUSED: a promise that nothing ran is true", [
         PLATFORM + "RequestTest.test_refused_everywhere_is_told_so",
+        PLATFORM + "StartAgainTest.test_lost_stage_calls_may_have_run",
         "unit-relay: a refusal promises only what is true",
+        "unit-stage-owners: of what a lost owner had nobody says that it has "
+        "not run",
         "unit-stages: stage failures"]),
     ("ROUTE, DENIED: routes and keys as configured", [
         PLATFORM + "RequestTest.test_refusals",
@@ -141,6 +163,12 @@
         PLATFORM + "RequestTest.test_broken_stream_goes_on",
         "unit-serving: event splitter"]),
     ("a server that starts again under its id is another one", [
+        PLATFORM + "StartAgainTest.test_nothing_is_held_of_the_former_start_"
+        "of_a_stage_server",
+        PLATFORM + "StartAgainTest.test_safe_request_in_hand_ends_elsewhere_"
+        "or_may_have_run",
+        PLATFORM + "StartAgainTest.test_kept_connections_end_with_their_"
+        "start",
         "unit-server-starts: starts of backend servers",
         "unit-platform: platform servers that start again",
         "unit-relay: an engine that starts again has no past",
