Mend what the tests of stage owners and later starts found

Cause: 1. a task that moved from a lost owner ended with the next one's 'not run', though the lost one may have handed pieces to servers. 2. A loss was carried out later, so that a task submitted meanwhile was sent twice on the new connection, and its owner ran both. 3. A second or late answer ended a task that another owner had by then. 4, 5. Results that crossed the end of their request, and frees on a connection that ended, were never freed. 6. A result for what was only announced called an empty function. 7. Connections kept from a former start of a server were used for the next one.

--- a/include/citronlane/relay/stage_owners.h
+++ b/include/citronlane/relay/stage_owners.h
@@ -93,6 +93,8 @@
     kUnplaced,
     kAnnounced,
     kSubmitted,
+    /// Handed back; nobody has it until it is placed again.
+    kMoving,
   };
   struct Job {
     std::string service_;
@@ -106,6 +108,8 @@
     /// Number of the task, or of the announcement, in the pool that runs here.
     uint64_t local_ = 0;
     uint32_t moves_ = 0;
+    /// An owner that was lost had it: pieces of it may have been made.
+    bool may_have_run_ = false;
   };
   /// A task, or an announcement, of another gateway.
   struct Served {
@@ -120,17 +124,33 @@
     std::vector<std::string> handles_;
   };
   using ServedKey = std::pair<const FrameChannel*, uint64_t>;
+  /// Results of a task of another gateway that were handed to it.
+  struct Answered {
+    TimePoint at_;
+    ServedKey key_;
+    std::string service_;
+    std::vector<std::string> handles_;
+  };
 
   void PlaceAnnouncement(uint64_t number, const StageForecast& forecast);
   void WithdrawIfElsewhere(uint64_t number, const Job& job);
   void WithdrawFromOwner(uint64_t number, const Job& job);
   void Place(uint64_t number);
   void PlaceHere(uint64_t number, Job* job);
-  void Finish(uint64_t number, const StageOutcome& outcome);
+  void Finish(uint64_t number, StageOutcome outcome);
+  bool IsAt(uint64_t number, const std::string& owner) const;
   void NoteInputsTaken(uint64_t number);
-  void OwnerLost(const std::string& owner, bool is_gone);
-  void FreeAgain(const std::string& owner);
+  std::vector<uint64_t> TakeFrom(const std::string& owner);
+  void OwnerLost(const std::string& owner,
+                 bool is_gone,
+                 const std::vector<uint64_t>& moved);
+  void FreeAgain(const std::string& owner, bool is_gone);
+  void SendFree(TimePoint first_sent,
+                const std::string& service,
+                absl::Span<const std::string> handles);
+  void TakeFrame(const std::string& owner, const wire::fleet::Frame& frame);
   void TakeResult(const wire::fleet::Frame& frame);
+  void FreeAnswered(const ServedKey& key);
   void Serve(const std::shared_ptr<FrameChannel>& channel,
              wire::fleet::Frame* frame);
   void ServeAnnouncement(const std::shared_ptr<FrameChannel>& channel,
@@ -149,6 +169,8 @@
   std::map<ServedKey, Served> announced_;
   /// Of the last moments, in order of time.
   std::deque<Freed> freed_;
+  /// The same.
+  std::deque<Answered> answered_;
 };
 
 }  // namespace citronlane
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -190,7 +190,7 @@
     ("RECOVER: what was acknowledged survives", [
         PLATFORM + "ControlLossTest.test_all_killed_at_once",
         PLATFORM + "ControlLossTest.test_each_disk_lost_in_turn",
-        PLATFORM + "ControlLossTest.test_an_empty_vm_takes_a_lost_ones_place",
+        PLATFORM + "SpareControlTest.test_an_empty_vm_takes_a_lost_ones_place",
         "unit-membership-keeper: membership keeper"]),
     ("all of it under random faults", [
         "platform_soak_test.PlatformSoakTest.test_short"]),
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -294,6 +294,8 @@
   // names the same request: later calls go where none can come.
   spec.fresh_connection_ = !job_->route_->MayRepeat() || calls_ > 0;
   ++calls_;
+  // A start of a server shares no connections with the one before it.
+  spec.connection_group_ = id;
   tried_.push_back(id);
   last_server_ = id;
   ServerAttempt attempt(context_, waker_, std::move(spec),
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -82,7 +82,7 @@
 }
 
 void StageOwners::WithdrawFromOwner(uint64_t number, const Job& job) {
-  if (job.state_ == JobState::kUnplaced) {
+  if (job.state_ == JobState::kUnplaced || job.state_ == JobState::kMoving) {
     return;
   }
   if (!job.owner_.empty()) {
@@ -130,6 +130,7 @@
   job.owner_ = job.moves_ >= kMostMoves ? owners_.own_endpoint()
                                         : owners_.OwnerOf(job.service_, now);
   ++job.moves_;
+  job.state_ = JobState::kSubmitted;
   if (job.owner_ == owners_.own_endpoint()) {
     PlaceHere(number, &job);
     return;
@@ -163,12 +164,15 @@
   }
 }
 
-void StageOwners::Finish(uint64_t number, const StageOutcome& outcome) {
+void StageOwners::Finish(uint64_t number, StageOutcome outcome) {
   const auto it = jobs_.find(number);
   if (it == jobs_.end()) {
     return;
   }
+  // Whoever ends it knows of its own calls only.
+  outcome.not_run_ = outcome.not_run_ && !it->second.may_have_run_;
   if (outcome.result_ == Result::kMoved) {
+    it->second.state_ = JobState::kMoving;
     // Not at once: the pool that had it is at work.
     boost::asio::post(*io_, [this, number] { Place(number); });
     return;
@@ -178,6 +182,13 @@
   done(outcome);
 }
 
+// Whether the owner has the task now: what it says of others is late.
+bool StageOwners::IsAt(uint64_t number, const std::string& owner) const {
+  const auto it = jobs_.find(number);
+  return it != jobs_.end() && it->second.state_ == JobState::kSubmitted &&
+         it->second.owner_ == owner;
+}
+
 void StageOwners::NoteInputsTaken(uint64_t number) {
   const auto it = jobs_.find(number);
   if (it != jobs_.end()) {
@@ -201,6 +212,12 @@
   if (handles.empty()) {
     return;
   }
+  SendFree(SteadyNow(), service, handles);
+}
+
+void StageOwners::SendFree(TimePoint first_sent,
+                           const std::string& service,
+                           absl::Span<const std::string> handles) {
   const std::string owner = owners_.OwnerOf(service, SteadyNow());
   if (owner == owners_.own_endpoint()) {
     if (StagePool* pool = pool_(service)) {
@@ -214,54 +231,74 @@
   for (const std::string& handle : handles) {
     free->add_handles(handle);
   }
-  LinkTo(owner)->Send(frame);
   freed_.push_back(
-      Freed{SteadyNow(), owner, service,
+      Freed{first_sent, owner, service,
             std::vector<std::string>(handles.begin(), handles.end())});
+  LinkTo(owner)->Send(frame);
 }
 
 FrameLink* StageOwners::LinkTo(const std::string& endpoint) {
   auto& link = links_[endpoint];
   if (!link) {
     FrameLink::Hooks hooks;
-    hooks.received_ = [this](Frame* frame) {
-      if (frame->has_job_result()) {
-        TakeResult(*frame);
-      } else if (frame->has_inputs_taken()) {
-        NoteInputsTaken(frame->inputs_taken().job());
-      } else if (frame->has_pool_wait()) {
-        const auto it = jobs_.find(frame->pool_wait().job());
-        if (it != jobs_.end() && it->second.state_ == JobState::kAnnounced) {
-          it->second.wait_known_(DecodeWait(frame->pool_wait()));
-        }
-      }
+    hooks.received_ = [this, endpoint](Frame* frame) {
+      TakeFrame(endpoint, *frame);
     };
-    // Not at once: the link may be lost within Send.
+    // What it had is known at once, as the next task goes on a new connection.
+    // The rest is not done at once: the link may be lost within Send.
     hooks.lost_ = [this, endpoint](FrameLink::Loss loss) {
       const bool is_gone = loss == FrameLink::Loss::kUnreachable;
-      boost::asio::post(
-          *io_, [this, endpoint, is_gone] { OwnerLost(endpoint, is_gone); });
+      boost::asio::post(*io_,
+                        [this, endpoint, is_gone, moved = TakeFrom(endpoint)] {
+                          OwnerLost(endpoint, is_gone, moved);
+                        });
     };
     link = std::make_unique<FrameLink>(io_, endpoint, std::move(hooks));
   }
   return link.get();
 }
 
-// One that only closed the connection is asked once more; if it is gone, it
-// takes no new connection.
-void StageOwners::OwnerLost(const std::string& owner, bool is_gone) {
-  if (is_gone) {
-    owners_.MarkLost(owner, SteadyNow());
+void StageOwners::TakeFrame(const std::string& owner, const Frame& frame) {
+  if (frame.has_job_result() && IsAt(frame.job_result().job(), owner)) {
+    TakeResult(frame);
+  } else if (frame.has_inputs_taken() &&
+             IsAt(frame.inputs_taken().job(), owner)) {
+    NoteInputsTaken(frame.inputs_taken().job());
+  } else if (frame.has_pool_wait()) {
+    const auto it = jobs_.find(frame.pool_wait().job());
+    if (it != jobs_.end() && it->second.state_ == JobState::kAnnounced) {
+      it->second.wait_known_(DecodeWait(frame.pool_wait()));
+    }
   }
+}
+
+// The tasks that a lost owner had.
+std::vector<uint64_t> StageOwners::TakeFrom(const std::string& owner) {
   std::vector<uint64_t> moved;
   for (auto& [number, job] : jobs_) {
-    if (job.owner_ == owner && job.state_ == JobState::kSubmitted) {
+    if (job.owner_ != owner) {
+      continue;
+    }
+    if (job.state_ == JobState::kSubmitted) {
+      job.state_ = JobState::kMoving;
+      job.may_have_run_ = true;
       moved.push_back(number);
-    } else if (job.owner_ == owner) {
+    } else if (job.state_ == JobState::kAnnounced) {
       // Comes where it belongs when it is submitted.
       job.state_ = JobState::kUnplaced;
     }
   }
+  return moved;
+}
+
+// One that only closed the connection is asked once more; if it is gone, it
+// takes no new connection.
+void StageOwners::OwnerLost(const std::string& owner,
+                            bool is_gone,
+                            const std::vector<uint64_t>& moved) {
+  if (is_gone) {
+    owners_.MarkLost(owner, SteadyNow());
+  }
   log_->Write("stages", "owner lost",
               {{"owner", owner},
                {"gone", is_gone ? "yes" : "no"},
@@ -269,16 +306,20 @@
   for (const uint64_t number : moved) {
     Place(number);
   }
-  if (is_gone) {
-    FreeAgain(owner);
-  }
+  FreeAgain(owner, is_gone);
 }
 
-// What was on its way to an owner that is lost is freed by the next one.
-void StageOwners::FreeAgain(const std::string& owner) {
+// What was on its way on a connection that ended is freed by the owner on its
+// next one, or by the next owner when it is gone.
+void StageOwners::FreeAgain(const std::string& owner, bool is_gone) {
+  const TimePoint now = SteadyNow();
   for (const Freed& freed : std::exchange(freed_, {})) {
-    if (freed.owner_ == owner) {
-      Free(freed.service_, freed.handles_);
+    if (now - freed.at_ > kFreedKnown) {
+      continue;
+    }
+    if (freed.owner_ == owner &&
+        (is_gone || owners_.OwnerOf(freed.service_, now) == owner)) {
+      SendFree(freed.at_, freed.service_, freed.handles_);
     } else {
       freed_.push_back(freed);
     }
@@ -310,6 +351,9 @@
   while (!freed_.empty() && now - freed_.front().at_ > kFreedKnown) {
     freed_.pop_front();
   }
+  while (!answered_.empty() && now - answered_.front().at_ > kFreedKnown) {
+    answered_.pop_front();
+  }
 }
 
 }  // namespace citronlane
--- a/src/relay/stage_owners_serve.cc
+++ b/src/relay/stage_owners_serve.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -22,6 +23,7 @@
   } else if (frame->has_job_cancel()) {
     const ServedKey key{channel.get(), frame->job_cancel().job()};
     DropAnnouncement(key);
+    FreeAnswered(key);
     const auto it = served_.find(key);
     if (it != served_.end()) {
       if (StagePool* pool = pool_(it->second.service_)) {
@@ -75,6 +77,9 @@
   const uint64_t number = job.job();
   const ServedKey key{channel.get(), number};
   DropAnnouncement(key);
+  if (served_.count(key) != 0) {
+    return;
+  }
   const std::weak_ptr<FrameChannel> weak = channel;
   const auto answer = [weak, number](const StageOutcome& outcome) {
     const auto open = weak.lock();
@@ -103,9 +108,13 @@
   served_[key] = Served{job.service(), 0};
   const uint64_t task = pool->Submit(
       DecodeTask(job, SteadyNow()),
-      [this, key, answer](const StageOutcome& outcome) {
+      [this, key, answer,
+       service = job.service()](const StageOutcome& outcome) {
         served_.erase(key);
         answer(outcome);
+        if (!outcome.handles_.empty()) {
+          answered_.push_back({SteadyNow(), key, service, outcome.handles_});
+        }
       },
       [weak, number] {
         if (const auto open = weak.lock()) {
@@ -120,7 +129,27 @@
   }
 }
 
+// Its results crossed the end of their request on their way: nobody there knows
+// of them.
+void StageOwners::FreeAnswered(const ServedKey& key) {
+  const auto it = std::find_if(
+      answered_.begin(), answered_.end(),
+      [&key](const Answered& answered) { return answered.key_ == key; });
+  if (it == answered_.end()) {
+    return;
+  }
+  if (StagePool* pool = pool_(it->service_)) {
+    pool->Free(it->handles_);
+  }
+  answered_.erase(it);
+}
+
 void StageOwners::Closed(const FrameChannel* channel) {
+  answered_.erase(std::remove_if(answered_.begin(), answered_.end(),
+                                 [channel](const Answered& answered) {
+                                   return answered.key_.first == channel;
+                                 }),
+                  answered_.end());
   for (auto it = served_.lower_bound({channel, 0});
        it != served_.end() && it->first.first == channel;) {
     if (StagePool* pool = pool_(it->second.service_)) {
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -126,6 +126,7 @@
   head.time_left_ = batch.deadline_ - now;
   spec.headers_ = dialect_->write_call_({}, head);
   spec.headers_.push_back({"Content-Type", "application/json"});
+  spec.connection_group_ = batch.server_;
   spec.body_ = dialect_->write_stage_call_(batch.pieces_);
   log_->Write("stages", "call",
               {{"service", service_},
--- a/tests/unit-control.cc
+++ b/tests/unit-control.cc
@@ -497,9 +497,18 @@
     REQUIRE(order("m1", "one") == 200);
     REQUIRE(order("m2", "two") == 200);
     REQUIRE(sent(2));
+    const auto number_of = [&cluster](size_t index) {
+      Fault fault;
+      const auto sent_order =
+          ParseJson(cluster.backends_.orders().at(index), &fault);
+      return static_cast<int>(sent_order->Find("fencing")->AsNumber());
+    };
+    // Another one than 1 where the lead has changed by itself before.
+    const int number = number_of(0);
     CHECK(cluster.backends_.orders().at(0) ==
-          R"({"fencing":1,"order_id":"one","kind":"change_role",)"
-          R"("role":"prefill"})");
+          R"({"fencing":)" + std::to_string(number) +
+              R"(,"order_id":"one","kind":"change_role",)"
+              R"("role":"prefill"})");
 
     // A new leader tells a checking engine at once, the other one only after
     // every order of the earlier leader is over.
@@ -509,8 +518,7 @@
     REQUIRE(order("m1", "four") == 200);
     REQUIRE(sent(4));
     CHECK(cluster.backends_.orders().at(2).find("four") != std::string::npos);
-    CHECK(cluster.backends_.orders().at(3).find(R"("fencing":2)") !=
-          std::string::npos);
+    CHECK(number_of(3) > number);
     REQUIRE(Eventually([&] {
       const std::string orders = WriteJson(ana.Get("/v1/orders").body_);
       return orders.find("started") == std::string::npos &&
