Decode each server reply once; one listener and one raw call for tests

Cause: on reading the change again: the head of each reply was decoded twice by the gateway and, for stage calls, its headers were copied twice; a stage reply's JSON was parsed once to tell whose it is and once to use it. Three tests had a raw call and three an accept loop of their own. Change: the hooks hand on what they read; ThreadedListener and Raw in tests/support. Behaviour and assertions are as they were (same counts in the tests touched). No decision time was measured.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -115,7 +115,7 @@
   /// Servers that may have run it, and calls that were refused.
   uint32_t runs_ = 0;
   uint32_t refusals_ = 0;
-  uint32_t calls_ = 0;
+  bool has_called_ = false;
   uint32_t remakes_ = 0;
   bool stream_started_ = false;
   bool had_first_event_ = false;
--- a/include/citronlane/relay/stage_owners.h
+++ b/include/citronlane/relay/stage_owners.h
@@ -169,7 +169,7 @@
   std::map<ServedKey, Served> announced_;
   /// Of the last moments, in order of time.
   std::deque<Freed> freed_;
-  /// The same.
+  /// Of the last moments, in order of time.
   std::deque<Answered> answered_;
 };
 
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -5,10 +5,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "absl/types/span.h"
+#include "citronlane/base/error.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/routing/repeat_budget.h"
 #include "citronlane/serving/stage_piece_result.h"
@@ -67,18 +69,23 @@
   size_t tasks() const { return batcher_.tasks(); }
 
  private:
+  /// What a server says to a call.
+  struct Reply {
+    int status_ = 0;
+    bool not_run_ = false;
+    /// Nothing when the body can't be read, with the reason.
+    std::optional<std::vector<StagePieceResult>> results_;
+    Error error_;
+  };
+
   void Pump(TimePoint now);
   void Start(StageBatch batch, TimePoint now);
   ReplyOwner OwnerOf(uint64_t call,
                      const std::string& server,
                      absl::Span<const StagePiece> pieces,
                      const StageReplyHead& head,
-                     std::string_view body);
-  void TakeReply(uint64_t call,
-                 const std::string& server,
-                 int status,
-                 bool not_run,
-                 const std::string& body);
+                     const Reply& reply);
+  void TakeReply(uint64_t call, const std::string& server, const Reply& reply);
   void LogUnmade(uint64_t call,
                  const std::string& server,
                  const std::vector<StagePieceResult>& results);
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -292,8 +292,8 @@
   // twenty of the calls that may not repeat was lost so; a new connection costs
   // two milliseconds. A late second reply to an earlier call of this request
   // names the same request: later calls go where none can come.
-  spec.fresh_connection_ = !job_->route_->MayRepeat() || calls_ > 0;
-  ++calls_;
+  spec.fresh_connection_ = !job_->route_->MayRepeat() || has_called_;
+  has_called_ = true;
   // A start of a server shares no connections with the one before it.
   spec.connection_group_ = id;
   tried_.push_back(id);
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -84,27 +84,24 @@
                              Names names)
     : state_(std::make_shared<State>()) {
   const auto state = state_;
-  const Dialect* const dialect = context->dialect_;
   StageCallHooks hooks;
   hooks.sending_ = [state] {
     state->was_sent_ = true;
     return true;
   };
-  hooks.owner_ = [context,
+  hooks.owner_ = [state, context,
                   names = std::move(names)](const StageReplyHead& head) {
-    const auto reply =
-        context->dialect_->read_reply_(head.status_, head.headers_);
-    const ReplyOwner owner = OwnerOf(names.request_id_, head, reply);
+    state->reply_ = context->dialect_->read_reply_(head.status_, head.headers_);
+    const ReplyOwner owner = OwnerOf(names.request_id_, head, state->reply_);
     if (owner != ReplyOwner::kThisCall) {
-      LogOtherReply(*context, names, head, reply);
+      LogOtherReply(*context, names, head, state->reply_);
     }
     return owner;
   };
-  hooks.head_ = [state, dialect, waker](const StageReplyHead& head) {
+  hooks.head_ = [state, waker](const StageReplyHead& head) {
     state->has_head_ = true;
     state->status_ = head.status_;
     state->headers_ = head.headers_;
-    state->reply_ = dialect->read_reply_(head.status_, head.headers_);
     waker->Wake();
     return true;
   };
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -137,11 +137,7 @@
                {"kept_bytes", batch.kept_bytes_},
                {"room_left", batch.room_left_},
                {"first_request", batch.pieces_.front().request_id_}});
-  struct Reply {
-    int status_ = 0;
-    bool not_run_ = false;
-  };
-  auto reply = std::make_shared<Reply>();
+  const auto reply = std::make_shared<Reply>();
   StageCallHooks hooks;
   hooks.sending_ = [] { return true; };
   hooks.head_ = [this, reply](const StageReplyHead& answered) {
@@ -150,16 +146,21 @@
         dialect_->read_reply_(answered.status_, answered.headers_).not_run_;
     return true;
   };
-  hooks.owner_by_body_ =
-      [this, number, server = batch.server_, pieces = std::move(batch.pieces_)](
-          const StageReplyHead& head, std::string_view body) {
-        return OwnerOf(number, server, pieces, head, body);
-      };
+  hooks.owner_by_body_ = [this, number, reply, server = batch.server_,
+                          pieces = std::move(batch.pieces_)](
+                             const StageReplyHead& head,
+                             std::string_view body) {
+    if (head.status_ != kOk) {
+      return ReplyOwner::kAssumed;
+    }
+    reply->results_ = dialect_->read_stage_reply_(body, &reply->error_);
+    return OwnerOf(number, server, pieces, head, *reply);
+  };
   hooks.done_ = [this, number, reply, server = batch.server_](
-                    CallOutcome outcome, const std::string& body) {
+                    CallOutcome outcome, const std::string&) {
     calls_.erase(number);
     if (outcome == CallOutcome::kSuccess) {
-      TakeReply(number, server, reply->status_, reply->not_run_, body);
+      TakeReply(number, server, *reply);
     } else {
       TakeFailure(number, server, outcome);
     }
@@ -169,27 +170,23 @@
 
 void StagePool::TakeReply(uint64_t call,
                           const std::string& server,
-                          int status,
-                          bool not_run,
-                          const std::string& body) {
+                          const Reply& reply) {
   const TimePoint now = SteadyNow();
-  Error error;
-  const auto results =
-      status == kOk ? dialect_->read_stage_reply_(body, &error) : std::nullopt;
-  if (results) {
-    LogUnmade(call, server, *results);
-    batcher_.Finished(call, *results, now);
+  // Of a reply that was read past before a failure nothing counts.
+  if (reply.status_ == kOk && reply.results_) {
+    LogUnmade(call, server, *reply.results_);
+    batcher_.Finished(call, *reply.results_, now);
   } else {
     log_->Write("stages", "call refused",
                 {{"service", service_},
                  {"server", server},
                  {"call", call},
-                 {"status", status},
-                 {"not_run", not_run ? "yes" : "no"},
-                 {"reason", error.message_}});
+                 {"status", reply.status_},
+                 {"not_run", reply.not_run_ ? "yes" : "no"},
+                 {"reason", reply.error_.message_}});
     batcher_.Failed(call,
-                    not_run ? StageBatcher::CallFailure::kRefused
-                            : StageBatcher::CallFailure::kLost,
+                    reply.not_run_ ? StageBatcher::CallFailure::kRefused
+                                   : StageBatcher::CallFailure::kLost,
                     now);
   }
   Pump(now);
@@ -200,13 +197,10 @@
                               const std::string& server,
                               absl::Span<const StagePiece> pieces,
                               const StageReplyHead& head,
-                              std::string_view body) {
-  if (head.status_ != kOk) {
-    return ReplyOwner::kAssumed;
-  }
-  Error error;
-  const auto results = dialect_->read_stage_reply_(body, &error)
-                           .value_or(std::vector<StagePieceResult>());
+                              const Reply& reply) {
+  const absl::Span<const StagePieceResult> results =
+      reply.results_ ? absl::MakeConstSpan(*reply.results_)
+                     : absl::Span<const StagePieceResult>();
   const auto match = reply_check_.Take(results, pieces, SteadyNow());
   if (match == StageReplyCheck::Match::kOwn) {
     return ReplyOwner::kThisCall;
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -160,12 +160,12 @@
         Done(OutcomeOf(error));
         return false;
       }
-      StageReplyHead head = detail::ReadHead((*parser)->get());
-      head.kept_connection_ = kept_connection_;
-      if (head.status_ < kFirstFinalStatus) {
+      head_ = detail::ReadHead((*parser)->get());
+      head_.kept_connection_ = kept_connection_;
+      if (head_.status_ < kFirstFinalStatus) {
         continue;
       }
-      const ReplyOwner owner = OwnerOf(head);
+      const ReplyOwner owner = OwnerOf(head_);
       if (owner == ReplyOwner::kUnclear) {
         Done(CallOutcome::kWrongId);
         return false;
@@ -177,9 +177,9 @@
         continue;
       }
       may_keep_ =
-          may_keep_ && owner == ReplyOwner::kThisCall && NamesThisCall(head);
+          may_keep_ && owner == ReplyOwner::kThisCall && NamesThisCall(head_);
       connection_->idle_limit_ = detail::IdleLimit((*parser)->get());
-      if (!over_ && !hooks_.head_(head)) {
+      if (!over_ && !hooks_.head_(head_)) {
         over_ = true;
       }
       return !over_;
@@ -271,7 +271,7 @@
         return;
       }
       auto& reply = parser->get();
-      if (IsThisCalls(reply)) {
+      if (IsThisCalls(reply.body())) {
         Keep(reply.keep_alive());
         Done(CallOutcome::kSuccess, std::move(reply.body()));
         return;
@@ -281,14 +281,11 @@
   }
 
   /// By its body, where heads name no call.
-  template <typename Message>
-  bool IsThisCalls(const Message& reply) {
+  bool IsThisCalls(std::string_view body) {
     if (over_ || !hooks_.owner_by_body_) {
       return true;
     }
-    StageReplyHead head = detail::ReadHead(reply);
-    head.kept_connection_ = kept_connection_;
-    const ReplyOwner owner = hooks_.owner_by_body_(head, reply.body());
+    const ReplyOwner owner = hooks_.owner_by_body_(head_, body);
     if (owner == ReplyOwner::kOtherCall) {
       AwaitNextReply();
       return false;
@@ -347,6 +344,8 @@
   StageCallHooks hooks_;
   const std::string key_;
   ConnectionPtr connection_;
+  /// Of the reply that is read.
+  StageReplyHead head_;
   bool kept_connection_ = false;
   bool may_keep_ = true;
   bool over_ = false;
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -29,6 +29,7 @@
 #include "citronlane/json/object_reader.h"
 #include "citronlane/json/parse.h"
 #include "support/eventually.h"
+#include "support/raw_call.h"
 
 extern char** environ;
 
@@ -70,18 +71,6 @@
   return response;
 }
 
-/// Sends bytes and returns all that comes back until the close.
-inline std::string Raw(uint16_t port, const std::string& text) {
-  asio::io_context io;
-  tcp::socket socket(io);
-  socket.connect({asio::ip::make_address("127.0.0.1"), port});
-  boost::system::error_code error;
-  asio::write(socket, asio::buffer(text), error);
-  std::string answer;
-  asio::read(socket, asio::dynamic_buffer(answer), error);
-  return answer;
-}
-
 /// The fake backend servers in a process of their own.
 class Fakes {
  public:
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -1,21 +1,20 @@
 #ifndef CITRONLANE_TESTS_SUPPORT_SCRIPTED_SERVER_H_
 #define CITRONLANE_TESTS_SUPPORT_SCRIPTED_SERVER_H_
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
-#include <sys/socket.h>
 #include <atomic>
 #include <cstdint>
-#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include "support/threaded_listener.h"
+
 namespace citronlane {
 
 /// A server that answers call after call from a script. An empty answer
@@ -23,21 +22,13 @@
 class ScriptedServer {
  public:
   explicit ScriptedServer(std::vector<std::string> script)
-      : acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-        script_(std::move(script)),
-        thread_([this] { Accept(); }) {}
-  ~ScriptedServer() {
-    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
-    thread_.join();
-    for (auto& [socket, thread] : served_) {
-      ::shutdown(socket->native_handle(), SHUT_RDWR);
-      thread.join();
-    }
-  }
+      : script_(std::move(script)),
+        listener_(
+            [this](boost::asio::ip::tcp::socket* socket) { Run(socket); }) {}
 
-  uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  uint16_t port() const { return listener_.port(); }
   int reads() const { return reads_; }
-  int connections() const { return connections_; }
+  int connections() const { return listener_.connections(); }
   void WaitForClose() const {
     while (closed_ == 0) {
       std::this_thread::yield();
@@ -45,20 +36,6 @@
   }
 
  private:
-  void Accept() {
-    boost::system::error_code error;
-    while (!error) {
-      auto socket = std::make_unique<boost::asio::ip::tcp::socket>(io_);
-      acceptor_.accept(*socket, error);
-      if (!error) {
-        ++connections_;
-        boost::asio::ip::tcp::socket* const accepted = socket.get();
-        served_.emplace_back(std::move(socket),
-                             std::thread([this, accepted] { Run(accepted); }));
-      }
-    }
-  }
-
   void Run(boost::asio::ip::tcp::socket* socket) {
     std::string text;
     boost::system::error_code error;
@@ -90,18 +67,13 @@
     return close;
   }
 
-  boost::asio::io_context io_;
-  boost::asio::ip::tcp::acceptor acceptor_;
   const std::vector<std::string> script_;
   std::mutex mutex_;
   size_t next_ = 0;
-  std::vector<
-      std::pair<std::unique_ptr<boost::asio::ip::tcp::socket>, std::thread>>
-      served_;
   std::atomic<int> reads_{0};
-  std::atomic<int> connections_{0};
   std::atomic<int> closed_{0};
-  std::thread thread_;
+  // Last, so that its threads end before what they use.
+  ThreadedListener listener_;
 };
 
 }  // namespace citronlane
--- a/tests/unit-answered-once.cc
+++ b/tests/unit-answered-once.cc
@@ -19,15 +19,13 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 
 #include "citronlane/base/error.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
+#include "support/raw_call.h"
 #include "support/recorded_caller.h"
 #include "support/relay_gateway.h"
 
@@ -37,7 +35,6 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using tcp = asio::ip::tcp;
 
 /// A stage server and an engine of one test. The engine refuses a request once
 /// its inputs were freed; by then the stage can't make them again.
@@ -149,18 +146,6 @@
   return parts;
 }
 
-/// All that comes back for the bytes, until the close.
-std::string Send(uint16_t port, const std::string& text) {
-  asio::io_context io;
-  tcp::socket socket(io);
-  socket.connect({asio::ip::make_address("127.0.0.1"), port});
-  boost::system::error_code error;
-  asio::write(socket, asio::buffer(text), error);
-  std::string answer;
-  asio::read(socket, asio::dynamic_buffer(answer), error);
-  return answer;
-}
-
 }  // namespace
 
 TEST_CASE("a request whose stages can't run again is refused once") {
@@ -232,9 +217,9 @@
   REQUIRE(listener.Listen("127.0.0.1", 0, &error));
   std::thread thread([&io] { io.run(); });
   const std::string got =
-      Send(listener.port(),
-           "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
-           "GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+      Raw(listener.port(),
+          "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+          "GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   listener.StopAccepting();
   io.stop();
   thread.join();
--- a/tests/unit-caller-framing.cc
+++ b/tests/unit-caller-framing.cc
@@ -8,34 +8,16 @@
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
+#include "support/raw_call.h"
 
 namespace citronlane {
-namespace {
 
 namespace asio = boost::asio;
-using tcp = asio::ip::tcp;
-
-/// All that comes back for the bytes, until the close.
-std::string Send(uint16_t port, const std::string& text) {
-  asio::io_context io;
-  tcp::socket socket(io);
-  socket.connect({asio::ip::make_address("127.0.0.1"), port});
-  boost::system::error_code error;
-  asio::write(socket, asio::buffer(text), error);
-  std::string answer;
-  asio::read(socket, asio::dynamic_buffer(answer), error);
-  return answer;
-}
-
-}  // namespace
 
 TEST_CASE("a streamed reply to HEAD ends with its head") {
   asio::io_context io;
@@ -51,8 +33,8 @@
   REQUIRE(listener.Listen("127.0.0.1", 0, &error));
   std::thread thread([&io] { io.run(); });
   const std::string answer =
-      Send(listener.port(),
-           "HEAD /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+      Raw(listener.port(),
+          "HEAD /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
   const size_t end = answer.find("\r\n\r\n");
   CHECK(answer.substr(0, 12) == "HTTP/1.1 200");
   REQUIRE(end != std::string::npos);
--- a/tests/unit-gateway-reply-identity.cc
+++ b/tests/unit-gateway-reply-identity.cc
@@ -6,9 +6,9 @@
 
 #include <memory>
 #include <string>
-#include <thread>
 
 #include "gateway_harness.h"
+#include "support/threaded_listener.h"
 
 namespace citronlane {
 namespace {
@@ -23,29 +23,9 @@
 /// call on a connection comes one without a name.
 class TwiceAnsweringService {
  public:
-  TwiceAnsweringService()
-      : acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}),
-        thread_([this] { Run(); }) {}
-  ~TwiceAnsweringService() {
-    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
-    thread_.join();
-  }
-
-  uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  uint16_t port() const { return listener_.port(); }
 
  private:
-  void Run() {
-    boost::system::error_code error;
-    while (true) {
-      tcp::socket socket(io_);
-      acceptor_.accept(socket, error);
-      if (error) {
-        return;
-      }
-      Serve(&socket);
-    }
-  }
-
   static void Serve(tcp::socket* socket) {
     beast::flat_buffer buffer;
     std::string before;
@@ -69,9 +49,7 @@
     }
   }
 
-  asio::io_context io_;
-  tcp::acceptor acceptor_;
-  std::thread thread_;
+  ThreadedListener listener_{Serve};
 };
 
 std::shared_ptr<const ClusterConfig> ConfigOf(uint16_t port) {
--- a/tests/unit-reply-identity.cc
+++ b/tests/unit-reply-identity.cc
@@ -16,12 +16,9 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <thread>
 #include <utility>
 #include <vector>
 
-#include <sys/socket.h>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -45,6 +42,7 @@
 #include "support/recorded_caller.h"
 #include "support/relay_gateway.h"
 #include "support/scripted_server.h"
+#include "support/threaded_listener.h"
 
 namespace citronlane {
 namespace {
@@ -206,35 +204,13 @@
       : free_reply_(std::move(free_reply)),
         most_(most),
         pieces_(pieces),
-        acceptor_(io_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-        thread_([this] { Run(); }) {}
-  ~FreesTwiceServer() {
-    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
-    thread_.join();
-    for (auto& [socket, thread] : served_) {
-      ::shutdown(socket->native_handle(), SHUT_RDWR);
-      thread.join();
-    }
-  }
+        listener_(
+            [this](boost::asio::ip::tcp::socket* socket) { Serve(socket); }) {}
 
-  uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  uint16_t port() const { return listener_.port(); }
   int made() const { return made_; }
 
  private:
-  void Run() {
-    boost::system::error_code error;
-    while (true) {
-      auto socket = std::make_unique<boost::asio::ip::tcp::socket>(io_);
-      acceptor_.accept(*socket, error);
-      if (error) {
-        return;
-      }
-      auto* const accepted = socket.get();
-      served_.emplace_back(std::move(socket),
-                           std::thread([this, accepted] { Serve(accepted); }));
-    }
-  }
-
   void Serve(boost::asio::ip::tcp::socket* socket) {
     std::string text;
     std::string late;
@@ -271,13 +247,9 @@
   const std::string free_reply_;
   const int most_;
   const int pieces_;
-  boost::asio::io_context io_;
-  boost::asio::ip::tcp::acceptor acceptor_;
   std::atomic<int> made_{0};
-  std::vector<
-      std::pair<std::unique_ptr<boost::asio::ip::tcp::socket>, std::thread>>
-      served_;
-  std::thread thread_;
+  // Last, so that its threads end before what they use.
+  ThreadedListener listener_;
 };
 
 // Another request's answer reaches nobody; where the own one comes, it is
