--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -11,6 +11,8 @@
 
 #include "citronlane/base/time.h"
 #include "citronlane/fleet/pool_assignment.h"
+#include "citronlane/fleet/pool_part.h"
+#include "citronlane/fleet/pooled_service.h"
 #include "citronlane/serving/backend_server.h"
 
 namespace citronlane {
@@ -37,9 +39,9 @@
     uint64_t term_ = 0;
   };
   using LeadershipHook = std::function<Leadership()>;
-  /// Services for which one gateway decides: those that have a stage pool or
+  /// Services for which gateways decide: those that have a stage pool or
   /// engines by the configuration.
-  using PoolsHook = std::function<std::vector<std::string>()>;
+  using PoolsHook = std::function<std::vector<PooledService>()>;
 
   /// `config` outlives the feed.
   GatewayFeed(const ConfigRegister* config,
@@ -72,6 +74,7 @@
   struct Watcher;
 
   void UpdateAssignment(TimePoint now);
+  std::vector<PoolPart> Parts() const;
   void Push(Watcher* watcher, TimePoint now);
   void AddGateways(Watcher* watcher,
                    bool is_gathering,
--- a/include/citronlane/fleet/pool_assignment.h
+++ b/include/citronlane/fleet/pool_assignment.h
@@ -6,22 +6,22 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <tuple>
 
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
+#include "citronlane/fleet/pool_part.h"
 
 namespace citronlane {
 
-/// Which gateway forms the batches of which stage pool. The leader decides and
-/// keeps what is: a pool changes hands only when its gateway is gone or going,
+/// Which gateway decides for which part of a pool. The leader decides and
+/// keeps what is: a part changes hands only when its gateway is gone or going,
 /// since the next one knows nothing of the results that lie at the servers.
 /// Pure. Not thread safe.
 class PoolAssignment {
  public:
-  /// Endpoint of the gateway that runs a service's pool, by service.
-  using Owners = std::map<std::string, std::string, std::less<>>;
+  /// Endpoint of the gateway that decides for each part.
+  using Owners = std::map<PoolPart, std::string>;
 
   /// A gateway as the leader sees it.
   struct Gateway {
@@ -29,14 +29,16 @@
     bool stopping_ = false;
     /// How long its process has run.
     Duration age_{};
+    std::string failure_domain_ = {};
   };
 
-  /// While a pool's owner can't be reached, gateways turn to the one of the
-  /// others that is first by this order, and the leader names the same one when
-  /// it finds the owner lost. Higher is better. Thread safe.
+  /// While the owner of a pool that is not divided can't be reached, gateways
+  /// turn to the one of the others that is first by this order, and the leader
+  /// names the same one when it finds the owner lost. Higher is better. Thread
+  /// safe.
   using Order = std::tuple<bool, bool, uint64_t>;
-  static Order SuccessorOrder(std::string_view service,
-                              std::string_view endpoint,
+  static Order SuccessorOrder(const PoolPart& part,
+                              const std::string& endpoint,
                               bool stopping,
                               const Owners& owners);
 
@@ -45,10 +47,10 @@
   /// What a gateway was told last, by this leader or one before; the highest
   /// number is the newest.
   void Adopt(uint64_t number, const Owners& owners);
-  /// Gives pools without a gateway, or whose gateway is gone or going, to
-  /// others, and forgets those that are not in `services`. Returns whether the
+  /// Gives parts without a gateway, or whose gateway is gone or going, to
+  /// others, and forgets those that are not in `parts`. Returns whether the
   /// number rose: with each change, and once for each leader.
-  bool Update(absl::Span<const std::string> services,
+  bool Update(absl::Span<const PoolPart> parts,
               absl::Span<const Gateway> gateways,
               TimePoint now);
 
@@ -59,7 +61,7 @@
 
  private:
   struct Sight {
-    /// Since when the pool's gateway is out of sight.
+    /// Since when the part's gateway is out of sight.
     std::optional<TimePoint> missing_since_;
     /// Whether this leader has seen it.
     bool was_seen_ = false;
@@ -67,17 +69,17 @@
 
   bool IsGathering(absl::Span<const Gateway> gateways, TimePoint now) const;
   bool IsNewFleet(absl::Span<const Gateway> gateways) const;
-  bool KeepsOwner(const std::string& service,
+  bool KeepsOwner(const PoolPart& part,
                   absl::Span<const Gateway> gateways,
                   TimePoint now);
   std::string Choose(absl::Span<const Gateway> gateways,
-                     std::string_view service) const;
+                     const PoolPart& part) const;
   std::string Successor(absl::Span<const Gateway> gateways,
-                        std::string_view service) const;
+                        const PoolPart& part) const;
 
   uint64_t number_ = 0;
   Owners owners_;
-  std::map<std::string, Sight> sights_;
+  std::map<PoolPart, Sight> sights_;
   TimePoint leading_since_;
   /// The first number of this leader.
   uint64_t first_number_ = 0;
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -53,7 +53,8 @@
   ServiceRouter* RouterOf(const Service& service);
   ServiceRouter* EngineRouterOf(const std::string& service);
   RepeatBudget* BudgetOf(const std::string& service);
-  StagePool* PoolOf(const std::string& service);
+  StagePool* PoolOf(const PoolPart& part);
+  void HandBackMovedPools(TimePoint now);
 
   // gateway_host_feed.cc: what control and the platform say of the fleet.
   void TakeUpdate(wire::fleet::WatchUpdate* update);
@@ -84,7 +85,10 @@
   ServerListReader list_reader_;
   std::map<std::string, std::unique_ptr<ServiceRouter>> routers_;
   std::map<std::string, std::unique_ptr<RepeatBudget>> budgets_;
-  std::map<std::string, std::unique_ptr<StagePool>> pools_;
+  std::map<PoolPart, std::unique_ptr<StagePool>> pools_;
+  /// The owners that were known last, and since when.
+  uint64_t owners_number_ = 0;
+  TimePoint owners_since_;
   StageOwners owners_;
   EnginePlacement engines_;
   RelayContext context_;
--- a/include/citronlane/relay/engine_placement.h
+++ b/include/citronlane/relay/engine_placement.h
@@ -5,11 +5,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
+#include "citronlane/fleet/pool_part.h"
 #include "citronlane/relay/owner_table.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/routing/engine_router.h"
@@ -31,14 +33,12 @@
 class Frame;
 }  // namespace wire::fleet
 
-/// Lets one gateway place the requests of all on a service's engines, so that
-/// it knows what each engine has to read: a gateway by itself knows only of its
-/// own requests, a sixtieth of what queues at an engine of a large fleet. Asks
-/// that gateway, and answers for the services that this one decides for. Who
-/// gets no answer chooses by itself. On a day of 60 gateways and engines nine
-/// in ten long prompts were read within 0.62 s instead of 1.04 s, and requests
-/// of that kind that missed their target fell from 425 to 235 of 2,485. On the
-/// event loop's thread.
+/// Lets one gateway place the requests of all on the engines of a service, or
+/// of a part of it, so that it knows what each engine has to read: a gateway by
+/// itself knows only of its own requests, a small part of what queues at an
+/// engine of a large fleet. Asks that gateway, and answers for the parts that
+/// this one decides for. Who gets no answer chooses by itself. On the event
+/// loop's thread.
 class EnginePlacement {
  public:
   /// `server` is empty when there is none that may be chosen.
@@ -64,13 +64,18 @@
     kPlan,
   };
 
-  /// Whether this gateway places the service's requests.
-  bool IsHere(const std::string& service) const;
-  /// Asks who places them for an engine that is not in `excluded`. Returns the
-  /// number of the question, for Finished. `answered` is called later, or
-  /// never. Precondition: it is another gateway.
+  /// The part whose gateway places a request on an engine of the failure
+  /// domain, or of any when the service's engines are not divided; nothing
+  /// while that gateway can't be reached and nobody takes its place.
+  std::optional<PoolPart> PartIn(const std::string& service,
+                                 const std::string& failure_domain) const;
+  /// Whether this gateway places the part's requests.
+  bool IsHere(const PoolPart& part) const;
+  /// Asks who places them for an engine of the part that is not in `excluded`.
+  /// Returns the number of the question, for Finished. `answered` is called
+  /// later, or never. Precondition: it is another gateway.
   uint64_t Ask(Purpose purpose,
-               const std::string& service,
+               const PoolPart& part,
                const EngineRouter::Call& call,
                absl::Span<const std::string> excluded,
                Answered answered);
@@ -111,6 +116,7 @@
   void OwnerLost(const std::string& owner);
 
   boost::asio::io_context* const io_;
+  const FleetView* const view_;
   OwnerTable owners_;
   EventLog* const log_;
   const RouterHook router_;
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -36,15 +36,25 @@
   /// The list held was read again at `read` and is the same.
   void ConfirmServers(TimePoint read);
   void SetGateways(std::vector<Gateway> gateways);
-  /// Takes the owners of stage pools, unless newer ones are held.
+  /// Takes the owners of parts, unless newer ones are held.
   void SetOwners(uint64_t number, PoolAssignment::Owners owners);
 
   /// Null until the first one came.
   const std::shared_ptr<const ServingConfig>& config() const { return config_; }
   /// Servers of a service, leaving ones included.
   std::vector<const BackendServer*> ServersOf(std::string_view service) const;
+  /// Those of them that are in this part.
+  std::vector<const BackendServer*> ServersIn(const PoolPart& part) const;
+  /// Parts that control has divided the service's pool into; the whole pool
+  /// while none are known. Never empty.
+  std::vector<PoolPart> PartsOf(const std::string& service) const;
+  /// The part that holds the service's servers of a failure domain.
+  PoolPart PartIn(const std::string& service,
+                  const std::string& failure_domain) const;
   const BackendServer* FindServer(std::string_view id) const;
   const ServerStarts& starts() const { return starts_; }
+  /// The server at "IP:port"; null when there is none.
+  const BackendServer* ServerAt(std::string_view address) const;
   /// Failure domain of the server at "IP:port"; empty when there is none.
   std::string DomainAt(std::string_view address) const;
   /// Rises with each change of the list.
--- a/include/citronlane/relay/placed_engine.h
+++ b/include/citronlane/relay/placed_engine.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/types/span.h"
+#include "citronlane/fleet/pool_part.h"
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/routing/engine_router.h"
@@ -28,15 +29,19 @@
   PlacedEngine(const PlacedEngine&) = delete;
   PlacedEngine& operator=(const PlacedEngine&) = delete;
 
-  /// An attempt begins, or the plan of one: looks up who places the service's
-  /// requests, which then holds until the next call. `service` outlives the
-  /// object.
-  void Begin(const Service* service);
+  /// An attempt begins, or the plan of one, on an engine of `failure_domain`
+  /// where the service's engines are divided by it: looks up who places such
+  /// requests, which then holds until the next call.
+  void Begin(const Service& service, const std::string& failure_domain);
   /// Whether this gateway places them. False before Begin, and for services
   /// without engines, whose requests nobody places.
   bool is_here() const { return is_here_; }
   /// Whether another gateway places them.
   bool is_elsewhere() const { return is_elsewhere_; }
+  /// The part whose requests they are. Precondition: either of the above.
+  const PoolPart& part() const { return part_; }
+  /// The request goes to an engine that nobody placed it on.
+  void Leave() { is_here_ = is_elsewhere_ = false; }
 
   /// Suspends the handler until the gateway that places them names an engine
   /// that is not in `excluded`. Empty when there is none or no answer.
@@ -56,7 +61,7 @@
  private:
   EnginePlacement* const placement_;
   const std::shared_ptr<Waker> waker_;
-  const Service* service_ = nullptr;
+  PoolPart part_;
   bool is_here_ = false;
   bool is_elsewhere_ = false;
   std::optional<uint64_t> question_;
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -68,11 +68,15 @@
   };
 
   bool MayBeInTime();
+  /// By what the pools said when its stages were announced.
+  bool MeetsTarget() const;
+  void TryOtherDomain();
   bool RunStages();
   void RunAttempts();
   /// Chooses a server; null when there is none.
   const BackendServer* Choose();
   std::string PlannedDomain();
+  std::string EngineDomain();
   void NoteStart(const std::string& server);
   void NoteFirstEvent();
   void NoteEnd(const std::string& server, CallOutcome outcome, Duration took);
@@ -111,6 +115,8 @@
   /// Tokens that the engine has still to read for it.
   double unread_ = 0;
   std::string near_domain_;
+  /// Where divided pools make its stages; empty while none is.
+  std::string home_domain_;
   Verdict verdict_ = Verdict::kNotRun;
   /// Servers that may have run it, and calls that were refused.
   uint32_t runs_ = 0;
--- a/include/citronlane/relay/stage_owners.h
+++ b/include/citronlane/relay/stage_owners.h
@@ -13,6 +13,7 @@
 
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
+#include "citronlane/fleet/pool_part.h"
 #include "citronlane/relay/owner_table.h"
 #include "citronlane/stages/stage_forecast.h"
 #include "citronlane/stages/stage_outcome.h"
@@ -31,19 +32,19 @@
 class Frame;
 }  // namespace wire::fleet
 
-/// Takes stage tasks to the gateway that runs their pool, this one or another,
-/// and serves the tasks of others for the pools that this one runs. Each pool
-/// is run by one gateway, which control names, so that the
-/// pieces of all requests meet in its calls. When that gateway is lost, its
-/// tasks go to the next one: a piece may be made twice. On the event loop's
-/// thread.
+/// Takes stage tasks to the gateway that runs their pool, or a part of it, this
+/// one or another, and serves the tasks of others for the parts that this one
+/// runs. Each part is run by one gateway, which control names, so that the
+/// pieces of many requests meet in its calls. When that gateway is lost, its
+/// tasks go to another part, or to the next gateway of a pool that is not
+/// divided: a piece may be made twice. On the event loop's thread.
 class StageOwners {
  public:
   using Done = std::function<void(const StageOutcome& outcome)>;
   using InputsTaken = std::function<void()>;
   using WaitKnown = std::function<void(const StageWait& wait)>;
-  /// The pool of a service, run here; null when the service has none.
-  using PoolHook = std::function<StagePool*(const std::string& service)>;
+  /// The part of a service's pool, run here; null when the service has none.
+  using PoolHook = std::function<StagePool*(const PoolPart& part)>;
 
   /// The pointers outlive the object. `own_endpoint` names this gateway.
   StageOwners(boost::asio::io_context* io,
@@ -99,6 +100,9 @@
   };
   struct Job {
     std::string service_;
+    /// Where its pieces should be made.
+    std::string failure_domain_;
+    PoolPart part_;
     JobState state_ = JobState::kUnplaced;
     StageTask task_;
     WaitKnown wait_known_;
@@ -114,14 +118,14 @@
   };
   /// A task, or an announcement, of another gateway.
   struct Served {
-    std::string service_;
+    PoolPart part_;
     uint64_t local_ = 0;
   };
   /// Results that an owner was told to free.
   struct Freed {
     TimePoint at_;
     std::string owner_;
-    std::string service_;
+    PoolPart part_;
     std::vector<std::string> handles_;
   };
   using ServedKey = std::pair<const FrameChannel*, uint64_t>;
@@ -129,7 +133,7 @@
   struct Answered {
     TimePoint at_;
     ServedKey key_;
-    std::string service_;
+    PoolPart part_;
     std::vector<std::string> handles_;
   };
 
@@ -138,6 +142,9 @@
   bool WithdrawFromOwner(uint64_t number, const Job& job);
   void Place(uint64_t number);
   void PlaceHere(uint64_t number, Job* job);
+  void FailUnplaced(uint64_t number, Job* job);
+  PoolPart PartOf(uint64_t number, const Job& job) const;
+  PoolPart MakerOf(const std::string& service, const std::string& handle) const;
   void Finish(uint64_t number, StageOutcome outcome);
   bool IsAt(uint64_t number, const std::string& owner) const;
   void NoteInputsTaken(uint64_t number);
@@ -146,8 +153,9 @@
                  bool is_gone,
                  const std::vector<uint64_t>& moved);
   void FreeAgain(const std::string& owner, bool is_gone);
+  void FreeAtNextOwners(TimePoint now);
   void SendFree(TimePoint first_sent,
-                const std::string& service,
+                const PoolPart& part,
                 absl::Span<const std::string> handles);
   void TakeFrame(const std::string& owner, const wire::fleet::Frame& frame);
   void TakeResult(const wire::fleet::Frame& frame);
@@ -160,6 +168,7 @@
   FrameLink* LinkTo(const std::string& endpoint);
 
   boost::asio::io_context* const io_;
+  const FleetView* const view_;
   OwnerTable owners_;
   EventLog* const log_;
   const PoolHook pool_;
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -11,6 +11,7 @@
 
 #include "absl/types/span.h"
 #include "citronlane/base/error.h"
+#include "citronlane/fleet/pool_part.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/routing/repeat_budget.h"
 #include "citronlane/serving/stage_piece_result.h"
@@ -27,15 +28,15 @@
 struct Dialect;
 struct StageReplyHead;
 
-/// Runs one stage pool for all gateways: forms the calls to its servers and
-/// makes them. On the event loop's thread.
+/// Runs one part of a stage pool for all gateways: forms the calls to its
+/// servers and makes them. On the event loop's thread.
 class StagePool {
  public:
   using Done = std::function<void(const StageOutcome& outcome)>;
   using InputsTaken = std::function<void()>;
 
   /// The pointers outlive the pool.
-  StagePool(std::string service,
+  StagePool(PoolPart part,
             const StagePoolSpec& spec,
             const RepeatBudget::Options& budget,
             const FleetView* view,
@@ -95,7 +96,8 @@
                    CallOutcome outcome);
   void SendUnwanted(TimePoint now);
 
-  const std::string service_;
+  const PoolPart part_;
+  const std::string name_;
   const FleetView* const view_;
   const Dialect* const dialect_;
   StageClient* const client_;
@@ -104,6 +106,7 @@
   StageBatcher batcher_;
   StageReplyCheck reply_check_;
   uint64_t servers_number_ = 0;
+  uint64_t owners_number_ = 0;
   uint64_t config_version_ = 0;
   struct Waiting {
     Done done_;
--- a/include/citronlane/relay/stage_runner.h
+++ b/include/citronlane/relay/stage_runner.h
@@ -42,9 +42,20 @@
   /// Whether the request has any stage to run.
   bool HasWork() const;
 
+  /// Whether the pool of any of its stages is divided by failure domain.
+  bool IsDivided() const;
   /// Tells the pools of all stages what will come, and learns what they expect;
-  /// suspends the handler for a moment.
-  void Announce();
+  /// suspends the handler for a moment. Divided pools make it in
+  /// `failure_domain`.
+  void Announce(std::string failure_domain);
+  /// A failure domain other than the announced one that has parts of the
+  /// divided pools; empty when there is none. `random` says which.
+  std::string OtherDomain(uint64_t random) const;
+  /// Announces the request in another failure domain too and stays where it
+  /// should be done sooner; suspends the handler for a moment.
+  void CompareWith(std::string failure_domain);
+  /// Where divided pools make it.
+  const std::string& failure_domain() const { return failure_domain_; }
 
   /// How long it takes until the request's own answer begins, by what the pools
   /// said when it was announced: behind everything that waits there, or only
@@ -100,6 +111,7 @@
   Result RunOnce();
   void CancelOpen();
   void Reset();
+  void AnnounceAll();
   void Announce(size_t index);
   StageForecast ForecastOf(size_t index) const;
   void StartReady();
@@ -129,6 +141,7 @@
   bool is_late_ = false;
   bool has_run_ = false;
   std::string result_domain_;
+  std::string failure_domain_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/routing/engine_router.h
+++ b/include/citronlane/routing/engine_router.h
@@ -30,8 +30,11 @@
     std::string_view near_;
     /// Bytes that the engine would fetch from there.
     uint64_t input_bytes_ = 0;
-    /// This router is told of every request of the service.
+    /// This router is told of every request of the service, or of those in
+    /// the failure domain below.
     bool sees_all_ = false;
+    /// Only engines of this failure domain; empty for all.
+    std::string_view only_in_ = {};
   };
 
   /// Reading a shared part again within `reuse_window` of its last use has a
--- a/include/citronlane/stages/stage_forecast.h
+++ b/include/citronlane/stages/stage_forecast.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_STAGES_STAGE_FORECAST_H_
 
 #include <cstdint>
+#include <string>
 
 #include "citronlane/base/time.h"
 
@@ -16,6 +17,9 @@
   TimePoint deadline_;
   /// 0 is the most urgent.
   uint32_t priority_ = 0;
+  /// Failure domain whose servers should make them, where the pool is divided
+  /// by failure domain; empty for any.
+  std::string failure_domain_ = {};
 };
 
 }  // namespace citronlane
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -81,7 +81,7 @@
   std::string OperatorAddressOfLeader() const;
   OperatorApi::Hooks ApiHooks();
   GatewayFeed::Leadership Leadership() const;
-  const std::vector<std::string>& PlacedServices();
+  const std::vector<PooledService>& PooledServices();
   void Take(const std::shared_ptr<FrameChannel>& channel, Frame* frame);
   void LeadsChanged(bool leads);
   void ReadServers(TimePoint now);
@@ -103,7 +103,7 @@
   FrameListener internal_;
   HttpListener operators_;
   bool list_failing_ = false;
-  std::vector<std::string> placed_services_;
+  std::vector<PooledService> pooled_services_;
   std::optional<uint64_t> placed_version_;
 };
 
@@ -120,7 +120,7 @@
       feed_(
           &config_,
           [this] { return Leadership(); },
-          [this] { return PlacedServices(); }),
+          [this] { return PooledServices(); }),
       member_(&io_,
               settings_,
               &config_,
@@ -210,9 +210,9 @@
 }
 
 // Documents are read once a version: large ones take milliseconds.
-const std::vector<std::string>& ControlHost::Impl::PlacedServices() {
+const std::vector<PooledService>& ControlHost::Impl::PooledServices() {
   if (config_.is_empty() || placed_version_ == config_.version()) {
-    return placed_services_;
+    return pooled_services_;
   }
   placed_version_ = config_.version();
   std::vector<std::string> faults;
@@ -221,15 +221,15 @@
     log_->Write("control", "config not readable",
                 {{"version", config_.version()},
                  {"faults", static_cast<uint64_t>(faults.size())}});
-    return placed_services_;
+    return pooled_services_;
   }
-  placed_services_.clear();
+  pooled_services_.clear();
   for (const Service& service : config->services()) {
     if (service.stage_pool_ || service.engine_) {
-      placed_services_.push_back(service.name_);
+      pooled_services_.push_back({service.name_, service.engine_.has_value()});
     }
   }
-  return placed_services_;
+  return pooled_services_;
 }
 
 void ControlHost::Impl::Take(const std::shared_ptr<FrameChannel>& channel,
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "citronlane/fleet/pool_division.h"
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/state/config_register.h"
@@ -17,6 +18,9 @@
 /// Gateways find a new leader within about a second; until then they keep the
 /// list of their peers that the last one gave them.
 constexpr Duration kGatheringTime = std::chrono::milliseconds(1500);
+/// A new leader has read the list of servers by then, unless the platform does
+/// not answer; by it pools are divided.
+constexpr Duration kListTime = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -102,10 +106,35 @@
   }
   std::vector<PoolAssignment::Gateway> gateways;
   for (const auto& [key, watcher] : watchers_) {
-    gateways.push_back(
-        {watcher->gateway_, watcher->stopping_, now - watcher->started_});
+    gateways.push_back({watcher->gateway_, watcher->stopping_,
+                        now - watcher->started_, watcher->failure_domain_});
   }
-  assignment_.Update(pools_(), gateways, now);
+  const bool knows_no_parts = assignment_.number() == 0 && !servers_read_;
+  if (knows_no_parts && now < leading_since_ + kListTime) {
+    return;
+  }
+  assignment_.Update(Parts(), gateways, now);
+}
+
+// Without a list the parts that are stay, since each change moves servers.
+std::vector<PoolPart> GatewayFeed::Parts() const {
+  const std::vector<PooledService> services = pools_();
+  if (servers_read_) {
+    return DividePools(services, servers_, assignment_.owners());
+  }
+  std::vector<PoolPart> parts;
+  for (const PooledService& service : services) {
+    const size_t before = parts.size();
+    for (const auto& [part, owner] : assignment_.owners()) {
+      if (part.service_ == service.name_) {
+        parts.push_back(part);
+      }
+    }
+    if (parts.size() == before) {
+      parts.emplace_back(service.name_);
+    }
+  }
+  return parts;
 }
 
 void GatewayFeed::PushAll(TimePoint now) {
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -43,15 +43,16 @@
 
 }  // namespace
 
-PoolAssignment::Order PoolAssignment::SuccessorOrder(std::string_view service,
-                                                     std::string_view endpoint,
-                                                     bool stopping,
-                                                     const Owners& owners) {
+PoolAssignment::Order PoolAssignment::SuccessorOrder(
+    const PoolPart& part,
+    const std::string& endpoint,
+    bool stopping,
+    const Owners& owners) {
   const bool runs_one =
       std::any_of(owners.begin(), owners.end(), [&](const auto& owner) {
-        return owner.first != service && owner.second == endpoint;
+        return owner.first != part && owner.second == endpoint;
       });
-  return {!stopping, !runs_one, RendezvousWeight(service, endpoint)};
+  return {!stopping, !runs_one, RendezvousWeight(part.Name(), endpoint)};
 }
 
 void PoolAssignment::StartLeading(TimePoint now, uint64_t term) {
@@ -86,18 +87,20 @@
                                       });
 }
 
-// One that runs the fewest pools. Then the youngest of those that are settled:
-// when all gateways are restarted in turn, it is the last to be restarted
-// again.
+// One that runs the fewest parts, near the part's servers. Then the youngest of
+// those that are settled: when all gateways are restarted in turn, it is the
+// last to be restarted again.
 std::string PoolAssignment::Choose(absl::Span<const Gateway> gateways,
-                                   std::string_view service) const {
+                                   const PoolPart& part) const {
+  const std::string name = part.Name();
   const auto order = [&](const Gateway& gateway) {
     const auto runs = std::count_if(
         owners_.begin(), owners_.end(),
         [&](const auto& owner) { return owner.second == gateway.endpoint_; });
-    return std::make_tuple(!gateway.stopping_, gateway.age_ >= kSettledAge,
-                           -runs, -gateway.age_,
-                           RendezvousWeight(service, gateway.endpoint_));
+    return std::make_tuple(
+        !gateway.stopping_, gateway.age_ >= kSettledAge, -runs,
+        gateway.failure_domain_ == part.failure_domain_, -gateway.age_,
+        RendezvousWeight(name, gateway.endpoint_));
   };
   return HighestOf(gateways, order);
 }
@@ -105,20 +108,19 @@
 // Gateways notice a lost owner a second before the leader does. When the leader
 // then named another one, the pool changed hands twice.
 std::string PoolAssignment::Successor(absl::Span<const Gateway> gateways,
-                                      std::string_view service) const {
+                                      const PoolPart& part) const {
   const auto order = [&](const Gateway& gateway) {
-    return SuccessorOrder(service, gateway.endpoint_, gateway.stopping_,
-                          owners_);
+    return SuccessorOrder(part, gateway.endpoint_, gateway.stopping_, owners_);
   };
   return HighestOf(gateways, order);
 }
 
-// Whether the pool stays where it is, for now at least.
-bool PoolAssignment::KeepsOwner(const std::string& service,
+// Whether the part stays where it is, for now at least.
+bool PoolAssignment::KeepsOwner(const PoolPart& part,
                                 absl::Span<const Gateway> gateways,
                                 TimePoint now) {
-  const std::string& owner = owners_.at(service);
-  Sight& sight = sights_[service];
+  const std::string& owner = owners_.at(part);
+  Sight& sight = sights_[part];
   const auto found = std::find_if(
       gateways.begin(), gateways.end(),
       [&](const Gateway& gateway) { return gateway.endpoint_ == owner; });
@@ -137,7 +139,7 @@
          (!sight.was_seen_ && now - leading_since_ < kFindingTime);
 }
 
-bool PoolAssignment::Update(absl::Span<const std::string> services,
+bool PoolAssignment::Update(absl::Span<const PoolPart> parts,
                             absl::Span<const Gateway> gateways,
                             TimePoint now) {
   if (gateways.empty() || IsGathering(gateways, now)) {
@@ -147,24 +149,25 @@
   const bool is_new = IsNewFleet(gateways);
   bool changed = false;
   for (auto it = owners_.begin(); it != owners_.end();) {
-    const bool is_declared = std::find(services.begin(), services.end(),
-                                       it->first) != services.end();
+    const bool is_declared =
+        std::find(parts.begin(), parts.end(), it->first) != parts.end();
     changed = changed || !is_declared;
     it = is_declared ? std::next(it) : owners_.erase(it);
   }
-  for (const std::string& service : services) {
-    const auto owned = owners_.find(service);
-    if (owned != owners_.end() && KeepsOwner(service, gateways, now)) {
+  for (const PoolPart& part : parts) {
+    const auto owned = owners_.find(part);
+    if (owned != owners_.end() && KeepsOwner(part, gateways, now)) {
       continue;
     }
-    const bool is_lost =
-        owned != owners_.end() && sights_[service].missing_since_;
+    const bool is_lost = owned != owners_.end() && sights_[part].missing_since_;
     if (owned != owners_.end()) {
       owners_.erase(owned);
     }
-    owners_[service] = is_lost || is_new ? Successor(gateways, service)
-                                         : Choose(gateways, service);
-    sights_[service] = Sight{std::nullopt, true};
+    // Nobody turns to a successor by itself where there are other parts.
+    const bool has_successor = !part.IsOfDomain() && (is_lost || is_new);
+    owners_[part] =
+        has_successor ? Successor(gateways, part) : Choose(gateways, part);
+    sights_[part] = Sight{std::nullopt, true};
     changed = true;
   }
   // Also when nothing changed: the leader before may have told some gateways
--- a/src/net/fleet_codec.cc
+++ b/src/net/fleet_codec.cc
@@ -43,11 +43,21 @@
                   const PoolAssignment::Owners& owners,
                   wire::fleet::PoolOwners* out) {
   out->set_number(number);
-  out->mutable_owners()->insert(owners.begin(), owners.end());
+  for (const auto& [part, endpoint] : owners) {
+    auto* owner = out->add_owners();
+    owner->set_service(part.service_);
+    owner->set_failure_domain(part.failure_domain_);
+    owner->set_endpoint(endpoint);
+  }
 }
 
 PoolAssignment::Owners DecodeOwners(const wire::fleet::PoolOwners& in) {
-  return {in.owners().begin(), in.owners().end()};
+  PoolAssignment::Owners owners;
+  for (const auto& owner : in.owners()) {
+    owners[PoolPart(owner.service(), owner.failure_domain())] =
+        owner.endpoint();
+  }
+  return owners;
 }
 
 }  // namespace citronlane
--- a/src/net/frame_channel.cc
+++ b/src/net/frame_channel.cc
@@ -47,13 +47,19 @@
   if (!is_open_) {
     return;
   }
-  queue_.push_back(WithLength(frame));
-  queued_bytes_ += queue_.back().size();
+  std::string bytes = WithLength(frame);
+  queued_bytes_ += bytes.size();
+  // A peer that has much to say must not look lost.
+  if (frame.has_ping() || frame.has_pong()) {
+    queue_.push_front(std::move(bytes));
+  } else {
+    queue_.push_back(std::move(bytes));
+  }
   if (queued_bytes_ > kMaxQueuedBytes) {
     Close();
     return;
   }
-  if (queue_.size() == 1) {
+  if (writing_.empty()) {
     WriteNext();
   }
 }
@@ -127,15 +133,17 @@
 }
 
 void FrameChannel::WriteNext() {
+  writing_ = std::move(queue_.front());
+  queue_.pop_front();
   asio::async_write(
-      socket_, asio::buffer(queue_.front()),
+      socket_, asio::buffer(writing_),
       [self = shared_from_this()](const error_code& error, size_t) {
         if (error || !self->is_open_) {
           self->Close();
           return;
         }
-        self->queued_bytes_ -= self->queue_.front().size();
-        self->queue_.pop_front();
+        self->queued_bytes_ -= self->writing_.size();
+        self->writing_.clear();
         if (!self->queue_.empty()) {
           self->WriteNext();
         }
--- a/src/relay/engine_placement.cc
+++ b/src/relay/engine_placement.cc
@@ -9,6 +9,7 @@
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/net/frame_link.h"
 #include "citronlane/observe/event_log.h"
+#include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/service_router.h"
 #include "fleet.pb.h"
 
@@ -58,33 +59,47 @@
                                  EventLog* log,
                                  RouterHook router)
     : io_(io),
+      view_(view),
       owners_(view, std::move(own_endpoint)),
       log_(log),
       router_(std::move(router)) {}
 
 EnginePlacement::~EnginePlacement() = default;
 
-bool EnginePlacement::IsHere(const std::string& service) const {
-  return owners_.OwnerOf(service, SteadyNow()) == owners_.own_endpoint();
+std::optional<PoolPart> EnginePlacement::PartIn(
+    const std::string& service,
+    const std::string& failure_domain) const {
+  PoolPart part = view_->PartIn(service, failure_domain);
+  // The pool is divided, and the domain's engines are in no part.
+  const bool is_known =
+      view_->owners().count(part) != 0 || !owners_.IsDivided(service);
+  const bool is_out =
+      owners_.IsDivided(service) && owners_.IsOut(part, SteadyNow());
+  return is_known && !is_out ? std::optional(std::move(part)) : std::nullopt;
+}
+
+bool EnginePlacement::IsHere(const PoolPart& part) const {
+  return owners_.OwnerOf(part, SteadyNow()) == owners_.own_endpoint();
 }
 
 uint64_t EnginePlacement::Ask(Purpose purpose,
-                              const std::string& service,
+                              const PoolPart& part,
                               const EngineRouter::Call& call,
                               absl::Span<const std::string> excluded,
                               Answered answered) {
-  const std::string owner = owners_.OwnerOf(service, SteadyNow());
+  const std::string owner = owners_.OwnerOf(part, SteadyNow());
   const uint64_t number = ++last_question_;
   questions_[number] = Question{owner, std::move(answered)};
   Frame frame;
   auto* ask = frame.mutable_engine_ask();
   ask->set_question(number);
-  ask->set_service(service);
+  ask->set_service(part.service_);
+  ask->set_part_domain(part.failure_domain_);
   ask->set_plan(purpose == Purpose::kPlan);
-  for (const PromptPart& part : call.prompt_) {
+  for (const PromptPart& prompt : call.prompt_) {
     auto* added = ask->add_prompt();
-    added->set_id(part.id_);
-    added->set_tokens(part.tokens_);
+    added->set_id(prompt.id_);
+    added->set_tokens(prompt.tokens_);
   }
   ask->set_near(std::string(call.near_));
   ask->set_input_bytes(call.input_bytes_);
@@ -204,6 +219,7 @@
   call.near_ = ask.near();
   call.input_bytes_ = ask.input_bytes();
   call.sees_all_ = true;
+  call.only_in_ = ask.part_domain();
   const std::vector<std::string> excluded(ask.excluded().begin(),
                                           ask.excluded().end());
   const TimePoint now = SteadyNow();
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -67,15 +67,48 @@
   return servers;
 }
 
+std::vector<const BackendServer*> FleetView::ServersIn(
+    const PoolPart& part) const {
+  std::vector<const BackendServer*> servers;
+  for (const BackendServer* server : ServersOf(part.service_)) {
+    if (PartIn(part.service_, server->failure_domain_) == part) {
+      servers.push_back(server);
+    }
+  }
+  return servers;
+}
+
+std::vector<PoolPart> FleetView::PartsOf(const std::string& service) const {
+  std::vector<PoolPart> parts;
+  for (auto it = owners_.lower_bound(PoolPart(service));
+       it != owners_.end() && it->first.service_ == service; ++it) {
+    parts.push_back(it->first);
+  }
+  if (parts.empty()) {
+    parts.emplace_back(service);
+  }
+  return parts;
+}
+
+PoolPart FleetView::PartIn(const std::string& service,
+                           const std::string& failure_domain) const {
+  PoolPart part(service, failure_domain);
+  return owners_.count(part) != 0 ? part : PoolPart(service);
+}
+
 const BackendServer* FleetView::FindServer(std::string_view id) const {
   const auto it = by_id_.find(id);
   return it == by_id_.end() ? nullptr : &servers_[it->second];
 }
 
-std::string FleetView::DomainAt(std::string_view address) const {
+const BackendServer* FleetView::ServerAt(std::string_view address) const {
   const auto it = by_address_.find(address);
-  return it == by_address_.end() ? std::string()
-                                 : servers_[it->second].failure_domain_;
+  return it == by_address_.end() ? nullptr : &servers_[it->second];
+}
+
+std::string FleetView::DomainAt(std::string_view address) const {
+  const BackendServer* server = ServerAt(address);
+  return server == nullptr ? std::string() : server->failure_domain_;
 }
 
 std::optional<Duration> FleetView::ServersAge(TimePoint now) const {
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -103,7 +103,7 @@
               settings_.internal_listen_,
               &view_,
               log,
-              [this](const std::string& service) { return PoolOf(service); }),
+              [this](const PoolPart& part) { return PoolOf(part); }),
       engines_(&io_,
                &view_,
                settings_.internal_listen_,
@@ -259,16 +259,17 @@
   return budget.get();
 }
 
-StagePool* GatewayHost::Impl::PoolOf(const std::string& service) {
-  auto& pool = pools_[service];
+StagePool* GatewayHost::Impl::PoolOf(const PoolPart& part) {
+  auto& pool = pools_[part];
   if (!pool) {
     const auto& config = view_.config();
-    const Service* declared = config ? config->FindService(service) : nullptr;
+    const Service* declared =
+        config ? config->FindService(part.service_) : nullptr;
     if (declared == nullptr || !declared->stage_pool_) {
-      pools_.erase(service);
+      pools_.erase(part);
       return nullptr;
     }
-    pool = std::make_unique<StagePool>(service, *declared->stage_pool_,
+    pool = std::make_unique<StagePool>(part, *declared->stage_pool_,
                                        budget_options_, &view_, dialect_,
                                        &client_, log_);
     pool->Begin(SteadyNow());
@@ -276,6 +277,30 @@
   return pool.get();
 }
 
+// Tasks that wait in a part that has another gateway now, or is no part any
+// more, go where control says once all gateways have heard of it.
+void GatewayHost::Impl::HandBackMovedPools(TimePoint now) {
+  if (owners_number_ != view_.owners_number()) {
+    owners_number_ = view_.owners_number();
+    owners_since_ = now;
+  }
+  if (now - owners_since_ < kTold) {
+    return;
+  }
+  for (const auto& [part, pool] : pools_) {
+    const std::vector<PoolPart> parts = view_.PartsOf(part.service_);
+    const bool is_gone =
+        std::find(parts.begin(), parts.end(), part) == parts.end();
+    const auto owner = view_.owners().find(part);
+    const bool is_elsewhere = part.IsOfDomain() &&
+                              owner != view_.owners().end() &&
+                              owner->second != settings_.internal_listen_;
+    if (pool->tasks() > 0 && (is_gone || is_elsewhere)) {
+      pool->HandBackWaiting();
+    }
+  }
+}
+
 bool GatewayHost::Impl::Listen(HttpListener* listener,
                                const std::string& address,
                                Error* error) {
@@ -314,9 +339,10 @@
 void GatewayHost::Impl::Tick(TimePoint now) {
   watch_.Tick(now);
   owners_.Tick(now);
-  for (const auto& [service, pool] : pools_) {
+  for (const auto& [part, pool] : pools_) {
     pool->Tick(now);
   }
+  HandBackMovedPools(now);
   ReadStaleList(now);
   if (stopping_) {
     TickStop(now);
@@ -334,7 +360,7 @@
   // The others know in a moment that this gateway runs no pools any more.
   const auto timer = std::make_shared<boost::asio::steady_timer>(io_, kTold);
   timer->async_wait([this, timer](const boost::system::error_code&) {
-    for (const auto& [service, pool] : pools_) {
+    for (const auto& [part, pool] : pools_) {
       pool->HandBackWaiting();
     }
   });
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -87,7 +87,7 @@
        {"unusable", static_cast<uint64_t>(unusable)},
        {"outdated_starts", static_cast<uint64_t>(view_.starts().outdated())},
        {"clocks_set_back", static_cast<uint64_t>(view_.starts().set_back())}});
-  for (const auto& [service, pool] : pools_) {
+  for (const auto& [part, pool] : pools_) {
     pool->Tick(SteadyNow());
   }
 }
--- a/src/relay/owner_table.cc
+++ b/src/relay/owner_table.cc
@@ -1,6 +1,7 @@
 #include "citronlane/relay/owner_table.h"
 
 #include <utility>
+#include <vector>
 
 #include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/relay/fleet_view.h"
@@ -27,11 +28,44 @@
   lost_until_[endpoint] = now + kPassOver;
 }
 
-std::string OwnerTable::OwnerOf(const std::string& service,
-                                TimePoint now) const {
+bool OwnerTable::IsDivided(const std::string& service) const {
+  const std::vector<PoolPart> parts = view_->PartsOf(service);
+  return parts.size() > 1 || parts.front().IsOfDomain();
+}
+
+bool OwnerTable::IsOut(const PoolPart& part, TimePoint now) const {
+  const auto named = view_->owners().find(part);
+  return named != view_->owners().end() && IsPassedOver(named->second, now);
+}
+
+PoolPart OwnerTable::PartFor(const std::string& service,
+                             const std::string& failure_domain,
+                             uint64_t spread,
+                             TimePoint now) const {
+  const std::vector<PoolPart> parts = view_->PartsOf(service);
+  if (parts.size() == 1) {
+    return parts.front();
+  }
+  const PoolPart wanted = view_->PartIn(service, failure_domain);
+  std::vector<PoolPart> usable;
+  for (const PoolPart& part : parts) {
+    if (IsOut(part, now)) {
+      continue;
+    }
+    if (part == wanted) {
+      return part;
+    }
+    usable.push_back(part);
+  }
+  const std::vector<PoolPart>& from = usable.empty() ? parts : usable;
+  return from[spread % from.size()];
+}
+
+std::string OwnerTable::OwnerOf(const PoolPart& part, TimePoint now) const {
   const PoolAssignment::Owners& owners = view_->owners();
-  const auto named = owners.find(service);
-  if (named != owners.end() && !IsPassedOver(named->second, now)) {
+  const auto named = owners.find(part);
+  if (named != owners.end() &&
+      (IsDivided(part.service_) || !IsPassedOver(named->second, now))) {
     return named->second;
   }
   const FleetView::Gateway* successor = nullptr;
@@ -41,7 +75,7 @@
       continue;
     }
     const auto order = PoolAssignment::SuccessorOrder(
-        service, gateway.endpoint_, gateway.stopping_, owners);
+        part, gateway.endpoint_, gateway.stopping_, owners);
     if (successor == nullptr || order > best) {
       successor = &gateway;
       best = order;
--- a/src/relay/placed_engine.cc
+++ b/src/relay/placed_engine.cc
@@ -24,11 +24,19 @@
   Forget();
 }
 
-void PlacedEngine::Begin(const Service* service) {
-  service_ = service;
-  const bool has_engines = service->engine_.has_value();
-  is_here_ = has_engines && placement_->IsHere(service->name_);
-  is_elsewhere_ = has_engines && !is_here_;
+void PlacedEngine::Begin(const Service& service,
+                         const std::string& failure_domain) {
+  is_here_ = false;
+  is_elsewhere_ = false;
+  if (!service.engine_) {
+    return;
+  }
+  const auto part = placement_->PartIn(service.name_, failure_domain);
+  if (part) {
+    part_ = *part;
+    is_here_ = placement_->IsHere(part_);
+    is_elsewhere_ = !is_here_;
+  }
 }
 
 std::string PlacedEngine::Ask(EnginePlacement::Purpose purpose,
@@ -36,7 +44,7 @@
                               absl::Span<const std::string> excluded) {
   const auto answer = std::make_shared<std::optional<std::string>>();
   question_ =
-      placement_->Ask(purpose, service_->name_, call, excluded,
+      placement_->Ask(purpose, part_, call, excluded,
                       [answer, waker = waker_](const std::string& server) {
                         *answer = server;
                         waker->Wake();
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -103,14 +103,21 @@
   if (!stages_.HasWork()) {
     return true;
   }
-  stages_.Announce();
-  const TimePoint now = SteadyNow();
-  const Duration best = stages_.ExpectedTime(false);
-  const Duration worst = stages_.ExpectedTime(true);
-  if (std::chrono::duration_cast<Duration>(best * kEstimateReserve) <=
-      job_->target_ - now) {
+  if (stages_.IsDivided()) {
+    home_domain_ = PlannedDomain();
+  }
+  stages_.Announce(home_domain_);
+  if (MeetsTarget()) {
     return true;
   }
+  if (stages_.IsDivided()) {
+    TryOtherDomain();
+    if (MeetsTarget()) {
+      return true;
+    }
+  }
+  const TimePoint now = SteadyNow();
+  const Duration worst = stages_.ExpectedTime(true);
   // Too late for its target from the start: it takes no place of one that may
   // still meet it, all the way through its stages.
   stages_.SetLate();
@@ -125,13 +132,31 @@
   return false;
 }
 
+bool RelayRequest::MeetsTarget() const {
+  const Duration expected = stages_.ExpectedTime(false);
+  return std::chrono::duration_cast<Duration>(expected * kEstimateReserve) <=
+         job_->target_ - SteadyNow();
+}
+
+// One other domain, drawn anew for each request: where all went to the one
+// that was least busy a moment ago, it would be the busiest in the next.
+void RelayRequest::TryOtherDomain() {
+  constexpr uint64_t kDraws = 1 << 20;
+  const std::string other = stages_.OtherDomain(context_->random_(kDraws));
+  if (other.empty()) {
+    return;
+  }
+  stages_.CompareWith(other);
+  home_domain_ = stages_.failure_domain();
+}
+
 bool RelayRequest::RunStages() {
   if (!stages_.HasWork()) {
     return true;
   }
-  router_->Update(*context_->view_, SteadyNow());
   inputs_freed_ = false;
-  stages_.SetResultDomain(PlannedDomain());
+  stages_.SetResultDomain(home_domain_.empty() ? PlannedDomain()
+                                               : home_domain_);
   const StageRunner::Result result = stages_.Run();
   near_domain_ = stages_.InputDomain();
   stages_took_ = Elapsed();
@@ -200,7 +225,7 @@
 const BackendServer* RelayRequest::Choose() {
   const TimePoint now = SteadyNow();
   router_->Update(*context_->view_, now);
-  engine_.Begin(service_);
+  engine_.Begin(*service_, EngineDomain());
   if (engine_.is_elsewhere()) {
     const std::string named =
         engine_.Ask(EnginePlacement::Purpose::kStart, RouterCall(), tried_);
@@ -211,10 +236,24 @@
     // Of lists of different age, or there is no answer.
     engine_.Forget();
   }
-  const auto id = router_->Choose(SteadyNow(), RouterCall(), tried_);
+  auto id = router_->Choose(SteadyNow(), RouterCall(), tried_);
+  if (!id && engine_.is_here()) {
+    // Its part has no engine that was not tried.
+    engine_.Leave();
+    id = router_->Choose(SteadyNow(), RouterCall(), tried_);
+  }
   return id ? context_->view_->FindServer(*id) : nullptr;
 }
 
+// Where heavy results lie, or else what keeps the prompt.
+std::string RelayRequest::EngineDomain() {
+  if (stages_.HasHeavyResults() && !near_domain_.empty()) {
+    return near_domain_;
+  }
+  return home_domain_.empty() ? router_->HomeDomain(SteadyNow(), RouterCall())
+                              : home_domain_;
+}
+
 void RelayRequest::NoteStart(const std::string& server) {
   had_first_event_ = false;
   unread_ = router_->OnStart(server, SteadyNow(), RouterCall());
@@ -236,16 +275,21 @@
 // Where the engine will be that the request goes to after its stages: heavy
 // results are best made there.
 std::string RelayRequest::PlannedDomain() {
-  engine_.Begin(service_);
-  if (!engine_.is_elsewhere() || !stages_.HasHeavyResults()) {
+  router_->Update(*context_->view_, SteadyNow());
+  std::string home = router_->HomeDomain(SteadyNow(), RouterCall());
+  engine_.Begin(*service_, home);
+  if (engine_.is_here()) {
     return router_->HomeDomain(SteadyNow(), RouterCall());
   }
+  if (!engine_.is_elsewhere() || engine_.part().IsOfDomain() ||
+      !stages_.HasHeavyResults()) {
+    return home;
+  }
   const std::string named =
       engine_.Ask(EnginePlacement::Purpose::kPlan, RouterCall(), tried_);
   engine_.Forget();
   const BackendServer* server = context_->view_->FindServer(named);
-  return server == nullptr ? router_->HomeDomain(SteadyNow(), RouterCall())
-                           : server->failure_domain_;
+  return server == nullptr ? home : server->failure_domain_;
 }
 
 EngineRouter::Call RelayRequest::RouterCall() const {
@@ -254,6 +298,9 @@
   call.near_ = near_domain_;
   call.input_bytes_ = stages_.InputBytes();
   call.sees_all_ = engine_.is_here();
+  if (engine_.is_here()) {
+    call.only_in_ = engine_.part().failure_domain_;
+  }
   return call;
 }
 
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -9,6 +9,7 @@
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/net/frame_link.h"
 #include "citronlane/observe/event_log.h"
+#include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/relay/stage_task_codec.h"
 #include "fleet.pb.h"
@@ -21,7 +22,8 @@
 
 /// An owner that does not answer is found lost well within this time.
 constexpr Duration kFreedKnown = std::chrono::milliseconds(1500);
-/// A task that was moved this often stays here.
+/// A task that was moved this often stays here, or fails where the pool is
+/// divided, since another gateway has its servers.
 constexpr uint32_t kMostMoves = 3;
 
 }  // namespace
@@ -32,6 +34,7 @@
                          EventLog* log,
                          PoolHook pool)
     : io_(io),
+      view_(view),
       owners_(view, std::move(own_endpoint)),
       log_(log),
       pool_(std::move(pool)) {}
@@ -44,6 +47,7 @@
   const uint64_t number = ++last_job_;
   Job& job = jobs_[number];
   job.service_ = service;
+  job.failure_domain_ = forecast.failure_domain_;
   job.wait_known_ = std::move(wait_known);
   PlaceAnnouncement(number, forecast);
   return number;
@@ -53,20 +57,27 @@
   const auto it = jobs_.find(number);
   if (it != jobs_.end() && it->second.state_ != JobState::kSubmitted) {
     WithdrawIfElsewhere(number, it->second);
+    it->second.failure_domain_ = forecast.failure_domain_;
     it->second.wait_known_ = [](const StageWait&) {};
     PlaceAnnouncement(number, forecast);
   }
 }
 
+PoolPart StageOwners::PartOf(uint64_t number, const Job& job) const {
+  return owners_.PartFor(job.service_, job.failure_domain_, number,
+                         SteadyNow());
+}
+
 void StageOwners::PlaceAnnouncement(uint64_t number,
                                     const StageForecast& forecast) {
   Job& job = jobs_.at(number);
   const TimePoint now = SteadyNow();
   job.state_ = JobState::kAnnounced;
-  job.owner_ = owners_.OwnerOf(job.service_, now);
+  job.part_ = PartOf(number, job);
+  job.owner_ = owners_.OwnerOf(job.part_, now);
   if (job.owner_ == owners_.own_endpoint()) {
     job.owner_.clear();
-    if (StagePool* pool = pool_(job.service_)) {
+    if (StagePool* pool = pool_(job.part_)) {
       const StageWait wait = pool->ExpectedWait(forecast, now);
       job.local_ = pool->Announce(forecast);
       job.wait_known_(wait);
@@ -76,7 +87,8 @@
   Frame frame;
   auto* out = frame.mutable_announcement();
   out->set_job(number);
-  out->set_service(job.service_);
+  out->set_service(job.part_.service_);
+  out->set_part_domain(job.part_.failure_domain_);
   EncodeForecast(forecast, now, out);
   LinkTo(job.owner_)->Send(frame);
 }
@@ -94,7 +106,7 @@
     LinkTo(job.owner_)->Send(frame);
     return !is_submitted;
   }
-  StagePool* const pool = pool_(job.service_);
+  StagePool* const pool = pool_(job.part_);
   if (pool == nullptr) {
     return true;
   }
@@ -109,7 +121,7 @@
 // the one before; this gateway itself, and an owner of before, must be told.
 void StageOwners::WithdrawIfElsewhere(uint64_t number, const Job& job) {
   if (job.owner_.empty() ||
-      job.owner_ != owners_.OwnerOf(job.service_, SteadyNow())) {
+      job.owner_ != owners_.OwnerOf(PartOf(number, job), SteadyNow())) {
     WithdrawFromOwner(number, job);
   }
 }
@@ -134,10 +146,16 @@
   }
   Job& job = it->second;
   const TimePoint now = SteadyNow();
-  job.owner_ = job.moves_ >= kMostMoves ? owners_.own_endpoint()
-                                        : owners_.OwnerOf(job.service_, now);
-  ++job.moves_;
+  job.part_ = PartOf(number, job);
+  const bool moved_too_often = job.moves_ >= kMostMoves;
   job.state_ = JobState::kSubmitted;
+  if (moved_too_often && owners_.IsDivided(job.service_)) {
+    FailUnplaced(number, &job);
+    return;
+  }
+  job.owner_ = moved_too_often ? owners_.own_endpoint()
+                               : owners_.OwnerOf(job.part_, now);
+  ++job.moves_;
   if (job.owner_ == owners_.own_endpoint()) {
     PlaceHere(number, &job);
     return;
@@ -145,19 +163,25 @@
   Frame frame;
   auto* out = frame.mutable_job();
   out->set_job(number);
-  out->set_service(job.service_);
+  out->set_service(job.part_.service_);
+  out->set_part_domain(job.part_.failure_domain_);
   EncodeTask(job.task_, now, out);
   LinkTo(job.owner_)->Send(frame);
 }
 
+// Nobody has it: it ends as failed, later.
+void StageOwners::FailUnplaced(uint64_t number, Job* job) {
+  job->state_ = JobState::kMoving;
+  StageOutcome outcome;
+  outcome.not_run_ = true;
+  boost::asio::post(*io_, [this, number, outcome] { Finish(number, outcome); });
+}
+
 void StageOwners::PlaceHere(uint64_t number, Job* job) {
   job->owner_.clear();
-  StagePool* pool = pool_(job->service_);
+  StagePool* pool = pool_(job->part_);
   if (pool == nullptr) {
-    StageOutcome outcome;
-    outcome.not_run_ = true;
-    boost::asio::post(*io_,
-                      [this, number, outcome] { Finish(number, outcome); });
+    FailUnplaced(number, job);
     return;
   }
   // The pool may answer before it returns.
@@ -216,30 +240,46 @@
 
 void StageOwners::Free(const std::string& service,
                        absl::Span<const std::string> handles) {
-  if (handles.empty()) {
-    return;
+  std::map<PoolPart, std::vector<std::string>> by_part;
+  for (const std::string& handle : handles) {
+    by_part[MakerOf(service, handle)].push_back(handle);
+  }
+  const TimePoint now = SteadyNow();
+  for (const auto& [part, freed] : by_part) {
+    SendFree(now, part, freed);
   }
-  SendFree(SteadyNow(), service, handles);
+}
+
+// Of a maker that is not in the list any more any part can free the result.
+PoolPart StageOwners::MakerOf(const std::string& service,
+                              const std::string& handle) const {
+  // A handle begins with its maker's address.
+  const BackendServer* maker =
+      view_->ServerAt(handle.substr(0, handle.find('/')));
+  return maker == nullptr || maker->service_ != service
+             ? view_->PartsOf(service).front()
+             : view_->PartIn(service, maker->failure_domain_);
 }
 
 void StageOwners::SendFree(TimePoint first_sent,
-                           const std::string& service,
+                           const PoolPart& part,
                            absl::Span<const std::string> handles) {
-  const std::string owner = owners_.OwnerOf(service, SteadyNow());
+  const std::string owner = owners_.OwnerOf(part, SteadyNow());
   if (owner == owners_.own_endpoint()) {
-    if (StagePool* pool = pool_(service)) {
+    if (StagePool* pool = pool_(part)) {
       pool->Free(handles);
     }
     return;
   }
   Frame frame;
   auto* free = frame.mutable_free();
-  free->set_service(service);
+  free->set_service(part.service_);
+  free->set_part_domain(part.failure_domain_);
   for (const std::string& handle : handles) {
     free->add_handles(handle);
   }
   freed_.push_back(
-      Freed{first_sent, owner, service,
+      Freed{first_sent, owner, part,
             std::vector<std::string>(handles.begin(), handles.end())});
   LinkTo(owner)->Send(frame);
 }
@@ -327,15 +367,30 @@
     if (now - freed.at_ > kFreedKnown) {
       continue;
     }
-    if (freed.owner_ == owner &&
-        (is_gone || owners_.OwnerOf(freed.service_, now) == owner)) {
-      SendFree(freed.at_, freed.service_, freed.handles_);
+    const bool has_next = owners_.OwnerOf(freed.part_, now) != owner;
+    if (freed.owner_ == owner && has_next == is_gone) {
+      SendFree(freed.at_, freed.part_, freed.handles_);
     } else {
       freed_.push_back(freed);
     }
   }
 }
 
+// A part of a failure domain has no next owner until control names one.
+void StageOwners::FreeAtNextOwners(TimePoint now) {
+  std::deque<Freed> kept;
+  for (Freed& freed : std::exchange(freed_, {})) {
+    if (freed.part_.IsOfDomain() &&
+        owners_.OwnerOf(freed.part_, now) != freed.owner_) {
+      SendFree(freed.at_, freed.part_, freed.handles_);
+    } else {
+      kept.push_back(std::move(freed));
+    }
+  }
+  kept.insert(kept.end(), freed_.begin(), freed_.end());
+  freed_ = std::move(kept);
+}
+
 void StageOwners::TakeResult(const Frame& frame) {
   const auto& result = frame.job_result();
   StageOutcome outcome;
@@ -358,6 +413,7 @@
       link->CheckAlive(now);
     }
   }
+  FreeAtNextOwners(now);
   while (!freed_.empty() && now - freed_.front().at_ > kFreedKnown) {
     freed_.pop_front();
   }
--- a/src/relay/stage_owners_serve.cc
+++ b/src/relay/stage_owners_serve.cc
@@ -26,13 +26,14 @@
     FreeAnswered(key);
     const auto it = served_.find(key);
     if (it != served_.end()) {
-      if (StagePool* pool = pool_(it->second.service_)) {
+      if (StagePool* pool = pool_(it->second.part_)) {
         pool->Cancel(it->second.local_);
       }
       served_.erase(it);
     }
   } else if (frame->has_free()) {
-    if (StagePool* pool = pool_(frame->free().service())) {
+    const PoolPart part(frame->free().service(), frame->free().part_domain());
+    if (StagePool* pool = pool_(part)) {
       const std::vector<std::string> handles(frame->free().handles().begin(),
                                              frame->free().handles().end());
       pool->Free(handles);
@@ -46,7 +47,8 @@
   const auto& announcement = frame.announcement();
   const ServedKey key{channel.get(), announcement.job()};
   DropAnnouncement(key);
-  StagePool* pool = pool_(announcement.service());
+  const PoolPart part(announcement.service(), announcement.part_domain());
+  StagePool* pool = pool_(part);
   if (pool == nullptr) {
     return;
   }
@@ -56,7 +58,7 @@
   auto* wait = reply.mutable_pool_wait();
   wait->set_job(announcement.job());
   EncodeWait(pool->ExpectedWait(forecast, now), wait);
-  announced_[key] = Served{announcement.service(), pool->Announce(forecast)};
+  announced_[key] = Served{part, pool->Announce(forecast)};
   channel->Send(reply);
 }
 
@@ -65,7 +67,7 @@
   if (it == announced_.end()) {
     return;
   }
-  if (StagePool* pool = pool_(it->second.service_)) {
+  if (StagePool* pool = pool_(it->second.part_)) {
     pool->Withdraw(it->second.local_);
   }
   announced_.erase(it);
@@ -98,22 +100,22 @@
     result->set_not_run(outcome.not_run_);
     open->Send(reply);
   };
-  StagePool* pool = pool_(job.service());
+  const PoolPart part(job.service(), job.part_domain());
+  StagePool* pool = pool_(part);
   if (pool == nullptr) {
     StageOutcome outcome;
     outcome.not_run_ = true;
     answer(outcome);
     return;
   }
-  served_[key] = Served{job.service(), 0};
+  served_[key] = Served{part, 0};
   const uint64_t task = pool->Submit(
       DecodeTask(job, SteadyNow()),
-      [this, key, answer,
-       service = job.service()](const StageOutcome& outcome) {
+      [this, key, answer, part](const StageOutcome& outcome) {
         served_.erase(key);
         // First, as the connection may end while it is told.
         if (!outcome.handles_.empty()) {
-          answered_.push_back({SteadyNow(), key, service, outcome.handles_});
+          answered_.push_back({SteadyNow(), key, part, outcome.handles_});
         }
         answer(outcome);
       },
@@ -139,7 +141,7 @@
   if (it == answered_.end()) {
     return;
   }
-  if (StagePool* pool = pool_(it->service_)) {
+  if (StagePool* pool = pool_(it->part_)) {
     pool->Free(it->handles_);
   }
   answered_.erase(it);
@@ -153,7 +155,7 @@
                   answered_.end());
   for (auto it = served_.lower_bound({channel, 0});
        it != served_.end() && it->first.first == channel;) {
-    if (StagePool* pool = pool_(it->second.service_)) {
+    if (StagePool* pool = pool_(it->second.part_)) {
       pool->Cancel(it->second.local_);
     }
     it = served_.erase(it);
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -23,22 +23,28 @@
 
 }  // namespace
 
-StagePool::StagePool(std::string service,
+StagePool::StagePool(PoolPart part,
                      const StagePoolSpec& spec,
                      const RepeatBudget::Options& budget,
                      const FleetView* view,
                      const Dialect* dialect,
                      StageClient* client,
                      EventLog* log)
-    : service_(std::move(service)),
+    : part_(std::move(part)),
+      name_(part_.Name()),
       view_(view),
       dialect_(dialect),
       client_(client),
       log_(log),
       budget_(budget),
-      // One gateway runs the pool, so that the allowance is all its own; two
-      // do for a moment when gateways come and go.
-      batcher_(spec, [this](TimePoint now) { return budget_.TryTake(now, 2); }),
+      // Each part has its share of the service's allowance, and one more is
+      // kept back: two gateways run a part for a moment when gateways come and
+      // go.
+      batcher_(spec,
+               [this](TimePoint now) {
+                 return budget_.TryTake(
+                     now, view_->PartsOf(part_.service_).size() + 1);
+               }),
       reply_check_(kReplyMemory) {}
 
 StagePool::~StagePool() {
@@ -79,14 +85,16 @@
 }
 
 void StagePool::Tick(TimePoint now) {
-  if (servers_number_ != view_->servers_number()) {
+  if (servers_number_ != view_->servers_number() ||
+      owners_number_ != view_->owners_number()) {
     servers_number_ = view_->servers_number();
-    batcher_.SetServers(view_->ServersOf(service_));
+    owners_number_ = view_->owners_number();
+    batcher_.SetServers(view_->ServersIn(part_));
   }
   const auto& config = view_->config();
   if (config && config->version() != config_version_) {
     config_version_ = config->version();
-    const Service* service = config->FindService(service_);
+    const Service* service = config->FindService(part_.service_);
     if (service != nullptr && service->stage_pool_) {
       batcher_.SetSpec(*service->stage_pool_);
     }
@@ -129,7 +137,7 @@
   spec.connection_group_ = batch.server_;
   spec.body_ = dialect_->write_stage_call_(batch.pieces_);
   log_->Write("stages", "call",
-              {{"service", service_},
+              {{"service", name_},
                {"server", batch.server_},
                {"call", number},
                {"pieces", static_cast<uint64_t>(batch.pieces_.size())},
@@ -178,7 +186,7 @@
     batcher_.Finished(call, *reply.results_, now);
   } else {
     log_->Write("stages", "call refused",
-                {{"service", service_},
+                {{"service", name_},
                  {"server", server},
                  {"call", call},
                  {"status", reply.status_},
@@ -211,7 +219,7 @@
   }
   const bool is_seen = match == StageReplyCheck::Match::kSeenBefore;
   log_->Write("stages", "reply of another call",
-              {{"service", service_},
+              {{"service", name_},
                {"server", server},
                {"call", call},
                {"pieces", static_cast<uint64_t>(pieces.size())},
@@ -233,7 +241,7 @@
     return;
   }
   log_->Write("stages", "pieces not made",
-              {{"service", service_},
+              {{"service", name_},
                {"server", server},
                {"call", call},
                {"pieces", static_cast<uint64_t>(results.size())},
@@ -249,7 +257,7 @@
   const TimePoint now = SteadyNow();
   const bool not_sent = outcome == CallOutcome::kConnectFailed;
   log_->Write("stages", "call failed",
-              {{"service", service_},
+              {{"service", name_},
                {"server", server},
                {"call", call},
                {"sent", not_sent ? "no" : "yes"},
--- a/src/relay/stage_runner.cc
+++ b/src/relay/stage_runner.cc
@@ -1,6 +1,9 @@
 #include "citronlane/relay/stage_runner.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <set>
 #include <utility>
 
 #include "citronlane/base/steady_now.h"
@@ -33,7 +36,9 @@
   std::vector<std::pair<size_t, StageOutcome>> new_;
   /// Stages whose inputs were fetched.
   std::vector<size_t> taken_;
+  /// Of the last announcement of all stages.
   std::vector<std::pair<size_t, StageWait>> waits_;
+  uint32_t announcement_ = 0;
 };
 
 StageRunner::StageRunner(const RelayJob* job,
@@ -64,7 +69,61 @@
                      [](const Stage& stage) { return stage.pieces_ > 0; });
 }
 
-void StageRunner::Announce() {
+bool StageRunner::IsDivided() const {
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    if (stages_[i].pieces_ > 0 &&
+        view_->PartsOf(job_->route_->stages_[i].service_).size() > 1) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string StageRunner::OtherDomain(uint64_t random) const {
+  std::set<std::string> domains;
+  for (size_t i = 0; i < stages_.size(); ++i) {
+    if (stages_[i].pieces_ == 0) {
+      continue;
+    }
+    for (const PoolPart& part :
+         view_->PartsOf(job_->route_->stages_[i].service_)) {
+      if (part.IsOfDomain() && part.failure_domain_ != failure_domain_) {
+        domains.insert(part.failure_domain_);
+      }
+    }
+  }
+  return domains.empty()
+             ? std::string()
+             : *std::next(domains.begin(),
+                          static_cast<std::ptrdiff_t>(random % domains.size()));
+}
+
+void StageRunner::Announce(std::string failure_domain) {
+  failure_domain_ = std::move(failure_domain);
+  AnnounceAll();
+}
+
+void StageRunner::CompareWith(std::string failure_domain) {
+  const Duration here = ExpectedTime(false);
+  const std::vector<Stage> announced_here = stages_;
+  const std::string domain_here =
+      std::exchange(failure_domain_, std::move(failure_domain));
+  AnnounceAll();
+  std::vector<Stage> dropped = announced_here;
+  if (ExpectedTime(false) >= here) {
+    dropped = std::exchange(stages_, announced_here);
+    failure_domain_ = domain_here;
+  }
+  for (const Stage& stage : dropped) {
+    if (stage.job_) {
+      owners_->Cancel(*stage.job_);
+    }
+  }
+}
+
+void StageRunner::AnnounceAll() {
+  ++answers_->announcement_;
+  answers_->waits_.clear();
   size_t asked = 0;
   for (size_t i = 0; i < stages_.size(); ++i) {
     if (stages_[i].pieces_ > 0) {
@@ -82,10 +141,12 @@
 void StageRunner::Announce(size_t index) {
   const std::weak_ptr<Answers> weak = answers_;
   const auto waker = waker_;
+  const uint32_t announcement = answers_->announcement_;
   stages_[index].job_ = owners_->Announce(
       job_->route_->stages_[index].service_, ForecastOf(index),
-      [weak, waker, index](const StageWait& wait) {
-        if (const auto answers = weak.lock()) {
+      [weak, waker, index, announcement](const StageWait& wait) {
+        const auto answers = weak.lock();
+        if (answers && answers->announcement_ == announcement) {
           answers->waits_.emplace_back(index, wait);
           waker->Wake();
         }
--- a/src/relay/stage_runner_estimates.cc
+++ b/src/relay/stage_runner_estimates.cc
@@ -23,6 +23,7 @@
   forecast.target_ = (is_late_ ? job_->arrived_ : job_->target_) - rest;
   forecast.deadline_ = job_->begin_deadline_ - rest;
   forecast.priority_ = job_->priority_;
+  forecast.failure_domain_ = failure_domain_;
   return forecast;
 }
 
--- a/src/routing/engine_router.cc
+++ b/src/routing/engine_router.cc
@@ -129,6 +129,7 @@
   std::vector<const Engine*> suspended;
   for (const auto& [id, engine] : engines_) {
     const bool is_out =
+        (!call.only_in_.empty() && engine.failure_domain_ != call.only_in_) ||
         std::find(excluded.begin(), excluded.end(), id) != excluded.end();
     if (!engine.leaving_ && !is_out) {
       (engine.suspended_until_ > now ? suspended : usable).push_back(&engine);
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -106,7 +106,7 @@
   std::map<std::string, std::unique_ptr<StagePool>> pools_;
   StageOwners owners_{
       io_, "127.0.0.1:1", &view_, &log_,
-      [this](const std::string& service) { return pools_[service].get(); }};
+      [this](const PoolPart& part) { return pools_[part.service_].get(); }};
   ServiceRouter router_;
   RepeatBudget budget_{Budget()};
   RelayContext context_;
--- a/tests/unit-pool-assignment.cc
+++ b/tests/unit-pool-assignment.cc
@@ -24,10 +24,10 @@
 }
 
 // Services with a stage pool: one letter each.
-std::vector<std::string> Services(char last) {
-  std::vector<std::string> services;
+std::vector<PoolPart> Services(char last) {
+  std::vector<PoolPart> services;
   for (char name = 'a'; name <= last; ++name) {
-    services.emplace_back(1, name);
+    services.emplace_back(std::string(1, name));
   }
   return services;
 }
--- /dev/null
+++ b/tests/unit-pool-parts.cc
@@ -0,0 +1,274 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "citronlane/fleet/pool_assignment.h"
+#include "citronlane/fleet/pool_division.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/owner_table.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Counts = std::map<std::string, int>;
+using Owners = PoolAssignment::Owners;
+using Gateway = PoolAssignment::Gateway;
+
+constexpr const char* kStage = "encode";
+constexpr const char* kEngines = "generate";
+
+std::vector<BackendServer> ServersIn(const std::string& service,
+                                     const Counts& counts) {
+  std::vector<BackendServer> servers;
+  for (const auto& [domain, count] : counts) {
+    for (int i = 0; i < count; ++i) {
+      BackendServer server;
+      server.id_ = service + domain + std::to_string(i);
+      server.name_ = server.id_;
+      server.service_ = service;
+      server.failure_domain_ = domain;
+      server.address_ = server.id_ + ":1";
+      servers.push_back(server);
+    }
+  }
+  return servers;
+}
+
+std::vector<PoolPart> DivideStage(const Counts& counts,
+                                  const Owners& held = {}) {
+  const std::vector<PooledService> services{{kStage, false}};
+  return DividePools(services, ServersIn(kStage, counts), held);
+}
+
+Owners OwnersOf(const std::vector<PoolPart>& parts) {
+  Owners owners;
+  for (const PoolPart& part : parts) {
+    owners[part] = "g" + std::to_string(owners.size());
+  }
+  return owners;
+}
+
+std::vector<Gateway> Gateways(int count) {
+  std::vector<Gateway> gateways;
+  for (int i = 0; i < count; ++i) {
+    Gateway gateway;
+    gateway.endpoint_ = "g" + std::to_string(i);
+    gateway.age_ = seconds(60);
+    gateway.failure_domain_ = std::string(1, static_cast<char>('a' + i % 5));
+    gateways.push_back(gateway);
+  }
+  return gateways;
+}
+
+}  // namespace
+
+TEST_CASE("pools are divided") {
+  const std::vector<PoolPart> by_domain{
+      {kStage, "a"}, {kStage, "b"}, {kStage, "c"}};
+
+  SECTION("not while they are small") {
+    CHECK(DivideStage({{"a", 6}, {"b", 6}, {"c", 6}}) ==
+          std::vector<PoolPart>{kStage});
+    CHECK(DivideStage({}) == std::vector<PoolPart>{kStage});
+  }
+  SECTION("by failure domain when they are large") {
+    CHECK(DivideStage({{"a", 9}, {"b", 9}, {"c", 9}}) == by_domain);
+  }
+  SECTION("but for domains of few servers, which share a part") {
+    CHECK(DivideStage({{"a", 20}, {"b", 9}, {"c", 2}, {"d", 3}}) ==
+          std::vector<PoolPart>{{kStage, "a"}, {kStage, "b"}, kStage});
+  }
+  SECTION("and stay so when some servers go") {
+    const Owners held = OwnersOf(by_domain);
+    CHECK(DivideStage({{"a", 9}, {"b", 7}, {"c", 2}}, held) == by_domain);
+    CHECK(DivideStage({{"a", 2}, {"b", 2}, {"c", 2}}, held) ==
+          std::vector<PoolPart>{kStage});
+    // A domain without servers needs nobody.
+    CHECK(DivideStage({{"a", 9}, {"b", 9}}, held) ==
+          std::vector<PoolPart>{{kStage, "a"}, {kStage, "b"}});
+  }
+  SECTION("without servers that leave") {
+    auto servers = ServersIn(kStage, {{"a", 13}, {"b", 13}});
+    for (size_t i = 0; i < 13; ++i) {
+      servers[i].leaving_ = true;
+    }
+    const std::vector<PooledService> services{{kStage, false}};
+    CHECK(DividePools(services, servers, {}) == std::vector<PoolPart>{kStage});
+  }
+  SECTION("engines only when they are many") {
+    const std::vector<PooledService> services{{kEngines, true}};
+    CHECK(DividePools(services, ServersIn(kEngines, {{"a", 30}, {"b", 30}}),
+                      {}) == std::vector<PoolPart>{kEngines});
+    CHECK(DividePools(services, ServersIn(kEngines, {{"a", 60}, {"b", 60}}), {})
+              .size() == 2);
+  }
+}
+
+TEST_CASE("each server is in one part at any time") {
+  CHECK(rc::check("whatever servers come and go", [] {
+    Owners held;
+    for (int round = 0; round < 8; ++round) {
+      Counts counts;
+      for (const char* domain : {"a", "b", "c", "d", "e"}) {
+        counts[domain] = *rc::gen::inRange(0, 14);
+      }
+      const auto servers = ServersIn(kStage, counts);
+      const std::vector<PooledService> services{{kStage, false}};
+      const auto parts = DividePools(services, servers, held);
+      RC_ASSERT(!parts.empty());
+      held = OwnersOf(parts);
+      FleetView view;
+      view.SetServers(servers, TimePoint(seconds(1)));
+      view.SetOwners(1, held);
+      std::multiset<std::string> owned;
+      for (const PoolPart& part : parts) {
+        for (const BackendServer* server : view.ServersIn(part)) {
+          owned.insert(server->id_);
+        }
+      }
+      RC_ASSERT(owned.size() == servers.size());
+      for (const BackendServer& server : servers) {
+        RC_ASSERT(owned.count(server.id_) == 1);
+      }
+    }
+  }));
+}
+
+// Hundreds of gateways come, go, stop and start again.
+TEST_CASE("parts keep one gateway each") {
+  CHECK(rc::check("whatever gateways come and go", [] {
+    const std::vector<PooledService> services{{kStage, false}};
+    const auto servers =
+        ServersIn(kStage, {{"a", 9}, {"b", 9}, {"c", 9}, {"d", 9}, {"e", 8}});
+    PoolAssignment assignment;
+    TimePoint now{seconds(100)};
+    assignment.StartLeading(now, 1);
+    auto gateways = Gateways(40);
+    const auto all = gateways;
+    const auto parts = DividePools(services, servers, {});
+    now += seconds(3);
+    assignment.Update(parts, gateways, now);
+    uint64_t number = assignment.number();
+    Owners owners = assignment.owners();
+    for (int step = 0; step < 30; ++step) {
+      now += milliseconds(200);
+      const auto index = *rc::gen::inRange<size_t>(0, all.size());
+      const int what = *rc::gen::inRange(0, 3);
+      const auto known =
+          std::find_if(gateways.begin(), gateways.end(), [&](const Gateway& g) {
+            return g.endpoint_ == all[index].endpoint_;
+          });
+      if (known == gateways.end()) {
+        gateways.push_back(all[index]);
+        gateways.back().age_ = Duration();
+      } else if (what == 0 && gateways.size() > 20) {
+        gateways.erase(known);
+      } else if (what == 1) {
+        known->stopping_ = !known->stopping_;
+      }
+      assignment.Update(parts, gateways, now);
+      // Other owners never come under a number that was given before.
+      if (assignment.owners() != owners) {
+        RC_ASSERT(assignment.number() > number);
+      }
+      std::set<std::string> distinct;
+      size_t moved = 0;
+      for (const auto& [part, owner] : assignment.owners()) {
+        distinct.insert(owner);
+        moved += owners.at(part) != owner ? 1 : 0;
+      }
+      RC_ASSERT(assignment.owners().size() == parts.size());
+      RC_ASSERT(distinct.size() == parts.size());
+      // One gateway changed in a step, and another may have been missed since
+      // a step before; each has one part.
+      RC_ASSERT(moved <= 2);
+      number = assignment.number();
+      owners = assignment.owners();
+    }
+  }));
+
+  SECTION("near its servers") {
+    PoolAssignment assignment;
+    TimePoint now{seconds(100)};
+    assignment.StartLeading(now, 1);
+    const std::vector<PoolPart> parts{
+        {kStage, "a"}, {kStage, "c"}, {kEngines, "c"}};
+    const auto gateways = Gateways(40);
+    REQUIRE(assignment.Update(parts, gateways, now + seconds(3)));
+    for (const auto& [part, owner] : assignment.owners()) {
+      const auto found = std::find_if(gateways.begin(), gateways.end(),
+                                      [&owner = owner](const Gateway& gateway) {
+                                        return gateway.endpoint_ == owner;
+                                      });
+      REQUIRE(found != gateways.end());
+      CHECK(found->failure_domain_ == part.failure_domain_);
+    }
+  }
+}
+
+// An owner that is short of its processor or its link answers late. When all
+// its callers took it for lost and each chose a successor, many gateways called
+// the same servers.
+TEST_CASE("a part whose owner can't be reached") {
+  FleetView view;
+  view.SetOwners(3, {{{kStage, "a"}, "g1"},
+                     {{kStage, "b"}, "g2"},
+                     {{kStage, "c"}, "g3"},
+                     {"small", "g4"}});
+  view.SetGateways(
+      {{"g1", "a", false}, {"g2", "b", false}, {"g9", "a", false}});
+  OwnerTable table(&view, "g9");
+  const TimePoint now{seconds(100)};
+  REQUIRE(table.PartFor(kStage, "a", 7, now) == PoolPart(kStage, "a"));
+  table.MarkLost("g1", now);
+
+  SECTION("is not run by anybody else") {
+    CHECK(table.OwnerOf({kStage, "a"}, now) == "g1");
+  }
+  SECTION("gets no work; the other parts share it") {
+    std::map<PoolPart, int> chosen;
+    for (uint64_t spread = 0; spread < 100; ++spread) {
+      ++chosen[table.PartFor(kStage, "a", spread, now)];
+    }
+    CHECK(chosen.count({kStage, "a"}) == 0);
+    CHECK(chosen[{kStage, "b"}] == 50);
+    CHECK(chosen[{kStage, "c"}] == 50);
+  }
+  SECTION("is used again after a while, or once control names another one") {
+    CHECK(table.PartFor(kStage, "a", 7, now + seconds(3)) ==
+          PoolPart(kStage, "a"));
+    Owners owners = view.owners();
+    owners[{kStage, "a"}] = "g5";
+    view.SetOwners(4, owners);
+    CHECK(table.PartFor(kStage, "a", 7, now) == PoolPart(kStage, "a"));
+    CHECK(table.OwnerOf({kStage, "a"}, now) == "g5");
+  }
+  SECTION("is asked all the same when there is no other") {
+    for (const char* gateway : {"g2", "g3"}) {
+      table.MarkLost(gateway, now);
+    }
+    CHECK(table.OwnerOf(table.PartFor(kStage, "a", 7, now), now) != "g9");
+  }
+  SECTION("has a successor only where the pool is whole") {
+    table.MarkLost("g4", now);
+    CHECK(table.OwnerOf("small", now) != "g4");
+  }
+}
+
+TEST_CASE("work of a domain without a part goes to the rest") {
+  FleetView view;
+  view.SetOwners(3, {{{kStage, "a"}, "g1"}, {kStage, "g2"}});
+  const OwnerTable table(&view, "g9");
+  const TimePoint now{seconds(100)};
+  CHECK(table.PartFor(kStage, "d", 7, now) == PoolPart(kStage));
+  CHECK(table.PartFor(kStage, "a", 7, now) == PoolPart(kStage, "a"));
+}
+
+}  // namespace citronlane
--- a/tests/unit-stage-owners.cc
+++ b/tests/unit-stage-owners.cc
@@ -220,8 +220,8 @@
                 endpoint,
                 &view_,
                 &log_,
-                [this](const std::string& service) {
-                  return service == kService && runs_pools_ ? &pool_ : nullptr;
+                [this](const PoolPart& part) {
+                  return part == kService && runs_pools_ ? &pool_ : nullptr;
                 }),
         listener_(
             &net->io_,
@@ -1197,4 +1197,65 @@
   }
 }
 
+// Hundreds of callers, and an owner that is short of its processor or its link:
+// each took it for lost and made another gateway call the same servers.
+TEST_CASE("a task of a divided pool whose owner does not answer") {
+  Loopback net;
+  const std::string owner_endpoint = FreeEndpoint(&net.io_);
+  const std::string other_endpoint = FreeEndpoint(&net.io_);
+  const std::string idle_endpoint = FreeEndpoint(&net.io_);
+  PlayedOwner owner(&net, owner_endpoint);
+  PlayedOwner other(&net, other_endpoint);
+  PlayedOwner idle(&net, idle_endpoint);
+  FleetView view =
+      ViewOf(owner_endpoint, {owner_endpoint, other_endpoint, idle_endpoint});
+  BackendServer maker;
+  maker.id_ = maker.name_ = "s";
+  maker.service_ = kService;
+  maker.address_ = "10.0.0.1:1";
+  maker.failure_domain_ = "a";
+  view.SetServers({maker}, SteadyNow());
+  const PoolPart part_a(kService, "a");
+  const PoolPart part_b(kService, "b");
+  view.SetOwners(2, {{part_a, owner_endpoint}, {part_b, other_endpoint}});
+  Gateway gateway(&net, FreeEndpoint(&net.io_), view);
+  const auto ask_in_a = [&](const std::string& request) {
+    auto asked = std::make_shared<Asked>();
+    StageForecast forecast = ForecastOf(1);
+    forecast.failure_domain_ = "a";
+    asked->job_ =
+        gateway.owners_.Announce(kService, forecast, [](const StageWait&) {});
+    gateway.Submit(asked, request);
+    return asked;
+  };
+  const auto one = ask_in_a("one");
+  REQUIRE(net.Until([&] { return owner.tasks_.size() == 1; }));
+  gateway.owners_.Free(kService, {"10.0.0.1:1/made"});
+  REQUIRE(net.Until([&] { return owner.freed_.size() == 1; }));
+  PassInSilence(&gateway);
+  REQUIRE(net.Until([&] { return other.tasks_.size() == 1; }));
+
+  SECTION("goes to another part, not to a second owner of its servers") {
+    other.Answer(one->job_, {"h/one"});
+    REQUIRE(net.Until([&] { return one->done_ == 1; }));
+    CHECK(one->outcome_.handles_ == Handles{"h/one"});
+    CHECK(idle.tasks_.empty());
+  }
+  SECTION("takes new tasks of its domain elsewhere for a while") {
+    ask_in_a("two");
+    REQUIRE(net.Until([&] { return other.tasks_.size() == 2; }));
+    CHECK(owner.tasks_.size() == 1);
+    CHECK(idle.tasks_.empty());
+  }
+  SECTION("has results freed by the next one that control names") {
+    gateway.owners_.Tick(SteadyNow());
+    CHECK(other.freed_.empty());
+    gateway.view_.SetOwners(
+        3, {{part_a, idle_endpoint}, {part_b, other_endpoint}});
+    gateway.owners_.Tick(SteadyNow());
+    REQUIRE(net.Until([&] { return !idle.freed_.empty(); }));
+    CHECK(idle.freed_ == Handles{"10.0.0.1:1/made"});
+  }
+}
+
 }  // namespace citronlane
