--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -89,6 +89,10 @@
                                           Metric::Kind::kGauge,
                                           "Requests being served.",
                                           {}};
+inline constexpr Metric kPoolTasks{
+    "citronlane_pool_tasks", Metric::Kind::kGauge,
+    "Stage tasks in hand in a pool, or part of one, that this gateway runs.",
+    metric_labels::kPool};
 inline constexpr Metric kReady{"citronlane_ready",
                                Metric::Kind::kGauge,
                                "1 when new work is taken, else 0.",
@@ -139,6 +143,7 @@
     &kRefusalsUnrecordedTotal,
     &kConnections,
     &kRequestsInFlight,
+    &kPoolTasks,
     &kReady,
     &kConfigVersion,
     &kBuildInfo,
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -62,6 +62,7 @@
   void TakeServers(std::vector<BackendServer> servers,
                    size_t unusable,
                    TimePoint read);
+  void TakeOwners(uint64_t number, PoolAssignment::Owners owners);
   void NoteUnusable(size_t unusable);
   void ReadStaleList(TimePoint now);
   void Reload();
--- a/include/citronlane/relay/stage_runner.h
+++ b/include/citronlane/relay/stage_runner.h
@@ -52,10 +52,9 @@
   /// divided pools; empty when there is none. `random` says which.
   std::string OtherDomain(uint64_t random) const;
   /// Announces the request in another failure domain too and stays where it
-  /// should be done sooner; suspends the handler for a moment.
-  void CompareWith(std::string failure_domain);
-  /// Where divided pools make it.
-  const std::string& failure_domain() const { return failure_domain_; }
+  /// should be done sooner, which it returns; suspends the handler for a
+  /// moment.
+  std::string CompareWith(std::string failure_domain);
 
   /// How long it takes until the request's own answer begins, by what the pools
   /// said when it was announced: behind everything that waits there, or only
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -16,17 +16,15 @@
 constexpr Duration kNewFleetTime = std::chrono::milliseconds(150);
 /// A gateway whose connection was reset is back sooner.
 constexpr Duration kMissingTime = std::chrono::milliseconds(300);
-/// A new leader gives owners that it has not seen yet this long to find it.
-/// When it moved their pools after 0.9 s, few gateways were there, and one of
-/// them got all pools: more than its link and its part of a core could carry,
-/// so that a full pool's servers made a quarter fewer calls.
+/// A new leader gives owners that it has not seen yet this long to find it:
+/// sooner few gateways are there, and they would get more pools than their links
+/// and their processors carry.
 constexpr Duration kFindingTime = std::chrono::seconds(2);
 /// A gateway that has run this long is not one that fails at each start.
 constexpr Duration kSettledAge = std::chrono::seconds(3);
 /// Bits of a number that count a leader's changes; its term stands above them.
-/// Numbers that only counted on were given twice when a leader was cut off:
-/// gateways then held two owners of a pool under one number until the next
-/// change, and each pool's servers refused or dropped what the other one sent.
+/// A leader that is cut off and its successor would else give one number to
+/// different owners.
 constexpr int kChangeBits = 24;
 
 /// Endpoint of the gateway that is highest by `order`; there is one.
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -195,6 +195,10 @@
   hooks.serve_ = [this](size_t, const HttpRequest&, HttpExchange* exchange) {
     metrics_.Set(kRequestsInFlight, {},
                  static_cast<double>(relay_.requests_in_hand()));
+    for (const auto& [part, pool] : pools_) {
+      metrics_.Set(kPoolTasks, {part.Name()},
+                   static_cast<double>(pool->tasks()));
+    }
     metrics_.Set(kReady, {}, IsReady() ? 1 : 0);
     const auto& config = view_.config();
     metrics_.Set(kConfigVersion, {},
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -50,10 +50,29 @@
     view_.SetGateways(std::move(gateways));
   }
   if (update->has_owners()) {
-    view_.SetOwners(update->owners().number(), DecodeOwners(update->owners()));
+    TakeOwners(update->owners().number(), DecodeOwners(update->owners()));
   }
 }
 
+void GatewayHost::Impl::TakeOwners(uint64_t number,
+                                   PoolAssignment::Owners owners) {
+  const uint64_t before = view_.owners_number();
+  view_.SetOwners(number, std::move(owners));
+  if (view_.owners_number() == before) {
+    return;
+  }
+  std::string own;
+  for (const auto& [part, owner] : view_.owners()) {
+    if (owner == settings_.internal_listen_) {
+      own += (own.empty() ? "" : " ") + part.Name();
+    }
+  }
+  log_->Write("gateway", "owners changed",
+              {{"number", number},
+               {"parts", static_cast<uint64_t>(view_.owners().size())},
+               {"own", own}});
+}
+
 void GatewayHost::Impl::TakeConfig(const std::string& document) {
   std::vector<std::string> faults;
   auto config = dialect_->read_config_(document, &faults);
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -146,8 +146,14 @@
   if (other.empty()) {
     return;
   }
-  stages_.CompareWith(other);
-  home_domain_ = stages_.failure_domain();
+  const std::string home =
+      std::exchange(home_domain_, stages_.CompareWith(other));
+  context_->log_->Write("relay", "home is full",
+                        {{"request", job_->head_.request_id_},
+                         {"home", home},
+                         {"asked", other},
+                         {"stages_in", home_domain_},
+                         {"expected_ms", stages_.ExpectedTime(false)}});
 }
 
 bool RelayRequest::RunStages() {
@@ -414,6 +420,7 @@
        {"server", last_server_},
        {"tried", static_cast<uint64_t>(tried_.size())},
        {"last_failure", last_failure_},
+       {"stages_in", home_domain_},
        {"stages_ms", stages_took_},
        {"stages_expected_ms", expected_},
        {"first_event_ms", first_event_after_},
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -20,9 +20,8 @@
 namespace {
 
 /// How long a request waits for the gateway's first configuration: control VMs
-/// that start together with it have one to give within about 0.4 s. A caller
-/// that was refused instead came back once, too late for any target: 29 and 45
-/// requests at the end of two days on 8 gateways.
+/// that start together with it have one to give well before. A caller that was
+/// refused instead would come back too late for its target.
 constexpr Duration kConfigWait = std::chrono::milliseconds(600);
 /// Nor longer than this part of the time that the caller has.
 constexpr int kConfigWaitPart = 4;
--- a/src/relay/stage_runner.cc
+++ b/src/relay/stage_runner.cc
@@ -103,7 +103,7 @@
   AnnounceAll();
 }
 
-void StageRunner::CompareWith(std::string failure_domain) {
+std::string StageRunner::CompareWith(std::string failure_domain) {
   const Duration here = ExpectedTime(false);
   const std::vector<Stage> announced_here = stages_;
   const std::string domain_here =
@@ -119,6 +119,7 @@
       owners_->Cancel(*stage.job_);
     }
   }
+  return failure_domain_;
 }
 
 void StageRunner::AnnounceAll() {
--- a/src/routing/engine_router.cc
+++ b/src/routing/engine_router.cc
@@ -17,9 +17,7 @@
 /// read before, and makes the pauses between the events of others too long.
 constexpr double kLongPrompt = 8000;
 /// What reading a token again costs that another engine keeps, in tokens of
-/// waiting: what it costs users, against the worth of a request that is late.
-/// Without it, more than twice as much was paid for shared tokens read again on
-/// 8 gateways; with 8 instead of 4 mean worth did not change there.
+/// waiting: what it costs users, against a request that is late.
 constexpr double kReadAgain = 4;
 /// Engines keep a part at least this long after its last use.
 constexpr Duration kKeptTime = std::chrono::seconds(15);
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -15,10 +15,7 @@
 /// What a step of urgency is worth against the time to the target.
 constexpr Duration kPriorityStep = std::chrono::milliseconds(800);
 /// A task of the usual size goes this much after one of no size: a full pool
-/// serves more requests when the small ones go first. On two deployments' days
-/// with bursts mean worth rose from 0.340 to 0.418 and from 0.503 to 0.546
-/// (late requests waited a little less too); at 1,000 ms it was 0.379 and
-/// 0.538.
+/// serves more requests when the small ones go first.
 constexpr Duration kSizeStep = std::chrono::milliseconds(400);
 /// Larger tasks wait no longer than ones of this many times the usual size.
 constexpr double kLargestSize = 3;
@@ -28,9 +25,8 @@
 constexpr Duration kOverdue = std::chrono::milliseconds(100);
 /// Part of the best throughput that calls reach: some are not full.
 constexpr double kReachedPart = 0.8;
-/// Tasks that missed their target come after all that may meet it. Serving them
-/// first when their callers were about to leave made everybody late in bursts:
-/// the mean worth of six days with bursts was 0.05 and 0.10 lower.
+/// Tasks that missed their target come after all that may meet it: served first
+/// they would make the others late too.
 constexpr Duration kLateTasksBehind = std::chrono::seconds(10);
 
 }  // namespace
@@ -166,10 +162,8 @@
 
 // A busy server near the task's data is waited for as long as the task still
 // meets its target there, and as long as the next calls of the servers there
-// can carry all that waits for them. On a deployment of 8 gateways bytes
-// between failure domains fell from 0.051 to 0.023 of the credit owed, for
-// 0.009 less of it earned; waits of 100 ms, and none for more than a call's
-// pieces, left half of all pieces to servers elsewhere.
+// can carry all that waits for them: bytes between failure domains have a
+// price, and the answer is not late for it.
 bool StageBatcher::WaitsForNearServer(const Task& task,
                                       const Nearby& nearby) const {
   return nearby.servers_ > 0 &&
--- a/src/stages/stage_batcher_calls.cc
+++ b/src/stages/stage_batcher_calls.cc
@@ -9,15 +9,13 @@
 namespace {
 
 /// What a server near a task's data is worth when servers are busy: bytes
-/// between failure domains have their price. With 400 ms instead of 150, and
-/// small results fetched from anywhere, a seventh to a fifth less was paid.
+/// between failure domains have their price.
 constexpr Duration kFarStep = std::chrono::milliseconds(400);
 /// A call that takes longer than this is given up.
 constexpr Duration kLongestCall = std::chrono::seconds(5);
 /// A server that will be free this soon gets its next call now, to wait there:
-/// the way to it and back, and its sender's wait for the processor, passed
-/// between two calls of a full pool, which began 0.425 s after each other, and
-/// with this 0.405 s. Worth did not change by more than noise.
+/// else the way to it and back, and its sender's wait for the processor, pass
+/// between two calls of a full pool.
 constexpr Duration kSendAhead = std::chrono::milliseconds(60);
 /// Only calls that are this full are sent ahead: pieces that come meanwhile
 /// could have filled others.
--- a/src/stages/stage_batcher_results.cc
+++ b/src/stages/stage_batcher_results.cc
@@ -162,8 +162,8 @@
 
 // A piece was dropped for want of room. Handles of calls that were under way
 // when a gateway was killed are known to nobody: the next one's calls found no
-// room for as long as results are kept, and worth was lower by 0.1 on days when
-// that happened. Half of the room is about what calls under way can fill.
+// room for as long as results are kept. Half of the room is about what calls
+// under way can fill.
 void StageBatcher::TakeNoRoom(Server* server, uint64_t bytes, TimePoint now) {
   server->suspended_until_ = now + kRefusedPause;
   const bool may_be_left =
--- a/src/stages/stage_batcher_time.cc
+++ b/src/stages/stage_batcher_time.cc
@@ -17,9 +17,8 @@
 
 }  // namespace
 
-// What can't be done any more takes no places in calls: where late tasks waited
-// longer than their inputs last, 6 in 100 pieces of a full pool were for
-// nothing.
+// What can't be done any more takes no places in calls: late tasks may wait
+// longer than their inputs last.
 void StageBatcher::EndHopelessTasks(TimePoint now) {
   std::vector<uint64_t> late;
   std::vector<uint64_t> without_inputs;
