Serve a fleet that has just started: pools divided, lists awaited

Change: without owners a gateway divides pools by its own list, and all turn to the same successors, which the first leader names; a request waits for the first list as for the first configuration; an owner without a list tells no wait.

Tests: unit-pool-parts 'a new fleet divides its pools', unit-relay-service 'and for the first list of servers' (new cases).

--- a/include/citronlane/fleet/pool_assignment.h
+++ b/include/citronlane/fleet/pool_assignment.h
@@ -32,9 +32,9 @@
     std::string failure_domain_ = {};
   };
 
-  /// While the owner of a pool that is not divided can't be reached, gateways
-  /// turn to the one of the others that is first by this order, and the leader
-  /// names the same one when it finds the owner lost. Higher is better. Thread
+  /// While a part of a new fleet has no owner yet, or the owner of a pool that
+  /// is not divided can't be reached, gateways turn to the one that is first by
+  /// this order, and the leader names the same one. Higher is better. Thread
   /// safe.
   using Order = std::tuple<bool, bool, uint64_t>;
   static Order SuccessorOrder(const PoolPart& part,
--- a/include/citronlane/fleet/pooled_service.h
+++ b/include/citronlane/fleet/pooled_service.h
@@ -2,9 +2,12 @@
 #define CITRONLANE_FLEET_POOLED_SERVICE_H_
 
 #include <string>
+#include <vector>
 
 namespace citronlane {
 
+class ServingConfig;
+
 /// A declared service for whose servers gateways decide on behalf of all.
 struct PooledService {
   std::string name_;
@@ -13,6 +16,9 @@
   bool has_engines_ = false;
 };
 
+/// Those that a configuration declares. Thread safe.
+std::vector<PooledService> PooledServicesOf(const ServingConfig& config);
+
 }  // namespace citronlane
 
 #endif  // CITRONLANE_FLEET_POOLED_SERVICE_H_
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -45,8 +45,9 @@
   std::vector<const BackendServer*> ServersOf(std::string_view service) const;
   /// Those of them that are in this part.
   std::vector<const BackendServer*> ServersIn(const PoolPart& part) const;
-  /// Parts that control has divided the service's pool into; the whole pool
-  /// while none are known. Never empty.
+  /// Parts that control has divided the service's pool into, or, as long as it
+  /// has named no owners at all, what it would divide it into by this view's
+  /// list. Never empty.
   std::vector<PoolPart> PartsOf(const std::string& service) const;
   /// The part that holds the service's servers of a failure domain.
   PoolPart PartIn(const std::string& service,
@@ -59,6 +60,8 @@
   std::string DomainAt(std::string_view address) const;
   /// Rises with each change of the list.
   uint64_t servers_number() const { return servers_number_; }
+  /// Rises whenever ServersIn may have changed.
+  uint64_t parts_number() const { return parts_number_; }
   /// Age of the list; nothing until one was read.
   std::optional<Duration> ServersAge(TimePoint now) const;
   const std::vector<Gateway>& gateways() const { return gateways_; }
@@ -69,6 +72,8 @@
   size_t GatewayCount() const;
 
  private:
+  void DividePoolsAnew();
+
   std::shared_ptr<const ServingConfig> config_;
   std::vector<BackendServer> servers_;
   ServerStarts starts_;
@@ -80,6 +85,9 @@
   size_t most_gateways_ = 0;
   uint64_t owners_number_ = 0;
   PoolAssignment::Owners owners_;
+  /// By service; used while there are no owners.
+  std::map<std::string, std::vector<PoolPart>> division_;
+  uint64_t parts_number_ = 0;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/relay_service.h
+++ b/include/citronlane/relay/relay_service.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_RELAY_RELAY_SERVICE_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -9,6 +10,7 @@
 #include <string_view>
 
 #include "citronlane/base/refusal_reason.h"
+#include "citronlane/base/time.h"
 #include "citronlane/relay/relay_job.h"
 
 namespace citronlane {
@@ -33,8 +35,8 @@
 
   /// The process ends at `deadline`: no request is taken that takes longer.
   void SetStopDeadline(TimePoint deadline) { stop_deadline_ = deadline; }
-  /// The gateway has its first configuration.
-  void ConfigArrived();
+  /// The gateway has its first configuration, or its first list of servers.
+  void ViewArrived();
   /// Gives every caller in hand a final answer now. A connection that closes
   /// without one leaves its caller not knowing what happened.
   void GiveUpAll();
@@ -42,7 +44,10 @@
   size_t requests_in_hand() const { return in_hand_.size(); }
 
  private:
-  bool AwaitConfig(const HttpRequest& request, HttpExchange* exchange);
+  bool Await(const std::function<bool()>& condition,
+             TimePoint arrived,
+             const HttpRequest& request,
+             HttpExchange* exchange);
   /// Fills `job`; a reason when the request is not to be served.
   std::optional<RefusalReason> Admit(const HttpRequest& request,
                                      RelayJob* job) const;
@@ -54,7 +59,7 @@
   const size_t most_requests_;
   TimePoint stop_deadline_ = TimePoint::max();
   std::map<RelayRequest*, RelayJob*> in_hand_;
-  std::set<std::shared_ptr<Waker>> awaiting_config_;
+  std::set<std::shared_ptr<Waker>> awaiting_view_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -105,8 +105,7 @@
   RepeatBudget budget_;
   StageBatcher batcher_;
   StageReplyCheck reply_check_;
-  uint64_t servers_number_ = 0;
-  uint64_t owners_number_ = 0;
+  uint64_t parts_number_ = 0;
   uint64_t config_version_ = 0;
   struct Waiting {
     Done done_;
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -223,12 +223,7 @@
                  {"faults", static_cast<uint64_t>(faults.size())}});
     return pooled_services_;
   }
-  pooled_services_.clear();
-  for (const Service& service : config->services()) {
-    if (service.stage_pool_ || service.engine_) {
-      pooled_services_.push_back({service.name_, service.engine_.has_value()});
-    }
-  }
+  pooled_services_ = PooledServicesOf(*config);
   return pooled_services_;
 }
 
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -17,8 +17,8 @@
 /// A gateway whose connection was reset is back sooner.
 constexpr Duration kMissingTime = std::chrono::milliseconds(300);
 /// A new leader gives owners that it has not seen yet this long to find it:
-/// sooner few gateways are there, and they would get more pools than their links
-/// and their processors carry.
+/// sooner few gateways are there, and they would get more pools than their
+/// links and their processors carry.
 constexpr Duration kFindingTime = std::chrono::seconds(2);
 /// A gateway that has run this long is not one that fails at each start.
 constexpr Duration kSettledAge = std::chrono::seconds(3);
@@ -161,8 +161,9 @@
     if (owned != owners_.end()) {
       owners_.erase(owned);
     }
-    // Nobody turns to a successor by itself where there are other parts.
-    const bool has_successor = !part.IsOfDomain() && (is_lost || is_new);
+    // Nobody turns to the successor of a lost owner where there are other
+    // parts.
+    const bool has_successor = is_new || (is_lost && !part.IsOfDomain());
     owners_[part] =
         has_successor ? Successor(gateways, part) : Choose(gateways, part);
     sights_[part] = Sight{std::nullopt, true};
--- a/src/relay/engine_placement.cc
+++ b/src/relay/engine_placement.cc
@@ -1,6 +1,8 @@
 #include "citronlane/relay/engine_placement.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -70,12 +72,15 @@
     const std::string& service,
     const std::string& failure_domain) const {
   PoolPart part = view_->PartIn(service, failure_domain);
-  // The pool is divided, and the domain's engines are in no part.
+  if (!owners_.IsDivided(service)) {
+    return part;
+  }
+  const std::vector<PoolPart> parts = view_->PartsOf(service);
   const bool is_known =
-      view_->owners().count(part) != 0 || !owners_.IsDivided(service);
-  const bool is_out =
-      owners_.IsDivided(service) && owners_.IsOut(part, SteadyNow());
-  return is_known && !is_out ? std::optional(std::move(part)) : std::nullopt;
+      std::find(parts.begin(), parts.end(), part) != parts.end();
+  return is_known && !owners_.IsOut(part, SteadyNow())
+             ? std::optional(std::move(part))
+             : std::nullopt;
 }
 
 bool EnginePlacement::IsHere(const PoolPart& part) const {
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "citronlane/fleet/pool_division.h"
+#include "citronlane/fleet/pooled_service.h"
+
 namespace citronlane {
 namespace {
 
@@ -16,6 +19,7 @@
     return false;
   }
   config_ = std::move(config);
+  DividePoolsAnew();
   return true;
 }
 
@@ -36,6 +40,19 @@
     by_id_[servers_[i].id_] = i;
     by_address_[servers_[i].address_] = i;
   }
+  DividePoolsAnew();
+}
+
+void FleetView::DividePoolsAnew() {
+  ++parts_number_;
+  division_.clear();
+  if (!owners_.empty() || !config_) {
+    return;
+  }
+  for (PoolPart& part :
+       DividePools(PooledServicesOf(*config_), servers_, owners_)) {
+    division_[part.service_].push_back(std::move(part));
+  }
 }
 
 void FleetView::ConfirmServers(TimePoint read) {
@@ -53,6 +70,7 @@
   if (number > owners_number_) {
     owners_number_ = number;
     owners_ = std::move(owners);
+    DividePoolsAnew();
   }
 }
 
@@ -84,6 +102,10 @@
        it != owners_.end() && it->first.service_ == service; ++it) {
     parts.push_back(it->first);
   }
+  const auto divided = division_.find(service);
+  if (parts.empty() && divided != division_.end()) {
+    return divided->second;
+  }
   if (parts.empty()) {
     parts.emplace_back(service);
   }
@@ -93,7 +115,13 @@
 PoolPart FleetView::PartIn(const std::string& service,
                            const std::string& failure_domain) const {
   PoolPart part(service, failure_domain);
-  return owners_.count(part) != 0 ? part : PoolPart(service);
+  const auto divided = division_.find(service);
+  const bool is_there =
+      owners_.count(part) != 0 ||
+      (divided != division_.end() &&
+       std::find(divided->second.begin(), divided->second.end(), part) !=
+           divided->second.end());
+  return is_there ? part : PoolPart(service);
 }
 
 const BackendServer* FleetView::FindServer(std::string_view id) const {
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -85,7 +85,7 @@
   const uint64_t version = config->version();
   if (view_.SetConfig(std::move(config))) {
     ApplyLimits();
-    relay_.ConfigArrived();
+    relay_.ViewArrived();
     log_->Write("gateway", "config in force", {{"version", version}});
   }
 }
@@ -99,6 +99,7 @@
   if (view_.servers_number() == before) {
     return;
   }
+  relay_.ViewArrived();
   log_->Write(
       "gateway", "server list changed",
       {{"number", view_.servers_number()},
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -19,12 +19,13 @@
 namespace citronlane {
 namespace {
 
-/// How long a request waits for the gateway's first configuration: control VMs
-/// that start together with it have one to give well before. A caller that was
-/// refused instead would come back too late for its target.
-constexpr Duration kConfigWait = std::chrono::milliseconds(600);
+/// How long a request waits for the gateway's first configuration and its first
+/// list of servers: control VMs that start together with it have them to give
+/// well before. A caller that was refused instead would come back too late for
+/// its target.
+constexpr Duration kViewWait = std::chrono::milliseconds(600);
 /// Nor longer than this part of the time that the caller has.
-constexpr int kConfigWaitPart = 4;
+constexpr int kViewWaitPart = 4;
 
 // The name without its port.
 std::string_view HostName(std::string_view host) {
@@ -42,47 +43,58 @@
 void RelayService::Serve(const HttpRequest& request, HttpExchange* exchange) {
   RelayJob job;
   job.arrived_ = SteadyNow();
-  if (!AwaitConfig(request, exchange)) {
+  const auto has_config = [this] {
+    return context_->view_->config() != nullptr;
+  };
+  if (!Await(has_config, job.arrived_, request, exchange)) {
     return;
   }
   if (const auto reason = Admit(request, &job)) {
     Refuse(job, *reason, exchange);
     return;
   }
+  const auto has_list = [this] {
+    return context_->view_->ServersAge(SteadyNow()).has_value();
+  };
+  if (!Await(has_list, job.arrived_, request, exchange)) {
+    return;
+  }
   RelayRequest relay(context_, &job, &request, exchange);
   in_hand_[&relay] = &job;
   relay.Run();
   in_hand_.erase(&relay);
 }
 
-// Whether the caller is still there.
-bool RelayService::AwaitConfig(const HttpRequest& request,
-                               HttpExchange* exchange) {
-  if (context_->view_->config() || awaiting_config_.size() >= most_requests_) {
+// Returns whether the caller is still there when the condition holds or the
+// time is up.
+bool RelayService::Await(const std::function<bool()>& condition,
+                         TimePoint arrived,
+                         const HttpRequest& request,
+                         HttpExchange* exchange) {
+  if (condition() || awaiting_view_.size() >= most_requests_) {
     return true;
   }
   const auto time_left =
       context_->dialect_->read_request_(request.headers_).time_left_;
   const Duration longest =
-      std::min(kConfigWait, time_left.value_or(kConfigWait) / kConfigWaitPart);
+      std::min(kViewWait, time_left.value_or(kViewWait) / kViewWaitPart);
   const auto waker = std::make_shared<Waker>(context_->io_, exchange);
-  awaiting_config_.insert(waker);
-  waker->WaitUntil([this] { return context_->view_->config() != nullptr; },
-                   SteadyNow() + longest);
-  awaiting_config_.erase(waker);
+  awaiting_view_.insert(waker);
+  waker->WaitUntil(condition, arrived + longest);
+  awaiting_view_.erase(waker);
   const bool is_gone = waker->caller_gone();
   waker->Detach();
   return !is_gone;
 }
 
-void RelayService::ConfigArrived() {
-  for (const auto& waker : awaiting_config_) {
+void RelayService::ViewArrived() {
+  for (const auto& waker : awaiting_view_) {
     waker->Wake();
   }
 }
 
 void RelayService::GiveUpAll() {
-  for (const auto& waker : awaiting_config_) {
+  for (const auto& waker : awaiting_view_) {
     waker->Expire();
   }
   for (const auto& [relay, job] : in_hand_) {
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -80,7 +80,9 @@
     if (StagePool* pool = pool_(job.part_)) {
       const StageWait wait = pool->ExpectedWait(forecast, now);
       job.local_ = pool->Announce(forecast);
-      job.wait_known_(wait);
+      if (view_->ServersAge(now)) {
+        job.wait_known_(wait);
+      }
     }
     return;
   }
--- a/src/relay/stage_owners_serve.cc
+++ b/src/relay/stage_owners_serve.cc
@@ -4,6 +4,7 @@
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/frame_channel.h"
+#include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/stage_owners.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/relay/stage_task_codec.h"
@@ -59,7 +60,11 @@
   wait->set_job(announcement.job());
   EncodeWait(pool->ExpectedWait(forecast, now), wait);
   announced_[key] = Served{part, pool->Announce(forecast)};
-  channel->Send(reply);
+  // Without a list of servers it knows no wait: the request goes on as if there
+  // were none.
+  if (view_->ServersAge(now)) {
+    channel->Send(reply);
+  }
 }
 
 void StageOwners::DropAnnouncement(const ServedKey& key) {
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -85,10 +85,8 @@
 }
 
 void StagePool::Tick(TimePoint now) {
-  if (servers_number_ != view_->servers_number() ||
-      owners_number_ != view_->owners_number()) {
-    servers_number_ = view_->servers_number();
-    owners_number_ = view_->owners_number();
+  if (parts_number_ != view_->parts_number()) {
+    parts_number_ = view_->parts_number();
     batcher_.SetServers(view_->ServersIn(part_));
   }
   const auto& config = view_->config();
--- a/tests/unit-pool-parts.cc
+++ b/tests/unit-pool-parts.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -11,6 +12,8 @@
 #include "citronlane/fleet/pool_division.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/owner_table.h"
+#include "citronlane/serving/serving_config.h"
+#include "citronlane/serving/stage_pool_spec.h"
 
 namespace citronlane {
 namespace {
@@ -271,4 +274,54 @@
   CHECK(table.PartFor(kStage, "a", 7, now) == PoolPart(kStage, "a"));
 }
 
+// A loss of power of all VMs under load: for a second nobody has named owners,
+// and one gateway for a whole pool would be more than it can carry.
+TEST_CASE("a new fleet divides its pools before control has named owners") {
+  const auto servers =
+      ServersIn(kStage, {{"a", 9}, {"b", 9}, {"c", 9}, {"d", 9}, {"e", 8}});
+  ServingConfig::Parts declared;
+  Service service;
+  service.name_ = kStage;
+  service.stage_pool_ = StagePoolSpec();
+  declared.services_.push_back(service);
+  auto gateways = Gateways(40);
+  FleetView view;
+  view.SetConfig(std::make_shared<const ServingConfig>(std::move(declared)));
+  std::vector<FleetView::Gateway> known;
+  for (Gateway& gateway : gateways) {
+    gateway.age_ = seconds(1);
+    known.push_back({gateway.endpoint_, gateway.failure_domain_, false});
+  }
+  view.SetGateways(known);
+  CHECK(view.PartsOf(kStage) == std::vector<PoolPart>{kStage});
+  const uint64_t before = view.parts_number();
+  view.SetServers(servers, TimePoint(seconds(1)));
+  CHECK(view.parts_number() > before);
+  const auto parts = view.PartsOf(kStage);
+  CHECK(parts.size() == 5);
+  CHECK(view.PartIn(kStage, "a") == PoolPart(kStage, "a"));
+  CHECK(view.ServersIn({kStage, "a"}).size() == 9);
+
+  SECTION("alike at all gateways, and the first leader names the same") {
+    PoolAssignment assignment;
+    const TimePoint now{seconds(100)};
+    assignment.StartLeading(now, 1);
+    REQUIRE(assignment.Update(parts, gateways, now + milliseconds(200)));
+    const OwnerTable one(&view, "g3");
+    const OwnerTable other(&view, "g4");
+    size_t same = 0;
+    for (const PoolPart& part : parts) {
+      CHECK(one.OwnerOf(part, now) == other.OwnerOf(part, now));
+      same += one.OwnerOf(part, now) == assignment.owners().at(part) ? 1 : 0;
+    }
+    // Two parts whose successor is one gateway are told apart by the leader.
+    CHECK(same >= parts.size() - 1);
+  }
+  SECTION("and goes by what control names from then on") {
+    view.SetOwners(1, {{kStage, "g7"}});
+    CHECK(view.PartsOf(kStage) == std::vector<PoolPart>{kStage});
+    CHECK(view.PartIn(kStage, "a") == PoolPart(kStage));
+  }
+}
+
 }  // namespace citronlane
--- a/tests/unit-relay-service.cc
+++ b/tests/unit-relay-service.cc
@@ -56,7 +56,7 @@
   RelayService service(&context, kMostRequests);
   HttpRequest request;
   request.method_ = "GET";
-  request.target_ = "/nowhere";
+  request.target_ = "/nowhere/";
   request.headers_ = {{"Host", "h"}};
   RecordedCaller caller(&io);
 
@@ -65,13 +65,38 @@
       ServingConfig::Parts parts;
       parts.version_ = 1;
       view.SetConfig(std::make_shared<const ServingConfig>(parts));
-      service.ConfigArrived();
+      service.ViewArrived();
     });
     service.Serve(request, &caller);
     REQUIRE(caller.reply_);
     // It names no such route: an answer by the configuration that came.
     CHECK(caller.reply_->status_ == 404);
   }
+  SECTION("and for the first list of servers") {
+    // All servers would seem to be gone: it would be refused at once.
+    ServingConfig::Parts parts;
+    parts.version_ = 1;
+    Service service_declared;
+    service_declared.name_ = "s";
+    parts.services_ = {service_declared};
+    Route route;
+    route.name_ = "r";
+    route.host_ = "h";
+    route.prefix_ = "/nowhere/";
+    route.is_public_ = true;
+    route.split_ = {{"s", 1}};
+    parts.routes_ = {route};
+    view.SetConfig(std::make_shared<const ServingConfig>(parts));
+    bool has_left = false;
+    boost::asio::post(io, [&] {
+      CHECK_FALSE(caller.reply_);
+      caller.Leave();
+      has_left = true;
+    });
+    service.Serve(request, &caller);
+    CHECK(has_left);
+    CHECK_FALSE(caller.reply_);
+  }
   SECTION("not for long against the time that the caller has") {
     time_left = milliseconds(4);
     service.Serve(request, &caller);
