--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -33,16 +33,17 @@
 
 
 class Fleet:
-    """`controls` and `gateways` say how many."""
+    """`controls`, `gateways` and `stages`, servers of the stage pool, say how
+    many."""
 
-    def __init__(self, controls=3, gateways=2):
+    def __init__(self, controls=3, gateways=2, stages=2):
         self.folder = tempfile.mkdtemp(prefix="citronlane-platform-")
         self.net = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
         self.ports = {name: free_port() for name in
                       ("front", "ready", "control", "inner")}
         self.version = 0
         self.document = None
-        self._make_servers()
+        self._make_servers(stages)
         self.control_ips = [f"{self.net}.{i + 1}" for i in range(controls)]
         self.gateway_ips = [f"{self.net}.{i + 101}" for i in range(gateways)]
         self.seeds = [f"{ip}:{self.ports['control']}"
@@ -53,14 +54,14 @@
         for ip in self.gateway_ips:
             self.start_gateway(ip)
 
-    def _make_servers(self):
+    def _make_servers(self, stages):
         ip = f"{self.net}.200"
         self.engines = [Engine(ip, "models", f"e{i}", "ab"[i])
                         for i in range(2)]
         self.plain = [PlainServer(ip, "shop", f"p{i}", "ab"[i])
                       for i in range(2)]
-        self.stages = [StageServer(ip, "cut", f"c{i}", "ab"[i])
-                       for i in range(2)]
+        self.stages = [StageServer(ip, "cut", f"c{i}", "ab"[i % 2])
+                       for i in range(stages)]
         self.list = ServerList(ip, self.engines + self.plain + self.stages)
 
     def settings(self, ip, name, listen, **more):
--- a/tests/process/platform_soak.py
+++ b/tests/process/platform_soak.py
@@ -35,7 +35,7 @@
 class Soak:
     """One seed: `faults` holds every broken promise, a line each."""
 
-    def __init__(self, seed, seconds):
+    def __init__(self, seed, seconds, stages=2):
         self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
@@ -45,7 +45,7 @@
         self.acked = 0
         self.running = True
         self.lock = threading.Lock()
-        self.fleet = Fleet(controls=3, gateways=3)
+        self.fleet = Fleet(controls=3, gateways=3, stages=stages)
         self.account = ""
         self.kept = 0  # Requests on a connection that had been used before.
         self.stops_overlapped = 0
@@ -350,11 +350,13 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--stages", type=int, default=2,
+                        help="servers of the stage pool; 26 divide it")
     parser.add_argument("--output", default=OUTPUT)
     options = parser.parse_args()
     broken = 0
     for seed in range(options.first, options.first + options.seeds):
-        soak = Soak(seed, options.seconds)
+        soak = Soak(seed, options.seconds, options.stages)
         try:
             soak.run()
         except Exception:
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -15,10 +15,11 @@
 class FleetTestCase(unittest.TestCase):
     controls = 3
     gateways = 2
+    stages = 2
 
     @classmethod
     def setUpClass(cls):
-        cls.fleet = Fleet(cls.controls, cls.gateways)
+        cls.fleet = Fleet(cls.controls, cls.gateways, cls.stages)
         cls.addClassCleanup(cls.fleet.close)
         try:
             cls.fleet.start()
