--- a/include/citronlane/net/frame_link.h
+++ b/include/citronlane/net/frame_link.h
@@ -55,6 +55,9 @@
 
   const std::string& endpoint() const;
   bool is_connected() const;
+  /// When the last bytes came in on the present connection, or when it was
+  /// made.
+  TimePoint last_received() const;
 
  private:
   // Kept alive by its operations in flight.
--- a/src/net/frame_channel.cc
+++ b/src/net/frame_channel.cc
@@ -102,6 +102,13 @@
   body_.resize(size);
   asio::async_read(
       socket_, asio::buffer(body_),
+      [self = shared_from_this()](const error_code& error, size_t read) {
+        // Called after each part: a peer that sends a large frame is not
+        // silent.
+        self->last_received_ = SteadyNow();
+        return error || read == self->body_.size() ? size_t{0}
+                                                   : self->body_.size() - read;
+      },
       [self = shared_from_this()](const error_code& error, size_t) {
         if (error || !self->is_open_) {
           self->Close();
--- a/src/net/frame_link.cc
+++ b/src/net/frame_link.cc
@@ -177,6 +177,10 @@
   return state_->endpoint_;
 }
 
+TimePoint FrameLink::last_received() const {
+  return state_->channel_ ? state_->channel_->last_received() : TimePoint();
+}
+
 bool FrameLink::is_connected() const {
   return state_->channel_ != nullptr;
 }
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -96,7 +96,9 @@
       has_answered
           ? kSilence
           : std::clamp(candidate->first_patience_, kFirstAnswer, kSilence);
-  if (now - std::max(candidate->asked_, candidate->heard_) >= patience) {
+  const TimePoint last = std::max({candidate->asked_, candidate->heard_,
+                                   candidate->link_->last_received()});
+  if (now - last >= patience) {
     candidate->first_patience_ = has_answered ? kFirstAnswer : patience * 3 / 2;
     Leave(endpoint, candidate, "it is silent", now);
   }
