Keep one notion of a pool's parts; compute homes only where asked

Cause, found on reading the change: whether a pool is divided, and which parts it has, was worked out in five places (FleetView, OwnerTable, StageRunner, EnginePlacement, GatewayHost), as lists made anew for each frame; the part of a message was read and written field by field in eight, the maker's address cut out of a handle in three, the missing server list checked by both askers of a wait. On a fleet whose engines are not divided each request looked up its home engine for nothing.

Change: FleetView keeps the parts by service (HasPart, IsDivided); PoolAssignment::PartsAmong, PartNamedBy and NamePart, MakerAddress; StagePool::ExpectedWait says nothing without a list; EngineDomain asks for a home only where engines are divided. Comment of two members put right.

The tests keep their assertions; two unwrap the optional wait.

--- a/include/citronlane/fleet/pool_assignment.h
+++ b/include/citronlane/fleet/pool_assignment.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
@@ -23,13 +24,17 @@
   /// Endpoint of the gateway that decides for each part.
   using Owners = std::map<PoolPart, std::string>;
 
+  /// The service's parts among them. Thread safe.
+  static std::vector<PoolPart> PartsAmong(const Owners& owners,
+                                          const std::string& service);
+
   /// A gateway as the leader sees it.
   struct Gateway {
     std::string endpoint_;
     bool stopping_ = false;
     /// How long its process has run.
     Duration age_{};
-    std::string failure_domain_ = {};
+    std::string failure_domain_{};
   };
 
   /// While a part of a new fleet has no owner yet, or the owner of a pool that
--- a/include/citronlane/fleet/pool_part.h
+++ b/include/citronlane/fleet/pool_part.h
@@ -23,7 +23,7 @@
 
   /// Whether it holds the servers of one failure domain only.
   bool IsOfDomain() const { return !failure_domain_.empty(); }
-  /// For logs.
+  /// For logs, and for what is hashed by part.
   std::string Name() const {
     return IsOfDomain() ? service_ + "/" + failure_domain_ : service_;
   }
--- a/include/citronlane/net/frame_channel.h
+++ b/include/citronlane/net/frame_channel.h
@@ -56,9 +56,9 @@
   Hooks hooks_;
   std::array<unsigned char, kHeadBytes> head_{};
   std::string body_;
-  /// Frames to be written after it.
   /// The frame that is being written; empty for none.
   std::string writing_;
+  /// Frames to be written after it.
   std::deque<std::string> queue_;
   size_t queued_bytes_ = 0;
   bool is_open_ = true;
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -49,6 +49,9 @@
   /// has named no owners at all, what it would divide it into by this view's
   /// list. Never empty.
   std::vector<PoolPart> PartsOf(const std::string& service) const;
+  bool HasPart(const PoolPart& part) const;
+  /// Whether the service's pool has parts of failure domains.
+  bool IsDivided(const std::string& service) const;
   /// The part that holds the service's servers of a failure domain.
   PoolPart PartIn(const std::string& service,
                   const std::string& failure_domain) const;
@@ -72,7 +75,7 @@
   size_t GatewayCount() const;
 
  private:
-  void DividePoolsAnew();
+  void UpdateParts();
 
   std::shared_ptr<const ServingConfig> config_;
   std::vector<BackendServer> servers_;
@@ -85,8 +88,8 @@
   size_t most_gateways_ = 0;
   uint64_t owners_number_ = 0;
   PoolAssignment::Owners owners_;
-  /// By service; used while there are no owners.
-  std::map<std::string, std::vector<PoolPart>> division_;
+  /// By service; one that is not named here has a whole pool.
+  std::map<std::string, std::vector<PoolPart>> parts_;
   uint64_t parts_number_ = 0;
 };
 
--- a/include/citronlane/relay/owner_table.h
+++ b/include/citronlane/relay/owner_table.h
@@ -33,8 +33,6 @@
                    TimePoint now) const;
   /// Whether the part's owner was found lost a moment ago.
   bool IsOut(const PoolPart& part, TimePoint now) const;
-  /// Whether the service's pool has several parts.
-  bool IsDivided(const std::string& service) const;
   /// The gateway can't be reached: it is passed over for a while.
   void MarkLost(const std::string& endpoint, TimePoint now);
 
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -76,6 +76,7 @@
   /// Chooses a server; null when there is none.
   const BackendServer* Choose();
   std::string PlannedDomain();
+  std::string PromptHome();
   std::string EngineDomain();
   void NoteStart(const std::string& server);
   void NoteFirstEvent();
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -65,9 +65,9 @@
     return batcher_.Announce(forecast);
   }
   void Withdraw(uint64_t announcement) { batcher_.Withdraw(announcement); }
-  StageWait ExpectedWait(const StageForecast& forecast, TimePoint now) const {
-    return batcher_.ExpectedWait(forecast, now);
-  }
+  /// Nothing before the first list of servers: without one no wait is known.
+  std::optional<StageWait> ExpectedWait(const StageForecast& forecast,
+                                        TimePoint now) const;
   size_t tasks() const { return batcher_.tasks(); }
 
  private:
--- a/include/citronlane/routing/engine_router.h
+++ b/include/citronlane/routing/engine_router.h
@@ -34,7 +34,7 @@
     /// the failure domain below.
     bool sees_all_ = false;
     /// Only engines of this failure domain; empty for all.
-    std::string_view only_in_ = {};
+    std::string_view only_in_;
   };
 
   /// Reading a shared part again within `reuse_window` of its last use has a
--- /dev/null
+++ b/include/citronlane/serving/result_handle.h
@@ -0,0 +1,16 @@
+#ifndef CITRONLANE_SERVING_RESULT_HANDLE_H_
+#define CITRONLANE_SERVING_RESULT_HANDLE_H_
+
+#include <string_view>
+
+namespace citronlane {
+
+/// Address of the server that made and keeps a stage result: its handle begins
+/// with it. The view is into the handle. Thread safe.
+inline std::string_view MakerAddress(std::string_view handle) {
+  return handle.substr(0, handle.find('/'));
+}
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_SERVING_RESULT_HANDLE_H_
--- a/include/citronlane/stages/stage_forecast.h
+++ b/include/citronlane/stages/stage_forecast.h
@@ -19,7 +19,7 @@
   uint32_t priority_ = 0;
   /// Failure domain whose servers should make them, where the pool is divided
   /// by failure domain; empty for any.
-  std::string failure_domain_ = {};
+  std::string failure_domain_{};
 };
 
 }  // namespace citronlane
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -124,13 +124,10 @@
   }
   std::vector<PoolPart> parts;
   for (const PooledService& service : services) {
-    const size_t before = parts.size();
-    for (const auto& [part, owner] : assignment_.owners()) {
-      if (part.service_ == service.name_) {
-        parts.push_back(part);
-      }
-    }
-    if (parts.size() == before) {
+    const auto held =
+        PoolAssignment::PartsAmong(assignment_.owners(), service.name_);
+    parts.insert(parts.end(), held.begin(), held.end());
+    if (held.empty()) {
       parts.emplace_back(service.name_);
     }
   }
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -41,6 +41,16 @@
 
 }  // namespace
 
+std::vector<PoolPart> PoolAssignment::PartsAmong(const Owners& owners,
+                                                 const std::string& service) {
+  std::vector<PoolPart> parts;
+  for (auto it = owners.lower_bound(PoolPart(service));
+       it != owners.end() && it->first.service_ == service; ++it) {
+    parts.push_back(it->first);
+  }
+  return parts;
+}
+
 PoolAssignment::Order PoolAssignment::SuccessorOrder(
     const PoolPart& part,
     const std::string& endpoint,
--- a/src/fleet/pool_division.cc
+++ b/src/fleet/pool_division.cc
@@ -11,8 +11,9 @@
 /// hears of every piece; placing a request on an engine is one question.
 constexpr size_t kMostStageServers = 24;
 constexpr size_t kMostEngines = 96;
-/// A divided pool is whole again only below this part of the most.
-constexpr size_t kMergePart = 2;
+/// A divided pool is whole again only with the most divided by this, so that
+/// servers that come and go do not divide it again and again.
+constexpr size_t kMergeDivisor = 2;
 /// A failure domain with fewer servers gets no part: a call waits for one of
 /// few servers longer than for one of many.
 constexpr size_t kLeastServers = 4;
@@ -23,12 +24,11 @@
                size_t servers,
                const PoolAssignment::Owners& held) {
   const size_t most = service.has_engines_ ? kMostEngines : kMostStageServers;
+  const auto parts = PoolAssignment::PartsAmong(held, service.name_);
   const bool was_divided =
-      std::any_of(held.begin(), held.end(), [&](const auto& owner) {
-        return owner.first.service_ == service.name_ &&
-               owner.first.IsOfDomain();
-      });
-  return servers > (was_divided ? most / kMergePart : most);
+      std::any_of(parts.begin(), parts.end(),
+                  [](const PoolPart& part) { return part.IsOfDomain(); });
+  return servers > (was_divided ? most / kMergeDivisor : most);
 }
 
 ServersByDomain CountByDomain(const std::string& service,
--- a/src/relay/engine_placement.cc
+++ b/src/relay/engine_placement.cc
@@ -1,6 +1,5 @@
 #include "citronlane/relay/engine_placement.h"
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -12,6 +11,7 @@
 #include "citronlane/net/frame_link.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/pool_part_codec.h"
 #include "citronlane/relay/service_router.h"
 #include "fleet.pb.h"
 
@@ -72,15 +72,10 @@
     const std::string& service,
     const std::string& failure_domain) const {
   PoolPart part = view_->PartIn(service, failure_domain);
-  if (!owners_.IsDivided(service)) {
-    return part;
-  }
-  const std::vector<PoolPart> parts = view_->PartsOf(service);
-  const bool is_known =
-      std::find(parts.begin(), parts.end(), part) != parts.end();
-  return is_known && !owners_.IsOut(part, SteadyNow())
-             ? std::optional(std::move(part))
-             : std::nullopt;
+  const bool is_placed =
+      !view_->IsDivided(service) ||
+      (view_->HasPart(part) && !owners_.IsOut(part, SteadyNow()));
+  return is_placed ? std::optional(std::move(part)) : std::nullopt;
 }
 
 bool EnginePlacement::IsHere(const PoolPart& part) const {
@@ -98,8 +93,7 @@
   Frame frame;
   auto* ask = frame.mutable_engine_ask();
   ask->set_question(number);
-  ask->set_service(part.service_);
-  ask->set_part_domain(part.failure_domain_);
+  NamePart(part, ask);
   ask->set_plan(purpose == Purpose::kPlan);
   for (const PromptPart& prompt : call.prompt_) {
     auto* added = ask->add_prompt();
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -19,7 +19,7 @@
     return false;
   }
   config_ = std::move(config);
-  DividePoolsAnew();
+  UpdateParts();
   return true;
 }
 
@@ -40,18 +40,21 @@
     by_id_[servers_[i].id_] = i;
     by_address_[servers_[i].address_] = i;
   }
-  DividePoolsAnew();
+  UpdateParts();
 }
 
-void FleetView::DividePoolsAnew() {
+void FleetView::UpdateParts() {
   ++parts_number_;
-  division_.clear();
-  if (!owners_.empty() || !config_) {
-    return;
+  std::vector<PoolPart> parts;
+  for (const auto& [part, owner] : owners_) {
+    parts.push_back(part);
+  }
+  if (parts.empty() && config_) {
+    parts = DividePools(PooledServicesOf(*config_), servers_, owners_);
   }
-  for (PoolPart& part :
-       DividePools(PooledServicesOf(*config_), servers_, owners_)) {
-    division_[part.service_].push_back(std::move(part));
+  parts_.clear();
+  for (PoolPart& part : parts) {
+    parts_[part.service_].push_back(std::move(part));
   }
 }
 
@@ -70,7 +73,7 @@
   if (number > owners_number_) {
     owners_number_ = number;
     owners_ = std::move(owners);
-    DividePoolsAnew();
+    UpdateParts();
   }
 }
 
@@ -97,31 +100,29 @@
 }
 
 std::vector<PoolPart> FleetView::PartsOf(const std::string& service) const {
-  std::vector<PoolPart> parts;
-  for (auto it = owners_.lower_bound(PoolPart(service));
-       it != owners_.end() && it->first.service_ == service; ++it) {
-    parts.push_back(it->first);
-  }
-  const auto divided = division_.find(service);
-  if (parts.empty() && divided != division_.end()) {
-    return divided->second;
-  }
-  if (parts.empty()) {
-    parts.emplace_back(service);
-  }
-  return parts;
+  const auto parts = parts_.find(service);
+  return parts == parts_.end() ? std::vector<PoolPart>{service} : parts->second;
+}
+
+bool FleetView::HasPart(const PoolPart& part) const {
+  const auto parts = parts_.find(part.service_);
+  return parts == parts_.end()
+             ? !part.IsOfDomain()
+             : std::find(parts->second.begin(), parts->second.end(), part) !=
+                   parts->second.end();
+}
+
+bool FleetView::IsDivided(const std::string& service) const {
+  const auto parts = parts_.find(service);
+  return parts != parts_.end() &&
+         std::any_of(parts->second.begin(), parts->second.end(),
+                     [](const PoolPart& part) { return part.IsOfDomain(); });
 }
 
 PoolPart FleetView::PartIn(const std::string& service,
                            const std::string& failure_domain) const {
   PoolPart part(service, failure_domain);
-  const auto divided = division_.find(service);
-  const bool is_there =
-      owners_.count(part) != 0 ||
-      (divided != division_.end() &&
-       std::find(divided->second.begin(), divided->second.end(), part) !=
-           divided->second.end());
-  return is_there ? part : PoolPart(service);
+  return HasPart(part) ? part : PoolPart(service);
 }
 
 const BackendServer* FleetView::FindServer(std::string_view id) const {
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -292,9 +292,7 @@
     return;
   }
   for (const auto& [part, pool] : pools_) {
-    const std::vector<PoolPart> parts = view_.PartsOf(part.service_);
-    const bool is_gone =
-        std::find(parts.begin(), parts.end(), part) == parts.end();
+    const bool is_gone = !view_.HasPart(part);
     const auto owner = view_.owners().find(part);
     const bool is_elsewhere = part.IsOfDomain() &&
                               owner != view_.owners().end() &&
--- a/src/relay/owner_table.cc
+++ b/src/relay/owner_table.cc
@@ -28,11 +28,6 @@
   lost_until_[endpoint] = now + kPassOver;
 }
 
-bool OwnerTable::IsDivided(const std::string& service) const {
-  const std::vector<PoolPart> parts = view_->PartsOf(service);
-  return parts.size() > 1 || parts.front().IsOfDomain();
-}
-
 bool OwnerTable::IsOut(const PoolPart& part, TimePoint now) const {
   const auto named = view_->owners().find(part);
   return named != view_->owners().end() && IsPassedOver(named->second, now);
@@ -65,7 +60,7 @@
   const PoolAssignment::Owners& owners = view_->owners();
   const auto named = owners.find(part);
   if (named != owners.end() &&
-      (IsDivided(part.service_) || !IsPassedOver(named->second, now))) {
+      (!IsPassedOver(named->second, now) || view_->IsDivided(part.service_))) {
     return named->second;
   }
   const FleetView::Gateway* successor = nullptr;
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -251,13 +251,15 @@
   return id ? context_->view_->FindServer(*id) : nullptr;
 }
 
-// Where heavy results lie, or else what keeps the prompt.
+// Of divided engines: where heavy results lie, or else what keeps the prompt.
 std::string RelayRequest::EngineDomain() {
+  if (!context_->view_->IsDivided(service_->name_)) {
+    return {};
+  }
   if (stages_.HasHeavyResults() && !near_domain_.empty()) {
     return near_domain_;
   }
-  return home_domain_.empty() ? router_->HomeDomain(SteadyNow(), RouterCall())
-                              : home_domain_;
+  return home_domain_.empty() ? PromptHome() : home_domain_;
 }
 
 void RelayRequest::NoteStart(const std::string& server) {
@@ -282,20 +284,25 @@
 // results are best made there.
 std::string RelayRequest::PlannedDomain() {
   router_->Update(*context_->view_, SteadyNow());
-  std::string home = router_->HomeDomain(SteadyNow(), RouterCall());
-  engine_.Begin(*service_, home);
-  if (engine_.is_here()) {
-    return router_->HomeDomain(SteadyNow(), RouterCall());
-  }
-  if (!engine_.is_elsewhere() || engine_.part().IsOfDomain() ||
-      !stages_.HasHeavyResults()) {
+  if (context_->view_->IsDivided(service_->name_)) {
+    std::string home = PromptHome();
+    engine_.Begin(*service_, home);
     return home;
   }
+  engine_.Begin(*service_, {});
+  if (!engine_.is_elsewhere() || !stages_.HasHeavyResults()) {
+    return PromptHome();
+  }
   const std::string named =
       engine_.Ask(EnginePlacement::Purpose::kPlan, RouterCall(), tried_);
   engine_.Forget();
   const BackendServer* server = context_->view_->FindServer(named);
-  return server == nullptr ? home : server->failure_domain_;
+  return server == nullptr ? PromptHome() : server->failure_domain_;
+}
+
+// Failure domain of the engine that should keep the prompt's shared parts.
+std::string RelayRequest::PromptHome() {
+  return router_->HomeDomain(SteadyNow(), RouterCall());
 }
 
 EngineRouter::Call RelayRequest::RouterCall() const {
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -10,8 +10,10 @@
 #include "citronlane/net/frame_link.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/pool_part_codec.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/relay/stage_task_codec.h"
+#include "citronlane/serving/result_handle.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
@@ -78,10 +80,10 @@
   if (job.owner_ == owners_.own_endpoint()) {
     job.owner_.clear();
     if (StagePool* pool = pool_(job.part_)) {
-      const StageWait wait = pool->ExpectedWait(forecast, now);
+      const auto wait = pool->ExpectedWait(forecast, now);
       job.local_ = pool->Announce(forecast);
-      if (view_->ServersAge(now)) {
-        job.wait_known_(wait);
+      if (wait) {
+        job.wait_known_(*wait);
       }
     }
     return;
@@ -89,8 +91,7 @@
   Frame frame;
   auto* out = frame.mutable_announcement();
   out->set_job(number);
-  out->set_service(job.part_.service_);
-  out->set_part_domain(job.part_.failure_domain_);
+  NamePart(job.part_, out);
   EncodeForecast(forecast, now, out);
   LinkTo(job.owner_)->Send(frame);
 }
@@ -151,7 +152,7 @@
   job.part_ = PartOf(number, job);
   const bool moved_too_often = job.moves_ >= kMostMoves;
   job.state_ = JobState::kSubmitted;
-  if (moved_too_often && owners_.IsDivided(job.service_)) {
+  if (moved_too_often && view_->IsDivided(job.service_)) {
     FailUnplaced(number, &job);
     return;
   }
@@ -165,8 +166,7 @@
   Frame frame;
   auto* out = frame.mutable_job();
   out->set_job(number);
-  out->set_service(job.part_.service_);
-  out->set_part_domain(job.part_.failure_domain_);
+  NamePart(job.part_, out);
   EncodeTask(job.task_, now, out);
   LinkTo(job.owner_)->Send(frame);
 }
@@ -255,9 +255,7 @@
 // Of a maker that is not in the list any more any part can free the result.
 PoolPart StageOwners::MakerOf(const std::string& service,
                               const std::string& handle) const {
-  // A handle begins with its maker's address.
-  const BackendServer* maker =
-      view_->ServerAt(handle.substr(0, handle.find('/')));
+  const BackendServer* maker = view_->ServerAt(MakerAddress(handle));
   return maker == nullptr || maker->service_ != service
              ? view_->PartsOf(service).front()
              : view_->PartIn(service, maker->failure_domain_);
@@ -275,8 +273,7 @@
   }
   Frame frame;
   auto* free = frame.mutable_free();
-  free->set_service(part.service_);
-  free->set_part_domain(part.failure_domain_);
+  NamePart(part, free);
   for (const std::string& handle : handles) {
     free->add_handles(handle);
   }
--- a/src/relay/stage_owners_serve.cc
+++ b/src/relay/stage_owners_serve.cc
@@ -4,7 +4,7 @@
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/frame_channel.h"
-#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/pool_part_codec.h"
 #include "citronlane/relay/stage_owners.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/relay/stage_task_codec.h"
@@ -33,8 +33,7 @@
       served_.erase(it);
     }
   } else if (frame->has_free()) {
-    const PoolPart part(frame->free().service(), frame->free().part_domain());
-    if (StagePool* pool = pool_(part)) {
+    if (StagePool* pool = pool_(PartNamedBy(frame->free()))) {
       const std::vector<std::string> handles(frame->free().handles().begin(),
                                              frame->free().handles().end());
       pool->Free(handles);
@@ -48,21 +47,19 @@
   const auto& announcement = frame.announcement();
   const ServedKey key{channel.get(), announcement.job()};
   DropAnnouncement(key);
-  const PoolPart part(announcement.service(), announcement.part_domain());
+  const PoolPart part = PartNamedBy(announcement);
   StagePool* pool = pool_(part);
   if (pool == nullptr) {
     return;
   }
   const TimePoint now = SteadyNow();
   const StageForecast forecast = DecodeForecast(announcement, now);
-  Frame reply;
-  auto* wait = reply.mutable_pool_wait();
-  wait->set_job(announcement.job());
-  EncodeWait(pool->ExpectedWait(forecast, now), wait);
+  const auto wait = pool->ExpectedWait(forecast, now);
   announced_[key] = Served{part, pool->Announce(forecast)};
-  // Without a list of servers it knows no wait: the request goes on as if there
-  // were none.
-  if (view_->ServersAge(now)) {
+  if (wait) {
+    Frame reply;
+    reply.mutable_pool_wait()->set_job(announcement.job());
+    EncodeWait(*wait, reply.mutable_pool_wait());
     channel->Send(reply);
   }
 }
@@ -105,7 +102,7 @@
     result->set_not_run(outcome.not_run_);
     open->Send(reply);
   };
-  const PoolPart part(job.service(), job.part_domain());
+  const PoolPart part = PartNamedBy(job);
   StagePool* pool = pool_(part);
   if (pool == nullptr) {
     StageOutcome outcome;
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -79,6 +79,13 @@
   Pump(SteadyNow());
 }
 
+std::optional<StageWait> StagePool::ExpectedWait(const StageForecast& forecast,
+                                                 TimePoint now) const {
+  return view_->ServersAge(now)
+             ? std::optional(batcher_.ExpectedWait(forecast, now))
+             : std::nullopt;
+}
+
 void StagePool::Begin(TimePoint now) {
   Tick(now);
   batcher_.TakeOver(now);
--- a/src/relay/stage_runner.cc
+++ b/src/relay/stage_runner.cc
@@ -11,6 +11,7 @@
 #include "citronlane/relay/relay_job.h"
 #include "citronlane/relay/stage_owners.h"
 #include "citronlane/relay/waker.h"
+#include "citronlane/serving/result_handle.h"
 #include "citronlane/stages/stage_task.h"
 
 namespace citronlane {
@@ -72,7 +73,7 @@
 bool StageRunner::IsDivided() const {
   for (size_t i = 0; i < stages_.size(); ++i) {
     if (stages_[i].pieces_ > 0 &&
-        view_->PartsOf(job_->route_->stages_[i].service_).size() > 1) {
+        view_->IsDivided(job_->route_->stages_[i].service_)) {
       return true;
     }
   }
@@ -295,8 +296,7 @@
 void StageRunner::AddBytes(size_t index,
                            std::map<std::string, uint64_t>* bytes) const {
   for (const std::string& handle : stages_[index].handles_) {
-    // A handle begins with its maker's address.
-    (*bytes)[view_->DomainAt(handle.substr(0, handle.find('/')))] +=
+    (*bytes)[view_->DomainAt(MakerAddress(handle))] +=
         job_->route_->stages_[index].result_bytes_;
   }
 }
--- a/src/stages/stage_batcher_results.cc
+++ b/src/stages/stage_batcher_results.cc
@@ -2,6 +2,7 @@
 #include <cmath>
 #include <utility>
 
+#include "citronlane/serving/result_handle.h"
 #include "citronlane/stages/stage_batcher.h"
 
 namespace citronlane {
@@ -301,9 +302,8 @@
   }
 }
 
-// The handle begins with its maker's address.
 void StageBatcher::Discard(const std::string& handle) {
-  unwanted_[handle.substr(0, handle.find('/'))].push_back(handle);
+  unwanted_[std::string(MakerAddress(handle))].push_back(handle);
   const auto keeper = keepers_.find(handle);
   if (keeper == keepers_.end()) {
     return;
--- a/tests/unit-stage-owners.cc
+++ b/tests/unit-stage-owners.cc
@@ -844,7 +844,7 @@
     auto gateway =
         std::make_unique<Gateway>(&net, endpoint, ViewOf(owner_endpoint, {}));
     const auto expected = [&] {
-      return owner.pool_.ExpectedWait(ForecastOf(1), SteadyNow()).all_;
+      return owner.pool_.ExpectedWait(ForecastOf(1), SteadyNow()).value().all_;
     };
     REQUIRE(expected() == Duration());
     const auto one = gateway->Announce(80);
@@ -1128,7 +1128,7 @@
     announcement.mutable_announcement()->set_deadline_left_ms(30000);
     link.Send(announcement);
     REQUIRE(net.Until([&] {
-      return owner.pool_.ExpectedWait(ForecastOf(1), SteadyNow()).all_ >
+      return owner.pool_.ExpectedWait(ForecastOf(1), SteadyNow()).value().all_ >
              milliseconds(300);
     }));
     CHECK(owner.pool_.tasks() == 1);
