--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -1,6 +1,7 @@
 #ifndef CITRONLANE_RELAY_DETAIL_GATEWAY_HOST_IMPL_H_
 #define CITRONLANE_RELAY_DETAIL_GATEWAY_HOST_IMPL_H_
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <random>
@@ -43,6 +44,10 @@
   bool Run(Error* error);
 
  private:
+  /// By then every gateway has heard of a change: control tells all every
+  /// 200 ms.
+  static constexpr auto kTold = std::chrono::milliseconds(260);
+
   bool Listen(HttpListener* listener, const std::string& address, Error* error);
   RelayContext MakeContext();
   HttpListenerHooks CallerHooks();
@@ -50,6 +55,8 @@
   HttpListenerHooks MetricsHooks();
   ControlWatch::Hooks WatchHooks();
   void ApplyLimits();
+
+  // gateway_host_pools.cc: what decides for a service, or a part of it.
   ServiceRouter* RouterOf(const Service& service);
   ServiceRouter* EngineRouterOf(const std::string& service);
   RepeatBudget* BudgetOf(const std::string& service);
--- a/include/citronlane/relay/stage_owners.h
+++ b/include/citronlane/relay/stage_owners.h
@@ -154,6 +154,7 @@
                  const std::vector<uint64_t>& moved);
   void FreeAgain(const std::string& owner, bool is_gone);
   void FreeAtNextOwners(TimePoint now);
+  void ForgetOldFrees(TimePoint now);
   void SendFree(TimePoint first_sent,
                 const PoolPart& part,
                 absl::Span<const std::string> handles);
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -39,9 +39,6 @@
 constexpr Duration kSettingsInterval = std::chrono::seconds(2);
 /// After a stop signal callers still come until the balancer has noticed.
 constexpr Duration kBalancerTime = std::chrono::milliseconds(2600);
-/// By then every gateway has heard that this one is going: control tells all
-/// every 200 ms.
-constexpr auto kTold = std::chrono::milliseconds(260);
 /// The process is gone this long before it would be killed.
 constexpr Duration kGraceReserve = std::chrono::milliseconds(400);
 /// What is in hand then gets a final answer.
@@ -233,76 +230,6 @@
   callers_.SetLimits(LimitsOf(view_.config()->limits(), settings_));
 }
 
-ServiceRouter* GatewayHost::Impl::RouterOf(const Service& service) {
-  auto& router = routers_[service.name_];
-  if (!router) {
-    router = std::make_unique<ServiceRouter>(
-        service.name_, service.engine_.has_value(),
-        settings_.prompt_reuse_window_, settings_.failure_domain_,
-        context_.random_);
-  }
-  return router.get();
-}
-
-ServiceRouter* GatewayHost::Impl::EngineRouterOf(const std::string& service) {
-  const auto& config = view_.config();
-  const Service* declared = config ? config->FindService(service) : nullptr;
-  if (declared == nullptr || !declared->engine_) {
-    return nullptr;
-  }
-  ServiceRouter* router = RouterOf(*declared);
-  router->Update(view_, SteadyNow());
-  return router;
-}
-
-RepeatBudget* GatewayHost::Impl::BudgetOf(const std::string& service) {
-  auto& budget = budgets_[service];
-  if (!budget) {
-    budget = std::make_unique<RepeatBudget>(budget_options_);
-  }
-  return budget.get();
-}
-
-StagePool* GatewayHost::Impl::PoolOf(const PoolPart& part) {
-  auto& pool = pools_[part];
-  if (!pool) {
-    const auto& config = view_.config();
-    const Service* declared =
-        config ? config->FindService(part.service_) : nullptr;
-    if (declared == nullptr || !declared->stage_pool_) {
-      pools_.erase(part);
-      return nullptr;
-    }
-    pool = std::make_unique<StagePool>(part, *declared->stage_pool_,
-                                       budget_options_, &view_, dialect_,
-                                       &client_, log_);
-    pool->Begin(SteadyNow());
-  }
-  return pool.get();
-}
-
-// Tasks that wait in a part that has another gateway now, or is no part any
-// more, go where control says once all gateways have heard of it.
-void GatewayHost::Impl::HandBackMovedPools(TimePoint now) {
-  if (owners_number_ != view_.owners_number()) {
-    owners_number_ = view_.owners_number();
-    owners_since_ = now;
-  }
-  if (now - owners_since_ < kTold) {
-    return;
-  }
-  for (const auto& [part, pool] : pools_) {
-    const bool is_gone = !view_.HasPart(part);
-    const auto owner = view_.owners().find(part);
-    const bool is_elsewhere = part.IsOfDomain() &&
-                              owner != view_.owners().end() &&
-                              owner->second != settings_.internal_listen_;
-    if (pool->tasks() > 0 && (is_gone || is_elsewhere)) {
-      pool->HandBackWaiting();
-    }
-  }
-}
-
 bool GatewayHost::Impl::Listen(HttpListener* listener,
                                const std::string& address,
                                Error* error) {
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -13,7 +13,6 @@
 #include "citronlane/relay/pool_part_codec.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/relay/stage_task_codec.h"
-#include "citronlane/serving/result_handle.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
@@ -22,8 +21,6 @@
 using wire::fleet::Frame;
 using Result = StageOutcome::Result;
 
-/// An owner that does not answer is found lost well within this time.
-constexpr Duration kFreedKnown = std::chrono::milliseconds(1500);
 /// A task that was moved this often stays here, or fails where the pool is
 /// divided, since another gateway has its servers.
 constexpr uint32_t kMostMoves = 3;
@@ -240,49 +237,6 @@
   return WithdrawFromOwner(number, job) && !job.may_have_run_;
 }
 
-void StageOwners::Free(const std::string& service,
-                       absl::Span<const std::string> handles) {
-  std::map<PoolPart, std::vector<std::string>> by_part;
-  for (const std::string& handle : handles) {
-    by_part[MakerOf(service, handle)].push_back(handle);
-  }
-  const TimePoint now = SteadyNow();
-  for (const auto& [part, freed] : by_part) {
-    SendFree(now, part, freed);
-  }
-}
-
-// Of a maker that is not in the list any more any part can free the result.
-PoolPart StageOwners::MakerOf(const std::string& service,
-                              const std::string& handle) const {
-  const BackendServer* maker = view_->ServerAt(MakerAddress(handle));
-  return maker == nullptr || maker->service_ != service
-             ? view_->PartsOf(service).front()
-             : view_->PartIn(service, maker->failure_domain_);
-}
-
-void StageOwners::SendFree(TimePoint first_sent,
-                           const PoolPart& part,
-                           absl::Span<const std::string> handles) {
-  const std::string owner = owners_.OwnerOf(part, SteadyNow());
-  if (owner == owners_.own_endpoint()) {
-    if (StagePool* pool = pool_(part)) {
-      pool->Free(handles);
-    }
-    return;
-  }
-  Frame frame;
-  auto* free = frame.mutable_free();
-  NamePart(part, free);
-  for (const std::string& handle : handles) {
-    free->add_handles(handle);
-  }
-  freed_.push_back(
-      Freed{first_sent, owner, part,
-            std::vector<std::string>(handles.begin(), handles.end())});
-  LinkTo(owner)->Send(frame);
-}
-
 FrameLink* StageOwners::LinkTo(const std::string& endpoint) {
   auto& link = links_[endpoint];
   if (!link) {
@@ -358,38 +312,6 @@
   FreeAgain(owner, is_gone);
 }
 
-// What was on its way on a connection that ended is freed by the owner on its
-// next one, or by the next owner when it is gone.
-void StageOwners::FreeAgain(const std::string& owner, bool is_gone) {
-  const TimePoint now = SteadyNow();
-  for (const Freed& freed : std::exchange(freed_, {})) {
-    if (now - freed.at_ > kFreedKnown) {
-      continue;
-    }
-    const bool has_next = owners_.OwnerOf(freed.part_, now) != owner;
-    if (freed.owner_ == owner && has_next == is_gone) {
-      SendFree(freed.at_, freed.part_, freed.handles_);
-    } else {
-      freed_.push_back(freed);
-    }
-  }
-}
-
-// A part of a failure domain has no next owner until control names one.
-void StageOwners::FreeAtNextOwners(TimePoint now) {
-  std::deque<Freed> kept;
-  for (Freed& freed : std::exchange(freed_, {})) {
-    if (freed.part_.IsOfDomain() &&
-        owners_.OwnerOf(freed.part_, now) != freed.owner_) {
-      SendFree(freed.at_, freed.part_, freed.handles_);
-    } else {
-      kept.push_back(std::move(freed));
-    }
-  }
-  kept.insert(kept.end(), freed_.begin(), freed_.end());
-  freed_ = std::move(kept);
-}
-
 void StageOwners::TakeResult(const Frame& frame) {
   const auto& result = frame.job_result();
   StageOutcome outcome;
@@ -413,12 +335,7 @@
     }
   }
   FreeAtNextOwners(now);
-  while (!freed_.empty() && now - freed_.front().at_ > kFreedKnown) {
-    freed_.pop_front();
-  }
-  while (!answered_.empty() && now - answered_.front().at_ > kFreedKnown) {
-    answered_.pop_front();
-  }
+  ForgetOldFrees(now);
 }
 
 }  // namespace citronlane
--- a/src/relay/stage_owners_serve.cc
+++ b/src/relay/stage_owners_serve.cc
@@ -134,21 +134,6 @@
   }
 }
 
-// Its results crossed the end of their request on their way: nobody there knows
-// of them.
-void StageOwners::FreeAnswered(const ServedKey& key) {
-  const auto it = std::find_if(
-      answered_.begin(), answered_.end(),
-      [&key](const Answered& answered) { return answered.key_ == key; });
-  if (it == answered_.end()) {
-    return;
-  }
-  if (StagePool* pool = pool_(it->part_)) {
-    pool->Free(it->handles_);
-  }
-  answered_.erase(it);
-}
-
 void StageOwners::Closed(const FrameChannel* channel) {
   answered_.erase(std::remove_if(answered_.begin(), answered_.end(),
                                  [channel](const Answered& answered) {
--- a/src/relay/stage_runner.cc
+++ b/src/relay/stage_runner.cc
@@ -1,12 +1,10 @@
 #include "citronlane/relay/stage_runner.h"
 
 #include <algorithm>
-#include <cstddef>
-#include <iterator>
-#include <set>
 #include <utility>
 
 #include "citronlane/base/steady_now.h"
+#include "citronlane/relay/detail/stage_runner_answers.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/relay_job.h"
 #include "citronlane/relay/stage_owners.h"
@@ -20,9 +18,6 @@
 /// Fewer bytes than these are fetched from anywhere: a free server now is worth
 /// more than one near them.
 constexpr uint64_t kWorthNear = uint64_t{256} << 10;
-/// The pools' gateways answer within a few milliseconds; without an answer the
-/// request goes on as if nothing waited.
-constexpr Duration kAnswerTime = std::chrono::milliseconds(60);
 
 std::string LargestOf(const std::map<std::string, uint64_t>& bytes) {
   const auto largest = std::max_element(
@@ -33,15 +28,6 @@
 
 }  // namespace
 
-struct StageRunner::Answers {
-  std::vector<std::pair<size_t, StageOutcome>> new_;
-  /// Stages whose inputs were fetched.
-  std::vector<size_t> taken_;
-  /// Of the last announcement of all stages.
-  std::vector<std::pair<size_t, StageWait>> waits_;
-  uint32_t announcement_ = 0;
-};
-
 StageRunner::StageRunner(const RelayJob* job,
                          const FleetView* view,
                          StageOwners* owners,
@@ -70,100 +56,6 @@
                      [](const Stage& stage) { return stage.pieces_ > 0; });
 }
 
-bool StageRunner::IsDivided() const {
-  for (size_t i = 0; i < stages_.size(); ++i) {
-    if (stages_[i].pieces_ > 0 &&
-        view_->IsDivided(job_->route_->stages_[i].service_)) {
-      return true;
-    }
-  }
-  return false;
-}
-
-std::string StageRunner::OtherDomain(uint64_t random) const {
-  std::set<std::string> domains;
-  for (size_t i = 0; i < stages_.size(); ++i) {
-    if (stages_[i].pieces_ == 0) {
-      continue;
-    }
-    for (const PoolPart& part :
-         view_->PartsOf(job_->route_->stages_[i].service_)) {
-      if (part.IsOfDomain() && part.failure_domain_ != failure_domain_) {
-        domains.insert(part.failure_domain_);
-      }
-    }
-  }
-  return domains.empty()
-             ? std::string()
-             : *std::next(domains.begin(),
-                          static_cast<std::ptrdiff_t>(random % domains.size()));
-}
-
-void StageRunner::Announce(std::string failure_domain) {
-  failure_domain_ = std::move(failure_domain);
-  AnnounceAll();
-}
-
-std::string StageRunner::CompareWith(std::string failure_domain) {
-  const Duration here = ExpectedTime(false);
-  const std::vector<Stage> announced_here = stages_;
-  const std::string domain_here =
-      std::exchange(failure_domain_, std::move(failure_domain));
-  AnnounceAll();
-  std::vector<Stage> dropped = announced_here;
-  if (ExpectedTime(false) >= here) {
-    dropped = std::exchange(stages_, announced_here);
-    failure_domain_ = domain_here;
-  }
-  for (const Stage& stage : dropped) {
-    if (stage.job_) {
-      owners_->Cancel(*stage.job_);
-    }
-  }
-  return failure_domain_;
-}
-
-void StageRunner::AnnounceAll() {
-  ++answers_->announcement_;
-  answers_->waits_.clear();
-  size_t asked = 0;
-  for (size_t i = 0; i < stages_.size(); ++i) {
-    if (stages_[i].pieces_ > 0) {
-      Announce(i);
-      ++asked;
-    }
-  }
-  waker_->WaitUntil([this, asked] { return answers_->waits_.size() >= asked; },
-                    SteadyNow() + kAnswerTime);
-  for (const auto& [index, wait] : answers_->waits_) {
-    stages_[index].wait_ = wait;
-  }
-}
-
-void StageRunner::Announce(size_t index) {
-  const std::weak_ptr<Answers> weak = answers_;
-  const auto waker = waker_;
-  const uint32_t announcement = answers_->announcement_;
-  stages_[index].job_ = owners_->Announce(
-      job_->route_->stages_[index].service_, ForecastOf(index),
-      [weak, waker, index, announcement](const StageWait& wait) {
-        const auto answers = weak.lock();
-        if (answers && answers->announcement_ == announcement) {
-          answers->waits_.emplace_back(index, wait);
-          waker->Wake();
-        }
-      });
-}
-
-void StageRunner::SetLate() {
-  is_late_ = true;
-  for (size_t i = 0; i < stages_.size(); ++i) {
-    if (stages_[i].job_ && !stages_[i].is_submitted_) {
-      owners_->Revise(*stages_[i].job_, ForecastOf(i));
-    }
-  }
-}
-
 StageRunner::Result StageRunner::Run() {
   if (std::exchange(has_run_, true)) {
     FreeAll();
