--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -172,9 +172,8 @@
     watcher->config_version_ = config_->version();
   }
   // When the whole fleet has restarted, gateways have nobody else to hear of
-  // each other from until there is a leader. Without that each ran all pools by
-  // itself for about a second: a call carried 1.2 pieces, and servers were
-  // full.
+  // each other from until there is a leader. Without that each would run all
+  // pools by itself, and all would call the same servers.
   if (!leadership.leads_ && leadership.leader_.empty()) {
     AddGateways(watcher, true, update);
   }
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -113,8 +113,8 @@
   return HighestOf(gateways, order);
 }
 
-// Gateways notice a lost owner a second before the leader does. When the leader
-// then named another one, the pool changed hands twice.
+// Gateways notice a lost owner before the leader does and turn to this one: if
+// the leader named another, the pool would change hands twice.
 std::string PoolAssignment::Successor(absl::Span<const Gateway> gateways,
                                       const PoolPart& part) const {
   const auto order = [&](const Gateway& gateway) {
--- a/src/observe/event_log.cc
+++ b/src/observe/event_log.cc
@@ -12,8 +12,8 @@
 namespace citronlane {
 namespace {
 
-/// A busy gateway of 12 requests a second writes about 40 lines a second; four
-/// times that is kept, and a burst of a few seconds.
+/// Lines a second that are kept, and lines of a burst beyond that: several
+/// times what a busy gateway writes, and little for whoever reads them.
 constexpr double kLinesPerSecond = 160;
 constexpr double kBurstLines = 640;
 /// Up to this many bytes a pipe takes whole or not at all.
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -51,9 +51,8 @@
   }
 }
 
-// Asked one after the other, VMs without power or without a vote cost 0.4 s
-// after a loss of power until the first gateway had a configuration, and a
-// leader was found by the last one 0.24 s after its election.
+// All of them until one leads: asked one after the other, each VM without power
+// would cost the time in which it might still answer.
 std::set<std::string> ControlWatch::Wanted() const {
   if (!leader_.empty()) {
     return {leader_};
--- a/src/relay/stage_runner_estimates.cc
+++ b/src/relay/stage_runner_estimates.cc
@@ -29,8 +29,7 @@
 
 // What the request still needs at least once this stage is done. A stage that
 // worked towards the request's own target would serve first what is too late
-// already: in a burst of twice the load a quarter of the requests met their
-// target so, and with the rest taken off more than half.
+// already.
 Duration StageRunner::TimeAfter(size_t index) const {
   Duration longest = kServerTime;
   for (size_t i = index + 1; i < stages_.size(); ++i) {
--- a/src/stages/stage_batcher_calls.cc
+++ b/src/stages/stage_batcher_calls.cc
@@ -159,9 +159,8 @@
                                TimePoint now) {
   Call call;
   StageBatch batch;
-  // A server that is at work begins with it later, and fetches inputs then.
-  // When another gateway's calls stood there and inputs were freed by the time
-  // that the call should have begun, whole calls found them gone.
+  // A server that is at work, also for another gateway, begins with it later
+  // and fetches inputs then: they must not be freed before.
   call.waits_ = server->calls_ > 0;
   const bool may_wait = call.waits_ || server->may_be_busy_;
   for (const auto& [number, index, task] : chosen) {
--- a/src/stages/stage_batcher_results.cc
+++ b/src/stages/stage_batcher_results.cc
@@ -161,9 +161,9 @@
   server->held_bytes_ += bytes;
 }
 
-// A piece was dropped for want of room. Handles of calls that were under way
-// when a gateway was killed are known to nobody: the next one's calls found no
-// room for as long as results are kept. Half of the room is about what calls
+// A piece was dropped for want of room. Results of calls that were under way
+// when a gateway was killed are known to nobody, and take room for as long as
+// results are kept. Half of the room is about what calls
 // under way can fill.
 void StageBatcher::TakeNoRoom(Server* server, uint64_t bytes, TimePoint now) {
   server->suspended_until_ = now + kRefusedPause;
