Test engine parts, the other domain, handing back, frees by part

Whether work belongs elsewhere is FleetView's decision now, moved out of GatewayHost as it was. The two tests of frames share a file; PressConfig and PressSpec stand for four copies. Control logs a call that was answered twice, as gateways do: the compiler had warned of the missing hook.

--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -50,6 +50,10 @@
   /// list. Never empty.
   std::vector<PoolPart> PartsOf(const std::string& service) const;
   bool HasPart(const PoolPart& part) const;
+  /// Whether work that waits in a part at this gateway belongs elsewhere: it is
+  /// no part any more, or one of a failure domain that has another gateway. A
+  /// whole pool may be with a successor that nobody has named yet.
+  bool IsElsewhere(const PoolPart& part, const std::string& endpoint) const;
   /// Whether the service's pool has parts of failure domains.
   bool IsDivided(const std::string& service) const;
   /// The part that holds the service's servers of a failure domain.
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -135,14 +135,18 @@
               [this](const std::shared_ptr<FrameChannel>& channel,
                      Frame* frame) { Take(channel, frame); },
               [this](const FrameChannel* channel) { feed_.Closed(channel); }}),
-      operators_({&io_},
-                 OperatorLimits(),
-                 HttpListenerHooks{[this](size_t,
-                                          const HttpRequest& request,
-                                          HttpExchange* exchange) {
-                                     api_.Serve(request, exchange);
-                                   },
-                                   RefuseUnreadable}) {}
+      operators_(
+          {&io_},
+          OperatorLimits(),
+          HttpListenerHooks{
+              [this](size_t,
+                     const HttpRequest& request,
+                     HttpExchange* exchange) { api_.Serve(request, exchange); },
+              RefuseUnreadable,
+              [log](const HttpRequest& request, std::string_view what) {
+                log->Write("control", "answer not sent",
+                           {{"target", request.target_}, {"why", what}});
+              }}) {}
 
 bool ControlHost::Impl::Run(Error* error) {
   std::error_code ignored;
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -112,6 +112,14 @@
                    parts->second.end();
 }
 
+bool FleetView::IsElsewhere(const PoolPart& part,
+                            const std::string& endpoint) const {
+  const auto owner = owners_.find(part);
+  const bool has_other =
+      part.IsOfDomain() && owner != owners_.end() && owner->second != endpoint;
+  return !HasPart(part) || has_other;
+}
+
 bool FleetView::IsDivided(const std::string& service) const {
   const auto parts = parts_.find(service);
   return parts != parts_.end() &&
--- a/src/relay/gateway_host_pools.cc
+++ b/src/relay/gateway_host_pools.cc
@@ -66,12 +66,8 @@
     return;
   }
   for (const auto& [part, pool] : pools_) {
-    const bool is_gone = !view_.HasPart(part);
-    const auto owner = view_.owners().find(part);
-    const bool is_elsewhere = part.IsOfDomain() &&
-                              owner != view_.owners().end() &&
-                              owner->second != settings_.internal_listen_;
-    if (pool->tasks() > 0 && (is_gone || is_elsewhere)) {
+    if (pool->tasks() > 0 &&
+        view_.IsElsewhere(part, settings_.internal_listen_)) {
       pool->HandBackWaiting();
     }
   }
--- /dev/null
+++ b/tests/support/press_config.h
@@ -0,0 +1,50 @@
+#ifndef CITRONLANE_TESTS_SUPPORT_PRESS_CONFIG_H_
+#define CITRONLANE_TESTS_SUPPORT_PRESS_CONFIG_H_
+
+#include <cstdint>
+
+#include "citronlane/serving/serving_config.h"
+#include "citronlane/serving/stage_pool_spec.h"
+
+namespace citronlane {
+
+/// A stage pool of short calls with room for 1,000 bytes a server.
+inline StagePoolSpec PressSpec(uint32_t batch = StagePoolSpec().batch_) {
+  StagePoolSpec spec;
+  spec.batch_ = batch;
+  spec.call_time_ = std::chrono::milliseconds(20);
+  spec.room_bytes_ = 1000;
+  spec.result_life_ = std::chrono::seconds(4);
+  return spec;
+}
+
+/// Streamed requests to host "h" that need one stage of the service "press" and
+/// then a server of "engine".
+inline ServingConfig::Parts PressConfig() {
+  ServingConfig::Parts parts;
+  parts.version_ = 1;
+  Service press;
+  press.name_ = "press";
+  press.max_connections_ = 10;
+  press.stage_pool_ = PressSpec();
+  Service engine;
+  engine.name_ = "engine";
+  engine.max_connections_ = 10;
+  parts.services_ = {press, engine};
+  Route route;
+  route.name_ = "letter";
+  route.host_ = "h";
+  route.prefix_ = "/";
+  route.kind_ = RouteKind::kStreaming;
+  route.timeout_ = std::chrono::seconds(4);
+  route.target_latency_ = std::chrono::seconds(1);
+  route.is_public_ = true;
+  route.split_ = {{"engine", 1}};
+  route.stages_ = {{"press", {}, 10}};
+  parts.routes_ = {route};
+  return parts;
+}
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_TESTS_SUPPORT_PRESS_CONFIG_H_
--- a/tests/unit-answered-once.cc
+++ b/tests/unit-answered-once.cc
@@ -25,6 +25,7 @@
 #include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
+#include "support/press_config.h"
 #include "support/raw_call.h"
 #include "support/recorded_caller.h"
 #include "support/relay_gateway.h"
@@ -117,41 +118,12 @@
   HttpListener engine_;
 };
 
-ServingConfig::Parts Parts() {
-  ServingConfig::Parts parts;
-  parts.version_ = 1;
-  Service press;
-  press.name_ = "press";
-  press.max_connections_ = 10;
-  StagePoolSpec pool;
-  pool.call_time_ = milliseconds(20);
-  pool.room_bytes_ = 1000;
-  pool.result_life_ = seconds(4);
-  press.stage_pool_ = pool;
-  Service engine;
-  engine.name_ = "engine";
-  engine.max_connections_ = 10;
-  parts.services_ = {press, engine};
-  Route route;
-  route.name_ = "letter";
-  route.host_ = "h";
-  route.prefix_ = "/";
-  route.kind_ = RouteKind::kStreaming;
-  route.timeout_ = seconds(4);
-  route.target_latency_ = seconds(1);
-  route.is_public_ = true;
-  route.split_ = {{"engine", 1}};
-  route.stages_ = {{"press", {}, 10}};
-  parts.routes_ = {route};
-  return parts;
-}
-
 }  // namespace
 
 TEST_CASE("a request whose stages can't run again is refused once") {
   asio::io_context io;
   Servers servers(&io);
-  RelayGateway gateway(&io, Parts(), "engine", servers.Entries());
+  RelayGateway gateway(&io, PressConfig(), "engine", servers.Entries());
   const RecordedCaller caller = gateway.Ask(
       "a", {{"X-Citronlane-Pieces", "1"}, {"X-Citronlane-Piece-Key", "k"}});
   REQUIRE(caller.reply_);
--- a/tests/unit-engine-placement.cc
+++ b/tests/unit-engine-placement.cc
@@ -194,4 +194,67 @@
   }
 }
 
+// Hundreds of engines: one gateway for all of them would be at its limit.
+TEST_CASE("engines divided by failure domain") {
+  boost::asio::io_context io;
+  const std::string endpoint_a = FreeEndpoint(&io);
+  const std::string endpoint_b = FreeEndpoint(&io);
+  Gateway owner_a(&io, endpoint_a, endpoint_a);
+  auto owner_b = std::make_unique<Gateway>(&io, endpoint_b, endpoint_b);
+  Gateway asker(&io, FreeEndpoint(&io), endpoint_a);
+  const PoolPart part_a(kService, "a");
+  const PoolPart part_b(kService, "b");
+  std::vector<BackendServer> servers;
+  for (const char* name : {"a0", "a1", "b0", "b1"}) {
+    BackendServer server;
+    server.id_ = server.name_ = name;
+    server.service_ = kService;
+    server.failure_domain_ = std::string(1, *name);
+    servers.push_back(server);
+  }
+  for (Gateway* gateway : {&owner_a, owner_b.get(), &asker}) {
+    gateway->view_.SetServers(servers, SteadyNow() + seconds(1));
+    gateway->view_.SetOwners(2, {{part_a, endpoint_a}, {part_b, endpoint_b}});
+  }
+  const auto until = [&io](const std::function<bool()>& condition) {
+    return Eventually([&] {
+      io.poll();
+      return condition();
+    });
+  };
+  const auto place_in = [&](const PoolPart& part) {
+    std::string server;
+    asker.placement_.Ask(
+        Purpose::kStart, part, EngineRouter::Call(), {},
+        [&server](const std::string& named) { server = named; });
+    REQUIRE(until([&] { return !server.empty(); }));
+    return server;
+  };
+
+  SECTION("are placed on by the gateway of their domain") {
+    CHECK(asker.placement_.PartIn(kService, "a") == part_a);
+    CHECK(asker.placement_.PartIn(kService, "b") == part_b);
+    CHECK(owner_a.placement_.IsHere(part_a));
+    CHECK_FALSE(owner_a.placement_.IsHere(part_b));
+  }
+  SECTION("and only on these, however busy they are") {
+    for (int i = 0; i < 6; ++i) {
+      CHECK(place_in(part_a).front() == 'a');
+    }
+    CHECK(place_in(part_b).front() == 'b');
+    CHECK(owner_a.placement_.placed() == 6);
+    CHECK(owner_b->placement_.placed() == 1);
+  }
+  SECTION("are left to the asker while that gateway can't be reached") {
+    owner_b.reset();
+    asker.placement_.Ask(Purpose::kStart, part_b, EngineRouter::Call(), {},
+                         [](const std::string&) {});
+    CHECK(until([&] { return !asker.placement_.PartIn(kService, "b"); }));
+    CHECK(asker.placement_.PartIn(kService, "a") == part_a);
+  }
+  SECTION("are left to the asker in a domain that has no part") {
+    CHECK_FALSE(asker.placement_.PartIn(kService, "c"));
+  }
+}
+
 }  // namespace citronlane
--- a/tests/unit-frame-channel.cc
+++ b/tests/unit-frame-channel.cc
@@ -1,11 +1,14 @@
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 
 #include "citronlane/net/frame_channel.h"
 #include "fleet.pb.h"
@@ -20,6 +23,19 @@
 // More than a connection takes before its peer reads.
 constexpr size_t kLargeBytes = size_t{6} << 20;
 
+/// Two ends of a connection.
+struct Connection {
+  Connection() {
+    near_.connect(acceptor_.local_endpoint());
+    acceptor_.accept(far_);
+  }
+
+  asio::io_context io_;
+  tcp::acceptor acceptor_{io_, {asio::ip::make_address("127.0.0.1"), 0}};
+  tcp::socket near_{io_};
+  tcp::socket far_{io_};
+};
+
 Frame LargeFrame() {
   Frame frame;
   frame.mutable_update()->set_config(std::string(kLargeBytes, 'x'));
@@ -31,14 +47,12 @@
 // A gateway with much to say was taken for lost while its answers to pings
 // waited behind its data.
 TEST_CASE("signs of life do not wait behind data") {
-  asio::io_context io;
-  tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
-  tcp::socket near(io);
-  tcp::socket far(io);
-  near.connect(acceptor.local_endpoint());
-  acceptor.accept(far);
-  const auto sender = std::make_shared<FrameChannel>(std::move(near));
-  const auto receiver = std::make_shared<FrameChannel>(std::move(far));
+  Connection connection;
+  asio::io_context& io = connection.io_;
+  const auto sender =
+      std::make_shared<FrameChannel>(std::move(connection.near_));
+  const auto receiver =
+      std::make_shared<FrameChannel>(std::move(connection.far_));
 
   std::vector<std::string> received;
   FrameChannel::Hooks hooks;
@@ -77,4 +91,25 @@
   receiver->Close();
 }
 
+// A control VM that sends a large configuration or list over a narrow link was
+// taken for silent, and its connection was dropped before the frame was whole.
+TEST_CASE("part of a frame is a sign of life") {
+  Connection connection;
+  const auto channel =
+      std::make_shared<FrameChannel>(std::move(connection.near_));
+  channel->Start(FrameChannel::Hooks());
+  const TimePoint before = channel->last_received();
+
+  // The length of 1,000 bytes, and 100 of them.
+  std::array<unsigned char, 104> part{};
+  part[2] = 1000 / 256;
+  part[3] = 1000 % 256;
+  asio::write(connection.far_, asio::buffer(part));
+  // The head, and what there is of the body.
+  connection.io_.run_one();
+  connection.io_.run_one();
+  CHECK(channel->last_received() > before);
+  channel->Close();
+}
+
 }  // namespace citronlane
--- a/tests/unit-not-run.cc
+++ b/tests/unit-not-run.cc
@@ -20,6 +20,7 @@
 #include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
+#include "support/press_config.h"
 #include "support/recorded_caller.h"
 #include "support/relay_gateway.h"
 
@@ -34,35 +35,6 @@
 const std::vector<HttpHeader> one_piece = {{"X-Citronlane-Pieces", "1"},
                                            {"X-Citronlane-Piece-Key", "k"}};
 
-ServingConfig::Parts Parts() {
-  ServingConfig::Parts parts;
-  parts.version_ = 1;
-  Service press;
-  press.name_ = "press";
-  press.max_connections_ = 10;
-  StagePoolSpec pool;
-  pool.call_time_ = milliseconds(20);
-  pool.room_bytes_ = 1000;
-  pool.result_life_ = seconds(4);
-  press.stage_pool_ = pool;
-  Service engine;
-  engine.name_ = "engine";
-  engine.max_connections_ = 10;
-  parts.services_ = {press, engine};
-  Route route;
-  route.name_ = "letter";
-  route.host_ = "h";
-  route.prefix_ = "/";
-  route.kind_ = RouteKind::kStreaming;
-  route.timeout_ = seconds(4);
-  route.target_latency_ = seconds(1);
-  route.is_public_ = true;
-  route.split_ = {{"engine", 1}};
-  route.stages_ = {{"press", {}, 10}};
-  parts.routes_ = {route};
-  return parts;
-}
-
 BackendServer Press(uint16_t port) {
   BackendServer server;
   server.id_ = "press-1";
@@ -97,7 +69,7 @@
   HttpListener press({&io}, HttpLimits(), hooks);
   Error error;
   REQUIRE(press.Listen("127.0.0.1", 0, &error));
-  RelayGateway relay(&io, Parts(), "engine", {Press(press.port())});
+  RelayGateway relay(&io, PressConfig(), "engine", {Press(press.port())});
   gateway = &relay;
   CheckMayHaveRun(relay.Ask("a", one_piece));
 }
@@ -115,7 +87,7 @@
         asio::buffer(bytes),
         [&](const boost::system::error_code&, size_t got) { received += got; });
   });
-  RelayGateway relay(&io, Parts(), "engine", {});
+  RelayGateway relay(&io, PressConfig(), "engine", {});
   relay.view()->SetOwners(
       1, {{"press",
            "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())}});
@@ -125,7 +97,7 @@
 
 TEST_CASE("a request whose stage waits here for a server has not run") {
   asio::io_context io;
-  RelayGateway relay(&io, Parts(), "engine", {});
+  RelayGateway relay(&io, PressConfig(), "engine", {});
   const RecordedCaller caller = relay.Ask("a", one_piece, milliseconds(400));
   REQUIRE(caller.reply_);
   CHECK(caller.reply_->status_ == 503);
--- a/tests/unit-pool-parts.cc
+++ b/tests/unit-pool-parts.cc
@@ -324,4 +324,30 @@
   }
 }
 
+TEST_CASE("work that waits in a part belongs elsewhere") {
+  FleetView view;
+  const PoolPart part_a(kStage, "a");
+
+  SECTION("not while nobody has been named") {
+    CHECK_FALSE(view.IsElsewhere(kStage, "g9"));
+  }
+  SECTION("when the pool was divided") {
+    view.SetOwners(1, {{part_a, "g9"}});
+    CHECK(view.IsElsewhere(kStage, "g9"));
+    CHECK_FALSE(view.IsElsewhere(part_a, "g9"));
+  }
+  SECTION("when the pool became whole") {
+    view.SetOwners(1, {{kStage, "g9"}});
+    CHECK(view.IsElsewhere(part_a, "g9"));
+  }
+  SECTION("when the part has another gateway") {
+    view.SetOwners(1, {{part_a, "g1"}});
+    CHECK(view.IsElsewhere(part_a, "g9"));
+  }
+  SECTION("not at the successor of a whole pool's gateway") {
+    view.SetOwners(1, {{kStage, "g1"}});
+    CHECK_FALSE(view.IsElsewhere(kStage, "g9"));
+  }
+}
+
 }  // namespace citronlane
--- a/tests/unit-reply-identity.cc
+++ b/tests/unit-reply-identity.cc
@@ -37,6 +37,7 @@
 #include "citronlane/transport/stage_client.h"
 #include "citronlane/transport/stage_limits.h"
 #include "platform/dialect.h"
+#include "support/press_config.h"
 #include "support/recorded_caller.h"
 #include "support/relay_gateway.h"
 #include "support/scripted_server.h"
@@ -170,15 +171,6 @@
   bool not_run_ = false;
 
  private:
-  static StagePoolSpec Spec() {
-    StagePoolSpec spec;
-    spec.batch_ = 2;
-    spec.call_time_ = milliseconds(20);
-    spec.room_bytes_ = 1000;
-    spec.result_life_ = seconds(4);
-    return spec;
-  }
-
   boost::asio::io_context io_;
   const Dialect dialect_ = platform::MakeDialect();
   FleetView view_;
@@ -187,8 +179,8 @@
                 {[](std::string_view) { return true; }, SteadyNow,
                  [] { return int64_t{0}; }}};
   StagePool pool_{
-      "press", Spec(),    RepeatBudget::Options{0.2, 10, seconds(10)},
-      &view_,  &dialect_, &client_,
+      "press", PressSpec(2), RepeatBudget::Options{0.2, 10, seconds(10)},
+      &view_,  &dialect_,    &client_,
       &log_};
 };
 
--- a/tests/unit-stage-owners.cc
+++ b/tests/unit-stage-owners.cc
@@ -38,6 +38,7 @@
 #include "platform/dialect.h"
 #include "support/eventually.h"
 #include "support/free_endpoint.h"
+#include "support/press_config.h"
 
 namespace citronlane {
 namespace {
@@ -210,7 +211,7 @@
               },
               SteadyNow, [] { return int64_t{0}; }}),
         pool_(kService,
-              Spec(),
+              PressSpec(2),
               RepeatBudget::Options{0.2, 10, seconds(10)},
               &view_,
               &net->dialect_,
@@ -282,15 +283,6 @@
   StageOwners owners_;
 
  private:
-  static StagePoolSpec Spec() {
-    StagePoolSpec spec;
-    spec.batch_ = 2;
-    spec.call_time_ = milliseconds(20);
-    spec.room_bytes_ = 1000;
-    spec.result_life_ = seconds(4);
-    return spec;
-  }
-
   std::set<std::shared_ptr<FrameChannel>> channels_;
   FrameListener listener_;
   const bool runs_pools_;
@@ -1258,4 +1250,32 @@
   }
 }
 
+TEST_CASE("results of a divided pool are freed by their makers' gateways") {
+  Loopback net;
+  const std::string endpoint_a = FreeEndpoint(&net.io_);
+  const std::string endpoint_b = FreeEndpoint(&net.io_);
+  PlayedOwner owner_a(&net, endpoint_a);
+  PlayedOwner owner_b(&net, endpoint_b);
+  FleetView view = ViewOf(endpoint_a, {endpoint_a, endpoint_b});
+  std::vector<BackendServer> makers;
+  for (const char* domain : {"a", "b"}) {
+    BackendServer maker;
+    maker.id_ = maker.name_ = domain;
+    maker.service_ = kService;
+    maker.address_ = std::string(domain) + ":1";
+    maker.failure_domain_ = domain;
+    makers.push_back(maker);
+  }
+  view.SetServers(makers, SteadyNow());
+  view.SetOwners(2, {{PoolPart(kService, "a"), endpoint_a},
+                     {PoolPart(kService, "b"), endpoint_b}});
+  Gateway gateway(&net, FreeEndpoint(&net.io_), view);
+  gateway.owners_.Free(kService, {"b:1/x", "a:1/y", "b:1/z"});
+  REQUIRE(net.Until([&] {
+    return owner_a.freed_.size() == 1 && owner_b.freed_.size() == 2;
+  }));
+  CHECK(owner_a.freed_ == Handles{"a:1/y"});
+  CHECK(owner_b.freed_ == Handles{"b:1/x", "b:1/z"});
+}
+
 }  // namespace citronlane
