Test that the watch of control keeps a VM whose frame comes in parts

Cause, found on reading: unit-frame-progress covered the channel, nothing the watch that goes by it. The new case fails with the watch as it was (run with whole frames alone) and passes with it.

--- a/tests/unit-control-watch.cc
+++ b/tests/unit-control-watch.cc
@@ -6,10 +6,14 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 
 #include "citronlane/base/error.h"
 #include "citronlane/base/steady_now.h"
+#include "citronlane/net/endpoint.h"
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/net/frame_listener.h"
 #include "citronlane/observe/event_log.h"
@@ -178,4 +182,42 @@
   }
 }
 
+// A control VM that gives hundreds of gateways a large configuration at once:
+// each dropped it as silent before the frame was whole, and asked anew.
+TEST_CASE("a control VM whose frame comes in parts is not silent") {
+  namespace asio = boost::asio;
+  asio::io_context io;
+  const std::string endpoint = FreeEndpoint(&io);
+  asio::ip::tcp::acceptor acceptor(io, *ParseEndpoint(endpoint));
+  Watch gateway(&io, {endpoint});
+  // It was asked a second ago.
+  gateway.watch_.Tick(SteadyNow() - std::chrono::seconds(1));
+  asio::ip::tcp::socket control(io);
+  acceptor.accept(control);
+  REQUIRE(Eventually([&] {
+    io.poll();
+    return control.available() > 0;
+  }));
+
+  Frame frame;
+  frame.mutable_update()->set_has_config(true);
+  frame.mutable_update()->set_config_version(7);
+  frame.mutable_update()->set_config(std::string(10000, 'x'));
+  std::string bytes(4, '\0');
+  frame.AppendToString(&bytes);
+  bytes[2] = static_cast<char>((bytes.size() - 4) / 256);
+  bytes[3] = static_cast<char>((bytes.size() - 4) % 256);
+  const TimePoint before = SteadyNow();
+  asio::write(control, asio::buffer(bytes, 5000));
+  while (io.poll() > 0) {
+  }
+  gateway.watch_.Tick(before);
+  asio::write(control, asio::buffer(bytes.substr(5000)));
+  REQUIRE(Eventually([&] {
+    io.poll();
+    return gateway.config_.has_value();
+  }));
+  CHECK(*gateway.config_ == 7);
+}
+
 }  // namespace citronlane
