--- a/include/citronlane/net/frame_channel.h
+++ b/include/citronlane/net/frame_channel.h
@@ -41,6 +41,8 @@
   void Close();
 
   bool is_open() const { return is_open_; }
+  /// What the peer has not taken yet, in bytes, beyond the system's buffers.
+  size_t queued_bytes() const { return queued_bytes_; }
   /// When the last bytes came in.
   TimePoint last_received() const { return last_received_; }
 
--- /dev/null
+++ b/tests/unit-gateway-feed.cc
@@ -0,0 +1,179 @@
+#include <catch2/catch.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "citronlane/base/error.h"
+#include "citronlane/base/steady_now.h"
+#include "citronlane/control/gateway_feed.h"
+#include "citronlane/net/frame_channel.h"
+#include "citronlane/net/frame_listener.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/relay/control_watch.h"
+#include "citronlane/state/config_register.h"
+#include "fleet.pb.h"
+#include "support/eventually.h"
+#include "support/free_endpoint.h"
+
+namespace citronlane {
+namespace {
+
+using wire::fleet::Frame;
+using wire::fleet::WatchUpdate;
+
+/// A configuration with names that repeat nowhere else. Versions with the same
+/// number of routes differ in their number only.
+std::string Document(uint64_t version, size_t routes) {
+  std::minstd_rand random(1);
+  std::string document =
+      "{\"version\":" + std::to_string(version) + ",\"routes\":[";
+  for (size_t i = 0; i < routes; ++i) {
+    document += i == 0 ? "{" : ",{";
+    document += "\"name\":\"r-" + std::to_string(random()) +
+                "\",\"hostname\":\"h" + std::to_string(random()) +
+                ".example\",\"path_prefix\":\"/p" + std::to_string(random()) +
+                "/\",\"kind\":\"safe\",\"timeout_ms\":1500,"
+                "\"target_latency_ms\":300,\"priority\":2,"
+                "\"service\":\"orders\",\"max_attempts\":2}";
+  }
+  document += "],\"services\":[{\"name\":\"orders\"}]}";
+  return document;
+}
+
+/// A control VM that leads.
+class Leader {
+ public:
+  Leader(boost::asio::io_context* io, const std::string& endpoint)
+      : feed_(
+            &config_,
+            [] {
+              GatewayFeed::Leadership leadership;
+              leadership.leads_ = true;
+              return leadership;
+            },
+            [] { return std::vector<PooledService>(); }),
+        listener_(
+            io,
+            endpoint,
+            {[this](const std::shared_ptr<FrameChannel>& channel,
+                    Frame* frame) { Take(channel, *frame); },
+             [this](const FrameChannel* channel) { feed_.Closed(channel); }}) {
+    Error error;
+    REQUIRE(listener_.Start(&error));
+  }
+
+  void Commit(uint64_t version, const std::string& document) {
+    REQUIRE(config_.Apply(ConfigRegister::Command(version, document)));
+    feed_.PushAll(SteadyNow());
+  }
+
+  /// Bytes that wait for the gateway.
+  size_t queued_bytes() const {
+    const auto channel = channel_.lock();
+    return channel ? channel->queued_bytes() : 0;
+  }
+
+ private:
+  void Take(const std::shared_ptr<FrameChannel>& channel, const Frame& frame) {
+    channel_ = channel;
+    feed_.Watch(channel, frame.watch(), SteadyNow());
+  }
+
+  std::weak_ptr<FrameChannel> channel_;
+  ConfigRegister config_;
+  GatewayFeed feed_;
+  FrameListener listener_;
+};
+
+/// A gateway that reads what it was sent only while its loop runs.
+class Gateway {
+ public:
+  explicit Gateway(const std::string& leader)
+      : log_("gateway",
+             {[](std::string_view) { return true; }, SteadyNow,
+              [] { return int64_t{0}; }}),
+        watch_(&io_,
+               ControlWatch::Options{"127.0.0.1:1", "a", {leader}},
+               &log_,
+               HooksOf()) {}
+
+  void Poll() {
+    watch_.Tick(SteadyNow());
+    io_.poll();
+  }
+
+  std::optional<uint64_t> version_;
+  std::string document_;
+  /// What it had to read, in bytes.
+  size_t received_bytes_ = 0;
+
+ private:
+  ControlWatch::Hooks HooksOf() {
+    ControlWatch::Hooks hooks;
+    hooks.updated_ = [this](WatchUpdate* update) {
+      received_bytes_ += update->ByteSizeLong();
+      if (update->has_config()) {
+        version_ = update->config_version();
+        document_ = update->config();
+      }
+    };
+    hooks.config_version_ = [this] { return version_; };
+    hooks.knows_gateways_ = [] { return true; };
+    hooks.add_owners_ = [](wire::fleet::WatchRequest*) {};
+    return hooks;
+  }
+
+  boost::asio::io_context io_;
+  EventLog log_;
+  ControlWatch watch_;
+};
+
+constexpr size_t kRoutes = 4200;
+constexpr uint64_t kFirst = 1;
+constexpr uint64_t kLast = 11;
+
+}  // namespace
+
+// Configurations were in force seconds after they were acknowledged: each went
+// to each gateway as a whole document, behind all that came before it.
+TEST_CASE("changes come faster than a gateway's link carries whole documents") {
+  boost::asio::io_context io;
+  const std::string endpoint = FreeEndpoint(&io);
+  Leader leader(&io, endpoint);
+  Gateway gateway(endpoint);
+  const auto has = [&](uint64_t version) {
+    return Eventually([&] {
+      io.poll();
+      gateway.Poll();
+      return gateway.version_ == version;
+    });
+  };
+  leader.Commit(kFirst, Document(kFirst, kRoutes));
+  REQUIRE(has(kFirst));
+  gateway.received_bytes_ = 0;
+  for (uint64_t version = kFirst + 1; version <= kLast; ++version) {
+    leader.Commit(version, Document(version, kRoutes));
+    io.poll();
+  }
+
+  SECTION("the newest one is there within a second of the link") {
+    // 10 Mbit/s, half of it taken by requests and results.
+    constexpr size_t kLinkBytes = 625000;
+    REQUIRE(has(kLast));
+    CHECK(gateway.document_ == Document(kLast, kRoutes));
+    CHECK(gateway.received_bytes_ <= kLinkBytes);
+  }
+
+  SECTION("one that reads nothing costs control less than a document") {
+    CHECK(leader.queued_bytes() <= Document(kLast, kRoutes).size());
+  }
+}
+
+}  // namespace citronlane
