Send a gateway the difference to the newest configuration, one at a time

What callers saw: requests handled by a configuration that had been replaced over 2.5 s before.

Cause: control gave each version to each gateway as a whole document, and looked at nothing that was still on its way there. A link of 10 Mbit/s carries a document of 4,200 routes in 0.66 s, so a version waited for all before it, and control held them all in memory (16 MiB a gateway).

Change: one configuration at most is on its way to a gateway; the gateway confirms it, and then gets the difference (zstd, the older document as prefix) to what is newest by then.

'config in force' says how many bytes came, as a difference from what, how old the version was when sent and what reading took; control logs 'config everywhere' and 'config late'.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -13,14 +13,17 @@
 #include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/fleet/pool_part.h"
 #include "citronlane/fleet/pooled_service.h"
+#include "citronlane/fleet/recent_documents.h"
 #include "citronlane/serving/backend_server.h"
 
 namespace citronlane {
 
 class ConfigRegister;
+class EventLog;
 class FrameChannel;
 
 namespace wire::fleet {
+class ConfigHeld;
 class WatchRequest;
 class WatchUpdate;
 }  // namespace wire::fleet
@@ -43,8 +46,9 @@
   /// engines by the configuration.
   using PoolsHook = std::function<std::vector<PooledService>()>;
 
-  /// `config` outlives the feed.
+  /// `config` and `log` outlive the feed.
   GatewayFeed(const ConfigRegister* config,
+              EventLog* log,
               LeadershipHook leadership,
               PoolsHook pools);
   ~GatewayFeed();
@@ -55,6 +59,10 @@
   void Watch(const std::shared_ptr<FrameChannel>& channel,
              const wire::fleet::WatchRequest& request,
              TimePoint now);
+  /// A gateway has taken the configuration that it was sent last.
+  void ConfirmConfig(const FrameChannel* channel,
+                     const wire::fleet::ConfigHeld& held,
+                     TimePoint now);
   void Closed(const FrameChannel* channel);
 
   /// A whole list was read at `now`; `unusable` more entries named no server.
@@ -76,14 +84,27 @@
   void UpdateAssignment(TimePoint now);
   std::vector<PoolPart> Parts() const;
   void Push(Watcher* watcher, TimePoint now);
+  void NoteConfig(TimePoint now);
+  void AddConfig(Watcher* watcher,
+                 bool leads,
+                 TimePoint now,
+                 wire::fleet::WatchUpdate* update);
+  void LogProgress(TimePoint now);
   void AddGateways(Watcher* watcher,
                    bool is_gathering,
                    wire::fleet::WatchUpdate* update) const;
 
   const ConfigRegister* const config_;
+  EventLog* const log_;
   const LeadershipHook leadership_;
   const PoolsHook pools_;
   std::map<const FrameChannel*, std::unique_ptr<Watcher>> watchers_;
+  RecentDocuments documents_;
+  /// When the newest of them was known here.
+  TimePoint config_since_;
+  /// What was logged of the newest one.
+  bool logged_everywhere_ = false;
+  bool logged_late_ = false;
   std::vector<BackendServer> servers_;
   size_t unusable_ = 0;
   std::optional<TimePoint> servers_read_;
--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -20,6 +20,7 @@
 inline constexpr std::string_view kClass[] = {"class"};
 inline constexpr std::string_view kPool[] = {"pool"};
 inline constexpr std::string_view kReason[] = {"reason"};
+inline constexpr std::string_view kKind[] = {"kind"};
 inline constexpr std::string_view kVersion[] = {"version"};
 
 }  // namespace metric_labels
@@ -97,6 +98,10 @@
                                Metric::Kind::kGauge,
                                "1 when new work is taken, else 0.",
                                {}};
+inline constexpr Metric kConfigUpdatesTotal{
+    "citronlane_config_updates_total", Metric::Kind::kCounter,
+    "Configurations received, as a difference or as a whole document.",
+    metric_labels::kKind};
 inline constexpr Metric kConfigVersion{"citronlane_config_version",
                                        Metric::Kind::kGauge,
                                        "Version of the configuration applied.",
@@ -145,6 +150,7 @@
     &kRequestsInFlight,
     &kPoolTasks,
     &kReady,
+    &kConfigUpdatesTotal,
     &kConfigVersion,
     &kBuildInfo,
     &kMetricSeriesDroppedTotal,
--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -40,7 +40,8 @@
     /// An update of the VM that leads, or what one that does not knows of the
     /// configuration or of other gateways, for want of any.
     std::function<void(wire::fleet::WatchUpdate* update)> updated_;
-    /// Version of the configuration held; nothing when there is none.
+    /// Version of the configuration held; nothing when there is none. Told to
+    /// control again after each update that brought one.
     std::function<std::optional<uint64_t>()> config_version_;
     std::function<bool()> knows_gateways_;
     /// Adds what the gateway was told of pools and their owners.
@@ -88,6 +89,9 @@
              TimePoint now);
   void Ask(FrameLink* link);
   void Take(const std::string& endpoint, wire::fleet::Frame* frame);
+  void TakeUpdate(const std::string& endpoint,
+                  wire::fleet::WatchUpdate* update);
+  void ConfirmConfig(FrameLink* link);
 
   boost::asio::io_context* const io_;
   Options options_;
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -13,6 +13,7 @@
 #include "citronlane/net/frame_listener.h"
 #include "citronlane/net/server_list_reader.h"
 #include "citronlane/observe/metrics.h"
+#include "citronlane/relay/config_receiver.h"
 #include "citronlane/relay/control_watch.h"
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/relay/fleet_view.h"
@@ -29,6 +30,7 @@
 namespace citronlane {
 
 namespace wire::fleet {
+class ConfigUpdate;
 class WatchUpdate;
 }  // namespace wire::fleet
 
@@ -65,7 +67,7 @@
 
   // gateway_host_feed.cc: what control and the platform say of the fleet.
   void TakeUpdate(wire::fleet::WatchUpdate* update);
-  void TakeConfig(const std::string& document);
+  void TakeConfig(const wire::fleet::ConfigUpdate& update);
   void TakeServers(std::vector<BackendServer> servers,
                    size_t unusable,
                    TimePoint read);
@@ -89,6 +91,7 @@
   std::mt19937_64 random_{std::random_device()()};
   Metrics metrics_;
   FleetView view_;
+  ConfigReceiver received_config_;
   StageClient client_;
   ServerListReader list_reader_;
   std::map<std::string, std::unique_ptr<ServiceRouter>> routers_;
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -8,7 +8,7 @@
   libcxxtools-dev libboost-dev libboost-context-dev libboost-coroutine-dev
   libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc
   libcli11-dev liblog4cplus-dev catch2 librapidcheck-dev libbenchmark-dev
-  rapidjson-dev libssl-dev libabsl-dev libxxhash-dev
+  rapidjson-dev libssl-dev libabsl-dev libxxhash-dev libzstd-dev
 )
 
 missing=()
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -119,6 +119,7 @@
       list_reader_(&client_, dialect, settings_.server_list_address_),
       feed_(
           &config_,
+          log,
           [this] { return Leadership(); },
           [this] { return PooledServices(); }),
       member_(&io_,
@@ -236,6 +237,8 @@
   const TimePoint now = SteadyNow();
   if (frame->has_watch()) {
     feed_.Watch(channel, frame->watch(), now);
+  } else if (frame->has_config_held()) {
+    feed_.ConfirmConfig(channel.get(), frame->config_held(), now);
   } else {
     member_.Take(channel, frame, now);
   }
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -1,16 +1,19 @@
 #include "citronlane/control/gateway_feed.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "citronlane/fleet/pool_division.h"
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/frame_channel.h"
+#include "citronlane/observe/event_log.h"
 #include "citronlane/state/config_register.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
 namespace {
 
+using wire::fleet::ConfigHeld;
 using wire::fleet::Frame;
 using wire::fleet::WatchRequest;
 using wire::fleet::WatchUpdate;
@@ -21,6 +24,11 @@
 /// A new leader has read the list of servers by then, unless the platform does
 /// not answer; by it pools are divided.
 constexpr Duration kListTime = std::chrono::seconds(1);
+/// Versions that gateways may still hold while changes come in quick
+/// succession; a small part of a control VM's memory.
+constexpr size_t kRecentBytes = size_t{16} << 20;
+/// A version that some gateways lack for so long is logged: soon it is late.
+constexpr Duration kLateConfig = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -31,19 +39,26 @@
   bool stopping_ = false;
   bool has_gateways_ = false;
   TimePoint started_;
-  /// What the gateway holds, as far as this connection knows.
+  /// What the gateway holds, as it said last.
   std::optional<uint64_t> config_version_;
+  /// A configuration is on its way that the gateway has not confirmed. The next
+  /// one waits for that, so that it is the newest by then, and only one takes
+  /// up memory here and time on the gateway's link.
+  bool is_config_on_way_ = false;
   uint64_t servers_number_ = 0;
   uint64_t gateways_number_ = 0;
   uint64_t owners_number_ = 0;
 };
 
 GatewayFeed::GatewayFeed(const ConfigRegister* config,
+                         EventLog* log,
                          LeadershipHook leadership,
                          PoolsHook pools)
     : config_(config),
+      log_(log),
       leadership_(std::move(leadership)),
-      pools_(std::move(pools)) {}
+      pools_(std::move(pools)),
+      documents_(kRecentBytes) {}
 
 GatewayFeed::~GatewayFeed() = default;
 
@@ -60,7 +75,7 @@
   watcher->stopping_ = request.stopping();
   watcher->has_gateways_ = request.has_gateways();
   watcher->started_ = now - std::chrono::milliseconds(request.age_ms());
-  if (request.has_config()) {
+  if (request.has_config() && !watcher->is_config_on_way_) {
     watcher->config_version_ = request.config_version();
   }
   if (request.has_owners()) {
@@ -71,9 +86,28 @@
   // The others hear of it at the next round: a fleet that starts up would
   // send each of its gateways' names to each of them.
   ++gateways_number_;
+  NoteConfig(now);
   Push(watcher.get(), now);
 }
 
+void GatewayFeed::ConfirmConfig(const FrameChannel* channel,
+                                const ConfigHeld& held,
+                                TimePoint now) {
+  const auto found = watchers_.find(channel);
+  if (found == watchers_.end()) {
+    return;
+  }
+  Watcher* const watcher = found->second.get();
+  watcher->is_config_on_way_ = false;
+  watcher->config_version_ =
+      held.none() ? std::nullopt : std::optional(held.version());
+  NoteConfig(now);
+  if (watcher->config_version_ != documents_.newest()) {
+    Push(watcher, now);
+  }
+  LogProgress(now);
+}
+
 void GatewayFeed::Closed(const FrameChannel* channel) {
   if (watchers_.erase(channel) > 0) {
     ++gateways_number_;
@@ -135,6 +169,7 @@
 }
 
 void GatewayFeed::PushAll(TimePoint now) {
+  NoteConfig(now);
   UpdateAssignment(now);
   std::vector<std::pair<std::shared_ptr<FrameChannel>, Watcher*>> open;
   for (const auto& [key, watcher] : watchers_) {
@@ -148,6 +183,17 @@
       Push(watcher, now);
     }
   }
+  LogProgress(now);
+}
+
+void GatewayFeed::NoteConfig(TimePoint now) {
+  if (config_->is_empty() || documents_.newest() == config_->version()) {
+    return;
+  }
+  documents_.Add(config_->version(), config_->document());
+  config_since_ = now;
+  logged_everywhere_ = false;
+  logged_late_ = false;
 }
 
 void GatewayFeed::Push(Watcher* watcher, TimePoint now) {
@@ -160,17 +206,7 @@
   for (const std::string& member : leadership.members_) {
     update->add_members(member);
   }
-  const bool has_news =
-      !config_->is_empty() && (!watcher->config_version_ ||
-                               *watcher->config_version_ < config_->version());
-  // What was committed once, though it may not be the newest, serves better
-  // than nothing until a leader is found.
-  if (has_news && (leadership.leads_ || !watcher->config_version_)) {
-    update->set_has_config(true);
-    update->set_config_version(config_->version());
-    update->set_config(config_->document());
-    watcher->config_version_ = config_->version();
-  }
+  AddConfig(watcher, leadership.leads_, now, update);
   // When the whole fleet has restarted, gateways have nobody else to hear of
   // each other from until there is a leader. Without that each would run all
   // pools by itself, and all would call the same servers.
@@ -199,6 +235,68 @@
   channel->Send(frame);
 }
 
+void GatewayFeed::AddConfig(Watcher* watcher,
+                            bool leads,
+                            TimePoint now,
+                            WatchUpdate* update) {
+  const auto& held = watcher->config_version_;
+  const auto newest = documents_.newest();
+  const bool has_news = newest && (!held || *held < *newest);
+  // What was committed once, though it may not be the newest, serves better
+  // than nothing until a leader is found.
+  if (!has_news || watcher->is_config_on_way_ || (held && !leads)) {
+    return;
+  }
+  Error error;
+  const auto* made = documents_.UpdateFrom(held, &error);
+  if (made == nullptr) {
+    log_->Write("control", "config not encoded",
+                {{"version", *newest}, {"reason", error.message_}});
+    return;
+  }
+  auto* config = update->mutable_config();
+  config->set_version(made->version_);
+  config->set_has_base(made->base_.has_value());
+  config->set_base_version(made->base_.value_or(0));
+  config->set_data(made->data_);
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - config_since_);
+  config->set_age_ms(static_cast<uint64_t>(age.count()));
+  watcher->is_config_on_way_ = true;
+}
+
+// A line when all gateways hold the newest version, and one when some still
+// lack it after a while.
+void GatewayFeed::LogProgress(TimePoint now) {
+  const auto newest = documents_.newest();
+  if (!newest || logged_everywhere_ || watchers_.empty() ||
+      !leadership_().leads_) {
+    return;
+  }
+  uint64_t behind = 0;
+  uint64_t lowest = *newest;
+  for (const auto& [key, watcher] : watchers_) {
+    const uint64_t held = watcher->config_version_.value_or(0);
+    behind += held < *newest ? 1 : 0;
+    lowest = std::min(lowest, held);
+  }
+  if (behind == 0) {
+    logged_everywhere_ = true;
+    log_->Write("control", "config everywhere",
+                {{"version", *newest},
+                 {"gateways", static_cast<uint64_t>(watchers_.size())},
+                 {"after_ms", now - config_since_}});
+  } else if (!logged_late_ && now - config_since_ >= kLateConfig) {
+    logged_late_ = true;
+    log_->Write("control", "config late",
+                {{"version", *newest},
+                 {"behind", behind},
+                 {"lowest", lowest},
+                 {"gateways", static_cast<uint64_t>(watchers_.size())},
+                 {"after_ms", now - config_since_}});
+  }
+}
+
 // While gateways gather, the list is not whole: one that has a list keeps it.
 void GatewayFeed::AddGateways(Watcher* watcher,
                               bool is_gathering,
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -13,6 +13,7 @@
 namespace {
 
 using wire::fleet::Frame;
+using wire::fleet::WatchUpdate;
 
 /// Control VMs speak every 200 ms.
 constexpr Duration kSilence = std::chrono::milliseconds(800);
@@ -152,10 +153,28 @@
   if (!frame->has_update()) {
     return;
   }
-  auto* update = frame->mutable_update();
   Candidate& candidate = candidates_.at(endpoint);
   candidate.heard_ = SteadyNow();
   candidate.first_patience_ = kFirstAnswer;
+  const bool has_config = frame->update().has_config();
+  TakeUpdate(endpoint, frame->mutable_update());
+  // Whether it was of use or not: control sends the next one only then.
+  if (has_config) {
+    ConfirmConfig(candidate.link_.get());
+  }
+}
+
+void ControlWatch::ConfirmConfig(FrameLink* link) {
+  Frame frame;
+  auto* held = frame.mutable_config_held();
+  const auto version = hooks_.config_version_();
+  held->set_none(!version);
+  held->set_version(version.value_or(0));
+  link->Send(frame);
+}
+
+void ControlWatch::TakeUpdate(const std::string& endpoint,
+                              WatchUpdate* update) {
   if (!leader_.empty() && endpoint != leader_) {
     // On its way before the leader was found.
     return;
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -214,10 +214,7 @@
 ControlWatch::Hooks GatewayHost::Impl::WatchHooks() {
   ControlWatch::Hooks hooks;
   hooks.updated_ = [this](WatchUpdate* update) { TakeUpdate(update); };
-  hooks.config_version_ = [this]() -> std::optional<uint64_t> {
-    const auto& config = view_.config();
-    return config ? std::optional(config->version()) : std::nullopt;
-  };
+  hooks.config_version_ = [this] { return received_config_.version(); };
   hooks.add_owners_ = [this](wire::fleet::WatchRequest* request) {
     EncodeOwners(view_.owners_number(), view_.owners(),
                  request->mutable_owners());
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -14,6 +14,7 @@
 namespace citronlane {
 namespace {
 
+using wire::fleet::ConfigUpdate;
 using wire::fleet::WatchUpdate;
 
 /// A list that control has not confirmed for this long is read here, well
@@ -73,9 +74,18 @@
                {"own", own}});
 }
 
-void GatewayHost::Impl::TakeConfig(const std::string& document) {
+void GatewayHost::Impl::TakeConfig(const ConfigUpdate& update) {
+  const TimePoint begun = SteadyNow();
+  metrics_.Count(kConfigUpdatesTotal,
+                 {update.has_base() ? "difference" : "whole"});
+  Error error;
+  if (!received_config_.Take(update, &error)) {
+    log_->Write("gateway", "config not restored",
+                {{"version", update.version()}, {"reason", error.message_}});
+    return;
+  }
   std::vector<std::string> faults;
-  auto config = dialect_->read_config_(document, &faults);
+  auto config = dialect_->read_config_(received_config_.document(), &faults);
   if (!config) {
     // Control takes no such document; it speaks another version of ours.
     log_->Write("gateway", "config not readable",
@@ -86,7 +96,14 @@
   if (view_.SetConfig(std::move(config))) {
     ApplyLimits();
     relay_.ViewArrived();
-    log_->Write("gateway", "config in force", {{"version", version}});
+    log_->Write("gateway", "config in force",
+                {{"version", version},
+                 {"base", update.base_version()},
+                 {"bytes", static_cast<uint64_t>(update.data().size())},
+                 {"document_bytes",
+                  static_cast<uint64_t>(received_config_.document().size())},
+                 {"sent_at_age_ms", update.age_ms()},
+                 {"read_ms", SteadyNow() - begun}});
   }
 }
 
--- /dev/null
+++ b/tests/unit-config-updates.cc
@@ -0,0 +1,173 @@
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <string>
+
+#include "citronlane/base/error.h"
+#include "citronlane/fleet/document_patch.h"
+#include "citronlane/fleet/recent_documents.h"
+#include "citronlane/relay/config_receiver.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+namespace {
+
+using wire::fleet::ConfigUpdate;
+
+/// Bytes that no compressor shortens, from a fixed seed.
+std::string Noise(size_t size) {
+  std::string noise(size, '\0');
+  uint64_t state = 1;
+  for (char& byte : noise) {
+    state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+    byte = static_cast<char>(state >> 56);
+  }
+  return noise;
+}
+
+ConfigUpdate Encoded(const RecentDocuments::Update& update) {
+  ConfigUpdate encoded;
+  encoded.set_version(update.version_);
+  encoded.set_has_base(update.base_.has_value());
+  encoded.set_base_version(update.base_.value_or(0));
+  encoded.set_data(update.data_);
+  return encoded;
+}
+
+constexpr size_t kMegabyte = size_t{1} << 20;
+
+}  // namespace
+
+TEST_CASE("a document is restored from what is sent of it") {
+  const std::string base = Noise(kMegabyte);
+  std::string document = base;
+  document.insert(kMegabyte / 2, "a few bytes more");
+  Error error;
+
+  SECTION("a difference costs what was changed") {
+    const auto data = EncodeDocument(document, base, &error);
+    REQUIRE(data);
+    CHECK(data->size() < 2000);
+    CHECK(DecodeDocument(*data, base, &error) == document);
+  }
+  SECTION("without a base it is whole") {
+    const auto data = EncodeDocument(document, "", &error);
+    REQUIRE(data);
+    CHECK(DecodeDocument(*data, "", &error) == document);
+  }
+  SECTION("an empty document has its data too") {
+    const auto data = EncodeDocument("", base, &error);
+    REQUIRE(data);
+    CHECK(DecodeDocument(*data, base, &error) == "");
+  }
+  SECTION("against another base it is refused") {
+    const auto data = EncodeDocument(document, base, &error);
+    REQUIRE(data);
+    std::string other = base;
+    other[kMegabyte / 4 + 100] ^= 1;
+    CHECK_FALSE(DecodeDocument(*data, other, &error));
+    CHECK_FALSE(error.message_.empty());
+  }
+  SECTION("damaged or cut data is refused") {
+    const auto data = EncodeDocument(document, "", &error);
+    REQUIRE(data);
+    std::string damaged = *data;
+    damaged[damaged.size() / 2] ^= 1;
+    CHECK_FALSE(DecodeDocument(damaged, "", &error));
+    CHECK_FALSE(DecodeDocument(data->substr(0, 1000), "", &error));
+    CHECK_FALSE(DecodeDocument("", "", &error));
+    CHECK_FALSE(DecodeDocument("no frame", "", &error));
+  }
+}
+
+TEST_CASE("the newest document for receivers of each version") {
+  RecentDocuments recent(3 * kMegabyte);
+  const std::string first = Noise(kMegabyte);
+  Error error;
+  CHECK_FALSE(recent.newest());
+  recent.Add(5, first);
+  recent.Add(8, first + "x");
+
+  SECTION("one that holds a version kept gets the difference") {
+    const auto* update = recent.UpdateFrom(5, &error);
+    REQUIRE(update);
+    CHECK(update->version_ == 8);
+    CHECK(update->base_ == 5);
+    CHECK(update->data_.size() < 2000);
+    // Made once for all that hold it.
+    CHECK(recent.UpdateFrom(5, &error) == update);
+  }
+  SECTION("one that holds none, or one not kept, gets it whole") {
+    const auto* update = recent.UpdateFrom(std::nullopt, &error);
+    REQUIRE(update);
+    CHECK_FALSE(update->base_);
+    CHECK(DecodeDocument(update->data_, "", &error) == first + "x");
+    CHECK(recent.UpdateFrom(7, &error) == update);
+  }
+  SECTION("the oldest go when their bytes do not fit") {
+    recent.Add(9, first + "y");
+    recent.Add(11, first + "z");
+    CHECK(recent.bytes() <= 3 * kMegabyte);
+    CHECK_FALSE(recent.UpdateFrom(5, &error)->base_);
+    CHECK(recent.UpdateFrom(9, &error)->base_ == 9);
+  }
+  SECTION("the newest is kept whatever its size") {
+    recent.Add(20, Noise(4 * kMegabyte));
+    CHECK(recent.newest() == 20);
+    CHECK(recent.bytes() == 4 * kMegabyte);
+  }
+  SECTION("a lower version begins anew") {
+    recent.Add(2, "{}");
+    CHECK(recent.newest() == 2);
+    CHECK(recent.bytes() == 2);
+  }
+  SECTION("the same version changes nothing") {
+    recent.Add(8, first + "x");
+    CHECK(recent.bytes() == 2 * first.size() + 1);
+  }
+}
+
+TEST_CASE("a gateway restores configurations") {
+  RecentDocuments recent(4 * kMegabyte);
+  ConfigReceiver receiver;
+  Error error;
+  recent.Add(1, Noise(1000));
+  REQUIRE(
+      receiver.Take(Encoded(*recent.UpdateFrom(std::nullopt, &error)), &error));
+  CHECK(receiver.version() == 1);
+  CHECK(receiver.document() == Noise(1000));
+  recent.Add(2, Noise(1000) + "x");
+  const ConfigUpdate second = Encoded(*recent.UpdateFrom(1, &error));
+
+  SECTION("from a difference to what it holds") {
+    REQUIRE(receiver.Take(second, &error));
+    CHECK(receiver.version() == 2);
+    CHECK(receiver.document() == Noise(1000) + "x");
+
+    SECTION("and passes over what is not newer") {
+      CHECK_FALSE(receiver.Take(second, &error));
+      CHECK(receiver.version() == 2);
+    }
+    SECTION("and asks for the whole when the base is another") {
+      recent.Add(3, "{}");
+      CHECK_FALSE(
+          receiver.Take(Encoded(*recent.UpdateFrom(1, &error)), &error));
+      CHECK_FALSE(receiver.version());
+      REQUIRE(receiver.Take(Encoded(*recent.UpdateFrom(std::nullopt, &error)),
+                            &error));
+      CHECK(receiver.document() == "{}");
+    }
+  }
+  // Two clusters may have given the same number to different documents.
+  SECTION("and asks for the whole when what it holds has other content") {
+    ConfigReceiver other;
+    RecentDocuments foreign(kMegabyte);
+    foreign.Add(1, Noise(1001));
+    REQUIRE(
+        other.Take(Encoded(*foreign.UpdateFrom(std::nullopt, &error)), &error));
+    CHECK_FALSE(other.Take(second, &error));
+    CHECK_FALSE(other.version());
+  }
+}
+
+}  // namespace citronlane
--- a/tests/unit-control-watch.cc
+++ b/tests/unit-control-watch.cc
@@ -34,18 +34,22 @@
  public:
   ControlVm(boost::asio::io_context* io, std::string endpoint)
       : endpoint_(std::move(endpoint)),
-        listener_(
-            io,
-            endpoint_,
-            {[this](const std::shared_ptr<FrameChannel>& channel, Frame*) {
-               channel_ = channel;
-               ++asked_;
-               Push();
-             },
-             [this](const FrameChannel*) {
-               channel_.reset();
-               ++left_;
-             }}) {
+        listener_(io,
+                  endpoint_,
+                  {[this](const std::shared_ptr<FrameChannel>& channel,
+                          Frame* frame) {
+                     if (frame->has_config_held()) {
+                       ++confirmed_;
+                       return;
+                     }
+                     channel_ = channel;
+                     ++asked_;
+                     Push();
+                   },
+                   [this](const FrameChannel*) {
+                     channel_.reset();
+                     ++left_;
+                   }}) {
     Error error;
     REQUIRE(listener_.Start(&error));
   }
@@ -63,6 +67,7 @@
   WatchUpdate update_;
   bool is_silent_ = false;
   int asked_ = 0;
+  int confirmed_ = 0;
   int left_ = 0;
 
  private:
@@ -101,7 +106,7 @@
     hooks.updated_ = [this](WatchUpdate* update) {
       ++updates_;
       if (update->has_config()) {
-        config_ = update->config_version();
+        config_ = update->config().version();
       }
       if (update->has_gateways()) {
         gateways_ = static_cast<size_t>(update->gateways().gateways_size());
@@ -132,8 +137,7 @@
   Watch gateway(&io, {FreeEndpoint(&io), silent.endpoint_, back.endpoint_});
 
   SECTION("hears all control VMs at once, whoever is silent") {
-    back.update_.set_has_config(true);
-    back.update_.set_config_version(7);
+    back.update_.mutable_config()->set_version(7);
     back.update_.mutable_gateways()->add_gateways();
     REQUIRE(gateway.Until([&] { return gateway.config_.has_value(); }));
     CHECK(*gateway.config_ == 7);
@@ -141,6 +145,7 @@
     CHECK_FALSE(gateway.watch_.is_connected());
     // It took no other connection for that.
     CHECK(back.asked_ == 1);
+    REQUIRE(gateway.Until([&] { return back.confirmed_ == 1; }));
   }
 
   SECTION("hears of the leader from itself, on a connection that is there") {
@@ -162,6 +167,15 @@
       REQUIRE(gateway.Until([&] { return gateway.watch_.is_connected(); }));
       CHECK(silent.asked_ == before + 1);
     }
+    // Control sends no further configuration before the last one is confirmed.
+    SECTION("and confirms a configuration that it has no use for") {
+      gateway.config_ = 9;
+      back.update_.set_leads(false);
+      back.update_.mutable_config()->set_version(7);
+      back.Push();
+      REQUIRE(gateway.Until([&] { return back.confirmed_ == 1; }));
+      CHECK(gateway.config_ == 9);
+    }
     SECTION("and takes no list of gateways from one that does not lead") {
       const size_t updates = gateway.updates_;
       back.update_.set_leads(false);
@@ -200,9 +214,8 @@
   }));
 
   Frame frame;
-  frame.mutable_update()->set_has_config(true);
-  frame.mutable_update()->set_config_version(7);
-  frame.mutable_update()->set_config(std::string(10000, 'x'));
+  frame.mutable_update()->mutable_config()->set_version(7);
+  frame.mutable_update()->mutable_config()->set_data(std::string(10000, 'x'));
   std::string bytes(4, '\0');
   frame.AppendToString(&bytes);
   bytes[2] = static_cast<char>((bytes.size() - 4) / 256);
--- a/tests/unit-frame-channel.cc
+++ b/tests/unit-frame-channel.cc
@@ -38,7 +38,8 @@
 
 Frame LargeFrame() {
   Frame frame;
-  frame.mutable_update()->set_config(std::string(kLargeBytes, 'x'));
+  frame.mutable_update()->mutable_config()->set_data(
+      std::string(kLargeBytes, 'x'));
   return frame;
 }
 
--- a/tests/unit-gateway-feed.cc
+++ b/tests/unit-gateway-feed.cc
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <memory>
-#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -16,6 +15,7 @@
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/net/frame_listener.h"
 #include "citronlane/observe/event_log.h"
+#include "citronlane/relay/config_receiver.h"
 #include "citronlane/relay/control_watch.h"
 #include "citronlane/state/config_register.h"
 #include "fleet.pb.h"
@@ -51,8 +51,12 @@
 class Leader {
  public:
   Leader(boost::asio::io_context* io, const std::string& endpoint)
-      : feed_(
+      : log_("control",
+             {[](std::string_view) { return true; }, SteadyNow,
+              [] { return int64_t{0}; }}),
+        feed_(
             &config_,
+            &log_,
             [] {
               GatewayFeed::Leadership leadership;
               leadership.leads_ = true;
@@ -83,11 +87,16 @@
  private:
   void Take(const std::shared_ptr<FrameChannel>& channel, const Frame& frame) {
     channel_ = channel;
-    feed_.Watch(channel, frame.watch(), SteadyNow());
+    if (frame.has_config_held()) {
+      feed_.ConfirmConfig(channel.get(), frame.config_held(), SteadyNow());
+    } else {
+      feed_.Watch(channel, frame.watch(), SteadyNow());
+    }
   }
 
   std::weak_ptr<FrameChannel> channel_;
   ConfigRegister config_;
+  EventLog log_;
   GatewayFeed feed_;
   FrameListener listener_;
 };
@@ -109,8 +118,7 @@
     io_.poll();
   }
 
-  std::optional<uint64_t> version_;
-  std::string document_;
+  ConfigReceiver config_;
   /// What it had to read, in bytes.
   size_t received_bytes_ = 0;
 
@@ -120,11 +128,11 @@
     hooks.updated_ = [this](WatchUpdate* update) {
       received_bytes_ += update->ByteSizeLong();
       if (update->has_config()) {
-        version_ = update->config_version();
-        document_ = update->config();
+        Error error;
+        REQUIRE(config_.Take(update->config(), &error));
       }
     };
-    hooks.config_version_ = [this] { return version_; };
+    hooks.config_version_ = [this] { return config_.version(); };
     hooks.knows_gateways_ = [] { return true; };
     hooks.add_owners_ = [](wire::fleet::WatchRequest*) {};
     return hooks;
@@ -152,7 +160,7 @@
     return Eventually([&] {
       io.poll();
       gateway.Poll();
-      return gateway.version_ == version;
+      return gateway.config_.version() == version;
     });
   };
   leader.Commit(kFirst, Document(kFirst, kRoutes));
@@ -167,7 +175,7 @@
     // 10 Mbit/s, half of it taken by requests and results.
     constexpr size_t kLinkBytes = 625000;
     REQUIRE(has(kLast));
-    CHECK(gateway.document_ == Document(kLast, kRoutes));
+    CHECK(gateway.config_.document() == Document(kLast, kRoutes));
     CHECK(gateway.received_bytes_ <= kLinkBytes);
   }
 
