Pause after a configuration that took long to read

Cause: a gateway reads a document of 4,200 routes in 0.1 to 0.2 s on its part of a core and serves nobody meanwhile. Versions that come each 0.2 s left it little time for anything else.

Change: it confirms such a version, and so asks for the next one, only after four times what reading took, 0.8 s at most; one that is quick to read, and the first change after a pause, is in force at once.

--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -73,6 +73,9 @@
     /// How long it may take to answer at all.
     Duration first_patience_{};
     TimePoint next_connect_;
+    /// When to confirm the configuration that came last; nothing when that is
+    /// done.
+    std::optional<TimePoint> confirm_at_;
     bool is_lost_ = false;
   };
 
@@ -91,7 +94,7 @@
   void Take(const std::string& endpoint, wire::fleet::Frame* frame);
   void TakeUpdate(const std::string& endpoint,
                   wire::fleet::WatchUpdate* update);
-  void ConfirmConfig(FrameLink* link);
+  void ConfirmConfig(Candidate* candidate);
 
   boost::asio::io_context* const io_;
   Options options_;
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "citronlane/base/steady_now.h"
+#include "citronlane/fleet/update_pause.h"
 #include "citronlane/net/frame_link.h"
 #include "citronlane/observe/event_log.h"
 #include "fleet.pb.h"
@@ -71,6 +72,10 @@
     if (candidate.link_) {
       CheckAlive(endpoint, &candidate, now);
     }
+    if (candidate.link_ && candidate.confirm_at_ &&
+        now >= *candidate.confirm_at_) {
+      ConfirmConfig(&candidate);
+    }
   }
   const std::set<std::string> wanted = Wanted();
   for (auto it = candidates_.begin(); it != candidates_.end();) {
@@ -114,6 +119,7 @@
                 {{"control", endpoint}, {"reason", reason}});
   }
   candidate->link_.reset();
+  candidate->confirm_at_.reset();
   candidate->is_lost_ = false;
   candidate->next_connect_ = now + kRetryPause;
 }
@@ -157,20 +163,27 @@
   candidate.heard_ = SteadyNow();
   candidate.first_patience_ = kFirstAnswer;
   const bool has_config = frame->update().has_config();
+  const TimePoint begun = candidate.heard_;
   TakeUpdate(endpoint, frame->mutable_update());
+  if (!has_config) {
+    return;
+  }
   // Whether it was of use or not: control sends the next one only then.
-  if (has_config) {
-    ConfirmConfig(candidate.link_.get());
+  const TimePoint now = SteadyNow();
+  candidate.confirm_at_ = now + PauseAfterUpdate(now - begun);
+  if (now >= *candidate.confirm_at_) {
+    ConfirmConfig(&candidate);
   }
 }
 
-void ControlWatch::ConfirmConfig(FrameLink* link) {
+void ControlWatch::ConfirmConfig(Candidate* candidate) {
+  candidate->confirm_at_.reset();
   Frame frame;
   auto* held = frame.mutable_config_held();
   const auto version = hooks_.config_version_();
   held->set_none(!version);
   held->set_version(version.value_or(0));
-  link->Send(frame);
+  candidate->link_->Send(frame);
 }
 
 void ControlWatch::TakeUpdate(const std::string& endpoint,
--- a/tests/unit-config-updates.cc
+++ b/tests/unit-config-updates.cc
@@ -1,17 +1,21 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <optional>
 #include <string>
 
 #include "citronlane/base/error.h"
 #include "citronlane/fleet/document_patch.h"
 #include "citronlane/fleet/recent_documents.h"
+#include "citronlane/fleet/update_pause.h"
 #include "citronlane/relay/config_receiver.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
 namespace {
 
+using std::chrono::milliseconds;
 using wire::fleet::ConfigUpdate;
 
 /// Bytes that no compressor shortens, from a fixed seed.
@@ -170,4 +174,35 @@
   }
 }
 
+// A gateway that read one large document after the other served no requests in
+// between.
+TEST_CASE("a series of large changes leaves time for requests") {
+  const auto gap = milliseconds(200);
+  const int changes = 100;
+  const auto took = GENERATE(milliseconds(5), milliseconds(40),
+                             milliseconds(180), milliseconds(500));
+  const auto end = gap * changes;
+  Duration now{};
+  Duration reading{};
+  Duration longest_wait{};
+  int newest_read = -1;
+  while (now < end) {
+    const int newest = static_cast<int>(now / gap);
+    if (newest == newest_read) {
+      now = gap * (newest + 1);
+      continue;
+    }
+    now += took;
+    reading += took;
+    // The oldest change that was not in force until now.
+    longest_wait =
+        std::max<Duration>(longest_wait, now - gap * (newest_read + 1));
+    newest_read = newest;
+    now += PauseAfterUpdate(took);
+  }
+  CHECK(longest_wait <= milliseconds(2000));
+  // The pause is bounded, so that what takes too long takes a larger part.
+  CHECK(reading <= (took <= milliseconds(200) ? now / 4 : now / 2));
+}
+
 }  // namespace citronlane
