Keep what a gateway holds when a difference is to something else

A gateway that asked several control VMs for want of a leader may hold more by the time one of them leads; that one's first difference was then taken for damage, and the whole document was sent. Now the gateway keeps what it holds and says so.

--- a/include/citronlane/relay/config_receiver.h
+++ b/include/citronlane/relay/config_receiver.h
@@ -18,8 +18,9 @@
 class ConfigReceiver {
  public:
   /// Takes an update. False with the reason when it is not newer than what is
-  /// held or can't be restored; in the latter case nothing is held any more, so
-  /// that control sends the whole document.
+  /// held or made for those who hold something else: that stays. Also when it
+  /// can't be restored; then nothing is held any more, so that control sends
+  /// the whole document.
   bool Take(const wire::fleet::ConfigUpdate& update, Error* error);
 
   /// Version of the document held; nothing when there is none.
--- a/src/relay/config_receiver.cc
+++ b/src/relay/config_receiver.cc
@@ -14,14 +14,15 @@
     error->message_ = "a newer version is held";
     return false;
   }
-  std::optional<std::string> document;
-  if (!update.has_base()) {
-    document = DecodeDocument(update.data(), std::string_view(), error);
-  } else if (version_ == update.base_version()) {
-    document = DecodeDocument(update.data(), document_, error);
-  } else {
+  if (update.has_base() && version_ != update.base_version()) {
     error->message_ = "its base is not held";
+    return false;
   }
+  auto document = DecodeDocument(
+      update.data(),
+      update.has_base() ? std::string_view(document_) : std::string_view(),
+      error);
+  // Either the data is damaged or the base has other content than control's.
   if (!document) {
     version_.reset();
     document_.clear();
--- /dev/null
+++ b/tests/process/platform_config_test.py
@@ -0,0 +1,91 @@
+"""Large configurations in quick succession, on real processes among a stand-in
+of the platform."""
+
+import json
+import time
+import unittest
+
+from process.platform_fleet import HOST, new_id
+from process.platform_test import FleetTestCase
+from process.processes import wait_until
+
+ROUTES = 1400
+# Bound of the platform's operators, from the acknowledgement on.
+IN_FORCE_SECONDS = 2.5
+# A control VM's limit is 256 MB.
+CONTROL_MEGABYTES = 128
+
+
+def more_routes(document, count):
+    """The document with so many routes of a plain service added."""
+    routes = list(document["routes"])
+    first = len(routes)
+    routes += [{"name": f"more-{i}", "hostname": HOST,
+                "path_prefix": f"/more/{i}/", "kind": "safe",
+                "timeout_ms": 3000, "target_latency_ms": 300, "priority": 0,
+                "max_attempts": 2, "service": "shop"}
+               for i in range(first, first + count)]
+    return dict(document, routes=routes)
+
+
+class LargeConfigTest(FleetTestCase):
+    gateways = 4
+
+    def change(self, document):
+        """Sends the next version; returns it and when it was acknowledged."""
+        self.fleet.version += 1
+        document = dict(document, version=self.fleet.version)
+        wait_until(lambda: self.fleet.put(document) == 200, "an answer")
+        return document, time.monotonic()
+
+    def lines(self, ip, event):
+        lines = [json.loads(line) for line in
+                 self.fleet.processes[ip].log_since_start().splitlines()]
+        return [line for line in lines if line["event"] == event]
+
+    def newest_in_force(self, ip):
+        return max(line["version"] for line in self.lines(ip, "config in force"))
+
+    def assert_in_force(self, version, acknowledged, ips):
+        wait_until(lambda: all(self.newest_in_force(ip) >= version
+                               for ip in ips), "the newest version in force")
+        self.assertLess(time.monotonic() - acknowledged, IN_FORCE_SECONDS)
+
+    # Each version went to each gateway whole, behind all that came before it:
+    # control held them all, and gateways served by what had been replaced.
+    def test_1_changes_overtake_what_a_stopped_gateway_has_not_read(self):
+        ips = self.fleet.gateway_ips
+        stopped = ips[0]
+        document = self.fleet.document
+        self.fleet.processes[stopped].pause()
+        for _ in range(3):
+            document, acknowledged = self.change(
+                more_routes(document, ROUTES))
+            for _ in range(8):
+                document, acknowledged = self.change(document)
+        self.assert_in_force(document["version"], acknowledged, ips[1:])
+        self.fleet.processes[stopped].resume()
+        self.assert_in_force(document["version"], time.monotonic(), ips)
+        for ip in self.fleet.control_ips:
+            self.assertLess(self.peak_megabytes(ip), CONTROL_MEGABYTES)
+        last = document["routes"][-1]["path_prefix"]
+        for i in range(len(ips)):
+            answer = self.fleet.ask("GET", last + "x", b"", new_id(), i)
+            self.assertEqual(answer.status, 200)
+        # After the first document a gateway that runs reads differences only.
+        for ip in ips[1:]:
+            for line in self.lines(ip, "config in force")[1:]:
+                self.assertGreater(line["base"], 0)
+                self.assertLess(line["bytes"], line["document_bytes"] / 4)
+
+    def peak_megabytes(self, ip):
+        path = f"/proc/{self.fleet.processes[ip].child.pid}/status"
+        with open(path, encoding="ascii") as status:
+            for line in status:
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) / 1024
+        raise AssertionError("no peak in " + path)
+
+
+if __name__ == "__main__":
+    unittest.main()
