--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -89,7 +89,7 @@
                  bool leads,
                  TimePoint now,
                  wire::fleet::WatchUpdate* update);
-  void LogProgress(TimePoint now);
+  void LogConfigProgress(TimePoint now);
   void AddGateways(Watcher* watcher,
                    bool is_gathering,
                    wire::fleet::WatchUpdate* update) const;
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -105,7 +105,7 @@
   if (watcher->config_version_ != documents_.newest()) {
     Push(watcher, now);
   }
-  LogProgress(now);
+  LogConfigProgress(now);
 }
 
 void GatewayFeed::Closed(const FrameChannel* channel) {
@@ -183,7 +183,7 @@
       Push(watcher, now);
     }
   }
-  LogProgress(now);
+  LogConfigProgress(now);
 }
 
 void GatewayFeed::NoteConfig(TimePoint now) {
@@ -267,7 +267,7 @@
 
 // A line when all gateways hold the newest version, and one when some still
 // lack it after a while.
-void GatewayFeed::LogProgress(TimePoint now) {
+void GatewayFeed::LogConfigProgress(TimePoint now) {
   const auto newest = documents_.newest();
   if (!newest || logged_everywhere_ || watchers_.empty() ||
       !leadership_().leads_) {
--- a/src/fleet/document_patch.cc
+++ b/src/fleet/document_patch.cc
@@ -2,6 +2,7 @@
 
 #include <zstd.h>
 
+#include <cstdint>
 #include <memory>
 
 namespace citronlane {
@@ -10,7 +11,7 @@
 /// Compresses at hundreds of MB a second; higher levels gain little on JSON.
 constexpr int kLevel = 3;
 /// No configuration is larger; a frame that claims more is damaged.
-constexpr unsigned long long kMaxDocumentBytes = 64ULL << 20;
+constexpr uint64_t kMaxDocumentBytes = uint64_t{64} << 20;
 /// Reaches the start of the base from the end of the largest document.
 constexpr int kMaxWindowLog = 27;
 
@@ -54,8 +55,7 @@
 std::optional<std::string> DecodeDocument(std::string_view data,
                                           std::string_view base,
                                           Error* error) {
-  const unsigned long long size =
-      ZSTD_getFrameContentSize(data.data(), data.size());
+  const uint64_t size = ZSTD_getFrameContentSize(data.data(), data.size());
   if (size == ZSTD_CONTENTSIZE_UNKNOWN || size == ZSTD_CONTENTSIZE_ERROR ||
       size > kMaxDocumentBytes) {
     error->message_ = "the data does not tell a document's size";
--- a/src/fleet/recent_documents.cc
+++ b/src/fleet/recent_documents.cc
@@ -39,8 +39,10 @@
     return &made->second;
   }
   const auto& [version, document] = *documents_.rbegin();
-  const std::string_view base =
-      held ? std::string_view(documents_.at(*held)) : std::string_view();
+  std::string_view base;
+  if (held) {
+    base = documents_.at(*held);
+  }
   auto data = EncodeDocument(document, base, error);
   if (!data) {
     return nullptr;
--- a/src/relay/config_receiver.cc
+++ b/src/relay/config_receiver.cc
@@ -18,10 +18,11 @@
     error->message_ = "its base is not held";
     return false;
   }
-  auto document = DecodeDocument(
-      update.data(),
-      update.has_base() ? std::string_view(document_) : std::string_view(),
-      error);
+  std::string_view base;
+  if (update.has_base()) {
+    base = document_;
+  }
+  auto document = DecodeDocument(update.data(), base, error);
   // Either the data is damaged or the base has other content than control's.
   if (!document) {
     version_.reset();
--- a/tests/unit-gateway-feed.cc
+++ b/tests/unit-gateway-feed.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -55,8 +56,11 @@
  public:
   Leader(boost::asio::io_context* io, const std::string& endpoint)
       : log_("control",
-             {[](std::string_view) { return true; }, SteadyNow,
-              [] { return int64_t{0}; }}),
+             {[this](std::string_view line) {
+                lines_ += line;
+                return true;
+              },
+              SteadyNow, [] { return int64_t{0}; }}),
         feed_(
             &config_,
             &log_,
@@ -81,6 +85,13 @@
     feed_.PushAll(SteadyNow());
   }
 
+  /// Lets time pass, as far as the feed knows.
+  void Pass(Duration time) { feed_.PushAll(SteadyNow() + time); }
+
+  bool HasLogged(const std::string& event) const {
+    return lines_.find("\"" + event + "\"") != std::string::npos;
+  }
+
   /// Ends the connection, as a restart of the VM does.
   void Disconnect() {
     if (const auto channel = channel_.lock()) {
@@ -105,6 +116,7 @@
   }
 
   std::weak_ptr<FrameChannel> channel_;
+  std::string lines_;
   ConfigRegister config_;
   EventLog log_;
   GatewayFeed feed_;
@@ -245,6 +257,15 @@
     CHECK_FALSE(gateway.updates_.back().has_base());
     CHECK(gateway.config_.document() == Document(2, 11));
   }
+  SECTION("and control logs whether all have the newest") {
+    REQUIRE(until([&] { return leader.HasLogged("config everywhere"); }));
+    CHECK_FALSE(leader.HasLogged("config late"));
+    leader.Commit(2, Document(2, 11));
+    leader.Pass(std::chrono::milliseconds(500));
+    CHECK_FALSE(leader.HasLogged("config late"));
+    leader.Pass(std::chrono::milliseconds(1500));
+    CHECK(leader.HasLogged("config late"));
+  }
   SECTION("nothing when it has the newest") {
     leader.Commit(2, Document(2, 10));
     REQUIRE(has(2));
