Take what was acknowledged before the soak's last read, not after it

The check after the faults compared what is read with what was acknowledged by then, while the operator goes on. Now it takes what was acknowledged before the read begins, as the check during the faults always did: a lost version fails it as before.

--- a/tests/process/platform_soak.py
+++ b/tests/process/platform_soak.py
@@ -261,9 +261,12 @@
     def check_recovery(self):
         try:
             wait_until(self.served_everywhere, "service after the faults", 15)
+            # The operator goes on: what is acknowledged during the read counts
+            # for the next one.
+            acked = self.acked
             read = wait_until(self.fleet.get, "a read after the faults", 10)
-            if read["version"] < self.acked:
-                self.fault(f"version {self.acked} was acknowledged and "
+            if read["version"] < acked:
+                self.fault(f"version {acked} was acknowledged and "
                            f"{read['version']} is read")
         except AssertionError as error:
             self.fault(str(error))
