--- a/include/citronlane/serving/route_cache.h
+++ b/include/citronlane/serving/route_cache.h
@@ -36,7 +36,9 @@
     std::shared_ptr<const Route> route_;
   };
 
-  const Known* Find(std::string_view array, size_t begin, size_t expected);
+  const Known* FindAt(std::string_view array,
+                      size_t begin,
+                      size_t expected) const;
   const Known* FindByText(std::string_view text);
   void Keep(std::string_view array, std::vector<Known> known);
 
--- a/src/serving/route_cache.cc
+++ b/src/serving/route_cache.cc
@@ -20,18 +20,23 @@
   size_t place = SkipSpace(array, 1);
   bool is_over = place < array.size() && array[place] == ']';
   while (!is_over) {
+    const Known* same = FindAt(array, place, expected);
     std::string_view text;
-    std::shared_ptr<const Route> route;
-    if (const Known* same = Find(array, place, expected)) {
+    if (same != nullptr) {
       text = array.substr(place, same->text_.size());
-      expected = static_cast<size_t>(same - known_.data()) + 1;
-      route = same->route_;
     } else {
       const auto element = FindValue(array, place);
       if (!element) {
         return std::nullopt;
       }
       text = array.substr(place, element->end_ - place);
+      same = FindByText(text);
+    }
+    std::shared_ptr<const Route> route;
+    if (same != nullptr) {
+      expected = static_cast<size_t>(same - known_.data()) + 1;
+      route = same->route_;
+    } else {
       auto read = read_(text);
       if (!read) {
         return std::nullopt;
@@ -55,18 +60,15 @@
 }
 
 // Most elements stand where they stood, behind the one that came before them.
-const RouteCache::Known* RouteCache::Find(std::string_view array,
-                                          size_t begin,
-                                          size_t expected) {
-  if (expected < known_.size()) {
-    const std::string_view text = known_[expected].text_;
-    if (array.compare(begin, text.size(), text) == 0) {
-      return &known_[expected];
-    }
+const RouteCache::Known* RouteCache::FindAt(std::string_view array,
+                                            size_t begin,
+                                            size_t expected) const {
+  if (expected >= known_.size()) {
+    return nullptr;
   }
-  const auto element = FindValue(array, begin);
-  return element ? FindByText(array.substr(begin, element->end_ - begin))
-                 : nullptr;
+  const std::string_view text = known_[expected].text_;
+  return array.compare(begin, text.size(), text) == 0 ? &known_[expected]
+                                                      : nullptr;
 }
 
 const RouteCache::Known* RouteCache::FindByText(std::string_view text) {
