--- a/src/fleet/document_patch.cc
+++ b/src/fleet/document_patch.cc
@@ -8,11 +8,10 @@
 namespace citronlane {
 namespace {
 
-/// Compresses at hundreds of MB a second; higher levels gain little on JSON.
-constexpr int kLevel = 3;
 /// No configuration is larger; a frame that claims more is damaged.
 constexpr uint64_t kMaxDocumentBytes = uint64_t{64} << 20;
-/// Reaches the start of the base from the end of the largest document.
+/// Binary logarithm of bytes: reaches the start of the base from the end of the
+/// largest document.
 constexpr int kMaxWindowLog = 27;
 
 using Compressor = std::unique_ptr<ZSTD_CCtx, size_t (*)(ZSTD_CCtx*)>;
@@ -35,7 +34,6 @@
                                           Error* error) {
   const Compressor context(ZSTD_createCCtx(), ZSTD_freeCCtx);
   ZSTD_CCtx* const zstd = context.get();
-  ZSTD_CCtx_setParameter(zstd, ZSTD_c_compressionLevel, kLevel);
   ZSTD_CCtx_setParameter(zstd, ZSTD_c_checksumFlag, 1);
   ZSTD_CCtx_setParameter(zstd, ZSTD_c_windowLog,
                          WindowLog(document.size() + base.size()));
