Answer a fake's stop once its connections are closed

Seen: process-stage-faults failed once on the last landing, test_pool_down_is_refused_with_a_true_verdict, may_have_run in place of not_run.

Cause: the fakes answered the order to stop while the connections were still to be closed by their strands. A gateway that is asked right then finds a kept connection open, writes the call and loses it: its verdict, may have run, was true. A connection accepted during the stop stayed open altogether.

Change: the order is answered once every connection is closed; one that was accepted meanwhile is dropped. The failed check stays as it was.

--- a/tests/fakes/connection.cc
+++ b/tests/fakes/connection.cc
@@ -91,11 +91,13 @@
               });
 }
 
-void Connection::Close() {
+void Connection::Close(const Yield& yield) {
   asio::post(stream_.get_executor(), [self = shared_from_this()] {
     self->closed_ = true;
     self->stream_.close();
   });
+  // The strand runs what is posted in turn.
+  asio::post(stream_.get_executor(), yield);
 }
 
 void Connection::Run(const Yield& yield) {
--- a/tests/fakes/connection.h
+++ b/tests/fakes/connection.h
@@ -20,12 +20,12 @@
 
   /// Serves calls until the peer or a fault ends the connection.
   void Start();
-  /// Closes the socket; from any thread.
-  void Close();
+  using Yield = boost::asio::yield_context;
+  /// Closes the socket; it is closed on return. From any thread.
+  void Close(const Yield& yield);
 
  private:
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
-  using Yield = boost::asio::yield_context;
   using Plan = FakeServer::Plan;
 
   void Run(const Yield& yield);
--- a/tests/fakes/fake_server.cc
+++ b/tests/fakes/fake_server.cc
@@ -73,22 +73,29 @@
     auto connection =
         std::make_shared<Connection>(shared_from_this(), std::move(socket));
     const std::lock_guard<std::mutex> lock(mutex_);
+    // Stopped since the connection came.
+    if (!acceptor->is_open()) {
+      return;
+    }
     connections_.insert(connection);
     connection->Start();
   }
 }
 
-void FakeServer::Stop() {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  if (acceptor_) {
-    boost::system::error_code ignored;
-    acceptor_->close(ignored);
+void FakeServer::Stop(const boost::asio::yield_context& yield) {
+  std::set<std::shared_ptr<Connection>> connections;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (acceptor_) {
+      boost::system::error_code ignored;
+      acceptor_->close(ignored);
+    }
+    connections.swap(connections_);
+    streams_.clear();
   }
-  for (const auto& connection : connections_) {
-    connection->Close();
+  for (const auto& connection : connections) {
+    connection->Close(yield);
   }
-  connections_.clear();
-  streams_.clear();
 }
 
 bool FakeServer::listening() {
@@ -101,9 +108,10 @@
   connections_.erase(connection);
 }
 
-void FakeServer::Apply(const JsonView& order) {
+void FakeServer::Apply(const JsonView& order,
+                       const boost::asio::yield_context& yield) {
   if (BoolAt(order, "stop", false)) {
-    Stop();
+    Stop(yield);
   }
   if (BoolAt(order, "start", false) && !listening()) {
     Start();
--- a/tests/fakes/fake_server.h
+++ b/tests/fakes/fake_server.h
@@ -34,11 +34,12 @@
 
   /// Opens the port and takes connections; throws boost::system::system_error.
   void Start();
-  /// Closes the port and every connection, as a killed process would.
-  void Stop();
+  /// Closes the port and every connection, as a killed process would; they are
+  /// closed when it returns.
+  void Stop(const boost::asio::yield_context& yield);
 
   /// Applies what a control call asks; see docs/design/proof.md.
-  void Apply(const JsonView& order);
+  void Apply(const JsonView& order, const boost::asio::yield_context& yield);
 
   /// Writes all records as an array; forgets them when `clear` is set.
   void WriteRecords(JsonWriter* writer, bool clear);
--- a/tests/fakes/fleet.cc
+++ b/tests/fakes/fleet.cc
@@ -92,8 +92,9 @@
     if (error) {
       return;
     }
-    const auto [status, body] = Answer(
-        {request.target().data(), request.target().size()}, request.body());
+    const auto [status, body] =
+        Answer({request.target().data(), request.target().size()},
+               request.body(), yield);
     http::response<http::string_body> response(http::int_to_status(status),
                                                request.version());
     response.body() = body;
@@ -106,18 +107,22 @@
   }
 }
 
-Fleet::Reply Fleet::Answer(const std::string& target, const std::string& body) {
+Fleet::Reply Fleet::Answer(const std::string& target,
+                           const std::string& body,
+                           const asio::yield_context& yield) {
   if (target == "/record" || target == "/clear") {
     return {200, Records(target == "/clear")};
   }
   if (target.rfind(kFaultPath, 0) == 0 &&
-      Fault(target.substr(kFaultPath.size()), body)) {
+      Fault(target.substr(kFaultPath.size()), body, yield)) {
     return {200, "{}"};
   }
   return {404, "{}"};
 }
 
-bool Fleet::Fault(const std::string& id, const std::string& body) {
+bool Fleet::Fault(const std::string& id,
+                  const std::string& body,
+                  const asio::yield_context& yield) {
   Json order;
   order.Parse(body.data(), body.size());
   if (order.HasParseError() || !order.IsObject()) {
@@ -126,7 +131,7 @@
   bool found = false;
   for (const auto& [name, server] : servers_) {
     if (id == "*" || id == name || id == server->spec().pool_) {
-      server->Apply(order);
+      server->Apply(order, yield);
       found = true;
     }
   }
--- a/tests/fakes/fleet.h
+++ b/tests/fakes/fleet.h
@@ -32,8 +32,12 @@
   void Serve(const boost::asio::yield_context& yield);
   void Talk(boost::asio::ip::tcp::socket* socket,
             const boost::asio::yield_context& yield);
-  Reply Answer(const std::string& target, const std::string& body);
-  bool Fault(const std::string& id, const std::string& body);
+  Reply Answer(const std::string& target,
+               const std::string& body,
+               const boost::asio::yield_context& yield);
+  bool Fault(const std::string& id,
+             const std::string& body,
+             const boost::asio::yield_context& yield);
   std::string Records(bool clear);
   void WriteList(JsonWriter* writer);
 
--- a/tests/process/fakes_test.py
+++ b/tests/process/fakes_test.py
@@ -11,6 +11,7 @@
 from process.processes import Process, write_json
 
 TEXT = "is madder fast"
+KEPT_CONNECTIONS = 64
 ATTEMPT = {"X-Attempt-Id": "a-1-1/0/1"}
 
 
@@ -44,6 +45,28 @@
         return [json.loads(line[6:])["choices"][0]["text"]
                 for line in data.split(b"\n") if line.startswith(b"data: {")]
 
+    def test_stop_is_answered_once_every_connection_is_closed(self):
+        """A caller that asks after the stop never writes to a kept one."""
+        port = self.ports["t-encoder-1"]
+        body = json.dumps({"model": "m", "input": TEXT})
+        kept = [http.client.HTTPConnection("127.0.0.1", port)
+                for _ in range(KEPT_CONNECTIONS)]
+        for connection in kept:
+            self.addCleanup(connection.close)
+            connection.request("POST", "/v1/embeddings", body, ATTEMPT)
+            connection.getresponse().read()
+        self.fault("t-encoder-1", stop=True)
+        left_open = 0
+        for connection in kept:
+            connection.sock.setblocking(False)
+            try:
+                self.assertEqual(connection.sock.recv(1), b"")
+            except ConnectionResetError:
+                pass
+            except BlockingIOError:
+                left_open += 1
+        self.assertEqual(left_open, 0)
+
     def test_stages_feed_one_another(self):
         _, headers, body = self.call("t-encoder-1", "/v1/embeddings",
                                      {"model": "m", "input": TEXT})
