Keep reload signals from breaking or delaying a stop

Cause: the handlers went with the event loop's signal set, and the default action of SIGHUP came back for the rest of the process. Besides, each signal read the settings file anew: a series kept a control VM busy beyond its stop.

--- a/include/citronlane/net/process_signals.h
+++ b/include/citronlane/net/process_signals.h
@@ -6,6 +6,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "citronlane/base/time.h"
 
 namespace citronlane {
 
@@ -16,18 +19,25 @@
   struct Hooks {
     /// SIGTERM or SIGINT came; called for the first one only.
     std::function<void()> stop_;
-    /// SIGHUP: the settings file has changed.
+    /// SIGHUP: the settings file has changed. Called once for several that
+    /// come in quick succession, and not any more after a stop signal.
     std::function<void()> reload_;
   };
 
-  /// Takes the signals from now on; ignores SIGPIPE in the process.
+  /// Takes the signals from now on, and keeps them from ending the process also
+  /// once the object is gone; ignores SIGPIPE in the process.
   ProcessSignals(boost::asio::io_context* io, Hooks hooks);
 
  private:
   void Wait();
+  void ReloadSoon();
 
   const Hooks hooks_;
   boost::asio::signal_set signals_;
+  boost::asio::steady_timer reload_timer_;
+  /// Earliest time of the next one.
+  TimePoint next_reload_;
+  bool is_reload_due_ = false;
   bool stopping_ = false;
 };
 
