Put into the log what a configuration changes

Cause: the command was the document, and each that came was put in by itself.

Change: the command is the difference from what is held, which does nothing where something else is held; the leader then puts in the whole document. One is under way at a time, and of those that come meanwhile only the highest goes next. Members say with each message that they read differences; until all do, documents go whole, so control VMs can be upgraded in turn.

--- a/include/citronlane/control/cluster_member.h
+++ b/include/citronlane/control/cluster_member.h
@@ -78,6 +78,9 @@
   /// Internal endpoints of the members; the seeds while there are none.
   std::vector<std::string> members() const;
   bool has_all_voters() const;
+  /// Whether every other member has said that it applies configurations that
+  /// come as differences.
+  bool all_read_differences() const;
 
  private:
   void OpenDisk(TimePoint now);
@@ -135,6 +138,8 @@
   std::map<std::string, std::unique_ptr<FrameLink>> links_;
   /// Where messages of nodes that the membership does not name yet came from.
   std::map<uint64_t, std::weak_ptr<FrameChannel>> channels_;
+  /// Nodes whose last message said so.
+  std::set<uint64_t> difference_readers_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/control/operator_api.h
+++ b/include/citronlane/control/operator_api.h
@@ -1,7 +1,7 @@
 #ifndef CITRONLANE_CONTROL_OPERATOR_API_H_
 #define CITRONLANE_CONTROL_OPERATOR_API_H_
 
-#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -9,6 +9,7 @@
 
 #include "citronlane/base/time.h"
 #include "citronlane/control/replica.h"
+#include "citronlane/state/config_proposer.h"
 
 namespace citronlane {
 
@@ -29,8 +30,10 @@
     std::function<bool()> leads_;
     /// "IP:port" of the leader's operator address; empty when not known.
     std::function<std::string()> leader_;
-    std::function<void(std::string command, Replica::ProposeDone done)>
-        propose_;
+    /// Brings a document into the replicated log.
+    std::function<
+        void(uint64_t version, std::string document, ConfigProposer::Done done)>
+        submit_;
     std::function<void(Replica::ReadDone done)> read_;
     /// Whether as many voters hold what is committed as the tolerated losses
     /// need.
--- a/src/control/cluster_member.cc
+++ b/src/control/cluster_member.cc
@@ -259,6 +259,21 @@
          driver_->node().membership().voters_.size() >= target_voters();
 }
 
+bool ClusterMember::all_read_differences() const {
+  if (!driver_ || !driver_->is_formed()) {
+    return false;
+  }
+  const Membership& membership = driver_->node().membership();
+  for (const auto* nodes : {&membership.voters_, &membership.learners_}) {
+    for (const auto& [id, address] : *nodes) {
+      if (id != driver_->id() && difference_readers_.count(id) == 0) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 FrameLink* ClusterMember::LinkTo(const std::string& endpoint) {
   auto& link = links_[endpoint];
   if (!link) {
@@ -283,6 +298,7 @@
   const uint64_t to = message.to_;
   Frame frame;
   EncodeMessage(std::move(message), frame.mutable_raft());
+  frame.set_reads_config_differences(true);
   for (const auto* nodes : {&membership.voters_, &membership.learners_}) {
     const auto it = nodes->find(to);
     if (it != nodes->end()) {
@@ -317,6 +333,11 @@
   if (channel) {
     channels_[message->from_] = channel;
   }
+  if (frame->reads_config_differences()) {
+    difference_readers_.insert(message->from_);
+  } else {
+    difference_readers_.erase(message->from_);
+  }
   keeper_.Heard(message->from_, now);
   driver_->Step(now, *message);
   return true;
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "citronlane/base/refusal_reason.h"
@@ -23,6 +24,7 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/serving/serving_config.h"
+#include "citronlane/state/config_proposer.h"
 #include "citronlane/state/config_register.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_listener.h"
@@ -80,6 +82,7 @@
  private:
   std::string OperatorAddressOfLeader() const;
   OperatorApi::Hooks ApiHooks();
+  ConfigProposer::Hooks ProposerHooks();
   GatewayFeed::Leadership Leadership() const;
   const std::vector<PooledService>& PooledServices();
   void Take(const std::shared_ptr<FrameChannel>& channel, Frame* frame);
@@ -99,6 +102,7 @@
   ServerListReader list_reader_;
   GatewayFeed feed_;
   ClusterMember member_;
+  ConfigProposer proposer_;
   OperatorApi api_;
   FrameListener internal_;
   HttpListener operators_;
@@ -128,6 +132,7 @@
               log,
               ClusterMember::Hooks{[this](bool leads) { LeadsChanged(leads); },
                                    [this] { feed_.PushAll(SteadyNow()); }}),
+      proposer_(&config_, ProposerHooks()),
       api_(&io_, dialect, &config_, log, ApiHooks()),
       internal_(
           &io_,
@@ -195,8 +200,9 @@
   OperatorApi::Hooks hooks;
   hooks.leads_ = [this] { return member_.Leads(SteadyNow()); };
   hooks.leader_ = [this] { return OperatorAddressOfLeader(); };
-  hooks.propose_ = [this](std::string command, Replica::ProposeDone done) {
-    member_.Propose(std::move(command), std::move(done));
+  hooks.submit_ = [this](uint64_t version, std::string document,
+                         ConfigProposer::Done done) {
+    proposer_.Submit(version, std::move(document), std::move(done));
   };
   hooks.read_ = [this](Replica::ReadDone done) {
     member_.Read(std::move(done));
@@ -205,6 +211,25 @@
   return hooks;
 }
 
+ConfigProposer::Hooks ControlHost::Impl::ProposerHooks() {
+  ConfigProposer::Hooks hooks;
+  hooks.propose_ = [this](std::string command, ConfigProposer::Done done) {
+    member_.Propose(
+        std::move(command),
+        [this, done = std::move(done)](const std::optional<std::string>& result,
+                                       const Error& error) {
+          // Not from within the log, which is at work.
+          boost::asio::post(
+              io_, [done, is_committed = result.has_value(),
+                    reason = error.message_] { done(is_committed, reason); });
+        });
+  };
+  hooks.all_read_differences_ = [this] {
+    return member_.all_read_differences();
+  };
+  return hooks;
+}
+
 GatewayFeed::Leadership ControlHost::Impl::Leadership() const {
   GatewayFeed::Leadership leadership;
   leadership.leads_ = member_.Leads(SteadyNow());
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -134,13 +134,12 @@
   }
   const uint64_t version = config->version();
   const TimePoint begun = SteadyNow();
-  if (config_->is_empty() || version > config_->version()) {
+  if (!config_->Holds(version)) {
     const auto wait = std::make_shared<Wait>(exchange);
-    hooks_.propose_(
-        ConfigRegister::Command(version, request.body_),
-        [wait](const std::optional<std::string>& result, const Error& error) {
-          wait->Finish(result.has_value(), error.message_);
-        });
+    hooks_.submit_(version, request.body_,
+                   [wait](bool is_committed, const std::string& reason) {
+                     wait->Finish(is_committed, reason);
+                   });
     WaitAtMost(io_, wait, kAnswerTime);
     if (!wait->succeeded_) {
       log_->Write("control", "config not acknowledged",
--- a/src/state/config_register.cc
+++ b/src/state/config_register.cc
@@ -1,11 +1,32 @@
 #include "citronlane/state/config_register.h"
 
 #include <charconv>
+#include <utility>
+
+#include "citronlane/fleet/document_patch.h"
 
 namespace citronlane {
 namespace {
 
 constexpr char kSeparator = '\n';
+/// Begins a difference; other commands begin with a digit.
+constexpr char kDifference = '+';
+
+/// Takes a decimal number and the character that ends it off the front.
+std::optional<uint64_t> TakeNumber(std::string_view* text, char end) {
+  const size_t length = text->find(end);
+  if (length == std::string_view::npos) {
+    return std::nullopt;
+  }
+  uint64_t number = 0;
+  const char* const last = text->data() + length;
+  const auto parsed = std::from_chars(text->data(), last, number);
+  if (parsed.ec != std::errc() || parsed.ptr != last) {
+    return std::nullopt;
+  }
+  text->remove_prefix(length + 1);
+  return number;
+}
 
 }  // namespace
 
@@ -18,21 +39,50 @@
   return command;
 }
 
+// A plus sign, the version and its base in decimal, each before a line end, and
+// the difference.
+std::optional<std::string> ConfigRegister::DifferenceCommand(
+    uint64_t version,
+    std::string_view document,
+    Error* error) const {
+  const auto difference = EncodeDocument(document, document_, error);
+  if (!difference) {
+    return std::nullopt;
+  }
+  std::string command(1, kDifference);
+  command += std::to_string(version) + kSeparator;
+  command += std::to_string(version_) + kSeparator;
+  return command + *difference;
+}
+
 bool ConfigRegister::Apply(std::string_view command) {
-  const size_t end = command.find(kSeparator);
-  if (end == std::string_view::npos) {
+  if (!command.empty() && command.front() == kDifference) {
+    return ApplyDifference(command.substr(1));
+  }
+  const auto version = TakeNumber(&command, kSeparator);
+  return version && Keep(*version, std::string(command));
+}
+
+bool ConfigRegister::ApplyDifference(std::string_view command) {
+  const auto version = TakeNumber(&command, kSeparator);
+  const auto base = TakeNumber(&command, kSeparator);
+  if (!version || !base || is_empty_ || *base != version_) {
     return false;
   }
-  uint64_t version = 0;
-  const char* const last = command.data() + end;
-  const auto parsed = std::from_chars(command.data(), last, version);
-  if (parsed.ec != std::errc() || parsed.ptr != last ||
-      (!is_empty_ && version <= version_)) {
+  // The checksum in the data makes a wrong result impossible; on every VM the
+  // same command meets the same base.
+  Error ignored;
+  auto document = DecodeDocument(command, document_, &ignored);
+  return document && Keep(*version, std::move(*document));
+}
+
+bool ConfigRegister::Keep(uint64_t version, std::string document) {
+  if (Holds(version)) {
     return false;
   }
   is_empty_ = false;
   version_ = version;
-  document_.assign(command.substr(end + 1));
+  document_ = std::move(document);
   return true;
 }
 
--- /dev/null
+++ b/tests/unit-config-proposer.cc
@@ -0,0 +1,176 @@
+#include <catch2/catch.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "citronlane/base/error.h"
+#include "citronlane/state/config_proposer.h"
+#include "citronlane/state/config_register.h"
+
+namespace citronlane {
+namespace {
+
+/// A document whose versions with as many routes differ in one number only.
+std::string Document(uint64_t version, size_t routes) {
+  std::string document = "{\"version\":" + std::to_string(version);
+  for (size_t i = 0; i < routes; ++i) {
+    const std::string name = std::to_string(i * 7919 % 104729);
+    document += ",{\"name\":\"r-" + name + "\",\"hostname\":\"h" + name +
+                ".example\",\"path_prefix\":\"/" + name + "/\"}";
+  }
+  return document + "}";
+}
+
+/// A replicated log that commits when the test says so.
+class Log {
+ public:
+  struct Entry {
+    std::string command_;
+    ConfigProposer::Done done_;
+  };
+
+  Log() : proposer_(&config_, HooksOf()) {}
+
+  void Submit(uint64_t version, const std::string& document) {
+    proposer_.Submit(version, document,
+                     [this, version](bool is_committed, const std::string&) {
+                       ended_.emplace_back(version, is_committed);
+                     });
+  }
+
+  /// Commits the oldest entry.
+  void Commit() {
+    const Entry entry = Take();
+    config_.Apply(entry.command_);
+    entry.done_(true, "");
+  }
+
+  /// This VM loses the lead.
+  void Lose() { Take().done_(false, "lost"); }
+
+  ConfigRegister config_;
+  std::deque<Entry> entries_;
+  /// Versions whose calls ended, and whether they are committed.
+  std::vector<std::pair<uint64_t, bool>> ended_;
+  bool all_read_differences_ = true;
+
+ private:
+  ConfigProposer::Hooks HooksOf() {
+    ConfigProposer::Hooks hooks;
+    hooks.propose_ = [this](std::string command, ConfigProposer::Done done) {
+      entries_.push_back({std::move(command), std::move(done)});
+    };
+    hooks.all_read_differences_ = [this] { return all_read_differences_; };
+    return hooks;
+  }
+
+  Entry Take() {
+    REQUIRE_FALSE(entries_.empty());
+    Entry entry = std::move(entries_.front());
+    entries_.pop_front();
+    return entry;
+  }
+
+  ConfigProposer proposer_;
+};
+
+using Ended = std::vector<std::pair<uint64_t, bool>>;
+
+constexpr size_t kRoutes = 4200;
+
+}  // namespace
+
+// Each change put its whole document into the log of every control VM, however
+// many came at once.
+TEST_CASE("a change costs the log what it changes") {
+  Log log;
+  log.Submit(1, Document(1, kRoutes));
+  REQUIRE(log.entries_.size() == 1);
+  log.Commit();
+  CHECK(log.ended_ == Ended{{1, true}});
+  log.ended_.clear();
+
+  SECTION("a small one in a large document") {
+    log.Submit(2, Document(2, kRoutes));
+    REQUIRE(log.entries_.size() == 1);
+    CHECK(log.entries_.front().command_.size() < 1024);
+    log.Commit();
+    CHECK(log.config_.document() == Document(2, kRoutes));
+    CHECK(log.ended_ == Ended{{2, true}});
+  }
+  SECTION("of several that wait the highest goes, and answers for all") {
+    for (const uint64_t version : {5, 9, 7, 3}) {
+      log.Submit(version, Document(version, kRoutes));
+    }
+    REQUIRE(log.entries_.size() == 1);
+    log.Commit();
+    CHECK(log.config_.version() == 5);
+    REQUIRE(log.entries_.size() == 1);
+    log.Commit();
+    CHECK(log.config_.document() == Document(9, kRoutes));
+    CHECK(log.entries_.empty());
+    CHECK(log.ended_.size() == 4);
+    for (const auto& [version, is_committed] : log.ended_) {
+      CHECK(is_committed);
+    }
+  }
+  SECTION("whole while a member of the log may not read differences") {
+    log.all_read_differences_ = false;
+    log.Submit(2, Document(2, kRoutes));
+    REQUIRE(log.entries_.size() == 1);
+    CHECK(log.entries_.front().command_ ==
+          ConfigRegister::Command(2, Document(2, kRoutes)));
+  }
+  SECTION("whole once what an earlier leader left changed the base") {
+    log.Submit(5, Document(5, kRoutes));
+    log.config_.Apply(ConfigRegister::Command(4, "earlier"));
+    log.Commit();
+    CHECK(log.ended_.empty());
+    REQUIRE(log.entries_.size() == 1);
+    log.Commit();
+    CHECK(log.config_.document() == Document(5, kRoutes));
+    CHECK(log.ended_ == Ended{{5, true}});
+  }
+}
+
+TEST_CASE("a document that is not known to be committed") {
+  Log log;
+  log.Submit(5, "five");
+  log.Submit(4, "four");
+  log.Submit(6, "six");
+
+  SECTION("fails the calls that it stands for, and no others") {
+    log.Lose();
+    CHECK(log.ended_.size() == 2);
+    for (const auto& [version, is_committed] : log.ended_) {
+      CHECK(version <= 5);
+      CHECK_FALSE(is_committed);
+    }
+    log.Commit();
+    CHECK(log.config_.document() == "six");
+    CHECK(log.ended_.back() == std::pair<uint64_t, bool>(6, true));
+  }
+  SECTION("can be sent again") {
+    log.Lose();
+    log.Lose();
+    CHECK(log.ended_.size() == 3);
+    log.Submit(5, "five");
+    log.Commit();
+    CHECK(log.config_.version() == 5);
+    CHECK(log.ended_.back() == std::pair<uint64_t, bool>(5, true));
+  }
+}
+
+TEST_CASE("a version that is held already is not proposed") {
+  Log log;
+  log.config_.Apply(ConfigRegister::Command(7, "seven"));
+  log.Submit(6, "six");
+  log.Submit(7, "other content");
+  CHECK(log.entries_.empty());
+  CHECK(log.ended_ == Ended{{6, true}, {7, true}});
+}
+
+}  // namespace citronlane
--- a/tests/unit-serving.cc
+++ b/tests/unit-serving.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "citronlane/base/error.h"
 #include "citronlane/base/text.h"
 #include "citronlane/serving/event_splitter.h"
 #include "citronlane/serving/serving_config.h"
@@ -205,6 +206,30 @@
     copy.Restore(ConfigRegister().Snapshot());
     CHECK(copy.is_empty());
   }
+  SECTION("a difference is applied where its base is held") {
+    Error error;
+    const auto command = config.DifferenceCommand(8, "eight\nlines", &error);
+    REQUIRE(command);
+    ConfigRegister other;
+    other.Apply(ConfigRegister::Command(6, "six"));
+    CHECK_FALSE(other.Apply(*command));
+    CHECK(other.document() == "six");
+    CHECK_FALSE(ConfigRegister().Apply(*command));
+    CHECK(config.Apply(*command));
+    CHECK(config.version() == 8);
+    CHECK(config.document() == "eight\nlines");
+    CHECK_FALSE(config.Apply(*command));
+  }
+  SECTION("a damaged difference changes nothing") {
+    Error error;
+    std::string command = *config.DifferenceCommand(8, "eight", &error);
+    command.back() = static_cast<char>(command.back() ^ 1);
+    CHECK_FALSE(config.Apply(command));
+    command.pop_back();
+    CHECK_FALSE(config.Apply(command));
+    CHECK_FALSE(config.Apply("+8\n5"));
+    CHECK(config.version() == 5);
+  }
   SECTION("what is no command changes nothing") {
     CHECK_FALSE(config.Apply("nine"));
     CHECK_FALSE(config.Apply("x9\nnine"));
