Acknowledge a configuration once the gateways hold it

Seen: operators went on while gateways still served by the version before, up to the platform's bound; nothing slowed a series that gateways could not read as fast as it came.

Change: the acknowledgement waits until every gateway that watches has confirmed the version, up to 0.7 s from the call. One that confirms nothing for 1.2 s is cut off or stopped, and nobody waits for it.

Evidence: test_2 of platform_config_test fails on the code before (a gateway still had the version before after the acknowledgement); test_3 and the section of unit-gateway-feed cover a gateway that is stopped.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -77,6 +77,10 @@
   void PushAll(TimePoint now);
 
   size_t gateways() const { return watchers_.size(); }
+  /// Whether all gateways that watch hold this version or a later one. Those
+  /// that have left an update unconfirmed for long do not count: nobody waits
+  /// for one that is cut off.
+  bool IsHeldByAll(uint64_t version, TimePoint now) const;
 
  private:
   struct Watcher;
--- a/include/citronlane/control/operator_api.h
+++ b/include/citronlane/control/operator_api.h
@@ -38,6 +38,9 @@
     /// Whether as many voters hold what is committed as the tolerated losses
     /// need.
     std::function<bool()> has_all_voters_;
+    /// Whether the gateways hold this version or a later one, but for those
+    /// that have been silent for long.
+    std::function<bool(uint64_t version)> gateways_hold_;
   };
 
   /// All but the hooks' own state outlive the object.
@@ -54,7 +57,11 @@
   HttpReply Replace(const HttpRequest& request, HttpExchange* exchange);
   HttpReply Read(HttpExchange* exchange);
   HttpReply Elsewhere(const HttpRequest& request) const;
-  bool WaitForVoters(HttpExchange* exchange, TimePoint until);
+  /// Waits until the condition holds. False at `until`, or when the caller has
+  /// gone.
+  bool WaitFor(HttpExchange* exchange,
+               TimePoint until,
+               const std::function<bool()>& condition);
 
   boost::asio::io_context* const io_;
   const Dialect* const dialect_;
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -208,6 +208,9 @@
     member_.Read(std::move(done));
   };
   hooks.has_all_voters_ = [this] { return member_.has_all_voters(); };
+  hooks.gateways_hold_ = [this](uint64_t version) {
+    return feed_.IsHeldByAll(version, SteadyNow());
+  };
   return hooks;
 }
 
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -29,6 +29,8 @@
 constexpr size_t kRecentBytes = size_t{16} << 20;
 /// A version that some gateways lack for so long is logged: soon it is late.
 constexpr Duration kLateConfig = std::chrono::seconds(1);
+/// A gateway that is in touch confirms an update sooner, also after a pause.
+constexpr Duration kLongestUnconfirmed = std::chrono::milliseconds(1200);
 
 }  // namespace
 
@@ -45,6 +47,7 @@
   /// one waits for that, so that it is the newest by then, and only one takes
   /// up memory here and time on the gateway's link.
   bool is_config_on_way_ = false;
+  TimePoint config_sent_;
   uint64_t servers_number_ = 0;
   uint64_t gateways_number_ = 0;
   uint64_t owners_number_ = 0;
@@ -186,6 +189,18 @@
   LogConfigProgress(now);
 }
 
+bool GatewayFeed::IsHeldByAll(uint64_t version, TimePoint now) const {
+  return std::all_of(watchers_.begin(), watchers_.end(),
+                     [version, now](const auto& entry) {
+                       const Watcher& watcher = *entry.second;
+                       const bool is_silent =
+                           watcher.is_config_on_way_ &&
+                           now - watcher.config_sent_ >= kLongestUnconfirmed;
+                       const auto& held = watcher.config_version_;
+                       return (held && *held >= version) || is_silent;
+                     });
+}
+
 void GatewayFeed::NoteConfig(TimePoint now) {
   if (config_->is_empty() || documents_.newest() == config_->version()) {
     return;
@@ -263,6 +278,7 @@
       now - config_since_);
   config->set_age_ms(static_cast<uint64_t>(age.count()));
   watcher->is_config_on_way_ = true;
+  watcher->config_sent_ = now;
 }
 
 // A line when all gateways hold the newest version, and one when some still
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -25,9 +25,11 @@
 /// that comes later is of little use to them.
 constexpr Duration kAnswerTime = std::chrono::milliseconds(2500);
 /// A cluster that was just formed has all its voters within half a second;
-/// fewer VMs may be all there are.
-constexpr Duration kVotersTime = std::chrono::milliseconds(700);
-constexpr auto kVotersPoll = std::chrono::milliseconds(50);
+/// fewer VMs may be all there are. Gateways that are in touch hold a change
+/// sooner, unless changes come faster than they can read them: then operators
+/// wait too.
+constexpr Duration kSpreadTime = std::chrono::milliseconds(700);
+constexpr auto kSpreadPoll = std::chrono::milliseconds(10);
 
 constexpr int kOk = 200;
 constexpr int kTemporaryRedirect = 307;
@@ -147,13 +149,20 @@
       return ErrorReply(kUnavailable, "not known to be committed");
     }
   }
-  if (!WaitForVoters(exchange, begun + kVotersTime)) {
+  const Duration committed_after = SteadyNow() - begun;
+  const TimePoint until = begun + kSpreadTime;
+  if (!WaitFor(exchange, until, hooks_.has_all_voters_)) {
     log_->Write("control", "acknowledged by fewer voters than wanted",
                 {{"version", version}});
   }
+  const bool is_in_force = WaitFor(exchange, until, [this, version] {
+    return hooks_.gateways_hold_(version);
+  });
   log_->Write("control", "config acknowledged",
               {{"version", version},
                {"held_version", config_->version()},
+               {"in_force", is_in_force ? "yes" : "no"},
+               {"committed_ms", committed_after},
                {"took_ms", SteadyNow() - begun}});
   HttpReply reply;
   reply.status_ = kOk;
@@ -161,12 +170,14 @@
   return reply;
 }
 
-bool OperatorApi::WaitForVoters(HttpExchange* exchange, TimePoint until) {
-  while (!hooks_.has_all_voters_()) {
+bool OperatorApi::WaitFor(HttpExchange* exchange,
+                          TimePoint until,
+                          const std::function<bool()>& condition) {
+  while (!condition()) {
     if (SteadyNow() >= until || exchange->caller_gone()) {
       return false;
     }
-    WaitAtMost(io_, std::make_shared<Wait>(exchange), kVotersPoll);
+    WaitAtMost(io_, std::make_shared<Wait>(exchange), kSpreadPoll);
   }
   return true;
 }
--- a/tests/process/platform_config_test.py
+++ b/tests/process/platform_config_test.py
@@ -14,6 +14,10 @@
 IN_FORCE_SECONDS = 2.5
 # A control VM's limit is 256 MB.
 CONTROL_MEGABYTES = 128
+# After which nobody waits for a gateway that confirms nothing.
+GIVEN_UP_SECONDS = 1.5
+# Of a change that all gateways in touch hold at once.
+ACKNOWLEDGED_SECONDS = 0.5
 
 
 class LargeConfigTest(FleetTestCase):
@@ -66,6 +70,29 @@
                 self.assertGreater(line["base"], 0)
                 self.assertLess(line["bytes"], line["document_bytes"] / 4)
 
+    # Operators went on while gateways still served by the version before.
+    def test_2_what_is_acknowledged_is_held_by_every_gateway(self):
+        document = with_more_routes(self.fleet.document, ROUTES)
+        for _ in range(10):
+            document, _ = self.change(document)
+            held = [self.fleet.route_version(ip)
+                    for ip in self.fleet.gateway_ips]
+            self.assertGreaterEqual(min(held), document["version"])
+
+    def test_3_a_gateway_that_is_stopped_holds_up_no_operator_for_long(self):
+        document = self.fleet.document
+        stopped = self.fleet.processes[self.fleet.gateway_ips[0]]
+        stopped.pause()
+        try:
+            document, _ = self.change(document)
+            time.sleep(GIVEN_UP_SECONDS)
+            for _ in range(3):
+                begun = time.monotonic()
+                document, acknowledged = self.change(document)
+                self.assertLess(acknowledged - begun, ACKNOWLEDGED_SECONDS)
+        finally:
+            stopped.resume()
+
     def peak_megabytes(self, ip):
         path = f"/proc/{self.fleet.processes[ip].child.pid}/status"
         with open(path, encoding="ascii") as status:
--- a/tests/unit-gateway-feed.cc
+++ b/tests/unit-gateway-feed.cc
@@ -88,6 +88,11 @@
   /// Lets time pass, as far as the feed knows.
   void Pass(Duration time) { feed_.PushAll(SteadyNow() + time); }
 
+  /// `later` from now on.
+  bool IsHeldByAll(uint64_t version, Duration later) const {
+    return feed_.IsHeldByAll(version, SteadyNow() + later);
+  }
+
   bool HasLogged(const std::string& event) const {
     return lines_.find("\"" + event + "\"") != std::string::npos;
   }
@@ -266,6 +271,16 @@
     leader.Pass(std::chrono::milliseconds(1500));
     CHECK(leader.HasLogged("config late"));
   }
+  SECTION("and control knows whether all in touch have it") {
+    CHECK(until([&] { return leader.IsHeldByAll(1, Duration::zero()); }));
+    leader.Commit(2, Document(2, 11));
+    CHECK(leader.IsHeldByAll(1, Duration::zero()));
+    CHECK_FALSE(leader.IsHeldByAll(2, Duration::zero()));
+    // One that is cut off confirms nothing.
+    CHECK_FALSE(leader.IsHeldByAll(2, std::chrono::milliseconds(800)));
+    CHECK(leader.IsHeldByAll(2, std::chrono::milliseconds(1500)));
+    CHECK(until([&] { return leader.IsHeldByAll(2, Duration::zero()); }));
+  }
   SECTION("nothing when it has the newest") {
     leader.Commit(2, Document(2, 10));
     REQUIRE(has(2));
