Believe a server at once that says it is leaving

Seen: a gateway went on to call a server whose replies said that it was leaving until control said the same, and each of those calls had to be made again.

Cause: such a reply does not tell the server's incarnation. It came as 0 and was dropped as news of an older one wherever control had told the incarnation.

Change: 0 means the newest incarnation that is known, as in control's own record. A higher incarnation brings the server back, as before.

Evidence: the new section of unit-routing failed before.

--- a/include/citronlane/routing/detail/server_table.h
+++ b/include/citronlane/routing/detail/server_table.h
@@ -36,8 +36,8 @@
   size_t size() const { return servers_.size(); }
   std::vector<std::string> ids() const;
 
-  /// Leaving holds for this and every lower incarnation, also while the server
-  /// is absent from the list.
+  /// Leaving holds for this incarnation (the newest known one for 0) and every
+  /// lower one, also while the server is absent from the list.
   void MarkLeaving(std::string_view id, uint64_t incarnation);
   /// A higher incarnation takes calls again, a probe first. True when it
   /// was news.
--- a/include/citronlane/routing/pool_router.h
+++ b/include/citronlane/routing/pool_router.h
@@ -80,7 +80,8 @@
                   double in_flight);
 
   /// The server takes no new calls from now on. An older list can not bring
-  /// this incarnation back; a higher incarnation can.
+  /// this incarnation back; a higher incarnation can. 0: the server said so
+  /// itself, without its incarnation.
   void OnLeaving(std::string_view server, uint64_t incarnation, TimePoint now);
 
   /// A server of this incarnation was seen alive. Only a higher incarnation
--- a/src/routing/server_table.cc
+++ b/src/routing/server_table.cc
@@ -14,6 +14,8 @@
 constexpr size_t kServersPerCheck = 64;
 /// A comparison reads every server; it waits longer the more there are.
 constexpr size_t kServersPerCompare = 256;
+/// A server that says itself that it leaves does not tell its incarnation.
+constexpr uint64_t kNotTold = 0;
 constexpr Duration kRecenterInterval = std::chrono::seconds(2);
 constexpr double kMostCorrection = 1.5;
 
@@ -64,10 +66,10 @@
 
 void ServerTable::MarkLeaving(std::string_view id, uint64_t incarnation) {
   Incarnation& known = incarnations_[std::string(id)];
-  if (incarnation < known.number_) {
+  if (incarnation != kNotTold && incarnation < known.number_) {
     return;
   }
-  known = {incarnation, true};
+  known = {std::max(incarnation, known.number_), true};
   next_check_ = TimePoint();
   leaving_changed_ = true;
 }
--- a/tests/unit-routing.cc
+++ b/tests/unit-routing.cc
@@ -285,6 +285,16 @@
     test.Finish("s1", milliseconds(0));
     CHECK(test.Chosen(50).count("s1") == 1);
   }
+  // Work went on to a server that had said so itself until control said it too.
+  SECTION("are believed when they say so themselves, whatever is known") {
+    test.router_->OnAlive("s1", 6, test.now_);
+    test.router_->OnLeaving("s1", 0, test.now_);
+    CHECK(test.Chosen(50) == others);
+    test.router_->OnAlive("s1", 6, test.now_);
+    CHECK(test.Chosen(50) == others);
+    test.router_->OnAlive("s1", 7, test.now_);
+    CHECK(test.Chosen(50).count("s1") == 1);
+  }
   SECTION("ignore leaving of an older incarnation") {
     test.router_->OnAlive("s1", 6, test.now_);
     test.router_->OnLeaving("s1", 5, test.now_);
