Tell how far a configuration has come in control's metrics

GET /metrics on the address that operators of the users' platform call: who leads, how many gateways watch, the newest version, the lowest one that a gateway holds and how many lack the newest.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "citronlane/base/time.h"
+#include "citronlane/fleet/config_spread.h"
 #include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/fleet/pool_part.h"
 #include "citronlane/fleet/pooled_service.h"
@@ -81,6 +82,8 @@
   /// that have left an update unconfirmed for long do not count: nobody waits
   /// for one that is cut off.
   bool IsHeldByAll(uint64_t version, TimePoint now) const;
+  /// Of the newest version among the gateways that watch here.
+  ConfigSpread Spread() const;
 
  private:
   struct Watcher;
--- a/include/citronlane/control/operator_api.h
+++ b/include/citronlane/control/operator_api.h
@@ -21,8 +21,9 @@
 struct HttpRequest;
 
 /// The operators' side of a control VM: takes whole configurations and reads
-/// the newest one back. Only the leader answers; the others name it. Runs in
-/// the coroutines of its listener, on the event loop's thread.
+/// the newest one back. Only the leader answers; the others name it. Each tells
+/// its own metrics. Runs in the coroutines of its listener, on the event loop's
+/// thread.
 class OperatorApi {
  public:
   struct Hooks {
@@ -41,6 +42,8 @@
     /// Whether the gateways hold this version or a later one, but for those
     /// that have been silent for long.
     std::function<bool(uint64_t version)> gateways_hold_;
+    /// What this VM knows of itself in the Prometheus text format.
+    std::function<std::string()> metrics_;
   };
 
   /// All but the hooks' own state outlive the object.
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -14,6 +14,7 @@
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/control/cluster_member.h"
+#include "citronlane/control/detail/control_metrics.h"
 #include "citronlane/control/gateway_feed.h"
 #include "citronlane/control/operator_api.h"
 #include "citronlane/net/endpoint.h"
@@ -211,6 +212,9 @@
   hooks.gateways_hold_ = [this](uint64_t version) {
     return feed_.IsHeldByAll(version, SteadyNow());
   };
+  hooks.metrics_ = [this] {
+    return FeedMetricsText(member_.Leads(SteadyNow()), feed_.Spread());
+  };
   return hooks;
 }
 
--- a/src/control/control_metrics.cc
+++ b/src/control/control_metrics.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "citronlane/control/detail/control_state.h"
+#include "citronlane/fleet/config_spread.h"
 
 namespace citronlane {
 namespace {
@@ -57,4 +58,21 @@
   return text;
 }
 
+std::string FeedMetricsText(bool leads, const ConfigSpread& spread) {
+  std::string text;
+  Add("leads", "gauge", "1 on the leader with its lease, else 0.",
+      leads ? 1 : 0, &text);
+  Add("watchers", "gauge", "Gateways that watch here.", spread.gateways_,
+      &text);
+  Add("config_version", "gauge", "Version of the configuration.",
+      spread.newest_, &text);
+  Add("config_lowest_version", "gauge",
+      "Lowest version that a gateway that watches here holds.", spread.lowest_,
+      &text);
+  Add("config_gateways_behind", "gauge",
+      "Gateways that watch here and hold an older version.", spread.behind_,
+      &text);
+  return text;
+}
+
 }  // namespace citronlane
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -201,6 +201,19 @@
                      });
 }
 
+ConfigSpread GatewayFeed::Spread() const {
+  ConfigSpread spread;
+  spread.newest_ = documents_.newest().value_or(0);
+  spread.lowest_ = spread.newest_;
+  for (const auto& [key, watcher] : watchers_) {
+    const uint64_t held = watcher->config_version_.value_or(0);
+    ++spread.gateways_;
+    spread.behind_ += held < spread.newest_ ? 1 : 0;
+    spread.lowest_ = std::min(spread.lowest_, held);
+  }
+  return spread;
+}
+
 void GatewayFeed::NoteConfig(TimePoint now) {
   if (config_->is_empty() || documents_.newest() == config_->version()) {
     return;
@@ -289,26 +302,20 @@
       !leadership_().leads_) {
     return;
   }
-  uint64_t behind = 0;
-  uint64_t lowest = *newest;
-  for (const auto& [key, watcher] : watchers_) {
-    const uint64_t held = watcher->config_version_.value_or(0);
-    behind += held < *newest ? 1 : 0;
-    lowest = std::min(lowest, held);
-  }
-  if (behind == 0) {
+  const ConfigSpread spread = Spread();
+  if (spread.behind_ == 0) {
     logged_everywhere_ = true;
     log_->Write("control", "config everywhere",
                 {{"version", *newest},
-                 {"gateways", static_cast<uint64_t>(watchers_.size())},
+                 {"gateways", spread.gateways_},
                  {"after_ms", now - config_since_}});
   } else if (!logged_late_ && now - config_since_ >= kLateConfig) {
     logged_late_ = true;
     log_->Write("control", "config late",
                 {{"version", *newest},
-                 {"behind", behind},
-                 {"lowest", lowest},
-                 {"gateways", static_cast<uint64_t>(watchers_.size())},
+                 {"behind", spread.behind_},
+                 {"lowest", spread.lowest_},
+                 {"gateways", spread.gateways_},
                  {"after_ms", now - config_since_}});
   }
 }
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -31,6 +32,8 @@
 constexpr Duration kSpreadTime = std::chrono::milliseconds(700);
 constexpr auto kSpreadPoll = std::chrono::milliseconds(10);
 
+constexpr std::string_view kMetricsPath = "/metrics";
+
 constexpr int kOk = 200;
 constexpr int kTemporaryRedirect = 307;
 constexpr int kBadRequest = 400;
@@ -102,6 +105,13 @@
       hooks_(std::move(hooks)) {}
 
 void OperatorApi::Serve(const HttpRequest& request, HttpExchange* exchange) {
+  if (request.method_ == "GET" && request.Path() == kMetricsPath) {
+    HttpReply reply;
+    reply.content_type_ = "text/plain; version=0.0.4";
+    reply.body_ = hooks_.metrics_();
+    exchange->Reply(reply);
+    return;
+  }
   const OperatorCall call =
       dialect_->operator_call_(request.method_, request.Path());
   if (call == OperatorCall::kUnknown) {
--- a/tests/process/platform_config_test.py
+++ b/tests/process/platform_config_test.py
@@ -78,6 +78,17 @@
             held = [self.fleet.route_version(ip)
                     for ip in self.fleet.gateway_ips]
             self.assertGreaterEqual(min(held), document["version"])
+        texts = [self.fleet.call_control("GET", "/metrics", ip=ip)[1].decode()
+                 for ip in self.fleet.control_ips]
+        leaders = [text for text in texts
+                   if "\ncitronlane_control_leads 1\n" in text]
+        self.assertEqual(len(leaders), 1)
+        for name, value in (("watchers", self.gateways),
+                            ("config_version", document["version"]),
+                            ("config_lowest_version", document["version"]),
+                            ("config_gateways_behind", 0)):
+            self.assertIn(f"\ncitronlane_control_{name} {value}\n",
+                          leaders[0])
 
     def test_3_a_gateway_that_is_stopped_holds_up_no_operator_for_long(self):
         document = self.fleet.document
