--- a/tests/unit-config-proposer.cc
+++ b/tests/unit-config-proposer.cc
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <rapidcheck.h>
+#include <algorithm>
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -77,6 +80,96 @@
   ConfigProposer proposer_;
 };
 
+/// Three control VMs with one log, of which one leads at a time.
+class Cluster {
+ public:
+  Log& leader() { return members_[leader_]; }
+
+  void Submit(uint64_t version) {
+    leader().Submit(version, Document(version, 3));
+    RC_ASSERT(leader().entries_.size() <= 1);
+  }
+
+  /// Commits what the leader put in; it applies it, the others later.
+  void Commit() {
+    if (leader().entries_.empty()) {
+      return;
+    }
+    committed_.push_back(leader().entries_.front().command_);
+    const uint64_t before = Version(leader_);
+    leader().Commit();
+    applied_[leader_] = committed_.size();
+    RC_ASSERT(Version(leader_) >= before);
+  }
+
+  /// Another one leads. What the one before put in is committed all the same,
+  /// or lost.
+  void Elect(size_t member, bool keeps_entry) {
+    if (member == leader_) {
+      return;
+    }
+    if (!leader().entries_.empty()) {
+      if (keeps_entry) {
+        committed_.push_back(leader().entries_.front().command_);
+      }
+      while (!leader().entries_.empty()) {
+        leader().Lose();
+      }
+    }
+    leader_ = member;
+    CatchUp(member, committed_.size());
+  }
+
+  void CatchUp(size_t member, size_t index) {
+    while (applied_[member] < index) {
+      const uint64_t before = Version(member);
+      members_[member].config_.Apply(committed_[applied_[member]++]);
+      RC_ASSERT(Version(member) >= before);
+    }
+  }
+
+  void ApplyOne(size_t member) {
+    CatchUp(member, std::min(applied_[member] + 1, committed_.size()));
+  }
+
+  void CheckAtRest() {
+    while (!leader().entries_.empty()) {
+      Commit();
+    }
+    for (size_t i = 0; i < members_.size(); ++i) {
+      CatchUp(i, committed_.size());
+      const ConfigRegister& config = members_[i].config_;
+      RC_ASSERT(Version(i) == Version(leader_));
+      RC_ASSERT(config.is_empty() ||
+                config.document() == Document(config.version(), 3));
+    }
+    for (const Log& member : members_) {
+      for (const auto& [version, is_committed] : member.ended_) {
+        RC_ASSERT(!is_committed || leader().config_.Holds(version));
+      }
+    }
+  }
+
+  size_t calls() const {
+    size_t calls = 0;
+    for (const Log& member : members_) {
+      calls += member.ended_.size();
+    }
+    return calls;
+  }
+
+ private:
+  uint64_t Version(size_t member) const {
+    const ConfigRegister& config = members_[member].config_;
+    return config.is_empty() ? 0 : config.version();
+  }
+
+  std::array<Log, 3> members_;
+  std::array<size_t, 3> applied_{};
+  std::vector<std::string> committed_;
+  size_t leader_ = 0;
+};
+
 using Ended = std::vector<std::pair<uint64_t, bool>>;
 
 constexpr size_t kRoutes = 4200;
@@ -164,6 +257,37 @@
   }
 }
 
+TEST_CASE("acknowledged versions stay, whoever leads") {
+  CHECK(rc::check("versions never fall, and all end with the same", [] {
+    Cluster cluster;
+    const auto steps = *rc::gen::inRange(1, 60);
+    size_t submitted = 0;
+    uint64_t newest = 0;
+    for (int step = 0; step < steps; ++step) {
+      const auto member = *rc::gen::inRange<size_t>(0, 3);
+      switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+        case 1:
+          newest += *rc::gen::inRange<uint64_t>(1, 4);
+          // Changes may arrive out of order.
+          cluster.Submit(newest - *rc::gen::inRange<uint64_t>(0, 2));
+          ++submitted;
+          break;
+        case 2:
+          cluster.Commit();
+          break;
+        case 3:
+          cluster.ApplyOne(member);
+          break;
+        default:
+          cluster.Elect(member, *rc::gen::arbitrary<bool>());
+      }
+    }
+    cluster.CheckAtRest();
+    RC_ASSERT(cluster.calls() == submitted);
+  }));
+}
+
 TEST_CASE("a version that is held already is not proposed") {
   Log log;
   log.config_.Apply(ConfigRegister::Command(7, "seven"));
