Drain a failure domain by an operator's order

Gateways and the division of pools take the servers there for leaving ones, whatever the platform's list says. The names that the log holds are bounded. An order is refused with 503 while a member of the log may not know the command; the marker that members send tells a number now, since differences and drains came together.

--- a/include/citronlane/control/cluster_member.h
+++ b/include/citronlane/control/cluster_member.h
@@ -23,8 +23,8 @@
 namespace citronlane {
 
 class ClusterFormation;
-class ConfigRegister;
 class EventLog;
+class FleetState;
 class FrameChannel;
 class FrameLink;
 class ReplicaDriver;
@@ -42,13 +42,13 @@
   struct Hooks {
     /// Leads and has applied all that was committed before; or no longer.
     std::function<void(bool leads)> leads_changed_;
-    std::function<void()> config_changed_;
+    std::function<void()> state_changed_;
   };
 
-  /// `io`, `config` and `log` outlive the object.
+  /// `io`, `state` and `log` outlive the object.
   ClusterMember(boost::asio::io_context* io,
                 const NodeSettings& settings,
-                ConfigRegister* config,
+                FleetState* state,
                 EventLog* log,
                 Hooks hooks);
   ~ClusterMember();
@@ -78,9 +78,9 @@
   /// Internal endpoints of the members; the seeds while there are none.
   std::vector<std::string> members() const;
   bool has_all_voters() const;
-  /// Whether every other member has said that it applies configurations that
-  /// come as differences.
-  bool all_read_differences() const;
+  /// Whether every other member has said that it applies commands of this
+  /// version's form, beyond whole configurations.
+  bool all_apply_new_commands() const;
 
  private:
   void OpenDisk(TimePoint now);
@@ -111,7 +111,7 @@
   boost::asio::io_context* const io_;
   const NodeSettings settings_;
   std::vector<std::string> seeds_;
-  ConfigRegister* const config_;
+  FleetState* const state_;
   EventLog* const log_;
   const Hooks hooks_;
   std::mt19937_64 random_;
@@ -138,8 +138,8 @@
   std::map<std::string, std::unique_ptr<FrameLink>> links_;
   /// Where messages of nodes that the membership does not name yet came from.
   std::map<uint64_t, std::weak_ptr<FrameChannel>> channels_;
-  /// Nodes whose last message said so.
-  std::set<uint64_t> difference_readers_;
+  /// By node, as its last message said.
+  std::map<uint64_t, uint32_t> log_formats_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -16,11 +16,12 @@
 #include "citronlane/fleet/pooled_service.h"
 #include "citronlane/fleet/recent_documents.h"
 #include "citronlane/serving/backend_server.h"
+#include "citronlane/state/drained_domains.h"
 
 namespace citronlane {
 
-class ConfigRegister;
 class EventLog;
+class FleetState;
 class FrameChannel;
 
 namespace wire::fleet {
@@ -47,8 +48,8 @@
   /// engines by the configuration.
   using PoolsHook = std::function<std::vector<PooledService>()>;
 
-  /// `config` and `log` outlive the feed.
-  GatewayFeed(const ConfigRegister* config,
+  /// `state` and `log` outlive the feed.
+  GatewayFeed(const FleetState* state,
               EventLog* log,
               LeadershipHook leadership,
               PoolsHook pools);
@@ -92,6 +93,7 @@
   std::vector<PoolPart> Parts() const;
   void Push(Watcher* watcher, TimePoint now);
   void NoteConfig(TimePoint now);
+  void NoteDrained();
   void AddConfig(Watcher* watcher,
                  bool leads,
                  TimePoint now,
@@ -101,7 +103,7 @@
                    bool is_gathering,
                    wire::fleet::WatchUpdate* update) const;
 
-  const ConfigRegister* const config_;
+  const FleetState* const state_;
   EventLog* const log_;
   const LeadershipHook leadership_;
   const PoolsHook pools_;
@@ -112,6 +114,8 @@
   /// What was logged of the newest one.
   bool logged_everywhere_ = false;
   bool logged_late_ = false;
+  DrainedDomains::Names drained_;
+  uint64_t drained_number_ = 1;
   std::vector<BackendServer> servers_;
   size_t unusable_ = 0;
   std::optional<TimePoint> servers_read_;
--- a/include/citronlane/control/operator_api.h
+++ b/include/citronlane/control/operator_api.h
@@ -13,17 +13,17 @@
 
 namespace citronlane {
 
-class ConfigRegister;
 class EventLog;
+class FleetState;
 class HttpExchange;
 struct Dialect;
 struct HttpReply;
 struct HttpRequest;
 
-/// The operators' side of a control VM: takes whole configurations and reads
-/// the newest one back. Only the leader answers; the others name it. Each tells
-/// its own metrics. Runs in the coroutines of its listener, on the event loop's
-/// thread.
+/// The operators' side of a control VM: takes whole configurations, reads the
+/// newest one back, and drains failure domains. Only the leader answers; the
+/// others name it. Each tells its own metrics. Runs in the coroutines of its
+/// listener, on the event loop's thread.
 class OperatorApi {
  public:
   struct Hooks {
@@ -35,6 +35,12 @@
     std::function<
         void(uint64_t version, std::string document, ConfigProposer::Done done)>
         submit_;
+    /// Puts into the replicated log that a failure domain is drained, or no
+    /// longer.
+    std::function<void(const std::string& domain,
+                       bool is_drained,
+                       ConfigProposer::Done done)>
+        set_drained_;
     std::function<void(Replica::ReadDone done)> read_;
     /// Whether as many voters hold what is committed as the tolerated losses
     /// need.
@@ -49,7 +55,7 @@
   /// All but the hooks' own state outlive the object.
   OperatorApi(boost::asio::io_context* io,
               const Dialect* dialect,
-              const ConfigRegister* config,
+              const FleetState* state,
               EventLog* log,
               Hooks hooks);
 
@@ -59,6 +65,9 @@
  private:
   HttpReply Replace(const HttpRequest& request, HttpExchange* exchange);
   HttpReply Read(HttpExchange* exchange);
+  HttpReply SetDrained(const std::string& domain,
+                       bool is_drained,
+                       HttpExchange* exchange);
   HttpReply Elsewhere(const HttpRequest& request) const;
   /// Waits until the condition holds. False at `until`, or when the caller has
   /// gone.
@@ -68,7 +77,7 @@
 
   boost::asio::io_context* const io_;
   const Dialect* const dialect_;
-  const ConfigRegister* const config_;
+  const FleetState* const state_;
   EventLog* const log_;
   const Hooks hooks_;
 };
--- /dev/null
+++ b/include/citronlane/fleet/drained_servers.h
@@ -0,0 +1,17 @@
+#ifndef CITRONLANE_FLEET_DRAINED_SERVERS_H_
+#define CITRONLANE_FLEET_DRAINED_SERVERS_H_
+
+#include <vector>
+
+#include "citronlane/serving/backend_server.h"
+#include "citronlane/state/drained_domains.h"
+
+namespace citronlane {
+
+/// The servers, those of drained failure domains as leaving ones. Thread safe.
+std::vector<BackendServer> WithDrained(std::vector<BackendServer> servers,
+                                       const DrainedDomains::Names& domains);
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_FLEET_DRAINED_SERVERS_H_
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -72,6 +72,9 @@
                    size_t unusable,
                    TimePoint read);
   void TakeOwners(uint64_t number, PoolAssignment::Owners owners);
+  void TakeDrained(DrainedDomains::Names domains);
+  /// The view has other servers, or other states of them.
+  void ServersChanged();
   void NoteUnusable(size_t unusable);
   void ReadStaleList(TimePoint now);
   void Reload();
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -14,6 +14,7 @@
 #include "citronlane/fleet/server_starts.h"
 #include "citronlane/serving/backend_server.h"
 #include "citronlane/serving/serving_config.h"
+#include "citronlane/state/drained_domains.h"
 
 namespace citronlane {
 
@@ -33,6 +34,8 @@
   /// Takes a list that was read at `read`, unless a newer one is held. Of each
   /// server the latest start counts.
   void SetServers(std::vector<BackendServer> servers, TimePoint read);
+  /// Servers of these failure domains take no new work, whatever the list says.
+  void SetDrained(DrainedDomains::Names domains);
   /// The list held was read again at `read` and is the same.
   void ConfirmServers(TimePoint read);
   void SetGateways(std::vector<Gateway> gateways);
@@ -79,9 +82,13 @@
   size_t GatewayCount() const;
 
  private:
+  void UseServers();
   void UpdateParts();
 
   std::shared_ptr<const ServingConfig> config_;
+  /// As the list says.
+  std::vector<BackendServer> listed_;
+  DrainedDomains::Names drained_;
   std::vector<BackendServer> servers_;
   ServerStarts starts_;
   std::map<std::string, size_t, std::less<>> by_id_;
--- a/include/citronlane/state/config_proposer.h
+++ b/include/citronlane/state/config_proposer.h
@@ -25,8 +25,8 @@
     /// applied here or is not known to be committed, and not within the log's
     /// own calls.
     std::function<void(std::string command, Done done)> propose_;
-    /// Whether all VMs that keep the log can read differences.
-    std::function<bool()> all_read_differences_;
+    /// Whether all VMs that keep the log apply differences.
+    std::function<bool()> all_apply_differences_;
   };
 
   /// `config` is what the log's commands are applied to; it outlives the
--- a/src/control/cluster_member.cc
+++ b/src/control/cluster_member.cc
@@ -13,7 +13,7 @@
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/net/frame_link.h"
 #include "citronlane/observe/event_log.h"
-#include "citronlane/state/config_register.h"
+#include "citronlane/state/fleet_state.h"
 #include "citronlane/transport/replication_codec.h"
 #include "fleet.pb.h"
 
@@ -31,6 +31,8 @@
 /// Log kept in memory behind a snapshot: peak memory has its price.
 constexpr uint64_t kKeptEntries = 256;
 constexpr size_t kKeptBytes = size_t{2} << 20;
+/// Of the commands that this version puts into the log; see fleet.proto.
+constexpr uint32_t kLogFormat = 1;
 /// A disk that failed is tried again after this long.
 constexpr Duration kReopenAfter = std::chrono::milliseconds(300);
 
@@ -55,13 +57,13 @@
 
 ClusterMember::ClusterMember(boost::asio::io_context* io,
                              const NodeSettings& settings,
-                             ConfigRegister* config,
+                             FleetState* state,
                              EventLog* log,
                              Hooks hooks)
     : io_(io),
       settings_(settings),
       seeds_(settings.seeds_),
-      config_(config),
+      state_(state),
       log_(log),
       hooks_(std::move(hooks)),
       random_(std::random_device()()),
@@ -160,10 +162,10 @@
   ReplicaDriver::Hooks hooks;
   hooks.send_ = [this](Message message) { SendMessage(std::move(message)); };
   hooks.apply_ = [this](const std::string& command) { return Apply(command); };
-  hooks.take_snapshot_ = [this] { return config_->Snapshot(); };
+  hooks.take_snapshot_ = [this] { return state_->Snapshot(); };
   hooks.install_snapshot_ = [this](const std::string& snapshot) {
-    config_->Restore(snapshot);
-    hooks_.config_changed_();
+    state_->Restore(snapshot);
+    hooks_.state_changed_();
   };
   hooks.role_changed_ = [this](Role role, uint64_t term) {
     RoleChanged(role, term);
@@ -190,10 +192,19 @@
 }
 
 std::string ClusterMember::Apply(const std::string& command) {
-  if (config_->Apply(command)) {
-    log_->Write("member", "config applied", {{"version", config_->version()}});
-    hooks_.config_changed_();
-  }
+  switch (state_->Apply(command)) {
+    case FleetState::Change::kConfig:
+      log_->Write("member", "config applied",
+                  {{"version", state_->config().version()}});
+      break;
+    case FleetState::Change::kDrainedDomains:
+      log_->Write("member", "drained domains applied",
+                  {{"domains", state_->drained().Snapshot()}});
+      break;
+    case FleetState::Change::kNothing:
+      return {};
+  }
+  hooks_.state_changed_();
   return {};
 }
 
@@ -259,14 +270,17 @@
          driver_->node().membership().voters_.size() >= target_voters();
 }
 
-bool ClusterMember::all_read_differences() const {
+bool ClusterMember::all_apply_new_commands() const {
   if (!driver_ || !driver_->is_formed()) {
     return false;
   }
   const Membership& membership = driver_->node().membership();
   for (const auto* nodes : {&membership.voters_, &membership.learners_}) {
     for (const auto& [id, address] : *nodes) {
-      if (id != driver_->id() && difference_readers_.count(id) == 0) {
+      const auto format = log_formats_.find(id);
+      const bool does_apply =
+          format != log_formats_.end() && format->second >= kLogFormat;
+      if (id != driver_->id() && !does_apply) {
         return false;
       }
     }
@@ -298,7 +312,7 @@
   const uint64_t to = message.to_;
   Frame frame;
   EncodeMessage(std::move(message), frame.mutable_raft());
-  frame.set_reads_config_differences(true);
+  frame.set_log_format(kLogFormat);
   for (const auto* nodes : {&membership.voters_, &membership.learners_}) {
     const auto it = nodes->find(to);
     if (it != nodes->end()) {
@@ -333,11 +347,7 @@
   if (channel) {
     channels_[message->from_] = channel;
   }
-  if (frame->reads_config_differences()) {
-    difference_readers_.insert(message->from_);
-  } else {
-    difference_readers_.erase(message->from_);
-  }
+  log_formats_[message->from_] = frame->log_format();
   keeper_.Heard(message->from_, now);
   driver_->Step(now, *message);
   return true;
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -26,7 +26,7 @@
 #include "citronlane/serving/dialect.h"
 #include "citronlane/serving/serving_config.h"
 #include "citronlane/state/config_proposer.h"
-#include "citronlane/state/config_register.h"
+#include "citronlane/state/fleet_state.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/http_reply.h"
@@ -84,6 +84,7 @@
   std::string OperatorAddressOfLeader() const;
   OperatorApi::Hooks ApiHooks();
   ConfigProposer::Hooks ProposerHooks();
+  void Propose(std::string command, ConfigProposer::Done done);
   GatewayFeed::Leadership Leadership() const;
   const std::vector<PooledService>& PooledServices();
   void Take(const std::shared_ptr<FrameChannel>& channel, Frame* frame);
@@ -98,7 +99,7 @@
   EventLog* const log_;
 
   boost::asio::io_context io_{1};
-  ConfigRegister config_;
+  FleetState state_;
   StageClient client_;
   ServerListReader list_reader_;
   GatewayFeed feed_;
@@ -123,18 +124,18 @@
       client_(&io_, StageLimits()),
       list_reader_(&client_, dialect, settings_.server_list_address_),
       feed_(
-          &config_,
+          &state_,
           log,
           [this] { return Leadership(); },
           [this] { return PooledServices(); }),
       member_(&io_,
               settings_,
-              &config_,
+              &state_,
               log,
               ClusterMember::Hooks{[this](bool leads) { LeadsChanged(leads); },
                                    [this] { feed_.PushAll(SteadyNow()); }}),
-      proposer_(&config_, ProposerHooks()),
-      api_(&io_, dialect, &config_, log, ApiHooks()),
+      proposer_(&state_.config(), ProposerHooks()),
+      api_(&io_, dialect, &state_, log, ApiHooks()),
       internal_(
           &io_,
           settings_.internal_listen_,
@@ -199,6 +200,14 @@
 
 OperatorApi::Hooks ControlHost::Impl::ApiHooks() {
   OperatorApi::Hooks hooks;
+  hooks.set_drained_ = [this](const std::string& domain, bool is_drained,
+                              ConfigProposer::Done done) {
+    if (!member_.all_apply_new_commands()) {
+      done(false, "a control VM may be of an older version");
+      return;
+    }
+    Propose(DrainedDomains::Command(domain, is_drained), std::move(done));
+  };
   hooks.leads_ = [this] { return member_.Leads(SteadyNow()); };
   hooks.leader_ = [this] { return OperatorAddressOfLeader(); };
   hooks.submit_ = [this](uint64_t version, std::string document,
@@ -221,22 +230,27 @@
 ConfigProposer::Hooks ControlHost::Impl::ProposerHooks() {
   ConfigProposer::Hooks hooks;
   hooks.propose_ = [this](std::string command, ConfigProposer::Done done) {
-    member_.Propose(
-        std::move(command),
-        [this, done = std::move(done)](const std::optional<std::string>& result,
-                                       const Error& error) {
-          // Not from within the log, which is at work.
-          boost::asio::post(
-              io_, [done, is_committed = result.has_value(),
-                    reason = error.message_] { done(is_committed, reason); });
-        });
+    Propose(std::move(command), std::move(done));
   };
-  hooks.all_read_differences_ = [this] {
-    return member_.all_read_differences();
+  hooks.all_apply_differences_ = [this] {
+    return member_.all_apply_new_commands();
   };
   return hooks;
 }
 
+void ControlHost::Impl::Propose(std::string command,
+                                ConfigProposer::Done done) {
+  member_.Propose(
+      std::move(command),
+      [this, done = std::move(done)](const std::optional<std::string>& result,
+                                     const Error& error) {
+        // Not from within the log, which is at work.
+        boost::asio::post(
+            io_, [done, is_committed = result.has_value(),
+                  reason = error.message_] { done(is_committed, reason); });
+      });
+}
+
 GatewayFeed::Leadership ControlHost::Impl::Leadership() const {
   GatewayFeed::Leadership leadership;
   leadership.leads_ = member_.Leads(SteadyNow());
@@ -248,15 +262,16 @@
 
 // Documents are read once a version: large ones take milliseconds.
 const std::vector<PooledService>& ControlHost::Impl::PooledServices() {
-  if (config_.is_empty() || placed_version_ == config_.version()) {
+  const ConfigRegister& held = state_.config();
+  if (held.is_empty() || placed_version_ == held.version()) {
     return pooled_services_;
   }
-  placed_version_ = config_.version();
+  placed_version_ = held.version();
   std::vector<std::string> faults;
-  const auto config = dialect_->read_config_(config_.document(), &faults);
+  const auto config = dialect_->read_config_(held.document(), &faults);
   if (!config) {
     log_->Write("control", "config not readable",
-                {{"version", config_.version()},
+                {{"version", held.version()},
                  {"faults", static_cast<uint64_t>(faults.size())}});
     return pooled_services_;
   }
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -3,11 +3,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "citronlane/fleet/drained_servers.h"
 #include "citronlane/fleet/pool_division.h"
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/observe/event_log.h"
-#include "citronlane/state/config_register.h"
+#include "citronlane/state/fleet_state.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
@@ -51,13 +52,14 @@
   uint64_t servers_number_ = 0;
   uint64_t gateways_number_ = 0;
   uint64_t owners_number_ = 0;
+  uint64_t drained_number_ = 0;
 };
 
-GatewayFeed::GatewayFeed(const ConfigRegister* config,
+GatewayFeed::GatewayFeed(const FleetState* state,
                          EventLog* log,
                          LeadershipHook leadership,
                          PoolsHook pools)
-    : config_(config),
+    : state_(state),
       log_(log),
       leadership_(std::move(leadership)),
       pools_(std::move(pools)),
@@ -157,7 +159,8 @@
 std::vector<PoolPart> GatewayFeed::Parts() const {
   const std::vector<PooledService> services = pools_();
   if (servers_read_) {
-    return DividePools(services, servers_, assignment_.owners());
+    return DividePools(services, WithDrained(servers_, drained_),
+                       assignment_.owners());
   }
   std::vector<PoolPart> parts;
   for (const PooledService& service : services) {
@@ -173,6 +176,7 @@
 
 void GatewayFeed::PushAll(TimePoint now) {
   NoteConfig(now);
+  NoteDrained();
   UpdateAssignment(now);
   std::vector<std::pair<std::shared_ptr<FrameChannel>, Watcher*>> open;
   for (const auto& [key, watcher] : watchers_) {
@@ -215,15 +219,23 @@
 }
 
 void GatewayFeed::NoteConfig(TimePoint now) {
-  if (config_->is_empty() || documents_.newest() == config_->version()) {
+  const ConfigRegister& config = state_->config();
+  if (config.is_empty() || documents_.newest() == config.version()) {
     return;
   }
-  documents_.Add(config_->version(), config_->document());
+  documents_.Add(config.version(), config.document());
   config_since_ = now;
   logged_everywhere_ = false;
   logged_late_ = false;
 }
 
+void GatewayFeed::NoteDrained() {
+  if (drained_ != state_->drained().names()) {
+    drained_ = state_->drained().names();
+    ++drained_number_;
+  }
+}
+
 void GatewayFeed::Push(Watcher* watcher, TimePoint now) {
   const auto channel = watcher->channel_.lock();
   const Leadership leadership = leadership_();
@@ -242,6 +254,13 @@
     AddGateways(watcher, true, update);
   }
   if (leadership.leads_) {
+    if (watcher->drained_number_ != drained_number_) {
+      watcher->drained_number_ = drained_number_;
+      auto* drained = update->mutable_drained();
+      for (const std::string& domain : drained_) {
+        drained->add_names(domain);
+      }
+    }
     if (servers_read_) {
       if (watcher->servers_number_ != servers_number_) {
         watcher->servers_number_ = servers_number_;
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -14,7 +14,7 @@
 #include "citronlane/json/value.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/serving/dialect.h"
-#include "citronlane/state/config_register.h"
+#include "citronlane/state/fleet_state.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
@@ -95,12 +95,12 @@
 
 OperatorApi::OperatorApi(boost::asio::io_context* io,
                          const Dialect* dialect,
-                         const ConfigRegister* config,
+                         const FleetState* state,
                          EventLog* log,
                          Hooks hooks)
     : io_(io),
       dialect_(dialect),
-      config_(config),
+      state_(state),
       log_(log),
       hooks_(std::move(hooks)) {}
 
@@ -112,16 +112,20 @@
     exchange->Reply(reply);
     return;
   }
+  using Kind = OperatorCall::Kind;
   const OperatorCall call =
       dialect_->operator_call_(request.method_, request.Path());
-  if (call == OperatorCall::kUnknown) {
+  if (call.kind_ == Kind::kUnknown) {
     exchange->Reply(ErrorReply(kNotFound, "no such call"));
   } else if (!hooks_.leads_()) {
     exchange->Reply(Elsewhere(request));
-  } else if (call == OperatorCall::kReplaceConfig) {
+  } else if (call.kind_ == Kind::kReplaceConfig) {
     exchange->Reply(Replace(request, exchange));
-  } else {
+  } else if (call.kind_ == Kind::kReadConfig) {
     exchange->Reply(Read(exchange));
+  } else {
+    exchange->Reply(SetDrained(call.failure_domain_,
+                               call.kind_ == Kind::kDrainDomain, exchange));
   }
 }
 
@@ -146,7 +150,7 @@
   }
   const uint64_t version = config->version();
   const TimePoint begun = SteadyNow();
-  if (!config_->Holds(version)) {
+  if (!state_->config().Holds(version)) {
     const auto wait = std::make_shared<Wait>(exchange);
     hooks_.submit_(version, request.body_,
                    [wait](bool is_committed, const std::string& reason) {
@@ -170,7 +174,7 @@
   });
   log_->Write("control", "config acknowledged",
               {{"version", version},
-               {"held_version", config_->version()},
+               {"held_version", state_->config().version()},
                {"in_force", is_in_force ? "yes" : "no"},
                {"committed_ms", committed_after},
                {"took_ms", SteadyNow() - begun}});
@@ -180,6 +184,35 @@
   return reply;
 }
 
+HttpReply OperatorApi::SetDrained(const std::string& domain,
+                                  bool is_drained,
+                                  HttpExchange* exchange) {
+  if (!DrainedDomains::IsName(domain)) {
+    return ErrorReply(kBadRequest, "this can't be a failure domain's name");
+  }
+  if (!state_->drained().HasRoomFor(domain)) {
+    return ErrorReply(kBadRequest, "too many failure domains are drained");
+  }
+  const auto wait = std::make_shared<Wait>(exchange);
+  hooks_.set_drained_(domain, is_drained,
+                      [wait](bool is_committed, const std::string& reason) {
+                        wait->Finish(is_committed, reason);
+                      });
+  WaitAtMost(io_, wait, kAnswerTime);
+  log_->Write("control", "drain order",
+              {{"domain", domain},
+               {"drained", is_drained ? "yes" : "no"},
+               {"acknowledged", wait->succeeded_ ? "yes" : "no"},
+               {"reason", wait->reason_}});
+  if (!wait->succeeded_) {
+    return ErrorReply(kUnavailable, "not known to be committed");
+  }
+  HttpReply reply;
+  reply.status_ = kOk;
+  reply.body_ = "{}";
+  return reply;
+}
+
 bool OperatorApi::WaitFor(HttpExchange* exchange,
                           TimePoint until,
                           const std::function<bool()>& condition) {
@@ -199,12 +232,12 @@
   if (!wait->succeeded_) {
     return ErrorReply(kUnavailable, "no quorum confirmed the newest version");
   }
-  if (config_->is_empty()) {
+  if (state_->config().is_empty()) {
     return ErrorReply(kUnavailable, "there is no configuration yet");
   }
   HttpReply reply;
   reply.status_ = kOk;
-  reply.body_ = config_->document();
+  reply.body_ = state_->config().document();
   return reply;
 }
 
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "citronlane/fleet/drained_servers.h"
 #include "citronlane/fleet/pool_division.h"
 #include "citronlane/fleet/pooled_service.h"
 
@@ -28,7 +29,17 @@
     return;
   }
   servers_read_ = read;
-  servers = starts_.Latest(std::move(servers), read);
+  listed_ = starts_.Latest(std::move(servers), read);
+  UseServers();
+}
+
+void FleetView::SetDrained(DrainedDomains::Names domains) {
+  drained_ = std::move(domains);
+  UseServers();
+}
+
+void FleetView::UseServers() {
+  std::vector<BackendServer> servers = WithDrained(listed_, drained_);
   if (servers == servers_) {
     return;
   }
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -3,6 +3,7 @@
 #include <optional>
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/observe/event_log.h"
@@ -32,6 +33,10 @@
   if (update->has_config()) {
     TakeConfig(update->config());
   }
+  if (update->has_drained()) {
+    const auto& names = update->drained().names();
+    TakeDrained(DrainedDomains::Names(names.begin(), names.end()));
+  }
   if (update->servers_age_ms() > 0) {
     const TimePoint read =
         now - std::chrono::milliseconds(update->servers_age_ms() - 1);
@@ -116,7 +121,6 @@
   if (view_.servers_number() == before) {
     return;
   }
-  relay_.ViewArrived();
   log_->Write(
       "gateway", "server list changed",
       {{"number", view_.servers_number()},
@@ -124,6 +128,22 @@
        {"unusable", static_cast<uint64_t>(unusable)},
        {"outdated_starts", static_cast<uint64_t>(view_.starts().outdated())},
        {"clocks_set_back", static_cast<uint64_t>(view_.starts().set_back())}});
+  ServersChanged();
+}
+
+void GatewayHost::Impl::TakeDrained(DrainedDomains::Names domains) {
+  const uint64_t before = view_.servers_number();
+  const std::string names = absl::StrJoin(domains, " ");
+  view_.SetDrained(std::move(domains));
+  if (view_.servers_number() == before) {
+    return;
+  }
+  log_->Write("gateway", "drained domains changed", {{"domains", names}});
+  ServersChanged();
+}
+
+void GatewayHost::Impl::ServersChanged() {
+  relay_.ViewArrived();
   for (const auto& [part, pool] : pools_) {
     pool->Tick(SteadyNow());
   }
--- a/src/state/config_proposer.cc
+++ b/src/state/config_proposer.cc
@@ -39,7 +39,7 @@
 void ConfigProposer::Propose(bool may_be_difference) {
   std::optional<std::string> command;
   if (may_be_difference && !config_->is_empty() &&
-      hooks_.all_read_differences_()) {
+      hooks_.all_apply_differences_()) {
     // Without a difference the whole document does as well.
     Error ignored;
     command = config_->DifferenceCommand(proposed_->version_, proposed_->text_,
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -373,6 +373,57 @@
                          200)
 
 
+class DrainTest(FleetTestCase):
+    """Operators drain a failure domain."""
+
+    def order(self, domain, what, ip=None):
+        return self.fleet.call_control(
+            "POST", f"/v1/evacuations/{domain}/{what}", ip=ip)[0]
+
+    def domains_used(self, count=24):
+        """Failure domains in which servers of any kind heard of new requests."""
+        ids = [new_id() for _ in range(count)]
+        for i, request_id in enumerate(ids):
+            path = "/chat/a" if i % 2 else "/look/a"
+            answer = self.fleet.ask("POST" if i % 2 else "GET", path, b"",
+                                    request_id, gateway=i // 2 % 2)
+            self.assertEqual(answer.status, 200)
+        return {server.domain for server in
+                self.fleet.engines + self.fleet.plain + self.fleet.stages
+                if any(server.has(request_id) for request_id in ids)}
+
+    def wait_for_domains(self, domains):
+        wait_until(lambda: self.domains_used() == domains,
+                   f"requests in {domains} only")
+
+    def test_order_holds_until_it_is_taken_back(self):
+        self.assertEqual(self.domains_used(), {"a", "b"})
+        for _ in range(2):
+            self.assertEqual(self.order("a", "start"), 200)
+        self.wait_for_domains({"b"})
+        self.assertEqual(self.domains_used(), {"b"})
+        # Acknowledged orders outlive a loss of power.
+        for ip in self.fleet.control_ips:
+            self.fleet.processes[ip].kill()
+        for ip in self.fleet.control_ips:
+            self.fleet.start_control(ip)
+        wait_until(self.fleet.get, "control VMs that serve")
+        for ip in self.fleet.gateway_ips:
+            self.fleet.processes[ip].kill()
+            self.fleet.start_gateway(ip)
+        self.fleet.wait_ready()
+        self.wait_for_domains({"b"})
+        self.assertEqual(self.domains_used(), {"b"})
+        for ip in self.fleet.control_ips:
+            self.assertEqual(self.order("a", "finish", ip), 200)
+        self.wait_for_domains({"a", "b"})
+
+    def test_what_is_no_order_is_refused(self):
+        self.assertEqual(self.order("a%20b", "start"), 400)
+        self.assertEqual(self.order("a", "pause"), 404)
+        self.assertEqual(self.order("", "start"), 400)
+
+
 class ControlTestCase(FleetTestCase):
     gateways = 1
 
--- a/tests/unit-config-proposer.cc
+++ b/tests/unit-config-proposer.cc
@@ -58,7 +58,7 @@
   std::deque<Entry> entries_;
   /// Versions whose calls ended, and whether they are committed.
   std::vector<std::pair<uint64_t, bool>> ended_;
-  bool all_read_differences_ = true;
+  bool all_apply_differences_ = true;
 
  private:
   ConfigProposer::Hooks HooksOf() {
@@ -66,7 +66,7 @@
     hooks.propose_ = [this](std::string command, ConfigProposer::Done done) {
       entries_.push_back({std::move(command), std::move(done)});
     };
-    hooks.all_read_differences_ = [this] { return all_read_differences_; };
+    hooks.all_apply_differences_ = [this] { return all_apply_differences_; };
     return hooks;
   }
 
@@ -210,8 +210,8 @@
       CHECK(is_committed);
     }
   }
-  SECTION("whole while a member of the log may not read differences") {
-    log.all_read_differences_ = false;
+  SECTION("whole while a member of the log may not apply differences") {
+    log.all_apply_differences_ = false;
     log.Submit(2, Document(2, kRoutes));
     REQUIRE(log.entries_.size() == 1);
     CHECK(log.entries_.front().command_ ==
--- /dev/null
+++ b/tests/unit-fleet-state.cc
@@ -0,0 +1,101 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "citronlane/fleet/drained_servers.h"
+#include "citronlane/state/config_register.h"
+#include "citronlane/state/drained_domains.h"
+#include "citronlane/state/fleet_state.h"
+
+namespace citronlane {
+namespace {
+
+using Change = FleetState::Change;
+using Names = DrainedDomains::Names;
+
+}  // namespace
+
+TEST_CASE("drained failure domains") {
+  DrainedDomains drained;
+  CHECK(drained.Apply(DrainedDomains::Command("alm-a", true)));
+  CHECK(drained.names() == Names{"alm-a"});
+
+  SECTION("an order that comes twice changes nothing more") {
+    CHECK_FALSE(drained.Apply(DrainedDomains::Command("alm-a", true)));
+    CHECK(drained.Apply(DrainedDomains::Command("alm-a", false)));
+    CHECK_FALSE(drained.Apply(DrainedDomains::Command("alm-a", false)));
+    CHECK(drained.names().empty());
+  }
+  SECTION("names that could break a line or a path are refused") {
+    for (const char* name : {"", "a b", "a\nb", "a/b", "a%2Fb"}) {
+      INFO(name);
+      CHECK_FALSE(DrainedDomains::IsName(name));
+      CHECK_FALSE(drained.Apply("!drain " + std::string(name)));
+    }
+    CHECK_FALSE(DrainedDomains::IsName(std::string(65, 'a')));
+    CHECK(DrainedDomains::IsName("Fi_south-a.2"));
+    CHECK(drained.names() == Names{"alm-a"});
+  }
+  SECTION("the state is bounded") {
+    for (int i = 1; i < 64; ++i) {
+      const std::string name = "d" + std::to_string(i);
+      CHECK(drained.HasRoomFor(name));
+      CHECK(drained.Apply(DrainedDomains::Command(name, true)));
+    }
+    CHECK_FALSE(drained.HasRoomFor("more"));
+    CHECK_FALSE(drained.Apply(DrainedDomains::Command("more", true)));
+    CHECK(drained.HasRoomFor("alm-a"));
+    CHECK(drained.Apply(DrainedDomains::Command("alm-a", false)));
+    CHECK(drained.HasRoomFor("more"));
+  }
+}
+
+TEST_CASE("state of a fleet") {
+  FleetState state;
+  CHECK(state.Apply(ConfigRegister::Command(7, "seven\nlines")) ==
+        Change::kConfig);
+  CHECK(state.Apply(ConfigRegister::Command(7, "again")) == Change::kNothing);
+  CHECK(state.Apply("!other") == Change::kNothing);
+
+  SECTION("without drained domains its snapshot is the configuration's") {
+    CHECK(state.Snapshot() == state.config().Snapshot());
+    FleetState copy;
+    copy.Restore(state.Snapshot());
+    CHECK(copy.config().document() == "seven\nlines");
+    CHECK(copy.drained().names().empty());
+  }
+  SECTION("a snapshot brings both parts back") {
+    CHECK(state.Apply(DrainedDomains::Command("alm-b", true)) ==
+          Change::kDrainedDomains);
+    CHECK(state.Apply(DrainedDomains::Command("alm-a", true)) ==
+          Change::kDrainedDomains);
+    FleetState copy;
+    copy.Restore(state.Snapshot());
+    CHECK(copy.drained().names() == Names{"alm-a", "alm-b"});
+    CHECK(copy.config().version() == 7);
+    CHECK(copy.config().document() == "seven\nlines");
+    copy.Restore(FleetState().Snapshot());
+    CHECK(copy.drained().names().empty());
+    CHECK(copy.config().is_empty());
+  }
+  SECTION("domains can be drained before there is a configuration") {
+    FleetState early;
+    CHECK(early.Apply(DrainedDomains::Command("alm-a", true)) ==
+          Change::kDrainedDomains);
+    state.Restore(early.Snapshot());
+    CHECK(state.config().is_empty());
+    CHECK(state.drained().names() == Names{"alm-a"});
+  }
+}
+
+TEST_CASE("servers of drained failure domains are leaving") {
+  BackendServer near;
+  near.failure_domain_ = "alm-a";
+  BackendServer far;
+  far.failure_domain_ = "alm-b";
+  const auto servers = WithDrained({near, far}, {"alm-b", "alm-c"});
+  CHECK_FALSE(servers[0].leaving_);
+  CHECK(servers[1].leaving_);
+}
+
+}  // namespace citronlane
--- a/tests/unit-gateway-feed.cc
+++ b/tests/unit-gateway-feed.cc
@@ -20,7 +20,7 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/config_receiver.h"
 #include "citronlane/relay/control_watch.h"
-#include "citronlane/state/config_register.h"
+#include "citronlane/state/fleet_state.h"
 #include "fleet.pb.h"
 #include "support/eventually.h"
 #include "support/free_endpoint.h"
@@ -62,7 +62,7 @@
               },
               SteadyNow, [] { return int64_t{0}; }}),
         feed_(
-            &config_,
+            &state_,
             &log_,
             [] {
               GatewayFeed::Leadership leadership;
@@ -81,7 +81,14 @@
   }
 
   void Commit(uint64_t version, const std::string& document) {
-    REQUIRE(config_.Apply(ConfigRegister::Command(version, document)));
+    REQUIRE(state_.Apply(ConfigRegister::Command(version, document)) ==
+            FleetState::Change::kConfig);
+    feed_.PushAll(SteadyNow());
+  }
+
+  void Drain(const std::string& domain, bool is_drained) {
+    REQUIRE(state_.Apply(DrainedDomains::Command(domain, is_drained)) ==
+            FleetState::Change::kDrainedDomains);
     feed_.PushAll(SteadyNow());
   }
 
@@ -122,7 +129,7 @@
 
   std::weak_ptr<FrameChannel> channel_;
   std::string lines_;
-  ConfigRegister config_;
+  FleetState state_;
   EventLog log_;
   GatewayFeed feed_;
   FrameListener listener_;
@@ -149,6 +156,8 @@
 
   ConfigReceiver config_;
   std::vector<ConfigUpdate> updates_;
+  /// Failure domains that it was told are drained.
+  std::vector<std::string> drained_;
   /// What it had to read, in bytes.
   size_t received_bytes_ = 0;
 
@@ -157,6 +166,10 @@
     ControlWatch::Hooks hooks;
     hooks.updated_ = [this](WatchUpdate* update) {
       received_bytes_ += update->ByteSizeLong();
+      if (update->has_drained()) {
+        drained_.assign(update->drained().names().begin(),
+                        update->drained().names().end());
+      }
       if (update->has_config()) {
         Error error;
         updates_.push_back(update->config());
@@ -271,6 +284,22 @@
     leader.Pass(std::chrono::milliseconds(1500));
     CHECK(leader.HasLogged("config late"));
   }
+  SECTION("drained failure domains, on each connection and at each change") {
+    const auto drained = [&](const std::vector<std::string>& names) {
+      return until([&] { return gateway.drained_ == names; });
+    };
+    leader.Drain("alm-a", true);
+    REQUIRE(drained({"alm-a"}));
+    leader.Drain("alm-b", true);
+    REQUIRE(drained({"alm-a", "alm-b"}));
+    gateway.drained_.clear();
+    leader.Disconnect();
+    REQUIRE(drained({"alm-a", "alm-b"}));
+    leader.Drain("alm-a", false);
+    REQUIRE(drained({"alm-b"}));
+    leader.Drain("alm-b", false);
+    REQUIRE(drained({}));
+  }
   SECTION("and control knows whether all in touch have it") {
     CHECK(until([&] { return leader.IsHeldByAll(1, Duration::zero()); }));
     leader.Commit(2, Document(2, 11));
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -463,12 +463,19 @@
 
 TEST_CASE("platform dialect") {
   const Dialect dialect = MakeDialect();
-  CHECK(dialect.operator_call_("POST", "/v1/config/replace") ==
-        OperatorCall::kReplaceConfig);
-  CHECK(dialect.operator_call_("GET", "/v1/config/get") ==
-        OperatorCall::kReadConfig);
-  CHECK(dialect.operator_call_("GET", "/v1/config/replace") ==
-        OperatorCall::kUnknown);
+  using Kind = OperatorCall::Kind;
+  const auto kind = [&dialect](const char* method, const char* path) {
+    return dialect.operator_call_(method, path).kind_;
+  };
+  CHECK(kind("POST", "/v1/config/replace") == Kind::kReplaceConfig);
+  CHECK(kind("GET", "/v1/config/get") == Kind::kReadConfig);
+  CHECK(kind("GET", "/v1/config/replace") == Kind::kUnknown);
+  CHECK(kind("POST", "/v1/evacuations/alm-a/start") == Kind::kDrainDomain);
+  CHECK(kind("POST", "/v1/evacuations/alm-a/finish") == Kind::kUndrainDomain);
+  CHECK(kind("GET", "/v1/evacuations/alm-a/start") == Kind::kUnknown);
+  CHECK(kind("POST", "/v1/evacuations/alm-a") == Kind::kUnknown);
+  CHECK(dialect.operator_call_("POST", "/v1/evacuations/alm-a/start")
+            .failure_domain_ == "alm-a");
   CHECK(dialect.ready_path_ == "/v1/ready");
 }
 
--- a/tests/unit-relay.cc
+++ b/tests/unit-relay.cc
@@ -244,6 +244,28 @@
     CHECK(view.DomainAt("10.0.0.9:1").empty());
   }
 
+  SECTION("servers of a drained failure domain are leaving, in any list") {
+    const auto leaving = [&view] {
+      size_t leaving = 0;
+      for (const BackendServer* server : view.ServersOf("m")) {
+        leaving += server->leaving_ && server->failure_domain_ == "b" ? 1 : 0;
+        CHECK((server->leaving_ || server->failure_domain_ != "b"));
+      }
+      return leaving;
+    };
+    view.SetDrained({"b"});
+    view.SetServers(Engines(4), now);
+    CHECK(leaving() == 1);
+    view.SetServers(Engines(6), now + seconds(1));
+    CHECK(leaving() == 2);
+    const uint64_t number = view.servers_number();
+    view.SetDrained({"b"});
+    CHECK(view.servers_number() == number);
+    view.SetDrained({});
+    CHECK(view.servers_number() > number);
+    CHECK_FALSE(view.ServersOf("m")[1]->leaving_);
+  }
+
   SECTION("a server that starts again under its name is another one") {
     auto servers = Engines(2);
     view.SetServers(servers, now);
