--- a/bench/bench-watchers.cc
+++ b/bench/bench-watchers.cc
@@ -80,6 +80,7 @@
   EventLog log("watchers", {[](std::string_view) { return true; }, SteadyNow,
                             [] { return int64_t{0}; }});
   std::vector<std::unique_ptr<Watcher>> watchers;
+  watchers.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     watchers.push_back(std::make_unique<Watcher>(&io, i, control, &log));
   }
--- a/tests/unit-config-proposer.cc
+++ b/tests/unit-config-proposer.cc
@@ -21,8 +21,10 @@
   std::string document = "{\"version\":" + std::to_string(version);
   for (size_t i = 0; i < routes; ++i) {
     const std::string name = std::to_string(i * 7919 % 104729);
-    document += ",{\"name\":\"r-" + name + "\",\"hostname\":\"h" + name +
-                ".example\",\"path_prefix\":\"/" + name + "/\"}";
+    document += ",{\"name\":\"r-" + name;
+    document += "\",\"hostname\":\"h" + name;
+    document += ".example\",\"path_prefix\":\"/" + name;
+    document += "/\"}";
   }
   return document + "}";
 }
