Hear a stop signal before the reload signals that came earlier

Cause: one set of signals hands out the lowest number first, so SIGTERM waited for each SIGHUP that was queued, and each was handled by itself.

Change: a set for stop and one for reload; a reload answers all the signals that came before it, and the next is waited for after the pause. That replaces the state that told whether one was due.

Evidence: unit-process-signals, new, failed before: 1,000 SIGHUP and SIGTERM, not heard within 16 steps of the loop.

--- a/include/citronlane/net/process_signals.h
+++ b/include/citronlane/net/process_signals.h
@@ -8,8 +8,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "citronlane/base/time.h"
-
 namespace citronlane {
 
 /// Stop and reload signals of a process that runs on one event loop. On that
@@ -29,16 +27,16 @@
   ProcessSignals(boost::asio::io_context* io, Hooks hooks);
 
  private:
-  void Wait();
-  void ReloadSoon();
+  void WaitForReload();
+  void Reload();
 
   const Hooks hooks_;
-  boost::asio::signal_set signals_;
-  boost::asio::steady_timer reload_timer_;
-  /// Earliest time of the next one.
-  TimePoint next_reload_;
-  bool is_reload_due_ = false;
-  bool stopping_ = false;
+  /// Apart from the others: of one set the lowest signal comes first, however
+  /// many there are of it.
+  boost::asio::signal_set stop_signals_;
+  boost::asio::signal_set reload_signals_;
+  boost::asio::steady_timer reload_pause_;
+  bool is_stopping_ = false;
 };
 
 }  // namespace citronlane
--- a/src/net/process_signals.cc
+++ b/src/net/process_signals.cc
@@ -3,7 +3,7 @@
 #include <csignal>
 #include <utility>
 
-#include "citronlane/base/steady_now.h"
+#include "citronlane/base/time.h"
 
 namespace citronlane {
 namespace {
@@ -23,42 +23,41 @@
 
 ProcessSignals::ProcessSignals(boost::asio::io_context* io, Hooks hooks)
     : hooks_(std::move(hooks)),
-      signals_(*io, SIGTERM, SIGINT, SIGHUP),
-      reload_timer_(*io) {
+      stop_signals_(*io, SIGTERM, SIGINT),
+      reload_signals_(*io, SIGHUP),
+      reload_pause_(*io) {
   std::signal(SIGPIPE, SIG_IGN);
   KeepFromDefaultAction();
-  Wait();
+  stop_signals_.async_wait([this](const boost::system::error_code& error, int) {
+    if (!error) {
+      is_stopping_ = true;
+      reload_signals_.cancel();
+      reload_pause_.cancel();
+      hooks_.stop_();
+    }
+  });
+  WaitForReload();
 }
 
-void ProcessSignals::Wait() {
-  signals_.async_wait(
-      [this](const boost::system::error_code& error, int signal) {
-        if (error) {
-          return;
-        }
-        if (signal == SIGHUP) {
-          ReloadSoon();
-        } else if (!stopping_) {
-          stopping_ = true;
-          hooks_.stop_();
+void ProcessSignals::WaitForReload() {
+  reload_signals_.async_wait(
+      [this](const boost::system::error_code& error, int) {
+        if (!error && !is_stopping_) {
+          Reload();
         }
-        Wait();
       });
 }
 
-void ProcessSignals::ReloadSoon() {
-  if (is_reload_due_ || stopping_) {
-    return;
-  }
-  is_reload_due_ = true;
-  reload_timer_.expires_at(next_reload_);
-  reload_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error) {
-      return;
+void ProcessSignals::Reload() {
+  // Those that came meanwhile are answered by this reload too.
+  reload_signals_.clear();
+  reload_signals_.add(SIGHUP);
+  hooks_.reload_();
+  reload_pause_.expires_after(kReloadPause);
+  reload_pause_.async_wait([this](const boost::system::error_code& error) {
+    if (!error && !is_stopping_) {
+      WaitForReload();
     }
-    is_reload_due_ = false;
-    next_reload_ = SteadyNow() + kReloadPause;
-    hooks_.reload_();
   });
 }
 
--- /dev/null
+++ b/tests/unit-process-signals.cc
@@ -0,0 +1,46 @@
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+#include <boost/asio/io_context.hpp>
+
+#include "citronlane/net/process_signals.h"
+
+namespace citronlane {
+namespace {
+
+constexpr int kReloadSignals = 1000;
+/// What an event loop does between two ticks of a busy process, with room.
+constexpr int kFewSteps = 16;
+
+}  // namespace
+
+// A process that was told to reload again and again did not hear that it was to
+// stop: the signals before were handled one by one.
+TEST_CASE("a stop signal does not wait for reload signals before it") {
+  boost::asio::io_context io;
+  int stops = 0;
+  int reloads = 0;
+  const ProcessSignals signals(
+      &io, ProcessSignals::Hooks{[&] { ++stops; }, [&] { ++reloads; }});
+  for (int i = 0; i < kReloadSignals; ++i) {
+    std::raise(SIGHUP);
+  }
+  std::raise(SIGTERM);
+  for (int i = 0; i < kFewSteps && stops == 0; ++i) {
+    io.poll_one();
+  }
+  CHECK(stops == 1);
+  CHECK(reloads <= 1);
+
+  SECTION("and nothing is reloaded or stopped again after it") {
+    const int before = reloads;
+    std::raise(SIGHUP);
+    std::raise(SIGTERM);
+    io.poll();
+    CHECK(stops == 1);
+    CHECK(reloads == before);
+  }
+}
+
+}  // namespace citronlane
