--- a/include/citronlane/serving/serving_config.h
+++ b/include/citronlane/serving/serving_config.h
@@ -58,7 +58,7 @@
  private:
   const Parts parts_;
   /// The names lie in `parts_`.
-  std::unordered_map<RoutePlace, const Route*, RoutePlaceHash> by_place_;
+  std::unordered_map<RoutePlace, const Route*, RoutePlace::Hash> by_place_;
   std::unordered_map<std::string, const ClientAccount*> by_key_;
   std::map<std::string, const Service*, std::less<>> by_name_;
 };
--- a/src/control/cluster_member_join.cc
+++ b/src/control/cluster_member_join.cc
@@ -9,7 +9,6 @@
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/net/frame_link.h"
 #include "citronlane/observe/event_log.h"
-#include "citronlane/state/config_register.h"
 #include "citronlane/transport/replication_greeting.h"
 #include "fleet.pb.h"
 
--- a/src/serving/serving_config.cc
+++ b/src/serving/serving_config.cc
@@ -72,7 +72,7 @@
       faults.push_back("service " + service.name_ + " is declared twice");
     }
   }
-  std::unordered_set<RoutePlace, RoutePlaceHash> places;
+  std::unordered_set<RoutePlace, RoutePlace::Hash> places;
   places.reserve(parts.routes_.size());
   for (const auto& route : parts.routes_) {
     CheckRoute(*route, services, &faults);
