Call what is there in place of writing it again

InMilliseconds moves from the codec of stage tasks to that of the fleet, and the feed and the watch use it. The content type of metrics is named once, for four replies. OperatorApi makes its plain replies and its waits for the log in one place each. A watcher holds the drained domains that it was told, so the feed needs neither a copy nor a number of them. Nothing behaves otherwise.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -16,7 +16,6 @@
 #include "citronlane/fleet/pooled_service.h"
 #include "citronlane/fleet/recent_documents.h"
 #include "citronlane/serving/backend_server.h"
-#include "citronlane/state/drained_domains.h"
 
 namespace citronlane {
 
@@ -93,7 +92,6 @@
   std::vector<PoolPart> Parts() const;
   void Push(Watcher* watcher, TimePoint now);
   void NoteConfig(TimePoint now);
-  void NoteDrained();
   void AddConfig(Watcher* watcher,
                  bool leads,
                  TimePoint now,
@@ -114,8 +112,6 @@
   /// What was logged of the newest one.
   bool logged_everywhere_ = false;
   bool logged_late_ = false;
-  DrainedDomains::Names drained_;
-  uint64_t drained_number_ = 1;
   std::vector<BackendServer> servers_;
   size_t unusable_ = 0;
   std::optional<TimePoint> servers_read_;
--- a/include/citronlane/net/fleet_codec.h
+++ b/include/citronlane/net/fleet_codec.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "absl/types/span.h"
+#include "citronlane/base/time.h"
 #include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/serving/backend_server.h"
 
@@ -15,7 +16,11 @@
 class ServerList;
 }  // namespace wire::fleet
 
-/// Fills `out` with the servers. Thread safe, as are the others.
+/// Whole milliseconds, 0 for a time that is over. Thread safe, as are the
+/// others.
+uint64_t InMilliseconds(Duration time);
+
+/// Fills `out` with the servers.
 void EncodeServers(absl::Span<const BackendServer> servers,
                    wire::fleet::ServerList* out);
 std::vector<BackendServer> DecodeServers(const wire::fleet::ServerList& in);
--- a/include/citronlane/observe/metrics.h
+++ b/include/citronlane/observe/metrics.h
@@ -20,6 +20,9 @@
  public:
   using Labels = std::initializer_list<std::string_view>;
 
+  /// Of the Prometheus text format, in which Text() is.
+  static constexpr char kContentType[] = "text/plain; version=0.0.4";
+
   static constexpr size_t kDefaultMaxSeries = 20'000;
 
   static constexpr size_t kDefaultShards = 16;
--- a/include/citronlane/relay/stage_task_codec.h
+++ b/include/citronlane/relay/stage_task_codec.h
@@ -18,11 +18,8 @@
 class StagePoolWait;
 }  // namespace wire::fleet
 
-/// Whole milliseconds, 0 for a time that is over. Thread safe, as are the
-/// others.
-uint64_t InMilliseconds(Duration time);
-
-/// Instants travel as times left, since clocks of two VMs differ.
+/// Instants travel as times left, since clocks of two VMs differ. Thread safe,
+/// as are the others.
 void EncodeTask(const StageTask& task,
                 TimePoint now,
                 wire::fleet::StageJob* out);
--- a/src/control/control_admin.cc
+++ b/src/control/control_admin.cc
@@ -10,6 +10,7 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/control/detail/admin_replies.h"
 #include "citronlane/control/detail/control_metrics.h"
+#include "citronlane/observe/metrics.h"
 
 namespace citronlane {
 namespace {
@@ -230,7 +231,7 @@
 
 AdminResponse ControlAdmin::Metrics() const {
   AdminResponse response;
-  response.content_type_ = "text/plain; version=0.0.4";
+  response.content_type_ = ::citronlane::Metrics::kContentType;
   response.body_ = context_.metrics_text_() +
                    ControlMetricsText(context_.status_(), *context_.state_);
   return response;
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -52,7 +52,8 @@
   uint64_t servers_number_ = 0;
   uint64_t gateways_number_ = 0;
   uint64_t owners_number_ = 0;
-  uint64_t drained_number_ = 0;
+  /// As it was told last; nothing when it was not.
+  std::optional<DrainedDomains::Names> drained_;
 };
 
 GatewayFeed::GatewayFeed(const FleetState* state,
@@ -159,7 +160,8 @@
 std::vector<PoolPart> GatewayFeed::Parts() const {
   const std::vector<PooledService> services = pools_();
   if (servers_read_) {
-    return DividePools(services, WithDrained(servers_, drained_),
+    return DividePools(services,
+                       WithDrained(servers_, state_->drained().names()),
                        assignment_.owners());
   }
   std::vector<PoolPart> parts;
@@ -176,7 +178,6 @@
 
 void GatewayFeed::PushAll(TimePoint now) {
   NoteConfig(now);
-  NoteDrained();
   UpdateAssignment(now);
   std::vector<std::pair<std::shared_ptr<FrameChannel>, Watcher*>> open;
   for (const auto& [key, watcher] : watchers_) {
@@ -229,13 +230,6 @@
   logged_late_ = false;
 }
 
-void GatewayFeed::NoteDrained() {
-  if (drained_ != state_->drained().names()) {
-    drained_ = state_->drained().names();
-    ++drained_number_;
-  }
-}
-
 void GatewayFeed::Push(Watcher* watcher, TimePoint now) {
   const auto channel = watcher->channel_.lock();
   const Leadership leadership = leadership_();
@@ -254,10 +248,10 @@
     AddGateways(watcher, true, update);
   }
   if (leadership.leads_) {
-    if (watcher->drained_number_ != drained_number_) {
-      watcher->drained_number_ = drained_number_;
+    if (watcher->drained_ != state_->drained().names()) {
+      watcher->drained_ = state_->drained().names();
       auto* drained = update->mutable_drained();
-      for (const std::string& domain : drained_) {
+      for (const std::string& domain : *watcher->drained_) {
         drained->add_names(domain);
       }
     }
@@ -268,9 +262,7 @@
         update->mutable_servers()->set_unusable(
             static_cast<uint32_t>(unusable_));
       }
-      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-          now - *servers_read_);
-      update->set_servers_age_ms(static_cast<uint64_t>(age.count()) + 1);
+      update->set_servers_age_ms(InMilliseconds(now - *servers_read_) + 1);
     }
     AddGateways(watcher, now < leading_since_ + kGatheringTime, update);
     if (watcher->owners_number_ != assignment_.number()) {
@@ -306,9 +298,7 @@
   config->set_has_base(made->base_.has_value());
   config->set_base_version(made->base_.value_or(0));
   config->set_data(made->data_);
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      now - config_since_);
-  config->set_age_ms(static_cast<uint64_t>(age.count()));
+  config->set_age_ms(InMilliseconds(now - config_since_));
   watcher->is_config_on_way_ = true;
   watcher->config_sent_ = now;
 }
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -13,6 +13,7 @@
 #include "citronlane/json/parse.h"
 #include "citronlane/json/value.h"
 #include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metrics.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/state/fleet_state.h"
 #include "citronlane/transport/http_exchange.h"
@@ -52,6 +53,13 @@
   return reply;
 }
 
+HttpReply OkReply(std::string body) {
+  HttpReply reply;
+  reply.status_ = kOk;
+  reply.body_ = std::move(body);
+  return reply;
+}
+
 // One call's wait for the log; outlives the call when the answer comes late.
 struct Wait {
   explicit Wait(HttpExchange* exchange) : exchange_(exchange) {}
@@ -72,6 +80,12 @@
   std::string reason_;
 };
 
+ConfigProposer::Done FinishOf(const std::shared_ptr<Wait>& wait) {
+  return [wait](bool is_committed, const std::string& reason) {
+    wait->Finish(is_committed, reason);
+  };
+}
+
 // Suspends the handler until the wait is done or `limit` is over.
 void WaitAtMost(boost::asio::io_context* io,
                 const std::shared_ptr<Wait>& wait,
@@ -106,9 +120,8 @@
 
 void OperatorApi::Serve(const HttpRequest& request, HttpExchange* exchange) {
   if (request.method_ == "GET" && request.Path() == kMetricsPath) {
-    HttpReply reply;
-    reply.content_type_ = "text/plain; version=0.0.4";
-    reply.body_ = hooks_.metrics_();
+    HttpReply reply = OkReply(hooks_.metrics_());
+    reply.content_type_ = Metrics::kContentType;
     exchange->Reply(reply);
     return;
   }
@@ -152,10 +165,7 @@
   const TimePoint begun = SteadyNow();
   if (!state_->config().Holds(version)) {
     const auto wait = std::make_shared<Wait>(exchange);
-    hooks_.submit_(version, request.body_,
-                   [wait](bool is_committed, const std::string& reason) {
-                     wait->Finish(is_committed, reason);
-                   });
+    hooks_.submit_(version, request.body_, FinishOf(wait));
     WaitAtMost(io_, wait, kAnswerTime);
     if (!wait->succeeded_) {
       log_->Write("control", "config not acknowledged",
@@ -178,10 +188,7 @@
                {"in_force", is_in_force ? "yes" : "no"},
                {"committed_ms", committed_after},
                {"took_ms", SteadyNow() - begun}});
-  HttpReply reply;
-  reply.status_ = kOk;
-  reply.body_ = "{}";
-  return reply;
+  return OkReply("{}");
 }
 
 HttpReply OperatorApi::SetDrained(const std::string& domain,
@@ -194,10 +201,7 @@
     return ErrorReply(kBadRequest, "too many failure domains are drained");
   }
   const auto wait = std::make_shared<Wait>(exchange);
-  hooks_.set_drained_(domain, is_drained,
-                      [wait](bool is_committed, const std::string& reason) {
-                        wait->Finish(is_committed, reason);
-                      });
+  hooks_.set_drained_(domain, is_drained, FinishOf(wait));
   WaitAtMost(io_, wait, kAnswerTime);
   log_->Write("control", "drain order",
               {{"domain", domain},
@@ -207,10 +211,7 @@
   if (!wait->succeeded_) {
     return ErrorReply(kUnavailable, "not known to be committed");
   }
-  HttpReply reply;
-  reply.status_ = kOk;
-  reply.body_ = "{}";
-  return reply;
+  return OkReply("{}");
 }
 
 bool OperatorApi::WaitFor(HttpExchange* exchange,
@@ -235,10 +236,7 @@
   if (state_->config().is_empty()) {
     return ErrorReply(kUnavailable, "there is no configuration yet");
   }
-  HttpReply reply;
-  reply.status_ = kOk;
-  reply.body_ = state_->config().document();
-  return reply;
+  return OkReply(state_->config().document());
 }
 
 }  // namespace citronlane
--- a/src/gateway/caller_service.cc
+++ b/src/gateway/caller_service.cc
@@ -11,6 +11,7 @@
 #include "citronlane/gateway/config_view.h"
 #include "citronlane/gateway/gateway_state.h"
 #include "citronlane/gateway/refusal_writer.h"
+#include "citronlane/observe/metrics.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_request.h"
 
@@ -23,7 +24,7 @@
 HttpReply TextReply(int status, std::string text) {
   HttpReply reply;
   reply.status_ = status;
-  reply.content_type_ = "text/plain; version=0.0.4";
+  reply.content_type_ = Metrics::kContentType;
   reply.body_ = std::move(text);
   return reply;
 }
--- a/src/net/fleet_codec.cc
+++ b/src/net/fleet_codec.cc
@@ -7,6 +7,12 @@
 
 namespace citronlane {
 
+uint64_t InMilliseconds(Duration time) {
+  const auto whole =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time);
+  return whole.count() > 0 ? static_cast<uint64_t>(whole.count()) : 0;
+}
+
 void EncodeServers(absl::Span<const BackendServer> servers,
                    wire::fleet::ServerList* out) {
   for (const BackendServer& server : servers) {
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -6,6 +6,7 @@
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/fleet/update_pause.h"
+#include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/frame_link.h"
 #include "citronlane/observe/event_log.h"
 #include "fleet.pb.h"
@@ -149,9 +150,7 @@
   }
   watch->set_has_gateways(hooks_.knows_gateways_());
   hooks_.add_owners_(watch);
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      SteadyNow() - started_);
-  watch->set_age_ms(static_cast<uint64_t>(age.count()));
+  watch->set_age_ms(InMilliseconds(SteadyNow() - started_));
   link->Send(frame);
 }
 
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -201,7 +201,7 @@
     metrics_.Set(kConfigVersion, {},
                  config ? static_cast<double>(config->version()) : 0);
     HttpReply reply;
-    reply.content_type_ = "text/plain; version=0.0.4";
+    reply.content_type_ = Metrics::kContentType;
     reply.body_ = metrics_.Text();
     exchange->Reply(reply);
   };
--- a/src/relay/stage_task_codec.cc
+++ b/src/relay/stage_task_codec.cc
@@ -1,17 +1,12 @@
 #include "citronlane/relay/stage_task_codec.h"
 
+#include "citronlane/net/fleet_codec.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
 
 using Result = StageOutcome::Result;
 
-uint64_t InMilliseconds(Duration time) {
-  const auto whole =
-      std::chrono::duration_cast<std::chrono::milliseconds>(time);
-  return whole.count() > 0 ? static_cast<uint64_t>(whole.count()) : 0;
-}
-
 void EncodeTask(const StageTask& task,
                 TimePoint now,
                 wire::fleet::StageJob* out) {
