Share the document of the configuration tests; name domains neutrally

The two documents differed in nothing that the tests look at. The names of failure domains were those of a deployment. Assertions are as they were.

--- a/tests/unit-config-proposer.cc
+++ b/tests/unit-config-proposer.cc
@@ -12,23 +12,11 @@
 #include "citronlane/base/error.h"
 #include "citronlane/state/config_proposer.h"
 #include "citronlane/state/config_register.h"
+#include "support/route_document.h"
 
 namespace citronlane {
 namespace {
 
-/// A document whose versions with as many routes differ in one number only.
-std::string Document(uint64_t version, size_t routes) {
-  std::string document = "{\"version\":" + std::to_string(version);
-  for (size_t i = 0; i < routes; ++i) {
-    const std::string name = std::to_string(i * 7919 % 104729);
-    document += ",{\"name\":\"r-" + name;
-    document += "\",\"hostname\":\"h" + name;
-    document += ".example\",\"path_prefix\":\"/" + name;
-    document += "/\"}";
-  }
-  return document + "}";
-}
-
 /// A replicated log that commits when the test says so.
 class Log {
  public:
@@ -88,7 +76,7 @@
   Log& leader() { return members_[leader_]; }
 
   void Submit(uint64_t version) {
-    leader().Submit(version, Document(version, 3));
+    leader().Submit(version, RouteDocument(version, 3));
     RC_ASSERT(leader().entries_.size() <= 1);
   }
 
@@ -143,7 +131,7 @@
       const ConfigRegister& config = members_[i].config_;
       RC_ASSERT(Version(i) == Version(leader_));
       RC_ASSERT(config.is_empty() ||
-                config.document() == Document(config.version(), 3));
+                config.document() == RouteDocument(config.version(), 3));
     }
     for (const Log& member : members_) {
       for (const auto& [version, is_committed] : member.ended_) {
@@ -182,30 +170,30 @@
 // many came at once.
 TEST_CASE("a change costs the log what it changes") {
   Log log;
-  log.Submit(1, Document(1, kRoutes));
+  log.Submit(1, RouteDocument(1, kRoutes));
   REQUIRE(log.entries_.size() == 1);
   log.Commit();
   CHECK(log.ended_ == Ended{{1, true}});
   log.ended_.clear();
 
   SECTION("a small one in a large document") {
-    log.Submit(2, Document(2, kRoutes));
+    log.Submit(2, RouteDocument(2, kRoutes));
     REQUIRE(log.entries_.size() == 1);
     CHECK(log.entries_.front().command_.size() < 1024);
     log.Commit();
-    CHECK(log.config_.document() == Document(2, kRoutes));
+    CHECK(log.config_.document() == RouteDocument(2, kRoutes));
     CHECK(log.ended_ == Ended{{2, true}});
   }
   SECTION("of several that wait the highest goes, and answers for all") {
     for (const uint64_t version : {5, 9, 7, 3}) {
-      log.Submit(version, Document(version, kRoutes));
+      log.Submit(version, RouteDocument(version, kRoutes));
     }
     REQUIRE(log.entries_.size() == 1);
     log.Commit();
     CHECK(log.config_.version() == 5);
     REQUIRE(log.entries_.size() == 1);
     log.Commit();
-    CHECK(log.config_.document() == Document(9, kRoutes));
+    CHECK(log.config_.document() == RouteDocument(9, kRoutes));
     CHECK(log.entries_.empty());
     CHECK(log.ended_.size() == 4);
     for (const auto& [version, is_committed] : log.ended_) {
@@ -214,19 +202,19 @@
   }
   SECTION("whole while a member of the log may not apply differences") {
     log.all_apply_differences_ = false;
-    log.Submit(2, Document(2, kRoutes));
+    log.Submit(2, RouteDocument(2, kRoutes));
     REQUIRE(log.entries_.size() == 1);
     CHECK(log.entries_.front().command_ ==
-          ConfigRegister::Command(2, Document(2, kRoutes)));
+          ConfigRegister::Command(2, RouteDocument(2, kRoutes)));
   }
   SECTION("whole once what an earlier leader left changed the base") {
-    log.Submit(5, Document(5, kRoutes));
+    log.Submit(5, RouteDocument(5, kRoutes));
     log.config_.Apply(ConfigRegister::Command(4, "earlier"));
     log.Commit();
     CHECK(log.ended_.empty());
     REQUIRE(log.entries_.size() == 1);
     log.Commit();
-    CHECK(log.config_.document() == Document(5, kRoutes));
+    CHECK(log.config_.document() == RouteDocument(5, kRoutes));
     CHECK(log.ended_ == Ended{{5, true}});
   }
 }
--- a/tests/unit-fleet-state.cc
+++ b/tests/unit-fleet-state.cc
@@ -17,13 +17,13 @@
 
 TEST_CASE("drained failure domains") {
   DrainedDomains drained;
-  CHECK(drained.Apply(DrainedDomains::Command("alm-a", true)));
-  CHECK(drained.names() == Names{"alm-a"});
+  CHECK(drained.Apply(DrainedDomains::Command("north-a", true)));
+  CHECK(drained.names() == Names{"north-a"});
 
   SECTION("an order that comes twice changes nothing more") {
-    CHECK_FALSE(drained.Apply(DrainedDomains::Command("alm-a", true)));
-    CHECK(drained.Apply(DrainedDomains::Command("alm-a", false)));
-    CHECK_FALSE(drained.Apply(DrainedDomains::Command("alm-a", false)));
+    CHECK_FALSE(drained.Apply(DrainedDomains::Command("north-a", true)));
+    CHECK(drained.Apply(DrainedDomains::Command("north-a", false)));
+    CHECK_FALSE(drained.Apply(DrainedDomains::Command("north-a", false)));
     CHECK(drained.names().empty());
   }
   SECTION("names that could break a line or a path are refused") {
@@ -33,8 +33,8 @@
       CHECK_FALSE(drained.Apply("!drain " + std::string(name)));
     }
     CHECK_FALSE(DrainedDomains::IsName(std::string(65, 'a')));
-    CHECK(DrainedDomains::IsName("Fi_south-a.2"));
-    CHECK(drained.names() == Names{"alm-a"});
+    CHECK(DrainedDomains::IsName("North_2-a.b"));
+    CHECK(drained.names() == Names{"north-a"});
   }
   SECTION("the state is bounded") {
     for (int i = 1; i < 64; ++i) {
@@ -44,8 +44,8 @@
     }
     CHECK_FALSE(drained.HasRoomFor("more"));
     CHECK_FALSE(drained.Apply(DrainedDomains::Command("more", true)));
-    CHECK(drained.HasRoomFor("alm-a"));
-    CHECK(drained.Apply(DrainedDomains::Command("alm-a", false)));
+    CHECK(drained.HasRoomFor("north-a"));
+    CHECK(drained.Apply(DrainedDomains::Command("north-a", false)));
     CHECK(drained.HasRoomFor("more"));
   }
 }
@@ -65,13 +65,13 @@
     CHECK(copy.drained().names().empty());
   }
   SECTION("a snapshot brings both parts back") {
-    CHECK(state.Apply(DrainedDomains::Command("alm-b", true)) ==
+    CHECK(state.Apply(DrainedDomains::Command("north-b", true)) ==
           Change::kDrainedDomains);
-    CHECK(state.Apply(DrainedDomains::Command("alm-a", true)) ==
+    CHECK(state.Apply(DrainedDomains::Command("north-a", true)) ==
           Change::kDrainedDomains);
     FleetState copy;
     copy.Restore(state.Snapshot());
-    CHECK(copy.drained().names() == Names{"alm-a", "alm-b"});
+    CHECK(copy.drained().names() == Names{"north-a", "north-b"});
     CHECK(copy.config().version() == 7);
     CHECK(copy.config().document() == "seven\nlines");
     copy.Restore(FleetState().Snapshot());
@@ -80,20 +80,20 @@
   }
   SECTION("domains can be drained before there is a configuration") {
     FleetState early;
-    CHECK(early.Apply(DrainedDomains::Command("alm-a", true)) ==
+    CHECK(early.Apply(DrainedDomains::Command("north-a", true)) ==
           Change::kDrainedDomains);
     state.Restore(early.Snapshot());
     CHECK(state.config().is_empty());
-    CHECK(state.drained().names() == Names{"alm-a"});
+    CHECK(state.drained().names() == Names{"north-a"});
   }
 }
 
 TEST_CASE("servers of drained failure domains are leaving") {
   BackendServer near;
-  near.failure_domain_ = "alm-a";
+  near.failure_domain_ = "north-a";
   BackendServer far;
-  far.failure_domain_ = "alm-b";
-  const auto servers = WithDrained({near, far}, {"alm-b", "alm-c"});
+  far.failure_domain_ = "north-b";
+  const auto servers = WithDrained({near, far}, {"north-b", "north-c"});
   CHECK_FALSE(servers[0].leaving_);
   CHECK(servers[1].leaving_);
 }
--- a/tests/unit-gateway-feed.cc
+++ b/tests/unit-gateway-feed.cc
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +23,7 @@
 #include "fleet.pb.h"
 #include "support/eventually.h"
 #include "support/free_endpoint.h"
+#include "support/route_document.h"
 
 namespace citronlane {
 namespace {
@@ -32,25 +32,6 @@
 using wire::fleet::Frame;
 using wire::fleet::WatchUpdate;
 
-/// A configuration with names that repeat nowhere else. Versions with the same
-/// number of routes differ in their number only.
-std::string Document(uint64_t version, size_t routes) {
-  std::minstd_rand random(1);
-  std::string document =
-      "{\"version\":" + std::to_string(version) + ",\"routes\":[";
-  for (size_t i = 0; i < routes; ++i) {
-    document += i == 0 ? "{" : ",{";
-    document += "\"name\":\"r-" + std::to_string(random()) +
-                "\",\"hostname\":\"h" + std::to_string(random()) +
-                ".example\",\"path_prefix\":\"/p" + std::to_string(random()) +
-                "/\",\"kind\":\"safe\",\"timeout_ms\":1500,"
-                "\"target_latency_ms\":300,\"priority\":2,"
-                "\"service\":\"orders\",\"max_attempts\":2}";
-  }
-  document += "],\"services\":[{\"name\":\"orders\"}]}";
-  return document;
-}
-
 /// A control VM that leads.
 class Leader {
  public:
@@ -207,11 +188,11 @@
       return gateway.config_.version() == version;
     });
   };
-  leader.Commit(kFirst, Document(kFirst, kRoutes));
+  leader.Commit(kFirst, RouteDocument(kFirst, kRoutes));
   REQUIRE(has(kFirst));
   gateway.received_bytes_ = 0;
   for (uint64_t version = kFirst + 1; version <= kLast; ++version) {
-    leader.Commit(version, Document(version, kRoutes));
+    leader.Commit(version, RouteDocument(version, kRoutes));
     io.poll();
   }
 
@@ -219,12 +200,12 @@
     // 10 Mbit/s, half of it taken by requests and results.
     constexpr size_t kLinkBytes = 625000;
     REQUIRE(has(kLast));
-    CHECK(gateway.config_.document() == Document(kLast, kRoutes));
+    CHECK(gateway.config_.document() == RouteDocument(kLast, kRoutes));
     CHECK(gateway.received_bytes_ <= kLinkBytes);
   }
 
   SECTION("one that reads nothing costs control less than a document") {
-    CHECK(leader.queued_bytes() <= Document(kLast, kRoutes).size());
+    CHECK(leader.queued_bytes() <= RouteDocument(kLast, kRoutes).size());
   }
 }
 
@@ -243,20 +224,20 @@
   const auto has = [&](uint64_t version) {
     return until([&] { return gateway.config_.version() == version; });
   };
-  leader.Commit(1, Document(1, 10));
+  leader.Commit(1, RouteDocument(1, 10));
   REQUIRE(has(1));
   REQUIRE(gateway.updates_.size() == 1);
   CHECK_FALSE(gateway.updates_.back().has_base());
 
   SECTION("a difference from there") {
-    leader.Commit(2, Document(2, 11));
+    leader.Commit(2, RouteDocument(2, 11));
     REQUIRE(has(2));
     CHECK(gateway.updates_.back().base_version() == 1);
-    CHECK(gateway.config_.document() == Document(2, 11));
+    CHECK(gateway.config_.document() == RouteDocument(2, 11));
   }
   SECTION("also on a new connection") {
     leader.Disconnect();
-    leader.Commit(2, Document(2, 11));
+    leader.Commit(2, RouteDocument(2, 11));
     REQUIRE(has(2));
     CHECK(gateway.updates_.back().base_version() == 1);
     CHECK(gateway.updates_.size() == 2);
@@ -269,16 +250,16 @@
     foreign.set_version(1);
     foreign.set_data(*EncodeDocument("{}", "", &error));
     REQUIRE(gateway.config_.Take(foreign, &error));
-    leader.Commit(2, Document(2, 11));
+    leader.Commit(2, RouteDocument(2, 11));
     REQUIRE(has(2));
     CHECK(gateway.updates_.size() == 3);
     CHECK_FALSE(gateway.updates_.back().has_base());
-    CHECK(gateway.config_.document() == Document(2, 11));
+    CHECK(gateway.config_.document() == RouteDocument(2, 11));
   }
   SECTION("and control logs whether all have the newest") {
     REQUIRE(until([&] { return leader.HasLogged("config everywhere"); }));
     CHECK_FALSE(leader.HasLogged("config late"));
-    leader.Commit(2, Document(2, 11));
+    leader.Commit(2, RouteDocument(2, 11));
     leader.Pass(std::chrono::milliseconds(500));
     CHECK_FALSE(leader.HasLogged("config late"));
     leader.Pass(std::chrono::milliseconds(1500));
@@ -288,21 +269,21 @@
     const auto drained = [&](const std::vector<std::string>& names) {
       return until([&] { return gateway.drained_ == names; });
     };
-    leader.Drain("alm-a", true);
-    REQUIRE(drained({"alm-a"}));
-    leader.Drain("alm-b", true);
-    REQUIRE(drained({"alm-a", "alm-b"}));
+    leader.Drain("north-a", true);
+    REQUIRE(drained({"north-a"}));
+    leader.Drain("north-b", true);
+    REQUIRE(drained({"north-a", "north-b"}));
     gateway.drained_.clear();
     leader.Disconnect();
-    REQUIRE(drained({"alm-a", "alm-b"}));
-    leader.Drain("alm-a", false);
-    REQUIRE(drained({"alm-b"}));
-    leader.Drain("alm-b", false);
+    REQUIRE(drained({"north-a", "north-b"}));
+    leader.Drain("north-a", false);
+    REQUIRE(drained({"north-b"}));
+    leader.Drain("north-b", false);
     REQUIRE(drained({}));
   }
   SECTION("and control knows whether all in touch have it") {
     CHECK(until([&] { return leader.IsHeldByAll(1, Duration::zero()); }));
-    leader.Commit(2, Document(2, 11));
+    leader.Commit(2, RouteDocument(2, 11));
     CHECK(leader.IsHeldByAll(1, Duration::zero()));
     CHECK_FALSE(leader.IsHeldByAll(2, Duration::zero()));
     // One that is cut off confirms nothing.
@@ -311,7 +292,7 @@
     CHECK(until([&] { return leader.IsHeldByAll(2, Duration::zero()); }));
   }
   SECTION("nothing when it has the newest") {
-    leader.Commit(2, Document(2, 10));
+    leader.Commit(2, RouteDocument(2, 10));
     REQUIRE(has(2));
     leader.Disconnect();
     const size_t before = gateway.received_bytes_;
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -470,12 +470,12 @@
   CHECK(kind("POST", "/v1/config/replace") == Kind::kReplaceConfig);
   CHECK(kind("GET", "/v1/config/get") == Kind::kReadConfig);
   CHECK(kind("GET", "/v1/config/replace") == Kind::kUnknown);
-  CHECK(kind("POST", "/v1/evacuations/alm-a/start") == Kind::kDrainDomain);
-  CHECK(kind("POST", "/v1/evacuations/alm-a/finish") == Kind::kUndrainDomain);
-  CHECK(kind("GET", "/v1/evacuations/alm-a/start") == Kind::kUnknown);
-  CHECK(kind("POST", "/v1/evacuations/alm-a") == Kind::kUnknown);
-  CHECK(dialect.operator_call_("POST", "/v1/evacuations/alm-a/start")
-            .failure_domain_ == "alm-a");
+  CHECK(kind("POST", "/v1/evacuations/north-a/start") == Kind::kDrainDomain);
+  CHECK(kind("POST", "/v1/evacuations/north-a/finish") == Kind::kUndrainDomain);
+  CHECK(kind("GET", "/v1/evacuations/north-a/start") == Kind::kUnknown);
+  CHECK(kind("POST", "/v1/evacuations/north-a") == Kind::kUnknown);
+  CHECK(dialect.operator_call_("POST", "/v1/evacuations/north-a/start")
+            .failure_domain_ == "north-a");
   CHECK(dialect.ready_path_ == "/v1/ready");
 }
 
