Log a digest of the content of requests whose call failed

Two attempts of one request have different ids, so the logs could not tell a request that is sent again from several requests of the same account and route. `retry` and `gave up` now name the digest of method, target, client account and body when a server may have run the request. It is computed for failed calls only.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -16,6 +16,7 @@
 #include "citronlane/relay/stage_runner.h"
 #include "citronlane/routing/engine_router.h"
 #include "citronlane/serving/event_splitter.h"
+#include "citronlane/serving/request_fingerprint.h"
 
 namespace citronlane {
 
@@ -101,6 +102,7 @@
   void RefuseAfterFailure();
   void Finish(std::string_view outcome, int status);
   Duration Elapsed() const;
+  const RequestFingerprint& Fingerprint();
 
   const RelayContext* const context_;
   const RelayJob* const job_;
@@ -133,6 +135,7 @@
   Duration expected_{};
   Duration stages_time_{};
   Duration first_event_time_{};
+  std::optional<RequestFingerprint> fingerprint_;
   std::string_view last_failure_ = "";
   std::string last_server_;
 };
--- /dev/null
+++ b/include/citronlane/serving/request_fingerprint.h
@@ -0,0 +1,32 @@
+#ifndef CITRONLANE_SERVING_REQUEST_FINGERPRINT_H_
+#define CITRONLANE_SERVING_REQUEST_FINGERPRINT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace citronlane {
+
+/// Identifies the content of a request: attempts with the same method, target,
+/// client account and body have the same fingerprint, whatever their ids.
+struct RequestFingerprint {
+  /// 32 hexadecimal digits. Neither the target nor the body can be recovered.
+  std::string digest_;
+  /// Size of the body: requests of other sizes differ without hashing.
+  uint64_t body_bytes_ = 0;
+
+  bool operator==(const RequestFingerprint& other) const {
+    return digest_ == other.digest_ && body_bytes_ == other.body_bytes_;
+  }
+};
+
+/// Hashes a request. `target` includes the query; `account` is empty for
+/// requests without a client account. Thread safe.
+RequestFingerprint FingerprintOf(std::string_view method,
+                                 std::string_view target,
+                                 std::string_view account,
+                                 std::string_view body);
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_SERVING_REQUEST_FINGERPRINT_H_
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -17,6 +17,7 @@
 #include "citronlane/relay/waker.h"
 #include "citronlane/routing/repeat_budget.h"
 #include "citronlane/serving/dialect.h"
+#include "citronlane/serving/request_fingerprint.h"
 #include "citronlane/transport/http_request.h"
 
 namespace citronlane {
@@ -295,6 +296,8 @@
       {{"request", job_->head_.request_id_},
        {"server", last_server_},
        {"why", ended.reason_},
+       {"content", ended.step_ == Step::kMayHaveRun ? Fingerprint().digest_
+                                                    : std::string()},
        {"verdict", ToString(verdict_)},
        {"runs", runs_},
        {"after_ms", Elapsed()},
@@ -334,6 +337,15 @@
        {"list_age_ms", context_->view_->ServersAge(now).value_or(Duration())}});
 }
 
+// Computed on first use: only failed calls need it.
+const RequestFingerprint& RelayRequest::Fingerprint() {
+  if (!fingerprint_) {
+    fingerprint_ = FingerprintOf(request_->method_, request_->target_,
+                                 job_->account_, request_->body_);
+  }
+  return *fingerprint_;
+}
+
 Duration RelayRequest::Elapsed() const {
   return SteadyNow() - job_->arrived_;
 }
