--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -129,13 +129,17 @@
     def next_start(self, born):
         """Returns a new incarnation of the server at the same address. This one
         accepts no more connections; cut_connections closes its open ones."""
-        # Wakes the accepting thread, which a close alone would not.
-        self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
+        self.stop_listening()
         ip, port = self.address.split(":")
         return type(self)(ip, self.service, self.id, self.domain, int(port),
                           born)
 
+    def stop_listening(self):
+        """Refuses connections from now on."""
+        # Wakes the accepting thread, which a close alone would not.
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
     def has(self, request_id):
         """Returns whether the request or a piece of it was received."""
         with self.lock:
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -16,13 +16,14 @@
 
 
 class FleetTestCase(unittest.TestCase):
+    fleet_class = Fleet
     controls = 3
     gateways = 2
     stages = 2
 
     @classmethod
     def setUpClass(cls):
-        cls.fleet = Fleet(cls.controls, cls.gateways, cls.stages)
+        cls.fleet = cls.fleet_class(cls.controls, cls.gateways, cls.stages)
         cls.addClassCleanup(cls.fleet.close)
         try:
             cls.fleet.start()
