Stop sending a request that crashes each server that runs it

What callers saw: a request that ends its server was sent to servers 9 and 10 times more after three had ended, and 15 and 17 servers ended with all that they were running.

Cause: the retries of one attempt and the repeats of a service are bounded, but nothing is kept of a request's content once it has ended. Sent again by its caller, with a new id and to any gateway, it was new to all of them.

Change: a gateway whose call broke probes the server's listener; when that refuses connections it reports the server and its own requests there to the leader among the control VMs. The leader's CrashLedger merges the reports and blocks a request after three or four crashes in a row; the list goes to all gateways, which refuse the request at arrival and before each call with crashes_servers, 503 and not run. Gateways repeat what they know to a new leader.

--- a/include/citronlane/base/refusal_reason.h
+++ b/include/citronlane/base/refusal_reason.h
@@ -35,6 +35,7 @@
   kStreamBroken = 404,
   kRetryBudgetExhausted = 405,
   kCallerGone = 406,
+  kCrashesServers = 407,
   // 5xx: control state.
   kConfigurationLeaseLapsed = 501,
   kControlUnreachable = 502,
--- a/include/citronlane/control/detail/control_metrics.h
+++ b/include/citronlane/control/detail/control_metrics.h
@@ -1,6 +1,7 @@
 #ifndef CITRONLANE_CONTROL_DETAIL_CONTROL_METRICS_H_
 #define CITRONLANE_CONTROL_DETAIL_CONTROL_METRICS_H_
 
+#include <cstddef>
 #include <string>
 
 #include "citronlane/control/replica_status.h"
@@ -16,7 +17,9 @@
 
 /// Returns the metrics of a control VM with a GatewayFeed in the Prometheus
 /// text format. Thread safe.
-std::string FeedMetricsText(bool leads, const ConfigPropagation& propagation);
+std::string FeedMetricsText(bool leads,
+                            const ConfigPropagation& propagation,
+                            size_t blocked_requests);
 
 }  // namespace citronlane
 
--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -15,6 +15,7 @@
 #include "citronlane/fleet/pool_partition.h"
 #include "citronlane/fleet/pooled_service.h"
 #include "citronlane/fleet/recent_documents.h"
+#include "citronlane/routing/crash_ledger.h"
 #include "citronlane/serving/backend_server.h"
 
 namespace citronlane {
@@ -25,6 +26,7 @@
 
 namespace wire::fleet {
 class ConfigHeld;
+class CrashReports;
 class WatchRequest;
 class WatchUpdate;
 }  // namespace wire::fleet
@@ -68,6 +70,9 @@
   void ConfirmConfig(const FrameChannel* channel,
                      const wire::fleet::ConfigHeld& held,
                      TimePoint now);
+  /// Takes a gateway's reports of crashes of backend servers. If a request is
+  /// blocked or unblocked by them, tells all gateways.
+  void TakeCrashes(const wire::fleet::CrashReports& reports, TimePoint now);
   /// Removes the gateway of a closed channel.
   void OnClosed(const FrameChannel* channel);
 
@@ -84,6 +89,10 @@
   /// every 200 ms.
   void PushAll(TimePoint now);
 
+  /// Number of requests, by content, that no backend server may get.
+  size_t CountBlocked(TimePoint now) const {
+    return crashes_.CountBlocked(now);
+  }
   size_t gateways() const { return watchers_.size(); }
   /// Whether all watching gateways hold this version or a later one. A gateway
   /// that has left an update unconfirmed for 1.2 s is ignored: it is assumed to
@@ -104,6 +113,7 @@
                  TimePoint now,
                  wire::fleet::WatchUpdate* update);
   void LogConfigProgress(TimePoint now);
+  void LogBlocked(const SuspectRequest& request, TimePoint now);
   void AddGateways(Watcher* watcher,
                    bool is_gathering,
                    wire::fleet::WatchUpdate* update) const;
@@ -126,6 +136,7 @@
   uint64_t gateways_number_ = 0;
   TimePoint leading_since_;
   PoolAssignment assignment_;
+  CrashLedger crashes_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -94,6 +94,11 @@
     "citronlane_pool_tasks", Metric::Kind::kGauge,
     "Stage tasks in hand in a pool, or part of one, that this gateway runs.",
     metric_labels::kPool};
+inline constexpr Metric kRequestsBlocked{
+    "citronlane_requests_blocked",
+    Metric::Kind::kGauge,
+    "Requests, by content, that no server gets because servers crashed.",
+    {}};
 inline constexpr Metric kReady{"citronlane_ready",
                                Metric::Kind::kGauge,
                                "1 when new work is taken, else 0.",
@@ -149,6 +154,7 @@
     &kConnections,
     &kRequestsInFlight,
     &kPoolTasks,
+    &kRequestsBlocked,
     &kReady,
     &kConfigUpdatesTotal,
     &kConfigVersion,
--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -47,6 +47,8 @@
     std::function<std::optional<uint64_t>()> config_version_;
     /// Whether this gateway has a list of gateways.
     std::function<bool()> knows_gateways_;
+    /// The leader was found, and Send() reaches it.
+    std::function<void()> leader_found_;
     /// Adds the pool owners that this gateway knows.
     std::function<void(wire::fleet::WatchRequest* request)> add_owners_;
   };
@@ -64,6 +66,8 @@
   /// This gateway takes no new work any more; sends that to the leader
   /// immediately.
   void SetStopping();
+  /// Sends a frame to the leader. Returns false when none is connected.
+  bool Send(const wire::fleet::Frame& frame);
   /// Call every 50 ms.
   void Tick(TimePoint now);
 
--- /dev/null
+++ b/include/citronlane/relay/crash_watch.h
@@ -0,0 +1,96 @@
+#ifndef CITRONLANE_RELAY_CRASH_WATCH_H_
+#define CITRONLANE_RELAY_CRASH_WATCH_H_
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "citronlane/base/time.h"
+#include "citronlane/routing/crash_ledger.h"
+#include "citronlane/routing/suspect_request.h"
+
+namespace citronlane {
+
+class EventLog;
+
+namespace wire::fleet {
+class CrashReports;
+class SuspectRequests;
+}  // namespace wire::fleet
+
+/// A gateway's part in finding requests that crash backend servers: it reports
+/// crashes and survivals to the leader among the control VMs, which decides for
+/// the fleet, and knows which requests are blocked. While no leader is
+/// connected, it also decides by what it has seen itself. Used on the event
+/// loop's thread.
+class CrashWatch {
+ public:
+  struct Hooks {
+    /// Sends a report to the leader; dropped when there is none.
+    std::function<void(const wire::fleet::CrashReports& reports)> send_;
+    /// Whether the leader is connected.
+    std::function<bool()> has_leader_;
+    /// Calls `done` later, once, with whether the server at `address` refuses
+    /// connections.
+    std::function<void(const std::string& address,
+                       std::function<void(bool is_refused)> done)>
+        probe_;
+    std::function<TimePoint()> now_;
+  };
+  /// Computes the fingerprint of a request; it is costly for large bodies.
+  using FingerprintHook = std::function<const RequestFingerprint&()>;
+
+  /// `log` must outlive the object.
+  CrashWatch(EventLog* log, Hooks hooks);
+  CrashWatch(const CrashWatch&) = delete;
+  CrashWatch& operator=(const CrashWatch&) = delete;
+
+  /// Whether the request, with a body of `body_bytes`, is blocked.
+  bool IsBlocked(uint64_t body_bytes, const FingerprintHook& fingerprint) const;
+  /// The connection to a server broke while it may have been running the
+  /// request. Finds out whether the server has ended.
+  void OnBroken(const std::string& server,
+                const std::string& address,
+                const RequestFingerprint& request);
+  /// A server sent the complete reply to the request.
+  void OnSurvived(uint64_t body_bytes, const FingerprintHook& fingerprint);
+
+  /// Takes the leader's list of suspect requests.
+  void Take(const wire::fleet::SuspectRequests& suspects);
+  /// Call when a leader is found: sends it all that this gateway knows.
+  void ReportAll();
+
+  /// Number of blocked requests known.
+  size_t CountBlocked() const;
+
+ private:
+  /// A server that may have ended, while it is probed.
+  struct Doubt {
+    TimePoint since_;
+    std::vector<RequestFingerprint> running_;
+  };
+
+  const SuspectRequest* FindListed(uint64_t body_bytes,
+                                   const FingerprintHook& fingerprint) const;
+  void OnProbed(const std::string& server, bool is_refused);
+  void Report(const ServerCrash& crash);
+  void RememberEnded(const std::string& server, TimePoint at);
+
+  EventLog* const log_;
+  const Hooks hooks_;
+  /// The leader's list.
+  std::vector<SuspectRequest> listed_;
+  /// What this gateway has seen itself.
+  CrashLedger own_;
+  std::map<std::string, Doubt> doubts_;
+  /// When the servers that ended last did so.
+  std::deque<std::pair<std::string, TimePoint>> ended_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_RELAY_CRASH_WATCH_H_
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -15,6 +15,7 @@
 #include "citronlane/observe/metrics.h"
 #include "citronlane/relay/config_receiver.h"
 #include "citronlane/relay/control_watch.h"
+#include "citronlane/relay/crash_watch.h"
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/gateway_host.h"
@@ -56,6 +57,7 @@
   HttpListenerHooks ReadyHooks();
   HttpListenerHooks MetricsHooks();
   ControlWatch::Hooks WatchHooks();
+  CrashWatch::Hooks CrashHooks();
   void ApplyLimits();
 
   // gateway_host_pools.cc: routers, budgets and pools of services and
@@ -106,6 +108,7 @@
   TimePoint owners_since_;
   StageOwners owners_;
   EnginePlacement engines_;
+  CrashWatch crashes_;
   RelayContext context_;
   RelayService relay_;
   ControlWatch watch_;
--- a/include/citronlane/relay/relay_context.h
+++ b/include/citronlane/relay/relay_context.h
@@ -11,6 +11,7 @@
 
 namespace citronlane {
 
+class CrashWatch;
 class EnginePlacement;
 class EventLog;
 class FleetView;
@@ -30,6 +31,7 @@
   StageClient* client_ = nullptr;
   StageOwners* owners_ = nullptr;
   EnginePlacement* engines_ = nullptr;
+  CrashWatch* crashes_ = nullptr;
   EventLog* log_ = nullptr;
   Metrics* metrics_ = nullptr;
   /// Router and repeat budget of a service, created on first use.
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -90,6 +90,10 @@
   void FreeInputs();
   bool ForwardEvents(const std::string& events, const ServerAttempt& attempt);
   AttemptResult AfterFailure(const ServerAttempt& attempt) const;
+  /// Refuses the request if servers may not get it; returns whether it did.
+  bool RefuseIfBlocked();
+  /// Reports whether the call's server crashed or survived.
+  void NoteSurvival(const BackendServer& server, const ServerAttempt& attempt);
   /// Whether another attempt may follow one that ended with `ended`.
   bool MayRetry(const AttemptResult& ended);
   std::optional<Duration> StallLimit() const;
@@ -130,6 +134,7 @@
   uint32_t stage_reruns_ = 0;
   bool stream_started_ = false;
   bool had_first_event_ = false;
+  TimePoint first_event_at_;
   bool inputs_freed_ = false;
   bool finished_ = false;
   Duration expected_{};
--- a/include/citronlane/routing/crash_ledger.h
+++ b/include/citronlane/routing/crash_ledger.h
@@ -32,6 +32,12 @@
 /// Pure: time is passed in. Not thread safe.
 class CrashLedger {
  public:
+  /// The latest run of a request that a server survived.
+  struct Survival {
+    RequestFingerprint request_;
+    TimePoint at_;
+  };
+
   /// Records a crash, merged with earlier reports on the same server. Returns
   /// the requests that are blocked from now on.
   std::vector<SuspectRequest> OnCrash(const ServerCrash& crash, TimePoint now);
@@ -54,8 +60,8 @@
 
   /// The latest crashes, at most `most`, the newest first.
   std::vector<ServerCrash> RecentCrashes(size_t most) const;
-  /// When servers last survived the requests that had been reported.
-  const std::map<std::string, TimePoint>& survived() const { return survived_; }
+  /// The latest survivals reported, one for each request, by digest.
+  const std::map<std::string, Survival>& survived() const { return survived_; }
 
   static constexpr size_t kMaxListed = 256;
 
@@ -71,7 +77,7 @@
 
   void Expire(TimePoint now);
   void Forget(uint64_t crash);
-  const ServerCrash& Merge(const ServerCrash& crash);
+  void Merge(const ServerCrash& crash);
   /// Crashes that count against the request, in the order of time.
   Evidence EvidenceAgainst(const std::string& digest) const;
   /// Whether another request of the crash is or was blocked.
@@ -96,7 +102,7 @@
   /// Requests with several crashes.
   std::set<std::string> repeated_;
   std::map<std::string, Block> blocks_;
-  std::map<std::string, TimePoint> survived_;
+  std::map<std::string, Survival> survived_;
   uint64_t number_ = 0;
 };
 
--- a/src/base/refusal_reason.cc
+++ b/src/base/refusal_reason.cc
@@ -12,7 +12,7 @@
   std::string_view sentence_;
 };
 
-constexpr std::array<ReasonRow, 32> kReasons = {{
+constexpr std::array<ReasonRow, 33> kReasons = {{
     {RefusalReason::kMalformedRequest, "malformed_request", 400,
      "The request can not be read."},
     {RefusalReason::kUnknownPipeline, "unknown_pipeline", 404,
@@ -58,6 +58,9 @@
      "A call failed and the retry budget is spent."},
     {RefusalReason::kCallerGone, "caller_gone", 499,
      "The caller closed the connection."},
+    {RefusalReason::kCrashesServers, "crashes_servers", 503,
+     "Backend servers crashed, one after the other, while they ran this "
+     "request."},
     {RefusalReason::kConfigurationLeaseLapsed, "configuration_lease_lapsed",
      503, "The gateway can not confirm its configuration."},
     {RefusalReason::kControlUnreachable, "control_unreachable", 503,
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -225,7 +225,8 @@
     return feed_.IsHeldByAll(version, SteadyNow());
   };
   hooks.metrics_ = [this] {
-    return FeedMetricsText(member_.Leads(SteadyNow()), feed_.Propagation());
+    return FeedMetricsText(member_.Leads(SteadyNow()), feed_.Propagation(),
+                           feed_.CountBlocked(SteadyNow()));
   };
   return hooks;
 }
@@ -290,6 +291,8 @@
     feed_.Watch(channel, frame->watch(), now);
   } else if (frame->has_config_held()) {
     feed_.ConfirmConfig(channel.get(), frame->config_held(), now);
+  } else if (frame->has_crash_reports()) {
+    feed_.TakeCrashes(frame->crash_reports(), now);
   } else {
     member_.HandleFrame(channel, frame, now);
   }
--- a/src/control/control_metrics.cc
+++ b/src/control/control_metrics.cc
@@ -61,7 +61,9 @@
   return text;
 }
 
-std::string FeedMetricsText(bool leads, const ConfigPropagation& propagation) {
+std::string FeedMetricsText(bool leads,
+                            const ConfigPropagation& propagation,
+                            size_t blocked_requests) {
   std::string text;
   AppendMetric("leads", "gauge", "1 on the leader with its lease, else 0.",
                leads ? 1 : 0, &text);
@@ -75,6 +77,10 @@
   AppendMetric("config_gateways_behind", "gauge",
                "Gateways that watch here and hold an older version.",
                propagation.behind_, &text);
+  AppendMetric("requests_blocked", "gauge",
+               "Requests, by content, that no server gets because servers "
+               "crashed.",
+               blocked_requests, &text);
   return text;
 }
 
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "citronlane/fleet/drained_servers.h"
 #include "citronlane/fleet/pool_division.h"
+#include "citronlane/net/crash_codec.h"
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/observe/event_log.h"
@@ -15,6 +17,7 @@
 namespace {
 
 using wire::fleet::ConfigHeld;
+using wire::fleet::CrashReports;
 using wire::fleet::Frame;
 using wire::fleet::WatchRequest;
 using wire::fleet::WatchUpdate;
@@ -52,6 +55,8 @@
   uint64_t servers_number_ = 0;
   uint64_t gateways_number_ = 0;
   uint64_t owners_number_ = 0;
+  /// Number of the suspect requests last sent; 0 when none were sent yet.
+  uint64_t suspects_number_ = 0;
   /// Drained domains last sent; nullopt when none were sent yet.
   std::optional<DrainedDomains::Names> drained_;
 };
@@ -114,6 +119,43 @@
   LogConfigProgress(now);
 }
 
+void GatewayFeed::TakeCrashes(const CrashReports& reports, TimePoint now) {
+  bool has_changed_blocks = false;
+  for (const auto& survival : reports.survivals()) {
+    const RequestFingerprint request = DecodeContent(survival.request());
+    const TimePoint at = now - std::chrono::milliseconds(survival.age_ms());
+    if (crashes_.OnSurvived(request, at)) {
+      has_changed_blocks = true;
+      log_->Write(
+          "control", "request survived",
+          {{"content", request.digest_}, {"age_ms", survival.age_ms()}});
+    }
+  }
+  for (const SuspectRequest& suspect :
+       DecodeSuspects(reports.suspects(), now)) {
+    crashes_.Adopt(suspect, now);
+  }
+  for (const auto& crash : reports.crashes()) {
+    for (const SuspectRequest& blocked :
+         crashes_.OnCrash(DecodeCrash(crash, now), now)) {
+      has_changed_blocks = true;
+      LogBlocked(blocked, now);
+    }
+  }
+  if (has_changed_blocks) {
+    PushAll(now);
+  }
+}
+
+void GatewayFeed::LogBlocked(const SuspectRequest& request, TimePoint now) {
+  log_->Write("control", "request blocked",
+              {{"content", request.fingerprint_.digest_},
+               {"body_bytes", request.fingerprint_.body_bytes_},
+               {"crashes", request.crashes_},
+               {"servers", absl::StrJoin(request.servers_, " ")},
+               {"for_ms", request.blocked_until_ - now}});
+}
+
 void GatewayFeed::OnClosed(const FrameChannel* channel) {
   if (watchers_.erase(channel) > 0) {
     ++gateways_number_;
@@ -135,6 +177,8 @@
 void GatewayFeed::StartLeading(TimePoint now) {
   leading_since_ = now;
   assignment_.StartLeading(now, leadership_().term_);
+  // Gateways report what they know to the new leader.
+  crashes_.Clear();
   servers_read_.reset();
   ++servers_number_;
   ++gateways_number_;
@@ -256,6 +300,13 @@
         drained->add_names(domain);
       }
     }
+    // Until gateways have reported to a new leader, they keep the list of the
+    // previous one.
+    if (watcher->suspects_number_ != crashes_.number() &&
+        now >= leading_since_ + kGatheringTime) {
+      watcher->suspects_number_ = crashes_.number();
+      EncodeSuspects(crashes_.Listed(), now, update->mutable_suspects());
+    }
     if (servers_read_) {
       if (watcher->servers_number_ != servers_number_) {
         watcher->servers_number_ = servers_number_;
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -54,6 +54,15 @@
   }
 }
 
+bool ControlWatch::Send(const Frame& frame) {
+  const auto leader = candidates_.find(leader_);
+  if (leader == candidates_.end() || !leader->second.link_) {
+    return false;
+  }
+  leader->second.link_->Send(frame);
+  return true;
+}
+
 // All known VMs while there is no leader: contacted one after the other, each
 // VM without power would delay the search for its timeout.
 std::set<std::string> ControlWatch::EndpointsToWatch() const {
@@ -202,6 +211,7 @@
       leader_ = endpoint;
       had_leader_ = true;
       log_->Write("watch", "control regained", {{"control", endpoint}});
+      hooks_.leader_found_();
     }
     hooks_.updated_(update);
     return;
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -13,6 +13,7 @@
 
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/steady_now.h"
+#include "citronlane/net/connect_probe.h"
 #include "citronlane/net/endpoint.h"
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/process_signals.h"
@@ -113,6 +114,7 @@
                [this](const std::string& service) {
                  return EngineRouterOf(service);
                }),
+      crashes_(log, CrashHooks()),
       context_(MakeContext()),
       relay_(&context_, settings_.memory_mb_ * kRequestsPerMegabyte),
       watch_(&io_,
@@ -145,6 +147,7 @@
   context.client_ = &client_;
   context.owners_ = &owners_;
   context.engines_ = &engines_;
+  context.crashes_ = &crashes_;
   context.log_ = log_;
   context.metrics_ = &metrics_;
   context.router_ = [this](const Service& service) {
@@ -201,6 +204,8 @@
       metrics_.Set(kPoolTasks, {partition.Name()},
                    static_cast<double>(pool->tasks()));
     }
+    metrics_.Set(kRequestsBlocked, {},
+                 static_cast<double>(crashes_.CountBlocked()));
     metrics_.Set(kReady, {}, IsReady() ? 1 : 0);
     const auto& config = view_.config();
     metrics_.Set(kConfigVersion, {},
@@ -224,10 +229,27 @@
     EncodeOwners(view_.owners_number(), view_.owners(),
                  request->mutable_owners());
   };
+  hooks.leader_found_ = [this] { crashes_.ReportAll(); };
   hooks.knows_gateways_ = [this] { return !view_.gateways().empty(); };
   return hooks;
 }
 
+CrashWatch::Hooks GatewayHost::Impl::CrashHooks() {
+  CrashWatch::Hooks hooks;
+  hooks.send_ = [this](const wire::fleet::CrashReports& reports) {
+    wire::fleet::Frame frame;
+    *frame.mutable_crash_reports() = reports;
+    watch_.Send(frame);
+  };
+  hooks.has_leader_ = [this] { return watch_.is_connected(); };
+  hooks.probe_ = [this](const std::string& address,
+                        std::function<void(bool)> done) {
+    ProbeListener(&io_, address, std::move(done));
+  };
+  hooks.now_ = SteadyNow;
+  return hooks;
+}
+
 void GatewayHost::Impl::ApplyLimits() {
   callers_.SetLimits(LimitsOf(view_.config()->limits(), settings_));
 }
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -38,6 +38,9 @@
     const auto& names = update->drained().names();
     TakeDrained(DrainedDomains::Names(names.begin(), names.end()));
   }
+  if (update->has_suspects()) {
+    crashes_.Take(update->suspects());
+  }
   if (update->servers_age_ms() > 0) {
     const TimePoint read =
         now - std::chrono::milliseconds(update->servers_age_ms() - 1);
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -8,6 +8,7 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
+#include "citronlane/relay/crash_watch.h"
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/forwarded_headers.h"
@@ -41,6 +42,10 @@
 constexpr double kEstimateSafetyFactor = 1.1;
 constexpr int kFirstServerError = 500;
 
+/// A server that still runs a request this long after its first event is not
+/// crashed by the start of it.
+constexpr Duration kSurvivalTime = std::chrono::seconds(1);
+
 }  // namespace
 
 RelayRequest::RelayRequest(const RelayContext* context,
@@ -66,7 +71,7 @@
   router_ = context_->router_(*service_);
   budget_ = context_->budget_(service_->name_);
   budget_->OnFirstSend(SteadyNow());
-  if (CanFinishInTime() && RunStages()) {
+  if (!RefuseIfBlocked() && CanFinishInTime() && RunStages()) {
     RunAttempts();
   }
   if (!finished_) {
@@ -179,6 +184,9 @@
       Refuse(RefusalReason::kDeadlineExceeded);
       return;
     }
+    if (RefuseIfBlocked()) {
+      return;
+    }
     const BackendServer* server = Choose();
     if (server == nullptr) {
       RefuseAfterFailure();
@@ -225,6 +233,7 @@
     const BackendServer& server) {
   const TimePoint now = SteadyNow();
   const std::string id = server.id_;
+  const BackendServer called = server;
   StageCallSpec spec = SpecFor(server.address_, request_->method_,
                                request_->target_, job_->deadline_);
   ServerCallHead head;
@@ -265,11 +274,48 @@
                               : failed ? CallOutcome::kServerError
                                        : outcome;
   NoteEnd(id, counted, SteadyNow() - now);
+  NoteSurvival(called, attempt);
   context_->metrics_->Count(kAttemptsTotal,
                             {service_->name_, ToString(counted)});
   return ended;
 }
 
+bool RelayRequest::RefuseIfBlocked() {
+  const auto fingerprint = [this]() -> const RequestFingerprint& {
+    return Fingerprint();
+  };
+  if (!context_->crashes_->IsBlocked(request_->body_.size(), fingerprint)) {
+    return false;
+  }
+  last_failure_ = "crashes servers";
+  Refuse(RefusalReason::kCrashesServers);
+  return true;
+}
+
+// A server that leaves ends its calls, and nothing follows from that.
+void RelayRequest::NoteSurvival(const BackendServer& server,
+                                const ServerAttempt& attempt) {
+  if (!attempt.is_done()) {
+    return;
+  }
+  if (attempt.outcome() == CallOutcome::kSuccess) {
+    if (!attempt.reply().not_run_) {
+      context_->crashes_->OnSurvived(
+          request_->body_.size(),
+          [this]() -> const RequestFingerprint& { return Fingerprint(); });
+    }
+    return;
+  }
+  const BackendServer* listed = context_->view_->FindServer(server.id_);
+  const bool is_planned = listed == nullptr || listed->leaving_;
+  const bool ran_on =
+      had_first_event_ && SteadyNow() - first_event_at_ >= kSurvivalTime;
+  if (attempt.outcome() == CallOutcome::kClosedAfterSend && !is_planned &&
+      !ran_on) {
+    context_->crashes_->OnBroken(server.id_, server.address_, Fingerprint());
+  }
+}
+
 bool RelayRequest::MayRetry(const AttemptResult& ended) {
   const TimePoint now = SteadyNow();
   bool goes_on = false;
@@ -325,6 +371,7 @@
        {"server", last_server_},
        {"tried", static_cast<uint64_t>(tried_.size())},
        {"last_failure", last_failure_},
+       {"content", fingerprint_ ? fingerprint_->digest_ : std::string()},
        {"stages_in", stage_domain_},
        {"stages_ms", stages_time_},
        {"stages_expected_ms", expected_},
--- a/src/relay/relay_request_server.cc
+++ b/src/relay/relay_request_server.cc
@@ -110,6 +110,7 @@
 
 void RelayRequest::NoteFirstEvent() {
   had_first_event_ = true;
+  first_event_at_ = SteadyNow();
   router_->OnFirstEvent(last_server_, std::exchange(unread_, 0));
   engine_.NoteFirstEvent();
 }
--- a/src/relay/relay_responses.cc
+++ b/src/relay/relay_responses.cc
@@ -22,6 +22,9 @@
     case RefusalReason::kDeadlineUnreachable:
       // By then the pools have served part of a burst.
       return "1";
+    case RefusalReason::kCrashesServers:
+      // The block lasts minutes; sooner the same request is refused again.
+      return "60";
     default:
       // By then another server is found, or a failed one excluded.
       return "0.4";
--- a/src/routing/crash_ledger.cc
+++ b/src/routing/crash_ledger.cc
@@ -59,20 +59,22 @@
 std::vector<SuspectRequest> CrashLedger::OnCrash(const ServerCrash& crash,
                                                  TimePoint now) {
   Expire(now);
-  const ServerCrash& merged = Merge(crash);
-  ++number_;
+  Merge(crash);
   std::vector<SuspectRequest> blocked;
-  for (const RequestFingerprint& request : merged.running_) {
+  bool has_listed = false;
+  for (const RequestFingerprint& request : crash.running_) {
     const Evidence evidence = EvidenceAgainst(request.digest_);
+    has_listed = has_listed || evidence.size() >= kListedCrashes;
     if (MustBlock(request.digest_, evidence)) {
       blocked.push_back(SetBlock(request, evidence, now));
     }
   }
+  number_ += has_listed || !blocked.empty() ? 1 : 0;
   return blocked;
 }
 
 // Gateways report a crash one after the other, each with its own requests.
-const ServerCrash& CrashLedger::Merge(const ServerCrash& crash) {
+void CrashLedger::Merge(const ServerCrash& crash) {
   const auto [known, is_new] =
       crash_of_server_.try_emplace(crash.server_, last_crash_ + 1);
   const uint64_t number = known->second;
@@ -92,7 +94,6 @@
       repeated_.insert(request.digest_);
     }
   }
-  return merged;
 }
 
 void CrashLedger::Expire(TimePoint now) {
@@ -106,7 +107,7 @@
     it = is_old ? blocks_.erase(it) : std::next(it);
   }
   for (auto it = survived_.begin(); it != survived_.end();) {
-    const bool is_old = now - it->second > kEvidenceRetention;
+    const bool is_old = now - it->second.at_ > kEvidenceRetention;
     it = is_old ? survived_.erase(it) : std::next(it);
   }
 }
@@ -140,7 +141,7 @@
   for (const uint64_t number : numbers->second) {
     const ServerCrash& crash = crashes_.at(number);
     const bool is_later =
-        survived == survived_.end() || crash.at_ > survived->second;
+        survived == survived_.end() || crash.at_ > survived->second.at_;
     if (is_later && !IsExplained(number, digest)) {
       evidence.push_back(&crash);
     }
@@ -189,14 +190,14 @@
   if (const auto block = blocks_.find(digest); block != blocks_.end()) {
     return !evidence.empty() && evidence.back()->at_ > block->second.until_;
   }
-  const size_t required =
-      kBlockingCrashes + (HasBackground(digest, evidence) ? 1 : 0);
-  if (evidence.size() < required) {
-    return false;
-  }
   if (evidence.size() >= kCertainCrashes) {
     return true;
   }
+  if (evidence.size() < kBlockingCrashes ||
+      (evidence.size() == kBlockingCrashes &&
+       HasBackground(digest, evidence))) {
+    return false;
+  }
   const auto leading = std::count_if(
       evidence.begin(), evidence.end(), [&](const ServerCrash* crash) {
         return Leads(digest, evidence.size(), *crash);
@@ -228,8 +229,8 @@
   const bool was_listed =
       was_blocked || EvidenceAgainst(digest).size() >= kListedCrashes;
   if (survived_.size() < kMaxSurvived || survived_.count(digest) != 0) {
-    TimePoint& last = survived_[digest];
-    last = std::max(last, at);
+    Survival& last = survived_[digest];
+    last = {request, std::max(last.at_, at)};
   }
   number_ += was_listed ? 1 : 0;
   return was_listed;
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -13,8 +13,10 @@
 #include <boost/asio/io_context.hpp>
 
 #include "citronlane/base/steady_now.h"
+#include "citronlane/net/connect_probe.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metrics.h"
+#include "citronlane/relay/crash_watch.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_service.h"
@@ -27,6 +29,7 @@
 #include "citronlane/transport/http_request.h"
 #include "citronlane/transport/stage_client.h"
 #include "citronlane/transport/stage_limits.h"
+#include "fleet.pb.h"
 #include "platform/dialect.h"
 #include "support/recorded_caller.h"
 
@@ -63,6 +66,7 @@
     context_.view_ = &view_;
     context_.client_ = &client_;
     context_.owners_ = &owners_;
+    context_.crashes_ = &crashes_;
     context_.log_ = &log_;
     context_.metrics_ = &metrics_;
     context_.router_ = [this](const Service&) { return &router_; };
@@ -90,9 +94,27 @@
   }
 
   FleetView* view() { return &view_; }
+  CrashWatch* crashes() { return &crashes_; }
+  /// Reports that were sent to the leader.
+  const std::vector<wire::fleet::CrashReports>& reports() const {
+    return reports_;
+  }
   RelayService* service() { return &service_; }
 
  private:
+  CrashWatch::Hooks CrashHooks() {
+    CrashWatch::Hooks hooks;
+    hooks.send_ = [this](const wire::fleet::CrashReports& reports) {
+      reports_.push_back(reports);
+    };
+    hooks.has_leader_ = [] { return true; };
+    hooks.probe_ = [this](const std::string& address,
+                          std::function<void(bool)> done) {
+      ProbeListener(io_, address, std::move(done));
+    };
+    hooks.now_ = SteadyNow;
+    return hooks;
+  }
   static RepeatBudget::Options Budget() {
     return {0.2, 1000, std::chrono::seconds(10)};
   }
@@ -110,6 +132,8 @@
                       [this](const PoolPartition& part) {
                         return pools_[part.service_].get();
                       }};
+  std::vector<wire::fleet::CrashReports> reports_;
+  CrashWatch crashes_{&log_, CrashHooks()};
   ServiceRouter router_;
   RepeatBudget budget_{Budget()};
   RelayContext context_;
--- a/tests/unit-control-watch.cc
+++ b/tests/unit-control-watch.cc
@@ -103,6 +103,7 @@
  private:
   ControlWatch::Hooks HooksOf() {
     ControlWatch::Hooks hooks;
+    hooks.leader_found_ = [] {};
     hooks.updated_ = [this](WatchUpdate* update) {
       ++updates_;
       if (update->has_config()) {
--- /dev/null
+++ b/tests/unit-crash-watch.cc
@@ -0,0 +1,189 @@
+// Guards against a gateway that takes a broken connection for the end of a
+// server, that forgets what it has seen when the leader changes, or that hashes
+// bodies without need.
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "citronlane/net/crash_codec.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/relay/crash_watch.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using wire::fleet::CrashReports;
+
+/// A gateway's watch with a clock, probes and a leader of the test.
+class Watch {
+ public:
+  Watch() : watch_(&log_, HooksOf()) {}
+
+  void Break(const std::string& server, const std::string& content) {
+    watch_.OnBroken(server, "address-of-" + server, {content, 5});
+  }
+  void Probed(const std::string& server, bool is_refused) {
+    const auto done = std::move(probes_.at("address-of-" + server));
+    probes_.erase("address-of-" + server);
+    done(is_refused);
+  }
+  void List(const std::string& content, Duration blocked) {
+    wire::fleet::SuspectRequests suspects;
+    const SuspectRequest request{{content, 5}, 3, now_ + blocked, {}};
+    EncodeSuspects({&request, 1}, now_, &suspects);
+    watch_.Take(suspects);
+  }
+  bool IsBlocked(const std::string& content, uint64_t bytes = 5) {
+    const RequestFingerprint request{content, bytes};
+    return watch_.IsBlocked(bytes, [&]() -> const RequestFingerprint& {
+      ++hashed_;
+      return request;
+    });
+  }
+  void Survive(const std::string& content) {
+    const RequestFingerprint request{content, 5};
+    watch_.OnSurvived(5, [&]() -> const RequestFingerprint& {
+      ++hashed_;
+      return request;
+    });
+  }
+
+  TimePoint now_{seconds(1000)};
+  bool has_leader_ = true;
+  int hashed_ = 0;
+  std::map<std::string, std::function<void(bool)>> probes_;
+  std::vector<CrashReports> sent_;
+
+ private:
+  CrashWatch::Hooks HooksOf() {
+    CrashWatch::Hooks hooks;
+    hooks.send_ = [this](const CrashReports& reports) {
+      sent_.push_back(reports);
+    };
+    hooks.has_leader_ = [this] { return has_leader_; };
+    hooks.probe_ = [this](const std::string& address,
+                          std::function<void(bool)> done) {
+      probes_[address] = std::move(done);
+    };
+    hooks.now_ = [this] { return now_; };
+    return hooks;
+  }
+
+  EventLog log_{"gateway",
+                {[](std::string_view) { return true; }, [this] { return now_; },
+                 [] { return int64_t{0}; }}};
+
+ public:
+  CrashWatch watch_;
+};
+
+}  // namespace
+
+TEST_CASE("broken calls") {
+  Watch watch;
+
+  SECTION("are reported together once the server refuses connections") {
+    watch.Break("s", "a");
+    watch.Break("s", "b");
+    CHECK(watch.probes_.size() == 1);
+    CHECK(watch.sent_.empty());
+    watch.now_ += milliseconds(40);
+    watch.Probed("s", true);
+    REQUIRE(watch.sent_.size() == 1);
+    const auto& crash = watch.sent_[0].crashes(0);
+    CHECK(crash.server() == "s");
+    CHECK(crash.age_ms() == 40);
+    REQUIRE(crash.running_size() == 2);
+    CHECK(crash.running(0).digest() == "a");
+    CHECK(crash.running(1).body_bytes() == 5);
+  }
+  SECTION("are reported at once when the server is known to have ended") {
+    watch.Break("s", "a");
+    watch.Probed("s", true);
+    watch.Break("s", "b");
+    CHECK(watch.probes_.empty());
+    REQUIRE(watch.sent_.size() == 2);
+    CHECK(watch.sent_[1].crashes(0).running(0).digest() == "b");
+  }
+  SECTION("are not reported while the server accepts connections") {
+    watch.Break("s", "a");
+    watch.Probed("s", false);
+    CHECK(watch.sent_.empty());
+    // The next one is examined again.
+    watch.Break("s", "a");
+    CHECK(watch.probes_.size() == 1);
+  }
+}
+
+TEST_CASE("blocked requests") {
+  Watch watch;
+
+  SECTION("are those of the leader's list, until their time is over") {
+    watch.List("bad", seconds(60));
+    CHECK(watch.IsBlocked("bad"));
+    CHECK_FALSE(watch.IsBlocked("good"));
+    CHECK(watch.watch_.CountBlocked() == 1);
+    watch.now_ += seconds(61);
+    CHECK_FALSE(watch.IsBlocked("bad"));
+  }
+  SECTION("are compared only when their size is that of a listed one") {
+    CHECK_FALSE(watch.IsBlocked("good"));
+    watch.List("bad", seconds(60));
+    CHECK_FALSE(watch.IsBlocked("good", 6));
+    CHECK(watch.hashed_ == 0);
+  }
+  SECTION("are found by the gateway alone while there is no leader") {
+    for (const char* server : {"s1", "s2", "s3"}) {
+      watch.now_ += seconds(1);
+      watch.Break(server, "bad");
+      watch.Probed(server, true);
+    }
+    CHECK_FALSE(watch.IsBlocked("bad"));
+    watch.has_leader_ = false;
+    CHECK(watch.IsBlocked("bad"));
+    CHECK_FALSE(watch.IsBlocked("good"));
+  }
+}
+
+TEST_CASE("reports to the leader") {
+  Watch watch;
+
+  SECTION("name survivals of listed requests only") {
+    watch.Survive("good");
+    CHECK(watch.sent_.empty());
+    watch.List("bad", Duration());
+    watch.Survive("good");
+    CHECK(watch.sent_.empty());
+    watch.Survive("bad");
+    REQUIRE(watch.sent_.size() == 1);
+    CHECK(watch.sent_[0].survivals(0).request().digest() == "bad");
+  }
+  SECTION("are repeated to a new leader, with the list of the previous one") {
+    watch.watch_.ReportAll();
+    CHECK(watch.sent_.empty());
+    watch.Break("s", "a");
+    watch.Probed("s", true);
+    watch.List("bad", seconds(60));
+    watch.Survive("bad");
+    watch.sent_.clear();
+    watch.now_ += seconds(2);
+    watch.watch_.ReportAll();
+    REQUIRE(watch.sent_.size() == 1);
+    CHECK(watch.sent_[0].crashes(0).server() == "s");
+    CHECK(watch.sent_[0].crashes(0).age_ms() == 2000);
+    CHECK(watch.sent_[0].survivals(0).age_ms() == 2000);
+    // Rounded up when it was sent and when it is sent on.
+    CHECK(watch.sent_[0].suspects().requests(0).blocked_ms() == 58002);
+  }
+}
+
+}  // namespace citronlane
--- a/tests/unit-gateway-feed.cc
+++ b/tests/unit-gateway-feed.cc
@@ -1,9 +1,11 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -68,6 +70,33 @@
     feed_.PushAll(SteadyNow());
   }
 
+  /// Reports that a server crashed `age` ago while it was running the request.
+  void TakeCrash(const std::string& server,
+                 const std::string& digest,
+                 std::chrono::milliseconds age) {
+    wire::fleet::CrashReports reports;
+    auto* crash = reports.add_crashes();
+    crash->set_server(server);
+    crash->set_age_ms(static_cast<uint64_t>(age.count()));
+    crash->add_running()->set_digest(digest);
+    feed_.TakeCrashes(reports, SteadyNow());
+  }
+  /// Reports a block by the previous leader.
+  void TakeBlock(const std::string& digest) {
+    wire::fleet::CrashReports reports;
+    auto* suspect = reports.mutable_suspects()->add_requests();
+    suspect->mutable_request()->set_digest(digest);
+    suspect->set_blocked_ms(60000);
+    feed_.TakeCrashes(reports, SteadyNow());
+  }
+  void TakeSurvival(const std::string& digest) {
+    wire::fleet::CrashReports reports;
+    reports.add_survivals()->mutable_request()->set_digest(digest);
+    feed_.TakeCrashes(reports, SteadyNow());
+  }
+  void StartLeading() { feed_.StartLeading(SteadyNow()); }
+  size_t blocked() const { return feed_.CountBlocked(SteadyNow()); }
+
   void Drain(const std::string& domain, bool is_drained) {
     REQUIRE(state_.Apply(DrainedDomains::Command(domain, is_drained)) ==
             FleetState::Change::kDrainedDomains);
@@ -142,16 +171,26 @@
   std::vector<std::string> drained_;
   /// Size of all updates received, in bytes.
   size_t received_bytes_ = 0;
+  /// Whether the last list of suspect requests received has a blocked one;
+  /// nothing before the first list.
+  std::optional<bool> has_blocked_;
 
  private:
   ControlWatch::Hooks HooksOf() {
     ControlWatch::Hooks hooks;
+    hooks.leader_found_ = [] {};
     hooks.updated_ = [this](WatchUpdate* update) {
       received_bytes_ += update->ByteSizeLong();
       if (update->has_drained()) {
         drained_.assign(update->drained().names().begin(),
                         update->drained().names().end());
       }
+      if (update->has_suspects()) {
+        const auto& requests = update->suspects().requests();
+        has_blocked_ = std::any_of(
+            requests.begin(), requests.end(),
+            [](const auto& request) { return request.blocked_ms() > 0; });
+      }
       if (update->has_config()) {
         Error error;
         updates_.push_back(update->config());
@@ -303,4 +342,47 @@
   }
 }
 
+// Guards against gateways that learn late, or not at all, of a request that
+// crashes servers, and against a leader that forgets the previous one's blocks.
+TEST_CASE("requests that crash servers") {
+  using std::chrono::milliseconds;
+  boost::asio::io_context io;
+  const std::string endpoint = FreeEndpoint(&io);
+  Leader leader(&io, endpoint);
+  Gateway gateway(endpoint);
+  const auto blocked_is = [&](bool expected) {
+    return Eventually([&] {
+      io.poll();
+      gateway.Poll();
+      return gateway.has_blocked_ == expected;
+    });
+  };
+
+  SECTION("are sent to gateways at the crash that blocks them") {
+    leader.TakeCrash("s1", "bad", milliseconds(3000));
+    leader.TakeCrash("s2", "bad", milliseconds(2000));
+    REQUIRE(blocked_is(false));
+    leader.TakeCrash("s3", "bad", milliseconds(1000));
+    CHECK(leader.HasLogged("request blocked"));
+    CHECK(blocked_is(true));
+    leader.TakeSurvival("bad");
+    CHECK(leader.HasLogged("request survived"));
+    CHECK(blocked_is(false));
+  }
+  SECTION("stay blocked after a change of the leader") {
+    leader.TakeCrash("s1", "bad", milliseconds(3000));
+    leader.TakeCrash("s2", "bad", milliseconds(2000));
+    leader.TakeCrash("s3", "bad", milliseconds(1000));
+    REQUIRE(blocked_is(true));
+    leader.StartLeading();
+    CHECK(leader.blocked() == 0);
+    // Until gateways have reported, they keep the previous list.
+    leader.Pass(milliseconds(200));
+    leader.TakeBlock("bad");
+    CHECK(leader.blocked() == 1);
+    leader.Pass(milliseconds(1600));
+    CHECK(blocked_is(true));
+  }
+}
+
 }  // namespace citronlane
