Let operators list and lift blocks of requests that crash servers

A block ended only by itself; after a release that cures the request operators had no way to lift it. GET /suspect-requests at a control VM's operator address lists the requests, DELETE lifts all blocks; gateways then forget what they have seen, so that a later leader does not block them again. process-platform-crashes covers both.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -73,6 +73,10 @@
   /// Takes a gateway's reports of crashes of backend servers. If a request is
   /// blocked or unblocked by them, tells all gateways.
   void TakeCrashes(const wire::fleet::CrashReports& reports, TimePoint now);
+  /// Lifts all blocks; crashes so far no longer count. Tells all gateways.
+  void ClearSuspects(TimePoint now);
+  /// Requests that are blocked, or that one more crash may block.
+  std::vector<SuspectRequest> Suspects() const { return crashes_.Listed(); }
   /// Removes the gateway of a closed channel.
   void OnClosed(const FrameChannel* channel);
 
@@ -137,6 +141,8 @@
   TimePoint leading_since_;
   PoolAssignment assignment_;
   CrashLedger crashes_;
+  /// Number of the suspect requests after an operator last cleared them.
+  uint64_t cleared_number_ = 0;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/control/operator_api.h
+++ b/include/citronlane/control/operator_api.h
@@ -4,11 +4,14 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
 #include "citronlane/base/time.h"
 #include "citronlane/control/replica.h"
+#include "citronlane/routing/suspect_request.h"
 #include "citronlane/state/config_proposer.h"
 
 namespace citronlane {
@@ -21,9 +24,10 @@
 struct HttpRequest;
 
 /// The operators' HTTP API of a control VM: replaces the configuration, returns
-/// the newest one, and drains failure domains. Only the leader serves these
-/// calls; the other VMs redirect to it. Every VM serves its own metrics. Runs
-/// in the coroutines of its listener, on the event loop's thread.
+/// the newest one, drains failure domains, and lists requests under which
+/// backend servers crashed. Only the leader serves these calls; the other VMs
+/// redirect to it. Every VM serves its own metrics. Runs in the coroutines of
+/// its listener, on the event loop's thread.
 class OperatorApi {
  public:
   struct Hooks {
@@ -50,6 +54,10 @@
     std::function<bool(uint64_t version)> gateways_hold_;
     /// Returns this VM's metrics in the Prometheus text format.
     std::function<std::string()> metrics_;
+    /// Requests under which backend servers crashed.
+    std::function<std::vector<SuspectRequest>()> suspects_;
+    /// Lifts the blocks of all of them.
+    std::function<void()> clear_suspects_;
   };
 
   /// The pointers must outlive this object.
@@ -69,6 +77,7 @@
   HttpReply SetDrained(const std::string& domain,
                        bool is_drained,
                        HttpExchange* exchange);
+  HttpReply ServeSuspects(std::string_view method) const;
   HttpReply RedirectToLeader(const HttpRequest& request) const;
   /// Waits until the condition holds. Returns false at `until`, or when the
   /// operator has closed the connection.
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -224,6 +224,8 @@
   hooks.gateways_hold_ = [this](uint64_t version) {
     return feed_.IsHeldByAll(version, SteadyNow());
   };
+  hooks.suspects_ = [this] { return feed_.Suspects(); };
+  hooks.clear_suspects_ = [this] { feed_.ClearSuspects(SteadyNow()); };
   hooks.metrics_ = [this] {
     return FeedMetricsText(member_.Leads(SteadyNow()), feed_.Propagation(),
                            feed_.CountBlocked(SteadyNow()));
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -147,6 +147,15 @@
   }
 }
 
+void GatewayFeed::ClearSuspects(TimePoint now) {
+  log_->Write("control", "suspect requests cleared",
+              {{"requests", static_cast<uint64_t>(crashes_.Listed().size())},
+               {"blocked", static_cast<uint64_t>(CountBlocked(now))}});
+  crashes_.Clear();
+  cleared_number_ = crashes_.number();
+  PushAll(now);
+}
+
 void GatewayFeed::LogBlocked(const SuspectRequest& request, TimePoint now) {
   log_->Write("control", "request blocked",
               {{"content", request.fingerprint_.digest_},
@@ -179,6 +188,7 @@
   assignment_.StartLeading(now, leadership_().term_);
   // Gateways report what they know to the new leader.
   crashes_.Clear();
+  cleared_number_ = 0;
   servers_read_.reset();
   ++servers_number_;
   ++gateways_number_;
@@ -304,6 +314,8 @@
     // previous one.
     if (watcher->suspects_number_ != crashes_.number() &&
         now >= leading_since_ + kGatheringTime) {
+      update->mutable_suspects()->set_cleared(watcher->suspects_number_ <
+                                              cleared_number_);
       watcher->suspects_number_ = crashes_.number();
       EncodeSuspects(crashes_.Listed(), now, update->mutable_suspects());
     }
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -12,8 +12,10 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/json/parse.h"
 #include "citronlane/json/value.h"
+#include "citronlane/net/fleet_codec.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metrics.h"
+#include "citronlane/routing/suspect_request.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/state/fleet_state.h"
 #include "citronlane/transport/http_exchange.h"
@@ -35,11 +37,14 @@
 constexpr auto kPropagationPollInterval = std::chrono::milliseconds(10);
 
 constexpr std::string_view kMetricsPath = "/metrics";
+/// The product's own; platforms have no such call.
+constexpr std::string_view kSuspectsPath = "/suspect-requests";
 
 constexpr int kOk = 200;
 constexpr int kTemporaryRedirect = 307;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
 constexpr int kUnavailable = 503;
 
 HttpReply ErrorReply(int status, std::string_view message) {
@@ -128,6 +133,11 @@
     exchange->Reply(reply);
     return;
   }
+  if (request.Path() == kSuspectsPath) {
+    exchange->Reply(hooks_.leads_() ? ServeSuspects(request.method_)
+                                    : RedirectToLeader(request));
+    return;
+  }
   using Kind = OperatorCall::Kind;
   const OperatorCall call =
       dialect_->operator_call_(request.method_, request.Path());
@@ -145,6 +155,33 @@
   }
 }
 
+HttpReply OperatorApi::ServeSuspects(std::string_view method) const {
+  if (method == "DELETE") {
+    hooks_.clear_suspects_();
+    return OkReply("{}");
+  }
+  if (method != "GET") {
+    return ErrorReply(kMethodNotAllowed, "only GET and DELETE are allowed");
+  }
+  const TimePoint now = SteadyNow();
+  JsonValue requests = JsonValue::Array();
+  for (const SuspectRequest& suspect : hooks_.suspects_()) {
+    JsonValue entry = JsonValue::Object();
+    entry.AppendMember("content",
+                       JsonValue::String(suspect.fingerprint_.digest_));
+    entry.AppendMember("crashes", JsonValue::Number(suspect.crashes_));
+    entry.AppendMember(
+        "blocked_ms",
+        JsonValue::Number(suspect.IsBlocked(now)
+                              ? InMilliseconds(suspect.blocked_until_ - now)
+                              : 0));
+    requests.Append(std::move(entry));
+  }
+  JsonValue body = JsonValue::Object();
+  body.AppendMember("requests", std::move(requests));
+  return OkReply(WriteJson(body));
+}
+
 HttpReply OperatorApi::RedirectToLeader(const HttpRequest& request) const {
   const std::string leader = hooks_.leader_();
   if (leader.empty()) {
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -126,6 +126,9 @@
 
 void CrashWatch::Take(const wire::fleet::SuspectRequests& suspects) {
   listed_ = DecodeSuspects(suspects, hooks_.now_());
+  if (suspects.cleared()) {
+    own_.Clear();
+  }
   log_->Write("relay", "suspect requests changed",
               {{"requests", static_cast<uint64_t>(listed_.size())},
                {"blocked", static_cast<uint64_t>(CountBlocked())}});
--- a/tests/process/platform_crashes_test.py
+++ b/tests/process/platform_crashes_test.py
@@ -1,6 +1,7 @@
 """Tests that a request whose content ends every backend server that runs it is
 stopped, and that the requests beside it are not."""
 
+import json
 import threading
 import time
 import unittest
@@ -8,6 +9,7 @@
 from process.platform_fleet import Fleet, new_id
 from process.platform_stand_in import Engine
 from process.platform_test import FleetTestCase
+from process.processes import wait_until
 
 CRASHING_BODY = b"ends every engine"
 # How long the fleet has to recognise a request after the third crash, and how
@@ -136,6 +138,23 @@
         self.assertEqual([(body, answer.status) for when, body, answer in others
                           if when > late + 1 and not answer.whole], [])
 
+        self.check_operators_can_lift_the_block()
+
+    def check_operators_can_lift_the_block(self):
+        status, text = self.fleet.call_control("GET", "/suspect-requests")
+        self.assertEqual(status, 200)
+        blocked = [entry for entry in json.loads(text)["requests"]
+                   if entry["blocked_ms"] > 0]
+        self.assertEqual(len(blocked), 1, text)
+        self.assertGreaterEqual(blocked[0]["crashes"], 3)
+        status, _ = self.fleet.call_control("DELETE", "/suspect-requests")
+        self.assertEqual(status, 200)
+        for gateway in range(self.gateways):
+            wait_until(lambda gateway=gateway: "citronlane_requests_blocked 0"
+                       in self.fleet.metrics(gateway), "the block lifted")
+        answer = self.fleet.ask("POST", "/chat/x", CRASHING_BODY, new_id())
+        self.assertNotIn(REASON, answer.body)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -223,16 +223,20 @@
                        self.document["version"] for ip in self.gateway_ips)
         wait_until(in_force, "the configuration in force")
 
-    def route_version(self, ip):
-        connection = http.client.HTTPConnection(ip, 9464, timeout=1)
+    def metrics(self, gateway):
+        """Returns a gateway's metrics; "" when it does not reply."""
+        connection = http.client.HTTPConnection(self.gateway_ips[gateway],
+                                                9464, timeout=1)
         try:
             connection.request("GET", "/metrics")
-            text = connection.getresponse().read().decode()
+            return connection.getresponse().read().decode()
         except OSError:
-            return None
+            return ""
         finally:
             connection.close()
-        for line in text.splitlines():
+
+    def route_version(self, ip):
+        for line in self.metrics(self.gateway_ips.index(ip)).splitlines():
             if line.startswith("citronlane_config_version "):
                 return int(float(line.split()[1]))
         return None
