Read and log the limits that backend servers name

No log told what a server had said of its limit, so that the hypotheses on the server-limit incident could not be told apart. The header is decoded in platform/, ServerLimits keeps what each server said last, and "server limit changed" logs each change; citronlane_servers_limited counts them. Nothing acts on it yet. unit-platform covers values that are no rate.

--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -94,6 +94,11 @@
     "citronlane_pool_tasks", Metric::Kind::kGauge,
     "Stage tasks in hand in a pool, or part of one, that this gateway runs.",
     metric_labels::kPool};
+inline constexpr Metric kServersLimited{
+    "citronlane_servers_limited",
+    Metric::Kind::kGauge,
+    "Backend servers that name a limit on the rate of requests.",
+    {}};
 inline constexpr Metric kRequestsBlocked{
     "citronlane_requests_blocked",
     Metric::Kind::kGauge,
@@ -154,6 +159,7 @@
     &kConnections,
     &kRequestsInFlight,
     &kPoolTasks,
+    &kServersLimited,
     &kRequestsBlocked,
     &kReady,
     &kConfigUpdatesTotal,
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -25,6 +25,7 @@
 #include "citronlane/relay/stage_owners.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/routing/repeat_budget.h"
+#include "citronlane/routing/server_limits.h"
 #include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/stage_client.h"
 
@@ -109,6 +110,7 @@
   StageOwners owners_;
   EnginePlacement engines_;
   CrashWatch crashes_;
+  ServerLimits limits_;
   RelayContext context_;
   RelayService relay_;
   ControlWatch watch_;
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -90,6 +90,8 @@
   void FreeInputs();
   bool ForwardEvents(const std::string& events, const ServerAttempt& attempt);
   AttemptResult AfterFailure(const ServerAttempt& attempt) const;
+  /// Records the limit that the reply's server named, or that it named none.
+  void NoteLimit(const ServerAttempt& attempt);
   /// Refuses the request if servers may not get it; returns whether it did.
   bool RefuseIfBlocked();
   /// Reports whether the call's server crashed or survived.
--- /dev/null
+++ b/include/citronlane/routing/server_limits.h
@@ -0,0 +1,88 @@
+#ifndef CITRONLANE_ROUTING_SERVER_LIMITS_H_
+#define CITRONLANE_ROUTING_SERVER_LIMITS_H_
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "citronlane/base/time.h"
+#include "citronlane/routing/server_limit.h"
+
+namespace citronlane {
+
+/// The rates of requests that backend servers have said they take from all
+/// gateways together, and what this gateway may still send them.
+///
+/// A limit is divided into slots, points in time at equal intervals; a call
+/// needs one that began within the last half second. Unused slots expire, so
+/// that gateways whose callers all come back at once don't send what they
+/// saved. Slots of different gateways are spread over the interval.
+///
+/// A limit holds until the server replies without one. Of two observations the
+/// later one counts, whoever made it. Pure: time is passed in. Not thread safe.
+class ServerLimits {
+ public:
+  /// Whose calls share a limit.
+  enum class Scope {
+    /// This gateway decides on all calls to the server.
+    kOwner,
+    /// Each gateway decides on its own calls.
+    kShare,
+    /// As kShare, beside an owner that uses most of the limit.
+    kShareBesideOwner,
+  };
+
+  /// `gateway` names this gateway; it selects the positions of its slots.
+  explicit ServerLimits(std::string gateway);
+
+  /// Records what a server said. Returns whether the limit has changed.
+  bool Observe(const ServerLimit& limit);
+  /// Forgets servers for which `exists` returns false.
+  void Retain(const std::function<bool(std::string_view server)>& exists);
+
+  /// Whether the server may get a call now. `gateways` is the number that share
+  /// its limit; 0 counts as 1.
+  bool MayCall(std::string_view server,
+               Scope scope,
+               size_t gateways,
+               TimePoint now) const;
+  /// A call is sent to the server.
+  void OnCall(std::string_view server, TimePoint now);
+  /// The servers for which MayCall returns false.
+  std::vector<std::string> Exhausted(Scope scope,
+                                     size_t gateways,
+                                     TimePoint now) const;
+
+  /// Observations later than `since`, limits that have ended included.
+  std::vector<ServerLimit> ObservedSince(TimePoint since) const;
+  /// Number of servers with a limit.
+  size_t CountLimited() const;
+
+ private:
+  struct State {
+    std::optional<double> per_second_;
+    /// When the limit was last observed, and when it began.
+    TimePoint observed_;
+    TimePoint began_;
+    /// Recent calls.
+    std::deque<TimePoint> calls_;
+  };
+
+  bool MayCall(std::string_view server,
+               const State& state,
+               Scope scope,
+               size_t gateways,
+               TimePoint now) const;
+
+  const std::string gateway_;
+  std::map<std::string, State, std::less<>> servers_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_ROUTING_SERVER_LIMITS_H_
--- a/include/citronlane/serving/server_reply_head.h
+++ b/include/citronlane/serving/server_reply_head.h
@@ -21,6 +21,9 @@
   bool sealed_ = false;
   /// The request id or the response seal appears more than once.
   bool is_ambiguous_ = false;
+  /// Requests a second that the server takes from all gateways together;
+  /// nothing when it names no limit.
+  std::optional<double> max_per_second_;
   /// How long the server keeps the idle connection open.
   std::optional<Duration> idle_time_;
 };
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -74,7 +74,7 @@
   return limits;
 }
 
-StageLimits ServerLimits() {
+StageLimits ServerCallLimits() {
   StageLimits limits;
   // A stream's length is limited by its deadline alone.
   limits.reply_body_bytes_ = uint64_t{1} << 30;
@@ -99,7 +99,7 @@
       budget_options_{settings_.repeat_ratio_, settings_.repeat_extra_,
                       settings_.repeat_window_},
       metrics_(Metrics::kDefaultMaxSeries, 1),
-      client_(&io_, ServerLimits()),
+      client_(&io_, ServerCallLimits()),
       list_reader_(&client_, dialect, settings_.server_list_address_),
       owners_(
           &io_,
@@ -115,6 +115,7 @@
                  return EngineRouterOf(service);
                }),
       crashes_(log, CrashHooks()),
+      limits_(settings_.internal_listen_),
       context_(MakeContext()),
       relay_(&context_, settings_.memory_mb_ * kRequestsPerMegabyte),
       watch_(&io_,
@@ -148,6 +149,7 @@
   context.owners_ = &owners_;
   context.engines_ = &engines_;
   context.crashes_ = &crashes_;
+  context.limits_ = &limits_;
   context.log_ = log_;
   context.metrics_ = &metrics_;
   context.router_ = [this](const Service& service) {
@@ -204,6 +206,8 @@
       metrics_.Set(kPoolTasks, {partition.Name()},
                    static_cast<double>(pool->tasks()));
     }
+    metrics_.Set(kServersLimited, {},
+                 static_cast<double>(limits_.CountLimited()));
     metrics_.Set(kRequestsBlocked, {},
                  static_cast<double>(crashes_.CountBlocked()));
     metrics_.Set(kReady, {}, IsReady() ? 1 : 0);
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -150,6 +150,9 @@
 }
 
 void GatewayHost::Impl::ServersChanged() {
+  limits_.Retain([this](std::string_view server) {
+    return view_.FindServer(server) != nullptr;
+  });
   relay_.OnViewReady();
   for (const auto& [partition, pool] : pools_) {
     pool->Tick(SteadyNow());
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -24,6 +24,7 @@
 #include "citronlane/relay/stage_owners.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/routing/repeat_budget.h"
+#include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/serving/serving_config.h"
 #include "citronlane/transport/http_request.h"
@@ -67,6 +68,7 @@
     context_.client_ = &client_;
     context_.owners_ = &owners_;
     context_.crashes_ = &crashes_;
+    context_.limits_ = &limits_;
     context_.log_ = &log_;
     context_.metrics_ = &metrics_;
     context_.router_ = [this](const Service&) { return &router_; };
@@ -134,6 +136,7 @@
                       }};
   std::vector<wire::fleet::CrashReports> reports_;
   CrashWatch crashes_{&log_, CrashHooks()};
+  ServerLimits limits_{"gateway"};
   ServiceRouter router_;
   RepeatBudget budget_{Budget()};
   RelayContext context_;
