Keep to the limits that backend servers name

What callers saw: a server in need that names a limit of one request a second went on getting what it got before, 14 requests in 4 s where 11 are allowed.

Change: ServerLimits divides a server's limit into slots that expire, for the owner that places all calls (engines, stage pools) or in equal parts for each gateway. Gateways tell the leader of changes, which tells the others; placement questions carry them to an owner that does not know them. When no server is left, the request is refused at once with server_limits.

Why it works: the slots of all gateways in any window add up to at most 1.3 times the limit and half a second, whatever callers do; nothing can be saved up.

--- a/include/citronlane/base/refusal_reason.h
+++ b/include/citronlane/base/refusal_reason.h
@@ -36,6 +36,7 @@
   kRetryBudgetExhausted = 405,
   kCallerGone = 406,
   kCrashesServers = 407,
+  kServerLimits = 408,
   // 5xx: control state.
   kConfigurationLeaseLapsed = 501,
   kControlUnreachable = 502,
--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -16,6 +16,7 @@
 #include "citronlane/fleet/pooled_service.h"
 #include "citronlane/fleet/recent_documents.h"
 #include "citronlane/routing/crash_ledger.h"
+#include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/backend_server.h"
 
 namespace citronlane {
@@ -27,6 +28,7 @@
 namespace wire::fleet {
 class ConfigHeld;
 class CrashReports;
+class ServerLimits;
 class WatchRequest;
 class WatchUpdate;
 }  // namespace wire::fleet
@@ -73,6 +75,9 @@
   /// Takes a gateway's reports of crashes of backend servers. If a request is
   /// blocked or unblocked by them, tells all gateways.
   void TakeCrashes(const wire::fleet::CrashReports& reports, TimePoint now);
+  /// Takes limits of backend servers that a gateway observed; the others are
+  /// told by the next PushAll.
+  void TakeLimits(const wire::fleet::ServerLimits& limits, TimePoint now);
   /// Lifts all blocks; crashes so far no longer count. Tells all gateways.
   void ClearSuspects(TimePoint now);
   /// Requests that are blocked, or that one more crash may block.
@@ -118,6 +123,10 @@
                  wire::fleet::WatchUpdate* update);
   void LogConfigProgress(TimePoint now);
   void LogBlocked(const SuspectRequest& request, TimePoint now);
+  /// Adds the limits that the gateway has not been told.
+  void AddLimits(Watcher* watcher,
+                 TimePoint now,
+                 wire::fleet::WatchUpdate* update) const;
   void AddGateways(Watcher* watcher,
                    bool is_gathering,
                    wire::fleet::WatchUpdate* update) const;
@@ -141,6 +150,8 @@
   TimePoint leading_since_;
   PoolAssignment assignment_;
   CrashLedger crashes_;
+  /// Used for what servers said, not for allowances.
+  ServerLimits limits_;
   /// Number of the suspect requests after an operator last cleared them.
   uint64_t cleared_number_ = 0;
 };
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -19,6 +19,7 @@
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/gateway_host.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_service.h"
 #include "citronlane/relay/service_router.h"
@@ -59,6 +60,7 @@
   HttpListenerHooks MetricsHooks();
   ControlWatch::Hooks WatchHooks();
   CrashWatch::Hooks CrashHooks();
+  LimitWatch::Hooks LimitHooks();
   void ApplyLimits();
 
   // gateway_host_pools.cc: routers, budgets and pools of services and
@@ -108,9 +110,10 @@
   uint64_t owners_number_ = 0;
   TimePoint owners_since_;
   StageOwners owners_;
+  ServerLimits server_limits_;
+  LimitWatch limits_;
   EnginePlacement engines_;
   CrashWatch crashes_;
-  ServerLimits limits_;
   RelayContext context_;
   RelayService relay_;
   ControlWatch watch_;
--- a/include/citronlane/relay/engine_placement.h
+++ b/include/citronlane/relay/engine_placement.h
@@ -26,6 +26,7 @@
 class FleetView;
 class FrameChannel;
 class FrameLink;
+class LimitWatch;
 class ServiceRouter;
 
 namespace wire::fleet {
@@ -48,10 +49,11 @@
   /// Up-to-date router of a service; null when the service has no engines.
   using RouterHook = std::function<ServiceRouter*(const std::string& service)>;
 
-  /// `io`, `view` and `log` must outlive the object.
+  /// `io`, `view`, `limits` and `log` must outlive the object.
   EnginePlacement(boost::asio::io_context* io,
                   const FleetView* view,
                   std::string own_endpoint,
+                  LimitWatch* limits,
                   EventLog* log,
                   RouterHook router);
   ~EnginePlacement();
@@ -118,6 +120,11 @@
   };
   using PlacedKey = std::pair<const FrameChannel*, uint64_t>;
 
+  /// Adds the limits of the service's engines that the owner may not know.
+  void AddLimits(const std::string& owner,
+                 const PoolPartition& partition,
+                 wire::fleet::EngineAsk* ask);
+  void TakeLimits(const wire::fleet::EngineAsk& ask);
   void ReplyTo(const std::shared_ptr<FrameChannel>& channel,
                const wire::fleet::EngineAsk& ask);
   void TakeFirstEvent(const PlacedKey& key);
@@ -128,6 +135,7 @@
   boost::asio::io_context* const io_;
   const FleetView* const view_;
   OwnerTable owners_;
+  LimitWatch* const limits_;
   EventLog* const log_;
   const RouterHook router_;
   uint64_t last_question_ = 0;
@@ -136,6 +144,9 @@
   /// Number of consecutive questions without a reply, by placement owner.
   std::map<std::string, int> unanswered_;
   std::map<PlacedKey, Placed> placed_;
+  /// Up to which number of ServerLimits a placement owner was told, by
+  /// partition; 0 for a new owner.
+  std::map<std::pair<std::string, PoolPartition>, uint64_t> limits_told_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/relay_context.h
+++ b/include/citronlane/relay/relay_context.h
@@ -17,7 +17,7 @@
 class FleetView;
 class Metrics;
 class RepeatBudget;
-class ServerLimits;
+class LimitWatch;
 class ServiceRouter;
 class StageClient;
 class StageOwners;
@@ -33,7 +33,7 @@
   StageOwners* owners_ = nullptr;
   EnginePlacement* engines_ = nullptr;
   CrashWatch* crashes_ = nullptr;
-  ServerLimits* limits_ = nullptr;
+  LimitWatch* limits_ = nullptr;
   EventLog* log_ = nullptr;
   Metrics* metrics_ = nullptr;
   /// Router and repeat budget of a service, created on first use.
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -15,6 +15,7 @@
 #include "citronlane/relay/relay_job.h"
 #include "citronlane/relay/stage_runner.h"
 #include "citronlane/routing/engine_router.h"
+#include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/event_splitter.h"
 #include "citronlane/serving/request_fingerprint.h"
 
@@ -77,6 +78,13 @@
   void RunAttempts();
   /// Chooses a server; null when there is none. Suspends the handler.
   const BackendServer* Choose();
+  /// Chooses by this gateway's own estimates.
+  std::optional<std::string> ChooseHere();
+  /// How this gateway shares the limits of the service's servers.
+  ServerLimits::Scope LimitScope() const;
+  /// Servers that may not get this request now: those tried, and those that
+  /// have no capacity left within their limits.
+  std::vector<std::string> Excluded();
   std::string PlannedDomain();
   std::string PreferredPromptDomain();
   std::string EngineDomain();
@@ -90,8 +98,6 @@
   void FreeInputs();
   bool ForwardEvents(const std::string& events, const ServerAttempt& attempt);
   AttemptResult AfterFailure(const ServerAttempt& attempt) const;
-  /// Records the limit that the reply's server named, or that it named none.
-  void NoteLimit(const ServerAttempt& attempt);
   /// Refuses the request if servers may not get it; returns whether it did.
   bool RefuseIfBlocked();
   /// Reports whether the call's server crashed or survived.
@@ -133,6 +139,10 @@
   uint32_t runs_ = 0;
   uint32_t refusals_ = 0;
   bool has_called_ = false;
+  /// The placement owner chose the last server and counted the call.
+  bool is_counted_by_owner_ = false;
+  /// Servers were left out of the last choice because of their limits.
+  bool limits_excluded_ = false;
   uint32_t stage_reruns_ = 0;
   bool stream_started_ = false;
   bool had_first_event_ = false;
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -23,6 +23,7 @@
 
 class EventLog;
 class FleetView;
+class LimitWatch;
 class StageCall;
 class StageClient;
 struct Dialect;
@@ -39,6 +40,7 @@
   StagePool(PoolPartition partition,
             const StagePoolSpec& spec,
             const RepeatBudget::Options& budget,
+            LimitWatch* limits,
             const FleetView* view,
             const Dialect* dialect,
             StageClient* client,
@@ -102,6 +104,7 @@
 
   const PoolPartition partition_;
   const std::string name_;
+  LimitWatch* const limits_;
   const FleetView* const view_;
   const Dialect* const dialect_;
   StageClient* const client_;
--- a/include/citronlane/routing/server_limits.h
+++ b/include/citronlane/routing/server_limits.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_ROUTING_SERVER_LIMITS_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -58,8 +59,11 @@
                                      size_t gateways,
                                      TimePoint now) const;
 
-  /// Observations later than `since`, limits that have ended included.
-  std::vector<ServerLimit> ObservedSince(TimePoint since) const;
+  /// The latest observation of each server that was recorded after number()
+  /// had this value; limits that have ended included.
+  std::vector<ServerLimit> RecordedSince(uint64_t number) const;
+  /// Rises with each observation recorded.
+  uint64_t number() const { return number_; }
   /// Number of servers with a limit.
   size_t CountLimited() const;
 
@@ -69,6 +73,8 @@
     /// When the limit was last observed, and when it began.
     TimePoint observed_;
     TimePoint began_;
+    /// Of its latest observation.
+    uint64_t number_ = 0;
     /// Recent calls.
     std::deque<TimePoint> calls_;
   };
@@ -81,6 +87,7 @@
 
   const std::string gateway_;
   std::map<std::string, State, std::less<>> servers_;
+  uint64_t number_ = 0;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -37,6 +37,8 @@
   /// Returns whether a request's pieces may be sent to a server again, and
   /// counts it as done.
   using RepeatHook = std::function<bool(TimePoint now)>;
+  /// Returns whether a server may get a call now, beside other conditions.
+  using ServerHook = std::function<bool(const std::string& id, TimePoint now)>;
   /// How a call ended that returned no results.
   enum class CallFailure {
     /// It did not reach the server.
@@ -47,7 +49,10 @@
     kLost,
   };
 
-  StageBatcher(const StagePoolSpec& spec, RepeatHook may_repeat);
+  StageBatcher(
+      const StagePoolSpec& spec,
+      RepeatHook may_repeat,
+      ServerHook may_call = [](const std::string&, TimePoint) { return true; });
 
   /// Replaces the pool's declaration.
   void SetSpec(const StagePoolSpec& spec) { spec_ = spec; }
@@ -252,6 +257,7 @@
 
   StagePoolSpec spec_;
   const RepeatHook may_repeat_;
+  const ServerHook may_call_;
   std::map<std::string, Server> servers_;
   std::map<uint64_t, Task> tasks_;
   std::map<uint64_t, Call> calls_;
--- a/src/base/refusal_reason.cc
+++ b/src/base/refusal_reason.cc
@@ -12,7 +12,7 @@
   std::string_view sentence_;
 };
 
-constexpr std::array<ReasonRow, 33> kReasons = {{
+constexpr std::array<ReasonRow, 34> kReasons = {{
     {RefusalReason::kMalformedRequest, "malformed_request", 400,
      "The request can not be read."},
     {RefusalReason::kUnknownPipeline, "unknown_pipeline", 404,
@@ -61,6 +61,8 @@
     {RefusalReason::kCrashesServers, "crashes_servers", 503,
      "Backend servers crashed, one after the other, while they ran this "
      "request."},
+    {RefusalReason::kServerLimits, "server_limits", 503,
+     "The backend servers have said that they take no more requests now."},
     {RefusalReason::kConfigurationLeaseLapsed, "configuration_lease_lapsed",
      503, "The gateway can not confirm its configuration."},
     {RefusalReason::kControlUnreachable, "control_unreachable", 503,
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -295,6 +295,8 @@
     feed_.ConfirmConfig(channel.get(), frame->config_held(), now);
   } else if (frame->has_crash_reports()) {
     feed_.TakeCrashes(frame->crash_reports(), now);
+  } else if (frame->has_server_limits()) {
+    feed_.TakeLimits(frame->server_limits(), now);
   } else {
     member_.HandleFrame(channel, frame, now);
   }
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -9,6 +9,7 @@
 #include "citronlane/net/crash_codec.h"
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/frame_channel.h"
+#include "citronlane/net/limit_codec.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/state/fleet_state.h"
 #include "fleet.pb.h"
@@ -57,6 +58,8 @@
   uint64_t owners_number_ = 0;
   /// Number of the suspect requests last sent; 0 when none were sent yet.
   uint64_t suspects_number_ = 0;
+  /// Number of the limits last sent.
+  uint64_t limits_number_ = 0;
   /// Drained domains last sent; nullopt when none were sent yet.
   std::optional<DrainedDomains::Names> drained_;
 };
@@ -69,7 +72,8 @@
       log_(log),
       leadership_(std::move(leadership)),
       pools_(std::move(pools)),
-      documents_(kRecentBytes) {}
+      documents_(kRecentBytes),
+      limits_("control") {}
 
 GatewayFeed::~GatewayFeed() = default;
 
@@ -147,6 +151,13 @@
   }
 }
 
+void GatewayFeed::TakeLimits(const wire::fleet::ServerLimits& limits,
+                             TimePoint now) {
+  for (const auto& limit : limits.limits()) {
+    limits_.Observe(DecodeLimit(limit, now));
+  }
+}
+
 void GatewayFeed::ClearSuspects(TimePoint now) {
   log_->Write("control", "suspect requests cleared",
               {{"requests", static_cast<uint64_t>(crashes_.Listed().size())},
@@ -175,6 +186,11 @@
                              size_t unusable,
                              TimePoint now) {
   servers_read_ = now;
+  limits_.Retain([&servers](std::string_view id) {
+    return std::any_of(
+        servers.begin(), servers.end(),
+        [id](const BackendServer& server) { return server.id_ == id; });
+  });
   if (servers != servers_ || unusable != unusable_ || servers_number_ == 0) {
     servers_ = std::move(servers);
     unusable_ = unusable;
@@ -319,6 +335,7 @@
       watcher->suspects_number_ = crashes_.number();
       EncodeSuspects(crashes_.Listed(), now, update->mutable_suspects());
     }
+    AddLimits(watcher, now, update);
     if (servers_read_) {
       if (watcher->servers_number_ != servers_number_) {
         watcher->servers_number_ = servers_number_;
@@ -367,6 +384,16 @@
   watcher->config_sent_ = now;
 }
 
+void GatewayFeed::AddLimits(Watcher* watcher,
+                            TimePoint now,
+                            WatchUpdate* update) const {
+  for (const ServerLimit& limit :
+       limits_.RecordedSince(watcher->limits_number_)) {
+    EncodeLimit(limit, now, update->mutable_limits()->add_limits());
+  }
+  watcher->limits_number_ = limits_.number();
+}
+
 // Logs once when all gateways hold the newest version, and once when some still
 // lack it after kLateConfigDelay.
 void GatewayFeed::LogConfigProgress(TimePoint now) {
--- /dev/null
+++ b/src/net/limit_codec.cc
@@ -0,0 +1,35 @@
+#include "citronlane/net/limit_codec.h"
+
+#include <algorithm>
+
+#include "citronlane/net/fleet_codec.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+namespace {
+
+/// Older observations of a peer are wrong and could overflow a time point.
+constexpr uint64_t kMaxAgeMs = 24ULL * 3600 * 1000;
+
+}  // namespace
+
+void EncodeLimit(const ServerLimit& limit,
+                 TimePoint now,
+                 wire::fleet::ServerLimit* out) {
+  out->set_server(limit.server_);
+  out->set_is_limited(limit.per_second_.has_value());
+  out->set_per_second(limit.per_second_.value_or(0));
+  out->set_age_ms(InMilliseconds(now - limit.at_));
+}
+
+ServerLimit DecodeLimit(const wire::fleet::ServerLimit& in, TimePoint now) {
+  ServerLimit limit;
+  limit.server_ = in.server();
+  if (in.is_limited()) {
+    limit.per_second_ = in.per_second();
+  }
+  limit.at_ = now - std::chrono::milliseconds(std::min(in.age_ms(), kMaxAgeMs));
+  return limit;
+}
+
+}  // namespace citronlane
--- a/src/relay/engine_placement.cc
+++ b/src/relay/engine_placement.cc
@@ -9,10 +9,13 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/net/frame_link.h"
+#include "citronlane/net/limit_codec.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/pool_partition_codec.h"
 #include "citronlane/relay/service_router.h"
+#include "citronlane/routing/server_limits.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
@@ -58,11 +61,13 @@
 EnginePlacement::EnginePlacement(boost::asio::io_context* io,
                                  const FleetView* view,
                                  std::string own_endpoint,
+                                 LimitWatch* limits,
                                  EventLog* log,
                                  RouterHook router)
     : io_(io),
       view_(view),
       owners_(view, std::move(own_endpoint)),
+      limits_(limits),
       log_(log),
       router_(std::move(router)) {}
 
@@ -105,10 +110,38 @@
   for (const std::string& server : excluded) {
     ask->add_excluded(server);
   }
+  AddLimits(owner, partition, ask);
   LinkTo(owner)->Send(frame);
   return number;
 }
 
+// An owner that replaces a lost one knows of no limits, but the gateways whose
+// callers got such replies do.
+void EnginePlacement::AddLimits(const std::string& owner,
+                                const PoolPartition& partition,
+                                EngineAsk* ask) {
+  const TimePoint now = SteadyNow();
+  uint64_t& told = limits_told_[{owner, partition}];
+  for (const ServerLimit& limit : limits_->limits()->RecordedSince(told)) {
+    const BackendServer* server = view_->FindServer(limit.server_);
+    if (server == nullptr || server->service_ != partition.service_) {
+      continue;
+    }
+    EncodeLimit(limit, now, ask->add_limits());
+  }
+  told = limits_->limits()->number();
+}
+
+void EnginePlacement::TakeLimits(const EngineAsk& ask) {
+  const TimePoint now = SteadyNow();
+  for (const auto& told : ask.limits()) {
+    const ServerLimit limit = DecodeLimit(told, now);
+    if (view_->FindServer(limit.server_) != nullptr) {
+      limits_->Take(limit, "placement question");
+    }
+  }
+}
+
 void EnginePlacement::ReportNoReply(uint64_t question) {
   const auto it = questions_.find(question);
   if (it == questions_.end() || it->second.owner_.empty()) {
@@ -181,6 +214,11 @@
       ++open;
     }
   }
+  for (auto& [told, until] : limits_told_) {
+    if (told.first == owner) {
+      until = 0;
+    }
+  }
   if (const auto link = links_.find(owner); link != links_.end()) {
     link->second->Drop();
   }
@@ -219,9 +257,11 @@
   call.input_bytes_ = ask.input_bytes();
   call.sees_all_requests_ = true;
   call.required_domain_ = ask.part_domain();
-  const std::vector<std::string> excluded(ask.excluded().begin(),
-                                          ask.excluded().end());
+  TakeLimits(ask);
   const TimePoint now = SteadyNow();
+  std::vector<std::string> excluded = limits_->limits()->Exhausted(
+      ServerLimits::Scope::kOwner, view_->GatewayCount(), now);
+  excluded.insert(excluded.end(), ask.excluded().begin(), ask.excluded().end());
   const auto server = router->Choose(now, call, excluded);
   Frame frame;
   auto* answer = frame.mutable_engine_answer();
@@ -229,6 +269,7 @@
   if (server) {
     answer->set_server(*server);
     if (!ask.plan()) {
+      limits_->limits()->OnCall(*server, now);
       placed_[{channel.get(), ask.question()}] =
           Placed{ask.service(), *server, router->OnStart(*server, now, call)};
     }
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -107,15 +107,17 @@
           &view_,
           log,
           [this](const PoolPartition& partition) { return PoolOf(partition); }),
+      server_limits_(settings_.internal_listen_),
+      limits_(&server_limits_, log, LimitHooks()),
       engines_(&io_,
                &view_,
                settings_.internal_listen_,
+               &limits_,
                log,
                [this](const std::string& service) {
                  return EngineRouterOf(service);
                }),
       crashes_(log, CrashHooks()),
-      limits_(settings_.internal_listen_),
       context_(MakeContext()),
       relay_(&context_, settings_.memory_mb_ * kRequestsPerMegabyte),
       watch_(&io_,
@@ -207,7 +209,7 @@
                    static_cast<double>(pool->tasks()));
     }
     metrics_.Set(kServersLimited, {},
-                 static_cast<double>(limits_.CountLimited()));
+                 static_cast<double>(server_limits_.CountLimited()));
     metrics_.Set(kRequestsBlocked, {},
                  static_cast<double>(crashes_.CountBlocked()));
     metrics_.Set(kReady, {}, IsReady() ? 1 : 0);
@@ -233,7 +235,10 @@
     EncodeOwners(view_.owners_number(), view_.owners(),
                  request->mutable_owners());
   };
-  hooks.leader_found_ = [this] { crashes_.ReportAll(); };
+  hooks.leader_found_ = [this] {
+    crashes_.ReportAll();
+    limits_.ReportAll();
+  };
   hooks.knows_gateways_ = [this] { return !view_.gateways().empty(); };
   return hooks;
 }
@@ -254,6 +259,17 @@
   return hooks;
 }
 
+LimitWatch::Hooks GatewayHost::Impl::LimitHooks() {
+  LimitWatch::Hooks hooks;
+  hooks.send_ = [this](const wire::fleet::ServerLimits& limits) {
+    wire::fleet::Frame frame;
+    *frame.mutable_server_limits() = limits;
+    watch_.Send(frame);
+  };
+  hooks.now_ = SteadyNow;
+  return hooks;
+}
+
 void GatewayHost::Impl::ApplyLimits() {
   callers_.SetLimits(LimitsOf(view_.config()->limits(), settings_));
 }
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_join.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/fleet_codec.h"
+#include "citronlane/net/limit_codec.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/relay/detail/gateway_host_impl.h"
@@ -38,6 +39,9 @@
     const auto& names = update->drained().names();
     TakeDrained(DrainedDomains::Names(names.begin(), names.end()));
   }
+  for (const auto& limit : update->limits().limits()) {
+    limits_.Take(DecodeLimit(limit, now), "control");
+  }
   if (update->has_suspects()) {
     crashes_.Take(update->suspects());
   }
@@ -150,7 +154,7 @@
 }
 
 void GatewayHost::Impl::ServersChanged() {
-  limits_.Retain([this](std::string_view server) {
+  server_limits_.Retain([this](std::string_view server) {
     return view_.FindServer(server) != nullptr;
   });
   relay_.OnViewReady();
--- a/src/relay/gateway_host_pools.cc
+++ b/src/relay/gateway_host_pools.cc
@@ -48,8 +48,8 @@
       return nullptr;
     }
     pool = std::make_unique<StagePool>(partition, *declared->stage_pool_,
-                                       budget_options_, &view_, dialect_,
-                                       &client_, log_);
+                                       budget_options_, &limits_, &view_,
+                                       dialect_, &client_, log_);
     pool->Begin(SteadyNow());
   }
   return pool.get();
--- /dev/null
+++ b/src/relay/limit_watch.cc
@@ -0,0 +1,54 @@
+#include "citronlane/relay/limit_watch.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "citronlane/net/limit_codec.h"
+#include "citronlane/observe/event_log.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+
+LimitWatch::LimitWatch(ServerLimits* limits, EventLog* log, Hooks hooks)
+    : limits_(limits), log_(log), hooks_(std::move(hooks)) {}
+
+void LimitWatch::OnReply(const std::string& server,
+                         std::optional<double> per_second) {
+  const TimePoint now = hooks_.now_();
+  const ServerLimit limit{server, per_second, now};
+  if (!limits_->Observe(limit)) {
+    return;
+  }
+  Log(limit, "reply");
+  wire::fleet::ServerLimits changed;
+  EncodeLimit(limit, now, changed.add_limits());
+  hooks_.send_(changed);
+}
+
+void LimitWatch::Take(const ServerLimit& limit, std::string_view source) {
+  if (limits_->Observe(limit)) {
+    Log(limit, source);
+  }
+}
+
+void LimitWatch::ReportAll() {
+  const TimePoint now = hooks_.now_();
+  wire::fleet::ServerLimits known;
+  for (const ServerLimit& limit : limits_->RecordedSince(0)) {
+    EncodeLimit(limit, now, known.add_limits());
+  }
+  if (known.limits_size() > 0) {
+    hooks_.send_(known);
+  }
+}
+
+void LimitWatch::Log(const ServerLimit& limit, std::string_view source) {
+  log_->Write("relay", "server limit changed",
+              {{"server", limit.server_},
+               {"per_second",
+                limit.per_second_ ? absl::StrCat(*limit.per_second_) : "none"},
+               {"source", source},
+               {"age_ms", hooks_.now_() - limit.at_}});
+}
+
+}  // namespace citronlane
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -189,7 +189,12 @@
     }
     const BackendServer* server = Choose();
     if (server == nullptr) {
-      RefuseAfterFailure();
+      if (limits_excluded_) {
+        last_failure_ = "server limits";
+        Refuse(RefusalReason::kServerLimits);
+      } else {
+        RefuseAfterFailure();
+      }
       return;
     }
     const AttemptResult ended = RunAttempt(*server);
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -5,7 +5,7 @@
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
 #include "citronlane/relay/fleet_view.h"
-#include "citronlane/relay/log_limit.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
 #include "citronlane/relay/relay_responses.h"
@@ -13,7 +13,6 @@
 #include "citronlane/relay/service_router.h"
 #include "citronlane/relay/waker.h"
 #include "citronlane/routing/repeat_budget.h"
-#include "citronlane/routing/server_limits.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_reply.h"
 
@@ -65,8 +64,8 @@
   if (!attempt->has_head()) {
     return AfterFailure(*attempt);
   }
-  NoteLimit(*attempt);
   const ServerReplyHead& reply = attempt->reply();
+  context_->limits_->OnReply(last_server_, reply.max_per_second_);
   if (reply.not_run_) {
     const bool inputs_gone =
         attempt->status() == kConflict && stages_.HasWork();
@@ -156,14 +155,6 @@
   }
 }
 
-void RelayRequest::NoteLimit(const ServerAttempt& attempt) {
-  const ServerLimit limit{last_server_, attempt.reply().max_per_second_,
-                          SteadyNow()};
-  if (context_->limits_->Observe(limit)) {
-    LogLimit(context_->log_, limit, "reply");
-  }
-}
-
 void RelayRequest::FreeInputs() {
   inputs_freed_ = true;
   stages_.FreeAll();
--- a/src/relay/relay_request_server.cc
+++ b/src/relay/relay_request_server.cc
@@ -5,6 +5,7 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
 #include "citronlane/relay/service_router.h"
@@ -34,26 +35,52 @@
   const TimePoint now = SteadyNow();
   router_->Update(*context_->view_, now);
   engine_.Begin(*service_, EngineDomain());
+  is_counted_by_owner_ = false;
   if (engine_.is_placed_elsewhere()) {
     const std::string named = engine_.RequestEngine(
         EnginePlacement::Purpose::kStart, RouterCall(), tried_);
     const BackendServer* server = context_->view_->FindServer(named);
     if (server != nullptr && !server->leaving_) {
+      is_counted_by_owner_ = true;
       return server;
     }
     // The placement owner's server list is older or newer than this gateway's,
     // or there was no reply.
     engine_.Cancel();
   }
-  auto id = router_->Choose(SteadyNow(), RouterCall(), tried_);
+  auto id = ChooseHere();
   if (!id && engine_.is_placed_here()) {
-    // Every engine of its partition was tried.
+    // Every engine of its partition was tried or is at its limit.
     engine_.Detach();
-    id = router_->Choose(SteadyNow(), RouterCall(), tried_);
+    id = ChooseHere();
   }
   return id ? context_->view_->FindServer(*id) : nullptr;
 }
 
+std::optional<std::string> RelayRequest::ChooseHere() {
+  return router_->Choose(SteadyNow(), RouterCall(), Excluded());
+}
+
+ServerLimits::Scope RelayRequest::LimitScope() const {
+  if (!service_->engine_) {
+    return ServerLimits::Scope::kShare;
+  }
+  return engine_.is_placed_here() ? ServerLimits::Scope::kOwner
+                                  : ServerLimits::Scope::kShareBesideOwner;
+}
+
+std::vector<std::string> RelayRequest::Excluded() {
+  std::vector<std::string> excluded = context_->limits_->limits()->Exhausted(
+      LimitScope(), context_->view_->GatewayCount(), SteadyNow());
+  limits_excluded_ = std::any_of(
+      excluded.begin(), excluded.end(), [this](const std::string& id) {
+        const BackendServer* server = context_->view_->FindServer(id);
+        return server != nullptr && server->service_ == service_->name_;
+      });
+  excluded.insert(excluded.end(), tried_.begin(), tried_.end());
+  return excluded;
+}
+
 // For divided engines: the domain of large results or else of the cached
 // prompt.
 std::string RelayRequest::EngineDomain() {
@@ -105,6 +132,9 @@
 
 void RelayRequest::NoteStart(const std::string& server) {
   had_first_event_ = false;
+  if (!is_counted_by_owner_) {
+    context_->limits_->limits()->OnCall(server, SteadyNow());
+  }
   unread_ = router_->OnStart(server, SteadyNow(), RouterCall());
 }
 
--- a/src/relay/relay_responses.cc
+++ b/src/relay/relay_responses.cc
@@ -19,8 +19,10 @@
     case RefusalReason::kNoConfiguration:
       // Control VMs that all restart have elected a leader by about this time.
       return "1.4";
+    case RefusalReason::kServerLimits:
     case RefusalReason::kDeadlineUnreachable:
-      // By then the pools have served part of a burst.
+      // By then the pools have served part of a burst, and servers with a limit
+      // take requests again.
       return "1";
     case RefusalReason::kCrashesServers:
       // The block lasts minutes; sooner the same request is refused again.
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -7,6 +7,8 @@
 #include "citronlane/net/server_call_spec.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/limit_watch.h"
+#include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/transport/stage_call.h"
 #include "citronlane/transport/stage_client.h"
@@ -26,12 +28,14 @@
 StagePool::StagePool(PoolPartition partition,
                      const StagePoolSpec& spec,
                      const RepeatBudget::Options& budget,
+                     LimitWatch* limits,
                      const FleetView* view,
                      const Dialect* dialect,
                      StageClient* client,
                      EventLog* log)
     : partition_(std::move(partition)),
       name_(partition_.Name()),
+      limits_(limits),
       view_(view),
       dialect_(dialect),
       client_(client),
@@ -40,11 +44,17 @@
       // Each partition has its share of the service's repeat budget. One more
       // share is kept back, because two gateways run a partition for a moment
       // when its owner changes.
-      batcher_(spec,
-               [this](TimePoint now) {
-                 return budget_.TryTake(
-                     now, view_->PartitionsOf(partition_.service_).size() + 1);
-               }),
+      batcher_(
+          spec,
+          [this](TimePoint now) {
+            return budget_.TryTake(
+                now, view_->PartitionsOf(partition_.service_).size() + 1);
+          },
+          [this](const std::string& server, TimePoint now) {
+            return limits_->limits()->MayCall(server,
+                                              ServerLimits::Scope::kOwner,
+                                              view_->GatewayCount(), now);
+          }),
       reply_check_(kReplyMemoryTime) {}
 
 StagePool::~StagePool() {
@@ -132,6 +142,7 @@
 
 void StagePool::Start(StageBatch batch, TimePoint now) {
   const uint64_t number = batch.call_;
+  limits_->limits()->OnCall(batch.server_, now);
   StageCallSpec spec = SpecFor(batch.address_, "POST",
                                dialect_->stage_call_path_, batch.deadline_);
   ServerCallHead head;
@@ -153,10 +164,13 @@
   const auto reply = std::make_shared<Reply>();
   StageCallHooks hooks;
   hooks.sending_ = [] { return true; };
-  hooks.head_ = [this, reply](const StageReplyHead& head) {
+  hooks.head_ = [this, reply,
+                 server = batch.server_](const StageReplyHead& head) {
+    const ServerReplyHead read =
+        dialect_->read_reply_(head.status_, head.headers_);
     reply->status_ = head.status_;
-    reply->not_run_ =
-        dialect_->read_reply_(head.status_, head.headers_).not_run_;
+    reply->not_run_ = read.not_run_;
+    limits_->OnReply(server, read.max_per_second_);
     return true;
   };
   hooks.owner_by_body_ = [this, number, reply, server = batch.server_,
--- a/src/routing/server_limits.cc
+++ b/src/routing/server_limits.cc
@@ -59,6 +59,7 @@
     return false;
   }
   state.observed_ = limit.at_;
+  state.number_ = ++number_;
   if (state.per_second_ == limit.per_second_) {
     return false;
   }
@@ -132,10 +133,10 @@
   return exhausted;
 }
 
-std::vector<ServerLimit> ServerLimits::ObservedSince(TimePoint since) const {
+std::vector<ServerLimit> ServerLimits::RecordedSince(uint64_t number) const {
   std::vector<ServerLimit> observed;
   for (const auto& [server, state] : servers_) {
-    if (state.observed_ > since) {
+    if (state.number_ > number) {
       observed.push_back({server, state.per_second_, state.observed_});
     }
   }
--- a/src/stages/stage_batcher.cc
+++ b/src/stages/stage_batcher.cc
@@ -35,8 +35,12 @@
 
 }  // namespace
 
-StageBatcher::StageBatcher(const StagePoolSpec& spec, RepeatHook may_repeat)
-    : spec_(spec), may_repeat_(std::move(may_repeat)) {}
+StageBatcher::StageBatcher(const StagePoolSpec& spec,
+                           RepeatHook may_repeat,
+                           ServerHook may_call)
+    : spec_(spec),
+      may_repeat_(std::move(may_repeat)),
+      may_call_(std::move(may_call)) {}
 
 void StageBatcher::SetServers(absl::Span<const BackendServer* const> servers) {
   std::map<std::string, Server> next;
--- a/src/stages/stage_batcher_calls.cc
+++ b/src/stages/stage_batcher_calls.cc
@@ -28,7 +28,7 @@
   std::vector<Server*> idle;
   for (auto& [id, server] : servers_) {
     if (!server.leaving_ && server.calls_ == 0 &&
-        server.suspended_until_ <= now) {
+        server.suspended_until_ <= now && may_call_(id, now)) {
       idle.push_back(&server);
     }
   }
@@ -54,7 +54,7 @@
   for (auto& [id, server] : servers_) {
     if (!server.leaving_ && server.calls_ == 1 &&
         server.consecutive_failures_ == 0 && server.suspended_until_ <= now &&
-        server.free_at_ <= now + kSendAheadTime) {
+        server.free_at_ <= now + kSendAheadTime && may_call_(id, now)) {
       servers.push_back(&server);
     }
   }
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -18,6 +18,7 @@
 #include "citronlane/observe/metrics.h"
 #include "citronlane/relay/crash_watch.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_service.h"
 #include "citronlane/relay/service_router.h"
@@ -52,9 +53,9 @@
         }) {
     for (const Service& each : parts.services_) {
       if (each.stage_pool_) {
-        pools_[each.name_] =
-            std::make_unique<StagePool>(each.name_, *each.stage_pool_, Budget(),
-                                        &view_, &dialect_, &client_, &log_);
+        pools_[each.name_] = std::make_unique<StagePool>(
+            each.name_, *each.stage_pool_, Budget(), &limits_, &view_,
+            &dialect_, &client_, &log_);
       }
     }
     view_.SetConfig(std::make_shared<const ServingConfig>(std::move(parts)));
@@ -129,6 +130,10 @@
                 {[](std::string_view) { return true; }, SteadyNow,
                  [] { return int64_t{0}; }}};
   Metrics metrics_;
+  ServerLimits server_limits_{"gateway"};
+  LimitWatch limits_{&server_limits_,
+                     &log_,
+                     {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
   std::map<std::string, std::unique_ptr<StagePool>> pools_;
   StageOwners owners_{io_, "127.0.0.1:1", &view_, &log_,
                       [this](const PoolPartition& part) {
@@ -136,7 +141,6 @@
                       }};
   std::vector<wire::fleet::CrashReports> reports_;
   CrashWatch crashes_{&log_, CrashHooks()};
-  ServerLimits limits_{"gateway"};
   ServiceRouter router_;
   RepeatBudget budget_{Budget()};
   RelayContext context_;
--- a/tests/unit-engine-placement.cc
+++ b/tests/unit-engine-placement.cc
@@ -16,7 +16,9 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/service_router.h"
+#include "citronlane/routing/server_limits.h"
 #include "fleet.pb.h"
 #include "support/eventually.h"
 #include "support/free_endpoint.h"
@@ -59,6 +61,7 @@
         placement_(io,
                    &view_,
                    endpoint,
+                   &limits_,
                    &log_,
                    [this](const std::string& service) -> ServiceRouter* {
                      router_.Update(view_, SteadyNow());
@@ -82,6 +85,10 @@
   FleetView view_;
   ServiceRouter router_;
   EventLog log_;
+  ServerLimits server_limits_{"gateway"};
+  LimitWatch limits_{&server_limits_,
+                     &log_,
+                     {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
   EnginePlacement placement_;
   bool is_silent_ = false;
 
@@ -186,6 +193,38 @@
     CHECK(first.placement_.IsPlacementOwner(kService));
   }
 
+  SECTION("engines at their limits get no more of all gateways' requests") {
+    const TimePoint now = SteadyNow();
+    first.server_limits_.Observe({"e0", 1, now});
+    second.server_limits_.Observe({"e1", 1, now});
+    std::string one;
+    std::string two;
+    std::string three;
+    ask(&first, Purpose::kStart, 10, &one);
+    CHECK(one != "e0");
+    ask(&second, Purpose::kStart, 10, &two);
+    CHECK(two == "e2");
+    CHECK(owner->server_limits_.CountLimited() == 2);
+    // The end of a limit is passed on as well.
+    first.server_limits_.Observe({"e0", std::nullopt, SteadyNow()});
+    ask(&first, Purpose::kStart, 10, &three);
+    CHECK(owner->server_limits_.CountLimited() == 1);
+  }
+
+  SECTION("a new owner is told of limits that the previous one knew") {
+    first.server_limits_.Observe({"e0", 1, SteadyNow()});
+    std::string one;
+    ask(&first, Purpose::kStart, 10, &one);
+    CHECK(owner->server_limits_.CountLimited() == 1);
+    const std::string endpoint = FreeEndpoint(&io);
+    Gateway next(&io, endpoint, endpoint);
+    first.view_.SetOwners(2, {{kService, endpoint}});
+    std::string two;
+    ask(&first, Purpose::kStart, 10, &two);
+    CHECK(next.server_limits_.CountLimited() == 1);
+    CHECK(two != "e0");
+  }
+
   SECTION("an owner that is gone is excluded immediately") {
     owner.reset();
     const uint64_t question = first.placement_.RequestEngine(
--- a/tests/unit-gateway-feed.cc
+++ b/tests/unit-gateway-feed.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -94,6 +95,18 @@
     reports.add_survivals()->mutable_request()->set_digest(digest);
     feed_.TakeCrashes(reports, SteadyNow());
   }
+  /// Reports what a server said of its limit `age` ago.
+  void TakeLimit(const std::string& server,
+                 std::optional<double> per_second,
+                 std::chrono::milliseconds age) {
+    wire::fleet::ServerLimits limits;
+    auto* limit = limits.add_limits();
+    limit->set_server(server);
+    limit->set_is_limited(per_second.has_value());
+    limit->set_per_second(per_second.value_or(0));
+    limit->set_age_ms(static_cast<uint64_t>(age.count()));
+    feed_.TakeLimits(limits, SteadyNow());
+  }
   void StartLeading() { feed_.StartLeading(SteadyNow()); }
   size_t blocked() const { return feed_.CountBlocked(SteadyNow()); }
 
@@ -174,6 +187,8 @@
   /// Whether the last list of suspect requests received has a blocked one;
   /// nothing before the first list.
   std::optional<bool> has_blocked_;
+  /// Limits received, by server; 0 for a server that names none.
+  std::map<std::string, double> limits_;
 
  private:
   ControlWatch::Hooks HooksOf() {
@@ -185,6 +200,9 @@
         drained_.assign(update->drained().names().begin(),
                         update->drained().names().end());
       }
+      for (const auto& limit : update->limits().limits()) {
+        limits_[limit.server()] = limit.per_second();
+      }
       if (update->has_suspects()) {
         const auto& requests = update->suspects().requests();
         has_blocked_ = std::any_of(
@@ -385,4 +403,32 @@
   }
 }
 
+// Guards against gateways that learn of a limit, or of its end, only by their
+// own next call to the server, which is minutes away in a large fleet.
+TEST_CASE("limits that backend servers name") {
+  using std::chrono::milliseconds;
+  using Limits = std::map<std::string, double>;
+  boost::asio::io_context io;
+  const std::string endpoint = FreeEndpoint(&io);
+  Leader leader(&io, endpoint);
+  Gateway gateway(endpoint);
+  const auto limits_are = [&](const Limits& expected) {
+    return Eventually([&] {
+      leader.Pass(Duration());
+      io.poll();
+      gateway.Poll();
+      return gateway.limits_ == expected;
+    });
+  };
+  leader.TakeLimit("a", 2, milliseconds(100));
+  REQUIRE(limits_are({{"a", 2}}));
+  // Observed before the first one, reported after it.
+  leader.TakeLimit("b", 3, milliseconds(900));
+  REQUIRE(limits_are({{"a", 2}, {"b", 3}}));
+  // An older observation changes nothing, a later one does.
+  leader.TakeLimit("a", std::nullopt, milliseconds(5000));
+  leader.TakeLimit("b", std::nullopt, milliseconds(0));
+  CHECK(limits_are({{"a", 2}, {"b", 0}}));
+}
+
 }  // namespace citronlane
--- a/tests/unit-reply-identity.cc
+++ b/tests/unit-reply-identity.cc
@@ -24,8 +24,10 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/routing/repeat_budget.h"
+#include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/serving/serving_config.h"
 #include "citronlane/stages/stage_outcome.h"
@@ -35,6 +37,7 @@
 #include "citronlane/transport/http_request.h"
 #include "citronlane/transport/stage_client.h"
 #include "citronlane/transport/stage_limits.h"
+#include "fleet.pb.h"
 #include "platform/dialect.h"
 #include "support/press_config.h"
 #include "support/recorded_caller.h"
@@ -177,10 +180,14 @@
   EventLog log_{"gateway",
                 {[](std::string_view) { return true; }, SteadyNow,
                  [] { return int64_t{0}; }}};
+  ServerLimits server_limits_{"gateway"};
+  LimitWatch limits_{&server_limits_,
+                     &log_,
+                     {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
   StagePool pool_{
-      "press", PressSpec(2), RepeatBudget::Options{0.2, 10, seconds(10)},
-      &view_,  &dialect_,    &client_,
-      &log_};
+      "press",  PressSpec(2), RepeatBudget::Options{0.2, 10, seconds(10)},
+      &limits_, &view_,       &dialect_,
+      &client_, &log_};
 };
 
 /// A stage server that replies twice to calls that free results, the second
--- a/tests/unit-stage-domains.cc
+++ b/tests/unit-stage-domains.cc
@@ -10,15 +10,18 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/relay_job.h"
 #include "citronlane/relay/stage_owners.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/relay/stage_runner.h"
 #include "citronlane/relay/waker.h"
 #include "citronlane/routing/repeat_budget.h"
+#include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/transport/stage_client.h"
 #include "citronlane/transport/stage_limits.h"
+#include "fleet.pb.h"
 #include "platform/dialect.h"
 #include "support/press_config.h"
 #include "support/recorded_caller.h"
@@ -95,7 +98,7 @@
     if (!pool) {
       pool = std::make_unique<StagePool>(
           partition, PressSpec(), RepeatBudget::Options{0.2, 10, seconds(10)},
-          &view_, &dialect_, &client_, &log_);
+          &limits_, &view_, &dialect_, &client_, &log_);
       pool->Begin(SteadyNow());
     }
     return pool.get();
@@ -103,6 +106,10 @@
 
   boost::asio::io_context io_;
   RecordedCaller caller_{&io_};
+  ServerLimits server_limits_{"gateway"};
+  LimitWatch limits_{&server_limits_,
+                     &log_,
+                     {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
   const Dialect dialect_ = platform::MakeDialect();
   StageClient client_{&io_, StageLimits()};
   EventLog log_{"gateway",
--- a/tests/unit-stage-owners.cc
+++ b/tests/unit-stage-owners.cc
@@ -22,10 +22,12 @@
 #include "citronlane/net/frame_listener.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/owner_table.h"
 #include "citronlane/relay/stage_owners.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/routing/repeat_budget.h"
+#include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_limits.h"
@@ -213,6 +215,7 @@
         pool_(kService,
               PressSpec(2),
               RepeatBudget::Options{0.2, 10, seconds(10)},
+              &limits_,
               &view_,
               &net->dialect_,
               &net->client_,
@@ -281,6 +284,10 @@
   std::vector<std::string> lines_;
   FleetView view_;
   EventLog log_;
+  ServerLimits server_limits_{"gateway"};
+  LimitWatch limits_{&server_limits_,
+                     &log_,
+                     {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
   StagePool pool_;
   StageOwners owners_;
 
