Refuse staged requests before their stages while all engines are at limits

When all engines of a service had named limits, a request was refused only after its stages had run: their work was thrown away, and the caller got 502, may have run, in place of 503. Such a request now asks for an engine when it arrives. A 421 of another server at the same address says nothing of the intended server's limit and no longer changes it.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -100,6 +100,11 @@
   AttemptResult AfterFailure(const ServerAttempt& attempt) const;
   /// Refuses the request if servers may not get it; returns whether it did.
   bool RefuseIfBlocked();
+  /// Refuses a request with stages if all servers of its service are at their
+  /// limits, so that its stages do not run in vain; returns whether it did.
+  /// Suspends the handler.
+  bool RefuseIfLimited();
+  bool AreAllServersLimited() const;
   /// Reports whether the call's server crashed or survived.
   void NoteSurvival(const BackendServer& server, const ServerAttempt& attempt);
   /// Whether another attempt may follow one that ended with `ended`.
@@ -111,6 +116,7 @@
   EngineRouter::Call RouterCall() const;
   uint32_t Urgency() const;
   void Refuse(RefusalReason reason);
+  void RefuseForLimits();
   void RefuseAfterFailure();
   void Finish(std::string_view outcome, int status);
   Duration Elapsed() const;
--- a/include/citronlane/routing/server_limits.h
+++ b/include/citronlane/routing/server_limits.h
@@ -64,6 +64,8 @@
   std::vector<ServerLimit> RecordedSince(uint64_t number) const;
   /// Rises with each observation recorded.
   uint64_t number() const { return number_; }
+  /// Whether the server has a limit.
+  bool IsLimited(std::string_view server) const;
   /// Number of servers with a limit.
   size_t CountLimited() const;
 
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -71,7 +71,8 @@
   router_ = context_->router_(*service_);
   budget_ = context_->budget_(service_->name_);
   budget_->OnFirstSend(SteadyNow());
-  if (!RefuseIfBlocked() && CanFinishInTime() && RunStages()) {
+  if (!RefuseIfBlocked() && !RefuseIfLimited() && CanFinishInTime() &&
+      RunStages()) {
     RunAttempts();
   }
   if (!finished_) {
@@ -190,8 +191,7 @@
     const BackendServer* server = Choose();
     if (server == nullptr) {
       if (limits_excluded_) {
-        last_failure_ = "server limits";
-        Refuse(RefusalReason::kServerLimits);
+        RefuseForLimits();
       } else {
         RefuseAfterFailure();
       }
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -65,7 +65,9 @@
     return AfterFailure(*attempt);
   }
   const ServerReplyHead& reply = attempt->reply();
-  context_->limits_->OnReply(last_server_, reply.max_per_second_);
+  if (!reply.wrong_server_) {
+    context_->limits_->OnReply(last_server_, reply.max_per_second_);
+  }
   if (reply.not_run_) {
     const bool inputs_gone =
         attempt->status() == kConflict && stages_.HasWork();
@@ -207,6 +209,11 @@
   return std::max(kMinFirstReplyLimit, limit);
 }
 
+void RelayRequest::RefuseForLimits() {
+  last_failure_ = "server limits";
+  Refuse(RefusalReason::kServerLimits);
+}
+
 void RelayRequest::RefuseAfterFailure() {
   if (verdict_ == Verdict::kNotRun) {
     Refuse(RefusalReason::kNoBackendServer);
--- a/src/relay/relay_request_server.cc
+++ b/src/relay/relay_request_server.cc
@@ -61,6 +61,40 @@
   return router_->Choose(SteadyNow(), RouterCall(), Excluded());
 }
 
+bool RelayRequest::AreAllServersLimited() const {
+  const ServerLimits& limits = *context_->limits_->limits();
+  if (limits.CountLimited() == 0) {
+    return false;
+  }
+  const auto servers = context_->view_->ServersOf(service_->name_);
+  return !servers.empty() &&
+         std::all_of(servers.begin(), servers.end(),
+                     [&limits](const BackendServer* server) {
+                       return server->leaving_ || limits.IsLimited(server->id_);
+                     });
+}
+
+bool RelayRequest::RefuseIfLimited() {
+  if (!stages_.HasWork() || !AreAllServersLimited()) {
+    return false;
+  }
+  router_->Update(*context_->view_, SteadyNow());
+  engine_.Begin(*service_, EngineDomain());
+  if (engine_.is_placed_elsewhere()) {
+    const std::string named = engine_.RequestEngine(
+        EnginePlacement::Purpose::kPlan, RouterCall(), tried_);
+    engine_.Cancel();
+    if (!named.empty()) {
+      return false;
+    }
+  }
+  if (ChooseHere()) {
+    return false;
+  }
+  RefuseForLimits();
+  return true;
+}
+
 ServerLimits::Scope RelayRequest::LimitScope() const {
   if (!service_->engine_) {
     return ServerLimits::Scope::kShare;
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -170,7 +170,9 @@
         dialect_->read_reply_(head.status_, head.headers_);
     reply->status_ = head.status_;
     reply->not_run_ = read.not_run_;
-    limits_->OnReply(server, read.max_per_second_);
+    if (!read.wrong_server_) {
+      limits_->OnReply(server, read.max_per_second_);
+    }
     return true;
   };
   hooks.owner_by_body_ = [this, number, reply, server = batch.server_,
--- a/src/routing/server_limits.cc
+++ b/src/routing/server_limits.cc
@@ -143,6 +143,11 @@
   return observed;
 }
 
+bool ServerLimits::IsLimited(std::string_view server) const {
+  const auto known = servers_.find(server);
+  return known != servers_.end() && known->second.per_second_.has_value();
+}
+
 size_t ServerLimits::CountLimited() const {
   return static_cast<size_t>(std::count_if(
       servers_.begin(), servers_.end(),
