--- a/include/citronlane/net/crash_codec.h
+++ b/include/citronlane/net/crash_codec.h
@@ -5,6 +5,7 @@
 
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
+#include "citronlane/routing/crash_ledger.h"
 #include "citronlane/routing/server_crash.h"
 #include "citronlane/routing/suspect_request.h"
 
@@ -12,6 +13,7 @@
 
 namespace wire::fleet {
 class RequestContent;
+class RequestSurvival;
 class ServerCrash;
 class SuspectRequests;
 }  // namespace wire::fleet
@@ -27,6 +29,12 @@
                  wire::fleet::ServerCrash* out);
 ServerCrash DecodeCrash(const wire::fleet::ServerCrash& in, TimePoint now);
 
+void EncodeSurvival(const CrashLedger::Survival& survival,
+                    TimePoint now,
+                    wire::fleet::RequestSurvival* out);
+CrashLedger::Survival DecodeSurvival(const wire::fleet::RequestSurvival& in,
+                                     TimePoint now);
+
 /// Appends the requests to `out`.
 void EncodeSuspects(absl::Span<const SuspectRequest> suspects,
                     TimePoint now,
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -125,14 +125,13 @@
 
 void GatewayFeed::TakeCrashes(const CrashReports& reports, TimePoint now) {
   bool has_changed_blocks = false;
-  for (const auto& survival : reports.survivals()) {
-    const RequestFingerprint request = DecodeContent(survival.request());
-    const TimePoint at = now - std::chrono::milliseconds(survival.age_ms());
-    if (crashes_.OnSurvived(request, at)) {
+  for (const auto& report : reports.survivals()) {
+    const CrashLedger::Survival survival = DecodeSurvival(report, now);
+    if (crashes_.OnSurvived(survival.request_, survival.at_)) {
       has_changed_blocks = true;
-      log_->Write(
-          "control", "request survived",
-          {{"content", request.digest_}, {"age_ms", survival.age_ms()}});
+      log_->Write("control", "request survived",
+                  {{"content", survival.request_.digest_},
+                   {"age_ms", now - survival.at_}});
     }
   }
   for (const SuspectRequest& suspect :
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -1,5 +1,6 @@
 #include "citronlane/control/operator_api.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -170,11 +171,10 @@
     entry.AppendMember("content",
                        JsonValue::String(suspect.fingerprint_.digest_));
     entry.AppendMember("crashes", JsonValue::Number(suspect.crashes_));
+    const Duration blocked = std::max(Duration(), suspect.blocked_until_ - now);
     entry.AppendMember(
         "blocked_ms",
-        JsonValue::Number(suspect.IsBlocked(now)
-                              ? InMilliseconds(suspect.blocked_until_ - now)
-                              : 0));
+        JsonValue::Number(static_cast<double>(InMilliseconds(blocked))));
     requests.Append(std::move(entry));
   }
   JsonValue body = JsonValue::Object();
--- a/src/net/crash_codec.cc
+++ b/src/net/crash_codec.cc
@@ -48,6 +48,18 @@
   return crash;
 }
 
+void EncodeSurvival(const CrashLedger::Survival& survival,
+                    TimePoint now,
+                    wire::fleet::RequestSurvival* out) {
+  EncodeContent(survival.request_, out->mutable_request());
+  out->set_age_ms(InMilliseconds(now - survival.at_));
+}
+
+CrashLedger::Survival DecodeSurvival(const wire::fleet::RequestSurvival& in,
+                                     TimePoint now) {
+  return {DecodeContent(in.request()), now - FromMilliseconds(in.age_ms())};
+}
+
 void EncodeSuspects(absl::Span<const SuspectRequest> suspects,
                     TimePoint now,
                     wire::fleet::SuspectRequests* out) {
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "citronlane/net/crash_codec.h"
-#include "citronlane/net/fleet_codec.h"
 #include "citronlane/observe/event_log.h"
 #include "fleet.pb.h"
 
@@ -115,12 +114,13 @@
   if (FindListed(body_bytes, fingerprint) == nullptr) {
     return;
   }
+  const TimePoint now = hooks_.now_();
   const RequestFingerprint& request = fingerprint();
-  own_.OnSurvived(request, hooks_.now_());
+  own_.OnSurvived(request, now);
   log_->Write("relay", "server survived a suspect request",
               {{"content", request.digest_}});
   wire::fleet::CrashReports reports;
-  EncodeContent(request, reports.add_survivals()->mutable_request());
+  EncodeSurvival({request, now}, now, reports.add_survivals());
   hooks_.send_(reports);
 }
 
@@ -141,9 +141,7 @@
     EncodeCrash(crash, now, reports.add_crashes());
   }
   for (const auto& [digest, survival] : own_.survived()) {
-    auto* entry = reports.add_survivals();
-    EncodeContent(survival.request_, entry->mutable_request());
-    entry->set_age_ms(InMilliseconds(now - survival.at_));
+    EncodeSurvival(survival, now, reports.add_survivals());
   }
   if (!listed_.empty()) {
     EncodeSuspects(listed_, now, reports.mutable_suspects());
--- a/tests/unit-crash-ledger.cc
+++ b/tests/unit-crash-ledger.cc
@@ -289,6 +289,7 @@
   SECTION("memory is bounded") {
     for (int i = 0; i < 2000; ++i) {
       std::vector<std::string> running;
+      running.reserve(64);
       for (int j = 0; j < 64; ++j) {
         running.push_back(std::to_string(i) + "-" + std::to_string(j));
       }
