Test blocked requests and limits at the request's level and in stage pools

unit-relay-crashes drives RelayRequest against real sockets: a server that ends is reported, one that only closes a connection or leaves is not; a blocked request and a server at its limit get no call and a true refusal. unit-stages: a server that may get no calls gets none and its work waits.

--- /dev/null
+++ b/tests/unit-relay-crashes.cc
@@ -0,0 +1,207 @@
+// Guards against a request that reaches a server although it is blocked or the
+// server is at its limit, and against a gateway that does not report, or
+// reports falsely, that a server has ended under a request.
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+
+#include "citronlane/net/crash_codec.h"
+#include "citronlane/serving/request_fingerprint.h"
+#include "citronlane/transport/http_reply.h"
+#include "fleet.pb.h"
+#include "support/eventually.h"
+#include "support/recorded_caller.h"
+#include "support/relay_gateway.h"
+#include "support/scripted_server.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::seconds;
+using tcp = boost::asio::ip::tcp;
+
+std::string ReplyTo(const std::string& request, const std::string& headers) {
+  return "HTTP/1.1 200 OK\r\nX-Citronlane-Request-Id: " + request +
+         "\r\nX-Citronlane-Response-Seal: seal\r\n" + headers +
+         "Content-Length: 2\r\n\r\nok";
+}
+
+ServingConfig::Parts Parts() {
+  ServingConfig::Parts parts;
+  parts.version_ = 1;
+  Service service;
+  service.name_ = "desk";
+  parts.services_.push_back(service);
+  Route route;
+  route.name_ = "lookup";
+  route.host_ = "h";
+  route.prefix_ = "/";
+  route.kind_ = RouteKind::kSafe;
+  route.timeout_ = seconds(5);
+  route.target_latency_ = seconds(1);
+  route.max_attempts_ = 1;
+  route.is_public_ = true;
+  route.split_ = {{"desk", 1}};
+  parts.routes_.push_back(std::make_shared<const Route>(route));
+  return parts;
+}
+
+std::vector<BackendServer> OneServer(uint16_t port) {
+  BackendServer server;
+  server.id_ = "s";
+  server.name_ = "s";
+  server.service_ = "desk";
+  server.address_ = "127.0.0.1:" + std::to_string(port);
+  server.failure_domain_ = "a";
+  return {server};
+}
+
+/// A server that ends when it has read its first request.
+class EndingServer {
+ public:
+  EndingServer()
+      : acceptor_(io_, tcp::endpoint(tcp::v4(), 0)),
+        port_(acceptor_.local_endpoint().port()),
+        thread_([this] { Serve(); }) {}
+  ~EndingServer() { thread_.join(); }
+  EndingServer(const EndingServer&) = delete;
+  EndingServer& operator=(const EndingServer&) = delete;
+
+  uint16_t port() const { return port_; }
+
+ private:
+  void Serve() {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket);
+    std::string text;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(text),
+                            "\r\n\r\n");
+    acceptor_.close();
+    socket.close();
+  }
+
+  boost::asio::io_context io_;
+  tcp::acceptor acceptor_;
+  const uint16_t port_;
+  std::thread thread_;
+};
+
+// The request that RelayGateway::Ask sends.
+RequestFingerprint Asked() {
+  return FingerprintOf("GET", "/x", "", "");
+}
+
+bool HasHeader(const HttpReply& reply, const std::string& name) {
+  return std::any_of(
+      reply.headers_.begin(), reply.headers_.end(),
+      [&name](const HttpHeader& header) { return header.name_ == name; });
+}
+
+void CheckRefused(const RecordedCaller& caller, const std::string& reason) {
+  REQUIRE(caller.reply_);
+  CHECK(caller.reply_->status_ == 503);
+  CHECK(caller.reply_->body_.find(reason) != std::string::npos);
+  CHECK(caller.reply_->body_.find("not_run") != std::string::npos);
+  CHECK(HasHeader(*caller.reply_, "Retry-After"));
+}
+
+}  // namespace
+
+TEST_CASE("a call whose connection breaks") {
+  boost::asio::io_context io;
+  const auto run_until = [&io](const std::function<bool()>& condition) {
+    return Eventually([&] {
+      io.restart();
+      io.poll();
+      return condition();
+    });
+  };
+
+  SECTION("is reported when its server has ended") {
+    EndingServer server;
+    RelayGateway gateway(&io, Parts(), "desk", OneServer(server.port()));
+    const RecordedCaller caller = gateway.Ask("a");
+    REQUIRE(caller.reply_);
+    CHECK(caller.reply_->status_ == 502);
+    REQUIRE(run_until([&] { return !gateway.reports().empty(); }));
+    const auto& crash = gateway.reports()[0].crashes(0);
+    CHECK(crash.server() == "s");
+    REQUIRE(crash.running_size() == 1);
+    CHECK(DecodeContent(crash.running(0)) == Asked());
+  }
+  SECTION("is not reported when its server still listens") {
+    ScriptedServer server({""});
+    RelayGateway gateway(&io, Parts(), "desk", OneServer(server.port()));
+    gateway.Ask("a");
+    // The call's connection and all probes.
+    REQUIRE(run_until([&] { return server.connections() == 4; }));
+    REQUIRE(run_until([&] { return io.stopped(); }));
+    CHECK(gateway.reports().empty());
+  }
+  SECTION("is not reported when its server leaves") {
+    EndingServer server;
+    RelayGateway gateway(&io, Parts(), "desk", OneServer(server.port()));
+    // Runs once the call has started.
+    boost::asio::post(io, [&gateway] { gateway.view()->SetDrained({"a"}); });
+    const RecordedCaller caller = gateway.Ask("a");
+    REQUIRE(caller.reply_);
+    CHECK(caller.reply_->status_ == 502);
+    io.restart();
+    io.run();
+    CHECK(gateway.reports().empty());
+  }
+}
+
+TEST_CASE("a blocked request reaches no server") {
+  boost::asio::io_context io;
+  ScriptedServer server({ReplyTo("b", "")});
+  RelayGateway gateway(&io, Parts(), "desk", OneServer(server.port()));
+  const TimePoint now = SteadyNow();
+  wire::fleet::SuspectRequests suspects;
+  SuspectRequest suspect{Asked(), 3, now + seconds(60), {}};
+
+  SECTION("while it is blocked") {
+    EncodeSuspects({&suspect, 1}, now, &suspects);
+    gateway.crashes()->Take(suspects);
+    CheckRefused(gateway.Ask("a"), "crashes_servers");
+    CHECK(server.reads() == 0);
+  }
+  SECTION("and gets to one afterwards, whose survival is reported") {
+    suspect.blocked_until_ = now;
+    EncodeSuspects({&suspect, 1}, now, &suspects);
+    gateway.crashes()->Take(suspects);
+    const RecordedCaller caller = gateway.Ask("b");
+    REQUIRE(caller.reply_);
+    CHECK(caller.reply_->status_ == 200);
+    REQUIRE(gateway.reports().size() == 1);
+    CHECK(DecodeContent(gateway.reports()[0].survivals(0).request()) ==
+          Asked());
+  }
+}
+
+TEST_CASE("a server at its limit gets no request") {
+  boost::asio::io_context io;
+  ScriptedServer server({ReplyTo("a", "Server-Limit: 0.1\r\n")});
+  RelayGateway gateway(&io, Parts(), "desk", OneServer(server.port()));
+  const RecordedCaller first = gateway.Ask("a");
+  REQUIRE(first.reply_);
+  CHECK(first.reply_->status_ == 200);
+  CheckRefused(gateway.Ask("b"), "server_limits");
+  CHECK(server.reads() == 1);
+}
+
+}  // namespace citronlane
--- a/tests/unit-stages.cc
+++ b/tests/unit-stages.cc
@@ -22,7 +22,13 @@
 /// A pool of two servers with a simulated clock.
 class Pool {
  public:
-  Pool() : batcher_(Spec(), [this](TimePoint) { return may_repeat_; }) {
+  Pool()
+      : batcher_(
+            Spec(),
+            [this](TimePoint) { return may_repeat_; },
+            [this](const std::string& server, TimePoint) {
+              return server != limited_;
+            }) {
     SetServers({{"s1", "a"}, {"s2", "b"}});
   }
 
@@ -111,6 +117,8 @@
   }
 
   TimePoint now_{seconds(100)};
+  /// Server that may get no calls; empty for none.
+  std::string limited_;
   bool may_repeat_ = true;
   StageBatcher batcher_;
 
@@ -611,6 +619,24 @@
   return forecast;
 }
 
+// A server that names a limit on its requests would get a call whenever it is
+// idle.
+TEST_CASE("a server that may get no calls gets none") {
+  Pool pool;
+  pool.limited_ = "s1";
+  pool.Add(8);
+  pool.Add(8);
+  const auto first = pool.batcher_.Next(pool.now_);
+  REQUIRE(first);
+  CHECK(first->server_ == "s2");
+  // The other task waits for either server.
+  CHECK_FALSE(pool.batcher_.Next(pool.now_));
+  pool.limited_.clear();
+  const auto second = pool.batcher_.Next(pool.now_);
+  REQUIRE(second);
+  CHECK(second->server_ == "s1");
+}
+
 TEST_CASE("stage waits") {
   Pool pool;
   const auto expected = [](const Pool& other, const StageForecast& forecast) {
