Bound the times that peers send in one place

Crash reports and limits of peers each bounded their ages by a copy of the same code; both use FromMilliseconds of the fleet's codec now. Comments of the crash ledger say what Clear and CountBlocked do.

--- a/include/citronlane/net/fleet_codec.h
+++ b/include/citronlane/net/fleet_codec.h
@@ -19,6 +19,9 @@
 /// Returns `time` in milliseconds, rounded down; 0 when it is negative. All
 /// functions of this header are thread safe.
 uint64_t InMilliseconds(Duration time);
+/// Returns a time that a peer sent, at most a day: a wrong one must not
+/// overflow the time points that are calculated from it.
+Duration FromMilliseconds(uint64_t milliseconds);
 
 /// Appends the servers to `out`.
 void EncodeServers(absl::Span<const BackendServer> servers,
--- a/include/citronlane/routing/crash_ledger.h
+++ b/include/citronlane/routing/crash_ledger.h
@@ -22,11 +22,10 @@
 /// request is blocked after three crashes in a row under it, or four while
 /// servers also crash without it, if it explains at least two of them better
 /// than the requests beside it, those with fewer crashes. Crashes within half a
-/// second count once: a failure domain that is
-/// lost ends many servers that may all run a popular request. A run that the
-/// server survives clears the request, and crashes under a blocked request no
-/// longer count against others. After a block one more crash blocks the request
-/// again, for twice as long.
+/// second count once: the loss of a failure domain ends many servers, which may
+/// all run a popular request. A run that the server survives clears the
+/// request, and crashes under a blocked request no longer count against others.
+/// After a block one more crash blocks the request again, for twice as long.
 ///
 /// Reports may arrive late, repeatedly and in any order. Memory is bounded.
 /// Pure: time is passed in. Not thread safe.
@@ -47,6 +46,7 @@
   /// Takes over a block from another ledger, unless this one has its own or
   /// knows that a server survived the request.
   void Adopt(const SuspectRequest& request, TimePoint now);
+  /// Forgets everything; all requests are unblocked.
   void Clear();
 
   /// Requests that are or were blocked, and those that one more crash may
@@ -54,6 +54,7 @@
   std::vector<SuspectRequest> Listed() const;
   /// Whether the request is blocked.
   bool IsBlocked(const RequestFingerprint& request, TimePoint now) const;
+  /// Number of blocked requests.
   size_t CountBlocked(TimePoint now) const;
   /// Rises whenever the result of Listed() may have changed, except by time.
   uint64_t number() const { return number_; }
--- a/src/net/crash_codec.cc
+++ b/src/net/crash_codec.cc
@@ -1,22 +1,11 @@
 #include "citronlane/net/crash_codec.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "citronlane/net/fleet_codec.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
-namespace {
-
-/// Longer times of a peer are wrong and could overflow a time point.
-constexpr uint64_t kMaxMilliseconds = 24ULL * 3600 * 1000;
-
-Duration FromMilliseconds(uint64_t milliseconds) {
-  return std::chrono::milliseconds(std::min(milliseconds, kMaxMilliseconds));
-}
-
-}  // namespace
 
 void EncodeContent(const RequestFingerprint& request,
                    wire::fleet::RequestContent* out) {
--- a/src/net/fleet_codec.cc
+++ b/src/net/fleet_codec.cc
@@ -13,6 +13,11 @@
   return whole.count() > 0 ? static_cast<uint64_t>(whole.count()) : 0;
 }
 
+Duration FromMilliseconds(uint64_t milliseconds) {
+  constexpr uint64_t kMaxMilliseconds = 24ULL * 3600 * 1000;
+  return std::chrono::milliseconds(std::min(milliseconds, kMaxMilliseconds));
+}
+
 void EncodeServers(absl::Span<const BackendServer> servers,
                    wire::fleet::ServerList* out) {
   for (const BackendServer& server : servers) {
--- a/src/net/limit_codec.cc
+++ b/src/net/limit_codec.cc
@@ -1,17 +1,9 @@
 #include "citronlane/net/limit_codec.h"
 
-#include <algorithm>
-
 #include "citronlane/net/fleet_codec.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
-namespace {
-
-/// Older observations of a peer are wrong and could overflow a time point.
-constexpr uint64_t kMaxAgeMs = 24ULL * 3600 * 1000;
-
-}  // namespace
 
 void EncodeLimit(const ServerLimit& limit,
                  TimePoint now,
@@ -28,7 +20,7 @@
   if (in.is_limited()) {
     limit.per_second_ = in.per_second();
   }
-  limit.at_ = now - std::chrono::milliseconds(std::min(in.age_ms(), kMaxAgeMs));
+  limit.at_ = now - FromMilliseconds(in.age_ms());
   return limit;
 }
 
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -238,6 +238,7 @@
     const BackendServer& server) {
   const TimePoint now = SteadyNow();
   const std::string id = server.id_;
+  // The list may change during the call.
   const BackendServer called = server;
   StageCallSpec spec = SpecFor(server.address_, request_->method_,
                                request_->target_, job_->deadline_);
@@ -297,7 +298,7 @@
   return true;
 }
 
-// A server that leaves ends its calls, and nothing follows from that.
+// The end of a server that leaves is planned and counts against no request.
 void RelayRequest::NoteSurvival(const BackendServer& server,
                                 const ServerAttempt& attempt) {
   if (!attempt.is_done()) {
