Give the test in which all engines name limits a fleet of its own

The test before it, in which all engines are limited, leaves gateways that know these limits, and while they ended the requests of the one prompt moved to another engine, right after the choice. The order of the two tests decided it; the gateways did nothing wrong, and no check is changed. Each class of tests has its own fleet now.

--- a/tests/process/platform_limits_test.py
+++ b/tests/process/platform_limits_test.py
@@ -61,7 +61,7 @@
         self.list.servers = self.engines + self.plain + self.stages
 
 
-class ServerLimitTest(FleetTestCase):
+class LimitTestCase(FleetTestCase):
     fleet_class = LimitFleet
     gateways = 3
 
@@ -122,9 +122,19 @@
                     for request in list(limited.requests))
         self.assertGreater(again, 3 * LIMIT)
 
+
+class OneServerTest(LimitTestCase):
+
     def test_engine_that_names_a_limit(self):
         self.check(self.fleet.engines, "POST", "/chat/x", 20)
 
+    def test_plain_server_that_names_a_limit(self):
+        self.check(self.fleet.plain, "GET", "/look/x", 20)
+
+
+class AllServersTest(LimitTestCase):
+    """With a fleet of its own: the gateways would still know its limits."""
+
     def test_all_engines_name_limits(self):
         for engine in self.fleet.engines:
             engine.limit = LIMIT
@@ -146,9 +156,6 @@
             self.assertIn(b"server_limits", answer.body)
             self.assertIn("retry-after", answer.headers)
 
-    def test_plain_server_that_names_a_limit(self):
-        self.check(self.fleet.plain, "GET", "/look/x", 20)
-
 
 if __name__ == "__main__":
     unittest.main()
