Let only a later survival lift the block of a request that crashes servers

A report that a server had survived the request lifted its block even when that run was before the crashes: late reports, and those that gateways repeat to a new leader, are of that kind. An old survival also kept a new leader from taking the block over. The request could then crash servers again.

The ledger now compares the survival with the last crash under the request, whose age travels with the list.

--- a/include/citronlane/routing/crash_ledger.h
+++ b/include/citronlane/routing/crash_ledger.h
@@ -40,11 +40,12 @@
   /// Records a crash, merged with earlier reports on the same server. Returns
   /// the requests that are blocked from now on.
   std::vector<SuspectRequest> OnCrash(const ServerCrash& crash, TimePoint now);
-  /// Records that a server ran the request at `at` and did not crash. Returns
-  /// whether the request was listed until now.
+  /// Records that a server ran the request at `at` and did not crash, which
+  /// clears it of the crashes before. Returns whether it is no longer listed
+  /// because of that.
   bool OnSurvived(const RequestFingerprint& request, TimePoint at);
   /// Takes over a block from another ledger, unless this one has its own or
-  /// knows that a server survived the request.
+  /// knows that a server survived the request after its last crash.
   void Adopt(const SuspectRequest& request, TimePoint now);
   /// Forgets everything; all requests are unblocked.
   void Clear();
@@ -70,6 +71,7 @@
   struct Block {
     RequestFingerprint fingerprint_;
     uint32_t crashes_ = 0;
+    TimePoint last_crash_;
     TimePoint until_;
     Duration length_{};
   };
--- a/include/citronlane/routing/suspect_request.h
+++ b/include/citronlane/routing/suspect_request.h
@@ -15,6 +15,8 @@
   RequestFingerprint fingerprint_;
   /// Consecutive crashes of servers that were running it.
   uint32_t crashes_ = 0;
+  /// When the last of them ended.
+  TimePoint last_crash_;
   /// Until then no server may get it; in the past when any may.
   TimePoint blocked_until_;
   /// The servers that ended, for the log; empty on gateways.
--- a/src/net/crash_codec.cc
+++ b/src/net/crash_codec.cc
@@ -56,6 +56,7 @@
     auto* entry = out->add_requests();
     EncodeContent(suspect.fingerprint_, entry->mutable_request());
     entry->set_crashes(suspect.crashes_);
+    entry->set_last_crash_age_ms(InMilliseconds(now - suspect.last_crash_));
     entry->set_blocked_ms(suspect.IsBlocked(now)
                               ? InMilliseconds(suspect.blocked_until_ - now) + 1
                               : 0);
@@ -70,6 +71,7 @@
     SuspectRequest suspect;
     suspect.fingerprint_ = DecodeContent(entry.request());
     suspect.crashes_ = entry.crashes();
+    suspect.last_crash_ = now - FromMilliseconds(entry.last_crash_age_ms());
     suspect.blocked_until_ = now + FromMilliseconds(entry.blocked_ms());
     suspects.push_back(std::move(suspect));
   }
--- a/src/routing/crash_ledger.cc
+++ b/src/routing/crash_ledger.cc
@@ -65,6 +65,11 @@
   for (const RequestFingerprint& request : crash.running_) {
     const Evidence evidence = EvidenceAgainst(request.digest_);
     has_listed = has_listed || evidence.size() >= kListedCrashes;
+    if (const auto block = blocks_.find(request.digest_);
+        block != blocks_.end()) {
+      block->second.last_crash_ =
+          std::max(block->second.last_crash_, crash.at_);
+    }
     if (MustBlock(request.digest_, evidence)) {
       blocked.push_back(SetBlock(request, evidence, now));
     }
@@ -215,8 +220,10 @@
   block.length_ = block.length_ == Duration()
                       ? kBlockTime
                       : std::min(kMaxBlockTime, block.length_ * 2);
+  block.last_crash_ = evidence.back()->at_;
   block.until_ = now + block.length_;
-  SuspectRequest blocked{request, block.crashes_, block.until_, {}};
+  SuspectRequest blocked{
+      request, block.crashes_, block.last_crash_, block.until_, {}};
   for (const ServerCrash* crash : evidence) {
     blocked.servers_.push_back(crash->server_);
   }
@@ -225,25 +232,36 @@
 
 bool CrashLedger::OnSurvived(const RequestFingerprint& request, TimePoint at) {
   const std::string& digest = request.digest_;
-  const bool was_blocked = blocks_.erase(digest) != 0;
-  const bool was_listed =
-      was_blocked || EvidenceAgainst(digest).size() >= kListedCrashes;
+  const size_t crashes = EvidenceAgainst(digest).size();
   if (survived_.size() < kMaxSurvived || survived_.count(digest) != 0) {
     Survival& last = survived_[digest];
     last = {request, std::max(last.at_, at)};
   }
-  number_ += was_listed ? 1 : 0;
-  return was_listed;
+  if (const auto block = blocks_.find(digest); block != blocks_.end()) {
+    if (at < block->second.last_crash_) {
+      return false;
+    }
+    blocks_.erase(block);
+    ++number_;
+    return true;
+  }
+  const bool is_cleared = crashes >= kListedCrashes &&
+                          EvidenceAgainst(digest).size() < kListedCrashes;
+  number_ += is_cleared ? 1 : 0;
+  return is_cleared;
 }
 
 void CrashLedger::Adopt(const SuspectRequest& request, TimePoint now) {
   const std::string& digest = request.fingerprint_.digest_;
-  if (!request.IsBlocked(now) || blocks_.count(digest) != 0 ||
-      survived_.count(digest) != 0 || blocks_.size() >= kMaxListed) {
+  const auto survived = survived_.find(digest);
+  const bool has_survived = survived != survived_.end() &&
+                            survived->second.at_ >= request.last_crash_;
+  if (!request.IsBlocked(now) || has_survived || blocks_.count(digest) != 0 ||
+      blocks_.size() >= kMaxListed) {
     return;
   }
   blocks_[digest] = {request.fingerprint_, request.crashes_,
-                     request.blocked_until_, kBlockTime};
+                     request.last_crash_, request.blocked_until_, kBlockTime};
   ++number_;
 }
 
@@ -266,8 +284,11 @@
       const auto request = std::find_if(
           running.begin(), running.end(),
           [&](const RequestFingerprint& r) { return r.digest_ == digest; });
-      listed.push_back(
-          {*request, static_cast<uint32_t>(evidence.size()), TimePoint(), {}});
+      listed.push_back({*request,
+                        static_cast<uint32_t>(evidence.size()),
+                        evidence.back()->at_,
+                        TimePoint(),
+                        {}});
     }
   }
   std::stable_sort(listed.begin(), listed.end(),
@@ -275,8 +296,11 @@
                      return a.crashes_ > b.crashes_;
                    });
   for (const auto& [digest, block] : blocks_) {
-    listed.insert(listed.begin(),
-                  {block.fingerprint_, block.crashes_, block.until_, {}});
+    listed.insert(listed.begin(), {block.fingerprint_,
+                                   block.crashes_,
+                                   block.last_crash_,
+                                   block.until_,
+                                   {}});
   }
   listed.resize(std::min(listed.size(), kMaxListed));
   return listed;
--- a/tests/unit-crash-ledger.cc
+++ b/tests/unit-crash-ledger.cc
@@ -234,6 +234,27 @@
     crashes.Add({"bad"});
     CHECK_FALSE(crashes.IsBlocked("bad"));
   }
+  SECTION("stays blocked when an earlier survival is reported late") {
+    const TimePoint before = crashes.now_;
+    for (int i = 0; i < 3; ++i) {
+      crashes.Add({"bad"});
+    }
+    CHECK_FALSE(crashes.ledger_.OnSurvived(Request("bad"), before));
+    CHECK(crashes.IsBlocked("bad"));
+  }
+  SECTION(
+      "stays blocked by a new leader that was told of an earlier survival") {
+    const TimePoint before = crashes.now_;
+    for (int i = 0; i < 3; ++i) {
+      crashes.Add({"bad"});
+    }
+    CrashLedger next;
+    next.OnSurvived(Request("bad"), before);
+    for (const SuspectRequest& request : crashes.ledger_.Listed()) {
+      next.Adopt(request, crashes.now_);
+    }
+    CHECK(next.IsBlocked(Request("bad"), crashes.now_));
+  }
   SECTION("stays blocked by a new leader that adopts the block") {
     for (int i = 0; i < 3; ++i) {
       crashes.Add({"bad"});
--- a/tests/unit-crash-watch.cc
+++ b/tests/unit-crash-watch.cc
@@ -38,7 +38,7 @@
   }
   void List(const std::string& content, Duration blocked) {
     wire::fleet::SuspectRequests suspects;
-    const SuspectRequest request{{content, 5}, 3, now_ + blocked, {}};
+    const SuspectRequest request{{content, 5}, 3, now_, now_ + blocked, {}};
     EncodeSuspects({&request, 1}, now_, &suspects);
     watch_.Take(suspects);
   }
--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -172,7 +172,7 @@
   RelayGateway gateway(&io, Parts(), "desk", OneServer(server.port()));
   const TimePoint now = SteadyNow();
   wire::fleet::SuspectRequests suspects;
-  SuspectRequest suspect{Asked(), 3, now + seconds(60), {}};
+  SuspectRequest suspect{Asked(), 3, now, now + seconds(60), {}};
 
   SECTION("while it is blocked") {
     EncodeSuspects({&suspect, 1}, now, &suspects);
