Move what keeps a request from servers into a file of its own

Blocks, limits and the report of what became of a server are relay_request_guards.cc now; the code is moved, except that a call keeps the server's address and not a copy of its whole entry, and that the choice between two refusals has a function. Tests unchanged.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -106,7 +106,9 @@
   bool RefuseIfLimited();
   bool AreAllServersLimited() const;
   /// Reports whether the call's server crashed or survived.
-  void NoteSurvival(const BackendServer& server, const ServerAttempt& attempt);
+  void NoteSurvival(const std::string& server,
+                    const std::string& address,
+                    const ServerAttempt& attempt);
   /// Whether another attempt may follow one that ended with `ended`.
   bool MayRetry(const AttemptResult& ended);
   std::optional<Duration> StallLimit() const;
@@ -117,6 +119,8 @@
   uint32_t Urgency() const;
   void Refuse(RefusalReason reason);
   void RefuseForLimits();
+  /// Refuses because no server can be chosen.
+  void RefuseWithoutServer();
   void RefuseAfterFailure();
   void Finish(std::string_view outcome, int status);
   Duration Elapsed() const;
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -8,7 +8,6 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
-#include "citronlane/relay/crash_watch.h"
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/forwarded_headers.h"
@@ -18,7 +17,6 @@
 #include "citronlane/relay/waker.h"
 #include "citronlane/routing/repeat_budget.h"
 #include "citronlane/serving/dialect.h"
-#include "citronlane/serving/request_fingerprint.h"
 #include "citronlane/transport/http_request.h"
 
 namespace citronlane {
@@ -42,10 +40,6 @@
 constexpr double kEstimateSafetyFactor = 1.1;
 constexpr int kFirstServerError = 500;
 
-/// A server that still runs a request this long after its first event is not
-/// crashed by the start of it.
-constexpr Duration kSurvivalTime = std::chrono::seconds(1);
-
 }  // namespace
 
 RelayRequest::RelayRequest(const RelayContext* context,
@@ -190,11 +184,7 @@
     }
     const BackendServer* server = Choose();
     if (server == nullptr) {
-      if (limits_excluded_) {
-        RefuseForLimits();
-      } else {
-        RefuseAfterFailure();
-      }
+      RefuseWithoutServer();
       return;
     }
     const AttemptResult ended = RunAttempt(*server);
@@ -239,7 +229,7 @@
   const TimePoint now = SteadyNow();
   const std::string id = server.id_;
   // The list may change during the call.
-  const BackendServer called = server;
+  const std::string address = server.address_;
   StageCallSpec spec = SpecFor(server.address_, request_->method_,
                                request_->target_, job_->deadline_);
   ServerCallHead head;
@@ -280,48 +270,12 @@
                               : failed ? CallOutcome::kServerError
                                        : outcome;
   NoteEnd(id, counted, SteadyNow() - now);
-  NoteSurvival(called, attempt);
+  NoteSurvival(id, address, attempt);
   context_->metrics_->Count(kAttemptsTotal,
                             {service_->name_, ToString(counted)});
   return ended;
 }
 
-bool RelayRequest::RefuseIfBlocked() {
-  const auto fingerprint = [this]() -> const RequestFingerprint& {
-    return Fingerprint();
-  };
-  if (!context_->crashes_->IsBlocked(request_->body_.size(), fingerprint)) {
-    return false;
-  }
-  last_failure_ = "crashes servers";
-  Refuse(RefusalReason::kCrashesServers);
-  return true;
-}
-
-// The end of a server that leaves is planned and counts against no request.
-void RelayRequest::NoteSurvival(const BackendServer& server,
-                                const ServerAttempt& attempt) {
-  if (!attempt.is_done()) {
-    return;
-  }
-  if (attempt.outcome() == CallOutcome::kSuccess) {
-    if (!attempt.reply().not_run_) {
-      context_->crashes_->OnSurvived(
-          request_->body_.size(),
-          [this]() -> const RequestFingerprint& { return Fingerprint(); });
-    }
-    return;
-  }
-  const BackendServer* listed = context_->view_->FindServer(server.id_);
-  const bool is_planned = listed == nullptr || listed->leaving_;
-  const bool ran_on =
-      had_first_event_ && SteadyNow() - first_event_at_ >= kSurvivalTime;
-  if (attempt.outcome() == CallOutcome::kClosedAfterSend && !is_planned &&
-      !ran_on) {
-    context_->crashes_->OnBroken(server.id_, server.address_, Fingerprint());
-  }
-}
-
 bool RelayRequest::MayRetry(const AttemptResult& ended) {
   const TimePoint now = SteadyNow();
   bool goes_on = false;
@@ -390,15 +344,6 @@
        {"list_age_ms", context_->view_->ServersAge(now).value_or(Duration())}});
 }
 
-// Computed on first use: only failed calls need it.
-const RequestFingerprint& RelayRequest::Fingerprint() {
-  if (!fingerprint_) {
-    fingerprint_ = FingerprintOf(request_->method_, request_->target_,
-                                 job_->account_, request_->body_);
-  }
-  return *fingerprint_;
-}
-
 Duration RelayRequest::Elapsed() const {
   return SteadyNow() - job_->arrived_;
 }
--- /dev/null
+++ b/src/relay/relay_request_guards.cc
@@ -0,0 +1,142 @@
+// What keeps a request from servers: blocks of requests that crash them, and
+// limits that they name.
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/relay/crash_watch.h"
+#include "citronlane/relay/engine_placement.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/limit_watch.h"
+#include "citronlane/relay/relay_context.h"
+#include "citronlane/relay/relay_request.h"
+#include "citronlane/relay/server_attempt.h"
+#include "citronlane/relay/service_router.h"
+#include "citronlane/serving/request_fingerprint.h"
+#include "citronlane/transport/http_request.h"
+
+namespace citronlane {
+namespace {
+
+/// A server that still runs a request this long after its first event is not
+/// crashed by the start of it.
+constexpr Duration kSurvivalTime = std::chrono::seconds(1);
+
+}  // namespace
+
+bool RelayRequest::RefuseIfBlocked() {
+  const auto fingerprint = [this]() -> const RequestFingerprint& {
+    return Fingerprint();
+  };
+  if (!context_->crashes_->IsBlocked(request_->body_.size(), fingerprint)) {
+    return false;
+  }
+  last_failure_ = "crashes servers";
+  Refuse(RefusalReason::kCrashesServers);
+  return true;
+}
+
+// The end of a server that leaves is planned and counts against no request.
+void RelayRequest::NoteSurvival(const std::string& server,
+                                const std::string& address,
+                                const ServerAttempt& attempt) {
+  if (!attempt.is_done()) {
+    return;
+  }
+  if (attempt.outcome() == CallOutcome::kSuccess) {
+    if (!attempt.reply().not_run_) {
+      context_->crashes_->OnSurvived(
+          request_->body_.size(),
+          [this]() -> const RequestFingerprint& { return Fingerprint(); });
+    }
+    return;
+  }
+  const BackendServer* listed = context_->view_->FindServer(server);
+  const bool is_planned = listed == nullptr || listed->leaving_;
+  const bool ran_on =
+      had_first_event_ && SteadyNow() - first_event_at_ >= kSurvivalTime;
+  if (attempt.outcome() == CallOutcome::kClosedAfterSend && !is_planned &&
+      !ran_on) {
+    context_->crashes_->OnBroken(server, address, Fingerprint());
+  }
+}
+
+// Computed on first use: only failed calls need it.
+const RequestFingerprint& RelayRequest::Fingerprint() {
+  if (!fingerprint_) {
+    fingerprint_ = FingerprintOf(request_->method_, request_->target_,
+                                 job_->account_, request_->body_);
+  }
+  return *fingerprint_;
+}
+
+bool RelayRequest::AreAllServersLimited() const {
+  const ServerLimits& limits = *context_->limits_->limits();
+  if (limits.CountLimited() == 0) {
+    return false;
+  }
+  const auto servers = context_->view_->ServersOf(service_->name_);
+  return !servers.empty() &&
+         std::all_of(servers.begin(), servers.end(),
+                     [&limits](const BackendServer* server) {
+                       return server->leaving_ || limits.IsLimited(server->id_);
+                     });
+}
+
+bool RelayRequest::RefuseIfLimited() {
+  if (!stages_.HasWork() || !AreAllServersLimited()) {
+    return false;
+  }
+  router_->Update(*context_->view_, SteadyNow());
+  engine_.Begin(*service_, EngineDomain());
+  if (engine_.is_placed_elsewhere()) {
+    const std::string named = engine_.RequestEngine(
+        EnginePlacement::Purpose::kPlan, RouterCall(), tried_);
+    engine_.Cancel();
+    if (!named.empty()) {
+      return false;
+    }
+  }
+  if (ChooseHere()) {
+    return false;
+  }
+  RefuseForLimits();
+  return true;
+}
+
+ServerLimits::Scope RelayRequest::LimitScope() const {
+  if (!service_->engine_) {
+    return ServerLimits::Scope::kShare;
+  }
+  return engine_.is_placed_here() ? ServerLimits::Scope::kOwner
+                                  : ServerLimits::Scope::kShareBesideOwner;
+}
+
+std::vector<std::string> RelayRequest::Excluded() {
+  std::vector<std::string> excluded = context_->limits_->limits()->Exhausted(
+      LimitScope(), context_->view_->GatewayCount(), SteadyNow());
+  limits_excluded_ = std::any_of(
+      excluded.begin(), excluded.end(), [this](const std::string& id) {
+        const BackendServer* server = context_->view_->FindServer(id);
+        return server != nullptr && server->service_ == service_->name_;
+      });
+  excluded.insert(excluded.end(), tried_.begin(), tried_.end());
+  return excluded;
+}
+
+void RelayRequest::RefuseForLimits() {
+  last_failure_ = "server limits";
+  Refuse(RefusalReason::kServerLimits);
+}
+
+void RelayRequest::RefuseWithoutServer() {
+  if (limits_excluded_) {
+    RefuseForLimits();
+  } else {
+    RefuseAfterFailure();
+  }
+}
+
+}  // namespace citronlane
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -209,11 +209,6 @@
   return std::max(kMinFirstReplyLimit, limit);
 }
 
-void RelayRequest::RefuseForLimits() {
-  last_failure_ = "server limits";
-  Refuse(RefusalReason::kServerLimits);
-}
-
 void RelayRequest::RefuseAfterFailure() {
   if (verdict_ == Verdict::kNotRun) {
     Refuse(RefusalReason::kNoBackendServer);
--- a/src/relay/relay_request_server.cc
+++ b/src/relay/relay_request_server.cc
@@ -61,60 +61,6 @@
   return router_->Choose(SteadyNow(), RouterCall(), Excluded());
 }
 
-bool RelayRequest::AreAllServersLimited() const {
-  const ServerLimits& limits = *context_->limits_->limits();
-  if (limits.CountLimited() == 0) {
-    return false;
-  }
-  const auto servers = context_->view_->ServersOf(service_->name_);
-  return !servers.empty() &&
-         std::all_of(servers.begin(), servers.end(),
-                     [&limits](const BackendServer* server) {
-                       return server->leaving_ || limits.IsLimited(server->id_);
-                     });
-}
-
-bool RelayRequest::RefuseIfLimited() {
-  if (!stages_.HasWork() || !AreAllServersLimited()) {
-    return false;
-  }
-  router_->Update(*context_->view_, SteadyNow());
-  engine_.Begin(*service_, EngineDomain());
-  if (engine_.is_placed_elsewhere()) {
-    const std::string named = engine_.RequestEngine(
-        EnginePlacement::Purpose::kPlan, RouterCall(), tried_);
-    engine_.Cancel();
-    if (!named.empty()) {
-      return false;
-    }
-  }
-  if (ChooseHere()) {
-    return false;
-  }
-  RefuseForLimits();
-  return true;
-}
-
-ServerLimits::Scope RelayRequest::LimitScope() const {
-  if (!service_->engine_) {
-    return ServerLimits::Scope::kShare;
-  }
-  return engine_.is_placed_here() ? ServerLimits::Scope::kOwner
-                                  : ServerLimits::Scope::kShareBesideOwner;
-}
-
-std::vector<std::string> RelayRequest::Excluded() {
-  std::vector<std::string> excluded = context_->limits_->limits()->Exhausted(
-      LimitScope(), context_->view_->GatewayCount(), SteadyNow());
-  limits_excluded_ = std::any_of(
-      excluded.begin(), excluded.end(), [this](const std::string& id) {
-        const BackendServer* server = context_->view_->FindServer(id);
-        return server != nullptr && server->service_ == service_->name_;
-      });
-  excluded.insert(excluded.end(), tried_.begin(), tried_.end());
-  return excluded;
-}
-
 // For divided engines: the domain of large results or else of the cached
 // prompt.
 std::string RelayRequest::EngineDomain() {
