Move crash reports and limits out of GatewayFeed

SuspectFeed merges crash reports and lists suspect requests, LimitFeed passes limits on; the feed asks both what to add to an update. Behaviour and tests are unchanged.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -10,13 +10,13 @@
 #include <vector>
 
 #include "citronlane/base/time.h"
+#include "citronlane/control/limit_feed.h"
+#include "citronlane/control/suspect_feed.h"
 #include "citronlane/fleet/config_propagation.h"
 #include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/fleet/pool_partition.h"
 #include "citronlane/fleet/pooled_service.h"
 #include "citronlane/fleet/recent_documents.h"
-#include "citronlane/routing/crash_ledger.h"
-#include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/backend_server.h"
 
 namespace citronlane {
@@ -81,7 +81,7 @@
   /// Lifts all blocks; crashes so far no longer count. Tells all gateways.
   void ClearSuspects(TimePoint now);
   /// Requests that are blocked, or that one more crash may block.
-  std::vector<SuspectRequest> Suspects() const { return crashes_.Listed(); }
+  std::vector<SuspectRequest> Suspects() const { return suspects_.Listed(); }
   /// Removes the gateway of a closed channel.
   void OnClosed(const FrameChannel* channel);
 
@@ -100,7 +100,7 @@
 
   /// Number of requests, by content, that no backend server may get.
   size_t CountBlocked(TimePoint now) const {
-    return crashes_.CountBlocked(now);
+    return suspects_.CountBlocked(now);
   }
   size_t gateways() const { return watchers_.size(); }
   /// Whether all watching gateways hold this version or a later one. A gateway
@@ -122,11 +122,6 @@
                  TimePoint now,
                  wire::fleet::WatchUpdate* update);
   void LogConfigProgress(TimePoint now);
-  void LogBlocked(const SuspectRequest& request, TimePoint now);
-  /// Adds the limits that the gateway has not been told.
-  void AddLimits(Watcher* watcher,
-                 TimePoint now,
-                 wire::fleet::WatchUpdate* update) const;
   void AddGateways(Watcher* watcher,
                    bool is_gathering,
                    wire::fleet::WatchUpdate* update) const;
@@ -149,11 +144,8 @@
   uint64_t gateways_number_ = 0;
   TimePoint leading_since_;
   PoolAssignment assignment_;
-  CrashLedger crashes_;
-  /// Used for what servers said, not for allowances.
-  ServerLimits limits_;
-  /// Number of the suspect requests after an operator last cleared them.
-  uint64_t cleared_number_ = 0;
+  SuspectFeed suspects_;
+  LimitFeed limits_;
 };
 
 }  // namespace citronlane
--- /dev/null
+++ b/include/citronlane/control/suspect_feed.h
@@ -0,0 +1,63 @@
+#ifndef CITRONLANE_CONTROL_SUSPECT_FEED_H_
+#define CITRONLANE_CONTROL_SUSPECT_FEED_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "citronlane/base/time.h"
+#include "citronlane/routing/crash_ledger.h"
+#include "citronlane/routing/suspect_request.h"
+
+namespace citronlane {
+
+class EventLog;
+
+namespace wire::fleet {
+class CrashReports;
+class WatchUpdate;
+}  // namespace wire::fleet
+
+/// Control's part in finding requests that crash backend servers: merges what
+/// gateways report and lists the suspect requests for them. Makes no calls;
+/// time is passed in. Not thread safe.
+class SuspectFeed {
+ public:
+  /// `log` must outlive the object.
+  explicit SuspectFeed(EventLog* log);
+
+  /// Takes a gateway's reports. Returns whether a request is blocked or
+  /// unblocked by them, of which all gateways should be told at once.
+  bool Take(const wire::fleet::CrashReports& reports, TimePoint now);
+  /// Lifts all blocks; crashes so far no longer count.
+  void Clear(TimePoint now);
+  /// Call when this VM becomes the leader: forgets everything, since gateways
+  /// report what they know to a new leader.
+  void StartLeading();
+
+  /// Adds the list to an update if it differs from the one numbered `sent`.
+  /// Returns the number of the list that the gateway has after the update; 0
+  /// is a gateway that has none.
+  uint64_t AddTo(uint64_t sent,
+                 TimePoint now,
+                 wire::fleet::WatchUpdate* update) const;
+
+  /// Requests that are blocked, or that one more crash may block.
+  std::vector<SuspectRequest> Listed() const { return crashes_.Listed(); }
+  /// Number of blocked requests.
+  size_t CountBlocked(TimePoint now) const {
+    return crashes_.CountBlocked(now);
+  }
+
+ private:
+  void LogBlocked(const SuspectRequest& request, TimePoint now);
+
+  EventLog* const log_;
+  CrashLedger crashes_;
+  /// Number of the list after an operator last cleared it.
+  uint64_t cleared_number_ = 0;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_CONTROL_SUSPECT_FEED_H_
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -3,13 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include "absl/strings/str_join.h"
 #include "citronlane/fleet/drained_servers.h"
 #include "citronlane/fleet/pool_division.h"
-#include "citronlane/net/crash_codec.h"
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/frame_channel.h"
-#include "citronlane/net/limit_codec.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/state/fleet_state.h"
 #include "fleet.pb.h"
@@ -73,7 +70,7 @@
       leadership_(std::move(leadership)),
       pools_(std::move(pools)),
       documents_(kRecentBytes),
-      limits_("control") {}
+      suspects_(log) {}
 
 GatewayFeed::~GatewayFeed() = default;
 
@@ -123,58 +120,22 @@
   LogConfigProgress(now);
 }
 
-void GatewayFeed::TakeCrashes(const CrashReports& reports, TimePoint now) {
-  bool has_changed_blocks = false;
-  for (const auto& report : reports.survivals()) {
-    const CrashLedger::Survival survival = DecodeSurvival(report, now);
-    if (crashes_.OnSurvived(survival.request_, survival.at_)) {
-      has_changed_blocks = true;
-      log_->Write("control", "request survived",
-                  {{"content", survival.request_.digest_},
-                   {"age_ms", now - survival.at_}});
-    }
-  }
-  for (const SuspectRequest& suspect :
-       DecodeSuspects(reports.suspects(), now)) {
-    crashes_.Adopt(suspect, now);
-  }
-  for (const auto& crash : reports.crashes()) {
-    for (const SuspectRequest& blocked :
-         crashes_.OnCrash(DecodeCrash(crash, now), now)) {
-      has_changed_blocks = true;
-      LogBlocked(blocked, now);
-    }
-  }
-  if (has_changed_blocks) {
-    PushAll(now);
-  }
-}
-
 void GatewayFeed::TakeLimits(const wire::fleet::ServerLimits& limits,
                              TimePoint now) {
-  for (const auto& limit : limits.limits()) {
-    limits_.Observe(DecodeLimit(limit, now));
+  limits_.Take(limits, now);
+}
+
+void GatewayFeed::TakeCrashes(const CrashReports& reports, TimePoint now) {
+  if (suspects_.Take(reports, now)) {
+    PushAll(now);
   }
 }
 
 void GatewayFeed::ClearSuspects(TimePoint now) {
-  log_->Write("control", "suspect requests cleared",
-              {{"requests", static_cast<uint64_t>(crashes_.Listed().size())},
-               {"blocked", static_cast<uint64_t>(CountBlocked(now))}});
-  crashes_.Clear();
-  cleared_number_ = crashes_.number();
+  suspects_.Clear(now);
   PushAll(now);
 }
 
-void GatewayFeed::LogBlocked(const SuspectRequest& request, TimePoint now) {
-  log_->Write("control", "request blocked",
-              {{"content", request.fingerprint_.digest_},
-               {"body_bytes", request.fingerprint_.body_bytes_},
-               {"crashes", request.crashes_},
-               {"servers", absl::StrJoin(request.servers_, " ")},
-               {"for_ms", request.blocked_until_ - now}});
-}
-
 void GatewayFeed::OnClosed(const FrameChannel* channel) {
   if (watchers_.erase(channel) > 0) {
     ++gateways_number_;
@@ -185,11 +146,7 @@
                              size_t unusable,
                              TimePoint now) {
   servers_read_ = now;
-  limits_.Retain([&servers](std::string_view id) {
-    return std::any_of(
-        servers.begin(), servers.end(),
-        [id](const BackendServer& server) { return server.id_ == id; });
-  });
+  limits_.Retain(servers);
   if (servers != servers_ || unusable != unusable_ || servers_number_ == 0) {
     servers_ = std::move(servers);
     unusable_ = unusable;
@@ -201,9 +158,7 @@
 void GatewayFeed::StartLeading(TimePoint now) {
   leading_since_ = now;
   assignment_.StartLeading(now, leadership_().term_);
-  // Gateways report what they know to the new leader.
-  crashes_.Clear();
-  cleared_number_ = 0;
+  suspects_.StartLeading();
   servers_read_.reset();
   ++servers_number_;
   ++gateways_number_;
@@ -327,14 +282,12 @@
     }
     // Until gateways have reported to a new leader, they keep the list of the
     // previous one.
-    if (watcher->suspects_number_ != crashes_.number() &&
-        now >= leading_since_ + kGatheringTime) {
-      update->mutable_suspects()->set_cleared(watcher->suspects_number_ <
-                                              cleared_number_);
-      watcher->suspects_number_ = crashes_.number();
-      EncodeSuspects(crashes_.Listed(), now, update->mutable_suspects());
+    if (now >= leading_since_ + kGatheringTime) {
+      watcher->suspects_number_ =
+          suspects_.AddTo(watcher->suspects_number_, now, update);
     }
-    AddLimits(watcher, now, update);
+    watcher->limits_number_ =
+        limits_.AddTo(watcher->limits_number_, now, update);
     if (servers_read_) {
       if (watcher->servers_number_ != servers_number_) {
         watcher->servers_number_ = servers_number_;
@@ -383,16 +336,6 @@
   watcher->config_sent_ = now;
 }
 
-void GatewayFeed::AddLimits(Watcher* watcher,
-                            TimePoint now,
-                            WatchUpdate* update) const {
-  for (const ServerLimit& limit :
-       limits_.RecordedSince(watcher->limits_number_)) {
-    EncodeLimit(limit, now, update->mutable_limits()->add_limits());
-  }
-  watcher->limits_number_ = limits_.number();
-}
-
 // Logs once when all gateways hold the newest version, and once when some still
 // lack it after kLateConfigDelay.
 void GatewayFeed::LogConfigProgress(TimePoint now) {
--- /dev/null
+++ b/src/control/suspect_feed.cc
@@ -0,0 +1,72 @@
+#include "citronlane/control/suspect_feed.h"
+
+#include <string>
+
+#include "absl/strings/str_join.h"
+#include "citronlane/net/crash_codec.h"
+#include "citronlane/observe/event_log.h"
+#include "fleet.pb.h"
+
+namespace citronlane {
+
+SuspectFeed::SuspectFeed(EventLog* log) : log_(log) {}
+
+bool SuspectFeed::Take(const wire::fleet::CrashReports& reports,
+                       TimePoint now) {
+  bool has_changed_blocks = false;
+  for (const auto& report : reports.survivals()) {
+    const CrashLedger::Survival survival = DecodeSurvival(report, now);
+    if (crashes_.OnSurvived(survival.request_, survival.at_)) {
+      has_changed_blocks = true;
+      log_->Write("control", "request survived",
+                  {{"content", survival.request_.digest_},
+                   {"age_ms", now - survival.at_}});
+    }
+  }
+  for (const SuspectRequest& suspect :
+       DecodeSuspects(reports.suspects(), now)) {
+    crashes_.Adopt(suspect, now);
+  }
+  for (const auto& crash : reports.crashes()) {
+    for (const SuspectRequest& blocked :
+         crashes_.OnCrash(DecodeCrash(crash, now), now)) {
+      has_changed_blocks = true;
+      LogBlocked(blocked, now);
+    }
+  }
+  return has_changed_blocks;
+}
+
+void SuspectFeed::Clear(TimePoint now) {
+  log_->Write("control", "suspect requests cleared",
+              {{"requests", static_cast<uint64_t>(Listed().size())},
+               {"blocked", static_cast<uint64_t>(CountBlocked(now))}});
+  crashes_.Clear();
+  cleared_number_ = crashes_.number();
+}
+
+void SuspectFeed::StartLeading() {
+  crashes_.Clear();
+  cleared_number_ = 0;
+}
+
+uint64_t SuspectFeed::AddTo(uint64_t sent,
+                            TimePoint now,
+                            wire::fleet::WatchUpdate* update) const {
+  if (sent != crashes_.number()) {
+    update->mutable_suspects()->set_cleared(sent < cleared_number_);
+    EncodeSuspects(Listed(), now, update->mutable_suspects());
+  }
+  return crashes_.number();
+}
+
+void SuspectFeed::LogBlocked(const SuspectRequest& request, TimePoint now) {
+  log_->Write("control", "request blocked",
+              {{"content", request.fingerprint_.digest_},
+               {"body_bytes", request.fingerprint_.body_bytes_},
+               {"crashes", request.crashes_},
+               {"servers", absl::StrJoin(request.servers_, " ")},
+               {"for_ms", request.blocked_until_ - now}});
+}
+
+}  // namespace citronlane
