Forget limits of servers when a control VM becomes the leader again

A VM that had led before kept the limits of that time. One that had ended while another VM led was passed on to gateways that had started since, and held there until their next reply from that server. Gateways report what they know to a new leader, so it starts with nothing, as it does for crash reports. unit-gateway-feed failed before: the old limit reached the gateway.

--- a/include/citronlane/control/limit_feed.h
+++ b/include/citronlane/control/limit_feed.h
@@ -27,6 +27,10 @@
   /// Forgets servers that are not listed.
   void Retain(absl::Span<const BackendServer> servers);
 
+  /// Call when this VM becomes the leader: forgets everything, since gateways
+  /// report what they know to a new leader.
+  void StartLeading();
+
   /// Adds what was recorded after the limits numbered `sent`. Returns the
   /// number up to which the gateway has them after the update; 0 is a gateway
   /// that has none.
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -159,6 +159,7 @@
   leading_since_ = now;
   assignment_.StartLeading(now, leadership_().term_);
   suspects_.StartLeading();
+  limits_.StartLeading();
   servers_read_.reset();
   ++servers_number_;
   ++gateways_number_;
--- a/src/control/limit_feed.cc
+++ b/src/control/limit_feed.cc
@@ -24,6 +24,10 @@
   });
 }
 
+void LimitFeed::StartLeading() {
+  limits_.Retain([](std::string_view) { return false; });
+}
+
 uint64_t LimitFeed::AddTo(uint64_t sent,
                           TimePoint now,
                           wire::fleet::WatchUpdate* update) const {
--- a/tests/unit-gateway-feed.cc
+++ b/tests/unit-gateway-feed.cc
@@ -431,4 +431,24 @@
   CHECK(limits_are({{"a", 2}, {"b", 0}}));
 }
 
+// Guards against a leader that imposes a limit which ended while another VM
+// led.
+TEST_CASE("a new leader passes on only limits that gateways report to it") {
+  using std::chrono::milliseconds;
+  boost::asio::io_context io;
+  const std::string endpoint = FreeEndpoint(&io);
+  Leader leader(&io, endpoint);
+  leader.TakeLimit("a", 2, milliseconds(0));
+  leader.StartLeading();
+  Gateway gateway(endpoint);
+  leader.TakeLimit("b", 3, milliseconds(0));
+  REQUIRE(Eventually([&] {
+    leader.Pass(Duration());
+    io.poll();
+    gateway.Poll();
+    return gateway.limits_.count("b") != 0;
+  }));
+  CHECK(gateway.limits_.count("a") == 0);
+}
+
 }  // namespace citronlane
