Use one piece of code for what the mends had written twice

- SetStopping and Send of ControlWatch looked up the leader's connection each; Send returned a result that nobody used.
- The bound on requests kept of one crash stood in CrashWatch and in CrashLedger.
- The connect probe timed its attempts with a timer of its own; Beast's stream, which calls to servers use already, does that.
Behaviour and tests are unchanged.

--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -66,8 +66,8 @@
   /// This gateway takes no new work any more; sends that to the leader
   /// immediately.
   void SetStopping();
-  /// Sends a frame to the leader. Returns false when none is connected.
-  bool Send(const wire::fleet::Frame& frame);
+  /// Sends a frame to the leader; drops it when none is connected.
+  void Send(const wire::fleet::Frame& frame);
   /// Call every 50 ms.
   void Tick(TimePoint now);
 
@@ -89,6 +89,8 @@
   };
 
   std::set<std::string> EndpointsToWatch() const;
+  /// Connection to the leader; null when there is none.
+  FrameLink* LeaderLink() const;
   void Connect(const std::string& endpoint,
                Candidate* candidate,
                TimePoint now);
--- a/include/citronlane/routing/crash_ledger.h
+++ b/include/citronlane/routing/crash_ledger.h
@@ -66,6 +66,8 @@
   const std::map<std::string, Survival>& survived() const { return survived_; }
 
   static constexpr size_t kMaxListed = 256;
+  /// Requests kept of one crash; a server runs and queues about as many.
+  static constexpr size_t kMaxRunning = 256;
 
  private:
   struct Block {
--- a/src/net/connect_probe.cc
+++ b/src/net/connect_probe.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 
 #include "citronlane/base/time.h"
 #include "citronlane/net/endpoint.h"
@@ -27,46 +28,35 @@
   Probe(asio::io_context* io,
         asio::ip::tcp::endpoint peer,
         std::function<void(bool)> done)
-      : socket_(*io),
-        timer_(*io),
+      : stream_(*io),
+        pause_(*io),
         peer_(std::move(peer)),
         done_(std::move(done)) {}
 
   void Connect() {
     ++attempts_;
-    timer_.expires_after(kConnectTimeout);
-    timer_.async_wait([self = shared_from_this()](const error_code& error) {
-      if (!error) {
-        self->Close();
-      }
-    });
-    socket_.async_connect(peer_,
+    stream_.expires_after(kConnectTimeout);
+    stream_.async_connect(peer_,
                           [self = shared_from_this()](const error_code& error) {
-                            self->timer_.cancel();
                             self->Connected(error);
                           });
   }
 
  private:
   void Connected(const error_code& error) {
-    Close();
+    stream_.close();
     const bool is_refused = error == asio::error::connection_refused;
     if (is_refused || attempts_ >= kMaxAttempts) {
       done_(is_refused);
       return;
     }
-    timer_.expires_after(kAttemptInterval);
-    timer_.async_wait(
+    pause_.expires_after(kAttemptInterval);
+    pause_.async_wait(
         [self = shared_from_this()](const error_code&) { self->Connect(); });
   }
 
-  void Close() {
-    error_code ignored;
-    socket_.close(ignored);
-  }
-
-  asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
+  boost::beast::tcp_stream stream_;
+  asio::steady_timer pause_;
   const asio::ip::tcp::endpoint peer_;
   const std::function<void(bool)> done_;
   int attempts_ = 0;
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -46,21 +46,22 @@
   }
 }
 
+FrameLink* ControlWatch::LeaderLink() const {
+  const auto leader = candidates_.find(leader_);
+  return leader == candidates_.end() ? nullptr : leader->second.link_.get();
+}
+
 void ControlWatch::SetStopping() {
   stopping_ = true;
-  if (const auto leader = candidates_.find(leader_);
-      leader != candidates_.end() && leader->second.link_) {
-    SendWatchRequest(leader->second.link_.get());
+  if (FrameLink* link = LeaderLink()) {
+    SendWatchRequest(link);
   }
 }
 
-bool ControlWatch::Send(const Frame& frame) {
-  const auto leader = candidates_.find(leader_);
-  if (leader == candidates_.end() || !leader->second.link_) {
-    return false;
+void ControlWatch::Send(const Frame& frame) {
+  if (FrameLink* link = LeaderLink()) {
+    link->Send(frame);
   }
-  leader->second.link_->Send(frame);
-  return true;
 }
 
 // All known VMs while there is no leader: contacted one after the other, each
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -10,9 +10,9 @@
 namespace citronlane {
 namespace {
 
-/// A server runs and queues about as many requests at most.
-constexpr size_t kMaxRunning = 256;
+/// Servers examined at a time.
 constexpr size_t kMaxDoubts = 64;
+/// Servers remembered as ended.
 constexpr size_t kMaxEnded = 128;
 /// Crashes that a new leader is told of.
 constexpr size_t kMaxReported = 32;
@@ -63,7 +63,7 @@
   }
   const auto doubt = doubts_.find(server);
   if (doubt != doubts_.end()) {
-    if (doubt->second.running_.size() < kMaxRunning) {
+    if (doubt->second.running_.size() < CrashLedger::kMaxRunning) {
       doubt->second.running_.push_back(request);
     }
     return;
--- a/src/routing/crash_ledger.cc
+++ b/src/routing/crash_ledger.cc
@@ -28,8 +28,6 @@
 constexpr Duration kBlockTime = std::chrono::minutes(5);
 constexpr Duration kMaxBlockTime = std::chrono::hours(1);
 constexpr size_t kMaxCrashes = 256;
-/// A server runs and queues about as many requests at most.
-constexpr size_t kMaxRunning = 256;
 constexpr size_t kMaxSurvived = 1024;
 
 bool Contains(const std::vector<uint64_t>& numbers, uint64_t number) {
