--- a/include/citronlane/serving/request_fingerprint.h
+++ b/include/citronlane/serving/request_fingerprint.h
@@ -7,8 +7,9 @@
 
 namespace citronlane {
 
-/// Identifies the content of a request: attempts with the same method, target,
-/// client account and body have the same fingerprint, whatever their ids.
+/// Identifies the content of a request: attempts with the same method, host,
+/// target, client account and body have the same fingerprint, whatever their
+/// ids.
 struct RequestFingerprint {
   /// 32 hexadecimal digits. Neither the target nor the body can be recovered.
   std::string digest_;
@@ -20,9 +21,11 @@
   }
 };
 
-/// Hashes a request. `target` includes the query; `account` is empty for
-/// requests without a client account. Thread safe.
+/// Hashes a request. `host` is the Host header as sent, `target` includes the
+/// query; `account` is empty for requests without a client account. Thread
+/// safe.
 RequestFingerprint FingerprintOf(std::string_view method,
+                                 std::string_view host,
                                  std::string_view target,
                                  std::string_view account,
                                  std::string_view body);
--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -66,8 +66,9 @@
 // Computed on first use: only failed calls need it.
 const RequestFingerprint& RelayRequest::Fingerprint() {
   if (!fingerprint_) {
-    fingerprint_ = FingerprintOf(request_->method_, request_->target_,
-                                 job_->account_, request_->body_);
+    fingerprint_ =
+        FingerprintOf(request_->method_, job_->head_.host_, request_->target_,
+                      job_->account_, request_->body_);
   }
   return *fingerprint_;
 }
--- a/src/serving/request_fingerprint.cc
+++ b/src/serving/request_fingerprint.cc
@@ -18,11 +18,13 @@
 }  // namespace
 
 RequestFingerprint FingerprintOf(std::string_view method,
+                                 std::string_view host,
                                  std::string_view target,
                                  std::string_view account,
                                  std::string_view body) {
   std::string text;
   AppendField(method, &text);
+  AppendField(host, &text);
   AppendField(target, &text);
   AppendField(account, &text);
   // The body is hashed by itself so that it need not be copied.
--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -102,7 +102,7 @@
 
 // The request that RelayGateway::Ask sends.
 RequestFingerprint Asked() {
-  return FingerprintOf("GET", "/x", "", "");
+  return FingerprintOf("GET", "h", "/x", "", "");
 }
 
 bool HasHeader(const HttpReply& reply, const std::string& name) {
