--- a/include/citronlane/relay/crash_watch.h
+++ b/include/citronlane/relay/crash_watch.h
@@ -68,8 +68,8 @@
   size_t CountBlocked() const;
 
  private:
-  /// A server that may have ended, while it is probed.
-  struct Doubt {
+  /// A probe of a server that may have ended, and what it was running.
+  struct Probe {
     TimePoint since_;
     std::vector<RequestFingerprint> running_;
   };
@@ -86,7 +86,8 @@
   std::vector<SuspectRequest> listed_;
   /// What this gateway has seen itself.
   CrashLedger own_;
-  std::map<std::string, Doubt> doubts_;
+  /// By the server probed.
+  std::map<std::string, Probe> probes_;
   /// When the servers that ended last did so.
   std::deque<std::pair<std::string, TimePoint>> ended_;
 };
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// Servers examined at a time.
-constexpr size_t kMaxDoubts = 64;
+constexpr size_t kMaxProbes = 64;
 /// Servers remembered as ended.
 constexpr size_t kMaxEnded = 128;
 /// Crashes that a new leader is told of.
@@ -61,32 +61,32 @@
     Report({server, ended->second, {request}});
     return;
   }
-  const auto doubt = doubts_.find(server);
-  if (doubt != doubts_.end()) {
-    if (doubt->second.running_.size() < CrashLedger::kMaxRunning) {
-      doubt->second.running_.push_back(request);
+  const auto probe = probes_.find(server);
+  if (probe != probes_.end()) {
+    if (probe->second.running_.size() < CrashLedger::kMaxRunning) {
+      probe->second.running_.push_back(request);
     }
     return;
   }
-  if (doubts_.size() >= kMaxDoubts) {
+  if (probes_.size() >= kMaxProbes) {
     log_->Write("relay", "crash not examined",
                 {{"server", server}, {"content", request.digest_}});
     return;
   }
-  doubts_[server] = {hooks_.now_(), {request}};
+  probes_[server] = {hooks_.now_(), {request}};
   hooks_.probe_(address, [this, server](bool is_refused) {
     OnProbed(server, is_refused);
   });
 }
 
 void CrashWatch::OnProbed(const std::string& server, bool is_refused) {
-  auto doubt = doubts_.extract(server);
+  auto probe = probes_.extract(server);
   if (!is_refused) {
     return;
   }
-  const TimePoint at = doubt.mapped().since_;
+  const TimePoint at = probe.mapped().since_;
   RememberEnded(server, at);
-  Report({server, at, std::move(doubt.mapped().running_)});
+  Report({server, at, std::move(probe.mapped().running_)});
 }
 
 void CrashWatch::RememberEnded(const std::string& server, TimePoint at) {
--- a/src/routing/server_limits.cc
+++ b/src/routing/server_limits.cc
@@ -14,7 +14,7 @@
 /// How long a slot can be used after it began.
 constexpr Duration kSlotValidity = std::chrono::milliseconds(500);
 /// Fraction of a limit that its owner, or all gateways together, use. The rest
-/// covers calls that arrive later than others that were sent after them.
+/// covers calls that are sent apart and arrive together.
 constexpr double kUsedFraction = 0.9;
 /// Fraction for all gateways together beside an owner: calls for which it did
 /// not reply in time.
@@ -96,10 +96,10 @@
   }
   const double rate =
       std::max(kMinPerSecond, *state.per_second_) * Fraction(scope, gateways);
-  constexpr double kPhases = 1 << 20;
+  constexpr uint64_t kPhases = 1 << 20;
   const double phase =
-      static_cast<double>(RendezvousWeight(gateway_, server) % (1 << 20)) /
-      kPhases;
+      static_cast<double>(RendezvousWeight(gateway_, server) % kPhases) /
+      static_cast<double>(kPhases);
   const Duration passed = now - state.began_;
   const int64_t slots = SlotsUntil(passed, rate, phase) -
                         SlotsUntil(passed - kSlotValidity, rate, phase);
