--- /dev/null
+++ b/tests/process/crashes_test.py
@@ -0,0 +1,58 @@
+"""Tests that a request whose content ends every engine that runs it is stopped,
+on the product's own caller interface."""
+
+import threading
+import time
+
+import unittest
+
+from process.cluster_test_case import ClusterTestCase
+
+TEXT = "ends every engine"
+RECOGNITION_SECONDS = 3
+MAX_LATER_RUNS = 3
+DOWN_SECONDS = 1.0
+# Streams last long enough for their engine to be stopped before they end.
+TOKEN_MICROSECONDS = 200_000
+
+
+class CrashingRequestTest(ClusterTestCase):
+    # The bound on retries must not be what stops the request.
+    gateway_settings = {"retry_budget": 1}
+
+    def stop_engines_that_run_it(self):
+        """Stops each engine at each run of the request until the test is over,
+        and starts it again."""
+        seen = 0
+        while not self.over.is_set():
+            runs = self.runs("t-engine", TEXT)
+            for run in runs[seen:]:
+                self.crashes.append(time.monotonic())
+                self.cluster.fault(run["server"], stop=True)
+                threading.Timer(DOWN_SECONDS, self.cluster.fault,
+                                (run["server"],), {"start": True}).start()
+            seen = len(runs)
+            time.sleep(0.02)
+
+    def test_request_that_ends_engines_is_stopped(self):
+        self.cluster.fault("t-engine", pace_us=TOKEN_MICROSECONDS)
+        self.over = threading.Event()
+        self.crashes = []
+        watcher = threading.Thread(target=self.stop_engines_that_run_it)
+        watcher.start()
+        until = time.monotonic() + 10
+        while time.monotonic() < until:
+            self.ask(TEXT, stream=True)
+            time.sleep(0.3)
+        self.over.set()
+        watcher.join()
+        self.assertGreaterEqual(len(self.crashes), 3, "too few to test")
+        late = self.crashes[2] + RECOGNITION_SECONDS
+        later = sum(when > late for when in self.crashes)
+        print(f"{len(self.crashes)} engines ended, {later} of them later than "
+              f"{RECOGNITION_SECONDS} s after the third", flush=True)
+        self.assertLessEqual(later, MAX_LATER_RUNS)
+
+
+if __name__ == "__main__":
+    unittest.main()
