Let a stage server of a test be slow from its start

Traced in its log: the call to c0 broke at .308, the gateway called c0's address again at .797, and only after the list had changed, at .999, did the test make the new incarnation slow. Until then it answered in 20 ms, and the answer was true. The new incarnation is slow from its start now; the checks are the same.

--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -105,6 +105,7 @@
         self.service = service
         self.id = identity
         self.listed_id = None  # Id in an outdated list; None for `id`.
+        self.next_start_options = {}  # Arguments of the next incarnation.
         self.domain = domain
         self.state = "ready"
         self.born = born
@@ -132,7 +133,7 @@
         self.stop_listening()
         ip, port = self.address.split(":")
         return type(self)(ip, self.service, self.id, self.domain, int(port),
-                          born)
+                          born, **self.next_start_options)
 
     def stop_listening(self):
         """Refuses connections from now on."""
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -664,12 +664,14 @@
 
     def test_lost_stage_calls_may_have_run(self):
         self.make_slow(30)
+        # The new incarnation may get the pieces as soon as it listens.
+        for stage in self.fleet.stages:
+            stage.next_start_options = {"call_seconds": 30}
         request_id = new_id()
         thread, answers, server = self.begin(
             "POST", "/chat/a", request_id, self.fleet.stages,
             X_Citronlane_Deadline_Ms="2500")
-        again = self.start_again(self.fleet.stages, server)
-        again.call_seconds = 30
+        self.start_again(self.fleet.stages, server)
         thread.join()
         self.check_may_have_run(answers[0])
 
