Keep a slot of a limited engine while stages run; ask limited plain servers

What callers saw: with all engines at limits, 12 of 82 refusals came as 502 after their stages had run; and a plain server whose limit had ended got no request for 9 s.

Cause: a request asked at arrival whether an engine had a slot, but did not take it, so another request did. A plain server is chosen by its expected time: one slow reply keeps it out for up to its half-life of 10 s while others have capacity, and only a call shows that a limit has ended.

Change: the placement owner takes the slot at arrival and later sends the request to that engine. A gateway prefers a limited plain server that it has not called for as many seconds as there are gateways.

--- a/include/citronlane/relay/engine_placement.h
+++ b/include/citronlane/relay/engine_placement.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "absl/types/span.h"
@@ -66,6 +67,8 @@
     kStart,
     /// The request will be sent to the engine after its stages.
     kPlan,
+    /// As kPlan, and a slot of the engine's limit is taken for it.
+    kReserve,
   };
 
   /// Partition whose owner places a request on an engine of the failure domain,
@@ -79,13 +82,15 @@
   bool IsPlacementOwner(const PoolPartition& partition) const;
   /// Requests an engine of the partition that is not in `excluded` from the
   /// placement owner. Returns the number of the question, which must be passed
-  /// to ReportFinished() once. `replied` is called later, or never.
+  /// to ReportFinished() once. `replied` is called later, or never. `reserved`
+  /// is the engine that was named for kReserve before, for kStart; else empty.
   /// Precondition: !IsPlacementOwner(partition).
   uint64_t RequestEngine(Purpose purpose,
                          const PoolPartition& partition,
                          const EngineRouter::Call& call,
                          absl::Span<const std::string> excluded,
-                         ReplyHook replied);
+                         ReplyHook replied,
+                         std::string_view reserved = {});
   /// Reports that no reply came in time. After several in a row the placement
   /// owner is excluded for a while.
   void ReportNoReply(uint64_t question);
@@ -125,6 +130,9 @@
                  const PoolPartition& partition,
                  wire::fleet::EngineAsk* ask);
   void TakeLimits(const wire::fleet::EngineAsk& ask);
+  /// Whether the question's request may be sent to the engine for which it has
+  /// reserved a slot.
+  bool MayUseReserved(const wire::fleet::EngineAsk& ask) const;
   void ReplyTo(const std::shared_ptr<FrameChannel>& channel,
                const wire::fleet::EngineAsk& ask);
   void TakeFirstEvent(const PlacedKey& key);
--- a/include/citronlane/relay/placed_engine.h
+++ b/include/citronlane/relay/placed_engine.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "absl/types/span.h"
 #include "citronlane/fleet/pool_partition.h"
@@ -46,12 +47,13 @@
 
   /// Suspends the handler until the placement owner names an engine that is not
   /// in `excluded`, and returns its id. Empty when there is none or no reply
-  /// came in time. Preconditions: is_placed_elsewhere(), the handler was not
-  /// suspended since Begin(), and a previous engine was ended by Cancel() or
-  /// NoteEnd().
+  /// came in time. `reserved` as in EnginePlacement. Preconditions:
+  /// is_placed_elsewhere(), the handler was not suspended since Begin(), and a
+  /// previous engine was ended by Cancel() or NoteEnd().
   std::string RequestEngine(EnginePlacement::Purpose purpose,
                             const EngineRouter::Call& call,
-                            absl::Span<const std::string> excluded);
+                            absl::Span<const std::string> excluded,
+                            std::string_view reserved = {});
   /// The request will not be sent to the engine. Like the next two functions,
   /// it does nothing when no engine was requested.
   void Cancel();
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -80,6 +80,13 @@
   const BackendServer* Choose();
   /// Chooses by this gateway's own estimates.
   std::optional<std::string> ChooseHere();
+  /// Whether this gateway, as the placement owner, may send the request to the
+  /// engine for which it has reserved a slot.
+  bool MayUseReserved() const;
+  /// A plain server whose limit nobody would otherwise observe; empty if there
+  /// is none.
+  std::optional<std::string> ChooseUnobserved(
+      absl::Span<const std::string> excluded);
   /// How this gateway shares the limits of the service's servers.
   ServerLimits::Scope LimitScope() const;
   /// Servers that may not get this request now: those tried, and those that
@@ -100,9 +107,10 @@
   AttemptResult AfterFailure(const ServerAttempt& attempt) const;
   /// Refuses the request if servers may not get it; returns whether it did.
   bool RefuseIfBlocked();
-  /// Refuses a request with stages if all servers of its service are at their
-  /// limits, so that its stages do not run in vain; returns whether it did.
-  /// Suspends the handler.
+  /// If all servers of the service have limits, takes a slot for a request with
+  /// stages before these run. Refuses the request if no slot is left, so that
+  /// its stages do not run in vain; returns whether it did. Suspends the
+  /// handler.
   bool RefuseIfLimited();
   bool AreAllServersLimited() const;
   /// Reports whether the call's server crashed or survived.
@@ -151,6 +159,11 @@
   bool has_called_ = false;
   /// The placement owner chose the last server and counted the call.
   bool is_counted_by_owner_ = false;
+  /// Engine for which a slot was taken at arrival; empty if none was, or once
+  /// it is used.
+  std::string reserved_engine_;
+  /// The last server is the reserved engine.
+  bool is_call_reserved_ = false;
   /// Servers were left out of the last choice because of their limits.
   bool limits_excluded_ = false;
   uint32_t stage_reruns_ = 0;
--- a/include/citronlane/routing/server_limits.h
+++ b/include/citronlane/routing/server_limits.h
@@ -24,6 +24,10 @@
 /// that gateways whose callers all come back at once don't send what they
 /// saved. Slots of different gateways are spread over the interval.
 ///
+/// An owner may take a slot for a call that is sent later. It then bounds the
+/// calls sent within some seconds as well, since calls with slots taken at
+/// different times may be sent together.
+///
 /// A limit holds until the server replies without one. Of two observations the
 /// later one counts, whoever made it. Pure: time is passed in. Not thread safe.
 class ServerLimits {
@@ -54,11 +58,26 @@
                TimePoint now) const;
   /// A call is sent to the server.
   void OnCall(std::string_view server, TimePoint now);
+  /// Takes a slot for a call that is sent later, if it is sent at all. For the
+  /// scope kOwner only. Precondition: MayCall() returned true.
+  void Reserve(std::string_view server, TimePoint now);
+  /// Whether a call with a reserved slot may be sent now. False for a server
+  /// without a limit: such a call needs no slot.
+  bool MayCallReserved(std::string_view server, TimePoint now) const;
+  /// A call with a reserved slot is sent to the server.
+  void OnReservedCall(std::string_view server, TimePoint now);
   /// The servers for which MayCall returns false.
   std::vector<std::string> Exhausted(Scope scope,
                                      size_t gateways,
                                      TimePoint now) const;
 
+  /// Servers with a limit that may be called now, and that this gateway has not
+  /// called for so long that all gateways together may have sent nothing for a
+  /// second: without a call nobody learns that the limit has ended.
+  std::vector<std::string> Unobserved(Scope scope,
+                                      size_t gateways,
+                                      TimePoint now) const;
+
   /// The latest observation of each server that was recorded after number()
   /// had this value; limits that have ended included.
   std::vector<ServerLimit> RecordedSince(uint64_t number) const;
@@ -77,8 +96,10 @@
     TimePoint began_;
     /// Of its latest observation.
     uint64_t number_ = 0;
-    /// Recent calls.
-    std::deque<TimePoint> calls_;
+    /// When slots were taken and when calls were sent, recently.
+    std::deque<TimePoint> taken_;
+    std::deque<TimePoint> sent_;
+    TimePoint last_sent_;
   };
 
   bool MayCall(std::string_view server,
@@ -86,6 +107,7 @@
                Scope scope,
                size_t gateways,
                TimePoint now) const;
+  State* FindLimited(std::string_view server);
 
   const std::string gateway_;
   std::map<std::string, State, std::less<>> servers_;
--- a/src/relay/engine_placement.cc
+++ b/src/relay/engine_placement.cc
@@ -91,7 +91,8 @@
                                         const PoolPartition& partition,
                                         const EngineRouter::Call& call,
                                         absl::Span<const std::string> excluded,
-                                        ReplyHook replied) {
+                                        ReplyHook replied,
+                                        std::string_view reserved) {
   const std::string owner = owners_.OwnerOf(partition, SteadyNow());
   const uint64_t number = ++last_question_;
   questions_[number] = Question{owner, std::move(replied)};
@@ -99,7 +100,9 @@
   auto* ask = frame.mutable_engine_ask();
   ask->set_question(number);
   EncodePartition(partition, ask);
-  ask->set_plan(purpose == Purpose::kPlan);
+  ask->set_plan(purpose != Purpose::kStart);
+  ask->set_reserve(purpose == Purpose::kReserve);
+  ask->set_reserved(std::string(reserved));
   for (const PromptSegment& segment : call.prompt_) {
     auto* added = ask->add_prompt();
     added->set_id(segment.id_);
@@ -241,6 +244,17 @@
   return true;
 }
 
+// The number of calls sent is checked here, so the slot need not have been
+// taken by this owner.
+bool EnginePlacement::MayUseReserved(const EngineAsk& ask) const {
+  const BackendServer* server = view_->FindServer(ask.reserved());
+  return server != nullptr && !server->leaving_ &&
+         server->service_ == ask.service() &&
+         (ask.part_domain().empty() ||
+          server->failure_domain_ == ask.part_domain()) &&
+         limits_->limits()->MayCallReserved(ask.reserved(), SteadyNow());
+}
+
 void EnginePlacement::ReplyTo(const std::shared_ptr<FrameChannel>& channel,
                               const EngineAsk& ask) {
   ServiceRouter* router = router_(ask.service());
@@ -259,17 +273,31 @@
   call.required_domain_ = ask.part_domain();
   TakeLimits(ask);
   const TimePoint now = SteadyNow();
-  std::vector<std::string> excluded = limits_->limits()->Exhausted(
-      ServerLimits::Scope::kOwner, view_->GatewayCount(), now);
-  excluded.insert(excluded.end(), ask.excluded().begin(), ask.excluded().end());
-  const auto server = router->Choose(now, call, excluded);
+  ServerLimits* const limits = limits_->limits();
+  const bool is_reserved = !ask.plan() && MayUseReserved(ask);
+  std::optional<std::string> server;
+  if (is_reserved) {
+    server = ask.reserved();
+  } else {
+    std::vector<std::string> excluded = limits->Exhausted(
+        ServerLimits::Scope::kOwner, view_->GatewayCount(), now);
+    excluded.insert(excluded.end(), ask.excluded().begin(),
+                    ask.excluded().end());
+    server = router->Choose(now, call, excluded);
+  }
   Frame frame;
   auto* answer = frame.mutable_engine_answer();
   answer->set_question(ask.question());
   if (server) {
     answer->set_server(*server);
-    if (!ask.plan()) {
-      limits_->limits()->OnCall(*server, now);
+    if (ask.reserve()) {
+      limits->Reserve(*server, now);
+    } else if (!ask.plan()) {
+      if (is_reserved) {
+        limits->OnReservedCall(*server, now);
+      } else {
+        limits->OnCall(*server, now);
+      }
       placed_[{channel.get(), ask.question()}] =
           Placed{ask.service(), *server, router->OnStart(*server, now, call)};
     }
--- a/src/relay/placed_engine.cc
+++ b/src/relay/placed_engine.cc
@@ -38,17 +38,18 @@
   }
 }
 
-std::string PlacedEngine::RequestEngine(
-    EnginePlacement::Purpose purpose,
-    const EngineRouter::Call& call,
-    absl::Span<const std::string> excluded) {
+std::string PlacedEngine::RequestEngine(EnginePlacement::Purpose purpose,
+                                        const EngineRouter::Call& call,
+                                        absl::Span<const std::string> excluded,
+                                        std::string_view reserved) {
   const auto answer = std::make_shared<std::optional<std::string>>();
   question_ = placement_->RequestEngine(
       purpose, partition_, call, excluded,
       [answer, waker = waker_](const std::string& server) {
         *answer = server;
         waker->Wake();
-      });
+      },
+      reserved);
   waker_->WaitUntil([&answer] { return answer->has_value(); },
                     SteadyNow() + kPlacementTimeout);
   if (!*answer && !waker_->caller_gone()) {
--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -94,13 +94,18 @@
   engine_.Begin(*service_, EngineDomain());
   if (engine_.is_placed_elsewhere()) {
     const std::string named = engine_.RequestEngine(
-        EnginePlacement::Purpose::kPlan, RouterCall(), tried_);
+        EnginePlacement::Purpose::kReserve, RouterCall(), tried_);
     engine_.Cancel();
     if (!named.empty()) {
+      reserved_engine_ = named;
       return false;
     }
   }
-  if (ChooseHere()) {
+  if (const auto id = ChooseHere()) {
+    if (engine_.is_placed_here()) {
+      context_->limits_->limits()->Reserve(*id, SteadyNow());
+      reserved_engine_ = *id;
+    }
     return false;
   }
   RefuseForLimits();
--- a/src/relay/relay_request_server.cc
+++ b/src/relay/relay_request_server.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/relay/engine_placement.h"
@@ -36,9 +37,14 @@
   router_->Update(*context_->view_, now);
   engine_.Begin(*service_, EngineDomain());
   is_counted_by_owner_ = false;
+  is_call_reserved_ = engine_.is_placed_here() && MayUseReserved();
+  const std::string reserved = std::exchange(reserved_engine_, {});
+  if (is_call_reserved_) {
+    return context_->view_->FindServer(reserved);
+  }
   if (engine_.is_placed_elsewhere()) {
     const std::string named = engine_.RequestEngine(
-        EnginePlacement::Purpose::kStart, RouterCall(), tried_);
+        EnginePlacement::Purpose::kStart, RouterCall(), tried_, reserved);
     const BackendServer* server = context_->view_->FindServer(named);
     if (server != nullptr && !server->leaving_) {
       is_counted_by_owner_ = true;
@@ -57,8 +63,42 @@
   return id ? context_->view_->FindServer(*id) : nullptr;
 }
 
+bool RelayRequest::MayUseReserved() const {
+  const BackendServer* server = context_->view_->FindServer(reserved_engine_);
+  return server != nullptr && !server->leaving_ &&
+         context_->limits_->limits()->MayCallReserved(reserved_engine_,
+                                                      SteadyNow());
+}
+
 std::optional<std::string> RelayRequest::ChooseHere() {
-  return router_->Choose(SteadyNow(), RouterCall(), Excluded());
+  const std::vector<std::string> excluded = Excluded();
+  if (auto unobserved = ChooseUnobserved(excluded)) {
+    return unobserved;
+  }
+  return router_->Choose(SteadyNow(), RouterCall(), excluded);
+}
+
+std::optional<std::string> RelayRequest::ChooseUnobserved(
+    absl::Span<const std::string> excluded) {
+  if (service_->engine_) {
+    return std::nullopt;
+  }
+  const TimePoint now = SteadyNow();
+  const std::vector<std::string> unobserved =
+      context_->limits_->limits()->Unobserved(
+          LimitScope(), context_->view_->GatewayCount(), now);
+  if (unobserved.empty()) {
+    return std::nullopt;
+  }
+  std::vector<std::string> others(excluded.begin(), excluded.end());
+  for (const BackendServer* server :
+       context_->view_->ServersOf(service_->name_)) {
+    if (std::find(unobserved.begin(), unobserved.end(), server->id_) ==
+        unobserved.end()) {
+      others.push_back(server->id_);
+    }
+  }
+  return router_->Choose(now, RouterCall(), others);
 }
 
 // For divided engines: the domain of large results or else of the cached
@@ -67,6 +107,9 @@
   if (!context_->view_->IsDivided(service_->name_)) {
     return {};
   }
+  if (const auto* reserved = context_->view_->FindServer(reserved_engine_)) {
+    return reserved->failure_domain_;
+  }
   if (stages_.HasLargeResults() && !near_domain_.empty()) {
     return near_domain_;
   }
@@ -112,7 +155,9 @@
 
 void RelayRequest::NoteStart(const std::string& server) {
   had_first_event_ = false;
-  if (!is_counted_by_owner_) {
+  if (is_call_reserved_) {
+    context_->limits_->limits()->OnReservedCall(server, SteadyNow());
+  } else if (!is_counted_by_owner_) {
     context_->limits_->limits()->OnCall(server, SteadyNow());
   }
   unread_ = router_->OnStart(server, SteadyNow(), RouterCall());
--- a/src/routing/server_limits.cc
+++ b/src/routing/server_limits.cc
@@ -19,6 +19,14 @@
 /// Fraction for all gateways together beside an owner: calls for which it did
 /// not reply in time.
 constexpr double kFractionBesideOwner = 0.4;
+/// Calls that an owner sends within kSentWindow: at most this fraction of the
+/// limit, and some calls more. Slots alone allow less, unless they are
+/// reserved.
+constexpr Duration kSentWindow = std::chrono::seconds(4);
+constexpr double kMaxSentFraction = 0.92;
+constexpr double kMaxExtraSent = 2;
+/// All gateways together should call a limited server this often.
+constexpr Duration kObservationInterval = std::chrono::seconds(1);
 /// A server that takes nothing still gets a request now and then; otherwise the
 /// end of its limit would not be noticed.
 constexpr double kMinPerSecond = 0.1;
@@ -44,6 +52,28 @@
       0, static_cast<int64_t>(std::floor(seconds * per_second + phase)));
 }
 
+// Times are in order.
+void DropBefore(TimePoint first, std::deque<TimePoint>* times) {
+  while (!times->empty() && times->front() <= first) {
+    times->pop_front();
+  }
+}
+
+size_t CountSince(TimePoint first, const std::deque<TimePoint>& times) {
+  return static_cast<size_t>(
+      std::count_if(times.begin(), times.end(),
+                    [first](TimePoint time) { return time > first; }));
+}
+
+// Whether an owner may send one more call, whatever slots it has.
+bool IsWithinSentBound(double per_second,
+                       const std::deque<TimePoint>& sent,
+                       TimePoint now) {
+  const double seconds = std::chrono::duration<double>(kSentWindow).count();
+  const double most = kMaxSentFraction * per_second * seconds + kMaxExtraSent;
+  return static_cast<double>(CountSince(now - kSentWindow, sent)) + 1 <= most;
+}
+
 }  // namespace
 
 ServerLimits::ServerLimits(std::string gateway)
@@ -65,6 +95,7 @@
   }
   if (!state.per_second_) {
     state.began_ = limit.at_;
+    state.last_sent_ = limit.at_;
   }
   state.per_second_ = limit.per_second_;
   return true;
@@ -94,8 +125,12 @@
   if (!state.per_second_) {
     return true;
   }
-  const double rate =
-      std::max(kMinPerSecond, *state.per_second_) * Fraction(scope, gateways);
+  const double per_second = std::max(kMinPerSecond, *state.per_second_);
+  if (scope == Scope::kOwner &&
+      !IsWithinSentBound(per_second, state.sent_, now)) {
+    return false;
+  }
+  const double rate = per_second * Fraction(scope, gateways);
   constexpr uint64_t kPhases = 1 << 20;
   const double phase =
       static_cast<double>(RendezvousWeight(gateway_, server) % kPhases) /
@@ -103,22 +138,60 @@
   const Duration passed = now - state.began_;
   const int64_t slots = SlotsUntil(passed, rate, phase) -
                         SlotsUntil(passed - kSlotValidity, rate, phase);
-  const auto calls = std::count_if(
-      state.calls_.begin(), state.calls_.end(),
-      [now](TimePoint call) { return now - call < kSlotValidity; });
-  return calls < slots;
+  return static_cast<int64_t>(CountSince(now - kSlotValidity, state.taken_)) <
+         slots;
+}
+
+ServerLimits::State* ServerLimits::FindLimited(std::string_view server) {
+  const auto known = servers_.find(server);
+  return known == servers_.end() || !known->second.per_second_ ? nullptr
+                                                               : &known->second;
 }
 
 void ServerLimits::OnCall(std::string_view server, TimePoint now) {
+  Reserve(server, now);
+  OnReservedCall(server, now);
+}
+
+void ServerLimits::Reserve(std::string_view server, TimePoint now) {
+  if (State* state = FindLimited(server)) {
+    DropBefore(now - kSlotValidity, &state->taken_);
+    state->taken_.push_back(now);
+  }
+}
+
+bool ServerLimits::MayCallReserved(std::string_view server,
+                                   TimePoint now) const {
   const auto known = servers_.find(server);
   if (known == servers_.end() || !known->second.per_second_) {
-    return;
+    return false;
+  }
+  const State& state = known->second;
+  return IsWithinSentBound(std::max(kMinPerSecond, *state.per_second_),
+                           state.sent_, now);
+}
+
+void ServerLimits::OnReservedCall(std::string_view server, TimePoint now) {
+  if (State* state = FindLimited(server)) {
+    DropBefore(now - kSentWindow, &state->sent_);
+    state->sent_.push_back(now);
+    state->last_sent_ = now;
   }
-  auto& calls = known->second.calls_;
-  while (!calls.empty() && now - calls.front() >= kSlotValidity) {
-    calls.pop_front();
+}
+
+std::vector<std::string> ServerLimits::Unobserved(Scope scope,
+                                                  size_t gateways,
+                                                  TimePoint now) const {
+  const auto count = static_cast<Duration::rep>(std::max<size_t>(1, gateways));
+  std::vector<std::string> unobserved;
+  for (const auto& [server, state] : servers_) {
+    if (state.per_second_ &&
+        now - state.last_sent_ >= kObservationInterval * count &&
+        MayCall(server, state, scope, gateways, now)) {
+      unobserved.push_back(server);
+    }
   }
-  calls.push_back(now);
+  return unobserved;
 }
 
 std::vector<std::string> ServerLimits::Exhausted(Scope scope,
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -98,6 +98,7 @@
 
   FleetView* view() { return &view_; }
   CrashWatch* crashes() { return &crashes_; }
+  LimitWatch* limits() { return &limits_; }
   /// Reports that were sent to the leader.
   const std::vector<wire::fleet::CrashReports>& reports() const {
     return reports_;
--- a/tests/unit-engine-placement.cc
+++ b/tests/unit-engine-placement.cc
@@ -211,6 +211,40 @@
     CHECK(owner->server_limits_.CountLimited() == 1);
   }
 
+  SECTION("an engine's slot is kept for a request while its stages run") {
+    for (const char* engine : {"e0", "e1", "e2"}) {
+      first.server_limits_.Observe({engine, 1, SteadyNow() - seconds(10)});
+    }
+    const auto reserve = [&] {
+      std::string named;
+      REQUIRE(until([&] {
+        named.clear();
+        bool replied = false;
+        const uint64_t question = first.placement_.RequestEngine(
+            Purpose::kReserve, kService, EngineRouter::Call(), {},
+            [&](const std::string& server) {
+              named = server;
+              replied = true;
+            });
+        const bool in_time = until([&] { return replied; });
+        first.placement_.ReportFinished(question, CallOutcome::kCancelled);
+        return in_time && !named.empty();
+      }));
+      return named;
+    };
+    const std::string reserved = reserve();
+    CHECK(owner->placement_.placed() == 0);
+    CHECK_FALSE(owner->server_limits_.MayCall(
+        reserved, ServerLimits::Scope::kOwner, 1, SteadyNow()));
+    std::string started;
+    first.placement_.RequestEngine(
+        Purpose::kStart, kService, EngineRouter::Call(), {},
+        [&](const std::string& server) { started = server; }, reserved);
+    CHECK(until([&] { return !started.empty(); }));
+    CHECK(started == reserved);
+    CHECK(owner->placement_.placed() == 1);
+  }
+
   SECTION("a new owner is told of limits that the previous one knew") {
     first.server_limits_.Observe({"e0", 1, SteadyNow()});
     std::string one;
--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -204,4 +204,30 @@
   CHECK(server.reads() == 1);
 }
 
+// Guards against a limit whose end is noticed late because the router prefers
+// servers without one.
+TEST_CASE("a plain server with a limit is asked now and then") {
+  boost::asio::io_context io;
+  // The others are chosen first: they reply faster than is assumed of a server
+  // that was never called.
+  ScriptedServer limited({ReplyTo("limited", ""), ReplyTo("limited", "")});
+  std::vector<std::string> replies(20, ReplyTo("other", ""));
+  ScriptedServer other(replies);
+  std::vector<BackendServer> servers = OneServer(other.port());
+  servers[0].id_ = servers[0].name_ = "a-other";
+  servers.push_back(OneServer(limited.port())[0]);
+  servers[1].id_ = servers[1].name_ = "limited";
+  servers[1].failure_domain_ = "b";
+  RelayGateway gateway(&io, Parts(), "desk", servers);
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE(gateway.Ask("other").reply_);
+  }
+  CHECK(other.reads() == 5);
+  gateway.limits()->Take({"limited", 100, SteadyNow() - seconds(60)}, "control");
+  const RecordedCaller asked = gateway.Ask("limited");
+  REQUIRE(asked.reply_);
+  CHECK(asked.reply_->status_ == 200);
+  CHECK(limited.reads() == 1);
+}
+
 }  // namespace citronlane
--- a/tests/unit-server-limits.cc
+++ b/tests/unit-server-limits.cc
@@ -89,7 +89,48 @@
     }
   }
 
+  /// The first gateway is the placement owner and takes slots for requests
+  /// whose stages last up to `most`; all others make some calls without it.
+  void RunWithReservations(Duration most, Duration until) {
+    constexpr Duration kStep = milliseconds(5);
+    std::vector<TimePoint> reserved;
+    ServerLimits& owner = gateways_.front();
+    for (TimePoint now = kStart + seconds(1); now < kStart + until;
+         now += kStep) {
+      if (owner.MayCall(kServer, Scope::kOwner, gateways_.size(), now)) {
+        owner.Reserve(kServer, now);
+        ++reservations_;
+        reserved.push_back(now +
+                           milliseconds(random_() % (most / milliseconds(1))));
+      }
+      for (size_t i = 0; i < reserved.size();) {
+        if (reserved[i] > now) {
+          ++i;
+          continue;
+        }
+        if (owner.MayCallReserved(kServer, now)) {
+          owner.OnReservedCall(kServer, now);
+          calls_.push_back(now);
+        } else {
+          ++in_vain_;
+        }
+        reserved.erase(reserved.begin() + static_cast<std::ptrdiff_t>(i));
+      }
+      for (ServerLimits& gateway : gateways_) {
+        if (&gateway != &owner &&
+            gateway.MayCall(kServer, Scope::kShareBesideOwner, gateways_.size(),
+                            now)) {
+          gateway.OnCall(kServer, now);
+          calls_.push_back(now);
+        }
+      }
+    }
+  }
+
   std::vector<TimePoint> calls_;
+  /// Slots taken, and those that could not be used.
+  size_t reservations_ = 0;
+  size_t in_vain_ = 0;
 
  private:
   std::mt19937 random_;
@@ -128,6 +169,84 @@
   }
 }
 
+// Guards against stages that run in vain because the slot that was free when
+// the request arrived went to another one.
+TEST_CASE("slots that are taken before a request's stages") {
+  for (const size_t gateways : {1, 6, 89, 360}) {
+    for (const double per_second : {0.5, 1.0, 10.0, 60.0}) {
+      for (const Duration most : {milliseconds(800), milliseconds(5000)}) {
+        for (uint32_t seed = 1; seed <= 5; ++seed) {
+          INFO(gateways << " gateways, " << per_second
+                        << " a second, stages of up to "
+                        << most / milliseconds(1) << " ms, seed " << seed);
+          LimitedFleet fleet(gateways, per_second, seed);
+          fleet.RunWithReservations(most, seconds(40));
+          CHECK(static_cast<double>(MostInAWindow(fleet.calls_)) <=
+                Allowed(per_second));
+          CHECK(static_cast<double>(fleet.in_vain_) <=
+                0.1 * static_cast<double>(fleet.reservations_));
+        }
+      }
+    }
+  }
+
+  SECTION("a reserved slot is no longer free and needs no other") {
+    ServerLimits limits("gateway");
+    limits.Observe(Limit(1, kStart));
+    TimePoint now = kStart;
+    while (!limits.MayCall(kServer, Scope::kOwner, 1, now)) {
+      now += milliseconds(10);
+    }
+    limits.Reserve(kServer, now);
+    CHECK_FALSE(limits.MayCall(kServer, Scope::kOwner, 1, now));
+    CHECK(limits.MayCallReserved(kServer, now + milliseconds(700)));
+  }
+  SECTION("are not needed once the limit has ended") {
+    ServerLimits limits("gateway");
+    limits.Observe(Limit(1, kStart));
+    limits.Observe(Limit(std::nullopt, kStart + seconds(1)));
+    CHECK_FALSE(limits.MayCallReserved(kServer, kStart + seconds(2)));
+  }
+}
+
+// Guards against a limit whose end nobody notices because the server, which was
+// slow when it was called last, is never chosen.
+TEST_CASE("a limited server that gets no calls") {
+  for (const size_t gateways : {1, 3, 89}) {
+    INFO(gateways << " gateways");
+    std::vector<ServerLimits> fleet;
+    for (size_t i = 0; i < gateways; ++i) {
+      fleet.emplace_back("10.0.0." + std::to_string(i) + ":7");
+      fleet.back().Observe(Limit(2, kStart));
+    }
+    std::vector<TimePoint> observed;
+    for (TimePoint now = kStart; now < kStart + seconds(400);
+         now += milliseconds(50)) {
+      for (ServerLimits& gateway : fleet) {
+        if (!gateway.Unobserved(Scope::kShare, gateways, now).empty()) {
+          gateway.OnCall(kServer, now);
+          observed.push_back(now);
+        }
+      }
+    }
+    // About once a second, and no more than the limit allows.
+    CHECK(observed.size() >= 120);
+    CHECK(observed.size() <= 400);
+    CHECK(static_cast<double>(MostInAWindow(observed)) <= Allowed(2));
+  }
+  SECTION("is not asked while it has no slot or no limit") {
+    ServerLimits limits("gateway");
+    limits.Observe(Limit(0, kStart));
+    TimePoint now = kStart + seconds(2);
+    while (limits.MayCall(kServer, Scope::kShare, 1, now)) {
+      now += milliseconds(100);
+    }
+    CHECK(limits.Unobserved(Scope::kShare, 1, now).empty());
+    limits.Observe(Limit(std::nullopt, now));
+    CHECK(limits.Unobserved(Scope::kShare, 1, kStart + seconds(60)).empty());
+  }
+}
+
 TEST_CASE("what a server says of its limit") {
   ServerLimits limits("gateway");
   const auto may_call = [&limits](TimePoint now) {
