Stop a request that crashes each server on the product's own interface too

What callers saw: a request under which three engines had ended ran 11 times more later than 3 s after the third (process-crashes, 3 allowed); each run took an engine from the others.

Cause: RequestDriver neither reported broken calls nor checked the list of blocked requests.

Change: a CrashGuard shares one CrashWatch among a gateway's threads; the list is checked at arrival and before each call. Reports go to the leader with the gateway's report; the list comes with the replies to reports and lease renewals. The leader names incarnations, since servers keep their names here.

The last answer must be crashes_servers, not run, and other requests must be served.

--- a/include/citronlane/control/detail/control_calls.h
+++ b/include/citronlane/control/detail/control_calls.h
@@ -3,10 +3,12 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "citronlane/control/control_options.h"
 #include "citronlane/control/detail/command_proposer.h"
 #include "citronlane/control/detail/control_state.h"
+#include "citronlane/control/detail/crash_register.h"
 #include "citronlane/control/replica_status.h"
 #include "citronlane/transport/control_service_hooks.h"
 
@@ -22,7 +24,8 @@
   ControlCalls(const ControlOptions& options,
                ControlState* state,
                CommandProposer* proposer,
-               StatusHook status);
+               StatusHook status,
+               std::function<void(std::string_view)> log);
 
   ControlServiceHooks MakeHooks();
 
@@ -41,11 +44,16 @@
   void Report(const wire::ReportRequest& request, Done<wire::ReportReply> done);
   void AddLimits(wire::ReportCommand* report) const;
   void ProposeLeavingServers(const wire::ReportRequest& request);
+  void TakeCrashes(const wire::ReportRequest& request);
+  /// Sets the list if this VM leads.
+  template <typename Reply>
+  void AddSuspects(Reply* reply);
 
   const ControlOptions& options_;
   ControlState* const state_;
   CommandProposer* const proposer_;
   const StatusHook status_;
+  CrashRegister crashes_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/gateway/caller_handler.h
+++ b/include/citronlane/gateway/caller_handler.h
@@ -17,6 +17,7 @@
 #include "citronlane/gateway/request_summary.h"
 #include "citronlane/gateway/response_writer.h"
 #include "citronlane/request/finish_request.h"
+#include "citronlane/serving/request_fingerprint.h"
 #include "citronlane/transport/http_reply.h"
 
 namespace citronlane {
@@ -59,6 +60,7 @@
   HttpReply MakeFailure();
   void FlushText();
   bool SendStream(std::string_view bytes);
+  const RequestFingerprint& Fingerprint();
   RequestSummary Summarize() const;
   bool MetTarget(const RequestSummary& summary) const;
 
@@ -74,6 +76,7 @@
   std::unique_ptr<RequestClaim> claim_;
   std::shared_ptr<RequestDriver> driver_;
   std::optional<FinishRequest> finish_;
+  std::optional<RequestFingerprint> fingerprint_;
   std::string pending_text_;
   /// All bytes sent of a streamed response, kept if it has to be stored.
   std::string sent_text_;
--- a/include/citronlane/gateway/detail/in_flight_call.h
+++ b/include/citronlane/gateway/detail/in_flight_call.h
@@ -32,6 +32,7 @@
   TimePoint started_{};
   TimePoint deadline_{};
   bool first_byte_ = false;
+  TimePoint first_byte_at_{};
   uint32_t tokens_ = 0;
   StageReplyHead head_;
   std::shared_ptr<StageCall> stage_call_;
--- a/include/citronlane/gateway/driver_context.h
+++ b/include/citronlane/gateway/driver_context.h
@@ -16,6 +16,7 @@
 
 namespace citronlane {
 
+class CrashGuard;
 class PoolShards;
 class StageClient;
 
@@ -25,6 +26,7 @@
   boost::asio::io_context* io_ = nullptr;
   StageClient* client_ = nullptr;
   PoolShards* pools_ = nullptr;
+  CrashGuard* crashes_ = nullptr;
   /// A stage call ended; `in_flight` other calls to the pool are in flight.
   std::function<void(std::string_view pool,
                      CallOutcome outcome,
--- a/include/citronlane/gateway/driver_job.h
+++ b/include/citronlane/gateway/driver_job.h
@@ -1,6 +1,7 @@
 #ifndef CITRONLANE_GATEWAY_DRIVER_JOB_H_
 #define CITRONLANE_GATEWAY_DRIVER_JOB_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -16,6 +17,7 @@
 namespace citronlane {
 
 struct ClusterConfig;
+struct RequestFingerprint;
 
 /// An admitted request and the callbacks of its RequestDriver.
 struct DriverJob {
@@ -30,6 +32,10 @@
   std::optional<HttpRequest> service_call_;
   /// Whether hedges are allowed now. Must be set.
   std::function<bool()> may_hedge_;
+  /// Returns what identifies the request's content, and the size of its body.
+  /// Must be set.
+  std::function<const RequestFingerprint&()> fingerprint_;
+  uint64_t body_bytes_ = 0;
   /// Called with each further part of the response text. Empty if the response
   /// is not streamed.
   std::function<void(const EmitText&)> on_text_;
--- a/include/citronlane/gateway/gateway.h
+++ b/include/citronlane/gateway/gateway.h
@@ -16,6 +16,10 @@
 
 namespace citronlane {
 
+namespace wire {
+class SuspectList;
+}  // namespace wire
+
 struct ClusterConfig;
 
 /// One gateway: accepts callers' requests over HTTP, runs their pipelines on
@@ -58,6 +62,9 @@
   /// incarnation.
   void OnServerLive(std::string_view server, uint64_t incarnation);
 
+  /// Takes the leader's list of requests under which backend servers crashed.
+  void OnSuspects(const wire::SuspectList& list);
+
   /// Sets the amount, in micro-units, that this gateway may spend for a class
   /// until `until`.
   void OnSpendShare(std::string_view class_name,
--- a/include/citronlane/gateway/gateway_hooks.h
+++ b/include/citronlane/gateway/gateway_hooks.h
@@ -14,6 +14,10 @@
 
 namespace citronlane {
 
+namespace wire::fleet {
+class CrashReports;
+}  // namespace wire::fleet
+
 /// Functions of the process that a gateway calls. Hooks may be called from
 /// several threads concurrently. All are optional: without them there is no
 /// metrics text, no log, claims are unavailable and refusals are only logged.
@@ -43,6 +47,8 @@
   /// 0 if unknown.
   std::function<void(std::string_view server, uint64_t incarnation)>
       report_leaving_;
+  /// Reports to the control VMs that backend servers crashed or survived.
+  std::function<void(const wire::fleet::CrashReports& reports)> report_crashes_;
   GatewayEvents events_;
 };
 
--- a/include/citronlane/gateway/request_driver.h
+++ b/include/citronlane/gateway/request_driver.h
@@ -93,6 +93,8 @@
   void HandleServiceReply(const InFlightCallPtr& call, std::string body);
   void FailCall(const InFlightCallPtr& call, CallOutcome outcome);
   void CompleteCall(const InFlightCallPtr& call, CallOutcome outcome);
+  /// Reports the call if its server may have crashed.
+  void NoteCrash(const detail::InFlightCall& call, CallOutcome outcome);
   void ReportDrops(const InFlightCallPtr& call);
   std::optional<Duration> StageTime(uint32_t stage) const;
   InFlightCallPtr FindCall(const AttemptId& attempt) const;
--- a/include/citronlane/request/request.h
+++ b/include/citronlane/request/request.h
@@ -44,6 +44,10 @@
   /// stage is open.
   void OnNoServer(const AttemptId& attempt, TimePoint now);
 
+  /// No server may get the request, since servers crashed while they ran it.
+  /// Ends the request unless another call of the stage is open.
+  void OnBlocked(const AttemptId& attempt);
+
   /// Must be called right before the first byte of the call is handed to the
   /// socket. Raises the verdict. Returns false when the attempt is closed: then
   /// nothing may be sent.
--- a/include/citronlane/transport/control_client.h
+++ b/include/citronlane/transport/control_client.h
@@ -16,6 +16,10 @@
 
 namespace citronlane {
 
+namespace wire::fleet {
+class CrashReports;
+}  // namespace wire::fleet
+
 /// A gateway's connection to the control VMs: watches the configuration at one
 /// of them, renews the lease on it at a majority, and sends claims and reports
 /// to the leader. Thread safe, except Start and Stop, which must be called by
@@ -65,6 +69,8 @@
 
   /// Reports with the next report that a backend server is draining.
   void ReportLeaving(std::string_view server, uint64_t incarnation);
+  /// Reports with the next report that backend servers crashed or survived.
+  void ReportCrashes(const wire::fleet::CrashReports& reports);
 
  private:
   class Impl;
--- a/include/citronlane/transport/control_client_hooks.h
+++ b/include/citronlane/transport/control_client_hooks.h
@@ -12,6 +12,10 @@
 
 namespace citronlane {
 
+namespace wire {
+class SuspectList;
+}  // namespace wire
+
 struct ClusterConfig;
 
 /// Hooks by which a ControlClient notifies its gateway, called from the
@@ -27,6 +31,9 @@
       on_leaving_;
   /// A backend server that was draining runs again, with a later incarnation.
   std::function<void(std::string_view server, uint64_t incarnation)> on_live_;
+  /// The leader has sent its list of requests under which servers crashed; it
+  /// is called several times in each second.
+  std::function<void(const wire::SuspectList& list)> on_suspects_;
   /// This gateway may spend `amount` micro-units for the class until `until`.
   std::function<
       void(std::string_view class_name, double amount, TimePoint until)>
--- a/include/citronlane/transport/detail/reporter.h
+++ b/include/citronlane/transport/detail/reporter.h
@@ -34,6 +34,7 @@
                    TimePoint deadline,
                    Done done);
   void AddLeaving(const std::string& server, uint64_t incarnation);
+  void AddCrashes(const wire::fleet::CrashReports& reports);
 
  private:
   /// Refusals of one call of AddRefusals.
@@ -58,6 +59,7 @@
   std::vector<Batch> sent_;
   std::vector<Batch> waiting_;
   std::map<std::string, uint64_t> leaving_;
+  wire::fleet::CrashReports crashes_;
 };
 
 }  // namespace citronlane
--- a/src/control/control_calls.cc
+++ b/src/control/control_calls.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
 
 namespace citronlane {
@@ -22,11 +23,13 @@
 ControlCalls::ControlCalls(const ControlOptions& options,
                            ControlState* state,
                            CommandProposer* proposer,
-                           StatusHook status)
+                           StatusHook status,
+                           std::function<void(std::string_view)> log)
     : options_(options),
       state_(state),
       proposer_(proposer),
-      status_(std::move(status)) {}
+      status_(std::move(status)),
+      crashes_(std::move(log)) {}
 
 ControlServiceHooks ControlCalls::MakeHooks() {
   ControlServiceHooks hooks;
@@ -34,7 +37,9 @@
     return state_->OpenWatch(request.version());
   };
   hooks.renew_lease_ = [this](const wire::LeaseRequest& request) {
-    return state_->RenewLease(request, status_());
+    wire::LeaseReply reply = state_->RenewLease(request, status_());
+    AddSuspects(&reply);
+    return reply;
   };
   hooks.register_ = [this](const auto& request, auto done) {
     Register(request, std::move(done));
@@ -144,6 +149,7 @@
 void ControlCalls::Report(const wire::ReportRequest& request,
                           Done<wire::ReportReply> done) {
   ProposeLeavingServers(request);
+  TakeCrashes(request);
   wire::StateCommand command;
   wire::ReportCommand* report = command.mutable_report();
   *report->mutable_gateway() = request.gateway();
@@ -170,6 +176,7 @@
                        reply.set_accepted(result.has_value());
                        if (result) {
                          *reply.mutable_shares() = result->shares();
+                         AddSuspects(&reply);
                        } else {
                          reply.set_leader(LeaderAddress());
                        }
@@ -187,6 +194,21 @@
   }
 }
 
+void ControlCalls::TakeCrashes(const wire::ReportRequest& request) {
+  const ReplicaStatus status = status_();
+  if (request.has_crashes() && status.leader_lease_) {
+    crashes_.Take(request.crashes(), status.term_, SteadyNow());
+  }
+}
+
+template <typename Reply>
+void ControlCalls::AddSuspects(Reply* reply) {
+  const ReplicaStatus status = status_();
+  if (status.leader_lease_) {
+    crashes_.AddTo(status.term_, SteadyNow(), reply->mutable_suspects());
+  }
+}
+
 // Commits the backend servers that a gateway reports as leaving, so that the
 // other gateways are notified immediately.
 void ControlCalls::ProposeLeavingServers(const wire::ReportRequest& request) {
--- a/src/gateway/caller_handler.cc
+++ b/src/gateway/caller_handler.cc
@@ -7,6 +7,7 @@
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/gateway/admission_estimate.h"
 #include "citronlane/gateway/admission_gate.h"
+#include "citronlane/gateway/crash_guard.h"
 #include "citronlane/gateway/driver_context.h"
 #include "citronlane/gateway/refusal_writer.h"
 #include "citronlane/gateway/request_driver.h"
@@ -18,6 +19,8 @@
 
 /// A caller that leaves more streamed text than this unsent counts as gone.
 constexpr size_t kMaxPendingTextBytes = size_t{1024} * 1024;
+/// A block lasts minutes; sooner the same request is refused again.
+constexpr Duration kBlockedRetryAfter = std::chrono::seconds(60);
 constexpr std::string_view kEventStream = "text/event-stream";
 
 double Milliseconds(Duration time) {
@@ -47,6 +50,12 @@
 CallerHandler::~CallerHandler() = default;
 
 void CallerHandler::Run() {
+  if (context_.crashes_->IsBlocked(
+          http_.body_.size(),
+          [this]() -> const RequestFingerprint& { return Fingerprint(); })) {
+    Refuse(RefusalReason::kCrashesServers, Verdict::kNotRun, "");
+    return;
+  }
   if (!request_.idempotency_key_.empty() && !TakeClaim()) {
     return;
   }
@@ -60,12 +69,26 @@
                               summary.met_target_);
   parts_.on_request_(summary);
   if (finish_->complete_) {
+    // Only the servers of all stages together show that none crashes.
+    context_.crashes_->OnSurvived(
+        http_.body_.size(),
+        [this]() -> const RequestFingerprint& { return Fingerprint(); });
     SendCompleteResponse();
   } else {
     SendFailure();
   }
 }
 
+// Computed on first use: only failed calls need it. The host is left out, since
+// nothing here depends on it and callers may reach gateways under several.
+const RequestFingerprint& CallerHandler::Fingerprint() {
+  if (!fingerprint_) {
+    fingerprint_ = FingerprintOf(http_.method_, "", http_.target_,
+                                 request_.account_->name_, http_.body_);
+  }
+  return *fingerprint_;
+}
+
 bool CallerHandler::TakeClaim() {
   ClaimQuery query;
   query.account_ = request_.account_->name_;
@@ -168,6 +191,10 @@
     return !request_.class_->batch_ && !parts_.admission_->SpendIsTight(
                                            SteadyNow(), request_.class_->name_);
   };
+  job.fingerprint_ = [this]() -> const RequestFingerprint& {
+    return Fingerprint();
+  };
+  job.body_bytes_ = http_.body_.size();
   if (request_.stream_) {
     job.on_text_ = [this](const EmitText& text) {
       pending_text_ += writer_.TextEvent(text);
@@ -314,6 +341,9 @@
                            std::string_view detail) {
   Refusal refusal;
   refusal.reason_ = reason;
+  if (reason == RefusalReason::kCrashesServers) {
+    refusal.retry_after_ = kBlockedRetryAfter;
+  }
   exchange_->Reply(
       parts_.refusals_->Write(refusal_context_, refusal, verdict, detail));
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -11,17 +11,20 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
 #include "citronlane/gateway/admission_gate.h"
 #include "citronlane/gateway/caller_service.h"
+#include "citronlane/gateway/crash_guard.h"
 #include "citronlane/gateway/driver_context.h"
 #include "citronlane/gateway/gateway_state.h"
 #include "citronlane/gateway/pool_shards.h"
 #include "citronlane/gateway/refusal_backlog.h"
 #include "citronlane/gateway/refusal_writer.h"
 #include "citronlane/gateway/usage_meter.h"
+#include "citronlane/net/connect_probe.h"
 #include "citronlane/process/detail/unix_time.h"
 #include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/stage_client.h"
@@ -76,7 +79,8 @@
                   [this](const auto& entry, bool admitted) {
                     OnRefusal(entry, admitted);
                   }),
-        usage_(SteadyNow()) {
+        usage_(SteadyNow()),
+        crashes_(identity_, MakeCrashHooks()) {
     for (size_t i = 0; i < std::max<size_t>(1, options_.threads_); ++i) {
       shards_.push_back(MakeShard());
     }
@@ -151,6 +155,7 @@
   RefusalBacklog backlog_;
   RefusalWriter refusals_;
   UsageMeter usage_;
+  CrashGuard crashes_;
   std::unique_ptr<CallerService> service_;
   // Destroyed before the service: destroying the shards ends the handlers that
   // were aborted, and these still refer to the service.
@@ -159,12 +164,32 @@
   std::unique_ptr<HttpListener> listener_;
 
  private:
+  CrashGuard::Hooks MakeCrashHooks() {
+    CrashGuard::Hooks hooks;
+    hooks.send_ = [this](const wire::fleet::CrashReports& reports) {
+      if (hooks_.report_crashes_) {
+        hooks_.report_crashes_(reports);
+      }
+    };
+    hooks.probe_ = [this](const std::string& endpoint,
+                          std::function<void(bool)> done) {
+      asio::io_context* const io = &shards_.front()->io_;
+      asio::post(*io, [io, endpoint, done = std::move(done)] {
+        ProbeListener(io, endpoint, done);
+      });
+    };
+    hooks.log_ = [this](std::string_view line) { Log(line); };
+    hooks.now_ = SteadyNow;
+    return hooks;
+  }
+
   std::unique_ptr<Shard> MakeShard() {
     auto shard = std::make_unique<Shard>(options_.stage_limits_);
     DriverContext& context = shard->context_;
     context.io_ = &shard->io_;
     context.client_ = &shard->client_;
     context.pools_ = &pools_;
+    context.crashes_ = &crashes_;
     context.on_call_ = [this](std::string_view pool, CallOutcome outcome,
                               Duration /*latency*/, uint32_t tokens,
                               size_t /*in_flight*/) {
@@ -355,6 +380,10 @@
   impl_->pools_.OnAlive(server, incarnation, SteadyNow());
 }
 
+void Gateway::OnSuspects(const wire::SuspectList& list) {
+  impl_->crashes_.Take(list);
+}
+
 void Gateway::OnSpendShare(std::string_view class_name,
                            double amount,
                            TimePoint until) {
--- a/src/gateway/gateway_control.cc
+++ b/src/gateway/gateway_control.cc
@@ -43,6 +43,9 @@
                                   TimePoint until) {
     gateway_->OnSpendShare(class_name, amount, until);
   };
+  client_hooks.on_suspects_ = [this](const wire::SuspectList& list) {
+    gateway_->OnSuspects(list);
+  };
   client_hooks.take_usage_ = [this] { return gateway_->TakeUsage(); };
   client_hooks.log_ = hooks.log_;
   client_ = std::make_unique<ControlClient>(ClientOptions(options),
@@ -74,6 +77,9 @@
                                     uint64_t incarnation) {
     client->ReportLeaving(server, incarnation);
   };
+  hooks->report_crashes_ = [client](const wire::fleet::CrashReports& reports) {
+    client->ReportCrashes(reports);
+  };
 }
 
 void GatewayControl::Start(Gateway* gateway) {
--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -9,6 +9,7 @@
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/gateway/crash_guard.h"
 #include "citronlane/gateway/detail/in_flight_call.h"
 #include "citronlane/gateway/driver_context.h"
 #include "citronlane/gateway/pool_shards.h"
@@ -20,11 +21,18 @@
 
 constexpr size_t kMaxEventBytes = size_t{64} * 1024;
 constexpr double kMedian = 0.5;
+/// A server that still runs a request this long after its first token is not
+/// crashed by the start of it.
+constexpr Duration kSurvivalTime = std::chrono::seconds(1);
 
 int64_t Milliseconds(Duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
+std::string EndpointOf(const ServerConfig& server) {
+  return server.address_ + ":" + std::to_string(server.port_);
+}
+
 std::vector<std::shared_ptr<PoolShard>> FindPools(
     const PoolShards& pools,
     const std::vector<StageConfig>& stages) {
@@ -165,6 +173,10 @@
   if (request_.finished()) {
     return;
   }
+  if (context_->crashes_->IsBlocked(job_.body_bytes_, job_.fingerprint_)) {
+    request_.OnBlocked(command.attempt_);
+    return;
+  }
   if (command.attempt_.stage_ == stage_starts_.size()) {
     stage_starts_.push_back(SteadyNow());
     ReleasePlannedCalls(command.attempt_.stage_ + 1);
@@ -364,6 +376,7 @@
   const Duration latency = now - call->started_;
   call->pool_->OnFinish(call->server_.id_, now, outcome, latency, call->tokens_,
                         call->shape_);
+  NoteCrash(*call, outcome);
   context_->on_call_(call->pool_name_, outcome, latency, call->tokens_,
                      call->pool_->in_flight());
   if (call->hedge_) {
@@ -374,6 +387,18 @@
       in_flight_calls_.end());
 }
 
+// The end of a server that drains is planned and counts against no request.
+void RequestDriver::NoteCrash(const detail::InFlightCall& call,
+                              CallOutcome outcome) {
+  const bool ran_on =
+      call.first_byte_ && SteadyNow() - call.first_byte_at_ >= kSurvivalTime;
+  if (outcome == CallOutcome::kClosedAfterSend && !call.head_.draining_ &&
+      !ran_on) {
+    context_->crashes_->OnBroken(call.server_.id_, EndpointOf(call.server_),
+                                 job_.fingerprint_());
+  }
+}
+
 RequestDriver::InFlightCallPtr RequestDriver::FindCall(
     const AttemptId& attempt) const {
   const auto found = std::find_if(
--- a/src/gateway/request_driver_replies.cc
+++ b/src/gateway/request_driver_replies.cc
@@ -6,6 +6,7 @@
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/config/cluster_config.h"
+#include "citronlane/gateway/crash_guard.h"
 #include "citronlane/gateway/detail/in_flight_call.h"
 #include "citronlane/gateway/driver_context.h"
 #include "citronlane/transport/detail/header_name.h"
@@ -50,6 +51,8 @@
     context_->on_leaving_(call->server_.id_);
   }
   call->head_ = head;
+  context_->crashes_->OnAlive(call->server_.address_ + ":" +
+                              std::to_string(call->server_.port_));
   if (!call->reader_) {
     return true;
   }
@@ -82,6 +85,7 @@
   }
   if (!call->first_byte_) {
     call->first_byte_ = true;
+    call->first_byte_at_ = now;
     call->pool_->OnFirstByte(call->server_.id_, now, now - call->started_);
   }
   ++call->tokens_;
--- a/src/request/request.cc
+++ b/src/request/request.cc
@@ -31,6 +31,17 @@
                                       : RefusalReason::kNoBackendServer);
 }
 
+void Request::OnBlocked(const AttemptId& attempt) {
+  Attempt* open = FindOpen(attempt);
+  if (open == nullptr) {
+    return;
+  }
+  CloseAttempt(open, Verdict::kNotRun);
+  if (!HasOpen()) {
+    FinishFailed(RefusalReason::kCrashesServers);
+  }
+}
+
 bool Request::OnSending(const AttemptId& attempt) {
   Attempt* open = FindOpen(attempt);
   if (open == nullptr) {
--- a/src/transport/config_holder.cc
+++ b/src/transport/config_holder.cc
@@ -110,6 +110,9 @@
     link_->channels_.SetAddresses(std::move(addresses));
   }
   renewer_.set_peers_hash(reply.peers_hash());
+  if (reply.has_suspects() && hooks_.on_suspects_) {
+    hooks_.on_suspects_(reply.suspects());
+  }
   if (!reply.voter()) {
     return;
   }
--- a/src/transport/control_client.cc
+++ b/src/transport/control_client.cc
@@ -98,6 +98,7 @@
   bool ReportRefusals(const std::vector<RefusalEntry>& refusals,
                       uint64_t dropped);
   void ReportLeaving(std::string_view server, uint64_t incarnation);
+  void ReportCrashes(const wire::fleet::CrashReports& reports);
 
  private:
   using Key = std::pair<std::string, std::string>;
@@ -303,6 +304,11 @@
   });
 }
 
+void ControlClient::Impl::ReportCrashes(
+    const wire::fleet::CrashReports& reports) {
+  link_.timers_.Post([this, reports] { reporter_.AddCrashes(reports); });
+}
+
 bool ControlClient::Impl::ReservePending() {
   if (pending_.fetch_add(1) >= link_.options_.max_pending_) {
     --pending_;
@@ -349,4 +355,8 @@
   impl_->ReportLeaving(server, incarnation);
 }
 
+void ControlClient::ReportCrashes(const wire::fleet::CrashReports& reports) {
+  impl_->ReportCrashes(reports);
+}
+
 }  // namespace citronlane
--- a/src/transport/reporter.cc
+++ b/src/transport/reporter.cc
@@ -11,6 +11,9 @@
 namespace citronlane {
 namespace {
 
+/// Crashes that wait for a report.
+constexpr int kMaxCrashes = 256;
+
 using ReportCall = LeaderCall<wire::ReportRequest, wire::ReportReply>;
 
 }  // namespace
@@ -41,6 +44,13 @@
   SendIfIdle();
 }
 
+void Reporter::AddCrashes(const wire::fleet::CrashReports& reports) {
+  if (crashes_.crashes_size() < kMaxCrashes) {
+    crashes_.MergeFrom(reports);
+  }
+  SendIfIdle();
+}
+
 void Reporter::Tick() {
   if (link_->calls_.is_stopping()) {
     ExpireBatches();
@@ -88,12 +98,17 @@
     added->set_server(server);
     added->set_incarnation(incarnation);
   }
+  const bool has_crashes = crashes_.ByteSizeLong() > 0;
+  if (has_crashes) {
+    *request->mutable_crashes() = crashes_;
+  }
   const bool has_content = request->usage_size() > 0 || !waiting_.empty() ||
-                           request->leaving_size() > 0;
+                           request->leaving_size() > 0 || has_crashes;
   if (has_content) {
     ++sequence_;
     sent_ = std::exchange(waiting_, {});
     leaving_.clear();
+    crashes_.Clear();
   }
   return has_content;
 }
@@ -132,10 +147,13 @@
                        sent + std::chrono::milliseconds(share.valid_ms()));
     }
   }
+  if (reply->has_suspects() && hooks_.on_suspects_) {
+    hooks_.on_suspects_(reply->suspects());
+  }
   for (const Batch& batch : std::exchange(sent_, {})) {
     batch.done_(true);
   }
-  if (!waiting_.empty() || !leaving_.empty()) {
+  if (!waiting_.empty() || !leaving_.empty() || crashes_.ByteSizeLong() > 0) {
     SendIfIdle();
   }
 }
--- a/tests/process/crashes_test.py
+++ b/tests/process/crashes_test.py
@@ -20,6 +20,11 @@
     # The bound on retries must not be what stops the request.
     gateway_settings = {"retry_budget": 1}
 
+    def ask_again(self, number):
+        """Sends the request once more, to the next gateway."""
+        return self.ask(TEXT, stream=True,
+                        gateway=number % len(self.cluster.gateways))
+
     def stop_engines_that_run_it(self):
         """Stops each engine at each run of the request until the test is over,
         and starts it again."""
@@ -41,8 +46,9 @@
         watcher = threading.Thread(target=self.stop_engines_that_run_it)
         watcher.start()
         until = time.monotonic() + 10
+        answers = []
         while time.monotonic() < until:
-            self.ask(TEXT, stream=True)
+            answers.append(self.ask_again(len(answers)))
             time.sleep(0.3)
         self.over.set()
         watcher.join()
@@ -52,6 +58,20 @@
         print(f"{len(self.crashes)} engines ended, {later} of them later than "
               f"{RECOGNITION_SECONDS} s after the third", flush=True)
         self.assertLessEqual(later, MAX_LATER_RUNS)
+        # Refused as what it is, before any of it runs.
+        self.assertEqual((answers[-1].status, answers[-1].reason,
+                          answers[-1].verdict),
+                         (503, "crashes_servers", "not_run"))
+        # Other requests are still served.
+        self.assert_whole([self.ask("ends no engine", gateway=i) for i in
+                           range(len(self.cluster.gateways))])
+
+
+class CrashingRequestInFleetTest(CrashingRequestTest):
+    """The caller sends the request to one gateway after the other."""
+
+    controls = 3
+    gateways = 3
 
 
 if __name__ == "__main__":
