Send cold servers no more requests than they tolerate

What callers saw: nothing kept this rule. A server that has just started or lost its caches tolerates a declared number of requests a second; gateways sent it its usual share.

Cause: neither the declaration nor the list's remaining cold time was read.

Change: ColdServers finds cold servers in successive lists: those called cold, those listed for the first time, and those that take work again. ServerLimits gives them a limit, so first sends, retries, continued streams and pieces pass one check.

There was no such check before.

--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -99,6 +99,11 @@
     Metric::Kind::kGauge,
     "Backend servers that name a limit on the rate of requests.",
     {}};
+inline constexpr Metric kServersCold{
+    "citronlane_servers_cold",
+    Metric::Kind::kGauge,
+    "Backend servers that tolerate few requests for now.",
+    {}};
 inline constexpr Metric kRequestsBlocked{
     "citronlane_requests_blocked",
     Metric::Kind::kGauge,
@@ -160,6 +165,7 @@
     &kRequestsInFlight,
     &kPoolTasks,
     &kServersLimited,
+    &kServersCold,
     &kRequestsBlocked,
     &kReady,
     &kConfigUpdatesTotal,
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -25,6 +25,7 @@
 #include "citronlane/relay/service_router.h"
 #include "citronlane/relay/stage_owners.h"
 #include "citronlane/relay/stage_pool.h"
+#include "citronlane/routing/cold_servers.h"
 #include "citronlane/routing/repeat_budget.h"
 #include "citronlane/routing/server_limits.h"
 #include "citronlane/transport/http_listener.h"
@@ -81,6 +82,7 @@
   void TakeDrained(DrainedDomains::Names domains);
   /// The servers of the view, or their states, have changed.
   void ServersChanged();
+  void UpdateColdServers();
   void NoteUnusable(size_t unusable);
   void ReadStaleList(TimePoint now);
   void Reload();
@@ -111,6 +113,9 @@
   TimePoint owners_since_;
   StageOwners owners_;
   ServerLimits server_limits_;
+  ColdServers cold_servers_;
+  /// Cold servers of the last log line.
+  std::string logged_cold_;
   LimitWatch limits_;
   EnginePlacement engines_;
   CrashWatch crashes_;
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -49,6 +49,8 @@
   /// Null before the first configuration.
   const std::shared_ptr<const ServingConfig>& config() const { return config_; }
   /// Servers of a service, leaving ones included. Valid until the list changes.
+  /// All servers, those of drained failure domains as leaving.
+  const std::vector<BackendServer>& servers() const { return servers_; }
   std::vector<const BackendServer*> ServersOf(std::string_view service) const;
   /// Servers of a service that are in the partition, leaving ones included.
   std::vector<const BackendServer*> ServersIn(
--- a/include/citronlane/routing/server_limits.h
+++ b/include/citronlane/routing/server_limits.h
@@ -11,7 +11,9 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/types/span.h"
 #include "citronlane/base/time.h"
+#include "citronlane/routing/cold_server.h"
 #include "citronlane/routing/server_limit.h"
 
 namespace citronlane {
@@ -28,6 +30,9 @@
 /// calls sent within some seconds as well, since calls with slots taken at
 /// different times may be sent together.
 ///
+/// A cold server has a limit, too, without naming one; it holds in each second.
+/// Of two limits of a server the lower one counts.
+///
 /// A limit holds until the server replies without one. Of two observations the
 /// later one counts, whoever made it. Pure: time is passed in. Not thread safe.
 class ServerLimits {
@@ -47,6 +52,8 @@
 
   /// Records what a server said. Returns whether the limit has changed.
   bool Observe(const ServerLimit& limit);
+  /// Replaces the cold servers.
+  void SetCold(absl::Span<const ColdServer> servers, TimePoint now);
   /// Forgets servers for which `exists` returns false.
   void Retain(const std::function<bool(std::string_view server)>& exists);
 
@@ -83,14 +90,19 @@
   std::vector<ServerLimit> RecordedSince(uint64_t number) const;
   /// Rises with each observation recorded.
   uint64_t number() const { return number_; }
-  /// Whether the server has a limit.
-  bool IsLimited(std::string_view server) const;
-  /// Number of servers with a limit.
+  /// Whether the server has a limit, or is cold.
+  bool IsLimited(std::string_view server, TimePoint now) const;
+  /// Number of servers that name a limit.
   size_t CountLimited() const;
+  /// Number of cold servers.
+  size_t CountCold(TimePoint now) const;
 
  private:
   struct State {
     std::optional<double> per_second_;
+    /// Limit while it is cold.
+    double cold_per_second_ = 0;
+    TimePoint cold_until_;
     /// When the limit was last observed, and when it began.
     TimePoint observed_;
     TimePoint began_;
@@ -107,7 +119,13 @@
                Scope scope,
                size_t gateways,
                TimePoint now) const;
-  State* FindLimited(std::string_view server);
+  static bool IsCold(const State& state, TimePoint now) {
+    return now < state.cold_until_;
+  }
+  /// The lower one of its limits; nothing if it has none.
+  static std::optional<double> LimitOf(const State& state, TimePoint now);
+  static bool IsWithinSentBound(const State& state, TimePoint now);
+  State* FindLimited(std::string_view server, TimePoint now);
 
   const std::string gateway_;
   std::map<std::string, State, std::less<>> servers_;
--- a/include/citronlane/serving/backend_server.h
+++ b/include/citronlane/serving/backend_server.h
@@ -25,13 +25,16 @@
   uint32_t slots_ = 1;
   /// Whether it takes no new work.
   bool leaving_ = false;
+  /// Whether the platform says that it tolerates few requests for now, because
+  /// it started or lost its caches a short time ago.
+  bool is_cold_ = false;
 
   bool operator==(const BackendServer& other) const {
     return id_ == other.id_ && name_ == other.name_ &&
            started_ms_ == other.started_ms_ && service_ == other.service_ &&
            address_ == other.address_ &&
            failure_domain_ == other.failure_domain_ && slots_ == other.slots_ &&
-           leaving_ == other.leaving_;
+           leaving_ == other.leaving_ && is_cold_ == other.is_cold_;
   }
 };
 
--- a/include/citronlane/serving/service.h
+++ b/include/citronlane/serving/service.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "citronlane/serving/cold_server_spec.h"
 #include "citronlane/serving/engine_spec.h"
 #include "citronlane/serving/stage_pool_spec.h"
 
@@ -19,6 +20,8 @@
   std::optional<StagePoolSpec> stage_pool_;
   /// Set for services of model engines.
   std::optional<EngineSpec> engine_;
+  /// Set for services whose servers tolerate few requests while they are cold.
+  std::optional<ColdServerSpec> cold_;
 };
 
 }  // namespace citronlane
--- a/src/net/fleet_codec.cc
+++ b/src/net/fleet_codec.cc
@@ -30,6 +30,7 @@
     entry->set_failure_domain(server.failure_domain_);
     entry->set_slots(server.slots_);
     entry->set_leaving(server.leaving_);
+    entry->set_cold(server.is_cold_);
   }
 }
 
@@ -45,6 +46,7 @@
     server.failure_domain_ = entry.failure_domain();
     server.slots_ = entry.slots();
     server.leaving_ = entry.leaving();
+    server.is_cold_ = entry.cold();
     servers.push_back(std::move(server));
   }
   return servers;
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -210,6 +210,8 @@
     }
     metrics_.Set(kServersLimited, {},
                  static_cast<double>(server_limits_.CountLimited()));
+    metrics_.Set(kServersCold, {},
+                 static_cast<double>(server_limits_.CountCold(SteadyNow())));
     metrics_.Set(kRequestsBlocked, {},
                  static_cast<double>(crashes_.CountBlocked()));
     metrics_.Set(kReady, {}, IsReady() ? 1 : 0);
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -109,6 +109,7 @@
   const uint64_t version = config->version();
   if (view_.SetConfig(std::move(config))) {
     ApplyLimits();
+    UpdateColdServers();
     relay_.OnViewReady();
     log_->Write("gateway", "config in force",
                 {{"version", version},
@@ -157,12 +158,35 @@
   server_limits_.Retain([this](std::string_view server) {
     return view_.FindServer(server) != nullptr;
   });
+  UpdateColdServers();
   relay_.OnViewReady();
   for (const auto& [partition, pool] : pools_) {
     pool->Tick(SteadyNow());
   }
 }
 
+void GatewayHost::Impl::UpdateColdServers() {
+  const TimePoint now = SteadyNow();
+  const auto spec = [this](const std::string& service) {
+    const Service* declared =
+        view_.config() ? view_.config()->FindService(service) : nullptr;
+    return declared != nullptr && declared->cold_ ? &*declared->cold_ : nullptr;
+  };
+  const auto cold = cold_servers_.Update(view_.servers(), spec, now);
+  server_limits_.SetCold(cold, now);
+  std::string names;
+  for (const ColdServer& server : cold) {
+    names += (names.empty() ? "" : " ") + server.server_;
+  }
+  if (names != logged_cold_) {
+    logged_cold_ = std::move(names);
+    log_->Write("gateway", "cold servers changed",
+                {{"count", static_cast<uint64_t>(cold.size())},
+                 {"servers", logged_cold_},
+                 {"list_age_ms", view_.ServersAge(now).value_or(Duration())}});
+  }
+}
+
 // Logged and counted on change only: the list is read twice a second.
 void GatewayHost::Impl::NoteUnusable(size_t unusable) {
   if (unusable == unusable_servers_) {
--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -75,14 +75,16 @@
 
 bool RelayRequest::AreAllServersLimited() const {
   const ServerLimits& limits = *context_->limits_->limits();
-  if (limits.CountLimited() == 0) {
+  const TimePoint now = SteadyNow();
+  if (limits.CountLimited() + limits.CountCold(now) == 0) {
     return false;
   }
   const auto servers = context_->view_->ServersOf(service_->name_);
   return !servers.empty() &&
          std::all_of(servers.begin(), servers.end(),
-                     [&limits](const BackendServer* server) {
-                       return server->leaving_ || limits.IsLimited(server->id_);
+                     [&limits, now](const BackendServer* server) {
+                       return server->leaving_ ||
+                              limits.IsLimited(server->id_, now);
                      });
 }
 
--- a/src/routing/server_limits.cc
+++ b/src/routing/server_limits.cc
@@ -25,6 +25,12 @@
 constexpr Duration kSentWindow = std::chrono::seconds(4);
 constexpr double kMaxSentFraction = 0.92;
 constexpr double kMaxExtraSent = 2;
+/// As above for a cold server.
+constexpr Duration kColdSentWindow = std::chrono::seconds(1);
+constexpr double kMaxColdSentFraction = 1.4;
+/// Fraction of what a cold server tolerates that is used as its limit: calls
+/// that are sent apart may arrive within one second.
+constexpr double kUsedColdFraction = 0.7;
 /// All gateways together should call a limited server this often.
 constexpr Duration kObservationInterval = std::chrono::seconds(1);
 /// A server that takes nothing still gets a request now and then; otherwise the
@@ -65,27 +71,43 @@
                     [first](TimePoint time) { return time > first; }));
 }
 
-// Whether an owner may send one more call, whatever slots it has.
-bool IsWithinSentBound(double per_second,
-                       const std::deque<TimePoint>& sent,
-                       TimePoint now) {
-  const double seconds = std::chrono::duration<double>(kSentWindow).count();
-  const double most = kMaxSentFraction * per_second * seconds + kMaxExtraSent;
-  return static_cast<double>(CountSince(now - kSentWindow, sent)) + 1 <= most;
-}
-
 }  // namespace
 
 ServerLimits::ServerLimits(std::string gateway)
     : gateway_(std::move(gateway)) {}
 
+std::optional<double> ServerLimits::LimitOf(const State& state, TimePoint now) {
+  std::optional<double> limit = state.per_second_;
+  if (IsCold(state, now)) {
+    limit = std::min(limit.value_or(state.cold_per_second_),
+                     state.cold_per_second_);
+  }
+  return limit ? std::optional(std::max(kMinPerSecond, *limit)) : std::nullopt;
+}
+
+// Whether an owner may send one more call, whatever slots it has. Precondition:
+// the server has a limit.
+bool ServerLimits::IsWithinSentBound(const State& state, TimePoint now) {
+  const double per_second = *LimitOf(state, now);
+  const auto is_within = [&](Duration window, double fraction) {
+    const double seconds = std::chrono::duration<double>(window).count();
+    const double most = fraction * per_second * seconds + kMaxExtraSent;
+    return static_cast<double>(CountSince(now - window, state.sent_)) + 1 <=
+           most;
+  };
+  return is_within(kSentWindow, kMaxSentFraction) &&
+         (!IsCold(state, now) ||
+          is_within(kColdSentWindow, kMaxColdSentFraction));
+}
+
 bool ServerLimits::Observe(const ServerLimit& limit) {
   const auto known = servers_.find(limit.server_);
   if (known == servers_.end() && !limit.per_second_) {
     return false;
   }
   State& state = servers_[limit.server_];
-  if (limit.at_ <= state.observed_) {
+  const bool is_known = state.number_ > 0 || limit.per_second_;
+  if (limit.at_ <= state.observed_ || !is_known) {
     return false;
   }
   state.observed_ = limit.at_;
@@ -101,6 +123,21 @@
   return true;
 }
 
+void ServerLimits::SetCold(absl::Span<const ColdServer> servers,
+                           TimePoint now) {
+  for (auto& [id, state] : servers_) {
+    state.cold_until_ = std::min(state.cold_until_, now);
+  }
+  for (const ColdServer& server : servers) {
+    State& state = servers_[server.server_];
+    if (!LimitOf(state, now)) {
+      state.began_ = now;
+    }
+    state.cold_until_ = server.until_;
+    state.cold_per_second_ = server.per_second_ * kUsedColdFraction;
+  }
+}
+
 void ServerLimits::Retain(
     const std::function<bool(std::string_view server)>& exists) {
   for (auto it = servers_.begin(); it != servers_.end();) {
@@ -122,15 +159,14 @@
                            Scope scope,
                            size_t gateways,
                            TimePoint now) const {
-  if (!state.per_second_) {
+  const std::optional<double> per_second = LimitOf(state, now);
+  if (!per_second) {
     return true;
   }
-  const double per_second = std::max(kMinPerSecond, *state.per_second_);
-  if (scope == Scope::kOwner &&
-      !IsWithinSentBound(per_second, state.sent_, now)) {
+  if (scope == Scope::kOwner && !IsWithinSentBound(state, now)) {
     return false;
   }
-  const double rate = per_second * Fraction(scope, gateways);
+  const double rate = *per_second * Fraction(scope, gateways);
   constexpr uint64_t kPhases = 1 << 20;
   const double phase =
       static_cast<double>(RendezvousWeight(gateway_, server) % kPhases) /
@@ -142,10 +178,12 @@
          slots;
 }
 
-ServerLimits::State* ServerLimits::FindLimited(std::string_view server) {
+ServerLimits::State* ServerLimits::FindLimited(std::string_view server,
+                                               TimePoint now) {
   const auto known = servers_.find(server);
-  return known == servers_.end() || !known->second.per_second_ ? nullptr
-                                                               : &known->second;
+  return known == servers_.end() || !LimitOf(known->second, now)
+             ? nullptr
+             : &known->second;
 }
 
 void ServerLimits::OnCall(std::string_view server, TimePoint now) {
@@ -154,7 +192,7 @@
 }
 
 void ServerLimits::Reserve(std::string_view server, TimePoint now) {
-  if (State* state = FindLimited(server)) {
+  if (State* state = FindLimited(server, now)) {
     DropBefore(now - kSlotValidity, &state->taken_);
     state->taken_.push_back(now);
   }
@@ -163,16 +201,12 @@
 bool ServerLimits::MayCallReserved(std::string_view server,
                                    TimePoint now) const {
   const auto known = servers_.find(server);
-  if (known == servers_.end() || !known->second.per_second_) {
-    return false;
-  }
-  const State& state = known->second;
-  return IsWithinSentBound(std::max(kMinPerSecond, *state.per_second_),
-                           state.sent_, now);
+  return known != servers_.end() && LimitOf(known->second, now) &&
+         IsWithinSentBound(known->second, now);
 }
 
 void ServerLimits::OnReservedCall(std::string_view server, TimePoint now) {
-  if (State* state = FindLimited(server)) {
+  if (State* state = FindLimited(server, now)) {
     DropBefore(now - kSentWindow, &state->sent_);
     state->sent_.push_back(now);
     state->last_sent_ = now;
@@ -216,9 +250,15 @@
   return observed;
 }
 
-bool ServerLimits::IsLimited(std::string_view server) const {
+bool ServerLimits::IsLimited(std::string_view server, TimePoint now) const {
   const auto known = servers_.find(server);
-  return known != servers_.end() && known->second.per_second_.has_value();
+  return known != servers_.end() && LimitOf(known->second, now).has_value();
+}
+
+size_t ServerLimits::CountCold(TimePoint now) const {
+  return static_cast<size_t>(std::count_if(
+      servers_.begin(), servers_.end(),
+      [now](const auto& entry) { return IsCold(entry.second, now); }));
 }
 
 size_t ServerLimits::CountLimited() const {
--- a/tests/unit-serving.cc
+++ b/tests/unit-serving.cc
@@ -29,7 +29,7 @@
 ServingConfig::Parts MakeParts() {
   ServingConfig::Parts parts;
   parts.version_ = 3;
-  parts.services_.push_back({"s", 10, {}, {}});
+  parts.services_.push_back({"s", 10, {}, {}, {}});
   for (const Route& route :
        {MakeRoute("short", "h", "/a/"), MakeRoute("long", "h", "/a/b/"),
         MakeRoute("other", "i", "/a/")}) {
