Order a pool's tasks once for all servers that are tried

Cause: for each server that might take a call, StageBatcher summed the load of each failure domain and sorted all tasks, also when no server was free; it does this at each arrival, each free and each reply.

Change: nothing is computed when no server is free or about to be; otherwise the tasks are ordered once, and each server merges those near it with the others. The order is unchanged.

--- a/include/citronlane/stages/stage_batcher.h
+++ b/include/citronlane/stages/stage_batcher.h
@@ -202,22 +202,29 @@
     uint32_t index_;
     Task* task_;
   };
+  /// A task with waiting pieces, as it is ordered for servers near its data.
+  struct OrderedTask {
+    TimePoint order_;
+    uint64_t number_ = 0;
+    Task* task_ = nullptr;
+    /// It waits for a server near its data.
+    bool waits_for_near_ = false;
+  };
 
   std::vector<Server*> IdleServers(TimePoint now);
   std::vector<Server*> ServersFinishingSoon(TimePoint now);
   uint64_t MinUsefulCapacity() const;
-  std::vector<ChosenPiece> ChoosePieces(const Server& server,
-                                        uint64_t min_capacity,
-                                        TimePoint now);
+  std::vector<ChosenPiece> ChoosePieces(
+      const Server& server,
+      absl::Span<const OrderedTask> tasks) const;
   StageBatch Start(Server* server,
                    const std::vector<ChosenPiece>& chosen,
                    TimePoint now);
   void StartQueuedCall(Server* server, uint64_t call, TimePoint now);
   void MarkQueuedCallStarted(Server* server, TimePoint now);
   uint64_t FreeCapacity(const Server& server) const;
-  std::vector<std::pair<uint64_t, Task*>> TasksInOrder(const Server& server,
-                                                       uint64_t min_capacity,
-                                                       TimePoint now);
+  /// Computed once for all servers that are tried at a time.
+  std::vector<OrderedTask> TasksInOrder(uint64_t min_capacity, TimePoint now);
   TimePoint OrderOf(TimePoint target,
                     uint32_t priority,
                     uint32_t pieces,
--- a/src/stages/stage_batcher_calls.cc
+++ b/src/stages/stage_batcher_calls.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 #include "citronlane/stages/stage_batcher.h"
@@ -61,31 +62,27 @@
   return servers;
 }
 
-std::vector<std::pair<uint64_t, StageBatcher::Task*>>
-StageBatcher::TasksInOrder(const Server& server,
-                           uint64_t min_capacity,
-                           TimePoint now) {
+std::vector<StageBatcher::OrderedTask> StageBatcher::TasksInOrder(
+    uint64_t min_capacity,
+    TimePoint now) {
   const auto loads = LoadByDomain(min_capacity, now);
-  const auto waits_elsewhere = [&](const Task& task) {
-    const auto domain = loads.find(task.task_.near_domain_);
-    return domain != loads.end() && WaitsForNearServer(task, domain->second);
-  };
-  std::vector<std::pair<TimePoint, uint64_t>> order;
-  for (const auto& [number, task] : tasks_) {
-    const bool is_near = IsInNearDomain(task, server);
-    if (task.waiting_ > 0 && (is_near || !waits_elsewhere(task))) {
-      const TimePoint by_task = OrderOf(
-          task.task_.target_, task.task_.priority_, task.task_.pieces_, now);
-      order.emplace_back(
-          by_task + (is_near ? Duration() : kRemoteServerPenalty), number);
+  std::vector<OrderedTask> tasks;
+  for (auto& [number, task] : tasks_) {
+    if (task.waiting_ == 0) {
+      continue;
     }
+    const auto domain = loads.find(task.task_.near_domain_);
+    tasks.push_back(
+        {OrderOf(task.task_.target_, task.task_.priority_, task.task_.pieces_,
+                 now),
+         number, &task,
+         domain != loads.end() && WaitsForNearServer(task, domain->second)});
   }
-  std::sort(order.begin(), order.end());
-  std::vector<std::pair<uint64_t, Task*>> tasks;
-  tasks.reserve(order.size());
-  for (const auto& [time, number] : order) {
-    tasks.emplace_back(number, &tasks_.at(number));
-  }
+  std::sort(tasks.begin(), tasks.end(),
+            [](const OrderedTask& a, const OrderedTask& b) {
+              return std::tie(a.order_, a.number_) <
+                     std::tie(b.order_, b.number_);
+            });
   return tasks;
 }
 
@@ -107,23 +104,32 @@
   if (waiting_ == 0) {
     return std::nullopt;
   }
+  const std::vector<Server*> idle = IdleServers(now);
+  const std::vector<Server*> soon = ServersFinishingSoon(now);
+  if (idle.empty() && soon.empty()) {
+    return std::nullopt;
+  }
   const uint64_t least = MinUsefulCapacity();
-  for (Server* server : IdleServers(now)) {
-    if (FreeCapacity(*server) < least) {
-      continue;
+  std::optional<std::vector<OrderedTask>> tasks;
+  const auto choose = [&](const Server& server) {
+    if (FreeCapacity(server) < least) {
+      return std::vector<ChosenPiece>();
     }
-    const auto pieces = ChoosePieces(*server, least, now);
+    if (!tasks) {
+      tasks = TasksInOrder(least, now);
+    }
+    return ChoosePieces(server, *tasks);
+  };
+  for (Server* server : idle) {
+    const auto pieces = choose(*server);
     if (!pieces.empty()) {
       return Start(server, pieces, now);
     }
   }
   const auto full =
       static_cast<size_t>(std::lround(spec_.batch_ * kMinSendAheadFillRatio));
-  for (Server* server : ServersFinishingSoon(now)) {
-    if (FreeCapacity(*server) < least) {
-      continue;
-    }
-    const auto pieces = ChoosePieces(*server, least, now);
+  for (Server* server : soon) {
+    const auto pieces = choose(*server);
     if (pieces.size() >= full) {
       return Start(server, pieces, now);
     }
@@ -131,13 +137,38 @@
   return std::nullopt;
 }
 
+// Merges the tasks near the server and the others, which are ordered as if they
+// were later.
 std::vector<StageBatcher::ChosenPiece> StageBatcher::ChoosePieces(
     const Server& server,
-    uint64_t min_capacity,
-    TimePoint now) {
+    absl::Span<const OrderedTask> tasks) const {
   uint64_t capacity = FreeCapacity(server);
   std::vector<ChosenPiece> chosen;
-  for (const auto& [number, task] : TasksInOrder(server, min_capacity, now)) {
+  size_t near = 0;
+  size_t remote = 0;
+  while (chosen.size() < spec_.batch_) {
+    while (near < tasks.size() && !IsInNearDomain(*tasks[near].task_, server)) {
+      ++near;
+    }
+    while (remote < tasks.size() &&
+           (tasks[remote].waits_for_near_ ||
+            IsInNearDomain(*tasks[remote].task_, server))) {
+      ++remote;
+    }
+    if (near >= tasks.size() && remote >= tasks.size()) {
+      break;
+    }
+    const auto remote_order = [&] {
+      return std::make_pair(tasks[remote].order_ + kRemoteServerPenalty,
+                            tasks[remote].number_);
+    };
+    const bool is_near_next =
+        remote >= tasks.size() ||
+        (near < tasks.size() &&
+         std::make_pair(tasks[near].order_, tasks[near].number_) <
+             remote_order());
+    const OrderedTask& next = tasks[is_near_next ? near++ : remote++];
+    Task* const task = next.task_;
     const uint64_t bytes = task->task_.result_bytes_;
     if (!FitsCall(*task, spec_.batch_ - chosen.size(), capacity)) {
       continue;
@@ -146,12 +177,9 @@
       if (task->pieces_[i].is_waiting_ && chosen.size() < spec_.batch_ &&
           bytes <= capacity) {
         capacity -= bytes;
-        chosen.push_back({number, i, task});
+        chosen.push_back({next.number_, i, task});
       }
     }
-    if (chosen.size() >= spec_.batch_) {
-      break;
-    }
   }
   return chosen;
 }
