--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -54,6 +54,14 @@
         "leaving_test.LeavingTest.test_platform_marks_it",
         "leaving_test.LeavingTest.test_server_says_so_itself",
         "unit-routing: leaving servers", "unit-config-lease: server states"]),
+    ("a cold server gets no more requests than it tolerates", [
+        "unit-cold-servers"]),
+    ("a request that crashes each server is stopped", [
+        "unit-crash-ledger", "unit-crash-fleet",
+        "crashes_test.CrashingRequestTest."
+        "test_request_that_ends_engines_is_stopped",
+        "crashes_test.CrashingRequestInFleetTest."
+        "test_request_that_ends_engines_is_stopped"]),
     ("a planned stop cuts off no request in flight", [
         "shutdown_test.ShutdownTest.test_sigterm_under_streams_cuts_none",
         "unit-gateway-lifecycle: gateway that shuts down"]),
--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -223,7 +223,8 @@
     REQUIRE(gateway.Ask("other").reply_);
   }
   CHECK(other.reads() == 5);
-  gateway.limits()->Take({"limited", 100, SteadyNow() - seconds(60)}, "control");
+  gateway.limits()->Take({"limited", 100, SteadyNow() - seconds(60)},
+                         "control");
   const RecordedCaller asked = gateway.Ask("limited");
   REQUIRE(asked.reply_);
   CHECK(asked.reply_->status_ == 200);
