Make room for the rest of a frame in one buffer

MakeRoom chose between two buffers. It moves the bytes to the front of the one and resizes it; a smaller size still releases the memory. No other change; unit-frame-channel passes.

--- a/src/net/frame_channel.cc
+++ b/src/net/frame_channel.cc
@@ -138,19 +138,17 @@
 }
 
 void FrameChannel::MakeRoom(size_t frame_bytes) {
-  const size_t size = std::max(kInputBytes, frame_bytes);
-  std::vector<char> larger;
-  if (size != input_.size()) {
-    larger.resize(size);
-  }
-  std::vector<char>& target = larger.empty() ? input_ : larger;
   std::copy(input_.begin() + static_cast<std::ptrdiff_t>(input_begin_),
             input_.begin() + static_cast<std::ptrdiff_t>(input_end_),
-            target.begin());
+            input_.begin());
   input_end_ -= input_begin_;
   input_begin_ = 0;
-  if (!larger.empty()) {
-    input_.swap(larger);
+  const size_t size = std::max(kInputBytes, frame_bytes);
+  const bool is_smaller = size < input_.size();
+  input_.resize(size);
+  if (is_smaller) {
+    // The memory of a large frame is not kept for each connection.
+    input_.shrink_to_fit();
   }
 }
 
