--- a/include/citronlane/relay/engine_placement.h
+++ b/include/citronlane/relay/engine_placement.h
@@ -133,6 +133,16 @@
   /// Whether the question's request may be sent to the engine for which it has
   /// reserved a slot.
   bool MayUseReserved(const wire::fleet::EngineAsk& ask) const;
+  std::optional<std::string> ChooseWithinLimits(
+      ServiceRouter* router,
+      const wire::fleet::EngineAsk& ask,
+      const EngineRouter::Call& call,
+      TimePoint now) const;
+  /// Counts what the question takes of the server's limit.
+  void CountSlot(const wire::fleet::EngineAsk& ask,
+                 const std::string& server,
+                 bool is_reserved,
+                 TimePoint now);
   void ReplyTo(const std::shared_ptr<FrameChannel>& channel,
                const wire::fleet::EngineAsk& ask);
   void TakeFirstEvent(const PlacedKey& key);
--- a/src/relay/engine_placement.cc
+++ b/src/relay/engine_placement.cc
@@ -273,31 +273,16 @@
   call.required_domain_ = ask.part_domain();
   TakeLimits(ask);
   const TimePoint now = SteadyNow();
-  ServerLimits* const limits = limits_->limits();
   const bool is_reserved = !ask.plan() && MayUseReserved(ask);
-  std::optional<std::string> server;
-  if (is_reserved) {
-    server = ask.reserved();
-  } else {
-    std::vector<std::string> excluded = limits->Exhausted(
-        ServerLimits::Scope::kOwner, view_->GatewayCount(), now);
-    excluded.insert(excluded.end(), ask.excluded().begin(),
-                    ask.excluded().end());
-    server = router->Choose(now, call, excluded);
-  }
+  const auto server = is_reserved ? std::optional(ask.reserved())
+                                  : ChooseWithinLimits(router, ask, call, now);
   Frame frame;
   auto* answer = frame.mutable_engine_answer();
   answer->set_question(ask.question());
   if (server) {
     answer->set_server(*server);
-    if (ask.reserve()) {
-      limits->Reserve(*server, now);
-    } else if (!ask.plan()) {
-      if (is_reserved) {
-        limits->OnReservedCall(*server, now);
-      } else {
-        limits->OnCall(*server, now);
-      }
+    CountSlot(ask, *server, is_reserved, now);
+    if (!ask.plan()) {
       placed_[{channel.get(), ask.question()}] =
           Placed{ask.service(), *server, router->OnStart(*server, now, call)};
     }
@@ -305,6 +290,31 @@
   channel->Send(frame);
 }
 
+std::optional<std::string> EnginePlacement::ChooseWithinLimits(
+    ServiceRouter* router,
+    const EngineAsk& ask,
+    const EngineRouter::Call& call,
+    TimePoint now) const {
+  std::vector<std::string> excluded = limits_->limits()->Exhausted(
+      ServerLimits::Scope::kOwner, view_->GatewayCount(), now);
+  excluded.insert(excluded.end(), ask.excluded().begin(), ask.excluded().end());
+  return router->Choose(now, call, excluded);
+}
+
+void EnginePlacement::CountSlot(const EngineAsk& ask,
+                                const std::string& server,
+                                bool is_reserved,
+                                TimePoint now) {
+  ServerLimits* const limits = limits_->limits();
+  if (ask.reserve()) {
+    limits->Reserve(server, now);
+  } else if (is_reserved) {
+    limits->OnReservedCall(server, now);
+  } else if (!ask.plan()) {
+    limits->OnCall(server, now);
+  }
+}
+
 void EnginePlacement::TakeFirstEvent(const PlacedKey& key) {
   const auto it = placed_.find(key);
   if (it == placed_.end()) {
