--- a/tests/unit-cold-servers.cc
+++ b/tests/unit-cold-servers.cc
@@ -12,6 +12,7 @@
 
 #include "citronlane/routing/cold_servers.h"
 #include "citronlane/routing/server_limits.h"
+#include "support/call_windows.h"
 
 namespace citronlane {
 namespace {
@@ -35,16 +36,6 @@
   return 1.5 * per_second + 5;
 }
 
-size_t MostInASecond(std::vector<TimePoint> calls) {
-  std::sort(calls.begin(), calls.end());
-  size_t most = 0;
-  for (auto first = calls.begin(); first != calls.end(); ++first) {
-    const auto last = std::lower_bound(first, calls.end(), *first + seconds(1));
-    most = std::max(most, static_cast<size_t>(last - first));
-  }
-  return most;
-}
-
 struct Scenario {
   size_t gateways_ = 1;
   double per_second_ = 10;
@@ -119,7 +110,7 @@
           INFO(gateways << " gateways, " << per_second << " a second, kind "
                         << kind << ", seed " << seed);
           const auto calls = Press(scenario, seed);
-          CHECK(static_cast<double>(MostInASecond(calls)) <=
+          CHECK(static_cast<double>(MostInAWindow(calls, seconds(1))) <=
                 Allowed(per_second));
           // It still takes part of the load.
           CHECK(static_cast<double>(calls.size()) >= 0.4 * per_second * 19 - 3);
--- a/tests/unit-limit-fleet.cc
+++ b/tests/unit-limit-fleet.cc
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "citronlane/routing/server_limits.h"
+#include "support/call_windows.h"
 
 namespace citronlane {
 namespace {
@@ -74,15 +75,7 @@
   }
 
   /// The most calls in a window by gateways that had been told.
-  size_t MostInAWindow() const {
-    size_t most = 0;
-    for (auto first = counted_.begin(); first != counted_.end(); ++first) {
-      const auto last =
-          std::lower_bound(first, counted_.end(), *first + kWindow);
-      most = std::max(most, static_cast<size_t>(last - first));
-    }
-    return most;
-  }
+  size_t MostCounted() const { return MostInAWindow(counted_, kWindow); }
   size_t calls() const { return counted_.size(); }
 
  private:
@@ -188,8 +181,8 @@
     Fleet fleet(scenario, seed);
     fleet.Play();
     INFO(title << ", seed " << seed);
-    CHECK(static_cast<double>(fleet.MostInAWindow()) <= allowed);
-    most = std::max(most, fleet.MostInAWindow());
+    CHECK(static_cast<double>(fleet.MostCounted()) <= allowed);
+    most = std::max(most, fleet.MostCounted());
     least_calls = std::min(least_calls, fleet.calls());
   }
   std::cout << title << ", " << scenario.per_second_ << " a second: " << most
--- a/tests/unit-server-limits.cc
+++ b/tests/unit-server-limits.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "citronlane/routing/server_limits.h"
+#include "support/call_windows.h"
 
 namespace citronlane {
 namespace {
@@ -32,16 +33,6 @@
   return 1.5 * per_second * 4 + 5;
 }
 
-size_t MostInAWindow(std::vector<TimePoint> calls) {
-  std::sort(calls.begin(), calls.end());
-  size_t most = 0;
-  for (auto first = calls.begin(); first != calls.end(); ++first) {
-    const auto last = std::lower_bound(first, calls.end(), *first + kWindow);
-    most = std::max(most, static_cast<size_t>(last - first));
-  }
-  return most;
-}
-
 /// Gateways that call one server whenever they may.
 class LimitedFleet {
  public:
@@ -146,7 +137,7 @@
         INFO(gateways << " gateways, " << per_second << " a second, seed "
                       << seed);
         const auto most = [](const LimitedFleet& fleet) {
-          return static_cast<double>(MostInAWindow(fleet.calls_));
+          return static_cast<double>(MostInAWindow(fleet.calls_, kWindow));
         };
         LimitedFleet busy(gateways, per_second, seed);
         busy.Run(Scope::kShare, milliseconds(10), seconds(1), seconds(30));
@@ -181,7 +172,7 @@
                         << most / milliseconds(1) << " ms, seed " << seed);
           LimitedFleet fleet(gateways, per_second, seed);
           fleet.RunWithReservations(most, seconds(40));
-          CHECK(static_cast<double>(MostInAWindow(fleet.calls_)) <=
+          CHECK(static_cast<double>(MostInAWindow(fleet.calls_, kWindow)) <=
                 Allowed(per_second));
           CHECK(static_cast<double>(fleet.in_vain_) <=
                 0.1 * static_cast<double>(fleet.reservations_));
@@ -232,7 +223,7 @@
     // About once a second, and no more than the limit allows.
     CHECK(observed.size() >= 120);
     CHECK(observed.size() <= 400);
-    CHECK(static_cast<double>(MostInAWindow(observed)) <= Allowed(2));
+    CHECK(static_cast<double>(MostInAWindow(observed, kWindow)) <= Allowed(2));
   }
   SECTION("is not asked while it has no slot or no limit") {
     ServerLimits limits("gateway");
