Write once what the product's interface had copied to stop crashing requests

Both interfaces: the time after which a server counts as having survived, and the hook that computes a fingerprint on demand. Gateway and control: the event log that writes into text lines (LineLog). Request: the end of an attempt that no server got. The endpoint of a call's server, and the replica's status in a lease renewal, were computed twice. CrashGuard's CountBlocked had no caller.

--- a/include/citronlane/control/detail/control_calls.h
+++ b/include/citronlane/control/detail/control_calls.h
@@ -47,7 +47,7 @@
   void TakeCrashes(const wire::ReportRequest& request);
   /// Sets the list if this VM leads.
   template <typename Reply>
-  void AddSuspects(Reply* reply);
+  void AddSuspects(const ReplicaStatus& status, Reply* reply);
 
   const ControlOptions& options_;
   ControlState* const state_;
--- a/include/citronlane/gateway/caller_handler.h
+++ b/include/citronlane/gateway/caller_handler.h
@@ -11,6 +11,7 @@
 #include "citronlane/base/time.h"
 #include "citronlane/gateway/caller_request.h"
 #include "citronlane/gateway/caller_service_parts.h"
+#include "citronlane/gateway/crash_guard.h"
 #include "citronlane/gateway/driver_job.h"
 #include "citronlane/gateway/refusal_context.h"
 #include "citronlane/gateway/request_claim.h"
@@ -60,6 +61,7 @@
   HttpReply MakeFailure();
   void FlushText();
   bool SendStream(std::string_view bytes);
+  CrashGuard::FingerprintHook FingerprintHook();
   const RequestFingerprint& Fingerprint();
   RequestSummary Summarize() const;
   bool MetTarget(const RequestSummary& summary) const;
--- a/include/citronlane/gateway/crash_guard.h
+++ b/include/citronlane/gateway/crash_guard.h
@@ -1,7 +1,6 @@
 #ifndef CITRONLANE_GATEWAY_CRASH_GUARD_H_
 #define CITRONLANE_GATEWAY_CRASH_GUARD_H_
 
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -60,13 +59,8 @@
   /// Takes the leader's list.
   void Take(const wire::SuspectList& list);
 
-  /// Number of blocked requests known.
-  size_t CountBlocked() const;
-
  private:
-  EventLog::Hooks LogHooks() const;
   CrashWatch::Hooks WatchHooks();
-  void OnProbed(const std::string& endpoint, bool is_refused);
 
   const Hooks hooks_;
   mutable std::mutex mutex_;
--- a/include/citronlane/gateway/detail/in_flight_call.h
+++ b/include/citronlane/gateway/detail/in_flight_call.h
@@ -23,6 +23,11 @@
 struct InFlightCall {
   explicit InFlightCall(boost::asio::io_context* io) : hedge_timer_(*io) {}
 
+  /// Endpoint of the server as "IP:port".
+  std::string Endpoint() const {
+    return server_.address_ + ":" + std::to_string(server_.port_);
+  }
+
   AttemptId id_;
   bool hedge_ = false;
   ServerConfig server_;
--- a/include/citronlane/observe/event_log.h
+++ b/include/citronlane/observe/event_log.h
@@ -56,6 +56,9 @@
 
 /// Returns hooks that write to standard output and read the system's clocks.
 EventLog::Hooks StandardOutputLog();
+/// Returns hooks that pass each line to `write`, without its newline, and read
+/// the system's clocks.
+EventLog::Hooks LineLog(std::function<void(std::string_view line)> write);
 
 }  // namespace citronlane
 
--- a/include/citronlane/relay/crash_watch.h
+++ b/include/citronlane/relay/crash_watch.h
@@ -41,6 +41,10 @@
         probe_;
     std::function<TimePoint()> now_;
   };
+  /// A server that still runs a request this long after its first event is not
+  /// crashed by the start of it.
+  static constexpr Duration kSurvivalTime = std::chrono::seconds(1);
+
   /// Computes the fingerprint of a request; it is costly for large bodies.
   using FingerprintHook = std::function<const RequestFingerprint&()>;
 
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -11,6 +11,7 @@
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/time.h"
 #include "citronlane/base/verdict.h"
+#include "citronlane/relay/crash_watch.h"
 #include "citronlane/relay/placed_engine.h"
 #include "citronlane/relay/relay_job.h"
 #include "citronlane/relay/stage_runner.h"
@@ -132,6 +133,7 @@
   void RefuseAfterFailure();
   void Finish(std::string_view outcome, int status);
   Duration Elapsed() const;
+  CrashWatch::FingerprintHook FingerprintHook();
   const RequestFingerprint& Fingerprint();
 
   const RelayContext* const context_;
--- a/include/citronlane/request/request.h
+++ b/include/citronlane/request/request.h
@@ -118,6 +118,9 @@
   uint32_t AttemptCount(uint32_t stage) const;
   std::vector<std::string> UsedServers() const;
 
+  /// Closes an attempt that no server got, and ends the request for `reason`
+  /// unless another call of the stage is open.
+  void EndUnplaced(const AttemptId& attempt, RefusalReason reason);
   void StartStage(TimePoint now);
   /// `resumed` is the attempt to resume for kResume, else unused.
   void PushCall(CallMode mode, bool hedge, const Attempt* resumed);
--- a/src/control/control_calls.cc
+++ b/src/control/control_calls.cc
@@ -37,8 +37,9 @@
     return state_->OpenWatch(request.version());
   };
   hooks.renew_lease_ = [this](const wire::LeaseRequest& request) {
-    wire::LeaseReply reply = state_->RenewLease(request, status_());
-    AddSuspects(&reply);
+    const ReplicaStatus status = status_();
+    wire::LeaseReply reply = state_->RenewLease(request, status);
+    AddSuspects(status, &reply);
     return reply;
   };
   hooks.register_ = [this](const auto& request, auto done) {
@@ -176,7 +177,7 @@
                        reply.set_accepted(result.has_value());
                        if (result) {
                          *reply.mutable_shares() = result->shares();
-                         AddSuspects(&reply);
+                         AddSuspects(status_(), &reply);
                        } else {
                          reply.set_leader(LeaderAddress());
                        }
@@ -202,8 +203,7 @@
 }
 
 template <typename Reply>
-void ControlCalls::AddSuspects(Reply* reply) {
-  const ReplicaStatus status = status_();
+void ControlCalls::AddSuspects(const ReplicaStatus& status, Reply* reply) {
   if (status.leader_lease_) {
     crashes_.AddTo(status.term_, SteadyNow(), reply->mutable_suspects());
   }
--- a/src/control/crash_register.cc
+++ b/src/control/crash_register.cc
@@ -2,10 +2,8 @@
 
 #include <utility>
 
-#include "citronlane/base/steady_now.h"
 #include "citronlane/net/crash_codec.h"
 #include "citronlane/net/fleet_codec.h"
-#include "citronlane/process/detail/unix_time.h"
 
 namespace citronlane {
 namespace {
@@ -16,22 +14,10 @@
 /// Reports of one crash differ by less, and no server crashes twice so fast.
 constexpr Duration kMinIncarnationTime = std::chrono::milliseconds(800);
 
-EventLog::Hooks LogHooks(std::function<void(std::string_view)> log) {
-  EventLog::Hooks hooks;
-  hooks.write_ = [log = std::move(log)](std::string_view line) {
-    line.remove_suffix(1);
-    log(line);
-    return true;
-  };
-  hooks.now_ = SteadyNow;
-  hooks.wall_ms_ = detail::UnixMilliseconds;
-  return hooks;
-}
-
 }  // namespace
 
 CrashRegister::CrashRegister(std::function<void(std::string_view)> log)
-    : log_("control", LogHooks(std::move(log))), suspects_(&log_) {}
+    : log_("control", LineLog(std::move(log))), suspects_(&log_) {}
 
 void CrashRegister::Take(const wire::fleet::CrashReports& reports,
                          uint64_t term,
--- a/src/gateway/caller_handler.cc
+++ b/src/gateway/caller_handler.cc
@@ -79,6 +79,10 @@
   }
 }
 
+CrashGuard::FingerprintHook CallerHandler::FingerprintHook() {
+  return [this]() -> const RequestFingerprint& { return Fingerprint(); };
+}
+
 // Computed on first use: only failed calls need it. The host is left out, since
 // nothing here depends on it and callers may reach gateways under several.
 const RequestFingerprint& CallerHandler::Fingerprint() {
@@ -191,9 +195,7 @@
     return !request_.class_->batch_ && !parts_.admission_->SpendIsTight(
                                            SteadyNow(), request_.class_->name_);
   };
-  job.fingerprint_ = [this]() -> const RequestFingerprint& {
-    return Fingerprint();
-  };
+  job.fingerprint_ = FingerprintHook();
   job.body_bytes_ = http_.body_.size();
   if (request_.stream_) {
     job.on_text_ = [this](const EmitText& text) {
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "citronlane/process/detail/unix_time.h"
 #include "control.pb.h"
 #include "fleet.pb.h"
 
@@ -27,21 +26,9 @@
 
 CrashGuard::CrashGuard(std::string gateway, Hooks hooks)
     : hooks_(std::move(hooks)),
-      log_(std::move(gateway), LogHooks()),
+      log_(std::move(gateway), LineLog(hooks_.log_)),
       watch_(&log_, WatchHooks()) {}
 
-EventLog::Hooks CrashGuard::LogHooks() const {
-  EventLog::Hooks hooks;
-  hooks.write_ = [this](std::string_view line) {
-    line.remove_suffix(1);
-    hooks_.log_(line);
-    return true;
-  };
-  hooks.now_ = hooks_.now_;
-  hooks.wall_ms_ = detail::UnixMilliseconds;
-  return hooks;
-}
-
 // The hooks run while mutex_ is held, except what a probe calls later.
 CrashWatch::Hooks CrashGuard::WatchHooks() {
   CrashWatch::Hooks hooks;
@@ -52,7 +39,9 @@
     hooks_.probe_(endpoint,
                   [this, endpoint, done = std::move(done)](bool is_refused) {
                     const std::lock_guard lock(mutex_);
-                    OnProbed(endpoint, is_refused);
+                    if (is_refused) {
+                      ended_.insert(endpoint);
+                    }
                     done(is_refused);
                   });
   };
@@ -60,12 +49,6 @@
   return hooks;
 }
 
-void CrashGuard::OnProbed(const std::string& endpoint, bool is_refused) {
-  if (is_refused) {
-    ended_.insert(endpoint);
-  }
-}
-
 bool CrashGuard::IsBlocked(uint64_t body_bytes,
                            const FingerprintHook& fingerprint) const {
   const std::lock_guard lock(mutex_);
@@ -112,9 +95,4 @@
   }
 }
 
-size_t CrashGuard::CountBlocked() const {
-  const std::lock_guard lock(mutex_);
-  return watch_.CountBlocked();
-}
-
 }  // namespace citronlane
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -9,7 +9,6 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
@@ -18,7 +17,7 @@
 #include "citronlane/gateway/admission_gate.h"
 #include "citronlane/gateway/caller_service.h"
 #include "citronlane/gateway/crash_guard.h"
-#include "citronlane/gateway/driver_context.h"
+#include "citronlane/gateway/detail/gateway_shard.h"
 #include "citronlane/gateway/gateway_state.h"
 #include "citronlane/gateway/pool_shards.h"
 #include "citronlane/gateway/refusal_backlog.h"
@@ -27,7 +26,6 @@
 #include "citronlane/net/connect_probe.h"
 #include "citronlane/process/detail/unix_time.h"
 #include "citronlane/transport/http_listener.h"
-#include "citronlane/transport/stage_client.h"
 
 namespace citronlane {
 namespace {
@@ -46,18 +44,6 @@
   return router;
 }
 
-/// One thread and the state that only this thread uses.
-struct Shard {
-  explicit Shard(const StageLimits& limits)
-      : io_(1), work_(asio::make_work_guard(io_)), client_(&io_, limits) {}
-
-  asio::io_context io_;
-  asio::executor_work_guard<asio::io_context::executor_type> work_;
-  StageClient client_;
-  DriverContext context_;
-  std::thread thread_;
-};
-
 }  // namespace
 
 class Gateway::Impl {
@@ -159,7 +145,7 @@
   std::unique_ptr<CallerService> service_;
   // Destroyed before the service: destroying the shards ends the handlers that
   // were aborted, and these still refer to the service.
-  std::vector<std::unique_ptr<Shard>> shards_;
+  std::vector<std::unique_ptr<detail::GatewayShard>> shards_;
   // Destroyed before the shards, whose io_context its acceptor uses.
   std::unique_ptr<HttpListener> listener_;
 
@@ -183,42 +169,15 @@
     return hooks;
   }
 
-  std::unique_ptr<Shard> MakeShard() {
-    auto shard = std::make_unique<Shard>(options_.stage_limits_);
-    DriverContext& context = shard->context_;
-    context.io_ = &shard->io_;
-    context.client_ = &shard->client_;
-    context.pools_ = &pools_;
-    context.crashes_ = &crashes_;
-    context.on_call_ = [this](std::string_view pool, CallOutcome outcome,
-                              Duration /*latency*/, uint32_t tokens,
-                              size_t /*in_flight*/) {
-      if (hooks_.events_.on_call_) {
-        hooks_.events_.on_call_(pool, outcome, tokens);
-      }
-    };
-    context.on_retry_ = [this](std::string_view pool, RetryReason reason) {
-      if (hooks_.events_.on_retry_) {
-        hooks_.events_.on_retry_(pool, reason);
-      }
-    };
-    context.on_hedge_ = [this](std::string_view pool, bool won) {
-      if (hooks_.events_.on_hedge_) {
-        hooks_.events_.on_hedge_(pool, won);
-      }
-    };
-    context.on_drop_ = [this](std::string_view pool, std::string_view why) {
-      if (hooks_.events_.on_drop_) {
-        hooks_.events_.on_drop_(pool, why);
-      }
-    };
-    context.on_leaving_ = [this](std::string_view server) {
-      OnLeaving(server, 0);
-      if (hooks_.report_leaving_) {
-        hooks_.report_leaving_(server, 0);
-      }
-    };
-    return shard;
+  std::unique_ptr<detail::GatewayShard> MakeShard() {
+    return std::make_unique<detail::GatewayShard>(
+        options_.stage_limits_, &pools_, &crashes_, &hooks_.events_,
+        [this](std::string_view server) {
+          OnLeaving(server, 0);
+          if (hooks_.report_leaving_) {
+            hooks_.report_leaving_(server, 0);
+          }
+        });
   }
 
   CallerServiceParts MakeParts() {
--- a/src/gateway/request_driver.cc
+++ b/src/gateway/request_driver.cc
@@ -21,18 +21,11 @@
 
 constexpr size_t kMaxEventBytes = size_t{64} * 1024;
 constexpr double kMedian = 0.5;
-/// A server that still runs a request this long after its first token is not
-/// crashed by the start of it.
-constexpr Duration kSurvivalTime = std::chrono::seconds(1);
 
 int64_t Milliseconds(Duration time) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
 }
 
-std::string EndpointOf(const ServerConfig& server) {
-  return server.address_ + ":" + std::to_string(server.port_);
-}
-
 std::vector<std::shared_ptr<PoolShard>> FindPools(
     const PoolShards& pools,
     const std::vector<StageConfig>& stages) {
@@ -365,46 +358,4 @@
   return job_.config_->pools_.at(job_.stages_[stage].pool_);
 }
 
-void RequestDriver::CompleteCall(const InFlightCallPtr& call,
-                                 CallOutcome outcome) {
-  if (call->ended_) {
-    return;
-  }
-  call->ended_ = true;
-  call->hedge_timer_.cancel();
-  const TimePoint now = SteadyNow();
-  const Duration latency = now - call->started_;
-  call->pool_->OnFinish(call->server_.id_, now, outcome, latency, call->tokens_,
-                        call->shape_);
-  NoteCrash(*call, outcome);
-  context_->on_call_(call->pool_name_, outcome, latency, call->tokens_,
-                     call->pool_->in_flight());
-  if (call->hedge_) {
-    context_->on_hedge_(call->pool_name_, outcome == CallOutcome::kSuccess);
-  }
-  in_flight_calls_.erase(
-      std::remove(in_flight_calls_.begin(), in_flight_calls_.end(), call),
-      in_flight_calls_.end());
-}
-
-// The end of a server that drains is planned and counts against no request.
-void RequestDriver::NoteCrash(const detail::InFlightCall& call,
-                              CallOutcome outcome) {
-  const bool ran_on =
-      call.first_byte_ && SteadyNow() - call.first_byte_at_ >= kSurvivalTime;
-  if (outcome == CallOutcome::kClosedAfterSend && !call.head_.draining_ &&
-      !ran_on) {
-    context_->crashes_->OnBroken(call.server_.id_, EndpointOf(call.server_),
-                                 job_.fingerprint_());
-  }
-}
-
-RequestDriver::InFlightCallPtr RequestDriver::FindCall(
-    const AttemptId& attempt) const {
-  const auto found = std::find_if(
-      in_flight_calls_.begin(), in_flight_calls_.end(),
-      [&attempt](const InFlightCallPtr& call) { return call->id_ == attempt; });
-  return found == in_flight_calls_.end() ? nullptr : *found;
-}
-
 }  // namespace citronlane
--- a/src/gateway/request_driver_replies.cc
+++ b/src/gateway/request_driver_replies.cc
@@ -51,8 +51,7 @@
     context_->on_leaving_(call->server_.id_);
   }
   call->head_ = head;
-  context_->crashes_->OnAlive(call->server_.address_ + ":" +
-                              std::to_string(call->server_.port_));
+  context_->crashes_->OnAlive(call->Endpoint());
   if (!call->reader_) {
     return true;
   }
@@ -203,4 +202,46 @@
   report(now.stream_gaps_, &reported_.stream_gaps_, "stream_gap");
 }
 
+void RequestDriver::CompleteCall(const InFlightCallPtr& call,
+                                 CallOutcome outcome) {
+  if (call->ended_) {
+    return;
+  }
+  call->ended_ = true;
+  call->hedge_timer_.cancel();
+  const TimePoint now = SteadyNow();
+  const Duration latency = now - call->started_;
+  call->pool_->OnFinish(call->server_.id_, now, outcome, latency, call->tokens_,
+                        call->shape_);
+  NoteCrash(*call, outcome);
+  context_->on_call_(call->pool_name_, outcome, latency, call->tokens_,
+                     call->pool_->in_flight());
+  if (call->hedge_) {
+    context_->on_hedge_(call->pool_name_, outcome == CallOutcome::kSuccess);
+  }
+  in_flight_calls_.erase(
+      std::remove(in_flight_calls_.begin(), in_flight_calls_.end(), call),
+      in_flight_calls_.end());
+}
+
+// The end of a server that drains is planned and counts against no request.
+void RequestDriver::NoteCrash(const detail::InFlightCall& call,
+                              CallOutcome outcome) {
+  const bool ran_on = call.first_byte_ && SteadyNow() - call.first_byte_at_ >=
+                                              CrashWatch::kSurvivalTime;
+  if (outcome == CallOutcome::kClosedAfterSend && !call.head_.draining_ &&
+      !ran_on) {
+    context_->crashes_->OnBroken(call.server_.id_, call.Endpoint(),
+                                 job_.fingerprint_());
+  }
+}
+
+RequestDriver::InFlightCallPtr RequestDriver::FindCall(
+    const AttemptId& attempt) const {
+  const auto found = std::find_if(
+      in_flight_calls_.begin(), in_flight_calls_.end(),
+      [&attempt](const InFlightCallPtr& call) { return call->id_ == attempt; });
+  return found == in_flight_calls_.end() ? nullptr : *found;
+}
+
 }  // namespace citronlane
--- a/src/observe/event_log.cc
+++ b/src/observe/event_log.cc
@@ -56,6 +56,12 @@
          static_cast<ssize_t>(line.size());
 }
 
+int64_t WallMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 }  // namespace
 
 EventLog::EventLog(std::string node, Hooks hooks)
@@ -107,11 +113,16 @@
   EventLog::Hooks hooks;
   hooks.write_ = WriteToStandardOutput;
   hooks.now_ = SteadyNow;
-  hooks.wall_ms_ = [] {
-    return static_cast<int64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch())
-            .count());
+  hooks.wall_ms_ = WallMilliseconds;
+  return hooks;
+}
+
+EventLog::Hooks LineLog(std::function<void(std::string_view line)> write) {
+  EventLog::Hooks hooks = StandardOutputLog();
+  hooks.write_ = [write = std::move(write)](std::string_view line) {
+    line.remove_suffix(1);
+    write(line);
+    return true;
   };
   return hooks;
 }
--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -18,19 +18,9 @@
 #include "citronlane/transport/http_request.h"
 
 namespace citronlane {
-namespace {
-
-/// A server that still runs a request this long after its first event is not
-/// crashed by the start of it.
-constexpr Duration kSurvivalTime = std::chrono::seconds(1);
-
-}  // namespace
-
 bool RelayRequest::RefuseIfBlocked() {
-  const auto fingerprint = [this]() -> const RequestFingerprint& {
-    return Fingerprint();
-  };
-  if (!context_->crashes_->IsBlocked(request_->body_.size(), fingerprint)) {
+  if (!context_->crashes_->IsBlocked(request_->body_.size(),
+                                     FingerprintHook())) {
     return false;
   }
   last_failure_ = "crashes servers";
@@ -47,22 +37,24 @@
   }
   if (attempt.outcome() == CallOutcome::kSuccess) {
     if (!attempt.reply().not_run_) {
-      context_->crashes_->OnSurvived(
-          request_->body_.size(),
-          [this]() -> const RequestFingerprint& { return Fingerprint(); });
+      context_->crashes_->OnSurvived(request_->body_.size(), FingerprintHook());
     }
     return;
   }
   const BackendServer* listed = context_->view_->FindServer(server);
   const bool is_planned = listed == nullptr || listed->leaving_;
-  const bool ran_on =
-      had_first_event_ && SteadyNow() - first_event_at_ >= kSurvivalTime;
+  const bool ran_on = had_first_event_ && SteadyNow() - first_event_at_ >=
+                                              CrashWatch::kSurvivalTime;
   if (attempt.outcome() == CallOutcome::kClosedAfterSend && !is_planned &&
       !ran_on) {
     context_->crashes_->OnBroken(server, address, Fingerprint());
   }
 }
 
+CrashWatch::FingerprintHook RelayRequest::FingerprintHook() {
+  return [this]() -> const RequestFingerprint& { return Fingerprint(); };
+}
+
 // Computed on first use: only failed calls need it.
 const RequestFingerprint& RelayRequest::Fingerprint() {
   if (!fingerprint_) {
--- a/src/request/request.cc
+++ b/src/request/request.cc
@@ -19,26 +19,23 @@
 }
 
 void Request::OnNoServer(const AttemptId& attempt, TimePoint now) {
-  Attempt* open = FindOpen(attempt);
-  if (open == nullptr) {
-    return;
-  }
-  CloseAttempt(open, Verdict::kNotRun);
-  if (HasOpen()) {
-    return;
-  }
-  FinishFailed(now >= plan_.deadline_ ? RefusalReason::kDeadlineExceeded
-                                      : RefusalReason::kNoBackendServer);
+  EndUnplaced(attempt, now >= plan_.deadline_
+                           ? RefusalReason::kDeadlineExceeded
+                           : RefusalReason::kNoBackendServer);
 }
 
 void Request::OnBlocked(const AttemptId& attempt) {
+  EndUnplaced(attempt, RefusalReason::kCrashesServers);
+}
+
+void Request::EndUnplaced(const AttemptId& attempt, RefusalReason reason) {
   Attempt* open = FindOpen(attempt);
   if (open == nullptr) {
     return;
   }
   CloseAttempt(open, Verdict::kNotRun);
   if (!HasOpen()) {
-    FinishFailed(RefusalReason::kCrashesServers);
+    FinishFailed(reason);
   }
 }
 
