Bound the log line that names cold servers

With some hundreds of cold servers the line was longer than a log line may be, so it was dropped and nothing said which were cold. It now counts them all and names the first ones.

--- a/include/citronlane/routing/cold_servers.h
+++ b/include/citronlane/routing/cold_servers.h
@@ -20,7 +20,7 @@
 /// have run for long. Pure: time is passed in. Not thread safe.
 class ColdServers {
  public:
-  /// What cold servers of a service tolerate; null if they need no care.
+  /// What cold servers of a service tolerate; null if it declares nothing.
   using SpecHook = std::function<const ColdServerSpec*(const std::string&)>;
 
   /// Takes a list, with drained servers as leaving. Returns all cold servers.
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -28,6 +28,9 @@
 /// control is unreachable.
 constexpr double kGatewayListRateFraction = 0.5;
 
+/// A log line that is too long would be dropped.
+constexpr size_t kMaxLoggedNamesBytes = 2000;
+
 }  // namespace
 
 void GatewayHost::Impl::TakeUpdate(WatchUpdate* update) {
@@ -174,17 +177,18 @@
   };
   const auto cold = cold_servers_.Update(view_.servers(), spec, now);
   server_limits_.SetCold(cold, now);
-  std::string names;
-  for (const ColdServer& server : cold) {
-    names += (names.empty() ? "" : " ") + server.server_;
-  }
-  if (names != logged_cold_) {
-    logged_cold_ = std::move(names);
-    log_->Write("gateway", "cold servers changed",
-                {{"count", static_cast<uint64_t>(cold.size())},
-                 {"servers", logged_cold_},
-                 {"list_age_ms", view_.ServersAge(now).value_or(Duration())}});
+  std::string names =
+      absl::StrJoin(cold, " ", [](std::string* out, const ColdServer& server) {
+        out->append(server.server_);
+      });
+  if (names == logged_cold_) {
+    return;
   }
+  logged_cold_ = std::move(names);
+  log_->Write("gateway", "cold servers changed",
+              {{"count", static_cast<uint64_t>(cold.size())},
+               {"servers", logged_cold_.substr(0, kMaxLoggedNamesBytes)},
+               {"list_age_ms", view_.ServersAge(now).value_or(Duration())}});
 }
 
 // Logged and counted on change only: the list is read twice a second.
