Log what a gateway counted for its budget on repeats with each retry

A retry's line said why it was sent, not what the budget knew: repeats and requests counted, for how long, and how many gateways share the allowance. No decision is changed.

--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "citronlane/base/steady_now.h"
 #include "citronlane/net/frame_listener.h"
 #include "citronlane/net/server_list_reader.h"
 #include "citronlane/observe/metrics.h"
@@ -97,6 +98,7 @@
   const Dialect* const dialect_;
   EventLog* const log_;
   const RepeatBudget::Options budget_options_;
+  const TimePoint started_ = SteadyNow();
 
   boost::asio::io_context io_{1};
   std::mt19937_64 random_{std::random_device()()};
--- a/include/citronlane/routing/repeat_budget.h
+++ b/include/citronlane/routing/repeat_budget.h
@@ -23,7 +23,9 @@
     Duration window_ = std::chrono::seconds(10);
   };
 
-  explicit RepeatBudget(const Options& options);
+  /// `counted_since` is when this node began to count: what it sent before, it
+  /// does not know.
+  RepeatBudget(const Options& options, TimePoint counted_since);
 
   /// A request was sent for the first time.
   void OnFirstSend(TimePoint now);
@@ -31,13 +33,18 @@
   /// that share the allowance; 0 counts as 1.
   bool TryTake(TimePoint now, size_t nodes);
 
-  /// Repeats taken within the window that ends at `now`.
+  /// Repeats taken, and requests sent for the first time, within the window
+  /// that ends at `now`.
   size_t repeats(TimePoint now);
+  size_t first_sends(TimePoint now);
+  /// For how long this node has counted.
+  Duration CountedFor(TimePoint now) const { return now - counted_since_; }
 
  private:
   void Expire(TimePoint now);
 
   const Options options_;
+  const TimePoint counted_since_;
   std::deque<TimePoint> first_;
   std::deque<TimePoint> repeats_;
 };
--- a/src/relay/gateway_host_pools.cc
+++ b/src/relay/gateway_host_pools.cc
@@ -32,7 +32,7 @@
 RepeatBudget* GatewayHost::Impl::BudgetOf(const std::string& service) {
   auto& budget = budgets_[service];
   if (!budget) {
-    budget = std::make_unique<RepeatBudget>(budget_options_);
+    budget = std::make_unique<RepeatBudget>(budget_options_, started_);
   }
   return budget.get();
 }
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -307,6 +307,10 @@
        {"verdict", ToString(verdict_)},
        {"runs", runs_},
        {"after_ms", Elapsed()},
+       {"repeats", static_cast<uint64_t>(budget_->repeats(now))},
+       {"first_sends", static_cast<uint64_t>(budget_->first_sends(now))},
+       {"counted_ms", budget_->CountedFor(now)},
+       {"gateways", static_cast<uint64_t>(context_->view_->GatewayCount())},
        {"list_age_ms", context_->view_->ServersAge(now).value_or(Duration())}});
   return goes_on;
 }
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -40,7 +40,7 @@
       dialect_(dialect),
       client_(client),
       log_(log),
-      budget_(budget),
+      budget_(budget, SteadyNow()),
       // Each partition has its share of the service's repeat budget. One more
       // share is kept back, because two gateways run a partition for a moment
       // when its owner changes.
--- a/src/routing/repeat_budget.cc
+++ b/src/routing/repeat_budget.cc
@@ -12,7 +12,8 @@
 
 }  // namespace
 
-RepeatBudget::RepeatBudget(const Options& options) : options_(options) {}
+RepeatBudget::RepeatBudget(const Options& options, TimePoint counted_since)
+    : options_(options), counted_since_(counted_since) {}
 
 void RepeatBudget::OnFirstSend(TimePoint now) {
   Expire(now);
@@ -38,6 +39,11 @@
   return repeats_.size();
 }
 
+size_t RepeatBudget::first_sends(TimePoint now) {
+  Expire(now);
+  return first_.size();
+}
+
 void RepeatBudget::Expire(TimePoint now) {
   for (auto* times : {&first_, &repeats_}) {
     while (!times->empty() && now - times->front() >= options_.window_) {
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -143,7 +143,7 @@
   std::vector<wire::fleet::CrashReports> reports_;
   CrashWatch crashes_{&log_, CrashHooks()};
   ServiceRouter router_;
-  RepeatBudget budget_{Budget()};
+  RepeatBudget budget_{Budget(), SteadyNow()};
   RelayContext context_;
   RelayService service_{&context_, 10};
 };
--- a/tests/unit-relay.cc
+++ b/tests/unit-relay.cc
@@ -62,7 +62,7 @@
     constexpr size_t kNodes = 8;
     constexpr int kSteps = 6000;
     std::mt19937 random(7);
-    std::vector<RepeatBudget> nodes(kNodes, RepeatBudget(options));
+    std::vector<RepeatBudget> nodes(kNodes, RepeatBudget(options, TimePoint()));
     std::vector<TimePoint> first;
     std::vector<TimePoint> repeats;
     TimePoint now{seconds(100)};
@@ -95,8 +95,8 @@
   }
 
   SECTION("a gateway's share shrinks with their number") {
-    RepeatBudget few(options);
-    RepeatBudget many(options);
+    RepeatBudget few(options, TimePoint());
+    RepeatBudget many(options, TimePoint());
     const TimePoint now{seconds(1)};
     int of_few = 0;
     int of_many = 0;
