Give a new process none of the allowance on repeats for one window

Cause: RepeatBudget bounds a sum over a window by what its process remembers. A restarted process remembers nothing and began with its whole share, so a window held as many shares as generations: 179 of 272 repeats came from processes younger than 2.5 s.

Change: a node that has counted for less than a window uses none of the allowance and a quarter of the ratio for its own requests; three quarters may have been used by an earlier incarnation, so that together they stay within the bound however often it restarts.

--- a/include/citronlane/routing/repeat_budget.h
+++ b/include/citronlane/routing/repeat_budget.h
@@ -12,7 +12,12 @@
 /// any time window: a fraction of those it sent for the first time, plus an
 /// equal share of an allowance common to all nodes. The bounds of all nodes add
 /// up to less than the common bound however traffic moves among them, since
-/// each node counts only its own requests. Time is passed in. Not thread safe.
+/// each node counts only its own requests.
+///
+/// A node that has counted for less than a window may be the next incarnation
+/// of one that has used up its share: until then it has none of the allowance
+/// and a smaller fraction of its own requests. Time is passed in. Not thread
+/// safe.
 class RepeatBudget {
  public:
   struct Options {
@@ -41,6 +46,7 @@
   Duration CountedFor(TimePoint now) const { return now - counted_since_; }
 
  private:
+  double Bound(TimePoint now, size_t nodes) const;
   void Expire(TimePoint now);
 
   const Options options_;
--- a/src/routing/repeat_budget.cc
+++ b/src/routing/repeat_budget.cc
@@ -9,6 +9,10 @@
 /// that arrive in a later window than they were sent in, and nodes that are not
 /// known yet.
 constexpr double kUsedBoundFraction = 0.75;
+/// Fraction of the ratio that is used by a node that has counted for less than
+/// a window. What another incarnation of it sent in that window is unknown, up
+/// to kUsedBoundFraction of the bound; the two fractions add up to 1.
+constexpr double kNewNodeRatioFraction = 0.25;
 
 }  // namespace
 
@@ -22,18 +26,23 @@
 
 bool RepeatBudget::TryTake(TimePoint now, size_t nodes) {
   Expire(now);
-  const double share =
-      options_.extra_ / static_cast<double>(std::max<size_t>(1, nodes));
-  const double bound =
-      kUsedBoundFraction *
-      (options_.ratio_ * static_cast<double>(first_.size()) + share);
-  if (static_cast<double>(repeats_.size() + 1) > bound) {
+  if (static_cast<double>(repeats_.size() + 1) > Bound(now, nodes)) {
     return false;
   }
   repeats_.push_back(now);
   return true;
 }
 
+double RepeatBudget::Bound(TimePoint now, size_t nodes) const {
+  const double by_ratio = options_.ratio_ * static_cast<double>(first_.size());
+  if (CountedFor(now) < options_.window_) {
+    return kNewNodeRatioFraction * by_ratio;
+  }
+  const double share =
+      options_.extra_ / static_cast<double>(std::max<size_t>(1, nodes));
+  return kUsedBoundFraction * (by_ratio + share);
+}
+
 size_t RepeatBudget::repeats(TimePoint now) {
   Expire(now);
   return repeats_.size();
