Give the owner of a stage pool the allowance on repeats after one window

The repeats of a stage pool are bounded by the gateway that owns it. A gateway that took a pool over had the pool's whole allowance at once, and one that got it back had it again, although the owners between had used theirs in the same window.

Change: PoolRepeatBudget counts anew as long as control has not named this gateway as the owner, so that its allowance begins one window after that.

Tests whose gateway is meant to own a pool, or to have run for long, now say so.

--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -61,6 +61,9 @@
   std::vector<PoolPartition> PartitionsOf(const std::string& service) const;
   /// Whether the partition exists.
   bool HasPartition(const PoolPartition& partition) const;
+  /// Whether control has named the gateway `endpoint` as the partition's owner.
+  bool IsOwner(const PoolPartition& partition,
+               const std::string& endpoint) const;
   /// Whether work that waits in a partition at the gateway `endpoint` belongs
   /// elsewhere: the partition no longer exists, or it is one of a failure
   /// domain and has another owner. An undivided pool may be at a successor that
--- /dev/null
+++ b/include/citronlane/relay/pool_repeat_budget.h
@@ -0,0 +1,44 @@
+#ifndef CITRONLANE_RELAY_POOL_REPEAT_BUDGET_H_
+#define CITRONLANE_RELAY_POOL_REPEAT_BUDGET_H_
+
+#include <string>
+
+#include "citronlane/base/time.h"
+#include "citronlane/fleet/pool_partition.h"
+#include "citronlane/routing/repeat_budget.h"
+
+namespace citronlane {
+
+class FleetView;
+
+/// Bounds the repeats that one gateway sends to a partition of a stage pool.
+/// Each partition has its share of the service's allowance. A gateway has it
+/// only after it has owned the partition for a window without a break, since
+/// an earlier owner may have used it. Time is passed in. Not thread safe.
+class PoolRepeatBudget {
+ public:
+  /// `endpoint` is this gateway's, by which `view` names owners; `view` must
+  /// outlive the object.
+  PoolRepeatBudget(PoolPartition partition,
+                   std::string endpoint,
+                   const RepeatBudget::Options& options,
+                   const FleetView* view,
+                   TimePoint now);
+
+  /// A piece's task was accepted.
+  void OnFirstSend(TimePoint now) { budget_.OnFirstSend(now); }
+  /// Takes one repeat; false when none is left.
+  bool TryTake(TimePoint now);
+  /// Checks who owns the partition. Call after each change of the owners.
+  void Tick(TimePoint now);
+
+ private:
+  const PoolPartition partition_;
+  const std::string endpoint_;
+  const FleetView* const view_;
+  RepeatBudget budget_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_RELAY_POOL_REPEAT_BUDGET_H_
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -12,8 +12,8 @@
 #include "absl/types/span.h"
 #include "citronlane/base/error.h"
 #include "citronlane/fleet/pool_partition.h"
+#include "citronlane/relay/pool_repeat_budget.h"
 #include "citronlane/routing/call_outcome.h"
-#include "citronlane/routing/repeat_budget.h"
 #include "citronlane/serving/stage_piece_result.h"
 #include "citronlane/stages/stage_batcher.h"
 #include "citronlane/stages/stage_reply_check.h"
@@ -39,7 +39,7 @@
   /// `view`, `dialect`, `client` and `log` must outlive the pool.
   StagePool(PoolPartition partition,
             const StagePoolSpec& spec,
-            const RepeatBudget::Options& budget,
+            PoolRepeatBudget budget,
             LimitWatch* limits,
             const FleetView* view,
             const Dialect* dialect,
@@ -109,7 +109,7 @@
   const Dialect* const dialect_;
   StageClient* const client_;
   EventLog* const log_;
-  RepeatBudget budget_;
+  PoolRepeatBudget budget_;
   StageBatcher batcher_;
   StageReplyCheck reply_check_;
   uint64_t partitions_number_ = 0;
--- a/include/citronlane/routing/repeat_budget.h
+++ b/include/citronlane/routing/repeat_budget.h
@@ -32,6 +32,9 @@
   /// does not know.
   RepeatBudget(const Options& options, TimePoint counted_since);
 
+  /// Another node may have sent this node's share of repeats until `now`:
+  /// counts anew from then on. What this node has sent stays counted.
+  void Restart(TimePoint now) { counted_since_ = now; }
   /// A request was sent for the first time.
   void OnFirstSend(TimePoint now);
   /// Takes one repeat; false when none is left. `nodes` is the number of nodes
@@ -50,7 +53,7 @@
   void Expire(TimePoint now);
 
   const Options options_;
-  const TimePoint counted_since_;
+  TimePoint counted_since_;
   std::deque<TimePoint> first_;
   std::deque<TimePoint> repeats_;
 };
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -125,6 +125,12 @@
                          partition) != partitions->second.end();
 }
 
+bool FleetView::IsOwner(const PoolPartition& partition,
+                        const std::string& endpoint) const {
+  const auto owner = owners_.find(partition);
+  return owner != owners_.end() && owner->second == endpoint;
+}
+
 bool FleetView::BelongsElsewhere(const PoolPartition& partition,
                                  const std::string& endpoint) const {
   const auto owner = owners_.find(partition);
--- a/src/relay/gateway_host_pools.cc
+++ b/src/relay/gateway_host_pools.cc
@@ -47,10 +47,13 @@
       pools_.erase(partition);
       return nullptr;
     }
-    pool = std::make_unique<StagePool>(partition, *declared->stage_pool_,
-                                       budget_options_, &limits_, &view_,
-                                       dialect_, &client_, log_);
-    pool->Begin(SteadyNow());
+    const TimePoint now = SteadyNow();
+    pool = std::make_unique<StagePool>(
+        partition, *declared->stage_pool_,
+        PoolRepeatBudget(partition, settings_.internal_listen_, budget_options_,
+                         &view_, now),
+        &limits_, &view_, dialect_, &client_, log_);
+    pool->Begin(now);
   }
   return pool.get();
 }
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -27,7 +27,7 @@
 
 StagePool::StagePool(PoolPartition partition,
                      const StagePoolSpec& spec,
-                     const RepeatBudget::Options& budget,
+                     PoolRepeatBudget budget,
                      LimitWatch* limits,
                      const FleetView* view,
                      const Dialect* dialect,
@@ -40,16 +40,10 @@
       dialect_(dialect),
       client_(client),
       log_(log),
-      budget_(budget, SteadyNow()),
-      // Each partition has its share of the service's repeat budget. One more
-      // share is kept back, because two gateways run a partition for a moment
-      // when its owner changes.
+      budget_(std::move(budget)),
       batcher_(
           spec,
-          [this](TimePoint now) {
-            return budget_.TryTake(
-                now, view_->PartitionsOf(partition_.service_).size() + 1);
-          },
+          [this](TimePoint now) { return budget_.TryTake(now); },
           [this](const std::string& server, TimePoint now) {
             return limits_->limits()->MayCall(server,
                                               ServerLimits::Scope::kOwner,
@@ -102,6 +96,7 @@
 }
 
 void StagePool::Tick(TimePoint now) {
+  budget_.Tick(now);
   if (partitions_number_ != view_->partitions_number()) {
     partitions_number_ = view_->partitions_number();
     batcher_.SetServers(view_->ServersIn(partition_));
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -54,8 +54,9 @@
     for (const Service& each : parts.services_) {
       if (each.stage_pool_) {
         pools_[each.name_] = std::make_unique<StagePool>(
-            each.name_, *each.stage_pool_, Budget(), &limits_, &view_,
-            &dialect_, &client_, &log_);
+            each.name_, *each.stage_pool_,
+            PoolRepeatBudget(each.name_, kEndpoint, Budget(), &view_, kStarted),
+            &limits_, &view_, &dialect_, &client_, &log_);
       }
     }
     view_.SetConfig(std::make_shared<const ServingConfig>(std::move(parts)));
@@ -119,6 +120,10 @@
     hooks.now_ = SteadyNow;
     return hooks;
   }
+  static constexpr auto kEndpoint = "127.0.0.1:1";
+  /// It has run for long.
+  static constexpr TimePoint kStarted{};
+
   static RepeatBudget::Options Budget() {
     return {0.2, 1000, std::chrono::seconds(10)};
   }
@@ -136,14 +141,14 @@
                      &log_,
                      {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
   std::map<std::string, std::unique_ptr<StagePool>> pools_;
-  StageOwners owners_{io_, "127.0.0.1:1", &view_, &log_,
+  StageOwners owners_{io_, kEndpoint, &view_, &log_,
                       [this](const PoolPartition& part) {
                         return pools_[part.service_].get();
                       }};
   std::vector<wire::fleet::CrashReports> reports_;
   CrashWatch crashes_{&log_, CrashHooks()};
   ServiceRouter router_;
-  RepeatBudget budget_{Budget(), SteadyNow()};
+  RepeatBudget budget_{Budget(), kStarted};
   RelayContext context_;
   RelayService service_{&context_, 10};
 };
--- a/tests/unit-repeat-budget.cc
+++ b/tests/unit-repeat-budget.cc
@@ -4,8 +4,11 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <string>
 #include <vector>
 
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/pool_repeat_budget.h"
 #include "citronlane/routing/repeat_budget.h"
 
 namespace citronlane {
@@ -135,6 +138,56 @@
   }
 }
 
+// Gateways that own a pool in turn each had its whole allowance, and had it
+// again when the pool came back.
+TEST_CASE("repeats stay within a pool's bound while it changes owners") {
+  const uint32_t seed = GENERATE(range(1U, 6U));
+  const Duration term = milliseconds(GENERATE(800, 2500, 4000, 12000));
+  const double per_second = GENERATE(5.0, 30.0, 400.0);
+  CAPTURE(seed, term.count(), per_second);
+  constexpr size_t kGateways = 4;
+  // Gateways learn of a new owner at different times.
+  constexpr Duration kLongestDelay = milliseconds(600);
+  const PoolPartition pool("ranker");
+  std::mt19937 random(seed);
+  std::vector<FleetView> views(kGateways);
+  std::vector<PoolRepeatBudget> budgets;
+  for (size_t i = 0; i < kGateways; ++i) {
+    budgets.emplace_back(pool, std::to_string(i), Options(), &views[i], kBegin);
+  }
+  std::vector<Duration> delays(kGateways);
+  std::poisson_distribution<int> arrivals(
+      per_second * std::chrono::duration<double>(kStep).count());
+  Sent sent;
+  for (TimePoint now = kBegin; now < kBegin + seconds(90); now += kStep) {
+    for (Duration& delay : delays) {
+      if ((now - kBegin) % term < kStep) {
+        delay = Duration(random() % kLongestDelay.count());
+      }
+    }
+    const auto number = static_cast<uint64_t>((now - kBegin) / term) + 1;
+    const size_t owner = number % kGateways;
+    for (size_t i = 0; i < kGateways; ++i) {
+      if ((now - kBegin) % term >= delays[i]) {
+        views[i].SetOwners(number, {{pool, std::to_string(owner)}});
+      }
+      budgets[i].Tick(now);
+    }
+    for (int i = arrivals(random); i > 0; --i) {
+      // Some callers send their tasks to a gateway that is not the owner.
+      const size_t gateway = random() % 20 == 0 ? random() % kGateways : owner;
+      budgets[gateway].OnFirstSend(now);
+      sent.first_.push_back(now);
+    }
+    for (PoolRepeatBudget& budget : budgets) {
+      while (budget.TryTake(now)) {
+        sent.repeats_.push_back(now);
+      }
+    }
+  }
+  CHECK(LargestExcess(sent) <= 0);
+}
+
 TEST_CASE("a gateway's budget on repeats grows with the time it has counted") {
   RepeatBudget budget(Options(), kBegin);
   const auto taken = [&](TimePoint now) {
--- a/tests/unit-reply-identity.cc
+++ b/tests/unit-reply-identity.cc
@@ -132,6 +132,7 @@
  public:
   explicit SingleServerPool(uint16_t port) {
     view_.SetServers(OneServer("press", port), SteadyNow());
+    view_.SetOwners(1, {{"press", "gateway"}});
     pool_.Begin(SteadyNow());
   }
 
@@ -184,10 +185,18 @@
   LimitWatch limits_{&server_limits_,
                      &log_,
                      {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
-  StagePool pool_{
-      "press",  PressSpec(2), RepeatBudget::Options{0.2, 10, seconds(10)},
-      &limits_, &view_,       &dialect_,
-      &client_, &log_};
+  StagePool pool_{"press",
+                  PressSpec(2),
+                  PoolRepeatBudget("press",
+                                   "gateway",
+                                   {0.2, 10, seconds(10)},
+                                   &view_,
+                                   TimePoint()),
+                  &limits_,
+                  &view_,
+                  &dialect_,
+                  &client_,
+                  &log_};
 };
 
 /// A stage server that replies twice to calls that free results, the second
--- a/tests/unit-stage-domains.cc
+++ b/tests/unit-stage-domains.cc
@@ -97,7 +97,9 @@
     auto& pool = pools_[partition];
     if (!pool) {
       pool = std::make_unique<StagePool>(
-          partition, PressSpec(), RepeatBudget::Options{0.2, 10, seconds(10)},
+          partition, PressSpec(),
+          PoolRepeatBudget(partition, "gateway", {0.2, 10, seconds(10)}, &view_,
+                           TimePoint()),
           &limits_, &view_, &dialect_, &client_, &log_);
       pool->Begin(SteadyNow());
     }
