Log when a gateway is cut off from all backend servers

Nothing told a gateway whose links to the servers are lost from one whose server has ended: both log connect failed. After a failed call a gateway now probes one server and, if that fails, several in two rounds, and logs cut off from servers and servers reached again. No decision uses it yet.

--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -21,6 +21,7 @@
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/gateway_host.h"
 #include "citronlane/relay/limit_watch.h"
+#include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_service.h"
 #include "citronlane/relay/service_router.h"
@@ -63,6 +64,7 @@
   ControlWatch::Hooks WatchHooks();
   CrashWatch::Hooks CrashHooks();
   LimitWatch::Hooks LimitHooks();
+  ReachWatch::Hooks ReachHooks();
   void ApplyLimits();
 
   // gateway_host_pools.cc: routers, budgets and pools of services and
@@ -119,6 +121,7 @@
   /// Cold servers of the last log line.
   std::string logged_cold_;
   LimitWatch limits_;
+  ReachWatch reach_;
   EnginePlacement engines_;
   CrashWatch crashes_;
   RelayContext context_;
--- a/include/citronlane/relay/relay_context.h
+++ b/include/citronlane/relay/relay_context.h
@@ -15,9 +15,10 @@
 class EnginePlacement;
 class EventLog;
 class FleetView;
+class LimitWatch;
 class Metrics;
+class ReachWatch;
 class RepeatBudget;
-class LimitWatch;
 class ServiceRouter;
 class StageClient;
 class StageOwners;
@@ -34,6 +35,7 @@
   EnginePlacement* engines_ = nullptr;
   CrashWatch* crashes_ = nullptr;
   LimitWatch* limits_ = nullptr;
+  ReachWatch* reach_ = nullptr;
   EventLog* log_ = nullptr;
   Metrics* metrics_ = nullptr;
   /// Router and repeat budget of a service, created on first use.
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -24,6 +24,7 @@
 class EventLog;
 class FleetView;
 class LimitWatch;
+class ReachWatch;
 class StageCall;
 class StageClient;
 struct Dialect;
@@ -36,11 +37,12 @@
   using Done = std::function<void(const StageOutcome& outcome)>;
   using InputsTaken = std::function<void()>;
 
-  /// `view`, `dialect`, `client` and `log` must outlive the pool.
+  /// All pointers must outlive the pool.
   StagePool(PoolPartition partition,
             const StagePoolSpec& spec,
             PoolRepeatBudget budget,
             LimitWatch* limits,
+            ReachWatch* reach,
             const FleetView* view,
             const Dialect* dialect,
             StageClient* client,
@@ -105,6 +107,7 @@
   const PoolPartition partition_;
   const std::string name_;
   LimitWatch* const limits_;
+  ReachWatch* const reach_;
   const FleetView* const view_;
   const Dialect* const dialect_;
   StageClient* const client_;
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -109,6 +109,9 @@
           [this](const PoolPartition& partition) { return PoolOf(partition); }),
       server_limits_(settings_.internal_listen_),
       limits_(&server_limits_, log, LimitHooks()),
+      reach_([this](uint64_t below) { return random_() % below; },
+             log,
+             ReachHooks()),
       engines_(&io_,
                &view_,
                settings_.internal_listen_,
@@ -152,6 +155,7 @@
   context.engines_ = &engines_;
   context.crashes_ = &crashes_;
   context.limits_ = &limits_;
+  context.reach_ = &reach_;
   context.log_ = log_;
   context.metrics_ = &metrics_;
   context.router_ = [this](const Service& service) {
@@ -272,6 +276,26 @@
   return hooks;
 }
 
+ReachWatch::Hooks GatewayHost::Impl::ReachHooks() {
+  ReachWatch::Hooks hooks;
+  hooks.addresses_ = [this] {
+    std::vector<std::string> addresses;
+    for (const BackendServer& server : view_.servers()) {
+      if (!server.leaving_) {
+        addresses.push_back(server.address_);
+      }
+    }
+    return addresses;
+  };
+  hooks.probe_ = [this](const std::string& address,
+                        std::function<void(bool)> done) {
+    ProbeConnection(&io_, address, std::move(done));
+  };
+  hooks.changed_ = [] {};
+  hooks.now_ = SteadyNow;
+  return hooks;
+}
+
 void GatewayHost::Impl::ApplyLimits() {
   callers_.SetLimits(LimitsOf(view_.config()->limits(), settings_));
 }
@@ -315,6 +339,7 @@
 void GatewayHost::Impl::Tick(TimePoint now) {
   watch_.Tick(now);
   owners_.Tick(now);
+  reach_.Tick();
   for (const auto& [partition, pool] : pools_) {
     pool->Tick(now);
   }
--- a/src/relay/gateway_host_pools.cc
+++ b/src/relay/gateway_host_pools.cc
@@ -52,7 +52,7 @@
         partition, *declared->stage_pool_,
         PoolRepeatBudget(partition, settings_.internal_listen_, budget_options_,
                          &view_, now),
-        &limits_, &view_, dialect_, &client_, log_);
+        &limits_, &reach_, &view_, dialect_, &client_, log_);
     pool->Begin(now);
   }
   return pool.get();
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -11,6 +11,7 @@
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/forwarded_headers.h"
+#include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/server_attempt.h"
 #include "citronlane/relay/service_router.h"
@@ -271,6 +272,9 @@
                                        : outcome;
   NoteEnd(id, counted, SteadyNow() - now);
   NoteSurvival(id, address, attempt);
+  if (!attempt.has_head()) {
+    context_->reach_->OnCallEnd(outcome);
+  }
   context_->metrics_->Count(kAttemptsTotal,
                             {service_->name_, ToString(counted)});
   return ended;
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -8,6 +8,7 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/limit_watch.h"
+#include "citronlane/relay/reach_watch.h"
 #include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/transport/stage_call.h"
@@ -29,6 +30,7 @@
                      const StagePoolSpec& spec,
                      PoolRepeatBudget budget,
                      LimitWatch* limits,
+                     ReachWatch* reach,
                      const FleetView* view,
                      const Dialect* dialect,
                      StageClient* client,
@@ -36,6 +38,7 @@
     : partition_(std::move(partition)),
       name_(partition_.Name()),
       limits_(limits),
+      reach_(reach),
       view_(view),
       dialect_(dialect),
       client_(client),
@@ -272,6 +275,7 @@
                             const std::string& server,
                             CallOutcome outcome) {
   const TimePoint now = SteadyNow();
+  reach_->OnCallEnd(outcome);
   const bool not_sent = outcome == CallOutcome::kConnectFailed;
   log_->Write("stages", "call failed",
               {{"service", name_},
--- /dev/null
+++ b/src/routing/server_reach.cc
@@ -0,0 +1,70 @@
+#include "citronlane/routing/server_reach.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace citronlane {
+namespace {
+
+/// Servers probed in a round that follows a failed first probe.
+constexpr size_t kProbesPerRound = 5;
+/// Failed rounds after which the node is cut off, the first probe included.
+constexpr size_t kRoundsToCutOff = 3;
+/// Probes of a round that must succeed to end a cut. One server alone may be
+/// reachable behind it.
+constexpr size_t kReachedToRejoin = 2;
+/// Pause after a round that reached a server, and between rounds during a cut.
+constexpr Duration kRoundInterval = std::chrono::milliseconds(500);
+
+}  // namespace
+
+ServerReach::ServerReach(RandomHook random) : random_(std::move(random)) {}
+
+bool ServerReach::IsRoundDue(TimePoint now) const {
+  return outstanding_ == 0 && (is_suspected_ || is_cut_off_) &&
+         now >= next_round_;
+}
+
+std::vector<std::string> ServerReach::StartRound(
+    absl::Span<const std::string> addresses) {
+  std::vector<std::string> drawn(addresses.begin(), addresses.end());
+  round_size_ = std::min(RoundSize(), drawn.size());
+  for (size_t i = 0; i < round_size_; ++i) {
+    std::swap(drawn[i], drawn[i + random_(drawn.size() - i)]);
+  }
+  drawn.resize(round_size_);
+  outstanding_ = round_size_;
+  reached_ = 0;
+  return drawn;
+}
+
+bool ServerReach::OnProbed(bool is_reached, TimePoint now) {
+  reached_ += is_reached ? 1 : 0;
+  --outstanding_;
+  return outstanding_ == 0 && Conclude(now);
+}
+
+size_t ServerReach::RoundSize() const {
+  return is_cut_off_ || failed_rounds_ > 0 ? kProbesPerRound : 1;
+}
+
+bool ServerReach::Conclude(TimePoint now) {
+  if (is_cut_off_) {
+    next_round_ = now + kRoundInterval;
+    is_cut_off_ = reached_ < std::min(kReachedToRejoin, round_size_);
+    is_suspected_ = false;
+    failed_rounds_ = 0;
+    return !is_cut_off_;
+  }
+  if (reached_ > 0) {
+    next_round_ = now + kRoundInterval;
+    is_suspected_ = false;
+    failed_rounds_ = 0;
+    return false;
+  }
+  is_cut_off_ = ++failed_rounds_ >= kRoundsToCutOff;
+  next_round_ = is_cut_off_ ? now + kRoundInterval : now;
+  return is_cut_off_;
+}
+
+}  // namespace citronlane
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -19,6 +19,7 @@
 #include "citronlane/relay/crash_watch.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/limit_watch.h"
+#include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_service.h"
 #include "citronlane/relay/service_router.h"
@@ -33,6 +34,7 @@
 #include "citronlane/transport/stage_limits.h"
 #include "fleet.pb.h"
 #include "platform/dialect.h"
+#include "support/no_probes.h"
 #include "support/recorded_caller.h"
 
 namespace citronlane {
@@ -56,7 +58,7 @@
         pools_[each.name_] = std::make_unique<StagePool>(
             each.name_, *each.stage_pool_,
             PoolRepeatBudget(each.name_, kEndpoint, Budget(), &view_, kStarted),
-            &limits_, &view_, &dialect_, &client_, &log_);
+            &limits_, &reach_, &view_, &dialect_, &client_, &log_);
       }
     }
     view_.SetConfig(std::make_shared<const ServingConfig>(std::move(parts)));
@@ -71,6 +73,7 @@
     context_.owners_ = &owners_;
     context_.crashes_ = &crashes_;
     context_.limits_ = &limits_;
+    context_.reach_ = &reach_;
     context_.log_ = &log_;
     context_.metrics_ = &metrics_;
     context_.router_ = [this](const Service&) { return &router_; };
@@ -140,6 +143,7 @@
   LimitWatch limits_{&server_limits_,
                      &log_,
                      {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
+  ReachWatch reach_{[](uint64_t) { return uint64_t{0}; }, &log_, NoProbes()};
   std::map<std::string, std::unique_ptr<StagePool>> pools_;
   StageOwners owners_{io_, kEndpoint, &view_, &log_,
                       [this](const PoolPartition& part) {
--- a/tests/unit-reply-identity.cc
+++ b/tests/unit-reply-identity.cc
@@ -25,6 +25,7 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/limit_watch.h"
+#include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/routing/repeat_budget.h"
 #include "citronlane/routing/server_limits.h"
@@ -39,6 +40,7 @@
 #include "citronlane/transport/stage_limits.h"
 #include "fleet.pb.h"
 #include "platform/dialect.h"
+#include "support/no_probes.h"
 #include "support/press_config.h"
 #include "support/recorded_caller.h"
 #include "support/relay_gateway.h"
@@ -185,6 +187,7 @@
   LimitWatch limits_{&server_limits_,
                      &log_,
                      {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
+  ReachWatch reach_{[](uint64_t) { return uint64_t{0}; }, &log_, NoProbes()};
   StagePool pool_{"press",
                   PressSpec(2),
                   PoolRepeatBudget("press",
@@ -193,6 +196,7 @@
                                    &view_,
                                    TimePoint()),
                   &limits_,
+                  &reach_,
                   &view_,
                   &dialect_,
                   &client_,
--- /dev/null
+++ b/tests/unit-server-reach.cc
@@ -0,0 +1,131 @@
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "citronlane/routing/server_reach.h"
+
+namespace citronlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::vector<std::string> Addresses(size_t count) {
+  std::vector<std::string> addresses;
+  for (size_t i = 0; i < count; ++i) {
+    addresses.push_back("10.0.0." + std::to_string(i) + ":1");
+  }
+  return addresses;
+}
+
+/// A node with probes that end at once.
+class Node {
+ public:
+  using Reaches = std::function<bool(const std::string& address)>;
+
+  Node(size_t servers, uint32_t seed)
+      : addresses_(Addresses(servers)), random_(seed) {}
+
+  /// Runs all rounds that are due.
+  void Probe(const Reaches& reaches) {
+    while (reach_.IsRoundDue(now_)) {
+      const auto drawn = reach_.StartRound(addresses_);
+      CHECK(std::set<std::string>(drawn.begin(), drawn.end()).size() ==
+            drawn.size());
+      probes_ += drawn.size();
+      for (const std::string& address : drawn) {
+        reach_.OnProbed(reaches(address), now_);
+      }
+      if (drawn.empty()) {
+        return;
+      }
+    }
+  }
+
+  std::vector<std::string> addresses_;
+  std::mt19937 random_;
+  TimePoint now_{seconds(100)};
+  size_t probes_ = 0;
+  ServerReach reach_{[this](uint64_t below) { return random_() % below; }};
+};
+
+bool None(const std::string&) {
+  return false;
+}
+bool All(const std::string&) {
+  return true;
+}
+
+}  // namespace
+
+TEST_CASE("a node that reaches no server is cut off") {
+  const size_t servers = GENERATE(1, 2, 7, 900);
+  CAPTURE(servers);
+  Node node(servers, 1);
+
+  SECTION("nothing is probed while calls succeed") {
+    node.Probe(None);
+    CHECK(node.probes_ == 0);
+    CHECK_FALSE(node.reach_.is_cut_off());
+  }
+
+  SECTION("found out at the first failure") {
+    node.reach_.OnFailure();
+    node.Probe(None);
+    CHECK(node.reach_.is_cut_off());
+    CHECK(node.probes_ <= 11);
+
+    // Nothing more is probed at once.
+    node.Probe(All);
+    CHECK(node.reach_.is_cut_off());
+
+    node.now_ += milliseconds(500);
+    node.Probe(All);
+    CHECK_FALSE(node.reach_.is_cut_off());
+  }
+
+  SECTION("a failure elsewhere costs one probe each half second") {
+    for (int i = 0; i < 100; ++i) {
+      node.reach_.OnFailure();
+      node.Probe(All);
+      node.now_ += milliseconds(10);
+    }
+    CHECK(node.probes_ == 2);
+  }
+}
+
+TEST_CASE("a node stays cut off while it reaches one server only") {
+  Node node(30, 3);
+  node.reach_.OnFailure();
+  node.Probe(None);
+  for (int i = 0; i < 200; ++i) {
+    node.now_ += milliseconds(500);
+    node.Probe([&](const std::string& address) {
+      return address == node.addresses_.front();
+    });
+    CHECK(node.reach_.is_cut_off());
+  }
+}
+
+TEST_CASE("servers that have ended cut no node off") {
+  const uint32_t seed = GENERATE(range(1U, 11U));
+  Node node(30, seed);
+  // A third of the servers.
+  const auto reaches = [&](const std::string& address) {
+    return address[address.size() - 3] % 3 != 0;
+  };
+  size_t cut_off = 0;
+  for (int i = 0; i < 1000; ++i) {
+    node.reach_.OnFailure();
+    node.Probe(reaches);
+    cut_off += node.reach_.is_cut_off() ? 1 : 0;
+    node.now_ += milliseconds(500);
+  }
+  CHECK(cut_off == 0);
+}
+
+}  // namespace citronlane
--- a/tests/unit-stage-domains.cc
+++ b/tests/unit-stage-domains.cc
@@ -11,6 +11,7 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/limit_watch.h"
+#include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_job.h"
 #include "citronlane/relay/stage_owners.h"
 #include "citronlane/relay/stage_pool.h"
@@ -23,6 +24,7 @@
 #include "citronlane/transport/stage_limits.h"
 #include "fleet.pb.h"
 #include "platform/dialect.h"
+#include "support/no_probes.h"
 #include "support/press_config.h"
 #include "support/recorded_caller.h"
 
@@ -100,7 +102,7 @@
           partition, PressSpec(),
           PoolRepeatBudget(partition, "gateway", {0.2, 10, seconds(10)}, &view_,
                            TimePoint()),
-          &limits_, &view_, &dialect_, &client_, &log_);
+          &limits_, &reach_, &view_, &dialect_, &client_, &log_);
       pool->Begin(SteadyNow());
     }
     return pool.get();
@@ -112,6 +114,7 @@
   LimitWatch limits_{&server_limits_,
                      &log_,
                      {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
+  ReachWatch reach_{[](uint64_t) { return uint64_t{0}; }, &log_, NoProbes()};
   const Dialect dialect_ = platform::MakeDialect();
   StageClient client_{&io_, StageLimits()};
   EventLog log_{"gateway",
--- a/tests/unit-stage-owners.cc
+++ b/tests/unit-stage-owners.cc
@@ -24,6 +24,7 @@
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/owner_table.h"
+#include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/stage_owners.h"
 #include "citronlane/relay/stage_pool.h"
 #include "citronlane/routing/repeat_budget.h"
@@ -40,6 +41,7 @@
 #include "platform/dialect.h"
 #include "support/eventually.h"
 #include "support/free_endpoint.h"
+#include "support/no_probes.h"
 #include "support/press_config.h"
 
 namespace citronlane {
@@ -220,6 +222,7 @@
                                &view_,
                                TimePoint()),
               &limits_,
+              &reach_,
               &view_,
               &net->dialect_,
               &net->client_,
@@ -292,6 +295,7 @@
   LimitWatch limits_{&server_limits_,
                      &log_,
                      {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
+  ReachWatch reach_{[](uint64_t) { return uint64_t{0}; }, &log_, NoProbes()};
   StagePool pool_;
   StageOwners owners_;
 
