Add a failing test: gateways that are cut off from all servers serve nobody

process-platform-cut-off resets all connections of single gateways to the servers, by the process that opened them.

--- a/tests/process/fault_proxy.py
+++ b/tests/process/fault_proxy.py
@@ -32,6 +32,10 @@
         for sock in list(self.sockets):
             self._reset(sock)
 
+    def admits(self, _):
+        """Returns whether this caller's connections are served."""
+        return True
+
     @staticmethod
     def _reset(sock):
         try:
@@ -48,7 +52,7 @@
                 caller, _ = self.listener.accept()
             except OSError:
                 return
-            if self.mode == "reset":
+            if self.mode == "reset" or not self.admits(caller):
                 self._reset(caller)
                 continue
             try:
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -79,7 +79,7 @@
     def settings(self, ip, name, listen, **more):
         return {
             "node_name": name, "ip": ip, "zone": "a", "listen": listen,
-            "internal_ports": [self.ports["inner"], self.ports["inner"] + 1],
+            "internal_ports": [self.ports["inner"], self.ports["inner"] + 2],
             "seeds": self.seeds, "fault_tolerance": {"machines": 1},
             "limits": {"memory_mb": 256, "max_fds": 1000},
             "bounds": {"grace_period_s": 8, "drain_timeout_ms": 3000,
--- /dev/null
+++ b/tests/process/source_proxy.py
@@ -0,0 +1,64 @@
+"""A TCP proxy on loopback that can cut off single processes: it resets their
+connections and serves those of all others."""
+
+import os
+
+from process.fault_proxy import FaultProxy
+
+
+def _hex(address):
+    ip, port = address
+    return ("".join(f"{int(part):02X}" for part in reversed(ip.split("."))) +
+            f":{port:04X}")
+
+
+def _inode_of(local, remote):
+    """Returns the inode of the socket with these addresses, (IP, port) each;
+    None when it is closed."""
+    wanted = [_hex(local), _hex(remote)]
+    with open("/proc/net/tcp", encoding="ascii") as table:
+        for line in table:
+            fields = line.split()
+            if fields[1:3] == wanted:
+                return fields[9]
+    return None
+
+
+def _owns(pid, inode):
+    folder = f"/proc/{pid}/fd"
+    try:
+        return any(os.readlink(os.path.join(folder, name)) ==
+                   f"socket:[{inode}]" for name in os.listdir(folder))
+    except OSError:
+        return False
+
+
+class SourceProxy(FaultProxy):
+    """Proxy for one address; connections of `cut_off` processes, by their ids,
+    are reset."""
+
+    def __init__(self, ip, target):
+        self.cut_off = frozenset()
+        super().__init__(ip, target)
+
+    def cut(self, pids):
+        """Cuts these processes off, and no others."""
+        self.cut_off = frozenset(pids)
+        for sock in list(self.sockets):
+            try:
+                is_cut = self._is_cut(sock)
+            except OSError:
+                continue
+            if is_cut:
+                self._reset(sock)
+
+    def admits(self, sock):
+        try:
+            return not self.cut_off or not self._is_cut(sock)
+        except OSError:
+            return False
+
+    def _is_cut(self, sock):
+        inode = _inode_of(sock.getpeername(), sock.getsockname())
+        return inode is not None and any(_owns(pid, inode)
+                                         for pid in self.cut_off)
