Move stage pools away from gateways that are cut off from the servers

Cause: the leader moves a pool when its owner is gone or stops; an owner that lost only its links to the servers is neither.

Change: a gateway that finds itself cut off tells the leader at once, which moves its partitions as for one that stops and lists it as cut off, so that nobody chooses it as successor. The old owner hands back the tasks that wait.

The test's proxy could overlook the owner of a connection; it does not any more.

--- a/include/citronlane/fleet/pool_assignment.h
+++ b/include/citronlane/fleet/pool_assignment.h
@@ -17,9 +17,9 @@
 
 /// Assigns each partition of the pools to the gateway that owns it. The leader
 /// runs this and moves as little as possible: a partition changes its owner
-/// only when the owner is gone or shutting down, because a new owner does not
-/// know which results the servers hold. It does not choose servers and sends
-/// nothing. Pure: no I/O, no clock. Not thread safe.
+/// only when the owner is gone, shutting down or cut off from the servers,
+/// because a new owner does not know which results they hold. It does not
+/// choose servers and sends nothing. Pure: no I/O, no clock. Not thread safe.
 class PoolAssignment {
  public:
   /// Endpoint of the owner of each partition.
@@ -36,6 +36,11 @@
     /// Time since its process started.
     Duration age_{};
     std::string failure_domain_{};
+    /// Whether it reaches no backend server.
+    bool cut_off_ = false;
+
+    /// Whether others should own its partitions.
+    bool ShouldYield() const { return stopping_ || cut_off_; }
   };
 
   /// Rank of a gateway as the next owner of a partition; higher is better.
@@ -46,7 +51,7 @@
   using Order = std::tuple<bool, bool, uint64_t>;
   static Order SuccessorOrder(const PoolPartition& partition,
                               const std::string& endpoint,
-                              bool stopping,
+                              bool should_yield,
                               const Owners& owners);
 
   /// This node became the leader in `term`. Owners adopted before stay the
@@ -55,8 +60,8 @@
   /// Takes the owners that a gateway last received, from this leader or an
   /// earlier one, if `number` is higher than the present number.
   void Adopt(uint64_t number, const Owners& owners);
-  /// Gives partitions without an owner, or whose owner is gone or shutting
-  /// down, to other gateways, and drops those that are not in `partitions`.
+  /// Gives partitions without an owner, or whose owner is gone or should yield
+  /// them, to other gateways, and drops those that are not in `partitions`.
   /// Returns whether the number rose: it does with each change, and once for
   /// each leader. Does nothing and returns false without gateways, or while a
   /// new leader still waits for gateways to report the owners they know.
--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -66,6 +66,9 @@
   /// This gateway takes no new work any more; sends that to the leader
   /// immediately.
   void SetStopping();
+  /// Whether this gateway reaches no backend server; sends that to the leader
+  /// immediately.
+  void SetCutOff(bool cut_off);
   /// Sends a frame to the leader; drops it when none is connected.
   void Send(const wire::fleet::Frame& frame);
   /// Call every 50 ms.
@@ -122,6 +125,7 @@
   /// is older than the leader's list.
   bool had_leader_ = false;
   bool stopping_ = false;
+  bool cut_off_ = false;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -73,6 +73,7 @@
   ServiceRouter* EngineRouterOf(const std::string& service);
   RepeatBudget* BudgetOf(const std::string& service);
   StagePool* PoolOf(const PoolPartition& partition);
+  bool BelongsElsewhere(const PoolPartition& partition) const;
   void HandBackMovedPools(TimePoint now);
 
   // gateway_host_feed.cc: updates from control and the platform's server list.
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -27,6 +27,8 @@
     std::string endpoint_;
     std::string failure_domain_;
     bool stopping_ = false;
+    /// Whether it reaches no backend server.
+    bool cut_off_ = false;
   };
 
   /// Takes a configuration with a higher version than the present one. Returns
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -41,6 +41,7 @@
   std::string gateway_;
   std::string failure_domain_;
   bool stopping_ = false;
+  bool cut_off_ = false;
   bool has_gateways_ = false;
   TimePoint started_;
   /// Version that the gateway last reported.
@@ -85,6 +86,7 @@
   watcher->gateway_ = request.gateway();
   watcher->failure_domain_ = request.failure_domain();
   watcher->stopping_ = request.stopping();
+  watcher->cut_off_ = request.cut_off();
   watcher->has_gateways_ = request.has_gateways();
   watcher->started_ = now - std::chrono::milliseconds(request.age_ms());
   if (request.has_config() && !watcher->is_config_in_flight_) {
@@ -172,7 +174,8 @@
   std::vector<PoolAssignment::Gateway> gateways;
   for (const auto& [key, watcher] : watchers_) {
     gateways.push_back({watcher->gateway_, watcher->stopping_,
-                        now - watcher->started_, watcher->failure_domain_});
+                        now - watcher->started_, watcher->failure_domain_,
+                        watcher->cut_off_});
   }
   const bool has_no_partitions = assignment_.number() == 0 && !servers_read_;
   if (has_no_partitions && now < leading_since_ + kServerListTimeout) {
@@ -379,6 +382,7 @@
     entry->set_endpoint(other->gateway_);
     entry->set_failure_domain(other->failure_domain_);
     entry->set_stopping(other->stopping_);
+    entry->set_cut_off(other->cut_off_);
   }
 }
 
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -57,13 +57,14 @@
 PoolAssignment::Order PoolAssignment::SuccessorOrder(
     const PoolPartition& partition,
     const std::string& endpoint,
-    bool stopping,
+    bool should_yield,
     const Owners& owners) {
   const bool runs_one =
       std::any_of(owners.begin(), owners.end(), [&](const auto& owner) {
         return owner.first != partition && owner.second == endpoint;
       });
-  return {!stopping, !runs_one, RendezvousWeight(partition.Name(), endpoint)};
+  return {!should_yield, !runs_one,
+          RendezvousWeight(partition.Name(), endpoint)};
 }
 
 void PoolAssignment::StartLeading(TimePoint now, uint64_t term) {
@@ -109,7 +110,7 @@
         owners_.begin(), owners_.end(),
         [&](const auto& owner) { return owner.second == gateway.endpoint_; });
     return std::make_tuple(
-        !gateway.stopping_, gateway.age_ >= kSettledAge, -runs,
+        !gateway.ShouldYield(), gateway.age_ >= kSettledAge, -runs,
         gateway.failure_domain_ == partition.failure_domain_, -gateway.age_,
         RendezvousWeight(name, gateway.endpoint_));
   };
@@ -122,7 +123,7 @@
 std::string PoolAssignment::Successor(absl::Span<const Gateway> gateways,
                                       const PoolPartition& partition) const {
   const auto order = [&](const Gateway& gateway) {
-    return SuccessorOrder(partition, gateway.endpoint_, gateway.stopping_,
+    return SuccessorOrder(partition, gateway.endpoint_, gateway.ShouldYield(),
                           owners_);
   };
   return HighestOf(gateways, order);
@@ -140,10 +141,10 @@
   if (found != gateways.end()) {
     connection.disconnected_since_.reset();
     connection.was_connected_ = true;
-    const bool some_stay =
-        std::any_of(gateways.begin(), gateways.end(),
-                    [](const Gateway& gateway) { return !gateway.stopping_; });
-    return !found->stopping_ || !some_stay;
+    const bool some_stay = std::any_of(
+        gateways.begin(), gateways.end(),
+        [](const Gateway& gateway) { return !gateway.ShouldYield(); });
+    return !found->ShouldYield() || !some_stay;
   }
   if (!connection.disconnected_since_) {
     connection.disconnected_since_ = now;
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -58,6 +58,13 @@
   }
 }
 
+void ControlWatch::SetCutOff(bool cut_off) {
+  cut_off_ = cut_off;
+  if (FrameLink* link = LeaderLink()) {
+    SendWatchRequest(link);
+  }
+}
+
 void ControlWatch::Send(const Frame& frame) {
   if (FrameLink* link = LeaderLink()) {
     link->Send(frame);
@@ -156,6 +163,7 @@
   watch->set_gateway(options_.own_endpoint_);
   watch->set_failure_domain(options_.failure_domain_);
   watch->set_stopping(stopping_);
+  watch->set_cut_off(cut_off_);
   if (const auto version = hooks_.config_version_()) {
     watch->set_has_config(true);
     watch->set_config_version(*version);
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -291,7 +291,7 @@
                         std::function<void(bool)> done) {
     ProbeConnection(&io_, address, std::move(done));
   };
-  hooks.changed_ = [] {};
+  hooks.changed_ = [this] { watch_.SetCutOff(reach_.is_cut_off()); };
   hooks.now_ = SteadyNow;
   return hooks;
 }
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -61,8 +61,8 @@
   if (update->has_gateways()) {
     std::vector<FleetView::Gateway> gateways;
     for (const auto& entry : update->gateways().gateways()) {
-      gateways.push_back(
-          {entry.endpoint(), entry.failure_domain(), entry.stopping()});
+      gateways.push_back({entry.endpoint(), entry.failure_domain(),
+                          entry.stopping(), entry.cut_off()});
     }
     view_.SetGateways(std::move(gateways));
   }
--- a/src/relay/gateway_host_pools.cc
+++ b/src/relay/gateway_host_pools.cc
@@ -58,6 +58,16 @@
   return pool.get();
 }
 
+// Whether tasks that wait here should be with another owner. An undivided pool
+// stays with a successor that control has not named yet.
+bool GatewayHost::Impl::BelongsElsewhere(const PoolPartition& partition) const {
+  const auto owner = view_.owners().find(partition);
+  const bool was_moved = reach_.is_cut_off() && owner != view_.owners().end() &&
+                         owner->second != settings_.internal_listen_;
+  return was_moved ||
+         view_.BelongsElsewhere(partition, settings_.internal_listen_);
+}
+
 // Hands back tasks that wait in a partition that has another owner now, or no
 // longer exists, once all gateways have received the change.
 void GatewayHost::Impl::HandBackMovedPools(TimePoint now) {
@@ -69,8 +79,7 @@
     return;
   }
   for (const auto& [partition, pool] : pools_) {
-    if (pool->tasks() > 0 &&
-        view_.BelongsElsewhere(partition, settings_.internal_listen_)) {
+    if (pool->tasks() > 0 && BelongsElsewhere(partition)) {
       pool->ReturnUnsentTasks();
     }
   }
--- a/src/relay/owner_table.cc
+++ b/src/relay/owner_table.cc
@@ -71,7 +71,8 @@
       continue;
     }
     const auto order = PoolAssignment::SuccessorOrder(
-        partition, gateway.endpoint_, gateway.stopping_, owners);
+        partition, gateway.endpoint_, gateway.stopping_ || gateway.cut_off_,
+        owners);
     if (successor == nullptr || order > best) {
       successor = &gateway;
       best = order;
--- a/tests/process/source_proxy.py
+++ b/tests/process/source_proxy.py
@@ -16,11 +16,13 @@
     """Returns the inode of the socket with these addresses, (IP, port) each;
     None when it is closed."""
     wanted = [_hex(local), _hex(remote)]
-    with open("/proc/net/tcp", encoding="ascii") as table:
-        for line in table:
-            fields = line.split()
-            if fields[1:3] == wanted:
-                return fields[9]
+    # The table may lack an entry while others come and go.
+    for _ in range(5):
+        with open("/proc/net/tcp", encoding="ascii") as table:
+            for line in table:
+                fields = line.split()
+                if fields[1:3] == wanted:
+                    return fields[9]
     return None
 
 
@@ -60,5 +62,5 @@
 
     def _is_cut(self, sock):
         inode = _inode_of(sock.getpeername(), sock.getsockname())
-        return inode is not None and any(_owns(pid, inode)
-                                         for pid in self.cut_off)
+        return inode is None or any(_owns(pid, inode)
+                                    for pid in self.cut_off)
--- a/tests/unit-gateway-feed.cc
+++ b/tests/unit-gateway-feed.cc
@@ -189,6 +189,10 @@
   std::optional<bool> has_blocked_;
   /// Limits received, by server; 0 for a server that names none.
   std::map<std::string, double> limits_;
+  /// Whether this gateway is listed as cut off; nothing before the first list.
+  std::optional<bool> is_listed_cut_off_;
+
+  void SetCutOff(bool cut_off) { watch_.SetCutOff(cut_off); }
 
  private:
   ControlWatch::Hooks HooksOf() {
@@ -203,6 +207,9 @@
       for (const auto& limit : update->limits().limits()) {
         limits_[limit.server()] = limit.per_second();
       }
+      for (const auto& gateway : update->gateways().gateways()) {
+        is_listed_cut_off_ = gateway.cut_off();
+      }
       if (update->has_suspects()) {
         const auto& requests = update->suspects().requests();
         has_blocked_ = std::any_of(
@@ -324,6 +331,24 @@
     leader.Pass(std::chrono::milliseconds(1500));
     CHECK(leader.HasLogged("config late"));
   }
+  SECTION(
+      "gateways that are cut off from the servers, also after a new "
+      "connection") {
+    const auto listed = [&](bool cut_off) {
+      return until([&] {
+        leader.Pass(Duration());
+        return gateway.is_listed_cut_off_ == cut_off;
+      });
+    };
+    REQUIRE(listed(false));
+    gateway.SetCutOff(true);
+    CHECK(listed(true));
+    gateway.is_listed_cut_off_.reset();
+    leader.Disconnect();
+    CHECK(listed(true));
+    gateway.SetCutOff(false);
+    CHECK(listed(false));
+  }
   SECTION("drained failure domains, on each connection and at each change") {
     const auto drained = [&](const std::vector<std::string>& names) {
       return until([&] { return gateway.drained_ == names; });
--- a/tests/unit-pool-assignment.cc
+++ b/tests/unit-pool-assignment.cc
@@ -129,6 +129,31 @@
     CHECK(assignment.owners().at("c") != first.at("c"));
   }
 
+  // Requests at all gateways failed while the owner of a pool reached no
+  // server.
+  SECTION("a gateway that is cut off from the servers hands its pools over") {
+    for (Gateway& gateway : gateways) {
+      gateway.cut_off_ = gateway.endpoint_ == first.at("c");
+    }
+    REQUIRE(assignment.Update(services, gateways, now));
+    const std::string next = assignment.owners().at("c");
+    CHECK(next != first.at("c"));
+
+    // It gets none of them back when it reaches servers again.
+    for (Gateway& gateway : gateways) {
+      gateway.cut_off_ = false;
+    }
+    CHECK_FALSE(assignment.Update(services, gateways, now));
+    CHECK(assignment.owners().at("c") == next);
+  }
+
+  SECTION("no pool moves when all gateways are cut off") {
+    for (Gateway& gateway : gateways) {
+      gateway.cut_off_ = true;
+    }
+    CHECK_FALSE(assignment.Update(services, gateways, now));
+  }
+
   SECTION("no pool moves when all gateways shut down") {
     for (Gateway& gateway : gateways) {
       gateway.stopping_ = true;
