Forward requests from a gateway that reaches no server to other gateways

What callers saw: gateways cut off from all servers served 0 of 205 first attempts, for as long as the cut lasted. They tried one server after the other and refused.

Cause: callers reach a gateway through a balancer that does not know which servers it reaches; nothing could hand a request on.

Change: a gateway that is cut off forwards requests, as HTTP, to a gateway that is neither stopping nor cut off, the one with the fewest from here, and passes the reply on; up to three are tried while none has taken it. The other gateway counts the request, runs its stages and calls servers as for its own callers, by the time since its first arrival; it refuses one admitted by a newer configuration than its own. A request that a server may have got is not forwarded. If the reply of the other gateway is lost, the verdict says that the request may have run. When no gateway takes it, it is refused at once.

The test's proxy admitted connections when a descriptor of the process closed meanwhile; it does not any more.

--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -144,6 +144,12 @@
     "by reason: other_id, no_id or ambiguous.",
     metric_labels::kReasonPool};
 
+inline constexpr Metric kForwardedTotal{
+    "citronlane_forwarded_total", Metric::Kind::kCounter,
+    "Requests forwarded to other gateways, by outcome: ended, not_taken or "
+    "lost.",
+    metric_labels::kReason};
+
 /// All metrics, in the order in which Metrics::Text() writes them.
 inline constexpr const Metric* kAllMetrics[] = {
     &kRequestsTotal,
@@ -174,6 +180,7 @@
     &kMetricSeriesDroppedTotal,
     &kServerEntriesUnusableTotal,
     &kOtherRepliesTotal,
+    &kForwardedTotal,
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -36,6 +36,8 @@
     std::string own_endpoint_;
     std::string failure_domain_;
     std::vector<std::string> seeds_;
+    /// Where this gateway takes requests that others forward.
+    std::string relay_address_{};
   };
   struct Hooks {
     /// Called with each update of the leader. While there is none, also with
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -21,6 +21,7 @@
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/gateway_host.h"
 #include "citronlane/relay/limit_watch.h"
+#include "citronlane/relay/peer_gateways.h"
 #include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_service.h"
@@ -59,6 +60,7 @@
   bool Listen(HttpListener* listener, const std::string& address, Error* error);
   RelayContext MakeContext();
   HttpListenerHooks CallerHooks();
+  HttpListenerHooks ForwardedHooks();
   HttpListenerHooks ReadyHooks();
   HttpListenerHooks MetricsHooks();
   ControlWatch::Hooks WatchHooks();
@@ -124,12 +126,14 @@
   LimitWatch limits_;
   ReachWatch reach_;
   EnginePlacement engines_;
+  PeerGateways peers_;
   CrashWatch crashes_;
   RelayContext context_;
   RelayService relay_;
   ControlWatch watch_;
   FrameListener internal_;
   HttpListener callers_;
+  HttpListener forwarded_;
   HttpListener ready_;
   HttpListener metrics_listener_;
   TimePoint next_list_read_;
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -29,6 +29,9 @@
     bool stopping_ = false;
     /// Whether it reaches no backend server.
     bool cut_off_ = false;
+    /// Where it takes requests that others forward, "IP:port"; empty when it
+    /// takes none.
+    std::string relay_address_{};
   };
 
   /// Takes a configuration with a higher version than the present one. Returns
--- a/include/citronlane/relay/relay_context.h
+++ b/include/citronlane/relay/relay_context.h
@@ -17,6 +17,7 @@
 class FleetView;
 class LimitWatch;
 class Metrics;
+class PeerGateways;
 class ReachWatch;
 class RepeatBudget;
 class ServiceRouter;
@@ -36,6 +37,7 @@
   CrashWatch* crashes_ = nullptr;
   LimitWatch* limits_ = nullptr;
   ReachWatch* reach_ = nullptr;
+  PeerGateways* peers_ = nullptr;
   EventLog* log_ = nullptr;
   Metrics* metrics_ = nullptr;
   /// Router and repeat budget of a service, created on first use.
--- a/include/citronlane/relay/relay_job.h
+++ b/include/citronlane/relay/relay_job.h
@@ -21,6 +21,7 @@
   /// Empty when the route is public or there are no accounts.
   std::string account_;
   uint32_t priority_ = 0;
+  /// When it arrived at the gateway that its caller is connected to.
   TimePoint arrived_;
   /// When its response should begin.
   TimePoint target_;
@@ -28,6 +29,8 @@
   TimePoint begin_deadline_;
   /// When the caller or the route's timeout ends the request.
   TimePoint deadline_;
+  /// Another gateway forwarded it: it goes no further.
+  bool is_forwarded_ = false;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -71,6 +71,8 @@
     std::string_view reason_;
   };
 
+  /// Serves the request by this gateway's own calls. Suspends the handler.
+  void Serve();
   bool CanFinishInTime();
   /// Whether the expected time of the announced stages meets the target.
   bool MeetsTarget() const;
@@ -126,6 +128,29 @@
   std::string_view ServiceName() const;
   EngineRouter::Call RouterCall() const;
   uint32_t Urgency() const;
+  // relay_request_peers.cc: what other gateways do for this one.
+  enum class PeerResult {
+    /// The gateway did nothing for the request: another one may be tried.
+    kNotTaken,
+    /// The response was passed on, or the caller is gone.
+    kEnded,
+    /// The gateway may have had the request run, and its reply is lost.
+    kLost,
+  };
+  static std::string_view NameOf(PeerResult result);
+  /// Whether another gateway should serve the request, because this one reaches
+  /// no server and none has got the request.
+  bool ShouldForward() const;
+  /// Forwards the request to other gateways, one after the other. Returns
+  /// whether it has ended; if not, none of them has had anything of it run.
+  /// Suspends the handler.
+  bool TryPeers();
+  PeerResult AskPeer(const std::string& address);
+  PeerResult AfterSilence(const ServerAttempt& attempt);
+  PeerResult PassReply(ServerAttempt* attempt, TimePoint reply_by);
+  PeerResult PassStream(ServerAttempt* attempt, TimePoint reply_by);
+  void EndAsLost();
+
   void Refuse(RefusalReason reason);
   void RefuseForLimits();
   /// Refuses because no server can be chosen.
--- a/include/citronlane/relay/relay_service.h
+++ b/include/citronlane/relay/relay_service.h
@@ -19,6 +19,7 @@
 class RelayRequest;
 class Waker;
 struct HttpRequest;
+struct PeerRequestHead;
 struct RelayContext;
 
 /// Serves callers' requests on a gateway: finds the route and the client
@@ -33,6 +34,10 @@
   /// Responds to one request. Suspends the handler.
   void Serve(const HttpRequest& request, HttpExchange* exchange);
 
+  /// Responds to a request that another gateway forwarded. Suspends the
+  /// handler.
+  void ServeForwarded(const HttpRequest& request, HttpExchange* exchange);
+
   /// The process ends at `deadline`, which bounds the deadlines of requests
   /// from now on.
   void SetStopDeadline(TimePoint deadline) { stop_deadline_ = deadline; }
@@ -46,6 +51,11 @@
   size_t requests_in_flight() const { return in_flight_.size(); }
 
  private:
+  /// Whether this gateway can serve a request that another one forwarded.
+  bool MayServe(const PeerRequestHead& head) const;
+  void ServeJob(const HttpRequest& request,
+                RelayJob* job,
+                HttpExchange* exchange);
   bool Await(const std::function<bool()>& condition,
              TimePoint arrived,
              const HttpRequest& request,
--- a/include/citronlane/relay/server_attempt.h
+++ b/include/citronlane/relay/server_attempt.h
@@ -28,6 +28,9 @@
     std::string request_id_;
     std::string service_;
     std::string server_;
+    /// The call goes to another gateway, whose replies need not repeat the
+    /// request id.
+    bool is_gateway_ = false;
   };
 
   /// Starts the call. `context` must outlive the attempt.
--- a/include/citronlane/serving/node_settings.h
+++ b/include/citronlane/serving/node_settings.h
@@ -20,6 +20,8 @@
   std::string ready_listen_;
   std::string operator_listen_;
   std::string internal_listen_;
+  /// Where a gateway takes requests that others forward.
+  std::string relay_listen_;
   std::string metrics_listen_;
   /// Internal endpoints of some control VMs.
   std::vector<std::string> seeds_;
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -40,6 +40,7 @@
   std::weak_ptr<FrameChannel> channel_;
   std::string gateway_;
   std::string failure_domain_;
+  std::string relay_address_;
   bool stopping_ = false;
   bool cut_off_ = false;
   bool has_gateways_ = false;
@@ -85,6 +86,7 @@
   }
   watcher->gateway_ = request.gateway();
   watcher->failure_domain_ = request.failure_domain();
+  watcher->relay_address_ = request.relay_address();
   watcher->stopping_ = request.stopping();
   watcher->cut_off_ = request.cut_off();
   watcher->has_gateways_ = request.has_gateways();
@@ -383,6 +385,7 @@
     entry->set_failure_domain(other->failure_domain_);
     entry->set_stopping(other->stopping_);
     entry->set_cut_off(other->cut_off_);
+    entry->set_relay_address(other->relay_address_);
   }
 }
 
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -162,6 +162,7 @@
   auto* watch = frame.mutable_watch();
   watch->set_gateway(options_.own_endpoint_);
   watch->set_failure_domain(options_.failure_domain_);
+  watch->set_relay_address(options_.relay_address_);
   watch->set_stopping(stopping_);
   watch->set_cut_off(cut_off_);
   if (const auto version = hooks_.config_version_()) {
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -120,12 +120,16 @@
                [this](const std::string& service) {
                  return EngineRouterOf(service);
                }),
+      peers_(settings_.internal_listen_,
+             &view_,
+             [this](uint64_t below) { return random_() % below; }),
       crashes_(log, CrashHooks()),
       context_(MakeContext()),
       relay_(&context_, settings_.memory_mb_ * kRequestsPerMegabyte),
       watch_(&io_,
              ControlWatch::Options{settings_.internal_listen_,
-                                   settings_.failure_domain_, settings_.seeds_},
+                                   settings_.failure_domain_, settings_.seeds_,
+                                   settings_.relay_listen_},
              log,
              WatchHooks()),
       internal_(&io_,
@@ -142,6 +146,7 @@
                       engines_.Closed(channel);
                     }}),
       callers_({&io_}, LimitsOf(CallerLimits(), settings_), CallerHooks()),
+      forwarded_({&io_}, LimitsOf(CallerLimits(), settings_), ForwardedHooks()),
       ready_({&io_}, HttpLimits(), ReadyHooks()),
       metrics_listener_({&io_}, HttpLimits(), MetricsHooks()) {}
 
@@ -156,6 +161,7 @@
   context.crashes_ = &crashes_;
   context.limits_ = &limits_;
   context.reach_ = &reach_;
+  context.peers_ = &peers_;
   context.log_ = log_;
   context.metrics_ = &metrics_;
   context.router_ = [this](const Service& service) {
@@ -188,6 +194,15 @@
   return hooks;
 }
 
+HttpListenerHooks GatewayHost::Impl::ForwardedHooks() {
+  HttpListenerHooks hooks = CallerHooks();
+  hooks.serve_ = [this](size_t, const HttpRequest& request,
+                        HttpExchange* exchange) {
+    relay_.ServeForwarded(request, exchange);
+  };
+  return hooks;
+}
+
 HttpListenerHooks GatewayHost::Impl::ReadyHooks() {
   HttpListenerHooks hooks;
   hooks.serve_ = [this](size_t, const HttpRequest& request,
@@ -297,7 +312,9 @@
 }
 
 void GatewayHost::Impl::ApplyLimits() {
-  callers_.SetLimits(LimitsOf(view_.config()->limits(), settings_));
+  const HttpLimits limits = LimitsOf(view_.config()->limits(), settings_);
+  callers_.SetLimits(limits);
+  forwarded_.SetLimits(limits);
 }
 
 bool GatewayHost::Impl::Listen(HttpListener* listener,
@@ -315,6 +332,7 @@
 bool GatewayHost::Impl::Run(Error* error) {
   if (!internal_.Start(error) ||
       !Listen(&callers_, settings_.caller_listen_, error) ||
+      !Listen(&forwarded_, settings_.relay_listen_, error) ||
       !Listen(&ready_, settings_.ready_listen_, error) ||
       !Listen(&metrics_listener_, settings_.metrics_listen_, error)) {
     return false;
@@ -358,6 +376,7 @@
       {{"in_hand", static_cast<uint64_t>(relay_.requests_in_flight())}});
   relay_.SetStopDeadline(stop_began_ + settings_.grace_ - kGiveUpReserve);
   callers_.CloseAfterReplies();
+  forwarded_.CloseAfterReplies();
   watch_.SetStopping();
   // After this time the other gateways know that this one no longer owns pools.
   const auto timer =
@@ -374,6 +393,7 @@
   if (accepting_ && passed >= kBalancerDrainTime) {
     accepting_ = false;
     callers_.StopAccepting();
+    forwarded_.StopAccepting();
   }
   if (passed >= settings_.grace_ - kGiveUpReserve) {
     relay_.GiveUpAll();
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -62,7 +62,8 @@
     std::vector<FleetView::Gateway> gateways;
     for (const auto& entry : update->gateways().gateways()) {
       gateways.push_back({entry.endpoint(), entry.failure_domain(),
-                          entry.stopping(), entry.cut_off()});
+                          entry.stopping(), entry.cut_off(),
+                          entry.relay_address()});
     }
     view_.SetGateways(std::move(gateways));
   }
--- /dev/null
+++ b/src/relay/peer_headers.cc
@@ -0,0 +1,79 @@
+#include "citronlane/relay/peer_headers.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+#include <string_view>
+
+#include "citronlane/base/refusal_reason.h"
+#include "citronlane/base/text.h"
+#include "citronlane/base/verdict.h"
+#include "citronlane/net/fleet_codec.h"
+#include "citronlane/relay/forwarded_headers.h"
+#include "citronlane/relay/relay_responses.h"
+
+namespace citronlane {
+namespace {
+
+constexpr std::string_view kAge = "Gateway-Peer-Age-Ms";
+constexpr std::string_view kConfig = "Gateway-Peer-Config";
+constexpr std::string_view kRefusal = "Gateway-Peer-Refusal";
+
+bool IsAdded(const HttpHeader& header) {
+  return EqualsIgnoringCase(header.name_, kAge) ||
+         EqualsIgnoringCase(header.name_, kConfig);
+}
+
+bool ParseNumber(std::string_view text, uint64_t* number) {
+  const char* const last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, *number);
+  return error == std::errc() && end == last;
+}
+
+}  // namespace
+
+std::vector<HttpHeader> WritePeerHeaders(absl::Span<const HttpHeader> caller,
+                                         const PeerRequestHead& head) {
+  std::vector<HttpHeader> headers = ForwardedHeaders(caller);
+  // A caller can't pretend to be a gateway.
+  headers.erase(std::remove_if(headers.begin(), headers.end(), IsAdded),
+                headers.end());
+  headers.push_back(
+      {std::string(kAge), std::to_string(InMilliseconds(head.age_))});
+  headers.push_back(
+      {std::string(kConfig), std::to_string(head.config_version_)});
+  return headers;
+}
+
+std::optional<PeerRequestHead> TakePeerHeaders(HttpRequest* request) {
+  PeerRequestHead head;
+  uint64_t age_ms = 0;
+  const bool is_valid =
+      request->CountHeader(kAge) == 1 && request->CountHeader(kConfig) == 1 &&
+      ParseNumber(request->Header(kAge), &age_ms) &&
+      ParseNumber(request->Header(kConfig), &head.config_version_);
+  auto& headers = request->headers_;
+  headers.erase(std::remove_if(headers.begin(), headers.end(), IsAdded),
+                headers.end());
+  if (!is_valid) {
+    return std::nullopt;
+  }
+  head.age_ = std::chrono::milliseconds(age_ms);
+  return head;
+}
+
+HttpReply PeerRefusalReply() {
+  HttpReply reply =
+      RefusalReply(RefusalReason::kNoBackendServer, Verdict::kNotRun);
+  reply.headers_.push_back({std::string(kRefusal), "1"});
+  return reply;
+}
+
+bool IsPeerRefusal(absl::Span<const HttpHeader> headers) {
+  return std::any_of(headers.begin(), headers.end(),
+                     [](const HttpHeader& header) {
+                       return EqualsIgnoringCase(header.name_, kRefusal);
+                     });
+}
+
+}  // namespace citronlane
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -62,6 +62,19 @@
 }
 
 void RelayRequest::Run() {
+  if (ShouldForward()) {
+    if (!TryPeers()) {
+      Refuse(RefusalReason::kNoBackendServer);
+    }
+  } else {
+    Serve();
+  }
+  if (!finished_) {
+    Finish("caller gone", 0);
+  }
+}
+
+void RelayRequest::Serve() {
   service_ = job_->config_->FindService(ServiceName());
   router_ = context_->router_(*service_);
   budget_ = context_->budget_(service_->name_);
@@ -70,9 +83,6 @@
       RunStages()) {
     RunAttempts();
   }
-  if (!finished_) {
-    Finish("caller gone", 0);
-  }
 }
 
 void RelayRequest::GiveUp(RelayJob* job) {
@@ -183,6 +193,10 @@
     if (RefuseIfBlocked()) {
       return;
     }
+    if (ShouldForward()) {
+      RefuseAfterFailure();
+      return;
+    }
     const BackendServer* server = Choose();
     if (server == nullptr) {
       RefuseWithoutServer();
--- /dev/null
+++ b/src/relay/relay_request_peers.cc
@@ -0,0 +1,194 @@
+// Forwards requests of a gateway that reaches no backend server to others.
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/net/server_call_spec.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metric_names.h"
+#include "citronlane/observe/metrics.h"
+#include "citronlane/relay/peer_gateways.h"
+#include "citronlane/relay/peer_headers.h"
+#include "citronlane/relay/reach_watch.h"
+#include "citronlane/relay/relay_context.h"
+#include "citronlane/relay/relay_request.h"
+#include "citronlane/relay/relay_responses.h"
+#include "citronlane/relay/server_attempt.h"
+#include "citronlane/relay/waker.h"
+#include "citronlane/transport/http_exchange.h"
+#include "citronlane/transport/http_reply.h"
+#include "citronlane/transport/http_request.h"
+
+namespace citronlane {
+namespace {
+
+/// Gateways that are tried for one request.
+constexpr size_t kMaxPeers = 3;
+/// The other gateway replies by the deadline; its reply takes this long at
+/// most.
+constexpr Duration kPeerReplyTime = std::chrono::milliseconds(150);
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstNonSuccess = 300;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+
+bool IsSuccess(int status) {
+  return status >= kFirstSuccess && status < kFirstNonSuccess;
+}
+
+// Gateways use these statuses only for requests that did not run.
+Verdict VerdictOf(int status) {
+  if (status == kTooManyRequests || status == kUnavailable) {
+    return Verdict::kNotRun;
+  }
+  return IsSuccess(status) ? Verdict::kRan : Verdict::kMayHaveRun;
+}
+
+}  // namespace
+
+// Pieces of its stages may be made again, but a server that may have got the
+// request itself excludes that another gateway sends it.
+bool RelayRequest::ShouldForward() const {
+  return context_->reach_->is_cut_off() && !job_->is_forwarded_ && runs_ == 0 &&
+         refusals_ == 0 && !stream_started_;
+}
+
+bool RelayRequest::TryPeers() {
+  std::vector<std::string> tried;
+  while (tried.size() < kMaxPeers && SteadyNow() < job_->deadline_) {
+    const auto peer = context_->peers_->Choose(tried, SteadyNow());
+    if (!peer) {
+      break;
+    }
+    tried.push_back(*peer);
+    context_->peers_->OnStart(*peer);
+    const PeerResult result = AskPeer(*peer);
+    context_->peers_->OnEnd(*peer, result != PeerResult::kNotTaken,
+                            SteadyNow());
+    context_->metrics_->Count(kForwardedTotal, {NameOf(result)});
+    if (result != PeerResult::kNotTaken) {
+      return true;
+    }
+  }
+  last_failure_ = "no gateway took it";
+  return false;
+}
+
+std::string_view RelayRequest::NameOf(PeerResult result) {
+  switch (result) {
+    case PeerResult::kNotTaken:
+      return "not_taken";
+    case PeerResult::kEnded:
+      return "ended";
+    case PeerResult::kLost:
+      return "lost";
+  }
+  return "";
+}
+
+RelayRequest::PeerResult RelayRequest::AskPeer(const std::string& address) {
+  const TimePoint reply_by = job_->deadline_ + kPeerReplyTime;
+  StageCallSpec spec =
+      SpecFor(address, request_->method_, request_->target_, reply_by);
+  spec.host_ = job_->head_.host_;
+  spec.headers_ = WritePeerHeaders(request_->headers_,
+                                   {Elapsed(), job_->config_->version()});
+  spec.body_ = request_->body_;
+  // The other gateway may close an idle connection just as the request arrives.
+  spec.fresh_connection_ = !job_->route_->MayRepeat();
+  last_server_ = address;
+  ServerAttempt attempt(context_, waker_, std::move(spec),
+                        {job_->head_.request_id_, {}, address, true});
+  waker_->WaitUntil(
+      [&attempt] { return attempt.has_head() || attempt.is_done(); }, reply_by);
+  if (waker_->caller_gone()) {
+    return PeerResult::kEnded;
+  }
+  if (!attempt.has_head()) {
+    attempt.Cancel();
+    return AfterSilence(attempt);
+  }
+  if (IsPeerRefusal(attempt.headers())) {
+    return PeerResult::kNotTaken;
+  }
+  verdict_ = VerdictOf(attempt.status());
+  return job_->route_->kind_ == RouteKind::kStreaming &&
+                 IsSuccess(attempt.status())
+             ? PassStream(&attempt, reply_by)
+             : PassReply(&attempt, reply_by);
+}
+
+RelayRequest::PeerResult RelayRequest::AfterSilence(
+    const ServerAttempt& attempt) {
+  const bool was_refused =
+      attempt.is_done() && attempt.outcome() == CallOutcome::kConnectFailed;
+  if (was_refused || !attempt.was_sent()) {
+    return PeerResult::kNotTaken;
+  }
+  EndAsLost();
+  return PeerResult::kLost;
+}
+
+// The other gateway may have had the request run.
+void RelayRequest::EndAsLost() {
+  verdict_ = RaiseVerdict(verdict_, Verdict::kMayHaveRun);
+  last_failure_ = "gateway lost";
+  Refuse(SteadyNow() >= job_->deadline_ ? RefusalReason::kDeadlineExceeded
+                                        : RefusalReason::kStageFailed);
+}
+
+RelayRequest::PeerResult RelayRequest::PassReply(ServerAttempt* attempt,
+                                                 TimePoint reply_by) {
+  waker_->WaitUntil([attempt] { return attempt->is_done(); }, reply_by);
+  if (waker_->caller_gone()) {
+    return PeerResult::kEnded;
+  }
+  if (!attempt->is_done() || attempt->outcome() != CallOutcome::kSuccess) {
+    EndAsLost();
+    return PeerResult::kLost;
+  }
+  HttpReply reply = ResponseOf(attempt->status(), attempt->headers());
+  reply.body_ = attempt->TakeData();
+  exchange_->Reply(reply);
+  Finish("forwarded", attempt->status());
+  return PeerResult::kEnded;
+}
+
+RelayRequest::PeerResult RelayRequest::PassStream(ServerAttempt* attempt,
+                                                  TimePoint reply_by) {
+  stream_started_ = true;
+  first_event_time_ = Elapsed();
+  if (!exchange_->StartStream(
+          ResponseOf(attempt->status(), attempt->headers()))) {
+    return PeerResult::kEnded;
+  }
+  while (true) {
+    waker_->WaitUntil(
+        [attempt] { return attempt->has_data() || attempt->is_done(); },
+        reply_by);
+    if (waker_->caller_gone()) {
+      return PeerResult::kEnded;
+    }
+    const bool is_done = attempt->is_done();
+    if (!is_done && !attempt->has_data()) {
+      break;
+    }
+    if (!exchange_->Write(attempt->TakeData())) {
+      return PeerResult::kEnded;
+    }
+    if (is_done) {
+      break;
+    }
+  }
+  if (!attempt->is_done() || attempt->outcome() != CallOutcome::kSuccess) {
+    EndAsLost();
+    return PeerResult::kLost;
+  }
+  exchange_->EndStream();
+  Finish("forwarded", attempt->status());
+  return PeerResult::kEnded;
+}
+
+}  // namespace citronlane
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -210,6 +210,9 @@
 }
 
 void RelayRequest::RefuseAfterFailure() {
+  if (ShouldForward() && TryPeers()) {
+    return;
+  }
   if (verdict_ == Verdict::kNotRun) {
     Refuse(RefusalReason::kNoBackendServer);
   } else if (SteadyNow() >= job_->deadline_) {
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -8,6 +8,8 @@
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/peer_headers.h"
+#include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
 #include "citronlane/relay/relay_responses.h"
@@ -42,24 +44,55 @@
 void RelayService::Serve(const HttpRequest& request, HttpExchange* exchange) {
   RelayJob job;
   job.arrived_ = SteadyNow();
+  ServeJob(request, &job, exchange);
+}
+
+void RelayService::ServeForwarded(const HttpRequest& request,
+                                  HttpExchange* exchange) {
+  HttpRequest original = request;
+  const auto head = TakePeerHeaders(&original);
+  if (!head || !MayServe(*head)) {
+    exchange->Reply(PeerRefusalReply());
+    return;
+  }
+  RelayJob job;
+  job.arrived_ = SteadyNow() - head->age_;
+  job.is_forwarded_ = true;
+  ServeJob(original, &job, exchange);
+}
+
+// With an older configuration than the other gateway has applied, the caller
+// would see the system go back.
+bool RelayService::MayServe(const PeerRequestHead& head) const {
+  const auto& config = context_->view_->config();
+  return config && config->version() >= head.config_version_ &&
+         context_->view_->ServersAge(SteadyNow()) &&
+         !context_->reach_->is_cut_off() &&
+         stop_deadline_ == TimePoint::max() &&
+         in_flight_.size() < max_requests_;
+}
+
+void RelayService::ServeJob(const HttpRequest& request,
+                            RelayJob* job,
+                            HttpExchange* exchange) {
   const auto has_config = [this] {
     return context_->view_->config() != nullptr;
   };
-  if (!Await(has_config, job.arrived_, request, exchange)) {
+  if (!Await(has_config, job->arrived_, request, exchange)) {
     return;
   }
-  if (const auto reason = Admit(request, &job)) {
-    Refuse(job, *reason, exchange);
+  if (const auto reason = Admit(request, job)) {
+    Refuse(*job, *reason, exchange);
     return;
   }
   const auto has_list = [this] {
     return context_->view_->ServersAge(SteadyNow()).has_value();
   };
-  if (!Await(has_list, job.arrived_, request, exchange)) {
+  if (!Await(has_list, job->arrived_, request, exchange)) {
     return;
   }
-  RelayRequest relay(context_, &job, &request, exchange);
-  in_flight_[&relay] = &job;
+  RelayRequest relay(context_, job, &request, exchange);
+  in_flight_[&relay] = job;
   relay.Run();
   in_flight_.erase(&relay);
 }
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -93,6 +93,9 @@
   };
   hooks.owner_ = [state, context,
                   names = std::move(names)](const StageReplyHead& head) {
+    if (names.is_gateway_) {
+      return ReplyOwner::kThisCall;
+    }
     state->reply_ = context->dialect_->read_reply_(head.status_, head.headers_);
     const ReplyOwner owner = OwnerOf(names.request_id_, head, state->reply_);
     if (owner != ReplyOwner::kThisCall) {
--- a/tests/process/source_proxy.py
+++ b/tests/process/source_proxy.py
@@ -26,13 +26,22 @@
     return None
 
 
-def _owns(pid, inode):
+def _links(pid):
+    """Returns what the descriptors of a process refer to."""
     folder = f"/proc/{pid}/fd"
     try:
-        return any(os.readlink(os.path.join(folder, name)) ==
-                   f"socket:[{inode}]" for name in os.listdir(folder))
+        names = os.listdir(folder)
     except OSError:
-        return False
+        return
+    for name in names:
+        try:
+            yield os.readlink(os.path.join(folder, name))
+        except OSError:
+            pass  # Closed meanwhile.
+
+
+def _owns(pid, inode):
+    return f"socket:[{inode}]" in _links(pid)
 
 
 class SourceProxy(FaultProxy):
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -19,6 +19,7 @@
 #include "citronlane/relay/crash_watch.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/limit_watch.h"
+#include "citronlane/relay/peer_gateways.h"
 #include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_service.h"
@@ -74,6 +75,7 @@
     context_.crashes_ = &crashes_;
     context_.limits_ = &limits_;
     context_.reach_ = &reach_;
+    context_.peers_ = &peers_;
     context_.log_ = &log_;
     context_.metrics_ = &metrics_;
     context_.router_ = [this](const Service&) { return &router_; };
@@ -144,6 +146,7 @@
                      &log_,
                      {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
   ReachWatch reach_{[](uint64_t) { return uint64_t{0}; }, &log_, NoProbes()};
+  PeerGateways peers_{kEndpoint, &view_, [](uint64_t) { return uint64_t{0}; }};
   std::map<std::string, std::unique_ptr<StagePool>> pools_;
   StageOwners owners_{io_, kEndpoint, &view_, &log_,
                       [this](const PoolPartition& part) {
