End a cut only when most probes succeed; call servers where no gateway takes a request

When servers rather than links are missing, all gateways may call themselves cut off; a request that none of the others takes is then served from here with the servers that are left, and not refused.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -194,6 +194,8 @@
   /// Servers were left out of the last choice because of their limits.
   bool limits_excluded_ = false;
   uint32_t stage_reruns_ = 0;
+  /// No other gateway took it.
+  bool is_forwarding_over_ = false;
   bool stream_started_ = false;
   bool had_first_event_ = false;
   TimePoint first_event_at_;
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -62,11 +62,9 @@
 }
 
 void RelayRequest::Run() {
-  if (ShouldForward()) {
-    if (!TryPeers()) {
-      Refuse(RefusalReason::kNoBackendServer);
-    }
-  } else {
+  // When no gateway takes it, servers are missing rather than links: what is
+  // left of them is called from here.
+  if (!ShouldForward() || !TryPeers()) {
     Serve();
   }
   if (!finished_) {
@@ -193,8 +191,7 @@
     if (RefuseIfBlocked()) {
       return;
     }
-    if (ShouldForward()) {
-      RefuseAfterFailure();
+    if (ShouldForward() && TryPeers()) {
       return;
     }
     const BackendServer* server = Choose();
--- a/src/relay/relay_request_peers.cc
+++ b/src/relay/relay_request_peers.cc
@@ -51,8 +51,9 @@
 // Pieces of its stages may be made again, but a server that may have got the
 // request itself excludes that another gateway sends it.
 bool RelayRequest::ShouldForward() const {
-  return context_->reach_->is_cut_off() && !job_->is_forwarded_ && runs_ == 0 &&
-         refusals_ == 0 && !stream_started_;
+  return context_->reach_->is_cut_off() && !job_->is_forwarded_ &&
+         !is_forwarding_over_ && runs_ == 0 && refusals_ == 0 &&
+         !stream_started_;
 }
 
 bool RelayRequest::TryPeers() {
@@ -72,6 +73,7 @@
       return true;
     }
   }
+  is_forwarding_over_ = true;
   last_failure_ = "no gateway took it";
   return false;
 }
--- a/src/routing/server_reach.cc
+++ b/src/routing/server_reach.cc
@@ -10,9 +10,9 @@
 constexpr size_t kProbesPerRound = 5;
 /// Failed rounds after which the node is cut off, the first probe included.
 constexpr size_t kRoundsToCutOff = 3;
-/// Probes of a round that must succeed to end a cut. One server alone may be
-/// reachable behind it.
-constexpr size_t kReachedToRejoin = 2;
+/// Probes of a round that must succeed to end a cut. Some servers may be
+/// reachable during it.
+constexpr size_t kReachedToRejoin = 4;
 /// Pause after a round that reached a server, and between rounds during a cut.
 constexpr Duration kRoundInterval = std::chrono::milliseconds(500);
 
--- a/tests/unit-server-reach.cc
+++ b/tests/unit-server-reach.cc
@@ -98,14 +98,19 @@
   }
 }
 
-TEST_CASE("a node stays cut off while it reaches one server only") {
-  Node node(30, 3);
+// A node that reached a few servers by chance took requests that it could not
+// serve.
+TEST_CASE("a node stays cut off while it reaches few servers") {
+  const uint32_t seed = GENERATE(range(1U, 11U));
+  Node node(36, seed);
   node.reach_.OnFailure();
   node.Probe(None);
+  const std::set<std::string> reachable(node.addresses_.begin(),
+                                        node.addresses_.begin() + 3);
   for (int i = 0; i < 200; ++i) {
     node.now_ += milliseconds(500);
     node.Probe([&](const std::string& address) {
-      return address == node.addresses_.front();
+      return reachable.count(address) > 0;
     });
     CHECK(node.reach_.is_cut_off());
   }
