Test what a forwarded request may do and what its verdict is

unit-relay-forwarded: passed on whole, to the next gateway only when none of it has run, 502 when the other gateway closed the connection without a reply, refused when none takes it; not taken with an older configuration or by a gateway that is cut off itself; bounded by the time since it first arrived.

--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -20,6 +20,7 @@
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/peer_gateways.h"
+#include "citronlane/relay/peer_headers.h"
 #include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_service.h"
@@ -102,6 +103,28 @@
     return caller;
   }
 
+  /// Serves such a request as one that another gateway forwarded.
+  RecordedCaller AskForwarded(const std::string& id,
+                              const PeerRequestHead& head) {
+    HttpRequest request;
+    request.method_ = "GET";
+    request.target_ = "/x";
+    request.headers_ = WritePeerHeaders(
+        std::vector<HttpHeader>{{"X-Citronlane-Request-Id", id},
+                                {"X-Citronlane-Deadline-Ms", "4000"}},
+        head);
+    request.headers_.push_back({"Host", "h"});
+    RecordedCaller caller(io_);
+    service_.ServeForwarded(request, &caller);
+    return caller;
+  }
+
+  /// From now on no server can be reached by probes.
+  void CutOff() {
+    are_servers_reached_ = false;
+    reach_.OnCallEnd(CallOutcome::kConnectFailed);
+  }
+
   FleetView* view() { return &view_; }
   CrashWatch* crashes() { return &crashes_; }
   LimitWatch* limits() { return &limits_; }
@@ -125,6 +148,15 @@
     hooks.now_ = SteadyNow;
     return hooks;
   }
+  ReachWatch::Hooks ReachHooks() {
+    ReachWatch::Hooks hooks = NoProbes();
+    hooks.addresses_ = [] { return std::vector<std::string>{"127.0.0.1:2"}; };
+    hooks.probe_ = [this](const std::string&,
+                          const std::function<void(bool)>& done) {
+      done(are_servers_reached_);
+    };
+    return hooks;
+  }
   static constexpr auto kEndpoint = "127.0.0.1:1";
   /// It has run for long.
   static constexpr TimePoint kStarted{};
@@ -145,7 +177,8 @@
   LimitWatch limits_{&server_limits_,
                      &log_,
                      {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
-  ReachWatch reach_{[](uint64_t) { return uint64_t{0}; }, &log_, NoProbes()};
+  bool are_servers_reached_ = true;
+  ReachWatch reach_{[](uint64_t) { return uint64_t{0}; }, &log_, ReachHooks()};
   PeerGateways peers_{kEndpoint, &view_, [](uint64_t) { return uint64_t{0}; }};
   std::map<std::string, std::unique_ptr<StagePool>> pools_;
   StageOwners owners_{io_, kEndpoint, &view_, &log_,
