--- a/tests/unit-peer-gateways.cc
+++ b/tests/unit-peer-gateways.cc
@@ -33,6 +33,7 @@
                      [&](uint64_t below) { return random() % below; });
   TimePoint now{seconds(10)};
   std::vector<FleetView::Gateway> gateways;
+  gateways.reserve(5);
   for (int i = 0; i < 5; ++i) {
     gateways.push_back(Listed(i));
   }
