Let the fleets of process tests count repeats in windows of one second

Three cases of process-platform need a repeated call from a gateway that started a moment ago, and failed in the whole run: since new processes have no allowance for one window, 10 s there, they get none. The cases are about where a call goes, not about the budget: with a window of 1 s in the fleet's settings the gateways have theirs when the cases run.

--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -84,7 +84,7 @@
             "limits": {"memory_mb": 256, "max_fds": 1000},
             "bounds": {"grace_period_s": 8, "drain_timeout_ms": 3000,
                        "retry_budget_ratio": 0.2, "budget_extra": 50,
-                       "budget_window_s": 10},
+                       "budget_window_s": 1},
             "cloud_api": {"address": self.list.address, "rate_per_s": 40},
             **more}
 
