--- a/include/citronlane/relay/relay_responses.h
+++ b/include/citronlane/relay/relay_responses.h
@@ -13,6 +13,10 @@
 /// Thread safe.
 HttpReply ResponseOf(int status, absl::Span<const HttpHeader> headers);
 
+/// Whether a reply with this status promises that nothing of the request has
+/// run. Thread safe.
+bool PromisesNotRun(int status);
+
 /// The gateway's own response to a request that it does not serve. A status
 /// that promises that nothing has run is used only with Verdict::kNotRun and
 /// then comes with a Retry-After header; other verdicts get another status
--- a/src/relay/relay_request_peers.cc
+++ b/src/relay/relay_request_peers.cc
@@ -31,16 +31,13 @@
 constexpr Duration kPeerReplyTime = std::chrono::milliseconds(150);
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstNonSuccess = 300;
-constexpr int kTooManyRequests = 429;
-constexpr int kUnavailable = 503;
 
 bool IsSuccess(int status) {
   return status >= kFirstSuccess && status < kFirstNonSuccess;
 }
 
-// Gateways use these statuses only for requests that did not run.
 Verdict VerdictOf(int status) {
-  if (status == kTooManyRequests || status == kUnavailable) {
+  if (PromisesNotRun(status)) {
     return Verdict::kNotRun;
   }
   return IsSuccess(status) ? Verdict::kRan : Verdict::kMayHaveRun;
@@ -124,9 +121,7 @@
 
 RelayRequest::PeerResult RelayRequest::AfterSilence(
     const ServerAttempt& attempt) {
-  const bool was_refused =
-      attempt.is_done() && attempt.outcome() == CallOutcome::kConnectFailed;
-  if (was_refused || !attempt.was_sent()) {
+  if (AfterFailure(attempt).step_ == Step::kNotRun) {
     return PeerResult::kNotTaken;
   }
   EndAsLost();
--- a/src/relay/relay_responses.cc
+++ b/src/relay/relay_responses.cc
@@ -33,12 +33,12 @@
   }
 }
 
+}  // namespace
+
 bool PromisesNotRun(int status) {
   return status == kTooManyRequests || status == kUnavailable;
 }
 
-}  // namespace
-
 HttpReply ResponseOf(int status, absl::Span<const HttpHeader> headers) {
   HttpReply reply;
   reply.status_ = status;
