--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -59,6 +59,8 @@
 
   bool Listen(HttpListener* listener, const std::string& address, Error* error);
   RelayContext MakeContext();
+
+  // gateway_host_hooks.cc: what the listeners and modules call.
   HttpListenerHooks CallerHooks();
   HttpListenerHooks ForwardedHooks();
   HttpListenerHooks ReadyHooks();
@@ -67,6 +69,7 @@
   CrashWatch::Hooks CrashHooks();
   LimitWatch::Hooks LimitHooks();
   ReachWatch::Hooks ReachHooks();
+
   void ApplyLimits();
 
   // gateway_host_pools.cc: routers, budgets and pools of services and
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -1,39 +1,24 @@
 #include "citronlane/relay/gateway_host.h"
 
 #include <algorithm>
-#include <map>
-#include <random>
-#include <set>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/steady_now.h"
-#include "citronlane/net/connect_probe.h"
 #include "citronlane/net/endpoint.h"
-#include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/process_signals.h"
 #include "citronlane/net/repeating_timer.h"
 #include "citronlane/observe/event_log.h"
-#include "citronlane/observe/metric_names.h"
 #include "citronlane/relay/detail/gateway_host_impl.h"
-#include "citronlane/relay/relay_responses.h"
 #include "citronlane/serving/dialect.h"
-#include "citronlane/transport/http_exchange.h"
-#include "citronlane/transport/http_reply.h"
-#include "citronlane/transport/http_request.h"
 #include "citronlane/transport/stage_limits.h"
-#include "fleet.pb.h"
 
 namespace citronlane {
 namespace {
 
-using wire::fleet::WatchUpdate;
-
 /// Resolution at which silent owners, late stage calls and the watch are
 /// checked.
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
@@ -56,9 +41,6 @@
 constexpr Duration kBodyTime = std::chrono::seconds(10);
 /// Memory divided by the bytes of bodies held at the same time.
 constexpr uint64_t kBodyMemoryDivisor = 4;
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 
 HttpLimits LimitsOf(const CallerLimits& callers, const NodeSettings& settings) {
   HttpLimits limits;
@@ -174,143 +156,6 @@
   return context;
 }
 
-HttpListenerHooks GatewayHost::Impl::CallerHooks() {
-  HttpListenerHooks hooks;
-  hooks.misused_ = [this](const HttpRequest& request, std::string_view what) {
-    log_->Write(
-        "relay", "response not sent",
-        {{"request", dialect_->read_request_(request.headers_).request_id_},
-         {"why", what}});
-  };
-  hooks.serve_ = [this](size_t, const HttpRequest& request,
-                        HttpExchange* exchange) {
-    relay_.Serve(request, exchange);
-  };
-  hooks.refuse_ = [this](RefusalReason reason) {
-    metrics_.Count(kRefusalsTotal, {ToString(reason), "", ""});
-    log_->Write("relay", "request not read", {{"reason", ToString(reason)}});
-    return RefusalReply(reason, Verdict::kNotRun);
-  };
-  return hooks;
-}
-
-HttpListenerHooks GatewayHost::Impl::ForwardedHooks() {
-  HttpListenerHooks hooks = CallerHooks();
-  hooks.serve_ = [this](size_t, const HttpRequest& request,
-                        HttpExchange* exchange) {
-    relay_.ServeForwarded(request, exchange);
-  };
-  return hooks;
-}
-
-HttpListenerHooks GatewayHost::Impl::ReadyHooks() {
-  HttpListenerHooks hooks;
-  hooks.serve_ = [this](size_t, const HttpRequest& request,
-                        HttpExchange* exchange) {
-    HttpReply reply;
-    const bool is_ours = request.Path() == dialect_->ready_path_;
-    reply.status_ = !is_ours ? kNotFound : IsReady() ? kOk : kUnavailable;
-    exchange->Reply(reply);
-  };
-  hooks.refuse_ = [](RefusalReason reason) {
-    return RefusalReply(reason, Verdict::kNotRun);
-  };
-  return hooks;
-}
-
-HttpListenerHooks GatewayHost::Impl::MetricsHooks() {
-  HttpListenerHooks hooks;
-  hooks.serve_ = [this](size_t, const HttpRequest&, HttpExchange* exchange) {
-    metrics_.Set(kRequestsInFlight, {},
-                 static_cast<double>(relay_.requests_in_flight()));
-    for (const auto& [partition, pool] : pools_) {
-      metrics_.Set(kPoolTasks, {partition.Name()},
-                   static_cast<double>(pool->tasks()));
-    }
-    metrics_.Set(kServersLimited, {},
-                 static_cast<double>(server_limits_.CountLimited()));
-    metrics_.Set(kServersCold, {},
-                 static_cast<double>(server_limits_.CountCold(SteadyNow())));
-    metrics_.Set(kRequestsBlocked, {},
-                 static_cast<double>(crashes_.CountBlocked()));
-    metrics_.Set(kReady, {}, IsReady() ? 1 : 0);
-    const auto& config = view_.config();
-    metrics_.Set(kConfigVersion, {},
-                 config ? static_cast<double>(config->version()) : 0);
-    HttpReply reply;
-    reply.content_type_ = Metrics::kContentType;
-    reply.body_ = metrics_.Text();
-    exchange->Reply(reply);
-  };
-  hooks.refuse_ = [](RefusalReason reason) {
-    return RefusalReply(reason, Verdict::kNotRun);
-  };
-  return hooks;
-}
-
-ControlWatch::Hooks GatewayHost::Impl::WatchHooks() {
-  ControlWatch::Hooks hooks;
-  hooks.updated_ = [this](WatchUpdate* update) { TakeUpdate(update); };
-  hooks.config_version_ = [this] { return received_config_.version(); };
-  hooks.add_owners_ = [this](wire::fleet::WatchRequest* request) {
-    EncodeOwners(view_.owners_number(), view_.owners(),
-                 request->mutable_owners());
-  };
-  hooks.leader_found_ = [this] {
-    crashes_.ReportAll();
-    limits_.ReportAll();
-  };
-  hooks.knows_gateways_ = [this] { return !view_.gateways().empty(); };
-  return hooks;
-}
-
-CrashWatch::Hooks GatewayHost::Impl::CrashHooks() {
-  CrashWatch::Hooks hooks;
-  hooks.send_ = [this](const wire::fleet::CrashReports& reports) {
-    wire::fleet::Frame frame;
-    *frame.mutable_crash_reports() = reports;
-    watch_.Send(frame);
-  };
-  hooks.has_leader_ = [this] { return watch_.is_connected(); };
-  hooks.probe_ = [this](const std::string& address,
-                        std::function<void(bool)> done) {
-    ProbeListener(&io_, address, std::move(done));
-  };
-  hooks.now_ = SteadyNow;
-  return hooks;
-}
-
-LimitWatch::Hooks GatewayHost::Impl::LimitHooks() {
-  LimitWatch::Hooks hooks;
-  hooks.send_ = [this](const wire::fleet::ServerLimits& limits) {
-    wire::fleet::Frame frame;
-    *frame.mutable_server_limits() = limits;
-    watch_.Send(frame);
-  };
-  hooks.now_ = SteadyNow;
-  return hooks;
-}
-
-ReachWatch::Hooks GatewayHost::Impl::ReachHooks() {
-  ReachWatch::Hooks hooks;
-  hooks.addresses_ = [this] {
-    std::vector<std::string> addresses;
-    for (const BackendServer& server : view_.servers()) {
-      if (!server.leaving_) {
-        addresses.push_back(server.address_);
-      }
-    }
-    return addresses;
-  };
-  hooks.probe_ = [this](const std::string& address,
-                        std::function<void(bool)> done) {
-    ProbeConnection(&io_, address, std::move(done));
-  };
-  hooks.changed_ = [this] { watch_.SetCutOff(reach_.is_cut_off()); };
-  hooks.now_ = SteadyNow;
-  return hooks;
-}
-
 void GatewayHost::Impl::ApplyLimits() {
   const HttpLimits limits = LimitsOf(view_.config()->limits(), settings_);
   callers_.SetLimits(limits);
