--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -48,6 +48,8 @@
     """Owns the processes and the simulated platform. `controls`, `gateways` and
     `stages` (servers of the stage pool) are their numbers."""
 
+    BUDGET_WINDOW_S = 10
+
     def __init__(self, controls=3, gateways=2, stages=2):
         self.folder = tempfile.mkdtemp(prefix="citronlane-platform-")
         self.net = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
@@ -84,7 +86,7 @@
             "limits": {"memory_mb": 256, "max_fds": 1000},
             "bounds": {"grace_period_s": 8, "drain_timeout_ms": 3000,
                        "retry_budget_ratio": 0.2, "budget_extra": 50,
-                       "budget_window_s": 1},
+                       "budget_window_s": self.BUDGET_WINDOW_S},
             "cloud_api": {"address": self.list.address, "rate_per_s": 40},
             **more}
 
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -12,6 +12,13 @@
 from process.processes import wait_until
 
 
+class SettledFleet(Fleet):
+    """A fleet whose gateways have run for a window of the budget on repeats
+    when the cases begin. Before, they have none of its allowance."""
+
+    BUDGET_WINDOW_S = 1
+
+
 class FleetTestCase(unittest.TestCase):
     fleet_class = Fleet
     controls = 3
@@ -60,6 +67,7 @@
 
 
 class RequestTest(FleetTestCase):
+    fleet_class = SettledFleet
 
     def test_stages_and_stream(self):
         for gateway in range(2):
@@ -223,6 +231,7 @@
 
 
 class RepeatTest(FleetTestCase):
+    fleet_class = SettledFleet
     controls = 1
     gateways = 1
 
@@ -524,6 +533,8 @@
 class StartAgainTest(FleetTestCase):
     """Servers that restart under the same name and address as a new
     incarnation, which the list shows by a later `born`."""
+
+    fleet_class = SettledFleet
     controls = 1
 
     def setUp(self):
