--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -23,6 +23,7 @@
 #include "citronlane/serving/request_fingerprint.h"
 #include "citronlane/transport/http_reply.h"
 #include "fleet.pb.h"
+#include "support/desk_config.h"
 #include "support/eventually.h"
 #include "support/recorded_caller.h"
 #include "support/relay_gateway.h"
@@ -40,36 +41,6 @@
          "Content-Length: 2\r\n\r\nok";
 }
 
-ServingConfig::Parts Parts() {
-  ServingConfig::Parts parts;
-  parts.version_ = 1;
-  Service service;
-  service.name_ = "desk";
-  parts.services_.push_back(service);
-  Route route;
-  route.name_ = "lookup";
-  route.host_ = "h";
-  route.prefix_ = "/";
-  route.kind_ = RouteKind::kSafe;
-  route.timeout_ = seconds(5);
-  route.target_latency_ = seconds(1);
-  route.max_attempts_ = 1;
-  route.is_public_ = true;
-  route.split_ = {{"desk", 1}};
-  parts.routes_.push_back(std::make_shared<const Route>(route));
-  return parts;
-}
-
-std::vector<BackendServer> OneServer(uint16_t port) {
-  BackendServer server;
-  server.id_ = "s";
-  server.name_ = "s";
-  server.service_ = "desk";
-  server.address_ = "127.0.0.1:" + std::to_string(port);
-  server.failure_domain_ = "a";
-  return {server};
-}
-
 /// A server that ends when it has read its first request.
 class EndingServer {
  public:
@@ -133,7 +104,8 @@
 
   SECTION("is reported when its server has ended") {
     EndingServer server;
-    RelayGateway gateway(&io, Parts(), "desk", OneServer(server.port()));
+    RelayGateway gateway(&io, DeskConfig(RouteKind::kSafe), "desk",
+                         DeskServer(server.port()));
     const RecordedCaller caller = gateway.Ask("a");
     REQUIRE(caller.reply_);
     CHECK(caller.reply_->status_ == 502);
@@ -145,7 +117,8 @@
   }
   SECTION("is not reported when its server still listens") {
     ScriptedServer server({""});
-    RelayGateway gateway(&io, Parts(), "desk", OneServer(server.port()));
+    RelayGateway gateway(&io, DeskConfig(RouteKind::kSafe), "desk",
+                         DeskServer(server.port()));
     gateway.Ask("a");
     // The call's connection and all probes.
     REQUIRE(run_until([&] { return server.connections() == 4; }));
@@ -154,7 +127,8 @@
   }
   SECTION("is not reported when its server leaves") {
     EndingServer server;
-    RelayGateway gateway(&io, Parts(), "desk", OneServer(server.port()));
+    RelayGateway gateway(&io, DeskConfig(RouteKind::kSafe), "desk",
+                         DeskServer(server.port()));
     // Runs once the call has started.
     boost::asio::post(io, [&gateway] { gateway.view()->SetDrained({"a"}); });
     const RecordedCaller caller = gateway.Ask("a");
@@ -169,7 +143,8 @@
 TEST_CASE("a blocked request reaches no server") {
   boost::asio::io_context io;
   ScriptedServer server({ReplyTo("b", "")});
-  RelayGateway gateway(&io, Parts(), "desk", OneServer(server.port()));
+  RelayGateway gateway(&io, DeskConfig(RouteKind::kSafe), "desk",
+                       DeskServer(server.port()));
   const TimePoint now = SteadyNow();
   wire::fleet::SuspectRequests suspects;
   SuspectRequest suspect{Asked(), 3, now, now + seconds(60), {}};
@@ -196,7 +171,8 @@
 TEST_CASE("a server at its limit gets no request") {
   boost::asio::io_context io;
   ScriptedServer server({ReplyTo("a", "Server-Limit: 0.1\r\n")});
-  RelayGateway gateway(&io, Parts(), "desk", OneServer(server.port()));
+  RelayGateway gateway(&io, DeskConfig(RouteKind::kSafe), "desk",
+                       DeskServer(server.port()));
   const RecordedCaller first = gateway.Ask("a");
   REQUIRE(first.reply_);
   CHECK(first.reply_->status_ == 200);
@@ -213,12 +189,12 @@
   ScriptedServer limited({ReplyTo("limited", ""), ReplyTo("limited", "")});
   std::vector<std::string> replies(20, ReplyTo("other", ""));
   ScriptedServer other(replies);
-  std::vector<BackendServer> servers = OneServer(other.port());
+  std::vector<BackendServer> servers = DeskServer(other.port());
   servers[0].id_ = servers[0].name_ = "a-other";
-  servers.push_back(OneServer(limited.port())[0]);
+  servers.push_back(DeskServer(limited.port())[0]);
   servers[1].id_ = servers[1].name_ = "limited";
   servers[1].failure_domain_ = "b";
-  RelayGateway gateway(&io, Parts(), "desk", servers);
+  RelayGateway gateway(&io, DeskConfig(RouteKind::kSafe), "desk", servers);
   for (int i = 0; i < 5; ++i) {
     REQUIRE(gateway.Ask("other").reply_);
   }
--- a/tests/unit-relay-forwarded.cc
+++ b/tests/unit-relay-forwarded.cc
@@ -12,6 +12,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "support/desk_config.h"
 #include "support/recorded_caller.h"
 #include "support/relay_gateway.h"
 #include "support/scripted_server.h"
@@ -33,44 +34,14 @@
          "Content-Length: 2\r\n\r\nok";
 }
 
-ServingConfig::Parts Parts(RouteKind kind) {
-  ServingConfig::Parts parts;
-  parts.version_ = kVersion;
-  Service service;
-  service.name_ = "desk";
-  parts.services_.push_back(service);
-  Route route;
-  route.name_ = "lookup";
-  route.host_ = "h";
-  route.prefix_ = "/";
-  route.kind_ = kind;
-  route.timeout_ = seconds(5);
-  route.target_latency_ = seconds(1);
-  route.max_attempts_ = 1;
-  route.is_public_ = true;
-  route.split_ = {{"desk", 1}};
-  parts.routes_.push_back(std::make_shared<const Route>(route));
-  return parts;
-}
-
-std::vector<BackendServer> ServerAt(uint16_t port) {
-  BackendServer server;
-  server.id_ = "s";
-  server.name_ = "s";
-  server.service_ = "desk";
-  server.address_ = "127.0.0.1:" + std::to_string(port);
-  server.failure_domain_ = "a";
-  return {server};
-}
-
 /// A gateway that reaches no server, and other gateways at these ports.
 class CutOffGateway {
  public:
   explicit CutOffGateway(const std::vector<uint16_t>& others)
       : gateway_(&io_,
-                 Parts(RouteKind::kUnsafe),
+                 DeskConfig(RouteKind::kUnsafe, kVersion),
                  "desk",
-                 ServerAt(kClosedPort)) {
+                 DeskServer(kClosedPort)) {
     std::vector<FleetView::Gateway> gateways;
     for (const uint16_t port : others) {
       const std::string address = "127.0.0.1:" + std::to_string(port);
@@ -139,8 +110,8 @@
 TEST_CASE("a forwarded request") {
   boost::asio::io_context io;
   ScriptedServer server({Answer(200, "")});
-  RelayGateway gateway(&io, Parts(RouteKind::kSafe), "desk",
-                       ServerAt(server.port()));
+  RelayGateway gateway(&io, DeskConfig(RouteKind::kSafe, kVersion), "desk",
+                       DeskServer(server.port()));
 
   SECTION("is served like a caller's own") {
     const RecordedCaller caller = gateway.AskForwarded("a", {{}, kVersion});
