Report requests whose connection closes without a whole response

What callers saw: a request that had been read whole got neither a response nor a refusal, and no log line or counter told which requests those were and why. The connection itself now reports each: the caller is gone, the response broke off, or the handler returned without one (a bug). A log line with the request's id and a counter by reason follow from it.

--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -150,6 +150,12 @@
     "lost.",
     metric_labels::kReason};
 
+inline constexpr Metric kUnansweredTotal{
+    "citronlane_unanswered_total", Metric::Kind::kCounter,
+    "Requests read completely whose connection closed before their whole "
+    "response, by reason: caller_gone, broken_off or no_response.",
+    metric_labels::kReason};
+
 /// All metrics, in the order in which Metrics::Text() writes them.
 inline constexpr const Metric* kAllMetrics[] = {
     &kRequestsTotal,
@@ -181,6 +187,7 @@
     &kServerEntriesUnusableTotal,
     &kOtherRepliesTotal,
     &kForwardedTotal,
+    &kUnansweredTotal,
 };
 
 }  // namespace citronlane
--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -68,6 +68,8 @@
   bool ServeOne();
   bool BeginResponse(ResponseState state);
   void ReportMisuse(std::string_view what);
+  /// Reports a request whose connection closes before its whole response.
+  void ReportUnanswered();
   bool WaitForFirstByte();
   bool ReadRequest(Parser* parser);
   bool ReserveBody(const Parser& parser);
--- a/include/citronlane/transport/http_listener_hooks.h
+++ b/include/citronlane/transport/http_listener_hooks.h
@@ -25,6 +25,10 @@
   std::function<HttpReply(RefusalReason)> refuse_;
   /// The handler misused its exchange; the call had no effect. Optional.
   std::function<void(const HttpRequest&, std::string_view what)> misused_;
+  /// The connection closes without the whole response to this request, which
+  /// was read completely. `reason` is `caller_gone`, `broken_off` (the response
+  /// had begun) or `no_response`. Optional.
+  std::function<void(const HttpRequest&, std::string_view reason)> unanswered_;
 };
 
 }  // namespace citronlane
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -38,6 +38,14 @@
         {{"request", dialect_->read_request_(request.headers_).request_id_},
          {"why", what}});
   };
+  hooks.unanswered_ = [this](const HttpRequest& request,
+                             std::string_view reason) {
+    metrics_.Count(kUnansweredTotal, {reason});
+    log_->Write(
+        "relay", "closed without whole response",
+        {{"request", dialect_->read_request_(request.headers_).request_id_},
+         {"why", reason}});
+  };
   hooks.serve_ = [this](size_t, const HttpRequest& request,
                         HttpExchange* exchange) {
     relay_.Serve(request, exchange);
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -124,6 +124,18 @@
   }
 }
 
+void HttpConnection::ReportUnanswered() {
+  const bool is_whole =
+      response_state_ == ResponseState::kComplete && !caller_gone_;
+  if (is_whole || !state_->hooks_.unanswered_) {
+    return;
+  }
+  const bool has_begun = response_state_ == ResponseState::kStreaming;
+  state_->hooks_.unanswered_(*request_, caller_gone_ ? "caller_gone"
+                                        : has_begun  ? "broken_off"
+                                                     : "no_response");
+}
+
 bool HttpConnection::Reply(const HttpReply& reply) {
   if (!BeginResponse(ResponseState::kComplete)) {
     return false;
@@ -194,6 +206,7 @@
   response_state_ = ResponseState::kNone;
   state_->hooks_.serve_(shard_, request, this);
   StopWatching();
+  ReportUnanswered();
   // A response after an incomplete one would be read as the remainder of that
   // one.
   keep_alive_ = keep_alive_ && response_state_ == ResponseState::kComplete;
