--- /dev/null
+++ b/tests/process/platform_silent_test.py
@@ -0,0 +1,119 @@
+"""Tests that a sound server which falls silent and then goes on costs no caller
+its response. A gateway that leaves such a server without another one that
+answers would close the stream, or refuse a request that is being run."""
+
+import threading
+import unittest
+
+from process.platform_fleet import Fleet, new_id
+from process.platform_test import FleetTestCase
+
+STREAMS = 12
+
+
+class SilentFleet(Fleet):
+    """No request may be repeated."""
+
+    def settings(self, ip, name, listen, **more):
+        settings = super().settings(ip, name, listen, **more)
+        settings["bounds"].update(retry_budget_ratio=0.0, budget_extra=0)
+        return settings
+
+
+class BudgetedFleet(Fleet):
+    """Repeats are allowed from the start on."""
+
+    BUDGET_WINDOW_S = 1
+
+
+class SilenceTestCase(FleetTestCase):
+    def ask_all(self, count, method, path):
+        """Returns the answers to requests sent at the same time."""
+        answers = [None] * count
+
+        def ask(index):
+            answers[index] = self.fleet.ask(method, path, request_id=new_id(),
+                                            gateway=index % self.gateways)
+
+        threads = [threading.Thread(target=ask, args=(index,))
+                   for index in range(count)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return answers
+
+    def check_streams(self, answers):
+        for answer in answers:
+            self.assertEqual(answer.status, 200, answer.body)
+            self.assertTrue(answer.whole, answer.body)
+            numbers = [line for line in answer.body.decode().splitlines()
+                       if line.startswith("id: ")]
+            self.assertEqual(numbers, [f"id: {i}" for i in range(6)])
+
+    def set_faults(self, servers, fault, count=4 * STREAMS):
+        for server in servers:
+            server.faults.extend([fault] * count)
+
+
+class NoRepeatsTest(SilenceTestCase):
+    fleet_class = SilentFleet
+
+    def test_streams_go_on_at_their_server(self):
+        self.set_faults(self.fleet.engines, "pause")
+        self.check_streams(self.ask_all(STREAMS, "POST", "/chat/x"))
+
+    def test_streams_go_on_beside_a_change_of_the_configuration(self):
+        self.set_faults(self.fleet.engines, "pause")
+        change = threading.Timer(1.0, lambda: self.fleet.put_until_taken(
+            self.fleet.make_document()))
+        change.start()
+        answers = self.ask_all(STREAMS, "POST", "/chat/x")
+        change.join()
+        self.check_streams(answers)
+
+    def test_streams_begin_late(self):
+        for engine in self.fleet.engines:
+            engine.pause_seconds = 3.0
+            self.addCleanup(setattr, engine, "pause_seconds", 2.0)
+        self.set_faults(self.fleet.engines, "late")
+        self.check_streams(self.ask_all(STREAMS, "POST", "/chat/x"))
+
+    def test_whole_responses_come_late(self):
+        self.set_faults(self.fleet.plain, "late")
+        for answer in self.ask_all(STREAMS, "GET", "/look/x"):
+            self.assertEqual(answer.status, 200, answer.body)
+
+
+class RepeatsTest(SilenceTestCase):
+    fleet_class = BudgetedFleet
+
+    def test_no_other_server_takes_the_stream(self):
+        paused, other = self.fleet.engines
+        for first, second in ((paused, other), (other, paused)):
+            self.set_faults([first], "pause", 1)
+            self.set_faults([second], "not_run")
+            self.check_streams([self.fleet.ask("POST", "/chat/x")])
+            self.setUp()
+
+    def test_servers_fall_silent_in_turn(self):
+        self.set_faults(self.fleet.engines, "pause")
+        self.check_streams(self.ask_all(STREAMS, "POST", "/chat/x"))
+
+    def test_a_server_that_stays_silent_is_left(self):
+        for engine in self.fleet.engines:
+            engine.pause_seconds = 20
+            self.addCleanup(setattr, engine, "pause_seconds", 2.0)
+        self.set_faults(self.fleet.engines[:1], "pause")
+        self.check_streams(self.ask_all(2, "POST", "/chat/x"))
+
+    def test_no_other_server_answers_a_whole_request(self):
+        first, second = self.fleet.plain
+        self.set_faults([first], "late")
+        self.set_faults([second], "not_run")
+        for answer in self.ask_all(STREAMS, "GET", "/look/x"):
+            self.assertEqual(answer.status, 200, answer.body)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -257,10 +257,14 @@
 
 class PlainServer(Server):
     """Replies with the content of the request. Fault "wait" delays the reply by
-    half a second, "hang" sends none until the gateway closes the connection."""
+    half a second, "late" by `pause_seconds`, "hang" sends none until the gateway closes the connection."""
+
+    pause_seconds = 2.0
 
     def answer(self, connection, request, fault=None):
         self.note_run(request.id)
+        if fault == "late":
+            time.sleep(self.pause_seconds)
         if fault == "hang":
             while not connection.caller_is_gone():
                 time.sleep(0.05)
@@ -373,10 +377,13 @@
 class Engine(Server):
     """Streams `events` numbered events, from the one after Last-Event-Id. Fault
     "break" closes the connection within the third event, "silent" sends no
+    reply. "pause" and "late" are those of a sound engine that falls silent for
+    `pause_seconds` and then goes on, within the third event or before its
     reply."""
 
     events = 6
     silence = 10
+    pause_seconds = 2.0
     pause = 0.0
 
     def __init__(self, *args):
@@ -395,6 +402,8 @@
         if fault == "silent":
             time.sleep(self.silence)
             raise ConnectionError
+        if fault == "late":
+            time.sleep(self.pause_seconds)
         first = int(request.headers.get("last-event-id", "-1")) + 1
         connection.begin_stream(request.id, [self.seal(request)])
         for number in range(first, self.events):
@@ -402,6 +411,10 @@
             if fault == "break" and number == 2:
                 connection.chunk(event[:7])
                 raise ConnectionError
+            if fault == "pause" and number == 2:
+                connection.chunk(event[:7])
+                event = event[7:]
+                time.sleep(self.pause_seconds)
             connection.chunk(event)
             time.sleep(self.pause)
             if self.pause and connection.caller_is_gone():
