Keep the call of a silent server until another one replies

What callers saw: streams were closed, and requests ended 502, though their server was sound and would have gone on. A stream was ended at its server after 1.2 s without a byte, a request without a reply after 1.2 s or more; only then did the gateway find out whether the route allowed one more server, the budget one more call, and whether a server was free. If not, the caller lost its response. All streams of a server fall silent at once, so the budget is spent just then.

Now the call stays open while another server is tried. It is left for good when that one replies with a success; when none does, or when the silent server sends more first, the request goes on where it was. The state of the stream is kept with the call, so that no event is lost or repeated, and stages that are being made again for the other server are cancelled.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -14,6 +14,7 @@
 #include "citronlane/relay/crash_watch.h"
 #include "citronlane/relay/placed_engine.h"
 #include "citronlane/relay/relay_job.h"
+#include "citronlane/relay/silent_attempt.h"
 #include "citronlane/relay/stage_runner.h"
 #include "citronlane/routing/engine_router.h"
 #include "citronlane/routing/server_limits.h"
@@ -64,6 +65,11 @@
     kMayHaveRun,
     /// The server has lost the results of the stages: they must be made again.
     kInputsGone,
+    /// The server runs it, as far as is known, and has sent nothing for a
+    /// while.
+    kSilent,
+    /// The server that was silent went on before this one replied.
+    kSilentWentOn,
   };
   struct AttemptResult {
     Step step_ = Step::kAnswered;
@@ -79,6 +85,9 @@
   void TryOtherDomain();
   bool RunStages();
   void RunAttempts();
+  /// Calls the next server. Returns nothing when the request has ended before
+  /// that. Suspends the handler.
+  std::optional<AttemptResult> RunNextAttempt();
   /// Chooses a server; null when there is none. Suspends the handler.
   const BackendServer* Choose();
   /// Chooses by this gateway's own estimates.
@@ -103,6 +112,8 @@
   void NoteEnd(const std::string& server, CallOutcome outcome, Duration took);
   AttemptResult RunAttempt(const BackendServer& server);
   AttemptResult Relay(ServerAttempt* attempt);
+  /// Relays a reply whose head has arrived.
+  AttemptResult RelayReply(ServerAttempt* attempt);
   AttemptResult RelayBuffered(ServerAttempt* attempt);
   AttemptResult RelayStream(ServerAttempt* attempt);
   void FreeInputs();
@@ -128,6 +139,17 @@
   std::string_view ServiceName() const;
   EngineRouter::Call RouterCall() const;
   uint32_t Urgency() const;
+  // relay_request_silence.cc: servers that fall silent and may go on.
+  /// Whether another server may be called while the present one is silent.
+  bool MayCallBesideSilent() const;
+  bool HasSilentGoneOn() const;
+  /// Goes on with the call of the silent server, which must be kept. Suspends
+  /// the handler.
+  AttemptResult ResumeSilent();
+  /// Before the request ends without a whole response: waits for the silent
+  /// server, if there is one. Returns whether that has ended the request.
+  /// Suspends the handler.
+  bool EndsWithSilent();
   // relay_request_peers.cc: what other gateways do for this one.
   enum class PeerResult {
     /// The gateway did nothing for the request: another one may be tried.
@@ -172,6 +194,10 @@
   ServiceRouter* router_ = nullptr;
   RepeatBudget* budget_ = nullptr;
   EventSplitter events_;
+  /// The call that was left because its server was silent.
+  std::optional<SilentAttempt> silent_;
+  /// Nothing is left to try but the silent server.
+  bool awaits_silent_ = false;
   std::vector<std::string> tried_;
   /// Tokens that the engine has still to read for it.
   double unread_ = 0;
--- /dev/null
+++ b/include/citronlane/relay/silent_attempt.h
@@ -0,0 +1,44 @@
+#ifndef CITRONLANE_RELAY_SILENT_ATTEMPT_H_
+#define CITRONLANE_RELAY_SILENT_ATTEMPT_H_
+
+#include <memory>
+#include <string>
+
+#include "citronlane/serving/event_splitter.h"
+
+namespace citronlane {
+
+class ServerAttempt;
+
+/// A call whose server fell silent after it got the request. It is kept open
+/// while other servers are tried, since the server may go on. Used by the
+/// request's handler.
+class SilentAttempt {
+ public:
+  /// `attempt` must not be null. `events` is the state of the stream after what
+  /// the server has sent.
+  SilentAttempt(std::unique_ptr<ServerAttempt> attempt,
+                std::string server,
+                EventSplitter events);
+  /// Ends the call.
+  ~SilentAttempt();
+  SilentAttempt(SilentAttempt&& other) noexcept;
+  SilentAttempt& operator=(SilentAttempt&& other) noexcept;
+
+  /// Whether the server has sent more, or completed its reply, since then.
+  bool HasGoneOn() const;
+
+  ServerAttempt* attempt() const { return attempt_.get(); }
+  const std::string& server() const { return server_; }
+  const EventSplitter& events() const { return events_; }
+
+ private:
+  std::unique_ptr<ServerAttempt> attempt_;
+  std::string server_;
+  EventSplitter events_;
+  bool had_head_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_RELAY_SILENT_ATTEMPT_H_
--- a/include/citronlane/relay/stage_runner.h
+++ b/include/citronlane/relay/stage_runner.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_RELAY_STAGE_RUNNER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,7 +28,7 @@
 /// result once it is no longer needed. Used by the request's handler.
 class StageRunner {
  public:
-  enum class Result { kDone, kLate, kFailed, kCallerGone };
+  enum class Result { kDone, kLate, kFailed, kCallerGone, kInterrupted };
 
   /// `job`, `view` and `owners` must outlive the runner.
   StageRunner(const RelayJob* job,
@@ -71,9 +72,10 @@
     result_domain_ = std::move(domain);
   }
 
-  /// Runs all stages; when called again, makes their results again. Suspends
-  /// the handler.
-  Result Run();
+  /// Runs all stages; when called again, makes their results again. Ends as
+  /// interrupted once `is_needless` returns true; it is called whenever the
+  /// handler wakes. Suspends the handler.
+  Result Run(const std::function<bool()>& is_needless);
 
   /// Handles of the results that the request itself needs.
   std::vector<std::string> Inputs() const;
@@ -111,7 +113,7 @@
   // Filled by the hooks of jobs; outlives the runner.
   struct Events;
 
-  Result RunOnce();
+  Result RunOnce(const std::function<bool()>& is_needless);
   void CancelPending();
   void Reset();
   void AnnounceAll();
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -157,7 +157,8 @@
   inputs_freed_ = false;
   stages_.SetResultDomain(stage_domain_.empty() ? PlannedDomain()
                                                 : stage_domain_);
-  const StageRunner::Result result = stages_.Run();
+  const StageRunner::Result result =
+      stages_.Run([this] { return HasSilentGoneOn(); });
   near_domain_ = stages_.InputDomain();
   stages_time_ = Elapsed();
   if (!stages_.not_run()) {
@@ -167,6 +168,9 @@
   switch (result) {
     case StageRunner::Result::kDone:
       return true;
+    case StageRunner::Result::kInterrupted:
+      inputs_freed_ = true;
+      return true;
     case StageRunner::Result::kCallerGone:
       break;
     case StageRunner::Result::kLate:
@@ -184,26 +188,17 @@
 
 void RelayRequest::RunAttempts() {
   while (!waker_->caller_gone()) {
-    if (SteadyNow() >= job_->deadline_) {
-      Refuse(RefusalReason::kDeadlineExceeded);
-      return;
-    }
-    if (RefuseIfBlocked()) {
-      return;
-    }
-    if (ShouldForward() && TryPeers()) {
-      return;
-    }
-    const BackendServer* server = Choose();
-    if (server == nullptr) {
-      RefuseWithoutServer();
-      return;
-    }
-    const AttemptResult ended = RunAttempt(*server);
-    if (ended.step_ == Step::kAnswered) {
+    const auto attempted =
+        HasSilentGoneOn() ? std::optional(ResumeSilent()) : RunNextAttempt();
+    if (!attempted || attempted->step_ == Step::kAnswered) {
       return;
     }
+    const AttemptResult& ended = *attempted;
     last_failure_ = ended.reason_;
+    if (ended.step_ == Step::kSilentWentOn) {
+      ++runs_;
+      continue;
+    }
     if (ended.step_ == Step::kInputsGone) {
       if (stage_reruns_++ >= kMaxStageReruns) {
         RefuseAfterFailure();
@@ -228,6 +223,22 @@
   }
 }
 
+std::optional<RelayRequest::AttemptResult> RelayRequest::RunNextAttempt() {
+  if (SteadyNow() >= job_->deadline_) {
+    Refuse(RefusalReason::kDeadlineExceeded);
+    return std::nullopt;
+  }
+  if (RefuseIfBlocked() || (ShouldForward() && TryPeers())) {
+    return std::nullopt;
+  }
+  const BackendServer* server = Choose();
+  if (server == nullptr) {
+    RefuseWithoutServer();
+    return std::nullopt;
+  }
+  return RunAttempt(*server);
+}
+
 // From the route's priority; a request that is already late is less urgent.
 uint32_t RelayRequest::Urgency() const {
   const bool is_late = SteadyNow() > job_->target_;
@@ -257,7 +268,6 @@
   spec.headers_ = context_->dialect_->write_call_(
       ForwardedHeaders(request_->headers_), head);
   spec.body_ = request_->body_;
-  spec.silence_limit_ = StallLimit();
   // A server may close an idle connection just as a call arrives, which may
   // then have run: a call that must not be repeated uses a new connection. A
   // late duplicate reply to an earlier call of this request has the same
@@ -268,13 +278,17 @@
   spec.connection_group_ = id;
   tried_.push_back(id);
   last_server_ = id;
-  ServerAttempt attempt(context_, waker_, std::move(spec),
-                        {job_->head_.request_id_, service_->name_, id});
+  auto call = std::make_unique<ServerAttempt>(
+      context_, waker_, std::move(spec),
+      ServerAttempt::Names{job_->head_.request_id_, service_->name_, id});
+  const ServerAttempt& attempt = *call;
   NoteStart(id);
-  const AttemptResult ended = Relay(&attempt);
-  const CallOutcome outcome = attempt.is_done()       ? attempt.outcome()
-                              : waker_->caller_gone() ? CallOutcome::kCancelled
-                                                      : CallOutcome::kTimeout;
+  const AttemptResult ended = Relay(call.get());
+  const bool is_cancelled =
+      waker_->caller_gone() || ended.step_ == Step::kSilentWentOn;
+  const CallOutcome outcome = attempt.is_done() ? attempt.outcome()
+                              : is_cancelled    ? CallOutcome::kCancelled
+                                                : CallOutcome::kTimeout;
   const bool refused = attempt.has_head() && attempt.reply().not_run_;
   const bool failed =
       attempt.has_head() && attempt.status() >= kFirstServerError && !refused;
@@ -288,6 +302,9 @@
   }
   context_->metrics_->Count(kAttemptsTotal,
                             {service_->name_, ToString(counted)});
+  if (ended.step_ == Step::kSilent) {
+    silent_.emplace(std::move(call), id, events_);
+  }
   return ended;
 }
 
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -19,12 +19,12 @@
 namespace citronlane {
 namespace {
 
-/// A server without a reply for this multiple of the target is considered dead
-/// if another one may be tried.
+/// When a server has not replied for this multiple of the target, another one
+/// is tried, too.
 constexpr double kFirstReplyTargetRatio = 1.5;
 constexpr Duration kMinFirstReplyLimit = std::chrono::milliseconds(1200);
-/// A stream that pauses for this multiple of the declared gap is continued on
-/// another server.
+/// When a stream has paused for this multiple of the declared gap, another
+/// server is asked to continue it.
 constexpr int kStallGapRatio = 3;
 constexpr Duration kMinStallLimit = std::chrono::milliseconds(1000);
 /// Time in which a server fetches the inputs of a request.
@@ -37,13 +37,12 @@
 }  // namespace
 
 RelayRequest::AttemptResult RelayRequest::Relay(ServerAttempt* attempt) {
-  const bool may_repeat =
-      job_->route_->MayRepeat() && runs_ + 1 < job_->route_->max_attempts_;
   const TimePoint reply_deadline =
-      may_repeat ? std::min(job_->deadline_, SteadyNow() + FirstReplyLimit())
-                 : job_->deadline_;
-  const auto has_reply = [attempt] {
-    return attempt->has_head() || attempt->is_done();
+      MayCallBesideSilent()
+          ? std::min(job_->deadline_, SteadyNow() + FirstReplyLimit())
+          : job_->deadline_;
+  const auto has_reply = [this, attempt] {
+    return attempt->has_head() || attempt->is_done() || HasSilentGoneOn();
   };
   bool replied = false;
   if (stages_.HasWork() && !inputs_freed_) {
@@ -57,13 +56,24 @@
   if (waker_->caller_gone()) {
     return {};
   }
+  if (HasSilentGoneOn() && !attempt->has_head()) {
+    attempt->Cancel();
+    return {Step::kSilentWentOn, "silent server went on"};
+  }
   if (!replied) {
+    if (attempt->was_sent() && SteadyNow() < job_->deadline_) {
+      return {Step::kSilent, "silent"};
+    }
     attempt->Cancel();
     return AfterFailure(*attempt);
   }
   if (!attempt->has_head()) {
     return AfterFailure(*attempt);
   }
+  return RelayReply(attempt);
+}
+
+RelayRequest::AttemptResult RelayRequest::RelayReply(ServerAttempt* attempt) {
   const ServerReplyHead& reply = attempt->reply();
   if (!reply.wrong_server_) {
     context_->limits_->OnReply(last_server_, reply.max_per_second_);
@@ -82,6 +92,11 @@
     attempt->Cancel();
     return {Step::kMayHaveRun, "no seal"};
   }
+  if (silent_ && !is_success) {
+    attempt->Cancel();
+    return {Step::kMayHaveRun, "failed beside silent server"};
+  }
+  silent_.reset();
   if (job_->route_->kind_ == RouteKind::kStreaming && is_success) {
     return RelayStream(attempt);
   }
@@ -121,16 +136,23 @@
 }
 
 RelayRequest::AttemptResult RelayRequest::RelayStream(ServerAttempt* attempt) {
+  // An engine may take long before its first event.
+  bool has_begun = false;
   while (true) {
+    const auto stall_limit = has_begun ? StallLimit() : std::nullopt;
     const bool is_ready = waker_->WaitUntil(
         [attempt] { return attempt->has_data() || attempt->is_done(); },
-        job_->deadline_);
+        stall_limit ? std::min(job_->deadline_, SteadyNow() + *stall_limit)
+                    : job_->deadline_);
     if (waker_->caller_gone()) {
       return {};
     }
     if (!is_ready) {
-      return AfterFailure(*attempt);
+      return SteadyNow() < job_->deadline_
+                 ? AttemptResult{Step::kSilent, "silent"}
+                 : AfterFailure(*attempt);
     }
+    has_begun = has_begun || attempt->has_data();
     const bool is_done = attempt->is_done();
     std::string complete;
     const auto result = events_.Feed(attempt->TakeData(), &complete);
@@ -196,7 +218,7 @@
 }
 
 std::optional<Duration> RelayRequest::StallLimit() const {
-  if (job_->route_->kind_ != RouteKind::kStreaming ||
+  if (!MayCallBesideSilent() || job_->route_->kind_ != RouteKind::kStreaming ||
       !job_->route_->resumable_ || job_->route_->target_gap_ == Duration()) {
     return std::nullopt;
   }
@@ -223,7 +245,7 @@
 }
 
 void RelayRequest::Refuse(RefusalReason reason) {
-  if (waker_->caller_gone()) {
+  if (EndsWithSilent() || waker_->caller_gone()) {
     return;
   }
   if (stream_started_) {
@@ -231,6 +253,9 @@
     Finish("stream broken", kOk);
     return;
   }
+  if (SteadyNow() >= job_->deadline_ && verdict_ != Verdict::kNotRun) {
+    reason = RefusalReason::kDeadlineExceeded;
+  }
   const HttpReply reply = RefusalReply(reason, verdict_);
   context_->metrics_->Count(
       kRefusalsTotal, {ToString(reason), job_->route_->name_, job_->account_});
--- /dev/null
+++ b/src/relay/relay_request_silence.cc
@@ -0,0 +1,54 @@
+// Servers that fall silent while they run a request. Another server may be
+// called, but the silent one is left for good only when that one replies with a
+// success: it may go on, and until then nobody else serves the caller.
+
+#include <utility>
+
+#include "citronlane/base/steady_now.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/relay/relay_context.h"
+#include "citronlane/relay/relay_request.h"
+#include "citronlane/relay/server_attempt.h"
+#include "citronlane/relay/waker.h"
+
+namespace citronlane {
+
+bool RelayRequest::MayCallBesideSilent() const {
+  return !silent_ && !awaits_silent_ && job_->route_->MayRepeat() &&
+         runs_ + 1 < job_->route_->max_attempts_;
+}
+
+bool RelayRequest::HasSilentGoneOn() const {
+  return silent_ && silent_->HasGoneOn();
+}
+
+RelayRequest::AttemptResult RelayRequest::ResumeSilent() {
+  SilentAttempt kept = *std::exchange(silent_, std::nullopt);
+  ServerAttempt* const attempt = kept.attempt();
+  context_->log_->Write("relay", "back to silent server",
+                        {{"request", job_->head_.request_id_},
+                         {"server", kept.server()},
+                         {"went_on", kept.HasGoneOn() ? "yes" : "no"},
+                         {"last_failure", last_failure_},
+                         {"after_ms", Elapsed()}});
+  events_ = kept.events();
+  last_server_ = kept.server();
+  // Counted when the call was left.
+  unread_ = 0;
+  const AttemptResult ended =
+      attempt->has_head() ? RelayReply(attempt) : Relay(attempt);
+  if (ended.step_ == Step::kSilent) {
+    silent_.emplace(std::move(kept));
+  }
+  return ended;
+}
+
+bool RelayRequest::EndsWithSilent() {
+  if (!silent_ || SteadyNow() >= job_->deadline_) {
+    return false;
+  }
+  awaits_silent_ = true;
+  return ResumeSilent().step_ == Step::kAnswered;
+}
+
+}  // namespace citronlane
--- a/src/relay/stage_runner.cc
+++ b/src/relay/stage_runner.cc
@@ -56,19 +56,19 @@
                      [](const Stage& stage) { return stage.pieces_ > 0; });
 }
 
-StageRunner::Result StageRunner::Run() {
+StageRunner::Result StageRunner::Run(const std::function<bool()>& is_needless) {
   if (std::exchange(has_run_, true)) {
     FreeAll();
     Reset();
   }
-  Result result = RunOnce();
+  Result result = RunOnce(is_needless);
   CancelPending();
   // A server lost or expired results: if time allows, they are made once more.
   if (result == Result::kFailed &&
       failure_ == StageOutcome::Result::kInputGone && HasTimeToRerun()) {
     FreeAll();
     Reset();
-    result = RunOnce();
+    result = RunOnce(is_needless);
     CancelPending();
   }
   return result;
@@ -86,17 +86,22 @@
   }
 }
 
-StageRunner::Result StageRunner::RunOnce() {
+StageRunner::Result StageRunner::RunOnce(
+    const std::function<bool()>& is_needless) {
   StartReady();
   while (!AllDone()) {
     const bool has_event = waker_->WaitUntil(
-        [this] {
-          return !events_->outcomes_.empty() || !events_->inputs_taken_.empty();
+        [this, &is_needless] {
+          return !events_->outcomes_.empty() ||
+                 !events_->inputs_taken_.empty() || is_needless();
         },
         job_->begin_deadline_);
     if (waker_->caller_gone()) {
       return Result::kCallerGone;
     }
+    if (is_needless()) {
+      return Result::kInterrupted;
+    }
     if (!has_event) {
       return Result::kLate;
     }
