Read and log the software version of servers and the attempt that a caller takes up

What the logs could not tell: which software version served a stream, and which attempt a caller's next one continues. The version now comes with the server list, from control too, and stands in the lines `retry` and `request ended` together with `resumes`. A version that is no text makes an entry unusable, like other fields of another type. Nothing is decided by it yet.

unit-platform covers what is read.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -233,6 +233,8 @@
   std::optional<RequestFingerprint> fingerprint_;
   std::string_view last_failure_ = "";
   std::string last_server_;
+  /// Software version of that server.
+  std::string last_version_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/serving/backend_server.h
+++ b/include/citronlane/serving/backend_server.h
@@ -19,6 +19,9 @@
   /// unknown. Comparable only with other incarnations of the same server.
   int64_t started_ms_ = 0;
   std::string service_;
+  /// Version of its software; empty when the platform names none. A stream may
+  /// be continued only by servers of the version that began it.
+  std::string version_;
   /// Endpoint as "IP:port".
   std::string address_;
   std::string failure_domain_;
@@ -32,7 +35,7 @@
   bool operator==(const BackendServer& other) const {
     return id_ == other.id_ && name_ == other.name_ &&
            started_ms_ == other.started_ms_ && service_ == other.service_ &&
-           address_ == other.address_ &&
+           version_ == other.version_ && address_ == other.address_ &&
            failure_domain_ == other.failure_domain_ && slots_ == other.slots_ &&
            leaving_ == other.leaving_ && is_cold_ == other.is_cold_;
   }
--- a/include/citronlane/serving/request_head.h
+++ b/include/citronlane/serving/request_head.h
@@ -31,6 +31,9 @@
   uint32_t expected_output_tokens_ = 0;
   /// Number of the last event of this stream that the caller has.
   std::optional<uint64_t> last_event_;
+  /// Id of the attempt that brought the first event of the stream that the
+  /// caller takes up; empty when it names none.
+  std::string resumed_attempt_;
 };
 
 }  // namespace citronlane
--- a/src/net/fleet_codec.cc
+++ b/src/net/fleet_codec.cc
@@ -31,6 +31,7 @@
     entry->set_slots(server.slots_);
     entry->set_leaving(server.leaving_);
     entry->set_cold(server.is_cold_);
+    entry->set_version(server.version_);
   }
 }
 
@@ -47,6 +48,7 @@
     server.slots_ = entry.slots();
     server.leaving_ = entry.leaving();
     server.is_cold_ = entry.cold();
+    server.version_ = entry.version();
     servers.push_back(std::move(server));
   }
   return servers;
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -278,6 +278,7 @@
   spec.connection_group_ = id;
   tried_.push_back(id);
   last_server_ = id;
+  last_version_ = server.version_;
   auto call = std::make_unique<ServerAttempt>(
       context_, waker_, std::move(spec),
       ServerAttempt::Names{job_->head_.request_id_, service_->name_, id});
@@ -333,6 +334,7 @@
       "relay", goes_on ? "retry" : "gave up",
       {{"request", job_->head_.request_id_},
        {"server", last_server_},
+       {"version", last_version_},
        {"why", ended.reason_},
        {"content", ended.step_ == Step::kMayHaveRun ? Fingerprint().digest_
                                                     : std::string()},
@@ -365,6 +367,8 @@
        {"status", status},
        {"verdict", ToString(verdict_)},
        {"server", last_server_},
+       {"version", last_version_},
+       {"resumes", job_->head_.resumed_attempt_},
        {"tried", static_cast<uint64_t>(tried_.size())},
        {"last_failure", last_failure_},
        {"content", fingerprint_ ? fingerprint_->digest_ : std::string()},
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -169,6 +169,7 @@
       {"X-Citronlane-Piece-Key", "7c1e"},
       {"X-Citronlane-Length-Hint", "33"},
       {"Last-Event-Id", "12"},
+      {"Resumes", "0a57cd1e9b3f2468"},
       {"X-Own", "kept"}};
 
   SECTION("a caller's headers are read") {
@@ -186,6 +187,7 @@
     CHECK(head.stage_pieces_ == std::vector<uint32_t>{2, 0, 6});
     CHECK(head.stage_key_ == "7c1e");
     CHECK(head.last_event_ == 12U);
+    CHECK(head.resumed_attempt_ == "0a57cd1e9b3f2468");
   }
 
   SECTION("values that can't be read count as absent") {
@@ -290,6 +292,8 @@
   CHECK(page->servers_[0].slots_ == 64);
   CHECK_FALSE(page->servers_[0].leaving_);
   CHECK(page->servers_[1].leaving_);
+  CHECK(page->servers_[0].version_ == "v1");
+  CHECK(page->servers_[1].version_.empty());
   CHECK(page->next_ == "p-50");
   CHECK(ListTarget("") == "/instances");
   CHECK(ListTarget("p-50") == "/instances?page_token=p-50");
@@ -348,6 +352,7 @@
           Replaced(good, "8}", "-1}"),
           Replaced(good, "8}", "8,\"born\":\"1796253885106\"}"),
           Replaced(good, "8}", "8,\"born\":17.5}"),
+          Replaced(good, "8}", "8,\"version\":1}"),
           Replaced(good, "8}", "8,\"born\":null}")}) {
       CAPTURE(entry);
       const auto page = read(entry);
