Add a failing test: streams go on at another software version

While servers of two versions serve one service, callers got streams that began at one version and ended at the other: within one response, after the server broke off, and over their tries, when they took a stream up again with Resumes. What the two versions write does not fit together.

The test runs three gateways, three control VMs and two engines of each of two versions, and demands that no stream holds events of two versions. It also demands that streams go on while servers of their version serve: all of them after breaks of engines and connections, half of them after lost processes or when a gateway is cut off from the servers or engines leave; and that a try whose version is unknown or has no server is refused with 503 and Retry-After within a second and runs nowhere.

The simulated servers have a version, tell it in their events, and report their `born` at /v1/report.

--- a/tests/process/platform_soak.py
+++ b/tests/process/platform_soak.py
@@ -328,7 +328,7 @@
             if own != request_id:
                 self.fault(f"{request_id} got the body {answer.body}")
             return
-        expected = "".join(f"id: {number}\ndata: {request_id} {number}\n\n"
+        expected = "".join(f"id: {number}\ndata: {request_id} {number} v1\n\n"
                            for number in range(6))
         if answer.body.decode() != expected:
             self.fault(f"{request_id} got a stream with a gap or a repeat: "
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -99,9 +99,11 @@
 class Server:
     """One incarnation of a backend server, with `service` and `id` as in the
     list. `faults` has the faults for the next requests, one for each. The list
-    distinguishes incarnations by `born`, where that is set."""
+    distinguishes incarnations by `born`, where that is set. `version` is that
+    of the server's software."""
 
-    def __init__(self, ip, service, identity, domain, port=0, born=None):
+    def __init__(self, ip, service, identity, domain, port=0, born=None,
+                 version="v1"):
         self.service = service
         self.id = identity
         self.listed_id = None  # Id in an outdated list; None for `id`.
@@ -109,6 +111,7 @@
         self.domain = domain
         self.state = "ready"
         self.born = born
+        self.version = version
         self.requests = []
         self.runs = {}
         self.faults = []
@@ -122,7 +125,7 @@
     def entry(self):
         entry = {"id": self.listed_id or self.id, "service": self.service,
                  "address": self.address, "zone": self.domain, "slots": 8,
-                 "version": "v1", "state": self.state, "cold_left_ms": 0}
+                 "version": self.version, "state": self.state, "cold_left_ms": 0}
         if self.born is not None:
             entry["born"] = self.born
         return entry
@@ -132,8 +135,9 @@
         accepts no more connections; cut_connections closes its open ones."""
         self.stop_listening()
         ip, port = self.address.split(":")
+        options = {"version": self.version, **self.next_start_options}
         return type(self)(ip, self.service, self.id, self.domain, int(port),
-                          born, **self.next_start_options)
+                          born, **options)
 
     def stop_listening(self):
         """Refuses connections from now on."""
@@ -192,6 +196,9 @@
             sock.close()
 
     def _serve_one(self, connection, request):
+        if request.target == "/v1/report":
+            self._report(connection, request)
+            return
         with self.lock:
             self.requests.append(request)
             fault = self.faults.pop(0) if self.faults else None
@@ -214,6 +221,12 @@
             if fault in SECOND_ANSWERS:
                 connection.late = self._second_answer(fault, connection.sent)
 
+    def _report(self, connection, request):
+        """Replies to a probe, which runs nothing and takes no fault."""
+        report = {} if self.born is None else {"born": self.born}
+        connection.reply(200, json.dumps(report).encode(),
+                         [("Content-Type", "application/json")], request.id)
+
     def _second_answer(self, fault, answer):
         if fault == "twice_no_id":
             return re.sub(rb"X-Citronlane-Request-Id: [^\r]*\r\n", b"", answer)
@@ -290,8 +303,8 @@
 
     handle_seconds = 4
 
-    def __init__(self, *args, call_seconds=0.02):
-        super().__init__(*args)
+    def __init__(self, *args, call_seconds=0.02, **options):
+        super().__init__(*args, **options)
         self.call_seconds = call_seconds
         self.makings = 0
         self.made = set()
@@ -375,7 +388,8 @@
 
 
 class Engine(Server):
-    """Streams `events` numbered events, from the one after Last-Event-Id. Fault
+    """Streams `events` numbered events, from the one after Last-Event-Id. Each
+    has the id of the request, its number and the engine's version. Fault
     "break" closes the connection within the third event, "silent" sends no
     reply. "pause" and "late" are those of a sound engine that falls silent for
     `pause_seconds` and then goes on, within the third event or before its
@@ -386,8 +400,8 @@
     pause_seconds = 2.0
     pause = 0.0
 
-    def __init__(self, *args):
-        super().__init__(*args)
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
         self.wrong = []
 
     def answer(self, connection, request, fault=None):
@@ -407,7 +421,8 @@
         first = int(request.headers.get("last-event-id", "-1")) + 1
         connection.begin_stream(request.id, [self.seal(request)])
         for number in range(first, self.events):
-            event = f"id: {number}\ndata: {request.id} {number}\n\n".encode()
+            event = (f"id: {number}\ndata: {request.id} {number} "
+                     f"{self.version}\n\n").encode()
             if fault == "break" and number == 2:
                 connection.chunk(event[:7])
                 raise ConnectionError
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -80,7 +80,8 @@
             self.assertEqual(len(events), 7)
             for number in range(6):
                 self.assertEqual(events[number],
-                                 f"id: {number}\ndata: {request_id} {number}")
+                                 f"id: {number}\n"
+                                 f"data: {request_id} {number} v1")
             self.assertIn("x-citronlane-response-seal", answer.headers)
             request = self.request_at(self.fleet.engines, request_id)
             self.assertEqual(request.target, "/chat/x?q=1")
--- /dev/null
+++ b/tests/process/platform_versions_test.py
@@ -0,0 +1,460 @@
+"""Tests that a stream goes on only at a server of the software version that
+began it, within one response and over its caller's tries at all gateways, and
+that it does go on while servers of its version serve."""
+
+import http.client
+import json
+import threading
+import time
+import unittest
+
+from process.platform_cut_off_test import CONTACT_SECONDS, ProxiedFleet
+from process.platform_fleet import new_id
+from process.platform_stand_in import Engine
+from process.platform_test import FleetTestCase, SettledFleet
+from process.processes import wait_until
+
+STREAMS = 16
+# A stream has this many events, with the pause before the next one.
+EVENTS = 50
+PAUSE = 0.05
+# How long a stream has been running when it is cut or its gateway ends.
+BEGUN_SECONDS = 0.5
+# How long the change of a server may take to reach all gateways.
+LIST_SECONDS = 3
+# The longest time in which a try is refused.
+REFUSAL_SECONDS = 1
+
+
+class VersionedFleet(SettledFleet):
+    """A fleet with two engines of each of two versions."""
+
+    VERSIONS = ("v1", "v1", "v2", "v2")
+
+    def _make_servers(self, stages):
+        super()._make_servers(stages)
+        for engine in self.engines:
+            engine.close()
+        self.engines = [
+            Engine(f"{self.net}.200", "models", f"e{i}", "ab"[i % 2],
+                   born=1000, version=version)
+            for i, version in enumerate(self.VERSIONS)]
+        self.list.servers = self.engines + self.plain + self.stages
+
+
+class OneVersionFleet(VersionedFleet):
+    VERSIONS = ("v1",) * 4
+
+
+class CutOffVersionedFleet(ProxiedFleet, VersionedFleet):
+    """The engines of two versions, each behind a proxy."""
+
+
+class Try:
+    """One request for a stream; `events` has the number and version of each
+    complete event."""
+
+    def __init__(self, gateway):
+        self.gateway = gateway
+        self.id = new_id()
+        self.status = 0
+        self.headers = {}
+        self.body = b""
+        self.events = []
+        self.whole = False
+        self.seconds = 0.0
+
+    def take(self, data):
+        self.body += data
+        for event in self.body.decode().split("\n\n")[len(self.events):-1]:
+            number, text = event.split("\n")
+            self.events.append((int(number.removeprefix("id: ")),
+                                text.split(" ")[-1]))
+
+
+class Stream:
+    """A caller's stream, which it takes up again when a try breaks off."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.prefix = f"{new_id()}:100"
+        self.tries = []
+        self.begun = threading.Event()
+
+    @property
+    def events(self):
+        return [event for one in self.tries for event in one.events]
+
+    @property
+    def versions(self):
+        return sorted({version for _, version in self.events})
+
+    @property
+    def first_id(self):
+        return next((one.id for one in self.tries if one.events), None)
+
+    def went_on(self):
+        """Returns whether the last try brought all that the others lacked."""
+        return (self.tries[-1].status == 200 and self.tries[-1].whole and
+                [number for number, _ in self.events] == list(range(EVENTS)))
+
+    def ask(self, gateway, seconds=None):
+        """Makes a try for what the ones before did not bring. Closes its
+        connection `seconds` after the first event, if given."""
+        headers = {"X_Citronlane_Prompt_Prefix": self.prefix}
+        if self.events:
+            headers.update(Last_Event_Id=str(self.events[-1][0]),
+                           Resumes=self.first_id)
+        one = Try(gateway)
+        self.tries.append(one)
+        sent = time.monotonic()
+        try:
+            with self.fleet.connect(gateway) as sock:
+                sock.sendall(self.fleet.head("POST", "/chat/x", one.id,
+                                             **headers))
+                self._read(one, sock, sent, seconds)
+        except (http.client.HTTPException, OSError):
+            pass  # The try is not whole.
+        return one
+
+    def _read(self, one, sock, sent, seconds):
+        reply = http.client.HTTPResponse(sock)
+        reply.begin()
+        one.seconds = time.monotonic() - sent
+        one.headers = {name.lower(): value
+                       for name, value in reply.getheaders()}
+        one.status = reply.status
+        until = None
+        while True:
+            data = reply.read1(65536)
+            if not data:
+                one.whole = True
+                return
+            if one.status != 200:
+                one.body += data
+                continue
+            one.take(data)
+            if one.events:
+                self.begun.set()
+                until = until or time.monotonic() + (seconds or 60)
+                if time.monotonic() > until:
+                    return
+
+    def __str__(self):
+        return " / ".join(
+            f"{one.id} at gateway {one.gateway}: {one.status} "
+            f"{[f'{number}@{version}' for number, version in one.events]}"
+            f"{' whole' if one.whole else ''}" for one in self.tries)
+
+
+def run_all(calls):
+    """Runs the calls at the same time."""
+    threads = [threading.Thread(target=call) for call in calls]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+class VersionsTestCase(FleetTestCase):
+    fleet_class = VersionedFleet
+    gateways = 3
+
+    def setUp(self):
+        super().setUp()
+        for engine in self.fleet.engines:
+            engine.events, engine.pause = EVENTS, PAUSE
+
+    def ask_all(self, streams, gateway_of, seconds=None):
+        run_all([lambda stream=stream, index=index: stream.ask(
+            gateway_of(index), seconds)
+            for index, stream in enumerate(streams)])
+
+    def cut_streams(self, gateway_of=lambda index: index % 3, version=None):
+        """Returns streams that their callers cut, STREAMS of the version if it
+        is given."""
+        streams = []
+        for _ in range(10):
+            more = [Stream(self.fleet) for _ in range(STREAMS)]
+            self.ask_all(more, gateway_of, BEGUN_SECONDS)
+            for stream in more:
+                self.assertTrue(stream.events, stream)
+            streams += [stream for stream in more
+                        if version in (None, stream.versions[0])]
+            if len(streams) >= STREAMS:
+                return streams[:STREAMS]
+        self.fail(f"only {len(streams)} streams began at {version}")
+
+    def begin(self, streams, gateway_of):
+        """Begins streams and waits until they have run for BEGUN_SECONDS.
+        Returns the thread that reads them to their ends."""
+        thread = threading.Thread(target=self.ask_all,
+                                  args=(streams, gateway_of))
+        thread.start()
+        for stream in streams:
+            self.assertTrue(stream.begun.wait(10), "a stream did not begin")
+        time.sleep(BEGUN_SECONDS)
+        return thread
+
+    def check(self, name, streams, least):
+        """Checks that no stream holds two versions and that at least `least`
+        of them went on to their ends."""
+        mixed = [stream for stream in streams if len(stream.versions) > 1]
+        went_on = sum(stream.went_on() for stream in streams)
+        began = {version: sum(stream.events[:1] == [(0, version)]
+                              for stream in streams)
+                 for version in ("v1", "v2")}
+        statuses = [stream.tries[-1].status for stream in streams]
+        print(f"{name}: {len(streams)} streams, begun {began}; {len(mixed)} of "
+              f"two versions, {went_on} went on; last statuses "
+              f"{ {status: statuses.count(status) for status in statuses} }",
+              flush=True)
+        self.assertEqual([str(stream) for stream in mixed], [])
+        lacking = [str(stream) for stream in streams if not stream.went_on()]
+        self.assertGreaterEqual(went_on, least, "\n".join(lacking))
+
+    def check_refused(self, one):
+        self.assertEqual(one.status, 503, one.body)
+        self.assertIn("retry-after", one.headers)
+        self.assertLess(one.seconds, REFUSAL_SECONDS)
+        self.assertEqual(self.runs(self.fleet.engines, one.id), 0)
+
+    def check_new_streams_are_served(self):
+        streams = [Stream(self.fleet) for _ in range(6)]
+        self.ask_all(streams, lambda index: index % 3)
+        for stream in streams:
+            self.assertTrue(stream.went_on(), stream)
+
+    def leader(self):
+        """Returns the address of the leader among the control VMs."""
+        def roles(ip):
+            lines = [json.loads(line) for line in
+                     self.fleet.processes[ip].log_since_start().splitlines()]
+            return [line.get("role") for line in lines
+                    if line["event"] == "role changed"]
+        leaders = [ip for ip in self.fleet.control_ips
+                   if self.fleet.processes[ip].running() and
+                   roles(ip)[-1:] == ["leader"]]
+        return leaders[0] if len(leaders) == 1 else None
+
+    def start_killed(self):
+        """Starts what the test killed, for the tests after it."""
+        for ip in self.fleet.control_ips:
+            if not self.fleet.processes[ip].running():
+                self.fleet.start_control(ip)
+        for ip in self.fleet.gateway_ips:
+            if not self.fleet.processes[ip].running():
+                self.fleet.start_gateway(ip)
+        for ip in self.fleet.control_ips:
+            wait_until(lambda ip=ip: self.fleet.is_voter(ip), f"{ip} a voter")
+        self.fleet.wait_ready()
+
+
+class BrokenStreamTest(VersionsTestCase):
+
+    def test_within_one_response(self):
+        """One engine of each version breaks its streams, in turn."""
+        for engine in self.fleet.engines:
+            engine.pause = 0.0
+        broken = []
+        for index in range(10):
+            for engine in self.fleet.engines[index % 2::2]:
+                engine.faults.extend(["break"] * STREAMS)
+            streams = [Stream(self.fleet) for _ in range(STREAMS)]
+            self.ask_all(streams, lambda index: index % 3)
+            self.setUp()
+            for engine in self.fleet.engines:
+                engine.pause = 0.0
+            broken += [stream for stream in streams if not stream.went_on() or
+                       self.runs(self.fleet.engines, stream.tries[0].id) > 1]
+            if len(broken) >= 2 * STREAMS:
+                break
+        self.assertGreaterEqual(len(broken), STREAMS, "too few breaks to test")
+        self.check("broken within one response", broken, len(broken))
+
+    def test_cut_by_the_caller(self):
+        streams = self.cut_streams()
+        self.ask_all(streams, lambda index: (index + 1) % 3)
+        self.check("cut by the caller", streams, STREAMS)
+
+    def test_cut_by_the_caller_while_engines_leave(self):
+        streams = self.cut_streams()
+        for engine in self.fleet.engines[::2]:
+            engine.state = "draining"
+            self.addCleanup(time.sleep, LIST_SECONDS)
+            self.addCleanup(setattr, engine, "state", "ready")
+        time.sleep(LIST_SECONDS)
+        self.ask_all(streams, lambda index: (index + 1) % 3)
+        self.check("cut, engines leave", streams, STREAMS // 2)
+
+    def test_taken_up_twice(self):
+        streams = self.cut_streams()
+        self.ask_all(streams, lambda index: (index + 1) % 3, BEGUN_SECONDS)
+        for stream in streams:
+            self.assertEqual(stream.tries[1].status, 200, stream)
+        self.ask_all(streams, lambda index: (index + 2) % 3)
+        self.check("taken up twice", streams, STREAMS)
+
+    def test_taken_up_twice_at_one_gateway(self):
+        """The gateway that is asked last brought the first events."""
+        streams = self.cut_streams()
+        self.ask_all(streams, lambda index: (index + 1) % 3, BEGUN_SECONDS)
+        self.ask_all(streams, lambda index: index % 3)
+        self.check("taken up twice, back at the first", streams, STREAMS)
+
+
+class LostProcessTest(VersionsTestCase):
+
+    def test_gateway_is_killed(self):
+        streams = [Stream(self.fleet) for _ in range(STREAMS)]
+        self.addCleanup(self.start_killed)
+        reading = self.begin(streams, lambda _: 0)
+        self.fleet.processes[self.fleet.gateway_ips[0]].kill()
+        reading.join()
+        self.ask_all(streams, lambda index: 1 + index % 2)
+        self.check("gateway killed", streams, STREAMS // 2)
+
+    def test_all_gateways_are_killed(self):
+        streams = [Stream(self.fleet) for _ in range(STREAMS)]
+        self.addCleanup(self.start_killed)
+        reading = self.begin(streams, lambda index: index % 3)
+        for ip in self.fleet.gateway_ips:
+            self.fleet.processes[ip].kill()
+        reading.join()
+        for ip in self.fleet.gateway_ips:
+            self.fleet.start_gateway(ip)
+        self.fleet.wait_ready()
+        self.ask_all(streams, lambda index: (index + 1) % 3)
+        self.check("all gateways killed", streams, STREAMS // 2)
+
+    def test_leader_and_gateway_are_killed(self):
+        leader = wait_until(self.leader, "a leader")
+        streams = [Stream(self.fleet) for _ in range(STREAMS)]
+        self.addCleanup(self.start_killed)
+        reading = self.begin(streams, lambda _: 0)
+        self.fleet.processes[leader].kill()
+        self.fleet.processes[self.fleet.gateway_ips[0]].kill()
+        reading.join()
+        wait_until(self.leader, "another leader")
+        self.ask_all(streams, lambda index: 1 + index % 2)
+        self.check("leader and gateway killed", streams, STREAMS // 2)
+
+
+class RefusalTest(VersionsTestCase):
+
+    def check_without(self, gone, draining):
+        """Takes streams of v2 up while these engines are not listed and those
+        are leaving."""
+        streams = self.cut_streams(version="v2")
+        listed = self.fleet.list.servers
+        self.addCleanup(time.sleep, LIST_SECONDS)
+        self.addCleanup(setattr, self.fleet.list, "servers", listed)
+        for engine in draining:
+            self.addCleanup(setattr, engine, "state", "ready")
+            engine.state = "draining"
+        self.fleet.list.servers = [server for server in listed
+                                   if server not in gone]
+        time.sleep(LIST_SECONDS)
+        self.ask_all(streams, lambda index: (index + 1) % 3)
+        statuses = [stream.tries[-1].status for stream in streams]
+        print(f"no server of the version: statuses {statuses}", flush=True)
+        for stream in streams:
+            self.check_refused(stream.tries[-1])
+        self.check_new_streams_are_served()
+
+    def test_last_engine_of_the_version_leaves(self):
+        self.check_without([self.fleet.engines[2]], [self.fleet.engines[3]])
+
+    def test_no_engine_of_the_version(self):
+        self.check_without(self.fleet.engines[2:], [])
+
+    def test_unknown_stream(self):
+        tries = []
+
+        def ask(gateway):
+            stream = Stream(self.fleet)
+            unknown = Try(gateway)
+            unknown.events = [(number, "v1") for number in range(4)]
+            stream.tries.append(unknown)
+            tries.append(stream.ask(gateway))
+
+        run_all([lambda index=index: ask(index % 3)
+                 for index in range(STREAMS)])
+        print(f"unknown: statuses {[one.status for one in tries]}", flush=True)
+        for one in tries:
+            self.check_refused(one)
+        self.check_new_streams_are_served()
+
+
+class OneVersionTest(VersionsTestCase):
+    fleet_class = OneVersionFleet
+
+    def test_unknown_stream_goes_on(self):
+        """All that any server has written fits together."""
+        streams = [Stream(self.fleet) for _ in range(STREAMS)]
+        for stream in streams:
+            unknown = Try(0)
+            unknown.events = [(number, "v1") for number in range(4)]
+            stream.tries.append(unknown)
+        self.ask_all(streams, lambda index: index % 3)
+        self.check("unknown, one version", streams, STREAMS)
+
+
+class OutdatedListTest(VersionsTestCase):
+
+    def test_engine_starts_again_with_another_version(self):
+        """The list shows the old entry of an engine that started again with
+        another version. Its streams break, and those of the other engine that
+        is listed with the old version."""
+        streams, former = [], []
+        for first, version in ((0, "v2"), (2, "v1")):
+            more = [Stream(self.fleet) for _ in range(2 * STREAMS)]
+            reading = self.begin(more, lambda index: index % 3)
+            engine, other = self.fleet.engines[first:first + 2]
+            former.append(engine)
+            engine.next_start_options = {"version": version}
+            again = engine.next_start(2000)
+            again.events, again.pause = EVENTS, PAUSE
+            self.addCleanup(again.close)
+            engine.cut_connections()
+            other.cut_connections()
+            reading.join()
+            self.ask_all([stream for stream in more
+                          if not stream.tries[0].whole],
+                         lambda index: (index + 1) % 3)
+            streams += more
+            # The list shows what serves before the next engine starts again.
+            self.fleet.engines[first] = again
+            self.fleet.list.servers = [
+                again if server is engine else server
+                for server in self.fleet.list.servers]
+            time.sleep(LIST_SECONDS)
+        broken = [stream for stream in streams if len(stream.tries) > 1 or
+                  self.runs(self.fleet.engines + former,
+                            stream.tries[0].id) > 1]
+        self.assertGreaterEqual(len(broken), STREAMS, "too few breaks to test")
+        self.check("outdated list", streams, 0)
+
+
+class CutOffGatewayTest(VersionsTestCase):
+    fleet_class = CutOffVersionedFleet
+
+    def setUp(self):
+        super().setUp()
+        wait_until(lambda: len(self.fleet.owners()) == 2, "owners of the pools")
+
+    def test_taken_up_at_a_gateway_without_servers(self):
+        streams = self.cut_streams(lambda index: 1 + index % 2)
+        self.addCleanup(time.sleep, 2)
+        self.addCleanup(self.fleet.cut_off, [])
+        self.fleet.cut_off([0])
+        end = time.monotonic() + CONTACT_SECONDS
+        while time.monotonic() < end:
+            for gateway in range(self.gateways):
+                self.fleet.ask("GET", "/look/x", b"", new_id(), gateway)
+        self.ask_all(streams, lambda _: 0)
+        self.check("gateway cut off", streams, STREAMS // 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
