Keep the state of a stream at its latest silence

What callers saw: a stream whose server fell silent a second time had an event with the number of an earlier one: the gateway went on with the state of the first silence, a cut-off event and a number among it. The call is now kept with the state that it has when its server falls silent again.

Evidence: the new case of process-platform-silent, two silences within events, failed before ("id: 2" with the data of event 4, and the stream closed), passes. The stand-in servers get the faults that this case and the next ones need.

--- a/include/citronlane/relay/silent_attempt.h
+++ b/include/citronlane/relay/silent_attempt.h
@@ -28,7 +28,9 @@
   /// Whether the server has sent more, or completed its reply, since then.
   bool HasGoneOn() const;
 
-  ServerAttempt* attempt() const { return attempt_.get(); }
+  /// The call, for going on with it; the object must not be used afterwards.
+  std::unique_ptr<ServerAttempt> TakeAttempt();
+
   const std::string& server() const { return server_; }
   const EventSplitter& events() const { return events_; }
 
--- a/src/relay/relay_request_silence.cc
+++ b/src/relay/relay_request_silence.cc
@@ -2,6 +2,7 @@
 // called, but the silent one is left for good only when that one replies with a
 // success: it may go on, and until then nobody else serves the caller.
 
+#include <memory>
 #include <utility>
 
 #include "citronlane/base/steady_now.h"
@@ -24,7 +25,6 @@
 
 RelayRequest::AttemptResult RelayRequest::ResumeSilent() {
   SilentAttempt kept = *std::exchange(silent_, std::nullopt);
-  ServerAttempt* const attempt = kept.attempt();
   context_->log_->Write("relay", "back to silent server",
                         {{"request", job_->head_.request_id_},
                          {"server", kept.server()},
@@ -35,10 +35,12 @@
   last_server_ = kept.server();
   // Counted when the call was left.
   unread_ = 0;
+  auto attempt = kept.TakeAttempt();
   const AttemptResult ended =
-      attempt->has_head() ? RelayReply(attempt) : Relay(attempt);
+      attempt->has_head() ? RelayReply(attempt.get()) : Relay(attempt.get());
   if (ended.step_ == Step::kSilent) {
-    silent_.emplace(std::move(kept));
+    // What it sent since then belongs to the state of the stream.
+    silent_.emplace(std::move(attempt), kept.server(), events_);
   }
   return ended;
 }
--- a/src/relay/silent_attempt.cc
+++ b/src/relay/silent_attempt.cc
@@ -19,6 +19,10 @@
 SilentAttempt& SilentAttempt::operator=(SilentAttempt&& other) noexcept =
     default;
 
+std::unique_ptr<ServerAttempt> SilentAttempt::TakeAttempt() {
+  return std::move(attempt_);
+}
+
 bool SilentAttempt::HasGoneOn() const {
   const bool has_ended_well =
       attempt_->is_done() && attempt_->outcome() == CallOutcome::kSuccess;
--- a/tests/process/platform_silent_test.py
+++ b/tests/process/platform_silent_test.py
@@ -27,13 +27,15 @@
 
 
 class SilenceTestCase(FleetTestCase):
-    def ask_all(self, count, method, path):
-        """Returns the answers to requests sent at the same time."""
+    def ask_all(self, count, method, path, ids=None):
+        """Returns the answers to requests sent at the same time, with the
+        request ids `ids` if these are set."""
         answers = [None] * count
 
         def ask(index):
-            answers[index] = self.fleet.ask(method, path, request_id=new_id(),
-                                            gateway=index % self.gateways)
+            answers[index] = self.fleet.ask(
+                method, path, request_id=ids[index] if ids else new_id(),
+                gateway=index % self.gateways)
 
         threads = [threading.Thread(target=ask, args=(index,))
                    for index in range(count)]
@@ -55,6 +57,24 @@
         for server in servers:
             server.faults.extend([fault] * count)
 
+    def set_faults_in_turn(self, servers, faults, pause_seconds=None):
+        """The next requests to any of the servers get these faults, in this
+        order; a pause lasts `pause_seconds`, if that is set."""
+        shared = list(faults)
+        for server in servers:
+            self.addCleanup(setattr, server, "faults", [])
+            server.faults = shared
+            if pause_seconds is not None:
+                self.addCleanup(delattr, server, "pause_seconds")
+                server.pause_seconds = pause_seconds
+
+    def arrivals(self, servers, request_id):
+        """Returns servers and times at which the request came, in order."""
+        return sorted(((server, request.arrived) for server in servers
+                       for request in list(server.requests)
+                       if request.id == request_id),
+                      key=lambda arrival: arrival[1])
+
 
 class NoRepeatsTest(SilenceTestCase):
     fleet_class = SilentFleet
@@ -116,6 +136,28 @@
             self.assertEqual(answer.status, 200, answer.body)
             self.setUp()
 
+    def test_a_stream_falls_silent_twice(self):
+        # The server goes on during the next call, or while the stages run for
+        # it.
+        for attempts, faults, call_seconds in (
+                (4, ["pause_twice", "late"], 0.02),
+                (3, ["pause_twice", "not_run"], 0.2)):
+            self.put_attempts(attempts)
+            for stage in self.fleet.stages:
+                stage.call_seconds = call_seconds
+                self.addCleanup(setattr, stage, "call_seconds", 0.02)
+            self.set_faults_in_turn(self.fleet.engines, faults, 1.35)
+            self.check_streams([self.fleet.ask("POST", "/chat/x")])
+            self.doCleanups()
+
+    def put_attempts(self, count):
+        routes = self.fleet.make_document()["routes"]
+        for route in routes:
+            if route["name"] != "once":
+                route["max_attempts"] = count
+        self.put(routes=routes)
+        self.addCleanup(self.put)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -257,23 +257,40 @@
 
 class PlainServer(Server):
     """Replies with the content of the request. Fault "wait" delays the reply by
-    half a second, "late" by `pause_seconds`, "hang" sends none until the gateway closes the connection."""
+    half a second, "late" by `pause_seconds`, "hang" sends none until the gateway
+    closes the connection, at the time that is then in `given_up` by request id.
+    "error" and "absent" reply with 500 and 404; "late_error", "late_not_run" and
+    "late_close" fail, refuse or break off after `pause_seconds`."""
 
     pause_seconds = 2.0
 
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.given_up = {}
+
     def answer(self, connection, request, fault=None):
         self.note_run(request.id)
-        if fault == "late":
+        if fault in ("late", "late_error", "late_not_run", "late_close"):
             time.sleep(self.pause_seconds)
         if fault == "hang":
             while not connection.caller_is_gone():
-                time.sleep(0.05)
+                time.sleep(0.02)
+            self.given_up[request.id] = time.monotonic()
+            raise ConnectionError
+        if fault == "late_close":
             raise ConnectionError
+        if fault == "late_not_run":
+            connection.reply(503, headers=[("X-Citronlane-Not-Run", "1")],
+                             request_id=request.id)
+            return
         if fault == "wait":
             time.sleep(0.5)
-        if fault == "error":
+        if fault in ("error", "late_error"):
             connection.reply(500, b"no", [self.seal(request)], request.id)
             return
+        if fault == "absent":
+            connection.reply(404, b"no", [self.seal(request)], request.id)
+            return
         body = json.dumps({"id": request.id, "method": request.method,
                            "target": request.target,
                            "body": request.body.decode("latin-1")}).encode()
@@ -379,7 +396,8 @@
     "break" closes the connection within the third event, "silent" sends no
     reply. "pause" and "late" are those of a sound engine that falls silent for
     `pause_seconds` and then goes on, within the third event or before its
-    reply."""
+    reply; "pause_twice" also pauses within the fifth. "absent" replies with
+    404, "inputs_gone" refuses since the inputs are lost."""
 
     events = 6
     silence = 10
@@ -402,6 +420,13 @@
         if fault == "silent":
             time.sleep(self.silence)
             raise ConnectionError
+        if fault == "absent":
+            connection.reply(404, b"no", [self.seal(request)], request.id)
+            return
+        if fault == "inputs_gone":
+            connection.reply(409, headers=[("X-Citronlane-Not-Run", "1")],
+                             request_id=request.id)
+            return
         if fault == "late":
             time.sleep(self.pause_seconds)
         first = int(request.headers.get("last-event-id", "-1")) + 1
@@ -411,7 +436,8 @@
             if fault == "break" and number == 2:
                 connection.chunk(event[:7])
                 raise ConnectionError
-            if fault == "pause" and number == 2:
+            if ((fault in ("pause", "pause_twice") and number == 2) or
+                    (fault == "pause_twice" and number == 4)):
                 connection.chunk(event[:7])
                 event = event[7:]
                 time.sleep(self.pause_seconds)
