Go back to a silent server only for a good reply

What callers saw: a silent server that refused the request late, or failed, ended the call of the next server, which would have answered; the request ended 502. Any head, byte or end counted as going on. Now only data of a sealed success does, or its successful end. A server of which no good reply can follow is left, and the next one goes on.

Evidence: the new case of process-platform-silent: a late refusal and a late error failed before and pass; a late broken connection passed before, too.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -143,6 +143,8 @@
   /// Whether another server may be called while the present one is silent.
   bool MayCallBesideSilent() const;
   bool HasSilentGoneOn() const;
+  /// Leaves the silent server if no good reply of it can follow.
+  void DropLostSilent();
   /// Goes on with the call of the silent server, which must be kept. Suspends
   /// the handler.
   AttemptResult ResumeSilent();
--- a/include/citronlane/relay/silent_attempt.h
+++ b/include/citronlane/relay/silent_attempt.h
@@ -25,8 +25,12 @@
   SilentAttempt(SilentAttempt&& other) noexcept;
   SilentAttempt& operator=(SilentAttempt&& other) noexcept;
 
-  /// Whether the server has sent more, or completed its reply, since then.
+  /// Whether the server has sent more of a good reply, or completed it, since
+  /// then. A head alone is no sign that the rest follows.
   bool HasGoneOn() const;
+  /// Whether no good reply can follow: the call failed, or the server refused
+  /// it or replied with a failure.
+  bool IsLost() const;
 
   /// The call, for going on with it; the object must not be used afterwards.
   std::unique_ptr<ServerAttempt> TakeAttempt();
@@ -35,10 +39,11 @@
   const EventSplitter& events() const { return events_; }
 
  private:
+  bool HasGoodHead() const;
+
   std::unique_ptr<ServerAttempt> attempt_;
   std::string server_;
   EventSplitter events_;
-  bool had_head_;
 };
 
 }  // namespace citronlane
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -188,6 +188,7 @@
 
 void RelayRequest::RunAttempts() {
   while (!waker_->caller_gone()) {
+    DropLostSilent();
     const auto attempted =
         HasSilentGoneOn() ? std::optional(ResumeSilent()) : RunNextAttempt();
     if (!attempted || attempted->step_ == Step::kAnswered) {
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -92,6 +92,7 @@
     attempt->Cancel();
     return {Step::kMayHaveRun, "no seal"};
   }
+  DropLostSilent();
   if (silent_ && !is_success) {
     attempt->Cancel();
     return {Step::kMayHaveRun, "failed beside silent server"};
--- a/src/relay/relay_request_silence.cc
+++ b/src/relay/relay_request_silence.cc
@@ -23,6 +23,12 @@
   return silent_ && silent_->HasGoneOn();
 }
 
+void RelayRequest::DropLostSilent() {
+  if (silent_ && silent_->IsLost()) {
+    silent_.reset();
+  }
+}
+
 RelayRequest::AttemptResult RelayRequest::ResumeSilent() {
   SilentAttempt kept = *std::exchange(silent_, std::nullopt);
   context_->log_->Write("relay", "back to silent server",
@@ -46,6 +52,7 @@
 }
 
 bool RelayRequest::EndsWithSilent() {
+  DropLostSilent();
   if (!silent_ || SteadyNow() >= job_->deadline_) {
     return false;
   }
--- a/src/relay/silent_attempt.cc
+++ b/src/relay/silent_attempt.cc
@@ -5,14 +5,19 @@
 #include "citronlane/relay/server_attempt.h"
 
 namespace citronlane {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kFirstNonSuccess = 300;
+
+}  // namespace
 
 SilentAttempt::SilentAttempt(std::unique_ptr<ServerAttempt> attempt,
                              std::string server,
                              EventSplitter events)
     : attempt_(std::move(attempt)),
       server_(std::move(server)),
-      events_(std::move(events)),
-      had_head_(attempt_->has_head()) {}
+      events_(std::move(events)) {}
 
 SilentAttempt::~SilentAttempt() = default;
 SilentAttempt::SilentAttempt(SilentAttempt&& other) noexcept = default;
@@ -24,10 +29,20 @@
 }
 
 bool SilentAttempt::HasGoneOn() const {
-  const bool has_ended_well =
-      attempt_->is_done() && attempt_->outcome() == CallOutcome::kSuccess;
-  return attempt_->has_data() || has_ended_well ||
-         (attempt_->has_head() && !had_head_);
+  return !IsLost() && HasGoodHead() &&
+         (attempt_->has_data() || attempt_->is_done());
+}
+
+bool SilentAttempt::IsLost() const {
+  const bool has_failed =
+      attempt_->is_done() && attempt_->outcome() != CallOutcome::kSuccess;
+  return has_failed || (attempt_->has_head() && !HasGoodHead());
+}
+
+bool SilentAttempt::HasGoodHead() const {
+  return attempt_->has_head() && attempt_->status() >= kOk &&
+         attempt_->status() < kFirstNonSuccess && attempt_->reply().sealed_ &&
+         !attempt_->reply().not_run_;
 }
 
 }  // namespace citronlane
--- a/tests/process/platform_silent_test.py
+++ b/tests/process/platform_silent_test.py
@@ -158,6 +158,14 @@
         self.put(routes=routes)
         self.addCleanup(self.put)
 
+    def test_late_failure_of_the_silent_server(self):
+        for fault in ("late_not_run", "late_error", "late_close"):
+            with self.subTest(fault):
+                self.set_faults_in_turn(self.fleet.plain, [fault, "wait"], 1.35)
+                answer = self.fleet.ask("GET", "/look/x")
+                self.assertEqual(answer.status, 200, answer.body)
+            self.doCleanups()
+
 
 if __name__ == "__main__":
     unittest.main()
