Leave a silent server once the next one has had the call for 250 ms

What callers saw: nothing; servers worked twice. While the next server took its time to reply, the silent one went on working on the same request, for seconds. Refusals and failed connections of the next server come fast: when none has come 250 ms after its call was sent, and the silent server has not gone on, that one's call is closed, and the next server gets its limit for a first reply.

Evidence: the new case of process-platform-silent, with a next server that replies after 1 s, passes; before, the silent server's call was still open when the caller had its answer.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -145,6 +145,9 @@
   bool HasSilentGoneOn() const;
   /// Leaves the silent server if no good reply of it can follow.
   void DropLostSilent();
+  /// Waits until `other`, called beside the silent server, has replied or
+  /// failed, or only one of the two is left. Suspends the handler.
+  void AwaitBesideSilent(const ServerAttempt& other);
   /// Goes on with the call of the silent server, which must be kept. Suspends
   /// the handler.
   AttemptResult ResumeSilent();
--- a/include/citronlane/relay/server_attempt.h
+++ b/include/citronlane/relay/server_attempt.h
@@ -48,6 +48,8 @@
 
   /// Whether bytes of the call were handed to a socket.
   bool was_sent() const;
+  /// When that was last the case; nothing if it was not.
+  std::optional<TimePoint> sent_at() const;
   /// Whether the reply's head has arrived.
   bool has_head() const;
   /// Whether the reply is complete or the call failed.
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -37,22 +37,25 @@
 }  // namespace
 
 RelayRequest::AttemptResult RelayRequest::Relay(ServerAttempt* attempt) {
-  const TimePoint reply_deadline =
-      MayCallBesideSilent()
-          ? std::min(job_->deadline_, SteadyNow() + FirstReplyLimit())
-          : job_->deadline_;
+  const TimePoint begun = SteadyNow();
   const auto has_reply = [this, attempt] {
     return attempt->has_head() || attempt->is_done() || HasSilentGoneOn();
   };
-  bool replied = false;
   if (stages_.HasWork() && !inputs_freed_) {
-    replied = waker_->WaitUntil(
-        has_reply, std::min(reply_deadline, SteadyNow() + kInputFetchTime));
-    if (!replied && !waker_->caller_gone() && SteadyNow() < reply_deadline) {
+    const bool replied = waker_->WaitUntil(
+        has_reply, std::min(job_->deadline_, begun + kInputFetchTime));
+    if (!replied && !waker_->caller_gone() && SteadyNow() < job_->deadline_) {
       FreeInputs();
     }
   }
-  replied = replied || waker_->WaitUntil(has_reply, reply_deadline);
+  if (silent_) {
+    AwaitBesideSilent(*attempt);
+  }
+  const TimePoint reply_deadline =
+      MayCallBesideSilent()
+          ? std::min(job_->deadline_, begun + FirstReplyLimit())
+          : job_->deadline_;
+  const bool replied = waker_->WaitUntil(has_reply, reply_deadline);
   if (waker_->caller_gone()) {
     return {};
   }
--- a/src/relay/relay_request_silence.cc
+++ b/src/relay/relay_request_silence.cc
@@ -2,6 +2,7 @@
 // called, but the silent one is left for good only when that one replies with a
 // success: it may go on, and until then nobody else serves the caller.
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -13,6 +14,13 @@
 #include "citronlane/relay/waker.h"
 
 namespace citronlane {
+namespace {
+
+/// Two servers work on a request for this long at most. Refusals and failed
+/// connections of the second one come sooner.
+constexpr Duration kMaxBesideSilent = std::chrono::milliseconds(250);
+
+}  // namespace
 
 bool RelayRequest::MayCallBesideSilent() const {
   return !silent_ && !awaits_silent_ && job_->route_->MayRepeat() &&
@@ -29,6 +37,29 @@
   }
 }
 
+void RelayRequest::AwaitBesideSilent(const ServerAttempt& other) {
+  const auto is_settled = [this, &other] {
+    return other.has_head() || other.is_done() || HasSilentGoneOn() ||
+           silent_->IsLost();
+  };
+  waker_->WaitUntil(
+      [&is_settled, &other] { return is_settled() || other.sent_at(); },
+      job_->deadline_);
+  if (!is_settled() && other.sent_at()) {
+    const TimePoint until = *other.sent_at() + kMaxBesideSilent;
+    waker_->WaitUntil(is_settled, std::min(job_->deadline_, until));
+    if (!is_settled() && SteadyNow() >= until) {
+      context_->log_->Write("relay", "left silent server",
+                            {{"request", job_->head_.request_id_},
+                             {"server", silent_->server()},
+                             {"next", last_server_},
+                             {"after_ms", Elapsed()}});
+      silent_.reset();
+    }
+  }
+  DropLostSilent();
+}
+
 RelayRequest::AttemptResult RelayRequest::ResumeSilent() {
   SilentAttempt kept = *std::exchange(silent_, std::nullopt);
   context_->log_->Write("relay", "back to silent server",
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "citronlane/base/steady_now.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
@@ -16,7 +17,7 @@
 namespace citronlane {
 
 struct ServerAttempt::State {
-  bool was_sent_ = false;
+  std::optional<TimePoint> sent_at_;
   bool has_head_ = false;
   bool is_done_ = false;
   CallOutcome outcome_ = CallOutcome::kCancelled;
@@ -87,8 +88,9 @@
     : state_(std::make_shared<State>()) {
   const auto state = state_;
   StageCallHooks hooks;
-  hooks.sending_ = [state] {
-    state->was_sent_ = true;
+  hooks.sending_ = [state, waker] {
+    state->sent_at_ = SteadyNow();
+    waker->Wake();
     return true;
   };
   hooks.owner_ = [state, context,
@@ -135,7 +137,11 @@
 }
 
 bool ServerAttempt::was_sent() const {
-  return state_->was_sent_;
+  return state_->sent_at_.has_value();
+}
+
+std::optional<TimePoint> ServerAttempt::sent_at() const {
+  return state_->sent_at_;
 }
 
 bool ServerAttempt::has_head() const {
--- a/tests/process/platform_silent_test.py
+++ b/tests/process/platform_silent_test.py
@@ -7,6 +7,7 @@
 
 from process.platform_fleet import Fleet, new_id
 from process.platform_test import FleetTestCase
+from process.processes import wait_until
 
 STREAMS = 12
 
@@ -166,6 +167,15 @@
                 self.assertEqual(answer.status, 200, answer.body)
             self.doCleanups()
 
+    def test_the_silent_server_is_left_soon_after_the_next_call(self):
+        self.set_faults_in_turn(self.fleet.plain, ["hang", "late"], 1.0)
+        request_id = new_id()
+        answer = self.fleet.ask("GET", "/look/x", request_id=request_id)
+        self.assertEqual(answer.status, 200, answer.body)
+        (first, _), (_, called) = self.arrivals(self.fleet.plain, request_id)
+        wait_until(lambda: request_id in first.given_up, "the call closed")
+        self.assertLess(first.given_up[request_id] - called, 0.4)
+
 
 if __name__ == "__main__":
     unittest.main()
