Relay the answer of a server called beside a silent one

What callers saw: the next server's own answer, a 404 say, was thrown away, and they waited for the silent server. Only a failure (5xx), or any failure once the stream has begun, now leads back to the silent server.

Evidence: the new case of process-platform-silent with a 404 failed before and passes; its counterpart with a 500 passed before, too.

--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -96,7 +96,9 @@
     return {Step::kMayHaveRun, "no seal"};
   }
   DropLostSilent();
-  if (silent_ && !is_success) {
+  const bool has_failed = attempt->status() >= kFirstServerError ||
+                          (stream_started_ && !is_success);
+  if (silent_ && has_failed) {
     attempt->Cancel();
     return {Step::kMayHaveRun, "failed beside silent server"};
   }
--- a/tests/process/platform_silent_test.py
+++ b/tests/process/platform_silent_test.py
@@ -176,6 +176,16 @@
         wait_until(lambda: request_id in first.given_up, "the call closed")
         self.assertLess(first.given_up[request_id] - called, 0.4)
 
+    def test_the_next_server_answers_with_a_failure_of_the_caller(self):
+        self.set_faults_in_turn(self.fleet.plain, ["late", "absent"])
+        answer = self.fleet.ask("GET", "/look/x")
+        self.assertEqual(answer.status, 404, answer.body)
+
+    def test_the_next_server_fails(self):
+        self.set_faults_in_turn(self.fleet.plain, ["late", "error"])
+        answer = self.fleet.ask("GET", "/look/x")
+        self.assertEqual(answer.status, 200, answer.body)
+
 
 if __name__ == "__main__":
     unittest.main()
