Wait no longer for a silent server that is gone

What callers saw: with nobody else to take the request, they waited until their deadline for a server that had left the list meanwhile, or that the gateway did not reach; and when the silent server's connection broke, the server called beside it could be as silent, without limit, while a third one was free.

A silent server that is gone from the list when nothing else is left, or a gateway that is cut off, ends the wait.

The wait itself does not look at the list again, and the case of a gateway that is cut off has no test.

--- a/src/relay/relay_request_silence.cc
+++ b/src/relay/relay_request_silence.cc
@@ -8,6 +8,8 @@
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/observe/event_log.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
 #include "citronlane/relay/server_attempt.h"
@@ -87,6 +89,11 @@
   if (!silent_ || SteadyNow() >= job_->deadline_) {
     return false;
   }
+  if (context_->view_->FindServer(silent_->server()) == nullptr ||
+      context_->reach_->is_cut_off()) {
+    silent_.reset();
+    return false;
+  }
   awaits_silent_ = true;
   return ResumeSilent().step_ == Step::kAnswered;
 }
--- a/tests/process/platform_silent_test.py
+++ b/tests/process/platform_silent_test.py
@@ -3,9 +3,11 @@
 answers would close the stream, or refuse a request that is being run."""
 
 import threading
+import time
 import unittest
 
 from process.platform_fleet import Fleet, new_id
+from process.platform_stand_in import Engine, PlainServer
 from process.platform_test import FleetTestCase
 from process.processes import wait_until
 
@@ -27,6 +29,24 @@
     BUDGET_WINDOW_S = 1
 
 
+class ThreeServerFleet(BudgetedFleet):
+    """Three servers of each kind, and as many attempts."""
+
+    def _make_servers(self, stages):
+        super()._make_servers(stages)
+        ip = f"{self.net}.200"
+        self.engines.append(Engine(ip, "models", "e2", "a"))
+        self.plain.append(PlainServer(ip, "shop", "p2", "a"))
+        self.list.servers = self.engines + self.plain + self.stages
+
+    def make_document(self, **changes):
+        document = super().make_document(**changes)
+        for route in document["routes"]:
+            if route["name"] != "once":
+                route.update(max_attempts=3, timeout_ms=8000)
+        return document
+
+
 class SilenceTestCase(FleetTestCase):
     def ask_all(self, count, method, path, ids=None):
         """Returns the answers to requests sent at the same time, with the
@@ -186,6 +206,34 @@
         answer = self.fleet.ask("GET", "/look/x")
         self.assertEqual(answer.status, 200, answer.body)
 
+    def test_a_silent_server_that_is_gone_from_the_list(self):
+        self.set_faults_in_turn(self.fleet.engines, ["pause", "not_run"], 20)
+        listed = self.fleet.list.servers
+        self.addCleanup(setattr, self.fleet.list, "servers", listed)
+        request_id = new_id()
+
+        def leave():
+            (first, _), = self.arrivals(self.fleet.engines, request_id)
+            self.fleet.list.servers = [server for server in listed
+                                       if server is not first]
+
+        change = threading.Timer(0.4, leave)
+        change.start()
+        begun = time.monotonic()
+        answer = self.fleet.ask("POST", "/chat/x", request_id=request_id)
+        change.join()
+        self.assertFalse(answer.whole)
+        self.assertLess(time.monotonic() - begun, 4)
+
+
+class ThreeServersTest(SilenceTestCase):
+    fleet_class = ThreeServerFleet
+
+    def test_the_silent_server_ends_and_the_next_is_silent(self):
+        self.set_faults_in_turn(self.fleet.plain, ["late_close", "hang"], 1.35)
+        answer = self.fleet.ask("GET", "/look/x")
+        self.assertEqual(answer.status, 200, answer.body)
+
 
 if __name__ == "__main__":
     unittest.main()
