Take no repeat from the budget after the deadline

What callers saw: a request whose server had not replied by the deadline still took a repeat, which was never sent and which other requests then lacked; it was logged and counted as a retry.

Evidence: the new case of process-platform-silent failed before (the log said `retry` for a request that ended at its deadline) and passes.

--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -312,19 +312,20 @@
 
 bool RelayRequest::MayRetry(const AttemptResult& ended) {
   const TimePoint now = SteadyNow();
+  const bool is_late = now >= job_->deadline_;
   bool goes_on = false;
   if (ended.step_ == Step::kNotRun) {
     const bool arrived = ended.reason_ == "server refused";
     refusals_ += arrived ? 1 : 0;
     goes_on =
-        !arrived || (refusals_ <= kMaxRefusals &&
+        !arrived || (!is_late && refusals_ <= kMaxRefusals &&
                      budget_->TryTake(now, context_->view_->GatewayCount()));
   } else {
     verdict_ = RaiseVerdict(verdict_, Verdict::kMayHaveRun);
     ++runs_;
     events_.DropPartial();
     const bool paid = ended.reason_ == "server error";
-    goes_on = job_->route_->MayRepeat() &&
+    goes_on = !is_late && job_->route_->MayRepeat() &&
               runs_ < job_->route_->max_attempts_ &&
               (paid || budget_->TryTake(now, context_->view_->GatewayCount()));
   }
--- a/tests/process/platform_silent_test.py
+++ b/tests/process/platform_silent_test.py
@@ -2,6 +2,7 @@
 its response. A gateway that leaves such a server without another one that
 answers would close the stream, or refuse a request that is being run."""
 
+import json
 import threading
 import time
 import unittest
@@ -96,6 +97,13 @@
                        if request.id == request_id),
                       key=lambda arrival: arrival[1])
 
+    def events_of(self, request_id):
+        """Returns what the gateways logged about a request."""
+        lines = [json.loads(line) for line in self.fleet.log().splitlines()
+                 if request_id in line]
+        return [line["event"] for line in lines
+                if line.get("request") == request_id]
+
 
 class NoRepeatsTest(SilenceTestCase):
     fleet_class = SilentFleet
@@ -225,6 +233,14 @@
         self.assertFalse(answer.whole)
         self.assertLess(time.monotonic() - begun, 4)
 
+    def test_no_repeat_after_the_deadline(self):
+        self.set_faults_in_turn(self.fleet.plain, ["hang"])
+        request_id = new_id()
+        answer = self.fleet.ask("GET", "/look/x", request_id=request_id,
+                                X_Citronlane_Deadline_Ms="800")
+        self.assertEqual(answer.status, 504)
+        self.assertNotIn("retry", self.events_of(request_id))
+
 
 class ThreeServersTest(SilenceTestCase):
     fleet_class = ThreeServerFleet
