Send a silent server nothing twice, and pass its failure on

What callers saw: a server that had fallen silent got the same request a second time, when the results of the stages were lost and made again. And when nothing else was left and the silent server replied with a failure, the caller got 502 in its place, though the server had answered. The silent server now stays among those tried, and its failure is passed on. Results that were made when it goes on are freed at once.

Evidence: two new cases of process-platform-silent failed before (two calls in place of one; 502 in place of 500) and pass. The freeing has no test that fails before: a trial with a pause of 1.5 s passed on both, since the next stage had taken its inputs.

--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -169,7 +169,7 @@
     case StageRunner::Result::kDone:
       return true;
     case StageRunner::Result::kInterrupted:
-      inputs_freed_ = true;
+      FreeInputs();
       return true;
     case StageRunner::Result::kCallerGone:
       break;
@@ -209,6 +209,9 @@
         return;
       }
       tried_.clear();
+      if (silent_) {
+        tried_.push_back(silent_->server());
+      }
       continue;
     }
     if (!MayRetry(ended)) {
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -121,7 +121,7 @@
     return AfterFailure(*attempt);
   }
   const bool failed = attempt->status() >= kFirstServerError;
-  if (failed && job_->route_->MayRepeat() &&
+  if (failed && !awaits_silent_ && job_->route_->MayRepeat() &&
       runs_ + 1 < job_->route_->max_attempts_ &&
       budget_->TryTake(SteadyNow(), context_->view_->GatewayCount())) {
     return {Step::kMayHaveRun, "server error"};
--- a/tests/process/platform_silent_test.py
+++ b/tests/process/platform_silent_test.py
@@ -241,6 +241,23 @@
         self.assertEqual(answer.status, 504)
         self.assertNotIn("retry", self.events_of(request_id))
 
+    def test_the_silent_server_fails_and_no_other_took_it(self):
+        self.put_attempts(3)
+        self.set_faults_in_turn(self.fleet.plain, ["late_error", "not_run"])
+        answer = self.fleet.ask("GET", "/look/x")
+        self.assertEqual(answer.status, 500, answer.body)
+        self.assertIn("x-citronlane-response-seal", answer.headers)
+
+    def test_inputs_are_lost_beside_a_silent_server(self):
+        self.set_faults_in_turn(self.fleet.engines,
+                                ["pause", "inputs_gone", "not_run"])
+        request_id = new_id()
+        self.check_streams([self.fleet.ask("POST", "/chat/x",
+                                           request_id=request_id)])
+        called = [server for server, _ in
+                  self.arrivals(self.fleet.engines, request_id)]
+        self.assertEqual(called.count(called[0]), 1)
+
 
 class ThreeServersTest(SilenceTestCase):
     fleet_class = ThreeServerFleet
