Try the next server when one does not continue a stream

The failure now counts as an attempt like others, and the stream ends when none may follow.

Evidence: the new case of process-platform-silent, with three servers, failed before (two events, then closed) and passes. Its fleet waits until gateways have their allowance for repeats: without that the case failed on this code, too, for want of one.

--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -120,19 +120,16 @@
     attempt->Cancel();
     return AfterFailure(*attempt);
   }
+  if (stream_started_) {
+    // The stream broke, and this server does not continue it.
+    return {Step::kMayHaveRun, "continuation failed"};
+  }
   const bool failed = attempt->status() >= kFirstServerError;
   if (failed && !awaits_silent_ && job_->route_->MayRepeat() &&
       runs_ + 1 < job_->route_->max_attempts_ &&
       budget_->TryTake(SteadyNow(), context_->view_->GatewayCount())) {
     return {Step::kMayHaveRun, "server error"};
   }
-  if (stream_started_) {
-    // The stream broke, and the server replied to its continuation with a
-    // failure.
-    exchange_->Abort();
-    Finish("stream broken", kOk);
-    return {};
-  }
   HttpReply reply = ResponseOf(attempt->status(), attempt->headers());
   reply.body_ = attempt->TakeData();
   verdict_ = RaiseVerdict(verdict_, Verdict::kRan);
--- a/tests/process/platform_silent_test.py
+++ b/tests/process/platform_silent_test.py
@@ -29,6 +29,11 @@
 
     BUDGET_WINDOW_S = 1
 
+    def start(self):
+        super().start()
+        # A gateway has its allowance once it has counted for a window.
+        time.sleep(self.BUDGET_WINDOW_S)
+
 
 class ThreeServerFleet(BudgetedFleet):
     """Three servers of each kind, and as many attempts."""
@@ -267,6 +272,10 @@
         answer = self.fleet.ask("GET", "/look/x")
         self.assertEqual(answer.status, 200, answer.body)
 
+    def test_a_continuation_fails(self):
+        self.set_faults_in_turn(self.fleet.engines, ["break", "absent"])
+        self.check_streams([self.fleet.ask("POST", "/chat/x")])
+
 
 if __name__ == "__main__":
     unittest.main()
