--- a/tests/process/platform_silent_test.py
+++ b/tests/process/platform_silent_test.py
@@ -263,6 +263,20 @@
                   self.arrivals(self.fleet.engines, request_id)]
         self.assertEqual(called.count(called[0]), 1)
 
+    def test_many_whole_requests_at_once(self):
+        late, other = self.fleet.plain
+        for first, second in ((late, other), (other, late)):
+            self.set_faults([first], "late")
+            self.set_faults([second], "not_run")
+            ids = [new_id() for _ in range(STREAMS)]
+            for request_id, answer in zip(ids, self.ask_all(
+                    STREAMS, "GET", "/look/x", ids)):
+                runs = self.runs(self.fleet.plain, request_id)
+                self.assertTrue(
+                    answer.status == 200 or (answer.status == 503 and not runs),
+                    f"{answer.status} after {runs} runs: {answer.body}")
+            self.setUp()
+
 
 class ThreeServersTest(SilenceTestCase):
     fleet_class = ThreeServerFleet
