--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -37,22 +37,25 @@
 }  // namespace
 
 RelayRequest::AttemptResult RelayRequest::Relay(ServerAttempt* attempt) {
-  const TimePoint reply_deadline =
-      MayCallBesideSilent()
-          ? std::min(job_->deadline_, SteadyNow() + FirstReplyLimit())
-          : job_->deadline_;
+  const TimePoint begun = SteadyNow();
   const auto has_reply = [this, attempt] {
     return attempt->has_head() || attempt->is_done() || HasSilentGoneOn();
   };
-  bool replied = false;
   if (stages_.HasWork() && !inputs_freed_) {
-    replied = waker_->WaitUntil(
-        has_reply, std::min(reply_deadline, SteadyNow() + kInputFetchTime));
-    if (!replied && !waker_->caller_gone() && SteadyNow() < reply_deadline) {
+    const bool replied = waker_->WaitUntil(
+        has_reply, std::min(job_->deadline_, begun + kInputFetchTime));
+    if (!replied && !waker_->caller_gone() && SteadyNow() < job_->deadline_) {
       FreeInputs();
     }
   }
-  replied = replied || waker_->WaitUntil(has_reply, reply_deadline);
+  if (silent_) {
+    AwaitBesideSilent(*attempt);
+  }
+  const TimePoint reply_deadline =
+      MayCallBesideSilent()
+          ? std::min(job_->deadline_, begun + FirstReplyLimit())
+          : job_->deadline_;
+  const bool replied = waker_->WaitUntil(has_reply, reply_deadline);
   if (waker_->caller_gone()) {
     return {};
   }
@@ -92,7 +95,10 @@
     attempt->Cancel();
     return {Step::kMayHaveRun, "no seal"};
   }
-  if (silent_ && !is_success) {
+  DropLostSilent();
+  const bool has_failed = attempt->status() >= kFirstServerError ||
+                          (stream_started_ && !is_success);
+  if (silent_ && has_failed) {
     attempt->Cancel();
     return {Step::kMayHaveRun, "failed beside silent server"};
   }
@@ -114,19 +120,16 @@
     attempt->Cancel();
     return AfterFailure(*attempt);
   }
+  if (stream_started_) {
+    // The stream broke, and this server does not continue it.
+    return {Step::kMayHaveRun, "continuation failed"};
+  }
   const bool failed = attempt->status() >= kFirstServerError;
-  if (failed && job_->route_->MayRepeat() &&
+  if (failed && !awaits_silent_ && job_->route_->MayRepeat() &&
       runs_ + 1 < job_->route_->max_attempts_ &&
       budget_->TryTake(SteadyNow(), context_->view_->GatewayCount())) {
     return {Step::kMayHaveRun, "server error"};
   }
-  if (stream_started_) {
-    // The stream broke, and the server replied to its continuation with a
-    // failure.
-    exchange_->Abort();
-    Finish("stream broken", kOk);
-    return {};
-  }
   HttpReply reply = ResponseOf(attempt->status(), attempt->headers());
   reply.body_ = attempt->TakeData();
   verdict_ = RaiseVerdict(verdict_, Verdict::kRan);
