Remember the software versions that server lists have shown

A stream that nobody remembers can still be continued when its service had only one version since before the stream began; the present list alone does not show that.

VersionHistory keeps, by service and version, until when lists showed it in the last 2 minutes, and the time that lists cover without a gap. A gateway's view of the fleet updates one. Nothing asks it yet.

--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -12,6 +12,7 @@
 #include "citronlane/base/time.h"
 #include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/fleet/server_incarnations.h"
+#include "citronlane/routing/version_history.h"
 #include "citronlane/serving/backend_server.h"
 #include "citronlane/serving/serving_config.h"
 #include "citronlane/state/drained_domains.h"
@@ -84,6 +85,8 @@
   const BackendServer* FindServer(std::string_view id) const;
   /// Incarnations of the listed servers, for their counts.
   const ServerIncarnations& incarnations() const { return incarnations_; }
+  /// Software versions that the server lists have shown.
+  const VersionHistory& versions() const { return versions_; }
   /// Server at the address "IP:port"; null when there is none.
   const BackendServer* ServerAt(std::string_view address) const;
   /// Failure domain of the server at the address "IP:port"; empty when there is
@@ -112,6 +115,7 @@
   DrainedDomains::Names drained_;
   std::vector<BackendServer> servers_;
   ServerIncarnations incarnations_;
+  VersionHistory versions_;
   std::map<std::string, size_t, std::less<>> by_id_;
   std::map<std::string, size_t, std::less<>> by_address_;
   std::optional<TimePoint> servers_read_;
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -29,6 +29,7 @@
     return;
   }
   servers_read_ = read;
+  versions_.Update(servers, read);
   listed_ = incarnations_.Latest(std::move(servers), read);
   UseServers();
 }
@@ -72,6 +73,7 @@
 void FleetView::ConfirmServers(TimePoint read) {
   if (servers_read_) {
     servers_read_ = std::max(*servers_read_, read);
+    versions_.Confirm(read);
   }
 }
 
--- /dev/null
+++ b/src/routing/version_history.cc
@@ -0,0 +1,122 @@
+#include "citronlane/routing/version_history.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "citronlane/serving/backend_server.h"
+
+namespace citronlane {
+namespace {
+
+/// Longer than any stream lasts with its caller's retries.
+constexpr Duration kMemory = std::chrono::minutes(2);
+/// Servers of a version that appear and end between two lists that are this far
+/// apart are unlikely.
+constexpr Duration kMaxGap = std::chrono::seconds(10);
+
+}  // namespace
+
+void VersionHistory::Update(absl::Span<const BackendServer> servers,
+                            TimePoint read) {
+  if (first_read_ && read < last_read_) {
+    return;
+  }
+  Advance(read);
+  for (auto& [service, versions] : services_) {
+    for (auto& [name, version] : versions) {
+      if (!version.gone_) {
+        version.gone_ = read;
+      }
+    }
+  }
+  for (const BackendServer& server : servers) {
+    services_[server.service_][server.version_].gone_.reset();
+  }
+  DropOld();
+}
+
+void VersionHistory::Confirm(TimePoint read) {
+  if (first_read_ && read > last_read_) {
+    Advance(read);
+    DropOld();
+  }
+}
+
+void VersionHistory::Advance(TimePoint read) {
+  if (!first_read_ || read - last_read_ > kMaxGap) {
+    first_read_ = read;
+  }
+  last_read_ = read;
+}
+
+void VersionHistory::DropOld() {
+  const TimePoint begin = Begin();
+  for (auto service = services_.begin(); service != services_.end();) {
+    Versions& versions = service->second;
+    for (auto it = versions.begin(); it != versions.end();) {
+      const bool is_old = it->second.gone_ && *it->second.gone_ < begin;
+      it = is_old ? versions.erase(it) : std::next(it);
+    }
+    service = versions.empty() ? services_.erase(service) : std::next(service);
+  }
+}
+
+TimePoint VersionHistory::Begin() const {
+  return std::max(*first_read_, last_read_ - kMemory);
+}
+
+std::optional<std::string> VersionHistory::OnlyVersionSince(
+    std::string_view service,
+    TimePoint since) const {
+  if (!first_read_ || since < Begin()) {
+    return std::nullopt;
+  }
+  const auto versions = services_.find(service);
+  if (versions == services_.end()) {
+    return std::nullopt;
+  }
+  std::optional<std::string> only;
+  for (const auto& [name, version] : versions->second) {
+    if (version.gone_ && *version.gone_ < since) {
+      continue;
+    }
+    if (only) {
+      return std::nullopt;
+    }
+    only = name;
+  }
+  return only;
+}
+
+std::optional<std::string> VersionHistory::OnlyVersion(
+    std::string_view service) const {
+  return first_read_ ? OnlyVersionSince(service, Begin()) : std::nullopt;
+}
+
+std::optional<TimePoint> VersionHistory::OnlyVersionBegin(
+    std::string_view service) const {
+  const auto versions = services_.find(service);
+  if (versions == services_.end()) {
+    return std::nullopt;
+  }
+  size_t listed = 0;
+  TimePoint begin = Begin();
+  for (const auto& [name, version] : versions->second) {
+    if (version.gone_) {
+      // At the time itself the version still counts.
+      begin = std::max(begin, *version.gone_ + Duration(1));
+    } else {
+      ++listed;
+    }
+  }
+  return listed == 1 ? std::optional(begin) : std::nullopt;
+}
+
+Duration VersionHistory::Covered(TimePoint now) const {
+  if (!first_read_ || now - last_read_ > kMaxGap) {
+    return Duration();
+  }
+  return std::min(now - *first_read_, kMemory);
+}
+
+}  // namespace citronlane
