Let a gateway remember and report what began its callers' streams

OriginWatch records the origin of each stream, reports new ones to the control VMs in batches and all of them to a new leader, and asks control about streams that began at other gateways. Requests reach it by RelayContext; it is not connected to control yet.

--- a/include/citronlane/relay/relay_context.h
+++ b/include/citronlane/relay/relay_context.h
@@ -17,6 +17,7 @@
 class FleetView;
 class LimitWatch;
 class Metrics;
+class OriginWatch;
 class PeerGateways;
 class ReachWatch;
 class RepeatBudget;
@@ -38,6 +39,7 @@
   LimitWatch* limits_ = nullptr;
   ReachWatch* reach_ = nullptr;
   PeerGateways* peers_ = nullptr;
+  OriginWatch* origins_ = nullptr;
   EventLog* log_ = nullptr;
   Metrics* metrics_ = nullptr;
   /// Router and repeat budget of a service, created on first use.
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -19,6 +19,7 @@
 #include "citronlane/relay/crash_watch.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/limit_watch.h"
+#include "citronlane/relay/origin_watch.h"
 #include "citronlane/relay/peer_gateways.h"
 #include "citronlane/relay/peer_headers.h"
 #include "citronlane/relay/reach_watch.h"
@@ -75,6 +76,7 @@
     context_.owners_ = &owners_;
     context_.crashes_ = &crashes_;
     context_.limits_ = &limits_;
+    context_.origins_ = &origins_;
     context_.reach_ = &reach_;
     context_.peers_ = &peers_;
     context_.log_ = &log_;
@@ -177,6 +179,7 @@
   LimitWatch limits_{&server_limits_,
                      &log_,
                      {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
+  OriginWatch origins_{&log_, {[](const wire::fleet::Frame&) {}, SteadyNow}};
   bool are_servers_reached_ = true;
   ReachWatch reach_{[](uint64_t) { return uint64_t{0}; }, &log_, ReachHooks()};
   PeerGateways peers_{kEndpoint, &view_, [](uint64_t) { return uint64_t{0}; }};
