Let control VMs remember what began the streams of all gateways

Streams of callers were continued at a server of another software version. The caller's next attempt may reach any gateway, and the one that began the stream may be lost, so the gateways alone can not tell.

Each control VM keeps what gateways report. The VM that gets a report passes on what was new to it to the other members, collected for a tick of 40 ms, so that the loss of the leader together with the gateway loses no stream, and that reports of everything to a new leader are not multiplied. Any of them answers; one that doesn't know the stream names the only version that lists showed.

unit-origin-watch (a gateway's watch and control's part) and unit-cluster-member (members of a real cluster on loopback reach each other, leader or not) pass.

--- a/include/citronlane/control/cluster_member.h
+++ b/include/citronlane/control/cluster_member.h
@@ -68,6 +68,9 @@
   bool HandleFrame(const std::shared_ptr<FrameChannel>& channel,
                    wire::fleet::Frame* frame,
                    TimePoint now);
+  /// Sends a frame to the other voters and learners; drops it outside of a
+  /// cluster. It is lost when a connection is.
+  void SendToMembers(const wire::fleet::Frame& frame);
   /// Opens the disk, forms or joins the cluster and advances consensus. Call at
   /// least every half heartbeat interval (40 ms).
   void Tick(TimePoint now);
--- a/include/citronlane/relay/origin_watch.h
+++ b/include/citronlane/relay/origin_watch.h
@@ -7,10 +7,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
 
 #include "citronlane/base/time.h"
+#include "citronlane/net/origin_codec.h"
 #include "citronlane/routing/stream_origins.h"
 #include "citronlane/serving/stream_origin.h"
 
@@ -84,11 +83,8 @@
     std::string service_;
     std::function<void(const Answer&)> done_;
   };
-  /// Streams by service and version.
-  using Groups =
-      std::map<std::pair<std::string, std::string>, std::vector<uint64_t>>;
 
-  void Send(const Groups& groups);
+  void Send(const StreamGroups& streams);
   void Send(uint64_t number, const Question& question);
   void LogForgotten();
 
@@ -96,7 +92,7 @@
   const Hooks hooks_;
   StreamOrigins streams_;
   /// To be reported by the next Tick().
-  Groups unreported_;
+  StreamGroups unreported_;
   std::map<uint64_t, Question> questions_;
   uint64_t last_question_ = 0;
   uint64_t logged_forgotten_ = 0;
--- a/src/control/cluster_member.cc
+++ b/src/control/cluster_member.cc
@@ -321,6 +321,20 @@
   }
 }
 
+void ClusterMember::SendToMembers(const Frame& frame) {
+  if (!driver_ || !driver_->is_formed()) {
+    return;
+  }
+  const Membership& membership = driver_->node().membership();
+  for (const auto* nodes : {&membership.voters_, &membership.learners_}) {
+    for (const auto& [id, address] : *nodes) {
+      if (id != driver_->id()) {
+        LinkTo(EndpointOf(address))->Send(frame);
+      }
+    }
+  }
+}
+
 bool ClusterMember::HandleFrame(const std::shared_ptr<FrameChannel>& channel,
                                 Frame* frame,
                                 TimePoint now) {
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -17,7 +17,9 @@
 #include "citronlane/control/detail/control_metrics.h"
 #include "citronlane/control/gateway_feed.h"
 #include "citronlane/control/operator_api.h"
+#include "citronlane/control/origin_feed.h"
 #include "citronlane/net/endpoint.h"
+#include "citronlane/net/frame_channel.h"
 #include "citronlane/net/frame_listener.h"
 #include "citronlane/net/process_signals.h"
 #include "citronlane/net/repeating_timer.h"
@@ -89,6 +91,10 @@
   GatewayFeed::Leadership Leadership() const;
   const std::vector<PooledService>& PooledServices();
   void HandleFrame(const std::shared_ptr<FrameChannel>& channel, Frame* frame);
+  void AnswerOrigin(FrameChannel* channel,
+                    const wire::fleet::StreamOriginAsk& ask,
+                    TimePoint now);
+  void Tick(TimePoint now);
   void OnLeadsChanged(bool leads);
   void ReadServers(TimePoint now);
   void Reload();
@@ -104,6 +110,7 @@
   StageClient client_;
   ServerListReader list_reader_;
   GatewayFeed feed_;
+  OriginFeed origins_;
   ClusterMember member_;
   ConfigProposer proposer_;
   OperatorApi api_;
@@ -129,6 +136,7 @@
           log,
           [this] { return Leadership(); },
           [this] { return PooledServices(); }),
+      origins_(log),
       member_(
           &io_,
           settings_,
@@ -174,8 +182,7 @@
   }
   const ProcessSignals signals(
       &io_, ProcessSignals::Hooks{[this] { Stop(); }, [this] { Reload(); }});
-  const RepeatingTimer tick(&io_, kTick,
-                            [this](TimePoint now) { member_.Tick(now); });
+  const RepeatingTimer tick(&io_, kTick, [this](TimePoint now) { Tick(now); });
   const RepeatingTimer feed(&io_, kFeedInterval,
                             [this](TimePoint now) { feed_.PushAll(now); });
   const RepeatingTimer list(&io_, kServerListInterval,
@@ -297,11 +304,32 @@
     feed_.TakeCrashes(frame->crash_reports(), now);
   } else if (frame->has_server_limits()) {
     feed_.TakeLimits(frame->server_limits(), now);
+  } else if (frame->has_stream_origins()) {
+    origins_.Take(frame->stream_origins(), now);
+  } else if (frame->has_origin_ask()) {
+    AnswerOrigin(channel.get(), frame->origin_ask(), now);
   } else {
     member_.HandleFrame(channel, frame, now);
   }
 }
 
+void ControlHost::Impl::AnswerOrigin(FrameChannel* channel,
+                                     const wire::fleet::StreamOriginAsk& ask,
+                                     TimePoint now) {
+  Frame frame;
+  origins_.AnswerTo(ask, member_.Leads(now), now,
+                    frame.mutable_origin_answer());
+  channel->Send(frame);
+}
+
+// Gateways report often; their reports are passed on together.
+void ControlHost::Impl::Tick(TimePoint now) {
+  for (const Frame& frame : origins_.TakeCopies()) {
+    member_.SendToMembers(frame);
+  }
+  member_.Tick(now);
+}
+
 void ControlHost::Impl::OnLeadsChanged(bool leads) {
   const TimePoint now = SteadyNow();
   if (leads) {
@@ -321,8 +349,9 @@
       if (std::exchange(list_failing_, false)) {
         log_->Write("control", "server list regained", {});
       }
-      feed_.SetServers(std::move(*servers), list_reader_.unusable(),
-                       SteadyNow());
+      const TimePoint read = SteadyNow();
+      origins_.SetServers(*servers, read);
+      feed_.SetServers(std::move(*servers), list_reader_.unusable(), read);
     } else if (!std::exchange(list_failing_, true)) {
       log_->Write("control", "server list lost", {{"reason", error.message_}});
     }
--- a/src/relay/origin_watch.cc
+++ b/src/relay/origin_watch.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "citronlane/net/fleet_codec.h"
 #include "citronlane/observe/event_log.h"
 #include "fleet.pb.h"
 
@@ -14,9 +15,6 @@
 constexpr Duration kStreamMemory = std::chrono::seconds(60);
 /// Streams that begin at one gateway within kStreamMemory.
 constexpr size_t kMaxStreams = size_t{1} << 18;
-/// Bounds a frame to some 32 KB, so that other frames don't wait long behind
-/// it.
-constexpr int kStreamsPerFrame = 4096;
 
 }  // namespace
 
@@ -64,20 +62,19 @@
     streams_.Record(question.stream_, *result.origin_, hooks_.now_());
   } else {
     result.only_version_ = answer.only_version();
-    result.only_version_for_ =
-        std::chrono::milliseconds(answer.only_version_ms());
+    result.only_version_for_ = FromMilliseconds(answer.only_version_ms());
   }
   question.done_(result);
 }
 
 void OriginWatch::Tick() {
-  Send(std::exchange(unreported_, Groups()));
+  Send(std::exchange(unreported_, StreamGroups()));
   LogForgotten();
 }
 
 void OriginWatch::ReportAll() {
   unreported_.clear();
-  Groups all;
+  StreamGroups all;
   streams_.ForEach([&all](uint64_t stream, const StreamOrigin& origin) {
     all[{origin.service_, origin.version_}].push_back(stream);
   });
@@ -87,28 +84,8 @@
   }
 }
 
-void OriginWatch::Send(const Groups& groups) {
-  Frame frame;
-  int in_frame = 0;
-  for (const auto& [origin, streams] : groups) {
-    wire::fleet::StreamOrigin* entry = nullptr;
-    for (const uint64_t stream : streams) {
-      if (in_frame == kStreamsPerFrame) {
-        hooks_.send_(frame);
-        frame.Clear();
-        entry = nullptr;
-        in_frame = 0;
-      }
-      if (entry == nullptr) {
-        entry = frame.mutable_stream_origins()->add_origins();
-        entry->set_service(origin.first);
-        entry->set_version(origin.second);
-      }
-      entry->add_streams(stream);
-      ++in_frame;
-    }
-  }
-  if (in_frame > 0) {
+void OriginWatch::Send(const StreamGroups& streams) {
+  for (const Frame& frame : EncodeOrigins(streams, false)) {
     hooks_.send_(frame);
   }
 }
