Connect gateways with control's memory of streams

A gateway reports each 50 ms what began since, everything to a new leader, and asks the leader. While there is none it sends to every control VM to which it is connected, and takes the answer of any.

unit-control-watch covers both, and the answers.

--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -21,6 +21,7 @@
 
 namespace wire::fleet {
 class Frame;
+class StreamOriginAnswer;
 class WatchRequest;
 class WatchUpdate;
 }  // namespace wire::fleet
@@ -51,6 +52,9 @@
     std::function<bool()> knows_gateways_;
     /// The leader was found, and Send() reaches it.
     std::function<void()> leader_found_;
+    /// Called with each answer about a stream, of any control VM. May be empty.
+    std::function<void(const wire::fleet::StreamOriginAnswer& answer)>
+        origin_answer_;
     /// Adds the pool owners that this gateway knows.
     std::function<void(wire::fleet::WatchRequest* request)> add_owners_;
   };
@@ -73,6 +77,9 @@
   void SetCutOff(bool cut_off);
   /// Sends a frame to the leader; drops it when none is connected.
   void Send(const wire::fleet::Frame& frame);
+  /// Sends a frame to the leader or, while there is none, to every control VM
+  /// to which there is a connection; drops it when there is none.
+  void SendToAny(const wire::fleet::Frame& frame);
   /// Call every 50 ms.
   void Tick(TimePoint now);
 
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -21,6 +21,7 @@
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/gateway_host.h"
 #include "citronlane/relay/limit_watch.h"
+#include "citronlane/relay/origin_watch.h"
 #include "citronlane/relay/peer_gateways.h"
 #include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
@@ -68,6 +69,7 @@
   ControlWatch::Hooks WatchHooks();
   CrashWatch::Hooks CrashHooks();
   LimitWatch::Hooks LimitHooks();
+  OriginWatch::Hooks OriginHooks();
   ReachWatch::Hooks ReachHooks();
 
   void ApplyLimits();
@@ -131,6 +133,7 @@
   EnginePlacement engines_;
   PeerGateways peers_;
   CrashWatch crashes_;
+  OriginWatch origins_;
   RelayContext context_;
   RelayService relay_;
   ControlWatch watch_;
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -71,6 +71,18 @@
   }
 }
 
+void ControlWatch::SendToAny(const Frame& frame) {
+  if (FrameLink* link = LeaderLink()) {
+    link->Send(frame);
+    return;
+  }
+  for (const auto& [endpoint, candidate] : candidates_) {
+    if (candidate.link_ && candidate.link_->is_connected()) {
+      candidate.link_->Send(frame);
+    }
+  }
+}
+
 // All known VMs while there is no leader: contacted one after the other, each
 // VM without power would delay the search for its timeout.
 std::set<std::string> ControlWatch::EndpointsToWatch() const {
@@ -176,6 +188,9 @@
 }
 
 void ControlWatch::Take(const std::string& endpoint, Frame* frame) {
+  if (frame->has_origin_answer() && hooks_.origin_answer_) {
+    hooks_.origin_answer_(frame->origin_answer());
+  }
   if (!frame->has_update()) {
     return;
   }
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -106,6 +106,7 @@
              &view_,
              [this](uint64_t below) { return random_() % below; }),
       crashes_(log, CrashHooks()),
+      origins_(log, OriginHooks()),
       context_(MakeContext()),
       relay_(&context_, settings_.memory_mb_ * kRequestsPerMegabyte),
       watch_(&io_,
@@ -142,6 +143,7 @@
   context.engines_ = &engines_;
   context.crashes_ = &crashes_;
   context.limits_ = &limits_;
+  context.origins_ = &origins_;
   context.reach_ = &reach_;
   context.peers_ = &peers_;
   context.log_ = log_;
@@ -201,6 +203,7 @@
 
 void GatewayHost::Impl::Tick(TimePoint now) {
   watch_.Tick(now);
+  origins_.Tick();
   owners_.Tick(now);
   reach_.Tick();
   for (const auto& [partition, pool] : pools_) {
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -123,6 +123,10 @@
   hooks.leader_found_ = [this] {
     crashes_.ReportAll();
     limits_.ReportAll();
+    origins_.ReportAll();
+  };
+  hooks.origin_answer_ = [this](const wire::fleet::StreamOriginAnswer& answer) {
+    origins_.Take(answer);
   };
   hooks.knows_gateways_ = [this] { return !view_.gateways().empty(); };
   return hooks;
@@ -155,6 +159,15 @@
   return hooks;
 }
 
+OriginWatch::Hooks GatewayHost::Impl::OriginHooks() {
+  OriginWatch::Hooks hooks;
+  hooks.send_ = [this](const wire::fleet::Frame& frame) {
+    watch_.SendToAny(frame);
+  };
+  hooks.now_ = SteadyNow;
+  return hooks;
+}
+
 ReachWatch::Hooks GatewayHost::Impl::ReachHooks() {
   ReachWatch::Hooks hooks;
   hooks.addresses_ = [this] {
--- a/tests/unit-control-watch.cc
+++ b/tests/unit-control-watch.cc
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,13 @@
                        ++confirmed_;
                        return;
                      }
+                     if (frame->has_origin_ask()) {
+                       ++asked_;
+                       Frame reply;
+                       reply.mutable_origin_answer()->set_version(endpoint_);
+                       channel->Send(reply);
+                       return;
+                     }
                      channel_ = channel;
                      ++requested_;
                      Push();
@@ -68,6 +76,7 @@
   bool is_silent_ = false;
   int requested_ = 0;
   int confirmed_ = 0;
+  int asked_ = 0;
   int left_ = 0;
 
  private:
@@ -97,6 +106,8 @@
   }
 
   std::optional<uint64_t> config_;
+  /// VMs that answered about a stream.
+  std::set<std::string> answered_;
   size_t gateways_ = 0;
   size_t updates_ = 0;
 
@@ -113,6 +124,10 @@
         gateways_ = static_cast<size_t>(update->gateways().gateways_size());
       }
     };
+    hooks.origin_answer_ =
+        [this](const wire::fleet::StreamOriginAnswer& answer) {
+          answered_.insert(answer.version());
+        };
     hooks.config_version_ = [this] { return config_; };
     hooks.knows_gateways_ = [this] { return gateways_ > 0; };
     hooks.add_owners_ = [](wire::fleet::WatchRequest*) {};
@@ -188,6 +203,35 @@
     }
   }
 
+  SECTION("asks about a stream") {
+    Frame ask;
+    ask.mutable_origin_ask()->set_question(1);
+    gateway.watch_.SendToAny(ask);
+    REQUIRE(gateway.Until(
+        [&] { return back.requested_ == 1 && silent.requested_ == 1; }));
+    // It was not connected when it asked.
+    CHECK(back.asked_ == 0);
+
+    SECTION("all control VMs") {
+      const std::set<std::string> both{back.endpoint_, silent.endpoint_};
+      // A connection to a silent VM ends and begins now and then.
+      REQUIRE(gateway.Until([&] {
+        gateway.watch_.SendToAny(ask);
+        return gateway.answered_ == both;
+      }));
+      CHECK_FALSE(gateway.watch_.is_connected());
+    }
+    SECTION("only the leader once there is one") {
+      back.update_.set_leads(true);
+      back.Push();
+      REQUIRE(gateway.Until([&] { return gateway.watch_.is_connected(); }));
+      gateway.watch_.SendToAny(ask);
+      REQUIRE(gateway.Until([&] { return gateway.answered_.size() == 1; }));
+      CHECK(back.asked_ == 1);
+      CHECK(silent.asked_ == 0);
+    }
+  }
+
   SECTION("connects to the leader that others name") {
     ControlVm leader(&io, FreeEndpoint(&io));
     leader.update_.set_leads(true);
