Continue a stream only at servers of the software version that began it

What callers saw: one response held events of servers of two versions.

The request now remembers the service and the version of the server that sent its first event. Another server is chosen among those of that version only, by this gateway as well as by the placement owner, whose answer is checked against this gateway's list. Before the first event every version may be tried. If no server of the version takes requests any more, the stream ends, and the log says so (stream_version_gone).

--- a/include/citronlane/base/refusal_reason.h
+++ b/include/citronlane/base/refusal_reason.h
@@ -37,6 +37,8 @@
   kCallerGone = 406,
   kCrashesServers = 407,
   kServerLimits = 408,
+  kStreamVersionGone = 409,
+  kStreamVersionUnknown = 410,
   // 5xx: control state.
   kConfigurationLeaseLapsed = 501,
   kControlUnreachable = 502,
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -20,6 +20,7 @@
 #include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/event_splitter.h"
 #include "citronlane/serving/request_fingerprint.h"
+#include "citronlane/serving/stream_origin.h"
 
 namespace citronlane {
 
@@ -101,9 +102,20 @@
       absl::Span<const std::string> excluded);
   /// How this gateway shares the limits of the service's servers.
   ServerLimits::Scope LimitScope() const;
-  /// Servers that may not get this request now: those tried, and those that
-  /// have no capacity left within their limits.
+  /// Servers that may not get this request now: those tried, those of another
+  /// version than the one that began its stream, and those that have no
+  /// capacity left within their limits.
   std::vector<std::string> Excluded();
+  // relay_request_versions.cc: which servers may continue a stream.
+  /// Whether the server may run the request, as far as its version matters.
+  bool MayContinue(const BackendServer& server) const;
+  /// Servers that were tried, and those that may not continue the stream.
+  std::vector<std::string> TriedOrOfOtherVersions() const;
+  /// Whether a server that takes requests is of the version that began the
+  /// stream.
+  bool HasServerOfOrigin() const;
+  /// Remembers what begins the stream that the caller is about to get.
+  void NoteOrigin();
   std::string PlannedDomain();
   std::string PreferredPromptDomain();
   std::string EngineDomain();
@@ -201,6 +213,8 @@
   EventSplitter events_;
   /// The call that was left because its server was silent.
   std::optional<SilentAttempt> silent_;
+  /// Software version of the silent server.
+  std::string silent_version_;
   /// Nothing is left to try but the silent server.
   bool awaits_silent_ = false;
   std::vector<std::string> tried_;
@@ -228,6 +242,9 @@
   /// No other gateway took it.
   bool is_forwarding_over_ = false;
   bool stream_started_ = false;
+  /// What began the stream that the caller has a part of; nothing while any
+  /// server may begin it.
+  std::optional<StreamOrigin> origin_;
   bool had_first_event_ = false;
   TimePoint first_event_at_;
   bool inputs_freed_ = false;
--- a/src/base/refusal_reason.cc
+++ b/src/base/refusal_reason.cc
@@ -12,7 +12,7 @@
   std::string_view sentence_;
 };
 
-constexpr std::array<ReasonRow, 34> kReasons = {{
+constexpr std::array<ReasonRow, 36> kReasons = {{
     {RefusalReason::kMalformedRequest, "malformed_request", 400,
      "The request can not be read."},
     {RefusalReason::kUnknownPipeline, "unknown_pipeline", 404,
@@ -63,6 +63,12 @@
      "request."},
     {RefusalReason::kServerLimits, "server_limits", 503,
      "The backend servers have said that they take no more requests now."},
+    {RefusalReason::kStreamVersionGone, "stream_version_gone", 503,
+     "No backend server of the version that began this stream is left. Begin "
+     "it anew."},
+    {RefusalReason::kStreamVersionUnknown, "stream_version_unknown", 503,
+     "Which version of the backend servers began this stream is not known. "
+     "Begin it anew."},
     {RefusalReason::kConfigurationLeaseLapsed, "configuration_lease_lapsed",
      503, "The gateway can not confirm its configuration."},
     {RefusalReason::kControlUnreachable, "control_unreachable", 503,
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -165,7 +165,8 @@
               [log](const HttpRequest& request, std::string_view what) {
                 log->Write("control", "response not sent",
                            {{"target", request.target_}, {"why", what}});
-              }}) {}
+              },
+              {}}) {}
 
 bool ControlHost::Impl::Run(Error* error) {
   std::error_code ignored;
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -309,6 +309,7 @@
                             {service_->name_, ToString(counted)});
   if (ended.step_ == Step::kSilent) {
     silent_.emplace(std::move(call), id, events_);
+    silent_version_ = last_version_;
   }
   return ended;
 }
--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "citronlane/base/steady_now.h"
@@ -87,8 +88,9 @@
   router_->Update(*context_->view_, SteadyNow());
   engine_.Begin(*service_, EngineDomain());
   if (engine_.is_placed_elsewhere()) {
-    const std::string named = engine_.RequestEngine(
-        EnginePlacement::Purpose::kReserve, RouterCall(), tried_);
+    const std::string named =
+        engine_.RequestEngine(EnginePlacement::Purpose::kReserve, RouterCall(),
+                              TriedOrOfOtherVersions());
     engine_.Cancel();
     if (!named.empty()) {
       reserved_engine_ = named;
@@ -122,7 +124,9 @@
         const BackendServer* server = context_->view_->FindServer(id);
         return server != nullptr && server->service_ == service_->name_;
       });
-  excluded.insert(excluded.end(), tried_.begin(), tried_.end());
+  for (std::string& server : TriedOrOfOtherVersions()) {
+    excluded.push_back(std::move(server));
+  }
   return excluded;
 }
 
@@ -132,7 +136,10 @@
 }
 
 void RelayRequest::RefuseWithoutServer() {
-  if (limits_excluded_) {
+  if (origin_ && !HasServerOfOrigin()) {
+    last_failure_ = "version gone";
+    Refuse(RefusalReason::kStreamVersionGone);
+  } else if (limits_excluded_) {
     RefuseForLimits();
   } else {
     RefuseAfterFailure();
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -197,6 +197,7 @@
   }
   if (!stream_started_) {
     stream_started_ = true;
+    NoteOrigin();
     first_event_time_ = Elapsed();
     context_->metrics_->Observe(kFirstTokenSeconds, {job_->route_->name_},
                                 first_event_time_);
--- a/src/relay/relay_request_server.cc
+++ b/src/relay/relay_request_server.cc
@@ -43,10 +43,11 @@
     return context_->view_->FindServer(reserved);
   }
   if (engine_.is_placed_elsewhere()) {
-    const std::string named = engine_.RequestEngine(
-        EnginePlacement::Purpose::kStart, RouterCall(), tried_, reserved);
+    const std::string named =
+        engine_.RequestEngine(EnginePlacement::Purpose::kStart, RouterCall(),
+                              TriedOrOfOtherVersions(), reserved);
     const BackendServer* server = context_->view_->FindServer(named);
-    if (server != nullptr && !server->leaving_) {
+    if (server != nullptr && !server->leaving_ && MayContinue(*server)) {
       is_counted_by_owner_ = true;
       return server;
     }
@@ -65,7 +66,7 @@
 
 bool RelayRequest::MayUseReserved() const {
   const BackendServer* server = context_->view_->FindServer(reserved_engine_);
-  return server != nullptr && !server->leaving_ &&
+  return server != nullptr && !server->leaving_ && MayContinue(*server) &&
          context_->limits_->limits()->MayCallReserved(reserved_engine_,
                                                       SteadyNow());
 }
@@ -130,7 +131,7 @@
     return PreferredPromptDomain();
   }
   const std::string named = engine_.RequestEngine(
-      EnginePlacement::Purpose::kPlan, RouterCall(), tried_);
+      EnginePlacement::Purpose::kPlan, RouterCall(), TriedOrOfOtherVersions());
   engine_.Cancel();
   const BackendServer* server = context_->view_->FindServer(named);
   return server == nullptr ? PreferredPromptDomain() : server->failure_domain_;
