Look up the version of a stream that a caller takes up

What callers saw: a stream whose gateway was killed, or whose connection broke, went on at a server of another version when they took it up, at that gateway or at another one. Each try was served as if it stood alone.

The gateway that gets the try now looks the stream up by the attempt that the caller names in Resumes: in its own memory, else at the control VMs. Only servers of the version that began it are called, on the service that began it even if the route has several. Without a record the stream goes on only if no other version was listed for as long as a stream may last; otherwise it is refused at once, as not run and before any stage runs, with a reason that tells the caller to begin anew (stream_version_unknown, stream_version_gone).

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -12,6 +12,7 @@
 #include "citronlane/base/time.h"
 #include "citronlane/base/verdict.h"
 #include "citronlane/relay/crash_watch.h"
+#include "citronlane/relay/origin_watch.h"
 #include "citronlane/relay/placed_engine.h"
 #include "citronlane/relay/relay_job.h"
 #include "citronlane/relay/silent_attempt.h"
@@ -116,6 +117,21 @@
   bool HasServerOfOrigin() const;
   /// Remembers what begins the stream that the caller is about to get.
   void NoteOrigin();
+  /// Whether the caller has a part of the stream from an earlier attempt.
+  bool TakesUpStream() const;
+  /// Finds out what began the stream that the caller takes up. Refuses the
+  /// request if that is not known, or if nobody may continue it; returns
+  /// whether it is known. Suspends the handler.
+  bool FindOrigin();
+  /// What control knows of the stream; nothing when it does not reply in time.
+  /// Suspends the handler.
+  std::optional<OriginWatch::Answer> AskOrigin();
+  /// The origin, if only one version of one service can have begun the stream.
+  std::optional<StreamOrigin> OnlyPossibleOrigin(
+      const std::optional<OriginWatch::Answer>& answer) const;
+  /// The route's service, unless it has several.
+  std::string_view OnlyService() const;
+  bool IsOnRoute(std::string_view service) const;
   std::string PlannedDomain();
   std::string PreferredPromptDomain();
   std::string EngineDomain();
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -73,7 +73,11 @@
 }
 
 void RelayRequest::Serve() {
-  service_ = job_->config_->FindService(ServiceName());
+  if (TakesUpStream() && !FindOrigin()) {
+    return;
+  }
+  service_ = job_->config_->FindService(
+      origin_ ? std::string_view(origin_->service_) : ServiceName());
   router_ = context_->router_(*service_);
   budget_ = context_->budget_(service_->name_);
   budget_->OnFirstSend(SteadyNow());
--- a/src/relay/relay_request_versions.cc
+++ b/src/relay/relay_request_versions.cc
@@ -2,14 +2,26 @@
 // is continued only by servers of the version that began it.
 
 #include <algorithm>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "citronlane/base/steady_now.h"
+#include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
+#include "citronlane/relay/waker.h"
 
 namespace citronlane {
+namespace {
+
+/// Control replies within a few milliseconds; a leader may just be electing.
+constexpr Duration kOriginReplyTimeout = std::chrono::milliseconds(300);
+/// An older server list may lack a version that serves.
+constexpr Duration kMaxListAge = std::chrono::seconds(3);
+
+}  // namespace
 
 bool RelayRequest::MayContinue(const BackendServer& server) const {
   return !origin_ || server.version_ == origin_->version_;
@@ -38,6 +50,104 @@
   if (!origin_) {
     origin_ = {service_->name_, last_version_};
   }
+  context_->origins_->OnBegun(job_->head_.request_id_, *origin_);
+}
+
+bool RelayRequest::TakesUpStream() const {
+  return job_->route_->kind_ == RouteKind::kStreaming &&
+         job_->head_.last_event_.has_value();
+}
+
+bool RelayRequest::FindOrigin() {
+  const std::string& resumed = job_->head_.resumed_attempt_;
+  std::string_view source = "own";
+  if (!resumed.empty()) {
+    origin_ = context_->origins_->Find(resumed);
+  }
+  if (!origin_) {
+    const auto answer = AskOrigin();
+    if (waker_->caller_gone()) {
+      return false;
+    }
+    source = "control";
+    if (answer) {
+      origin_ = answer->origin_;
+    }
+    if (!origin_) {
+      origin_ = OnlyPossibleOrigin(answer);
+      source = origin_ ? "only version" : answer ? "unknown" : "no reply";
+    }
+  }
+  const bool may_go_on =
+      origin_ && IsOnRoute(origin_->service_) && HasServerOfOrigin();
+  context_->log_->Write(
+      "relay", "stream taken up",
+      {{"request", job_->head_.request_id_},
+       {"resumes", resumed},
+       {"source", source},
+       {"service", origin_ ? origin_->service_ : std::string()},
+       {"version", origin_ ? origin_->version_ : std::string()},
+       {"goes_on", may_go_on ? "yes" : "no"},
+       {"list_age_ms",
+        context_->view_->ServersAge(SteadyNow()).value_or(Duration())}});
+  if (!origin_) {
+    last_failure_ = "version unknown";
+    Refuse(RefusalReason::kStreamVersionUnknown);
+  } else if (!may_go_on) {
+    last_failure_ = "version gone";
+    Refuse(RefusalReason::kStreamVersionGone);
+  }
+  return may_go_on;
+}
+
+std::optional<OriginWatch::Answer> RelayRequest::AskOrigin() {
+  const auto answer = std::make_shared<std::optional<OriginWatch::Answer>>();
+  const uint64_t question = context_->origins_->Ask(
+      job_->head_.resumed_attempt_, std::string(OnlyService()),
+      [answer, waker = waker_](const OriginWatch::Answer& received) {
+        *answer = received;
+        waker->Wake();
+      });
+  waker_->WaitUntil(
+      [&answer] { return answer->has_value(); },
+      std::min(job_->deadline_, SteadyNow() + kOriginReplyTimeout));
+  context_->origins_->Cancel(question);
+  return *answer;
+}
+
+std::optional<StreamOrigin> RelayRequest::OnlyPossibleOrigin(
+    const std::optional<OriginWatch::Answer>& answer) const {
+  const std::string service(OnlyService());
+  const TimePoint now = SteadyNow();
+  const auto age = context_->view_->ServersAge(now);
+  if (service.empty() || !age || *age > kMaxListAge) {
+    return std::nullopt;
+  }
+  // A stream lasts no longer than its route allows.
+  const Duration lifetime = job_->route_->timeout_;
+  const auto seen_here =
+      context_->view_->versions().OnlyVersionSince(service, now - lifetime);
+  if (seen_here) {
+    return StreamOrigin{service, *seen_here};
+  }
+  if (answer && answer->only_version_for_ >= lifetime) {
+    return StreamOrigin{service, answer->only_version_};
+  }
+  return std::nullopt;
+}
+
+std::string_view RelayRequest::OnlyService() const {
+  const auto& split = job_->route_->split_;
+  return split.size() == 1 ? std::string_view(split.front().service_)
+                           : std::string_view();
+}
+
+bool RelayRequest::IsOnRoute(std::string_view service) const {
+  const auto& split = job_->route_->split_;
+  return std::any_of(
+      split.begin(), split.end(), [service](const WeightedService& weighted) {
+        return weighted.weight_ > 0 && weighted.service_ == service;
+      });
 }
 
 }  // namespace citronlane
