Check the start time of a server that is to continue a stream

What callers could see: a stream that went on at another version because the server had started again, with that version, under its old name and address while the server list still showed the old entry. Where lists name no start time the name itself changes, and the server refuses calls for the other name.

Once such a server has begun to reply, and before anything of it is passed on, the gateway reads the server's report on itself. The server is left unless it names the start time that the list shows: since it began to reply before that, the reply is of the listed incarnation. Only continuations pay for this.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -19,6 +19,7 @@
 #include "citronlane/relay/stage_runner.h"
 #include "citronlane/routing/engine_router.h"
 #include "citronlane/routing/server_limits.h"
+#include "citronlane/serving/backend_server.h"
 #include "citronlane/serving/event_splitter.h"
 #include "citronlane/serving/request_fingerprint.h"
 #include "citronlane/serving/stream_origin.h"
@@ -30,7 +31,6 @@
 class ServerAttempt;
 class ServiceRouter;
 class Waker;
-struct BackendServer;
 struct HttpRequest;
 struct RelayContext;
 
@@ -132,6 +132,13 @@
   /// The route's service, unless it has several.
   std::string_view OnlyService() const;
   bool IsOnRoute(std::string_view service) const;
+  /// Whether the server that has begun to reply is still in the incarnation
+  /// that the list showed, so that its listed version is its own. Suspends the
+  /// handler.
+  bool IsListedIncarnation();
+  /// Start time by the last server's own report; 0 when the report names none,
+  /// nothing when there is no report. Suspends the handler.
+  std::optional<int64_t> ReportedStart();
   std::string PlannedDomain();
   std::string PreferredPromptDomain();
   std::string EngineDomain();
@@ -229,8 +236,8 @@
   EventSplitter events_;
   /// The call that was left because its server was silent.
   std::optional<SilentAttempt> silent_;
-  /// Software version of the silent server.
-  std::string silent_version_;
+  /// The silent server as it was listed when it was called.
+  BackendServer silent_server_;
   /// Nothing is left to try but the silent server.
   bool awaits_silent_ = false;
   std::vector<std::string> tried_;
@@ -271,8 +278,8 @@
   std::optional<RequestFingerprint> fingerprint_;
   std::string_view last_failure_ = "";
   std::string last_server_;
-  /// Software version of that server.
-  std::string last_version_;
+  /// The last server as it was listed when it was called.
+  BackendServer called_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/serving/dialect.h
+++ b/include/citronlane/serving/dialect.h
@@ -56,6 +56,12 @@
   std::function<std::optional<ServerPage>(std::string_view body, Error* error)>
       read_list_;
 
+  /// Path at which a server reports its own state.
+  std::string report_path_;
+  /// Start time of the server's incarnation, in milliseconds since 1970;
+  /// nothing when the report holds none.
+  std::function<std::optional<int64_t>(std::string_view body)> read_report_;
+
   std::string stage_call_path_;
   std::function<std::string(absl::Span<const StagePiece> pieces)>
       write_stage_call_;
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -286,7 +286,7 @@
   spec.connection_group_ = id;
   tried_.push_back(id);
   last_server_ = id;
-  last_version_ = server.version_;
+  called_ = server;
   auto call = std::make_unique<ServerAttempt>(
       context_, waker_, std::move(spec),
       ServerAttempt::Names{job_->head_.request_id_, service_->name_, id});
@@ -313,7 +313,7 @@
                             {service_->name_, ToString(counted)});
   if (ended.step_ == Step::kSilent) {
     silent_.emplace(std::move(call), id, events_);
-    silent_version_ = last_version_;
+    silent_server_ = called_;
   }
   return ended;
 }
@@ -344,7 +344,7 @@
       "relay", goes_on ? "retry" : "gave up",
       {{"request", job_->head_.request_id_},
        {"server", last_server_},
-       {"version", last_version_},
+       {"version", called_.version_},
        {"why", ended.reason_},
        {"content", ended.step_ == Step::kMayHaveRun ? Fingerprint().digest_
                                                     : std::string()},
@@ -377,7 +377,7 @@
        {"status", status},
        {"verdict", ToString(verdict_)},
        {"server", last_server_},
-       {"version", last_version_},
+       {"version", called_.version_},
        {"resumes", job_->head_.resumed_attempt_},
        {"tried", static_cast<uint64_t>(tried_.size())},
        {"last_failure", last_failure_},
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -34,6 +34,10 @@
 constexpr int kFirstNonSuccess = 300;
 constexpr int kConflict = 409;
 
+bool IsSuccess(int status) {
+  return status >= kOk && status < kFirstNonSuccess;
+}
+
 }  // namespace
 
 RelayRequest::AttemptResult RelayRequest::Relay(ServerAttempt* attempt) {
@@ -73,6 +77,11 @@
   if (!attempt->has_head()) {
     return AfterFailure(*attempt);
   }
+  if (origin_ && IsSuccess(attempt->status()) && !IsListedIncarnation()) {
+    attempt->Cancel();
+    verdict_ = RaiseVerdict(verdict_, Verdict::kMayHaveRun);
+    return {Step::kMayHaveRun, "server not as listed"};
+  }
   return RelayReply(attempt);
 }
 
@@ -88,8 +97,7 @@
             inputs_gone ? "inputs gone" : "server refused"};
   }
   verdict_ = RaiseVerdict(verdict_, Verdict::kMayHaveRun);
-  const bool is_success =
-      attempt->status() >= kOk && attempt->status() < kFirstNonSuccess;
+  const bool is_success = IsSuccess(attempt->status());
   if (is_success && !reply.sealed_) {
     // Without a seal the origin of the response could not be proven.
     attempt->Cancel();
--- a/src/relay/relay_request_silence.cc
+++ b/src/relay/relay_request_silence.cc
@@ -72,7 +72,7 @@
                          {"after_ms", Elapsed()}});
   events_ = kept.events();
   last_server_ = kept.server();
-  last_version_ = silent_version_;
+  called_ = silent_server_;
   // Counted when the call was left.
   unread_ = 0;
   auto attempt = kept.TakeAttempt();
--- a/src/relay/relay_request_versions.cc
+++ b/src/relay/relay_request_versions.cc
@@ -3,21 +3,31 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "citronlane/base/steady_now.h"
+#include "citronlane/net/server_call_spec.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
 #include "citronlane/relay/waker.h"
+#include "citronlane/serving/dialect.h"
+#include "citronlane/transport/stage_call.h"
+#include "citronlane/transport/stage_call_hooks.h"
+#include "citronlane/transport/stage_client.h"
+#include "citronlane/transport/stage_reply_head.h"
 
 namespace citronlane {
 namespace {
 
 /// Control replies within a few milliseconds; a leader may just be electing.
 constexpr Duration kOriginReplyTimeout = std::chrono::milliseconds(300);
+constexpr Duration kReportTimeout = std::chrono::milliseconds(300);
+constexpr int kOk = 200;
 /// An older server list may lack a version that serves.
 constexpr Duration kMaxListAge = std::chrono::seconds(3);
 
@@ -48,7 +58,7 @@
 
 void RelayRequest::NoteOrigin() {
   if (!origin_) {
-    origin_ = {service_->name_, last_version_};
+    origin_ = {service_->name_, called_.version_};
   }
   context_->origins_->OnBegun(job_->head_.request_id_, *origin_);
 }
@@ -150,4 +160,58 @@
       });
 }
 
+// A server that started again under its name may have another version than the
+// one that the list still shows. It has not done so since the list was read if
+// it names the listed start time now, after it has begun to reply.
+bool RelayRequest::IsListedIncarnation() {
+  if (called_.started_ms_ == 0) {
+    return true;
+  }
+  const auto started = ReportedStart();
+  const bool is_listed =
+      started && (*started == 0 || *started == called_.started_ms_);
+  if (!is_listed && !waker_->caller_gone()) {
+    context_->log_->Write(
+        "relay", "server not as listed",
+        {{"request", job_->head_.request_id_},
+         {"server", called_.id_},
+         {"listed_start_ms", static_cast<uint64_t>(called_.started_ms_)},
+         {"start_ms", static_cast<uint64_t>(started.value_or(0))}});
+  }
+  return is_listed;
+}
+
+std::optional<int64_t> RelayRequest::ReportedStart() {
+  struct Report {
+    int status_ = 0;
+    std::optional<CallOutcome> outcome_;
+    std::string body_;
+  };
+  const auto report = std::make_shared<Report>();
+  StageCallHooks hooks;
+  hooks.sending_ = [] { return true; };
+  hooks.head_ = [report](const StageReplyHead& head) {
+    report->status_ = head.status_;
+    return true;
+  };
+  hooks.done_ = [report, waker = waker_](CallOutcome outcome,
+                                         const std::string& body) {
+    report->outcome_ = outcome;
+    report->body_ = body;
+    waker->Wake();
+  };
+  const TimePoint until =
+      std::min(job_->deadline_, SteadyNow() + kReportTimeout);
+  StageCallSpec spec =
+      SpecFor(called_.address_, "GET", context_->dialect_->report_path_, until);
+  spec.fresh_connection_ = true;
+  const auto call = context_->client_->Start(std::move(spec), std::move(hooks));
+  waker_->WaitUntil([&report] { return report->outcome_.has_value(); }, until);
+  call->Cancel();
+  if (report->outcome_ != CallOutcome::kSuccess || report->status_ != kOk) {
+    return std::nullopt;
+  }
+  return context_->dialect_->read_report_(report->body_).value_or(0);
+}
+
 }  // namespace citronlane
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -302,6 +302,17 @@
   CHECK_FALSE(ReadList("[", &error));
 }
 
+TEST_CASE("platform reports of servers on themselves") {
+  CHECK(ReadStartTime(R"({"busy":false,"born":1796253885106})") ==
+        1796253885106);
+  for (const char* report :
+       {R"({"busy":false})", R"({"born":"1796253885106"})", R"({"born":1.5})",
+        R"({"a":{"born":1796253885106}})", R"({"born":)", "[]", ""}) {
+    CAPTURE(report);
+    CHECK_FALSE(ReadStartTime(report));
+  }
+}
+
 TEST_CASE("platform servers that start again") {
   Error error;
   const auto page = ReadList(
