Serve a request that has arrived when its idle connection is closed

Callers saw a connection reset in place of a response when their request reached a gateway beside its stop: the posted close of idle connections also hit connections whose request had arrived but was not handled yet, and a connection that finished a kept response during the stop was closed with the next request in it.

A read that has finished is not visible to the close before its coroutine goes on, so an idle connection now only waits for readability and leaves the bytes in the socket. The close asks the socket for bytes and leaves a connection that has some; its request is served with Connection: close. The idle timeout takes the same path, by a timer of the connection, because Beast's timeout does not bound a plain wait.

unit-connection-edges: two of its four sections failed before (no response to a request sent before the posted close ran, and to one behind a kept response). The window of a read that has finished but not resumed needs two threads and has no test of its own; the bytes can no longer be in it. Passed after: unit-connection-edges, unit-unanswered, unit-caller-framing, unit-answered-once, unit-fuzz-http, the unit-gateway and unit-relay tests.

--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -43,7 +43,8 @@
   /// Refuses the connection because of the connection limit and closes it. Call
   /// once, in a coroutine, instead of Run.
   void RunRefused(const boost::asio::yield_context& yield);
-  /// Closes the connection if it is waiting for its next request.
+  /// Closes the connection if it is waiting for its next request and nothing of
+  /// that has arrived.
   void CloseIfIdle();
 
   bool Reply(const HttpReply& reply) override;
@@ -71,6 +72,9 @@
   /// Reports a request whose connection closes before its whole response.
   void ReportUnanswered();
   bool WaitForFirstByte();
+  void StartIdleTimer();
+  /// Whether bytes of a further request have arrived.
+  bool HasReceived();
   bool ReadRequest(Parser* parser);
   bool ReserveBody(const Parser& parser);
   void ReleaseBody();
@@ -85,6 +89,7 @@
 
   Stream stream_;
   boost::asio::steady_timer wake_;
+  boost::asio::steady_timer idle_timer_;
   const std::shared_ptr<HttpListenerState> state_;
   const std::shared_ptr<HttpConnectionSet> peers_;
   const size_t shard_;
--- a/include/citronlane/transport/http_listener.h
+++ b/include/citronlane/transport/http_listener.h
@@ -49,7 +49,8 @@
   void CloseAfterReplies();
 
   /// Stops accepting and closes idle connections; the others are closed after
-  /// their current request. Takes effect on the threads of the contexts.
+  /// their current request, or after the one that has begun to arrive. Takes
+  /// effect on the threads of the contexts.
   void StopAccepting();
 
   /// Number of requests that are being served by the handler.
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -70,6 +70,7 @@
                                size_t shard)
     : stream_(std::move(socket)),
       wake_(*io),
+      idle_timer_(*io),
       state_(std::move(state)),
       peers_(std::move(peers)),
       shard_(shard) {
@@ -85,7 +86,9 @@
   yield_ = &yield;
   error_code error;
   stream_.socket().set_option(tcp::no_delay(true), error);
-  while (keep_alive_ && !state_->stopped_ && ServeOne()) {
+  // Applies to calls that don't wait; the asynchronous ones are unaffected.
+  stream_.socket().non_blocking(true, error);
+  while (keep_alive_ && (!state_->stopped_ || HasReceived()) && ServeOne()) {
   }
   stream_.socket().shutdown(tcp::socket::shutdown_both, error);
   stream_.close();
@@ -102,7 +105,7 @@
 }
 
 void HttpConnection::CloseIfIdle() {
-  if (idle_) {
+  if (idle_ && !HasReceived()) {
     stream_.close();
   }
 }
@@ -220,16 +223,41 @@
   if (buffer_.size() > 0) {
     return true;
   }
+  // The bytes stay in the socket until the connection is no longer idle, so
+  // that HasReceived finds every request that has arrived.
   idle_ = true;
-  stream_.expires_after(state_->limits_.idle_timeout_);
+  StartIdleTimer();
   error_code error;
-  const size_t got = stream_.async_read_some(buffer_.prepare(kFirstReadBytes),
-                                             (*yield_)[error]);
+  size_t got = 0;
+  do {
+    stream_.socket().async_wait(tcp::socket::wait_read, (*yield_)[error]);
+    if (!error) {
+      got = stream_.socket().read_some(buffer_.prepare(kFirstReadBytes), error);
+    }
+  } while (error == asio::error::would_block);
   buffer_.commit(got);
   idle_ = false;
+  idle_timer_.cancel();
   return !error;
 }
 
+void HttpConnection::StartIdleTimer() {
+  idle_timer_.expires_after(state_->limits_.idle_timeout_);
+  auto self = shared_from_this();
+  idle_timer_.async_wait([self](const error_code& error) {
+    // A timer that expired before it was cancelled reports no error.
+    if (!error &&
+        self->idle_timer_.expiry() <= asio::steady_timer::clock_type::now()) {
+      self->CloseIfIdle();
+    }
+  });
+}
+
+bool HttpConnection::HasReceived() {
+  error_code error;
+  return buffer_.size() > 0 || stream_.socket().available(error) > 0;
+}
+
 bool HttpConnection::ReadRequest(Parser* parser) {
   stream_.expires_after(state_->limits_.read_timeout_);
   error_code error;
@@ -362,7 +390,6 @@
 
 bool HttpConnection::IsClosed() {
   error_code error;
-  stream_.socket().non_blocking(true, error);
   char byte = 0;
   stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
                            error);
