Apply changed limits to connections that are waiting

The first request on a kept connection after a change of the configuration was judged by the header and body limits from before, and the connection was closed after the old idle timeout, although its caller may reuse it within the new, longer one.

The parser got its limits before the wait for the request, and the timeout of a wait was fixed at its beginning. The parser now gets them after the wait, and SetLimits counts the new idle timeout from the beginning of each wait that is going on; an older timer that has expired meanwhile finds the later end and closes nothing. A lowered timeout closes a connection that has been idle for longer at once, unless bytes of a request have arrived.

--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -46,6 +46,9 @@
   /// Closes the connection if it is waiting for its next request and nothing of
   /// that has arrived.
   void CloseIfIdle();
+  /// Applies the current idle timeout, counted from the beginning of the wait,
+  /// if the connection is waiting for its next request.
+  void UpdateIdleTimeout();
 
   bool Reply(const HttpReply& reply) override;
   bool StartStream(const HttpReply& head) override;
@@ -72,7 +75,6 @@
   /// Reports a request whose connection closes before its whole response.
   void ReportUnanswered();
   bool WaitForFirstByte();
-  void StartIdleTimer();
   /// Whether bytes of a further request have arrived.
   bool HasReceived();
   bool ReadRequest(Parser* parser);
@@ -90,6 +92,7 @@
   Stream stream_;
   boost::asio::steady_timer wake_;
   boost::asio::steady_timer idle_timer_;
+  boost::asio::steady_timer::time_point idle_since_;
   const std::shared_ptr<HttpListenerState> state_;
   const std::shared_ptr<HttpConnectionSet> peers_;
   const size_t shard_;
--- a/include/citronlane/transport/http_listener.h
+++ b/include/citronlane/transport/http_listener.h
@@ -41,7 +41,8 @@
   /// Returns the bound port. Precondition: Listen returned true.
   uint16_t port() const;
 
-  /// Sets the limits for further requests and connections. Preconditions: there
+  /// Sets the limits for further requests and connections. The idle timeout
+  /// also applies to connections that are waiting already. Preconditions: there
   /// is one shard; called on its thread.
   void SetLimits(const HttpLimits& limits);
 
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -110,6 +110,21 @@
   }
 }
 
+void HttpConnection::UpdateIdleTimeout() {
+  if (!idle_) {
+    return;
+  }
+  idle_timer_.expires_at(idle_since_ + state_->limits_.idle_timeout_);
+  auto self = shared_from_this();
+  idle_timer_.async_wait([self](const error_code& error) {
+    // A timer that expired before it was cancelled reports no error.
+    if (!error &&
+        self->idle_timer_.expiry() <= asio::steady_timer::clock_type::now()) {
+      self->CloseIfIdle();
+    }
+  });
+}
+
 // Callers pair responses with requests by their order. After a second response
 // to one request, they would match each later response with the wrong request.
 bool HttpConnection::BeginResponse(ResponseState state) {
@@ -193,10 +208,14 @@
 }
 
 bool HttpConnection::ServeOne() {
+  if (!WaitForFirstByte()) {
+    return false;
+  }
+  // The limits may have changed during the wait.
   Parser parser;
   parser.header_limit(state_->limits_.header_bytes_);
   parser.body_limit(state_->limits_.body_bytes_);
-  if (!WaitForFirstByte() || !ReadRequest(&parser)) {
+  if (!ReadRequest(&parser)) {
     ReleaseBody();
     return false;
   }
@@ -226,7 +245,8 @@
   // The bytes stay in the socket until the connection is no longer idle, so
   // that HasReceived finds every request that has arrived.
   idle_ = true;
-  StartIdleTimer();
+  idle_since_ = asio::steady_timer::clock_type::now();
+  UpdateIdleTimeout();
   error_code error;
   size_t got = 0;
   do {
@@ -241,18 +261,6 @@
   return !error;
 }
 
-void HttpConnection::StartIdleTimer() {
-  idle_timer_.expires_after(state_->limits_.idle_timeout_);
-  auto self = shared_from_this();
-  idle_timer_.async_wait([self](const error_code& error) {
-    // A timer that expired before it was cancelled reports no error.
-    if (!error &&
-        self->idle_timer_.expiry() <= asio::steady_timer::clock_type::now()) {
-      self->CloseIfIdle();
-    }
-  });
-}
-
 bool HttpConnection::HasReceived() {
   error_code error;
   return buffer_.size() > 0 || stream_.socket().available(error) > 0;
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -64,6 +64,13 @@
     return true;
   }
 
+  void SetLimits(const HttpLimits& limits) {
+    state_->limits_ = limits;
+    for (HttpConnection* connection : *connections_.front()) {
+      connection->UpdateIdleTimeout();
+    }
+  }
+
   void StopAccepting() {
     state_->close_after_replies_ = true;
     state_->stopped_ = true;
@@ -168,7 +175,7 @@
 }
 
 void HttpListener::SetLimits(const HttpLimits& limits) {
-  impl_->state()->limits_ = limits;
+  impl_->SetLimits(limits);
 }
 
 void HttpListener::CloseAfterReplies() {
--- a/tests/unit-connection-edges.cc
+++ b/tests/unit-connection-edges.cc
@@ -148,4 +148,52 @@
   }
 }
 
+TEST_CASE("a change of the limits") {
+  HttpLimits limits;
+
+  SECTION("judges the next request of a waiting connection by the new limits") {
+    limits.header_bytes_ = 16;
+    limits.body_bytes_ = 1;
+    HandRunListener run(limits);
+    run.AwaitIdle();
+    run.listener_.SetLimits(HttpLimits());
+    run.SendCall(
+        "POST /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        "Content-Length: 4\r\n\r\nbody");
+    CHECK(Contains(run.ReceiveUntilClosed(), "HTTP/1.1 200"));
+    CHECK(run.served_ == std::vector<std::string>{"/last"});
+  }
+
+  SECTION("shortens the wait of a waiting connection") {
+    HandRunListener run(limits);
+    run.AwaitIdle();
+    REQUIRE(run.listener_.connections() == 1);
+    limits.idle_timeout_ = Duration();
+    run.listener_.SetLimits(limits);
+    run.io_.poll();
+    CHECK(run.listener_.connections() == 0);
+  }
+
+  SECTION("prolongs the wait of a waiting connection") {
+    HandRunListener run(limits);
+    // The wait begins with no time, and gets more before its timer is handled.
+    run.replied_ = [&run, &limits] {
+      HttpLimits without_wait = limits;
+      without_wait.idle_timeout_ = Duration();
+      run.listener_.SetLimits(without_wait);
+      asio::post(run.io_, [&run, &limits] { run.listener_.SetLimits(limits); });
+    };
+    run.SendCall(kKeptCall);
+    while (run.served_.empty()) {
+      run.io_.run_one();
+    }
+    run.io_.poll();
+    CHECK(run.listener_.connections() == 1);
+    run.replied_ = nullptr;
+    run.SendCall(kLastCall);
+    CHECK(Contains(run.ReceiveUntilClosed(), "Connection: close"));
+    CHECK(run.served_ == std::vector<std::string>{"/kept", "/last"});
+  }
+}
+
 }  // namespace citronlane
