Let the process end only after requests that are still open

A gateway of the platform that got SIGTERM closed connections without a response when their request was still arriving, waited for the first configuration or server list, or had its response still on the way: TickStop counted only requests that run in the relay, and stopped the event loop in the same tick that queued the closing of idle connections, before a request that had arrived on one of them was read.

HttpListener counts open requests, from the first byte read to the end of the response or refusal. The loop is stopped when both listeners for callers have none, at the earliest one tick after the idle connections were closed. The end of the grace period bounds it as before.

platform_test StopTest: the new case (a request whose last byte follows after the gateway has stopped accepting) failed before, with the connection closed; all 5 cases of StopTest pass now. unit-connection-edges has the new count; it could not be built before. Passed as well: unit-unanswered, unit-answered-once, unit-gateway-feed. The waits for the first view and of slow writes are counted by the same number and have no process test of their own.

--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -70,6 +70,7 @@
   enum class ResponseState { kNone, kStreaming, kComplete };
 
   bool ServeOne();
+  bool ReadAndServe();
   bool BeginResponse(ResponseState state);
   void ReportMisuse(std::string_view what);
   /// Reports a request whose connection closes before its whole response.
--- a/include/citronlane/transport/detail/http_listener_state.h
+++ b/include/citronlane/transport/detail/http_listener_state.h
@@ -26,6 +26,8 @@
   std::atomic<bool> close_after_replies_{false};
   std::atomic<bool> stopped_{false};
   std::atomic<size_t> active_requests_{0};
+  /// Requests of which bytes were read, until their responses are sent.
+  std::atomic<size_t> open_requests_{0};
   std::atomic<size_t> connections_{0};
   /// Bytes reserved for the bodies of requests that are being read or served.
   std::atomic<uint64_t> body_bytes_{0};
--- a/include/citronlane/transport/http_listener.h
+++ b/include/citronlane/transport/http_listener.h
@@ -56,6 +56,8 @@
 
   /// Number of requests that are being served by the handler.
   size_t active_requests() const;
+  /// Number of requests that are being read, served or refused.
+  size_t open_requests() const;
   /// Number of open connections.
   size_t connections() const;
 
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -235,6 +235,9 @@
 
 void GatewayHost::Impl::TickStop(TimePoint now) {
   const Duration passed = now - stop_began_;
+  // Whether the closing of idle connections, which is queued, has taken place:
+  // any request that had arrived is counted as open after it.
+  const bool has_closed_idle = !accepting_;
   if (accepting_ && passed >= kBalancerDrainTime) {
     accepting_ = false;
     callers_.StopAccepting();
@@ -243,9 +246,11 @@
   if (passed >= settings_.grace_ - kGiveUpReserve) {
     relay_.GiveUpAll();
   }
-  const bool is_idle =
-      relay_.requests_in_flight() == 0 && owners_.served_jobs() == 0;
-  if ((!accepting_ && is_idle) || passed >= settings_.grace_ - kGraceReserve) {
+  const bool is_idle = callers_.open_requests() == 0 &&
+                       forwarded_.open_requests() == 0 &&
+                       owners_.served_jobs() == 0;
+  if ((has_closed_idle && is_idle) ||
+      passed >= settings_.grace_ - kGraceReserve) {
     io_.stop();
   }
 }
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -211,6 +211,13 @@
   if (!WaitForFirstByte()) {
     return false;
   }
+  ++state_->open_requests_;
+  const bool may_continue = ReadAndServe();
+  --state_->open_requests_;
+  return may_continue;
+}
+
+bool HttpConnection::ReadAndServe() {
   // The limits may have changed during the wait.
   Parser parser;
   parser.header_limit(state_->limits_.header_bytes_);
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -190,6 +190,10 @@
   return impl_->state()->active_requests_;
 }
 
+size_t HttpListener::open_requests() const {
+  return impl_->state()->open_requests_;
+}
+
 size_t HttpListener::connections() const {
   return impl_->state()->connections_;
 }
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -747,6 +747,32 @@
             self.fleet.start_gateway(ip)
             self.fleet.wait_ready()
 
+    def accepts(self, gateway):
+        try:
+            self.fleet.connect(gateway).close()
+            return True
+        except ConnectionError:
+            return False
+
+    def test_a_request_that_is_still_arriving_gets_its_answer(self):
+        ip = self.fleet.gateway_ips[1]
+        process = self.fleet.processes[ip]
+        head = self.fleet.head("POST", "/once/a", new_id())
+        try:
+            with self.fleet.connect(1) as sock:
+                sock.sendall(head[:-1])
+                process.send(signal.SIGTERM)
+                wait_until(lambda: not self.accepts(1),
+                           "no further connections")
+                sock.sendall(head[-1:])
+                answer = read_answer(sock)
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(answer.whole)
+            self.assertEqual(process.wait(8), 0)
+        finally:
+            self.fleet.start_gateway(ip)
+            self.fleet.wait_ready()
+
     def test_reload_cuts_nothing(self):
         for ip in self.fleet.gateway_ips + self.fleet.control_ips:
             self.fleet.processes[ip].send(signal.SIGHUP)
--- a/tests/unit-connection-edges.cc
+++ b/tests/unit-connection-edges.cc
@@ -51,6 +51,10 @@
     asio::write(caller_, asio::buffer(text));
   }
 
+  void CloseSending() {
+    caller_.shutdown(asio::ip::tcp::socket::shutdown_send);
+  }
+
   /// Runs the event loop until the connection is closed. Returns what the
   /// caller received.
   std::string ReceiveUntilClosed() {
@@ -148,6 +152,30 @@
   }
 }
 
+TEST_CASE("a request counts as open") {
+  HandRunListener run;
+  run.AwaitIdle();
+  CHECK(run.listener_.open_requests() == 0);
+
+  SECTION("from its first byte to the end of its response") {
+    run.replied_ = [&run] { CHECK(run.listener_.open_requests() == 1); };
+    run.SendCall("G");
+    run.io_.poll();
+    CHECK(run.listener_.open_requests() == 1);
+    CHECK(run.listener_.active_requests() == 0);
+    run.SendCall(std::string(kLastCall).substr(1));
+    CHECK(Contains(run.ReceiveUntilClosed(), "HTTP/1.1 200"));
+    CHECK(run.listener_.open_requests() == 0);
+  }
+
+  SECTION("until it is refused") {
+    run.SendCall("GET\r\n\r\n");
+    run.CloseSending();
+    CHECK(Contains(run.ReceiveUntilClosed(), "HTTP/1.1 400"));
+    CHECK(run.listener_.open_requests() == 0);
+  }
+}
+
 TEST_CASE("a change of the limits") {
   HttpLimits limits;
 
