--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -43,8 +43,12 @@
   /// Refuses the connection because of the connection limit and closes it. Call
   /// once, in a coroutine, instead of Run.
   void RunRefused(const boost::asio::yield_context& yield);
-  /// Closes the connection if it is waiting for its next request.
+  /// Closes the connection if it is waiting for its next request and nothing of
+  /// that has arrived.
   void CloseIfIdle();
+  /// Applies the current idle timeout, counted from the beginning of the wait,
+  /// if the connection is waiting for its next request.
+  void UpdateIdleTimeout();
 
   bool Reply(const HttpReply& reply) override;
   bool StartStream(const HttpReply& head) override;
@@ -66,11 +70,14 @@
   enum class ResponseState { kNone, kStreaming, kComplete };
 
   bool ServeOne();
+  bool ReadAndServe();
   bool BeginResponse(ResponseState state);
   void ReportMisuse(std::string_view what);
   /// Reports a request whose connection closes before its whole response.
   void ReportUnanswered();
   bool WaitForFirstByte();
+  /// Whether bytes of a further request have arrived.
+  bool HasReceived();
   bool ReadRequest(Parser* parser);
   bool ReserveBody(const Parser& parser);
   void ReleaseBody();
@@ -85,6 +92,8 @@
 
   Stream stream_;
   boost::asio::steady_timer wake_;
+  boost::asio::steady_timer idle_timer_;
+  boost::asio::steady_timer::time_point idle_since_;
   const std::shared_ptr<HttpListenerState> state_;
   const std::shared_ptr<HttpConnectionSet> peers_;
   const size_t shard_;
--- a/include/citronlane/transport/http_listener.h
+++ b/include/citronlane/transport/http_listener.h
@@ -41,7 +41,8 @@
   /// Returns the bound port. Precondition: Listen returned true.
   uint16_t port() const;
 
-  /// Sets the limits for further requests and connections. Preconditions: there
+  /// Sets the limits for further requests and connections. The idle timeout
+  /// also applies to connections that are waiting already. Preconditions: there
   /// is one shard; called on its thread.
   void SetLimits(const HttpLimits& limits);
 
@@ -49,11 +50,14 @@
   void CloseAfterReplies();
 
   /// Stops accepting and closes idle connections; the others are closed after
-  /// their current request. Takes effect on the threads of the contexts.
+  /// their current request, or after the one that has begun to arrive. Takes
+  /// effect on the threads of the contexts.
   void StopAccepting();
 
   /// Number of requests that are being served by the handler.
   size_t active_requests() const;
+  /// Number of requests that are being read, served or refused.
+  size_t open_requests() const;
   /// Number of open connections.
   size_t connections() const;
 
