Ask twice about a stream that no control VM knows yet

What callers could see: a stream that had just begun was refused as unknown at another gateway, since its report was on its way. The second question follows after 120 ms, longer than a gateway keeps a report.

--- a/src/relay/relay_request_versions.cc
+++ b/src/relay/relay_request_versions.cc
@@ -26,6 +26,8 @@
 
 /// Control replies within a few milliseconds; a leader may just be electing.
 constexpr Duration kOriginReplyTimeout = std::chrono::milliseconds(300);
+/// Gateways report streams at least this soon after they begin.
+constexpr Duration kReportDelay = std::chrono::milliseconds(120);
 constexpr Duration kReportTimeout = std::chrono::milliseconds(300);
 constexpr int kOk = 200;
 /// An older server list may lack a version that serves.
@@ -75,7 +77,13 @@
     origin_ = context_->origins_->Find(resumed);
   }
   if (!origin_) {
-    const auto answer = AskOrigin();
+    auto answer = AskOrigin();
+    if (answer && !answer->origin_ && !OnlyPossibleOrigin(answer)) {
+      // The report of a stream that has just begun may be on its way.
+      waker_->WaitUntil([] { return false; },
+                        std::min(job_->deadline_, SteadyNow() + kReportDelay));
+      answer = AskOrigin();
+    }
     if (waker_->caller_gone()) {
       return false;
     }
