Bound a whole reply by its call's deadline, not by pauses in its body

A sound server that paused for more than a second inside the body of a reply lost its call (timeout), on the product's own interface by default and elsewhere after StageLimits::read_timeout_: the limit on silence was applied to replies that are read whole, although nothing shows that another server would be faster, and a call that must not be repeated fails by it.

The limit now applies to streams only. A server that never goes on is left as before the first byte: a hedge by total time for calls that may be repeated, else the deadline.

unit-stage-client: the new case failed before (ended in the pause, no body).

--- a/include/citronlane/transport/stage_call_spec.h
+++ b/include/citronlane/transport/stage_call_spec.h
@@ -40,8 +40,8 @@
   /// Whether the body is passed to data_ in fragments instead of to done_.
   bool streams_ = false;
   TimePoint deadline_{};
-  /// Maximum time without a byte once the body has begun. The limit of the
-  /// client, StageLimits::read_timeout_, applies in any case.
+  /// Maximum time without a byte once a stream's body has begun. The limit of
+  /// the client, StageLimits::read_timeout_, applies in any case.
   std::optional<Duration> silence_limit_;
   /// Whether the silence limit applies before the body begins, too, because the
   /// server has nothing to compute first.
--- a/include/citronlane/transport/stage_limits.h
+++ b/include/citronlane/transport/stage_limits.h
@@ -15,7 +15,8 @@
   /// Maximum size of a reply's body; a larger one fails the call.
   uint64_t reply_body_bytes_ = 4ULL * 1024 * 1024;
   Duration connect_timeout_ = std::chrono::milliseconds(500);
-  /// Maximum time without a byte once the body of a reply has begun.
+  /// Maximum time without a byte once the body of a stream has begun. A reply
+  /// that is read whole is bounded by its call's deadline alone.
   Duration read_timeout_ = std::chrono::seconds(1);
   /// Maximum number of idle connections per server and client.
   size_t idle_connections_ = 64;
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -268,9 +268,9 @@
       if (!ReadReplyHead(&parser, yield)) {
         return;
       }
+      connection_->stream_.expires_at(spec_.deadline_);
       error_code error;
       while (!parser->is_done() && !error && !ended_) {
-        ExtendForRead();
         ReadSome(&*parser, nullptr, yield, &error);
       }
       if (error) {
@@ -329,7 +329,8 @@
     }
   }
 
-  /// Limits the next read by the silence limit as well as by the deadline.
+  /// Limits the next read of a stream by the silence limit as well as by the
+  /// deadline.
   void ExtendForRead() {
     const Duration limit = pool_->limits().read_timeout_;
     const Duration silence =
--- a/tests/unit-stage-client.cc
+++ b/tests/unit-stage-client.cc
@@ -1,7 +1,10 @@
 #include <catch2/catch.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
@@ -9,6 +12,7 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/transport/stage_client.h"
 #include "support/scripted_server.h"
+#include "support/threaded_listener.h"
 
 namespace citronlane {
 namespace {
@@ -91,6 +95,56 @@
   CHECK(watched.expired());
 }
 
+// A pause is no sign that another server would do better: only the deadline
+// bounds a whole reply.
+TEST_CASE("a server that pauses inside the body of a whole reply") {
+  std::promise<void> pause_ends;
+  ThreadedListener server([&pause_ends](asio::ip::tcp::socket* socket) {
+    std::string text;
+    boost::system::error_code error;
+    asio::read_until(*socket, asio::dynamic_buffer(text), "\r\n\r\n", error);
+    asio::write(*socket,
+                asio::buffer(std::string(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nha")),
+                error);
+    pause_ends.get_future().wait();
+    asio::write(*socket, asio::buffer(std::string("lf")), error);
+  });
+  asio::io_context io;
+  StageLimits limits;
+  // Any pause is longer.
+  limits.read_timeout_ = Duration();
+  StageClient client(&io, limits);
+  StageCallSpec spec;
+  spec.address_ = "127.0.0.1";
+  spec.port_ = server.port();
+  spec.target_ = "/x";
+  spec.deadline_ = SteadyNow() + std::chrono::minutes(1);
+  bool has_head = false;
+  std::vector<CallOutcome> outcomes;
+  std::string body;
+  StageCallHooks hooks;
+  hooks.sending_ = [] { return true; };
+  hooks.head_ = [&has_head](const StageReplyHead&) {
+    has_head = true;
+    return true;
+  };
+  hooks.done_ = [&outcomes, &body](CallOutcome outcome, std::string whole) {
+    outcomes.push_back(outcome);
+    body = std::move(whole);
+  };
+  client.Start(std::move(spec), std::move(hooks));
+  while (!has_head) {
+    io.run_one();
+  }
+  io.poll();
+  CHECK(outcomes.empty());
+  pause_ends.set_value();
+  io.run();
+  CHECK(outcomes == std::vector<CallOutcome>{CallOutcome::kSuccess});
+  CHECK(body == "half");
+}
+
 TEST_CASE("stage client") {
   ClientHarness harness;
 
