Let the soak serve several software versions, with releases and pauses

Callers got streams of two versions also beside releases, which the soak could not show: all its engines had one version. No stream may hold two versions; the share of streams that go on, of those with two ready engines of their version, must be at least half of the share of new ones that begin. At the end, once streams are whole without pauses, engines fall silent for 1 to 2 s and go on, which may cost no stream.

--- a/tests/process/platform_soak.py
+++ b/tests/process/platform_soak.py
@@ -5,7 +5,11 @@
 records of callers and servers.
 
     python3 -B -m process.platform_soak --seeds 5 [--first N] [--seconds S]
-        [--output FOLDER]
+        [--versions] [--output FOLDER]
+
+With --versions, engines of two versions serve, releases replace those of the
+older one, and callers take their streams up again at any gateway. At the end,
+engines fall silent for a while and go on.
 
 Each run writes a new file to FOLDER, named by its seed, with its counts, each
 violated guarantee and, if there is one, the logs of all processes.
@@ -24,7 +28,8 @@
 from process.fault_proxy import MODES, FaultProxy
 from process.platform_fleet import (Fleet, new_id, read_answer,
                                     with_more_routes)
-from process.platform_stand_in import SECOND_ANSWERS
+from process.platform_stand_in import SECOND_ANSWERS, Engine
+from process.platform_streams import Stream, VersionedFleet, run_all
 from process.processes import BUILD, wait_until
 
 CALLERS = 10
@@ -34,12 +39,21 @@
 # Numbers of routes added to the operator's documents, most of which are small.
 MORE_ROUTES = (0, 0, 0, 300, 1400)
 NOT_RUN_PROMISES = (408, 421, 429, 503)
+# Callers of streams of several versions, and the most tries for each.
+STREAM_CALLERS = 6
+MOST_TRIES = 4
+EVENT_PAUSE = 0.05
+# How long an engine that leaves still serves.
+LEAVE_SECONDS = 2.0
+# From this number of tries that take streams up on, their share counts.
+LEAST_TAKEN_UP = 12
+PAUSED_STREAMS = 12
 
 
 class Soak:
     """A run with one seed; `faults` has a line for each violated guarantee."""
 
-    def __init__(self, seed, seconds, stages=2):
+    def __init__(self, seed, seconds, stages=2, versions=False):
         self.seed = seed
         self.random = random.Random(seed)
         # A generator of its own, so that the injected faults of a seed do not
@@ -52,7 +66,18 @@
         self.acked = 0
         self.running = True
         self.lock = threading.Lock()
-        self.fleet = Fleet(controls=3, gateways=3, stages=stages)
+        self.versions = versions
+        kind = VersionedFleet if versions else Fleet
+        self.fleet = kind(controls=3, gateways=3, stages=stages)
+        # Faults that drop bytes within a stream leave gaps between its events.
+        self.modes = [mode for mode in PROXY_MODES if not versions or
+                      mode not in ("no_replies", "silent")]
+        self.former = []  # Engines that have left.
+        self.streams = []
+        self.begun = self.first_tries = 0
+        self.went_on = self.taken_up = 0
+        for engine in self.fleet.engines if versions else []:
+            engine.pause = EVENT_PAUSE
         self.account = ""
         self.kept = 0  # Requests on reused connections.
         self.stops_overlapped = 0
@@ -60,10 +85,15 @@
         ip = f"{self.fleet.net}.201"
         for server in (self.fleet.engines + self.fleet.plain +
                        self.fleet.stages):
-            proxy = FaultProxy(ip, server.address)
-            # Handles begin with the address that the list names.
-            server.address = proxy.address
-            self.proxies.append(proxy)
+            self.put_proxy(ip, server)
+
+    def put_proxy(self, ip, server):
+        """Returns the proxy that the list names in place of the server."""
+        proxy = FaultProxy(ip, server.address)
+        # Handles begin with the address that the list names.
+        server.address = proxy.address
+        self.proxies.append(proxy)
+        return proxy
 
     def fault(self, text):
         with self.lock:
@@ -76,11 +106,17 @@
             threads = [threading.Thread(target=self.call, args=(i,))
                        for i in range(CALLERS)]
             threads.append(threading.Thread(target=self.operate))
+            if self.versions:
+                threads += [threading.Thread(target=self.call_streams,
+                                             args=(i,))
+                            for i in range(STREAM_CALLERS)]
             for thread in threads:
                 thread.start()
             self.disturb()
             self.heal()
             self.check_recovery()
+            if self.versions:
+                self.check_pauses()
             self.running = False
             for thread in threads:
                 thread.join()
@@ -134,6 +170,42 @@
         for sock, _ in connections.values():
             sock.close()
 
+    def call_streams(self, index):
+        """Begins streams, cuts some of them, and takes up those that broke."""
+        source = random.Random(f"streams {index}")
+        while self.running:
+            stream = Stream(self.fleet, Engine.events)
+            self.streams.append(stream)
+            for _ in range(MOST_TRIES):
+                cut = (source.uniform(0.05, 0.25) if source.random() < 0.3
+                       else None)
+                self.ask_stream(stream, source.randrange(3), cut)
+                if stream.went_on():
+                    break
+                time.sleep(0.15)
+
+    def ask_stream(self, stream, gateway, cut):
+        """Makes a try, and counts whether the stream begins or goes on. Only
+        tries before and after which two engines of the version are listed as
+        ready count."""
+        version = stream.versions[0] if stream.events else None
+        is_served = self.ready(version) >= 2
+        one = stream.ask(gateway, cut)
+        is_served = is_served and self.ready(version) >= 2
+        with self.lock:
+            if version is None:
+                self.first_tries += 1
+                self.begun += bool(one.events)
+            elif is_served:
+                self.taken_up += 1
+                self.went_on += bool(one.events) or stream.went_on()
+
+    def ready(self, version):
+        """Returns how many engines of the version (any for None) serve."""
+        return sum(engine.state == "ready" and
+                   version in (None, engine.version)
+                   for engine in list(self.fleet.engines))
+
     def note(self, history, begun, request_id, path, gateway, sock, answer):
         """Records an exchange on a connection, for the report of a wrong
         answer."""
@@ -176,6 +248,8 @@
                  ("gateways b", lambda source: self.gateway_step(
                      source, self.fleet.gateway_ips[2:]), 0.6),
                  ("controls", self.control_step, 0.6))
+        if self.versions:
+            loops += (("releases", self.release_step, 1.0),)
         threads = [threading.Thread(target=self.disturb_one,
                                     args=(*loop, end)) for loop in loops]
         for thread in threads:
@@ -194,7 +268,7 @@
 
     def server_step(self, source):
         if source.random() < 0.5:
-            source.choice(self.proxies).set_mode(source.choice(PROXY_MODES))
+            source.choice(self.proxies).set_mode(source.choice(self.modes))
             return
         server = source.choice(self.servers())
         # Replies to stage calls have no id that could be omitted or truncated.
@@ -202,6 +276,34 @@
                  source.choice(SECOND_ANSWERS))
         server.faults += [fault] * source.randint(1, 4)
 
+    def release_step(self, _):
+        """An engine of the oldest version leaves, and one of the next version
+        comes, until two engines of the next version have come."""
+        def number(engine):
+            return int(engine.version[1:])
+        engines = list(self.fleet.engines)
+        old = min(engines, key=number)
+        newest = max(map(number, engines))
+        count = sum(number(engine) == newest for engine in engines)
+        version = f"v{newest + (count >= 2)}"
+        new = Engine(f"{self.fleet.net}.200", "models",
+                     f"e{len(engines) + len(self.former)}", old.domain,
+                     born=int(time.time() * 1000), version=version)
+        new.pause = EVENT_PAUSE
+        self.put_proxy(f"{self.fleet.net}.201", new)
+        self.fleet.engines.append(new)
+        self.list_servers()
+        old.state = "draining"
+        time.sleep(LEAVE_SECONDS)
+        self.fleet.engines.remove(old)
+        self.former.append(old)
+        self.list_servers()
+        old.stop_listening()
+        old.cut_connections()
+
+    def list_servers(self):
+        self.fleet.list.servers = self.servers()
+
     def servers(self):
         return self.fleet.engines + self.fleet.plain + self.fleet.stages
 
@@ -278,6 +380,54 @@
             if not process.running():
                 self.fault(f"{ip} ended by itself")
 
+    def check_pauses(self):
+        """No stream ends while engines fall silent for a while and go on, and
+        nothing else disturbs them. Before, as many streams have to be served
+        without pauses, so that none fails for the faults before."""
+        source = random.Random(f"{self.seed} pauses")
+
+        def settled():
+            return all(stream.went_on() for stream in self.ask_at_once())
+        wait_until(settled, "all streams whole after the faults", 30)
+        for engine in self.fleet.engines:
+            engine.pause_seconds = source.uniform(1.0, 2.0)
+            engine.faults += ["pause"] * PAUSED_STREAMS
+        streams = self.ask_at_once()
+        for engine in self.fleet.engines:
+            engine.faults.clear()
+        for stream in streams:
+            if not stream.went_on():
+                self.fault(f"a paused engine cost a stream: {stream}")
+
+    def ask_at_once(self):
+        streams = [Stream(self.fleet, Engine.events)
+                   for _ in range(PAUSED_STREAMS)]
+        self.streams += streams
+        run_all([lambda stream=stream, index=index: stream.ask(index % 3)
+                 for index, stream in enumerate(streams)])
+        return streams
+
+    def check_streams(self):
+        for stream in self.streams:
+            if len(stream.versions) > 1:
+                self.fault(f"a stream of two versions: {stream}")
+            numbers = [number for number, _ in stream.events]
+            if numbers != list(range(len(numbers))):
+                self.fault(f"a stream with a gap or a repeat: {stream}")
+            for one in stream.tries:
+                if (one.status in NOT_RUN_PROMISES and
+                        self.runs(one.id, self.fleet.engines) > 0):
+                    self.fault(f"{one.id} got {one.status} and ran")
+        if (self.taken_up >= LEAST_TAKEN_UP and 2 * self.went_on *
+                self.first_tries < self.begun * self.taken_up):
+            self.fault(f"{self.went_on} of {self.taken_up} tries for streams "
+                       f"that broke went on, and {self.begun} of "
+                       f"{self.first_tries} new ones began")
+
+    def runs(self, request_id, servers):
+        return sum(server.runs.get(request_id, 0)
+                   for server in servers + self.former)
+
     def served_everywhere(self):
         try:
             return all(self.fleet.ask("POST", path, b"", None, gateway).whole
@@ -294,13 +444,13 @@
             self.check_answer(path, request_id, answer)
             if len(self.faults) > found:
                 self.fault("on its connection:\n    " + "\n    ".join(history))
-        for server in self.fleet.stages + self.fleet.engines:
+        self.check_streams()
+        for server in self.fleet.stages + self.fleet.engines + self.former:
             for item, what in server.wrong:
                 self.fault(f"{server.id}: {item['id']} was given {what}")
 
     def check_answer(self, path, request_id, answer):
-        runs = sum(server.runs.get(request_id, 0) for server in
-                   self.fleet.plain + self.fleet.engines)
+        runs = self.runs(request_id, self.fleet.plain + self.fleet.engines)
         if path == "/once/a" and runs > 1:
             self.fault(f"{request_id} may run once and ran {runs} times")
         if answer is None:
@@ -328,11 +478,14 @@
             if own != request_id:
                 self.fault(f"{request_id} got the body {answer.body}")
             return
-        expected = "".join(f"id: {number}\ndata: {request_id} {number} v1\n\n"
-                           for number in range(6))
-        if answer.body.decode() != expected:
-            self.fault(f"{request_id} got a stream with a gap or a repeat: "
-                       f"{answer.body}")
+        versions = {engine.version for engine in
+                    self.fleet.engines + self.former}
+        expected = ["".join(
+            f"id: {number}\ndata: {request_id} {number} {version}\n\n"
+            for number in range(6)) for version in versions]
+        if answer.body.decode() not in expected:
+            self.fault(f"{request_id} got a stream with a gap, a repeat or two "
+                       f"versions: {answer.body}")
 
     def report(self):
         late = sum(server.second_answers for server in self.servers())
@@ -341,7 +494,18 @@
              f"({self.kept} on kept connections), "
              f"{dict(sorted(self.counts.items()))}, {late} second answers, "
              f"{self.stops_overlapped} signals in a stop, "
-             f"{len(self.faults)} faults"] + [f"  {text}" for text in self.faults])
+             f"{len(self.faults)} faults"] + self.stream_counts() +
+            [f"  {text}" for text in self.faults])
+
+
+    def stream_counts(self):
+        if not self.versions:
+            return []
+        mixed = sum(len(stream.versions) > 1 for stream in self.streams)
+        return [f"  {len(self.streams)} streams, {mixed} of two versions; "
+                f"{self.begun} of {self.first_tries} new ones began, "
+                f"{self.went_on} of {self.taken_up} that broke went on; "
+                f"{len(self.former)} engines left"]
 
 
 def write_apart(folder, name, text):
@@ -365,11 +529,12 @@
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--stages", type=int, default=2,
                         help="servers of the stage pool; 26 divide it")
+    parser.add_argument("--versions", action="store_true")
     parser.add_argument("--output", default=OUTPUT)
     options = parser.parse_args()
     broken = 0
     for seed in range(options.first, options.first + options.seeds):
-        soak = Soak(seed, options.seconds, options.stages)
+        soak = Soak(seed, options.seconds, options.stages, options.versions)
         try:
             soak.run()
         except Exception:
--- a/tests/process/platform_versions_test.py
+++ b/tests/process/platform_versions_test.py
@@ -2,7 +2,6 @@
 began it, within one response and over its caller's tries at all gateways, and
 that it does go on while servers of its version serve."""
 
-import http.client
 import json
 import threading
 import time
@@ -10,8 +9,8 @@
 
 from process.platform_cut_off_test import CONTACT_SECONDS, ProxiedFleet
 from process.platform_fleet import new_id
-from process.platform_stand_in import Engine
-from process.platform_test import FleetTestCase, SettledFleet
+from process.platform_streams import Stream, Try, VersionedFleet, run_all
+from process.platform_test import FleetTestCase
 from process.processes import wait_until
 
 STREAMS = 16
@@ -26,22 +25,6 @@
 REFUSAL_SECONDS = 1
 
 
-class VersionedFleet(SettledFleet):
-    """A fleet with two engines of each of two versions."""
-
-    VERSIONS = ("v1", "v1", "v2", "v2")
-
-    def _make_servers(self, stages):
-        super()._make_servers(stages)
-        for engine in self.engines:
-            engine.close()
-        self.engines = [
-            Engine(f"{self.net}.200", "models", f"e{i}", "ab"[i % 2],
-                   born=1000, version=version)
-            for i, version in enumerate(self.VERSIONS)]
-        self.list.servers = self.engines + self.plain + self.stages
-
-
 class OneVersionFleet(VersionedFleet):
     VERSIONS = ("v1",) * 4
 
@@ -50,112 +33,6 @@
     """The engines of two versions, each behind a proxy."""
 
 
-class Try:
-    """One request for a stream; `events` has the number and version of each
-    complete event."""
-
-    def __init__(self, gateway):
-        self.gateway = gateway
-        self.id = new_id()
-        self.status = 0
-        self.headers = {}
-        self.body = b""
-        self.events = []
-        self.whole = False
-        self.seconds = 0.0
-
-    def take(self, data):
-        self.body += data
-        for event in self.body.decode().split("\n\n")[len(self.events):-1]:
-            number, text = event.split("\n")
-            self.events.append((int(number.removeprefix("id: ")),
-                                text.split(" ")[-1]))
-
-
-class Stream:
-    """A caller's stream, which it takes up again when a try breaks off."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.prefix = f"{new_id()}:100"
-        self.tries = []
-        self.begun = threading.Event()
-
-    @property
-    def events(self):
-        return [event for one in self.tries for event in one.events]
-
-    @property
-    def versions(self):
-        return sorted({version for _, version in self.events})
-
-    @property
-    def first_id(self):
-        return next((one.id for one in self.tries if one.events), None)
-
-    def went_on(self):
-        """Returns whether the last try brought all that the others lacked."""
-        return (self.tries[-1].status == 200 and self.tries[-1].whole and
-                [number for number, _ in self.events] == list(range(EVENTS)))
-
-    def ask(self, gateway, seconds=None):
-        """Makes a try for what the ones before did not bring. Closes its
-        connection `seconds` after the first event, if given."""
-        headers = {"X_Citronlane_Prompt_Prefix": self.prefix}
-        if self.events:
-            headers.update(Last_Event_Id=str(self.events[-1][0]),
-                           Resumes=self.first_id)
-        one = Try(gateway)
-        self.tries.append(one)
-        sent = time.monotonic()
-        try:
-            with self.fleet.connect(gateway) as sock:
-                sock.sendall(self.fleet.head("POST", "/chat/x", one.id,
-                                             **headers))
-                self._read(one, sock, sent, seconds)
-        except (http.client.HTTPException, OSError):
-            pass  # The try is not whole.
-        return one
-
-    def _read(self, one, sock, sent, seconds):
-        reply = http.client.HTTPResponse(sock)
-        reply.begin()
-        one.seconds = time.monotonic() - sent
-        one.headers = {name.lower(): value
-                       for name, value in reply.getheaders()}
-        one.status = reply.status
-        until = None
-        while True:
-            data = reply.read1(65536)
-            if not data:
-                one.whole = True
-                return
-            if one.status != 200:
-                one.body += data
-                continue
-            one.take(data)
-            if one.events:
-                self.begun.set()
-                until = until or time.monotonic() + (seconds or 60)
-                if time.monotonic() > until:
-                    return
-
-    def __str__(self):
-        return " / ".join(
-            f"{one.id} at gateway {one.gateway}: {one.status} "
-            f"{[f'{number}@{version}' for number, version in one.events]}"
-            f"{' whole' if one.whole else ''}" for one in self.tries)
-
-
-def run_all(calls):
-    """Runs the calls at the same time."""
-    threads = [threading.Thread(target=call) for call in calls]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-
-
 class VersionsTestCase(FleetTestCase):
     fleet_class = VersionedFleet
     gateways = 3
@@ -175,7 +52,7 @@
         is given."""
         streams = []
         for _ in range(10):
-            more = [Stream(self.fleet) for _ in range(STREAMS)]
+            more = [Stream(self.fleet, EVENTS) for _ in range(STREAMS)]
             self.ask_all(more, gateway_of, BEGUN_SECONDS)
             for stream in more:
                 self.assertTrue(stream.events, stream)
@@ -220,7 +97,7 @@
         self.assertEqual(self.runs(self.fleet.engines, one.id), 0)
 
     def check_new_streams_are_served(self):
-        streams = [Stream(self.fleet) for _ in range(6)]
+        streams = [Stream(self.fleet, EVENTS) for _ in range(6)]
         self.ask_all(streams, lambda index: index % 3)
         for stream in streams:
             self.assertTrue(stream.went_on(), stream)
@@ -260,7 +137,7 @@
         for index in range(10):
             for engine in self.fleet.engines[index % 2::2]:
                 engine.faults.extend(["break"] * STREAMS)
-            streams = [Stream(self.fleet) for _ in range(STREAMS)]
+            streams = [Stream(self.fleet, EVENTS) for _ in range(STREAMS)]
             self.ask_all(streams, lambda index: index % 3)
             self.setUp()
             for engine in self.fleet.engines:
@@ -306,7 +183,7 @@
 class LostProcessTest(VersionsTestCase):
 
     def test_gateway_is_killed(self):
-        streams = [Stream(self.fleet) for _ in range(STREAMS)]
+        streams = [Stream(self.fleet, EVENTS) for _ in range(STREAMS)]
         self.addCleanup(self.start_killed)
         reading = self.begin(streams, lambda _: 0)
         self.fleet.processes[self.fleet.gateway_ips[0]].kill()
@@ -315,7 +192,7 @@
         self.check("gateway killed", streams, STREAMS // 2)
 
     def test_all_gateways_are_killed(self):
-        streams = [Stream(self.fleet) for _ in range(STREAMS)]
+        streams = [Stream(self.fleet, EVENTS) for _ in range(STREAMS)]
         self.addCleanup(self.start_killed)
         reading = self.begin(streams, lambda index: index % 3)
         for ip in self.fleet.gateway_ips:
@@ -329,7 +206,7 @@
 
     def test_leader_and_gateway_are_killed(self):
         leader = wait_until(self.leader, "a leader")
-        streams = [Stream(self.fleet) for _ in range(STREAMS)]
+        streams = [Stream(self.fleet, EVENTS) for _ in range(STREAMS)]
         self.addCleanup(self.start_killed)
         reading = self.begin(streams, lambda _: 0)
         self.fleet.processes[leader].kill()
@@ -372,7 +249,7 @@
         tries = []
 
         def ask(gateway):
-            stream = Stream(self.fleet)
+            stream = Stream(self.fleet, EVENTS)
             unknown = Try(gateway)
             unknown.events = [(number, "v1") for number in range(4)]
             stream.tries.append(unknown)
@@ -391,7 +268,7 @@
 
     def test_unknown_stream_goes_on(self):
         """All that any server has written fits together."""
-        streams = [Stream(self.fleet) for _ in range(STREAMS)]
+        streams = [Stream(self.fleet, EVENTS) for _ in range(STREAMS)]
         for stream in streams:
             unknown = Try(0)
             unknown.events = [(number, "v1") for number in range(4)]
@@ -408,7 +285,7 @@
         is listed with the old version."""
         streams, former = [], []
         for first, version in ((0, "v2"), (2, "v1")):
-            more = [Stream(self.fleet) for _ in range(2 * STREAMS)]
+            more = [Stream(self.fleet, EVENTS) for _ in range(2 * STREAMS)]
             reading = self.begin(more, lambda index: index % 3)
             engine, other = self.fleet.engines[first:first + 2]
             former.append(engine)
