Bound replies without end from servers, gateways and the platform

Callers would have seen a gateway end with all its requests: a server that sends bytes without end made the gateway read until the deadline and keep what it read.

Causes: - The body of any reply to a gateway could be 1 GiB, with 256 MB of memory. - A chunk's header and a trailer are parsed as a whole, and the read buffer had no bound. Nor had a head whose fields arrive each with the start of the next one: the parser bounds only what is left to be parsed. - A reply to another call was skipped up to the same 1 GiB. - ServerAttempt read on while its handler wrote to a slow caller. - The pages of a server list were bounded one by one. - The VM list was read with cxxtools, which bounds nothing.

Changes: - StageClient bounds the read buffer, the head as a whole and skipped bodies, and closes the connection when a call ends, also while the owner keeps the call. - ReplyMemory bounds bodies that are kept whole and incomplete events: on a gateway an eighth of its memory for all, a quarter of that for one; those up to 64 KiB do not count. The attempt ends with "reply too large" and is treated as after any other broken reply. - StageCallHooks::has_room_: an attempt with 64 KiB that the handler has not taken reads no more until it takes them. - A server list has 8 MiB at most. The VM list is read by a StageClient. - An event over 1 MiB was logged as "events out of order"; now as "reply too large".

--- a/include/citronlane/net/server_list_reader.h
+++ b/include/citronlane/net/server_list_reader.h
@@ -36,7 +36,7 @@
   /// Starts to read. Does nothing while another read is in progress; `done` is
   /// then not called. Otherwise it is called once, later, unless the reader is
   /// destroyed before. After 200 pages the pages read so far count as the
-  /// complete list.
+  /// complete list. Fails when the pages exceed 8 MiB.
   void Read(Done done);
 
   bool is_reading() const { return call_ != nullptr; }
@@ -58,6 +58,7 @@
   std::shared_ptr<StageCall> call_;
   std::vector<BackendServer> servers_;
   size_t pages_read_ = 0;
+  size_t bytes_read_ = 0;
   size_t pages_ = 1;
   size_t unusable_read_ = 0;
   size_t unusable_ = 0;
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -20,6 +20,7 @@
 #include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/event_splitter.h"
 #include "citronlane/serving/request_fingerprint.h"
+#include "citronlane/transport/held_reply.h"
 
 namespace citronlane {
 
@@ -115,6 +116,13 @@
   /// Relays a reply whose head has arrived.
   AttemptResult RelayReply(ServerAttempt* attempt);
   AttemptResult RelayBuffered(ServerAttempt* attempt);
+  /// Reads a reply's body, as far as there is memory for it: a larger one is
+  /// rejected. Returns false if the call was rejected, has not ended in time or
+  /// the caller is gone. Suspends the handler.
+  bool ReadWhole(ServerAttempt* attempt,
+                 TimePoint until,
+                 HeldReply* held,
+                 std::string* body);
   AttemptResult RelayStream(ServerAttempt* attempt);
   void FreeInputs();
   bool ForwardEvents(const std::string& events, const ServerAttempt& attempt);
@@ -194,6 +202,9 @@
   ServiceRouter* router_ = nullptr;
   RepeatBudget* budget_ = nullptr;
   EventSplitter events_;
+  /// Memory of the event that is not complete yet, also while its server is
+  /// silent.
+  std::optional<HeldReply> held_event_;
   /// The call that was left because its server was silent.
   std::optional<SilentAttempt> silent_;
   /// Nothing is left to try but the silent server.
--- a/include/citronlane/relay/server_attempt.h
+++ b/include/citronlane/relay/server_attempt.h
@@ -18,8 +18,9 @@
 class Waker;
 struct RelayContext;
 
-/// One call of a request to one backend server. Buffers the reply until the
-/// handler takes it. Used by the request's handler.
+/// One call of a request to one backend server. Buffers a bounded part of the
+/// reply's body until the handler takes it; the rest is not read before. Used
+/// by the request's handler.
 class ServerAttempt {
  public:
   /// Names for matching and logging the reply.
@@ -46,6 +47,10 @@
   /// Ends the call if it is in progress; nothing arrives afterwards.
   void Cancel();
 
+  /// Ends the call because its reply can't be used: its outcome is
+  /// kServerError.
+  void Reject();
+
   /// Whether bytes of the call were handed to a socket.
   bool was_sent() const;
   /// Whether the reply's head has arrived.
@@ -60,7 +65,8 @@
   const std::vector<HttpHeader>& headers() const;
   const ServerReplyHead& reply() const;
 
-  /// Returns the bytes of the body that arrived since the last call.
+  /// Returns the bytes of the body that arrived since the last call; reading
+  /// goes on.
   std::string TakeData();
   bool has_data() const;
 
--- a/include/citronlane/serving/event_splitter.h
+++ b/include/citronlane/serving/event_splitter.h
@@ -1,6 +1,7 @@
 #ifndef CITRONLANE_SERVING_EVENT_SPLITTER_H_
 #define CITRONLANE_SERVING_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,6 +35,7 @@
   void DropPartial() { partial_.clear(); }
 
   bool has_partial() const { return !partial_.empty(); }
+  size_t partial_bytes() const { return partial_.size(); }
   /// Number of the last complete event; nothing when there was none.
   std::optional<uint64_t> last_event() const { return last_event_; }
   uint64_t events() const { return events_; }
--- a/include/citronlane/transport/detail/connection_pool.h
+++ b/include/citronlane/transport/detail/connection_pool.h
@@ -11,6 +11,7 @@
 
 #include "citronlane/base/time.h"
 #include "citronlane/transport/detail/stage_connection.h"
+#include "citronlane/transport/reply_memory.h"
 #include "citronlane/transport/stage_limits.h"
 
 namespace citronlane::detail {
@@ -32,12 +33,15 @@
   boost::asio::io_context* io() const { return io_; }
   const StageLimits& limits() const { return limits_; }
   size_t idle_connections() const;
+  /// Memory of the replies that the client's calls keep until they are whole.
+  ReplyMemory* reply_memory() { return &reply_memory_; }
 
  private:
   void CloseExpired();
 
   boost::asio::io_context* const io_;
   const StageLimits limits_;
+  ReplyMemory reply_memory_;
   TimePoint next_expiry_check_{};
   std::map<std::string, std::vector<std::unique_ptr<StageConnection>>> idle_;
 };
--- a/include/citronlane/transport/detail/stage_connection.h
+++ b/include/citronlane/transport/detail/stage_connection.h
@@ -1,6 +1,7 @@
 #ifndef CITRONLANE_TRANSPORT_DETAIL_STAGE_CONNECTION_H_
 #define CITRONLANE_TRANSPORT_DETAIL_STAGE_CONNECTION_H_
 
+#include <cstddef>
 #include <optional>
 
 #include <boost/asio/io_context.hpp>
@@ -18,7 +19,10 @@
       boost::beast::basic_stream<boost::asio::ip::tcp,
                                  boost::asio::io_context::executor_type>;
 
-  explicit StageConnection(boost::asio::io_context* io) : stream_(*io) {}
+  /// `buffer_bytes` bounds what is read ahead, which includes any part of a
+  /// reply that can be parsed only as a whole.
+  StageConnection(boost::asio::io_context* io, size_t buffer_bytes)
+      : stream_(*io), buffer_(buffer_bytes) {}
 
   Stream stream_;
   boost::beast::flat_buffer buffer_;
--- a/include/citronlane/transport/stage_call.h
+++ b/include/citronlane/transport/stage_call.h
@@ -12,6 +12,9 @@
   /// Closes the connection; no hook is called any more. Does nothing if the
   /// call has ended.
   virtual void Cancel() = 0;
+
+  /// Call when StageCallHooks::has_room_ may have become true: reading goes on.
+  virtual void ReadOn() = 0;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/transport/stage_call_hooks.h
+++ b/include/citronlane/transport/stage_call_hooks.h
@@ -12,8 +12,8 @@
 namespace citronlane {
 
 /// Hooks of one call of a StageClient, called on the client's thread and never
-/// after StageCall::Cancel. owner_ and owner_by_body_ are optional, data_ is
-/// needed for streamed calls only; the others must be set.
+/// after StageCall::Cancel. owner_, owner_by_body_ and has_room_ are optional,
+/// data_ is needed for streamed calls only; the others must be set.
 struct StageCallHooks {
   /// Called right before the first byte is passed to the socket. Returning
   /// false ends the call without sending anything.
@@ -31,6 +31,9 @@
   std::function<bool(const StageReplyHead&)> head_;
   /// Receives a fragment of a streamed body.
   std::function<void(std::string_view)> data_;
+  /// Whether data_ takes another fragment. While it returns false, nothing is
+  /// read from the server until StageCall::ReadOn.
+  std::function<bool()> has_room_;
   /// The call has ended. Called once, unless the call was cancelled or ended by
   /// another hook. kSuccess means that a complete reply was received, whatever
   /// its status. `body` is empty for streamed calls.
--- a/include/citronlane/transport/stage_client.h
+++ b/include/citronlane/transport/stage_client.h
@@ -15,6 +15,8 @@
 
 namespace citronlane {
 
+class ReplyMemory;
+
 /// HTTP/1.1 client for calls to backend servers, with a pool of kept-alive
 /// connections per server. It sends each call at most once; retries are up
 /// to the code that starts the call. Not thread safe: used on the one thread
@@ -34,6 +36,10 @@
   /// Number of idle connections that are kept.
   size_t idle_connections() const;
 
+  /// Memory for replies that are kept until they are whole, shared by the
+  /// client's own calls and the owners of streamed ones.
+  ReplyMemory* reply_memory();
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/include/citronlane/transport/stage_limits.h
+++ b/include/citronlane/transport/stage_limits.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "citronlane/base/time.h"
 
@@ -12,8 +13,14 @@
 struct StageLimits {
   /// Maximum size of a reply's header.
   uint32_t reply_header_bytes_ = 16 * 1024;
-  /// Maximum size of a reply's body; a larger one fails the call.
+  /// Maximum size of a body that is kept whole; a larger one fails the call.
   uint64_t reply_body_bytes_ = 4ULL * 1024 * 1024;
+  /// Maximum size of all bodies that are kept whole at the same time, small
+  /// ones excepted; see ReplyMemory.
+  uint64_t total_reply_bytes_ = 64ULL * 1024 * 1024;
+  /// Maximum size of a body that is passed on in fragments; reply_body_bytes_
+  /// if unset.
+  std::optional<uint64_t> stream_bytes_;
   Duration connect_timeout_ = std::chrono::milliseconds(500);
   /// Maximum time without a byte once the body of a reply has begun.
   Duration read_timeout_ = std::chrono::seconds(1);
--- a/include/citronlane/transport/vm_list_client.h
+++ b/include/citronlane/transport/vm_list_client.h
@@ -22,9 +22,9 @@
   /// `address` is "IP:port" of the platform.
   explicit VmListClient(std::string address);
 
-  /// Requests the list and blocks until it is received, with `limit` as the
-  /// timeout for connecting and for the reply. Returns nothing and sets `error`
-  /// if there is no valid list.
+  /// Requests the list once and blocks until it is received, for `limit` at
+  /// most. Returns nothing and sets `error` if there is no valid list or it
+  /// exceeds StageLimits::reply_body_bytes_.
   std::optional<States> Get(Duration limit, Error* error) const;
 
   /// Parses the body of a reply. An unknown state counts as running. An entry
--- a/src/net/server_list_reader.cc
+++ b/src/net/server_list_reader.cc
@@ -17,6 +17,8 @@
 constexpr Duration kPageTimeout = std::chrono::milliseconds(800);
 /// More pages than any list has; bounds a list whose pages form a cycle.
 constexpr size_t kMaxPages = 200;
+/// Maximum size of all pages of a list together; some 30,000 entries.
+constexpr size_t kMaxListBytes = size_t{8} << 20;
 constexpr int kOk = 200;
 
 }  // namespace
@@ -39,6 +41,7 @@
   done_ = std::move(done);
   servers_.clear();
   pages_read_ = 0;
+  bytes_read_ = 0;
   unusable_read_ = 0;
   ReadPage("");
 }
@@ -74,6 +77,12 @@
                std::to_string(status)});
     return;
   }
+  bytes_read_ += body.size();
+  if (bytes_read_ > kMaxListBytes) {
+    Fail(Error{"the server list at " + address_ + " exceeds " +
+               std::to_string(kMaxListBytes) + " bytes"});
+    return;
+  }
   Error error;
   auto page = dialect_->read_list_(body, &error);
   if (!page) {
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -13,8 +13,8 @@
 #include "citronlane/net/repeating_timer.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/detail/gateway_host_impl.h"
+#include "citronlane/relay/server_call_limits.h"
 #include "citronlane/serving/dialect.h"
-#include "citronlane/transport/stage_limits.h"
 
 namespace citronlane {
 namespace {
@@ -56,18 +56,6 @@
   return limits;
 }
 
-StageLimits ServerCallLimits() {
-  StageLimits limits;
-  // A stream's length is limited by its deadline alone.
-  limits.reply_body_bytes_ = uint64_t{1} << 30;
-  limits.read_timeout_ = std::chrono::seconds(30);
-  // Servers limit the connections of all gateways together.
-  limits.idle_connections_ = 4;
-  // Shorter than servers usually keep idle connections.
-  limits.idle_timeout_ = std::chrono::seconds(4);
-  return limits;
-}
-
 }  // namespace
 
 GatewayHost::Impl::Impl(NodeSettings settings,
@@ -81,7 +69,7 @@
       budget_options_{settings_.repeat_ratio_, settings_.repeat_extra_,
                       settings_.repeat_window_},
       metrics_(Metrics::kDefaultMaxSeries, 1),
-      client_(&io_, ServerCallLimits()),
+      client_(&io_, ServerCallLimits(settings_.memory_mb_)),
       list_reader_(&client_, dialect, settings_.server_list_address_),
       owners_(
           &io_,
--- a/src/relay/relay_request_peers.cc
+++ b/src/relay/relay_request_peers.cc
@@ -17,9 +17,11 @@
 #include "citronlane/relay/relay_responses.h"
 #include "citronlane/relay/server_attempt.h"
 #include "citronlane/relay/waker.h"
+#include "citronlane/transport/held_reply.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
+#include "citronlane/transport/stage_client.h"
 
 namespace citronlane {
 namespace {
@@ -138,16 +140,18 @@
 
 RelayRequest::PeerResult RelayRequest::PassReply(ServerAttempt* attempt,
                                                  TimePoint reply_by) {
-  waker_->WaitUntil([attempt] { return attempt->is_done(); }, reply_by);
+  HeldReply held(context_->client_->reply_memory());
+  std::string body;
+  const bool is_whole = ReadWhole(attempt, reply_by, &held, &body);
   if (waker_->caller_gone()) {
     return PeerResult::kEnded;
   }
-  if (!attempt->is_done() || attempt->outcome() != CallOutcome::kSuccess) {
+  if (!is_whole || attempt->outcome() != CallOutcome::kSuccess) {
     EndAsLost();
     return PeerResult::kLost;
   }
   HttpReply reply = ResponseOf(attempt->status(), attempt->headers());
-  reply.body_ = attempt->TakeData();
+  reply.body_ = std::move(body);
   exchange_->Reply(reply);
   Finish("forwarded", attempt->status());
   return PeerResult::kEnded;
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "citronlane/base/steady_now.h"
@@ -13,8 +15,10 @@
 #include "citronlane/relay/service_router.h"
 #include "citronlane/relay/waker.h"
 #include "citronlane/routing/repeat_budget.h"
+#include "citronlane/transport/held_reply.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_reply.h"
+#include "citronlane/transport/stage_client.h"
 
 namespace citronlane {
 namespace {
@@ -33,6 +37,8 @@
 constexpr int kOk = 200;
 constexpr int kFirstNonSuccess = 300;
 constexpr int kConflict = 409;
+/// Reason of an attempt whose reply, or an event of it, exceeds its memory.
+constexpr std::string_view kTooLarge = "reply too large";
 
 }  // namespace
 
@@ -105,12 +111,16 @@
 
 RelayRequest::AttemptResult RelayRequest::RelayBuffered(
     ServerAttempt* attempt) {
-  const bool is_done = waker_->WaitUntil(
-      [attempt] { return attempt->is_done(); }, job_->deadline_);
+  HeldReply held(context_->client_->reply_memory());
+  std::string body;
+  const bool is_whole = ReadWhole(attempt, job_->deadline_, &held, &body);
   if (waker_->caller_gone()) {
     return {};
   }
-  if (!is_done || attempt->outcome() != CallOutcome::kSuccess) {
+  if (!is_whole && attempt->is_done()) {
+    return {Step::kMayHaveRun, kTooLarge};
+  }
+  if (!is_whole || attempt->outcome() != CallOutcome::kSuccess) {
     attempt->Cancel();
     return AfterFailure(*attempt);
   }
@@ -128,14 +138,38 @@
     return {};
   }
   HttpReply reply = ResponseOf(attempt->status(), attempt->headers());
-  reply.body_ = attempt->TakeData();
+  reply.body_ = std::move(body);
   verdict_ = RaiseVerdict(verdict_, Verdict::kRan);
   exchange_->Reply(reply);
   Finish("answered", attempt->status());
   return {};
 }
 
+bool RelayRequest::ReadWhole(ServerAttempt* attempt,
+                             TimePoint until,
+                             HeldReply* held,
+                             std::string* body) {
+  bool is_done = false;
+  while (!is_done) {
+    const bool is_ready = waker_->WaitUntil(
+        [attempt] { return attempt->has_data() || attempt->is_done(); }, until);
+    if (!is_ready || waker_->caller_gone()) {
+      return false;
+    }
+    is_done = attempt->is_done();
+    body->append(attempt->TakeData());
+    if (!held->Resize(body->size())) {
+      attempt->Reject();
+      return false;
+    }
+  }
+  return true;
+}
+
 RelayRequest::AttemptResult RelayRequest::RelayStream(ServerAttempt* attempt) {
+  if (!held_event_) {
+    held_event_.emplace(context_->client_->reply_memory());
+  }
   // An engine may take long before its first event.
   bool has_begun = false;
   while (true) {
@@ -159,10 +193,15 @@
     if (!complete.empty() && !ForwardEvents(complete, *attempt)) {
       return {};
     }
-    if (result != EventSplitter::FeedResult::kGood) {
+    if (result == EventSplitter::FeedResult::kOutOfOrder) {
       attempt->Cancel();
       return {Step::kMayHaveRun, "events out of order"};
     }
+    if (result == EventSplitter::FeedResult::kTooLarge ||
+        !held_event_->Resize(events_.partial_bytes())) {
+      attempt->Reject();
+      return {Step::kMayHaveRun, kTooLarge};
+    }
     if (!is_done) {
       continue;
     }
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -29,6 +29,9 @@
 namespace {
 
 constexpr int kFirstFailure = 400;
+/// With this many bytes of a body that the handler has not taken, no more is
+/// read from the server.
+constexpr size_t kMaxUntakenBytes = size_t{64} << 10;
 
 // Servers repeat the request id in each reply, refusals included. A reply
 // without it must not be accepted: a server that replies twice sends the
@@ -114,6 +117,7 @@
     state->data_.append(bytes);
     waker->Wake();
   };
+  hooks.has_room_ = [state] { return state->data_.size() < kMaxUntakenBytes; };
   hooks.done_ = [state, waker](CallOutcome outcome, const std::string&) {
     state->is_done_ = true;
     state->outcome_ = outcome;
@@ -134,6 +138,12 @@
   call_.reset();
 }
 
+void ServerAttempt::Reject() {
+  Cancel();
+  state_->is_done_ = true;
+  state_->outcome_ = CallOutcome::kServerError;
+}
+
 bool ServerAttempt::was_sent() const {
   return state_->was_sent_;
 }
@@ -163,7 +173,11 @@
 }
 
 std::string ServerAttempt::TakeData() {
-  return std::exchange(state_->data_, {});
+  std::string data = std::exchange(state_->data_, {});
+  if (call_) {
+    call_->ReadOn();
+  }
+  return data;
 }
 
 bool ServerAttempt::has_data() const {
--- a/src/transport/connection_pool.cc
+++ b/src/transport/connection_pool.cc
@@ -31,7 +31,7 @@
 }  // namespace
 
 ConnectionPool::ConnectionPool(asio::io_context* io, const StageLimits& limits)
-    : io_(io), limits_(limits) {}
+    : io_(io), limits_(limits), reply_memory_(limits) {}
 
 ConnectionPtr ConnectionPool::TakeIdle(const std::string& key,
                                        Duration max_idle_time) {
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -19,6 +20,7 @@
 #include "citronlane/transport/detail/coroutine.h"
 #include "citronlane/transport/detail/stage_connection.h"
 #include "citronlane/transport/detail/stage_messages.h"
+#include "citronlane/transport/held_reply.h"
 
 namespace citronlane {
 namespace {
@@ -34,6 +36,8 @@
 using Stream = detail::StageConnection::Stream;
 
 constexpr size_t kReadBufferBytes = size_t{16} * 1024;
+/// Maximum size of one read of a head.
+constexpr size_t kHeadReadBytes = 4096;
 /// TCP user timeout: a connection fails if the server acknowledges nothing for
 /// this long. Several times the kernel's first retransmissions on links with a
 /// latency of a few milliseconds.
@@ -65,15 +69,19 @@
         spec_(std::move(spec)),
         hooks_(std::move(hooks)),
         key_(spec_.address_ + ":" + std::to_string(spec_.port_) +
-             spec_.connection_group_) {}
+             spec_.connection_group_),
+        read_on_(*pool_->io()) {}
 
   void Cancel() override {
     ended_ = true;
     if (connection_) {
       connection_->stream_.close();
     }
+    read_on_.cancel();
   }
 
+  void ReadOn() override { read_on_.cancel(); }
+
   /// Destroys the hooks, which may own the owner of this call.
   void DropHooks() { hooks_ = StageCallHooks(); }
 
@@ -85,6 +93,8 @@
         ReadCompleteReply(yield);
       }
     }
+    // The owner of the call may keep it for long.
+    connection_.reset();
   }
 
  private:
@@ -105,7 +115,8 @@
         return true;
       }
     }
-    connection_ = std::make_unique<Connection>(pool_->io());
+    connection_ = std::make_unique<Connection>(
+        pool_->io(), pool_->limits().reply_header_bytes_ + kReadBufferBytes);
     error_code error;
     const auto address = asio::ip::make_address(spec_.address_, error);
     if (!error) {
@@ -155,11 +166,10 @@
     for (int skipped = 0; skipped < kMaxSkippedReplies && !ended_; ++skipped) {
       parser->emplace();
       (*parser)->header_limit(pool_->limits().reply_header_bytes_);
-      (*parser)->body_limit(pool_->limits().reply_body_bytes_);
+      (*parser)->body_limit(BodyLimit());
       (*parser)->skip(spec_.method_ == "HEAD");
       error_code error;
-      http::async_read_header(connection_->stream_, connection_->buffer_,
-                              **parser, yield[error]);
+      ReadHeader(&**parser, yield, &error);
       if (error) {
         Done(OutcomeOf(error));
         return false;
@@ -192,6 +202,53 @@
     return false;
   }
 
+  /// Reads up to the end of a head and bounds it as a whole.
+  /// http::async_read_header bounds only what is left to be parsed, which stays
+  /// small if each field arrives with the start of the next one.
+  template <typename Parser>
+  void ReadHeader(Parser* parser,
+                  const asio::yield_context& yield,
+                  error_code* error) {
+    beast::flat_buffer& buffer = connection_->buffer_;
+    size_t head_bytes = 0;
+    while (!*error && !parser->is_header_done()) {
+      const size_t parsed = parser->put(buffer.data(), *error);
+      buffer.consume(parsed);
+      head_bytes += parsed;
+      if (*error == http::error::need_more) {
+        *error = {};
+        if (head_bytes > pool_->limits().reply_header_bytes_) {
+          *error = http::error::header_limit;
+          return;
+        }
+        FillBuffer(yield, error);
+        if (*error == asio::error::eof) {
+          *error = parser->got_some() ? http::error::partial_message
+                                      : http::error::end_of_stream;
+        }
+      }
+    }
+  }
+
+  void FillBuffer(const asio::yield_context& yield, error_code* error) {
+    beast::flat_buffer& buffer = connection_->buffer_;
+    const size_t room = buffer.max_size() - buffer.size();
+    if (room == 0) {
+      *error = http::error::buffer_overflow;
+      return;
+    }
+    const size_t got = connection_->stream_.async_read_some(
+        buffer.prepare(std::min(room, kHeadReadBytes)), yield[*error]);
+    buffer.commit(got);
+  }
+
+  uint64_t BodyLimit() const {
+    const StageLimits& limits = pool_->limits();
+    return spec_.streams_
+               ? limits.stream_bytes_.value_or(limits.reply_body_bytes_)
+               : limits.reply_body_bytes_;
+  }
+
   /// Prepares for reading on after another call's reply: this call's may follow
   /// until the deadline. The connection isn't kept, since more replies to the
   /// other call may follow.
@@ -221,8 +278,12 @@
     AwaitNextReply();
     std::vector<char> sink(kReadBufferBytes);
     error_code error;
+    uint64_t skipped_bytes = 0;
     while (!parser->is_done() && !error && !ended_) {
-      ReadSome(parser, &sink, yield, &error);
+      skipped_bytes += ReadSome(parser, &sink, yield, &error);
+      if (skipped_bytes > pool_->limits().reply_body_bytes_) {
+        error = http::error::body_limit;
+      }
     }
     if (error) {
       Done(CallOutcome::kWrongId);
@@ -254,12 +315,15 @@
     return capacity - parser->get().body().size;
   }
 
-  void ReadSome(http::response_parser<http::string_body>* parser,
-                std::vector<char>* /*buffer*/,
-                const asio::yield_context& yield,
-                error_code* error) {
+  /// Returns how many bytes the body has grown by.
+  size_t ReadSome(http::response_parser<http::string_body>* parser,
+                  std::vector<char>* /*buffer*/,
+                  const asio::yield_context& yield,
+                  error_code* error) {
+    const size_t before = parser->get().body().size();
     http::async_read_some(connection_->stream_, connection_->buffer_, *parser,
                           yield[*error]);
+    return parser->get().body().size() - before;
   }
 
   void ReadCompleteReply(const asio::yield_context& yield) {
@@ -269,9 +333,13 @@
         return;
       }
       error_code error;
+      HeldReply held(pool_->reply_memory());
       while (!parser->is_done() && !error && !ended_) {
         ExtendForRead();
         ReadSome(&*parser, nullptr, yield, &error);
+        if (!held.Resize(parser->get().body().size())) {
+          error = http::error::body_limit;
+        }
       }
       if (error) {
         Done(OutcomeOf(error));
@@ -308,7 +376,7 @@
     }
     std::vector<char> buffer(kReadBufferBytes);
     bool begun = spec_.replies_immediately_;
-    while (!parser->is_done() && !ended_) {
+    while (!parser->is_done() && AwaitRoom(yield)) {
       if (begun) {
         ExtendForRead();
       }
@@ -329,6 +397,20 @@
     }
   }
 
+  /// Waits until data_ takes more. Returns false if the call has ended.
+  bool AwaitRoom(const asio::yield_context& yield) {
+    while (!ended_ && hooks_.has_room_ && !hooks_.has_room_()) {
+      if (SteadyNow() >= spec_.deadline_) {
+        Done(CallOutcome::kTimeout);
+        break;
+      }
+      error_code ignored;
+      read_on_.expires_at(spec_.deadline_);
+      read_on_.async_wait(yield[ignored]);
+    }
+    return !ended_;
+  }
+
   /// Limits the next read by the silence limit as well as by the deadline.
   void ExtendForRead() {
     const Duration limit = pool_->limits().read_timeout_;
@@ -351,6 +433,9 @@
   StageCallHooks hooks_;
   const std::string key_;
   ConnectionPtr connection_;
+  /// Runs while nothing is read because data_ takes no more; cancelled to read
+  /// on.
+  asio::steady_timer read_on_;
   /// Head of the current reply.
   StageReplyHead head_;
   bool reused_connection_ = false;
@@ -392,4 +477,8 @@
   return impl_->pool_->idle_connections();
 }
 
+ReplyMemory* StageClient::reply_memory() {
+  return impl_->pool_->reply_memory();
+}
+
 }  // namespace citronlane
--- a/src/transport/vm_list_client.cc
+++ b/src/transport/vm_list_client.cc
@@ -1,21 +1,23 @@
 #include "citronlane/transport/vm_list_client.h"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/timespan.h>
-
 #include <cstdint>
-#include <exception>
+#include <memory>
 #include <utility>
 
+#include <boost/asio/io_context.hpp>
+
+#include "citronlane/base/steady_now.h"
 #include "citronlane/json/fault.h"
 #include "citronlane/json/parse.h"
 #include "citronlane/json/value.h"
+#include "citronlane/net/server_call_spec.h"
+#include "citronlane/transport/stage_client.h"
+#include "citronlane/transport/stage_reply_head.h"
 
 namespace citronlane {
 namespace {
 
-constexpr unsigned kOk = 200;
+constexpr int kOk = 200;
 /// 2^53, up to which a double represents every integer.
 constexpr double kMaxIncarnation = 9007199254740992.0;
 
@@ -44,27 +46,39 @@
 
 std::optional<VmListClient::States> VmListClient::Get(Duration limit,
                                                       Error* error) const {
-  const size_t colon = address_.rfind(':');
-  const cxxtools::Milliseconds timeout(
-      std::chrono::duration<double, std::milli>(limit).count());
-  try {
-    // The library may send the request twice, which is harmless for a GET.
-    cxxtools::http::Client client(
-        address_.substr(0, colon),
-        static_cast<uint16_t>(std::stoul(address_.substr(colon + 1))));
-    cxxtools::http::Request request("/v1/vms");
-    client.execute(request, timeout, timeout);
-    client.readBody();
-    if (client.header().httpReturnCode() != kOk) {
-      error->message_ = "The platform replied with status " +
-                        std::to_string(client.header().httpReturnCode()) + ".";
-      return std::nullopt;
-    }
-    return Parse(client.body(), error);
-  } catch (const std::exception& failure) {
-    error->message_ = failure.what();
+  StageLimits limits;
+  limits.connect_timeout_ = limit;
+  limits.read_timeout_ = limit;
+  StageCallSpec spec = SpecFor(address_, "GET", "/v1/vms", SteadyNow() + limit);
+  spec.fresh_connection_ = true;
+  int status = 0;
+  CallOutcome outcome = CallOutcome::kCancelled;
+  std::string body;
+  StageCallHooks hooks;
+  hooks.sending_ = [] { return true; };
+  hooks.head_ = [&status](const StageReplyHead& head) {
+    status = head.status_;
+    return true;
+  };
+  hooks.done_ = [&](CallOutcome ended, std::string got) {
+    outcome = ended;
+    body = std::move(got);
+  };
+  boost::asio::io_context io(1);
+  StageClient client(&io, limits);
+  client.Start(std::move(spec), std::move(hooks));
+  io.run();
+  if (outcome != CallOutcome::kSuccess) {
+    error->message_ = "The call to the platform at " + address_ +
+                      " ended with " + std::string(ToString(outcome)) + ".";
+    return std::nullopt;
+  }
+  if (status != kOk) {
+    error->message_ =
+        "The platform replied with status " + std::to_string(status) + ".";
     return std::nullopt;
   }
+  return Parse(body, error);
 }
 
 std::optional<VmListClient::States> VmListClient::Parse(std::string_view body,
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -50,8 +50,10 @@
   RelayGateway(boost::asio::io_context* io,
                ServingConfig::Parts parts,
                const std::string& service,
-               std::vector<BackendServer> servers)
+               std::vector<BackendServer> servers,
+               const StageLimits& limits = StageLimits())
       : io_(io),
+        client_(io, limits),
         router_(service, false, std::chrono::seconds(1), "a", [](uint64_t) {
           return uint64_t{0};
         }) {
@@ -133,6 +135,8 @@
     return reports_;
   }
   RelayService* service() { return &service_; }
+  /// All lines of the gateway's log.
+  const std::vector<std::string>& log_lines() const { return log_lines_; }
 
  private:
   CrashWatch::Hooks CrashHooks() {
@@ -168,10 +172,14 @@
   boost::asio::io_context* const io_;
   const Dialect dialect_ = platform::MakeDialect();
   FleetView view_;
-  StageClient client_{io_, StageLimits()};
+  StageClient client_;
+  std::vector<std::string> log_lines_;
   EventLog log_{"gateway",
-                {[](std::string_view) { return true; }, SteadyNow,
-                 [] { return int64_t{0}; }}};
+                {[this](std::string_view line) {
+                   log_lines_.emplace_back(line);
+                   return true;
+                 },
+                 SteadyNow, [] { return int64_t{0}; }}};
   Metrics metrics_;
   ServerLimits server_limits_{"gateway"};
   LimitWatch limits_{&server_limits_,
