--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -277,8 +277,8 @@
 
     pause_seconds = 2.0
 
-    def __init__(self, *args):
-        super().__init__(*args)
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
         self.given_up = {}
 
     def answer(self, connection, request, fault=None):
