See the end of a server that had fallen silent

What callers saw: a server that fell silent and then crashed was not seen to crash, so that the request under which it ended was sent to further servers: whether the server survived was asked when it fell silent, not when its call ended. It is now asked at the end of the call. A server that goes on also keeps its time of the first event, and results that were made for the next server are freed at once.

Evidence: the new case of process-platform-silent failed before (no `server ended` within 20 s) and passes, with the 20 others; process-platform-crashes, unit-relay-crashes, unit-relay-service, unit-relay-forwarded and unit-answered-once pass.

--- /dev/null
+++ b/include/citronlane/relay/called_server.h
@@ -0,0 +1,21 @@
+#ifndef CITRONLANE_RELAY_CALLED_SERVER_H_
+#define CITRONLANE_RELAY_CALLED_SERVER_H_
+
+#include <string>
+
+#include "citronlane/base/time.h"
+
+namespace citronlane {
+
+/// What is needed to tell from the end of a call whether its server crashed.
+struct CalledServer {
+  std::string id_;
+  std::string address_;
+  std::string version_;
+  bool had_first_event_ = false;
+  TimePoint first_event_at_;
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_RELAY_CALLED_SERVER_H_
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -128,9 +128,7 @@
   bool RefuseIfLimited();
   bool AreAllServersLimited() const;
   /// Reports whether the call's server crashed or survived.
-  void NoteSurvival(const std::string& server,
-                    const std::string& address,
-                    const ServerAttempt& attempt);
+  void NoteSurvival(const CalledServer& called, const ServerAttempt& attempt);
   /// Whether another attempt may follow one that ended with `ended`.
   bool MayRetry(const AttemptResult& ended);
   std::optional<Duration> StallLimit() const;
@@ -145,6 +143,8 @@
   bool HasSilentGoneOn() const;
   /// Leaves the silent server if no good reply of it can follow.
   void DropLostSilent();
+  /// Ends the call of the silent server, if there is one.
+  void DropSilent();
   /// Waits until `other`, called beside the silent server, has replied or
   /// failed, or only one of the two is left. Suspends the handler.
   void AwaitBesideSilent(const ServerAttempt& other);
--- a/include/citronlane/relay/silent_attempt.h
+++ b/include/citronlane/relay/silent_attempt.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "citronlane/relay/called_server.h"
 #include "citronlane/serving/event_splitter.h"
 
 namespace citronlane {
@@ -18,7 +19,7 @@
   /// `attempt` must not be null. `events` is the state of the stream after what
   /// the server has sent.
   SilentAttempt(std::unique_ptr<ServerAttempt> attempt,
-                std::string server,
+                CalledServer called,
                 EventSplitter events);
   /// Ends the call.
   ~SilentAttempt();
@@ -35,14 +36,16 @@
   /// The call, for going on with it; the object must not be used afterwards.
   std::unique_ptr<ServerAttempt> TakeAttempt();
 
-  const std::string& server() const { return server_; }
+  const std::string& server() const { return called_.id_; }
+  const CalledServer& called() const { return called_; }
+  const ServerAttempt& attempt() const { return *attempt_; }
   const EventSplitter& events() const { return events_; }
 
  private:
   bool HasGoodHead() const;
 
   std::unique_ptr<ServerAttempt> attempt_;
-  std::string server_;
+  CalledServer called_;
   EventSplitter events_;
 };
 
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -57,6 +57,7 @@
       events_(job->head_.last_event_) {}
 
 RelayRequest::~RelayRequest() {
+  DropSilent();
   engine_.Cancel();
   waker_->Detach();
 }
@@ -301,14 +302,17 @@
                               : failed ? CallOutcome::kServerError
                                        : outcome;
   NoteEnd(id, counted, SteadyNow() - now);
-  NoteSurvival(id, address, attempt);
   if (!attempt.has_head()) {
     context_->reach_->OnCallEnd(outcome);
   }
   context_->metrics_->Count(kAttemptsTotal,
                             {service_->name_, ToString(counted)});
+  CalledServer called{id, address, last_version_, had_first_event_,
+                      first_event_at_};
   if (ended.step_ == Step::kSilent) {
-    silent_.emplace(std::move(call), id, events_);
+    silent_.emplace(std::move(call), std::move(called), events_);
+  } else {
+    NoteSurvival(called, attempt);
   }
   return ended;
 }
--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -29,8 +29,7 @@
 }
 
 // The end of a server that leaves is planned and counts against no request.
-void RelayRequest::NoteSurvival(const std::string& server,
-                                const std::string& address,
+void RelayRequest::NoteSurvival(const CalledServer& called,
                                 const ServerAttempt& attempt) {
   if (!attempt.is_done()) {
     return;
@@ -41,13 +40,14 @@
     }
     return;
   }
-  const BackendServer* listed = context_->view_->FindServer(server);
+  const BackendServer* listed = context_->view_->FindServer(called.id_);
   const bool is_planned = listed == nullptr || listed->leaving_;
-  const bool ran_on = had_first_event_ && SteadyNow() - first_event_at_ >=
-                                              CrashWatch::kSurvivalTime;
+  const bool ran_on =
+      called.had_first_event_ &&
+      SteadyNow() - called.first_event_at_ >= CrashWatch::kSurvivalTime;
   if (attempt.outcome() == CallOutcome::kClosedAfterSend && !is_planned &&
       !ran_on) {
-    context_->crashes_->OnBroken(server, address, Fingerprint());
+    context_->crashes_->OnBroken(called.id_, called.address_, Fingerprint());
   }
 }
 
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -102,7 +102,7 @@
     attempt->Cancel();
     return {Step::kMayHaveRun, "failed beside silent server"};
   }
-  silent_.reset();
+  DropSilent();
   if (job_->route_->kind_ == RouteKind::kStreaming && is_success) {
     return RelayStream(attempt);
   }
--- a/src/relay/relay_request_silence.cc
+++ b/src/relay/relay_request_silence.cc
@@ -35,7 +35,14 @@
 
 void RelayRequest::DropLostSilent() {
   if (silent_ && silent_->IsLost()) {
-    silent_.reset();
+    DropSilent();
+  }
+}
+
+void RelayRequest::DropSilent() {
+  if (silent_) {
+    const SilentAttempt dropped = *std::exchange(silent_, std::nullopt);
+    NoteSurvival(dropped.called(), dropped.attempt());
   }
 }
 
@@ -56,7 +63,7 @@
                              {"server", silent_->server()},
                              {"next", last_server_},
                              {"after_ms", Elapsed()}});
-      silent_.reset();
+      DropSilent();
     }
   }
   DropLostSilent();
@@ -71,15 +78,26 @@
                          {"last_failure", last_failure_},
                          {"after_ms", Elapsed()}});
   events_ = kept.events();
-  last_server_ = kept.server();
+  CalledServer called = kept.called();
+  last_server_ = called.id_;
+  last_version_ = called.version_;
+  had_first_event_ = called.had_first_event_;
+  first_event_at_ = called.first_event_at_;
+  if (had_first_event_) {
+    FreeInputs();
+  }
   // Counted when the call was left.
   unread_ = 0;
   auto attempt = kept.TakeAttempt();
   const AttemptResult ended =
       attempt->has_head() ? RelayReply(attempt.get()) : Relay(attempt.get());
+  called.had_first_event_ = had_first_event_;
+  called.first_event_at_ = first_event_at_;
   if (ended.step_ == Step::kSilent) {
     // What it sent since then belongs to the state of the stream.
-    silent_.emplace(std::move(attempt), kept.server(), events_);
+    silent_.emplace(std::move(attempt), std::move(called), events_);
+  } else {
+    NoteSurvival(called, *attempt);
   }
   return ended;
 }
@@ -91,7 +109,7 @@
   }
   if (context_->view_->FindServer(silent_->server()) == nullptr ||
       context_->reach_->is_cut_off()) {
-    silent_.reset();
+    DropSilent();
     return false;
   }
   awaits_silent_ = true;
--- a/src/relay/silent_attempt.cc
+++ b/src/relay/silent_attempt.cc
@@ -13,10 +13,10 @@
 }  // namespace
 
 SilentAttempt::SilentAttempt(std::unique_ptr<ServerAttempt> attempt,
-                             std::string server,
+                             CalledServer called,
                              EventSplitter events)
     : attempt_(std::move(attempt)),
-      server_(std::move(server)),
+      called_(std::move(called)),
       events_(std::move(events)) {}
 
 SilentAttempt::~SilentAttempt() = default;
--- a/tests/process/platform_silent_test.py
+++ b/tests/process/platform_silent_test.py
@@ -139,6 +139,27 @@
             self.assertEqual(answer.status, 200, answer.body)
 
 
+class EndedServerTest(SilenceTestCase):
+    fleet_class = SilentFleet
+
+    def test_a_silent_server_ends(self):
+        self.set_faults_in_turn(self.fleet.plain, ["hang"])
+        request_id = new_id()
+
+        def kill():
+            (server, _), = self.arrivals(self.fleet.plain, request_id)
+            server.stop_listening()
+            server.cut_connections()
+
+        change = threading.Timer(2.0, kill)
+        change.start()
+        answer = self.fleet.ask("GET", "/look/x", request_id=request_id)
+        change.join()
+        self.assertEqual(answer.status, 502, answer.body)
+        wait_until(lambda: '"server ended"' in self.fleet.log(),
+                   "the end seen")
+
+
 class RepeatsTest(SilenceTestCase):
     fleet_class = BudgetedFleet
 
