--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -57,6 +57,7 @@
       events_(job->head_.last_event_) {}
 
 RelayRequest::~RelayRequest() {
+  DropSilent();
   engine_.Cancel();
   waker_->Detach();
 }
@@ -259,8 +260,6 @@
     const BackendServer& server) {
   const TimePoint now = SteadyNow();
   const std::string id = server.id_;
-  // The list may change during the call.
-  const std::string address = server.address_;
   StageCallSpec spec = SpecFor(server.address_, request_->method_,
                                request_->target_, job_->deadline_);
   ServerCallHead head;
@@ -305,15 +304,16 @@
                               : failed ? CallOutcome::kServerError
                                        : outcome;
   NoteEnd(id, counted, SteadyNow() - now);
-  NoteSurvival(id, address, attempt);
   if (!attempt.has_head()) {
     context_->reach_->OnCallEnd(outcome);
   }
   context_->metrics_->Count(kAttemptsTotal,
                             {service_->name_, ToString(counted)});
+  CalledServer called{called_, had_first_event_, first_event_at_};
   if (ended.step_ == Step::kSilent) {
-    silent_.emplace(std::move(call), id, events_);
-    silent_server_ = called_;
+    silent_.emplace(std::move(call), std::move(called), events_);
+  } else {
+    NoteSurvival(called, attempt);
   }
   return ended;
 }
