Let the fleets of process tests wait for their allowance of repeats

SettledFleet promised that the window has passed and did not wait for it. The case is unchanged; two fleets that waited by themselves use SettledFleet.

--- a/tests/process/platform_silent_test.py
+++ b/tests/process/platform_silent_test.py
@@ -9,7 +9,7 @@
 
 from process.platform_fleet import Fleet, new_id
 from process.platform_stand_in import Engine, PlainServer
-from process.platform_test import FleetTestCase
+from process.platform_test import FleetTestCase, SettledFleet
 from process.processes import wait_until
 
 STREAMS = 12
@@ -24,18 +24,7 @@
         return settings
 
 
-class BudgetedFleet(Fleet):
-    """Repeats are allowed from the start on."""
-
-    BUDGET_WINDOW_S = 1
-
-    def start(self):
-        super().start()
-        # A gateway has its allowance once it has counted for a window.
-        time.sleep(self.BUDGET_WINDOW_S)
-
-
-class ThreeServerFleet(BudgetedFleet):
+class ThreeServerFleet(SettledFleet):
     """Three servers of each kind, and as many attempts."""
 
     def _make_servers(self, stages):
@@ -161,7 +150,7 @@
 
 
 class RepeatsTest(SilenceTestCase):
-    fleet_class = BudgetedFleet
+    fleet_class = SettledFleet
 
     def test_no_other_server_takes_the_stream(self):
         paused, other = self.fleet.engines
--- a/tests/process/platform_streams.py
+++ b/tests/process/platform_streams.py
@@ -15,11 +15,6 @@
 
     VERSIONS = ("v1", "v1", "v2", "v2")
 
-    def start(self):
-        super().start()
-        # Before a window has passed, no request is repeated.
-        time.sleep(2 * self.BUDGET_WINDOW_S)
-
     def _make_servers(self, stages):
         super()._make_servers(stages)
         for engine in self.engines:
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -18,6 +18,10 @@
 
     BUDGET_WINDOW_S = 1
 
+    def start(self):
+        super().start()
+        time.sleep(self.BUDGET_WINDOW_S)
+
 
 class FleetTestCase(unittest.TestCase):
     fleet_class = Fleet
