Put what a caller's connection does between requests into a file of its own

The wait for a request and the watch for the caller's leaving are in http_connection_wait.cc, the urgency of engines beside the choice of the server.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -130,8 +130,8 @@
   /// The origin, if only one version of one service can have begun the stream.
   std::optional<StreamOrigin> OnlyPossibleOrigin(
       const std::optional<OriginWatch::Answer>& answer) const;
-  /// The route's service, unless it has several.
-  std::string_view OnlyService() const;
+  /// The route's service; empty when it has several.
+  std::string OnlyService() const;
   bool IsOnRoute(std::string_view service) const;
   /// Whether the server that has begun to reply is still in the incarnation
   /// that the list showed, so that its listed version is its own. Suspends the
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -27,12 +27,6 @@
 constexpr uint32_t kMaxRefusals = 2;
 /// Stages whose results were lost are run again once.
 constexpr uint32_t kMaxStageReruns = 1;
-/// Urgency for engines: 0 is first, 9 is last. A late request is deferred by
-/// kLateUrgencyStep.
-constexpr uint32_t kFirstUrgency = 1;
-constexpr uint32_t kUrgencyPerPriority = 2;
-constexpr uint32_t kLateUrgencyStep = 2;
-constexpr uint32_t kLastUrgency = 9;
 /// Fraction of the caller's remaining time within which a late response is
 /// attempted; the rest covers errors of the estimate.
 constexpr double kLateResponseFraction = 0.45;
@@ -77,8 +71,7 @@
   if (TakesUpStream() && !FindOrigin()) {
     return;
   }
-  service_ = job_->config_->FindService(
-      origin_ ? std::string_view(origin_->service_) : ServiceName());
+  service_ = job_->config_->FindService(ServiceName());
   router_ = context_->router_(*service_);
   budget_ = context_->budget_(service_->name_);
   budget_->OnFirstSend(SteadyNow());
@@ -248,14 +241,6 @@
   return RunAttempt(*server);
 }
 
-// From the route's priority; a request that is already late is less urgent.
-uint32_t RelayRequest::Urgency() const {
-  const bool is_late = SteadyNow() > job_->target_;
-  return std::min(kLastUrgency, kFirstUrgency +
-                                    kUrgencyPerPriority * job_->priority_ +
-                                    (is_late ? kLateUrgencyStep : 0));
-}
-
 RelayRequest::AttemptResult RelayRequest::RunAttempt(
     const BackendServer& server) {
   const TimePoint now = SteadyNow();
--- a/src/relay/relay_request_server.cc
+++ b/src/relay/relay_request_server.cc
@@ -12,9 +12,22 @@
 #include "citronlane/relay/service_router.h"
 
 namespace citronlane {
+namespace {
 
-// Chooses a service at random by weight.
+/// Urgency for engines: 0 is first, 9 is last. A late request is deferred by
+/// kLateUrgencyStep.
+constexpr uint32_t kFirstUrgency = 1;
+constexpr uint32_t kUrgencyPerPriority = 2;
+constexpr uint32_t kLateUrgencyStep = 2;
+constexpr uint32_t kLastUrgency = 9;
+
+}  // namespace
+
+// The service that began the stream, or else one at random by weight.
 std::string_view RelayRequest::ServiceName() const {
+  if (origin_) {
+    return origin_->service_;
+  }
   const auto& split = job_->route_->split_;
   double sum = 0;
   for (const WeightedService& weighted : split) {
@@ -142,6 +155,14 @@
   return router_->PreferredFailureDomain(SteadyNow(), RouterCall());
 }
 
+// From the route's priority; a request that is already late is less urgent.
+uint32_t RelayRequest::Urgency() const {
+  const bool is_late = SteadyNow() > job_->target_;
+  return std::min(kLastUrgency, kFirstUrgency +
+                                    kUrgencyPerPriority * job_->priority_ +
+                                    (is_late ? kLateUrgencyStep : 0));
+}
+
 EngineRouter::Call RelayRequest::RouterCall() const {
   EngineRouter::Call call;
   call.prompt_ = job_->head_.prompt_;
--- a/src/relay/relay_request_versions.cc
+++ b/src/relay/relay_request_versions.cc
@@ -121,7 +121,7 @@
 std::optional<OriginWatch::Answer> RelayRequest::AskOrigin() {
   const auto answer = std::make_shared<std::optional<OriginWatch::Answer>>();
   const uint64_t question = context_->origins_->Ask(
-      job_->head_.resumed_attempt_, std::string(OnlyService()),
+      job_->head_.resumed_attempt_, OnlyService(),
       [answer, waker = waker_](const OriginWatch::Answer& received) {
         *answer = received;
         waker->Wake();
@@ -135,7 +135,7 @@
 
 std::optional<StreamOrigin> RelayRequest::OnlyPossibleOrigin(
     const std::optional<OriginWatch::Answer>& answer) const {
-  const std::string service(OnlyService());
+  const std::string service = OnlyService();
   const TimePoint now = SteadyNow();
   const auto age = context_->view_->ServersAge(now);
   if (service.empty() || !age || *age > kMaxListAge) {
@@ -154,10 +154,9 @@
   return std::nullopt;
 }
 
-std::string_view RelayRequest::OnlyService() const {
+std::string RelayRequest::OnlyService() const {
   const auto& split = job_->route_->split_;
-  return split.size() == 1 ? std::string_view(split.front().service_)
-                           : std::string_view();
+  return split.size() == 1 ? split.front().service_ : std::string();
 }
 
 bool RelayRequest::IsOnRoute(std::string_view service) const {
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -20,7 +20,7 @@
 using tcp = boost::asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr size_t kFirstReadBytes = 4096;
+constexpr size_t kDiscardBytes = 4096;
 constexpr unsigned kHttp11 = 11;
 /// How much a refused caller may still send while it receives the refusal.
 constexpr size_t kLingerBytes = size_t{4} * 1024 * 1024;
@@ -104,27 +104,6 @@
   yield_ = nullptr;
 }
 
-void HttpConnection::CloseIfIdle() {
-  if (idle_ && !HasReceived()) {
-    stream_.close();
-  }
-}
-
-void HttpConnection::UpdateIdleTimeout() {
-  if (!idle_) {
-    return;
-  }
-  idle_timer_.expires_at(idle_since_ + state_->limits_.idle_timeout_);
-  auto self = shared_from_this();
-  idle_timer_.async_wait([self](const error_code& error) {
-    // A timer that expired before it was cancelled reports no error.
-    if (!error &&
-        self->idle_timer_.expiry() <= asio::steady_timer::clock_type::now()) {
-      self->CloseIfIdle();
-    }
-  });
-}
-
 // Callers pair responses with requests by their order. After a second response
 // to one request, they would match each later response with the wrong request.
 bool HttpConnection::BeginResponse(ResponseState state) {
@@ -245,34 +224,6 @@
   return !caller_gone_;
 }
 
-bool HttpConnection::WaitForFirstByte() {
-  if (buffer_.size() > 0) {
-    return true;
-  }
-  // The bytes stay in the socket until the connection is no longer idle, so
-  // that HasReceived finds every request that has arrived.
-  idle_ = true;
-  idle_since_ = asio::steady_timer::clock_type::now();
-  UpdateIdleTimeout();
-  error_code error;
-  size_t got = 0;
-  do {
-    stream_.socket().async_wait(tcp::socket::wait_read, (*yield_)[error]);
-    if (!error) {
-      got = stream_.socket().read_some(buffer_.prepare(kFirstReadBytes), error);
-    }
-  } while (error == asio::error::would_block);
-  buffer_.commit(got);
-  idle_ = false;
-  idle_timer_.cancel();
-  return !error;
-}
-
-bool HttpConnection::HasReceived() {
-  error_code error;
-  return buffer_.size() > 0 || stream_.socket().available(error) > 0;
-}
-
 bool HttpConnection::ReadRequest(Parser* parser) {
   stream_.expires_after(state_->limits_.read_timeout_);
   error_code error;
@@ -356,7 +307,7 @@
   error_code error;
   stream_.socket().shutdown(tcp::socket::shutdown_send, error);
   stream_.expires_after(kLingerTime);
-  char sink[kFirstReadBytes];
+  char sink[kDiscardBytes];
   size_t taken = 0;
   while (!error && taken < kLingerBytes) {
     taken += stream_.async_read_some(asio::buffer(sink), (*yield_)[error]);
@@ -383,32 +334,4 @@
   keep_alive_ = keep_alive_ && !state_->close_after_replies_;
 }
 
-void HttpConnection::WatchCaller() {
-  // Bytes of a pipelined request end the watch, because a close behind them
-  // can't be detected.
-  watching_ = true;
-  auto self = shared_from_this();
-  stream_.socket().async_wait(
-      tcp::socket::wait_read, [self](const error_code& error) {
-        if (!error && self->watching_ && self->IsClosed()) {
-          self->caller_gone_ = true;
-          self->Notify();
-        }
-      });
-}
-
-void HttpConnection::StopWatching() {
-  watching_ = false;
-  error_code error;
-  stream_.socket().cancel(error);
-}
-
-bool HttpConnection::IsClosed() {
-  error_code error;
-  char byte = 0;
-  stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
-                           error);
-  return error && error != asio::error::would_block;
-}
-
 }  // namespace citronlane::detail
--- /dev/null
+++ b/src/transport/http_connection_wait.cc
@@ -0,0 +1,94 @@
+// What happens on a caller's connection between and during requests: the wait
+// for the next request, and the watch for the caller's leaving.
+
+#include "citronlane/transport/detail/http_connection.h"
+
+namespace citronlane::detail {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr size_t kFirstReadBytes = 4096;
+
+}  // namespace
+
+void HttpConnection::CloseIfIdle() {
+  if (idle_ && !HasReceived()) {
+    stream_.close();
+  }
+}
+
+void HttpConnection::UpdateIdleTimeout() {
+  if (!idle_) {
+    return;
+  }
+  idle_timer_.expires_at(idle_since_ + state_->limits_.idle_timeout_);
+  auto self = shared_from_this();
+  idle_timer_.async_wait([self](const error_code& error) {
+    // A timer that expired before it was cancelled reports no error.
+    if (!error &&
+        self->idle_timer_.expiry() <= asio::steady_timer::clock_type::now()) {
+      self->CloseIfIdle();
+    }
+  });
+}
+
+bool HttpConnection::WaitForFirstByte() {
+  if (buffer_.size() > 0) {
+    return true;
+  }
+  // The bytes stay in the socket until the connection is no longer idle, so
+  // that HasReceived finds every request that has arrived.
+  idle_ = true;
+  idle_since_ = asio::steady_timer::clock_type::now();
+  UpdateIdleTimeout();
+  error_code error;
+  size_t got = 0;
+  do {
+    stream_.socket().async_wait(tcp::socket::wait_read, (*yield_)[error]);
+    if (!error) {
+      got = stream_.socket().read_some(buffer_.prepare(kFirstReadBytes), error);
+    }
+  } while (error == asio::error::would_block);
+  buffer_.commit(got);
+  idle_ = false;
+  idle_timer_.cancel();
+  return !error;
+}
+
+bool HttpConnection::HasReceived() {
+  error_code error;
+  return buffer_.size() > 0 || stream_.socket().available(error) > 0;
+}
+
+void HttpConnection::WatchCaller() {
+  // Bytes of a pipelined request end the watch, because a close behind them
+  // can't be detected.
+  watching_ = true;
+  auto self = shared_from_this();
+  stream_.socket().async_wait(
+      tcp::socket::wait_read, [self](const error_code& error) {
+        if (!error && self->watching_ && self->IsClosed()) {
+          self->caller_gone_ = true;
+          self->Notify();
+        }
+      });
+}
+
+void HttpConnection::StopWatching() {
+  watching_ = false;
+  error_code error;
+  stream_.socket().cancel(error);
+}
+
+bool HttpConnection::IsClosed() {
+  error_code error;
+  char byte = 0;
+  stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                           error);
+  return error && error != asio::error::would_block;
+}
+
+}  // namespace citronlane::detail
