--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -10,14 +10,13 @@
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/endpoint.h"
 #include "citronlane/transport/detail/connection_pool.h"
 #include "citronlane/transport/detail/coroutine.h"
+#include "citronlane/transport/detail/reply_reading.h"
 #include "citronlane/transport/detail/stage_connection.h"
 #include "citronlane/transport/detail/stage_messages.h"
 #include "citronlane/transport/held_reply.h"
@@ -35,9 +34,6 @@
 using ConnectionPtr = std::unique_ptr<Connection>;
 using Stream = detail::StageConnection::Stream;
 
-constexpr size_t kReadBufferBytes = size_t{16} * 1024;
-/// Maximum size of one read of a head.
-constexpr size_t kHeadReadBytes = 4096;
 /// TCP user timeout: a connection fails if the server acknowledges nothing for
 /// this long. Several times the kernel's first retransmissions on links with a
 /// latency of a few milliseconds.
@@ -116,7 +112,8 @@
       }
     }
     connection_ = std::make_unique<Connection>(
-        pool_->io(), pool_->limits().reply_header_bytes_ + kReadBufferBytes);
+        pool_->io(),
+        pool_->limits().reply_header_bytes_ + detail::kReadBufferBytes);
     error_code error;
     const auto address = asio::ip::make_address(spec_.address_, error);
     if (!error) {
@@ -169,7 +166,8 @@
       (*parser)->body_limit(BodyLimit());
       (*parser)->skip(spec_.method_ == "HEAD");
       error_code error;
-      ReadHeader(&**parser, yield, &error);
+      detail::ReadHeader(connection_.get(), pool_->limits().reply_header_bytes_,
+                         &**parser, yield, &error);
       if (error) {
         Done(OutcomeOf(error));
         return false;
@@ -202,46 +200,6 @@
     return false;
   }
 
-  /// Reads up to the end of a head and bounds it as a whole.
-  /// http::async_read_header bounds only what is left to be parsed, which stays
-  /// small if each field arrives with the start of the next one.
-  template <typename Parser>
-  void ReadHeader(Parser* parser,
-                  const asio::yield_context& yield,
-                  error_code* error) {
-    beast::flat_buffer& buffer = connection_->buffer_;
-    size_t head_bytes = 0;
-    while (!*error && !parser->is_header_done()) {
-      const size_t parsed = parser->put(buffer.data(), *error);
-      buffer.consume(parsed);
-      head_bytes += parsed;
-      if (*error == http::error::need_more) {
-        *error = {};
-        if (head_bytes > pool_->limits().reply_header_bytes_) {
-          *error = http::error::header_limit;
-          return;
-        }
-        FillBuffer(yield, error);
-        if (*error == asio::error::eof) {
-          *error = parser->got_some() ? http::error::partial_message
-                                      : http::error::end_of_stream;
-        }
-      }
-    }
-  }
-
-  void FillBuffer(const asio::yield_context& yield, error_code* error) {
-    beast::flat_buffer& buffer = connection_->buffer_;
-    const size_t room = buffer.max_size() - buffer.size();
-    if (room == 0) {
-      *error = http::error::buffer_overflow;
-      return;
-    }
-    const size_t got = connection_->stream_.async_read_some(
-        buffer.prepare(std::min(room, kHeadReadBytes)), yield[*error]);
-    buffer.commit(got);
-  }
-
   uint64_t BodyLimit() const {
     const StageLimits& limits = pool_->limits();
     return spec_.streams_
@@ -272,15 +230,27 @@
     return spec_.attempt_id_.empty() || head.echoed_id_ == spec_.attempt_id_;
   }
 
+  size_t SkipSome(http::response_parser<http::buffer_body>* parser,
+                  const asio::yield_context& yield,
+                  error_code* error) {
+    std::vector<char> sink(detail::kReadBufferBytes);
+    return detail::ReadSome(connection_.get(), parser, &sink, yield, error);
+  }
+
+  size_t SkipSome(http::response_parser<http::string_body>* parser,
+                  const asio::yield_context& yield,
+                  error_code* error) {
+    return detail::ReadSome(connection_.get(), parser, yield, error);
+  }
+
   /// Reads and discards the body of a reply to another call.
   template <typename Parser>
   bool SkipReply(Parser* parser, const asio::yield_context& yield) {
     AwaitNextReply();
-    std::vector<char> sink(kReadBufferBytes);
     error_code error;
     uint64_t skipped_bytes = 0;
     while (!parser->is_done() && !error && !ended_) {
-      skipped_bytes += ReadSome(parser, &sink, yield, &error);
+      skipped_bytes += SkipSome(parser, yield, &error);
       if (skipped_bytes > pool_->limits().reply_body_bytes_) {
         error = http::error::body_limit;
       }
@@ -291,41 +261,6 @@
     return !error && !ended_;
   }
 
-  /// Makes `buffer` the target of the next read and returns its size.
-  static size_t Prepare(http::response_parser<http::buffer_body>* parser,
-                        std::vector<char>* buffer) {
-    auto& body = parser->get().body();
-    body.data = buffer->data();
-    body.size = buffer->size();
-    body.more = true;
-    return buffer->size();
-  }
-
-  /// Returns how many bytes of `buffer` were filled.
-  size_t ReadSome(http::response_parser<http::buffer_body>* parser,
-                  std::vector<char>* buffer,
-                  const asio::yield_context& yield,
-                  error_code* error) {
-    const size_t capacity = Prepare(parser, buffer);
-    http::async_read_some(connection_->stream_, connection_->buffer_, *parser,
-                          yield[*error]);
-    if (*error == http::error::need_buffer) {
-      *error = {};
-    }
-    return capacity - parser->get().body().size;
-  }
-
-  /// Returns how many bytes the body has grown by.
-  size_t ReadSome(http::response_parser<http::string_body>* parser,
-                  std::vector<char>* /*buffer*/,
-                  const asio::yield_context& yield,
-                  error_code* error) {
-    const size_t before = parser->get().body().size();
-    http::async_read_some(connection_->stream_, connection_->buffer_, *parser,
-                          yield[*error]);
-    return parser->get().body().size() - before;
-  }
-
   void ReadCompleteReply(const asio::yield_context& yield) {
     for (int skipped = 0; skipped < kMaxSkippedReplies && !ended_; ++skipped) {
       std::optional<http::response_parser<http::string_body>> parser;
@@ -336,7 +271,7 @@
       error_code error;
       HeldReply held(pool_->reply_memory());
       while (!parser->is_done() && !error && !ended_) {
-        ReadSome(&*parser, nullptr, yield, &error);
+        detail::ReadSome(connection_.get(), &*parser, yield, &error);
         if (!held.Resize(parser->get().body().size())) {
           error = http::error::body_limit;
         }
@@ -374,14 +309,15 @@
     if (!ReadReplyHead(&parser, yield)) {
       return;
     }
-    std::vector<char> buffer(kReadBufferBytes);
+    std::vector<char> buffer(detail::kReadBufferBytes);
     bool begun = spec_.replies_immediately_;
     while (!parser->is_done() && AwaitRoom(yield)) {
       if (begun) {
         ExtendForRead();
       }
       error_code error;
-      const size_t got = ReadSome(&*parser, &buffer, yield, &error);
+      const size_t got =
+          detail::ReadSome(connection_.get(), &*parser, &buffer, yield, &error);
       if (error) {
         Done(OutcomeOf(error));
         return;
