--- a/tests/process/platform_soak.py
+++ b/tests/process/platform_soak.py
@@ -497,7 +497,6 @@
              f"{len(self.faults)} faults"] + self.stream_counts() +
             [f"  {text}" for text in self.faults])
 
-
     def stream_counts(self):
         if not self.versions:
             return []
@@ -508,6 +507,19 @@
                 f"{len(self.former)} engines left"]
 
 
+def run_in_test(soak, name):
+    """Runs a soak in a test and returns its faults. Prints them, and where the
+    logs are, also when the run itself fails."""
+    try:
+        return soak.run()
+    finally:
+        if soak.faults:
+            path = write_apart(OUTPUT, name,
+                               f"{soak.report()}\n{soak.account}\n")
+            print(f"{soak.report()}\n  all of it: {path}", file=sys.stderr,
+                  flush=True)
+
+
 def write_apart(folder, name, text):
     """Writes a new file without overwriting one; returns its path."""
     os.makedirs(folder, exist_ok=True)
