Keep brittle servers from refusing so many calls that they fall over

What callers saw: at times servers let fewer calls wait and fall over when they have to refuse more than N calls in a second; they say so in each reply, 3 s ahead. Gateways did not read it, went on calling full servers, and the service went down with them.

Cause: nothing bounded the calls in flight at a server, neither those of the placement owner or of a pool's owner nor those of all gateways together.

Change: while a server of a service names N, BrittleServers bounds the calls in flight at each of its servers by its slots: the owner's where there is one, or else divided over the gateways by the lists that all have. A refusal lowers the bound, which rises again with time, and each gateway keeps to a share of N. Requests that find no place wait for one for a part of the time to their target and are then refused with server_limits. N is told as limits are: in ServerLimit, by control and by placement questions.

--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -99,6 +99,11 @@
     Metric::Kind::kGauge,
     "Backend servers that name a limit on the rate of requests.",
     {}};
+inline constexpr Metric kServersBrittle{
+    "citronlane_servers_brittle",
+    Metric::Kind::kGauge,
+    "Backend servers that fall over when they refuse more than some calls.",
+    {}};
 inline constexpr Metric kServersCold{
     "citronlane_servers_cold",
     Metric::Kind::kGauge,
@@ -177,6 +182,7 @@
     &kRequestsInFlight,
     &kPoolTasks,
     &kServersLimited,
+    &kServersBrittle,
     &kServersCold,
     &kRequestsBlocked,
     &kReady,
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -94,6 +94,9 @@
   /// The servers of the view, or their states, have changed.
   void ServersChanged();
   void UpdateColdServers();
+  /// For the bounds on calls to brittle servers.
+  void UpdateGatewaysOfServers();
+  void UpdateRoomOfServers();
   void NoteUnusable(size_t unusable);
   void ReadStaleList(TimePoint now);
   void Reload();
--- a/include/citronlane/relay/limit_watch.h
+++ b/include/citronlane/relay/limit_watch.h
@@ -2,7 +2,6 @@
 #define CITRONLANE_RELAY_LIMIT_WATCH_H_
 
 #include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -12,6 +11,7 @@
 namespace citronlane {
 
 class EventLog;
+struct ServerReplyHead;
 
 namespace wire::fleet {
 class ServerLimits;
@@ -33,8 +33,8 @@
   LimitWatch(const LimitWatch&) = delete;
   LimitWatch& operator=(const LimitWatch&) = delete;
 
-  /// The server replied, and named this limit or none.
-  void OnReply(const std::string& server, std::optional<double> per_second);
+  /// The server replied, and named these limits or none.
+  void OnReply(const std::string& server, const ServerReplyHead& reply);
   /// Takes limits that another gateway or the leader knows. `source` says which
   /// of them, for the log.
   void Take(const ServerLimit& limit, std::string_view source);
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -93,6 +93,11 @@
   std::optional<AttemptResult> RunNextAttempt();
   /// Chooses a server; null when there is none. Suspends the handler.
   const BackendServer* Choose();
+  /// As Choose(); while brittle servers have no room, waits for it for a while.
+  const BackendServer* ChooseWithRoom();
+  bool IsServiceBrittle() const;
+  /// Until when a request waits for room at brittle servers.
+  TimePoint RoomDeadline() const;
   /// Chooses by this gateway's own estimates.
   std::optional<std::string> ChooseHere();
   /// Whether this gateway, as the placement owner, may send the request to the
@@ -145,7 +150,11 @@
   std::string EngineDomain();
   void NoteStart(const std::string& server);
   void NoteFirstEvent();
-  void NoteEnd(const std::string& server, CallOutcome outcome, Duration took);
+  /// `is_full_refusal`: a rejection was for want of room.
+  void NoteEnd(const std::string& server,
+               CallOutcome outcome,
+               bool is_full_refusal,
+               Duration took);
   AttemptResult RunAttempt(const BackendServer& server);
   AttemptResult Relay(ServerAttempt* attempt);
   /// Relays a reply whose head has arrived.
@@ -270,6 +279,8 @@
   bool is_call_reserved_ = false;
   /// Servers were left out of the last choice because of their limits.
   bool limits_excluded_ = false;
+  /// Time waited for room at brittle servers.
+  Duration room_wait_{};
   uint32_t stage_reruns_ = 0;
   /// No other gateway took it.
   bool is_forwarding_over_ = false;
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -13,6 +13,7 @@
 #include "citronlane/base/error.h"
 #include "citronlane/fleet/pool_partition.h"
 #include "citronlane/relay/pool_repeat_budget.h"
+#include "citronlane/relay/relay_responses.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/serving/stage_piece_result.h"
 #include "citronlane/stages/stage_batcher.h"
@@ -86,6 +87,9 @@
     /// Nothing when the body cannot be read; `error_` has the reason.
     std::optional<std::vector<StagePieceResult>> results_;
     Error error_;
+
+    /// Whether the server refused the call for want of room.
+    bool IsFull() const { return not_run_ && PromisesNotRun(status_); }
   };
 
   void Pump(TimePoint now);
--- a/include/citronlane/routing/server_limit.h
+++ b/include/citronlane/routing/server_limit.h
@@ -8,7 +8,7 @@
 
 namespace citronlane {
 
-/// What a backend server said of its limit in a reply.
+/// What a backend server said of its limits in a reply.
 struct ServerLimit {
   /// Id of the incarnation.
   std::string server_;
@@ -17,6 +17,9 @@
   std::optional<double> per_second_;
   /// When the head of the reply arrived.
   TimePoint at_;
+  /// Calls a second that it bears to refuse for want of room, without falling
+  /// over; nothing when it named no number.
+  std::optional<double> max_refusals_{};
 };
 
 }  // namespace citronlane
--- a/include/citronlane/routing/server_limits.h
+++ b/include/citronlane/routing/server_limits.h
@@ -13,6 +13,8 @@
 
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
+#include "citronlane/routing/brittle_servers.h"
+#include "citronlane/routing/call_scope.h"
 #include "citronlane/routing/cold_server.h"
 #include "citronlane/routing/server_limit.h"
 
@@ -33,27 +35,25 @@
 /// A cold server has a limit, too, without naming one; it holds in each second.
 /// Of two limits of a server the lower one counts.
 ///
+/// Servers may also say that they are brittle. BrittleServers then bounds the
+/// calls in flight, whether or not they have a limit.
+///
 /// A limit holds until the server replies without one. Of two observations the
 /// later one counts, whoever made it. Pure: time is passed in. Not thread safe.
 class ServerLimits {
  public:
   /// Whose calls share a limit.
-  enum class Scope {
-    /// This gateway decides on all calls to the server.
-    kOwner,
-    /// Each gateway decides on its own calls.
-    kShare,
-    /// As kShare, beside an owner that uses most of the limit.
-    kShareBesideOwner,
-  };
+  using Scope = CallScope;
 
   /// `gateway` names this gateway; it selects the positions of its slots.
   explicit ServerLimits(std::string gateway);
 
-  /// Records what a server said. Returns whether the limit has changed.
+  /// Records what a server said. Returns whether that has changed.
   bool Observe(const ServerLimit& limit);
   /// Replaces the cold servers.
   void SetCold(absl::Span<const ColdServer> servers, TimePoint now);
+  /// Replaces the servers, for the bounds on calls to brittle ones.
+  void SetServers(absl::Span<const BackendServer> servers);
   /// Forgets servers for which `exists` returns false.
   void Retain(const std::function<bool(std::string_view server)>& exists);
 
@@ -63,7 +63,8 @@
                Scope scope,
                size_t gateways,
                TimePoint now) const;
-  /// A call is sent to the server.
+  /// A call is sent to the server. It ends with OnEnd(), as does one of
+  /// OnReservedCall().
   void OnCall(std::string_view server, TimePoint now);
   /// Takes a slot for a call that is sent later, if it is sent at all. For the
   /// scope kOwner only. Precondition: MayCall() returned true.
@@ -73,6 +74,8 @@
   bool MayCallReserved(std::string_view server, TimePoint now) const;
   /// A call with a reserved slot is sent to the server.
   void OnReservedCall(std::string_view server, TimePoint now);
+  /// The call has ended. `is_refused`: for want of room.
+  void OnEnd(std::string_view server, bool is_refused, TimePoint now);
   /// The servers for which MayCall returns false.
   std::vector<std::string> Exhausted(Scope scope,
                                      size_t gateways,
@@ -94,12 +97,17 @@
   bool IsLimited(std::string_view server, TimePoint now) const;
   /// Number of servers that name a limit.
   size_t CountLimited() const;
+  /// What brittle servers have room for. The caller provides the gateways.
+  BrittleServers* brittle() { return &brittle_; }
+  const BrittleServers& brittle() const { return brittle_; }
   /// Number of cold servers.
   size_t CountCold(TimePoint now) const;
 
  private:
   struct State {
     std::optional<double> per_second_;
+    /// See ServerLimit.
+    std::optional<double> max_refusals_;
     /// Limit while it is cold.
     double cold_per_second_ = 0;
     TimePoint cold_until_;
@@ -129,6 +137,7 @@
 
   const std::string gateway_;
   std::map<std::string, State, std::less<>> servers_;
+  BrittleServers brittle_;
   uint64_t number_ = 0;
 };
 
--- a/include/citronlane/serving/server_reply_head.h
+++ b/include/citronlane/serving/server_reply_head.h
@@ -24,6 +24,9 @@
   /// Requests a second that the server takes from all gateways together;
   /// nothing when it names no limit.
   std::optional<double> max_per_second_;
+  /// Calls a second that the server bears to refuse for want of room, without
+  /// falling over; nothing when it names no number.
+  std::optional<double> max_refusals_;
   /// How long the server keeps the idle connection open.
   std::optional<Duration> idle_time_;
 };
--- a/src/relay/engine_placement.cc
+++ b/src/relay/engine_placement.cc
@@ -333,6 +333,8 @@
   }
   const Placed placed = std::move(it->second);
   placed_.erase(it);
+  limits_->limits()->OnEnd(placed.server_, outcome == CallOutcome::kRejected,
+                           SteadyNow());
   if (ServiceRouter* router = router_(placed.service_)) {
     router->OnFinish(placed.server_, SteadyNow(), outcome, Duration(),
                      placed.unread_);
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -66,6 +66,7 @@
                           entry.relay_address()});
     }
     view_.SetGateways(std::move(gateways));
+    UpdateGatewaysOfServers();
   }
   if (update->has_owners()) {
     TakeOwners(update->owners().number(), DecodeOwners(update->owners()));
@@ -114,6 +115,7 @@
   if (view_.SetConfig(std::move(config))) {
     ApplyLimits();
     UpdateColdServers();
+    UpdateRoomOfServers();
     relay_.OnViewReady();
     log_->Write("gateway", "config in force",
                 {{"version", version},
@@ -163,12 +165,34 @@
     return view_.FindServer(server) != nullptr;
   });
   UpdateColdServers();
+  UpdateRoomOfServers();
   relay_.OnViewReady();
   for (const auto& [partition, pool] : pools_) {
     pool->Tick(SteadyNow());
   }
 }
 
+void GatewayHost::Impl::UpdateGatewaysOfServers() {
+  std::vector<std::string> names;
+  for (const FleetView::Gateway& gateway : view_.gateways()) {
+    names.push_back(gateway.endpoint_);
+  }
+  server_limits_.brittle()->SetGateways(std::move(names));
+}
+
+// The configuration may declare fewer slots than the list names.
+void GatewayHost::Impl::UpdateRoomOfServers() {
+  std::vector<BackendServer> servers = view_.servers();
+  for (BackendServer& server : servers) {
+    const Service* declared =
+        view_.config() ? view_.config()->FindService(server.service_) : nullptr;
+    if (declared != nullptr && declared->stage_pool_) {
+      server.slots_ = std::min(server.slots_, declared->stage_pool_->slots_);
+    }
+  }
+  server_limits_.SetServers(servers);
+}
+
 void GatewayHost::Impl::UpdateColdServers() {
   const TimePoint now = SteadyNow();
   const auto spec = [this](const std::string& service) {
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -93,6 +93,8 @@
     }
     metrics_.Set(kServersLimited, {},
                  static_cast<double>(server_limits_.CountLimited()));
+    metrics_.Set(kServersBrittle, {},
+                 static_cast<double>(server_limits_.brittle()->CountBrittle()));
     metrics_.Set(kServersCold, {},
                  static_cast<double>(server_limits_.CountCold(SteadyNow())));
     metrics_.Set(kRequestsBlocked, {},
--- a/src/relay/limit_watch.cc
+++ b/src/relay/limit_watch.cc
@@ -1,21 +1,32 @@
 #include "citronlane/relay/limit_watch.h"
 
+#include <optional>
+#include <string>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "citronlane/net/limit_codec.h"
 #include "citronlane/observe/event_log.h"
+#include "citronlane/serving/server_reply_head.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
+namespace {
+
+std::string TextOf(std::optional<double> number) {
+  return number ? absl::StrCat(*number) : "none";
+}
+
+}  // namespace
 
 LimitWatch::LimitWatch(ServerLimits* limits, EventLog* log, Hooks hooks)
     : limits_(limits), log_(log), hooks_(std::move(hooks)) {}
 
 void LimitWatch::OnReply(const std::string& server,
-                         std::optional<double> per_second) {
+                         const ServerReplyHead& reply) {
   const TimePoint now = hooks_.now_();
-  const ServerLimit limit{server, per_second, now};
+  const ServerLimit limit{server, reply.max_per_second_, now,
+                          reply.max_refusals_};
   if (!limits_->Observe(limit)) {
     return;
   }
@@ -45,8 +56,8 @@
 void LimitWatch::Log(const ServerLimit& limit, std::string_view source) {
   log_->Write("relay", "server limit changed",
               {{"server", limit.server_},
-               {"per_second",
-                limit.per_second_ ? absl::StrCat(*limit.per_second_) : "none"},
+               {"per_second", TextOf(limit.per_second_)},
+               {"max_refusals", TextOf(limit.max_refusals_)},
                {"source", source},
                {"age_ms", hooks_.now_() - limit.at_}});
 }
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -13,6 +13,7 @@
 #include "citronlane/relay/forwarded_headers.h"
 #include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
+#include "citronlane/relay/relay_responses.h"
 #include "citronlane/relay/server_attempt.h"
 #include "citronlane/relay/service_router.h"
 #include "citronlane/relay/waker.h"
@@ -233,7 +234,7 @@
   if (RefuseIfBlocked() || (ShouldForward() && TryPeers())) {
     return std::nullopt;
   }
-  const BackendServer* server = Choose();
+  const BackendServer* server = ChooseWithRoom();
   if (server == nullptr) {
     RefuseWithoutServer();
     return std::nullopt;
@@ -288,7 +289,7 @@
   const CallOutcome counted = refused  ? CallOutcome::kRejected
                               : failed ? CallOutcome::kServerError
                                        : outcome;
-  NoteEnd(id, counted, SteadyNow() - now);
+  NoteEnd(id, counted, PromisesNotRun(attempt.status()), SteadyNow() - now);
   if (!attempt.has_head()) {
     context_->reach_->OnCallEnd(outcome);
   }
@@ -371,6 +372,7 @@
        {"stages_ms", stages_time_},
        {"stages_expected_ms", expected_},
        {"first_event_ms", first_event_time_},
+       {"room_wait_ms", room_wait_},
        {"took_ms", Elapsed()},
        {"target_ms", job_->target_ - job_->arrived_},
        {"limit_ms", job_->deadline_ - job_->arrived_},
--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -15,10 +15,25 @@
 #include "citronlane/relay/relay_request.h"
 #include "citronlane/relay/server_attempt.h"
 #include "citronlane/relay/service_router.h"
+#include "citronlane/relay/waker.h"
 #include "citronlane/serving/request_fingerprint.h"
 #include "citronlane/transport/http_request.h"
 
 namespace citronlane {
+namespace {
+
+/// A request for which brittle servers have no room waits at least this long.
+constexpr Duration kMinRoomWait = std::chrono::milliseconds(100);
+/// Otherwise it waits for the time to its target divided by this.
+constexpr int kRoomWaitDivisor = 4;
+/// It asks again after these times. Each question about engines is a message to
+/// their placement owner.
+constexpr Duration kFirstRoomPause = std::chrono::milliseconds(5);
+constexpr Duration kMaxRoomPause = std::chrono::milliseconds(40);
+constexpr Duration kMaxEngineRoomPause = std::chrono::milliseconds(160);
+
+}  // namespace
+
 bool RelayRequest::RefuseIfBlocked() {
   if (!context_->crashes_->IsBlocked(request_->body_.size(),
                                      FingerprintHook())) {
@@ -131,6 +146,44 @@
   return excluded;
 }
 
+TimePoint RelayRequest::RoomDeadline() const {
+  const TimePoint now = SteadyNow();
+  // What its stages have done would be lost with the request.
+  const Duration left = job_->target_ - now;
+  const Duration wait =
+      verdict_ == Verdict::kNotRun ? left / kRoomWaitDivisor : left;
+  return std::min(job_->deadline_, now + std::max(wait, kMinRoomWait));
+}
+
+// The gateway has few places, which become free with each call that ends. A
+// request refused at once would come back when there is room for it already.
+const BackendServer* RelayRequest::ChooseWithRoom() {
+  const BackendServer* server = Choose();
+  const TimePoint begun = SteadyNow();
+  const TimePoint until = RoomDeadline();
+  const Duration longest =
+      service_->engine_ ? kMaxEngineRoomPause : kMaxRoomPause;
+  Duration pause = kFirstRoomPause;
+  // GiveUp() moves the deadline, and no wait suspends after it.
+  while (server == nullptr && limits_excluded_ && IsServiceBrittle() &&
+         SteadyNow() < std::min(until, job_->deadline_)) {
+    const bool went_on =
+        waker_->WaitUntil([this] { return HasSilentGoneOn(); },
+                          std::min(until, SteadyNow() + pause));
+    if (went_on || waker_->caller_gone()) {
+      break;
+    }
+    pause = std::min(longest, pause * 2);
+    server = Choose();
+  }
+  room_wait_ += SteadyNow() - begun;
+  return server;
+}
+
+bool RelayRequest::IsServiceBrittle() const {
+  return context_->limits_->limits()->brittle()->IsBrittle(service_->name_);
+}
+
 void RelayRequest::RefuseForLimits() {
   last_failure_ = "server limits";
   Refuse(RefusalReason::kServerLimits);
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -94,7 +94,7 @@
 RelayRequest::AttemptResult RelayRequest::RelayReply(ServerAttempt* attempt) {
   const ServerReplyHead& reply = attempt->reply();
   if (!reply.wrong_server_) {
-    context_->limits_->OnReply(last_server_, reply.max_per_second_);
+    context_->limits_->OnReply(last_server_, reply);
   }
   if (reply.not_run_) {
     const bool inputs_gone =
--- a/src/relay/relay_request_server.cc
+++ b/src/relay/relay_request_server.cc
@@ -194,9 +194,18 @@
 
 void RelayRequest::NoteEnd(const std::string& server,
                            CallOutcome outcome,
+                           bool is_full_refusal,
                            Duration took) {
-  router_->OnFinish(server, SteadyNow(), outcome, took, unread_);
-  engine_.NoteEnd(outcome);
+  const TimePoint now = SteadyNow();
+  router_->OnFinish(server, now, outcome, took, unread_);
+  const bool is_full = outcome == CallOutcome::kRejected && is_full_refusal;
+  if (!is_counted_by_owner_) {
+    context_->limits_->limits()->OnEnd(server, is_full, now);
+  }
+  // To an owner a refusal means that the engine is full.
+  engine_.NoteEnd(outcome == CallOutcome::kRejected && !is_full
+                      ? CallOutcome::kCancelled
+                      : outcome);
 }
 
 }  // namespace citronlane
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -169,7 +169,7 @@
     reply->status_ = head.status_;
     reply->not_run_ = read.not_run_;
     if (!read.wrong_server_) {
-      limits_->OnReply(server, read.max_per_second_);
+      limits_->OnReply(server, read);
     }
     return true;
   };
@@ -186,6 +186,9 @@
   hooks.done_ = [this, number, reply, server = batch.server_](
                     CallOutcome outcome, const std::string&) {
     calls_.erase(number);
+    limits_->limits()->OnEnd(
+        server, outcome == CallOutcome::kSuccess && reply->IsFull(),
+        SteadyNow());
     if (outcome == CallOutcome::kSuccess) {
       TakeReply(number, server, *reply);
     } else {
--- a/src/routing/server_limits.cc
+++ b/src/routing/server_limits.cc
@@ -74,7 +74,7 @@
 }  // namespace
 
 ServerLimits::ServerLimits(std::string gateway)
-    : gateway_(std::move(gateway)) {}
+    : gateway_(std::move(gateway)), brittle_(gateway_) {}
 
 std::optional<double> ServerLimits::LimitOf(const State& state, TimePoint now) {
   std::optional<double> limit = state.per_second_;
@@ -102,24 +102,29 @@
 
 bool ServerLimits::Observe(const ServerLimit& limit) {
   const auto known = servers_.find(limit.server_);
-  if (known == servers_.end() && !limit.per_second_) {
+  const bool names_any =
+      limit.per_second_.has_value() || limit.max_refusals_.has_value();
+  if (known == servers_.end() && !names_any) {
     return false;
   }
   State& state = servers_[limit.server_];
-  const bool is_known = state.number_ > 0 || limit.per_second_;
+  const bool is_known = state.number_ > 0 || names_any;
   if (limit.at_ <= state.observed_ || !is_known) {
     return false;
   }
   state.observed_ = limit.at_;
   state.number_ = ++number_;
-  if (state.per_second_ == limit.per_second_) {
+  if (state.per_second_ == limit.per_second_ &&
+      state.max_refusals_ == limit.max_refusals_) {
     return false;
   }
-  if (!state.per_second_) {
+  if (!state.per_second_ && limit.per_second_) {
     state.began_ = limit.at_;
     state.last_sent_ = limit.at_;
   }
   state.per_second_ = limit.per_second_;
+  state.max_refusals_ = limit.max_refusals_;
+  brittle_.SetBrittle(limit.server_, limit.max_refusals_);
   return true;
 }
 
@@ -138,6 +143,14 @@
   }
 }
 
+// Servers may be observed before they are listed.
+void ServerLimits::SetServers(absl::Span<const BackendServer> servers) {
+  brittle_.SetServers(servers);
+  for (const auto& [server, state] : servers_) {
+    brittle_.SetBrittle(server, state.max_refusals_);
+  }
+}
+
 void ServerLimits::Retain(
     const std::function<bool(std::string_view server)>& exists) {
   for (auto it = servers_.begin(); it != servers_.end();) {
@@ -150,8 +163,9 @@
                            size_t gateways,
                            TimePoint now) const {
   const auto known = servers_.find(server);
-  return known == servers_.end() ||
-         MayCall(server, known->second, scope, gateways, now);
+  return brittle_.MayCall(server, scope, now) &&
+         (known == servers_.end() ||
+          MayCall(server, known->second, scope, gateways, now));
 }
 
 bool ServerLimits::MayCall(std::string_view server,
@@ -202,10 +216,18 @@
                                    TimePoint now) const {
   const auto known = servers_.find(server);
   return known != servers_.end() && LimitOf(known->second, now) &&
-         IsWithinSentBound(known->second, now);
+         IsWithinSentBound(known->second, now) &&
+         brittle_.MayCall(server, Scope::kOwner, now);
+}
+
+void ServerLimits::OnEnd(std::string_view server,
+                         bool is_refused,
+                         TimePoint now) {
+  brittle_.OnEnd(server, is_refused, now);
 }
 
 void ServerLimits::OnReservedCall(std::string_view server, TimePoint now) {
+  brittle_.OnCall(server, now);
   if (State* state = FindLimited(server, now)) {
     DropBefore(now - kSentWindow, &state->sent_);
     state->sent_.push_back(now);
@@ -221,7 +243,7 @@
   for (const auto& [server, state] : servers_) {
     if (state.per_second_ &&
         now - state.last_sent_ >= kObservationInterval * count &&
-        MayCall(server, state, scope, gateways, now)) {
+        MayCall(server, scope, gateways, now)) {
       unobserved.push_back(server);
     }
   }
@@ -231,7 +253,7 @@
 std::vector<std::string> ServerLimits::Exhausted(Scope scope,
                                                  size_t gateways,
                                                  TimePoint now) const {
-  std::vector<std::string> exhausted;
+  std::vector<std::string> exhausted = brittle_.Full(scope, now);
   for (const auto& [server, state] : servers_) {
     if (!MayCall(server, state, scope, gateways, now)) {
       exhausted.push_back(server);
@@ -244,7 +266,8 @@
   std::vector<ServerLimit> observed;
   for (const auto& [server, state] : servers_) {
     if (state.number_ > number) {
-      observed.push_back({server, state.per_second_, state.observed_});
+      observed.push_back(
+          {server, state.per_second_, state.observed_, state.max_refusals_});
     }
   }
   return observed;
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -268,8 +268,12 @@
   CHECK(read(200, {{"X-Citronlane-Request-Id", "i"}}).request_id_ == "i");
   CHECK(read(200, {{"server-limit", "2.5"}}).max_per_second_ == 2.5);
   CHECK(read(503, {{"Server-Limit", " 0 "}}).max_per_second_ == 0.0);
+  CHECK(read(200, {{"server-brittle", "4"}}).max_refusals_ == 4.0);
+  CHECK(read(503, {{"Server-Brittle", " 0 "}}).max_refusals_ == 0.0);
+  CHECK_FALSE(read(200, {{"Server-Limit", "2"}}).max_refusals_);
   for (const char* text : {"", "-1", "many", "1e999", "nan", "3 a second"}) {
     CHECK_FALSE(read(200, {{"Server-Limit", text}}).max_per_second_);
+    CHECK_FALSE(read(200, {{"Server-Brittle", text}}).max_refusals_);
   }
   CHECK(read(200, {{"Keep-Alive", "timeout=5, max=9"}}).idle_time_ ==
         std::chrono::seconds(5));
