Forward requests of gateways that have no place at brittle servers

Where brittle servers of a plain service have fewer slots than there are gateways, callers of those without a place got 503 for each request while the service had room: a fleet of 89 gateways and 18 slots would have refused most of them.

All gateways compute the same division, so each knows which others have a place; one without forwards, as one does that reaches no server, and the other gateway counts the call and waits for room.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -218,8 +218,13 @@
   };
   static std::string_view NameOf(PeerResult result);
   /// Whether another gateway should serve the request, because this one reaches
-  /// no server and none has got the request.
+  /// no server or may call none, and none has got the request.
   bool ShouldForward() const;
+  /// Whether brittle servers have no place for calls of this gateway.
+  bool LacksPlace() const;
+  /// Addresses of gateways that may call no server, if that is why the request
+  /// is forwarded.
+  std::vector<std::string> PeersWithoutPlace() const;
   /// Forwards the request to other gateways, one after the other. Returns
   /// whether it has ended; if not, none of them has had anything of it run.
   /// Suspends the handler.
--- a/include/citronlane/routing/brittle_servers.h
+++ b/include/citronlane/routing/brittle_servers.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +55,11 @@
   /// The call has ended. `is_refused`: for want of room.
   void OnEnd(std::string_view server, bool is_refused, TimePoint now);
 
+  /// The gateways that may call no server of a brittle service where there is
+  /// no owner, as named in SetGateways(); none for other services.
+  std::set<std::string> WithoutPlace(std::string_view service) const;
+  /// Whether this gateway is one of them.
+  bool LacksPlace(std::string_view service) const;
   /// Whether servers of the service are brittle.
   bool IsBrittle(std::string_view service) const;
   /// Number of servers that say so.
@@ -111,6 +117,8 @@
   Servers servers_;
   /// Fewest refusals a second that a server of the service bears.
   std::map<std::string, double, std::less<>> brittle_services_;
+  /// Gateways without a place, of each brittle service that has some.
+  std::map<std::string, std::set<std::string>, std::less<>> without_place_;
 };
 
 }  // namespace citronlane
--- a/src/relay/relay_request_peers.cc
+++ b/src/relay/relay_request_peers.cc
@@ -1,14 +1,18 @@
-// Forwards requests of a gateway that reaches no backend server to others.
+// Forwards requests of a gateway that reaches no backend server, or may call
+// none, to others.
 
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/server_call_spec.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
+#include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/peer_gateways.h"
 #include "citronlane/relay/peer_headers.h"
 #include "citronlane/relay/reach_watch.h"
@@ -50,19 +54,40 @@
 // Pieces of its stages may be made again, but a server that may have got the
 // request itself excludes that another gateway sends it.
 bool RelayRequest::ShouldForward() const {
-  return context_->reach_->is_cut_off() && !job_->is_forwarded_ &&
-         !is_forwarding_over_ && runs_ == 0 && refusals_ == 0 &&
-         !stream_started_;
+  return (context_->reach_->is_cut_off() || LacksPlace()) &&
+         !job_->is_forwarded_ && !is_forwarding_over_ && runs_ == 0 &&
+         refusals_ == 0 && !stream_started_;
+}
+
+bool RelayRequest::LacksPlace() const {
+  return service_ != nullptr && !service_->engine_ &&
+         context_->limits_->limits()->brittle()->LacksPlace(service_->name_);
+}
+
+std::vector<std::string> RelayRequest::PeersWithoutPlace() const {
+  std::vector<std::string> addresses;
+  if (!LacksPlace()) {
+    return addresses;
+  }
+  const auto names =
+      context_->limits_->limits()->brittle()->WithoutPlace(service_->name_);
+  for (const FleetView::Gateway& gateway : context_->view_->gateways()) {
+    if (names.count(gateway.endpoint_) != 0) {
+      addresses.push_back(gateway.relay_address_);
+    }
+  }
+  return addresses;
 }
 
 bool RelayRequest::TryPeers() {
-  std::vector<std::string> tried;
-  while (tried.size() < kMaxPeers && SteadyNow() < job_->deadline_) {
-    const auto peer = context_->peers_->Choose(tried, SteadyNow());
+  std::vector<std::string> excluded = PeersWithoutPlace();
+  for (size_t tried = 0; tried < kMaxPeers && SteadyNow() < job_->deadline_;
+       ++tried) {
+    const auto peer = context_->peers_->Choose(excluded, SteadyNow());
     if (!peer) {
       break;
     }
-    tried.push_back(*peer);
+    excluded.push_back(*peer);
     context_->peers_->OnStart(*peer);
     const PeerResult result = AskPeer(*peer);
     context_->peers_->OnEnd(*peer, result != PeerResult::kNotTaken,
--- a/src/routing/brittle_servers.cc
+++ b/src/routing/brittle_servers.cc
@@ -117,6 +117,7 @@
       by_service[entry.second.service_].push_back(&entry);
     }
   }
+  without_place_.clear();
   for (const auto& [service, servers] : by_service) {
     DivideService(servers);
   }
@@ -175,17 +176,35 @@
       brittle_services_.find(servers.front()->second.service_)->second;
   const double most = std::floor(kShareRefusals * max_refusals) *
                       static_cast<double>(servers.size());
+  const std::string& service = servers.front()->second.service_;
   size_t extra = 0;
   for (size_t i = 0; i < slots.size(); ++i) {
-    if (slots[i] == 0 && static_cast<double>(extra) < most) {
-      Server& server = servers[extra % servers.size()]->second;
-      ++extra;
-      ++server.callers_;
-      server.share_ += i == OwnIndex() ? 1 : 0;
+    if (slots[i] != 0) {
+      continue;
     }
+    if (static_cast<double>(extra) >= most) {
+      without_place_[service].insert(gateways_[i]);
+      continue;
+    }
+    Server& server = servers[extra % servers.size()]->second;
+    ++extra;
+    ++server.callers_;
+    server.share_ += i == OwnIndex() ? 1 : 0;
   }
 }
 
+std::set<std::string> BrittleServers::WithoutPlace(
+    std::string_view service) const {
+  const auto known = without_place_.find(service);
+  return known == without_place_.end() ? std::set<std::string>()
+                                       : known->second;
+}
+
+bool BrittleServers::LacksPlace(std::string_view service) const {
+  const auto known = without_place_.find(service);
+  return known != without_place_.end() && known->second.count(gateway_) != 0;
+}
+
 size_t BrittleServers::OwnIndex() const {
   return static_cast<size_t>(
       std::find(gateways_.begin(), gateways_.end(), gateway_) -
--- a/tests/process/platform_brittle_test.py
+++ b/tests/process/platform_brittle_test.py
@@ -246,6 +246,37 @@
         self.assertLessEqual(set(statuses), {200, 503})
 
 
+class FewSlotsFleet(BrittleFleet):
+    """A fleet with more gateways than its plain servers have slots."""
+
+    def _make_servers(self, stages):
+        super()._make_servers(stages)
+        self.plain.pop().close()
+        for server in self.plain:
+            server.slots = 1
+        self.list.servers = self.engines + self.plain + self.stages
+
+
+class FewSlotsTest(BrittleTestCase):
+    fleet_class = FewSlotsFleet
+    BORNE = 1
+
+    def test_callers_of_all_gateways_are_served(self):
+        """A gateway without a slot refused all requests for the service."""
+        self.send("GET", "/look/x", time.monotonic() + 1, 6)
+        for server in self.fleet.plain:
+            server.set_borne(self.BORNE)
+        self.send("GET", "/look/x", time.monotonic() + NOTICE_SECONDS, 6)
+        answers = self.send("GET", "/look/x", time.monotonic() + 5, 6)
+        statuses = [answer.status for answer in answers]
+        falls = sum(len(server.falls) for server in self.fleet.plain)
+        print(f"fewer slots than gateways: {falls} falls, {statuses.count(200)}"
+              f" of {len(statuses)} served", flush=True)
+        self.assertEqual(falls, 0)
+        # Some find both servers busy for longer than they wait.
+        self.assertGreaterEqual(statuses.count(200), 0.9 * len(statuses))
+
+
 class EngineTest(BrittleTestCase):
 
     def test_engines(self):
--- a/tests/unit-brittle-servers.cc
+++ b/tests/unit-brittle-servers.cc
@@ -387,6 +387,37 @@
   CHECK(calls == std::map<std::string, int>{{"a", 6}, {"b", 6}, {"c", 6}});
 }
 
+TEST_CASE("gateways without a place at brittle servers are known to all") {
+  const auto names = Names(10);
+  std::vector<BackendServer> servers;
+  for (const char* id : {"a", "b"}) {
+    servers.push_back(Listed(id, 2));
+  }
+  const auto divide = [&](const std::string& gateway, double max_refusals) {
+    BrittleServers brittle(gateway);
+    brittle.SetGateways(names);
+    brittle.SetServers(servers);
+    CHECK(brittle.WithoutPlace(kService).empty());
+    brittle.SetBrittle("a", max_refusals);
+    return brittle;
+  };
+  const auto expected = divide(names[0], 1).WithoutPlace(kService);
+  // Four have a slot, and none of the others may be refused.
+  CHECK(expected.size() == 6);
+  // Two more for each server.
+  CHECK(divide(names[0], 3).WithoutPlace(kService).size() == 2);
+  CHECK(divide(names[0], 10).WithoutPlace(kService).empty());
+  for (const std::string& name : names) {
+    const BrittleServers brittle = divide(name, 1);
+    CHECK(brittle.WithoutPlace(kService) == expected);
+    const bool may_call = brittle.MayCall("a", Scope::kShare, kStart) ||
+                          brittle.MayCall("b", Scope::kShare, kStart);
+    CHECK(brittle.LacksPlace(kService) == !may_call);
+    CHECK(brittle.LacksPlace(kService) == (expected.count(name) != 0));
+    CHECK(!brittle.LacksPlace("other"));
+  }
+}
+
 TEST_CASE("what a server has room for") {
   BrittleServers bounds("gateway");
   bounds.SetServers({Listed("s", 16), Listed("t", 16)});
