Read signals from descriptors, so that a flood of SIGHUP cannot hold up a stop

Seen: process-platform-reload failed once in 55 runs: a gateway that got SIGTERM and then many SIGHUP was still running after 5 s.

Cause: Asio's signal handler writes each signal into a pipe, and the event loop reads that pipe until it is empty before it runs anything else. While SIGHUPs arrive faster than they are read, no timer and no handler runs: the gateway logs "stopping" and nothing more, and its main thread is running all the time. The failed run's log was not kept, so that this was its cause is inferred.

Change: SIGTERM, SIGINT and SIGHUP are blocked before any thread starts and read from signalfd. The kernel keeps one of each; one that is not awaited, in the pause after a reload or after a stop signal, costs nothing. A stop signal that comes during the start is kept too and stops the process in order.

Tests: the process test checked the process between two signals, which slows their stream down; it sends a thousand between two checks now, and prints the threads of a process that is late. unit-control-host has three hosts in a process and used to send the process one SIGTERM for all; a blocked signal has one reader, so each host's thread gets a SIGINT of its own.

--- a/include/citronlane/net/process_signals.h
+++ b/include/citronlane/net/process_signals.h
@@ -2,16 +2,20 @@
 #define CITRONLANE_NET_PROCESS_SIGNALS_H_
 
 #include <functional>
-#include <memory>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace citronlane {
 
 /// Handles the stop and reload signals of a process that runs on one event
 /// loop. All calls and hooks run on that loop's thread.
+///
+/// The signals stay blocked and are read from descriptors, so that the kernel
+/// keeps at most one of each. A signal handler would interrupt the loop for
+/// each of them, and a tool that repeats SIGHUP quickly would take all its
+/// time.
 class ProcessSignals {
  public:
   struct Hooks {
@@ -23,20 +27,27 @@
     std::function<void()> reload_;
   };
 
-  /// Handles SIGTERM, SIGINT and SIGHUP from now on and ignores SIGPIPE. The
-  /// default actions stay disabled for the rest of the process, also after the
-  /// object is destroyed. `io` must outlive the object.
+  /// Blocks SIGTERM, SIGINT and SIGHUP in this thread and ignores SIGPIPE in
+  /// the process. Threads inherit the signal mask, so call this before any
+  /// thread is started. The signals then wait for an object of this class.
+  static void Block();
+
+  /// Handles SIGTERM, SIGINT and SIGHUP from now on, also those that came since
+  /// `Block`, which must have been called. The signals stay blocked after the
+  /// object is destroyed. `io` must outlive the object. Throws
+  /// std::system_error when the process has no descriptors left.
   ProcessSignals(boost::asio::io_context* io, Hooks hooks);
 
  private:
+  void WaitForStop();
   void WaitForReload();
   void Reload();
 
   const Hooks hooks_;
-  /// Separate from `reload_signals_`: a set delivers all pending signals of the
-  /// lowest number first, so many SIGHUPs would delay a stop signal.
-  boost::asio::signal_set stop_signals_;
-  boost::asio::signal_set reload_signals_;
+  /// Separate from `reload_signals_`, since the kernel returns pending signals
+  /// of the lowest number first.
+  boost::asio::posix::stream_descriptor stop_signals_;
+  boost::asio::posix::stream_descriptor reload_signals_;
   boost::asio::steady_timer reload_pause_;
   bool is_stopping_ = false;
 };
--- a/tests/process/platform_reload_test.py
+++ b/tests/process/platform_reload_test.py
@@ -1,6 +1,9 @@
 """Tests that reload signals do not disturb a stop."""
 
+import glob
+import os
 import signal
+import sys
 import time
 import unittest
 
@@ -8,6 +11,25 @@
 
 # For a process without requests in flight; well below its grace period.
 STOP_SECONDS = 5
+# Signals between two checks of the process, which would slow their stream down.
+SIGNALS_PER_CHECK = 1000
+
+
+def threads(pid):
+    """Returns the state of each thread of a process, and the signals that wait
+    for it."""
+    lines = []
+    for folder in glob.glob(f"/proc/{pid}/task/*"):
+        try:
+            with open(folder + "/status", encoding="utf-8") as file:
+                fields = [" ".join(line.split()) for line in file]
+            with open(folder + "/wchan", encoding="utf-8") as file:
+                lines.append(f"{folder} in {file.read()}: " + ", ".join(
+                    field for field in fields if field.startswith(
+                        ("Name:", "State:", "SigPnd:", "ShdPnd:", "SigBlk:"))))
+        except OSError as error:
+            lines.append(f"{folder}: {error}")  # The thread has ended.
+    return "\n".join(lines)
 
 
 class ReloadTest(FleetTestCase):
@@ -23,9 +45,11 @@
                 sent_at = time.monotonic()
                 while process.running() and \
                         time.monotonic() < sent_at + STOP_SECONDS:
-                    process.send(signal.SIGHUP)
+                    for _ in range(SIGNALS_PER_CHECK):
+                        os.kill(process.child.pid, signal.SIGHUP)
                 passed = time.monotonic() - sent_at
                 if process.running():
+                    print(threads(process.child.pid), file=sys.stderr)
                     process.kill()
                 code = process.wait()
                 start(ip)
--- a/tests/unit-control-host.cc
+++ b/tests/unit-control-host.cc
@@ -19,6 +19,7 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/control/control_host.h"
 #include "citronlane/net/frame_link.h"
+#include "citronlane/net/process_signals.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/serving/node_settings.h"
@@ -35,7 +36,7 @@
 
 constexpr uint64_t kStream = 77;
 
-/// A control VM on a thread of its own, until the process gets SIGTERM.
+/// A control VM on a thread of its own, which gets SIGINT at the end.
 class Host {
  public:
   Host(NodeSettings settings, const Dialect* dialect)
@@ -48,7 +49,10 @@
           Error error;
           host_.Run(&error);
         }) {}
-  ~Host() { thread_.join(); }
+  ~Host() {
+    pthread_kill(thread_.native_handle(), SIGINT);
+    thread_.join();
+  }
   Host(const Host&) = delete;
   Host& operator=(const Host&) = delete;
 
@@ -101,6 +105,7 @@
 }  // namespace
 
 TEST_CASE("control VMs remember streams for each other") {
+  ProcessSignals::Block();
   boost::asio::io_context io;
   const Dialect dialect = platform::MakeDialect();
   const auto root = std::filesystem::temp_directory_path() /
@@ -148,7 +153,6 @@
     CHECK(link->answer().version() == "4.1");
   }
 
-  ::kill(::getpid(), SIGTERM);
   hosts.clear();
   std::filesystem::remove_all(root);
 }
