Let gateways renew their lease while a control VM syncs a change

Seen: process-control failed once beside load: calls ended 503 configuration_lease_lapsed while changes were made. Not shown to be the cause.

Cause: a control VM reported a new version to lease renewals before it wrote the entry to its disk. A gateway gets no lease from a node that reports a version it does not have, so the time of the sync counted against the lease on each change.

Change: the hooks for new entries run after the sync and still before the entry is acknowledged. A quorum commits an entry only after that, so any majority that renews a lease still includes a node that knows of the change.

Tests: unit-replica, one new section for each side: no sync sees the entry reported (failed before), and a quorum has reported it once it is committed.

--- a/src/control/replica_ready.cc
+++ b/src/control/replica_ready.cc
@@ -53,11 +53,15 @@
       hooks_.install_snapshot_(index, ready.snapshot_->data_);
     }
   }
+  if (!storage_->Append(ready.hard_state_, ready.entries_, error)) {
+    return false;
+  }
   // Replies to lease renewals report the newest version in the log and must
   // include an entry before a quorum can have committed it, so the hooks run
-  // before the entry is acknowledged.
+  // before the entry is acknowledged. They run after the sync, since gateways
+  // get no lease from a node that reports a version they do not have yet.
   NotifyAppended(ready.entries_);
-  return storage_->Append(ready.hard_state_, ready.entries_, error);
+  return true;
 }
 
 void Replica::Impl::NotifyAppended(const std::vector<Entry>& entries) {
--- a/tests/unit-replica.cc
+++ b/tests/unit-replica.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -84,6 +85,13 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     return applied_commands_;
   }
+  /// Returns whether the hook for entries of the log got the command.
+  bool HasAppended(const std::string& payload) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return std::any_of(log_.begin(), log_.end(), [&](const auto& entry) {
+      return entry.second == payload;
+    });
+  }
   int installed() const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return installed_;
@@ -274,6 +282,21 @@
     REQUIRE(cluster.Start(1).empty());
     CHECK(cluster.At(1).state().size() > 5000);
   }
+  // Gateways get no lease from a node that reports a new version, so the time
+  // of a slow sync would count against the lease.
+  SECTION("reports a command once it is synced, before it is committed") {
+    std::atomic<bool> is_early{false};
+    FileSystem files = PosixFileSystem();
+    files.sync_ = [&, sync = files.sync_](int handle, Error* error) {
+      is_early = is_early || cluster.At(1).HasAppended("a");
+      return sync(handle, error);
+    };
+    cluster.files_[1] = files;
+    REQUIRE(cluster.Start(1).empty());
+    cluster.Commit("a");
+    CHECK(cluster.At(1).HasAppended("a"));
+    CHECK_FALSE(is_early);
+  }
   SECTION("refuses a folder of another node") {
     REQUIRE(cluster.Start(1).empty());
     cluster.Stop(1);
@@ -302,6 +325,14 @@
     REQUIRE(cluster.Start(leader).empty());
     CHECK(Eventually([&] { return cluster.At(leader).state() == "a;b;"; }));
   }
+  SECTION("a quorum has reported a command when it is committed") {
+    cluster.Commit("b");
+    size_t reported = 0;
+    for (uint64_t id = 1; id <= 3; ++id) {
+      reported += cluster.At(id).HasAppended("b") ? 1 : 0;
+    }
+    CHECK(reported >= 2);
+  }
   SECTION("sends a learner a snapshot in parts") {
     // More than the entries kept in memory, in parts of 256 KB.
     const std::string big(1 << 20, 'x');
