Probe servers with a request, since a connection that is taken shows no link

What callers saw: a gateway whose links took connections and reset them late, or lost all that was sent on them, served nobody, since it did not take itself for cut off: calls ended 502, 504 or at their deadline.

Cause: a probe counted as reached when its connection was taken and stayed open for 300 ms. Where resets came later, each probe succeeded; resets after 150 ms came later beside load, as connections waited behind others.

Change: a probe asks for the server's report on a new connection, and any reply within 400 ms counts. A connection that only stays open counts if the same server has replied to a call since the failure: it is slow then. Replies of other servers do not count for it, since some servers may be reachable during a cut.

--- a/include/citronlane/net/connect_probe.h
+++ b/include/citronlane/net/connect_probe.h
@@ -19,14 +19,6 @@
                    const std::string& endpoint,
                    std::function<void(bool is_refused)> done);
 
-/// Tests whether `endpoint`, "IP:port", takes connections: connects within some
-/// hundred milliseconds, and the peer does not close the connection at once.
-/// Calls `done` once, on the event loop, with the result. `io` must run until
-/// then.
-void ProbeConnection(boost::asio::io_context* io,
-                     const std::string& endpoint,
-                     std::function<void(bool is_open)> done);
-
 }  // namespace citronlane
 
 #endif  // CITRONLANE_NET_CONNECT_PROBE_H_
--- a/include/citronlane/relay/reach_watch.h
+++ b/include/citronlane/relay/reach_watch.h
@@ -20,9 +20,10 @@
   struct Hooks {
     /// Addresses "IP:port" of all listed servers.
     std::function<std::vector<std::string>()> addresses_;
-    /// Calls `done` later, once, with whether the address takes connections.
+    /// Sends the server at the address a request that runs nothing. Calls
+    /// `done` once, possibly before it returns.
     std::function<void(const std::string& address,
-                       std::function<void(bool is_reached)> done)>
+                       std::function<void(ServerReach::ProbeResult)> done)>
         probe_;
     /// is_cut_off() has changed.
     std::function<void()> changed_;
@@ -36,13 +37,15 @@
 
   /// A call to a server has ended.
   void OnCallEnd(CallOutcome outcome);
+  /// A reply, or a part of one, has arrived from the server at "IP:port".
+  void OnReply(const std::string& address) { reach_.OnReply(address); }
   /// Starts the probes that are due. Call every 50 ms.
   void Tick();
 
   bool is_cut_off() const { return reach_.is_cut_off(); }
 
  private:
-  void OnProbed(bool is_reached);
+  void OnProbed(const std::string& address, ServerReach::ProbeResult result);
 
   EventLog* const log_;
   const Hooks hooks_;
--- a/include/citronlane/routing/server_reach.h
+++ b/include/citronlane/routing/server_reach.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,34 +20,52 @@
 /// off; probes then go on until servers can be reached again. While calls
 /// succeed, nothing is probed. Pure: time and randomness are passed in. Not
 /// thread safe.
+///
+/// A connection that is taken shows little, since a link may take connections
+/// and reset them late, or lose all that is sent. It counts only if its server
+/// has replied to a call since the failure: it is slow then.
 class ServerReach {
  public:
   /// Returns a random number below its argument, which is at least 1.
   using RandomHook = std::function<uint64_t(uint64_t below)>;
 
+  enum class ProbeResult {
+    /// The server replied.
+    kReplied,
+    /// The connection was taken and stayed open, without a reply.
+    kOpen,
+    /// No connection was made, or it was closed.
+    kFailed,
+  };
+
   explicit ServerReach(RandomHook random);
 
-  /// A call to a server ended without a reply.
-  void OnFailure() { is_suspected_ = true; }
+  /// A call to a server ended without a reply, or within it.
+  void OnFailure();
+  /// A reply to a call, or a part of one, has arrived from the server.
+  void OnReply(const std::string& address);
   /// Whether servers should be probed now.
   bool IsRoundDue(TimePoint now) const;
   /// Starts a round: returns the addresses to probe, drawn from those of all
   /// servers. The result of each must be passed to OnProbed(). Precondition:
   /// IsRoundDue().
   std::vector<std::string> StartRound(absl::Span<const std::string> addresses);
-  /// A probe of the present round has ended. Returns whether is_cut_off() has
-  /// changed. Precondition: a probe is outstanding.
-  bool OnProbed(bool is_reached, TimePoint now);
+  /// The probe of a server of the present round has ended. Returns whether
+  /// is_cut_off() has changed. Precondition: a probe is outstanding.
+  bool OnProbed(const std::string& address, ProbeResult result, TimePoint now);
 
   bool is_cut_off() const { return is_cut_off_; }
 
  private:
   size_t RoundSize() const;
+  bool IsReached(const std::string& address, ProbeResult result) const;
   bool Conclude(TimePoint now);
 
   const RandomHook random_;
   bool is_cut_off_ = false;
   bool is_suspected_ = false;
+  /// Servers that have replied to calls since the suspicion.
+  std::set<std::string> repliers_;
   /// Rounds since the suspicion in which no server was reached.
   size_t failed_rounds_ = 0;
   size_t outstanding_ = 0;
--- a/src/net/connect_probe.cc
+++ b/src/net/connect_probe.cc
@@ -21,8 +21,6 @@
 constexpr int kMaxAttempts = 3;
 constexpr Duration kAttemptInterval = std::chrono::milliseconds(50);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
-/// A link that resets its connections does so within this time.
-constexpr Duration kHoldTime = std::chrono::milliseconds(300);
 
 /// One probe. Kept alive by its operations in flight.
 class Probe : public std::enable_shared_from_this<Probe> {
@@ -64,39 +62,6 @@
   int attempts_ = 0;
 };
 
-/// One connection, held for a moment. Kept alive by its operations in flight.
-class HeldConnection : public std::enable_shared_from_this<HeldConnection> {
- public:
-  HeldConnection(asio::io_context* io, std::function<void(bool)> done)
-      : stream_(*io), done_(std::move(done)) {}
-
-  void Connect(const asio::ip::tcp::endpoint& peer) {
-    stream_.expires_after(kConnectTimeout);
-    stream_.async_connect(peer,
-                          [self = shared_from_this()](const error_code& error) {
-                            self->Connected(error);
-                          });
-  }
-
- private:
-  void Connected(const error_code& error) {
-    if (error) {
-      done_(false);
-      return;
-    }
-    stream_.expires_after(kHoldTime);
-    stream_.async_read_some(
-        asio::buffer(&byte_, 1),
-        [self = shared_from_this()](const error_code& read_error, size_t) {
-          self->done_(read_error == boost::beast::error::timeout);
-        });
-  }
-
-  boost::beast::tcp_stream stream_;
-  const std::function<void(bool)> done_;
-  char byte_ = 0;
-};
-
 }  // namespace
 
 void ProbeListener(asio::io_context* io,
@@ -110,15 +75,4 @@
   std::make_shared<Probe>(io, *peer, std::move(done))->Connect();
 }
 
-void ProbeConnection(asio::io_context* io,
-                     const std::string& endpoint,
-                     std::function<void(bool is_open)> done) {
-  const auto peer = ParseEndpoint(endpoint);
-  if (!peer) {
-    asio::post(*io, [done = std::move(done)] { done(false); });
-    return;
-  }
-  std::make_shared<HeldConnection>(io, std::move(done))->Connect(*peer);
-}
-
 }  // namespace citronlane
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -13,6 +13,7 @@
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/relay/detail/gateway_host_impl.h"
 #include "citronlane/relay/relay_responses.h"
+#include "citronlane/relay/server_probe.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_reply.h"
@@ -180,8 +181,8 @@
     return addresses;
   };
   hooks.probe_ = [this](const std::string& address,
-                        std::function<void(bool)> done) {
-    ProbeConnection(&io_, address, std::move(done));
+                        std::function<void(ServerReach::ProbeResult)> done) {
+    ProbeServer(&client_, address, dialect_->report_path_, std::move(done));
   };
   hooks.changed_ = [this] { watch_.SetCutOff(reach_.is_cut_off()); };
   hooks.now_ = SteadyNow;
--- a/src/relay/reach_watch.cc
+++ b/src/relay/reach_watch.cc
@@ -32,13 +32,16 @@
     return;
   }
   for (const std::string& address : reach_.StartRound(hooks_.addresses_())) {
-    hooks_.probe_(address, [this](bool is_reached) { OnProbed(is_reached); });
+    hooks_.probe_(address, [this, address](ServerReach::ProbeResult result) {
+      OnProbed(address, result);
+    });
   }
 }
 
-void ReachWatch::OnProbed(bool is_reached) {
+void ReachWatch::OnProbed(const std::string& address,
+                          ServerReach::ProbeResult result) {
   const TimePoint now = hooks_.now_();
-  if (reach_.OnProbed(is_reached, now)) {
+  if (reach_.OnProbed(address, result, now)) {
     log_->Write("gateway",
                 is_cut_off() ? "cut off from servers" : "servers reached again",
                 {{"servers", static_cast<uint64_t>(hooks_.addresses_().size())},
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -6,6 +6,7 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
+#include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/waker.h"
 #include "citronlane/serving/dialect.h"
@@ -56,6 +57,10 @@
                                        : ReplyOwner::kUnclear;
 }
 
+std::string AddressOf(const StageCallSpec& spec) {
+  return spec.address_ + ":" + std::to_string(spec.port_);
+}
+
 std::string_view MismatchReason(const ServerReplyHead& reply) {
   if (reply.is_ambiguous_) {
     return "ambiguous";
@@ -90,6 +95,13 @@
                              Names names)
     : state_(std::make_shared<State>()) {
   const auto state = state_;
+  const auto note_reply = [context, is_gateway = names.is_gateway_,
+                           address = AddressOf(spec)] {
+    // Other gateways are reached without the links to servers.
+    if (!is_gateway) {
+      context->reach_->OnReply(address);
+    }
+  };
   StageCallHooks hooks;
   hooks.sending_ = [state, waker] {
     state->sent_at_ = SteadyNow();
@@ -108,14 +120,16 @@
     }
     return owner;
   };
-  hooks.head_ = [state, waker](const StageReplyHead& head) {
+  hooks.head_ = [state, waker, note_reply](const StageReplyHead& head) {
+    note_reply();
     state->has_head_ = true;
     state->status_ = head.status_;
     state->headers_ = head.headers_;
     waker->Wake();
     return true;
   };
-  hooks.data_ = [state, waker](std::string_view bytes) {
+  hooks.data_ = [state, waker, note_reply](std::string_view bytes) {
+    note_reply();
     state->data_.append(bytes);
     waker->Wake();
   };
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -162,8 +162,9 @@
   const auto reply = std::make_shared<Reply>();
   StageCallHooks hooks;
   hooks.sending_ = [] { return true; };
-  hooks.head_ = [this, reply,
-                 server = batch.server_](const StageReplyHead& head) {
+  hooks.head_ = [this, reply, server = batch.server_,
+                 address = batch.address_](const StageReplyHead& head) {
+    reach_->OnReply(address);
     const ServerReplyHead read =
         dialect_->read_reply_(head.status_, head.headers_);
     reply->status_ = head.status_;
--- a/src/routing/server_reach.cc
+++ b/src/routing/server_reach.cc
@@ -20,6 +20,19 @@
 
 ServerReach::ServerReach(RandomHook random) : random_(std::move(random)) {}
 
+void ServerReach::OnFailure() {
+  if (!is_suspected_) {
+    repliers_.clear();
+    is_suspected_ = true;
+  }
+}
+
+void ServerReach::OnReply(const std::string& address) {
+  if (is_suspected_) {
+    repliers_.insert(address);
+  }
+}
+
 bool ServerReach::IsRoundDue(TimePoint now) const {
   return outstanding_ == 0 && (is_suspected_ || is_cut_off_) &&
          now >= next_round_;
@@ -38,8 +51,10 @@
   return drawn;
 }
 
-bool ServerReach::OnProbed(bool is_reached, TimePoint now) {
-  reached_ += is_reached ? 1 : 0;
+bool ServerReach::OnProbed(const std::string& address,
+                           ProbeResult result,
+                           TimePoint now) {
+  reached_ += IsReached(address, result) ? 1 : 0;
   --outstanding_;
   return outstanding_ == 0 && Conclude(now);
 }
@@ -48,6 +63,12 @@
   return is_cut_off_ || failed_rounds_ > 0 ? kProbesPerRound : 1;
 }
 
+bool ServerReach::IsReached(const std::string& address,
+                            ProbeResult result) const {
+  return result == ProbeResult::kReplied ||
+         (result == ProbeResult::kOpen && repliers_.count(address) > 0);
+}
+
 bool ServerReach::Conclude(TimePoint now) {
   if (is_cut_off_) {
     next_round_ = now + kRoundInterval;
--- a/tests/process/fault_proxy.py
+++ b/tests/process/fault_proxy.py
@@ -36,6 +36,11 @@
         """Returns whether this caller's connections are served."""
         return True
 
+    def discards(self, _):
+        """Returns whether what this caller sends or is sent is lost, without
+        an error on either side."""
+        return self.mode == "silent"
+
     @staticmethod
     def _reset(sock):
         try:
@@ -62,12 +67,12 @@
                 caller.close()
                 continue
             self.sockets |= {caller, server}
-            for pair in ((caller, server, "no_requests"),
-                         (server, caller, "no_replies")):
+            for pair in ((caller, server, caller, "no_requests"),
+                         (server, caller, caller, "no_replies")):
                 threading.Thread(target=self._pump, args=pair,
                                  daemon=True).start()
 
-    def _pump(self, source, sink, own_cut):
+    def _pump(self, source, sink, caller, own_cut):
         try:
             while True:
                 data = source.recv(65536)
@@ -75,8 +80,8 @@
                     break
                 if self.mode == "delay":
                     time.sleep(0.15)
-                if self.mode in (own_cut, "silent"):
-                    continue  # Discarded without an error on either side.
+                if self.mode == own_cut or self.discards(caller):
+                    continue
                 sink.sendall(data)
         except OSError:
             pass
--- a/tests/process/platform_cut_off_test.py
+++ b/tests/process/platform_cut_off_test.py
@@ -104,11 +104,25 @@
         first = self.fleet.owners()["cut"]
         self.check([first, (first + 1) % self.gateways])
 
+    def set_links(self, name, value):
+        """Sets a property of all links to servers until the test ends."""
+        for proxy in self.fleet.proxies:
+            self.addCleanup(setattr, proxy, name, getattr(proxy, name))
+            setattr(proxy, name, value)
+
     def test_links_that_reset_new_connections_late(self):
         """Such a probe counted as reached, and the gateway served nobody."""
-        for proxy in self.fleet.proxies:
-            proxy.reset_delay = 0.15
-            self.addCleanup(setattr, proxy, "reset_delay", 0.0)
+        self.set_links("reset_delay", 0.15)
+        self.check([0])
+
+    def test_links_that_reset_new_connections_later(self):
+        """Each call ends later than a probe, and the probe's connection, too."""
+        self.set_links("reset_delay", 0.45)
+        self.check([0])
+
+    def test_links_that_lose_all_data(self):
+        """Connections are taken and stay open."""
+        self.set_links("hangs", True)
         self.check([0])
 
     def test_served_after_a_cut(self):
--- a/tests/process/source_proxy.py
+++ b/tests/process/source_proxy.py
@@ -1,5 +1,5 @@
 """A TCP proxy on loopback that can cut off single processes: it resets their
-connections and serves those of all others."""
+connections, or discards all data on them, and serves those of all others."""
 
 import os
 import socket
@@ -64,29 +64,42 @@
 
 class SourceProxy(FaultProxy):
     """Proxy for one address; connections of `cut_off` processes, by their ids,
-    are reset, new ones after `reset_delay` seconds."""
+    are reset, new ones after `reset_delay` seconds. With `hangs` they stay
+    open and are taken, and what is sent on them is lost."""
 
     def __init__(self, ip, target):
         self.cut_off = frozenset()
         self.reset_delay = 0.0
+        self.hangs = False
+        self.hung = frozenset()
         super().__init__(ip, target)
 
     def cut(self, pids):
         """Cuts these processes off, and no others."""
         self.cut_off = frozenset(pids)
+        hung = set()
         for sock in list(self.sockets):
             try:
                 is_cut = self._is_cut(sock)
             except OSError:
                 continue
-            if is_cut:
+            if is_cut and self.hangs:
+                hung.add(sock)
+            elif is_cut:
                 self._reset(sock)
+        self.hung = frozenset(hung)
+
+    def discards(self, caller):
+        return caller in self.hung or super().discards(caller)
 
     def admits(self, sock):
         try:
             is_admitted = not self.cut_off or not self._is_cut(sock)
         except OSError:
             is_admitted = False
+        if not is_admitted and self.hangs:
+            self.hung |= {sock}
+            return True
         if not is_admitted:
             time.sleep(self.reset_delay)
         return is_admitted
--- a/tests/support/no_probes.h
+++ b/tests/support/no_probes.h
@@ -7,6 +7,7 @@
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/relay/reach_watch.h"
+#include "citronlane/routing/server_reach.h"
 
 namespace citronlane {
 
@@ -14,7 +15,8 @@
 inline ReachWatch::Hooks NoProbes() {
   ReachWatch::Hooks hooks;
   hooks.addresses_ = [] { return std::vector<std::string>(); };
-  hooks.probe_ = [](const std::string&, const std::function<void(bool)>&) {};
+  hooks.probe_ = [](const std::string&,
+                    const std::function<void(ServerReach::ProbeResult)>&) {};
   hooks.changed_ = [] {};
   hooks.now_ = SteadyNow;
   return hooks;
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -157,10 +157,12 @@
   ReachWatch::Hooks ReachHooks() {
     ReachWatch::Hooks hooks = NoProbes();
     hooks.addresses_ = [] { return std::vector<std::string>{"127.0.0.1:2"}; };
-    hooks.probe_ = [this](const std::string&,
-                          const std::function<void(bool)>& done) {
-      done(are_servers_reached_);
-    };
+    hooks.probe_ =
+        [this](const std::string&,
+               const std::function<void(ServerReach::ProbeResult)>& done) {
+          done(are_servers_reached_ ? ServerReach::ProbeResult::kReplied
+                                    : ServerReach::ProbeResult::kFailed);
+        };
     return hooks;
   }
   static constexpr auto kEndpoint = "127.0.0.1:1";
--- a/tests/unit-server-reach.cc
+++ b/tests/unit-server-reach.cc
@@ -13,6 +13,7 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using ProbeResult = ServerReach::ProbeResult;
 
 std::vector<std::string> Addresses(size_t count) {
   std::vector<std::string> addresses;
@@ -25,20 +26,20 @@
 /// A node with probes that end at once.
 class Node {
  public:
-  using Reaches = std::function<bool(const std::string& address)>;
+  using Probes = std::function<ProbeResult(const std::string& address)>;
 
   Node(size_t servers, uint32_t seed)
       : addresses_(Addresses(servers)), random_(seed) {}
 
   /// Runs all rounds that are due.
-  void Probe(const Reaches& reaches) {
+  void Probe(const Probes& result_of) {
     while (reach_.IsRoundDue(now_)) {
       const auto drawn = reach_.StartRound(addresses_);
       CHECK(std::set<std::string>(drawn.begin(), drawn.end()).size() ==
             drawn.size());
       probes_ += drawn.size();
       for (const std::string& address : drawn) {
-        reach_.OnProbed(reaches(address), now_);
+        reach_.OnProbed(address, result_of(address), now_);
       }
       if (drawn.empty()) {
         return;
@@ -53,11 +54,17 @@
   ServerReach reach_{[this](uint64_t below) { return random_() % below; }};
 };
 
-bool None(const std::string&) {
-  return false;
+ProbeResult None(const std::string&) {
+  return ProbeResult::kFailed;
 }
-bool All(const std::string&) {
-  return true;
+ProbeResult Open(const std::string&) {
+  return ProbeResult::kOpen;
+}
+ProbeResult All(const std::string&) {
+  return ProbeResult::kReplied;
+}
+ProbeResult RepliedIf(bool is_reached) {
+  return is_reached ? ProbeResult::kReplied : ProbeResult::kFailed;
 }
 
 }  // namespace
@@ -98,6 +105,77 @@
   }
 }
 
+// Links that took connections and reset them late, or lost what was sent,
+// counted as reached, and a node without any served nobody.
+TEST_CASE("a connection that is taken shows no link") {
+  const size_t servers = GENERATE(1, 2, 7, 900);
+  CAPTURE(servers);
+  Node node(servers, 1);
+
+  SECTION("found out at the first failure") {
+    node.reach_.OnFailure();
+    node.Probe(Open);
+    CHECK(node.reach_.is_cut_off());
+    CHECK(node.probes_ <= 11);
+  }
+
+  SECTION("does not end a cut") {
+    node.reach_.OnFailure();
+    node.Probe(None);
+    for (int i = 0; i < 100; ++i) {
+      node.now_ += milliseconds(500);
+      node.Probe(Open);
+      CHECK(node.reach_.is_cut_off());
+    }
+    node.now_ += milliseconds(500);
+    node.Probe(All);
+    CHECK_FALSE(node.reach_.is_cut_off());
+  }
+
+  SECTION("replies before the failure do not count") {
+    for (const std::string& address : node.addresses_) {
+      node.reach_.OnReply(address);
+    }
+    node.reach_.OnFailure();
+    node.Probe(Open);
+    CHECK(node.reach_.is_cut_off());
+  }
+
+  SECTION("replies after a failure do not count after the next one") {
+    node.reach_.OnFailure();
+    for (const std::string& address : node.addresses_) {
+      node.reach_.OnReply(address);
+    }
+    node.Probe(All);
+    node.now_ += milliseconds(500);
+    node.reach_.OnFailure();
+    node.Probe(Open);
+    CHECK(node.reach_.is_cut_off());
+  }
+
+  SECTION("replies of servers that refuse new connections do not count") {
+    node.reach_.OnFailure();
+    for (const std::string& address : node.addresses_) {
+      node.reach_.OnReply(address);
+    }
+    node.Probe(None);
+    CHECK(node.reach_.is_cut_off());
+  }
+
+  SECTION("servers that reply to calls are only slow") {
+    for (int i = 0; i < 100; ++i) {
+      node.reach_.OnFailure();
+      for (const std::string& address : node.addresses_) {
+        node.reach_.OnReply(address);
+      }
+      node.reach_.OnFailure();
+      node.Probe(Open);
+      CHECK_FALSE(node.reach_.is_cut_off());
+      node.now_ += milliseconds(500);
+    }
+  }
+}
+
 // A node that reached a few servers by chance took requests that it could not
 // serve.
 TEST_CASE("a node stays cut off while it reaches few servers") {
@@ -110,18 +188,19 @@
   for (int i = 0; i < 200; ++i) {
     node.now_ += milliseconds(500);
     node.Probe([&](const std::string& address) {
-      return reachable.count(address) > 0;
+      return RepliedIf(reachable.count(address) > 0);
     });
     CHECK(node.reach_.is_cut_off());
   }
 }
 
-TEST_CASE("servers that have ended cut no node off") {
+TEST_CASE("servers that have ended or hang cut no node off") {
   const uint32_t seed = GENERATE(range(1U, 11U));
+  const ProbeResult lost = GENERATE(ProbeResult::kFailed, ProbeResult::kOpen);
   Node node(30, seed);
   // A third of the servers.
   const auto reaches = [&](const std::string& address) {
-    return address[address.size() - 3] % 3 != 0;
+    return address[address.size() - 3] % 3 != 0 ? ProbeResult::kReplied : lost;
   };
   size_t cut_off = 0;
   for (int i = 0; i < 1000; ++i) {
