Probe servers when none of them has replied to calls for a while

What callers saw: when links lost all data without an error, calls ended at their time limits only, and nothing was probed before. With one caller, whose first call was for a stream, the cut was found 3.5 s after it began.

Change: 600 ms without a reply of any server after a call was sent are an occasion for a probe, as a failed call is. Probes decide as before. A gateway with many calls gets replies all the time; one with few makes one probe for each call that takes longer.

--- a/include/citronlane/relay/reach_watch.h
+++ b/include/citronlane/relay/reach_watch.h
@@ -37,6 +37,8 @@
 
   /// A call to a server has ended.
   void OnCallEnd(CallOutcome outcome);
+  /// A call is being sent to a server.
+  void OnCall() { reach_.OnCall(hooks_.now_()); }
   /// A reply, or a part of one, has arrived from the server at "IP:port".
   void OnReply(const std::string& address) { reach_.OnReply(address); }
   /// Starts the probes that are due. Call every 50 ms.
--- a/include/citronlane/routing/server_reach.h
+++ b/include/citronlane/routing/server_reach.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,7 +19,9 @@
 /// failure it requests probes, first of one server and, if that fails, of
 /// several in two rounds. When none of them can be reached, the node is cut
 /// off; probes then go on until servers can be reached again. While calls
-/// succeed, nothing is probed. Pure: time and randomness are passed in. Not
+/// succeed, nothing is probed. Links may also lose all data without any error,
+/// so a call is taken for failed when no server replies to any call for a
+/// while. Pure: time and randomness are passed in. Not
 /// thread safe.
 ///
 /// A connection that is taken shows little, since a link may take connections
@@ -42,6 +45,8 @@
 
   /// A call to a server ended without a reply, or within it.
   void OnFailure();
+  /// A call is being sent to a server.
+  void OnCall(TimePoint now);
   /// A reply to a call, or a part of one, has arrived from the server.
   void OnReply(const std::string& address);
   /// Whether servers should be probed now.
@@ -57,13 +62,18 @@
   bool is_cut_off() const { return is_cut_off_; }
 
  private:
+  bool IsSilent(TimePoint now) const;
   size_t RoundSize() const;
   bool IsReached(const std::string& address, ProbeResult result) const;
   bool Conclude(TimePoint now);
+  /// Ends a suspicion, or a round during a cut.
+  void Settle(TimePoint now);
 
   const RandomHook random_;
   bool is_cut_off_ = false;
   bool is_suspected_ = false;
+  /// First call since the last reply of any server; nothing if there is none.
+  std::optional<TimePoint> unanswered_since_;
   /// Servers that have replied to calls since the suspicion.
   std::set<std::string> repliers_;
   /// Rounds since the suspicion in which no server was reached.
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -95,16 +95,19 @@
                              Names names)
     : state_(std::make_shared<State>()) {
   const auto state = state_;
-  const auto note_reply = [context, is_gateway = names.is_gateway_,
-                           address = AddressOf(spec)] {
-    // Other gateways are reached without the links to servers.
-    if (!is_gateway) {
-      context->reach_->OnReply(address);
+  // Other gateways are reached without the links to servers.
+  ReachWatch* const reach = names.is_gateway_ ? nullptr : context->reach_;
+  const auto note_reply = [reach, address = AddressOf(spec)] {
+    if (reach != nullptr) {
+      reach->OnReply(address);
     }
   };
   StageCallHooks hooks;
-  hooks.sending_ = [state, waker] {
+  hooks.sending_ = [state, waker, reach] {
     state->sent_at_ = SteadyNow();
+    if (reach != nullptr) {
+      reach->OnCall();
+    }
     waker->Wake();
     return true;
   };
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -161,7 +161,10 @@
                {"first_request", batch.pieces_.front().request_id_}});
   const auto reply = std::make_shared<Reply>();
   StageCallHooks hooks;
-  hooks.sending_ = [] { return true; };
+  hooks.sending_ = [this] {
+    reach_->OnCall();
+    return true;
+  };
   hooks.head_ = [this, reply, server = batch.server_,
                  address = batch.address_](const StageReplyHead& head) {
     reach_->OnReply(address);
--- a/src/routing/server_reach.cc
+++ b/src/routing/server_reach.cc
@@ -16,6 +16,10 @@
 /// Pause after a round that reached a server, and between rounds during a cut.
 constexpr Duration kRoundInterval = std::chrono::milliseconds(500);
 
+/// Longest time without a reply of any server after a call was sent. Servers
+/// that compute for longer cost one probe.
+constexpr Duration kMaxSilence = std::chrono::milliseconds(600);
+
 }  // namespace
 
 ServerReach::ServerReach(RandomHook random) : random_(std::move(random)) {}
@@ -27,19 +31,28 @@
   }
 }
 
+void ServerReach::OnCall(TimePoint now) {
+  if (!unanswered_since_) {
+    unanswered_since_ = now;
+  }
+}
+
 void ServerReach::OnReply(const std::string& address) {
+  unanswered_since_.reset();
   if (is_suspected_) {
     repliers_.insert(address);
   }
 }
 
 bool ServerReach::IsRoundDue(TimePoint now) const {
-  return outstanding_ == 0 && (is_suspected_ || is_cut_off_) &&
+  return outstanding_ == 0 && (is_suspected_ || is_cut_off_ || IsSilent(now)) &&
          now >= next_round_;
 }
 
 std::vector<std::string> ServerReach::StartRound(
     absl::Span<const std::string> addresses) {
+  // The occasion may be silence.
+  OnFailure();
   std::vector<std::string> drawn(addresses.begin(), addresses.end());
   round_size_ = std::min(RoundSize(), drawn.size());
   for (size_t i = 0; i < round_size_; ++i) {
@@ -59,6 +72,10 @@
   return outstanding_ == 0 && Conclude(now);
 }
 
+bool ServerReach::IsSilent(TimePoint now) const {
+  return unanswered_since_ && now - *unanswered_since_ >= kMaxSilence;
+}
+
 size_t ServerReach::RoundSize() const {
   return is_cut_off_ || failed_rounds_ > 0 ? kProbesPerRound : 1;
 }
@@ -71,16 +88,12 @@
 
 bool ServerReach::Conclude(TimePoint now) {
   if (is_cut_off_) {
-    next_round_ = now + kRoundInterval;
     is_cut_off_ = reached_ < std::min(kReachedToRejoin, round_size_);
-    is_suspected_ = false;
-    failed_rounds_ = 0;
+    Settle(now);
     return !is_cut_off_;
   }
   if (reached_ > 0) {
-    next_round_ = now + kRoundInterval;
-    is_suspected_ = false;
-    failed_rounds_ = 0;
+    Settle(now);
     return false;
   }
   is_cut_off_ = ++failed_rounds_ >= kRoundsToCutOff;
@@ -88,4 +101,11 @@
   return is_cut_off_;
 }
 
+void ServerReach::Settle(TimePoint now) {
+  next_round_ = now + kRoundInterval;
+  is_suspected_ = false;
+  unanswered_since_.reset();
+  failed_rounds_ = 0;
+}
+
 }  // namespace citronlane
--- a/tests/process/platform_cut_off_test.py
+++ b/tests/process/platform_cut_off_test.py
@@ -35,6 +35,15 @@
         for proxy in self.proxies:
             proxy.cut(pids)
 
+    def found_cut_off(self, gateway):
+        """Returns when a gateway last found that it is cut off; 0 if never."""
+        ip = self.gateway_ips[gateway]
+        lines = [json.loads(line) for line in
+                 self.processes[ip].log_since_start().splitlines()]
+        found = [line["time_ms"] / 1000 for line in lines
+                 if line["event"] == "cut off from servers"]
+        return found[-1] if found else 0
+
     def owners(self):
         """Returns the number of the gateway that owns each pool, by service."""
         latest = {}
@@ -123,7 +132,12 @@
     def test_links_that_lose_all_data(self):
         """Connections are taken and stay open."""
         self.set_links("hangs", True)
+        cut = time.time()
         self.check([0])
+        found = self.fleet.found_cut_off(0)
+        print(f"found {found - cut:.3f} s after the cut", flush=True)
+        self.assertGreater(found, cut)
+        self.assertLess(found, cut + CONTACT_SECONDS)
 
     def test_served_after_a_cut(self):
         self.fleet.cut_off([0])
--- a/tests/unit-server-reach.cc
+++ b/tests/unit-server-reach.cc
@@ -176,6 +176,56 @@
   }
 }
 
+// Calls on links that lost all data ended at their time limits only, and until
+// then nothing was probed.
+TEST_CASE("a call without a reply of any server starts probes") {
+  Node node(7, 1);
+  node.reach_.OnReply(node.addresses_[0]);
+  node.reach_.OnCall(node.now_);
+  node.now_ += milliseconds(599);
+  node.Probe(None);
+  CHECK(node.probes_ == 0);
+
+  SECTION("no reply") {
+    node.reach_.OnCall(node.now_);
+    node.now_ += milliseconds(1);
+    node.Probe(None);
+    CHECK(node.reach_.is_cut_off());
+  }
+
+  SECTION("a reply of some server") {
+    node.reach_.OnReply(node.addresses_[1]);
+    node.now_ += seconds(10);
+    node.Probe(None);
+    CHECK(node.probes_ == 0);
+    node.reach_.OnCall(node.now_);
+    node.now_ += milliseconds(600);
+    node.Probe(None);
+    CHECK(node.reach_.is_cut_off());
+  }
+
+  SECTION("a long call costs one probe") {
+    for (int i = 0; i < 100; ++i) {
+      node.now_ += milliseconds(100);
+      node.Probe(All);
+    }
+    CHECK(node.probes_ == 1);
+    CHECK_FALSE(node.reach_.is_cut_off());
+  }
+
+  SECTION("a call before a cut does not count after it") {
+    node.reach_.OnFailure();
+    node.Probe(None);
+    node.now_ += milliseconds(500);
+    node.Probe(All);
+    CHECK_FALSE(node.reach_.is_cut_off());
+    const size_t probes = node.probes_;
+    node.now_ += seconds(10);
+    node.Probe(None);
+    CHECK(node.probes_ == probes);
+  }
+}
+
 // A node that reached a few servers by chance took requests that it could not
 // serve.
 TEST_CASE("a node stays cut off while it reaches few servers") {
