Let a control VM that starts again beside a lost one take drain orders

Operators got 503 for each order to drain a failure domain, for as long as a control VM was lost whose voter had no replacement, once the leader had started again after that loss. Configurations went to the log as full documents in that time.

A leader proposes commands that older versions can't apply only once every member has reported its log format, and it kept those reports in memory. A leader that starts again never hears from a member that is lost.

--- a/include/citronlane/control/cluster_member.h
+++ b/include/citronlane/control/cluster_member.h
@@ -94,8 +94,8 @@
   std::vector<std::string> members() const;
   /// Whether there are as many voters as the tolerated losses need.
   bool has_all_voters() const;
-  /// Whether every other member has reported a log format that supports the
-  /// commands of this version beyond full configurations.
+  /// Whether every member applies the commands of this version beyond full
+  /// configurations: each has reported so, now or before an earlier leader.
   bool all_apply_new_commands() const;
 
  private:
@@ -116,6 +116,8 @@
   void LeaveCluster(TimePoint now);
 
   void MaintainMembership(TimePoint now);
+  bool all_report_log_format() const;
+  void RecordLogFormat(TimePoint now);
   void RoleChanged(Role role, uint64_t term);
   void ConfirmLeadership(uint64_t term);
   void SetLeads(bool leads);
@@ -157,6 +159,8 @@
   std::map<uint64_t, std::weak_ptr<FrameChannel>> channels_;
   /// Log format reported by each node's last message.
   std::map<uint64_t, uint32_t> log_formats_;
+  /// Whether the command that records the common log format is in progress.
+  bool is_recording_format_ = false;
 };
 
 }  // namespace citronlane
--- a/src/control/cluster_member.cc
+++ b/src/control/cluster_member.cc
@@ -112,6 +112,7 @@
     last_leader_ = now;
   }
   MaintainMembership(now);
+  RecordLogFormat(now);
   RequestToJoin(now);
 }
 
@@ -200,6 +201,7 @@
       log_->Write("member", "drained domains applied",
                   {{"domains", state_->drained().Snapshot()}});
       break;
+    case FleetState::Change::kLogFormat:
     case FleetState::Change::kNothing:
       return {};
   }
@@ -265,9 +267,11 @@
 }
 
 bool ClusterMember::all_apply_new_commands() const {
-  if (!driver_ || !driver_->is_formed()) {
-    return false;
-  }
+  return driver_ && driver_->is_formed() &&
+         (state_->log_format() >= kLogFormat || all_report_log_format());
+}
+
+bool ClusterMember::all_report_log_format() const {
   const Membership& membership = driver_->node().membership();
   for (const auto* nodes : {&membership.voters_, &membership.learners_}) {
     for (const auto& [id, address] : *nodes) {
@@ -282,6 +286,19 @@
   return true;
 }
 
+// A later leader may never hear from a member that is lost by then.
+void ClusterMember::RecordLogFormat(TimePoint now) {
+  if (is_recording_format_ || state_->log_format() >= kLogFormat ||
+      !Leads(now) || !all_report_log_format()) {
+    return;
+  }
+  is_recording_format_ = true;
+  driver_->Propose(now, FleetState::LogFormatCommand(kLogFormat),
+                   [this](const std::optional<std::string>&, const Error&) {
+                     is_recording_format_ = false;
+                   });
+}
+
 FrameLink* ClusterMember::LinkTo(const std::string& endpoint) {
   auto& link = links_[endpoint];
   if (!link) {
--- a/tests/unit-cluster-member.cc
+++ b/tests/unit-cluster-member.cc
@@ -52,6 +52,7 @@
   void Lose() { is_lost_ = true; }
 
   ClusterMember* member() { return &member_; }
+  const FleetState& state() const { return state_; }
   int copies() const { return copies_; }
 
  private:
@@ -90,6 +91,7 @@
       settings.internal_listen_ = endpoint;
       settings.data_dir_ = root_ / endpoint;
       std::filesystem::create_directories(settings.data_dir_);
+      settings_.push_back(settings);
       members_.push_back(std::make_unique<Member>(&io_, settings));
     }
   }
@@ -116,10 +118,26 @@
         [](const auto& member) { return !member->member()->leader().empty(); });
   }
 
+  /// Starts the control VM again, on the disk that it had.
+  void Restart(size_t index) {
+    members_[index].reset();
+    members_[index] = std::make_unique<Member>(&io_, settings_[index]);
+  }
+  /// The index of the control VM that leads; the size when none does.
+  size_t Leader() const {
+    const auto leads = [](const auto& member) {
+      return member->member()->Leads(SteadyNow());
+    };
+    return static_cast<size_t>(
+        std::find_if(members_.begin(), members_.end(), leads) -
+        members_.begin());
+  }
+
   std::vector<std::unique_ptr<Member>> members_;
 
  private:
   const std::filesystem::path root_;
+  std::vector<NodeSettings> settings_;
   boost::asio::io_context io_;
 };
 
@@ -160,4 +178,28 @@
   }
 }
 
+TEST_CASE("a control VM knows that all members apply new commands") {
+  Cluster cluster(3);
+  auto& members = cluster.members_;
+  const auto leader_knows = [&] {
+    const size_t leader = cluster.Leader();
+    return leader < members.size() &&
+           members[leader]->member()->all_apply_new_commands();
+  };
+  REQUIRE(cluster.Until(leader_knows));
+  REQUIRE(cluster.Until([&] {
+    return std::all_of(members.begin(), members.end(), [](const auto& member) {
+      return member->state().log_format() > 0;
+    });
+  }));
+
+  SECTION("after it started again while another member is lost") {
+    members[2]->Lose();
+    cluster.Restart(0);
+    cluster.Restart(1);
+    REQUIRE(cluster.Until([&] { return cluster.Leader() < 2; }));
+    CHECK(cluster.Until(leader_knows));
+  }
+}
+
 }  // namespace citronlane
--- a/tests/unit-fleet-state.cc
+++ b/tests/unit-fleet-state.cc
@@ -78,6 +78,26 @@
     CHECK(copy.drained().names().empty());
     CHECK(copy.config().is_empty());
   }
+  SECTION("the common log format never falls and is in snapshots") {
+    CHECK(state.log_format() == 0);
+    CHECK(state.Apply(FleetState::LogFormatCommand(2)) == Change::kLogFormat);
+    CHECK(state.Apply(FleetState::LogFormatCommand(1)) == Change::kNothing);
+    CHECK(state.Apply("!format -1") == Change::kNothing);
+    CHECK(state.Apply("!format 99999999999") == Change::kNothing);
+    CHECK(state.log_format() == 2);
+    FleetState copy;
+    copy.Restore(state.Snapshot());
+    CHECK(copy.log_format() == 2);
+    CHECK(copy.drained().names().empty());
+    CHECK(copy.config().version() == 7);
+    CHECK(state.Apply(DrainedDomains::Command("north-b", true)) ==
+          Change::kDrainedDomains);
+    copy.Restore(state.Snapshot());
+    CHECK(copy.log_format() == 2);
+    CHECK(copy.drained().names() == Names{"north-b"});
+    copy.Restore(FleetState().Snapshot());
+    CHECK(copy.log_format() == 0);
+  }
   SECTION("domains can be drained before there is a configuration") {
     FleetState early;
     CHECK(early.Apply(DrainedDomains::Command("north-a", true)) ==
