--- a/tests/support/consensus_sim.cc
+++ b/tests/support/consensus_sim.cc
@@ -173,6 +173,21 @@
   }
 }
 
+std::optional<ConsensusSim::Place> ConsensusSim::ProposeAt(
+    uint64_t id,
+    const std::string& payload) {
+  Node& node = nodes_.at(id);
+  Error error;
+  if (!node.raft_) {
+    return std::nullopt;
+  }
+  const auto index = node.raft_->Propose(ClockOf(node), payload, &error);
+  if (!index) {
+    return std::nullopt;
+  }
+  return Place{*index, node.raft_->term()};
+}
+
 void ConsensusSim::Read() {
   Error error;
   for (auto& [id, node] : nodes_) {
--- a/tests/support/consensus_sim.h
+++ b/tests/support/consensus_sim.h
@@ -44,7 +44,22 @@
   /// Proposes the next command at every running node; those that do not
   /// consider themselves leader refuse it.
   void Propose();
-  /// Starts a read in the same way.
+  /// Proposes a command at one node. Returns its place in the log, or nullopt
+  /// if the node is down or not the leader.
+  struct Place {
+    uint64_t index_ = 0;
+    uint64_t term_ = 0;
+  };
+  std::optional<Place> ProposeAt(uint64_t id, const std::string& payload);
+  /// Whether the node has applied the command that was proposed at the place;
+  /// false too if another entry was committed there.
+  bool HasApplied(uint64_t id, const Place& place) const;
+  /// Whether the node holds the leader lease and has applied an entry of its
+  /// own term, and so everything committed before.
+  bool Leads(uint64_t id) const;
+  /// Commands that a running node has applied, in their order.
+  std::vector<std::string> AppliedBy(uint64_t id) const;
+  /// Starts a read in the same way as Propose.
   void Read();
   /// Proposes a membership at the leader with the highest term. Returns whether
   /// it was accepted.
--- a/tests/support/consensus_sim_checks.cc
+++ b/tests/support/consensus_sim_checks.cc
@@ -13,6 +13,25 @@
 
 }  // namespace
 
+bool ConsensusSim::HasApplied(uint64_t id, const Place& place) const {
+  const Node& node = nodes_.at(id);
+  return node.raft_ && node.applied_ >= place.index_ &&
+         committed_[place.index_].term_ == place.term_;
+}
+
+bool ConsensusSim::Leads(uint64_t id) const {
+  const Node& node = nodes_.at(id);
+  return HasLease(id) && committed_[node.applied_].term_ == node.raft_->term();
+}
+
+std::vector<std::string> ConsensusSim::AppliedBy(uint64_t id) const {
+  std::vector<std::string> commands;
+  for (uint64_t i = 0; i <= nodes_.at(id).applied_; ++i) {
+    commands.push_back(committed_[i].payload_);
+  }
+  return commands;
+}
+
 void ConsensusSim::Apply(Node* node, const Ready& ready) {
   if (ready.snapshot_) {
     node->applied_ = ready.snapshot_->index_;
