Drop drain orders whose connection is closed as they arrive

An order to drain a failure domain that a link had held back could be applied after its operator had given it up, had sent it again elsewhere, and had been told that the drain has ended: the domain's servers then got no work though no order was in force. Orders carry no version, so the log can't tell an old one.

The leader waits 10 ms before it proposes an order, in which the end of a connection that was closed long ago arrives, and drops the order then.

--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -36,6 +36,9 @@
 /// slows the operators down.
 constexpr Duration kPropagationTimeout = std::chrono::milliseconds(700);
 constexpr auto kPropagationPollInterval = std::chrono::milliseconds(10);
+/// Delay of an order, in which the end of its connection arrives if it was sent
+/// long ago and delivered late; longer than a round trip between zones.
+constexpr Duration kOrderDelay = std::chrono::milliseconds(10);
 
 constexpr std::string_view kMetricsPath = "/metrics";
 /// The product's own; platforms have no such call.
@@ -240,6 +243,13 @@
   if (!state_->drained().HasCapacityFor(domain)) {
     return ErrorReply(kBadRequest, "too many failure domains are drained");
   }
+  WaitAtMost(io_, std::make_shared<Wait>(exchange), kOrderDelay);
+  if (exchange->caller_gone()) {
+    // Orders have no version: this one may be older than one that was
+    // acknowledged since.
+    log_->Write("control", "late drain order dropped", {{"domain", domain}});
+    return ErrorReply(kUnavailable, "the connection was closed");
+  }
   const auto wait = std::make_shared<Wait>(exchange);
   hooks_.set_drained_(domain, is_drained, MakeDone(wait));
   WaitAtMost(io_, wait, kAnswerTime);
--- a/tests/unit-drain-schedules.cc
+++ b/tests/unit-drain-schedules.cc
@@ -22,7 +22,7 @@
 constexpr uint64_t kMaxDelayTicks = 60;
 constexpr uint64_t kShortDelayTicks = 2;
 constexpr uint64_t kLost = 200;  // Of 1,000 requests and replies.
-const char* const kDomains[] = {"north-a", "north-b"};
+constexpr const char* kDomains[] = {"north-a", "north-b"};
 
 FleetState StateAt(const ConsensusSim& sim, uint64_t id) {
   FleetState state;
