--- a/src/control/cluster_member.cc
+++ b/src/control/cluster_member.cc
@@ -202,6 +202,9 @@
                   {{"domains", state_->drained().Snapshot()}});
       break;
     case FleetState::Change::kLogFormat:
+      log_->Write("member", "log format recorded",
+                  {{"format", uint64_t{state_->log_format()}}});
+      return {};
     case FleetState::Change::kNothing:
       return {};
   }
--- a/tests/process/platform_test.py
+++ b/tests/process/platform_test.py
@@ -386,7 +386,7 @@
                          200)
 
 
-class DrainTest(FleetTestCase):
+class DrainTestCase(FleetTestCase):
     """Drains of failure domains by operators."""
 
     def order(self, domain, what, ip=None):
@@ -409,6 +409,9 @@
         wait_until(lambda: self.domains_used() == domains,
                    f"requests in {domains} only")
 
+
+class DrainTest(DrainTestCase):
+
     def test_order_holds_until_it_is_taken_back(self):
         self.assertEqual(self.domains_used(), {"a", "b"})
         for _ in range(2):
