--- a/tests/unit-cold-servers.cc
+++ b/tests/unit-cold-servers.cc
@@ -142,6 +142,15 @@
     CHECK(limits.RecordedSince(0).empty());
     CHECK(limits.IsLimited(kServer, kStart + seconds(2)));
   }
+  SECTION("that are huge hold no request back") {
+    const double highest = 1e6;
+    limits.SetCold({{kServer, highest, kStart + seconds(3)}}, kStart);
+    for (int i = 1; i < 1000; ++i) {
+      const TimePoint now = kStart + milliseconds(i);
+      REQUIRE(limits.MayCall(kServer, Scope::kOwner, 1, now));
+      limits.OnCall(kServer, now);
+    }
+  }
   SECTION("stay below the limit that it names") {
     limits.Observe({kServer, 1, kStart});
     size_t calls = 0;
@@ -204,6 +213,15 @@
     CHECK(known.Update(servers, spec, kStart + seconds(1)).size() == 1);
     CHECK(known.Update(servers, spec, kStart + seconds(8)).empty());
   }
+  SECTION("for a bounded time when lists call them cold for good") {
+    servers[0].is_cold_ = true;
+    for (int i = 1; i < 6; ++i) {
+      CHECK(known.Update(servers, spec, kStart + seconds(i)).size() == 1);
+    }
+    for (int i = 7; i < 20; ++i) {
+      CHECK(known.Update(servers, spec, kStart + seconds(i)).empty());
+    }
+  }
   SECTION("only of services that declare what they tolerate") {
     servers.push_back(Listed("d"));
     servers.back().service_ = "desk";
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -390,6 +390,42 @@
   }
 }
 
+TEST_CASE("platform bounds of cold servers") {
+  const auto with = [](const std::string& members) {
+    return Replaced(kDocument, R"("max_connections": 270)",
+                    R"("max_connections": 270, )" + members);
+  };
+  std::vector<std::string> faults;
+
+  SECTION("a wrong one refuses the document, by the service's name") {
+    for (const char* members : {R"("cold_start_s": -1, "cold_per_s": 10)",
+                                R"("cold_start_s": 3601, "cold_per_s": 10)",
+                                R"("cold_start_s": 1e300, "cold_per_s": 10)",
+                                R"("cold_start_s": 3, "cold_per_s": -0.1)"}) {
+      CAPTURE(members);
+      CHECK(IsRefused(with(members), "service m: cold_start_s must be"));
+    }
+    CHECK(IsRefused(with(R"("cold_start_s": "3", "cold_per_s": 10)"),
+                    "service m: cold_start_s has the wrong type"));
+    CHECK(IsRefused(with(R"("cold_start_s": 3, "cold_per_s": [10])"),
+                    "service m: cold_per_s has the wrong type"));
+  }
+  SECTION("0 a second is no bound, so that no server is left unused") {
+    const auto config =
+        ReadConfig(with(R"("cold_start_s": 3, "cold_per_s": 0)"), &faults);
+    REQUIRE(config);
+    REQUIRE(config->FindService("m") != nullptr);
+    CHECK_FALSE(config->FindService("m")->cold_);
+  }
+  SECTION("beyond what any server runs it is no bound either") {
+    const auto config =
+        ReadConfig(with(R"("cold_start_s": 3, "cold_per_s": 1e300)"), &faults);
+    REQUIRE(config);
+    REQUIRE(config->FindService("m") != nullptr);
+    CHECK_FALSE(config->FindService("m")->cold_);
+  }
+}
+
 TEST_CASE("platform stage calls") {
   SECTION("pieces are written as the platform reads them") {
     StagePiece first;
