Use a server whose cold time can't be read

An entry of the server list whose cold time is beyond the range of numbers (1e999) was skipped as a whole, so that its server got no requests. It is now read without its cold time: the server counts as warm. Servers with a cold time that can't be read are counted for each page.

--- a/include/citronlane/serving/server_page.h
+++ b/include/citronlane/serving/server_page.h
@@ -14,6 +14,9 @@
   /// Number of entries that name no usable server: they are malformed, or
   /// contradict the platform.
   size_t unusable_ = 0;
+  /// Number of usable servers whose cold time can't be read; they count as
+  /// warm.
+  size_t invalid_cold_times_ = 0;
   /// Identifies the next page; empty on the last one.
   std::string next_;
 };
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -390,6 +390,47 @@
   }
 }
 
+TEST_CASE("platform cold times") {
+  Error error;
+  const auto list = [&error](const std::string& cold_left) {
+    return ReadList(
+        R"({"instances":[{"service":"s","address":"10.0.0.9:80","zone":"z",)"
+        R"("state":"ready","id":"i-1","cold_left_ms":)" +
+            cold_left + R"(}],"next":null})",
+        &error);
+  };
+
+  SECTION("a wrong one makes no server unusable and is counted") {
+    for (const char* cold_left :
+         {"-1", "-1e300", "1e999", "\"5\"", "true", "null", "{}", "[3]"}) {
+      CAPTURE(cold_left);
+      const auto page = list(cold_left);
+      REQUIRE(page);
+      REQUIRE(page->servers_.size() == 1);
+      CHECK(page->unusable_ == 0);
+      CHECK(page->invalid_cold_times_ == 1);
+      CHECK_FALSE(page->servers_[0].is_cold_);
+    }
+  }
+  SECTION("one beyond any range is a cold server's") {
+    for (const char* cold_left : {"1", "0.5", "1e18", "1e308"}) {
+      CAPTURE(cold_left);
+      const auto page = list(cold_left);
+      REQUIRE(page);
+      REQUIRE(page->servers_.size() == 1);
+      CHECK(page->invalid_cold_times_ == 0);
+      CHECK(page->servers_[0].is_cold_);
+    }
+  }
+  SECTION("0 is a warm server's") {
+    const auto page = list("0");
+    REQUIRE(page);
+    REQUIRE(page->servers_.size() == 1);
+    CHECK(page->invalid_cold_times_ == 0);
+    CHECK_FALSE(page->servers_[0].is_cold_);
+  }
+}
+
 TEST_CASE("platform bounds of cold servers") {
   const auto with = [](const std::string& members) {
     return Replaced(kDocument, R"("max_connections": 270)",
