Never refuse the end of a drain

With 64 drained failure domains the end of the drain of another one was refused with 400, so an operator that repeated such an order after a lost reply was told that it is invalid.

unit-operator-api: wrong names, repeated orders, the 65th domain and its end.

--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -240,7 +240,7 @@
   if (!DrainedDomains::IsName(domain)) {
     return ErrorReply(kBadRequest, "this can't be a failure domain's name");
   }
-  if (!state_->drained().HasCapacityFor(domain)) {
+  if (is_drained && !state_->drained().HasCapacityFor(domain)) {
     return ErrorReply(kBadRequest, "too many failure domains are drained");
   }
   WaitAtMost(io_, std::make_shared<Wait>(exchange), kOrderDelay);
--- a/tests/unit-operator-api.cc
+++ b/tests/unit-operator-api.cc
@@ -122,6 +122,28 @@
       CHECK(drained().empty());
     }
   }
+  SECTION("beyond the maximum are refused, and their ends are not") {
+    for (int i = 0; i < 64; ++i) {
+      REQUIRE(leader.Drain("d" + std::to_string(i)) == 200);
+    }
+    CHECK(leader.Drain("north-b") == 400);
+    CHECK(drained().size() == 64);
+    CHECK(leader.EndDrain("north-b") == 200);
+    CHECK(leader.EndDrain("d7") == 200);
+    CHECK(leader.Drain("north-b") == 200);
+  }
+  SECTION("of what can't be a name are refused and change nothing") {
+    const std::string too_long(65, 'a');
+    for (const std::string& name :
+         {std::string("a%20b"), std::string("%2e"), std::string(), too_long}) {
+      CAPTURE(name);
+      CHECK(leader.Drain(name) == 400);
+      CHECK(leader.EndDrain(name) == 400);
+    }
+    CHECK(leader.Order("/v1/evacuations/north-a/pause") == 404);
+    CHECK(leader.Order("/v1/evacuations/north-a/start/start") == 404);
+    CHECK(leader.proposals() == 0);
+  }
   // It may be older than orders that were acknowledged since.
   SECTION("change nothing if their connection was closed on the way") {
     CHECK(leader.Drain("north-a") == 200);
