Count orders for unknown domains and cold times that can't be read

An order to drain a failure domain that no listed server is in looked like any other, and a cold time of the server list that can't be read went unnoticed. Both are carried on with, and now show: the line of the order says whether the domain has servers, a line says how many servers have such a cold time when their number changes, and the leader counts both.

--- a/include/citronlane/control/detail/control_metrics.h
+++ b/include/citronlane/control/detail/control_metrics.h
@@ -10,6 +10,7 @@
 
 class ControlState;
 struct ConfigPropagation;
+struct FeedCounts;
 
 /// Returns a control VM's metrics in the Prometheus text format. Thread safe.
 std::string ControlMetricsText(const ReplicaStatus& status,
@@ -19,7 +20,7 @@
 /// text format. Thread safe.
 std::string FeedMetricsText(bool leads,
                             const ConfigPropagation& propagation,
-                            size_t blocked_requests);
+                            const FeedCounts& counts);
 
 }  // namespace citronlane
 
--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -102,6 +102,8 @@
   size_t CountBlocked(TimePoint now) const {
     return suspects_.CountBlocked(now);
   }
+  /// Whether a listed backend server is in the failure domain.
+  bool HasServers(std::string_view failure_domain) const;
   size_t gateways() const { return watchers_.size(); }
   /// Whether all watching gateways hold this version or a later one. A gateway
   /// that has left an update unconfirmed for 1.2 s is ignored: it is assumed to
--- a/include/citronlane/control/operator_api.h
+++ b/include/citronlane/control/operator_api.h
@@ -45,6 +45,8 @@
                        bool is_drained,
                        ConfigProposer::Done done)>
         set_drained_;
+    /// Whether a listed backend server is in the failure domain.
+    std::function<bool(const std::string& domain)> has_servers_;
     /// Starts a linearizable read; see Replica::Read.
     std::function<void(Replica::ReadDone done)> read_;
     /// Whether there are as many voters as the tolerated losses need.
@@ -71,6 +73,9 @@
   /// log.
   void Serve(const HttpRequest& request, HttpExchange* exchange);
 
+  /// Number of orders to drain a failure domain that no listed server was in.
+  uint64_t unknown_domain_orders() const { return unknown_domain_orders_; }
+
  private:
   HttpReply Replace(const HttpRequest& request, HttpExchange* exchange);
   HttpReply Read(HttpExchange* exchange);
@@ -90,6 +95,7 @@
   const FleetState* const state_;
   EventLog* const log_;
   const Hooks hooks_;
+  uint64_t unknown_domain_orders_ = 0;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/net/server_list_reader.h
+++ b/include/citronlane/net/server_list_reader.h
@@ -45,6 +45,8 @@
   /// Number of entries of the last complete list that were skipped because they
   /// did not describe a usable server.
   size_t unusable() const { return unusable_; }
+  /// Number of servers of the last complete list whose cold time can't be read.
+  size_t invalid_cold_times() const { return invalid_cold_times_; }
 
  private:
   void ReadPage(const std::string& page);
@@ -62,6 +64,8 @@
   size_t pages_ = 1;
   size_t unusable_read_ = 0;
   size_t unusable_ = 0;
+  size_t invalid_cold_times_read_ = 0;
+  size_t invalid_cold_times_ = 0;
 };
 
 }  // namespace citronlane
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -15,6 +15,7 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/control/cluster_member.h"
 #include "citronlane/control/detail/control_metrics.h"
+#include "citronlane/control/detail/feed_counts.h"
 #include "citronlane/control/gateway_feed.h"
 #include "citronlane/control/operator_api.h"
 #include "citronlane/control/origin_feed.h"
@@ -97,6 +98,7 @@
   void Tick(TimePoint now);
   void OnLeadsChanged(bool leads);
   void ReadServers(TimePoint now);
+  void NoteColdTimes();
   void Reload();
   void Stop();
 
@@ -117,6 +119,7 @@
   FrameListener internal_;
   HttpListener operators_;
   bool list_failing_ = false;
+  size_t invalid_cold_times_ = 0;
   std::vector<PooledService> pooled_services_;
   std::optional<uint64_t> pooled_services_version_;
 };
@@ -219,6 +222,9 @@
     }
     Propose(DrainedDomains::Command(domain, is_drained), std::move(done));
   };
+  hooks.has_servers_ = [this](const std::string& domain) {
+    return feed_.HasServers(domain);
+  };
   hooks.leads_ = [this] { return member_.Leads(SteadyNow()); };
   hooks.leader_ = [this] { return OperatorAddressOfLeader(); };
   hooks.submit_ = [this](uint64_t version, std::string document,
@@ -235,8 +241,11 @@
   hooks.suspects_ = [this] { return feed_.Suspects(); };
   hooks.clear_suspects_ = [this] { feed_.ClearSuspects(SteadyNow()); };
   hooks.metrics_ = [this] {
-    return FeedMetricsText(member_.Leads(SteadyNow()), feed_.Propagation(),
-                           feed_.CountBlocked(SteadyNow()));
+    const TimePoint now = SteadyNow();
+    return FeedMetricsText(
+        member_.Leads(now), feed_.Propagation(),
+        FeedCounts{feed_.CountBlocked(now), list_reader_.invalid_cold_times(),
+                   api_.unknown_domain_orders()});
   };
   return hooks;
 }
@@ -350,6 +359,7 @@
       if (std::exchange(list_failing_, false)) {
         log_->Write("control", "server list regained", {});
       }
+      NoteColdTimes();
       const TimePoint read = SteadyNow();
       origins_.SetServers(*servers, read);
       feed_.SetServers(std::move(*servers), list_reader_.unusable(), read);
@@ -359,6 +369,15 @@
   });
 }
 
+void ControlHost::Impl::NoteColdTimes() {
+  const size_t before =
+      std::exchange(invalid_cold_times_, list_reader_.invalid_cold_times());
+  if (invalid_cold_times_ != before) {
+    log_->Write("control", "cold times invalid",
+                {{"servers", static_cast<uint64_t>(invalid_cold_times_)}});
+  }
+}
+
 void ControlHost::Impl::Reload() {
   if (const auto settings = read_settings_()) {
     member_.SetSeeds(settings->seeds_);
--- a/src/control/control_metrics.cc
+++ b/src/control/control_metrics.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "citronlane/control/detail/control_state.h"
+#include "citronlane/control/detail/feed_counts.h"
 #include "citronlane/fleet/config_propagation.h"
 
 namespace citronlane {
@@ -63,7 +64,7 @@
 
 std::string FeedMetricsText(bool leads,
                             const ConfigPropagation& propagation,
-                            size_t blocked_requests) {
+                            const FeedCounts& counts) {
   std::string text;
   AppendMetric("leads", "gauge", "1 on the leader with its lease, else 0.",
                leads ? 1 : 0, &text);
@@ -80,7 +81,14 @@
   AppendMetric("requests_blocked", "gauge",
                "Requests, by content, that no server gets because servers "
                "crashed.",
-               blocked_requests, &text);
+               counts.blocked_requests_, &text);
+  AppendMetric("cold_times_invalid", "gauge",
+               "Servers of the last list read here whose cold time can't be "
+               "read.",
+               counts.invalid_cold_times_, &text);
+  AppendMetric("drain_orders_unknown_domain_total", "counter",
+               "Orders to drain a failure domain that no listed server is in.",
+               counts.unknown_domain_orders_, &text);
   return text;
 }
 
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -146,6 +146,13 @@
   }
 }
 
+bool GatewayFeed::HasServers(std::string_view failure_domain) const {
+  return std::any_of(servers_.begin(), servers_.end(),
+                     [failure_domain](const BackendServer& server) {
+                       return server.failure_domain_ == failure_domain;
+                     });
+}
+
 void GatewayFeed::SetServers(std::vector<BackendServer> servers,
                              size_t unusable,
                              TimePoint now) {
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -250,12 +250,16 @@
     log_->Write("control", "late drain order dropped", {{"domain", domain}});
     return ErrorReply(kUnavailable, "the connection was closed");
   }
+  // Carried out all the same: its servers may be listed later.
+  const bool is_known = hooks_.has_servers_(domain);
+  unknown_domain_orders_ += is_known ? 0 : 1;
   const auto wait = std::make_shared<Wait>(exchange);
   hooks_.set_drained_(domain, is_drained, MakeDone(wait));
   WaitAtMost(io_, wait, kAnswerTime);
   log_->Write("control", "drain order",
               {{"domain", domain},
                {"drained", is_drained ? "yes" : "no"},
+               {"has_servers", is_known ? "yes" : "no"},
                {"acknowledged", wait->succeeded_ ? "yes" : "no"},
                {"reason", wait->reason_}});
   if (!wait->succeeded_) {
--- a/src/net/server_list_reader.cc
+++ b/src/net/server_list_reader.cc
@@ -43,6 +43,7 @@
   pages_read_ = 0;
   bytes_read_ = 0;
   unusable_read_ = 0;
+  invalid_cold_times_read_ = 0;
   ReadPage("");
 }
 
@@ -94,12 +95,14 @@
   }
   ++pages_read_;
   unusable_read_ += page->unusable_;
+  invalid_cold_times_read_ += page->invalid_cold_times_;
   if (!page->next_.empty() && pages_read_ < kMaxPages) {
     ReadPage(page->next_);
     return;
   }
   pages_ = pages_read_;
   unusable_ = unusable_read_;
+  invalid_cold_times_ = invalid_cold_times_read_;
   const Done done = std::move(done_);
   done(std::move(servers_), Error{});
 }
--- a/tests/unit-operator-api.cc
+++ b/tests/unit-operator-api.cc
@@ -81,12 +81,16 @@
   }
 
   const FleetState& state() const { return state_; }
+  const OperatorApi& api() const { return api_; }
   int proposals() const { return proposals_; }
 
  private:
   OperatorApi::Hooks MakeHooks() {
     OperatorApi::Hooks hooks;
     hooks.leads_ = [] { return true; };
+    hooks.has_servers_ = [](const std::string& domain) {
+      return domain == "north-a" || domain == "north-b";
+    };
     hooks.set_drained_ = [this](const std::string& domain, bool is_drained,
                                 const ConfigProposer::Done& done) {
       ++proposals_;
@@ -122,6 +126,16 @@
       CHECK(drained().empty());
     }
   }
+  SECTION("of a domain without servers are carried out and counted") {
+    CHECK(leader.Drain("north-a") == 200);
+    CHECK(leader.api().unknown_domain_orders() == 0);
+    CHECK(leader.Drain("south-z") == 200);
+    CHECK(leader.Drain("south-z") == 200);
+    CHECK(leader.api().unknown_domain_orders() == 2);
+    CHECK(drained().size() == 2);
+    CHECK(leader.EndDrain("south-z") == 200);
+    CHECK(drained().size() == 1);
+  }
   SECTION("beyond the maximum are refused, and their ends are not") {
     for (int i = 0; i < 64; ++i) {
       REQUIRE(leader.Drain("d" + std::to_string(i)) == 200);
