Name the tests of drained domains, cold servers and pieces in the proofs

The proofs had no line on drained failure domains, on operators' orders, on wrong cold times, or on the keys of stage pieces.

Simulated stage servers check that a piece bears the key of its own request; before, all requests had the same key.

--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -115,6 +115,7 @@
 ]
 
 PLATFORM = "platform_test."
+DRAIN = "platform_drain_test.DrainFaultsTest.test_"
 
 # The rules of the users' platform, with their names in its documents.
 RULES = [
@@ -187,6 +188,40 @@
     ("DRAIN: leaving servers get nothing more", [
         PLATFORM + "LeavingTest.test_a_leaving_server_gets_nothing_more",
         PLATFORM + "LeavingTest.test_the_list_is_read_without_control"]),
+    ("EVAC: servers of drained failure domains get nothing more", [
+        PLATFORM + "DrainTest.test_order_holds_until_it_is_taken_back",
+        DRAIN + "taken_back_while_a_gateway_is_frozen",
+        "unit-drain-schedules: drain orders hold from their acknowledgement",
+        "unit-fleet-state: servers of drained failure domains are leaving",
+        "unit-gateway-feed: updates depend on the version that a gateway "
+        "holds",
+        "unit-relay: fleet view"]),
+    ("EVAC, DRAIN: stage pieces go to no leaving server", [
+        "unit-stages: stage batches",
+        PLATFORM + "DrainTest.test_order_holds_until_it_is_taken_back"]),
+    ("LOST: acknowledged drain orders survive", [
+        PLATFORM + "DrainTest.test_order_holds_until_it_is_taken_back",
+        DRAIN + "leader_frozen_in_an_order",
+        "unit-fleet-state: state of a fleet"]),
+    ("Acks: drain orders are acknowledged, however often they are sent", [
+        DRAIN + "leader_frozen_in_an_order",
+        DRAIN + "no_quorum_acknowledges_nothing",
+        DRAIN + "control_vms_start_again_beside_a_lost_one",
+        "unit-cluster-member: a control VM knows that all members apply new "
+        "commands",
+        "unit-drain-schedules: drain orders hold from their acknowledgement"]),
+    ("operators' calls: orders sent again are never refused, wrong ones are", [
+        "unit-operator-api: orders to drain failure domains",
+        PLATFORM + "DrainTest.test_what_is_no_order_is_refused",
+        PLATFORM + "ConfigTest.test_versions",
+        PLATFORM + "ConfigTest.test_invalid_documents_change_nothing"]),
+    ("UNASKED: pieces are those of callers' requests, with their keys", [
+        PLATFORM + "RequestTest.test_stages_and_stream"]),
+    ("FAILBACK: wrong cold times and bounds leave no server unused", [
+        "unit-platform: platform cold times",
+        "unit-platform: platform bounds of cold servers",
+        "unit-cold-servers: limits of a server that is cold",
+        "unit-cold-servers: cold servers are known from server lists"]),
     ("LOST: planned work cuts nothing off", [
         PLATFORM + "StopTest.test_graceful_stop",
         PLATFORM + "StopTest.test_reload_cuts_nothing"]),
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -9,7 +9,8 @@
 import tempfile
 
 
-from process.platform_stand_in import Engine, PlainServer, ServerList, StageServer
+from process.platform_stand_in import (Engine, PlainServer, ServerList,
+                                       StageServer, piece_key)
 from process.processes import BINARY, Process, end, free_port, wait_until
 
 KEY = "key-one"
@@ -255,7 +256,7 @@
                           "X-Citronlane-Token-Usage": "100,20",
                           "X-Citronlane-Prompt-Prefix": "aa:60,bb:40",
                           "X-Citronlane-Pieces": "2,3",
-                          "X-Citronlane-Piece-Key": "cafe"})
+                          "X-Citronlane-Piece-Key": piece_key(request_id)})
         if body or method == "POST":
             lines["Content-Length"] = str(len(body))
         lines.update({name.replace("_", "-"): value
--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -310,6 +310,11 @@
         connection.reply(200, body, [self.seal(request)], request.id)
 
 
+def piece_key(request_id):
+    """Returns the key that a caller gives for the pieces of a request."""
+    return "key-of-" + request_id
+
+
 class StageServer(Server):
     """Runs pieces. A handle contains its request, stage and piece, so that
     inputs of another request are detected, and a number that is new each time.
@@ -379,6 +384,9 @@
             why = fault_of_inputs(item["id"], item.get("inputs", []))
             if why:
                 self.wrong.append((item, f"pieces {why}: {item['inputs']}"))
+            if ("inputs" not in item and
+                    item.get("key") != piece_key(item["id"])):
+                self.wrong.append((item, f"pieces key: {item.get('key')}"))
             with self.lock:
                 self.makings += 1
                 handles.append(f"{self.address}/{name}~{self.makings}")
