--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -36,6 +36,9 @@
 /// slows the operators down.
 constexpr Duration kPropagationTimeout = std::chrono::milliseconds(700);
 constexpr auto kPropagationPollInterval = std::chrono::milliseconds(10);
+/// Delay of an order, in which the end of its connection arrives if it was sent
+/// long ago and delivered late; longer than a round trip between zones.
+constexpr Duration kOrderDelay = std::chrono::milliseconds(10);
 
 constexpr std::string_view kMetricsPath = "/metrics";
 /// The product's own; platforms have no such call.
@@ -237,15 +240,26 @@
   if (!DrainedDomains::IsName(domain)) {
     return ErrorReply(kBadRequest, "this can't be a failure domain's name");
   }
-  if (!state_->drained().HasCapacityFor(domain)) {
+  if (is_drained && !state_->drained().HasCapacityFor(domain)) {
     return ErrorReply(kBadRequest, "too many failure domains are drained");
   }
+  WaitAtMost(io_, std::make_shared<Wait>(exchange), kOrderDelay);
+  if (exchange->caller_gone()) {
+    // Orders have no version: this one may be older than one that was
+    // acknowledged since.
+    log_->Write("control", "late drain order dropped", {{"domain", domain}});
+    return ErrorReply(kUnavailable, "the connection was closed");
+  }
+  // Carried out all the same: its servers may be listed later.
+  const bool is_known = hooks_.has_servers_(domain);
+  unknown_domain_orders_ += is_known ? 0 : 1;
   const auto wait = std::make_shared<Wait>(exchange);
   hooks_.set_drained_(domain, is_drained, MakeDone(wait));
   WaitAtMost(io_, wait, kAnswerTime);
   log_->Write("control", "drain order",
               {{"domain", domain},
                {"drained", is_drained ? "yes" : "no"},
+               {"has_servers", is_known ? "yes" : "no"},
                {"acknowledged", wait->succeeded_ ? "yes" : "no"},
                {"reason", wait->reason_}});
   if (!wait->succeeded_) {
