--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -6,6 +6,7 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
+#include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/waker.h"
 #include "citronlane/serving/dialect.h"
@@ -56,6 +57,10 @@
                                        : ReplyOwner::kUnclear;
 }
 
+std::string AddressOf(const StageCallSpec& spec) {
+  return spec.address_ + ":" + std::to_string(spec.port_);
+}
+
 std::string_view MismatchReason(const ServerReplyHead& reply) {
   if (reply.is_ambiguous_) {
     return "ambiguous";
@@ -90,9 +95,19 @@
                              Names names)
     : state_(std::make_shared<State>()) {
   const auto state = state_;
+  // Other gateways are reached without the links to servers.
+  ReachWatch* const reach = names.is_gateway_ ? nullptr : context->reach_;
+  const auto note_reply = [reach, address = AddressOf(spec)] {
+    if (reach != nullptr) {
+      reach->OnReply(address);
+    }
+  };
   StageCallHooks hooks;
-  hooks.sending_ = [state, waker] {
+  hooks.sending_ = [state, waker, reach] {
     state->sent_at_ = SteadyNow();
+    if (reach != nullptr) {
+      reach->OnCall();
+    }
     waker->Wake();
     return true;
   };
@@ -108,14 +123,16 @@
     }
     return owner;
   };
-  hooks.head_ = [state, waker](const StageReplyHead& head) {
+  hooks.head_ = [state, waker, note_reply](const StageReplyHead& head) {
+    note_reply();
     state->has_head_ = true;
     state->status_ = head.status_;
     state->headers_ = head.headers_;
     waker->Wake();
     return true;
   };
-  hooks.data_ = [state, waker](std::string_view bytes) {
+  hooks.data_ = [state, waker, note_reply](std::string_view bytes) {
+    note_reply();
     state->data_.append(bytes);
     waker->Wake();
   };
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -161,15 +161,19 @@
                {"first_request", batch.pieces_.front().request_id_}});
   const auto reply = std::make_shared<Reply>();
   StageCallHooks hooks;
-  hooks.sending_ = [] { return true; };
-  hooks.head_ = [this, reply,
-                 server = batch.server_](const StageReplyHead& head) {
+  hooks.sending_ = [this] {
+    reach_->OnCall();
+    return true;
+  };
+  hooks.head_ = [this, reply, server = batch.server_,
+                 address = batch.address_](const StageReplyHead& head) {
+    reach_->OnReply(address);
     const ServerReplyHead read =
         dialect_->read_reply_(head.status_, head.headers_);
     reply->status_ = head.status_;
     reply->not_run_ = read.not_run_;
     if (!read.wrong_server_) {
-      limits_->OnReply(server, read.max_per_second_);
+      limits_->OnReply(server, read);
     }
     return true;
   };
@@ -186,6 +190,9 @@
   hooks.done_ = [this, number, reply, server = batch.server_](
                     CallOutcome outcome, const std::string&) {
     calls_.erase(number);
+    limits_->limits()->OnEnd(
+        server, outcome == CallOutcome::kSuccess && reply->IsFull(),
+        SteadyNow());
     if (outcome == CallOutcome::kSuccess) {
       TakeReply(number, server, *reply);
     } else {
--- a/tests/process/platform_cut_off_test.py
+++ b/tests/process/platform_cut_off_test.py
@@ -35,6 +35,15 @@
         for proxy in self.proxies:
             proxy.cut(pids)
 
+    def found_cut_off(self, gateway):
+        """Returns when a gateway last found that it is cut off; 0 if never."""
+        ip = self.gateway_ips[gateway]
+        lines = [json.loads(line) for line in
+                 self.processes[ip].log_since_start().splitlines()]
+        found = [line["time_ms"] / 1000 for line in lines
+                 if line["event"] == "cut off from servers"]
+        return found[-1] if found else 0
+
     def owners(self):
         """Returns the number of the gateway that owns each pool, by service."""
         latest = {}
@@ -104,12 +113,31 @@
         first = self.fleet.owners()["cut"]
         self.check([first, (first + 1) % self.gateways])
 
+    def set_links(self, name, value):
+        """Sets a property of all links to servers until the test ends."""
+        for proxy in self.fleet.proxies:
+            self.addCleanup(setattr, proxy, name, getattr(proxy, name))
+            setattr(proxy, name, value)
+
     def test_links_that_reset_new_connections_late(self):
         """Such a probe counted as reached, and the gateway served nobody."""
-        for proxy in self.fleet.proxies:
-            proxy.reset_delay = 0.15
-            self.addCleanup(setattr, proxy, "reset_delay", 0.0)
+        self.set_links("reset_delay", 0.15)
+        self.check([0])
+
+    def test_links_that_reset_new_connections_later(self):
+        """Each call ends later than a probe, and the probe's connection, too."""
+        self.set_links("reset_delay", 0.45)
+        self.check([0])
+
+    def test_links_that_lose_all_data(self):
+        """Connections are taken and stay open."""
+        self.set_links("hangs", True)
+        cut = time.time()
         self.check([0])
+        found = self.fleet.found_cut_off(0)
+        print(f"found {found - cut:.3f} s after the cut", flush=True)
+        self.assertGreater(found, cut)
+        self.assertLess(found, cut + CONTACT_SECONDS)
 
     def test_served_after_a_cut(self):
         self.fleet.cut_off([0])
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -268,8 +268,12 @@
   CHECK(read(200, {{"X-Citronlane-Request-Id", "i"}}).request_id_ == "i");
   CHECK(read(200, {{"server-limit", "2.5"}}).max_per_second_ == 2.5);
   CHECK(read(503, {{"Server-Limit", " 0 "}}).max_per_second_ == 0.0);
+  CHECK(read(200, {{"server-brittle", "4"}}).max_refusals_ == 4.0);
+  CHECK(read(503, {{"Server-Brittle", " 0 "}}).max_refusals_ == 0.0);
+  CHECK_FALSE(read(200, {{"Server-Limit", "2"}}).max_refusals_);
   for (const char* text : {"", "-1", "many", "1e999", "nan", "3 a second"}) {
     CHECK_FALSE(read(200, {{"Server-Limit", text}}).max_per_second_);
+    CHECK_FALSE(read(200, {{"Server-Brittle", text}}).max_refusals_);
   }
   CHECK(read(200, {{"Keep-Alive", "timeout=5, max=9"}}).idle_time_ ==
         std::chrono::seconds(5));
@@ -390,6 +394,83 @@
   }
 }
 
+TEST_CASE("platform cold times") {
+  Error error;
+  const auto list = [&error](const std::string& cold_left) {
+    return ReadList(
+        R"({"instances":[{"service":"s","address":"10.0.0.9:80","zone":"z",)"
+        R"("state":"ready","id":"i-1","cold_left_ms":)" +
+            cold_left + R"(}],"next":null})",
+        &error);
+  };
+
+  SECTION("a wrong one makes no server unusable and is counted") {
+    for (const char* cold_left :
+         {"-1", "-1e300", "1e999", "\"5\"", "true", "null", "{}", "[3]"}) {
+      CAPTURE(cold_left);
+      const auto page = list(cold_left);
+      REQUIRE(page);
+      REQUIRE(page->servers_.size() == 1);
+      CHECK(page->unusable_ == 0);
+      CHECK(page->invalid_cold_times_ == 1);
+      CHECK_FALSE(page->servers_[0].is_cold_);
+    }
+  }
+  SECTION("one beyond any range is a cold server's") {
+    for (const char* cold_left : {"1", "0.5", "1e18", "1e308"}) {
+      CAPTURE(cold_left);
+      const auto page = list(cold_left);
+      REQUIRE(page);
+      REQUIRE(page->servers_.size() == 1);
+      CHECK(page->invalid_cold_times_ == 0);
+      CHECK(page->servers_[0].is_cold_);
+    }
+  }
+  SECTION("0 is a warm server's") {
+    const auto page = list("0");
+    REQUIRE(page);
+    REQUIRE(page->servers_.size() == 1);
+    CHECK(page->invalid_cold_times_ == 0);
+    CHECK_FALSE(page->servers_[0].is_cold_);
+  }
+}
+
+TEST_CASE("platform bounds of cold servers") {
+  const auto with = [](const std::string& members) {
+    return Replaced(kDocument, R"("max_connections": 270)",
+                    R"("max_connections": 270, )" + members);
+  };
+  std::vector<std::string> faults;
+
+  SECTION("a wrong one refuses the document, by the service's name") {
+    for (const char* members : {R"("cold_start_s": -1, "cold_per_s": 10)",
+                                R"("cold_start_s": 3601, "cold_per_s": 10)",
+                                R"("cold_start_s": 1e300, "cold_per_s": 10)",
+                                R"("cold_start_s": 3, "cold_per_s": -0.1)"}) {
+      CAPTURE(members);
+      CHECK(IsRefused(with(members), "service m: cold_start_s must be"));
+    }
+    CHECK(IsRefused(with(R"("cold_start_s": "3", "cold_per_s": 10)"),
+                    "service m: cold_start_s has the wrong type"));
+    CHECK(IsRefused(with(R"("cold_start_s": 3, "cold_per_s": [10])"),
+                    "service m: cold_per_s has the wrong type"));
+  }
+  SECTION("0 a second is no bound, so that no server is left unused") {
+    const auto config =
+        ReadConfig(with(R"("cold_start_s": 3, "cold_per_s": 0)"), &faults);
+    REQUIRE(config);
+    REQUIRE(config->FindService("m") != nullptr);
+    CHECK_FALSE(config->FindService("m")->cold_);
+  }
+  SECTION("beyond what any server runs it is no bound either") {
+    const auto config =
+        ReadConfig(with(R"("cold_start_s": 3, "cold_per_s": 1e300)"), &faults);
+    REQUIRE(config);
+    REQUIRE(config->FindService("m") != nullptr);
+    CHECK_FALSE(config->FindService("m")->cold_);
+  }
+}
+
 TEST_CASE("platform stage calls") {
   SECTION("pieces are written as the platform reads them") {
     StagePiece first;
