Count the slots of a server whose limit is huge

A server that named a limit such as 1e300 a second got no request at all: the number of its slots overflowed. A limit above 1,000,000 a second now counts as that.

unit-server-limits, new section: failed at the first call before, passes now; unit-cold-servers passes.

--- a/src/routing/server_limits.cc
+++ b/src/routing/server_limits.cc
@@ -36,6 +36,8 @@
 /// A server that takes nothing still gets a request now and then; otherwise the
 /// end of its limit would not be noticed.
 constexpr double kMinPerSecond = 0.1;
+/// Servers may name any number; their slots must be countable.
+constexpr double kMaxPerSecond = 1e6;
 
 double Fraction(ServerLimits::Scope scope, size_t gateways) {
   const auto count = static_cast<double>(std::max<size_t>(1, gateways));
@@ -82,7 +84,8 @@
     limit = std::min(limit.value_or(state.cold_per_second_),
                      state.cold_per_second_);
   }
-  return limit ? std::optional(std::max(kMinPerSecond, *limit)) : std::nullopt;
+  return limit ? std::optional(std::clamp(*limit, kMinPerSecond, kMaxPerSecond))
+               : std::nullopt;
 }
 
 // Whether an owner may send one more call, whatever slots it has. Precondition:
--- a/tests/unit-server-limits.cc
+++ b/tests/unit-server-limits.cc
@@ -289,6 +289,14 @@
     CHECK(calls >= 5);
     CHECK(calls <= 12);
   }
+  SECTION("a limit that nobody reaches holds no call back") {
+    limits.Observe(Limit(1e300, kStart));
+    for (int i = 1; i < 1000; ++i) {
+      const TimePoint now = kStart + milliseconds(i);
+      REQUIRE(may_call(now));
+      limits.OnCall(kServer, now);
+    }
+  }
   SECTION("a server that is gone is forgotten") {
     limits.Observe(Limit(1, kStart));
     limits.Retain([](std::string_view) { return false; });
