--- a/tests/process/platform_brittle_test.py
+++ b/tests/process/platform_brittle_test.py
@@ -184,21 +184,9 @@
         return self.fleet.engines + self.fleet.plain + self.fleet.stages
 
     def send(self, method, path, until, per_second):
-        answers, threads, number = [], [], 0
         headers = ({"X_Citronlane_Pieces": self.PIECES}
                    if path.startswith("/chat") else {})
-        while time.monotonic() < until:
-            thread = threading.Thread(
-                target=lambda number=number: answers.append(
-                    self.fleet.ask(method, path, b"", new_id(),
-                                   number % self.gateways, **headers)))
-            thread.start()
-            threads.append(thread)
-            number += 1
-            time.sleep(1 / per_second)
-        for thread in threads:
-            thread.join()
-        return answers
+        return super().send(method, path, until, per_second, **headers)
 
     def check(self, servers, method, path, per_second, least_served):
         """Sends more than the brittle servers can take. `least_served`: calls a
--- a/tests/process/platform_limits_test.py
+++ b/tests/process/platform_limits_test.py
@@ -71,7 +71,7 @@
             server.limit, server.first_named = None, None
             server.requests.clear()
 
-    def send(self, method, path, until, per_second):
+    def send(self, method, path, until, per_second, **headers):
         """Sends requests to the gateways in turn until the time is over. Returns
         the answers."""
         answers, threads, number = [], [], 0
@@ -79,7 +79,7 @@
             thread = threading.Thread(
                 target=lambda number=number: answers.append(
                     self.fleet.ask(method, path, b"", new_id(),
-                                   number % self.gateways)))
+                                   number % self.gateways, **headers)))
             thread.start()
             threads.append(thread)
             number += 1
