Build a call's endpoint in one place, and keep the stage client to calls

No change of behaviour: unit-stage-client, unit-endless-replies, unit-reply-identity and unit-not-run pass.

--- a/include/citronlane/transport/detail/reply_reading.h
+++ b/include/citronlane/transport/detail/reply_reading.h
@@ -11,6 +11,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
 
+#include "citronlane/routing/call_outcome.h"
+
 namespace citronlane::detail {
 
 struct StageConnection;
@@ -47,6 +49,23 @@
     const boost::asio::yield_context& yield,
     boost::system::error_code* error);
 
+/// As ReadSome(), for a body that nobody needs.
+size_t SkipSome(
+    StageConnection* connection,
+    boost::beast::http::response_parser<boost::beast::http::buffer_body>*
+        parser,
+    const boost::asio::yield_context& yield,
+    boost::system::error_code* error);
+size_t SkipSome(
+    StageConnection* connection,
+    boost::beast::http::response_parser<boost::beast::http::string_body>*
+        parser,
+    const boost::asio::yield_context& yield,
+    boost::system::error_code* error);
+
+/// Returns the outcome of a call for an error that occurred after it was sent.
+CallOutcome OutcomeOf(const boost::system::error_code& error);
+
 }  // namespace citronlane::detail
 
 #endif  // CITRONLANE_TRANSPORT_DETAIL_REPLY_READING_H_
--- a/include/citronlane/transport/stage_call_spec.h
+++ b/include/citronlane/transport/stage_call_spec.h
@@ -13,6 +13,11 @@
 
 /// Parameters of one HTTP call to a backend server.
 struct StageCallSpec {
+  /// Returns "IP:port" of the server.
+  std::string Endpoint() const {
+    return address_ + ":" + std::to_string(port_);
+  }
+
   /// IP address and port of the server.
   std::string address_;
   uint16_t port_ = 0;
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -57,10 +57,6 @@
                                        : ReplyOwner::kUnclear;
 }
 
-std::string AddressOf(const StageCallSpec& spec) {
-  return spec.address_ + ":" + std::to_string(spec.port_);
-}
-
 std::string_view MismatchReason(const ServerReplyHead& reply) {
   if (reply.is_ambiguous_) {
     return "ambiguous";
@@ -97,7 +93,7 @@
   const auto state = state_;
   // Other gateways are reached without the links to servers.
   ReachWatch* const reach = names.is_gateway_ ? nullptr : context->reach_;
-  const auto note_reply = [reach, address = AddressOf(spec)] {
+  const auto note_reply = [reach, address = spec.Endpoint()] {
     if (reach != nullptr) {
       reach->OnReply(address);
     }
--- a/src/transport/reply_reading.cc
+++ b/src/transport/reply_reading.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <boost/asio/error.hpp>
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -87,4 +88,30 @@
   return parser->get().body().size() - before;
 }
 
+size_t SkipSome(StageConnection* connection,
+                http::response_parser<http::buffer_body>* parser,
+                const asio::yield_context& yield,
+                error_code* error) {
+  std::vector<char> sink(kReadBufferBytes);
+  return ReadSome(connection, parser, &sink, yield, error);
+}
+
+size_t SkipSome(StageConnection* connection,
+                http::response_parser<http::string_body>* parser,
+                const asio::yield_context& yield,
+                error_code* error) {
+  return ReadSome(connection, parser, yield, error);
+}
+
+CallOutcome OutcomeOf(const error_code& error) {
+  if (error == boost::beast::error::timeout) {
+    return CallOutcome::kTimeout;
+  }
+  const bool closed = error == http::error::end_of_stream ||
+                      error == http::error::partial_message ||
+                      error.category() == asio::error::get_system_category() ||
+                      error.category() == asio::error::get_misc_category();
+  return closed ? CallOutcome::kClosedAfterSend : CallOutcome::kServerError;
+}
+
 }  // namespace citronlane::detail
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -43,18 +43,6 @@
 constexpr int kMaxSkippedReplies = 8;
 constexpr int kFirstFinalStatus = 200;
 
-/// Returns the outcome for an error that occurred after the call was sent.
-CallOutcome OutcomeOf(const error_code& error) {
-  if (error == beast::error::timeout) {
-    return CallOutcome::kTimeout;
-  }
-  const bool closed = error == http::error::end_of_stream ||
-                      error == http::error::partial_message ||
-                      error.category() == asio::error::get_system_category() ||
-                      error.category() == asio::error::get_misc_category();
-  return closed ? CallOutcome::kClosedAfterSend : CallOutcome::kServerError;
-}
-
 /// One call, run by a coroutine: connects, sends once and reads the reply.
 class Call : public StageCall, public std::enable_shared_from_this<Call> {
  public:
@@ -64,8 +52,7 @@
       : pool_(std::move(pool)),
         spec_(std::move(spec)),
         hooks_(std::move(hooks)),
-        key_(spec_.address_ + ":" + std::to_string(spec_.port_) +
-             spec_.connection_group_),
+        key_(spec_.Endpoint() + spec_.connection_group_),
         read_on_(*pool_->io()) {}
 
   void Cancel() override {
@@ -149,7 +136,7 @@
     }
     asio::async_write(connection_->stream_, asio::buffer(text), yield[error]);
     if (error) {
-      Done(OutcomeOf(error));
+      Done(detail::OutcomeOf(error));
     }
     return !ended_;
   }
@@ -169,7 +156,7 @@
       detail::ReadHeader(connection_.get(), pool_->limits().reply_header_bytes_,
                          &**parser, yield, &error);
       if (error) {
-        Done(OutcomeOf(error));
+        Done(detail::OutcomeOf(error));
         return false;
       }
       head_ = detail::ReadHead((*parser)->get());
@@ -230,19 +217,6 @@
     return spec_.attempt_id_.empty() || head.echoed_id_ == spec_.attempt_id_;
   }
 
-  size_t SkipSome(http::response_parser<http::buffer_body>* parser,
-                  const asio::yield_context& yield,
-                  error_code* error) {
-    std::vector<char> sink(detail::kReadBufferBytes);
-    return detail::ReadSome(connection_.get(), parser, &sink, yield, error);
-  }
-
-  size_t SkipSome(http::response_parser<http::string_body>* parser,
-                  const asio::yield_context& yield,
-                  error_code* error) {
-    return detail::ReadSome(connection_.get(), parser, yield, error);
-  }
-
   /// Reads and discards the body of a reply to another call.
   template <typename Parser>
   bool SkipReply(Parser* parser, const asio::yield_context& yield) {
@@ -250,7 +224,8 @@
     error_code error;
     uint64_t skipped_bytes = 0;
     while (!parser->is_done() && !error && !ended_) {
-      skipped_bytes += SkipSome(parser, yield, &error);
+      skipped_bytes +=
+          detail::SkipSome(connection_.get(), parser, yield, &error);
       if (skipped_bytes > pool_->limits().reply_body_bytes_) {
         error = http::error::body_limit;
       }
@@ -277,7 +252,7 @@
         }
       }
       if (error) {
-        Done(OutcomeOf(error));
+        Done(detail::OutcomeOf(error));
         return;
       }
       auto& reply = parser->get();
@@ -319,7 +294,7 @@
       const size_t got =
           detail::ReadSome(connection_.get(), &*parser, &buffer, yield, &error);
       if (error) {
-        Done(OutcomeOf(error));
+        Done(detail::OutcomeOf(error));
         return;
       }
       if (got > 0 && !ended_) {
--- a/src/transport/stage_messages.cc
+++ b/src/transport/stage_messages.cc
@@ -41,11 +41,7 @@
   text.reserve(512 + spec.body_.size());
   text.append(spec.method_).append(" ").append(spec.target_);
   text.append(" HTTP/1.1\r\nHost: ");
-  if (spec.host_.empty()) {
-    text.append(spec.address_).append(":").append(std::to_string(spec.port_));
-  } else {
-    text.append(spec.host_);
-  }
+  text.append(spec.host_.empty() ? spec.Endpoint() : spec.host_);
   text.append("\r\n");
   for (const HttpHeader& header : spec.headers_) {
     text.append(header.name_).append(": ").append(header.value_);
