--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -7,34 +7,22 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/steady_now.h"
-#include "citronlane/control/cluster_member.h"
-#include "citronlane/control/detail/control_metrics.h"
-#include "citronlane/control/detail/feed_counts.h"
-#include "citronlane/control/gateway_feed.h"
-#include "citronlane/control/operator_api.h"
-#include "citronlane/control/origin_feed.h"
+#include "citronlane/control/detail/control_host_impl.h"
 #include "citronlane/net/endpoint.h"
 #include "citronlane/net/frame_channel.h"
-#include "citronlane/net/frame_listener.h"
 #include "citronlane/net/process_signals.h"
 #include "citronlane/net/repeating_timer.h"
-#include "citronlane/net/server_list_reader.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/serving/serving_config.h"
-#include "citronlane/state/config_proposer.h"
-#include "citronlane/state/fleet_state.h"
 #include "citronlane/transport/http_exchange.h"
-#include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
-#include "citronlane/transport/stage_client.h"
 #include "citronlane/transport/stage_limits.h"
 #include "fleet.pb.h"
 
@@ -75,55 +63,6 @@
 
 }  // namespace
 
-class ControlHost::Impl {
- public:
-  Impl(NodeSettings settings,
-       SettingsHook read_settings,
-       const Dialect* dialect,
-       EventLog* log);
-
-  bool Run(Error* error);
-
- private:
-  std::string OperatorAddressOfLeader() const;
-  OperatorApi::Hooks ApiHooks();
-  ConfigProposer::Hooks ProposerHooks();
-  void Propose(std::string command, ConfigProposer::Done done);
-  GatewayFeed::Leadership Leadership() const;
-  const std::vector<PooledService>& PooledServices();
-  void HandleFrame(const std::shared_ptr<FrameChannel>& channel, Frame* frame);
-  void AnswerOrigin(FrameChannel* channel,
-                    const wire::fleet::StreamOriginAsk& ask,
-                    TimePoint now);
-  void Tick(TimePoint now);
-  void OnLeadsChanged(bool leads);
-  void ReadServers(TimePoint now);
-  void NoteColdTimes();
-  void Reload();
-  void Stop();
-
-  const NodeSettings settings_;
-  const SettingsHook read_settings_;
-  const Dialect* const dialect_;
-  EventLog* const log_;
-
-  boost::asio::io_context io_{1};
-  FleetState state_;
-  StageClient client_;
-  ServerListReader list_reader_;
-  GatewayFeed feed_;
-  OriginFeed origins_;
-  ClusterMember member_;
-  ConfigProposer proposer_;
-  OperatorApi api_;
-  FrameListener internal_;
-  HttpListener operators_;
-  bool list_failing_ = false;
-  size_t invalid_cold_times_ = 0;
-  std::vector<PooledService> pooled_services_;
-  std::optional<uint64_t> pooled_services_version_;
-};
-
 ControlHost::Impl::Impl(NodeSettings settings,
                         SettingsHook read_settings,
                         const Dialect* dialect,
@@ -202,65 +141,6 @@
   return true;
 }
 
-std::string ControlHost::Impl::OperatorAddressOfLeader() const {
-  const std::string leader = member_.leader();
-  if (leader.empty() || leader == settings_.internal_listen_) {
-    return {};
-  }
-  // All nodes use the same ports.
-  const std::string& own = settings_.operator_listen_;
-  return leader.substr(0, leader.rfind(':')) + own.substr(own.rfind(':'));
-}
-
-OperatorApi::Hooks ControlHost::Impl::ApiHooks() {
-  OperatorApi::Hooks hooks;
-  hooks.set_drained_ = [this](const std::string& domain, bool is_drained,
-                              ConfigProposer::Done done) {
-    if (!member_.all_apply_new_commands()) {
-      done(false, "a control VM may be of an older version");
-      return;
-    }
-    Propose(DrainedDomains::Command(domain, is_drained), std::move(done));
-  };
-  hooks.has_servers_ = [this](const std::string& domain) {
-    return feed_.HasServers(domain);
-  };
-  hooks.leads_ = [this] { return member_.Leads(SteadyNow()); };
-  hooks.leader_ = [this] { return OperatorAddressOfLeader(); };
-  hooks.submit_ = [this](uint64_t version, std::string document,
-                         ConfigProposer::Done done) {
-    proposer_.Submit(version, std::move(document), std::move(done));
-  };
-  hooks.read_ = [this](Replica::ReadDone done) {
-    member_.Read(std::move(done));
-  };
-  hooks.has_all_voters_ = [this] { return member_.has_all_voters(); };
-  hooks.gateways_hold_ = [this](uint64_t version) {
-    return feed_.IsHeldByAll(version, SteadyNow());
-  };
-  hooks.suspects_ = [this] { return feed_.Suspects(); };
-  hooks.clear_suspects_ = [this] { feed_.ClearSuspects(SteadyNow()); };
-  hooks.metrics_ = [this] {
-    const TimePoint now = SteadyNow();
-    return FeedMetricsText(
-        member_.Leads(now), feed_.Propagation(),
-        FeedCounts{feed_.CountBlocked(now), list_reader_.invalid_cold_times(),
-                   api_.unknown_domain_orders()});
-  };
-  return hooks;
-}
-
-ConfigProposer::Hooks ControlHost::Impl::ProposerHooks() {
-  ConfigProposer::Hooks hooks;
-  hooks.propose_ = [this](std::string command, ConfigProposer::Done done) {
-    Propose(std::move(command), std::move(done));
-  };
-  hooks.all_apply_differences_ = [this] {
-    return member_.all_apply_new_commands();
-  };
-  return hooks;
-}
-
 void ControlHost::Impl::Propose(std::string command,
                                 ConfigProposer::Done done) {
   member_.Propose(
