Log the prompt segments of a request whose call failed

Requests that crashed server after server had different contents, and no log line said what they had in common: each request's own digest stood in "gave up" and "server ended".

--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/server_call_spec.h"
 #include "citronlane/observe/event_log.h"
@@ -36,6 +37,13 @@
 constexpr double kEstimateSafetyFactor = 1.1;
 constexpr int kFirstServerError = 500;
 
+std::string SegmentIds(absl::Span<const PromptSegment> prompt) {
+  return absl::StrJoin(prompt, " ",
+                       [](std::string* text, const PromptSegment& segment) {
+                         text->append(segment.id_);
+                       });
+}
+
 }  // namespace
 
 RelayRequest::RelayRequest(const RelayContext* context,
@@ -334,6 +342,7 @@
        {"why", ended.reason_},
        {"content", ended.step_ == Step::kMayHaveRun ? Fingerprint().digest_
                                                     : std::string()},
+       {"segments", SegmentIds(job_->head_.prompt_)},
        {"verdict", ToString(verdict_)},
        {"runs", runs_},
        {"after_ms", Elapsed()},
