--- a/tests/process/platform_crashes_test.py
+++ b/tests/process/platform_crashes_test.py
@@ -37,9 +37,10 @@
 
 
 class CrashFleet(Fleet):
-    """A fleet with CrashingEngines."""
+    """A fleet with engines that crash."""
 
     ENGINES = 6
+    engine_class = CrashingEngine
 
     def _make_servers(self, stages):
         super()._make_servers(stages)
@@ -49,8 +50,8 @@
         self.crashes = []
         self.arrivals = []
         self.engines = [
-            self.prepare(CrashingEngine(f"{self.net}.200", "models", f"e{i}",
-                                        "ab"[i % 2]))
+            self.prepare(self.engine_class(f"{self.net}.200", "models", f"e{i}",
+                                           "ab"[i % 2]))
             for i in range(self.ENGINES)]
         self.list.servers = self.engines + self.plain + self.stages
 
@@ -71,7 +72,7 @@
     def _restart(self, engine):
         time.sleep(engine.down_seconds)
         ip, port = engine.address.split(":")
-        started = self.prepare(CrashingEngine(
+        started = self.prepare(self.engine_class(
             ip, "models", f"{engine.id}+", engine.domain, int(port)))
         with self.lock:
             index = self.engines.index(engine)
