Take an unframed stream without events for broken off

A server's reply may have neither a length nor chunks and end with its connection. One whose server ended before the first event was passed on as a complete, empty stream, and cleared the request of the crashes before, since its call counted as a success.

Such a reply now counts as a broken connection: the request is retried or refused as after any other, and the server is examined. The new section of unit-relay-crashes failed before: the caller got status 200 and no crash was reported.

--- a/include/citronlane/relay/server_attempt.h
+++ b/include/citronlane/relay/server_attempt.h
@@ -51,6 +51,10 @@
   /// kServerError.
   void Reject();
 
+  /// The reply looks complete, but its connection broke: its outcome is
+  /// kClosedAfterSend. Precondition: is_done().
+  void MarkBroken();
+
   /// Whether bytes of the call were handed to a socket.
   bool was_sent() const;
   /// When that was last the case; nothing if it was not.
@@ -62,10 +66,13 @@
   /// Precondition: is_done().
   CallOutcome outcome() const;
 
-  /// Precondition of these three: has_head().
+  /// Precondition of these four: has_head().
   int status() const;
   const std::vector<HttpHeader>& headers() const;
   const ServerReplyHead& reply() const;
+  /// Whether the reply has neither a length nor chunks, so that its end cannot
+  /// be told from that of the server.
+  bool ends_with_connection() const;
 
   /// Returns the bytes of the body that arrived since the last call; reading
   /// goes on.
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -216,6 +216,9 @@
     if (!is_done) {
       continue;
     }
+    if (!had_first_event_ && attempt->ends_with_connection()) {
+      attempt->MarkBroken();
+    }
     if (attempt->outcome() != CallOutcome::kSuccess || events_.has_partial()) {
       return AfterFailure(*attempt);
     }
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -1,7 +1,9 @@
 #include "citronlane/relay/server_attempt.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metric_names.h"
@@ -159,6 +161,10 @@
   state_->outcome_ = CallOutcome::kServerError;
 }
 
+void ServerAttempt::MarkBroken() {
+  state_->outcome_ = CallOutcome::kClosedAfterSend;
+}
+
 bool ServerAttempt::was_sent() const {
   return state_->sent_at_.has_value();
 }
@@ -191,6 +197,15 @@
   return state_->reply_;
 }
 
+bool ServerAttempt::ends_with_connection() const {
+  return std::none_of(
+      state_->headers_.begin(), state_->headers_.end(),
+      [](const HttpHeader& header) {
+        return absl::EqualsIgnoreCase(header.name_, "Content-Length") ||
+               absl::EqualsIgnoreCase(header.name_, "Transfer-Encoding");
+      });
+}
+
 std::string ServerAttempt::TakeData() {
   std::string data = std::exchange(state_->data_, {});
   if (call_) {
--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -18,6 +18,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 
 #include "citronlane/net/crash_codec.h"
 #include "citronlane/serving/request_fingerprint.h"
@@ -35,26 +36,33 @@
 using std::chrono::seconds;
 using tcp = boost::asio::ip::tcp;
 
-std::string ReplyTo(const std::string& request, const std::string& headers) {
+std::string ReplyTo(const std::string &request, const std::string &headers) {
   return "HTTP/1.1 200 OK\r\nX-Citronlane-Request-Id: " + request +
          "\r\nX-Citronlane-Response-Seal: seal\r\n" + headers +
          "Content-Length: 2\r\n\r\nok";
 }
 
-/// A server that ends when it has read its first request.
+// With neither a length nor chunks: the reply ends with its connection.
+std::string ReplyHead(const std::string &request) {
+  return "HTTP/1.1 200 OK\r\nX-Citronlane-Request-Id: " + request +
+         "\r\nX-Citronlane-Response-Seal: seal\r\n\r\n";
+}
+
+/// A server that ends when it has read its first request, after it has sent
+/// `reply`.
 class EndingServer {
- public:
-  EndingServer()
-      : acceptor_(io_, tcp::endpoint(tcp::v4(), 0)),
-        port_(acceptor_.local_endpoint().port()),
-        thread_([this] { Serve(); }) {}
+public:
+  explicit EndingServer(std::string reply = "")
+      : reply_(std::move(reply)), acceptor_(io_, tcp::endpoint(tcp::v4(), 0)),
+        port_(acceptor_.local_endpoint().port()), thread_([this] { Serve(); }) {
+  }
   ~EndingServer() { thread_.join(); }
-  EndingServer(const EndingServer&) = delete;
-  EndingServer& operator=(const EndingServer&) = delete;
+  EndingServer(const EndingServer &) = delete;
+  EndingServer &operator=(const EndingServer &) = delete;
 
   uint16_t port() const { return port_; }
 
- private:
+private:
   void Serve() {
     tcp::socket socket(io_);
     acceptor_.accept(socket);
@@ -62,9 +70,11 @@
     boost::asio::read_until(socket, boost::asio::dynamic_buffer(text),
                             "\r\n\r\n");
     acceptor_.close();
+    boost::asio::write(socket, boost::asio::buffer(reply_));
     socket.close();
   }
 
+  const std::string reply_;
   boost::asio::io_context io_;
   tcp::acceptor acceptor_;
   const uint16_t port_;
@@ -72,17 +82,15 @@
 };
 
 // The request that RelayGateway::Ask sends.
-RequestFingerprint Asked() {
-  return FingerprintOf("GET", "h", "/x", "", "");
-}
+RequestFingerprint Asked() { return FingerprintOf("GET", "h", "/x", "", ""); }
 
-bool HasHeader(const HttpReply& reply, const std::string& name) {
+bool HasHeader(const HttpReply &reply, const std::string &name) {
   return std::any_of(
       reply.headers_.begin(), reply.headers_.end(),
-      [&name](const HttpHeader& header) { return header.name_ == name; });
+      [&name](const HttpHeader &header) { return header.name_ == name; });
 }
 
-void CheckRefused(const RecordedCaller& caller, const std::string& reason) {
+void CheckRefused(const RecordedCaller &caller, const std::string &reason) {
   REQUIRE(caller.reply_);
   CHECK(caller.reply_->status_ == 503);
   CHECK(caller.reply_->body_.find(reason) != std::string::npos);
@@ -90,11 +98,11 @@
   CHECK(HasHeader(*caller.reply_, "Retry-After"));
 }
 
-}  // namespace
+} // namespace
 
 TEST_CASE("a call whose connection breaks") {
   boost::asio::io_context io;
-  const auto run_until = [&io](const std::function<bool()>& condition) {
+  const auto run_until = [&io](const std::function<bool()> &condition) {
     return Eventually([&] {
       io.restart();
       io.poll();
@@ -110,11 +118,31 @@
     REQUIRE(caller.reply_);
     CHECK(caller.reply_->status_ == 502);
     REQUIRE(run_until([&] { return !gateway.reports().empty(); }));
-    const auto& crash = gateway.reports()[0].crashes(0);
+    const auto &crash = gateway.reports()[0].crashes(0);
     CHECK(crash.server() == "s");
     REQUIRE(crash.running_size() == 1);
     CHECK(DecodeContent(crash.running(0)) == Asked());
   }
+  // Guards against the end of a server that is taken for that of a reply.
+  SECTION("is reported when the reply, without a length, has no event yet") {
+    EndingServer server(ReplyHead("a"));
+    RelayGateway gateway(&io, DeskConfig(RouteKind::kStreaming), "desk",
+                         DeskServer(server.port()));
+    const RecordedCaller caller = gateway.Ask("a");
+    REQUIRE(caller.reply_);
+    CHECK(caller.reply_->status_ == 502);
+    CHECK(run_until([&] { return !gateway.reports().empty(); }));
+  }
+  SECTION("is not reported when a reply without a length has events") {
+    EndingServer server(ReplyHead("a") + "id: 0\ndata: x\n\n");
+    RelayGateway gateway(&io, DeskConfig(RouteKind::kStreaming), "desk",
+                         DeskServer(server.port()));
+    const RecordedCaller caller = gateway.Ask("a");
+    CHECK(caller.is_complete_);
+    io.restart();
+    io.run();
+    CHECK(gateway.reports().empty());
+  }
   SECTION("is not reported when its server still listens") {
     ScriptedServer server({""});
     RelayGateway gateway(&io, DeskConfig(RouteKind::kSafe), "desk",
@@ -207,4 +235,4 @@
   CHECK(limited.reads() == 1);
 }
 
-}  // namespace citronlane
+} // namespace citronlane
