--- a/include/citronlane/control/suspect_feed.h
+++ b/include/citronlane/control/suspect_feed.h
@@ -26,8 +26,9 @@
   /// `log` must outlive the object.
   explicit SuspectFeed(EventLog* log);
 
-  /// Takes a gateway's reports. Returns whether a request is blocked or
-  /// unblocked by them, of which all gateways should be told at once.
+  /// Takes a gateway's reports. Returns whether requests are blocked, unblocked
+  /// or allowed as a trial by them, of which all gateways should be told at
+  /// once.
   bool Take(const wire::fleet::CrashReports& reports, TimePoint now);
   /// Lifts all blocks; crashes so far no longer count.
   void Clear(TimePoint now);
--- a/include/citronlane/relay/crash_watch.h
+++ b/include/citronlane/relay/crash_watch.h
@@ -5,10 +5,12 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "absl/types/span.h"
 #include "citronlane/base/time.h"
 #include "citronlane/routing/crash_ledger.h"
 #include "citronlane/routing/suspect_request.h"
@@ -24,9 +26,9 @@
 
 /// A gateway's part in finding requests that crash backend servers: it reports
 /// crashes and survivals to the leader among the control VMs, which decides for
-/// the fleet, and knows which requests are blocked. While no leader is
-/// connected, it also decides by what it has seen itself. Used on the event
-/// loop's thread.
+/// the fleet, and knows which contents and prompt segments are blocked. While
+/// no leader is connected, it also decides by what it has seen itself. Used on
+/// the event loop's thread.
 class CrashWatch {
  public:
   struct Hooks {
@@ -40,10 +42,15 @@
                        std::function<void(bool is_refused)> done)>
         probe_;
     std::function<TimePoint()> now_;
+    /// Names this gateway in reports.
+    std::string gateway_;
   };
   /// A server that still runs a request this long after its first event is not
   /// crashed by the start of it.
   static constexpr Duration kSurvivalTime = std::chrono::seconds(1);
+  /// As above for a segment, which crashes servers when they begin to reply.
+  static constexpr Duration kSegmentSurvivalTime =
+      std::chrono::milliseconds(100);
 
   /// Computes the fingerprint of a request; it is costly for large bodies.
   using FingerprintHook = std::function<const RequestFingerprint&()>;
@@ -55,6 +62,11 @@
 
   /// Whether the request, with a body of `body_bytes`, is blocked.
   bool IsBlocked(uint64_t body_bytes, const FingerprintHook& fingerprint) const;
+  /// The blocked one of the segments of a request; empty if none is. With
+  /// `is_call` the request is about to be sent, which uses up the trial that
+  /// the leader allows after a block.
+  std::string BlockedSegment(absl::Span<const std::string> segments,
+                             bool is_call);
   /// The connection to a server broke while it may have been running the
   /// request. Finds out whether the server has ended.
   void OnBroken(const std::string& server,
@@ -62,6 +74,8 @@
                 const RequestFingerprint& request);
   /// A server sent the complete reply to the request.
   void OnSurvived(uint64_t body_bytes, const FingerprintHook& fingerprint);
+  /// A server has begun to reply to a request with the segments, and runs on.
+  void OnSegmentsSurvived(absl::Span<const std::string> segments);
 
   /// Takes the leader's list of suspect requests.
   void Take(const wire::fleet::SuspectRequests& suspects);
@@ -80,8 +94,14 @@
 
   const SuspectRequest* FindListed(uint64_t body_bytes,
                                    const FingerprintHook& fingerprint) const;
+  const SuspectRequest* FindListedSegment(const std::string& segment) const;
+  bool IsSegmentBlocked(const std::string& segment, bool is_call);
+  /// Asks the leader for a trial, not too often.
+  void AskForTrial(const std::string& segment);
+  void ReportSurvival(const RequestFeature& feature);
   void OnProbed(const std::string& server, bool is_refused);
   void Report(const ServerCrash& crash);
+  void ForgetEndedTrials();
   void RememberEnded(const std::string& server, TimePoint at);
 
   EventLog* const log_;
@@ -94,6 +114,9 @@
   std::map<std::string, Probe> probes_;
   /// When the servers that ended last did so.
   std::deque<std::pair<std::string, TimePoint>> ended_;
+  /// Segments whose trial this gateway has used up.
+  std::set<std::string> tried_segments_;
+  TimePoint last_trial_question_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -172,13 +172,16 @@
   bool ForwardEvents(const std::string& events, const ServerAttempt& attempt);
   AttemptResult AfterFailure(const ServerAttempt& attempt) const;
   /// Refuses the request if servers may not get it; returns whether it did.
-  bool RefuseIfBlocked();
+  /// `is_call`: it is about to be sent to one.
+  bool RefuseIfBlocked(bool is_call);
   /// If all servers of the service have limits, takes a slot for a request with
   /// stages before these run. Refuses the request if no slot is left, so that
   /// its stages do not run in vain; returns whether it did. Suspends the
   /// handler.
   bool RefuseIfLimited();
   bool AreAllServersLimited() const;
+  /// Reports that the last server has begun to reply and runs on.
+  void NoteReplyBegun();
   /// Reports whether the call's server crashed or survived.
   void NoteSurvival(const CalledServer& called, const ServerAttempt& attempt);
   /// Whether another attempt may follow one that ended with `ended`.
@@ -244,6 +247,10 @@
   Duration Elapsed() const;
   CrashWatch::FingerprintHook FingerprintHook();
   const RequestFingerprint& Fingerprint();
+  /// Ids of the prompt's segments, each once, without the last one, which no
+  /// other request has.
+  static std::vector<std::string> SharedSegments(
+      absl::Span<const PromptSegment> prompt);
 
   const RelayContext* const context_;
   const RelayJob* const job_;
@@ -301,6 +308,9 @@
   Duration stages_time_{};
   Duration first_event_time_{};
   std::optional<RequestFingerprint> fingerprint_;
+  const std::vector<std::string> segments_;
+  /// The last server's reply was reported as begun.
+  bool is_reply_reported_ = false;
   std::string_view last_failure_ = "";
   std::string last_server_;
   /// The last server as it was listed when it was called.
--- a/include/citronlane/serving/request_fingerprint.h
+++ b/include/citronlane/serving/request_fingerprint.h
@@ -4,6 +4,9 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "citronlane/serving/request_feature.h"
 
 namespace citronlane {
 
@@ -15,6 +18,9 @@
   std::string digest_;
   /// Size of the body: requests of other sizes differ without hashing.
   uint64_t body_bytes_ = 0;
+  /// Ids of prompt segments that other requests may have, too. Not compared:
+  /// equal contents have equal segments.
+  std::vector<std::string> segments_;
 
   bool operator==(const RequestFingerprint& other) const {
     return digest_ == other.digest_ && body_bytes_ == other.body_bytes_;
@@ -30,6 +36,11 @@
                                  std::string_view account,
                                  std::string_view body);
 
+/// The feature that only requests with the same content have. Thread safe.
+RequestFeature ContentFeature(const RequestFingerprint& request);
+/// The feature of requests with a prompt segment. Thread safe.
+RequestFeature SegmentFeature(std::string_view segment);
+
 }  // namespace citronlane
 
 #endif  // CITRONLANE_SERVING_REQUEST_FINGERPRINT_H_
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -171,8 +171,10 @@
   JsonValue requests = JsonValue::Array();
   for (const SuspectRequest& suspect : hooks_.suspects_()) {
     JsonValue entry = JsonValue::Object();
-    entry.AppendMember("content",
-                       JsonValue::String(suspect.fingerprint_.digest_));
+    entry.AppendMember("content", JsonValue::String(suspect.feature_.id_));
+    entry.AppendMember(
+        "kind",
+        JsonValue::String(std::string(ToString(suspect.feature_.kind_))));
     entry.AppendMember("crashes", JsonValue::Number(suspect.crashes_));
     const Duration blocked = std::max(Duration(), suspect.blocked_until_ - now);
     entry.AppendMember(
--- a/src/control/suspect_feed.cc
+++ b/src/control/suspect_feed.cc
@@ -16,10 +16,12 @@
   bool has_changed_blocks = false;
   for (const auto& report : reports.survivals()) {
     const CrashLedger::Survival survival = DecodeSurvival(report, now);
-    if (crashes_.OnSurvived(survival.request_, survival.at_)) {
-      has_changed_blocks = true;
+    const auto cleared = crashes_.OnSurvived(survival.feature_, survival.at_);
+    has_changed_blocks |= cleared == CrashLedger::Cleared::kBlock;
+    if (cleared != CrashLedger::Cleared::kNothing) {
       log_->Write("control", "request survived",
-                  {{"content", survival.request_.digest_},
+                  {{"content", survival.feature_.id_},
+                   {"kind", ToString(survival.feature_.kind_)},
                    {"age_ms", now - survival.at_}});
     }
   }
@@ -34,6 +36,13 @@
       LogBlocked(blocked, now);
     }
   }
+  if (!reports.trial_segment().empty() &&
+      crashes_.GrantTrial(reports.trial_segment(), reports.gateway(), now)) {
+    has_changed_blocks = true;
+    log_->Write(
+        "control", "trial request granted",
+        {{"content", reports.trial_segment()}, {"gateway", reports.gateway()}});
+  }
   return has_changed_blocks;
 }
 
@@ -62,8 +71,9 @@
 
 void SuspectFeed::LogBlocked(const SuspectRequest& request, TimePoint now) {
   log_->Write("control", "request blocked",
-              {{"content", request.fingerprint_.digest_},
-               {"body_bytes", request.fingerprint_.body_bytes_},
+              {{"content", request.feature_.id_},
+               {"kind", ToString(request.feature_.kind_)},
+               {"body_bytes", request.feature_.body_bytes_},
                {"crashes", request.crashes_},
                {"servers", absl::StrJoin(request.servers_, " ")},
                {"for_ms", request.blocked_until_ - now}});
--- a/src/gateway/crash_guard.cc
+++ b/src/gateway/crash_guard.cc
@@ -16,7 +16,8 @@
 std::string TextOf(const wire::fleet::SuspectRequests& suspects) {
   std::string text;
   for (const auto& suspect : suspects.requests()) {
-    absl::StrAppend(&text, suspect.request().digest(), " ", suspect.crashes(),
+    absl::StrAppend(&text, suspect.request().digest(), suspect.segment(), " ",
+                    suspect.crashes(),
                     suspect.blocked_ms() > 0 ? " blocked\n" : "\n");
   }
   return text;
--- a/src/net/crash_codec.cc
+++ b/src/net/crash_codec.cc
@@ -6,15 +6,42 @@
 #include "fleet.pb.h"
 
 namespace citronlane {
+namespace {
+
+using Kind = RequestFeature::Kind;
+
+// `out` has either a content or a segment.
+template <typename Message>
+void EncodeFeature(const RequestFeature& feature, Message* out) {
+  if (feature.kind_ == Kind::kPromptSegment) {
+    out->set_segment(feature.id_);
+    return;
+  }
+  out->mutable_request()->set_digest(feature.id_);
+  out->mutable_request()->set_body_bytes(feature.body_bytes_);
+}
+
+template <typename Message>
+RequestFeature DecodeFeature(const Message& in) {
+  return in.segment().empty() ? ContentFeature(DecodeContent(in.request()))
+                              : SegmentFeature(in.segment());
+}
+
+}  // namespace
 
 void EncodeContent(const RequestFingerprint& request,
                    wire::fleet::RequestContent* out) {
   out->set_digest(request.digest_);
   out->set_body_bytes(request.body_bytes_);
+  for (const std::string& segment : request.segments_) {
+    out->add_segments(segment);
+  }
 }
 
 RequestFingerprint DecodeContent(const wire::fleet::RequestContent& in) {
-  return {in.digest(), in.body_bytes()};
+  return {in.digest(),
+          in.body_bytes(),
+          {in.segments().begin(), in.segments().end()}};
 }
 
 void EncodeCrash(const ServerCrash& crash,
@@ -40,13 +67,13 @@
 void EncodeSurvival(const CrashLedger::Survival& survival,
                     TimePoint now,
                     wire::fleet::RequestSurvival* out) {
-  EncodeContent(survival.request_, out->mutable_request());
+  EncodeFeature(survival.feature_, out);
   out->set_age_ms(InMilliseconds(now - survival.at_));
 }
 
 CrashLedger::Survival DecodeSurvival(const wire::fleet::RequestSurvival& in,
                                      TimePoint now) {
-  return {DecodeContent(in.request()), now - FromMilliseconds(in.age_ms())};
+  return {DecodeFeature(in), now - FromMilliseconds(in.age_ms())};
 }
 
 void EncodeSuspects(absl::Span<const SuspectRequest> suspects,
@@ -54,12 +81,14 @@
                     wire::fleet::SuspectRequests* out) {
   for (const SuspectRequest& suspect : suspects) {
     auto* entry = out->add_requests();
-    EncodeContent(suspect.fingerprint_, entry->mutable_request());
+    EncodeFeature(suspect.feature_, entry);
     entry->set_crashes(suspect.crashes_);
     entry->set_last_crash_age_ms(InMilliseconds(now - suspect.last_crash_));
     entry->set_blocked_ms(suspect.IsBlocked(now)
                               ? InMilliseconds(suspect.blocked_until_ - now) + 1
                               : 0);
+    entry->set_needs_trial(suspect.needs_trial_);
+    entry->set_trial_gateway(suspect.trial_gateway_);
   }
 }
 
@@ -69,10 +98,12 @@
   std::vector<SuspectRequest> suspects;
   for (const auto& entry : in.requests()) {
     SuspectRequest suspect;
-    suspect.fingerprint_ = DecodeContent(entry.request());
+    suspect.feature_ = DecodeFeature(entry);
     suspect.crashes_ = entry.crashes();
     suspect.last_crash_ = now - FromMilliseconds(entry.last_crash_age_ms());
     suspect.blocked_until_ = now + FromMilliseconds(entry.blocked_ms());
+    suspect.needs_trial_ = entry.needs_trial();
+    suspect.trial_gateway_ = entry.trial_gateway();
     suspects.push_back(std::move(suspect));
   }
   return suspects;
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -1,8 +1,10 @@
 #include "citronlane/relay/crash_watch.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "citronlane/net/crash_codec.h"
 #include "citronlane/observe/event_log.h"
 #include "fleet.pb.h"
@@ -16,6 +18,17 @@
 constexpr size_t kMaxEnded = 128;
 /// Crashes that a new leader is told of.
 constexpr size_t kMaxReported = 32;
+/// Pause between two questions for a trial.
+constexpr Duration kTrialQuestionPause = std::chrono::seconds(1);
+
+// Those of all requests of the crash, each once.
+std::set<std::string> SegmentsOf(const ServerCrash& crash) {
+  std::set<std::string> segments;
+  for (const RequestFingerprint& request : crash.running_) {
+    segments.insert(request.segments_.begin(), request.segments_.end());
+  }
+  return segments;
+}
 
 }  // namespace
 
@@ -26,19 +39,30 @@
     uint64_t body_bytes,
     const FingerprintHook& fingerprint) const {
   const auto has_size = [body_bytes](const SuspectRequest& listed) {
-    return listed.fingerprint_.body_bytes_ == body_bytes;
+    return listed.feature_.kind_ == RequestFeature::Kind::kContent &&
+           listed.feature_.body_bytes_ == body_bytes;
   };
   if (std::none_of(listed_.begin(), listed_.end(), has_size)) {
     return nullptr;
   }
-  const RequestFingerprint& request = fingerprint();
+  const RequestFeature content = ContentFeature(fingerprint());
   const auto found = std::find_if(listed_.begin(), listed_.end(),
-                                  [&request](const SuspectRequest& listed) {
-                                    return listed.fingerprint_ == request;
+                                  [&content](const SuspectRequest& listed) {
+                                    return listed.feature_ == content;
                                   });
   return found == listed_.end() ? nullptr : &*found;
 }
 
+const SuspectRequest* CrashWatch::FindListedSegment(
+    const std::string& segment) const {
+  const auto found = std::find_if(
+      listed_.begin(), listed_.end(), [&segment](const SuspectRequest& listed) {
+        return listed.feature_.kind_ == RequestFeature::Kind::kPromptSegment &&
+               listed.feature_.id_ == segment;
+      });
+  return found == listed_.end() ? nullptr : &*found;
+}
+
 bool CrashWatch::IsBlocked(uint64_t body_bytes,
                            const FingerprintHook& fingerprint) const {
   const TimePoint now = hooks_.now_();
@@ -48,7 +72,52 @@
   }
   // Of the other gateways' crashes and survivals only the leader knows.
   return !hooks_.has_leader_() && own_.CountBlocked(now) > 0 &&
-         own_.IsBlocked(fingerprint(), now);
+         own_.IsBlocked(ContentFeature(fingerprint()), now);
+}
+
+std::string CrashWatch::BlockedSegment(absl::Span<const std::string> segments,
+                                       bool is_call) {
+  const auto blocked = std::find_if(segments.begin(), segments.end(),
+                                    [&](const std::string& segment) {
+                                      return IsSegmentBlocked(segment, is_call);
+                                    });
+  return blocked == segments.end() ? std::string() : *blocked;
+}
+
+bool CrashWatch::IsSegmentBlocked(const std::string& segment, bool is_call) {
+  const TimePoint now = hooks_.now_();
+  const bool has_leader = hooks_.has_leader_();
+  const SuspectRequest* listed = FindListedSegment(segment);
+  if (listed != nullptr && listed->IsBlocked(now)) {
+    return true;
+  }
+  if (!has_leader) {
+    return own_.IsBlocked(SegmentFeature(segment), now);
+  }
+  if (listed == nullptr || !listed->needs_trial_) {
+    return false;
+  }
+  const bool may_try = listed->trial_gateway_ == hooks_.gateway_ &&
+                       tried_segments_.count(segment) == 0;
+  if (!may_try) {
+    AskForTrial(segment);
+  } else if (is_call) {
+    tried_segments_.insert(segment);
+    log_->Write("relay", "trial request sent", {{"content", segment}});
+  }
+  return !may_try;
+}
+
+void CrashWatch::AskForTrial(const std::string& segment) {
+  const TimePoint now = hooks_.now_();
+  if (now - last_trial_question_ < kTrialQuestionPause) {
+    return;
+  }
+  last_trial_question_ = now;
+  wire::fleet::CrashReports reports;
+  reports.set_trial_segment(segment);
+  reports.set_gateway(hooks_.gateway_);
+  hooks_.send_(reports);
 }
 
 void CrashWatch::OnBroken(const std::string& server,
@@ -103,6 +172,7 @@
               {{"server", crash.server_},
                {"running", static_cast<uint64_t>(crash.running_.size())},
                {"first_content", crash.running_.front().digest_},
+               {"segments", absl::StrJoin(SegmentsOf(crash), " ")},
                {"age_ms", now - crash.at_}});
   wire::fleet::CrashReports reports;
   EncodeCrash(crash, now, reports.add_crashes());
@@ -114,18 +184,42 @@
   if (FindListed(body_bytes, fingerprint) == nullptr) {
     return;
   }
+  ReportSurvival(ContentFeature(fingerprint()));
+}
+
+// The leader is told once after each crash under the segment: many requests may
+// have it.
+void CrashWatch::OnSegmentsSurvived(absl::Span<const std::string> segments) {
+  for (const std::string& segment : segments) {
+    const RequestFeature feature = SegmentFeature(segment);
+    const SuspectRequest* listed = FindListedSegment(segment);
+    if (listed == nullptr && !own_.IsSuspected(feature)) {
+      continue;
+    }
+    const auto last = own_.survived().find(feature);
+    const bool is_told = listed != nullptr && !listed->needs_trial_ &&
+                         last != own_.survived().end() &&
+                         last->second.at_ > listed->last_crash_ &&
+                         !own_.IsSuspected(feature);
+    if (!is_told) {
+      ReportSurvival(feature);
+    }
+  }
+}
+
+void CrashWatch::ReportSurvival(const RequestFeature& feature) {
   const TimePoint now = hooks_.now_();
-  const RequestFingerprint& request = fingerprint();
-  own_.OnSurvived(request, now);
+  own_.OnSurvived(feature, now);
   log_->Write("relay", "server survived a suspect request",
-              {{"content", request.digest_}});
+              {{"content", feature.id_}, {"kind", ToString(feature.kind_)}});
   wire::fleet::CrashReports reports;
-  EncodeSurvival({request, now}, now, reports.add_survivals());
+  EncodeSurvival({feature, now}, now, reports.add_survivals());
   hooks_.send_(reports);
 }
 
 void CrashWatch::Take(const wire::fleet::SuspectRequests& suspects) {
   listed_ = DecodeSuspects(suspects, hooks_.now_());
+  ForgetEndedTrials();
   if (suspects.cleared()) {
     own_.Clear();
   }
@@ -134,13 +228,24 @@
                {"blocked", static_cast<uint64_t>(CountBlocked())}});
 }
 
+// A trial may be allowed again once another gateway had its turn, or after
+// another block.
+void CrashWatch::ForgetEndedTrials() {
+  for (auto it = tried_segments_.begin(); it != tried_segments_.end();) {
+    const SuspectRequest* listed = FindListedSegment(*it);
+    const bool is_open =
+        listed != nullptr && listed->trial_gateway_ == hooks_.gateway_;
+    it = is_open ? std::next(it) : tried_segments_.erase(it);
+  }
+}
+
 void CrashWatch::ReportAll() {
   const TimePoint now = hooks_.now_();
   wire::fleet::CrashReports reports;
   for (const ServerCrash& crash : own_.RecentCrashes(kMaxReported)) {
     EncodeCrash(crash, now, reports.add_crashes());
   }
-  for (const auto& [digest, survival] : own_.survived()) {
+  for (const auto& [feature, survival] : own_.survived()) {
     EncodeSurvival(survival, now, reports.add_survivals());
   }
   if (!listed_.empty()) {
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -148,6 +148,7 @@
     ProbeListener(&io_, address, std::move(done));
   };
   hooks.now_ = SteadyNow;
+  hooks.gateway_ = settings_.internal_listen_;
   return hooks;
 }
 
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -57,7 +57,8 @@
       waker_(std::make_shared<Waker>(context->io_, exchange)),
       stages_(job, context->view_, context->owners_, waker_),
       engine_(context->engines_, waker_),
-      events_(job->head_.last_event_) {}
+      events_(job->head_.last_event_),
+      segments_(SharedSegments(job->head_.prompt_)) {}
 
 RelayRequest::~RelayRequest() {
   DropSilent();
@@ -84,7 +85,7 @@
   router_ = context_->router_(*service_);
   budget_ = context_->budget_(service_->name_);
   budget_->OnFirstSend(SteadyNow());
-  if (!RefuseIfBlocked() && !RefuseIfLimited() && CanFinishInTime() &&
+  if (!RefuseIfBlocked(false) && !RefuseIfLimited() && CanFinishInTime() &&
       RunStages()) {
     RunAttempts();
   }
@@ -239,7 +240,7 @@
     Refuse(RefusalReason::kDeadlineExceeded);
     return std::nullopt;
   }
-  if (RefuseIfBlocked() || (ShouldForward() && TryPeers())) {
+  if (RefuseIfBlocked(true) || (ShouldForward() && TryPeers())) {
     return std::nullopt;
   }
   const BackendServer* server = ChooseWithRoom();
--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "citronlane/base/steady_now.h"
+#include "citronlane/observe/event_log.h"
 #include "citronlane/relay/crash_watch.h"
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/relay/fleet_view.h"
@@ -22,6 +23,8 @@
 namespace citronlane {
 namespace {
 
+/// A prompt may have any number of segments; later ones are shared less.
+constexpr size_t kMaxSharedSegments = 16;
 /// A request for which brittle servers have no room waits at least this long.
 constexpr Duration kMinRoomWait = std::chrono::milliseconds(100);
 /// Otherwise it waits for the time to its target divided by this.
@@ -34,16 +37,33 @@
 
 }  // namespace
 
-bool RelayRequest::RefuseIfBlocked() {
-  if (!context_->crashes_->IsBlocked(request_->body_.size(),
-                                     FingerprintHook())) {
+bool RelayRequest::RefuseIfBlocked(bool is_call) {
+  const bool is_content_blocked =
+      context_->crashes_->IsBlocked(request_->body_.size(), FingerprintHook());
+  const std::string segment =
+      is_content_blocked
+          ? std::string()
+          : context_->crashes_->BlockedSegment(segments_, is_call);
+  if (!is_content_blocked && segment.empty()) {
     return false;
   }
+  context_->log_->Write("relay", "request is blocked",
+                        {{"request", job_->head_.request_id_},
+                         {"segment", segment},
+                         {"verdict", ToString(verdict_)}});
   last_failure_ = "crashes servers";
   Refuse(RefusalReason::kCrashesServers);
   return true;
 }
 
+void RelayRequest::NoteReplyBegun() {
+  if (!is_reply_reported_ &&
+      SteadyNow() - first_event_at_ >= CrashWatch::kSegmentSurvivalTime) {
+    is_reply_reported_ = true;
+    context_->crashes_->OnSegmentsSurvived(segments_);
+  }
+}
+
 // The end of a server that leaves is planned and counts against no request.
 void RelayRequest::NoteSurvival(const CalledServer& called,
                                 const ServerAttempt& attempt) {
@@ -54,17 +74,24 @@
     if (!attempt.reply().not_run_) {
       context_->crashes_->OnSurvived(request_->body_.size(), FingerprintHook());
     }
+    if (called.had_first_event_) {
+      context_->crashes_->OnSegmentsSurvived(segments_);
+    }
     return;
   }
   const BackendServer* listed = context_->view_->FindServer(called.server_.id_);
   const bool is_planned = listed == nullptr || listed->leaving_;
-  const bool ran_on =
-      called.had_first_event_ &&
-      SteadyNow() - called.first_event_at_ >= CrashWatch::kSurvivalTime;
+  const Duration replied_for = called.had_first_event_
+                                   ? SteadyNow() - called.first_event_at_
+                                   : Duration();
   if (attempt.outcome() == CallOutcome::kClosedAfterSend && !is_planned &&
-      !ran_on) {
+      replied_for < CrashWatch::kSurvivalTime) {
+    RequestFingerprint suspect = Fingerprint();
+    if (replied_for < CrashWatch::kSegmentSurvivalTime) {
+      suspect.segments_ = segments_;
+    }
     context_->crashes_->OnBroken(called.server_.id_, called.server_.address_,
-                                 Fingerprint());
+                                 suspect);
   }
 }
 
@@ -82,6 +109,20 @@
   return *fingerprint_;
 }
 
+std::vector<std::string> RelayRequest::SharedSegments(
+    absl::Span<const PromptSegment> prompt) {
+  std::vector<std::string> segments;
+  for (size_t i = 0; i + 1 < prompt.size(); ++i) {
+    const std::string& id = prompt[i].id_;
+    const bool is_new =
+        std::find(segments.begin(), segments.end(), id) == segments.end();
+    if (!id.empty() && is_new && segments.size() < kMaxSharedSegments) {
+      segments.push_back(id);
+    }
+  }
+  return segments;
+}
+
 bool RelayRequest::AreAllServersLimited() const {
   const ServerLimits& limits = *context_->limits_->limits();
   const TimePoint now = SteadyNow();
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -214,6 +214,9 @@
       return {Step::kMayHaveRun, kTooLarge};
     }
     if (!is_done) {
+      if (had_first_event_) {
+        NoteReplyBegun();
+      }
       continue;
     }
     if (!had_first_event_ && attempt->ends_with_connection()) {
--- a/src/serving/request_fingerprint.cc
+++ b/src/serving/request_fingerprint.cc
@@ -29,7 +29,15 @@
   AppendField(account, &text);
   // The body is hashed by itself so that it need not be copied.
   AppendField(Sha256Hex(body), &text);
-  return {Sha256Hex(text).substr(0, kDigestDigits), body.size()};
+  return {Sha256Hex(text).substr(0, kDigestDigits), body.size(), {}};
+}
+
+RequestFeature ContentFeature(const RequestFingerprint& request) {
+  return {request.digest_, request.body_bytes_, RequestFeature::Kind::kContent};
+}
+
+RequestFeature SegmentFeature(std::string_view segment) {
+  return {std::string(segment), 0, RequestFeature::Kind::kPromptSegment};
 }
 
 }  // namespace citronlane
--- a/tests/unit-crash-fleet.cc
+++ b/tests/unit-crash-fleet.cc
@@ -132,7 +132,7 @@
     return (now_ - kStart) % interval == Duration();
   }
   static RequestFingerprint Content(const std::string& name) {
-    return {name, name.size()};
+    return {name, name.size(), {}};
   }
 
   /// Does `what` after the delay of a message.
--- a/tests/unit-crash-ledger.cc
+++ b/tests/unit-crash-ledger.cc
@@ -1,11 +1,13 @@
-// Guards against a request whose content crashes each server that runs it being
-// sent to server after server, and against refusing requests that merely ran
-// beside it or beside other crashes.
+// Guards against a request whose content or prompt crashes each server that
+// runs it being sent to server after server, and against refusing requests that
+// merely ran beside it or beside other crashes, or share other segments with
+// it.
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 #include <random>
 #include <set>
 #include <string>
@@ -24,7 +26,11 @@
 constexpr TimePoint kStart{std::chrono::hours(1)};
 
 RequestFingerprint Request(const std::string& name) {
-  return {name, name.size()};
+  return {name, name.size(), {}};
+}
+
+RequestFeature Content(const std::string& name) {
+  return ContentFeature(Request(name));
 }
 
 std::vector<RequestFingerprint> Requests(
@@ -48,13 +54,13 @@
         {"s" + std::to_string(++servers_), now_, Requests(running)}, now_);
   }
   bool IsBlocked(const std::string& name) const {
-    return ledger_.IsBlocked(Request(name), now_);
+    return ledger_.IsBlocked(Content(name), now_);
   }
   bool IsListed(const std::string& name) const {
     const auto listed = ledger_.Listed();
     return std::any_of(listed.begin(), listed.end(),
                        [&name](const SuspectRequest& request) {
-                         return request.fingerprint_.digest_ == name;
+                         return request.feature_ == Content(name);
                        });
   }
 
@@ -114,7 +120,7 @@
     servers[server].clear();
     down_until[server] = now + seconds(3);
     for (const SuspectRequest& request : ledger.OnCrash(report, now)) {
-      blocked.insert(request.fingerprint_.digest_);
+      blocked.insert(request.feature_.id_);
     }
   };
   for (TimePoint now = kStart; now < kStart + minutes(2); now += kStep) {
@@ -129,7 +135,7 @@
       const size_t server = draw(kServers);
       if (down_until[server] > now) {
         waiting.push_back(run);
-      } else if (!ledger.IsBlocked(Request(run.name_), now)) {
+      } else if (!ledger.IsBlocked(Content(run.name_), now)) {
         run.end_ = now + kRunTime;
         servers[server].push_back(run);
       }
@@ -138,7 +144,7 @@
       auto& runs = servers[server];
       for (const Run& run : runs) {
         if (run.end_ <= now) {
-          ledger.OnSurvived(Request(run.name_), now);
+          ledger.OnSurvived(Content(run.name_), now);
         }
       }
       runs.erase(
@@ -159,7 +165,7 @@
     }
     const size_t server = draw(kServers);
     if (crashing && age.count() % 600 == 0 && down_until[server] <= now &&
-        !ledger.IsBlocked(Request("crashing"), now)) {
+        !ledger.IsBlocked(Content("crashing"), now)) {
       servers[server].push_back({"crashing", now + kRunTime, kRepeats});
       crash(server, now);
       result.crashes_ += 1;
@@ -173,8 +179,360 @@
   return result;
 }
 
+// Each request has a content of its own.
+RequestFingerprint WithSegments(const std::vector<std::string>& segments) {
+  static int number = 0;
+  return {"content" + std::to_string(++number), 5, segments};
+}
+
+/// A ledger that is told of crashes under requests that share only segments.
+class SegmentCrashes {
+ public:
+  std::vector<SuspectRequest> Add(
+      const std::vector<std::vector<std::string>>& running,
+      Duration later = milliseconds(600)) {
+    now_ += later;
+    ServerCrash crash{"s" + std::to_string(++servers_), now_, {}};
+    for (const auto& segments : running) {
+      crash.running_.push_back(WithSegments(segments));
+    }
+    return ledger_.OnCrash(crash, now_);
+  }
+  void Survive(const std::string& segment) {
+    now_ += milliseconds(10);
+    ledger_.OnSurvived(SegmentFeature(segment), now_);
+  }
+  bool IsBlocked(const std::string& segment) const {
+    return ledger_.IsBlocked(SegmentFeature(segment), now_);
+  }
+  std::vector<std::string> ListedSegments() const {
+    std::vector<std::string> segments;
+    for (const SuspectRequest& listed : ledger_.Listed()) {
+      if (listed.feature_.kind_ == RequestFeature::Kind::kPromptSegment) {
+        segments.push_back(listed.feature_.id_);
+      }
+    }
+    std::sort(segments.begin(), segments.end());
+    return segments;
+  }
+
+  CrashLedger ledger_;
+  TimePoint now_ = kStart;
+  int servers_ = 0;
+};
+
+/// What became of the requests of a fleet whose prompts share segments.
+struct SegmentResult {
+  /// Crashes until each crashing segment was blocked; 0 if one never was.
+  size_t crashes_ = 0;
+  size_t sent_ = 0;
+  /// Sound requests that were refused.
+  size_t refused_ = 0;
+};
+
+// A fleet of engines over two minutes. All prompts begin with one of 2
+// segments, which an account's and one of 40 subjects follow. Engines crash by
+// themselves, or all of a failure domain together. Each crashing segment is in
+// a request every 0.45 s, in place of the subject.
+SegmentResult RunSegmentFleet(uint32_t seed, int crashing) {
+  constexpr size_t kServers = 18;
+  constexpr size_t kDomains = 3;
+  constexpr Duration kStep = milliseconds(10);
+  constexpr Duration kFirstEventTime = milliseconds(300);
+  constexpr Duration kRunTime = milliseconds(1200);
+  // Gateways learn what is listed or blocked as late.
+  constexpr Duration kPushInterval = milliseconds(200);
+  struct Run {
+    std::vector<std::string> segments_;
+    TimePoint first_event_;
+    TimePoint end_;
+    int repeats_ = 0;
+    bool is_reported_ = false;
+  };
+  std::mt19937 random(seed);
+  const auto draw = [&random](uint32_t below) { return random() % below; };
+  std::vector<std::vector<Run>> servers(kServers);
+  std::vector<TimePoint> down_until(kServers, kStart);
+  std::vector<Run> waiting;
+  CrashLedger ledger;
+  std::set<std::string> listed;
+  std::set<std::string> blocked;
+  SegmentResult result;
+  std::map<std::string, size_t> crashes;
+  int starts = 0;
+  const auto is_crashing = [](const Run& run) {
+    return run.segments_.back().rfind("bad", 0) == 0;
+  };
+  const auto crash = [&](size_t server, TimePoint now) {
+    ServerCrash report{"s" + std::to_string(++starts), now, {}};
+    for (Run& run : servers[server]) {
+      const bool has_begun = now - run.first_event_ >= milliseconds(100);
+      report.running_.push_back(
+          WithSegments(has_begun ? std::vector<std::string>{} : run.segments_));
+      if (run.repeats_++ < 2 && !is_crashing(run)) {
+        waiting.push_back(run);
+      }
+    }
+    servers[server].clear();
+    down_until[server] = now + seconds(3);
+    ledger.OnCrash(report, now);
+  };
+  for (TimePoint now = kStart; now < kStart + minutes(2); now += kStep) {
+    const auto age = std::chrono::duration_cast<milliseconds>(now - kStart);
+    if (draw(5) < 2) {
+      waiting.push_back({{"first" + std::to_string(draw(2)),
+                          "account" + std::to_string(draw(4)),
+                          "subject" + std::to_string(draw(40))},
+                         TimePoint(),
+                         TimePoint(),
+                         0,
+                         false});
+      ++result.sent_;
+    }
+    for (int i = 0; i < crashing; ++i) {
+      if (age.count() % 450 == 150 * i) {
+        waiting.push_back({{"first0", "account0", "bad" + std::to_string(i)},
+                           TimePoint(),
+                           TimePoint(),
+                           0,
+                           false});
+      }
+    }
+    if (age % kPushInterval == Duration()) {
+      listed.clear();
+      blocked.clear();
+      for (const SuspectRequest& suspect : ledger.Listed()) {
+        if (suspect.feature_.kind_ == RequestFeature::Kind::kPromptSegment) {
+          (suspect.IsBlocked(now) || suspect.needs_trial_ ? blocked : listed)
+              .insert(suspect.feature_.id_);
+        }
+      }
+    }
+    for (Run& run : std::exchange(waiting, {})) {
+      const size_t server = draw(kServers);
+      const bool is_blocked = std::any_of(
+          run.segments_.begin(), run.segments_.end(),
+          [&](const auto& segment) { return blocked.count(segment) != 0; });
+      if (is_blocked) {
+        result.refused_ += is_crashing(run) ? 0 : 1;
+      } else if (down_until[server] > now) {
+        waiting.push_back(run);
+      } else {
+        run.first_event_ = now + kFirstEventTime;
+        run.end_ = now + kRunTime;
+        run.is_reported_ = false;
+        servers[server].push_back(run);
+        if (is_crashing(run)) {
+          ++crashes[run.segments_.back()];
+          crash(server, now);
+        }
+      }
+    }
+    for (auto& runs : servers) {
+      for (Run& run : runs) {
+        if (!run.is_reported_ && now - run.first_event_ >= milliseconds(100)) {
+          run.is_reported_ = true;
+          for (const std::string& segment : run.segments_) {
+            if (listed.count(segment) != 0) {
+              ledger.OnSurvived(SegmentFeature(segment), now);
+            }
+          }
+        }
+      }
+      runs.erase(
+          std::remove_if(runs.begin(), runs.end(),
+                         [now](const Run& run) { return run.end_ <= now; }),
+          runs.end());
+    }
+    if (draw(200) == 0) {
+      crash(draw(kServers), now);
+    }
+    if (age.count() % 30000 == 15000) {
+      for (size_t server = draw(kDomains); server < kServers;
+           server += kDomains) {
+        crash(server, now);
+      }
+    }
+  }
+  for (const auto& [segment, count] : crashes) {
+    const bool is_blocked = blocked.count(segment) != 0;
+    result.crashes_ = is_blocked ? std::max(result.crashes_, count) : 10000;
+  }
+  return result;
+}
+
 }  // namespace
 
+TEST_CASE("a segment that crashes servers") {
+  SegmentCrashes crashes;
+
+  SECTION("is blocked by the fourth crash, and what its requests share not") {
+    for (int i = 0; i < 3; ++i) {
+      CHECK(crashes.Add({{"first", "bad"}, {"first", "other"}}).empty());
+      crashes.Survive("first");
+    }
+    const auto blocked = crashes.Add({{"first", "bad"}});
+    REQUIRE(blocked.size() == 1);
+    CHECK(blocked[0].feature_ == SegmentFeature("bad"));
+    CHECK(blocked[0].crashes_ == 4);
+    CHECK(crashes.IsBlocked("bad"));
+    CHECK_FALSE(crashes.IsBlocked("first"));
+  }
+  SECTION("is asked for from the first crash on") {
+    crashes.Add({{"first", "bad"}});
+    CHECK(crashes.ListedSegments() == std::vector<std::string>{"bad", "first"});
+    crashes.Survive("first");
+    CHECK(crashes.ListedSegments() == std::vector<std::string>{"bad"});
+  }
+  SECTION("is found beside another one") {
+    for (int i = 0; i < 5; ++i) {
+      crashes.Add({{"first", "bad1"}});
+      crashes.Survive("first");
+      crashes.Add({{"first", "bad2"}});
+      crashes.Survive("first");
+    }
+    CHECK(crashes.IsBlocked("bad1"));
+    CHECK(crashes.IsBlocked("bad2"));
+  }
+  SECTION("is blocked in the end if another one is always with it") {
+    for (int i = 0; i < 5; ++i) {
+      CHECK(crashes.Add({{"first", "one", "other"}}).empty());
+      crashes.Survive("first");
+    }
+    // Either of the two stops all these requests.
+    CHECK(crashes.Add({{"first", "one", "other"}}).size() == 1);
+  }
+  SECTION("is not taken for the content that is sent again and again") {
+    const RequestFingerprint request = WithSegments({"own"});
+    for (int i = 0; i < 3; ++i) {
+      crashes.now_ += seconds(1);
+      crashes.ledger_.OnCrash(
+          {"t" + std::to_string(i), crashes.now_, {request}}, crashes.now_);
+    }
+    CHECK(crashes.ledger_.IsBlocked(ContentFeature(request), crashes.now_));
+    CHECK_FALSE(crashes.IsBlocked("own"));
+    // Other contents with the segment crash servers, too.
+    crashes.Survive("first");
+    crashes.Add({{"first", "own"}});
+    crashes.Survive("first");
+    crashes.Add({{"first", "own"}});
+    CHECK(crashes.IsBlocked("own"));
+  }
+  SECTION("is unblocked when a server survives it") {
+    for (int i = 0; i < 4; ++i) {
+      crashes.Add({{"first", "bad"}});
+      crashes.Survive("first");
+    }
+    CHECK(crashes.IsBlocked("bad"));
+    crashes.Survive("bad");
+    CHECK_FALSE(crashes.IsBlocked("bad"));
+  }
+}
+
+TEST_CASE("after the block of a segment") {
+  SegmentCrashes crashes;
+  for (int i = 0; i < 4; ++i) {
+    crashes.Add({{"first", "bad"}});
+    crashes.Survive("first");
+  }
+  CHECK_FALSE(crashes.ledger_.GrantTrial("bad", "gateway", crashes.now_));
+  crashes.now_ += seconds(30);
+  REQUIRE(crashes.ledger_.Listed()[0].needs_trial_);
+  CHECK(crashes.ledger_.Listed()[0].trial_gateway_.empty());
+
+  SECTION("one gateway at a time may try a request") {
+    CHECK(crashes.ledger_.GrantTrial("bad", "one", crashes.now_));
+    CHECK_FALSE(crashes.ledger_.GrantTrial("bad", "other", crashes.now_));
+    CHECK(crashes.ledger_.Listed()[0].trial_gateway_ == "one");
+    crashes.now_ += seconds(5);
+    CHECK(crashes.ledger_.GrantTrial("bad", "other", crashes.now_));
+  }
+  SECTION("a crash blocks it again, for longer") {
+    CHECK(crashes.Add({{"first", "bad"}}).size() == 1);
+    CHECK(crashes.ledger_.Listed()[0].trial_gateway_.empty());
+    crashes.now_ += seconds(59);
+    CHECK(crashes.IsBlocked("bad"));
+  }
+  SECTION("a new leader goes on with the trial") {
+    CrashLedger next;
+    for (const SuspectRequest& request : crashes.ledger_.Listed()) {
+      next.Adopt(request, crashes.now_);
+    }
+    REQUIRE(next.Listed().size() == 1);
+    CHECK(next.Listed()[0].needs_trial_);
+    CHECK(next.GrantTrial("bad", "one", crashes.now_));
+  }
+}
+
+TEST_CASE("segments beside crashes") {
+  SegmentCrashes crashes;
+
+  SECTION("are not blocked while no request at all is served") {
+    for (int i = 0; i < 7; ++i) {
+      crashes.Add({{"first"}, {"first", "second"}});
+    }
+    CHECK_FALSE(crashes.IsBlocked("first"));
+  }
+  SECTION("are blocked in the end if nothing else is sent") {
+    for (int i = 0; i < 8; ++i) {
+      crashes.Add({{"bad"}});
+    }
+    CHECK(crashes.IsBlocked("bad"));
+  }
+  SECTION("are not blocked when a failure domain is lost") {
+    crashes.Survive("other");
+    for (int i = 0; i < 12; ++i) {
+      crashes.Add({{"first"}}, milliseconds(20));
+    }
+    CHECK_FALSE(crashes.IsBlocked("first"));
+  }
+  SECTION("memory is bounded") {
+    for (int i = 0; i < 300; ++i) {
+      std::vector<std::vector<std::string>> running;
+      for (int j = 0; j < 300; ++j) {
+        std::vector<std::string> segments;
+        for (int k = 0; k < 16; ++k) {
+          segments.push_back(std::to_string(j) + "-" + std::to_string(k));
+        }
+        running.push_back(std::move(segments));
+      }
+      crashes.Add(running);
+      if (i % 50 == 0) {
+        const auto recent = crashes.ledger_.RecentCrashes(1);
+        size_t segments = 0;
+        for (const RequestFingerprint& request : recent[0].running_) {
+          segments += request.segments_.size();
+        }
+        CHECK(segments <= CrashLedger::kMaxSegments);
+      }
+    }
+    CHECK(crashes.ledger_.RecentCrashes(10000).size() <= 256);
+    CHECK(crashes.ledger_.Listed().size() <= CrashLedger::kMaxListed);
+  }
+}
+
+TEST_CASE("a fleet whose prompts share segments") {
+  constexpr uint32_t kSeeds = 100;
+  size_t sent = 0;
+  size_t refused = 0;
+  size_t most_crashes = 0;
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    for (const int crashing : {0, 1, 2}) {
+      const SegmentResult result = RunSegmentFleet(seed, crashing);
+      INFO("seed " << seed << ", crashing segments " << crashing);
+      // Five crashes, and those in the time to recognise the segment.
+      CHECK(result.crashes_ <= 12);
+      sent += result.sent_;
+      refused += result.refused_;
+      most_crashes = std::max(most_crashes, result.crashes_);
+    }
+  }
+  std::cout << "sound requests sent " << sent << ", refused falsely " << refused
+            << "; crashes until the block, most " << most_crashes << "\n";
+  // At most one in ten thousand.
+  CHECK(refused * 10000 <= sent);
+}
+
 TEST_CASE("a request that crashes its servers") {
   Crashes crashes;
 
@@ -184,7 +542,7 @@
     CHECK(crashes.IsListed("bad"));
     const auto blocked = crashes.Add({"c", "bad"});
     REQUIRE(blocked.size() == 1);
-    CHECK(blocked[0].fingerprint_ == Request("bad"));
+    CHECK(blocked[0].feature_ == Content("bad"));
     CHECK(blocked[0].crashes_ == 3);
     CHECK(blocked[0].servers_ == std::vector<std::string>{"s1", "s2", "s3"});
     CHECK(crashes.IsBlocked("bad"));
@@ -228,7 +586,8 @@
     for (int i = 0; i < 3; ++i) {
       crashes.Add({"bad"});
     }
-    CHECK(crashes.ledger_.OnSurvived(Request("bad"), crashes.now_));
+    CHECK(crashes.ledger_.OnSurvived(Content("bad"), crashes.now_) ==
+          CrashLedger::Cleared::kBlock);
     CHECK_FALSE(crashes.IsBlocked("bad"));
     CHECK_FALSE(crashes.IsListed("bad"));
     crashes.Add({"bad"});
@@ -239,7 +598,8 @@
     for (int i = 0; i < 3; ++i) {
       crashes.Add({"bad"});
     }
-    CHECK_FALSE(crashes.ledger_.OnSurvived(Request("bad"), before));
+    CHECK(crashes.ledger_.OnSurvived(Content("bad"), before) ==
+          CrashLedger::Cleared::kNothing);
     CHECK(crashes.IsBlocked("bad"));
   }
   SECTION(
@@ -249,11 +609,11 @@
       crashes.Add({"bad"});
     }
     CrashLedger next;
-    next.OnSurvived(Request("bad"), before);
+    next.OnSurvived(Content("bad"), before);
     for (const SuspectRequest& request : crashes.ledger_.Listed()) {
       next.Adopt(request, crashes.now_);
     }
-    CHECK(next.IsBlocked(Request("bad"), crashes.now_));
+    CHECK(next.IsBlocked(Content("bad"), crashes.now_));
   }
   SECTION("stays blocked by a new leader that adopts the block") {
     for (int i = 0; i < 3; ++i) {
@@ -263,7 +623,7 @@
     for (const SuspectRequest& request : crashes.ledger_.Listed()) {
       next.Adopt(request, crashes.now_);
     }
-    CHECK(next.IsBlocked(Request("bad"), crashes.now_));
+    CHECK(next.IsBlocked(Content("bad"), crashes.now_));
     CHECK(next.CountBlocked(crashes.now_) == 1);
   }
 }
@@ -280,7 +640,7 @@
   SECTION("one that servers survive between crashes is not blocked") {
     for (int i = 0; i < 12; ++i) {
       crashes.Add({"popular"});
-      crashes.ledger_.OnSurvived(Request("popular"), crashes.now_);
+      crashes.ledger_.OnSurvived(Content("popular"), crashes.now_);
     }
     CHECK_FALSE(crashes.IsBlocked("popular"));
   }
--- a/tests/unit-crash-watch.cc
+++ b/tests/unit-crash-watch.cc
@@ -29,7 +29,7 @@
   Watch() : watch_(&log_, HooksOf()) {}
 
   void Break(const std::string& server, const std::string& content) {
-    watch_.OnBroken(server, "address-of-" + server, {content, 5});
+    watch_.OnBroken(server, "address-of-" + server, {content, 5, {}});
   }
   void Probed(const std::string& server, bool is_refused) {
     const auto done = std::move(probes_.at("address-of-" + server));
@@ -38,25 +38,49 @@
   }
   void List(const std::string& content, Duration blocked) {
     wire::fleet::SuspectRequests suspects;
-    const SuspectRequest request{{content, 5}, 3, now_, now_ + blocked, {}};
+    SuspectRequest request;
+    request.feature_ = {content, 5};
+    request.crashes_ = 3;
+    request.last_crash_ = now_;
+    request.blocked_until_ = now_ + blocked;
     EncodeSuspects({&request, 1}, now_, &suspects);
     watch_.Take(suspects);
   }
   bool IsBlocked(const std::string& content, uint64_t bytes = 5) {
-    const RequestFingerprint request{content, bytes};
+    const RequestFingerprint request{content, bytes, {}};
     return watch_.IsBlocked(bytes, [&]() -> const RequestFingerprint& {
       ++hashed_;
       return request;
     });
   }
   void Survive(const std::string& content) {
-    const RequestFingerprint request{content, 5};
+    const RequestFingerprint request{content, 5, {}};
     watch_.OnSurvived(5, [&]() -> const RequestFingerprint& {
       ++hashed_;
       return request;
     });
   }
 
+  /// A segment whose block ended, or that is not blocked yet.
+  void ListSegment(const std::string& segment,
+                   TimePoint last_crash,
+                   const std::string& trial_gateway = "") {
+    wire::fleet::SuspectRequests suspects;
+    SuspectRequest request;
+    request.feature_ = SegmentFeature(segment);
+    request.last_crash_ = last_crash;
+    request.needs_trial_ = needs_trial_;
+    request.trial_gateway_ = trial_gateway;
+    EncodeSuspects({&request, 1}, now_, &suspects);
+    watch_.Take(suspects);
+  }
+  bool IsSegmentBlocked(bool is_call) {
+    return !watch_
+                .BlockedSegment(std::vector<std::string>{"ok", "bad"}, is_call)
+                .empty();
+  }
+
+  bool needs_trial_ = false;
   TimePoint now_{seconds(1000)};
   bool has_leader_ = true;
   int hashed_ = 0;
@@ -75,6 +99,7 @@
       probes_[address] = std::move(done);
     };
     hooks.now_ = [this] { return now_; };
+    hooks.gateway_ = "own";
     return hooks;
   }
 
@@ -154,9 +179,62 @@
   }
 }
 
+// Guards against a trial by each gateway, and by each request of one.
+TEST_CASE("a segment whose block is over") {
+  Watch watch;
+  watch.needs_trial_ = true;
+  watch.ListSegment("bad", watch.now_);
+
+  SECTION("stays blocked, and the leader is asked now and then") {
+    CHECK(watch.IsSegmentBlocked(true));
+    CHECK(watch.IsSegmentBlocked(false));
+    REQUIRE(watch.sent_.size() == 1);
+    CHECK(watch.sent_[0].trial_segment() == "bad");
+    CHECK(watch.sent_[0].gateway() == "own");
+    watch.now_ += seconds(1);
+    CHECK(watch.IsSegmentBlocked(false));
+    CHECK(watch.sent_.size() == 2);
+  }
+  SECTION("may be tried by one call of the gateway that is named") {
+    watch.ListSegment("bad", watch.now_, "other");
+    CHECK(watch.IsSegmentBlocked(true));
+    watch.ListSegment("bad", watch.now_, "own");
+    CHECK_FALSE(watch.IsSegmentBlocked(false));
+    CHECK_FALSE(watch.IsSegmentBlocked(true));
+    CHECK(watch.IsSegmentBlocked(false));
+    // The list was sent again for another reason.
+    watch.ListSegment("bad", watch.now_, "own");
+    CHECK(watch.IsSegmentBlocked(true));
+  }
+  SECTION("may be tried again once others had their turn") {
+    watch.ListSegment("bad", watch.now_, "own");
+    CHECK_FALSE(watch.IsSegmentBlocked(true));
+    watch.ListSegment("bad", watch.now_, "other");
+    watch.ListSegment("bad", watch.now_, "own");
+    CHECK_FALSE(watch.IsSegmentBlocked(true));
+  }
+}
+
 TEST_CASE("reports to the leader") {
   Watch watch;
 
+  SECTION("name the survival of a segment once after each crash") {
+    const std::vector<std::string> segments{"ok", "bad"};
+    watch.watch_.OnSegmentsSurvived(segments);
+    CHECK(watch.sent_.empty());
+    watch.ListSegment("bad", watch.now_);
+    watch.now_ += milliseconds(10);
+    watch.watch_.OnSegmentsSurvived(segments);
+    watch.watch_.OnSegmentsSurvived(segments);
+    REQUIRE(watch.sent_.size() == 1);
+    CHECK(watch.sent_[0].survivals(0).segment() == "bad");
+    watch.now_ += milliseconds(10);
+    watch.ListSegment("bad", watch.now_);
+    watch.now_ += milliseconds(10);
+    watch.watch_.OnSegmentsSurvived(segments);
+    CHECK(watch.sent_.size() == 2);
+  }
+
   SECTION("name survivals of listed requests only") {
     watch.Survive("good");
     CHECK(watch.sent_.empty());
--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -36,14 +36,20 @@
 using std::chrono::seconds;
 using tcp = boost::asio::ip::tcp;
 
-std::string ReplyTo(const std::string &request, const std::string &headers) {
+std::string ReplyTo(const std::string& request, const std::string& headers) {
   return "HTTP/1.1 200 OK\r\nX-Citronlane-Request-Id: " + request +
          "\r\nX-Citronlane-Response-Seal: seal\r\n" + headers +
          "Content-Length: 2\r\n\r\nok";
 }
 
+std::string StreamTo(const std::string& request) {
+  return "HTTP/1.1 200 OK\r\nX-Citronlane-Request-Id: " + request +
+         "\r\nX-Citronlane-Response-Seal: seal\r\nContent-Length: 15"
+         "\r\n\r\nid: 0\ndata: x\n\n";
+}
+
 // With neither a length nor chunks: the reply ends with its connection.
-std::string ReplyHead(const std::string &request) {
+std::string ReplyHead(const std::string& request) {
   return "HTTP/1.1 200 OK\r\nX-Citronlane-Request-Id: " + request +
          "\r\nX-Citronlane-Response-Seal: seal\r\n\r\n";
 }
@@ -51,18 +57,19 @@
 /// A server that ends when it has read its first request, after it has sent
 /// `reply`.
 class EndingServer {
-public:
+ public:
   explicit EndingServer(std::string reply = "")
-      : reply_(std::move(reply)), acceptor_(io_, tcp::endpoint(tcp::v4(), 0)),
-        port_(acceptor_.local_endpoint().port()), thread_([this] { Serve(); }) {
-  }
+      : reply_(std::move(reply)),
+        acceptor_(io_, tcp::endpoint(tcp::v4(), 0)),
+        port_(acceptor_.local_endpoint().port()),
+        thread_([this] { Serve(); }) {}
   ~EndingServer() { thread_.join(); }
-  EndingServer(const EndingServer &) = delete;
-  EndingServer &operator=(const EndingServer &) = delete;
+  EndingServer(const EndingServer&) = delete;
+  EndingServer& operator=(const EndingServer&) = delete;
 
   uint16_t port() const { return port_; }
 
-private:
+ private:
   void Serve() {
     tcp::socket socket(io_);
     acceptor_.accept(socket);
@@ -82,15 +89,17 @@
 };
 
 // The request that RelayGateway::Ask sends.
-RequestFingerprint Asked() { return FingerprintOf("GET", "h", "/x", "", ""); }
+RequestFingerprint Asked() {
+  return FingerprintOf("GET", "h", "/x", "", "");
+}
 
-bool HasHeader(const HttpReply &reply, const std::string &name) {
+bool HasHeader(const HttpReply& reply, const std::string& name) {
   return std::any_of(
       reply.headers_.begin(), reply.headers_.end(),
-      [&name](const HttpHeader &header) { return header.name_ == name; });
+      [&name](const HttpHeader& header) { return header.name_ == name; });
 }
 
-void CheckRefused(const RecordedCaller &caller, const std::string &reason) {
+void CheckRefused(const RecordedCaller& caller, const std::string& reason) {
   REQUIRE(caller.reply_);
   CHECK(caller.reply_->status_ == 503);
   CHECK(caller.reply_->body_.find(reason) != std::string::npos);
@@ -98,11 +107,11 @@
   CHECK(HasHeader(*caller.reply_, "Retry-After"));
 }
 
-} // namespace
+}  // namespace
 
 TEST_CASE("a call whose connection breaks") {
   boost::asio::io_context io;
-  const auto run_until = [&io](const std::function<bool()> &condition) {
+  const auto run_until = [&io](const std::function<bool()>& condition) {
     return Eventually([&] {
       io.restart();
       io.poll();
@@ -118,7 +127,7 @@
     REQUIRE(caller.reply_);
     CHECK(caller.reply_->status_ == 502);
     REQUIRE(run_until([&] { return !gateway.reports().empty(); }));
-    const auto &crash = gateway.reports()[0].crashes(0);
+    const auto& crash = gateway.reports()[0].crashes(0);
     CHECK(crash.server() == "s");
     REQUIRE(crash.running_size() == 1);
     CHECK(DecodeContent(crash.running(0)) == Asked());
@@ -175,7 +184,11 @@
                        DeskServer(server.port()));
   const TimePoint now = SteadyNow();
   wire::fleet::SuspectRequests suspects;
-  SuspectRequest suspect{Asked(), 3, now, now + seconds(60), {}};
+  SuspectRequest suspect;
+  suspect.feature_ = ContentFeature(Asked());
+  suspect.crashes_ = 3;
+  suspect.last_crash_ = now;
+  suspect.blocked_until_ = now + seconds(60);
 
   SECTION("while it is blocked") {
     EncodeSuspects({&suspect, 1}, now, &suspects);
@@ -196,6 +209,64 @@
   }
 }
 
+// Guards against requests that share only a prompt segment that crashes servers
+// and are sent to one after the other.
+TEST_CASE("requests with a suspect segment") {
+  boost::asio::io_context io;
+  ScriptedServer server({StreamTo("a")});
+  RelayGateway gateway(&io, DeskConfig(RouteKind::kStreaming), "desk",
+                       DeskServer(server.port()));
+  const TimePoint now = SteadyNow();
+  SuspectRequest suspect;
+  suspect.feature_ = SegmentFeature("bad");
+  suspect.crashes_ = 4;
+  suspect.last_crash_ = now - seconds(1);
+  const auto list = [&] {
+    wire::fleet::SuspectRequests suspects;
+    EncodeSuspects({&suspect, 1}, now, &suspects);
+    gateway.crashes()->Take(suspects);
+  };
+  const auto ask = [&](const std::string& prompt) {
+    return gateway.Ask("a", {{"X-Citronlane-Prompt-Prefix", prompt}});
+  };
+
+  SECTION("reach no server while it is blocked") {
+    suspect.blocked_until_ = now + seconds(60);
+    list();
+    CheckRefused(ask("first:60,bad:20,own:10"), "crashes_servers");
+    CHECK(server.reads() == 0);
+  }
+  SECTION("get to one if the segment is their last, which is their own") {
+    suspect.blocked_until_ = now + seconds(60);
+    list();
+    CHECK(ask("first:60,bad:20").is_complete_);
+    CHECK(gateway.reports().empty());
+  }
+  SECTION("show that a server survives it when their replies have begun") {
+    list();
+    CHECK(ask("first:60,bad:20,own:10").is_complete_);
+    REQUIRE(gateway.reports().size() == 1);
+    REQUIRE(gateway.reports()[0].survivals_size() == 1);
+    CHECK(gateway.reports()[0].survivals(0).segment() == "bad");
+  }
+  SECTION("are reported with it when their server ends before that") {
+    EndingServer ending;
+    RelayGateway other(&io, DeskConfig(RouteKind::kStreaming), "desk",
+                       DeskServer(ending.port()));
+    other.Ask("a",
+              {{"X-Citronlane-Prompt-Prefix", "first:60,bad:20,bad:2,own:1"}});
+    REQUIRE(Eventually([&] {
+      io.restart();
+      io.poll();
+      return !other.reports().empty();
+    }));
+    const auto& request = other.reports()[0].crashes(0).running(0);
+    REQUIRE(request.segments_size() == 2);
+    CHECK(request.segments(0) == "first");
+    CHECK(request.segments(1) == "bad");
+  }
+}
+
 TEST_CASE("a server at its limit gets no request") {
   boost::asio::io_context io;
   ScriptedServer server({ReplyTo("a", "Server-Limit: 0.1\r\n")});
@@ -235,4 +306,4 @@
   CHECK(limited.reads() == 1);
 }
 
-} // namespace citronlane
+}  // namespace citronlane
