Test servers that ask for rest and servers that say they leave

Servers of the stand-in refuse with Retry-After, or add Server-Leaving to all replies, while the list calls them ready.

--- a/tests/process/platform_stand_in.py
+++ b/tests/process/platform_stand_in.py
@@ -38,6 +38,8 @@
         self.sent = b""
         # Sent before the reply to the next request.
         self.late = b""
+        # Headers of all replies.
+        self.extra_headers = ()
 
     def _fill(self):
         data = self.sock.recv(65536)
@@ -69,7 +71,8 @@
         lines = [f"HTTP/1.1 {status} X"]
         if request_id:
             lines.append(f"X-Citronlane-Request-Id: {request_id}")
-        lines += [f"{name}: {value}" for name, value in headers]
+        lines += [f"{name}: {value}"
+                  for name, value in (*headers, *self.extra_headers)]
         lines.append(f"Content-Length: {len(body)}")
         self.send("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
@@ -78,7 +81,8 @@
                  f"X-Citronlane-Request-Id: {request_id}",
                  "Content-Type: text/event-stream",
                  "Transfer-Encoding: chunked"]
-        lines += [f"{name}: {value}" for name, value in headers]
+        lines += [f"{name}: {value}"
+                  for name, value in (*headers, *self.extra_headers)]
         self.send("\r\n".join(lines).encode() + b"\r\n\r\n")
 
     def chunk(self, data):
@@ -100,7 +104,11 @@
     """One incarnation of a backend server, with `service` and `id` as in the
     list. `faults` has the faults for the next requests, one for each. The list
     distinguishes incarnations by `born`, where that is set. `version` is that
-    of the server's software."""
+    of the server's software. While `retry_after` is set, a text, all requests
+    are refused with it. `extra_headers` are added to all replies."""
+
+    retry_after = None
+    extra_headers = ()
 
     def __init__(self, ip, service, identity, domain, port=0, born=None,
                  version="v1"):
@@ -113,6 +121,7 @@
         self.born = born
         self.version = version
         self.requests = []
+        self.refused = []
         self.runs = {}
         self.faults = []
         self.lock = threading.Lock()
@@ -199,12 +208,19 @@
         if request.target == "/v1/report":
             self._report(connection, request)
             return
+        connection.extra_headers = self.extra_headers
         with self.lock:
             self.requests.append(request)
             fault = self.faults.pop(0) if self.faults else None
         expected = request.headers.get("x-citronlane-expect-instance")
         if expected not in (None, self.id):
             connection.reply(421, request_id=request.id)
+        elif self.retry_after is not None:
+            with self.lock:
+                self.refused.append(request)
+            connection.reply(503, headers=[("X-Citronlane-Not-Run", "1"),
+                                           ("Retry-After", self.retry_after)],
+                             request_id=request.id)
         elif fault == "not_run":
             connection.reply(503, headers=[("X-Citronlane-Not-Run", "1")],
                              request_id=request.id)
