Send nothing to servers for the time that they ask for

Cause: the Retry-After of a refusal was read nowhere, so a server that refused was as good a choice as any for the next request.

ServerRests keeps, at the gateway that was refused, until when each server wants nothing. Every call asks it: first calls, retries, continued streams, engines named by a placement owner or reserved, calls of stages, deletions of their results, probes.

--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -109,6 +109,11 @@
     Metric::Kind::kGauge,
     "Backend servers that tolerate few requests for now.",
     {}};
+inline constexpr Metric kServersResting{
+    "citronlane_servers_resting",
+    Metric::Kind::kGauge,
+    "Backend servers that want no calls of this gateway for now.",
+    {}};
 inline constexpr Metric kRequestsBlocked{
     "citronlane_requests_blocked",
     Metric::Kind::kGauge,
@@ -184,6 +189,7 @@
     &kServersLimited,
     &kServersBrittle,
     &kServersCold,
+    &kServersResting,
     &kRequestsBlocked,
     &kReady,
     &kConfigUpdatesTotal,
--- a/include/citronlane/relay/limit_watch.h
+++ b/include/citronlane/relay/limit_watch.h
@@ -7,6 +7,7 @@
 
 #include "citronlane/base/time.h"
 #include "citronlane/routing/server_limits.h"
+#include "citronlane/routing/server_rests.h"
 
 namespace citronlane {
 
@@ -17,9 +18,10 @@
 class ServerLimits;
 }  // namespace wire::fleet
 
-/// A gateway's part in keeping the limits that backend servers name: records
-/// what replies say, and tells the leader among the control VMs, which tells
-/// the other gateways. Used on the event loop's thread.
+/// A gateway's part in keeping what backend servers say in their replies of the
+/// calls that they take. Limits concern all gateways: it tells them to the
+/// leader among the control VMs, which tells the others. A rest concerns this
+/// gateway only. Used on the event loop's thread.
 class LimitWatch {
  public:
   struct Hooks {
@@ -33,7 +35,7 @@
   LimitWatch(const LimitWatch&) = delete;
   LimitWatch& operator=(const LimitWatch&) = delete;
 
-  /// The server replied, and named these limits or none.
+  /// The server replied, and named these limits and rest or none.
   void OnReply(const std::string& server, const ServerReplyHead& reply);
   /// Takes limits that another gateway or the leader knows. `source` says which
   /// of them, for the log.
@@ -42,6 +44,7 @@
   void ReportAll();
 
   ServerLimits* limits() const { return limits_; }
+  ServerRests* rests() { return &rests_; }
 
  private:
   void Log(const ServerLimit& limit, std::string_view source);
@@ -49,6 +52,7 @@
   ServerLimits* const limits_;
   EventLog* const log_;
   const Hooks hooks_;
+  ServerRests rests_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -110,14 +110,17 @@
   /// How this gateway shares the limits of the service's servers.
   ServerLimits::Scope LimitScope() const;
   /// Servers that may not get this request now: those tried, those of another
-  /// version than the one that began its stream, and those that have no
-  /// capacity left within their limits.
+  /// version than the one that began its stream, those that rest, and those
+  /// that have no capacity left within their limits.
   std::vector<std::string> Excluded();
   // relay_request_versions.cc: which servers may continue a stream.
   /// Whether the server may run the request, as far as its version matters.
   bool MayContinue(const BackendServer& server) const;
-  /// Servers that were tried, and those that may not continue the stream.
-  std::vector<std::string> TriedOrOfOtherVersions() const;
+  /// Whether the server may get the request now: it may run it, and does not
+  /// rest.
+  bool MayCall(const BackendServer& server) const;
+  /// Servers that were tried, and those for which MayCall() returns false.
+  std::vector<std::string> Unusable() const;
   /// Whether a server that takes requests is of the version that began the
   /// stream.
   bool HasServerOfOrigin() const;
@@ -180,6 +183,12 @@
   /// handler.
   bool RefuseIfLimited();
   bool AreAllServersLimited() const;
+  /// If all servers that could run the request rest: refuses it, and returns
+  /// whether it did.
+  bool RefuseIfResting();
+  /// The shortest rest of the servers that could run the request; nothing if
+  /// one of them does not rest, or if there are none.
+  std::optional<Duration> ShortestRest() const;
   /// Reports that the last server has begun to reply and runs on.
   void NoteReplyBegun();
   /// Reports whether the call's server crashed or survived.
@@ -238,7 +247,9 @@
   PeerResult PassStream(ServerAttempt* attempt, TimePoint reply_by);
   void EndAsLost();
 
-  void Refuse(RefusalReason reason);
+  /// `retry_after`: when the caller should come back, if that is known.
+  void Refuse(RefusalReason reason,
+              std::optional<Duration> retry_after = std::nullopt);
   void RefuseForLimits();
   /// Refuses because no server can be chosen.
   void RefuseWithoutServer();
--- a/include/citronlane/relay/relay_responses.h
+++ b/include/citronlane/relay/relay_responses.h
@@ -1,8 +1,11 @@
 #ifndef CITRONLANE_RELAY_RELAY_RESPONSES_H_
 #define CITRONLANE_RELAY_RELAY_RESPONSES_H_
 
+#include <optional>
+
 #include "absl/types/span.h"
 #include "citronlane/base/refusal_reason.h"
+#include "citronlane/base/time.h"
 #include "citronlane/base/verdict.h"
 #include "citronlane/transport/http_header.h"
 #include "citronlane/transport/http_reply.h"
@@ -19,9 +22,11 @@
 
 /// The gateway's own response to a request that it does not serve. A status
 /// that promises that nothing has run is used only with Verdict::kNotRun and
-/// then comes with a Retry-After header; other verdicts get another status
-/// instead. Thread safe.
-HttpReply RefusalReply(RefusalReason reason, Verdict verdict);
+/// then comes with a Retry-After header, for `retry_after` if it is known;
+/// other verdicts get another status instead. Thread safe.
+HttpReply RefusalReply(RefusalReason reason,
+                       Verdict verdict,
+                       std::optional<Duration> retry_after = std::nullopt);
 
 }  // namespace citronlane
 
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -128,6 +128,8 @@
 
   std::map<uint64_t, Waiting> waiting_;
   std::map<uint64_t, std::shared_ptr<StageCall>> calls_;
+  /// Handles of results to be deleted, by the address of a server that rests.
+  std::map<std::string, std::vector<std::string>> postponed_frees_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/serving/server_reply_head.h
+++ b/include/citronlane/serving/server_reply_head.h
@@ -27,6 +27,9 @@
   /// Calls a second that the server bears to refuse for want of room, without
   /// falling over; nothing when it names no number.
   std::optional<double> max_refusals_;
+  /// The server refuses the call and wants none of this gateway for so many
+  /// seconds; nothing when it names no time. Not negative, of any size.
+  std::optional<double> rest_seconds_;
   /// How long the server keeps the idle connection open.
   std::optional<Duration> idle_time_;
 };
--- a/src/base/refusal_reason.cc
+++ b/src/base/refusal_reason.cc
@@ -12,7 +12,7 @@
   std::string_view sentence_;
 };
 
-constexpr std::array<ReasonRow, 36> kReasons = {{
+constexpr std::array<ReasonRow, 37> kReasons = {{
     {RefusalReason::kMalformedRequest, "malformed_request", 400,
      "The request can not be read."},
     {RefusalReason::kUnknownPipeline, "unknown_pipeline", 404,
@@ -69,6 +69,9 @@
     {RefusalReason::kStreamVersionUnknown, "stream_version_unknown", 503,
      "Which version of the backend servers began this stream is not known. "
      "Begin it anew."},
+    {RefusalReason::kServersResting, "servers_resting", 503,
+     "The backend servers have asked the gateway to send them nothing for a "
+     "while."},
     {RefusalReason::kConfigurationLeaseLapsed, "configuration_lease_lapsed",
      503, "The gateway can not confirm its configuration."},
     {RefusalReason::kControlUnreachable, "control_unreachable", 503,
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -98,6 +98,9 @@
                  static_cast<double>(server_limits_.brittle()->CountBrittle()));
     metrics_.Set(kServersCold, {},
                  static_cast<double>(server_limits_.CountCold(SteadyNow())));
+    metrics_.Set(
+        kServersResting, {},
+        static_cast<double>(limits_.rests()->Resting(SteadyNow()).size()));
     metrics_.Set(kRequestsBlocked, {},
                  static_cast<double>(crashes_.CountBlocked()));
     metrics_.Set(kReady, {}, IsReady() ? 1 : 0);
@@ -177,7 +180,8 @@
   hooks.addresses_ = [this] {
     std::vector<std::string> addresses;
     for (const BackendServer& server : view_.servers()) {
-      if (!server.leaving_) {
+      if (!server.leaving_ &&
+          limits_.rests()->MayCall(server.id_, SteadyNow())) {
         addresses.push_back(server.address_);
       }
     }
--- a/src/relay/limit_watch.cc
+++ b/src/relay/limit_watch.cc
@@ -25,6 +25,14 @@
 void LimitWatch::OnReply(const std::string& server,
                          const ServerReplyHead& reply) {
   const TimePoint now = hooks_.now_();
+  if (reply.rest_seconds_) {
+    if (const auto rest = rests_.OnRefused(server, *reply.rest_seconds_, now)) {
+      log_->Write("relay", "server rests",
+                  {{"server", server},
+                   {"asked_s", absl::StrCat(*reply.rest_seconds_)},
+                   {"for_ms", *rest}});
+    }
+  }
   const ServerLimit limit{server, reply.max_per_second_, now,
                           reply.max_refusals_};
   if (!limits_->Observe(limit)) {
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -85,8 +85,8 @@
   router_ = context_->router_(*service_);
   budget_ = context_->budget_(service_->name_);
   budget_->OnFirstSend(SteadyNow());
-  if (!RefuseIfBlocked(false) && !RefuseIfLimited() && CanFinishInTime() &&
-      RunStages()) {
+  if (!RefuseIfBlocked(false) && !RefuseIfResting() && !RefuseIfLimited() &&
+      CanFinishInTime() && RunStages()) {
     RunAttempts();
   }
 }
--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -1,5 +1,5 @@
-// What keeps a request from servers: blocks of requests that crash them, and
-// limits that they name.
+// What keeps a request from servers: blocks of requests that crash them, limits
+// that they name, and rests that they ask for.
 
 #include <algorithm>
 #include <string>
@@ -145,9 +145,8 @@
   router_->Update(*context_->view_, SteadyNow());
   engine_.Begin(*service_, EngineDomain());
   if (engine_.is_placed_elsewhere()) {
-    const std::string named =
-        engine_.RequestEngine(EnginePlacement::Purpose::kReserve, RouterCall(),
-                              TriedOrOfOtherVersions());
+    const std::string named = engine_.RequestEngine(
+        EnginePlacement::Purpose::kReserve, RouterCall(), Unusable());
     engine_.Cancel();
     if (!named.empty()) {
       reserved_engine_ = named;
@@ -165,6 +164,33 @@
   return true;
 }
 
+std::optional<Duration> RelayRequest::ShortestRest() const {
+  const TimePoint now = SteadyNow();
+  std::optional<Duration> shortest;
+  for (const BackendServer* server :
+       context_->view_->ServersOf(service_->name_)) {
+    if (server->leaving_ || !MayContinue(*server)) {
+      continue;
+    }
+    const Duration left = context_->limits_->rests()->Left(server->id_, now);
+    if (left == Duration()) {
+      return std::nullopt;
+    }
+    shortest = std::min(shortest.value_or(left), left);
+  }
+  return shortest;
+}
+
+bool RelayRequest::RefuseIfResting() {
+  const std::optional<Duration> rest = ShortestRest();
+  if (!rest) {
+    return false;
+  }
+  last_failure_ = "servers rest";
+  Refuse(RefusalReason::kServersResting, rest);
+  return true;
+}
+
 ServerLimits::Scope RelayRequest::LimitScope() const {
   if (!service_->engine_) {
     return ServerLimits::Scope::kShare;
@@ -181,7 +207,7 @@
         const BackendServer* server = context_->view_->FindServer(id);
         return server != nullptr && server->service_ == service_->name_;
       });
-  for (std::string& server : TriedOrOfOtherVersions()) {
+  for (std::string& server : Unusable()) {
     excluded.push_back(std::move(server));
   }
   return excluded;
@@ -236,7 +262,7 @@
     Refuse(RefusalReason::kStreamVersionGone);
   } else if (limits_excluded_) {
     RefuseForLimits();
-  } else {
+  } else if (!RefuseIfResting()) {
     RefuseAfterFailure();
   }
 }
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -292,6 +292,9 @@
   if (ShouldForward() && TryPeers()) {
     return;
   }
+  if (verdict_ == Verdict::kNotRun && RefuseIfResting()) {
+    return;
+  }
   if (verdict_ == Verdict::kNotRun) {
     Refuse(RefusalReason::kNoBackendServer);
   } else if (SteadyNow() >= job_->deadline_) {
@@ -301,7 +304,8 @@
   }
 }
 
-void RelayRequest::Refuse(RefusalReason reason) {
+void RelayRequest::Refuse(RefusalReason reason,
+                          std::optional<Duration> retry_after) {
   if (EndsWithSilent() || waker_->caller_gone()) {
     return;
   }
@@ -313,7 +317,7 @@
   if (SteadyNow() >= job_->deadline_ && verdict_ != Verdict::kNotRun) {
     reason = RefusalReason::kDeadlineExceeded;
   }
-  const HttpReply reply = RefusalReply(reason, verdict_);
+  const HttpReply reply = RefusalReply(reason, verdict_, retry_after);
   context_->metrics_->Count(
       kRefusalsTotal, {ToString(reason), job_->route_->name_, job_->account_});
   exchange_->Reply(reply);
--- a/src/relay/relay_request_server.cc
+++ b/src/relay/relay_request_server.cc
@@ -56,11 +56,10 @@
     return context_->view_->FindServer(reserved);
   }
   if (engine_.is_placed_elsewhere()) {
-    const std::string named =
-        engine_.RequestEngine(EnginePlacement::Purpose::kStart, RouterCall(),
-                              TriedOrOfOtherVersions(), reserved);
+    const std::string named = engine_.RequestEngine(
+        EnginePlacement::Purpose::kStart, RouterCall(), Unusable(), reserved);
     const BackendServer* server = context_->view_->FindServer(named);
-    if (server != nullptr && !server->leaving_ && MayContinue(*server)) {
+    if (server != nullptr && !server->leaving_ && MayCall(*server)) {
       is_counted_by_owner_ = true;
       return server;
     }
@@ -79,7 +78,7 @@
 
 bool RelayRequest::MayUseReserved() const {
   const BackendServer* server = context_->view_->FindServer(reserved_engine_);
-  return server != nullptr && !server->leaving_ && MayContinue(*server) &&
+  return server != nullptr && !server->leaving_ && MayCall(*server) &&
          context_->limits_->limits()->MayCallReserved(reserved_engine_,
                                                       SteadyNow());
 }
@@ -144,7 +143,7 @@
     return PreferredPromptDomain();
   }
   const std::string named = engine_.RequestEngine(
-      EnginePlacement::Purpose::kPlan, RouterCall(), TriedOrOfOtherVersions());
+      EnginePlacement::Purpose::kPlan, RouterCall(), Unusable());
   engine_.Cancel();
   const BackendServer* server = context_->view_->FindServer(named);
   return server == nullptr ? PreferredPromptDomain() : server->failure_domain_;
--- a/src/relay/relay_request_versions.cc
+++ b/src/relay/relay_request_versions.cc
@@ -12,6 +12,7 @@
 #include "citronlane/net/server_call_spec.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/relay/fleet_view.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
 #include "citronlane/relay/waker.h"
@@ -39,11 +40,16 @@
   return !origin_ || server.version_ == origin_->version_;
 }
 
-std::vector<std::string> RelayRequest::TriedOrOfOtherVersions() const {
+bool RelayRequest::MayCall(const BackendServer& server) const {
+  return MayContinue(server) &&
+         context_->limits_->rests()->MayCall(server.id_, SteadyNow());
+}
+
+std::vector<std::string> RelayRequest::Unusable() const {
   std::vector<std::string> excluded = tried_;
   for (const BackendServer* server :
        context_->view_->ServersOf(service_->name_)) {
-    if (!MayContinue(*server)) {
+    if (!MayCall(*server)) {
       excluded.push_back(server->id_);
     }
   }
@@ -194,6 +200,9 @@
     std::optional<CallOutcome> outcome_;
     std::string body_;
   };
+  if (!context_->limits_->rests()->MayCall(called_.id_, SteadyNow())) {
+    return std::nullopt;
+  }
   const auto report = std::make_shared<Report>();
   StageCallHooks hooks;
   hooks.sending_ = [] { return true; };
--- a/src/relay/relay_responses.cc
+++ b/src/relay/relay_responses.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "absl/strings/str_format.h"
 #include "citronlane/json/parse.h"
 #include "citronlane/json/value.h"
 #include "citronlane/relay/forwarded_headers.h"
@@ -33,6 +34,13 @@
   }
 }
 
+// Rounded up, so that nobody comes back too early.
+std::string SecondsText(Duration time) {
+  const auto milliseconds =
+      std::chrono::ceil<std::chrono::milliseconds>(time).count();
+  return absl::StrFormat("%d.%03d", milliseconds / 1000, milliseconds % 1000);
+}
+
 }  // namespace
 
 bool PromisesNotRun(int status) {
@@ -47,14 +55,18 @@
   return reply;
 }
 
-HttpReply RefusalReply(RefusalReason reason, Verdict verdict) {
+HttpReply RefusalReply(RefusalReason reason,
+                       Verdict verdict,
+                       std::optional<Duration> retry_after) {
   HttpReply reply;
   reply.status_ = HttpStatus(reason);
   if (PromisesNotRun(reply.status_) && verdict != Verdict::kNotRun) {
     reply.status_ = kBadGateway;
   }
   if (PromisesNotRun(reply.status_)) {
-    reply.headers_.push_back({"Retry-After", RetryAfter(reason)});
+    reply.headers_.push_back({"Retry-After", retry_after
+                                                 ? SecondsText(*retry_after)
+                                                 : RetryAfter(reason)});
   }
   JsonValue body = JsonValue::Object();
   body.AppendMember("reason", JsonValue::String(ToString(reason)));
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -8,6 +8,7 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metric_names.h"
 #include "citronlane/observe/metrics.h"
+#include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/reach_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/waker.h"
@@ -101,7 +102,15 @@
     }
   };
   StageCallHooks hooks;
-  hooks.sending_ = [state, waker, reach] {
+  hooks.sending_ = [state, waker, reach, rests = context->limits_->rests(),
+                    names] {
+    // The connection may have taken long, and the server refused another call
+    // meanwhile.
+    if (!names.is_gateway_ && !rests->MayCall(names.server_, SteadyNow())) {
+      state->is_done_ = true;
+      waker->Wake();
+      return false;
+    }
     state->sent_at_ = SteadyNow();
     if (reach != nullptr) {
       reach->OnCall();
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -21,6 +21,8 @@
 constexpr int kOk = 200;
 /// Freeing takes little time; a server that does not reply expires the results.
 constexpr Duration kFreeTimeout = std::chrono::milliseconds(800);
+/// Results for each server that rests whose deletion is put off. Others expire.
+constexpr size_t kMaxPostponedFrees = 4096;
 /// How long replies are remembered. An idle connection is not reused after 4 s.
 constexpr Duration kReplyMemoryTime = std::chrono::seconds(10);
 
@@ -48,7 +50,8 @@
           spec,
           [this](TimePoint now) { return budget_.TryTake(now); },
           [this](const std::string& server, TimePoint now) {
-            return limits_->limits()->MayCall(server,
+            return limits_->rests()->MayCall(server, now) &&
+                   limits_->limits()->MayCall(server,
                                               ServerLimits::Scope::kOwner,
                                               view_->GatewayCount(), now);
           }),
@@ -299,6 +302,19 @@
 
 void StagePool::SendUnwanted(TimePoint now) {
   for (auto& [address, handles] : batcher_.TakeDiscardedResults()) {
+    auto& postponed = postponed_frees_[address];
+    postponed.insert(postponed.end(), handles.begin(), handles.end());
+  }
+  for (auto it = postponed_frees_.begin(); it != postponed_frees_.end();) {
+    const BackendServer* server = view_->ServerAt(it->first);
+    if (server != nullptr && !limits_->rests()->MayCall(server->id_, now)) {
+      it->second.resize(std::min(it->second.size(), kMaxPostponedFrees));
+      ++it;
+      continue;
+    }
+    const std::string address = it->first;
+    const std::vector<std::string> handles = std::move(it->second);
+    it = postponed_frees_.erase(it);
     StageCallSpec spec = SpecFor(address, "POST", dialect_->free_results_path_,
                                  now + kFreeTimeout);
     // Separate connections: on those of stage calls, a late duplicate reply
