Send nothing more to servers that say in their replies that they leave

A server that leaves says so in its replies. That was read nowhere: until the list showed it, and for as long as a list took it back, the server got requests on, against what a gateway that has passed on such a reply may send.

LimitWatch now reports such a reply, and FleetView marks the incarnation as leaving, whatever later lists say; another incarnation under the same name is not concerned. When another gateway passes on the reply of a forwarded request, it names the server.

process-platform-server-rests (LeavingServersTest): before, an engine and two plain servers that had said they leave got all requests on; now none. unit-leaving-servers covers lists that take it back, restarts and forwarded requests.

--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -92,6 +92,8 @@
   void TakeOwners(uint64_t number, PoolAssignment::Owners owners);
   void TakeDrained(DrainedDomains::Names domains);
   /// The servers of the view, or their states, have changed.
+  /// A server, by the id of its incarnation, says that it leaves.
+  void NoteLeaving(const std::string& server);
   void ServersChanged();
   void UpdateColdServers();
   /// For the bounds on calls to brittle servers.
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -2,9 +2,11 @@
 #define CITRONLANE_RELAY_FLEET_VIEW_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +46,9 @@
   /// Marks servers of these failure domains as taking no new work, whatever
   /// their state in the server list.
   void SetDrained(DrainedDomains::Names domains);
+  /// Marks an incarnation of a server, by its id, as taking no new work from
+  /// now on, whatever its state in present and later lists.
+  void SetLeaving(const std::string& server);
   /// The present list was read again at `read` and is unchanged.
   void ConfirmServers(TimePoint read);
   /// Replaces the list of gateways.
@@ -113,6 +118,9 @@
   /// Servers as in the list, without drained domains applied.
   std::vector<BackendServer> listed_;
   DrainedDomains::Names drained_;
+  /// Incarnations that were marked as leaving, and the order of that.
+  std::set<std::string, std::less<>> leaving_;
+  std::deque<std::string> leaving_order_;
   std::vector<BackendServer> servers_;
   ServerIncarnations incarnations_;
   VersionHistory versions_;
--- a/include/citronlane/relay/limit_watch.h
+++ b/include/citronlane/relay/limit_watch.h
@@ -28,6 +28,9 @@
     /// Sends limits to the leader; dropped when there is none.
     std::function<void(const wire::fleet::ServerLimits& limits)> send_;
     std::function<TimePoint()> now_;
+    /// A server says that it leaves. Called for each such reply.
+    std::function<void(const std::string& server)> leaving_ =
+        [](const std::string&) {};
   };
 
   /// `limits` and `log` must outlive the object.
@@ -35,8 +38,11 @@
   LimitWatch(const LimitWatch&) = delete;
   LimitWatch& operator=(const LimitWatch&) = delete;
 
-  /// The server replied, and named these limits and rest or none.
+  /// The server replied, and named these limits and rest or none, or says that
+  /// it leaves.
   void OnReply(const std::string& server, const ServerReplyHead& reply);
+  /// Another gateway has passed on a reply of a server that leaves.
+  void OnLeaving(const std::string& server) const { hooks_.leaving_(server); }
   /// Takes limits that another gateway or the leader knows. `source` says which
   /// of them, for the log.
   void Take(const ServerLimit& limit, std::string_view source);
--- a/include/citronlane/relay/peer_headers.h
+++ b/include/citronlane/relay/peer_headers.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/types/span.h"
@@ -35,6 +37,13 @@
 /// Whether a reply with these headers is a PeerRefusalReply(). Thread safe.
 bool IsPeerRefusal(absl::Span<const HttpHeader> headers);
 
+/// Adds to the reply to a forwarded request that its backend server leaves,
+/// which concerns the gateway that passes the reply on, too. Thread safe.
+void AddLeavingServer(std::string_view server, HttpReply* reply);
+/// Reads what AddLeavingServer() added and removes it; empty when there is
+/// none. Thread safe for different replies.
+std::string TakeLeavingServer(HttpReply* reply);
+
 }  // namespace citronlane
 
 #endif  // CITRONLANE_RELAY_PEER_HEADERS_H_
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -32,6 +32,7 @@
 class ServerAttempt;
 class ServiceRouter;
 class Waker;
+struct HttpReply;
 struct HttpRequest;
 struct RelayContext;
 
@@ -171,6 +172,8 @@
                  HeldReply* held,
                  std::string* body);
   AttemptResult RelayStream(ServerAttempt* attempt);
+  /// The head of the response to the caller for a server's reply.
+  HttpReply ResponseTo(const ServerAttempt& attempt) const;
   void FreeInputs();
   bool ForwardEvents(const std::string& events, const ServerAttempt& attempt);
   AttemptResult AfterFailure(const ServerAttempt& attempt) const;
@@ -243,6 +246,8 @@
   bool TryPeers();
   PeerResult AskPeer(const std::string& address);
   PeerResult AfterSilence(const ServerAttempt& attempt);
+  /// The head of the response to the caller for another gateway's reply.
+  HttpReply ResponseOfPeer(const ServerAttempt& attempt);
   PeerResult PassReply(ServerAttempt* attempt, TimePoint reply_by);
   PeerResult PassStream(ServerAttempt* attempt, TimePoint reply_by);
   void EndAsLost();
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -12,6 +12,8 @@
 
 /// Gateways in a small deployment; assumed until the first list of gateways.
 constexpr size_t kDefaultGatewayCount = 10;
+/// Incarnations remembered as leaving; more than a deployment has servers.
+constexpr size_t kMaxLeaving = 16384;
 
 }  // namespace
 
@@ -39,8 +41,23 @@
   UseServers();
 }
 
+void FleetView::SetLeaving(const std::string& server) {
+  if (!leaving_.insert(server).second) {
+    return;
+  }
+  leaving_order_.push_back(server);
+  if (leaving_order_.size() > kMaxLeaving) {
+    leaving_.erase(leaving_order_.front());
+    leaving_order_.pop_front();
+  }
+  UseServers();
+}
+
 void FleetView::UseServers() {
   std::vector<BackendServer> servers = WithDrained(listed_, drained_);
+  for (BackendServer& server : servers) {
+    server.leaving_ = server.leaving_ || leaving_.count(server.id_) != 0;
+  }
   if (servers == servers_) {
     return;
   }
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -160,6 +160,19 @@
   ServersChanged();
 }
 
+void GatewayHost::Impl::NoteLeaving(const std::string& server) {
+  const uint64_t before = view_.servers_number();
+  view_.SetLeaving(server);
+  if (view_.servers_number() == before) {
+    return;
+  }
+  log_->Write(
+      "gateway", "server leaves",
+      {{"server", server},
+       {"list_age_ms", view_.ServersAge(SteadyNow()).value_or(Duration())}});
+  ServersChanged();
+}
+
 void GatewayHost::Impl::ServersChanged() {
   server_limits_.Retain([this](std::string_view server) {
     return view_.FindServer(server) != nullptr;
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -163,6 +163,10 @@
     watch_.Send(frame);
   };
   hooks.now_ = SteadyNow;
+  // Deferred, since the caller uses the present servers.
+  hooks.leaving_ = [this](const std::string& server) {
+    boost::asio::post(io_, [this, server] { NoteLeaving(server); });
+  };
   return hooks;
 }
 
--- a/src/relay/limit_watch.cc
+++ b/src/relay/limit_watch.cc
@@ -25,6 +25,9 @@
 void LimitWatch::OnReply(const std::string& server,
                          const ServerReplyHead& reply) {
   const TimePoint now = hooks_.now_();
+  if (reply.leaving_) {
+    OnLeaving(server);
+  }
   if (reply.rest_seconds_) {
     if (const auto rest = rests_.OnRefused(server, *reply.rest_seconds_, now)) {
       log_->Write("relay", "server rests",
--- a/src/relay/peer_headers.cc
+++ b/src/relay/peer_headers.cc
@@ -17,6 +17,7 @@
 
 constexpr std::string_view kAge = "Gateway-Peer-Age-Ms";
 constexpr std::string_view kConfig = "Gateway-Peer-Config";
+constexpr std::string_view kLeavingServer = "Gateway-Peer-Leaving";
 constexpr std::string_view kRefusal = "Gateway-Peer-Refusal";
 
 bool IsAdded(const HttpHeader& header) {
@@ -69,6 +70,23 @@
   return reply;
 }
 
+void AddLeavingServer(std::string_view server, HttpReply* reply) {
+  reply->headers_.push_back({std::string(kLeavingServer), std::string(server)});
+}
+
+std::string TakeLeavingServer(HttpReply* reply) {
+  auto& headers = reply->headers_;
+  const auto is_added = [](const HttpHeader& header) {
+    return EqualsIgnoringCase(header.name_, kLeavingServer);
+  };
+  const auto found = std::find_if(headers.begin(), headers.end(), is_added);
+  const std::string server =
+      found == headers.end() ? std::string() : found->value_;
+  headers.erase(std::remove_if(headers.begin(), headers.end(), is_added),
+                headers.end());
+  return server;
+}
+
 bool IsPeerRefusal(absl::Span<const HttpHeader> headers) {
   return std::any_of(headers.begin(), headers.end(),
                      [](const HttpHeader& header) {
--- a/src/relay/relay_request_peers.cc
+++ b/src/relay/relay_request_peers.cc
@@ -163,6 +163,15 @@
                                         : RefusalReason::kStageFailed);
 }
 
+HttpReply RelayRequest::ResponseOfPeer(const ServerAttempt& attempt) {
+  HttpReply reply = ResponseOf(attempt.status(), attempt.headers());
+  const std::string leaving = TakeLeavingServer(&reply);
+  if (!leaving.empty()) {
+    context_->limits_->OnLeaving(leaving);
+  }
+  return reply;
+}
+
 RelayRequest::PeerResult RelayRequest::PassReply(ServerAttempt* attempt,
                                                  TimePoint reply_by) {
   HeldReply held(context_->client_->reply_memory());
@@ -175,7 +184,7 @@
     EndAsLost();
     return PeerResult::kLost;
   }
-  HttpReply reply = ResponseOf(attempt->status(), attempt->headers());
+  HttpReply reply = ResponseOfPeer(*attempt);
   reply.body_ = std::move(body);
   exchange_->Reply(reply);
   Finish("forwarded", attempt->status());
@@ -186,8 +195,7 @@
                                                   TimePoint reply_by) {
   stream_started_ = true;
   first_event_time_ = Elapsed();
-  if (!exchange_->StartStream(
-          ResponseOf(attempt->status(), attempt->headers()))) {
+  if (!exchange_->StartStream(ResponseOfPeer(*attempt))) {
     return PeerResult::kEnded;
   }
   while (true) {
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -8,6 +8,7 @@
 #include "citronlane/observe/metrics.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/limit_watch.h"
+#include "citronlane/relay/peer_headers.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
 #include "citronlane/relay/relay_responses.h"
@@ -148,7 +149,7 @@
       budget_->TryTake(SteadyNow(), context_->view_->GatewayCount())) {
     return {Step::kMayHaveRun, "server error"};
   }
-  HttpReply reply = ResponseOf(attempt->status(), attempt->headers());
+  HttpReply reply = ResponseTo(*attempt);
   reply.body_ = std::move(body);
   verdict_ = RaiseVerdict(verdict_, Verdict::kRan);
   exchange_->Reply(reply);
@@ -226,7 +227,7 @@
       return AfterFailure(*attempt);
     }
     if (!stream_started_) {
-      exchange_->StartStream(ResponseOf(attempt->status(), attempt->headers()));
+      exchange_->StartStream(ResponseTo(*attempt));
     }
     exchange_->EndStream();
     verdict_ = RaiseVerdict(verdict_, Verdict::kRan);
@@ -235,6 +236,16 @@
   }
 }
 
+// The gateway that forwarded the request passes the reply on, too.
+HttpReply RelayRequest::ResponseTo(const ServerAttempt& attempt) const {
+  HttpReply reply = ResponseOf(attempt.status(), attempt.headers());
+  TakeLeavingServer(&reply);
+  if (job_->is_forwarded_ && attempt.reply().leaving_) {
+    AddLeavingServer(last_server_, &reply);
+  }
+  return reply;
+}
+
 void RelayRequest::FreeInputs() {
   inputs_freed_ = true;
   stages_.FreeAll();
@@ -254,8 +265,7 @@
     first_event_time_ = Elapsed();
     context_->metrics_->Observe(kFirstTokenSeconds, {job_->route_->name_},
                                 first_event_time_);
-    if (!exchange_->StartStream(
-            ResponseOf(attempt.status(), attempt.headers()))) {
+    if (!exchange_->StartStream(ResponseTo(attempt))) {
       return false;
     }
   }
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/connect_probe.h"
@@ -188,7 +189,11 @@
   ServerLimits server_limits_{"gateway"};
   LimitWatch limits_{&server_limits_,
                      &log_,
-                     {[](const wire::fleet::ServerLimits&) {}, SteadyNow}};
+                     {[](const wire::fleet::ServerLimits&) {}, SteadyNow,
+                      [this](const std::string& server) {
+                        boost::asio::post(
+                            *io_, [this, server] { view_.SetLeaving(server); });
+                      }}};
   OriginWatch origins_{&log_, {[](const wire::fleet::Frame&) {}, SteadyNow}};
   bool are_servers_reached_ = true;
   ReachWatch reach_{[](uint64_t) { return uint64_t{0}; }, &log_, ReachHooks()};
