Build the list of suspect requests once for all gateways, and keep it without a leader

A list of segments holds those of every server that ended in the last 10 minutes, and was built for each gateway that gets it. It is now built once for each change, and segments that a server has survived are left out until the next crash under them. A segment that waits for its trial stays blocked while a gateway has no leader to ask.

unit-crash-watch and unit-crash-ledger check both; unit-relay-crashes also checks that a stream without a length that ends inside an event is broken off.

--- a/include/citronlane/control/suspect_feed.h
+++ b/include/citronlane/control/suspect_feed.h
@@ -44,7 +44,7 @@
                  wire::fleet::WatchUpdate* update) const;
 
   /// Requests that are blocked, or that one more crash may block.
-  std::vector<SuspectRequest> Listed() const { return crashes_.Listed(); }
+  std::vector<SuspectRequest> Listed() const;
   /// Number of blocked requests.
   size_t CountBlocked(TimePoint now) const {
     return crashes_.CountBlocked(now);
@@ -55,6 +55,9 @@
 
   EventLog* const log_;
   CrashLedger crashes_;
+  /// The list of the ledger with the number below, which all gateways get.
+  mutable std::vector<SuspectRequest> listed_;
+  mutable uint64_t listed_number_ = 0;
   /// Number of the list after an operator last cleared it.
   uint64_t cleared_number_ = 0;
 };
--- a/src/control/suspect_feed.cc
+++ b/src/control/suspect_feed.cc
@@ -69,6 +69,15 @@
   return crashes_.number();
 }
 
+// Building the list costs more than encoding it, and each gateway gets it.
+std::vector<SuspectRequest> SuspectFeed::Listed() const {
+  if (listed_number_ != crashes_.number()) {
+    listed_number_ = crashes_.number();
+    listed_ = crashes_.Listed();
+  }
+  return listed_;
+}
+
 void SuspectFeed::LogBlocked(const SuspectRequest& request, TimePoint now) {
   log_->Write("control", "request blocked",
               {{"content", request.feature_.id_},
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -86,13 +86,13 @@
 
 bool CrashWatch::IsSegmentBlocked(const std::string& segment, bool is_call) {
   const TimePoint now = hooks_.now_();
-  const bool has_leader = hooks_.has_leader_();
   const SuspectRequest* listed = FindListedSegment(segment);
   if (listed != nullptr && listed->IsBlocked(now)) {
     return true;
   }
-  if (!has_leader) {
-    return own_.IsBlocked(SegmentFeature(segment), now);
+  // Of the other gateways' crashes and survivals only the leader knows.
+  if (!hooks_.has_leader_() && own_.IsBlocked(SegmentFeature(segment), now)) {
+    return true;
   }
   if (listed == nullptr || !listed->needs_trial_) {
     return false;
--- a/src/routing/crash_ledger.cc
+++ b/src/routing/crash_ledger.cc
@@ -347,6 +347,8 @@
   if (crashes < listed || EvidenceAgainst(feature).size() >= listed) {
     return Cleared::kNothing;
   }
+  // The next crash under it adds it again.
+  listable_.erase(feature);
   ++number_;
   return Cleared::kSuspicion;
 }
--- a/tests/unit-crash-ledger.cc
+++ b/tests/unit-crash-ledger.cc
@@ -383,6 +383,8 @@
     CHECK(crashes.ListedSegments() == std::vector<std::string>{"bad", "first"});
     crashes.Survive("first");
     CHECK(crashes.ListedSegments() == std::vector<std::string>{"bad"});
+    crashes.Add({{"first", "bad"}});
+    CHECK(crashes.ListedSegments() == std::vector<std::string>{"bad", "first"});
   }
   SECTION("is found beside another one") {
     for (int i = 0; i < 5; ++i) {
--- a/tests/unit-crash-watch.cc
+++ b/tests/unit-crash-watch.cc
@@ -195,6 +195,10 @@
     CHECK(watch.IsSegmentBlocked(false));
     CHECK(watch.sent_.size() == 2);
   }
+  SECTION("stays blocked while there is no leader to ask") {
+    watch.has_leader_ = false;
+    CHECK(watch.IsSegmentBlocked(true));
+  }
   SECTION("may be tried by one call of the gateway that is named") {
     watch.ListSegment("bad", watch.now_, "other");
     CHECK(watch.IsSegmentBlocked(true));
--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -152,6 +152,15 @@
     io.run();
     CHECK(gateway.reports().empty());
   }
+  SECTION("breaks off a stream without a length that ends inside an event") {
+    EndingServer server(ReplyHead("a") + "id: 0\ndata: x\n\nid: 1\nda");
+    RelayGateway gateway(&io, DeskConfig(RouteKind::kStreaming), "desk",
+                         DeskServer(server.port()));
+    const RecordedCaller caller = gateway.Ask("a");
+    REQUIRE(caller.reply_);
+    CHECK(caller.reply_->body_ == "id: 0\ndata: x\n\n");
+    CHECK_FALSE(caller.is_complete_);
+  }
   SECTION("is not reported when its server still listens") {
     ScriptedServer server({""});
     RelayGateway gateway(&io, DeskConfig(RouteKind::kSafe), "desk",
