--- a/tests/process/platform_soak.py
+++ b/tests/process/platform_soak.py
@@ -243,6 +243,7 @@
         # Each loop has a generator of its own, so that its choices depend on
         # the seed only.
         loops = (("servers", self.server_step, 0.15),
+                 ("rests", self.rest_step, 0.6),
                  ("gateways a", lambda source: self.gateway_step(
                      source, self.fleet.gateway_ips[:2]), 0.6),
                  ("gateways b", lambda source: self.gateway_step(
@@ -276,6 +277,13 @@
                  source.choice(SECOND_ANSWERS))
         server.faults += [fault] * source.randint(1, 4)
 
+    def rest_step(self, source):
+        """A server refuses all requests for a while and asks for rest."""
+        server = source.choice(self.servers())
+        server.retry_after = source.choice(("0.2", "0.7", "soon"))
+        time.sleep(source.uniform(0.1, 0.5))
+        server.retry_after = None
+
     def release_step(self, _):
         """An engine of the oldest version leaves, and one of the next version
         comes, until two engines of the next version have come."""
@@ -358,6 +366,7 @@
     def heal(self):
         for server in self.servers():
             server.faults.clear()
+            server.retry_after = None
         for proxy in self.proxies:
             proxy.set_mode("reset")  # Closes connections that hang.
             proxy.set_mode("pass")
@@ -489,10 +498,12 @@
 
     def report(self):
         late = sum(server.second_answers for server in self.servers())
+        refused = sum(len(server.refused) for server in self.servers())
         return "\n".join(
             [f"seed {self.seed}, {self.seconds} s: {len(self.answers)} requests "
              f"({self.kept} on kept connections), "
              f"{dict(sorted(self.counts.items()))}, {late} second answers, "
+             f"{refused} refused with a rest, "
              f"{self.stops_overlapped} signals in a stop, "
              f"{len(self.faults)} faults"] + self.stream_counts() +
             [f"  {text}" for text in self.faults])
