--- a/src/relay/peer_headers.cc
+++ b/src/relay/peer_headers.cc
@@ -80,8 +80,7 @@
     return EqualsIgnoringCase(header.name_, kLeavingServer);
   };
   const auto found = std::find_if(headers.begin(), headers.end(), is_added);
-  const std::string server =
-      found == headers.end() ? std::string() : found->value_;
+  std::string server = found == headers.end() ? std::string() : found->value_;
   headers.erase(std::remove_if(headers.begin(), headers.end(), is_added),
                 headers.end());
   return server;
--- a/tests/unit-crash-ledger.cc
+++ b/tests/unit-crash-ledger.cc
@@ -290,7 +290,7 @@
       ++result.sent_;
     }
     for (int i = 0; i < crashing; ++i) {
-      if (age.count() % 450 == 150 * i) {
+      if (age % milliseconds(450) == i * milliseconds(150)) {
         waiting.push_back({{"first0", "account0", "bad" + std::to_string(i)},
                            TimePoint(),
                            TimePoint(),
@@ -491,8 +491,10 @@
   SECTION("memory is bounded") {
     for (int i = 0; i < 300; ++i) {
       std::vector<std::vector<std::string>> running;
+      running.reserve(300);
       for (int j = 0; j < 300; ++j) {
         std::vector<std::string> segments;
+        segments.reserve(16);
         for (int k = 0; k < 16; ++k) {
           segments.push_back(std::to_string(j) + "-" + std::to_string(k));
         }
