--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -242,6 +242,27 @@
         PLATFORM + "ControlLossTest.test_each_disk_lost_in_turn",
         PLATFORM + "SpareControlTest.test_an_empty_vm_takes_a_lost_ones_place",
         "unit-membership-keeper: membership keeper"]),
+    ("BUDGET, LOST: a prompt segment that crashes servers is stopped, and no "
+     "other one", [
+        "platform_crashing_segments_test.CrashBeforeReplyTest.test_one_segment_"
+        "is_stopped",
+        "platform_crashing_segments_test.CrashAfterHeadTest.test_two_segments_"
+        "are_stopped",
+        "unit-crash-ledger: a segment that crashes servers",
+        "unit-crash-ledger: a fleet whose prompts share segments",
+        "unit-crash-watch: a segment whose block is over",
+        "unit-relay-crashes: requests with a suspect segment"]),
+    ("BUDGET: servers get nothing for the time that they ask for", [
+        "platform_server_rests_test.ServerRestsTest.test_engines",
+        "platform_server_rests_test.ServerRestsTest.test_plain_servers",
+        "platform_server_rests_test.ServerRestsTest.test_stage_servers",
+        "platform_server_rests_test.ServerRestsTest.test_all_engines",
+        "unit-server-rests: a server that asked for rest"]),
+    ("DRAIN: servers that say they leave get nothing more", [
+        "platform_server_rests_test.LeavingServersTest.test_engines",
+        "platform_server_rests_test.LeavingServersTest.test_plain_servers",
+        "unit-leaving-servers: a server that was marked as leaving",
+        "unit-leaving-servers: a reply that another gateway passes on"]),
     ("all of it under random faults", [
         "platform_soak_test.PlatformSoakTest.test_short"]),
 ]
