Model the trials of a crashing segment in a fleet

The fleet of unit-crash-fleet also sends requests with contents of their own that share a segment, for 110 s: 6 to 360 gateways, late messages, a leader and gateways lost. At most 2 runs come more than 3 s after the third crash, the two trials; no other request is refused.

--- a/tests/unit-crash-fleet.cc
+++ b/tests/unit-crash-fleet.cc
@@ -31,7 +31,6 @@
 
 constexpr TimePoint kStart{std::chrono::hours(1)};
 constexpr Duration kStep = milliseconds(10);
-constexpr Duration kEnd = seconds(30);
 /// Time within which the fleet has to recognise the request, and how often it
 /// may run afterwards.
 constexpr Duration kRecognitionTime = seconds(3);
@@ -49,6 +48,9 @@
   /// A gateway is replaced by a new process as often.
   Duration gateway_lost_every_{};
   Duration max_message_delay_ = milliseconds(20);
+  Duration length_ = seconds(30);
+  /// The crashing requests have different contents and share a segment.
+  bool is_by_segment_ = false;
 };
 
 /// Gateways, their leader, and servers that run requests, in simulated time.
@@ -65,7 +67,7 @@
   }
 
   void Play() {
-    for (; now_ < kStart + kEnd; now_ += kStep) {
+    for (; now_ < kStart + scenario_.length_; now_ += kStep) {
       Deliver();
       LoseProcesses();
       if (IsDue(kPushInterval)) {
@@ -116,6 +118,7 @@
   };
   struct Run {
     std::string name_;
+    RequestFingerprint content_;
     size_t gateway_ = 0;
     uint64_t incarnation_ = 0;
     TimePoint end_;
@@ -131,8 +134,25 @@
   bool IsDue(Duration interval) const {
     return (now_ - kStart) % interval == Duration();
   }
-  static RequestFingerprint Content(const std::string& name) {
-    return {name, name.size(), {}};
+  RequestFingerprint Content(const std::string& name) {
+    if (!scenario_.is_by_segment_) {
+      return {name, name.size(), {}};
+    }
+    const bool is_crashing = name == kCrashing;
+    const std::string content =
+        is_crashing ? name + std::to_string(++crashing_sent_) : name;
+    return {
+        content,
+        content.size(),
+        {"first", is_crashing ? "bad" : "subject" + std::to_string(Draw(9))}};
+  }
+
+  bool IsBlocked(CrashWatch* watch, const RequestFingerprint& content) {
+    return watch->IsBlocked(
+               content.body_bytes_,
+               [&content]() -> const RequestFingerprint& { return content; }) ||
+           !watch->BlockedSegment(content.segments_, false).empty() ||
+           !watch->BlockedSegment(content.segments_, true).empty();
   }
 
   /// Does `what` after the delay of a message.
@@ -155,6 +175,7 @@
     gateway->incarnation_ = ++incarnations_;
     CrashWatch::Hooks hooks;
     hooks.now_ = [this] { return now_; };
+    hooks.gateway_ = "gateway" + std::to_string(gateway->incarnation_);
     hooks.has_leader_ = [this, index] { return gateways_[index]->has_leader_; };
     hooks.send_ = [this, index](const wire::fleet::CrashReports& reports) {
       if (gateways_[index]->has_leader_) {
@@ -267,9 +288,7 @@
     }
     CrashWatch& watch = *gateways_[index]->watch_;
     const RequestFingerprint content = Content(name);
-    if (watch.IsBlocked(
-            content.body_bytes_,
-            [&content]() -> const RequestFingerprint& { return content; })) {
+    if (IsBlocked(&watch, content)) {
       refused_.insert(name);
       return;
     }
@@ -278,7 +297,7 @@
       repeated_.emplace_back(name, repeats);
       return;
     }
-    servers_[server].runs_.push_back({name, index,
+    servers_[server].runs_.push_back({name, content, index,
                                       gateways_[index]->incarnation_,
                                       now_ + milliseconds(1200), repeats});
     if (name == kCrashing) {
@@ -296,10 +315,11 @@
         if (gateways_[run->gateway_]->incarnation_ != run->incarnation_) {
           continue;
         }
-        const RequestFingerprint content = Content(run->name_);
+        const RequestFingerprint& content = run->content_;
         gateways_[run->gateway_]->watch_->OnSurvived(
             content.body_bytes_,
             [&content]() -> const RequestFingerprint& { return content; });
+        gateways_[run->gateway_]->watch_->OnSegmentsSurvived(content.segments_);
       }
       server.runs_.erase(ended, server.runs_.end());
     }
@@ -324,7 +344,7 @@
       }
       if (gateways_[run.gateway_]->incarnation_ == run.incarnation_) {
         gateways_[run.gateway_]->watch_->OnBroken(id, std::to_string(index),
-                                                  Content(run.name_));
+                                                  run.content_);
       }
     }
   }
@@ -348,6 +368,7 @@
   std::set<std::string> refused_;
   uint64_t incarnations_ = 0;
   uint64_t requests_ = 0;
+  uint64_t crashing_sent_ = 0;
 };
 
 void Check(const std::string& title, const Scenario& scenario) {
@@ -412,4 +433,38 @@
   }
 }
 
+// Guards against a segment that is found too late, or is tried by many gateways
+// at once when its block is over.
+TEST_CASE("a crashing segment in a fleet") {
+  Scenario scenario;
+  scenario.is_by_segment_ = true;
+  // Two trials after the first block and its double.
+  scenario.length_ = seconds(110);
+
+  SECTION("of few gateways") {
+    Check("segment, 6 gateways", scenario);
+  }
+  SECTION("of many gateways") {
+    scenario.gateways_ = 360;
+    scenario.servers_ = 60;
+    Check("segment, 360 gateways", scenario);
+  }
+  SECTION("whose messages are late") {
+    scenario.gateways_ = 59;
+    scenario.max_message_delay_ = milliseconds(700);
+    Check("segment, 59 gateways, messages up to 0.7 s late", scenario);
+  }
+  SECTION("whose leader is lost during the block") {
+    scenario.gateways_ = 59;
+    scenario.leader_lost_ = seconds(20);
+    Check("segment, 59 gateways, leader lost in the block", scenario);
+  }
+  SECTION("whose leader and gateways are lost") {
+    scenario.gateways_ = 59;
+    scenario.leader_lost_ = seconds(36);
+    scenario.gateway_lost_every_ = seconds(3);
+    Check("segment, 59 gateways, leader and gateways lost", scenario);
+  }
+}
+
 }  // namespace citronlane
