Let the same gateway try a segment again when its trial had no result

A trial request may end without a crash and without a reply, at its deadline. The gateway then remembered that it had used its trial until another gateway was named, so that a fleet of one gateway never tried again. It now forgets that after the time of a trial, with the next list. The new section of unit-crash-watch failed before.

--- a/include/citronlane/relay/crash_watch.h
+++ b/include/citronlane/relay/crash_watch.h
@@ -5,7 +5,6 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -114,8 +113,8 @@
   std::map<std::string, Probe> probes_;
   /// When the servers that ended last did so.
   std::deque<std::pair<std::string, TimePoint>> ended_;
-  /// Segments whose trial this gateway has used up.
-  std::set<std::string> tried_segments_;
+  /// Segments whose trial this gateway has used up, and when.
+  std::map<std::string, TimePoint> tried_segments_;
   TimePoint last_trial_question_;
 };
 
--- a/include/citronlane/routing/crash_ledger.h
+++ b/include/citronlane/routing/crash_ledger.h
@@ -92,6 +92,9 @@
     return survived_;
   }
 
+  /// Time for the gateway that may send a trial request to get one; then
+  /// another gateway, or the same again, may be allowed to.
+  static constexpr Duration kTrialTime = std::chrono::seconds(5);
   static constexpr size_t kMaxListed = 256;
   /// Requests kept of one crash; a server runs and queues about as many.
   static constexpr size_t kMaxRunning = 256;
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "absl/strings/str_join.h"
@@ -102,7 +103,7 @@
   if (!may_try) {
     AskForTrial(segment);
   } else if (is_call) {
-    tried_segments_.insert(segment);
+    tried_segments_[segment] = now;
     log_->Write("relay", "trial request sent", {{"content", segment}});
   }
   return !may_try;
@@ -228,13 +229,15 @@
                {"blocked", static_cast<uint64_t>(CountBlocked())}});
 }
 
-// A trial may be allowed again once another gateway had its turn, or after
-// another block.
+// A trial may be allowed again once another gateway had its turn, after another
+// block, or when a trial without a result is over.
 void CrashWatch::ForgetEndedTrials() {
+  const TimePoint now = hooks_.now_();
   for (auto it = tried_segments_.begin(); it != tried_segments_.end();) {
-    const SuspectRequest* listed = FindListedSegment(*it);
-    const bool is_open =
-        listed != nullptr && listed->trial_gateway_ == hooks_.gateway_;
+    const SuspectRequest* listed = FindListedSegment(it->first);
+    const bool is_open = listed != nullptr &&
+                         listed->trial_gateway_ == hooks_.gateway_ &&
+                         now - it->second < CrashLedger::kTrialTime;
     it = is_open ? std::next(it) : tried_segments_.erase(it);
   }
 }
--- a/src/routing/crash_ledger.cc
+++ b/src/routing/crash_ledger.cc
@@ -31,8 +31,6 @@
 constexpr Duration kBlockTime = std::chrono::minutes(5);
 constexpr Duration kSegmentBlockTime = std::chrono::seconds(30);
 constexpr Duration kMaxBlockTime = std::chrono::hours(1);
-/// Time for the gateway that may send a trial request to get one.
-constexpr Duration kTrialTime = std::chrono::seconds(5);
 constexpr size_t kMaxCrashes = 256;
 constexpr size_t kMaxSurvived = 1024;
 
--- a/tests/unit-crash-watch.cc
+++ b/tests/unit-crash-watch.cc
@@ -210,6 +210,19 @@
     watch.ListSegment("bad", watch.now_, "own");
     CHECK(watch.IsSegmentBlocked(true));
   }
+  // Guards against a fleet of one gateway that never tries again when its trial
+  // request has ended without a result.
+  SECTION("may be tried again by the same gateway when its trial is over") {
+    watch.ListSegment("bad", watch.now_, "own");
+    CHECK_FALSE(watch.IsSegmentBlocked(true));
+    watch.now_ += seconds(4);
+    watch.ListSegment("bad", watch.now_, "own");
+    CHECK(watch.IsSegmentBlocked(true));
+    watch.now_ += seconds(1);
+    CHECK(watch.IsSegmentBlocked(true));
+    watch.ListSegment("bad", watch.now_, "own");
+    CHECK_FALSE(watch.IsSegmentBlocked(true));
+  }
   SECTION("may be tried again once others had their turn") {
     watch.ListSegment("bad", watch.now_, "own");
     CHECK_FALSE(watch.IsSegmentBlocked(true));
