--- a/tests/process/platform_soak.py
+++ b/tests/process/platform_soak.py
@@ -387,7 +387,8 @@
             self.fault(str(error))
         for ip, process in self.fleet.processes.items():
             if not process.running():
-                self.fault(f"{ip} ended by itself")
+                self.fault(f"{ip} ended by itself with "
+                           f"{process.child.returncode}")
 
     def check_pauses(self):
         """No stream ends while engines fall silent for a while and go on, and
