Do not clear a request by a reply that may have ended with its server

A whole reply clears its request of the crashes before. One with neither a length nor chunks also counted where it had no event, so that a server that ended within it cleared the request that had crashed it. Such a reply clears nothing now.

--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -71,7 +71,10 @@
     return;
   }
   if (attempt.outcome() == CallOutcome::kSuccess) {
-    if (!attempt.reply().not_run_) {
+    // Without a length or an event, the end of the server looks the same.
+    const bool is_whole =
+        called.had_first_event_ || !attempt.ends_with_connection();
+    if (!attempt.reply().not_run_ && is_whole) {
       context_->crashes_->OnSurvived(request_->body_.size(), FingerprintHook());
     }
     if (called.had_first_event_) {
--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -276,6 +276,33 @@
   }
 }
 
+// Guards against a reply that shows nothing and clears a suspect.
+TEST_CASE("a reply that is read whole") {
+  boost::asio::io_context io;
+  const auto survivals_after = [&io](const std::string& reply) {
+    EndingServer server(reply);
+    RelayGateway gateway(&io, DeskConfig(RouteKind::kSafe), "desk",
+                         DeskServer(server.port()));
+    const TimePoint now = SteadyNow();
+    std::vector<SuspectRequest> listed(2);
+    listed[0].feature_ = ContentFeature(Asked());
+    listed[1].feature_ = SegmentFeature("bad");
+    wire::fleet::SuspectRequests suspects;
+    EncodeSuspects(listed, now, &suspects);
+    gateway.crashes()->Take(suspects);
+    gateway.Ask("a", {{"X-Citronlane-Prompt-Prefix", "bad:20,own:10"}});
+    size_t survivals = 0;
+    for (const auto& report : gateway.reports()) {
+      survivals += static_cast<size_t>(report.survivals_size());
+    }
+    return survivals;
+  };
+  SECTION("that ends with its connection clears nothing") {
+    CHECK(survivals_after(ReplyHead("a")) == 0);
+    CHECK(survivals_after(ReplyHead("a") + "ok") == 0);
+  }
+}
+
 TEST_CASE("a server at its limit gets no request") {
   boost::asio::io_context io;
   ScriptedServer server({ReplyTo("a", "Server-Limit: 0.1\r\n")});
