--- a/include/citronlane/relay/relay_responses.h
+++ b/include/citronlane/relay/relay_responses.h
@@ -16,6 +16,9 @@
 /// Thread safe.
 HttpReply ResponseOf(int status, absl::Span<const HttpHeader> headers);
 
+/// Whether a reply with this status is a success. Thread safe.
+bool IsSuccess(int status);
+
 /// Whether a reply with this status promises that nothing of the request has
 /// run. Thread safe.
 bool PromisesNotRun(int status);
--- a/src/relay/relay_request_peers.cc
+++ b/src/relay/relay_request_peers.cc
@@ -35,12 +35,6 @@
 /// The other gateway replies by the deadline; its reply takes this long at
 /// most.
 constexpr Duration kPeerReplyTime = std::chrono::milliseconds(150);
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstNonSuccess = 300;
-
-bool IsSuccess(int status) {
-  return status >= kFirstSuccess && status < kFirstNonSuccess;
-}
 
 Verdict VerdictOf(int status) {
   if (PromisesNotRun(status)) {
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -36,15 +36,10 @@
 constexpr Duration kInputFetchTime = std::chrono::milliseconds(150);
 constexpr int kFirstServerError = 500;
 constexpr int kOk = 200;
-constexpr int kFirstNonSuccess = 300;
 constexpr int kConflict = 409;
 /// Reason of an attempt whose reply, or an event of it, exceeds its memory.
 constexpr std::string_view kTooLarge = "reply too large";
 
-bool IsSuccess(int status) {
-  return status >= kOk && status < kFirstNonSuccess;
-}
-
 }  // namespace
 
 RelayRequest::AttemptResult RelayRequest::Relay(ServerAttempt* attempt) {
--- a/src/relay/relay_responses.cc
+++ b/src/relay/relay_responses.cc
@@ -10,6 +10,8 @@
 namespace citronlane {
 namespace {
 
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstNonSuccess = 300;
 constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -43,6 +45,10 @@
 
 }  // namespace
 
+bool IsSuccess(int status) {
+  return status >= kFirstSuccess && status < kFirstNonSuccess;
+}
+
 bool PromisesNotRun(int status) {
   return status == kTooManyRequests || status == kUnavailable;
 }
