Let whole replies of other routes than streams clear segments

Segments were cleared by the first event of a stream only, so that on a route without streams a segment that all requests share could only gather crashes. A whole success there clears them now, unless it ended with its connection. The new sections failed before: 1 survival reported where 2 are due.

--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -14,6 +14,7 @@
 #include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
+#include "citronlane/relay/relay_responses.h"
 #include "citronlane/relay/server_attempt.h"
 #include "citronlane/relay/service_router.h"
 #include "citronlane/relay/waker.h"
@@ -77,7 +78,10 @@
     if (!attempt.reply().not_run_ && is_whole) {
       context_->crashes_->OnSurvived(request_->body_.size(), FingerprintHook());
     }
-    if (called.had_first_event_) {
+    const bool has_begun = job_->route_->kind_ == RouteKind::kStreaming
+                               ? called.had_first_event_
+                               : is_whole && IsSuccess(attempt.status());
+    if (has_begun) {
       context_->crashes_->OnSegmentsSurvived(segments_);
     }
     return;
--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -297,10 +297,18 @@
     }
     return survivals;
   };
+  SECTION("with a length clears the content and the segments") {
+    CHECK(survivals_after(ReplyTo("a", "")) == 2);
+  }
   SECTION("that ends with its connection clears nothing") {
     CHECK(survivals_after(ReplyHead("a")) == 0);
     CHECK(survivals_after(ReplyHead("a") + "ok") == 0);
   }
+  SECTION("of a failure clears the content only") {
+    std::string reply = ReplyTo("a", "");
+    reply.replace(reply.find("200"), 3, "404");
+    CHECK(survivals_after(reply) == 1);
+  }
 }
 
 TEST_CASE("a server at its limit gets no request") {
