Name leaving servers to the placement owner, too

A gateway that knows from a reply that an engine leaves did not say so when it asked another gateway for one. The owner could name it again and again, and the asker then chose by itself, with its smaller share of limited and brittle engines. MayCall() answers the whole question now, and its callers no longer ask a part of it beside.

--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -117,8 +117,8 @@
   // relay_request_versions.cc: which servers may continue a stream.
   /// Whether the server may run the request, as far as its version matters.
   bool MayContinue(const BackendServer& server) const;
-  /// Whether the server may get the request now: it may run it, and does not
-  /// rest.
+  /// Whether the server may get the request now: it takes new work, may run
+  /// this request, and does not rest.
   bool MayCall(const BackendServer& server) const;
   /// Servers that were tried, and those for which MayCall() returns false.
   std::vector<std::string> Unusable() const;
--- a/src/relay/relay_request_server.cc
+++ b/src/relay/relay_request_server.cc
@@ -59,7 +59,7 @@
     const std::string named = engine_.RequestEngine(
         EnginePlacement::Purpose::kStart, RouterCall(), Unusable(), reserved);
     const BackendServer* server = context_->view_->FindServer(named);
-    if (server != nullptr && !server->leaving_ && MayCall(*server)) {
+    if (server != nullptr && MayCall(*server)) {
       is_counted_by_owner_ = true;
       return server;
     }
@@ -78,7 +78,7 @@
 
 bool RelayRequest::MayUseReserved() const {
   const BackendServer* server = context_->view_->FindServer(reserved_engine_);
-  return server != nullptr && !server->leaving_ && MayCall(*server) &&
+  return server != nullptr && MayCall(*server) &&
          context_->limits_->limits()->MayCallReserved(reserved_engine_,
                                                       SteadyNow());
 }
--- a/src/relay/relay_request_versions.cc
+++ b/src/relay/relay_request_versions.cc
@@ -41,7 +41,7 @@
 }
 
 bool RelayRequest::MayCall(const BackendServer& server) const {
-  return MayContinue(server) &&
+  return !server.leaving_ && MayContinue(server) &&
          context_->limits_->rests()->MayCall(server.id_, SteadyNow());
 }
 
