List the limited server after the other one has replied

It relied on each reply of the other being faster than what the router assumes of a server that was never called, by the wall clock. The other server now replies before the limited one is listed, so that the first five can go nowhere else; the checks are the same.

--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -327,21 +327,21 @@
 // servers without one.
 TEST_CASE("a plain server with a limit is asked now and then") {
   boost::asio::io_context io;
-  // The others are chosen first: they reply faster than is assumed of a server
-  // that was never called.
+  // The other replies faster than is assumed of a server that was never called.
   ScriptedServer limited({ReplyTo("limited", ""), ReplyTo("limited", "")});
   std::vector<std::string> replies(20, ReplyTo("other", ""));
   ScriptedServer other(replies);
   std::vector<BackendServer> servers = DeskServer(other.port());
   servers[0].id_ = servers[0].name_ = "a-other";
-  servers.push_back(DeskServer(limited.port())[0]);
-  servers[1].id_ = servers[1].name_ = "limited";
-  servers[1].failure_domain_ = "b";
   RelayGateway gateway(&io, DeskConfig(RouteKind::kSafe), "desk", servers);
   for (int i = 0; i < 5; ++i) {
     REQUIRE(gateway.Ask("other").reply_);
   }
   CHECK(other.reads() == 5);
+  servers.push_back(DeskServer(limited.port())[0]);
+  servers[1].id_ = servers[1].name_ = "limited";
+  servers[1].failure_domain_ = "b";
+  gateway.view()->SetServers(servers, SteadyNow());
   gateway.limits()->Take({"limited", 100, SteadyNow() - seconds(60)},
                          "control");
   const RecordedCaller asked = gateway.Ask("limited");
