Split what is blocked from the crash ledger, and keep one entry a block

What is blocked and for how long is in crash_ledger_blocks.cc now, the features of requests and crashes in crash_features, where gateways' log lines use them, too. A block holds its entry of the list instead of a copy of each field, and listed features are found by one function. The list goes to gateways by reference. StagePool sends deletions in a function of its own, and a server call no longer copies the names that it does not use. Behaviour is the same; the unit tests of crashes, the feed, leaving servers, rests and stage owners pass.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -81,7 +81,9 @@
   /// Lifts all blocks; crashes so far no longer count. Tells all gateways.
   void ClearSuspects(TimePoint now);
   /// Requests that are blocked, or that one more crash may block.
-  std::vector<SuspectRequest> Suspects() const { return suspects_.Listed(); }
+  const std::vector<SuspectRequest>& Suspects() const {
+    return suspects_.Listed();
+  }
   /// Removes the gateway of a closed channel.
   void OnClosed(const FrameChannel* channel);
 
--- a/include/citronlane/control/suspect_feed.h
+++ b/include/citronlane/control/suspect_feed.h
@@ -44,7 +44,8 @@
                  wire::fleet::WatchUpdate* update) const;
 
   /// Requests that are blocked, or that one more crash may block.
-  std::vector<SuspectRequest> Listed() const;
+  /// Valid until the next report.
+  const std::vector<SuspectRequest>& Listed() const;
   /// Number of blocked requests.
   size_t CountBlocked(TimePoint now) const {
     return crashes_.CountBlocked(now);
--- a/include/citronlane/relay/crash_watch.h
+++ b/include/citronlane/relay/crash_watch.h
@@ -93,7 +93,7 @@
 
   const SuspectRequest* FindListed(uint64_t body_bytes,
                                    const FingerprintHook& fingerprint) const;
-  const SuspectRequest* FindListedSegment(const std::string& segment) const;
+  const SuspectRequest* FindListed(const RequestFeature& feature) const;
   bool IsSegmentBlocked(const std::string& segment, bool is_call);
   /// Asks the leader for a trial, not too often.
   void AskForTrial(const std::string& segment);
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -106,7 +106,11 @@
   void TakeFailure(uint64_t call,
                    const std::string& server,
                    CallOutcome outcome);
+  /// Has servers delete discarded results, those that rest later.
   void SendUnwanted(TimePoint now);
+  void SendFree(const std::string& address,
+                const std::vector<std::string>& handles,
+                TimePoint now);
 
   const PoolPartition partition_;
   const std::string name_;
@@ -128,8 +132,8 @@
 
   std::map<uint64_t, Waiting> waiting_;
   std::map<uint64_t, std::shared_ptr<StageCall>> calls_;
-  /// Handles of results to be deleted, by the address of a server that rests.
-  std::map<std::string, std::vector<std::string>> postponed_frees_;
+  /// Handles of results that servers must still be told to delete, by address.
+  std::map<std::string, std::vector<std::string>> unsent_frees_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/routing/crash_ledger.h
+++ b/include/citronlane/routing/crash_ledger.h
@@ -103,13 +103,10 @@
 
  private:
   struct Block {
-    RequestFeature feature_;
-    uint32_t crashes_ = 0;
-    TimePoint last_crash_;
-    TimePoint until_;
+    /// Its entry in the list.
+    SuspectRequest suspect_;
     Duration length_{};
-    /// The gateway that may try a request, and until when it may.
-    std::string trial_gateway_;
+    /// Until when the gateway that is named may try a request.
     TimePoint trial_until_;
   };
 
--- a/src/control/suspect_feed.cc
+++ b/src/control/suspect_feed.cc
@@ -70,7 +70,7 @@
 }
 
 // Building the list costs more than encoding it, and each gateway gets it.
-std::vector<SuspectRequest> SuspectFeed::Listed() const {
+const std::vector<SuspectRequest>& SuspectFeed::Listed() const {
   if (listed_number_ != crashes_.number()) {
     listed_number_ = crashes_.number();
     listed_ = crashes_.Listed();
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 #include "absl/strings/str_join.h"
 #include "citronlane/net/crash_codec.h"
 #include "citronlane/observe/event_log.h"
+#include "citronlane/routing/crash_features.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
@@ -22,13 +22,15 @@
 /// Pause between two questions for a trial.
 constexpr Duration kTrialQuestionPause = std::chrono::seconds(1);
 
-// Those of all requests of the crash, each once.
-std::set<std::string> SegmentsOf(const ServerCrash& crash) {
-  std::set<std::string> segments;
-  for (const RequestFingerprint& request : crash.running_) {
-    segments.insert(request.segments_.begin(), request.segments_.end());
+// The ids of the segments of the crash, for the log.
+std::string SegmentsOf(const ServerCrash& crash) {
+  std::vector<std::string> ids;
+  for (const RequestFeature& feature : FeaturesOf(crash)) {
+    if (feature.kind_ == RequestFeature::Kind::kPromptSegment) {
+      ids.push_back(feature.id_);
+    }
   }
-  return segments;
+  return absl::StrJoin(ids, " ");
 }
 
 }  // namespace
@@ -46,21 +48,15 @@
   if (std::none_of(listed_.begin(), listed_.end(), has_size)) {
     return nullptr;
   }
-  const RequestFeature content = ContentFeature(fingerprint());
-  const auto found = std::find_if(listed_.begin(), listed_.end(),
-                                  [&content](const SuspectRequest& listed) {
-                                    return listed.feature_ == content;
-                                  });
-  return found == listed_.end() ? nullptr : &*found;
+  return FindListed(ContentFeature(fingerprint()));
 }
 
-const SuspectRequest* CrashWatch::FindListedSegment(
-    const std::string& segment) const {
-  const auto found = std::find_if(
-      listed_.begin(), listed_.end(), [&segment](const SuspectRequest& listed) {
-        return listed.feature_.kind_ == RequestFeature::Kind::kPromptSegment &&
-               listed.feature_.id_ == segment;
-      });
+const SuspectRequest* CrashWatch::FindListed(
+    const RequestFeature& feature) const {
+  const auto found = std::find_if(listed_.begin(), listed_.end(),
+                                  [&feature](const SuspectRequest& listed) {
+                                    return listed.feature_ == feature;
+                                  });
   return found == listed_.end() ? nullptr : &*found;
 }
 
@@ -87,12 +83,13 @@
 
 bool CrashWatch::IsSegmentBlocked(const std::string& segment, bool is_call) {
   const TimePoint now = hooks_.now_();
-  const SuspectRequest* listed = FindListedSegment(segment);
+  const RequestFeature feature = SegmentFeature(segment);
+  const SuspectRequest* listed = FindListed(feature);
   if (listed != nullptr && listed->IsBlocked(now)) {
     return true;
   }
   // Of the other gateways' crashes and survivals only the leader knows.
-  if (!hooks_.has_leader_() && own_.IsBlocked(SegmentFeature(segment), now)) {
+  if (!hooks_.has_leader_() && own_.IsBlocked(feature, now)) {
     return true;
   }
   if (listed == nullptr || !listed->needs_trial_) {
@@ -173,7 +170,7 @@
               {{"server", crash.server_},
                {"running", static_cast<uint64_t>(crash.running_.size())},
                {"first_content", crash.running_.front().digest_},
-               {"segments", absl::StrJoin(SegmentsOf(crash), " ")},
+               {"segments", SegmentsOf(crash)},
                {"age_ms", now - crash.at_}});
   wire::fleet::CrashReports reports;
   EncodeCrash(crash, now, reports.add_crashes());
@@ -193,7 +190,7 @@
 void CrashWatch::OnSegmentsSurvived(absl::Span<const std::string> segments) {
   for (const std::string& segment : segments) {
     const RequestFeature feature = SegmentFeature(segment);
-    const SuspectRequest* listed = FindListedSegment(segment);
+    const SuspectRequest* listed = FindListed(feature);
     if (listed == nullptr && !own_.IsSuspected(feature)) {
       continue;
     }
@@ -234,7 +231,7 @@
 void CrashWatch::ForgetEndedTrials() {
   const TimePoint now = hooks_.now_();
   for (auto it = tried_segments_.begin(); it != tried_segments_.end();) {
-    const SuspectRequest* listed = FindListedSegment(it->first);
+    const SuspectRequest* listed = FindListed(SegmentFeature(it->first));
     const bool is_open = listed != nullptr &&
                          listed->trial_gateway_ == hooks_.gateway_ &&
                          now - it->second < CrashLedger::kTrialTime;
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -102,11 +102,12 @@
     }
   };
   StageCallHooks hooks;
-  hooks.sending_ = [state, waker, reach, rests = context->limits_->rests(),
-                    names] {
+  const ServerRests* const rests =
+      names.is_gateway_ ? nullptr : context->limits_->rests();
+  hooks.sending_ = [state, waker, reach, rests, server = names.server_] {
     // The connection may have taken long, and the server refused another call
     // meanwhile.
-    if (!names.is_gateway_ && !rests->MayCall(names.server_, SteadyNow())) {
+    if (rests != nullptr && !rests->MayCall(server, SteadyNow())) {
       state->is_done_ = true;
       waker->Wake();
       return false;
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -302,33 +302,37 @@
 
 void StagePool::SendUnwanted(TimePoint now) {
   for (auto& [address, handles] : batcher_.TakeDiscardedResults()) {
-    auto& postponed = postponed_frees_[address];
-    postponed.insert(postponed.end(), handles.begin(), handles.end());
+    auto& unsent = unsent_frees_[address];
+    unsent.insert(unsent.end(), handles.begin(), handles.end());
   }
-  for (auto it = postponed_frees_.begin(); it != postponed_frees_.end();) {
+  for (auto it = unsent_frees_.begin(); it != unsent_frees_.end();) {
     const BackendServer* server = view_->ServerAt(it->first);
     if (server != nullptr && !limits_->rests()->MayCall(server->id_, now)) {
       it->second.resize(std::min(it->second.size(), kMaxPostponedFrees));
       ++it;
-      continue;
+    } else {
+      SendFree(it->first, it->second, now);
+      it = unsent_frees_.erase(it);
     }
-    const std::string address = it->first;
-    const std::vector<std::string> handles = std::move(it->second);
-    it = postponed_frees_.erase(it);
-    StageCallSpec spec = SpecFor(address, "POST", dialect_->free_results_path_,
-                                 now + kFreeTimeout);
-    // Separate connections: on those of stage calls, a late duplicate reply
-    // could be mistaken for the reply to a stage call.
-    spec.connection_group_ = " frees";
-    spec.headers_.push_back({"Content-Type", "application/json"});
-    spec.body_ = dialect_->write_free_results_(handles);
-    StageCallHooks hooks;
-    hooks.sending_ = [] { return true; };
-    hooks.head_ = [](const StageReplyHead&) { return true; };
-    hooks.done_ = [](CallOutcome, const std::string&) {};
-    // The reply is ignored; the client keeps the call until it ends.
-    client_->Start(std::move(spec), std::move(hooks));
   }
 }
 
+void StagePool::SendFree(const std::string& address,
+                         const std::vector<std::string>& handles,
+                         TimePoint now) {
+  StageCallSpec spec = SpecFor(address, "POST", dialect_->free_results_path_,
+                               now + kFreeTimeout);
+  // Separate connections: on those of stage calls, a late duplicate reply could
+  // be mistaken for the reply to a stage call.
+  spec.connection_group_ = " frees";
+  spec.headers_.push_back({"Content-Type", "application/json"});
+  spec.body_ = dialect_->write_free_results_(handles);
+  StageCallHooks hooks;
+  hooks.sending_ = [] { return true; };
+  hooks.head_ = [](const StageReplyHead&) { return true; };
+  hooks.done_ = [](CallOutcome, const std::string&) {};
+  // The reply is ignored; the client keeps the call until it ends.
+  client_->Start(std::move(spec), std::move(hooks));
+}
+
 }  // namespace citronlane
--- a/src/routing/crash_ledger.cc
+++ b/src/routing/crash_ledger.cc
@@ -2,97 +2,31 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
+
+#include "citronlane/routing/crash_features.h"
 
 namespace citronlane {
 namespace {
 
 using Kind = RequestFeature::Kind;
 
-/// Crashes in a row after which requests with a feature are blocked.
-constexpr size_t kBlockingCrashes = 3;
-constexpr size_t kBlockingSegmentCrashes = 4;
-/// While servers crash without the feature too, a request that is sent again
-/// after each crash may meet several by chance; then one more is needed. So
-/// many other crashes within kBackgroundTime count as that.
-constexpr size_t kBackgroundCrashes = 3;
-constexpr Duration kBackgroundTime = std::chrono::minutes(1);
-/// Crashes that the feature must explain better than those beside it.
-constexpr size_t kMinLeadingCrashes = 2;
-/// Blocked whatever ran beside it: two features that always run together cannot
-/// be told apart.
-constexpr size_t kCertainCrashes = 6;
-/// As above for a segment, if servers have survived nothing else meanwhile.
-constexpr size_t kCertainSegmentCrashes = 8;
-/// Crashes closer together may have one common cause.
-constexpr Duration kIndependentDelay = std::chrono::milliseconds(500);
 constexpr Duration kEvidenceRetention = std::chrono::minutes(10);
-/// First block. Each trial after a block costs one server and what it runs; a
-/// false block of a segment costs all requests that have it.
-constexpr Duration kBlockTime = std::chrono::minutes(5);
-constexpr Duration kSegmentBlockTime = std::chrono::seconds(30);
-constexpr Duration kMaxBlockTime = std::chrono::hours(1);
+/// One crash more may block a content.
+constexpr size_t kListedCrashes = 2;
 constexpr size_t kMaxCrashes = 256;
 constexpr size_t kMaxSurvived = 1024;
 
 // Crashes after which a feature is listed, so that gateways report when a
 // server survives it.
 size_t ListedCrashes(const RequestFeature& feature) {
-  return feature.kind_ == Kind::kContent ? kBlockingCrashes - 1 : 1;
-}
-
-Duration FirstBlockTime(const RequestFeature& feature) {
-  return feature.kind_ == Kind::kContent ? kBlockTime : kSegmentBlockTime;
+  return feature.kind_ == Kind::kContent ? kListedCrashes : 1;
 }
 
 bool Contains(const std::vector<uint64_t>& numbers, uint64_t number) {
   return std::find(numbers.begin(), numbers.end(), number) != numbers.end();
 }
 
-// The content of the request first.
-std::vector<RequestFeature> FeaturesOf(const RequestFingerprint& request) {
-  std::vector<RequestFeature> features{ContentFeature(request)};
-  for (const std::string& segment : request.segments_) {
-    features.push_back(SegmentFeature(segment));
-  }
-  return features;
-}
-
-// Those of all requests of the crash, each once.
-std::set<RequestFeature> FeaturesOf(const ServerCrash& crash) {
-  std::set<RequestFeature> features;
-  for (const RequestFingerprint& request : crash.running_) {
-    const auto own = FeaturesOf(request);
-    features.insert(own.begin(), own.end());
-  }
-  return features;
-}
-
-size_t CountSegments(const ServerCrash& crash) {
-  size_t count = 0;
-  for (const RequestFingerprint& request : crash.running_) {
-    count += request.segments_.size();
-  }
-  return count;
-}
-
-// Sorts the crashes by time and keeps one of those close together.
-void KeepIndependent(std::vector<const ServerCrash*>* crashes) {
-  std::sort(crashes->begin(), crashes->end(),
-            [](const ServerCrash* a, const ServerCrash* b) {
-              return a->at_ < b->at_;
-            });
-  const ServerCrash* last = nullptr;
-  const auto is_joint = [&last](const ServerCrash* crash) {
-    if (last != nullptr && crash->at_ - last->at_ < kIndependentDelay) {
-      return true;
-    }
-    last = crash;
-    return false;
-  };
-  crashes->erase(std::remove_if(crashes->begin(), crashes->end(), is_joint),
-                 crashes->end());
-}
-
 }  // namespace
 
 std::vector<SuspectRequest> CrashLedger::OnCrash(const ServerCrash& crash,
@@ -105,8 +39,8 @@
     const Evidence evidence = EvidenceAgainst(feature);
     has_listed = has_listed || evidence.size() >= ListedCrashes(feature);
     if (const auto block = blocks_.find(feature); block != blocks_.end()) {
-      block->second.last_crash_ =
-          std::max(block->second.last_crash_, crash.at_);
+      TimePoint& last = block->second.suspect_.last_crash_;
+      last = std::max(last, crash.at_);
     }
     if (MustBlock(feature, evidence)) {
       blocked.push_back(SetBlock(feature, evidence, now));
@@ -164,7 +98,8 @@
     Forget(crashes_.begin()->first);
   }
   for (auto it = blocks_.begin(); it != blocks_.end();) {
-    const bool is_old = now - it->second.until_ > kEvidenceRetention;
+    const bool is_old =
+        now - it->second.suspect_.blocked_until_ > kEvidenceRetention;
     it = is_old ? blocks_.erase(it) : std::next(it);
   }
   for (auto it = survived_.begin(); it != survived_.end();) {
@@ -223,109 +158,6 @@
   });
 }
 
-// A content need not be told apart from its own segments, since a block of it
-// concerns fewer requests.
-bool CrashLedger::Leads(const RequestFeature& feature,
-                        size_t crashes,
-                        const ServerCrash& crash) const {
-  std::set<RequestFeature> others = FeaturesOf(crash);
-  others.erase(feature);
-  if (feature.kind_ == Kind::kContent) {
-    const auto own = std::find_if(crash.running_.begin(), crash.running_.end(),
-                                  [&](const RequestFingerprint& request) {
-                                    return ContentFeature(request) == feature;
-                                  });
-    for (const std::string& segment : own->segments_) {
-      others.erase(SegmentFeature(segment));
-    }
-  }
-  return std::all_of(others.begin(), others.end(),
-                     [&](const RequestFeature& other) {
-                       return EvidenceAgainst(other).size() < crashes;
-                     });
-}
-
-bool CrashLedger::HasBackground(const RequestFeature& feature,
-                                const Evidence& evidence) const {
-  if (evidence.empty()) {
-    return false;
-  }
-  const TimePoint since = evidence.back()->at_ - kBackgroundTime;
-  const auto& own = crashes_of_.at(feature);
-  Evidence others;
-  for (auto it = crashes_.rbegin(); it != crashes_.rend(); ++it) {
-    if (it->second.at_ >= since && !Contains(own, it->first)) {
-      others.push_back(&it->second);
-    }
-  }
-  KeepIndependent(&others);
-  return others.size() >= kBackgroundCrashes;
-}
-
-bool CrashLedger::OthersSurvived(const RequestFeature& feature,
-                                 const Evidence& evidence) const {
-  return std::any_of(survived_.begin(), survived_.end(),
-                     [&](const auto& entry) {
-                       return !(entry.first == feature) &&
-                              entry.second.at_ > evidence.front()->at_;
-                     });
-}
-
-bool CrashLedger::MustBlock(const RequestFeature& feature,
-                            const Evidence& evidence) const {
-  const auto block = blocks_.find(feature);
-  if (block == blocks_.end()) {
-    return MustBlockFirst(feature, evidence);
-  }
-  return !evidence.empty() && evidence.back()->at_ > block->second.until_;
-}
-
-bool CrashLedger::MustBlockFirst(const RequestFeature& feature,
-                                 const Evidence& evidence) const {
-  const bool is_segment = feature.kind_ == Kind::kPromptSegment;
-  if (is_segment && evidence.size() < kCertainSegmentCrashes &&
-      (evidence.empty() || !OthersSurvived(feature, evidence))) {
-    return false;
-  }
-  if (evidence.size() >= kCertainCrashes) {
-    return true;
-  }
-  const size_t needed = is_segment ? kBlockingSegmentCrashes : kBlockingCrashes;
-  if (evidence.size() < needed ||
-      (evidence.size() == needed && HasBackground(feature, evidence))) {
-    return false;
-  }
-  const auto leading = std::count_if(
-      evidence.begin(), evidence.end(), [&](const ServerCrash* crash) {
-        return Leads(feature, evidence.size(), *crash);
-      });
-  return static_cast<size_t>(leading) >= kMinLeadingCrashes;
-}
-
-SuspectRequest CrashLedger::SetBlock(const RequestFeature& feature,
-                                     const Evidence& evidence,
-                                     TimePoint now) {
-  Block& block = blocks_[feature];
-  block.feature_ = feature;
-  block.crashes_ =
-      std::max(block.crashes_ + 1, static_cast<uint32_t>(evidence.size()));
-  block.length_ = block.length_ == Duration()
-                      ? FirstBlockTime(feature)
-                      : std::min(kMaxBlockTime, block.length_ * 2);
-  block.last_crash_ = evidence.back()->at_;
-  block.until_ = now + block.length_;
-  block.trial_gateway_.clear();
-  SuspectRequest blocked;
-  blocked.feature_ = feature;
-  blocked.crashes_ = block.crashes_;
-  blocked.last_crash_ = block.last_crash_;
-  blocked.blocked_until_ = block.until_;
-  for (const ServerCrash* crash : evidence) {
-    blocked.servers_.push_back(crash->server_);
-  }
-  return blocked;
-}
-
 CrashLedger::Cleared CrashLedger::OnSurvived(const RequestFeature& feature,
                                              TimePoint at) {
   const size_t crashes = EvidenceAgainst(feature).size();
@@ -334,7 +166,7 @@
     last = {feature, std::max(last.at_, at)};
   }
   if (const auto block = blocks_.find(feature); block != blocks_.end()) {
-    if (at < block->second.last_crash_) {
+    if (at < block->second.suspect_.last_crash_) {
       return Cleared::kNothing;
     }
     blocks_.erase(block);
@@ -351,34 +183,15 @@
   return Cleared::kSuspicion;
 }
 
-void CrashLedger::Adopt(const SuspectRequest& request, TimePoint now) {
-  const RequestFeature& feature = request.feature_;
-  const auto survived = survived_.find(feature);
-  const bool has_survived = survived != survived_.end() &&
-                            survived->second.at_ >= request.last_crash_;
-  const bool has_block = request.IsBlocked(now) || request.needs_trial_;
-  if (!has_block || has_survived || blocks_.count(feature) != 0 ||
-      blocks_.size() >= kMaxListed) {
-    return;
-  }
-  Block& block = blocks_[feature];
-  block.feature_ = feature;
-  block.crashes_ = request.crashes_;
-  block.last_crash_ = request.last_crash_;
-  block.until_ = request.blocked_until_;
-  block.length_ = FirstBlockTime(feature);
-  ++number_;
-}
-
 bool CrashLedger::GrantTrial(std::string_view segment,
                              std::string_view gateway,
                              TimePoint now) {
   const auto found = blocks_.find(SegmentFeature(segment));
-  if (found == blocks_.end() || now < found->second.until_ ||
+  if (found == blocks_.end() || found->second.suspect_.IsBlocked(now) ||
       now < found->second.trial_until_) {
     return false;
   }
-  found->second.trial_gateway_ = gateway;
+  found->second.suspect_.trial_gateway_ = gateway;
   found->second.trial_until_ = now + kTrialTime;
   ++number_;
   return true;
@@ -412,14 +225,7 @@
                      return a.crashes_ > b.crashes_;
                    });
   for (const auto& [feature, block] : blocks_) {
-    SuspectRequest suspect;
-    suspect.feature_ = feature;
-    suspect.crashes_ = block.crashes_;
-    suspect.last_crash_ = block.last_crash_;
-    suspect.blocked_until_ = block.until_;
-    suspect.needs_trial_ = feature.kind_ == Kind::kPromptSegment;
-    suspect.trial_gateway_ = block.trial_gateway_;
-    listed.insert(listed.begin(), std::move(suspect));
+    listed.insert(listed.begin(), block.suspect_);
   }
   listed.resize(std::min(listed.size(), kMaxListed));
   return listed;
@@ -428,7 +234,7 @@
 bool CrashLedger::IsBlocked(const RequestFeature& feature,
                             TimePoint now) const {
   const auto block = blocks_.find(feature);
-  return block != blocks_.end() && now < block->second.until_;
+  return block != blocks_.end() && block->second.suspect_.IsBlocked(now);
 }
 
 bool CrashLedger::IsSuspected(const RequestFeature& feature) const {
@@ -436,9 +242,10 @@
 }
 
 size_t CrashLedger::CountBlocked(TimePoint now) const {
-  return static_cast<size_t>(std::count_if(
-      blocks_.begin(), blocks_.end(),
-      [now](const auto& entry) { return now < entry.second.until_; }));
+  return static_cast<size_t>(
+      std::count_if(blocks_.begin(), blocks_.end(), [now](const auto& entry) {
+        return entry.second.suspect_.IsBlocked(now);
+      }));
 }
 
 std::vector<ServerCrash> CrashLedger::RecentCrashes(size_t most) const {
