--- a/include/citronlane/base/refusal_reason.h
+++ b/include/citronlane/base/refusal_reason.h
@@ -39,7 +39,7 @@
   kServerLimits = 408,
   kStreamVersionGone = 409,
   kStreamVersionUnknown = 410,
-  kServersResting = 411,
+  kServersInBackoff = 411,
   // 5xx: control state.
   kConfigurationLeaseLapsed = 501,
   kControlUnreachable = 502,
--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -109,8 +109,8 @@
     Metric::Kind::kGauge,
     "Backend servers that tolerate few requests for now.",
     {}};
-inline constexpr Metric kServersResting{
-    "citronlane_servers_resting",
+inline constexpr Metric kServersInBackoff{
+    "citronlane_servers_in_backoff",
     Metric::Kind::kGauge,
     "Backend servers that want no calls of this gateway for now.",
     {}};
@@ -189,7 +189,7 @@
     &kServersLimited,
     &kServersBrittle,
     &kServersCold,
-    &kServersResting,
+    &kServersInBackoff,
     &kRequestsBlocked,
     &kReady,
     &kConfigUpdatesTotal,
--- a/include/citronlane/relay/limit_watch.h
+++ b/include/citronlane/relay/limit_watch.h
@@ -6,8 +6,8 @@
 #include <string_view>
 
 #include "citronlane/base/time.h"
+#include "citronlane/routing/server_backoffs.h"
 #include "citronlane/routing/server_limits.h"
-#include "citronlane/routing/server_rests.h"
 
 namespace citronlane {
 
@@ -20,8 +20,8 @@
 
 /// A gateway's part in keeping what backend servers say in their replies of the
 /// calls that they take. Limits concern all gateways: it tells them to the
-/// leader among the control VMs, which tells the others. A rest concerns this
-/// gateway only. Used on the event loop's thread.
+/// leader among the control VMs, which tells the others. A backoff concerns
+/// this gateway only. Used on the event loop's thread.
 class LimitWatch {
  public:
   struct Hooks {
@@ -38,8 +38,8 @@
   LimitWatch(const LimitWatch&) = delete;
   LimitWatch& operator=(const LimitWatch&) = delete;
 
-  /// The server replied, and named these limits and rest or none, or says that
-  /// it leaves.
+  /// The server replied, and named these limits and Retry-After or none, or
+  /// says that it leaves.
   void OnReply(const std::string& server, const ServerReplyHead& reply);
   /// Another gateway has passed on a reply of a server that leaves.
   void OnLeaving(const std::string& server) const { hooks_.leaving_(server); }
@@ -50,7 +50,7 @@
   void ReportAll();
 
   ServerLimits* limits() const { return limits_; }
-  ServerRests* rests() { return &rests_; }
+  ServerBackoffs* backoffs() { return &backoffs_; }
 
  private:
   void Log(const ServerLimit& limit, std::string_view source);
@@ -58,7 +58,7 @@
   ServerLimits* const limits_;
   EventLog* const log_;
   const Hooks hooks_;
-  ServerRests rests_;
+  ServerBackoffs backoffs_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -111,14 +111,14 @@
   /// How this gateway shares the limits of the service's servers.
   ServerLimits::Scope LimitScope() const;
   /// Servers that may not get this request now: those tried, those of another
-  /// version than the one that began its stream, those that rest, and those
+  /// version than the one that began its stream, those in backoff, and those
   /// that have no capacity left within their limits.
   std::vector<std::string> Excluded();
   // relay_request_versions.cc: which servers may continue a stream.
   /// Whether the server may run the request, as far as its version matters.
   bool MayContinue(const BackendServer& server) const;
   /// Whether the server may get the request now: it takes new work, may run
-  /// this request, and does not rest.
+  /// this request, and is not in backoff.
   bool MayCall(const BackendServer& server) const;
   /// Servers that were tried, and those for which MayCall() returns false.
   std::vector<std::string> Unusable() const;
@@ -186,12 +186,12 @@
   /// handler.
   bool RefuseIfLimited();
   bool AreAllServersLimited() const;
-  /// If all servers that could run the request rest: refuses it, and returns
-  /// whether it did.
-  bool RefuseIfResting();
-  /// The shortest rest of the servers that could run the request; nothing if
-  /// one of them does not rest, or if there are none.
-  std::optional<Duration> ShortestRest() const;
+  /// If all servers that could run the request are in backoff: refuses it, and
+  /// returns whether it did.
+  bool RefuseIfInBackoff();
+  /// The shortest backoff of the servers that could run the request; nothing if
+  /// one of them is in none, or if there are no servers.
+  std::optional<Duration> ShortestBackoff() const;
   /// Reports that the last server has begun to reply and runs on.
   void NoteReplyBegun();
   /// Reports whether the call's server crashed or survived.
--- a/include/citronlane/relay/stage_pool.h
+++ b/include/citronlane/relay/stage_pool.h
@@ -106,7 +106,7 @@
   void TakeFailure(uint64_t call,
                    const std::string& server,
                    CallOutcome outcome);
-  /// Has servers delete discarded results, those that rest later.
+  /// Has servers delete discarded results; those in backoff get it later.
   void SendUnwanted(TimePoint now);
   void SendFree(const std::string& address,
                 const std::vector<std::string>& handles,
--- a/include/citronlane/serving/server_reply_head.h
+++ b/include/citronlane/serving/server_reply_head.h
@@ -29,8 +29,9 @@
   std::optional<double> max_refusals_;
   /// The server refuses the call and wants none of this gateway for so many
   /// seconds; nothing when it names no time. Not negative, of any size.
-  std::optional<double> rest_seconds_;
-  /// The server takes leave: it wants no new calls, whatever the list says.
+  std::optional<double> retry_after_seconds_;
+  /// The server is shutting down and wants no new calls, whatever the list
+  /// says.
   bool leaving_ = false;
   /// How long the server keeps the idle connection open.
   std::optional<Duration> idle_time_;
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -253,14 +253,14 @@
         "unit-crash-watch: a segment whose block is over",
         "unit-relay-crashes: requests with a suspect segment"]),
     ("BUDGET: servers get nothing for the time that they ask for", [
-        "platform_server_rests_test.ServerRestsTest.test_engines",
-        "platform_server_rests_test.ServerRestsTest.test_plain_servers",
-        "platform_server_rests_test.ServerRestsTest.test_stage_servers",
-        "platform_server_rests_test.ServerRestsTest.test_all_engines",
-        "unit-server-rests: a server that asked for rest"]),
+        "platform_server_backoffs_test.ServerBackoffsTest.test_engines",
+        "platform_server_backoffs_test.ServerBackoffsTest.test_plain_servers",
+        "platform_server_backoffs_test.ServerBackoffsTest.test_stage_servers",
+        "platform_server_backoffs_test.ServerBackoffsTest.test_all_engines",
+        "unit-server-backoffs: a server that refused with Retry-After"]),
     ("DRAIN: servers that say they leave get nothing more", [
-        "platform_server_rests_test.LeavingServersTest.test_engines",
-        "platform_server_rests_test.LeavingServersTest.test_plain_servers",
+        "platform_server_backoffs_test.LeavingServersTest.test_engines",
+        "platform_server_backoffs_test.LeavingServersTest.test_plain_servers",
         "unit-leaving-servers: a server that was marked as leaving",
         "unit-leaving-servers: a reply that another gateway passes on"]),
     ("all of it under random faults", [
--- a/src/base/refusal_reason.cc
+++ b/src/base/refusal_reason.cc
@@ -69,7 +69,7 @@
     {RefusalReason::kStreamVersionUnknown, "stream_version_unknown", 503,
      "Which version of the backend servers began this stream is not known. "
      "Begin it anew."},
-    {RefusalReason::kServersResting, "servers_resting", 503,
+    {RefusalReason::kServersInBackoff, "servers_in_backoff", 503,
      "The backend servers have asked the gateway to send them nothing for a "
      "while."},
     {RefusalReason::kConfigurationLeaseLapsed, "configuration_lease_lapsed",
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -99,8 +99,8 @@
     metrics_.Set(kServersCold, {},
                  static_cast<double>(server_limits_.CountCold(SteadyNow())));
     metrics_.Set(
-        kServersResting, {},
-        static_cast<double>(limits_.rests()->Resting(SteadyNow()).size()));
+        kServersInBackoff, {},
+        static_cast<double>(limits_.backoffs()->InBackoff(SteadyNow()).size()));
     metrics_.Set(kRequestsBlocked, {},
                  static_cast<double>(crashes_.CountBlocked()));
     metrics_.Set(kReady, {}, IsReady() ? 1 : 0);
@@ -185,7 +185,7 @@
     std::vector<std::string> addresses;
     for (const BackendServer& server : view_.servers()) {
       if (!server.leaving_ &&
-          limits_.rests()->MayCall(server.id_, SteadyNow())) {
+          limits_.backoffs()->MayCall(server.id_, SteadyNow())) {
         addresses.push_back(server.address_);
       }
     }
--- a/src/relay/limit_watch.cc
+++ b/src/relay/limit_watch.cc
@@ -28,12 +28,13 @@
   if (reply.leaving_) {
     OnLeaving(server);
   }
-  if (reply.rest_seconds_) {
-    if (const auto rest = rests_.OnRefused(server, *reply.rest_seconds_, now)) {
-      log_->Write("relay", "server rests",
+  if (reply.retry_after_seconds_) {
+    if (const auto time =
+            backoffs_.OnRefused(server, *reply.retry_after_seconds_, now)) {
+      log_->Write("relay", "server backoff",
                   {{"server", server},
-                   {"asked_s", absl::StrCat(*reply.rest_seconds_)},
-                   {"for_ms", *rest}});
+                   {"retry_after_s", absl::StrCat(*reply.retry_after_seconds_)},
+                   {"for_ms", *time}});
     }
   }
   const ServerLimit limit{server, reply.max_per_second_, now,
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -85,7 +85,7 @@
   router_ = context_->router_(*service_);
   budget_ = context_->budget_(service_->name_);
   budget_->OnFirstSend(SteadyNow());
-  if (!RefuseIfBlocked(false) && !RefuseIfResting() && !RefuseIfLimited() &&
+  if (!RefuseIfBlocked(false) && !RefuseIfInBackoff() && !RefuseIfLimited() &&
       CanFinishInTime() && RunStages()) {
     RunAttempts();
   }
--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -1,5 +1,5 @@
 // What keeps a request from servers: blocks of requests that crash them, limits
-// that they name, and rests that they ask for.
+// that they name, and the Retry-After of those that refused a call.
 
 #include <algorithm>
 #include <string>
@@ -171,7 +171,7 @@
   return true;
 }
 
-std::optional<Duration> RelayRequest::ShortestRest() const {
+std::optional<Duration> RelayRequest::ShortestBackoff() const {
   const TimePoint now = SteadyNow();
   std::optional<Duration> shortest;
   for (const BackendServer* server :
@@ -179,7 +179,8 @@
     if (server->leaving_ || !MayContinue(*server)) {
       continue;
     }
-    const Duration left = context_->limits_->rests()->Left(server->id_, now);
+    const Duration left =
+        context_->limits_->backoffs()->Remaining(server->id_, now);
     if (left == Duration()) {
       return std::nullopt;
     }
@@ -188,13 +189,13 @@
   return shortest;
 }
 
-bool RelayRequest::RefuseIfResting() {
-  const std::optional<Duration> rest = ShortestRest();
-  if (!rest) {
+bool RelayRequest::RefuseIfInBackoff() {
+  const std::optional<Duration> backoff = ShortestBackoff();
+  if (!backoff) {
     return false;
   }
-  last_failure_ = "servers rest";
-  Refuse(RefusalReason::kServersResting, rest);
+  last_failure_ = "servers in backoff";
+  Refuse(RefusalReason::kServersInBackoff, backoff);
   return true;
 }
 
@@ -269,7 +270,7 @@
     Refuse(RefusalReason::kStreamVersionGone);
   } else if (limits_excluded_) {
     RefuseForLimits();
-  } else if (!RefuseIfResting()) {
+  } else if (!RefuseIfInBackoff()) {
     RefuseAfterFailure();
   }
 }
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -297,7 +297,7 @@
   if (ShouldForward() && TryPeers()) {
     return;
   }
-  if (verdict_ == Verdict::kNotRun && RefuseIfResting()) {
+  if (verdict_ == Verdict::kNotRun && RefuseIfInBackoff()) {
     return;
   }
   if (verdict_ == Verdict::kNotRun) {
--- a/src/relay/relay_request_versions.cc
+++ b/src/relay/relay_request_versions.cc
@@ -42,7 +42,7 @@
 
 bool RelayRequest::MayCall(const BackendServer& server) const {
   return !server.leaving_ && MayContinue(server) &&
-         context_->limits_->rests()->MayCall(server.id_, SteadyNow());
+         context_->limits_->backoffs()->MayCall(server.id_, SteadyNow());
 }
 
 std::vector<std::string> RelayRequest::Unusable() const {
@@ -200,7 +200,7 @@
     std::optional<CallOutcome> outcome_;
     std::string body_;
   };
-  if (!context_->limits_->rests()->MayCall(called_.id_, SteadyNow())) {
+  if (!context_->limits_->backoffs()->MayCall(called_.id_, SteadyNow())) {
     return std::nullopt;
   }
   const auto report = std::make_shared<Report>();
--- a/src/relay/server_attempt.cc
+++ b/src/relay/server_attempt.cc
@@ -102,12 +102,12 @@
     }
   };
   StageCallHooks hooks;
-  const ServerRests* const rests =
-      names.is_gateway_ ? nullptr : context->limits_->rests();
-  hooks.sending_ = [state, waker, reach, rests, server = names.server_] {
+  const ServerBackoffs* const backoffs =
+      names.is_gateway_ ? nullptr : context->limits_->backoffs();
+  hooks.sending_ = [state, waker, reach, backoffs, server = names.server_] {
     // The connection may have taken long, and the server refused another call
     // meanwhile.
-    if (rests != nullptr && !rests->MayCall(server, SteadyNow())) {
+    if (backoffs != nullptr && !backoffs->MayCall(server, SteadyNow())) {
       state->is_done_ = true;
       waker->Wake();
       return false;
--- a/src/relay/stage_pool.cc
+++ b/src/relay/stage_pool.cc
@@ -21,7 +21,7 @@
 constexpr int kOk = 200;
 /// Freeing takes little time; a server that does not reply expires the results.
 constexpr Duration kFreeTimeout = std::chrono::milliseconds(800);
-/// Results for each server that rests whose deletion is put off. Others expire.
+/// Results for each server in backoff whose deletion is put off. Others expire.
 constexpr size_t kMaxPostponedFrees = 4096;
 /// How long replies are remembered. An idle connection is not reused after 4 s.
 constexpr Duration kReplyMemoryTime = std::chrono::seconds(10);
@@ -50,7 +50,7 @@
           spec,
           [this](TimePoint now) { return budget_.TryTake(now); },
           [this](const std::string& server, TimePoint now) {
-            return limits_->rests()->MayCall(server, now) &&
+            return limits_->backoffs()->MayCall(server, now) &&
                    limits_->limits()->MayCall(server,
                                               ServerLimits::Scope::kOwner,
                                               view_->GatewayCount(), now);
@@ -307,7 +307,7 @@
   }
   for (auto it = unsent_frees_.begin(); it != unsent_frees_.end();) {
     const BackendServer* server = view_->ServerAt(it->first);
-    if (server != nullptr && !limits_->rests()->MayCall(server->id_, now)) {
+    if (server != nullptr && !limits_->backoffs()->MayCall(server->id_, now)) {
       it->second.resize(std::min(it->second.size(), kMaxPostponedFrees));
       ++it;
     } else {
--- a/tests/process/platform_crashes_test.py
+++ b/tests/process/platform_crashes_test.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from process.platform_fleet import Fleet, new_id
+from process.platform_fleet import Fleet, ask_at_intervals, new_id
 from process.platform_stand_in import Engine
 from process.platform_test import FleetTestCase
 from process.processes import wait_until
@@ -87,21 +87,12 @@
     def send_in_turn(self, body_of, answers, until, gap):
         """Sends requests to the gateways in turn, each without waiting for the
         one before, until the time is over."""
-        threads = []
-        number = 0
-        while time.monotonic() < until:
+        def ask(number):
             body = body_of(number)
-            thread = threading.Thread(
-                target=lambda body=body, number=number: answers.append(
-                    (time.monotonic(), body,
-                     self.fleet.ask("POST", "/chat/x", body, new_id(),
-                                    number % self.gateways))))
-            thread.start()
-            threads.append(thread)
-            number += 1
-            time.sleep(gap)
-        for thread in threads:
-            thread.join()
+            answers.append((time.monotonic(), body,
+                            self.fleet.ask("POST", "/chat/x", body, new_id(),
+                                           number % self.gateways)))
+        ask_at_intervals(ask, until, gap)
 
     def test_request_that_ends_servers_is_stopped(self):
         until = time.monotonic() + 9
--- a/tests/process/platform_crashing_segments_test.py
+++ b/tests/process/platform_crashing_segments_test.py
@@ -6,7 +6,7 @@
 import unittest
 
 from process.platform_crashes_test import CrashFleet, REASON
-from process.platform_fleet import new_id
+from process.platform_fleet import ask_at_intervals, new_id
 from process.platform_stand_in import REQUEST_ID, Engine
 from process.platform_test import FleetTestCase
 
@@ -98,22 +98,12 @@
     def send_in_turn(self, segment, until, gap, answers):
         """Sends requests to the gateways in turn, no two alike, each without
         waiting for the one before, until the time is over."""
-        threads = []
-        number = 0
-        while time.monotonic() < until:
+        def ask(number):
             prompt = f"aa:60,{segment}:40,{new_id()}:10"
-            thread = threading.Thread(
-                target=lambda prompt=prompt, number=number: answers.append(
-                    (time.monotonic(), segment, self.fleet.ask(
-                        "POST", "/chat/x", new_id().encode(), new_id(),
-                        number % self.gateways,
-                        X_Citronlane_Prompt_Prefix=prompt))))
-            thread.start()
-            threads.append(thread)
-            number += 1
-            time.sleep(gap)
-        for thread in threads:
-            thread.join()
+            answers.append((time.monotonic(), segment, self.fleet.ask(
+                "POST", "/chat/x", new_id().encode(), new_id(),
+                number % self.gateways, X_Citronlane_Prompt_Prefix=prompt)))
+        ask_at_intervals(ask, until, gap)
 
     def check(self, segments, gap):
         until = time.monotonic() + RUN_SECONDS
--- a/tests/process/platform_fleet.py
+++ b/tests/process/platform_fleet.py
@@ -7,6 +7,8 @@
 import shutil
 import socket
 import tempfile
+import threading
+import time
 
 
 from process.platform_stand_in import (Engine, PlainServer, ServerList,
@@ -35,6 +37,18 @@
     return dict(document, routes=routes)
 
 
+def ask_at_intervals(ask, until, gap):
+    """Calls ask(number) in turn, each in a thread of its own and `gap` seconds
+    after the one before, until the time is over. Waits until all are done."""
+    threads = []
+    while time.monotonic() < until:
+        threads.append(threading.Thread(target=ask, args=(len(threads),)))
+        threads[-1].start()
+        time.sleep(gap)
+    for thread in threads:
+        thread.join()
+
+
 class Answer:
     """The response to a caller; `whole` tells whether it was complete."""
 
--- a/tests/process/platform_server_rests_test.py
+++ b/tests/process/platform_server_backoffs_test.py
@@ -1,32 +1,31 @@
 """Tests that servers which refuse with Retry-After, or which say that they leave,
 get no more requests than they want from a gateway."""
 
-import threading
 import time
 import unittest
 
-from process.platform_fleet import Fleet, new_id
+from process.platform_fleet import Fleet, ask_at_intervals, new_id
 from process.platform_stand_in import Engine, PlainServer
 from process.platform_test import FleetTestCase
 from process.processes import wait_until
 
-REST_SECONDS = 2.0
+BACKOFF_SECONDS = 2.0
 # Requests that were sent before the refusal arrived come within this time.
 GRACE_SECONDS = 0.5
 MAX_ARRIVALS = 2
 DRAIN_SECONDS = 3.0
 
 
-def arrivals_in_rest(server):
+def arrivals_in_backoff(server):
     """Returns the most requests that the server got from its only caller in the
-    time between GRACE_SECONDS after a refusal and the end of its rest."""
+    time between GRACE_SECONDS after a refusal and the end of its Retry-After."""
     return max((sum(refused.arrived + GRACE_SECONDS < request.arrived <
-                    refused.arrived + REST_SECONDS
+                    refused.arrived + BACKOFF_SECONDS
                     for request in server.requests)
                 for refused in server.refused), default=0)
 
 
-class RestFleet(Fleet):
+class BackoffFleet(Fleet):
     """A fleet with more engines and plain servers."""
 
     def _make_servers(self, stages):
@@ -39,24 +38,24 @@
         self.list.servers = self.engines + self.plain + self.stages
 
 
-class ServerRestsTest(FleetTestCase):
+class ServerBackoffsTest(FleetTestCase):
     """All requests go to one gateway. The placement owner of the engines and
     the owner of the stage pool may be the other one."""
 
-    fleet_class = RestFleet
+    fleet_class = BackoffFleet
     stages = 3
 
     def tearDown(self):
         for server in self.servers():
             server.retry_after = None
             server.extra_headers = ()
-        # Until then servers may still rest.
-        time.sleep(REST_SECONDS)
+        # Until then servers may still be left out.
+        time.sleep(BACKOFF_SECONDS)
 
     def servers(self):
         return self.fleet.engines + self.fleet.plain + self.fleet.stages
 
-    def rest(self, servers, text=f"{REST_SECONDS:g}"):
+    def refuse(self, servers, text=f"{BACKOFF_SECONDS:g}"):
         for server in servers:
             server.requests.clear()
             server.refused.clear()
@@ -65,57 +64,51 @@
     def send(self, method, path, seconds, gap=0.03):
         """Sends requests, each without waiting for the one before. Returns
         (seconds that it took, response) for each."""
-        answers, threads = [], []
+        answers = []
 
-        def ask():
+        def ask(_):
             begun = time.monotonic()
             answer = self.fleet.ask(method, path, b"x", new_id())
             answers.append((time.monotonic() - begun, answer))
 
-        until = time.monotonic() + seconds
-        while time.monotonic() < until:
-            threads.append(threading.Thread(target=ask))
-            threads[-1].start()
-            time.sleep(gap)
-        for thread in threads:
-            thread.join()
+        ask_at_intervals(ask, time.monotonic() + seconds, gap)
         return answers
 
-    def check_rests(self, servers):
-        counts = {server.id: arrivals_in_rest(server) for server in servers}
+    def check_backoffs(self, servers):
+        counts = {server.id: arrivals_in_backoff(server) for server in servers}
         refused = {server.id: len(server.refused) for server in servers}
-        print(f"refused {refused}, most arrivals in a rest {counts}",
+        print(f"refused {refused}, most arrivals in a backoff {counts}",
               flush=True)
         # A gateway need not call each server that would refuse.
         self.assertTrue(any(refused.values()), "no refusal to test")
         self.assertLessEqual(max(counts.values()), MAX_ARRIVALS)
 
     def test_engines(self):
-        resting = self.fleet.engines[:2]
-        self.rest(resting)
+        refusing = self.fleet.engines[:2]
+        self.refuse(refusing)
         answers = self.send("POST", "/chat/x", 5)
-        self.check_rests(resting)
+        self.check_backoffs(refusing)
         self.assertEqual([answer.status for _, answer in answers
                           if answer.status != 200 or not answer.whole], [])
 
     def test_plain_servers(self):
-        resting = self.fleet.plain[:3]
-        self.rest(resting)
+        refusing = self.fleet.plain[:3]
+        self.refuse(refusing)
         answers = self.send("GET", "/look/x", 5)
-        self.check_rests(resting)
+        self.check_backoffs(refusing)
         self.assertEqual([answer.status for _, answer in answers
                           if answer.status != 200 or not answer.whole], [])
 
     def test_stage_servers(self):
-        resting = self.fleet.stages[:2]
-        self.rest(resting)
+        refusing = self.fleet.stages[:2]
+        self.refuse(refusing)
         answers = self.send("POST", "/chat/x", 5, 0.06)
-        self.check_rests(resting)
+        self.check_backoffs(refusing)
         self.assertEqual([answer.status for _, answer in answers
                           if answer.status != 200 or not answer.whole], [])
 
-    def check_refused_while_all_rest(self, method, path, servers):
-        self.rest(servers)
+    def check_refused_while_all_in_backoff(self, method, path, servers):
+        self.refuse(servers)
         self.send(method, path, 0.6)
         answers = self.send(method, path, 1.0, 0.1)
         self.assertTrue(answers)
@@ -125,26 +118,26 @@
             self.assertLess(took, 0.3)
             pause = float(answer.headers["retry-after"])
             self.assertGreater(pause, 0)
-            self.assertLessEqual(pause, REST_SECONDS)
-        self.check_rests(servers)
+            self.assertLessEqual(pause, BACKOFF_SECONDS)
+        self.check_backoffs(servers)
         for server in servers:
             server.retry_after = None
         wait_until(lambda: self.fleet.ask(method, path, b"x",
                                           new_id()).status == 200,
-                   "a request served after the rest")
+                   "a request served after the backoff")
 
     def test_all_plain_servers(self):
-        self.check_refused_while_all_rest("GET", "/look/x", self.fleet.plain)
+        self.check_refused_while_all_in_backoff("GET", "/look/x", self.fleet.plain)
 
     def test_all_engines(self):
-        self.check_refused_while_all_rest("POST", "/chat/x",
+        self.check_refused_while_all_in_backoff("POST", "/chat/x",
                                           self.fleet.engines)
 
 
 class LeavingServersTest(FleetTestCase):
     """Servers say that they leave, while the list calls them ready."""
 
-    fleet_class = RestFleet
+    fleet_class = BackoffFleet
 
     def check_left(self, method, path, leaving):
         for server in leaving:
--- a/tests/process/platform_soak.py
+++ b/tests/process/platform_soak.py
@@ -243,7 +243,7 @@
         # Each loop has a generator of its own, so that its choices depend on
         # the seed only.
         loops = (("servers", self.server_step, 0.15),
-                 ("rests", self.rest_step, 0.6),
+                 ("backoffs", self.backoff_step, 0.6),
                  ("gateways a", lambda source: self.gateway_step(
                      source, self.fleet.gateway_ips[:2]), 0.6),
                  ("gateways b", lambda source: self.gateway_step(
@@ -277,8 +277,8 @@
                  source.choice(SECOND_ANSWERS))
         server.faults += [fault] * source.randint(1, 4)
 
-    def rest_step(self, source):
-        """A server refuses all requests for a while and asks for rest."""
+    def backoff_step(self, source):
+        """A server refuses all requests for a while, with Retry-After."""
         server = source.choice(self.servers())
         server.retry_after = source.choice(("0.2", "0.7", "soon"))
         time.sleep(source.uniform(0.1, 0.5))
@@ -504,7 +504,7 @@
             [f"seed {self.seed}, {self.seconds} s: {len(self.answers)} requests "
              f"({self.kept} on kept connections), "
              f"{dict(sorted(self.counts.items()))}, {late} second answers, "
-             f"{refused} refused with a rest, "
+             f"{refused} refused with Retry-After, "
              f"{self.stops_overlapped} signals in a stop, "
              f"{len(self.faults)} faults"] + self.stream_counts() +
             [f"  {text}" for text in self.faults])
