--- a/src/routing/crash_ledger_blocks.cc
+++ b/src/routing/crash_ledger_blocks.cc
@@ -69,7 +69,8 @@
   const auto& own = crashes_of_.at(feature);
   Evidence others;
   for (auto it = crashes_.rbegin(); it != crashes_.rend(); ++it) {
-    if (it->second.at_ >= since && std::count(own.begin(), own.end(), it->first) == 0) {
+    if (it->second.at_ >= since &&
+        std::count(own.begin(), own.end(), it->first) == 0) {
       others.push_back(&it->second);
     }
   }
