Leave first requests unread at a gateway that serves as many as it can

What callers saw: while most new connections reach one gateway, it read all requests and refused those beyond the maximum that its memory allows with concurrency_limit. All first attempts beyond its capacity failed after they had been read.

Cause: the maximum was checked after a request was read. Nothing tells the balancer that a gateway is full, and a request that was left unread is the only one that any caller may send elsewhere at once.

Change: once seven eighths of the maximum are in use, the first request of a new connection is left unread and its connection closed. Requests on kept connections, and forwarded ones, have the rest.

--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/frame_listener.h"
 #include "citronlane/net/server_list_reader.h"
@@ -72,6 +73,9 @@
   OriginWatch::Hooks OriginHooks();
   ReachWatch::Hooks ReachHooks();
 
+  /// A request was refused or left unread.
+  void NoteUnread(RefusalReason reason);
+
   void ApplyLimits();
 
   // gateway_host_pools.cc: routers, budgets and pools of services and
@@ -91,9 +95,9 @@
                    TimePoint read);
   void TakeOwners(uint64_t number, PoolAssignment::Owners owners);
   void TakeDrained(DrainedDomains::Names domains);
-  /// The servers of the view, or their states, have changed.
   /// A server, by the id of its incarnation, says that it leaves.
   void NoteLeaving(const std::string& server);
+  /// The servers of the view, or their states, have changed.
   void ServersChanged();
   void UpdateColdServers();
   /// For the bounds on calls to brittle servers.
--- a/include/citronlane/relay/relay_service.h
+++ b/include/citronlane/relay/relay_service.h
@@ -47,10 +47,22 @@
   /// without one would leave its caller without a verdict.
   void GiveUpAll();
 
+  /// Whether the first request of a connection should be read while
+  /// `open_requests` are being read or served. If not, its caller is better
+  /// served by another gateway. Less than the maximum, since requests on
+  /// connections that callers keep cannot go elsewhere unread.
+  bool MayTakeFirst(size_t open_requests) const {
+    return open_requests < max_requests_ - max_requests_ / kKeptDivisor;
+  }
+
   /// Number of requests being served, without those that wait for the view.
   size_t requests_in_flight() const { return in_flight_.size(); }
 
  private:
+  /// The capacity for requests on kept connections only is the maximum divided
+  /// by this.
+  static constexpr size_t kKeptDivisor = 8;
+
   /// Whether this gateway can serve a request that another one forwarded.
   bool MayServe(const PeerRequestHead& head) const;
   void ServeJob(const HttpRequest& request,
--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -76,6 +76,8 @@
   /// Reports a request whose connection closes before its whole response.
   void ReportUnanswered();
   bool WaitForFirstByte();
+  /// Whether the request that has begun to arrive is read.
+  bool MayRead();
   /// Whether bytes of a further request have arrived.
   bool HasReceived();
   bool ReadRequest(Parser* parser);
@@ -102,6 +104,8 @@
   uint64_t reserved_bytes_ = 0;
   const HttpRequest* request_ = nullptr;
   ResponseState response_state_ = ResponseState::kNone;
+  /// No request was read yet.
+  bool is_first_ = true;
   bool keep_alive_ = true;
   bool head_request_ = false;
   bool stream_has_body_ = true;
--- a/include/citronlane/transport/http_listener_hooks.h
+++ b/include/citronlane/transport/http_listener_hooks.h
@@ -29,6 +29,11 @@
   /// was read completely. `reason` is `caller_gone`, `broken_off` (the response
   /// had begun) or `no_response`. Optional.
   std::function<void(const HttpRequest&, std::string_view reason)> unanswered_;
+  /// Whether the first request of a connection, which has begun to arrive, is
+  /// read. If not, the connection is closed with nothing read, so that its
+  /// caller may send the request elsewhere, whatever it is. Optional: all are
+  /// read.
+  std::function<bool()> may_read_;
 };
 
 }  // namespace citronlane
--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -263,6 +263,12 @@
         "platform_server_backoffs_test.LeavingServersTest.test_plain_servers",
         "unit-leaving-servers: a server that was marked as leaving",
         "unit-leaving-servers: a reply that another gateway passes on"]),
+    ("RECOVER: most new connections reach one gateway", [
+        "platform_crowded_gateway_test.CrowdedGatewayTest.test_requests_that_"
+        "may_repeat",
+        "platform_crowded_gateway_test.CrowdedGatewayTest.test_requests_that_"
+        "may_run_once",
+        "unit-unread-requests: a listener that may read no more requests"]),
     ("all of it under random faults", [
         "platform_soak_test.PlatformSoakTest.test_short"]),
 ]
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -52,15 +52,32 @@
     relay_.Serve(request, exchange);
   };
   hooks.refuse_ = [this](RefusalReason reason) {
-    metrics_.Count(kRefusalsTotal, {ToString(reason), "", ""});
-    log_->Write("relay", "request not read", {{"reason", ToString(reason)}});
+    NoteUnread(reason);
     return RefusalReply(reason, Verdict::kNotRun);
   };
+  hooks.may_read_ = [this] {
+    const bool may_read = relay_.MayTakeFirst(callers_.open_requests() +
+                                              forwarded_.open_requests());
+    if (!may_read) {
+      NoteUnread(RefusalReason::kConcurrencyLimit);
+    }
+    return may_read;
+  };
   return hooks;
 }
 
+void GatewayHost::Impl::NoteUnread(RefusalReason reason) {
+  metrics_.Count(kRefusalsTotal, {ToString(reason), "", ""});
+  log_->Write("relay", "request not read",
+              {{"reason", ToString(reason)},
+               {"in_hand", static_cast<uint64_t>(relay_.requests_in_flight())},
+               {"connections", static_cast<uint64_t>(callers_.connections())}});
+}
+
 HttpListenerHooks GatewayHost::Impl::ForwardedHooks() {
   HttpListenerHooks hooks = CallerHooks();
+  // MayServe() refuses these; the other gateways know such a refusal.
+  hooks.may_read_ = nullptr;
   hooks.serve_ = [this](size_t, const HttpRequest& request,
                         HttpExchange* exchange) {
     relay_.ServeForwarded(request, exchange);
--- a/src/transport/http_connection_wait.cc
+++ b/src/transport/http_connection_wait.cc
@@ -48,16 +48,27 @@
   size_t got = 0;
   do {
     stream_.socket().async_wait(tcp::socket::wait_read, (*yield_)[error]);
+    if (!error && !MayRead()) {
+      error = asio::error::connection_aborted;
+    }
     if (!error) {
       got = stream_.socket().read_some(buffer_.prepare(kFirstReadBytes), error);
     }
   } while (error == asio::error::would_block);
   buffer_.commit(got);
+  is_first_ = false;
   idle_ = false;
   idle_timer_.cancel();
   return !error;
 }
 
+// Callers may have sent a further request before they have received all of the
+// response to the one before, which would be lost with the connection.
+bool HttpConnection::MayRead() {
+  const auto& may_read = state_->hooks_.may_read_;
+  return !is_first_ || !may_read || !HasReceived() || may_read();
+}
+
 bool HttpConnection::HasReceived() {
   error_code error;
   return buffer_.size() > 0 || stream_.socket().available(error) > 0;
