--- a/tests/unit-crash-fleet.cc
+++ b/tests/unit-crash-fleet.cc
@@ -51,6 +51,10 @@
   Duration length_ = seconds(30);
   /// The crashing requests have different contents and share a segment.
   bool is_by_segment_ = false;
+  /// Time between two crashing requests.
+  Duration crashing_interval_ = milliseconds(500);
+  /// All servers of a failure domain, a third, end as often; never when zero.
+  Duration domain_lost_every_{};
 };
 
 /// Gateways, their leader, and servers that run requests, in simulated time.
@@ -74,10 +78,10 @@
         Push();
       }
       EndRuns();
-      // A crashing request each half second, 40 others a second.
-      if (IsDue(milliseconds(500))) {
+      if (IsDue(scenario_.crashing_interval_)) {
         Send(kCrashing, 0);
       }
+      // 40 others a second.
       if (Draw(5) < 2) {
         Send("own" + std::to_string(++requests_), 0);
       }
@@ -85,6 +89,7 @@
       if (Draw(400) == 0) {
         Crash(Draw(servers_.size()));
       }
+      LoseDomain();
       for (const auto& [name, repeats] : std::exchange(repeated_, {})) {
         Send(name, repeats);
       }
@@ -237,6 +242,17 @@
     }
   }
 
+  void LoseDomain() {
+    constexpr size_t kDomains = 3;
+    const Duration every = scenario_.domain_lost_every_;
+    if (every == Duration() || now_ == kStart || !IsDue(every)) {
+      return;
+    }
+    for (size_t i = Draw(kDomains); i < servers_.size(); i += kDomains) {
+      Crash(i);
+    }
+  }
+
   void FindLeader(size_t index) {
     Gateway& gateway = *gateways_[index];
     gateway.has_leader_ = true;
@@ -465,6 +481,15 @@
     scenario.gateway_lost_every_ = seconds(3);
     Check("segment, 59 gateways, leader and gateways lost", scenario);
   }
+  SECTION("whose failure domains are lost") {
+    scenario.domain_lost_every_ = milliseconds(1700);
+    scenario.length_ = seconds(60);
+    Check("segment, 6 gateways, a domain lost each 1.7 s", scenario);
+  }
+  SECTION("that is seldom sent") {
+    scenario.crashing_interval_ = seconds(2);
+    Check("segment, 6 gateways, sent each 2 s", scenario);
+  }
 }
 
 }  // namespace citronlane
