Go on with an unknown stream only at the one version that can have begun it

Callers whose streams broke off when all gateways were killed got texts of two versions, with nothing to show it: a stream that no process remembers was taken up at the version that had been the only one for the length of its route's timeout. A caller's own time limit may be longer, and a change of the configuration may shorten the timeout, so that an older version that was gone by then had begun the text.

Now a version counts as the only possible one if no other was listed for 60 s, or four timeouts if that is longer, or if no server of another version can ever have been used: the leader notes when servers were still unused, since there was no configuration yet. It tells the other control VMs which versions lists have shown, so that the next leader knows what this one knew. A gateway also compares control's answer with its own list, and both must be recent.

--- a/include/citronlane/control/origin_feed.h
+++ b/include/citronlane/control/origin_feed.h
@@ -21,6 +21,7 @@
 class StreamOriginAnswer;
 class StreamOriginAsk;
 class StreamOrigins;
+class VersionsSeen;
 }  // namespace wire::fleet
 
 /// A control VM's part in continuing streams at the software version that began
@@ -40,9 +41,16 @@
   void Take(const wire::fleet::StreamOrigins& origins, TimePoint now);
   /// Returns the frames for the other control VMs with what was collected since
   /// the last call; empty when there is nothing.
-  std::vector<wire::fleet::Frame> TakeCopies();
-  /// Takes the list of all servers, which was read at `now`.
-  void SetServers(absl::Span<const BackendServer> servers, TimePoint now);
+  std::vector<wire::fleet::Frame> TakeCopies(TimePoint now);
+  /// Takes the list of all servers, which this VM read at `now` as the leader.
+  /// `are_unused` says that no gateway can have used any server before. The
+  /// next TakeCopies() tells the other control VMs which versions lists have
+  /// shown.
+  void SetServers(absl::Span<const BackendServer> servers,
+                  bool are_unused,
+                  TimePoint now);
+  /// Takes the versions that the leader's lists have shown.
+  void Take(const wire::fleet::VersionsSeen& versions, TimePoint now);
 
   /// Fills the answer to a gateway. `leads` says whether this VM is the leader,
   /// whose answer is final.
@@ -60,6 +68,8 @@
   EventLog* const log_;
   StreamOrigins streams_;
   VersionHistory versions_;
+  /// A list was read that the other control VMs have not been told of.
+  bool has_new_list_ = false;
   StreamGroups copies_;
   uint64_t logged_forgotten_ = 0;
 };
--- a/include/citronlane/net/origin_codec.h
+++ b/include/citronlane/net/origin_codec.h
@@ -7,10 +7,15 @@
 #include <utility>
 #include <vector>
 
+#include "citronlane/base/time.h"
+
 namespace citronlane {
 
+struct VersionSightings;
+
 namespace wire::fleet {
 class Frame;
+class VersionsSeen;
 }  // namespace wire::fleet
 
 /// Keys of streams by the service and the version that began them.
@@ -23,6 +28,14 @@
 std::vector<wire::fleet::Frame> EncodeOrigins(const StreamGroups& streams,
                                               bool is_copy);
 
+/// Writes the sightings as ages at `now`. Thread safe.
+void EncodeSightings(const VersionSightings& sightings,
+                     TimePoint now,
+                     wire::fleet::VersionsSeen* out);
+/// Reads sightings that arrived at `now`. Thread safe.
+VersionSightings DecodeSightings(const wire::fleet::VersionsSeen& in,
+                                 TimePoint now);
+
 }  // namespace citronlane
 
 #endif  // CITRONLANE_NET_ORIGIN_CODEC_H_
--- a/include/citronlane/relay/origin_watch.h
+++ b/include/citronlane/relay/origin_watch.h
@@ -10,6 +10,7 @@
 
 #include "citronlane/base/time.h"
 #include "citronlane/net/origin_codec.h"
+#include "citronlane/routing/only_version.h"
 #include "citronlane/routing/stream_origins.h"
 #include "citronlane/serving/stream_origin.h"
 
@@ -40,10 +41,9 @@
     /// Nothing when the leader doesn't know the stream.
     std::optional<StreamOrigin> origin_;
     /// Without an origin: the only version of the service that control's server
-    /// lists have shown for the last `only_version_for_`, which is 0 when the
-    /// last list showed several or control has no current list.
-    std::string only_version_;
-    Duration only_version_for_{};
+    /// lists have shown lately. Nothing when the last list showed several or
+    /// control has no current list.
+    std::optional<OnlyVersion> only_version_;
   };
 
   /// `log` must outlive the object.
--- a/include/citronlane/routing/version_history.h
+++ b/include/citronlane/routing/version_history.h
@@ -13,6 +13,7 @@
 namespace citronlane {
 
 struct BackendServer;
+struct VersionSightings;
 
 /// Remembers which software versions of each service the server lists have
 /// shown in the last 2 minutes. Servers count however short they were listed,
@@ -28,12 +29,27 @@
   /// The last list was read again at `read` and is unchanged. Does nothing
   /// before the first list.
   void Confirm(TimePoint read);
+  /// No server has been used before the last list was read: what earlier lists
+  /// showed, and what ran before the first one, does not matter. Does nothing
+  /// before the first list.
+  void SetUnused();
+
+  /// Everything remembered; nothing before the first list.
+  std::optional<VersionSightings> Sightings() const;
+  /// Takes what another process remembers. The history that covers more time is
+  /// kept, and the other one adds to it what its later lists showed; a history
+  /// that ended more than 10 s before the other one is dropped.
+  void Merge(const VersionSightings& other);
 
-  /// The version if the lists cover the whole time since `since` and showed
-  /// exactly one version of the service in it. The present list must not be
-  /// older than the caller tolerates; see Covered().
+  /// The version if the lists cover the whole time since `since`, or since
+  /// servers were first used, and showed exactly one version of the service in
+  /// it. The present list must not be older than the caller tolerates; see
+  /// Covered().
   std::optional<std::string> OnlyVersionSince(std::string_view service,
                                               TimePoint since) const;
+  /// Whether the lists cover all the time in which servers have been used, and
+  /// showed only one version of the service in it.
+  bool IsOnlyVersionEver(std::string_view service) const;
   /// The same for the whole time covered, 2 minutes at most.
   std::optional<std::string> OnlyVersion(std::string_view service) const;
   /// The earliest time since which there is an OnlyVersionSince(); nothing when
@@ -42,6 +58,8 @@
   /// How long before `now` lists cover the time without a gap, at most 2
   /// minutes; 0 when the last list is more than 10 s old or there is none.
   Duration Covered(TimePoint now) const;
+  /// When the last list was read; nothing before the first one.
+  std::optional<TimePoint> last_read() const;
 
  private:
   struct Version {
@@ -53,6 +71,9 @@
   /// Begins the covered time anew if there was no list for too long.
   void Advance(TimePoint read);
   void DropOld();
+  /// Adds what the other history's lists showed to this one, which begins
+  /// earlier.
+  void Extend(const VersionSightings& other);
   /// The begin of the covered time, as far as versions are remembered. There
   /// must be a list.
   TimePoint Begin() const;
@@ -61,6 +82,8 @@
   /// When the first and the last list of the covered time were read.
   std::optional<TimePoint> first_read_;
   TimePoint last_read_;
+  /// No server had been used by then; nothing if that is not known.
+  std::optional<TimePoint> unused_until_;
 };
 
 }  // namespace citronlane
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -196,6 +196,8 @@
     feed_.TakeLimits(frame->server_limits(), now);
   } else if (frame->has_stream_origins()) {
     origins_.Take(frame->stream_origins(), now);
+  } else if (frame->has_versions_seen()) {
+    origins_.Take(frame->versions_seen(), now);
   } else if (frame->has_origin_ask()) {
     AnswerOrigin(channel.get(), frame->origin_ask(), now);
   } else {
@@ -214,7 +216,7 @@
 
 // Gateways report often; their reports are passed on together.
 void ControlHost::Impl::Tick(TimePoint now) {
-  for (const Frame& frame : origins_.TakeCopies()) {
+  for (const Frame& frame : origins_.TakeCopies(now)) {
     member_.SendToMembers(frame);
   }
   member_.Tick(now);
@@ -241,7 +243,9 @@
       }
       NoteColdTimes();
       const TimePoint read = SteadyNow();
-      origins_.SetServers(*servers, read);
+      // Gateways use servers only once there is a configuration.
+      const bool are_unused = member_.Leads(read) && state_.config().is_empty();
+      origins_.SetServers(*servers, are_unused, read);
       feed_.SetServers(std::move(*servers), list_reader_.unusable(), read);
     } else if (!std::exchange(list_failing_, true)) {
       log_->Write("control", "server list lost", {{"reason", error.message_}});
--- a/src/control/origin_feed.cc
+++ b/src/control/origin_feed.cc
@@ -4,22 +4,22 @@
 
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/observe/event_log.h"
+#include "citronlane/routing/stream_version.h"
+#include "citronlane/routing/version_sightings.h"
 #include "citronlane/serving/stream_origin.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
 namespace {
 
-/// Longer than any stream lasts with its caller's retries.
-constexpr Duration kStreamMemory = std::chrono::seconds(60);
-/// Streams of the whole fleet within kStreamMemory, 7,600 a second: as many as
+/// Streams of the whole fleet within kMaxStreamAge, 7,600 a second: as many as
 /// fit into a hash table of 2^19 slots, 9 MB.
 constexpr size_t kMaxStreams = (size_t{1} << 19) / 8 * 7;
 
 }  // namespace
 
 OriginFeed::OriginFeed(EventLog* log)
-    : log_(log), streams_(kStreamMemory, kMaxStreams) {}
+    : log_(log), streams_(kMaxStreamAge, kMaxStreams) {}
 
 void OriginFeed::Take(const wire::fleet::StreamOrigins& origins,
                       TimePoint now) {
@@ -35,13 +35,29 @@
   LogForgotten();
 }
 
-std::vector<wire::fleet::Frame> OriginFeed::TakeCopies() {
-  return EncodeOrigins(std::exchange(copies_, StreamGroups()), true);
+std::vector<wire::fleet::Frame> OriginFeed::TakeCopies(TimePoint now) {
+  auto frames = EncodeOrigins(std::exchange(copies_, StreamGroups()), true);
+  const auto sightings = versions_.Sightings();
+  if (std::exchange(has_new_list_, false) && sightings) {
+    EncodeSightings(*sightings, now,
+                    frames.emplace_back().mutable_versions_seen());
+  }
+  return frames;
 }
 
 void OriginFeed::SetServers(absl::Span<const BackendServer> servers,
+                            bool are_unused,
                             TimePoint now) {
   versions_.Update(servers, now);
+  if (are_unused) {
+    versions_.SetUnused();
+  }
+  has_new_list_ = true;
+}
+
+void OriginFeed::Take(const wire::fleet::VersionsSeen& versions,
+                      TimePoint now) {
+  versions_.Merge(DecodeSightings(versions, now));
 }
 
 void OriginFeed::AnswerTo(const wire::fleet::StreamOriginAsk& ask,
@@ -56,13 +72,18 @@
     answer->set_version(origin->version_);
     return;
   }
+  const auto read = versions_.last_read();
   const auto begin = versions_.OnlyVersionBegin(ask.service());
-  if (!begin || versions_.Covered(now) == Duration() || now <= *begin) {
+  if (!read || !begin || versions_.Covered(now) == Duration() ||
+      now <= *begin) {
     return;
   }
   if (const auto only = versions_.OnlyVersionSince(ask.service(), *begin)) {
     answer->set_only_version(*only);
     answer->set_only_version_ms(InMilliseconds(now - *begin));
+    answer->set_is_only_version_ever(
+        versions_.IsOnlyVersionEver(ask.service()));
+    answer->set_list_age_ms(InMilliseconds(now - *read));
   }
 }
 
--- a/src/relay/origin_watch.cc
+++ b/src/relay/origin_watch.cc
@@ -4,6 +4,7 @@
 
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/observe/event_log.h"
+#include "citronlane/routing/stream_version.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
@@ -11,9 +12,7 @@
 
 using wire::fleet::Frame;
 
-/// Longer than any stream lasts with its caller's retries.
-constexpr Duration kStreamMemory = std::chrono::seconds(60);
-/// Streams that begin at one gateway within kStreamMemory.
+/// Streams that begin at one gateway within kMaxStreamAge.
 constexpr size_t kMaxStreams = size_t{1} << 18;
 
 }  // namespace
@@ -21,7 +20,7 @@
 OriginWatch::OriginWatch(EventLog* log, Hooks hooks)
     : log_(log),
       hooks_(std::move(hooks)),
-      streams_(kStreamMemory, kMaxStreams) {}
+      streams_(kMaxStreamAge, kMaxStreams) {}
 
 void OriginWatch::OnBegun(std::string_view request_id,
                           const StreamOrigin& origin) {
@@ -60,9 +59,10 @@
   if (answer.is_known()) {
     result.origin_ = StreamOrigin{answer.service(), answer.version()};
     streams_.Record(question.stream_, *result.origin_, hooks_.now_());
-  } else {
-    result.only_version_ = answer.only_version();
-    result.only_version_for_ = FromMilliseconds(answer.only_version_ms());
+  } else if (answer.only_version_ms() > 0) {
+    result.only_version_ = OnlyVersion{
+        answer.only_version(), FromMilliseconds(answer.only_version_ms()),
+        answer.is_only_version_ever(), FromMilliseconds(answer.list_age_ms())};
   }
   question.done_(result);
 }
--- a/src/relay/relay_request_versions.cc
+++ b/src/relay/relay_request_versions.cc
@@ -16,6 +16,7 @@
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
 #include "citronlane/relay/waker.h"
+#include "citronlane/routing/stream_version.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/transport/stage_call.h"
 #include "citronlane/transport/stage_call_hooks.h"
@@ -31,8 +32,6 @@
 constexpr Duration kReportDelay = std::chrono::milliseconds(120);
 constexpr Duration kReportTimeout = std::chrono::milliseconds(300);
 constexpr int kOk = 200;
-/// An older server list may lack a version that serves.
-constexpr Duration kMaxListAge = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -142,22 +141,14 @@
 std::optional<StreamOrigin> RelayRequest::OnlyPossibleOrigin(
     const std::optional<OriginWatch::Answer>& answer) const {
   const std::string service = OnlyService();
-  const TimePoint now = SteadyNow();
-  const auto age = context_->view_->ServersAge(now);
-  if (service.empty() || !age || *age > kMaxListAge) {
+  if (service.empty()) {
     return std::nullopt;
   }
-  // A stream lasts no longer than its route allows.
-  const Duration lifetime = job_->route_->timeout_;
-  const auto seen_here =
-      context_->view_->versions().OnlyVersionSince(service, now - lifetime);
-  if (seen_here) {
-    return StreamOrigin{service, *seen_here};
-  }
-  if (answer && answer->only_version_for_ >= lifetime) {
-    return StreamOrigin{service, answer->only_version_};
-  }
-  return std::nullopt;
+  const auto version = OnlyPossibleVersion(
+      service, job_->route_->timeout_, context_->view_->versions(),
+      answer ? answer->only_version_ : std::nullopt, SteadyNow());
+  return version ? std::optional(StreamOrigin{service, *version})
+                 : std::nullopt;
 }
 
 std::string RelayRequest::OnlyService() const {
--- a/src/routing/version_history.cc
+++ b/src/routing/version_history.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 
+#include "citronlane/routing/version_sightings.h"
 #include "citronlane/serving/backend_server.h"
 
 namespace citronlane {
@@ -49,6 +50,80 @@
   last_read_ = read;
 }
 
+void VersionHistory::SetUnused() {
+  if (first_read_) {
+    unused_until_ = last_read_;
+  }
+}
+
+std::optional<VersionSightings> VersionHistory::Sightings() const {
+  if (!first_read_) {
+    return std::nullopt;
+  }
+  VersionSightings sightings;
+  for (const auto& [service, versions] : services_) {
+    for (const auto& [name, version] : versions) {
+      sightings.versions_.push_back({service, name, version.gone_});
+    }
+  }
+  sightings.first_read_ = *first_read_;
+  sightings.last_read_ = last_read_;
+  sightings.unused_until_ = unused_until_;
+  return sightings;
+}
+
+void VersionHistory::Merge(const VersionSightings& other) {
+  const auto own = Sightings();
+  if (own && own->last_read_ - other.last_read_ > kMaxGap) {
+    return;
+  }
+  const bool has_gap = !own || other.last_read_ - own->last_read_ > kMaxGap;
+  if (!has_gap && own->first_read_ <= other.first_read_) {
+    Extend(other);
+    return;
+  }
+  services_.clear();
+  for (const VersionSightings::Version& seen : other.versions_) {
+    services_[seen.service_][seen.version_].gone_ = seen.gone_;
+  }
+  first_read_ = other.first_read_;
+  last_read_ = other.last_read_;
+  unused_until_ = other.unused_until_;
+  if (!has_gap) {
+    Extend(*own);
+  }
+}
+
+// A version counts for as long as either history showed it. Lists were read at
+// different times, so its end counts as the later one of those possible.
+void VersionHistory::Extend(const VersionSightings& other) {
+  const TimePoint last = std::max(last_read_, other.last_read_);
+  if (other.last_read_ > last_read_) {
+    for (auto& [service, versions] : services_) {
+      for (auto& [name, version] : versions) {
+        version.gone_ = version.gone_.value_or(last);
+      }
+    }
+  }
+  for (const VersionSightings::Version& seen : other.versions_) {
+    const auto [version, is_new] =
+        services_[seen.service_].try_emplace(seen.version_);
+    std::optional<TimePoint>& gone = version->second.gone_;
+    if (!seen.gone_ && other.last_read_ == last) {
+      gone.reset();
+    } else if (is_new || gone) {
+      gone = std::max(gone.value_or(TimePoint()), seen.gone_.value_or(last));
+    }
+  }
+  last_read_ = last;
+  unused_until_ = std::max(unused_until_, other.unused_until_);
+  DropOld();
+}
+
+std::optional<TimePoint> VersionHistory::last_read() const {
+  return first_read_ ? std::optional(last_read_) : std::nullopt;
+}
+
 void VersionHistory::DropOld() {
   const TimePoint begin = Begin();
   for (auto service = services_.begin(); service != services_.end();) {
@@ -68,6 +143,9 @@
 std::optional<std::string> VersionHistory::OnlyVersionSince(
     std::string_view service,
     TimePoint since) const {
+  if (unused_until_) {
+    since = std::max(since, *unused_until_);
+  }
   if (!first_read_ || since < Begin()) {
     return std::nullopt;
   }
@@ -88,6 +166,10 @@
   return only;
 }
 
+bool VersionHistory::IsOnlyVersionEver(std::string_view service) const {
+  return unused_until_ && OnlyVersionSince(service, *unused_until_);
+}
+
 std::optional<std::string> VersionHistory::OnlyVersion(
     std::string_view service) const {
   return first_read_ ? OnlyVersionSince(service, Begin()) : std::nullopt;
--- a/tests/unit-origin-watch.cc
+++ b/tests/unit-origin-watch.cc
@@ -294,8 +294,9 @@
     watch.Take(unknown);
     REQUIRE(answers.size() == 1);
     CHECK_FALSE(answers[0].origin_);
-    CHECK(answers[0].only_version_ == "4.2");
-    CHECK(answers[0].only_version_for_ == milliseconds(1500));
+    REQUIRE(answers[0].only_version_);
+    CHECK(answers[0].only_version_->version_ == "4.2");
+    CHECK(answers[0].only_version_->for_ == milliseconds(1500));
     CHECK_FALSE(watch.Find("r-1"));
     watch.Take(known);
     CHECK(answers.size() == 1);
@@ -377,7 +378,7 @@
   SECTION(
       "and passes it on, so that the loss of the leader and the gateway "
       "loses nothing") {
-    const auto copies = control.feed_.TakeCopies();
+    const auto copies = control.feed_.TakeCopies(control.now_);
     REQUIRE(copies.size() == 1);
     CHECK(copies[0].stream_origins().is_copy());
     CHECK(Reported(copies) == Reported(report));
@@ -387,14 +388,14 @@
     CHECK(other.Answer("r-2", "chat", false).version() == "4.2");
 
     SECTION("once") {
-      CHECK(control.feed_.TakeCopies().empty());
-      CHECK(other.feed_.TakeCopies().empty());
+      CHECK(control.feed_.TakeCopies(control.now_).empty());
+      CHECK(other.feed_.TakeCopies(other.now_).empty());
     }
     SECTION("and not again when gateways report all to a new leader") {
       gateway.watch_.OnBegun("r-3", New());
       gateway.watch_.ReportAll();
       other.Take(gateway.Sent());
-      CHECK(Reported(other.feed_.TakeCopies()) ==
+      CHECK(Reported(other.feed_.TakeCopies(other.now_)) ==
             std::map<uint64_t, std::string>{{Key("r-3"), "chat 4.2"}});
     }
   }
@@ -403,7 +404,7 @@
     other.watch_.OnBegun("r-3", Old());
     other.watch_.Tick();
     control.Take(other.Sent());
-    const auto copies = control.feed_.TakeCopies();
+    const auto copies = control.feed_.TakeCopies(control.now_);
     REQUIRE(copies.size() == 1);
     CHECK(copies[0].stream_origins().origins_size() == 2);
     CHECK(Reported(copies).size() == 3);
@@ -423,7 +424,7 @@
     CHECK(control.Answer("r-1").only_version_ms() == 0);
   }
 
-  control.feed_.SetServers(std::vector{Server("4.1")}, control.now_);
+  control.feed_.SetServers(std::vector{Server("4.1")}, false, control.now_);
   control.now_ += seconds(3);
 
   SECTION("with the time since it is the only one") {
@@ -434,14 +435,14 @@
     CHECK(control.Answer("r-1", "draw").only_version_ms() == 0);
   }
   SECTION("none while there are two") {
-    control.feed_.SetServers(std::vector{Server("4.1"), Server("4.2")},
+    control.feed_.SetServers(std::vector{Server("4.1"), Server("4.2")}, false,
                              control.now_);
     control.now_ += seconds(1);
     CHECK(control.Answer("r-1").only_version().empty());
     CHECK(control.Answer("r-1").only_version_ms() == 0);
 
     SECTION("and the time counts from the end of the other") {
-      control.feed_.SetServers(std::vector{Server("4.2")}, control.now_);
+      control.feed_.SetServers(std::vector{Server("4.2")}, false, control.now_);
       CHECK(control.Answer("r-1").only_version_ms() == 0);
       control.now_ += seconds(2);
       CHECK(control.Answer("r-1").only_version() == "4.2");
