Know by which time servers had not been used, and write down joined streams

Streams that nobody remembers went unanswered in a fleet that had only ever had one version: the first configuration may be committed before the leader has read its first list. The leader notes the time of the first proposal of a configuration instead. Gateways log and count each take-up with what control's lists showed and their age.

--- a/include/citronlane/control/detail/control_host_impl.h
+++ b/include/citronlane/control/detail/control_host_impl.h
@@ -79,6 +79,8 @@
   FrameListener internal_;
   HttpListener operators_;
   bool list_failing_ = false;
+  /// No gateway can have used a server by then; nothing if that is not known.
+  std::optional<TimePoint> servers_unused_until_;
   size_t invalid_cold_times_ = 0;
   std::vector<PooledService> pooled_services_;
   std::optional<uint64_t> pooled_services_version_;
--- a/include/citronlane/control/origin_feed.h
+++ b/include/citronlane/control/origin_feed.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "absl/types/span.h"
@@ -43,11 +44,11 @@
   /// the last call; empty when there is nothing.
   std::vector<wire::fleet::Frame> TakeCopies(TimePoint now);
   /// Takes the list of all servers, which this VM read at `now` as the leader.
-  /// `are_unused` says that no gateway can have used any server before. The
-  /// next TakeCopies() tells the other control VMs which versions lists have
-  /// shown.
+  /// No gateway can have used any server by `unused_until`, if that is known.
+  /// The next TakeCopies() tells the other control VMs which versions lists
+  /// have shown.
   void SetServers(absl::Span<const BackendServer> servers,
-                  bool are_unused,
+                  const std::optional<TimePoint>& unused_until,
                   TimePoint now);
   /// Takes the versions that the leader's lists have shown.
   void Take(const wire::fleet::VersionsSeen& versions, TimePoint now);
--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -160,6 +160,12 @@
     "lost.",
     metric_labels::kReason};
 
+inline constexpr Metric kStreamsTakenUpTotal{
+    "citronlane_streams_taken_up_total", Metric::Kind::kCounter,
+    "Streams that callers took up, by who knew what began them, or by why they "
+    "were refused.",
+    metric_labels::kReason};
+
 inline constexpr Metric kUnansweredTotal{
     "citronlane_unanswered_total", Metric::Kind::kCounter,
     "Requests read completely whose connection closed before their whole "
@@ -199,6 +205,7 @@
     &kServerEntriesUnusableTotal,
     &kOtherRepliesTotal,
     &kForwardedTotal,
+    &kStreamsTakenUpTotal,
     &kUnansweredTotal,
 };
 
--- a/include/citronlane/routing/version_history.h
+++ b/include/citronlane/routing/version_history.h
@@ -29,10 +29,10 @@
   /// The last list was read again at `read` and is unchanged. Does nothing
   /// before the first list.
   void Confirm(TimePoint read);
-  /// No server has been used before the last list was read: what earlier lists
-  /// showed, and what ran before the first one, does not matter. Does nothing
-  /// before the first list.
-  void SetUnused();
+  /// No server had been used by `until`: what ran before does not matter, and
+  /// the time since then counts as covered. Does nothing if the first list of
+  /// the covered time was read more than 10 s later, or before any list.
+  void SetUnusedUntil(TimePoint until);
 
   /// Everything remembered; nothing before the first list.
   std::optional<VersionSightings> Sightings() const;
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -143,6 +143,11 @@
 
 void ControlHost::Impl::Propose(std::string command,
                                 ConfigProposer::Done done) {
+  const TimePoint now = SteadyNow();
+  if (member_.Leads(now) && state_.config().is_empty()) {
+    // Gateways use servers only once there is a configuration.
+    servers_unused_until_ = now;
+  }
   member_.Propose(
       std::move(command),
       [this, done = std::move(done)](const std::optional<std::string>& result,
@@ -244,8 +249,7 @@
       NoteColdTimes();
       const TimePoint read = SteadyNow();
       // Gateways use servers only once there is a configuration.
-      const bool are_unused = member_.Leads(read) && state_.config().is_empty();
-      origins_.SetServers(*servers, are_unused, read);
+      origins_.SetServers(*servers, servers_unused_until_, read);
       feed_.SetServers(std::move(*servers), list_reader_.unusable(), read);
     } else if (!std::exchange(list_failing_, true)) {
       log_->Write("control", "server list lost", {{"reason", error.message_}});
--- a/src/control/origin_feed.cc
+++ b/src/control/origin_feed.cc
@@ -46,11 +46,11 @@
 }
 
 void OriginFeed::SetServers(absl::Span<const BackendServer> servers,
-                            bool are_unused,
+                            const std::optional<TimePoint>& unused_until,
                             TimePoint now) {
   versions_.Update(servers, now);
-  if (are_unused) {
-    versions_.SetUnused();
+  if (unused_until) {
+    versions_.SetUnusedUntil(*unused_until);
   }
   has_new_list_ = true;
 }
--- a/src/relay/relay_request_versions.cc
+++ b/src/relay/relay_request_versions.cc
@@ -11,11 +11,14 @@
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/server_call_spec.h"
 #include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metric_names.h"
+#include "citronlane/observe/metrics.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/relay_context.h"
 #include "citronlane/relay/relay_request.h"
 #include "citronlane/relay/waker.h"
+#include "citronlane/routing/only_version.h"
 #include "citronlane/routing/stream_version.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/transport/stage_call.h"
@@ -78,6 +81,7 @@
 bool RelayRequest::FindOrigin() {
   const std::string& resumed = job_->head_.resumed_attempt_;
   std::string_view source = "own";
+  std::optional<OnlyVersion> listed;
   if (!resumed.empty()) {
     origin_ = context_->origins_->Find(resumed);
   }
@@ -95,6 +99,7 @@
     source = "control";
     if (answer) {
       origin_ = answer->origin_;
+      listed = answer->only_version_;
     }
     if (!origin_) {
       origin_ = OnlyPossibleOrigin(answer);
@@ -111,8 +116,15 @@
        {"service", origin_ ? origin_->service_ : std::string()},
        {"version", origin_ ? origin_->version_ : std::string()},
        {"goes_on", may_go_on ? "yes" : "no"},
+       {"only_version", listed ? listed->version_ : std::string()},
+       {"only_for_ms", listed ? listed->for_ : Duration()},
+       {"only_ever", listed && listed->is_ever_ ? "yes" : "no"},
+       {"control_list_age_ms", listed ? listed->list_age_ : Duration()},
        {"list_age_ms",
         context_->view_->ServersAge(SteadyNow()).value_or(Duration())}});
+  context_->metrics_->Count(
+      kStreamsTakenUpTotal,
+      {origin_ && !may_go_on ? std::string_view("version gone") : source});
   if (!origin_) {
     last_failure_ = "version unknown";
     Refuse(RefusalReason::kStreamVersionUnknown);
--- a/src/routing/version_history.cc
+++ b/src/routing/version_history.cc
@@ -50,9 +50,10 @@
   last_read_ = read;
 }
 
-void VersionHistory::SetUnused() {
-  if (first_read_) {
-    unused_until_ = last_read_;
+void VersionHistory::SetUnusedUntil(TimePoint until) {
+  if (first_read_ && *first_read_ - until <= kMaxGap) {
+    unused_until_ = until;
+    first_read_ = std::min(*first_read_, until);
   }
 }
 
--- a/tests/unit-origin-watch.cc
+++ b/tests/unit-origin-watch.cc
@@ -424,7 +424,8 @@
     CHECK(control.Answer("r-1").only_version_ms() == 0);
   }
 
-  control.feed_.SetServers(std::vector{Server("4.1")}, false, control.now_);
+  control.feed_.SetServers(std::vector{Server("4.1")}, std::nullopt,
+                           control.now_);
   control.now_ += seconds(3);
 
   SECTION("with the time since it is the only one") {
@@ -435,14 +436,15 @@
     CHECK(control.Answer("r-1", "draw").only_version_ms() == 0);
   }
   SECTION("none while there are two") {
-    control.feed_.SetServers(std::vector{Server("4.1"), Server("4.2")}, false,
-                             control.now_);
+    control.feed_.SetServers(std::vector{Server("4.1"), Server("4.2")},
+                             std::nullopt, control.now_);
     control.now_ += seconds(1);
     CHECK(control.Answer("r-1").only_version().empty());
     CHECK(control.Answer("r-1").only_version_ms() == 0);
 
     SECTION("and the time counts from the end of the other") {
-      control.feed_.SetServers(std::vector{Server("4.2")}, false, control.now_);
+      control.feed_.SetServers(std::vector{Server("4.2")}, std::nullopt,
+                               control.now_);
       CHECK(control.Answer("r-1").only_version_ms() == 0);
       control.now_ += seconds(2);
       CHECK(control.Answer("r-1").only_version() == "4.2");
--- a/tests/unit-stream-takeups.cc
+++ b/tests/unit-stream-takeups.cc
@@ -57,7 +57,7 @@
     for (size_t i = 0; i < kGateways; ++i) {
       RestartGateway(i);
     }
-    ReadList(true);
+    ReadList(now_);
   }
 
   bool Chance(double probability) {
@@ -79,7 +79,7 @@
       listed_.assign(2, "v" + std::to_string(newest_));
     }
     if ((now_ - kStart) % kListInterval < kStep) {
-      ReadList(false);
+      ReadList(std::nullopt);
     }
     for (auto& gateway : gateways_) {
       if (gateway) {
@@ -115,7 +115,7 @@
   void KillLeader() {
     RestartControl(leader_);
     leader_ = (leader_ + 1) % kControlVms;
-    ReadList(false);
+    ReadList(std::nullopt);
     for (auto& gateway : gateways_) {
       if (gateway) {
         gateway->watch_->ReportAll();
@@ -176,9 +176,9 @@
     VersionHistory versions_;
   };
 
-  void ReadList(bool are_unused) {
+  void ReadList(const std::optional<TimePoint>& unused_until) {
     read_ = listed_;
-    feeds_[leader_]->SetServers(Servers(listed_), are_unused, now_);
+    feeds_[leader_]->SetServers(Servers(listed_), unused_until, now_);
     for (auto& gateway : gateways_) {
       if (gateway) {
         gateway->versions_.Update(Servers(listed_), now_);
