Prefer gateways with more capacity as owners of pools

On a fleet of uneven VMs pools were owned by small ones: the owner's processor and link were in use before the servers were, and callers were held and failed.

An owner was chosen by the number of its partitions, its failure domain and its age; its VM's size was not known. The settings now tell processor and link, gateways report them and hear those of the others, and both the leader's choice and the order of successors count them in coarse steps, for each partition owned. VMs of one size, or of unknown size, are ordered as before, and an owner that is well keeps its pool.

--- a/include/citronlane/fleet/pool_assignment.h
+++ b/include/citronlane/fleet/pool_assignment.h
@@ -12,6 +12,7 @@
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
 #include "citronlane/fleet/pool_partition.h"
+#include "citronlane/serving/gateway_capacity.h"
 
 namespace citronlane {
 
@@ -38,6 +39,7 @@
     std::string failure_domain_{};
     /// Whether it reaches no backend server.
     bool cut_off_ = false;
+    GatewayCapacity capacity_{};
 
     /// Whether others should own its partitions.
     bool ShouldYield() const { return stopping_ || cut_off_; }
@@ -48,11 +50,12 @@
   /// leader while a partition of a new fleet has no owner, or while the owner
   /// of an undivided pool is unreachable. The leader then names the same
   /// gateway. Thread safe.
-  using Order = std::tuple<bool, bool, uint64_t>;
+  using Order = std::tuple<bool, int, bool, uint64_t>;
   static Order SuccessorOrder(const PoolPartition& partition,
                               const std::string& endpoint,
                               bool should_yield,
-                              const Owners& owners);
+                              const Owners& owners,
+                              const GatewayCapacity& capacity = {});
 
   /// This node became the leader in `term`. Owners adopted before stay the
   /// assumed state.
--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "citronlane/base/time.h"
+#include "citronlane/serving/gateway_capacity.h"
 
 namespace citronlane {
 
@@ -39,6 +40,7 @@
     std::vector<std::string> seeds_;
     /// Where this gateway takes requests that others forward.
     std::string relay_address_{};
+    GatewayCapacity capacity_{};
   };
   struct Hooks {
     /// Called with each update of the leader. While there is none, also with
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -16,6 +16,7 @@
 #include "citronlane/fleet/server_incarnations.h"
 #include "citronlane/routing/version_history.h"
 #include "citronlane/serving/backend_server.h"
+#include "citronlane/serving/gateway_capacity.h"
 #include "citronlane/serving/serving_config.h"
 #include "citronlane/state/drained_domains.h"
 
@@ -35,6 +36,7 @@
     /// Where it takes requests that others forward, "IP:port"; empty when it
     /// takes none.
     std::string relay_address_{};
+    GatewayCapacity capacity_{};
   };
 
   /// Takes a configuration with a higher version than the present one. Returns
--- a/include/citronlane/serving/node_settings.h
+++ b/include/citronlane/serving/node_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "citronlane/base/time.h"
+#include "citronlane/serving/gateway_capacity.h"
 
 namespace citronlane {
 
@@ -32,6 +33,8 @@
   uint32_t tolerated_losses_ = 1;
   uint32_t memory_mb_ = 256;
   uint32_t max_descriptors_ = 1024;
+  /// Processor and link of the VM.
+  GatewayCapacity capacity_{};
 
   /// Address of the platform's list of backend servers, and the rate of calls
   /// per second that it accepts from all nodes together.
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -44,6 +44,7 @@
   bool stopping_ = false;
   bool cut_off_ = false;
   bool has_gateways_ = false;
+  GatewayCapacity capacity_;
   TimePoint started_;
   /// Version that the gateway last reported.
   std::optional<uint64_t> config_version_;
@@ -90,6 +91,8 @@
   watcher->stopping_ = request.stopping();
   watcher->cut_off_ = request.cut_off();
   watcher->has_gateways_ = request.has_gateways();
+  watcher->capacity_ = UsableCapacity(request.processor_cores(),
+                                      request.link_bytes_per_second());
   watcher->started_ = now - std::chrono::milliseconds(request.age_ms());
   if (request.has_config() && !watcher->is_config_in_flight_) {
     watcher->config_version_ = request.config_version();
@@ -184,7 +187,7 @@
   for (const auto& [key, watcher] : watchers_) {
     gateways.push_back({watcher->gateway_, watcher->stopping_,
                         now - watcher->started_, watcher->failure_domain_,
-                        watcher->cut_off_});
+                        watcher->cut_off_, watcher->capacity_});
   }
   const bool has_no_partitions = assignment_.number() == 0 && !servers_read_;
   if (has_no_partitions && now < leading_since_ + kServerListTimeout) {
@@ -393,6 +396,8 @@
     entry->set_stopping(other->stopping_);
     entry->set_cut_off(other->cut_off_);
     entry->set_relay_address(other->relay_address_);
+    entry->set_processor_cores(other->capacity_.processor_cores_);
+    entry->set_link_bytes_per_second(other->capacity_.link_bytes_per_second_);
   }
 }
 
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -58,12 +58,13 @@
     const PoolPartition& partition,
     const std::string& endpoint,
     bool should_yield,
-    const Owners& owners) {
+    const Owners& owners,
+    const GatewayCapacity& capacity) {
   const bool runs_one =
       std::any_of(owners.begin(), owners.end(), [&](const auto& owner) {
         return owner.first != partition && owner.second == endpoint;
       });
-  return {!should_yield, !runs_one,
+  return {!should_yield, CapacityStep(capacity, runs_one ? 2 : 1), !runs_one,
           RendezvousWeight(partition.Name(), endpoint)};
 }
 
@@ -99,8 +100,9 @@
                                       });
 }
 
-// Prefers gateways that own the fewest partitions, then those in the failure
-// domain of the partition's servers, then the youngest that is settled: when
+// Prefers gateways with the most capacity for each of their partitions, then
+// those that own the fewest, then those in the failure domain of the
+// partition's servers, then the youngest that is settled: when
 // all gateways are restarted in turn, it is the last to be restarted again.
 std::string PoolAssignment::Choose(absl::Span<const Gateway> gateways,
                                    const PoolPartition& partition) const {
@@ -110,7 +112,8 @@
         owners_.begin(), owners_.end(),
         [&](const auto& owner) { return owner.second == gateway.endpoint_; });
     return std::make_tuple(
-        !gateway.ShouldYield(), gateway.age_ >= kSettledAge, -runs,
+        !gateway.ShouldYield(), gateway.age_ >= kSettledAge,
+        CapacityStep(gateway.capacity_, static_cast<int>(runs) + 1), -runs,
         gateway.failure_domain_ == partition.failure_domain_, -gateway.age_,
         RendezvousWeight(name, gateway.endpoint_));
   };
@@ -124,7 +127,7 @@
                                       const PoolPartition& partition) const {
   const auto order = [&](const Gateway& gateway) {
     return SuccessorOrder(partition, gateway.endpoint_, gateway.ShouldYield(),
-                          owners_);
+                          owners_, gateway.capacity_);
   };
   return HighestOf(gateways, order);
 }
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -175,6 +175,8 @@
   watch->set_gateway(options_.own_endpoint_);
   watch->set_failure_domain(options_.failure_domain_);
   watch->set_relay_address(options_.relay_address_);
+  watch->set_processor_cores(options_.capacity_.processor_cores_);
+  watch->set_link_bytes_per_second(options_.capacity_.link_bytes_per_second_);
   watch->set_stopping(stopping_);
   watch->set_cut_off(cut_off_);
   if (const auto version = hooks_.config_version_()) {
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -63,7 +63,9 @@
     for (const auto& entry : update->gateways().gateways()) {
       gateways.push_back({entry.endpoint(), entry.failure_domain(),
                           entry.stopping(), entry.cut_off(),
-                          entry.relay_address()});
+                          entry.relay_address(),
+                          UsableCapacity(entry.processor_cores(),
+                                         entry.link_bytes_per_second())});
     }
     view_.SetGateways(std::move(gateways));
     UpdateGatewaysOfServers();
--- a/src/relay/owner_table.cc
+++ b/src/relay/owner_table.cc
@@ -72,7 +72,7 @@
     }
     const auto order = PoolAssignment::SuccessorOrder(
         partition, gateway.endpoint_, gateway.stopping_ || gateway.cut_off_,
-        owners);
+        owners, gateway.capacity_);
     if (successor == nullptr || order > best) {
       successor = &gateway;
       best = order;
--- a/tests/unit-platform.cc
+++ b/tests/unit-platform.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <vector>
 
@@ -520,7 +521,8 @@
     "internal_ports": [7740, 7755],
     "seeds": ["10.1.0.36:8628", "10.2.0.15:8628"],
     "bootstrap": true, "data_dir": "/data/x",
-    "limits": {"memory_mb": 200, "max_fds": 900},
+    "limits": {"cpu_share": 0.12, "cores": 2, "memory_mb": 200,
+               "max_fds": 900, "link_mbps": 10},
     "fault_tolerance": {"machines": 2},
     "bounds": {"drain_timeout_ms": 3000, "grace_period_s": 8,
                "retry_budget_ratio": 0.2, "budget_extra": 56,
@@ -539,6 +541,8 @@
     CHECK(settings->tolerated_losses_ == 2);
     CHECK(settings->memory_mb_ == 200);
     CHECK(settings->max_descriptors_ == 900);
+    CHECK(settings->capacity_.processor_cores_ == Approx(0.24));
+    CHECK(settings->capacity_.link_bytes_per_second_ == Approx(1.25e6));
     CHECK(settings->leaving_bound_ == std::chrono::seconds(3));
     CHECK(settings->grace_ == std::chrono::seconds(8));
     CHECK(settings->repeat_ratio_ == 0.2);
@@ -556,6 +560,19 @@
     CHECK(settings->ready_listen_ == "10.1.0.36:8621");
     CHECK(settings->internal_listen_ == "10.1.0.36:7741");
   }
+  SECTION("a processor and a link that can't be right are unknown") {
+    for (const char* wrong : {"-0.12", "0", "null", "1e300"}) {
+      const auto settings = ReadSettings(
+          Replaced(Replaced(text, "\"cpu_share\": 0.12",
+                            std::string("\"cpu_share\": ") + wrong),
+                   "\"link_mbps\": 10", "\"link_mbps\": \"fast\""),
+          &error);
+      REQUIRE(settings);
+      CHECK(std::isfinite(settings->capacity_.processor_cores_));
+      CHECK(settings->capacity_.processor_cores_ >= 0);
+      CHECK(settings->capacity_.link_bytes_per_second_ == 0);
+    }
+  }
   SECTION("unusable settings are refused with a reason") {
     CHECK_FALSE(ReadSettings("{}", &error));
     CHECK_FALSE(error.message_.empty());
--- a/tests/unit-pool-assignment.cc
+++ b/tests/unit-pool-assignment.cc
@@ -1,11 +1,15 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "citronlane/fleet/pool_assignment.h"
+#include "citronlane/serving/gateway_capacity.h"
 
 namespace citronlane {
 namespace {
@@ -32,6 +36,25 @@
   return services;
 }
 
+// Two sizes of VM: the larger one has 3.3 times the capacity.
+constexpr GatewayCapacity kSmall{0.09, 7.5e6 / 8};
+constexpr GatewayCapacity kLarge{0.3, 25e6 / 8};
+
+std::string SuccessorAmong(const std::vector<Gateway>& gateways,
+                           const PoolPartition& partition,
+                           const PoolAssignment::Owners& owners) {
+  const auto order = [&](const Gateway& gateway) {
+    return PoolAssignment::SuccessorOrder(partition, gateway.endpoint_,
+                                          gateway.ShouldYield(), owners,
+                                          gateway.capacity_);
+  };
+  return std::max_element(gateways.begin(), gateways.end(),
+                          [&](const Gateway& a, const Gateway& b) {
+                            return order(a) < order(b);
+                          })
+      ->endpoint_;
+}
+
 }  // namespace
 
 TEST_CASE("pool assignment") {
@@ -310,6 +333,19 @@
     }
     CHECK(distinct.size() == services.size());
   }
+  SECTION("get them also on VMs of different size") {
+    for (size_t i = 0; i < gateways.size(); i += 4) {
+      gateways[i].capacity_ = kLarge;
+    }
+    REQUIRE(assignment.Update(services, gateways, now + milliseconds(200)));
+    std::set<std::string> distinct;
+    for (const auto& [service, owner] : assignment.owners()) {
+      distinct.insert(owner);
+    }
+    CHECK(distinct.size() == services.size());
+    CHECK(assignment.owners().at("a") ==
+          SuccessorAmong(gateways, "a", PoolAssignment::Owners()));
+  }
   SECTION("wait longer if a gateway may know an owner") {
     gateways[3].age_ = seconds(60);
     CHECK_FALSE(assignment.Update(services, gateways, now + milliseconds(700)));
@@ -319,4 +355,131 @@
   }
 }
 
+TEST_CASE("pools go to gateways that can carry them") {
+  PoolAssignment assignment;
+  const TimePoint start{seconds(100)};
+  const TimePoint now = start + seconds(3);
+  assignment.StartLeading(start, 1);
+  auto gateways = Gateways(12);
+  const auto set_sizes = [&gateways](size_t large) {
+    for (size_t i = 0; i < gateways.size(); ++i) {
+      gateways[i].capacity_ = i < large ? kLarge : kSmall;
+    }
+  };
+  const auto is_large = [](const std::string& endpoint) {
+    return endpoint == "g0" || endpoint == "g1" || endpoint == "g2";
+  };
+
+  SECTION("the largest VMs first") {
+    set_sizes(3);
+    REQUIRE(assignment.Update(Services('c'), gateways, now));
+    std::set<std::string> distinct;
+    for (const auto& [service, owner] : assignment.owners()) {
+      CHECK(is_large(owner));
+      distinct.insert(owner);
+    }
+    CHECK(distinct.size() == 3);
+  }
+  SECTION("a second one only where more is left for both than elsewhere") {
+    set_sizes(3);
+    // A share of a half of a large VM is more than a small one has, a share of
+    // a quarter is less.
+    REQUIRE(assignment.Update(Services('f'), gateways, now));
+    for (const auto& [service, owner] : assignment.owners()) {
+      CHECK(is_large(owner));
+    }
+    REQUIRE(assignment.Update(Services('l'), gateways, now));
+    std::map<std::string, int> counts;
+    for (const auto& [service, owner] : assignment.owners()) {
+      ++counts[owner];
+    }
+    for (const auto& [owner, count] : counts) {
+      CHECK(count <= (is_large(owner) ? 3 : 1));
+    }
+  }
+  SECTION("the lesser of processor and link counts") {
+    set_sizes(3);
+    gateways[0].capacity_.link_bytes_per_second_ = 1e4;
+    gateways[1].capacity_.processor_cores_ = 0.01;
+    REQUIRE(assignment.Update({"a"}, gateways, now));
+    CHECK(assignment.owners().at("a") == "g2");
+  }
+  SECTION("an owner that is well keeps its pool when a larger VM appears") {
+    set_sizes(0);
+    REQUIRE(assignment.Update({"a"}, gateways, now));
+    const PoolAssignment::Owners owners = assignment.owners();
+    gateways.push_back({"new", false, seconds(60), "", false, kLarge});
+    CHECK_FALSE(assignment.Update({"a"}, gateways, now + seconds(1)));
+    CHECK(assignment.owners() == owners);
+  }
+  SECTION("a lost one's goes to the successor that gateways use") {
+    set_sizes(3);
+    REQUIRE(assignment.Update(Services('c'), gateways, now));
+    const PoolAssignment::Owners before = assignment.owners();
+    std::vector<Gateway> rest;
+    for (const Gateway& gateway : gateways) {
+      if (gateway.endpoint_ != before.at("a")) {
+        rest.push_back(gateway);
+      }
+    }
+    assignment.Update(Services('c'), rest, now);
+    REQUIRE(assignment.Update(Services('c'), rest, now + milliseconds(400)));
+    CHECK(assignment.owners().at("a") == SuccessorAmong(rest, "a", before));
+    CHECK(assignment.owners().at("b") == before.at("b"));
+  }
+  SECTION("a VM whose capacity is not known comes last") {
+    set_sizes(0);
+    gateways.push_back({"unknown", false, seconds(10)});
+    REQUIRE(assignment.Update(Services('l'), gateways, now));
+    for (const auto& [service, owner] : assignment.owners()) {
+      CHECK(owner != "unknown");
+    }
+  }
+}
+
+TEST_CASE("VMs of one size are ordered as those of unknown size") {
+  auto gateways = Gateways(20);
+  PoolAssignment plain;
+  plain.StartLeading(TimePoint(seconds(100)), 1);
+  PoolAssignment sized;
+  sized.StartLeading(TimePoint(seconds(100)), 1);
+  const TimePoint now{seconds(103)};
+  for (const char last : {'h', 't', 'z'}) {
+    for (Gateway& gateway : gateways) {
+      gateway.capacity_ = GatewayCapacity();
+    }
+    plain.Update(Services(last), gateways, now);
+    for (Gateway& gateway : gateways) {
+      gateway.capacity_ = kSmall;
+    }
+    sized.Update(Services(last), gateways, now);
+    CHECK(plain.owners() == sized.owners());
+    for (const PoolPartition& partition : Services(last)) {
+      const PoolAssignment::Owners& owners = plain.owners();
+      auto unknown = gateways;
+      for (Gateway& gateway : unknown) {
+        gateway.capacity_ = GatewayCapacity();
+      }
+      CHECK(SuccessorAmong(gateways, partition, owners) ==
+            SuccessorAmong(unknown, partition, owners));
+    }
+  }
+}
+
+TEST_CASE("capacity in coarse steps") {
+  CHECK(CapacityStep(kLarge, 1) > CapacityStep(kSmall, 1));
+  CHECK(CapacityStep(kSmall, 2) == CapacityStep(kSmall, 1) - 2);
+  // A wrong figure counts as none.
+  const double nan = std::nan("");
+  const double infinity = std::numeric_limits<double>::infinity();
+  const int unknown = CapacityStep(GatewayCapacity(), 1);
+  for (const double wrong : {0.0, -1.0, nan, infinity, -infinity}) {
+    CHECK(CapacityStep(UsableCapacity(wrong, wrong), 1) == unknown);
+    CHECK(CapacityStep({wrong, wrong}, 1) == unknown);
+    CHECK(CapacityStep({0.3, wrong}, 1) == CapacityStep({0.3, 0}, 1));
+  }
+  CHECK(CapacityStep({1e300, 1e300}, 1) > CapacityStep(kLarge, 1));
+  CHECK(CapacityStep({1e-300, 0}, 1) > unknown);
+}
+
 }  // namespace citronlane
