Place requests on engines by learned speed and room

Callers of pools whose engines differ in speed waited for slow engines while fast ones had room: a placement owner counted prompt tokens and requests alike at every engine, and neither memory nor slots.

Gateways now report the time to an engine's first event and the output after it. From these the owner learns how long work takes in the pool and which engines lastingly take longer or shorter; a spell of half a second changes nothing. An engine's work counts by that factor, and an engine without memory or slots for a request counts the time until it has room, from the output that earlier requests of the route or account had. While nothing is learned, and while engines are alike, the choice is as before.

--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -14,6 +14,7 @@
 inline constexpr std::string_view kClassAccount[] = {"class", "account"};
 inline constexpr std::string_view kReasonPool[] = {"reason", "pool"};
 inline constexpr std::string_view kPoolOutcome[] = {"pool", "outcome"};
+inline constexpr std::string_view kPoolKind[] = {"pool", "kind"};
 inline constexpr std::string_view kPipelineStageClass[] = {"pipeline", "stage",
                                                            "class"};
 inline constexpr std::string_view kPipelineStage[] = {"pipeline", "stage"};
@@ -66,6 +67,14 @@
 inline constexpr Metric kFirstTokenSeconds{
     "citronlane_first_token_seconds", Metric::Kind::kHistogram,
     "Time to the first token of a stream.", metric_labels::kClass};
+inline constexpr Metric kFirstEventErrorSeconds{
+    "citronlane_first_event_error_seconds", Metric::Kind::kHistogram,
+    "Difference of the expected and the seen time to an engine's first event.",
+    metric_labels::kPool};
+inline constexpr Metric kEngineTimeFactor{
+    "citronlane_engine_time_factor", Metric::Kind::kGauge,
+    "How much longer than their pool engines take: least, median, most.",
+    metric_labels::kPoolKind};
 inline constexpr Metric kCostTotal{
     "citronlane_cost_micro_units_total", Metric::Kind::kCounter,
     "Cost by stage, in micro-units of the declared costs.",
@@ -179,6 +188,8 @@
     &kStageSeconds,
     &kRequestSeconds,
     &kFirstTokenSeconds,
+    &kFirstEventErrorSeconds,
+    &kEngineTimeFactor,
     &kCostTotal,
     &kTokensTotal,
     &kConnectionsClosedTotal,
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -82,6 +82,9 @@
   // partitions.
   ServiceRouter* RouterOf(const Service& service);
   ServiceRouter* EngineRouterOf(const std::string& service);
+  /// Logs and counts what the service's router learns.
+  EngineRouter::Observer RouterObserver(const std::string& service);
+  void SetSpeedMetrics(TimePoint now);
   RepeatBudget* BudgetOf(const std::string& service);
   StagePool* PoolOf(const PoolPartition& partition);
   bool BelongsElsewhere(const PoolPartition& partition) const;
--- a/include/citronlane/relay/engine_placement.h
+++ b/include/citronlane/relay/engine_placement.h
@@ -16,6 +16,7 @@
 #include "citronlane/relay/owner_table.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/routing/engine_router.h"
+#include "citronlane/routing/engine_run.h"
 
 namespace boost::asio {
 class io_context;
@@ -94,11 +95,14 @@
   /// Reports that no reply came in time. After several in a row the placement
   /// owner is excluded for a while.
   void ReportNoReply(uint64_t question);
-  /// Reports that the engine has read the request's prompt.
-  void ReportFirstEvent(uint64_t question);
+  /// Reports that the engine has read the request's prompt, `after` the call to
+  /// it; 0 when that is not known.
+  void ReportFirstEvent(uint64_t question, Duration after = Duration());
   /// Reports that the request's call to the engine ended, or that there was
   /// none. Call once for each question.
-  void ReportFinished(uint64_t question, CallOutcome outcome);
+  void ReportFinished(uint64_t question,
+                      CallOutcome outcome,
+                      const EngineOutput& output = EngineOutput());
 
   /// Handles a frame of another gateway. Returns false for frames of other
   /// modules.
@@ -119,9 +123,7 @@
   /// A request of another gateway that was placed on an engine.
   struct Placed {
     std::string service_;
-    std::string server_;
-    /// Tokens that the engine has still to read for it.
-    double unread_ = 0;
+    EngineRun run_;
   };
   using PlacedKey = std::pair<const FrameChannel*, uint64_t>;
 
@@ -145,8 +147,10 @@
                  TimePoint now);
   void ReplyTo(const std::shared_ptr<FrameChannel>& channel,
                const wire::fleet::EngineAsk& ask);
-  void TakeFirstEvent(const PlacedKey& key);
-  void End(const PlacedKey& key, CallOutcome outcome);
+  void TakeFirstEvent(const PlacedKey& key, Duration after);
+  void End(const PlacedKey& key,
+           CallOutcome outcome,
+           const EngineOutput& output);
   FrameLink* LinkTo(const std::string& endpoint);
   void OwnerLost(const std::string& owner);
 
--- a/include/citronlane/relay/placed_engine.h
+++ b/include/citronlane/relay/placed_engine.h
@@ -8,10 +8,12 @@
 #include <string_view>
 
 #include "absl/types/span.h"
+#include "citronlane/base/time.h"
 #include "citronlane/fleet/pool_partition.h"
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/routing/engine_router.h"
+#include "citronlane/routing/engine_run.h"
 
 namespace citronlane {
 
@@ -57,10 +59,10 @@
   /// The request will not be sent to the engine. Like the next two functions,
   /// it does nothing when no engine was requested.
   void Cancel();
-  /// The engine has read the request.
-  void NoteFirstEvent();
+  /// The engine has read the request, `after` the call to it.
+  void NoteFirstEvent(Duration after);
   /// The call to the engine ended.
-  void NoteEnd(CallOutcome outcome);
+  void NoteEnd(CallOutcome outcome, const EngineOutput& output);
 
  private:
   EnginePlacement* const placement_;
--- a/include/citronlane/relay/relay_request.h
+++ b/include/citronlane/relay/relay_request.h
@@ -18,6 +18,7 @@
 #include "citronlane/relay/silent_attempt.h"
 #include "citronlane/relay/stage_runner.h"
 #include "citronlane/routing/engine_router.h"
+#include "citronlane/routing/engine_run.h"
 #include "citronlane/routing/server_limits.h"
 #include "citronlane/serving/backend_server.h"
 #include "citronlane/serving/event_splitter.h"
@@ -154,6 +155,8 @@
   std::string EngineDomain();
   void NoteStart(const std::string& server);
   void NoteFirstEvent();
+  /// Output of the last call after its first event.
+  EngineOutput Output() const;
   /// `is_full_refusal`: a rejection was for want of room.
   void NoteEnd(const std::string& server,
                CallOutcome outcome,
@@ -287,8 +290,13 @@
   /// Nothing is left to try but the silent server.
   bool awaits_silent_ = false;
   std::vector<std::string> tried_;
-  /// Tokens that the engine has still to read for it.
-  double unread_ = 0;
+  /// The last call, as the router counts it.
+  EngineRun run_;
+  /// Nothing when the call was left and is resumed.
+  std::optional<TimePoint> run_began_;
+  /// Events of the stream up to the last call's first one.
+  uint64_t events_at_first_ = 0;
+  TimePoint last_event_at_;
   std::string near_domain_;
   /// Failure domain in which divided pools run its stages; empty when no pool
   /// is divided.
--- a/include/citronlane/relay/service_router.h
+++ b/include/citronlane/relay/service_router.h
@@ -12,7 +12,9 @@
 #include "citronlane/base/time.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/routing/engine_router.h"
+#include "citronlane/routing/engine_run.h"
 #include "citronlane/routing/pool_router.h"
+#include "citronlane/serving/engine_spec.h"
 
 namespace citronlane {
 
@@ -48,15 +50,21 @@
   void Expect(std::string_view server,
               TimePoint now,
               const EngineRouter::Call& call);
-  double OnStart(std::string_view server,
-                 TimePoint now,
-                 const EngineRouter::Call& call);
-  void OnFirstEvent(std::string_view server, double tokens);
-  void OnFinish(std::string_view server,
-                TimePoint now,
-                CallOutcome outcome,
-                Duration took,
-                double unread);
+  EngineRun Begin(std::string_view server,
+                  TimePoint now,
+                  const EngineRouter::Call& call);
+  void FirstEvent(EngineRun* run, TimePoint now, Duration after);
+  /// `took`: time of the whole call.
+  void End(const EngineRun& run,
+           TimePoint now,
+           CallOutcome outcome,
+           Duration took,
+           const EngineOutput& output);
+
+  /// Set what engines have room for, and who is told what is learned.
+  void SetEngine(const EngineSpec& spec) { engines_.SetSpec(spec); }
+  void SetObserver(EngineRouter::Observer observer);
+  const EngineRouter& engines() const { return engines_; }
 
  private:
   const std::string service_;
--- /dev/null
+++ b/include/citronlane/routing/engine_run.h
@@ -0,0 +1,41 @@
+#ifndef CITRONLANE_ROUTING_ENGINE_RUN_H_
+#define CITRONLANE_ROUTING_ENGINE_RUN_H_
+
+#include <cstdint>
+#include <string>
+
+#include "citronlane/base/time.h"
+
+namespace citronlane {
+
+/// A request at a model engine, as its router counts it.
+struct EngineRun {
+  std::string server_;
+  /// Prompt tokens that the engine has still to read for it.
+  double unread_ = 0;
+  /// The router sees all requests, so that the next members are known.
+  bool is_counted_ = false;
+  /// Work before its first event, in prompt tokens at the pool's speed.
+  double work_ = 0;
+  /// Units of output expected, and tokens of memory held at its end.
+  double output_ = 0;
+  double memory_ = 0;
+  /// Requests beside it when its first event came.
+  double running_ = 0;
+  /// Shared prompt segment that it uses.
+  std::string segment_;
+  std::string route_;
+  std::string account_;
+  uint32_t expected_output_tokens_ = 0;
+};
+
+/// What a request's run showed when it ended.
+struct EngineOutput {
+  /// Units of output after the first event, and the time that they took.
+  uint32_t units_ = 0;
+  Duration time_{};
+};
+
+}  // namespace citronlane
+
+#endif  // CITRONLANE_ROUTING_ENGINE_RUN_H_
--- a/src/relay/engine_placement.cc
+++ b/src/relay/engine_placement.cc
@@ -1,5 +1,6 @@
 #include "citronlane/relay/engine_placement.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -28,6 +29,22 @@
 /// Consecutive questions that a gateway may leave unanswered, for lack of
 /// processor time, before it counts as lost.
 constexpr int kMaxUnanswered = 3;
+/// Bounds the times that another gateway may name.
+constexpr uint64_t kMaxMilliseconds = 24ULL * 3600 * 1000;
+
+// 0 only for no time, so that a short time is not taken for an unknown one.
+uint64_t Milliseconds(Duration time) {
+  if (time <= Duration()) {
+    return 0;
+  }
+  const auto whole =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+  return static_cast<uint64_t>(std::max<int64_t>(1, whole));
+}
+
+Duration DurationOf(uint64_t milliseconds) {
+  return std::chrono::milliseconds(std::min(milliseconds, kMaxMilliseconds));
+}
 
 // Outcome of a call as far as it matters for the engine's next calls.
 CallOutcome OutcomeOf(EngineEnd::Outcome outcome) {
@@ -110,6 +127,13 @@
   }
   ask->set_near(std::string(call.near_));
   ask->set_input_bytes(call.input_bytes_);
+  ask->set_account(std::string(call.account_));
+  ask->set_route(std::string(call.route_));
+  ask->set_prompt_tokens(call.prompt_tokens_);
+  ask->set_max_output_tokens(call.max_output_tokens_);
+  ask->set_expected_output_tokens(call.expected_output_tokens_);
+  ask->set_priority(call.priority_);
+  ask->set_target_left_ms(Milliseconds(call.target_left_));
   for (const std::string& server : excluded) {
     ask->add_excluded(server);
   }
@@ -156,17 +180,21 @@
   }
 }
 
-void EnginePlacement::ReportFirstEvent(uint64_t question) {
+void EnginePlacement::ReportFirstEvent(uint64_t question, Duration after) {
   const auto it = questions_.find(question);
   if (it == questions_.end() || it->second.owner_.empty()) {
     return;
   }
   Frame frame;
-  frame.mutable_engine_first_event()->set_question(question);
+  auto* first = frame.mutable_engine_first_event();
+  first->set_question(question);
+  first->set_after_ms(Milliseconds(after));
   LinkTo(it->second.owner_)->Send(frame);
 }
 
-void EnginePlacement::ReportFinished(uint64_t question, CallOutcome outcome) {
+void EnginePlacement::ReportFinished(uint64_t question,
+                                     CallOutcome outcome,
+                                     const EngineOutput& output) {
   const auto it = questions_.find(question);
   if (it == questions_.end()) {
     return;
@@ -180,6 +208,8 @@
   auto* end = frame.mutable_engine_end();
   end->set_question(question);
   end->set_outcome(WireOutcome(outcome));
+  end->set_output_tokens(output.units_);
+  end->set_output_ms(Milliseconds(output.time_));
   LinkTo(owner)->Send(frame);
 }
 
@@ -234,10 +264,13 @@
   if (frame.has_engine_ask()) {
     ReplyTo(channel, frame.engine_ask());
   } else if (frame.has_engine_first_event()) {
-    TakeFirstEvent({channel.get(), frame.engine_first_event().question()});
+    TakeFirstEvent({channel.get(), frame.engine_first_event().question()},
+                   DurationOf(frame.engine_first_event().after_ms()));
   } else if (frame.has_engine_end()) {
     End({channel.get(), frame.engine_end().question()},
-        OutcomeOf(frame.engine_end().outcome()));
+        OutcomeOf(frame.engine_end().outcome()),
+        EngineOutput{frame.engine_end().output_tokens(),
+                     DurationOf(frame.engine_end().output_ms())});
   } else {
     return false;
   }
@@ -271,6 +304,13 @@
   call.input_bytes_ = ask.input_bytes();
   call.sees_all_requests_ = true;
   call.required_domain_ = ask.part_domain();
+  call.route_ = ask.route();
+  call.account_ = ask.account();
+  call.prompt_tokens_ = ask.prompt_tokens();
+  call.max_output_tokens_ = ask.max_output_tokens();
+  call.expected_output_tokens_ = ask.expected_output_tokens();
+  call.priority_ = ask.priority();
+  call.target_left_ = DurationOf(ask.target_left_ms());
   TakeLimits(ask);
   const TimePoint now = SteadyNow();
   const bool is_reserved = !ask.plan() && MayUseReserved(ask);
@@ -284,7 +324,7 @@
     CountSlot(ask, *server, is_reserved, now);
     if (!ask.plan()) {
       placed_[{channel.get(), ask.question()}] =
-          Placed{ask.service(), *server, router->OnStart(*server, now, call)};
+          Placed{ask.service(), router->Begin(*server, now, call)};
     }
   }
   channel->Send(frame);
@@ -315,29 +355,30 @@
   }
 }
 
-void EnginePlacement::TakeFirstEvent(const PlacedKey& key) {
+void EnginePlacement::TakeFirstEvent(const PlacedKey& key, Duration after) {
   const auto it = placed_.find(key);
   if (it == placed_.end()) {
     return;
   }
   Placed& placed = it->second;
   if (ServiceRouter* router = router_(placed.service_)) {
-    router->OnFirstEvent(placed.server_, std::exchange(placed.unread_, 0));
+    router->FirstEvent(&placed.run_, SteadyNow(), after);
   }
 }
 
-void EnginePlacement::End(const PlacedKey& key, CallOutcome outcome) {
+void EnginePlacement::End(const PlacedKey& key,
+                          CallOutcome outcome,
+                          const EngineOutput& output) {
   const auto it = placed_.find(key);
   if (it == placed_.end()) {
     return;
   }
   const Placed placed = std::move(it->second);
   placed_.erase(it);
-  limits_->limits()->OnEnd(placed.server_, outcome == CallOutcome::kRejected,
-                           SteadyNow());
+  limits_->limits()->OnEnd(placed.run_.server_,
+                           outcome == CallOutcome::kRejected, SteadyNow());
   if (ServiceRouter* router = router_(placed.service_)) {
-    router->OnFinish(placed.server_, SteadyNow(), outcome, Duration(),
-                     placed.unread_);
+    router->End(placed.run_, SteadyNow(), outcome, Duration(), output);
   }
 }
 
@@ -346,7 +387,7 @@
   for (auto it = placed_.lower_bound({channel, 0});
        it != placed_.end() && it->first.first == channel;) {
     const PlacedKey key = (it++)->first;
-    End(key, CallOutcome::kCancelled);
+    End(key, CallOutcome::kCancelled, EngineOutput());
   }
 }
 
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -109,6 +109,7 @@
       metrics_.Set(kPoolTasks, {partition.Name()},
                    static_cast<double>(pool->tasks()));
     }
+    SetSpeedMetrics(SteadyNow());
     metrics_.Set(kServersLimited, {},
                  static_cast<double>(server_limits_.CountLimited()));
     metrics_.Set(kServersBrittle, {},
--- a/src/relay/gateway_host_pools.cc
+++ b/src/relay/gateway_host_pools.cc
@@ -1,11 +1,23 @@
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
 #include <memory>
 #include <string>
 
 #include "citronlane/base/steady_now.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metric_names.h"
 #include "citronlane/relay/detail/gateway_host_impl.h"
 #include "citronlane/serving/service.h"
 
 namespace citronlane {
+namespace {
+
+uint64_t Percent(double factor) {
+  return static_cast<uint64_t>(std::lround(factor * 100));
+}
+
+}  // namespace
 
 ServiceRouter* GatewayHost::Impl::RouterOf(const Service& service) {
   auto& router = routers_[service.name_];
@@ -14,10 +26,44 @@
         service.name_, service.engine_.has_value(),
         settings_.prompt_reuse_window_, settings_.failure_domain_,
         context_.random_);
+    router->SetObserver(RouterObserver(service.name_));
+  }
+  if (service.engine_) {
+    router->SetEngine(*service.engine_);
   }
   return router.get();
 }
 
+EngineRouter::Observer GatewayHost::Impl::RouterObserver(
+    const std::string& service) {
+  EngineRouter::Observer observer;
+  observer.speed_changed_ = [this, service](const std::string& server,
+                                            double prefill, double decode) {
+    log_->Write("engines", "speed changed",
+                {{"service", service},
+                 {"server", server},
+                 {"prefill_percent", Percent(prefill)},
+                 {"decode_percent", Percent(decode)}});
+  };
+  observer.first_event_ = [this, service](Duration expected, Duration seen) {
+    metrics_.Observe(kFirstEventErrorSeconds, {service},
+                     std::max(expected, seen) - std::min(expected, seen));
+  };
+  return observer;
+}
+
+void GatewayHost::Impl::SetSpeedMetrics(TimePoint now) {
+  for (const auto& [service, router] : routers_) {
+    if (router->engines().servers() == 0) {
+      continue;
+    }
+    const EngineRouter::SpeedSpread speeds = router->engines().Speeds(now);
+    metrics_.Set(kEngineTimeFactor, {service, "least"}, speeds.least_);
+    metrics_.Set(kEngineTimeFactor, {service, "median"}, speeds.median_);
+    metrics_.Set(kEngineTimeFactor, {service, "most"}, speeds.most_);
+  }
+}
+
 ServiceRouter* GatewayHost::Impl::EngineRouterOf(const std::string& service) {
   const auto& config = view_.config();
   const Service* declared = config ? config->FindService(service) : nullptr;
--- a/src/relay/placed_engine.cc
+++ b/src/relay/placed_engine.cc
@@ -59,18 +59,18 @@
 }
 
 void PlacedEngine::Cancel() {
-  NoteEnd(CallOutcome::kCancelled);
+  NoteEnd(CallOutcome::kCancelled, EngineOutput());
 }
 
-void PlacedEngine::NoteFirstEvent() {
+void PlacedEngine::NoteFirstEvent(Duration after) {
   if (question_) {
-    placement_->ReportFirstEvent(*question_);
+    placement_->ReportFirstEvent(*question_, after);
   }
 }
 
-void PlacedEngine::NoteEnd(CallOutcome outcome) {
+void PlacedEngine::NoteEnd(CallOutcome outcome, const EngineOutput& output) {
   if (question_) {
-    placement_->ReportFinished(*question_, outcome);
+    placement_->ReportFinished(*question_, outcome, output);
     question_.reset();
   }
 }
--- a/src/relay/relay_request_replies.cc
+++ b/src/relay/relay_request_replies.cc
@@ -253,6 +253,8 @@
     NoteFirstEvent();
     // The engine has read its inputs.
     FreeInputs();
+  } else {
+    last_event_at_ = SteadyNow();
   }
   if (!stream_started_) {
     stream_started_ = true;
--- a/src/relay/relay_request_server.cc
+++ b/src/relay/relay_request_server.cc
@@ -167,6 +167,14 @@
   call.prompt_ = job_->head_.prompt_;
   call.near_ = near_domain_;
   call.input_bytes_ = stages_.InputBytes();
+  call.route_ = job_->route_->name_;
+  call.account_ = job_->account_;
+  call.prompt_tokens_ = job_->head_.prompt_tokens_;
+  call.max_output_tokens_ = job_->head_.max_output_tokens_;
+  call.expected_output_tokens_ = job_->head_.expected_output_tokens_;
+  call.priority_ = job_->priority_;
+  call.target_left_ = std::max(Duration(), std::chrono::duration_cast<Duration>(
+                                               job_->target_ - SteadyNow()));
   call.sees_all_requests_ = engine_.is_placed_here();
   if (engine_.is_placed_here()) {
     call.required_domain_ = engine_.partition().failure_domain_;
@@ -182,14 +190,27 @@
   } else if (!is_counted_by_owner_) {
     context_->limits_->limits()->OnCall(server, SteadyNow());
   }
-  unread_ = router_->OnStart(server, SteadyNow(), RouterCall());
+  run_began_ = SteadyNow();
+  run_ = router_->Begin(server, *run_began_, RouterCall());
 }
 
 void RelayRequest::NoteFirstEvent() {
   had_first_event_ = true;
   first_event_at_ = SteadyNow();
-  router_->OnFirstEvent(last_server_, std::exchange(unread_, 0));
-  engine_.NoteFirstEvent();
+  last_event_at_ = first_event_at_;
+  events_at_first_ = events_.events();
+  const Duration after =
+      run_began_ ? first_event_at_ - *run_began_ : Duration();
+  router_->FirstEvent(&run_, first_event_at_, after);
+  engine_.NoteFirstEvent(after);
+}
+
+EngineOutput RelayRequest::Output() const {
+  if (!had_first_event_) {
+    return {};
+  }
+  return {static_cast<uint32_t>(events_.events() - events_at_first_),
+          last_event_at_ - first_event_at_};
 }
 
 void RelayRequest::NoteEnd(const std::string& server,
@@ -197,7 +218,8 @@
                            bool is_full_refusal,
                            Duration took) {
   const TimePoint now = SteadyNow();
-  router_->OnFinish(server, now, outcome, took, unread_);
+  const EngineOutput output = Output();
+  router_->End(run_, now, outcome, took, output);
   const bool is_full = outcome == CallOutcome::kRejected && is_full_refusal;
   if (!is_counted_by_owner_) {
     context_->limits_->limits()->OnEnd(server, is_full, now);
@@ -205,7 +227,8 @@
   // To an owner a refusal means that the engine is full.
   engine_.NoteEnd(outcome == CallOutcome::kRejected && !is_full
                       ? CallOutcome::kCancelled
-                      : outcome);
+                      : outcome,
+                  output);
 }
 
 }  // namespace citronlane
--- a/src/relay/relay_request_silence.cc
+++ b/src/relay/relay_request_silence.cc
@@ -87,7 +87,9 @@
     FreeInputs();
   }
   // Counted when the call was left.
-  unread_ = 0;
+  run_ = EngineRun();
+  run_.server_ = last_server_;
+  run_began_.reset();
   auto attempt = kept.TakeAttempt();
   const AttemptResult ended =
       attempt->has_head() ? RelayReply(attempt.get()) : Relay(attempt.get());
--- a/src/relay/service_router.cc
+++ b/src/relay/service_router.cc
@@ -84,32 +84,38 @@
   }
 }
 
-double ServiceRouter::OnStart(std::string_view server,
-                              TimePoint now,
-                              const EngineRouter::Call& call) {
+EngineRun ServiceRouter::Begin(std::string_view server,
+                               TimePoint now,
+                               const EngineRouter::Call& call) {
   if (has_engines_) {
-    return engines_.OnStart(server, now, call);
+    return engines_.Begin(server, now, call);
   }
   pool_->OnStart(server, now, CallShape());
-  return 0;
+  EngineRun run;
+  run.server_ = std::string(server);
+  return run;
 }
 
-void ServiceRouter::OnFirstEvent(std::string_view server, double tokens) {
+void ServiceRouter::FirstEvent(EngineRun* run, TimePoint now, Duration after) {
   if (has_engines_) {
-    engines_.OnFirstEvent(server, tokens);
+    engines_.FirstEvent(run, now, after);
   }
 }
 
-void ServiceRouter::OnFinish(std::string_view server,
-                             TimePoint now,
-                             CallOutcome outcome,
-                             Duration took,
-                             double unread) {
+void ServiceRouter::End(const EngineRun& run,
+                        TimePoint now,
+                        CallOutcome outcome,
+                        Duration took,
+                        const EngineOutput& output) {
   if (has_engines_) {
-    engines_.OnFinish(server, now, outcome, unread);
+    engines_.End(run, now, outcome, output);
   } else {
-    pool_->OnFinish(server, now, outcome, took, 0, CallShape());
+    pool_->OnFinish(run.server_, now, outcome, took, 0, CallShape());
   }
 }
 
+void ServiceRouter::SetObserver(EngineRouter::Observer observer) {
+  engines_.SetObserver(std::move(observer));
+}
+
 }  // namespace citronlane
--- a/src/routing/engine_router.cc
+++ b/src/routing/engine_router.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "citronlane/fleet/rendezvous.h"
+#include "citronlane/routing/detail/prompt_tokens.h"
 
 namespace citronlane {
 namespace {
@@ -31,29 +32,6 @@
 constexpr Duration kMaxSuspension = std::chrono::seconds(4);
 constexpr int kMaxSuspensionDoublings = 3;
 
-uint32_t AllTokens(const EngineRouter::Call& call) {
-  uint32_t tokens = 0;
-  for (const PromptSegment& part : call.prompt_) {
-    tokens += part.tokens_;
-  }
-  return tokens;
-}
-
-// Tokens of the last segment, which no other request shares.
-uint32_t OwnTokens(const EngineRouter::Call& call) {
-  return call.prompt_.empty() ? 0 : call.prompt_.back().tokens_;
-}
-
-// Id of the last shared segment, which selects the preferred engine and is
-// looked up among the cached ones. If the prompt has only one segment, its id.
-std::string_view SharedSegmentId(const EngineRouter::Call& call) {
-  if (call.prompt_.empty()) {
-    return {};
-  }
-  const size_t last = call.prompt_.size() - 1;
-  return call.prompt_[last == 0 ? 0 : last - 1].id_;
-}
-
 bool IsFailure(CallOutcome outcome) {
   return outcome != CallOutcome::kSuccess &&
          outcome != CallOutcome::kCancelled &&
@@ -83,6 +61,7 @@
 }
 
 double EngineRouter::Cost(const Engine& engine,
+                          const TimeFactors& factors,
                           double prefill,
                           double penalty,
                           const Call& call) {
@@ -92,14 +71,16 @@
                                     kBytesPerMegabyte * kTokensPerRemoteMegabyte
                               : 0;
   const double length = prefill / kLongPromptTokens;
-  return prefill + penalty + fetch + engine.pending_prefill_tokens_ +
-         engine.running_ * kTokensPerRunningRequest * (1 + length * length);
+  return prefill * factors.prefill_ + penalty + fetch +
+         engine.pending_prefill_tokens_ * factors.prefill_ +
+         engine.running_ * kTokensPerRunningRequest * (1 + length * length) *
+             factors.decode_;
 }
 
 const EngineRouter::Engine* EngineRouter::PreferredEngine(
     absl::Span<const Engine* const> engines,
     const Call& call) const {
-  const std::string_view key = SharedSegmentId(call);
+  const std::string_view key = SharedSegmentId(call.prompt_);
   const Engine* preferred = nullptr;
   uint64_t highest = 0;
   for (const Engine* engine : engines) {
@@ -116,7 +97,7 @@
 bool EngineRouter::IsWarm(TimePoint now, const Call& call) const {
   return std::any_of(engines_.begin(), engines_.end(), [&](const auto& entry) {
     const auto& last_use = entry.second.segment_last_use_;
-    const auto used = last_use.find(SharedSegmentId(call));
+    const auto used = last_use.find(SharedSegmentId(call.prompt_));
     return used != last_use.end() && now - used->second <= reuse_window_;
   });
 }
@@ -140,23 +121,26 @@
   const auto& candidates = usable.empty() ? suspended : usable;
   const Engine* preferred = PreferredEngine(candidates, call);
   const bool is_warm = call.sees_all_requests_ && IsWarm(now, call);
-  const double shared = AllTokens(call) - OwnTokens(call);
+  const double shared = AllTokens(call.prompt_) - OwnTokens(call.prompt_);
+  const Need need = NeedOf(now, call);
   const Engine* best = nullptr;
   double least = std::numeric_limits<double>::max();
   for (const Engine* engine : candidates) {
     const bool is_preferred = engine == preferred;
-    const bool is_cached =
-        call.sees_all_requests_
-            ? engine->segment_last_use_.count(SharedSegmentId(call)) != 0
-            : is_preferred;
-    const double prefill = OwnTokens(call) + (is_cached ? 0 : shared);
+    const bool is_cached = call.sees_all_requests_
+                               ? engine->segment_last_use_.count(
+                                     SharedSegmentId(call.prompt_)) != 0
+                               : is_preferred;
+    const double prefill = OwnTokens(call.prompt_) + (is_cached ? 0 : shared);
     // A segment that no engine used lately is steered to its preferred engine,
     // where gateways that see only their own requests assume it is cached.
     const double penalty = is_cached      ? 0
                            : is_warm      ? kDuplicatePrefillWeight * shared
                            : is_preferred ? 0
                                           : shared;
-    const double cost = Cost(*engine, prefill, penalty, call);
+    const TimeFactors factors = FactorsOf(*engine, now);
+    const double cost = Cost(*engine, factors, prefill, penalty, call) +
+                        RoomWait(*engine, factors, need, call);
     if (cost < least) {
       best = engine;
       least = cost;
@@ -175,7 +159,7 @@
                           TimePoint now,
                           const Call& call) {
   Engine* engine = Find(server);
-  const std::string_view key = SharedSegmentId(call);
+  const std::string_view key = SharedSegmentId(call.prompt_);
   if (engine == nullptr || key.empty()) {
     return;
   }
@@ -196,8 +180,9 @@
     return 0;
   }
   const bool is_cached =
-      engine->segment_last_use_.count(SharedSegmentId(call)) != 0;
-  const double prefill = is_cached ? OwnTokens(call) : AllTokens(call);
+      engine->segment_last_use_.count(SharedSegmentId(call.prompt_)) != 0;
+  const double prefill =
+      is_cached ? OwnTokens(call.prompt_) : AllTokens(call.prompt_);
   engine->running_ += 1;
   engine->pending_prefill_tokens_ += prefill;
   Expect(server, now, call);
