Let the division of pools follow what owners carry

Callers of a pool whose owner was overloaded were admitted, held and failed: the owner's queue fell behind, and with it every estimate that callers had of the pool, while its servers had room.

Pools were divided by their number of servers only, and nothing measured an owner. Gateways now measure the lag of their event loop, and how much of their VM's processor and link is in use, and report it to the leader. A pool whose owner is overloaded for long enough is divided; one that can't be moves to a gateway with clearly more left; parts that one owner could carry easily are merged much later. Owners tell callers how late they are themselves.

No fleet was measured.

--- a/include/citronlane/control/gateway_feed.h
+++ b/include/citronlane/control/gateway_feed.h
@@ -11,10 +11,9 @@
 
 #include "citronlane/base/time.h"
 #include "citronlane/control/limit_feed.h"
+#include "citronlane/control/pool_feed.h"
 #include "citronlane/control/suspect_feed.h"
 #include "citronlane/fleet/config_propagation.h"
-#include "citronlane/fleet/pool_assignment.h"
-#include "citronlane/fleet/pool_partition.h"
 #include "citronlane/fleet/pooled_service.h"
 #include "citronlane/fleet/recent_documents.h"
 #include "citronlane/serving/backend_server.h"
@@ -118,7 +117,6 @@
   struct Watcher;
 
   void UpdatePoolAssignment(TimePoint now);
-  std::vector<PoolPartition> Partitions() const;
   void Push(Watcher* watcher, TimePoint now);
   void RecordNewestConfig(TimePoint now);
   void AddConfig(Watcher* watcher,
@@ -147,7 +145,7 @@
   uint64_t servers_number_ = 0;
   uint64_t gateways_number_ = 0;
   TimePoint leading_since_;
-  PoolAssignment assignment_;
+  PoolFeed pool_feed_;
   SuspectFeed suspects_;
   LimitFeed limits_;
 };
--- a/include/citronlane/fleet/pool_assignment.h
+++ b/include/citronlane/fleet/pool_assignment.h
@@ -63,6 +63,9 @@
   /// Takes the owners that a gateway last received, from this leader or an
   /// earlier one, if `number` is higher than the present number.
   void Adopt(uint64_t number, const Owners& owners);
+  /// Gives the partition to another gateway at the next Update(). Does nothing
+  /// if the partition has no owner now.
+  void Move(const PoolPartition& partition, const std::string& endpoint);
   /// Gives partitions without an owner, or whose owner is gone or should yield
   /// them, to other gateways, and drops those that are not in `partitions`.
   /// Returns whether the number rose: it does with each change, and once for
@@ -100,6 +103,8 @@
   uint64_t number_ = 0;
   Owners owners_;
   std::map<PoolPartition, OwnerConnection> owner_connections_;
+  /// Whether an owner was changed by Move() since the last Update().
+  bool has_moved_ = false;
   TimePoint leading_since_;
   /// First number that this leader may use.
   uint64_t first_number_ = 0;
--- a/include/citronlane/fleet/pooled_service.h
+++ b/include/citronlane/fleet/pooled_service.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include "citronlane/base/time.h"
+
 namespace citronlane {
 
 class ServingConfig;
@@ -15,6 +17,8 @@
   /// True when its servers are model engines on which requests are placed;
   /// false when they take calls of a stage.
   bool has_engines_ = false;
+  /// Shortest target of the routes that use it; 0 when none has one.
+  Duration shortest_target_{};
 };
 
 /// Pooled services of a configuration, in its order. Thread safe.
--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -123,6 +123,26 @@
                                Metric::Kind::kGauge,
                                "1 when new work is taken, else 0.",
                                {}};
+inline constexpr Metric kLoopLagSeconds{
+    "citronlane_loop_lag_seconds",
+    Metric::Kind::kGauge,
+    "How late the event loop gets to work that is ready.",
+    {}};
+inline constexpr Metric kProcessorUse{
+    "citronlane_processor_use",
+    Metric::Kind::kGauge,
+    "Fraction of the VM's processor in use; 0 when not known.",
+    {}};
+inline constexpr Metric kLinkUse{
+    "citronlane_link_use",
+    Metric::Kind::kGauge,
+    "Fraction of the VM's link in use; 0 when not known.",
+    {}};
+inline constexpr Metric kPartitionsOwned{
+    "citronlane_partitions_owned",
+    Metric::Kind::kGauge,
+    "Pools, or partitions of pools, that this gateway owns.",
+    {}};
 inline constexpr Metric kConfigUpdatesTotal{
     "citronlane_config_updates_total", Metric::Kind::kCounter,
     "Configurations received, as a difference or as a whole document.",
@@ -192,6 +212,10 @@
     &kServersInBackoff,
     &kRequestsBlocked,
     &kReady,
+    &kLoopLagSeconds,
+    &kProcessorUse,
+    &kLinkUse,
+    &kPartitionsOwned,
     &kConfigUpdatesTotal,
     &kConfigVersion,
     &kBuildInfo,
--- a/include/citronlane/relay/control_watch.h
+++ b/include/citronlane/relay/control_watch.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "citronlane/base/time.h"
+#include "citronlane/fleet/gateway_load.h"
 #include "citronlane/serving/gateway_capacity.h"
 
 namespace citronlane {
@@ -77,6 +78,8 @@
   /// Whether this gateway reaches no backend server; sends that to the leader
   /// immediately.
   void SetCutOff(bool cut_off);
+  /// Sends this VM's load to the leader, which then does not respond.
+  void ReportLoad(const GatewayLoad& load);
   /// Sends a frame to the leader; drops it when none is connected.
   void Send(const wire::fleet::Frame& frame);
   /// Sends a frame to the leader or, while there is none, to every control VM
@@ -115,7 +118,7 @@
                   Candidate* candidate,
                   const std::string& reason,
                   TimePoint now);
-  void SendWatchRequest(FrameLink* link);
+  void SendWatchRequest(FrameLink* link, bool with_owners);
   void Take(const std::string& endpoint, wire::fleet::Frame* frame);
   void TakeUpdate(const std::string& endpoint,
                   wire::fleet::WatchUpdate* update);
@@ -137,6 +140,8 @@
   bool had_leader_ = false;
   bool stopping_ = false;
   bool cut_off_ = false;
+  /// As reported last.
+  GatewayLoad load_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -12,6 +12,7 @@
 
 #include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/steady_now.h"
+#include "citronlane/fleet/load_meter.h"
 #include "citronlane/net/frame_listener.h"
 #include "citronlane/net/server_list_reader.h"
 #include "citronlane/observe/metrics.h"
@@ -58,6 +59,9 @@
   /// Time after which every gateway has received a change: control sends
   /// updates every 200 ms.
   static constexpr auto kPropagationTime = std::chrono::milliseconds(260);
+  /// Resolution at which silent owners, late stage calls and the watch are
+  /// checked.
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 
   bool Listen(HttpListener* listener, const std::string& address, Error* error);
   RelayContext MakeContext();
@@ -87,6 +91,10 @@
   bool BelongsElsewhere(const PoolPartition& partition) const;
   void HandBackMovedPools(TimePoint now);
 
+  // gateway_host_load.cc: how much of this VM is in use.
+  size_t CountOwned() const;
+  void SampleLoad(TimePoint now);
+
   // gateway_host_feed.cc: updates from control and the platform's server list.
   void TakeUpdate(wire::fleet::WatchUpdate* update);
   void TakeConfig(const wire::fleet::ConfigUpdate& update);
@@ -156,6 +164,11 @@
   size_t unusable_servers_ = 0;
   bool stopping_ = false;
   bool accepting_ = true;
+  LoadMeter load_meter_;
+  TimePoint load_reported_;
+  /// Whether control has told capacities of gateways: an earlier version would
+  /// send all lists again at each report.
+  bool control_takes_load_ = false;
   TimePoint stop_began_;
 };
 
--- a/include/citronlane/relay/fleet_view.h
+++ b/include/citronlane/relay/fleet_view.h
@@ -78,9 +78,9 @@
   bool IsOwner(const PoolPartition& partition,
                const std::string& endpoint) const;
   /// Whether work that waits in a partition at the gateway `endpoint` belongs
-  /// elsewhere: the partition no longer exists, or it is one of a failure
-  /// domain and has another owner. An undivided pool may be at a successor that
-  /// control has not named yet.
+  /// elsewhere: the partition no longer exists, or it has another owner and is
+  /// one of a failure domain or was moved there from this gateway. An undivided
+  /// pool may be at a successor that control has not named yet.
   bool BelongsElsewhere(const PoolPartition& partition,
                         const std::string& endpoint) const;
   /// Whether the service's pool has partitions of failure domains.
@@ -115,6 +115,7 @@
  private:
   void UseServers();
   void UpdatePartitions();
+  void NoteFormerOwners(const PoolAssignment::Owners& next);
 
   std::shared_ptr<const ServingConfig> config_;
   /// Servers as in the list, without drained domains applied.
@@ -134,6 +135,8 @@
   size_t max_gateway_count_ = 0;
   uint64_t owners_number_ = 0;
   PoolAssignment::Owners owners_;
+  /// The owner that a partition had before its present one.
+  PoolAssignment::Owners former_owners_;
   /// Partitions by service; a service that is missing here has an undivided
   /// pool.
   std::map<std::string, std::vector<PoolPartition>> partitions_;
--- a/include/citronlane/relay/stage_owners.h
+++ b/include/citronlane/relay/stage_owners.h
@@ -48,13 +48,17 @@
   /// pool.
   using PoolHook = std::function<StagePool*(const PoolPartition& partition)>;
 
+  /// How late this gateway's event loop is.
+  using LagHook = std::function<Duration()>;
+
   /// `io`, `view` and `log` must outlive the object. `own_endpoint` is this
-  /// gateway's.
+  /// gateway's. An empty `lag` counts as a loop that is never late.
   StageOwners(boost::asio::io_context* io,
               std::string own_endpoint,
               const FleetView* view,
               EventLog* log,
-              PoolHook pool);
+              PoolHook pool,
+              LagHook lag = nullptr);
   ~StageOwners();
   StageOwners(const StageOwners&) = delete;
   StageOwners& operator=(const StageOwners&) = delete;
@@ -181,6 +185,7 @@
   OwnerTable owners_;
   EventLog* const log_;
   const PoolHook pool_;
+  const LagHook lag_;
   uint64_t last_job_ = 0;
   std::map<uint64_t, Job> jobs_;
   std::map<std::string, std::unique_ptr<FrameLink>> links_;
--- a/include/citronlane/stages/stage_wait.h
+++ b/include/citronlane/stages/stage_wait.h
@@ -14,6 +14,8 @@
   Duration all_{};
   /// Time of a call at present.
   Duration call_{};
+  /// How late the pool's owner itself is, however its servers are loaded.
+  Duration owner_lag_{};
 };
 
 }  // namespace citronlane
--- a/src/control/gateway_feed.cc
+++ b/src/control/gateway_feed.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "citronlane/fleet/drained_servers.h"
-#include "citronlane/fleet/pool_division.h"
+#include "citronlane/fleet/fleet_load.h"
 #include "citronlane/net/fleet_codec.h"
 #include "citronlane/net/frame_channel.h"
 #include "citronlane/observe/event_log.h"
@@ -23,9 +23,6 @@
 /// Gateways find a new leader within about a second. Until then they keep the
 /// list of gateways that the previous leader sent.
 constexpr Duration kGatheringTime = std::chrono::milliseconds(1500);
-/// A new leader has read the server list by then, unless the platform does not
-/// respond. Pools are divided into partitions by that list.
-constexpr Duration kServerListTimeout = std::chrono::seconds(1);
 /// Memory for recent versions, which gateways may still hold while changes come
 /// in quick succession; a small fraction of a control VM's memory.
 constexpr size_t kRecentBytes = size_t{16} << 20;
@@ -45,6 +42,9 @@
   bool cut_off_ = false;
   bool has_gateways_ = false;
   GatewayCapacity capacity_;
+  GatewayLoad load_;
+  /// When it reported its load last.
+  std::optional<TimePoint> load_reported_;
   TimePoint started_;
   /// Version that the gateway last reported.
   std::optional<uint64_t> config_version_;
@@ -73,6 +73,7 @@
       leadership_(std::move(leadership)),
       pools_(std::move(pools)),
       documents_(kRecentBytes),
+      pool_feed_(log),
       suspects_(log) {}
 
 GatewayFeed::~GatewayFeed() = default;
@@ -81,6 +82,10 @@
                         const WatchRequest& request,
                         TimePoint now) {
   auto& watcher = watchers_[channel.get()];
+  // Such a request is sent several times a second and changes nothing else.
+  const bool is_load_report = watcher && !request.has_owners() &&
+                              request.stopping() == watcher->stopping_ &&
+                              request.cut_off() == watcher->cut_off_;
   if (!watcher) {
     watcher = std::make_unique<Watcher>();
     watcher->channel_ = channel;
@@ -94,13 +99,21 @@
   watcher->capacity_ = UsableCapacity(request.processor_cores(),
                                       request.link_bytes_per_second());
   watcher->started_ = now - std::chrono::milliseconds(request.age_ms());
+  const GatewayLoad load = UsableLoad(
+      request.processor_use(), request.link_use(), request.loop_lag_ms());
+  if (IsKnown(load)) {
+    watcher->load_ = load;
+    watcher->load_reported_ = now;
+  }
+  if (is_load_report) {
+    return;
+  }
   if (request.has_config() && !watcher->is_config_in_flight_) {
     watcher->config_version_ = request.config_version();
   }
   if (request.has_owners()) {
     watcher->owners_number_ = request.owners().number();
-    assignment_.Adopt(request.owners().number(),
-                      DecodeOwners(request.owners()));
+    pool_feed_.Adopt(request.owners().number(), DecodeOwners(request.owners()));
   }
   // The other gateways are notified by the next PushAll. Otherwise the start of
   // a fleet would send as many lists as there are pairs of gateways.
@@ -171,7 +184,7 @@
 
 void GatewayFeed::StartLeading(TimePoint now) {
   leading_since_ = now;
-  assignment_.StartLeading(now, leadership_().term_);
+  pool_feed_.StartLeading(now, leadership_().term_);
   suspects_.StartLeading();
   limits_.StartLeading();
   servers_read_.reset();
@@ -183,38 +196,19 @@
   if (!leadership_().leads_) {
     return;
   }
-  std::vector<PoolAssignment::Gateway> gateways;
+  std::vector<FleetLoad::Gateway> gateways;
   for (const auto& [key, watcher] : watchers_) {
-    gateways.push_back({watcher->gateway_, watcher->stopping_,
-                        now - watcher->started_, watcher->failure_domain_,
-                        watcher->cut_off_, watcher->capacity_});
-  }
-  const bool has_no_partitions = assignment_.number() == 0 && !servers_read_;
-  if (has_no_partitions && now < leading_since_ + kServerListTimeout) {
-    return;
+    gateways.push_back(
+        {{watcher->gateway_, watcher->stopping_, now - watcher->started_,
+          watcher->failure_domain_, watcher->cut_off_, watcher->capacity_},
+         watcher->load_,
+         watcher->load_reported_});
   }
-  assignment_.Update(Partitions(), gateways, now);
-}
-
-// Without a server list the current partitions are kept, since each change
-// moves servers between owners.
-std::vector<PoolPartition> GatewayFeed::Partitions() const {
-  const std::vector<PooledService> services = pools_();
+  std::optional<std::vector<BackendServer>> servers;
   if (servers_read_) {
-    return DividePools(services,
-                       WithDrained(servers_, state_->drained().names()),
-                       assignment_.owners());
-  }
-  std::vector<PoolPartition> partitions;
-  for (const PooledService& service : services) {
-    const auto held =
-        PoolAssignment::PartitionsAmong(assignment_.owners(), service.name_);
-    partitions.insert(partitions.end(), held.begin(), held.end());
-    if (held.empty()) {
-      partitions.emplace_back(service.name_);
-    }
+    servers = WithDrained(servers_, state_->drained().names());
   }
-  return partitions;
+  pool_feed_.Update(pools_(), servers, gateways, now);
 }
 
 void GatewayFeed::PushAll(TimePoint now) {
@@ -314,9 +308,9 @@
       update->set_servers_age_ms(InMilliseconds(now - *servers_read_) + 1);
     }
     AddGateways(watcher, now < leading_since_ + kGatheringTime, update);
-    if (watcher->owners_number_ != assignment_.number()) {
-      watcher->owners_number_ = assignment_.number();
-      EncodeOwners(assignment_.number(), assignment_.owners(),
+    if (watcher->owners_number_ != pool_feed_.number()) {
+      watcher->owners_number_ = pool_feed_.number();
+      EncodeOwners(pool_feed_.number(), pool_feed_.owners(),
                    update->mutable_owners());
     }
   }
--- a/src/fleet/pool_assignment.cc
+++ b/src/fleet/pool_assignment.cc
@@ -157,6 +157,16 @@
           now - leading_since_ < kOwnerReconnectTime);
 }
 
+void PoolAssignment::Move(const PoolPartition& partition,
+                          const std::string& endpoint) {
+  const auto owned = owners_.find(partition);
+  if (owned != owners_.end() && owned->second != endpoint) {
+    owned->second = endpoint;
+    owner_connections_[partition] = OwnerConnection{std::nullopt, true};
+    has_moved_ = true;
+  }
+}
+
 bool PoolAssignment::Update(absl::Span<const PoolPartition> partitions,
                             absl::Span<const Gateway> gateways,
                             TimePoint now) {
@@ -166,7 +176,8 @@
   // By now the gateways of a new fleet send work to the successors, so these
   // become the owners.
   const bool is_new = IsNewFleet(gateways);
-  bool changed = false;
+  bool changed = has_moved_;
+  has_moved_ = false;
   for (auto it = owners_.begin(); it != owners_.end();) {
     const bool is_declared = std::find(partitions.begin(), partitions.end(),
                                        it->first) != partitions.end();
--- a/src/fleet/pool_division.cc
+++ b/src/fleet/pool_division.cc
@@ -23,14 +23,15 @@
 
 bool IsDivided(const PooledService& service,
                size_t servers,
-               const PoolAssignment::Owners& held) {
+               const PoolAssignment::Owners& held,
+               const PoolDivisions& divisions) {
   const size_t max_servers =
       service.has_engines_ ? kMaxUndividedEngines : kMaxUndividedStageServers;
-  const auto partitions = PoolAssignment::PartitionsAmong(held, service.name_);
-  const bool was_divided = std::any_of(partitions.begin(), partitions.end(),
-                                       [](const PoolPartition& partition) {
-                                         return partition.IsDomainPartition();
-                                       });
+  const auto wanted = divisions.find(service.name_);
+  if (wanted != divisions.end()) {
+    return wanted->second == PoolDivision::kDivided || servers > max_servers;
+  }
+  const bool was_divided = IsDividedAmong(held, service.name_);
   return servers > (was_divided ? max_servers / kMergeDivisor : max_servers);
 }
 
@@ -48,12 +49,13 @@
 void Divide(const PooledService& service,
             const ServersByDomain& counts,
             const PoolAssignment::Owners& held,
+            const PoolDivisions& divisions,
             std::vector<PoolPartition>* partitions) {
   size_t all = 0;
   for (const auto& [domain, count] : counts) {
     all += count;
   }
-  if (!IsDivided(service, all, held)) {
+  if (!IsDivided(service, all, held, divisions)) {
     partitions->emplace_back(service.name_);
     return;
   }
@@ -75,12 +77,30 @@
 
 std::vector<PoolPartition> DividePools(absl::Span<const PooledService> services,
                                        absl::Span<const BackendServer> servers,
-                                       const PoolAssignment::Owners& held) {
+                                       const PoolAssignment::Owners& held,
+                                       const PoolDivisions& divisions) {
   std::vector<PoolPartition> partitions;
   for (const PooledService& service : services) {
-    Divide(service, CountByDomain(service.name_, servers), held, &partitions);
+    Divide(service, CountByDomain(service.name_, servers), held, divisions,
+           &partitions);
   }
   return partitions;
 }
 
+bool CanDivide(const PooledService& service,
+               absl::Span<const BackendServer> servers) {
+  return DividePools({service}, servers, {},
+                     {{service.name_, PoolDivision::kDivided}})
+             .size() > 1;
+}
+
+bool IsDividedAmong(const PoolAssignment::Owners& held,
+                    const std::string& service) {
+  const auto partitions = PoolAssignment::PartitionsAmong(held, service);
+  return std::any_of(partitions.begin(), partitions.end(),
+                     [](const PoolPartition& partition) {
+                       return partition.IsDomainPartition();
+                     });
+}
+
 }  // namespace citronlane
--- a/src/net/frame_channel.cc
+++ b/src/net/frame_channel.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include "citronlane/base/steady_now.h"
+#include "citronlane/net/traffic_count.h"
 #include "fleet.pb.h"
 
 namespace citronlane {
@@ -99,6 +100,7 @@
         // must not count as silent.
         self->last_received_ = SteadyNow();
         self->input_end_ += size;
+        CountTraffic(size);
         self->HandleInput();
       });
 }
@@ -186,6 +188,7 @@
           self->Close();
           return;
         }
+        CountTraffic(self->writing_.size());
         self->queued_bytes_ -= self->writing_.size();
         self->writing_.clear();
         if (!self->queue_.empty()) {
--- a/src/relay/control_watch.cc
+++ b/src/relay/control_watch.cc
@@ -54,14 +54,21 @@
 void ControlWatch::SetStopping() {
   stopping_ = true;
   if (FrameLink* link = LeaderLink()) {
-    SendWatchRequest(link);
+    SendWatchRequest(link, true);
   }
 }
 
 void ControlWatch::SetCutOff(bool cut_off) {
   cut_off_ = cut_off;
   if (FrameLink* link = LeaderLink()) {
-    SendWatchRequest(link);
+    SendWatchRequest(link, true);
+  }
+}
+
+void ControlWatch::ReportLoad(const GatewayLoad& load) {
+  load_ = load;
+  if (FrameLink* link = LeaderLink()) {
+    SendWatchRequest(link, false);
   }
 }
 
@@ -166,10 +173,12 @@
   candidate->requested_ = now;
   candidate->link_ =
       std::make_unique<FrameLink>(io_, endpoint, std::move(hooks));
-  SendWatchRequest(candidate->link_.get());
+  SendWatchRequest(candidate->link_.get(), true);
 }
 
-void ControlWatch::SendWatchRequest(FrameLink* link) {
+// A report of the load alone has no owners: control knows that it changes
+// nothing else.
+void ControlWatch::SendWatchRequest(FrameLink* link, bool with_owners) {
   Frame frame;
   auto* watch = frame.mutable_watch();
   watch->set_gateway(options_.own_endpoint_);
@@ -184,7 +193,12 @@
     watch->set_config_version(*version);
   }
   watch->set_has_gateways(hooks_.knows_gateways_());
-  hooks_.add_owners_(watch);
+  if (with_owners) {
+    hooks_.add_owners_(watch);
+  }
+  watch->set_processor_use(load_.processor_use_);
+  watch->set_link_use(load_.link_use_);
+  watch->set_loop_lag_ms(InMilliseconds(load_.loop_lag_));
   watch->set_age_ms(InMilliseconds(SteadyNow() - started_));
   link->Send(frame);
 }
--- a/src/relay/fleet_view.cc
+++ b/src/relay/fleet_view.cc
@@ -102,11 +102,23 @@
 void FleetView::SetOwners(uint64_t number, PoolAssignment::Owners owners) {
   if (number > owners_number_) {
     owners_number_ = number;
+    NoteFormerOwners(owners);
     owners_ = std::move(owners);
     UpdatePartitions();
   }
 }
 
+void FleetView::NoteFormerOwners(const PoolAssignment::Owners& next) {
+  for (const auto& [partition, owner] : owners_) {
+    const auto found = next.find(partition);
+    if (found == next.end()) {
+      former_owners_.erase(partition);
+    } else if (found->second != owner) {
+      former_owners_[partition] = owner;
+    }
+  }
+}
+
 std::vector<const BackendServer*> FleetView::ServersOf(
     std::string_view service) const {
   std::vector<const BackendServer*> servers;
@@ -153,9 +165,12 @@
 bool FleetView::BelongsElsewhere(const PoolPartition& partition,
                                  const std::string& endpoint) const {
   const auto owner = owners_.find(partition);
-  const bool has_other = partition.IsDomainPartition() &&
-                         owner != owners_.end() && owner->second != endpoint;
-  return !HasPartition(partition) || has_other;
+  const bool has_other = owner != owners_.end() && owner->second != endpoint;
+  const auto former = former_owners_.find(partition);
+  const bool was_here =
+      former != former_owners_.end() && former->second == endpoint;
+  return !HasPartition(partition) ||
+         (has_other && (partition.IsDomainPartition() || was_here));
 }
 
 bool FleetView::IsDivided(const std::string& service) const {
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -19,9 +19,6 @@
 namespace citronlane {
 namespace {
 
-/// Resolution at which silent owners, late stage calls and the watch are
-/// checked.
-constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 /// Interval of reading the settings file, which may change without a signal.
 constexpr Duration kSettingsInterval = std::chrono::seconds(2);
 /// How long callers still arrive after a stop signal, until the load balancer
@@ -76,7 +73,8 @@
           settings_.internal_listen_,
           &view_,
           log,
-          [this](const PoolPartition& partition) { return PoolOf(partition); }),
+          [this](const PoolPartition& partition) { return PoolOf(partition); },
+          [this] { return load_meter_.load().loop_lag_; }),
       server_limits_(settings_.internal_listen_),
       limits_(&server_limits_, log, LimitHooks()),
       reach_([this](uint64_t below) { return random_() % below; },
@@ -120,7 +118,8 @@
       callers_({&io_}, LimitsOf(CallerLimits(), settings_), CallerHooks()),
       forwarded_({&io_}, LimitsOf(CallerLimits(), settings_), ForwardedHooks()),
       ready_({&io_}, HttpLimits(), ReadyHooks()),
-      metrics_listener_({&io_}, HttpLimits(), MetricsHooks()) {}
+      metrics_listener_({&io_}, HttpLimits(), MetricsHooks()),
+      load_meter_(settings_.capacity_, kTickInterval) {}
 
 RelayContext GatewayHost::Impl::MakeContext() {
   RelayContext context;
@@ -191,6 +190,7 @@
 }
 
 void GatewayHost::Impl::Tick(TimePoint now) {
+  SampleLoad(now);
   watch_.Tick(now);
   origins_.Tick();
   owners_.Tick(now);
--- a/src/relay/gateway_host_feed.cc
+++ b/src/relay/gateway_host_feed.cc
@@ -60,12 +60,14 @@
   }
   if (update->has_gateways()) {
     std::vector<FleetView::Gateway> gateways;
+    control_takes_load_ = false;
     for (const auto& entry : update->gateways().gateways()) {
       gateways.push_back({entry.endpoint(), entry.failure_domain(),
                           entry.stopping(), entry.cut_off(),
                           entry.relay_address(),
                           UsableCapacity(entry.processor_cores(),
                                          entry.link_bytes_per_second())});
+      control_takes_load_ |= entry.processor_cores() > 0;
     }
     view_.SetGateways(std::move(gateways));
     UpdateGatewaysOfServers();
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -121,6 +121,12 @@
     metrics_.Set(kRequestsBlocked, {},
                  static_cast<double>(crashes_.CountBlocked()));
     metrics_.Set(kReady, {}, IsReady() ? 1 : 0);
+    const GatewayLoad& load = load_meter_.load();
+    metrics_.Set(kLoopLagSeconds, {},
+                 std::chrono::duration<double>(load.loop_lag_).count());
+    metrics_.Set(kProcessorUse, {}, load.processor_use_);
+    metrics_.Set(kLinkUse, {}, load.link_use_);
+    metrics_.Set(kPartitionsOwned, {}, static_cast<double>(CountOwned()));
     const auto& config = view_.config();
     metrics_.Set(kConfigVersion, {},
                  config ? static_cast<double>(config->version()) : 0);
--- a/src/relay/stage_owners.cc
+++ b/src/relay/stage_owners.cc
@@ -31,12 +31,14 @@
                          std::string own_endpoint,
                          const FleetView* view,
                          EventLog* log,
-                         PoolHook pool)
+                         PoolHook pool,
+                         LagHook lag)
     : io_(io),
       view_(view),
       owners_(view, std::move(own_endpoint)),
       log_(log),
-      pool_(std::move(pool)) {}
+      pool_(std::move(pool)),
+      lag_(std::move(lag)) {}
 
 StageOwners::~StageOwners() = default;
 
@@ -77,9 +79,10 @@
   if (job.owner_ == owners_.own_endpoint()) {
     job.owner_.clear();
     if (StagePool* pool = pool_(job.partition_)) {
-      const auto wait = pool->ExpectedWait(forecast, now);
+      auto wait = pool->ExpectedWait(forecast, now);
       job.local_ = pool->Announce(forecast);
       if (wait) {
+        wait->owner_lag_ = lag_ ? lag_() : Duration();
         job.wait_known_(*wait);
       }
     }
--- a/src/relay/stage_owners_serve.cc
+++ b/src/relay/stage_owners_serve.cc
@@ -54,9 +54,10 @@
   }
   const TimePoint now = SteadyNow();
   const StageForecast forecast = DecodeForecast(announcement, now);
-  const auto wait = pool->ExpectedWait(forecast, now);
+  auto wait = pool->ExpectedWait(forecast, now);
   announced_[key] = Served{partition, pool->Announce(forecast)};
   if (wait) {
+    wait->owner_lag_ = lag_ ? lag_() : Duration();
     Frame reply;
     reply.mutable_pool_wait()->set_job(announcement.job());
     EncodeWait(*wait, reply.mutable_pool_wait());
--- a/src/relay/stage_runner_estimates.cc
+++ b/src/relay/stage_runner_estimates.cc
@@ -89,7 +89,7 @@
     if (stages_[i].pieces_ > 0) {
       const StageWait wait = stages_[i].wait_.value_or(StageWait());
       finish[i] = std::max(finish[i], behind_all ? wait.all_ : wait.on_time_) +
-                  CallTime(i);
+                  CallTime(i) + wait.owner_lag_;
     }
     last = std::max(last, finish[i]);
   }
--- a/src/relay/stage_task_codec.cc
+++ b/src/relay/stage_task_codec.cc
@@ -70,6 +70,7 @@
   out->set_on_time_ms(InMilliseconds(wait.on_time_));
   out->set_all_ms(InMilliseconds(wait.all_));
   out->set_call_ms(InMilliseconds(wait.call_));
+  out->set_owner_lag_ms(InMilliseconds(wait.owner_lag_));
 }
 
 StageWait DecodeWait(const wire::fleet::StagePoolWait& in) {
@@ -77,6 +78,7 @@
   wait.on_time_ = std::chrono::milliseconds(in.on_time_ms());
   wait.all_ = std::chrono::milliseconds(in.all_ms());
   wait.call_ = std::chrono::milliseconds(in.call_ms());
+  wait.owner_lag_ = FromMilliseconds(in.owner_lag_ms());
   return wait;
 }
 
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include "citronlane/base/text.h"
+#include "citronlane/net/traffic_count.h"
 #include "citronlane/transport/detail/http_text.h"
 #include "citronlane/transport/http_request.h"
 
@@ -227,7 +228,8 @@
 bool HttpConnection::ReadRequest(Parser* parser) {
   stream_.expires_after(state_->limits_.read_timeout_);
   error_code error;
-  http::async_read_header(stream_, buffer_, *parser, (*yield_)[error]);
+  CountTraffic(
+      http::async_read_header(stream_, buffer_, *parser, (*yield_)[error]));
   if (!error && HasUnclearFraming(parser->get())) {
     keep_alive_ = false;
     Refuse(RefusalReason::kMalformedRequest);
@@ -243,7 +245,7 @@
     stream_.expires_after(state_->limits_.read_timeout_);
   }
   if (!error) {
-    http::async_read(stream_, buffer_, *parser, (*yield_)[error]);
+    CountTraffic(http::async_read(stream_, buffer_, *parser, (*yield_)[error]));
   }
   if (!error) {
     stream_.expires_never();
@@ -320,8 +322,8 @@
   }
   stream_.expires_after(state_->limits_.write_timeout_);
   error_code error;
-  asio::async_write(stream_, asio::buffer(text.data(), text.size()),
-                    (*yield_)[error]);
+  CountTraffic(asio::async_write(
+      stream_, asio::buffer(text.data(), text.size()), (*yield_)[error]));
   if (error) {
     caller_gone_ = true;
     return false;
--- a/src/transport/reply_reading.cc
+++ b/src/transport/reply_reading.cc
@@ -1,4 +1,5 @@
 #include "citronlane/transport/detail/reply_reading.h"
+#include "citronlane/net/traffic_count.h"
 
 #include <algorithm>
 
@@ -30,6 +31,7 @@
   }
   const size_t got = connection->stream_.async_read_some(
       buffer.prepare(std::min(room, kHeadReadBytes)), yield[*error]);
+  CountTraffic(got);
   buffer.commit(got);
 }
 
@@ -70,8 +72,8 @@
   body.data = buffer->data();
   body.size = buffer->size();
   body.more = true;
-  http::async_read_some(connection->stream_, connection->buffer_, *parser,
-                        yield[*error]);
+  CountTraffic(http::async_read_some(connection->stream_, connection->buffer_,
+                                     *parser, yield[*error]));
   if (*error == http::error::need_buffer) {
     *error = {};
   }
@@ -83,8 +85,8 @@
                 const asio::yield_context& yield,
                 error_code* error) {
   const size_t before = parser->get().body().size();
-  http::async_read_some(connection->stream_, connection->buffer_, *parser,
-                        yield[*error]);
+  CountTraffic(http::async_read_some(connection->stream_, connection->buffer_,
+                                     *parser, yield[*error]));
   return parser->get().body().size() - before;
 }
 
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -14,6 +14,7 @@
 
 #include "citronlane/base/steady_now.h"
 #include "citronlane/net/endpoint.h"
+#include "citronlane/net/traffic_count.h"
 #include "citronlane/transport/detail/connection_pool.h"
 #include "citronlane/transport/detail/coroutine.h"
 #include "citronlane/transport/detail/reply_reading.h"
@@ -134,7 +135,8 @@
     } else {
       connection_->stream_.expires_at(spec_.deadline_);
     }
-    asio::async_write(connection_->stream_, asio::buffer(text), yield[error]);
+    CountTraffic(asio::async_write(connection_->stream_, asio::buffer(text),
+                                   yield[error]));
     if (error) {
       Done(detail::OutcomeOf(error));
     }
--- a/tests/unit-gateway-feed.cc
+++ b/tests/unit-gateway-feed.cc
@@ -167,7 +167,11 @@
              {[](std::string_view) { return true; }, SteadyNow,
               [] { return int64_t{0}; }}),
         watch_(&io_,
-               ControlWatch::Options{"127.0.0.1:1", "a", {leader}},
+               ControlWatch::Options{"127.0.0.1:1",
+                                     "a",
+                                     {leader},
+                                     "",
+                                     {0.09, 937500}},
                &log_,
                HooksOf()) {}
 
@@ -191,7 +195,11 @@
   std::map<std::string, double> limits_;
   /// Whether this gateway is listed as cut off; nothing before the first list.
   std::optional<bool> is_listed_cut_off_;
+  /// Capacity listed for this gateway, and the number of lists received.
+  GatewayCapacity listed_capacity_;
+  int lists_ = 0;
 
+  void ReportLoad(const GatewayLoad& load) { watch_.ReportLoad(load); }
   void SetCutOff(bool cut_off) { watch_.SetCutOff(cut_off); }
 
  private:
@@ -200,6 +208,7 @@
     hooks.leader_found_ = [] {};
     hooks.updated_ = [this](WatchUpdate* update) {
       received_bytes_ += update->ByteSizeLong();
+      lists_ += update->has_gateways() ? 1 : 0;
       if (update->has_drained()) {
         drained_.assign(update->drained().names().begin(),
                         update->drained().names().end());
@@ -209,6 +218,8 @@
       }
       for (const auto& gateway : update->gateways().gateways()) {
         is_listed_cut_off_ = gateway.cut_off();
+        listed_capacity_ = {gateway.processor_cores(),
+                            gateway.link_bytes_per_second()};
       }
       if (update->has_suspects()) {
         const auto& requests = update->suspects().requests();
@@ -349,6 +360,26 @@
     gateway.SetCutOff(false);
     CHECK(listed(false));
   }
+  SECTION("capacities of gateways, and not the list at each report of load") {
+    REQUIRE(until([&] {
+      leader.Pass(Duration());
+      return gateway.lists_ > 0;
+    }));
+    CHECK(gateway.listed_capacity_.processor_cores_ == 0.09);
+    CHECK(gateway.listed_capacity_.link_bytes_per_second_ == 937500);
+    const int lists = gateway.lists_;
+    for (int i = 0; i < 20; ++i) {
+      gateway.ReportLoad({0.5, 0.1, std::chrono::milliseconds(3)});
+    }
+    // Whatever the reports cause has arrived with a later change.
+    leader.Drain("north-a", true);
+    gateway.SetCutOff(true);
+    REQUIRE(until([&] {
+      leader.Pass(Duration());
+      return gateway.is_listed_cut_off_ == true;
+    }));
+    CHECK(gateway.lists_ == lists + 1);
+  }
   SECTION("drained failure domains, on each connection and at each change") {
     const auto drained = [&](const std::vector<std::string>& names) {
       return until([&] { return gateway.drained_ == names; });
--- a/tests/unit-pool-assignment.cc
+++ b/tests/unit-pool-assignment.cc
@@ -437,6 +437,38 @@
   }
 }
 
+TEST_CASE("a pool that is moved") {
+  PoolAssignment assignment;
+  const TimePoint now{seconds(103)};
+  assignment.StartLeading(TimePoint(seconds(100)), 1);
+  const auto gateways = Gateways(5);
+  REQUIRE(assignment.Update(Services('b'), gateways, now));
+  const PoolAssignment::Owners before = assignment.owners();
+  const uint64_t number = assignment.number();
+
+  SECTION("has its new owner under a higher number, from then on") {
+    const std::string next = before.at("a") == "g0" ? "g1" : "g0";
+    assignment.Move("a", next);
+    CHECK(assignment.Update(Services('b'), gateways, now));
+    CHECK(assignment.number() == number + 1);
+    CHECK_FALSE(assignment.Update(Services('b'), gateways, now + seconds(1)));
+    CHECK(assignment.owners().at("a") == next);
+    CHECK(assignment.owners().at("b") == before.at("b"));
+  }
+  SECTION("goes on if the gateway is lost meanwhile") {
+    assignment.Move("a", "gone");
+    assignment.Update(Services('b'), gateways, now);
+    assignment.Update(Services('b'), gateways, now + milliseconds(400));
+    CHECK(assignment.owners().at("a") != "gone");
+  }
+  SECTION("is not, if it has no owner or has it already") {
+    assignment.Move("none", "g0");
+    assignment.Move("a", before.at("a"));
+    CHECK_FALSE(assignment.Update(Services('b'), gateways, now));
+    CHECK(assignment.owners() == before);
+  }
+}
+
 TEST_CASE("VMs of one size are ordered as those of unknown size") {
   auto gateways = Gateways(20);
   PoolAssignment plain;
--- a/tests/unit-pool-partitions.cc
+++ b/tests/unit-pool-partitions.cc
@@ -349,6 +349,17 @@
     view.SetOwners(1, {{partition_a, "g1"}});
     CHECK(view.BelongsElsewhere(partition_a, "g9"));
   }
+  SECTION("if the undivided pool was moved from there to another gateway") {
+    view.SetOwners(1, {{kStage, "g9"}});
+    CHECK_FALSE(view.BelongsElsewhere(kStage, "g9"));
+    view.SetOwners(2, {{kStage, "g1"}});
+    CHECK(view.BelongsElsewhere(kStage, "g9"));
+    CHECK_FALSE(view.BelongsElsewhere(kStage, "g1"));
+    CHECK_FALSE(view.BelongsElsewhere(kStage, "g2"));
+    view.SetOwners(3, {{kStage, "g9"}});
+    CHECK_FALSE(view.BelongsElsewhere(kStage, "g9"));
+    CHECK(view.BelongsElsewhere(kStage, "g1"));
+  }
   SECTION("not at the successor of an undivided pool's owner") {
     view.SetOwners(1, {{kStage, "g1"}});
     CHECK_FALSE(view.BelongsElsewhere(kStage, "g9"));
--- a/tests/unit-stage-codec.cc
+++ b/tests/unit-stage-codec.cc
@@ -80,11 +80,13 @@
   wait.on_time_ = milliseconds(250);
   wait.all_ = milliseconds(1900);
   wait.call_ = milliseconds(380);
+  wait.owner_lag_ = milliseconds(90);
   wire::fleet::StagePoolWait answer;
   EncodeWait(wait, &answer);
   CHECK(DecodeWait(answer).on_time_ == wait.on_time_);
   CHECK(DecodeWait(answer).all_ == wait.all_);
   CHECK(DecodeWait(answer).call_ == wait.call_);
+  CHECK(DecodeWait(answer).owner_lag_ == wait.owner_lag_);
 }
 
 TEST_CASE("names of stage results on the wire") {
--- a/tests/unit-stage-domains.cc
+++ b/tests/unit-stage-domains.cc
@@ -31,6 +31,7 @@
 namespace citronlane {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr const char* kOwn = "127.0.0.1:1";
@@ -84,6 +85,8 @@
 
   StageRunner* runner() { return runner_.get(); }
   StageOwners* owners() { return &owners_; }
+  /// How late the event loop of the owner is.
+  Duration lag_{};
   FleetView* view() { return &view_; }
 
   static StageForecast ForecastOf(uint32_t pieces) {
@@ -125,8 +128,12 @@
   RelayJob job_;
   std::map<PoolPartition, std::unique_ptr<StagePool>> pools_;
   StageOwners owners_{
-      &io_, kOwn, &view_, &log_,
-      [this](const PoolPartition& partition) { return PoolOf(partition); }};
+      &io_,
+      kOwn,
+      &view_,
+      &log_,
+      [this](const PoolPartition& partition) { return PoolOf(partition); },
+      [this] { return lag_; }};
   std::unique_ptr<StageRunner> runner_;
 };
 
@@ -148,6 +155,14 @@
       CHECK(runner.OtherDomain(random) == "b");
     }
   }
+  SECTION("expects to wait for its owner as well") {
+    TwoDomains late;
+    late.lag_ = milliseconds(700);
+    late.Fill("a", 100);
+    late.runner()->Announce("a");
+    CHECK(late.runner()->ExpectedTime(false) >= at_home + milliseconds(700));
+    CHECK(late.runner()->ExpectedTime(true) >= at_home + milliseconds(700));
+  }
   SECTION("moves to a domain that is expected to be faster") {
     const Duration with_it = fleet.WaitIn("a");
     CHECK(runner.CompareWith("b") == "b");
--- a/tests/unit-stage-owners.cc
+++ b/tests/unit-stage-owners.cc
@@ -227,14 +227,15 @@
               &net->dialect_,
               &net->client_,
               &log_),
-        owners_(&net->io_,
-                endpoint,
-                &view_,
-                &log_,
-                [this](const PoolPartition& partition) {
-                  return partition == kService && runs_pools_ ? &pool_
-                                                              : nullptr;
-                }),
+        owners_(
+            &net->io_,
+            endpoint,
+            &view_,
+            &log_,
+            [this](const PoolPartition& partition) {
+              return partition == kService && runs_pools_ ? &pool_ : nullptr;
+            },
+            [this] { return lag_; }),
         listener_(
             &net->io_,
             endpoint,
@@ -287,6 +288,8 @@
     return tracked;
   }
 
+  /// How late its event loop is.
+  Duration lag_{};
   /// Log lines.
   std::vector<std::string> lines_;
   FleetView view_;
@@ -865,6 +868,13 @@
     CHECK(expected() > milliseconds(500));
     CHECK(owner.owners_.served_jobs() == 0);
 
+    SECTION("tell how late the owner is, however full its pool is") {
+      CHECK(two->wait_.owner_lag_ == Duration());
+      owner.lag_ = milliseconds(90);
+      const auto three = gateway->Announce(1);
+      REQUIRE(net.Until([&] { return three->waits_ == 1; }));
+      CHECK(three->wait_.owner_lag_ == milliseconds(90));
+    }
     SECTION("are withdrawn with their request") {
       gateway->owners_.Cancel(one->job_);
       CHECK(net.Until([&] { return expected() < milliseconds(100); }));
