Count as overload only what owning partitions costs

A load that all gateways have alike, as that of a large configuration or of a start, would have divided pools whose owners were well. What the median gateway without a partition has, and the first seconds of a process, no longer count.

--- a/include/citronlane/fleet/fleet_load.h
+++ b/include/citronlane/fleet/fleet_load.h
@@ -49,16 +49,19 @@
   static Amount UsedBy(const Gateway& gateway);
   /// What a gateway uses that owns nothing: the median of those.
   const Amount& base() const { return base_; }
+  /// How late the loops of those are.
+  Duration base_lag() const { return base_lag_; }
   /// What one of its partitions costs the gateway; 0 if it has none.
   Amount CostOfPartition(const Gateway& gateway) const;
 
  private:
-  Amount BaseOf() const;
+  void ReadBase();
 
   std::map<std::string, std::vector<PoolPartition>> owned_;
   std::map<std::string, const Gateway*> by_endpoint_;
   std::vector<const Gateway*> known_;
   Amount base_;
+  Duration base_lag_{};
 };
 
 }  // namespace citronlane
--- a/include/citronlane/fleet/load_marks.h
+++ b/include/citronlane/fleet/load_marks.h
@@ -17,11 +17,12 @@
 Duration LagMark(absl::Span<const PooledService> services,
                  absl::Span<const PoolPartition> partitions);
 
-/// Whether an owner of these partitions has more load than it can carry. Pure.
-/// Thread safe.
-bool IsOverloaded(const FleetLoad::Gateway& owner,
-                  absl::Span<const PooledService> services,
-                  absl::Span<const PoolPartition> partitions);
+/// Whether an owner has more load than it can carry, because of the partitions
+/// that it owns and not for a reason that all gateways have alike. Pure. Thread
+/// safe.
+bool IsOverloaded(const FleetLoad& loads,
+                  const FleetLoad::Gateway& owner,
+                  absl::Span<const PooledService> services);
 
 /// Gateway that would carry one of the owner's partitions with clearly more
 /// capacity left for it, and best; null when there is none. Pure. Thread safe.
--- a/src/fleet/division_policy.cc
+++ b/src/fleet/division_policy.cc
@@ -107,9 +107,8 @@
   std::map<std::string, Overload> overloads;
   for (const FleetLoad::Gateway* gateway : loads.known()) {
     const std::string& endpoint = gateway->gateway_.endpoint_;
-    const auto partitions = loads.PartitionsOf(endpoint);
-    if (partitions.empty() || settling_until_.count(endpoint) != 0 ||
-        !IsOverloaded(*gateway, input.services_, partitions)) {
+    if (settling_until_.count(endpoint) != 0 ||
+        !IsOverloaded(loads, *gateway, input.services_)) {
       continue;
     }
     const auto known = overloads_.find(endpoint);
--- a/src/fleet/fleet_load.cc
+++ b/src/fleet/fleet_load.cc
@@ -6,9 +6,10 @@
 namespace citronlane {
 namespace {
 
-double MedianOf(std::vector<double> values) {
+template <typename Value>
+Value MedianOf(std::vector<Value> values) {
   if (values.empty()) {
-    return 0;
+    return Value();
   }
   const auto middle =
       values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
@@ -32,7 +33,7 @@
   for (const auto& [endpoint, gateway] : by_endpoint_) {
     known_.push_back(gateway);
   }
-  base_ = BaseOf();
+  ReadBase();
 }
 
 const FleetLoad::Gateway* FleetLoad::Find(const std::string& endpoint) const {
@@ -68,17 +69,20 @@
           std::max(0.0, used.link_ - base_.link_) / count};
 }
 
-FleetLoad::Amount FleetLoad::BaseOf() const {
+void FleetLoad::ReadBase() {
   std::vector<double> processor;
   std::vector<double> link;
+  std::vector<Duration> lags;
   for (const Gateway* gateway : known_) {
     if (owned_.count(gateway->gateway_.endpoint_) == 0) {
       const Amount used = UsedBy(*gateway);
       processor.push_back(used.processor_);
       link.push_back(used.link_);
+      lags.push_back(gateway->load_.loop_lag_);
     }
   }
-  return {MedianOf(std::move(processor)), MedianOf(std::move(link))};
+  base_ = {MedianOf(std::move(processor)), MedianOf(std::move(link))};
+  base_lag_ = MedianOf(std::move(lags));
 }
 
 }  // namespace citronlane
--- a/src/fleet/load_marks.cc
+++ b/src/fleet/load_marks.cc
@@ -11,6 +11,10 @@
 
 /// Above this use queues grow with each small burst.
 constexpr double kHighUse = 0.75;
+/// Its partitions use at least this much of an overloaded owner.
+constexpr double kMinOwnedUse = 0.2;
+/// Until then the load of a gateway is that of its start.
+constexpr Duration kStartTime = std::chrono::seconds(5);
 /// A lone owner with less has room for a burst of twice its load.
 constexpr double kLowUse = 0.3;
 /// A request passes the loops of its owners about six times. Together they may
@@ -85,12 +89,22 @@
   return shortest / kTargetPerLag;
 }
 
-bool IsOverloaded(const FleetLoad::Gateway& owner,
-                  absl::Span<const PooledService> services,
-                  absl::Span<const PoolPartition> partitions) {
+bool IsOverloaded(const FleetLoad& loads,
+                  const FleetLoad::Gateway& owner,
+                  absl::Span<const PooledService> services) {
+  const auto partitions = loads.PartitionsOf(owner.gateway_.endpoint_);
+  if (partitions.empty() || owner.gateway_.age_ < kStartTime) {
+    return false;
+  }
+  const auto capacity = FleetLoad::CapacityOf(owner);
+  const auto is_high = [](double use, double base, double of) {
+    return use >= kHighUse && use - UseOf(base, of) >= kMinOwnedUse;
+  };
   const GatewayLoad& load = owner.load_;
-  return load.processor_use_ >= kHighUse || load.link_use_ >= kHighUse ||
-         load.loop_lag_ >= LagMark(services, partitions);
+  return is_high(load.processor_use_, loads.base().processor_,
+                 capacity.processor_) ||
+         is_high(load.link_use_, loads.base().link_, capacity.link_) ||
+         load.loop_lag_ - loads.base_lag() >= LagMark(services, partitions);
 }
 
 const FleetLoad::Gateway* ClearlyBetterOwner(const FleetLoad& loads,
--- a/src/relay/gateway_host_load.cc
+++ b/src/relay/gateway_host_load.cc
@@ -9,8 +9,9 @@
 
 /// Control must see within a second that an owner is overloaded.
 constexpr Duration kOwnerReportInterval = std::chrono::milliseconds(250);
-/// Others are only candidates for the next owner.
-constexpr Duration kReportInterval = std::chrono::seconds(2);
+/// Others are candidates for the next owner, and show what load all gateways
+/// have alike.
+constexpr Duration kReportInterval = std::chrono::seconds(1);
 
 }  // namespace
 
--- a/tests/unit-division-policy.cc
+++ b/tests/unit-division-policy.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "citronlane/fleet/division_policy.h"
+#include "citronlane/fleet/load_marks.h"
 #include "citronlane/fleet/load_meter.h"
 #include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/fleet/pool_division.h"
@@ -218,7 +219,7 @@
                        static_cast<uint64_t>(vm->bytes_));
     if (now_ >= vm->next_report_ && !vm->is_silent_) {
       const bool is_owner = !OwnedBy(vm->endpoint_).empty();
-      vm->next_report_ = now_ + milliseconds(is_owner ? 250 : 2000);
+      vm->next_report_ = now_ + milliseconds(is_owner ? 250 : 1000);
       vm->load_ = vm->meter_->load();
       if (IsKnown(vm->load_)) {
         vm->reported_ = now_;
@@ -301,6 +302,14 @@
     }
     CHECK(fleet.changes_.empty());
   }
+  // A large configuration, or callers in a burst that needs no pool.
+  SECTION("that all gateways have alike changes nothing") {
+    for (const double cores : {0.25, 0.01, 0.1, 0.02}) {
+      fleet.base_.cores_ = cores;
+      fleet.Run(seconds(15));
+    }
+    CHECK(fleet.changes_.empty());
+  }
   SECTION("a new leader amid it changes nothing before loads are reported") {
     fleet.demands_[kPool].cores_ = 0.25;
     fleet.Run(milliseconds(800));
@@ -526,6 +535,11 @@
     gateways[1].load_ = overload;
     CHECK(changes(seconds(30), [&] { gateways[1].reported_ = now; }) == 0);
   }
+  SECTION("of a gateway that has just started") {
+    gateways[0].load_ = overload;
+    gateways[0].gateway_.age_ = seconds(2);
+    CHECK(changes(seconds(30), [&] { gateways[0].reported_ = now; }) == 0);
+  }
   SECTION("none at all") {
     CHECK(changes(seconds(30), [] {}) == 0);
     CHECK(policy.divisions().empty());
@@ -536,6 +550,22 @@
   }
 }
 
+TEST_CASE("a late loop counts by the targets of its callers") {
+  const std::vector<PoolPartition> owned{kPool};
+  const auto mark = [&owned](milliseconds target) {
+    const std::vector<PooledService> services{
+        {kPool, false, target}, {"other", false, milliseconds(10)}};
+    return LagMark(services, owned);
+  };
+  // Six passes through loops that late take no more than a third of a target.
+  for (const int target : {300, 1100}) {
+    CHECK(mark(milliseconds(target)) * 6 * 3 <= milliseconds(target));
+    CHECK(mark(milliseconds(target)) * 7 * 3 > milliseconds(target));
+  }
+  // A long target is no reason to let an owner fall behind for long.
+  CHECK(mark(seconds(60)) == mark(milliseconds(0)));
+}
+
 TEST_CASE("pools whose load is not known are divided by their servers") {
   Fleet fleet;
   fleet.AddVms(12, kSmall);
--- a/tests/unit-pool-feed.cc
+++ b/tests/unit-pool-feed.cc
@@ -101,11 +101,11 @@
   }
   SECTION("nothing changes without a server list") {
     pass(seconds(4), std::nullopt);
-    const auto owners = feed.owners();
-    REQUIRE(owners.size() == 1);
+    REQUIRE(feed.owners().size() == 1);
+    const std::string owner = feed.owners().at("encode");
     overload_owner();
     pass(seconds(30), std::nullopt);
-    CHECK(feed.owners() == owners);
+    CHECK(feed.owners() == PoolAssignment::Owners{{"encode", owner}});
     CHECK(lines.empty());
   }
 }
--- a/tests/unit-pool-partitions.cc
+++ b/tests/unit-pool-partitions.cc
@@ -10,6 +10,7 @@
 
 #include "citronlane/fleet/pool_assignment.h"
 #include "citronlane/fleet/pool_division.h"
+#include "citronlane/fleet/pooled_service.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/owner_table.h"
 #include "citronlane/serving/serving_config.h"
@@ -115,6 +116,64 @@
   }
 }
 
+TEST_CASE("pools are divided by what their owners carry") {
+  const std::vector<PooledService> services{{kStage, false}};
+  const auto small = ServersIn(kStage, {{"a", 4}, {"b", 5}, {"c", 2}});
+  const auto large = ServersIn(kStage, {{"a", 9}, {"b", 9}, {"c", 9}});
+  const PoolDivisions divided{{kStage, PoolDivision::kDivided}};
+  const PoolDivisions undivided{{kStage, PoolDivision::kUndivided}};
+  const std::vector<PoolPartition> parts{{kStage, "a"}, {kStage, "b"}, kStage};
+  const Owners held = OwnersOf(parts);
+
+  SECTION("also while they are small") {
+    CHECK(DividePools(services, small, {}, divided) == parts);
+    CHECK(DividePools(services, small, held, divided) == parts);
+  }
+  SECTION("and are undivided again, unless they are large") {
+    CHECK(DividePools(services, small, held, undivided) ==
+          std::vector<PoolPartition>{kStage});
+    CHECK(DividePools(services, large, held, undivided).size() == 3);
+  }
+  SECTION("unless no failure domain has enough servers") {
+    const auto few = ServersIn(kStage, {{"a", 3}, {"b", 3}, {"c", 3}});
+    CHECK(DividePools(services, few, {}, divided) ==
+          std::vector<PoolPartition>{kStage});
+    CHECK_FALSE(CanDivide(services.front(), few));
+    CHECK_FALSE(CanDivide(services.front(), ServersIn(kStage, {{"a", 20}})));
+    CHECK(CanDivide(services.front(), small));
+  }
+}
+
+TEST_CASE("pooled services have the shortest target of their routes") {
+  ServingConfig::Parts declared;
+  for (const char* name : {"encode", "rank", "unused"}) {
+    Service service;
+    service.name_ = name;
+    service.stage_pool_ = StagePoolSpec();
+    declared.services_.push_back(service);
+  }
+  const auto add_route = [&declared](milliseconds target,
+                                     const std::vector<std::string>& stages) {
+    auto route = std::make_shared<Route>();
+    route->target_latency_ = target;
+    for (const std::string& name : stages) {
+      RouteStage stage;
+      stage.service_ = name;
+      route->stages_.push_back(stage);
+    }
+    declared.routes_.push_back(route);
+  };
+  add_route(milliseconds(1900), {"encode", "rank"});
+  add_route(milliseconds(1100), {"encode", "encode"});
+  add_route(milliseconds(0), {"rank"});
+  const ServingConfig config(std::move(declared));
+  const auto services = PooledServicesOf(config);
+  REQUIRE(services.size() == 3);
+  CHECK(services[0].shortest_target_ == milliseconds(1100));
+  CHECK(services[1].shortest_target_ == milliseconds(1900));
+  CHECK(services[2].shortest_target_ == milliseconds(0));
+}
+
 TEST_CASE("each server is in one partition at any time") {
   CHECK(rc::check("whatever servers come and go", [] {
     Owners held;
