Learn engine speeds from their own reading, not from waits

The time to the first event says little of an engine's speed, since less waits at a slow engine.

A request's own prefill now counts from the end of the one before it, and output by the prompt tokens read meanwhile. An engine without room for its requests teaches nothing of its prefill. Running requests count their memory by the upper estimate.

--- a/include/citronlane/routing/engine_router.h
+++ b/include/citronlane/routing/engine_router.h
@@ -137,6 +137,10 @@
   SpeedSpread Speeds(TimePoint now) const;
 
  private:
+  /// Cost of each running request for the next prompt, in prompt tokens: it
+  /// lengthens each engine step.
+  static constexpr double kTokensPerRunningRequest = 40;
+
   struct SegmentUse {
     int requests_ = 0;
     double tokens_ = 0;
@@ -159,6 +163,10 @@
     double memory_ = 0;
     /// Shared segments that requests in flight use.
     std::map<std::string, SegmentUse, std::less<>> segment_uses_;
+    /// When it last ended the prefill of a request, and prompt tokens read up
+    /// to then.
+    TimePoint last_read_;
+    double read_tokens_ = 0;
     EngineSpeed prefill_speed_;
     EngineSpeed decode_speed_;
     /// Of the last call of the observer.
@@ -201,21 +209,29 @@
                   const TimeFactors& factors,
                   const Need& need,
                   const Call& call) const;
+  /// Whether all requests at the engine can run at the same time.
+  bool HasRoom(const Engine& engine) const;
   /// Adds the run to what the engine has to do, and takes it out.
   void AddRun(Engine* engine, const Need& need, EngineRun* run);
   static void RemoveRun(Engine* engine, const EngineRun& run);
-  void Learn(Engine* engine,
-             TimePoint now,
-             const EngineRun& run,
-             const EngineOutput& output);
+  /// Learn from a first event `after` the call, and from a whole run.
+  void LearnPrefill(Engine* engine,
+                    TimePoint now,
+                    const EngineRun& run,
+                    Duration after);
+  void LearnOutput(Engine* engine,
+                   TimePoint now,
+                   const EngineRun& run,
+                   const EngineOutput& output);
   void NoteSpeed(Engine* engine, TimePoint now);
 
   const Duration reuse_window_;
   std::optional<EngineSpec> spec_;
   Observer observer_;
   RequestCostModel costs_;
-  /// Time to the first event by work, and time of a unit of output by the
-  /// requests that run.
+  /// Time of a request's own prefill by its prompt tokens, and of a unit of
+  /// output by the prompt tokens that the engine reads meanwhile. Both count
+  /// tokens for the requests that run beside it.
   PoolPace prefill_pace_;
   PoolPace decode_pace_;
   std::map<std::string, Engine, std::less<>> engines_;
--- a/include/citronlane/routing/engine_run.h
+++ b/include/citronlane/routing/engine_run.h
@@ -20,8 +20,14 @@
   /// Units of output expected, and tokens of memory held at its end.
   double output_ = 0;
   double memory_ = 0;
-  /// Requests beside it when its first event came.
+  TimePoint began_;
+  /// Prompt tokens that it adds to what the engine has to read, and requests
+  /// beside it at its start.
+  double prefill_ = 0;
   double running_ = 0;
+  /// Prompt tokens that the engine had read in all when its first event came;
+  /// negative before that.
+  double read_before_ = -1;
   /// Shared prompt segment that it uses.
   std::string segment_;
   std::string route_;
--- a/include/citronlane/routing/engine_speed.h
+++ b/include/citronlane/routing/engine_speed.h
@@ -13,10 +13,10 @@
 /// thread safe.
 class EngineSpeed {
  public:
-  /// `ratio` of the time seen to the time expected in the pool. Ratios that are
-  /// not finite or not above 0 are ignored. A `now` before the last one counts
-  /// as the last one.
-  void Add(TimePoint now, double ratio);
+  /// Time seen, and expected in the pool, in any unit. Times that are not finite
+  /// or not above 0 are ignored. A `now` before the last one counts as the last
+  /// one.
+  void Add(TimePoint now, double seen, double expected);
 
   /// Multiple of the pool's time that work takes here: above 1 for a slow
   /// server, exactly 1 for one that is unknown, was long not observed or does
@@ -28,9 +28,8 @@
  private:
   /// Samples of a short time, which count once, however many they are.
   struct Span {
-    /// Sum of the ratios' logarithms.
-    double sum_ = 0;
-    size_t count_ = 0;
+    double seen_ = 0;
+    double expected_ = 0;
   };
   static constexpr size_t kSpans = 16;
 
--- a/include/citronlane/routing/pool_pace.h
+++ b/include/citronlane/routing/pool_pace.h
@@ -18,6 +18,8 @@
   /// Time for the work, in seconds, above 0; nothing until enough samples are
   /// known.
   std::optional<double> Expected(double work) const;
+  /// Mean of the samples, in seconds; nothing until enough samples are known.
+  std::optional<double> Mean() const;
   /// Seconds for each unit of work; nothing until enough samples are known.
   std::optional<double> PerUnit() const;
 
--- a/src/routing/engine_router.cc
+++ b/src/routing/engine_router.cc
@@ -10,9 +10,6 @@
 namespace citronlane {
 namespace {
 
-/// Cost of each running request for the next prompt, in prompt tokens: it
-/// lengthens each engine step.
-constexpr double kTokensPerRunningRequest = 40;
 /// A prefill of this many tokens doubles the cost of each running request, and
 /// the surcharge grows by the square: prefill slows down with the length
 /// already read, and delays the events of the requests that run beside it.
--- a/src/routing/engine_router_load.cc
+++ b/src/routing/engine_router_load.cc
@@ -71,7 +71,7 @@
   if (excess == 0 && over == 0) {
     return 0;
   }
-  const auto per_output = decode_pace_.Expected(engine.running_);
+  const auto per_output = decode_pace_.Mean();
   const auto per_token = prefill_pace_.PerUnit();
   if (!per_output || !per_token || *per_token <= 0) {
     return 0;
@@ -85,6 +85,15 @@
   return std::max(excess * factors.prefill_, std::min(1.0, part) * all_end);
 }
 
+bool EngineRouter::HasRoom(const Engine& engine) const {
+  if (!spec_) {
+    return true;
+  }
+  const auto capacity = static_cast<double>(spec_->memory_tokens_);
+  return engine.running_ <= std::max(1U, spec_->slots_) &&
+         (capacity == 0 || engine.memory_ <= capacity);
+}
+
 EngineRun EngineRouter::Begin(std::string_view server,
                               TimePoint now,
                               const Call& call) {
@@ -104,6 +113,9 @@
       is_cached ? OwnTokens(call.prompt_) : AllTokens(call.prompt_);
   run.is_counted_ = true;
   run.work_ = Cost(*engine, TimeFactors(), prefill, 0, call);
+  run.began_ = now;
+  run.prefill_ = prefill;
+  run.running_ = engine->running_;
   run.segment_ = SharedSegmentId(call.prompt_);
   run.route_ = std::string(call.route_);
   run.account_ = std::string(call.account_);
@@ -115,7 +127,7 @@
 
 void EngineRouter::AddRun(Engine* engine, const Need& need, EngineRun* run) {
   run->output_ = need.output_;
-  run->memory_ = need.own_;
+  run->memory_ = need.own_upper_;
   engine->output_ += run->output_;
   engine->memory_ += run->memory_;
   SegmentUse& use = engine->segment_uses_[run->segment_];
@@ -147,23 +159,45 @@
     return;
   }
   OnFirstEvent(run->server_, run->unread_);
+  if (run->is_counted_) {
+    LearnPrefill(engine, now, *run, after);
+    run->read_before_ = engine->read_tokens_;
+  }
   run->unread_ = 0;
-  run->running_ = engine->running_;
-  if (!run->is_counted_ || after <= Duration()) {
+}
+
+// Engines read one prompt after the other, so a request's own prefill lasts
+// from the end of the one before it. The time that it waited says nothing: the
+// slower an engine is, the less waits there.
+void EngineRouter::LearnPrefill(Engine* engine,
+                                TimePoint now,
+                                const EngineRun& run,
+                                Duration after) {
+  engine->read_tokens_ += run.unread_;
+  if (after <= Duration()) {
     return;
   }
-  const double seen = Seconds(after);
-  if (const auto expected = prefill_pace_.Expected(run->work_)) {
-    engine->prefill_speed_.Add(now, seen / *expected);
+  const TimePoint ended = run.began_ + after;
+  const TimePoint started = std::max(run.began_, engine->last_read_);
+  engine->last_read_ = std::max(engine->last_read_, ended);
+  if (const auto expected = prefill_pace_.Expected(run.work_);
+      expected && observer_.first_event_) {
+    const double here = *expected * FactorsOf(*engine, now).prefill_;
+    observer_.first_event_(std::chrono::duration_cast<Duration>(
+                               std::chrono::duration<double>(here)),
+                           after);
+  }
+  // Without room for all its requests, it also waited for others to end.
+  if (ended <= started || !HasRoom(*engine)) {
+    return;
+  }
+  const double seen = Seconds(ended - started);
+  const double work = run.prefill_ + run.running_ * kTokensPerRunningRequest;
+  if (const auto expected = prefill_pace_.Expected(work)) {
+    engine->prefill_speed_.Add(now, seen, *expected);
     NoteSpeed(engine, now);
-    if (observer_.first_event_) {
-      const double here = *expected * FactorsOf(*engine, now).prefill_;
-      observer_.first_event_(std::chrono::duration_cast<Duration>(
-                                 std::chrono::duration<double>(here)),
-                             after);
-    }
   }
-  prefill_pace_.Add(run->work_, seen);
+  prefill_pace_.Add(work, seen);
 }
 
 void EngineRouter::End(const EngineRun& run,
@@ -175,7 +209,7 @@
     return;
   }
   if (outcome == CallOutcome::kSuccess && run.is_counted_) {
-    Learn(engine, now, run, output);
+    LearnOutput(engine, now, run, output);
   }
   OnFinish(run.server_, now, outcome, run.unread_);
   if (run.is_counted_) {
@@ -183,11 +217,11 @@
   }
 }
 
-void EngineRouter::Learn(Engine* engine,
-                         TimePoint now,
-                         const EngineRun& run,
-                         const EngineOutput& output) {
-  if (run.running_ <= 0) {
+void EngineRouter::LearnOutput(Engine* engine,
+                               TimePoint now,
+                               const EngineRun& run,
+                               const EngineOutput& output) {
+  if (run.read_before_ < 0) {
     return;
   }
   RequestFacts facts;
@@ -199,12 +233,15 @@
     return;
   }
   const double seen = Seconds(output.time_) / output.units_;
+  const double read =
+      std::max(0.0, engine->read_tokens_ - run.read_before_) / output.units_;
   const double running = (run.running_ + engine->running_) / 2;
-  if (const auto expected = decode_pace_.Expected(running)) {
-    engine->decode_speed_.Add(now, seen / *expected);
+  const double work = read + running * kTokensPerRunningRequest;
+  if (const auto expected = decode_pace_.Expected(work)) {
+    engine->decode_speed_.Add(now, seen, *expected);
     NoteSpeed(engine, now);
   }
-  decode_pace_.Add(running, seen);
+  decode_pace_.Add(work, seen);
 }
 
 void EngineRouter::NoteSpeed(Engine* engine, TimePoint now) {
--- a/src/routing/engine_speed.cc
+++ b/src/routing/engine_speed.cc
@@ -18,10 +18,16 @@
 /// this time.
 constexpr Duration kMaxAge = std::chrono::seconds(60);
 
+constexpr double kMaxTime = 1e9;
+
+bool IsTime(double time) {
+  return std::isfinite(time) && time > 0 && time <= kMaxTime;
+}
+
 }  // namespace
 
-void EngineSpeed::Add(TimePoint now, double ratio) {
-  if (!std::isfinite(ratio) || ratio <= 0) {
+void EngineSpeed::Add(TimePoint now, double seen, double expected) {
+  if (!IsTime(seen) || !IsTime(expected)) {
     return;
   }
   if (used_ > 0 && now - last_sample_ > kMaxAge) {
@@ -35,8 +41,9 @@
   }
   last_sample_ = used_ == 1 ? now : std::max(last_sample_, now);
   Span& span = spans_[last_];
-  span.sum_ += std::log(std::clamp(ratio, 1 / kMaxRatio, kMaxRatio));
-  ++span.count_;
+  // Sums, so that a long time counts for more than a short one.
+  span.seen_ += std::clamp(seen, expected / kMaxRatio, expected * kMaxRatio);
+  span.expected_ += expected;
   Conclude();
 }
 
@@ -47,7 +54,7 @@
 void EngineSpeed::Conclude() {
   std::array<double, kSpans> logs{};
   for (size_t i = 0; i < used_; ++i) {
-    logs[i] = spans_[i].sum_ / static_cast<double>(spans_[i].count_);
+    logs[i] = std::log(spans_[i].seen_ / spans_[i].expected_);
   }
   std::sort(logs.begin(), logs.begin() + used_);
   const double low = logs[used_ / 4];
--- a/src/routing/pool_pace.cc
+++ b/src/routing/pool_pace.cc
@@ -68,6 +68,11 @@
   return expected > 0 ? std::optional(expected) : std::nullopt;
 }
 
+std::optional<double> PoolPace::Mean() const {
+  return count_ < kMinSamples ? std::nullopt
+                              : std::optional(seconds_ / weight_);
+}
+
 std::optional<double> PoolPace::PerUnit() const {
   const auto line = Fit();
   return line ? std::optional(line->per_unit_) : std::nullopt;
