--- a/tests/unit-engine-placement.cc
+++ b/tests/unit-engine-placement.cc
@@ -26,6 +26,7 @@
 namespace citronlane {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 using Purpose = EnginePlacement::Purpose;
 
@@ -138,6 +139,46 @@
     CHECK(owner->placement_.placed() == 2);
   }
 
+  SECTION("the owner learns of engines' speeds from all gateways") {
+    std::vector<Duration> seen;
+    EngineRouter::Observer observer;
+    observer.first_event_ = [&seen](Duration, Duration after) {
+      seen.push_back(after);
+    };
+    owner->router_.SetObserver(observer);
+    for (int i = 0; i < 20; ++i) {
+      for (Gateway* gateway : {&first, &second}) {
+        std::string server;
+        const uint64_t question =
+            ask(gateway, Purpose::kStart, 800 + 100 * (i % 5), &server);
+        gateway->placement_.ReportFirstEvent(question, milliseconds(60));
+        gateway->placement_.ReportFinished(question, CallOutcome::kSuccess,
+                                           EngineOutput{10, milliseconds(200)});
+        REQUIRE(until([&] { return owner->placement_.placed() == 0; }));
+      }
+    }
+    // Enough first events for a pace, then an expectation for each.
+    REQUIRE_FALSE(seen.empty());
+    CHECK(seen.size() > 20);
+    CHECK(seen.back() == milliseconds(60));
+  }
+
+  SECTION("a gateway that reports no times teaches the owner nothing") {
+    int observed = 0;
+    EngineRouter::Observer observer;
+    observer.first_event_ = [&observed](Duration, Duration) { ++observed; };
+    owner->router_.SetObserver(observer);
+    for (int i = 0; i < 40; ++i) {
+      std::string server;
+      const uint64_t question = ask(&first, Purpose::kStart, 900, &server);
+      first.placement_.ReportFirstEvent(question);
+      first.placement_.ReportFinished(question, CallOutcome::kSuccess);
+      REQUIRE(until([&] { return owner->placement_.placed() == 0; }));
+    }
+    CHECK(observed == 0);
+    CHECK(owner->router_.engines().Speeds(SteadyNow()).most_ == 1);
+  }
+
   SECTION("requests that share a segment share an engine that has read it") {
     std::string one;
     std::string two;
