Look up which engines hold a segment once for each decision

An owner looked into every engine's cache twice for each request, and hashed every engine's id also where the result was not used.

--- a/include/citronlane/routing/engine_router.h
+++ b/include/citronlane/routing/engine_router.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -188,10 +189,14 @@
     double output_ = 0;
   };
 
+  using Holders = std::set<const Engine*>;
+
   Engine* Find(std::string_view id);
   const Engine* PreferredEngine(absl::Span<const Engine* const> engines,
                                 const Call& call) const;
   bool IsWarm(TimePoint now, const Call& call) const;
+  /// Engines that hold the segment; null if there are none.
+  const Holders* HoldersOf(std::string_view segment) const;
   /// Cost of the call at the engine in prompt tokens of waiting, at the pool's
   /// speed. `prefill` tokens are read; `penalty` is added.
   static double Cost(const Engine& engine,
@@ -235,6 +240,8 @@
   PoolPace prefill_pace_;
   PoolPace decode_pace_;
   std::map<std::string, Engine, std::less<>> engines_;
+  /// By shared segment, as in the engines' segment_last_use_.
+  std::map<std::string, Holders, std::less<>> holders_;
 };
 
 }  // namespace citronlane
--- a/src/routing/engine_router.cc
+++ b/src/routing/engine_router.cc
@@ -1,7 +1,6 @@
 #include "citronlane/routing/engine_router.h"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 
 #include "citronlane/fleet/rendezvous.h"
@@ -50,6 +49,12 @@
     next.emplace(server->id_, std::move(engine));
   }
   engines_ = std::move(next);
+  holders_.clear();
+  for (const auto& [id, engine] : engines_) {
+    for (const auto& [segment, last_use] : engine.segment_last_use_) {
+      holders_[segment].insert(&engine);
+    }
+  }
 }
 
 EngineRouter::Engine* EngineRouter::Find(std::string_view id) {
@@ -92,11 +97,21 @@
 
 // Whether any engine used the call's shared segment within the reuse window.
 bool EngineRouter::IsWarm(TimePoint now, const Call& call) const {
-  return std::any_of(engines_.begin(), engines_.end(), [&](const auto& entry) {
-    const auto& last_use = entry.second.segment_last_use_;
-    const auto used = last_use.find(SharedSegmentId(call.prompt_));
-    return used != last_use.end() && now - used->second <= reuse_window_;
-  });
+  const std::string_view key = SharedSegmentId(call.prompt_);
+  const Holders* holders = HoldersOf(key);
+  return holders != nullptr &&
+         std::any_of(holders->begin(), holders->end(),
+                     [&](const Engine* engine) {
+                       const auto used = engine->segment_last_use_.find(key);
+                       return used != engine->segment_last_use_.end() &&
+                              now - used->second <= reuse_window_;
+                     });
+}
+
+const EngineRouter::Holders* EngineRouter::HoldersOf(
+    std::string_view segment) const {
+  const auto it = holders_.find(segment);
+  return it == holders_.end() ? nullptr : &it->second;
 }
 
 std::optional<std::string> EngineRouter::Choose(
@@ -116,18 +131,21 @@
   }
   // When all are suspended, one of them is better than none.
   const auto& candidates = usable.empty() ? suspended : usable;
-  const Engine* preferred = PreferredEngine(candidates, call);
   const bool is_warm = call.sees_all_requests_ && IsWarm(now, call);
+  // Of a warm segment the holders count, not the preferred engine.
+  const Engine* preferred =
+      is_warm ? nullptr : PreferredEngine(candidates, call);
+  const Holders* holders = HoldersOf(SharedSegmentId(call.prompt_));
   const double shared = AllTokens(call.prompt_) - OwnTokens(call.prompt_);
   const Need need = NeedOf(now, call);
   const Engine* best = nullptr;
   double least = std::numeric_limits<double>::max();
   for (const Engine* engine : candidates) {
     const bool is_preferred = engine == preferred;
-    const bool is_cached = call.sees_all_requests_
-                               ? engine->segment_last_use_.count(
-                                     SharedSegmentId(call.prompt_)) != 0
-                               : is_preferred;
+    const bool is_cached =
+        call.sees_all_requests_
+            ? holders != nullptr && holders->count(engine) != 0
+            : is_preferred;
     const double prefill = OwnTokens(call.prompt_) + (is_cached ? 0 : shared);
     // A segment that no engine used lately is steered to its preferred engine,
     // where gateways that see only their own requests assume it is cached.
@@ -162,11 +180,19 @@
   }
   for (auto it = engine->segment_last_use_.begin();
        it != engine->segment_last_use_.end();) {
-    it = now - it->second > kMinSegmentRetention
-             ? engine->segment_last_use_.erase(it)
-             : std::next(it);
+    if (now - it->second <= kMinSegmentRetention) {
+      ++it;
+      continue;
+    }
+    const auto holders = holders_.find(it->first);
+    holders->second.erase(engine);
+    if (holders->second.empty()) {
+      holders_.erase(holders);
+    }
+    it = engine->segment_last_use_.erase(it);
   }
   engine->segment_last_use_[std::string(key)] = now;
+  holders_[std::string(key)].insert(engine);
 }
 
 double EngineRouter::OnStart(std::string_view server,
--- a/tests/unit-engine-cost.cc
+++ b/tests/unit-engine-cost.cc
@@ -29,6 +29,7 @@
 std::vector<const BackendServer*> Pointers(
     const std::vector<BackendServer>& servers) {
   std::vector<const BackendServer*> pointers;
+  pointers.reserve(servers.size());
   for (const BackendServer& server : servers) {
     pointers.push_back(&server);
   }
