--- a/include/citronlane/routing/engine_speed.h
+++ b/include/citronlane/routing/engine_speed.h
@@ -13,9 +13,9 @@
 /// thread safe.
 class EngineSpeed {
  public:
-  /// Time seen, and expected in the pool, in any unit. Times that are not finite
-  /// or not above 0 are ignored. A `now` before the last one counts as the last
-  /// one.
+  /// Time seen, and expected in the pool, in any unit. Times that are not
+  /// finite or not above 0 are ignored. A `now` before the last one counts as
+  /// the last one.
   void Add(TimePoint now, double seen, double expected);
 
   /// Multiple of the pool's time that work takes here: above 1 for a slow
