--- a/include/citronlane/routing/engine_router.h
+++ b/include/citronlane/routing/engine_router.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -137,6 +138,10 @@
   SpeedSpread Speeds(TimePoint now) const;
 
  private:
+  /// Cost of each running request for the next prompt, in prompt tokens: it
+  /// lengthens each engine step.
+  static constexpr double kTokensPerRunningRequest = 40;
+
   struct SegmentUse {
     int requests_ = 0;
     double tokens_ = 0;
@@ -159,6 +164,10 @@
     double memory_ = 0;
     /// Shared segments that requests in flight use.
     std::map<std::string, SegmentUse, std::less<>> segment_uses_;
+    /// When it last ended the prefill of a request, and prompt tokens read up
+    /// to then.
+    TimePoint last_read_;
+    double read_tokens_ = 0;
     EngineSpeed prefill_speed_;
     EngineSpeed decode_speed_;
     /// Of the last call of the observer.
@@ -180,10 +189,14 @@
     double output_ = 0;
   };
 
+  using Holders = std::set<const Engine*>;
+
   Engine* Find(std::string_view id);
   const Engine* PreferredEngine(absl::Span<const Engine* const> engines,
                                 const Call& call) const;
   bool IsWarm(TimePoint now, const Call& call) const;
+  /// Engines that hold the segment; null if there are none.
+  const Holders* HoldersOf(std::string_view segment) const;
   /// Cost of the call at the engine in prompt tokens of waiting, at the pool's
   /// speed. `prefill` tokens are read; `penalty` is added.
   static double Cost(const Engine& engine,
@@ -201,24 +214,34 @@
                   const TimeFactors& factors,
                   const Need& need,
                   const Call& call) const;
+  /// Whether all requests at the engine can run at the same time.
+  bool HasRoom(const Engine& engine) const;
   /// Adds the run to what the engine has to do, and takes it out.
   void AddRun(Engine* engine, const Need& need, EngineRun* run);
   static void RemoveRun(Engine* engine, const EngineRun& run);
-  void Learn(Engine* engine,
-             TimePoint now,
-             const EngineRun& run,
-             const EngineOutput& output);
+  /// Learn from a first event `after` the call, and from a whole run.
+  void LearnPrefill(Engine* engine,
+                    TimePoint now,
+                    const EngineRun& run,
+                    Duration after);
+  void LearnOutput(Engine* engine,
+                   TimePoint now,
+                   const EngineRun& run,
+                   const EngineOutput& output);
   void NoteSpeed(Engine* engine, TimePoint now);
 
   const Duration reuse_window_;
   std::optional<EngineSpec> spec_;
   Observer observer_;
   RequestCostModel costs_;
-  /// Time to the first event by work, and time of a unit of output by the
-  /// requests that run.
+  /// Time of a request's own prefill by its prompt tokens, and of a unit of
+  /// output by the prompt tokens that the engine reads meanwhile. Both count
+  /// tokens for the requests that run beside it.
   PoolPace prefill_pace_;
   PoolPace decode_pace_;
   std::map<std::string, Engine, std::less<>> engines_;
+  /// By shared segment, as in the engines' segment_last_use_.
+  std::map<std::string, Holders, std::less<>> holders_;
 };
 
 }  // namespace citronlane
