Ignore a processor clock that runs while the process waits

A loop that uses a whole core is never on time, so a clock that says so of a loop that is on time counts waits, and lag and link decide.

--- a/include/citronlane/fleet/load_meter.h
+++ b/include/citronlane/fleet/load_meter.h
@@ -42,6 +42,9 @@
   /// Those of the last two seconds, and one before.
   std::deque<Tick> ticks_;
   GatewayLoad load_;
+  /// The processor clock was seen to run while the loop waited, as on platforms
+  /// that do not account for processor time. It is ignored from then on.
+  bool counts_waits_ = false;
 };
 
 }  // namespace citronlane
--- a/src/fleet/load_meter.cc
+++ b/src/fleet/load_meter.cc
@@ -13,6 +13,10 @@
 /// A tick counts for no longer than this many, so that a single pause of the
 /// VM's does not look like a loop that is always late.
 constexpr int kMaxWeightTicks = 4;
+/// A loop that uses this much of a core can't be on time, within the lag that
+/// timers have.
+constexpr double kWholeCore = 0.95;
+constexpr Duration kTimerLag = std::chrono::milliseconds(5);
 
 double InSeconds(Duration time) {
   return std::chrono::duration<double>(time).count();
@@ -37,16 +41,19 @@
     return;
   }
   load_ = GatewayLoad();
-  if (capacity_.processor_cores_ > 0 &&
-      processor_time > first.processor_time_) {
-    load_.processor_use_ = InSeconds(processor_time - first.processor_time_) /
-                           (seconds * capacity_.processor_cores_);
+  load_.loop_lag_ = MedianLag();
+  const double cores =
+      InSeconds(processor_time - first.processor_time_) / seconds;
+  counts_waits_ =
+      counts_waits_ || (now - first.at_ >= kWindow / 2 && cores >= kWholeCore &&
+                        load_.loop_lag_ <= kTimerLag);
+  if (capacity_.processor_cores_ > 0 && cores > 0 && !counts_waits_) {
+    load_.processor_use_ = cores / capacity_.processor_cores_;
   }
   if (capacity_.link_bytes_per_second_ > 0 && bytes > first.bytes_) {
     load_.link_use_ = static_cast<double>(bytes - first.bytes_) /
                       (seconds * capacity_.link_bytes_per_second_);
   }
-  load_.loop_lag_ = MedianLag();
 }
 
 // The lag that the loop had for at least half of the time.
--- a/tests/unit-load-meter.cc
+++ b/tests/unit-load-meter.cc
@@ -77,6 +77,18 @@
     CHECK(loop.load().processor_use_ == 0);
     CHECK(loop.load().loop_lag_ == milliseconds(70));
   }
+  // Some platforms let the processor clock run while the process waits.
+  SECTION("has no processor use once the clock was seen to count waits") {
+    loop.Run(seconds(3), milliseconds(1), 1, 2e5);
+    CHECK(loop.load().processor_use_ == 0);
+    loop.Run(seconds(3), milliseconds(70), 1, 2e5);
+    CHECK(loop.load().processor_use_ == 0);
+    CHECK(loop.load().loop_lag_ == milliseconds(70));
+  }
+  SECTION("is that of a loop that uses a whole core and is late") {
+    loop.Run(seconds(3), milliseconds(70), 1, 2e5);
+    CHECK(loop.load().processor_use_ == Approx(10).epsilon(0.05));
+  }
 }
 
 TEST_CASE("a VM of unknown capacity has a lag only") {
