--- a/tests/unit-request-cost-ways.cc
+++ b/tests/unit-request-cost-ways.cc
@@ -1,10 +1,10 @@
 #include <catch2/catch.hpp>
 
-#include <algorithm>
 #include <cstdio>
 #include <string>
 #include <vector>
 
+#include "support/engine_pool_cases.h"
 #include "support/engine_pool_model.h"
 
 namespace citronlane {
@@ -21,58 +21,6 @@
 /// at most this, well below what their callers accept.
 constexpr double kMaxUnusedSeconds = 0.5;
 
-Options Alike(double load) {
-  Options options;
-  options.factors_.assign(24, 1);
-  options.load_ = load;
-  return options;
-}
-
-Options Uneven(double load) {
-  Options options;
-  for (int i = 0; i < 8; ++i) {
-    options.factors_.insert(options.factors_.end(), {0.7, 0.7, 1.7});
-  }
-  options.load_ = load;
-  options.spells_per_second_ = 0.1;
-  return options;
-}
-
-Options WithNewOwner(Options options) {
-  options.new_router_at_ = 15;
-  return options;
-}
-
-Options WithLongPrompts(Options options, double memory) {
-  options.long_share_ = 0.3;
-  options.memory_ = memory;
-  return options;
-}
-
-// Sums and extremes over three seeds.
-EnginePoolModel::Result Play(Options options, Way way) {
-  options.way_ = way;
-  EnginePoolModel::Result sum;
-  bool has_learned = true;
-  for (const unsigned seed : {1U, 2U, 3U}) {
-    options.seed_ = seed;
-    const auto one = EnginePoolModel(options).Run();
-    sum.arrived_ += one.arrived_;
-    sum.in_time_ += one.in_time_;
-    sum.in_vain_ += one.in_vain_ / 3;
-    sum.preemptions_ += one.preemptions_;
-    sum.longest_unused_ = std::max(sum.longest_unused_, one.longest_unused_);
-    has_learned &= one.learned_after_ >= 0;
-    sum.learned_after_ =
-        has_learned ? std::max(sum.learned_after_, one.learned_after_) : -1;
-    sum.by_second_.resize(one.by_second_.size());
-    for (size_t i = 0; i < one.by_second_.size(); ++i) {
-      sum.by_second_[i] += one.by_second_[i] / 3;
-    }
-  }
-  return sum;
-}
-
 }  // namespace
 
 TEST_CASE("callers of uneven engines are served in time more often") {
@@ -85,18 +33,6 @@
   CHECK(learned.longest_unused_ <= kMaxUnusedSeconds);
 }
 
-// Equal waits make all requests late at once, which no choice of an engine
-// avoids.
-TEST_CASE("uneven engines beyond their capacity are all used") {
-  const double load = GENERATE(1.0, 1.2);
-  INFO(load);
-  const auto today = Play(Uneven(load), Way::kTokens);
-  const auto learned = Play(Uneven(load), Way::kRoom);
-  CHECK(learned.InTime() >= today.InTime() - kMaxLoss);
-  CHECK(learned.in_vain_ <= today.in_vain_);
-  CHECK(learned.longest_unused_ <= kMaxUnusedSeconds);
-}
-
 TEST_CASE("callers of alike engines are served as before") {
   const double load = GENERATE(0.6, 0.8, 0.9, 1.0, 1.2);
   INFO(load);
@@ -122,14 +58,6 @@
   CHECK(learned.preemptions_ <= today.preemptions_);
 }
 
-TEST_CASE("long prompts beyond all memory are read in vain less often") {
-  const Options options = WithLongPrompts(Uneven(0.9), 60'000);
-  const auto today = Play(options, Way::kTokens);
-  const auto learned = Play(options, Way::kRoom);
-  CHECK(learned.InTime() >= today.InTime() - kMaxLoss);
-  CHECK(learned.in_vain_ <= today.in_vain_);
-}
-
 TEST_CASE("callers of alike engines with long prompts are served as before") {
   const double memory = GENERATE(60'000, 120'000);
   const Options options = WithLongPrompts(Alike(0.9), memory);
