--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -169,6 +169,14 @@
         "unit-relay: repeat budget"]),
     ("GONE: a caller that leaves ends the work", [
         PLATFORM + "RequestTest.test_caller_that_leaves_ends_the_work"]),
+    ("ORDER: a stream whose origin nobody remembers is not joined", [
+        "unit-stream-takeups", "unit-version-history",
+        "platform_versions_test.LostProcessTest."
+        "test_all_gateways_are_killed_and_callers_name_no_attempt",
+        "platform_versions_test.LostProcessTest."
+        "test_all_gateways_are_killed_and_the_old_version_is_gone",
+        "platform_versions_test.OneVersionTest."
+        "test_unknown_streams_go_on_after_all_gateways_and_the_leader"]),
     ("ORDER: a stream goes on without gap or repeat", [
         PLATFORM + "RequestTest.test_broken_stream_goes_on",
         "unit-serving: event splitter"]),
