--- a/include/citronlane/relay/engine_placement.h
+++ b/include/citronlane/relay/engine_placement.h
@@ -16,6 +16,7 @@
 #include "citronlane/relay/owner_table.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/routing/engine_router.h"
+#include "citronlane/routing/engine_output.h"
 #include "citronlane/routing/engine_run.h"
 
 namespace boost::asio {
--- a/include/citronlane/relay/service_router.h
+++ b/include/citronlane/relay/service_router.h
@@ -12,6 +12,7 @@
 #include "citronlane/base/time.h"
 #include "citronlane/routing/call_outcome.h"
 #include "citronlane/routing/engine_router.h"
+#include "citronlane/routing/engine_output.h"
 #include "citronlane/routing/engine_run.h"
 #include "citronlane/routing/pool_router.h"
 #include "citronlane/serving/engine_spec.h"
--- a/include/citronlane/routing/engine_router.h
+++ b/include/citronlane/routing/engine_router.h
@@ -14,6 +14,7 @@
 #include "absl/types/span.h"
 #include "citronlane/base/time.h"
 #include "citronlane/routing/call_outcome.h"
+#include "citronlane/routing/engine_output.h"
 #include "citronlane/routing/engine_run.h"
 #include "citronlane/routing/engine_speed.h"
 #include "citronlane/routing/pool_pace.h"
--- a/include/citronlane/routing/engine_run.h
+++ b/include/citronlane/routing/engine_run.h
@@ -35,13 +35,6 @@
   uint32_t expected_output_tokens_ = 0;
 };
 
-/// What a request's run showed when it ended.
-struct EngineOutput {
-  /// Units of output after the first event, and the time that they took.
-  uint32_t units_ = 0;
-  Duration time_{};
-};
-
 }  // namespace citronlane
 
 #endif  // CITRONLANE_ROUTING_ENGINE_RUN_H_
