--- a/include/citronlane/relay/engine_placement.h
+++ b/include/citronlane/relay/engine_placement.h
@@ -15,8 +15,8 @@
 #include "citronlane/fleet/pool_partition.h"
 #include "citronlane/relay/owner_table.h"
 #include "citronlane/routing/call_outcome.h"
-#include "citronlane/routing/engine_router.h"
 #include "citronlane/routing/engine_output.h"
+#include "citronlane/routing/engine_router.h"
 #include "citronlane/routing/engine_run.h"
 
 namespace boost::asio {
