--- a/src/routing/stream_version.cc
+++ b/src/routing/stream_version.cc
@@ -26,7 +26,7 @@
     return std::nullopt;
   }
   const Duration longest = std::max(kMaxStreamAge, timeout * kMaxAttempts);
-  if (const auto seen = here.OnlyVersionSince(service, now - longest)) {
+  if (auto seen = here.OnlyVersionSince(service, now - longest)) {
     return seen;
   }
   const bool is_long_enough =
