--- a/tests/unit-stream-takeups.cc
+++ b/tests/unit-stream-takeups.cc
@@ -137,7 +137,7 @@
 
   /// Begins a stream at a server that the lists show, and returns its version.
   std::string Begin(const std::string& id) {
-    const std::string version = Chance(0.3) ? read_.front() : read_.back();
+    std::string version = Chance(0.3) ? read_.front() : read_.back();
     gateways_[Below(kGateways)]->watch_->OnBegun(id, {"chat", version});
     return version;
   }
