--- a/review/review_fleet.py
+++ b/review/review_fleet.py
@@ -2,6 +2,7 @@
 file, and the record of a run."""
 
 import os
+import signal
 import sys
 import time
 import tomllib
@@ -56,23 +57,29 @@
         print(line, file=self.file, flush=True)
 
 
+def end_group():
+    """Ends what is left of the processes that the case started."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    os.killpg(0, signal.SIGTERM)
+
+
 def run_case(folder, make_fleet, case):
     """Runs case(fleet, record), which returns whether the rule held. Ends with
-    the exit code of the case."""
+    the exit code of the case, and all processes with it."""
+    os.setpgrp()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder)
+    fleet, result = None, NOT_RUN
     try:
         fleet = make_fleet()
-    except Exception as error:  # The deployment could not start.
-        record.write(f"not run: {error!r}")
-        sys.exit(NOT_RUN)
-    try:
         fleet.start()
         result = HELD if case(fleet, record) else BROKEN
     except Exception as error:
         record.write(f"not run: {error!r}")
-        result = NOT_RUN
     finally:
-        fleet.close()
+        if fleet is not None:
+            fleet.close()
+        end_group()
     record.write({HELD: "the rule held", BROKEN: "the rule was broken",
                   NOT_RUN: "the case could not run"}[result])
     sys.exit(result)
