Keep one copy of a request's body

A gateway held a body up to five times: as the request, its forwarded copy, the call, its text and a second call beside a silent one. Ten bodies of the largest size and servers that read slowly took a gateway over its memory.

Copies of a request and its calls now share the body (SharedText), and a call writes its head and the body without joining them.

--- a/include/citronlane/transport/detail/stage_messages.h
+++ b/include/citronlane/transport/detail/stage_messages.h
@@ -17,9 +17,9 @@
 
 using StageReplyFields = boost::beast::http::response_header<>;
 
-/// Returns the bytes of the HTTP request for a call. Thread safe, as are the
-/// functions below.
-std::string RequestText(const StageCallSpec& spec);
+/// Returns the head of the HTTP request for a call; its body follows. Thread
+/// safe, as are the functions below.
+std::string RequestHeadText(const StageCallSpec& spec);
 
 /// Parses the head of a reply. reused_connection_ has to be set by the caller.
 StageReplyHead ReadHead(const StageReplyFields& reply);
--- a/include/citronlane/transport/http_request.h
+++ b/include/citronlane/transport/http_request.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "citronlane/base/shared_text.h"
 #include "citronlane/transport/http_header.h"
 
 namespace citronlane {
@@ -16,7 +17,7 @@
   /// Path and query as sent.
   std::string target_;
   std::vector<HttpHeader> headers_;
-  std::string body_;
+  SharedText body_;
 
   /// Returns the value of the first header of that name, ignoring case, or an
   /// empty view. Valid as long as the request is unchanged.
--- a/include/citronlane/transport/stage_call_spec.h
+++ b/include/citronlane/transport/stage_call_spec.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "citronlane/base/shared_text.h"
 #include "citronlane/base/time.h"
 #include "citronlane/transport/http_header.h"
 
@@ -28,7 +29,7 @@
   /// Headers other than Host, Content-Length and Connection. Must not contain
   /// line ends.
   std::vector<HttpHeader> headers_;
-  std::string body_;
+  SharedText body_;
   /// Id of this call if the server echoes X-Attempt-Id: the connection is then
   /// kept only after a reply that echoes this id. Empty if it doesn't.
   std::string attempt_id_;
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -210,7 +210,7 @@
   const TimePoint begun = SteadyNow();
   if (!state_->config().Holds(version)) {
     const auto wait = std::make_shared<Wait>(exchange);
-    hooks_.submit_(version, request.body_, MakeDone(wait));
+    hooks_.submit_(version, std::string(request.body_), MakeDone(wait));
     WaitAtMost(io_, wait, kAnswerTime);
     if (!wait->succeeded_) {
       log_->Write("control", "config not acknowledged",
--- a/src/gateway/caller_handler.cc
+++ b/src/gateway/caller_handler.cc
@@ -97,8 +97,8 @@
   ClaimQuery query;
   query.account_ = request_.account_->name_;
   query.key_ = request_.idempotency_key_;
-  query.body_digest_ =
-      Sha256(http_.method_ + "\n" + http_.target_ + "\n" + http_.body_);
+  query.body_digest_ = Sha256(http_.method_ + "\n" + http_.target_ + "\n" +
+                              std::string(http_.body_));
   claim_ = std::make_unique<RequestClaim>(std::move(query), parts_.hooks_,
                                           context_.io_, exchange_,
                                           parts_.stored_answer_bytes_);
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -1,6 +1,7 @@
 #include "citronlane/transport/stage_client.h"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <string>
 #include <utility>
@@ -128,15 +129,17 @@
       ended_ = true;
       return false;
     }
-    const std::string text = detail::RequestText(spec_);
+    const std::string head = detail::RequestHeadText(spec_);
+    const std::array<asio::const_buffer, 2> message = {
+        asio::buffer(head), asio::buffer(spec_.body_.view())};
     error_code error;
     if (spec_.replies_immediately_) {
       ExtendForRead();
     } else {
       connection_->stream_.expires_at(spec_.deadline_);
     }
-    CountTraffic(asio::async_write(connection_->stream_, asio::buffer(text),
-                                   yield[error]));
+    CountTraffic(
+        asio::async_write(connection_->stream_, message, yield[error]));
     if (error) {
       Done(detail::OutcomeOf(error));
     }
--- a/src/transport/stage_messages.cc
+++ b/src/transport/stage_messages.cc
@@ -36,9 +36,8 @@
 
 }  // namespace
 
-std::string RequestText(const StageCallSpec& spec) {
+std::string RequestHeadText(const StageCallSpec& spec) {
   std::string text;
-  text.reserve(512 + spec.body_.size());
   text.append(spec.method_).append(" ").append(spec.target_);
   text.append(" HTTP/1.1\r\nHost: ");
   text.append(spec.host_.empty() ? spec.Endpoint() : spec.host_);
@@ -55,7 +54,7 @@
     text.append("Content-Length: ").append(std::to_string(spec.body_.size()));
     text.append("\r\n");
   }
-  text.append("\r\n").append(spec.body_);
+  text.append("\r\n");
   return text;
 }
 
