Bound what peers take at the port of the fleet's own processes

A frame that announced 60 MB and sent one byte made the receiver allocate all of it: 24 connections took a gateway or a control VM from 18 to 1,457 MB. The number of connections was not bounded.

The input of a connection now grows with what has arrived, and a listener has a maximum of connections; a further one takes the place of one that is silent, or is closed.

--- a/include/citronlane/net/frame_listener.h
+++ b/include/citronlane/net/frame_listener.h
@@ -1,6 +1,7 @@
 #ifndef CITRONLANE_NET_FRAME_LISTENER_H_
 #define CITRONLANE_NET_FRAME_LISTENER_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <set>
@@ -34,8 +35,15 @@
     std::function<void(const FrameChannel* channel)> closed_;
   };
 
-  /// Both hooks must be set. `io` must outlive the listener.
-  FrameListener(boost::asio::io_context* io, std::string address, Hooks hooks);
+  static constexpr size_t kDefaultMaxChannels = 1024;
+
+  /// Both hooks must be set. `io` must outlive the listener. At most
+  /// `max_channels` connections are open; a further one takes the place of one
+  /// whose peer is silent, or is closed.
+  FrameListener(boost::asio::io_context* io,
+                std::string address,
+                Hooks hooks,
+                size_t max_channels = kDefaultMaxChannels);
   ~FrameListener();
   FrameListener(const FrameListener&) = delete;
   FrameListener& operator=(const FrameListener&) = delete;
@@ -46,8 +54,12 @@
 
  private:
   void Accept(boost::asio::ip::tcp::socket socket);
+  /// Closes the connection whose peer has been silent for longest. Returns
+  /// false if none has been silent for long.
+  bool CloseSilent();
 
   const Hooks hooks_;
+  const size_t max_channels_;
   TcpListener listener_;
   std::set<std::shared_ptr<FrameChannel>> channels_;
 };
--- a/src/net/frame_channel.cc
+++ b/src/net/frame_channel.cc
@@ -145,7 +145,9 @@
             input_.begin());
   input_end_ -= input_begin_;
   input_begin_ = 0;
-  const size_t size = std::max(kInputBytes, frame_bytes);
+  // Grows with what has arrived, not by what the peer announces.
+  const size_t size = std::min(std::max(kInputBytes, frame_bytes),
+                               kInputBytes + 2 * input_end_);
   const bool is_smaller = size < input_.size();
   input_.resize(size);
   if (is_smaller) {
--- a/src/net/frame_listener.cc
+++ b/src/net/frame_listener.cc
@@ -1,7 +1,10 @@
 #include "citronlane/net/frame_listener.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
+#include "citronlane/base/steady_now.h"
 #include "citronlane/net/endpoint.h"
 #include "citronlane/net/frame_channel.h"
 #include "fleet.pb.h"
@@ -11,13 +14,17 @@
 
 /// The connection to a peer that acknowledges no data for this long is closed.
 constexpr int kAckTimeoutMs = 900;
+/// Processes of the fleet send or are sent a ping several times in this time.
+constexpr Duration kMaxSilence = std::chrono::seconds(2);
 
 }  // namespace
 
 FrameListener::FrameListener(boost::asio::io_context* io,
                              std::string address,
-                             Hooks hooks)
+                             Hooks hooks,
+                             size_t max_channels)
     : hooks_(std::move(hooks)),
+      max_channels_(max_channels),
       listener_(io,
                 std::move(address),
                 [this](boost::asio::ip::tcp::socket socket) {
@@ -31,6 +38,9 @@
 }
 
 void FrameListener::Accept(boost::asio::ip::tcp::socket socket) {
+  if (channels_.size() >= max_channels_ && !CloseSilent()) {
+    return;
+  }
   SetSocketOptions(socket.native_handle(), kAckTimeoutMs);
   const auto channel = std::make_shared<FrameChannel>(std::move(socket));
   channels_.insert(channel);
@@ -50,4 +60,20 @@
   channel->Start(std::move(hooks));
 }
 
+bool FrameListener::CloseSilent() {
+  const auto silent =
+      std::min_element(channels_.begin(), channels_.end(),
+                       [](const auto& left, const auto& right) {
+                         return left->last_received() < right->last_received();
+                       });
+  if (silent == channels_.end() ||
+      SteadyNow() - (*silent)->last_received() < kMaxSilence) {
+    return false;
+  }
+  // Closing it erases it from the set.
+  const std::weak_ptr<FrameChannel> weak = *silent;
+  weak.lock()->Close();
+  return true;
+}
+
 }  // namespace citronlane
