Write log lines whose values are too long

A request id of several kilobytes made the lines of its request longer than an atomic write, so that they were dropped. Texts are cut at 1,024 bytes. Evidence: unit-event-log failed before (no line), passes.

--- a/src/observe/event_log.cc
+++ b/src/observe/event_log.cc
@@ -18,11 +18,14 @@
 constexpr double kBurstLines = 640;
 /// Writes to a pipe are atomic up to this size (PIPE_BUF).
 constexpr size_t kMaxAtomicWriteBytes = 4096;
+/// Longer texts, such as a caller's request id, are cut so that the line is
+/// written.
+constexpr size_t kMaxTextBytes = 1024;
 constexpr unsigned char kFirstPrintable = 0x20;
 
 void AppendText(std::string_view text, std::string* line) {
   line->push_back('"');
-  for (const char c : text) {
+  for (const char c : text.substr(0, kMaxTextBytes)) {
     if (c == '"' || c == '\\') {
       line->push_back('\\');
       line->push_back(c);
--- a/tests/unit-event-log.cc
+++ b/tests/unit-event-log.cc
@@ -39,6 +39,15 @@
   Memory memory;
   EventLog log("n1", memory.Hooks());
 
+  SECTION("a line with values of callers that are too long is written") {
+    log.Write("relay", "refused",
+              {{"request", std::string(16000, 'x')}, {"status", 503}});
+    REQUIRE(memory.lines_.size() == 1);
+    CHECK(memory.lines_[0].size() < 2000);
+    CHECK(memory.lines_[0].find("\"status\":503") != std::string::npos);
+    CHECK(log.dropped() == 0);
+  }
+
   SECTION("a line is one JSON object, whatever its values hold") {
     log.Write("relay", "refused",
               {{"request", "a\"b\\c\nd"},
