Look up the names of a Connection header in a set

Each field of a request was compared with each name in its Connection header, whose numbers callers choose within the header limit. Not measured.

--- a/src/relay/forwarded_headers.cc
+++ b/src/relay/forwarded_headers.cc
@@ -1,8 +1,11 @@
 #include "citronlane/relay/forwarded_headers.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <string_view>
 
+#include "absl/strings/ascii.h"
 #include "citronlane/base/text.h"
 
 namespace citronlane {
@@ -21,14 +24,20 @@
                                          "Proxy-Authenticate",
                                          "Proxy-Authorization"};
 
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  absl::AsciiStrToLower(&lower);
+  return lower;
+}
+
 }  // namespace
 
 std::vector<HttpHeader> ForwardedHeaders(absl::Span<const HttpHeader> headers) {
-  std::vector<std::string_view> named;
+  std::set<std::string> named;
   for (const HttpHeader& header : headers) {
     if (EqualsIgnoringCase(header.name_, "Connection")) {
       for (const std::string_view name : Split(header.value_, ',')) {
-        named.push_back(name);
+        named.insert(LowerCase(name));
       }
     }
   }
@@ -37,7 +46,7 @@
       return EqualsIgnoringCase(header.name_, name);
     };
     return std::any_of(std::begin(kDropped), std::end(kDropped), is_name) ||
-           std::any_of(named.begin(), named.end(), is_name);
+           (!named.empty() && named.count(LowerCase(header.name_)) != 0);
   };
   std::vector<HttpHeader> kept;
   for (const HttpHeader& header : headers) {
