Bound what callers take of a listener's memory and places

Clients ended a process with trailers without end behind a chunked body: it ran out of memory. Stalled heads, bodies and idle connections shut ordinary callers out, and a listener kept twice its connections open.

Cause: the read buffer of a connection had no maximum, so that chunk lines and trailers grew without end at every HTTP listener. Memory was counted for bodies only, in full until the read timeout, once for bodies held several times; the parsed form of a head, bytes that were not read and connections were not. The limits of readiness, metrics and operators did not follow from the VM.

- The read buffer holds a head and 4 KiB at most.
Fields of a trailer are discarded.
- Each connection reserves what it may take from one budget of its listener.
- Who finds no place takes that of a caller that stalls, or is idle; the order is pure (connection_activity).
Refused connections have a small share.
- GatewayLimits divides the VM's memory and descriptors among all listeners.
- A refusal is sent when the parser with the body is gone, and a response is written without joining its head and body.

--- a/include/citronlane/gateway/gateway_events.h
+++ b/include/citronlane/gateway/gateway_events.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string_view>
 
+#include "citronlane/base/time.h"
 #include "citronlane/gateway/refusal_entry.h"
 #include "citronlane/gateway/request_summary.h"
 #include "citronlane/request/retry_reason.h"
@@ -33,6 +34,9 @@
   std::function<void(std::string_view pool, std::string_view why)> on_drop_;
   /// A request could not be parsed.
   std::function<void(RefusalReason)> on_unread_;
+  /// A caller's connection was closed because others needed its place; see
+  /// HttpListenerHooks::place_lost_.
+  std::function<void(std::string_view phase, Duration stall)> on_place_lost_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/observe/metric_names.h
+++ b/include/citronlane/observe/metric_names.h
@@ -23,6 +23,7 @@
 inline constexpr std::string_view kReason[] = {"reason"};
 inline constexpr std::string_view kKind[] = {"kind"};
 inline constexpr std::string_view kVersion[] = {"version"};
+inline constexpr std::string_view kListenerPhase[] = {"listener", "phase"};
 
 }  // namespace metric_labels
 
@@ -200,6 +201,10 @@
     "Requests read completely whose connection closed before their whole "
     "response, by reason: caller_gone, broken_off or no_response.",
     metric_labels::kReason};
+inline constexpr Metric kPlacesLostTotal{
+    "citronlane_places_lost_total", Metric::Kind::kCounter,
+    "Callers' connections closed because others needed their place.",
+    metric_labels::kListenerPhase};
 
 /// All metrics, in the order in which Metrics::Text() writes them.
 inline constexpr const Metric* kAllMetrics[] = {
@@ -242,6 +247,7 @@
     &kForwardedTotal,
     &kStreamsTakenUpTotal,
     &kUnansweredTotal,
+    &kPlacesLostTotal,
 };
 
 }  // namespace citronlane
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -2,10 +2,12 @@
 #define CITRONLANE_RELAY_DETAIL_GATEWAY_HOST_IMPL_H_
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -22,6 +24,7 @@
 #include "citronlane/relay/engine_placement.h"
 #include "citronlane/relay/fleet_view.h"
 #include "citronlane/relay/gateway_host.h"
+#include "citronlane/relay/gateway_limits.h"
 #include "citronlane/relay/limit_watch.h"
 #include "citronlane/relay/origin_watch.h"
 #include "citronlane/relay/peer_gateways.h"
@@ -71,6 +74,9 @@
   HttpListenerHooks ForwardedHooks();
   HttpListenerHooks ReadyHooks();
   HttpListenerHooks MetricsHooks();
+  /// Counts and logs connections that were closed for others.
+  std::function<void(std::string_view phase, Duration stall)> PlaceLostHook(
+      std::string listener);
   ControlWatch::Hooks WatchHooks();
   CrashWatch::Hooks CrashHooks();
   LimitWatch::Hooks LimitHooks();
@@ -127,6 +133,7 @@
   const SettingsHook read_settings_;
   const Dialect* const dialect_;
   EventLog* const log_;
+  const GatewayLimits limits_of_vm_;
   const RepeatBudget::Options budget_options_;
   const TimePoint started_ = SteadyNow();
 
--- a/include/citronlane/serving/node_settings.h
+++ b/include/citronlane/serving/node_settings.h
@@ -32,6 +32,7 @@
   /// Number of control VMs whose disks may be lost at the same time.
   uint32_t tolerated_losses_ = 1;
   uint32_t memory_mb_ = 256;
+  /// Descriptors for connections and data files.
   uint32_t max_descriptors_ = 1024;
   /// Processor and link of the VM.
   GatewayCapacity capacity_{};
--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -3,20 +3,23 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
-#include <boost/asio/basic_stream_socket.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "citronlane/base/refusal_reason.h"
+#include "citronlane/transport/connection_activity.h"
+#include "citronlane/transport/detail/http_connection_set.h"
 #include "citronlane/transport/detail/http_listener_state.h"
+#include "citronlane/transport/detail/http_stream.h"
+#include "citronlane/transport/detail/memory_charge.h"
 #include "citronlane/transport/http_exchange.h"
 
 namespace citronlane::detail {
@@ -27,9 +30,7 @@
 class HttpConnection : public HttpExchange,
                        public std::enable_shared_from_this<HttpConnection> {
  public:
-  using Socket =
-      boost::asio::basic_stream_socket<boost::asio::ip::tcp,
-                                       boost::asio::io_context::executor_type>;
+  using Socket = HttpStream::Socket;
 
   HttpConnection(Socket socket,
                  boost::asio::io_context* io,
@@ -38,11 +39,18 @@
                  size_t shard);
   ~HttpConnection() override;
 
-  /// Serves requests until the connection is closed. Call once, in a coroutine.
+  /// Serves requests until the connection is closed, or refuses the connection
+  /// if there is no place for it. Call once, in a coroutine.
   void Run(const boost::asio::yield_context& yield);
-  /// Refuses the connection because of the connection limit and closes it. Call
-  /// once, in a coroutine, instead of Run.
-  void RunRefused(const boost::asio::yield_context& yield);
+
+  /// What the connection is doing; decides whether it loses its place.
+  const ConnectionActivity& activity() const { return activity_; }
+  /// Whether CloseForOther may be called now.
+  bool IsCloseable();
+  /// Closes the connection because another one needs its place. Precondition:
+  /// no request is being served.
+  void CloseForOther();
+
   /// Closes the connection if it is waiting for its next request and nothing of
   /// that has arrived.
   void CloseIfIdle();
@@ -60,15 +68,18 @@
   bool caller_gone() const override { return caller_gone_; }
 
  private:
-  using Stream =
-      boost::beast::basic_stream<boost::asio::ip::tcp,
-                                 boost::asio::io_context::executor_type>;
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   /// How much of the response to the current request was sent.
   enum class ResponseState { kNone, kStreaming, kComplete };
+  using Phase = ConnectionActivity::Phase;
+
+  /// Maximum size of the first read of a request.
+  static constexpr size_t kFirstReadBytes = 4096;
 
+  /// Returns whether TLS is established.
+  bool Handshake();
   bool ServeOne();
   bool ReadAndServe();
   bool BeginResponse(ResponseState state);
@@ -76,23 +87,43 @@
   /// Reports a request whose connection closes before its whole response.
   void ReportUnanswered();
   bool WaitForFirstByte();
+  size_t ReadFirstBytes(boost::system::error_code* error);
   /// Whether the request that has begun to arrive is read.
   bool MayRead();
   /// Whether bytes of a further request have arrived.
   bool HasReceived();
-  bool ReadRequest(Parser* parser);
-  bool ReserveBody(const Parser& parser);
-  void ReleaseBody();
+  /// Reads a request or refuses it. Returns false if there is none to serve.
+  bool ReadRequest(HttpRequest* request);
+  /// Reads a request. Returns the response to one that is refused; sets `error`
+  /// if it can't be read.
+  std::optional<HttpReply> ReadMessage(HttpRequest* request,
+                                       boost::system::error_code* error);
+  /// Returns false if there is not enough memory for the request.
+  bool ReadBody(size_t head_bytes,
+                Parser* parser,
+                boost::system::error_code* error);
+  /// Takes a place among the connections that are served, if need be that of
+  /// another one.
+  bool TakePlace();
+  /// Reserves `bytes` besides those of the connection itself. If the memory is
+  /// exhausted, closes connections whose callers stall.
+  bool Charge(uint64_t bytes, PlaceNeeded needed);
+  /// Bytes per second at which a body of the maximum size is read in time.
+  double MinReadRate() const;
+  void EnterPhase(Phase phase);
   void RefuseUnreadable(const boost::system::error_code& error);
   void Refuse(RefusalReason reason);
+  /// Sends the last response of the connection.
+  void EndWith(const HttpReply& reply);
   void Linger();
-  bool Send(std::string_view text);
+  bool Send(std::string_view head, std::string_view body = {});
+  bool SendComplete(const HttpReply& reply, bool keep_alive, bool head_request);
   void UpdateKeepAlive();
   void WatchCaller();
   void StopWatching();
   bool IsClosed();
 
-  Stream stream_;
+  HttpStream stream_;
   boost::asio::steady_timer wake_;
   boost::asio::steady_timer idle_timer_;
   boost::asio::steady_timer::time_point idle_since_;
@@ -101,7 +132,8 @@
   const size_t shard_;
   boost::beast::flat_buffer buffer_;
   const boost::asio::yield_context* yield_ = nullptr;
-  uint64_t reserved_bytes_ = 0;
+  MemoryCharge charge_;
+  ConnectionActivity activity_;
   const HttpRequest* request_ = nullptr;
   ResponseState response_state_ = ResponseState::kNone;
   /// No request was read yet.
@@ -113,6 +145,7 @@
   bool watching_ = false;
   bool notified_ = false;
   bool caller_gone_ = false;
+  bool lost_place_ = false;
 };
 
 }  // namespace citronlane::detail
--- a/include/citronlane/transport/detail/http_text.h
+++ b/include/citronlane/transport/detail/http_text.h
@@ -13,11 +13,9 @@
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-/// Returns the bytes of a complete response, without its body for a HEAD
-/// request.
-std::string CompleteReplyText(const HttpReply& reply,
-                              bool keep_alive,
-                              bool head_request);
+/// Returns the bytes of the head of a complete response. Its body follows,
+/// except for a HEAD request.
+std::string CompleteReplyHead(const HttpReply& reply, bool keep_alive);
 
 /// Returns the bytes of the head of a chunked response.
 std::string StreamHeadText(const HttpReply& head, bool keep_alive);
--- a/include/citronlane/transport/http_limits.h
+++ b/include/citronlane/transport/http_limits.h
@@ -8,18 +8,27 @@
 
 namespace citronlane {
 
-/// Limits on the connections of callers.
+/// Limits on the connections of callers. docs/design/misbehaving-callers.md
+/// shows which input each of them bounds.
 struct HttpLimits {
-  /// Maximum size of a request's header, all fields together.
+  /// Maximum size of a request's header, all fields together. Also bounds each
+  /// chunk line and the trailer of a chunked body.
   uint32_t header_bytes_ = 16 * 1024;
   /// Maximum size of a request's body.
   uint64_t body_bytes_ = 1024ULL * 1024;
-  /// Maximum size of all bodies in memory. One body of body_bytes_ is always
+  /// Maximum memory of all connections and of the requests that are read or
+  /// served, bodies included. One request with a body of body_bytes_ is always
   /// accepted.
-  uint64_t total_body_bytes_ = 64ULL * 1024 * 1024;
-  /// Maximum number of open connections of all threads. Further ones get a
-  /// refusal; above twice this number they are closed without one.
+  uint64_t memory_bytes_ = 128ULL * 1024 * 1024;
+  /// Maximum number of connections that are served, on all threads. A further
+  /// one takes the place of a connection whose caller stalls or is idle, or is
+  /// refused.
   size_t connections_ = 4096;
+  /// Maximum number of connections besides, which receive a refusal. Further
+  /// ones are closed without one.
+  size_t refused_connections_ = 256;
+  /// Maximum of bytes that a connection receives before they are read.
+  uint32_t receive_buffer_bytes_ = 64 * 1024;
   /// From the first byte of a request to its last byte.
   Duration read_timeout_ = std::chrono::seconds(10);
   /// How long a connection may be idle between two requests.
--- a/include/citronlane/transport/http_listener.h
+++ b/include/citronlane/transport/http_listener.h
@@ -13,6 +13,9 @@
 
 namespace boost::asio {
 class io_context;
+namespace ssl {
+class context;
+}  // namespace ssl
 }  // namespace boost::asio
 
 namespace citronlane {
@@ -23,11 +26,12 @@
 /// run by exactly one thread. Thread safe unless noted otherwise.
 class HttpListener {
  public:
-  /// Precondition: `shards` is not empty, and its contexts outlive the
-  /// listener.
+  /// Serves TLS if `tls` is set. Precondition: `shards` is not empty, and its
+  /// contexts outlive the listener.
   HttpListener(std::vector<boost::asio::io_context*> shards,
                const HttpLimits& limits,
-               HttpListenerHooks hooks);
+               HttpListenerHooks hooks,
+               std::shared_ptr<boost::asio::ssl::context> tls = nullptr);
   /// Precondition: the threads of the contexts have ended.
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
--- a/include/citronlane/transport/http_listener_hooks.h
+++ b/include/citronlane/transport/http_listener_hooks.h
@@ -3,9 +3,11 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string_view>
 
 #include "citronlane/base/refusal_reason.h"
+#include "citronlane/base/time.h"
 #include "citronlane/transport/http_reply.h"
 
 namespace citronlane {
@@ -23,6 +25,9 @@
   /// over the limit. Nothing of the request ran. The response is discarded if
   /// the connection is already closed.
   std::function<HttpReply(RefusalReason)> refuse_;
+  /// Returns a response if the request is refused by its head alone; its body
+  /// is not read then. Optional.
+  std::function<std::optional<HttpReply>(const HttpRequest& head)> refuse_head_;
   /// The handler misused its exchange; the call had no effect. Optional.
   std::function<void(const HttpRequest&, std::string_view what)> misused_;
   /// The connection closes without the whole response to this request, which
@@ -31,9 +36,14 @@
   std::function<void(const HttpRequest&, std::string_view reason)> unanswered_;
   /// Whether the first request of a connection, which has begun to arrive, is
   /// read. If not, the connection is closed with nothing read, so that its
-  /// caller may send the request elsewhere, whatever it is. Optional: all are
-  /// read.
-  std::function<bool()> may_read_;
+  /// caller may send the request elsewhere, whatever it is. `close_stalled`
+  /// closes another connection that is reading a request and returns true, if
+  /// there is one whose caller stalls. Optional: all are read.
+  std::function<bool(const std::function<bool()>& close_stalled)> may_read_;
+  /// A connection was closed because others needed its place. `phase` is that
+  /// of ConnectionActivity, `stall` how long its caller had kept it waiting.
+  /// Optional.
+  std::function<void(std::string_view phase, Duration stall)> place_lost_;
 };
 
 }  // namespace citronlane
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -1,5 +1,6 @@
 #include "citronlane/control/control_host.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <optional>
@@ -21,6 +22,8 @@
 #include "citronlane/serving/dialect.h"
 #include "citronlane/serving/serving_config.h"
 #include "citronlane/transport/http_exchange.h"
+#include "citronlane/transport/http_limits.h"
+#include "citronlane/transport/http_listener_hooks.h"
 #include "citronlane/transport/http_reply.h"
 #include "citronlane/transport/http_request.h"
 #include "citronlane/transport/stage_limits.h"
@@ -45,12 +48,23 @@
 /// Maximum size of a document that an operator may send.
 constexpr uint64_t kDocumentBytes = uint64_t{8} << 20;
 constexpr size_t kMaxOperatorConnections = 512;
+/// Shares of the VM for operators, as divisors of the whole.
+constexpr uint64_t kOperatorMemoryDivisor = 8;
+constexpr size_t kOperatorDescriptorDivisor = 6;
+/// Connections that are served, per connection that receives a refusal.
+constexpr size_t kServedPerRefused = 8;
+/// Share of the descriptors for other processes of the fleet.
+constexpr uint32_t kPeerDescriptorDivisor = 2;
 
-HttpLimits OperatorLimits() {
+HttpLimits OperatorLimits(const NodeSettings& settings) {
   HttpLimits limits;
   limits.body_bytes_ = kDocumentBytes;
-  limits.total_body_bytes_ = 4 * kDocumentBytes;
-  limits.connections_ = kMaxOperatorConnections;
+  limits.memory_bytes_ =
+      (uint64_t{settings.memory_mb_} << 20) / kOperatorMemoryDivisor;
+  limits.connections_ =
+      std::clamp<size_t>(settings.max_descriptors_ / kOperatorDescriptorDivisor,
+                         1, kMaxOperatorConnections);
+  limits.refused_connections_ = 1 + limits.connections_ / kServedPerRefused;
   return limits;
 }
 
@@ -61,6 +75,25 @@
   return reply;
 }
 
+HttpListenerHooks OperatorHooks(OperatorApi* api, EventLog* log) {
+  HttpListenerHooks hooks;
+  hooks.serve_ = [api](size_t, const HttpRequest& request,
+                       HttpExchange* exchange) {
+    api->Serve(request, exchange);
+  };
+  hooks.refuse_ = RefuseUnreadable;
+  hooks.misused_ = [log](const HttpRequest& request, std::string_view what) {
+    log->Write("control", "response not sent",
+               {{"target", request.target_}, {"why", what}});
+  };
+  hooks.place_lost_ = [log](std::string_view phase, Duration stall) {
+    log->Write(
+        "control", "connection closed for another",
+        {{"listener", "operators"}, {"phase", phase}, {"stall_ms", stall}});
+  };
+  return hooks;
+}
+
 }  // namespace
 
 ControlHost::Impl::Impl(NodeSettings settings,
@@ -88,27 +121,16 @@
                                [this] { feed_.PushAll(SteadyNow()); }}),
       proposer_(&state_.config(), ProposerHooks()),
       api_(&io_, dialect, &state_, log, ApiHooks()),
-      internal_(&io_,
-                settings_.internal_listen_,
-                FrameListener::Hooks{
-                    [this](const std::shared_ptr<FrameChannel>& channel,
-                           Frame* frame) { HandleFrame(channel, frame); },
-                    [this](const FrameChannel* channel) {
-                      feed_.OnClosed(channel);
-                    }}),
-      operators_(
-          {&io_},
-          OperatorLimits(),
-          HttpListenerHooks{
-              [this](size_t,
-                     const HttpRequest& request,
-                     HttpExchange* exchange) { api_.Serve(request, exchange); },
-              RefuseUnreadable,
-              [log](const HttpRequest& request, std::string_view what) {
-                log->Write("control", "response not sent",
-                           {{"target", request.target_}, {"why", what}});
-              },
-              {}}) {}
+      internal_(
+          &io_,
+          settings_.internal_listen_,
+          FrameListener::Hooks{
+              [this](const std::shared_ptr<FrameChannel>& channel,
+                     Frame* frame) { HandleFrame(channel, frame); },
+              [this](const FrameChannel* channel) { feed_.OnClosed(channel); }},
+          settings_.max_descriptors_ / kPeerDescriptorDivisor),
+      operators_({&io_}, OperatorLimits(settings_), OperatorHooks(&api_, log)) {
+}
 
 bool ControlHost::Impl::Run(Error* error) {
   std::error_code ignored;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -56,6 +56,9 @@
   events.on_unread_ = [this](RefusalReason reason) {
     metrics_->Count(kConnectionsClosedTotal, {ToString(reason)});
   };
+  events.on_place_lost_ = [this](std::string_view phase, Duration) {
+    metrics_->Count(kPlacesLostTotal, {"callers", phase});
+  };
   return events;
 }
 
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -28,30 +28,6 @@
 constexpr Duration kGraceReserve = std::chrono::milliseconds(400);
 /// Requests in flight get a final response this long before the kill.
 constexpr Duration kGiveUpReserve = std::chrono::milliseconds(1000);
-/// Requests in flight per megabyte of memory: each takes two stacks and its
-/// body.
-constexpr size_t kRequestsPerMegabyte = 3;
-/// Fraction of descriptors for callers: each request also needs one to a
-/// server.
-constexpr double kCallerDescriptorFraction = 0.55;
-/// Time for a body after its head: the largest body over a slow link.
-constexpr Duration kBodyTime = std::chrono::seconds(10);
-/// Memory divided by the bytes of bodies held at the same time.
-constexpr uint64_t kBodyMemoryDivisor = 4;
-
-HttpLimits LimitsOf(const CallerLimits& callers, const NodeSettings& settings) {
-  HttpLimits limits;
-  limits.header_bytes_ = static_cast<uint32_t>(callers.header_bytes_);
-  limits.body_bytes_ = callers.body_bytes_;
-  limits.total_body_bytes_ =
-      (uint64_t{settings.memory_mb_} << 20) / kBodyMemoryDivisor;
-  limits.connections_ =
-      static_cast<size_t>(static_cast<double>(settings.max_descriptors_) *
-                          kCallerDescriptorFraction);
-  limits.read_timeout_ = callers.header_time_ + kBodyTime;
-  limits.idle_timeout_ = callers.idle_time_;
-  return limits;
-}
 
 }  // namespace
 
@@ -63,6 +39,7 @@
       read_settings_(std::move(read_settings)),
       dialect_(dialect),
       log_(log),
+      limits_of_vm_(settings_.memory_mb_, settings_.max_descriptors_),
       budget_options_{settings_.repeat_ratio_, settings_.repeat_extra_,
                       settings_.repeat_window_},
       metrics_(Metrics::kDefaultMaxSeries, 1),
@@ -94,7 +71,7 @@
       crashes_(log, CrashHooks()),
       origins_(log, OriginHooks()),
       context_(MakeContext()),
-      relay_(&context_, settings_.memory_mb_ * kRequestsPerMegabyte),
+      relay_(&context_, limits_of_vm_.requests()),
       watch_(
           &io_,
           ControlWatch::Options{settings_.internal_listen_,
@@ -114,11 +91,14 @@
                     [this](const FrameChannel* channel) {
                       owners_.Closed(channel);
                       engines_.Closed(channel);
-                    }}),
-      callers_({&io_}, LimitsOf(CallerLimits(), settings_), CallerHooks()),
-      forwarded_({&io_}, LimitsOf(CallerLimits(), settings_), ForwardedHooks()),
-      ready_({&io_}, HttpLimits(), ReadyHooks()),
-      metrics_listener_({&io_}, HttpLimits(), MetricsHooks()),
+                    }},
+                limits_of_vm_.peers()),
+      callers_({&io_}, limits_of_vm_.Callers(CallerLimits()), CallerHooks()),
+      forwarded_({&io_},
+                 limits_of_vm_.Forwarded(CallerLimits()),
+                 ForwardedHooks()),
+      ready_({&io_}, limits_of_vm_.Monitoring(), ReadyHooks()),
+      metrics_listener_({&io_}, limits_of_vm_.Monitoring(), MetricsHooks()),
       load_meter_(settings_.capacity_, kTickInterval) {}
 
 RelayContext GatewayHost::Impl::MakeContext() {
@@ -147,9 +127,9 @@
 }
 
 void GatewayHost::Impl::ApplyLimits() {
-  const HttpLimits limits = LimitsOf(view_.config()->limits(), settings_);
-  callers_.SetLimits(limits);
-  forwarded_.SetLimits(limits);
+  const CallerLimits& limits = view_.config()->limits();
+  callers_.SetLimits(limits_of_vm_.Callers(limits));
+  forwarded_.SetLimits(limits_of_vm_.Forwarded(limits));
 }
 
 bool GatewayHost::Impl::Listen(HttpListener* listener,
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -3,6 +3,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "citronlane/base/refusal_reason.h"
@@ -55,17 +56,30 @@
     NoteUnread(reason);
     return RefusalReply(reason, Verdict::kNotRun);
   };
-  hooks.may_read_ = [this] {
+  hooks.may_read_ = [this](const std::function<bool()>& close_stalled) {
     const bool may_read = relay_.MayTakeFirst(callers_.open_requests() +
-                                              forwarded_.open_requests());
+                                              forwarded_.open_requests()) ||
+                          close_stalled();
     if (!may_read) {
       NoteUnread(RefusalReason::kConcurrencyLimit);
     }
     return may_read;
   };
+  hooks.place_lost_ = PlaceLostHook("callers");
   return hooks;
 }
 
+std::function<void(std::string_view phase, Duration stall)>
+GatewayHost::Impl::PlaceLostHook(std::string listener) {
+  return [this, listener = std::move(listener)](std::string_view phase,
+                                                Duration stall) {
+    metrics_.Count(kPlacesLostTotal, {listener, phase});
+    log_->Write(
+        "relay", "connection closed for another",
+        {{"listener", listener}, {"phase", phase}, {"stall_ms", stall}});
+  };
+}
+
 void GatewayHost::Impl::NoteUnread(RefusalReason reason) {
   metrics_.Count(kRefusalsTotal, {ToString(reason), "", ""});
   log_->Write("relay", "request not read",
@@ -78,6 +92,7 @@
   HttpListenerHooks hooks = CallerHooks();
   // MayServe() refuses these; the other gateways know such a refusal.
   hooks.may_read_ = nullptr;
+  hooks.place_lost_ = PlaceLostHook("forwarded");
   hooks.serve_ = [this](size_t, const HttpRequest& request,
                         HttpExchange* exchange) {
     relay_.ServeForwarded(request, exchange);
@@ -97,6 +112,7 @@
   hooks.refuse_ = [](RefusalReason reason) {
     return RefusalReply(reason, Verdict::kNotRun);
   };
+  hooks.place_lost_ = PlaceLostHook("ready");
   return hooks;
 }
 
@@ -139,6 +155,7 @@
   hooks.refuse_ = [](RefusalReason reason) {
     return RefusalReply(reason, Verdict::kNotRun);
   };
+  hooks.place_lost_ = PlaceLostHook("metrics");
   return hooks;
 }
 
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -1,12 +1,16 @@
 #include "citronlane/transport/detail/http_connection.h"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
 #include <iterator>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "citronlane/base/steady_now.h"
 #include "citronlane/base/text.h"
 #include "citronlane/net/traffic_count.h"
 #include "citronlane/transport/detail/http_text.h"
@@ -26,24 +30,49 @@
 /// How much a refused caller may still send while it receives the refusal.
 constexpr size_t kLingerBytes = size_t{4} * 1024 * 1024;
 constexpr auto kLingerTime = std::chrono::seconds(1);
-
+/// Memory of a connection without a request: the used part of its stack, its
+/// buffer and the socket.
+constexpr uint64_t kConnectionBytes = uint64_t{24} << 10;
+/// Memory of the TLS state of a connection.
+constexpr uint64_t kTlsBytes = uint64_t{64} << 10;
+/// Memory of a request that is served, besides what depends on its size.
+constexpr uint64_t kRequestBytes = uint64_t{32} << 10;
+/// Memory of a parsed head divided by its bytes, if it consists of the shortest
+/// header fields or prompt segments.
+constexpr uint64_t kParsedHeadRatio = 64;
+/// Turns of the event loop until a closed connection has ended.
+constexpr int kTurnsToClose = 8;
+/// Memory that is always available besides one body of the maximum size.
+constexpr uint64_t kMinMemory = uint64_t{2} << 20;
+
+/// Returns the request without its body. Fields of a trailer are not read yet.
 template <typename Message>
-HttpRequest ToRequest(Message* message) {
+HttpRequest HeadOf(const Message& message) {
   HttpRequest request;
-  const auto method = message->method_string();
-  const auto target = message->target();
+  const auto method = message.method_string();
+  const auto target = message.target();
   request.method_.assign(method.data(), method.size());
   request.target_.assign(target.data(), target.size());
-  for (const auto& field : *message) {
+  request.headers_.reserve(
+      static_cast<size_t>(std::distance(message.begin(), message.end())));
+  for (const auto& field : message) {
     const auto name = field.name_string();
     const auto value = field.value();
     request.headers_.push_back(
         {{name.data(), name.size()}, {value.data(), value.size()}});
   }
-  request.body_ = std::move(message->body());
   return request;
 }
 
+size_t HeadBytes(const HttpRequest& request) {
+  constexpr size_t kSeparatorBytes = 4;
+  size_t bytes = request.method_.size() + request.target_.size();
+  for (const HttpHeader& header : request.headers_) {
+    bytes += header.name_.size() + header.value_.size() + kSeparatorBytes;
+  }
+  return bytes;
+}
+
 /// Whether another HTTP parser could find a different end of the request. The
 /// only accepted transfer coding is a single "chunked".
 template <typename Message>
@@ -69,12 +98,13 @@
                                std::shared_ptr<HttpListenerState> state,
                                std::shared_ptr<HttpConnectionSet> peers,
                                size_t shard)
-    : stream_(std::move(socket)),
+    : stream_(std::move(socket), state->tls_.get()),
       wake_(*io),
       idle_timer_(*io),
       state_(std::move(state)),
       peers_(std::move(peers)),
-      shard_(shard) {
+      shard_(shard),
+      charge_(&state_->memory_) {
   ++state_->connections_;
 }
 
@@ -83,26 +113,36 @@
 }
 
 void HttpConnection::Run(const asio::yield_context& yield) {
-  peers_->insert(this);
+  peers_->Insert(this);
   yield_ = &yield;
   error_code error;
   stream_.socket().set_option(tcp::no_delay(true), error);
   // Applies to calls that don't wait; the asynchronous ones are unaffected.
   stream_.socket().non_blocking(true, error);
-  while (keep_alive_ && (!state_->stopped_ || HasReceived()) && ServeOne()) {
+  EnterPhase(Phase::kNew);
+  if (TakePlace()) {
+    keep_alive_ = !stream_.has_tls() || Handshake();
+    while (keep_alive_ && (!state_->stopped_ || HasReceived()) && ServeOne()) {
+    }
+  } else if (stream_.has_tls()) {
+    // A refusal would need a handshake; it is only recorded.
+    state_->hooks_.refuse_(RefusalReason::kTooManyConnections);
+  } else {
+    keep_alive_ = false;
+    Refuse(RefusalReason::kTooManyConnections);
   }
   stream_.socket().shutdown(tcp::socket::shutdown_both, error);
-  stream_.close();
-  peers_->erase(this);
+  stream_.Close();
+  peers_->Erase(this);
   yield_ = nullptr;
 }
 
-void HttpConnection::RunRefused(const asio::yield_context& yield) {
-  yield_ = &yield;
-  keep_alive_ = false;
-  Refuse(RefusalReason::kTooManyConnections);
-  stream_.close();
-  yield_ = nullptr;
+bool HttpConnection::Handshake() {
+  stream_.ExpiresAfter(state_->limits_.read_timeout_);
+  error_code error;
+  stream_.Handshake(*yield_, &error);
+  stream_.ExpiresNever();
+  return !error;
 }
 
 // Callers pair responses with requests by their order. After a second response
@@ -139,7 +179,7 @@
     return false;
   }
   UpdateKeepAlive();
-  return Send(CompleteReplyText(reply, keep_alive_, head_request_));
+  return SendComplete(reply, keep_alive_, head_request_);
 }
 
 bool HttpConnection::StartStream(const HttpReply& head) {
@@ -148,8 +188,8 @@
   }
   UpdateKeepAlive();
   stream_has_body_ = MayHaveBody(head.status_, head_request_);
-  return Send(stream_has_body_ ? StreamHeadText(head, keep_alive_)
-                               : CompleteReplyText(head, keep_alive_, true));
+  return stream_has_body_ ? Send(StreamHeadText(head, keep_alive_))
+                          : SendComplete(head, keep_alive_, true);
 }
 
 bool HttpConnection::Write(std::string_view bytes) {
@@ -198,18 +238,13 @@
 }
 
 bool HttpConnection::ReadAndServe() {
-  // The limits may have changed during the wait.
-  Parser parser;
-  parser.header_limit(state_->limits_.header_bytes_);
-  parser.body_limit(state_->limits_.body_bytes_);
-  if (!ReadRequest(&parser)) {
-    ReleaseBody();
+  HttpRequest request;
+  if (!ReadRequest(&request)) {
     return false;
   }
-  keep_alive_ = parser.get().keep_alive();
-  const HttpRequest request = ToRequest(&parser.get());
   head_request_ = request.method_ == "HEAD";
   ++state_->active_requests_;
+  EnterPhase(Phase::kServing);
   WatchCaller();
   request_ = &request;
   response_state_ = ResponseState::kNone;
@@ -220,62 +255,126 @@
   // one.
   keep_alive_ = keep_alive_ && response_state_ == ResponseState::kComplete;
   request_ = nullptr;
-  ReleaseBody();
   --state_->active_requests_;
   return !caller_gone_;
 }
 
-bool HttpConnection::ReadRequest(Parser* parser) {
-  stream_.expires_after(state_->limits_.read_timeout_);
+bool HttpConnection::ReadRequest(HttpRequest* request) {
   error_code error;
-  CountTraffic(
-      http::async_read_header(stream_, buffer_, *parser, (*yield_)[error]));
-  if (!error && HasUnclearFraming(parser->get())) {
-    keep_alive_ = false;
-    Refuse(RefusalReason::kMalformedRequest);
+  // The parser, which holds the body, is gone while a refusal is sent.
+  const auto refusal = ReadMessage(request, &error);
+  if (refusal) {
+    EndWith(*refusal);
     return false;
   }
-  if (!error && !ReserveBody(*parser)) {
-    keep_alive_ = false;
-    Refuse(RefusalReason::kBodyMemoryExhausted);
+  if (error) {
+    RefuseUnreadable(error);
     return false;
   }
-  if (!error && parser->get()[http::field::expect] == "100-continue") {
-    Send(kContinue);
-    stream_.expires_after(state_->limits_.read_timeout_);
+  stream_.ExpiresNever();
+  return true;
+}
+
+std::optional<HttpReply> HttpConnection::ReadMessage(HttpRequest* request,
+                                                     error_code* error) {
+  const auto& hooks = state_->hooks_;
+  // The limits may have changed during the wait.
+  const HttpLimits& limits = state_->limits_;
+  Parser parser;
+  parser.header_limit(limits.header_bytes_);
+  parser.body_limit(limits.body_bytes_);
+  // A chunk line or a trailer is parsed once it is complete, so that the buffer
+  // bounds its size.
+  buffer_.max_size(
+      std::max<size_t>(buffer_.size(), limits.header_bytes_ + kFirstReadBytes));
+  stream_.ExpiresAfter(limits.read_timeout_);
+  if (!Charge(buffer_.max_size(), PlaceNeeded::kConnection)) {
+    return hooks.refuse_(RefusalReason::kBodyMemoryExhausted);
+  }
+  CountTraffic(
+      http::async_read_header(stream_, buffer_, parser, (*yield_)[*error]));
+  if (*error) {
+    return std::nullopt;
+  }
+  if (HasUnclearFraming(parser.get())) {
+    return hooks.refuse_(RefusalReason::kMalformedRequest);
   }
-  if (!error) {
-    CountTraffic(http::async_read(stream_, buffer_, *parser, (*yield_)[error]));
+  *request = HeadOf(parser.get());
+  if (hooks.refuse_head_) {
+    if (auto refusal = hooks.refuse_head_(*request)) {
+      return refusal;
+    }
   }
-  if (!error) {
-    stream_.expires_never();
-    return true;
+  if (!ReadBody(HeadBytes(*request), &parser, error)) {
+    return hooks.refuse_(RefusalReason::kBodyMemoryExhausted);
   }
-  RefuseUnreadable(error);
-  return false;
+  keep_alive_ = parser.get().keep_alive();
+  request->body_ = std::move(parser.get().body());
+  return std::nullopt;
 }
 
-bool HttpConnection::ReserveBody(const Parser& parser) {
-  const auto length = parser.content_length();
-  if (!parser.chunked() && !length) {
-    return true;
+bool HttpConnection::ReadBody(size_t head_bytes,
+                              Parser* parser,
+                              error_code* error) {
+  const uint64_t head = kRequestBytes + head_bytes * kParsedHeadRatio;
+  const uint64_t length = std::min<uint64_t>(
+      parser->content_length().value_or(0), state_->limits_.body_bytes_);
+  if (!Charge(head + length, PlaceNeeded::kRequest)) {
+    return false;
+  }
+  if (parser->get()[http::field::expect] == "100-continue") {
+    Send(kContinue);
+    stream_.ExpiresAfter(state_->limits_.read_timeout_);
   }
-  reserved_bytes_ =
-      length ? std::min<uint64_t>(*length, state_->limits_.body_bytes_)
-             : state_->limits_.body_bytes_;
-  const uint64_t total = state_->body_bytes_ += reserved_bytes_;
-  // One body of maximum size is always accepted, even if total_body_bytes_ is
+  parser->eager(true);
+  while (!*error && !parser->is_done()) {
+    const size_t got =
+        http::async_read_some(stream_, buffer_, *parser, (*yield_)[*error]);
+    CountTraffic(got);
+    activity_.received_ += got;
+    const uint64_t held =
+        std::max<uint64_t>(length, parser->get().body().capacity());
+    if (!*error && !Charge(head + held, PlaceNeeded::kRequest)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool HttpConnection::TakePlace() {
+  const bool is_over = state_->connections_ > state_->limits_.connections_;
+  return (!is_over ||
+          peers_->CloseOne(PlaceNeeded::kConnection, MinReadRate(), this)) &&
+         Charge(0, PlaceNeeded::kConnection);
+}
+
+bool HttpConnection::Charge(uint64_t bytes, PlaceNeeded needed) {
+  // One body of maximum size is always accepted, even if memory_bytes_ is
   // lower.
-  if (total <= std::max(state_->limits_.total_body_bytes_,
-                        state_->limits_.body_bytes_)) {
-    return true;
+  const HttpLimits& limits = state_->limits_;
+  const uint64_t limit =
+      std::max(limits.memory_bytes_, limits.body_bytes_ + kMinMemory);
+  const uint64_t own = kConnectionBytes + (stream_.has_tls() ? kTlsBytes : 0);
+  bool has_room = charge_.Resize(own + bytes, limit);
+  while (!has_room && peers_->CloseOne(needed, MinReadRate(), this)) {
+    // The closed connection gives its memory back in its own coroutine.
+    for (int turn = 0; turn < kTurnsToClose && !has_room; ++turn) {
+      asio::post(stream_.get_executor(), *yield_);
+      has_room = charge_.Resize(own + bytes, limit);
+    }
   }
-  ReleaseBody();
-  return false;
+  return has_room;
+}
+
+double HttpConnection::MinReadRate() const {
+  const HttpLimits& limits = state_->limits_;
+  const std::chrono::duration<double> time = limits.read_timeout_;
+  return std::max(1.0, static_cast<double>(limits.body_bytes_)) /
+         std::max(time.count(), 1e-3);
 }
 
-void HttpConnection::ReleaseBody() {
-  state_->body_bytes_ -= std::exchange(reserved_bytes_, 0);
+void HttpConnection::EnterPhase(Phase phase) {
+  activity_ = {phase, SteadyNow(), 0};
 }
 
 void HttpConnection::RefuseUnreadable(const error_code& error) {
@@ -297,8 +396,14 @@
 }
 
 void HttpConnection::Refuse(RefusalReason reason) {
-  const HttpReply reply = state_->hooks_.refuse_(reason);
-  if (Send(CompleteReplyText(reply, false, false))) {
+  EndWith(state_->hooks_.refuse_(reason));
+}
+
+void HttpConnection::EndWith(const HttpReply& reply) {
+  keep_alive_ = false;
+  EnterPhase(Phase::kClosing);
+  charge_.Release();
+  if (SendComplete(reply, false, false)) {
     Linger();
   }
 }
@@ -308,7 +413,7 @@
   // before the caller has read the refusal.
   error_code error;
   stream_.socket().shutdown(tcp::socket::shutdown_send, error);
-  stream_.expires_after(kLingerTime);
+  stream_.ExpiresAfter(kLingerTime);
   char sink[kDiscardBytes];
   size_t taken = 0;
   while (!error && taken < kLingerBytes) {
@@ -316,22 +421,31 @@
   }
 }
 
-bool HttpConnection::Send(std::string_view text) {
+bool HttpConnection::Send(std::string_view head, std::string_view body) {
   if (caller_gone_) {
     return false;
   }
-  stream_.expires_after(state_->limits_.write_timeout_);
+  stream_.ExpiresAfter(state_->limits_.write_timeout_);
+  const std::array<asio::const_buffer, 2> message = {
+      asio::buffer(head.data(), head.size()),
+      asio::buffer(body.data(), body.size())};
   error_code error;
-  CountTraffic(asio::async_write(
-      stream_, asio::buffer(text.data(), text.size()), (*yield_)[error]));
+  CountTraffic(asio::async_write(stream_, message, (*yield_)[error]));
   if (error) {
     caller_gone_ = true;
     return false;
   }
-  stream_.expires_never();
+  stream_.ExpiresNever();
   return true;
 }
 
+bool HttpConnection::SendComplete(const HttpReply& reply,
+                                  bool keep_alive,
+                                  bool head_request) {
+  const std::string head = CompleteReplyHead(reply, keep_alive);
+  return Send(head, head_request ? std::string_view() : reply.body_);
+}
+
 void HttpConnection::UpdateKeepAlive() {
   keep_alive_ = keep_alive_ && !state_->close_after_replies_;
 }
--- a/src/transport/http_connection_wait.cc
+++ b/src/transport/http_connection_wait.cc
@@ -3,6 +3,8 @@
 
 #include "citronlane/transport/detail/http_connection.h"
 
+#include "citronlane/base/steady_now.h"
+
 namespace citronlane::detail {
 namespace {
 
@@ -10,16 +12,30 @@
 using tcp = boost::asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr size_t kFirstReadBytes = 4096;
-
 }  // namespace
 
 void HttpConnection::CloseIfIdle() {
   if (idle_ && !HasReceived()) {
-    stream_.close();
+    stream_.Close();
   }
 }
 
+bool HttpConnection::IsCloseable() {
+  error_code error;
+  // Bytes that wait to be read show that the caller doesn't stall.
+  return !lost_place_ && (activity_.phase_ == Phase::kClosing ||
+                          stream_.socket().available(error) == 0);
+}
+
+void HttpConnection::CloseForOther() {
+  lost_place_ = true;
+  if (state_->hooks_.place_lost_) {
+    state_->hooks_.place_lost_(ToString(activity_.phase_),
+                               StallOf(activity_, MinReadRate(), SteadyNow()));
+  }
+  stream_.Close();
+}
+
 void HttpConnection::UpdateIdleTimeout() {
   if (!idle_) {
     return;
@@ -37,8 +53,17 @@
 
 bool HttpConnection::WaitForFirstByte() {
   if (buffer_.size() > 0) {
+    EnterPhase(Phase::kReading);
     return true;
   }
+  // The memory of a large head is not kept for an idle connection.
+  if (buffer_.capacity() > kFirstReadBytes) {
+    buffer_.shrink_to_fit();
+  }
+  Charge(0, PlaceNeeded::kConnection);
+  if (!is_first_) {
+    EnterPhase(Phase::kIdle);
+  }
   // The bytes stay in the socket until the connection is no longer idle, so
   // that HasReceived finds every request that has arrived.
   idle_ = true;
@@ -46,27 +71,44 @@
   UpdateIdleTimeout();
   error_code error;
   size_t got = 0;
-  do {
-    stream_.socket().async_wait(tcp::socket::wait_read, (*yield_)[error]);
-    if (!error && !MayRead()) {
-      error = asio::error::connection_aborted;
-    }
-    if (!error) {
-      got = stream_.socket().read_some(buffer_.prepare(kFirstReadBytes), error);
-    }
-  } while (error == asio::error::would_block);
+  if (stream_.has_tls()) {
+    // A request may have arrived in full with the one before; the socket does
+    // not show it.
+    got = stream_.async_read_some(buffer_.prepare(kFirstReadBytes),
+                                  (*yield_)[error]);
+  } else {
+    got = ReadFirstBytes(&error);
+  }
   buffer_.commit(got);
   is_first_ = false;
   idle_ = false;
   idle_timer_.cancel();
+  EnterPhase(Phase::kReading);
   return !error;
 }
 
+size_t HttpConnection::ReadFirstBytes(error_code* error) {
+  size_t got = 0;
+  do {
+    stream_.socket().async_wait(tcp::socket::wait_read, (*yield_)[*error]);
+    if (!*error && !MayRead()) {
+      *error = asio::error::connection_aborted;
+    }
+    if (!*error) {
+      got =
+          stream_.socket().read_some(buffer_.prepare(kFirstReadBytes), *error);
+    }
+  } while (*error == asio::error::would_block);
+  return got;
+}
+
 // Callers may have sent a further request before they have received all of the
 // response to the one before, which would be lost with the connection.
 bool HttpConnection::MayRead() {
   const auto& may_read = state_->hooks_.may_read_;
-  return !is_first_ || !may_read || !HasReceived() || may_read();
+  return !is_first_ || !may_read || !HasReceived() || may_read([this] {
+    return peers_->CloseOne(PlaceNeeded::kRequest, MinReadRate(), this);
+  });
 }
 
 bool HttpConnection::HasReceived() {
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -31,10 +31,13 @@
  public:
   Impl(std::vector<asio::io_context*> shards,
        const HttpLimits& limits,
-       HttpListenerHooks hooks)
+       HttpListenerHooks hooks,
+       std::shared_ptr<asio::ssl::context> tls)
       : shards_(std::move(shards)),
         acceptor_(*shards_.front()),
-        state_(std::make_shared<HttpListenerState>(limits, std::move(hooks))) {
+        state_(std::make_shared<HttpListenerState>(limits,
+                                                   std::move(hooks),
+                                                   std::move(tls))) {
     for (size_t i = 0; i < shards_.size(); ++i) {
       connections_.push_back(std::make_shared<HttpConnectionSet>());
     }
@@ -49,6 +52,13 @@
     }
     if (!failure) {
       acceptor_.set_option(tcp::acceptor::reuse_address(true), failure);
+      // Accepted sockets inherit it. A system without this option bounds the
+      // buffers by itself.
+      error_code ignored;
+      acceptor_.set_option(
+          asio::socket_base::receive_buffer_size(
+              static_cast<int>(state_->limits_.receive_buffer_bytes_)),
+          ignored);
       acceptor_.bind(endpoint, failure);
     }
     if (!failure) {
@@ -127,9 +137,9 @@
 
   void Serve(HttpConnection::Socket socket, size_t shard) {
     asio::io_context* const io = shards_[shard];
-    const bool full = state_->connections_ >= state_->limits_.connections_;
-    const size_t hard_limit = 2 * state_->limits_.connections_;
-    if (full && state_->connections_ >= hard_limit) {
+    const HttpLimits& limits = state_->limits_;
+    if (state_->connections_ >=
+        limits.connections_ + limits.refused_connections_) {
       state_->hooks_.refuse_(RefusalReason::kTooManyConnections);
       return;
     }
@@ -137,12 +147,8 @@
         std::move(socket), io, state_, connections_[shard], shard);
     asio::spawn(
         *io,
-        [connection, full](const asio::yield_context& yield) {
-          if (full) {
-            connection->RunRefused(yield);
-          } else {
-            connection->Run(yield);
-          }
+        [connection](const asio::yield_context& yield) {
+          connection->Run(yield);
         },
         detail::CoroutineAttributes());
   }
@@ -157,10 +163,12 @@
 
 HttpListener::HttpListener(std::vector<asio::io_context*> shards,
                            const HttpLimits& limits,
-                           HttpListenerHooks hooks)
-    : impl_(
-          std::make_shared<Impl>(std::move(shards), limits, std::move(hooks))) {
-}
+                           HttpListenerHooks hooks,
+                           std::shared_ptr<asio::ssl::context> tls)
+    : impl_(std::make_shared<Impl>(std::move(shards),
+                                   limits,
+                                   std::move(hooks),
+                                   std::move(tls))) {}
 
 HttpListener::~HttpListener() = default;
 
--- a/src/transport/http_text.cc
+++ b/src/transport/http_text.cc
@@ -48,15 +48,10 @@
 
 }  // namespace
 
-std::string CompleteReplyText(const HttpReply& reply,
-                              bool keep_alive,
-                              bool head_request) {
+std::string CompleteReplyHead(const HttpReply& reply, bool keep_alive) {
   std::string text = HeadText(reply, keep_alive);
   AppendHeader("Content-Length", std::to_string(reply.body_.size()), &text);
   text += "\r\n";
-  if (!head_request) {
-    text += reply.body_;
-  }
   return text;
 }
 
