Refuse requests whose stages have more pieces than memory holds

The number of pieces is a header of the caller, up to 4,294,967,295 for each stage; the record of each is allocated before a call is made. A pool whose wait is known refuses such a request as too late, one whose owner is not known yet doesn't.

--- a/include/citronlane/base/refusal_reason.h
+++ b/include/citronlane/base/refusal_reason.h
@@ -19,6 +19,7 @@
   kUnknownRoute = 108,
   kTooManyConnections = 109,
   kBodyMemoryExhausted = 110,
+  kTooManyPieces = 111,
   // 2xx: the client account.
   kUnknownAccount = 201,
   kClassNotAllowed = 202,
--- a/include/citronlane/relay/relay_service.h
+++ b/include/citronlane/relay/relay_service.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_RELAY_RELAY_SERVICE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,8 +29,11 @@
 class RelayService {
  public:
   /// `context` must outlive the object. At most `max_requests` are served at
-  /// the same time, since each takes memory.
-  RelayService(const RelayContext* context, size_t max_requests);
+  /// the same time, and their stages have at most `max_pieces` together, since
+  /// each takes memory.
+  RelayService(const RelayContext* context,
+               size_t max_requests,
+               uint64_t max_pieces);
 
   /// Responds to one request. Suspends the handler.
   void Serve(const HttpRequest& request, HttpExchange* exchange);
@@ -81,6 +85,8 @@
 
   const RelayContext* const context_;
   const size_t max_requests_;
+  const uint64_t max_pieces_;
+  uint64_t pieces_in_flight_ = 0;
   TimePoint stop_deadline_ = TimePoint::max();
   std::map<RelayRequest*, RelayJob*> in_flight_;
   std::set<std::shared_ptr<Waker>> awaiting_view_;
--- a/src/base/refusal_reason.cc
+++ b/src/base/refusal_reason.cc
@@ -12,7 +12,7 @@
   std::string_view sentence_;
 };
 
-constexpr std::array<ReasonRow, 37> kReasons = {{
+constexpr std::array<ReasonRow, 38> kReasons = {{
     {RefusalReason::kMalformedRequest, "malformed_request", 400,
      "The request can not be read."},
     {RefusalReason::kUnknownPipeline, "unknown_pipeline", 404,
@@ -32,7 +32,9 @@
     {RefusalReason::kTooManyConnections, "too_many_connections", 503,
      "The gateway has no free connection."},
     {RefusalReason::kBodyMemoryExhausted, "body_memory_exhausted", 503,
-     "The gateway holds as many request bodies as it may."},
+     "The gateway holds as many requests as its memory allows."},
+    {RefusalReason::kTooManyPieces, "too_many_pieces", 413,
+     "The stages of the request have more pieces than a gateway can hold."},
     {RefusalReason::kUnknownAccount, "unknown_account", 401,
      "The bearer key belongs to no client account."},
     {RefusalReason::kClassNotAllowed, "class_not_allowed", 403,
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -71,7 +71,7 @@
       crashes_(log, CrashHooks()),
       origins_(log, OriginHooks()),
       context_(MakeContext()),
-      relay_(&context_, limits_of_vm_.requests()),
+      relay_(&context_, limits_of_vm_.requests(), limits_of_vm_.pieces()),
       watch_(
           &io_,
           ControlWatch::Options{settings_.internal_listen_,
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -1,6 +1,8 @@
 #include "citronlane/relay/relay_service.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <numeric>
 #include <string>
 
 #include "citronlane/base/steady_now.h"
@@ -36,10 +38,21 @@
   return has_port ? host.substr(0, colon) : host;
 }
 
+// Pieces of all stages of a request's route.
+uint64_t PiecesOf(const RelayJob& job) {
+  const auto& counts = job.head_.stage_pieces_;
+  const size_t stages = std::min(counts.size(), job.route_->stages_.size());
+  return std::accumulate(counts.begin(),
+                         counts.begin() + static_cast<std::ptrdiff_t>(stages),
+                         uint64_t{0});
+}
+
 }  // namespace
 
-RelayService::RelayService(const RelayContext* context, size_t max_requests)
-    : context_(context), max_requests_(max_requests) {}
+RelayService::RelayService(const RelayContext* context,
+                           size_t max_requests,
+                           uint64_t max_pieces)
+    : context_(context), max_requests_(max_requests), max_pieces_(max_pieces) {}
 
 void RelayService::Serve(const HttpRequest& request, HttpExchange* exchange) {
   RelayJob job;
@@ -91,9 +104,16 @@
   if (!Await(has_list, job->arrived_, request, exchange)) {
     return;
   }
+  const uint64_t pieces = PiecesOf(*job);
+  if (pieces > max_pieces_ - pieces_in_flight_) {
+    Refuse(*job, RefusalReason::kConcurrencyLimit, exchange);
+    return;
+  }
   RelayRequest relay(context_, job, &request, exchange);
   in_flight_[&relay] = job;
+  pieces_in_flight_ += pieces;
   relay.Run();
+  pieces_in_flight_ -= pieces;
   in_flight_.erase(&relay);
 }
 
@@ -171,6 +191,9 @@
           ? std::min(job->deadline_, job->arrived_ + route.caller_patience_)
           : job->deadline_;
   job->target_ = job->arrived_ + route.target_latency_;
+  if (PiecesOf(*job) > max_pieces_) {
+    return RefusalReason::kTooManyPieces;
+  }
   if (in_flight_.size() >= max_requests_) {
     return RefusalReason::kConcurrencyLimit;
   }
--- a/tests/support/relay_gateway.h
+++ b/tests/support/relay_gateway.h
@@ -208,7 +208,7 @@
   ServiceRouter router_;
   RepeatBudget budget_{Budget(), kStarted};
   RelayContext context_;
-  RelayService service_{&context_, 10};
+  RelayService service_{&context_, 10, 1000};
 };
 
 }  // namespace citronlane
--- a/tests/unit-relay-service.cc
+++ b/tests/unit-relay-service.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -27,6 +28,7 @@
 using std::chrono::seconds;
 
 constexpr size_t kMostRequests = 10;
+constexpr uint64_t kMostPieces = 1000;
 
 }  // namespace
 
@@ -35,9 +37,11 @@
 TEST_CASE("requests before the first configuration") {
   boost::asio::io_context io;
   Duration time_left = seconds(6);
+  std::vector<uint32_t> pieces;
   Dialect dialect;
-  dialect.read_request_ = [&time_left](Dialect::Headers) {
+  dialect.read_request_ = [&](Dialect::Headers) {
     RequestHead head;
+    head.stage_pieces_ = pieces;
     head.request_id_ = "r";
     head.host_ = "h";
     head.time_left_ = time_left;
@@ -53,7 +57,7 @@
   context.view_ = &view;
   context.log_ = &log;
   context.metrics_ = &metrics;
-  RelayService service(&context, kMostRequests);
+  RelayService service(&context, kMostRequests, kMostPieces);
   HttpRequest request;
   request.method_ = "GET";
   request.target_ = "/nowhere/";
@@ -97,6 +101,29 @@
     CHECK(has_left);
     CHECK_FALSE(caller.reply_);
   }
+  SECTION("are refused at once with more pieces than a gateway holds") {
+    ServingConfig::Parts parts;
+    parts.version_ = 1;
+    Service declared;
+    declared.name_ = "s";
+    parts.services_ = {declared};
+    Route route;
+    route.name_ = "r";
+    route.host_ = "h";
+    route.prefix_ = "/nowhere/";
+    route.is_public_ = true;
+    route.split_ = {{"s", 1}};
+    route.stages_.resize(2);
+    parts.routes_ = {std::make_shared<const Route>(route)};
+    view.SetConfig(std::make_shared<const ServingConfig>(parts));
+    pieces = GENERATE(std::vector<uint32_t>{600, 401},
+                      std::vector<uint32_t>{1, 4294967295},
+                      std::vector<uint32_t>{4294967295, 4294967295});
+    service.Serve(request, &caller);
+    REQUIRE(caller.reply_);
+    CHECK(caller.reply_->status_ == 413);
+    CHECK(caller.reply_->body_.find("too_many_pieces") != std::string::npos);
+  }
   SECTION("wait only a fraction of the caller's remaining time") {
     time_left = milliseconds(4);
     service.Serve(request, &caller);
--- a/tests/unit-unread-requests.cc
+++ b/tests/unit-unread-requests.cc
@@ -106,7 +106,7 @@
 }
 
 TEST_CASE("a gateway takes first requests up to a part of its maximum") {
-  const RelayService service(nullptr, 80);
+  const RelayService service(nullptr, 80, 1000);
   CHECK(service.MayTakeFirst(0));
   CHECK(service.MayTakeFirst(69));
   CHECK_FALSE(service.MayTakeFirst(70));
