Serve the administration API by the project's own listener

A request line without end took a control process from 26 to 400 MB with eight connections and no key (the crowd stops at 256 MB), bodies of any length to 280 MB: the library's server bounds neither, and reads bodies before the key is checked.

AdminServer is an HttpListener with threads for its handlers, and TLS as before. Calls without an operator's key are refused by their head alone.

--- a/include/citronlane/control/detail/control_admin.h
+++ b/include/citronlane/control/detail/control_admin.h
@@ -2,6 +2,7 @@
 #define CITRONLANE_CONTROL_DETAIL_CONTROL_ADMIN_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
 
   /// Serves a call. Blocks for a few seconds at most.
   AdminResponse Handle(const AdminRequest& request) const;
+  /// Returns the response to a call that has no operator's key, before its body
+  /// is read. Doesn't block.
+  std::optional<AdminResponse> RefuseHead(const AdminRequest& head) const;
 
  private:
   enum class Target { kAnyNode, kLeader };
--- a/include/citronlane/transport/admin_request.h
+++ b/include/citronlane/transport/admin_request.h
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include "citronlane/base/shared_text.h"
+
 namespace citronlane {
 
 /// One request to the administration API.
@@ -13,9 +15,7 @@
   std::string query_;
   /// Value of the Authorization header.
   std::string authorization_;
-  std::string body_;
-  /// Whether the body exceeded the limit; body_ holds its beginning.
-  bool is_truncated_ = false;
+  SharedText body_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/transport/admin_server.h
+++ b/include/citronlane/transport/admin_server.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "citronlane/base/error.h"
@@ -12,17 +13,26 @@
 
 namespace citronlane {
 
-/// HTTP server of the administration API, with threads of its own. It only
-/// transports requests; the handler implements the API. Start and Stop must be
-/// called by one thread.
+/// HTTP server of the administration API: an HttpListener with threads of its
+/// own, since handlers may block. It only transports requests; the handler
+/// implements the API. Start and Stop must be called by one thread.
 class AdminServer {
  public:
   /// Returns the response to a request. Called concurrently from several
   /// threads; may block for seconds.
   using Handler = std::function<AdminResponse(const AdminRequest&)>;
 
-  /// `listen` is "IP:port". Serves TLS if `tls` names a certificate.
-  AdminServer(std::string listen, TlsFiles tls, Handler handler);
+  /// Returns a response if a request is refused by its head alone, so that its
+  /// body isn't read. The request has no body yet. Must not block.
+  using HeadHandler =
+      std::function<std::optional<AdminResponse>(const AdminRequest& head)>;
+
+  /// `listen` is "IP:port". Serves TLS if `tls` names a certificate. `refuse`
+  /// is optional.
+  AdminServer(std::string listen,
+              TlsFiles tls,
+              Handler handler,
+              HeadHandler refuse = nullptr);
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
   AdminServer& operator=(const AdminServer&) = delete;
--- a/src/control/control_admin.cc
+++ b/src/control/control_admin.cc
@@ -133,6 +133,26 @@
       });
 }
 
+std::optional<AdminResponse> ControlAdmin::RefuseHead(
+    const AdminRequest& head) const {
+  const bool is_open = head.path_ == "/healthz" || head.path_ == "/metrics";
+  if (is_open || OperatorOf(head) != nullptr) {
+    return std::nullopt;
+  }
+  bool path_known = false;
+  std::string argument;
+  for (const Route& route : routes_) {
+    if (Matches(route.path_, head.path_, &argument)) {
+      path_known = true;
+      if (route.method_ == head.method_) {
+        return ProblemReply(AdminStatus::kUnauthorized, "");
+      }
+    }
+  }
+  return ProblemReply(
+      path_known ? AdminStatus::kMethodNotAllowed : AdminStatus::kNotFound, "");
+}
+
 AdminResponse ControlAdmin::RunRoute(const Route& route,
                                      const AdminRequest& request,
                                      const std::string& argument) const {
@@ -143,9 +163,6 @@
   if (route.method_ != "GET" && operator_key->role_ != OperatorRole::kChange) {
     return ProblemReply(AdminStatus::kForbidden, "");
   }
-  if (request.is_truncated_) {
-    return ProblemReply(AdminStatus::kTooLarge, "");
-  }
   if (context_.state_->is_broken()) {
     return UnavailableReply("The state of this VM is damaged.");
   }
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -113,11 +113,15 @@
                options_.max_pending_calls_,
                calls_.MakeHooks()),
       admin_(MakeAdminContext()),
-      admin_server_(OwnPeer(options_).admin_,
-                    options_.admin_tls_,
-                    [this](const AdminRequest& request) {
-                      return admin_.Handle(request);
-                    }) {}
+      admin_server_(
+          OwnPeer(options_).admin_,
+          options_.admin_tls_,
+          [this](const AdminRequest& request) {
+            return admin_.Handle(request);
+          },
+          [this](const AdminRequest& head) {
+            return admin_.RefuseHead(head);
+          }) {}
 
 bool ControlNode::Impl::Start(Error* error) {
   if (!replica_.Start(error)) {
--- a/src/transport/admin_server.cc
+++ b/src/transport/admin_server.cc
@@ -1,102 +1,49 @@
 #include "citronlane/transport/admin_server.h"
 
-#include <cxxtools/eventloop.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/http/responder.h>
-#include <cxxtools/http/server.h>
-#include <cxxtools/http/service.h>
-#include <cxxtools/regex.h>
-
-#include <algorithm>
-#include <array>
-#include <chrono>
+#include <charconv>
 #include <cstdint>
-#include <exception>
-#include <future>
-#include <istream>
-#include <ostream>
+#include <memory>
 #include <shared_mutex>
 #include <thread>
 #include <utility>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+#include "citronlane/base/refusal_reason.h"
+#include "citronlane/transport/http_exchange.h"
+#include "citronlane/transport/http_listener.h"
+#include "citronlane/transport/http_request.h"
 
 namespace citronlane {
 namespace {
 
-constexpr size_t kMaxBodyBytes = size_t{16} << 20;
-constexpr size_t kReadBytes = 8192;
-constexpr unsigned kMinThreads = 2;
-constexpr unsigned kMaxThreads = 16;
-constexpr int kReadTimeoutMs = 10000;
-constexpr int kKeepAliveMs = 15000;
-constexpr int kVerifyClient = 2;
-constexpr std::chrono::seconds kStopLimit(2);
-
-std::string HeaderOf(const cxxtools::http::Request& request, const char* name) {
-  const char* value = request.getHeader(name);
-  return value == nullptr ? std::string() : std::string(value);
+namespace asio = boost::asio;
+
+constexpr uint64_t kMaxBodyBytes = uint64_t{16} << 20;
+constexpr uint64_t kMemoryBytes = uint64_t{48} << 20;
+constexpr size_t kMaxConnections = 128;
+constexpr size_t kRefusedConnections = 16;
+constexpr std::chrono::seconds kReadTimeout(10);
+constexpr std::chrono::seconds kIdleTimeout(15);
+/// Calls of the handler at the same time.
+constexpr size_t kThreads = 16;
+
+HttpLimits AdminLimits() {
+  HttpLimits limits;
+  limits.body_bytes_ = kMaxBodyBytes;
+  limits.memory_bytes_ = kMemoryBytes;
+  limits.connections_ = kMaxConnections;
+  limits.refused_connections_ = kRefusedConnections;
+  limits.read_timeout_ = kReadTimeout;
+  limits.idle_timeout_ = kIdleTimeout;
+  return limits;
 }
 
-/// Reads one request at a time and responds to it. Each thread of the server
-/// uses its own responder.
-class HookResponder final : public cxxtools::http::Responder {
- public:
-  HookResponder(cxxtools::http::Service& service,
-                const AdminServer::Handler& handler)
-      : cxxtools::http::Responder(service), handler_(handler) {}
-
-  void beginRequest(cxxtools::net::TcpSocket& socket,
-                    std::istream& in,
-                    cxxtools::http::Request& request) override {
-    cxxtools::http::Responder::beginRequest(socket, in, request);
-    body_.clear();
-    is_truncated_ = false;
-  }
-
-  // Reads the body to its end, but keeps at most kMaxBodyBytes, so that the
-  // caller of a too large request gets a response.
-  std::size_t readBody(std::istream& in) override {
-    std::array<char, kReadBytes> bytes{};
-    const std::streamsize count = in.readsome(bytes.data(), bytes.size());
-    const auto read = static_cast<size_t>(std::max<std::streamsize>(count, 0));
-    const size_t kept = std::min(read, kMaxBodyBytes - body_.size());
-    body_.append(bytes.data(), kept);
-    is_truncated_ = is_truncated_ || kept < read;
-    return read;
-  }
-
-  void reply(std::ostream& out,
-             cxxtools::http::Request& request,
-             cxxtools::http::Reply& reply) override {
-    AdminRequest call;
-    call.method_ = request.method();
-    call.path_ = request.url();
-    call.query_ = request.qparams();
-    call.authorization_ = HeaderOf(request, "Authorization");
-    call.body_ = std::move(body_);
-    call.is_truncated_ = is_truncated_;
-    const AdminResponse response = handler_(call);
-    reply.httpReturn(static_cast<unsigned>(response.status_),
-                     response.status_ < kFirstError ? "OK" : "Error");
-    reply.setHeader("Content-Type", response.content_type_.c_str());
-    if (!response.location_.empty()) {
-      reply.setHeader("Location", response.location_.c_str());
-    }
-    if (response.retry_after_ > 0) {
-      reply.setHeader("Retry-After",
-                      std::to_string(response.retry_after_).c_str());
-    }
-    out << response.body_;
-  }
-
- private:
-  static constexpr int kFirstError = 300;
-
-  const AdminServer::Handler& handler_;
-  std::string body_;
-  bool is_truncated_ = false;
-};
-
 /// Calls the handler until it is closed. After that, requests get status 503
 /// and nothing of the handler's owner is accessed.
 class HandlerGate {
@@ -127,47 +74,79 @@
   bool is_closed_ = false;
 };
 
-class HookService final : public cxxtools::http::Service {
- public:
-  explicit HookService(AdminServer::Handler handler)
-      : gate_(std::move(handler)), call_([this](const AdminRequest& request) {
-          return gate_.Call(request);
-        }) {}
-
-  void Close() { gate_.Close(); }
+AdminRequest ToAdminRequest(const HttpRequest& http) {
+  AdminRequest request;
+  request.method_ = http.method_;
+  request.path_ = http.Path();
+  if (request.path_.size() < http.target_.size()) {
+    request.query_ = http.target_.substr(request.path_.size() + 1);
+  }
+  request.authorization_ = http.Header("Authorization");
+  request.body_ = http.body_;
+  return request;
+}
 
- protected:
-  cxxtools::http::Responder* createResponder(
-      const cxxtools::http::Request& /*request*/) override {
-    return new HookResponder(*this, call_);
+HttpReply ToHttpReply(AdminResponse response) {
+  HttpReply reply;
+  reply.status_ = response.status_;
+  reply.content_type_ = std::move(response.content_type_);
+  reply.body_ = std::move(response.body_);
+  if (!response.location_.empty()) {
+    reply.headers_.push_back({"Location", std::move(response.location_)});
   }
-  void releaseResponder(cxxtools::http::Responder* responder) override {
-    delete responder;
+  if (response.retry_after_ > 0) {
+    reply.headers_.push_back(
+        {"Retry-After", std::to_string(response.retry_after_)});
   }
+  return reply;
+}
 
- private:
-  HandlerGate gate_;
-  const AdminServer::Handler call_;
-};
-
-/// State used by the library's threads. Leaked if they don't end; see Stop.
-struct ServerState {
-  explicit ServerState(AdminServer::Handler handler)
-      : service_(std::move(handler)) {}
+HttpReply RefuseUnreadable(RefusalReason reason) {
+  HttpReply reply;
+  reply.status_ = HttpStatus(reason);
+  reply.content_type_ = "application/problem+json";
+  reply.body_ = R"({"title":")" + std::string(Describe(reason)) + "\"}";
+  return reply;
+}
 
-  HookService service_;
-  cxxtools::EventLoop loop_;
-  std::unique_ptr<cxxtools::http::Server> server_;
-};
+std::shared_ptr<asio::ssl::context> MakeTlsContext(const TlsFiles& files,
+                                                   Error* error) {
+  const auto context =
+      std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+  boost::system::error_code failure;
+  context->set_options(asio::ssl::context::default_workarounds |
+                           asio::ssl::context::no_tlsv1 |
+                           asio::ssl::context::no_tlsv1_1,
+                       failure);
+  const auto check = [&](const std::string& file) {
+    if (failure && error->message_.empty()) {
+      error->message_ = "can not use " + file + ": " + failure.message();
+    }
+  };
+  context->use_certificate_chain_file(files.certificate_, failure);
+  check(files.certificate_);
+  context->use_private_key_file(files.private_key_, asio::ssl::context::pem,
+                                failure);
+  check(files.private_key_);
+  if (!files.ca_.empty()) {
+    context->load_verify_file(files.ca_, failure);
+    check(files.ca_);
+    context->set_verify_mode(
+        asio::ssl::verify_peer | asio::ssl::verify_fail_if_no_peer_cert,
+        failure);
+  }
+  return error->message_.empty() ? context : nullptr;
+}
 
 }  // namespace
 
 class AdminServer::Impl {
  public:
-  Impl(std::string listen, TlsFiles tls, Handler handler)
+  Impl(std::string listen, TlsFiles tls, Handler handler, HeadHandler refuse)
       : listen_(std::move(listen)),
         tls_(std::move(tls)),
-        state_(std::make_unique<ServerState>(std::move(handler))) {}
+        gate_(std::move(handler)),
+        refuse_(std::move(refuse)) {}
   ~Impl() { Stop(); }
 
   bool Start(Error* error) {
@@ -176,67 +155,108 @@
     if (host.size() > 2 && host.front() == '[') {
       host = host.substr(1, host.size() - 2);
     }
-    try {
-      const auto port =
-          static_cast<uint16_t>(std::stoul(listen_.substr(colon + 1)));
-      state_->server_ = std::make_unique<cxxtools::http::Server>(state_->loop_);
-      Listen(host, port, state_->server_.get());
-    } catch (const std::exception& failure) {
-      state_->server_.reset();
-      error->message_ = "can not listen on " + listen_ + ": " + failure.what();
+    const std::string port_text = listen_.substr(colon + 1);
+    const char* const end = port_text.data() + port_text.size();
+    uint16_t port = 0;
+    if (std::from_chars(port_text.data(), end, port).ptr != end) {
+      error->message_ = "can not listen on " + listen_ + ": no port";
       return false;
     }
-    std::promise<void> ended;
-    ended_ = ended.get_future();
-    thread_ =
-        std::thread([state = state_.get(), ended = std::move(ended)]() mutable {
-          state->loop_.run();
-          ended.set_value();
-        });
+    std::shared_ptr<asio::ssl::context> tls;
+    if (!tls_.certificate_.empty()) {
+      error->message_.clear();
+      tls = MakeTlsContext(tls_, error);
+      if (tls == nullptr) {
+        return false;
+      }
+    }
+    listener_ =
+        std::make_unique<HttpListener>(std::vector<asio::io_context*>{&io_},
+                                       AdminLimits(), Hooks(), std::move(tls));
+    if (!listener_->Listen(host, port, error)) {
+      return false;
+    }
+    thread_ = std::thread([this] { io_.run(); });
     return true;
   }
 
-  // After a failed TLS handshake the library's threads may deadlock. They are
-  // then detached, and the state that they use is leaked.
   void Stop() {
-    if (!thread_.joinable()) {
-      return;
-    }
-    state_->service_.Close();
-    state_->loop_.exit();
-    if (ended_.wait_for(kStopLimit) == std::future_status::ready) {
+    gate_.Close();
+    handlers_.join();
+    work_.reset();
+    io_.stop();
+    if (thread_.joinable()) {
       thread_.join();
-      state_->server_.reset();
-    } else {
-      thread_.detach();
-      static_cast<void>(state_.release());
     }
   }
 
  private:
-  void Listen(const std::string& host,
-              uint16_t port,
-              cxxtools::http::Server* server) {
-    server->minThreads(kMinThreads);
-    server->maxThreads(kMaxThreads);
-    server->readTimeout(cxxtools::Milliseconds(kReadTimeoutMs));
-    server->keepAliveTimeout(cxxtools::Milliseconds(kKeepAliveMs));
-    server->addService(cxxtools::Regex(".*"), state_->service_);
-    server->listen(host, port, tls_.certificate_, tls_.private_key_,
-                   tls_.ca_.empty() ? 0 : kVerifyClient, tls_.ca_);
+  HttpListenerHooks Hooks() {
+    HttpListenerHooks hooks;
+    hooks.serve_ = [this](size_t, const HttpRequest& request,
+                          HttpExchange* exchange) { Serve(request, exchange); };
+    hooks.refuse_ = RefuseUnreadable;
+    if (refuse_) {
+      hooks.refuse_head_ =
+          [this](const HttpRequest& head) -> std::optional<HttpReply> {
+        auto response = refuse_(ToAdminRequest(head));
+        return response ? std::optional(ToHttpReply(std::move(*response)))
+                        : std::nullopt;
+      };
+    }
+    return hooks;
+  }
+
+  /// Calls the handler in a thread of the pool, since it may block.
+  void Serve(const HttpRequest& http, HttpExchange* exchange) {
+    struct Call {
+      AdminRequest request_;
+      AdminResponse response_;
+      bool is_done_ = false;
+      /// Null once the connection has ended.
+      HttpExchange* exchange_;
+    };
+    const auto call = std::make_shared<Call>();
+    call->request_ = ToAdminRequest(http);
+    call->exchange_ = exchange;
+    asio::post(handlers_, [this, call] {
+      call->response_ = gate_.Call(call->request_);
+      asio::post(io_, [call] {
+        call->is_done_ = true;
+        if (call->exchange_ != nullptr) {
+          call->exchange_->Notify();
+        }
+      });
+    });
+    while (!call->is_done_ && !exchange->caller_gone()) {
+      exchange->Wait();
+    }
+    call->exchange_ = nullptr;
+    if (call->is_done_) {
+      exchange->Reply(ToHttpReply(std::move(call->response_)));
+    }
   }
 
   const std::string listen_;
   const TlsFiles tls_;
-  std::unique_ptr<ServerState> state_;
-  std::future<void> ended_;
+  HandlerGate gate_;
+  const HeadHandler refuse_;
+  asio::io_context io_{1};
+  asio::executor_work_guard<asio::io_context::executor_type> work_{
+      io_.get_executor()};
+  asio::thread_pool handlers_{kThreads};
+  std::unique_ptr<HttpListener> listener_;
   std::thread thread_;
 };
 
-AdminServer::AdminServer(std::string listen, TlsFiles tls, Handler handler)
+AdminServer::AdminServer(std::string listen,
+                         TlsFiles tls,
+                         Handler handler,
+                         HeadHandler refuse)
     : impl_(std::make_unique<Impl>(std::move(listen),
                                    std::move(tls),
-                                   std::move(handler))) {}
+                                   std::move(handler),
+                                   std::move(refuse))) {}
 
 AdminServer::~AdminServer() = default;
 
--- a/tests/unit-control.cc
+++ b/tests/unit-control.cc
@@ -63,7 +63,7 @@
           if (request.path_ == "/v1/vms") {
             response.body_ = vms_;
           } else {
-            orders_.push_back(request.body_);
+            orders_.emplace_back(request.body_.view());
           }
           return response;
         }) {
