Fit the limits of the own interface to the machine

The own interface's gateway accepted 4,096 connections, and twice that, whatever its descriptors, and its bodies were bounded by a constant. Its limits are lowered to shares of the machine's memory and of RLIMIT_NOFILE, and can be set.

--- /dev/null
+++ b/src/gateway/fit_http_limits.cc
@@ -0,0 +1,25 @@
+#include "citronlane/gateway/fit_http_limits.h"
+
+#include <algorithm>
+
+namespace citronlane {
+namespace {
+
+// Shares of the machine, as divisors of the whole.
+constexpr uint64_t kMemoryDivisor = 8;
+constexpr size_t kServedTenths = 4;
+constexpr size_t kRefusedDivisor = 20;
+
+}  // namespace
+
+HttpLimits FitHttpLimits(HttpLimits limits, const MachineLimits& machine) {
+  limits.memory_bytes_ =
+      std::min(limits.memory_bytes_, machine.memory_bytes_ / kMemoryDivisor);
+  limits.connections_ = std::clamp<size_t>(
+      machine.descriptors_ / 10 * kServedTenths, 1, limits.connections_);
+  limits.refused_connections_ = std::clamp<size_t>(
+      machine.descriptors_ / kRefusedDivisor, 1, limits.refused_connections_);
+  return limits;
+}
+
+}  // namespace citronlane
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,6 +18,7 @@
 #include "citronlane/gateway/caller_service.h"
 #include "citronlane/gateway/crash_guard.h"
 #include "citronlane/gateway/detail/gateway_shard.h"
+#include "citronlane/gateway/fit_http_limits.h"
 #include "citronlane/gateway/gateway_state.h"
 #include "citronlane/gateway/pool_shards.h"
 #include "citronlane/gateway/refusal_backlog.h"
@@ -25,6 +26,7 @@
 #include "citronlane/gateway/usage_meter.h"
 #include "citronlane/net/connect_probe.h"
 #include "citronlane/process/detail/unix_time.h"
+#include "citronlane/process/machine_limits.h"
 #include "citronlane/transport/http_listener.h"
 
 namespace citronlane {
@@ -217,8 +219,17 @@
       }
       return service_->RefuseUnread(reason);
     };
+    hooks.place_lost_ = [this](std::string_view phase, Duration stall) {
+      Log("connection closed for another: phase=" + std::string(phase) +
+          " stall_us=" + std::to_string(stall.count()));
+      if (hooks_.events_.on_place_lost_) {
+        hooks_.events_.on_place_lost_(phase, stall);
+      }
+    };
     return std::make_unique<HttpListener>(
-        std::move(contexts), options_.http_limits_, std::move(hooks));
+        std::move(contexts),
+        FitHttpLimits(options_.http_limits_, ReadMachineLimits()),
+        std::move(hooks));
   }
 
   void OnRefusal(const RefusalEntry& entry, bool admitted) {
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -18,6 +18,10 @@
 constexpr uint64_t kMinLeaseMs = 500;
 constexpr uint64_t kMaxLeaseMs = 4000;
 constexpr uint64_t kMaxConnections = 1'000'000;
+constexpr uint64_t kMinCallerMemory = 4ULL * 1024 * 1024;
+constexpr uint64_t kMaxCallerMemory = 1ULL << 40;
+constexpr uint64_t kMinReceiveBuffer = 4096;
+constexpr uint64_t kMaxReceiveBuffer = 64ULL * 1024 * 1024;
 constexpr uint64_t kMinHeaderBytes = 1024;
 constexpr uint64_t kMaxHeaderBytes = 1024ULL * 1024;
 constexpr uint64_t kMinBodyBytes = 1024;
@@ -33,6 +37,12 @@
                &limits->body_bytes_);
   reader.Whole("connections", Need::kOptional, 1, kMaxConnections,
                &limits->connections_);
+  reader.Whole("refused_connections", Need::kOptional, 1, kMaxConnections,
+               &limits->refused_connections_);
+  reader.Whole("memory_bytes", Need::kOptional, kMinCallerMemory,
+               kMaxCallerMemory, &limits->memory_bytes_);
+  reader.Whole("receive_buffer_bytes", Need::kOptional, kMinReceiveBuffer,
+               kMaxReceiveBuffer, &limits->receive_buffer_bytes_);
   reader.Milliseconds("read_timeout_ms", Need::kOptional, 1, kMaxMilliseconds,
                       &limits->read_timeout_);
   reader.Milliseconds("idle_timeout_ms", Need::kOptional, 1, kMaxMilliseconds,
