Keep less for callers that were refused

A connection that waits for its caller to close after a refusal kept the head of its request and a read buffer that were not counted any more; with all connections refused these take 40 KiB each. They are freed before the refusal is sent, and the connection stays counted.

--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -108,6 +108,8 @@
   /// Reserves `bytes` besides those of the connection itself. If the memory is
   /// exhausted, closes connections whose callers stall.
   bool Charge(uint64_t bytes, PlaceNeeded needed);
+  /// Memory of the connection without a request.
+  uint64_t OwnBytes() const;
   /// Bytes per second at which a body of the maximum size is read in time.
   double MinReadRate() const;
   void EnterPhase(Phase phase);
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -263,16 +263,17 @@
   error_code error;
   // The parser, which holds the body, is gone while a refusal is sent.
   const auto refusal = ReadMessage(request, &error);
+  if (!refusal && !error) {
+    stream_.ExpiresNever();
+    return true;
+  }
+  *request = HttpRequest();
   if (refusal) {
     EndWith(*refusal);
-    return false;
-  }
-  if (error) {
+  } else {
     RefuseUnreadable(error);
-    return false;
   }
-  stream_.ExpiresNever();
-  return true;
+  return false;
 }
 
 std::optional<HttpReply> HttpConnection::ReadMessage(HttpRequest* request,
@@ -354,18 +355,21 @@
   const HttpLimits& limits = state_->limits_;
   const uint64_t limit =
       std::max(limits.memory_bytes_, limits.body_bytes_ + kMinMemory);
-  const uint64_t own = kConnectionBytes + (stream_.has_tls() ? kTlsBytes : 0);
-  bool has_room = charge_.Resize(own + bytes, limit);
+  bool has_room = charge_.Resize(OwnBytes() + bytes, limit);
   while (!has_room && peers_->CloseOne(needed, MinReadRate(), this)) {
     // The closed connection gives its memory back in its own coroutine.
     for (int turn = 0; turn < kTurnsToClose && !has_room; ++turn) {
       asio::post(stream_.get_executor(), *yield_);
-      has_room = charge_.Resize(own + bytes, limit);
+      has_room = charge_.Resize(OwnBytes() + bytes, limit);
     }
   }
   return has_room;
 }
 
+uint64_t HttpConnection::OwnBytes() const {
+  return kConnectionBytes + (stream_.has_tls() ? kTlsBytes : 0);
+}
+
 double HttpConnection::MinReadRate() const {
   const HttpLimits& limits = state_->limits_;
   const std::chrono::duration<double> time = limits.read_timeout_;
@@ -402,7 +406,11 @@
 void HttpConnection::EndWith(const HttpReply& reply) {
   keep_alive_ = false;
   EnterPhase(Phase::kClosing);
-  charge_.Release();
+  buffer_.clear();
+  buffer_.shrink_to_fit();
+  if (charge_.bytes() > OwnBytes()) {
+    charge_.Resize(OwnBytes(), 0);
+  }
   if (SendComplete(reply, false, false)) {
     Linger();
   }
