Keep the last places of a listener for callers that don't stall

A listener with all of its connections and refusals in use dropped further connections unread until one of them ended, whoever held them: a crowd that opens connections again and again kept readiness, with 16 places, from being asked. Now a further connection takes the place of one that was refused or stalls here as well.

The own interface logs at most one such line a second; the metric counts all.

--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -110,8 +110,6 @@
   bool Charge(uint64_t bytes, PlaceNeeded needed);
   /// Memory of the connection without a request.
   uint64_t OwnBytes() const;
-  /// Bytes per second at which a body of the maximum size is read in time.
-  double MinReadRate() const;
   void EnterPhase(Phase phase);
   void RefuseUnreadable(const boost::system::error_code& error);
   void Refuse(RefusalReason reason);
--- a/include/citronlane/transport/detail/http_listener_state.h
+++ b/include/citronlane/transport/detail/http_listener_state.h
@@ -1,7 +1,9 @@
 #ifndef CITRONLANE_TRANSPORT_DETAIL_HTTP_LISTENER_STATE_H_
 #define CITRONLANE_TRANSPORT_DETAIL_HTTP_LISTENER_STATE_H_
 
+#include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <memory>
 #include <utility>
@@ -23,6 +25,14 @@
                     TlsContext tls)
       : limits_(limits), hooks_(std::move(hooks)), tls_(std::move(tls)) {}
 
+  /// Bytes per second at which a body of the maximum size is read in time.
+  double MinReadRate() const {
+    constexpr double kMinSeconds = 1e-3;
+    const std::chrono::duration<double> time = limits_.read_timeout_;
+    return std::max(1.0, static_cast<double>(limits_.body_bytes_)) /
+           std::max(time.count(), kMinSeconds);
+  }
+
   HttpLimits limits_;
   const HttpListenerHooks hooks_;
   /// Null without TLS.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -36,6 +36,7 @@
 
 constexpr std::chrono::milliseconds kFlushInterval{200};
 constexpr std::chrono::milliseconds kDrainPollInterval{10};
+constexpr std::chrono::seconds kPlaceLostLogInterval{1};
 /// How long connections may take to close after the last response.
 constexpr std::chrono::seconds kConnectionCloseTimeout{2};
 constexpr std::chrono::seconds kFinalFlushTimeout{5};
@@ -220,8 +221,7 @@
       return service_->RefuseUnread(reason);
     };
     hooks.place_lost_ = [this](std::string_view phase, Duration stall) {
-      Log("connection closed for another: phase=" + std::string(phase) +
-          " stall_us=" + std::to_string(stall.count()));
+      LogPlaceLost(phase, stall);
       if (hooks_.events_.on_place_lost_) {
         hooks_.events_.on_place_lost_(phase, stall);
       }
@@ -249,6 +249,18 @@
     }
   }
 
+  // A crowd of callers may lose thousands of places a second; the metric counts
+  // them all.
+  void LogPlaceLost(std::string_view phase, Duration stall) {
+    const TimePoint now = SteadyNow();
+    TimePoint last = place_lost_logged_;
+    if (now - last >= kPlaceLostLogInterval &&
+        place_lost_logged_.compare_exchange_strong(last, now)) {
+      Log("connection closed for another: phase=" + std::string(phase) +
+          " stall_us=" + std::to_string(stall.count()));
+    }
+  }
+
   void Log(std::string_view line) const {
     if (hooks_.log_) {
       hooks_.log_(line);
@@ -315,6 +327,7 @@
   bool stopping_ = false;
   uint64_t dropped_reported_ = 0;
   std::atomic<bool> aborted_{false};
+  std::atomic<TimePoint> place_lost_logged_{TimePoint()};
 };
 
 Gateway::Gateway(GatewayOptions options, GatewayHooks hooks)
--- a/src/transport/http_connection.cc
+++ b/src/transport/http_connection.cc
@@ -344,8 +344,8 @@
 
 bool HttpConnection::TakePlace() {
   const bool is_over = state_->connections_ > state_->limits_.connections_;
-  return (!is_over ||
-          peers_->CloseOne(PlaceNeeded::kConnection, MinReadRate(), this)) &&
+  return (!is_over || peers_->CloseOne(PlaceNeeded::kConnection,
+                                       state_->MinReadRate(), this)) &&
          Charge(0, PlaceNeeded::kConnection);
 }
 
@@ -356,7 +356,7 @@
   const uint64_t limit =
       std::max(limits.memory_bytes_, limits.body_bytes_ + kMinMemory);
   bool has_room = charge_.Resize(OwnBytes() + bytes, limit);
-  while (!has_room && peers_->CloseOne(needed, MinReadRate(), this)) {
+  while (!has_room && peers_->CloseOne(needed, state_->MinReadRate(), this)) {
     // The closed connection gives its memory back in its own coroutine.
     for (int turn = 0; turn < kTurnsToClose && !has_room; ++turn) {
       asio::post(stream_.get_executor(), *yield_);
@@ -370,13 +370,6 @@
   return kConnectionBytes + (stream_.has_tls() ? kTlsBytes : 0);
 }
 
-double HttpConnection::MinReadRate() const {
-  const HttpLimits& limits = state_->limits_;
-  const std::chrono::duration<double> time = limits.read_timeout_;
-  return std::max(1.0, static_cast<double>(limits.body_bytes_)) /
-         std::max(time.count(), 1e-3);
-}
-
 void HttpConnection::EnterPhase(Phase phase) {
   activity_ = {phase, SteadyNow(), 0};
 }
--- a/src/transport/http_connection_wait.cc
+++ b/src/transport/http_connection_wait.cc
@@ -30,8 +30,9 @@
 void HttpConnection::CloseForOther() {
   lost_place_ = true;
   if (state_->hooks_.place_lost_) {
-    state_->hooks_.place_lost_(ToString(activity_.phase_),
-                               StallOf(activity_, MinReadRate(), SteadyNow()));
+    state_->hooks_.place_lost_(
+        ToString(activity_.phase_),
+        StallOf(activity_, state_->MinReadRate(), SteadyNow()));
   }
   stream_.Close();
 }
@@ -107,7 +108,7 @@
 bool HttpConnection::MayRead() {
   const auto& may_read = state_->hooks_.may_read_;
   return !is_first_ || !may_read || !HasReceived() || may_read([this] {
-    return peers_->CloseOne(PlaceNeeded::kRequest, MinReadRate(), this);
+    return peers_->CloseOne(PlaceNeeded::kRequest, state_->MinReadRate(), this);
   });
 }
 
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -138,8 +138,12 @@
   void Serve(HttpConnection::Socket socket, size_t shard) {
     asio::io_context* const io = shards_[shard];
     const HttpLimits& limits = state_->limits_;
-    if (state_->connections_ >=
-        limits.connections_ + limits.refused_connections_) {
+    const bool is_full = state_->connections_ >=
+                         limits.connections_ + limits.refused_connections_;
+    // This runs on the thread of the first shard.
+    if (is_full &&
+        !connections_.front()->CloseOne(PlaceNeeded::kConnection,
+                                        state_->MinReadRate(), nullptr)) {
       state_->hooks_.refuse_(RefusalReason::kTooManyConnections);
       return;
     }
--- a/tests/unit-caller-input.cc
+++ b/tests/unit-caller-input.cc
@@ -205,6 +205,18 @@
           std::vector<RefusalReason>{RefusalReason::kTooManyConnections});
     CHECK(listener.lost_.empty());
   }
+  SECTION("takes the place of a refused one to be refused itself") {
+    listener.holds_ = true;
+    const auto first = listener.Connect();
+    Send(first.get(), kCall);
+    listener.RunUntil([&] { return !listener.served_.empty(); });
+    const auto second = listener.Connect();
+    listener.RunUntil([&] { return listener.refused_.size() == 1; });
+    const auto third = listener.Connect();
+    listener.RunUntil([&] { return listener.refused_.size() == 2; });
+    CHECK(listener.lost_ == std::vector<std::string>{"closing"});
+    CHECK(listener.served_.size() == 1);
+  }
   SECTION("takes the place of one that was refused") {
     listener.holds_ = true;
     const auto first = listener.Connect();
