Keep the descriptors that platforms reserve in the product

The settings' max_descriptors_ is what the platform names again, and UsableDescriptors leaves out what is reserved; unit-platform expects what it expected before.

--- a/include/citronlane/serving/node_settings.h
+++ b/include/citronlane/serving/node_settings.h
@@ -1,6 +1,7 @@
 #ifndef CITRONLANE_SERVING_NODE_SETTINGS_H_
 #define CITRONLANE_SERVING_NODE_SETTINGS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -13,6 +14,14 @@
 /// Settings of a process of a self-forming fleet: its VM and the limits that it
 /// must keep. The settings file may change while the process runs.
 struct NodeSettings {
+  /// Descriptors for connections and data files: platforms reserve some for
+  /// other files.
+  uint32_t UsableDescriptors() const {
+    constexpr uint32_t kReserved = 200;
+    constexpr uint32_t kMin = 64;
+    return std::max(max_descriptors_, kReserved + kMin) - kReserved;
+  }
+
   std::string name_;
   std::string ip_;
   std::string failure_domain_;
@@ -32,7 +41,6 @@
   /// Number of control VMs whose disks may be lost at the same time.
   uint32_t tolerated_losses_ = 1;
   uint32_t memory_mb_ = 256;
-  /// Descriptors for connections and data files.
   uint32_t max_descriptors_ = 1024;
   /// Processor and link of the VM.
   GatewayCapacity capacity_{};
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -61,9 +61,9 @@
   limits.body_bytes_ = kDocumentBytes;
   limits.memory_bytes_ =
       (uint64_t{settings.memory_mb_} << 20) / kOperatorMemoryDivisor;
-  limits.connections_ =
-      std::clamp<size_t>(settings.max_descriptors_ / kOperatorDescriptorDivisor,
-                         1, kMaxOperatorConnections);
+  limits.connections_ = std::clamp<size_t>(
+      settings.UsableDescriptors() / kOperatorDescriptorDivisor, 1,
+      kMaxOperatorConnections);
   limits.refused_connections_ = 1 + limits.connections_ / kServedPerRefused;
   return limits;
 }
@@ -128,7 +128,7 @@
               [this](const std::shared_ptr<FrameChannel>& channel,
                      Frame* frame) { HandleFrame(channel, frame); },
               [this](const FrameChannel* channel) { feed_.OnClosed(channel); }},
-          settings_.max_descriptors_ / kPeerDescriptorDivisor),
+          settings_.UsableDescriptors() / kPeerDescriptorDivisor),
       operators_({&io_}, OperatorLimits(settings_), OperatorHooks(&api_, log)) {
 }
 
