--- a/include/citronlane/control/detail/control_host_impl.h
+++ b/include/citronlane/control/detail/control_host_impl.h
@@ -18,6 +18,8 @@
 #include "citronlane/control/origin_feed.h"
 #include "citronlane/net/frame_listener.h"
 #include "citronlane/net/server_list_reader.h"
+#include "citronlane/observe/listener_events.h"
+#include "citronlane/observe/metrics.h"
 #include "citronlane/state/config_proposer.h"
 #include "citronlane/state/fleet_state.h"
 #include "citronlane/transport/http_listener.h"
@@ -46,6 +48,7 @@
  private:
   std::string OperatorAddressOfLeader() const;
   OperatorApi::Hooks ApiHooks();
+  HttpListenerHooks OperatorHooks();
   ConfigProposer::Hooks ProposerHooks();
   void Propose(std::string command, ConfigProposer::Done done);
   GatewayFeed::Leadership Leadership() const;
@@ -68,6 +71,8 @@
   EventLog* const log_;
 
   boost::asio::io_context io_{1};
+  Metrics metrics_{Metrics::kDefaultMaxSeries, 1};
+  const ListenerEvents listener_events_;
   FleetState state_;
   StageClient client_;
   ServerListReader list_reader_;
--- a/include/citronlane/gateway/gateway_events.h
+++ b/include/citronlane/gateway/gateway_events.h
@@ -5,7 +5,6 @@
 #include <functional>
 #include <string_view>
 
-#include "citronlane/base/time.h"
 #include "citronlane/gateway/refusal_entry.h"
 #include "citronlane/gateway/request_summary.h"
 #include "citronlane/request/retry_reason.h"
@@ -36,7 +35,7 @@
   std::function<void(RefusalReason)> on_unread_;
   /// A caller's connection was closed because others needed its place; see
   /// HttpListenerHooks::place_lost_.
-  std::function<void(std::string_view phase, Duration stall)> on_place_lost_;
+  std::function<void(std::string_view phase)> on_place_lost_;
 };
 
 }  // namespace citronlane
--- a/include/citronlane/net/frame_listener.h
+++ b/include/citronlane/net/frame_listener.h
@@ -33,11 +33,14 @@
         received_;
     /// Called once for each connection, when it ends.
     std::function<void(const FrameChannel* channel)> closed_;
+    /// A peer connected while the maximum of connections was open. It has taken
+    /// the place of a silent one, or its connection was closed. Optional.
+    std::function<void(bool closed_silent)> full_;
   };
 
   static constexpr size_t kDefaultMaxChannels = 1024;
 
-  /// Both hooks must be set. `io` must outlive the listener. At most
+  /// received_ and closed_ must be set. `io` must outlive the listener. At most
   /// `max_channels` connections are open; a further one takes the place of one
   /// whose peer is silent, or is closed.
   FrameListener(boost::asio::io_context* io,
--- a/include/citronlane/relay/detail/gateway_host_impl.h
+++ b/include/citronlane/relay/detail/gateway_host_impl.h
@@ -2,7 +2,6 @@
 #define CITRONLANE_RELAY_DETAIL_GATEWAY_HOST_IMPL_H_
 
 #include <chrono>
-#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -17,6 +16,7 @@
 #include "citronlane/fleet/load_meter.h"
 #include "citronlane/net/frame_listener.h"
 #include "citronlane/net/server_list_reader.h"
+#include "citronlane/observe/listener_events.h"
 #include "citronlane/observe/metrics.h"
 #include "citronlane/relay/config_receiver.h"
 #include "citronlane/relay/control_watch.h"
@@ -74,9 +74,9 @@
   HttpListenerHooks ForwardedHooks();
   HttpListenerHooks ReadyHooks();
   HttpListenerHooks MetricsHooks();
-  /// Counts and logs connections that were closed for others.
-  std::function<void(std::string_view phase, Duration stall)> PlaceLostHook(
-      std::string listener);
+  /// Sets the hooks for requests that are refused unread and for connections
+  /// that are closed for others: both are counted and logged.
+  void SetRefusalHooks(const std::string& listener, HttpListenerHooks* hooks);
   ControlWatch::Hooks WatchHooks();
   CrashWatch::Hooks CrashHooks();
   LimitWatch::Hooks LimitHooks();
@@ -84,7 +84,7 @@
   ReachWatch::Hooks ReachHooks();
 
   /// A request was refused or left unread.
-  void NoteUnread(RefusalReason reason);
+  void NoteUnread(std::string_view listener, RefusalReason reason);
 
   void ApplyLimits();
 
@@ -140,6 +140,7 @@
   boost::asio::io_context io_{1};
   std::mt19937_64 random_{std::random_device()()};
   Metrics metrics_;
+  const ListenerEvents listener_events_;
   FleetView view_;
   ConfigReceiver received_config_;
   StageClient client_;
--- a/include/citronlane/relay/relay_job.h
+++ b/include/citronlane/relay/relay_job.h
@@ -21,6 +21,8 @@
   /// Empty when the route is public or there are no accounts.
   std::string account_;
   uint32_t priority_ = 0;
+  /// Pieces of all its stages.
+  uint64_t pieces_ = 0;
   /// When it arrived at the gateway that its caller is connected to.
   TimePoint arrived_;
   /// When its response should begin.
--- a/include/citronlane/transport/admin_server.h
+++ b/include/citronlane/transport/admin_server.h
@@ -5,8 +5,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "citronlane/base/error.h"
+#include "citronlane/base/refusal_reason.h"
+#include "citronlane/base/time.h"
 #include "citronlane/transport/admin_request.h"
 #include "citronlane/transport/admin_response.h"
 #include "citronlane/transport/tls_files.h"
@@ -27,12 +30,18 @@
   using HeadHandler =
       std::function<std::optional<AdminResponse>(const AdminRequest& head)>;
 
-  /// `listen` is "IP:port". Serves TLS if `tls` names a certificate. `refuse`
-  /// is optional.
-  AdminServer(std::string listen,
-              TlsFiles tls,
-              Handler handler,
-              HeadHandler refuse = nullptr);
+  /// What the owner may observe or decide; each hook is optional.
+  struct Hooks {
+    HeadHandler refuse_;
+    /// A request could not be read, or there was no place for it.
+    std::function<void(RefusalReason)> unread_;
+    /// See HttpListenerHooks::place_lost_.
+    std::function<void(std::string_view phase, Duration stall)> place_lost_;
+  };
+
+  /// `listen` is "IP:port". Serves TLS if `tls` names a certificate.
+  AdminServer(std::string listen, TlsFiles tls, Handler handler, Hooks hooks);
+  AdminServer(std::string listen, TlsFiles tls, Handler handler);
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
   AdminServer& operator=(const AdminServer&) = delete;
--- a/include/citronlane/transport/detail/http_connection.h
+++ b/include/citronlane/transport/detail/http_connection.h
@@ -111,6 +111,8 @@
   /// Memory of the connection without a request.
   uint64_t OwnBytes() const;
   void EnterPhase(Phase phase);
+  /// Whether no byte of the next request was read.
+  bool IsWaiting() const;
   void RefuseUnreadable(const boost::system::error_code& error);
   void Refuse(RefusalReason reason);
   /// Sends the last response of the connection.
@@ -126,7 +128,6 @@
   HttpStream stream_;
   boost::asio::steady_timer wake_;
   boost::asio::steady_timer idle_timer_;
-  boost::asio::steady_timer::time_point idle_since_;
   const std::shared_ptr<HttpListenerState> state_;
   const std::shared_ptr<HttpConnectionSet> peers_;
   const size_t shard_;
@@ -141,7 +142,6 @@
   bool keep_alive_ = true;
   bool head_request_ = false;
   bool stream_has_body_ = true;
-  bool idle_ = false;
   bool watching_ = false;
   bool notified_ = false;
   bool caller_gone_ = false;
--- a/include/citronlane/gateway/fit_http_limits.h
+++ b/include/citronlane/transport/fit_http_limits.h
@@ -1,5 +1,5 @@
-#ifndef CITRONLANE_GATEWAY_FIT_HTTP_LIMITS_H_
-#define CITRONLANE_GATEWAY_FIT_HTTP_LIMITS_H_
+#ifndef CITRONLANE_TRANSPORT_FIT_HTTP_LIMITS_H_
+#define CITRONLANE_TRANSPORT_FIT_HTTP_LIMITS_H_
 
 #include "citronlane/process/machine_limits.h"
 #include "citronlane/transport/http_limits.h"
@@ -12,4 +12,4 @@
 
 }  // namespace citronlane
 
-#endif  // CITRONLANE_GATEWAY_FIT_HTTP_LIMITS_H_
+#endif  // CITRONLANE_TRANSPORT_FIT_HTTP_LIMITS_H_
--- a/include/citronlane/transport/http_limits.h
+++ b/include/citronlane/transport/http_limits.h
@@ -1,6 +1,7 @@
 #ifndef CITRONLANE_TRANSPORT_HTTP_LIMITS_H_
 #define CITRONLANE_TRANSPORT_HTTP_LIMITS_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
@@ -11,6 +12,16 @@
 /// Limits on the connections of callers. docs/design/misbehaving-callers.md
 /// shows which input each of them bounds.
 struct HttpLimits {
+  /// Divides a number of connections among those that are served and those that
+  /// receive a refusal.
+  void SetConnections(size_t connections) {
+    constexpr size_t kServedPerRefused = 8;
+    refused_connections_ =
+        std::max<size_t>(1, connections / (kServedPerRefused + 1));
+    connections_ =
+        std::max(connections, refused_connections_ + 1) - refused_connections_;
+  }
+
   /// Maximum size of a request's header, all fields together. Also bounds each
   /// chunk line and the trailer of a chunked body.
   uint32_t header_bytes_ = 16 * 1024;
--- a/src/cli/process_command.cc
+++ b/src/cli/process_command.cc
@@ -3,8 +3,10 @@
 #include <memory>
 #include <ostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "citronlane/base/refusal_reason.h"
 #include "citronlane/cli/detail/command_context.h"
 #include "citronlane/control/control_run.h"
 #include "citronlane/gateway/gateway_run.h"
@@ -85,6 +87,12 @@
   ControlNodeHooks hooks;
   hooks.log_ = logger.Hook();
   hooks.metrics_text_ = [&metrics] { return metrics.Text(); };
+  hooks.on_unread_ = [&metrics](RefusalReason reason) {
+    metrics.Count(kConnectionsClosedTotal, {ToString(reason)});
+  };
+  hooks.on_place_lost_ = [&metrics](std::string_view phase) {
+    metrics.Count(kPlacesLostTotal, {"administration", phase});
+  };
   Error error;
   if (!RunControl(settings->control_, std::move(hooks), &error)) {
     logger.Error(error.message_);
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -11,7 +11,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/control/detail/control_host_impl.h"
 #include "citronlane/net/endpoint.h"
@@ -21,11 +20,7 @@
 #include "citronlane/observe/event_log.h"
 #include "citronlane/serving/dialect.h"
 #include "citronlane/serving/serving_config.h"
-#include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_limits.h"
-#include "citronlane/transport/http_listener_hooks.h"
-#include "citronlane/transport/http_reply.h"
-#include "citronlane/transport/http_request.h"
 #include "citronlane/transport/stage_limits.h"
 #include "fleet.pb.h"
 
@@ -47,12 +42,11 @@
 constexpr auto kShutdownDelay = std::chrono::milliseconds(600);
 /// Maximum size of a document that an operator may send.
 constexpr uint64_t kDocumentBytes = uint64_t{8} << 20;
-constexpr size_t kMaxOperatorConnections = 512;
+constexpr size_t kMinOperatorConnections = 2;
+constexpr size_t kMaxOperatorConnections = 576;
 /// Shares of the VM for operators, as divisors of the whole.
 constexpr uint64_t kOperatorMemoryDivisor = 8;
 constexpr size_t kOperatorDescriptorDivisor = 6;
-/// Connections that are served, per connection that receives a refusal.
-constexpr size_t kServedPerRefused = 8;
 /// Share of the descriptors for other processes of the fleet.
 constexpr uint32_t kPeerDescriptorDivisor = 2;
 
@@ -61,39 +55,12 @@
   limits.body_bytes_ = kDocumentBytes;
   limits.memory_bytes_ =
       (uint64_t{settings.memory_mb_} << 20) / kOperatorMemoryDivisor;
-  limits.connections_ = std::clamp<size_t>(
-      settings.UsableDescriptors() / kOperatorDescriptorDivisor, 1,
-      kMaxOperatorConnections);
-  limits.refused_connections_ = 1 + limits.connections_ / kServedPerRefused;
+  limits.SetConnections(std::clamp<size_t>(
+      settings.UsableDescriptors() / kOperatorDescriptorDivisor,
+      kMinOperatorConnections, kMaxOperatorConnections));
   return limits;
 }
 
-HttpReply RefuseUnreadable(RefusalReason reason) {
-  HttpReply reply;
-  reply.status_ = HttpStatus(reason);
-  reply.body_ = "{\"error\":\"the request can't be read\"}";
-  return reply;
-}
-
-HttpListenerHooks OperatorHooks(OperatorApi* api, EventLog* log) {
-  HttpListenerHooks hooks;
-  hooks.serve_ = [api](size_t, const HttpRequest& request,
-                       HttpExchange* exchange) {
-    api->Serve(request, exchange);
-  };
-  hooks.refuse_ = RefuseUnreadable;
-  hooks.misused_ = [log](const HttpRequest& request, std::string_view what) {
-    log->Write("control", "response not sent",
-               {{"target", request.target_}, {"why", what}});
-  };
-  hooks.place_lost_ = [log](std::string_view phase, Duration stall) {
-    log->Write(
-        "control", "connection closed for another",
-        {{"listener", "operators"}, {"phase", phase}, {"stall_ms", stall}});
-  };
-  return hooks;
-}
-
 }  // namespace
 
 ControlHost::Impl::Impl(NodeSettings settings,
@@ -104,6 +71,7 @@
       read_settings_(std::move(read_settings)),
       dialect_(dialect),
       log_(log),
+      listener_events_("control", log, &metrics_),
       client_(&io_, StageLimits()),
       list_reader_(&client_, dialect, settings_.server_list_address_),
       feed_(
@@ -127,10 +95,12 @@
           FrameListener::Hooks{
               [this](const std::shared_ptr<FrameChannel>& channel,
                      Frame* frame) { HandleFrame(channel, frame); },
-              [this](const FrameChannel* channel) { feed_.OnClosed(channel); }},
+              [this](const FrameChannel* channel) { feed_.OnClosed(channel); },
+              [this](bool closed_silent) {
+                listener_events_.OnPeersFull(closed_silent);
+              }},
           settings_.UsableDescriptors() / kPeerDescriptorDivisor),
-      operators_({&io_}, OperatorLimits(settings_), OperatorHooks(&api_, log)) {
-}
+      operators_({&io_}, OperatorLimits(settings_), OperatorHooks()) {}
 
 bool ControlHost::Impl::Run(Error* error) {
   std::error_code ignored;
--- a/src/control/control_host_hooks.cc
+++ b/src/control/control_host_hooks.cc
@@ -1,12 +1,20 @@
 // What the operators' API and the proposer of configurations call.
 
 #include <string>
+#include <string_view>
 #include <utility>
 
+#include "citronlane/base/refusal_reason.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/control/detail/control_host_impl.h"
 #include "citronlane/control/detail/control_metrics.h"
 #include "citronlane/control/detail/feed_counts.h"
+#include "citronlane/observe/event_log.h"
+#include "citronlane/observe/metric_names.h"
+#include "citronlane/transport/http_exchange.h"
+#include "citronlane/transport/http_listener_hooks.h"
+#include "citronlane/transport/http_reply.h"
+#include "citronlane/transport/http_request.h"
 
 namespace citronlane {
 
@@ -50,10 +58,36 @@
   hooks.clear_suspects_ = [this] { feed_.ClearSuspects(SteadyNow()); };
   hooks.metrics_ = [this] {
     const TimePoint now = SteadyNow();
-    return FeedMetricsText(
-        member_.Leads(now), feed_.Propagation(),
-        FeedCounts{feed_.CountBlocked(now), list_reader_.invalid_cold_times(),
-                   api_.unknown_domain_orders()});
+    return metrics_.Text() +
+           FeedMetricsText(member_.Leads(now), feed_.Propagation(),
+                           FeedCounts{feed_.CountBlocked(now),
+                                      list_reader_.invalid_cold_times(),
+                                      api_.unknown_domain_orders()});
+  };
+  return hooks;
+}
+
+HttpListenerHooks ControlHost::Impl::OperatorHooks() {
+  HttpListenerHooks hooks;
+  hooks.serve_ = [this](size_t, const HttpRequest& request,
+                        HttpExchange* exchange) {
+    api_.Serve(request, exchange);
+  };
+  hooks.refuse_ = [this](RefusalReason reason) {
+    metrics_.Count(kConnectionsClosedTotal, {ToString(reason)});
+    log_->Write("control", "request not read",
+                {{"listener", "operators"}, {"reason", ToString(reason)}});
+    HttpReply reply;
+    reply.status_ = HttpStatus(reason);
+    reply.body_ = "{\"error\":\"the request can't be read\"}";
+    return reply;
+  };
+  hooks.misused_ = [this](const HttpRequest& request, std::string_view what) {
+    log_->Write("control", "response not sent",
+                {{"target", request.target_}, {"why", what}});
+  };
+  hooks.place_lost_ = [this](std::string_view phase, Duration stall) {
+    listener_events_.OnPlaceLost("operators", phase, stall);
   };
   return hooks;
 }
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "citronlane/base/steady_now.h"
 #include "citronlane/control/detail/command_proposer.h"
 #include "citronlane/control/detail/control_admin.h"
 #include "citronlane/control/detail/control_calls.h"
@@ -13,6 +14,7 @@
 #include "citronlane/control/replica.h"
 #include "citronlane/transport/admin_server.h"
 #include "citronlane/transport/control_service.h"
+#include "citronlane/transport/listener_log.h"
 
 namespace citronlane {
 namespace {
@@ -60,6 +62,7 @@
  private:
   ReplicaHooks MakeReplicaHooks();
   AdminContext MakeAdminContext();
+  AdminServer::Hooks MakeAdminHooks();
   void Log(std::string_view line) const;
 
   const ControlOptions options_;
@@ -73,6 +76,7 @@
   Replica replica_;
   ControlService service_;
   ControlAdmin admin_;
+  ListenerLog admin_log_;
   AdminServer admin_server_;
 };
 
@@ -113,15 +117,35 @@
                options_.max_pending_calls_,
                calls_.MakeHooks()),
       admin_(MakeAdminContext()),
+      admin_log_("administration",
+                 {[this](std::string_view line) { Log(line); }, SteadyNow}),
       admin_server_(
           OwnPeer(options_).admin_,
           options_.admin_tls_,
           [this](const AdminRequest& request) {
             return admin_.Handle(request);
           },
-          [this](const AdminRequest& head) {
-            return admin_.RefuseHead(head);
-          }) {}
+          MakeAdminHooks()) {}
+
+AdminServer::Hooks ControlNode::Impl::MakeAdminHooks() {
+  AdminServer::Hooks hooks;
+  hooks.refuse_ = [this](const AdminRequest& head) {
+    return admin_.RefuseHead(head);
+  };
+  hooks.unread_ = [this](RefusalReason reason) {
+    admin_log_.OnRefused(reason);
+    if (hooks_.on_unread_) {
+      hooks_.on_unread_(reason);
+    }
+  };
+  hooks.place_lost_ = [this](std::string_view phase, Duration stall) {
+    admin_log_.OnPlaceLost(phase, stall);
+    if (hooks_.on_place_lost_) {
+      hooks_.on_place_lost_(phase);
+    }
+  };
+  return hooks;
+}
 
 bool ControlNode::Impl::Start(Error* error) {
   if (!replica_.Start(error)) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,7 +18,6 @@
 #include "citronlane/gateway/caller_service.h"
 #include "citronlane/gateway/crash_guard.h"
 #include "citronlane/gateway/detail/gateway_shard.h"
-#include "citronlane/gateway/fit_http_limits.h"
 #include "citronlane/gateway/gateway_state.h"
 #include "citronlane/gateway/pool_shards.h"
 #include "citronlane/gateway/refusal_backlog.h"
@@ -27,7 +26,9 @@
 #include "citronlane/net/connect_probe.h"
 #include "citronlane/process/detail/unix_time.h"
 #include "citronlane/process/machine_limits.h"
+#include "citronlane/transport/fit_http_limits.h"
 #include "citronlane/transport/http_listener.h"
+#include "citronlane/transport/listener_log.h"
 
 namespace citronlane {
 namespace {
@@ -36,7 +37,6 @@
 
 constexpr std::chrono::milliseconds kFlushInterval{200};
 constexpr std::chrono::milliseconds kDrainPollInterval{10};
-constexpr std::chrono::seconds kPlaceLostLogInterval{1};
 /// How long connections may take to close after the last response.
 constexpr std::chrono::seconds kConnectionCloseTimeout{2};
 constexpr std::chrono::seconds kFinalFlushTimeout{5};
@@ -144,6 +144,9 @@
   RefusalBacklog backlog_;
   RefusalWriter refusals_;
   UsageMeter usage_;
+  ListenerLog listener_log_{
+      "callers",
+      {[this](std::string_view line) { Log(line); }, SteadyNow}};
   CrashGuard crashes_;
   std::unique_ptr<CallerService> service_;
   // Destroyed before the service: destroying the shards ends the handlers that
@@ -215,15 +218,16 @@
       service_->Serve(shard, request, exchange);
     };
     hooks.refuse_ = [this](RefusalReason reason) {
+      listener_log_.OnRefused(reason);
       if (hooks_.events_.on_unread_) {
         hooks_.events_.on_unread_(reason);
       }
       return service_->RefuseUnread(reason);
     };
     hooks.place_lost_ = [this](std::string_view phase, Duration stall) {
-      LogPlaceLost(phase, stall);
+      listener_log_.OnPlaceLost(phase, stall);
       if (hooks_.events_.on_place_lost_) {
-        hooks_.events_.on_place_lost_(phase, stall);
+        hooks_.events_.on_place_lost_(phase);
       }
     };
     return std::make_unique<HttpListener>(
@@ -249,18 +253,6 @@
     }
   }
 
-  // A crowd of callers may lose thousands of places a second; the metric counts
-  // them all.
-  void LogPlaceLost(std::string_view phase, Duration stall) {
-    const TimePoint now = SteadyNow();
-    TimePoint last = place_lost_logged_;
-    if (now - last >= kPlaceLostLogInterval &&
-        place_lost_logged_.compare_exchange_strong(last, now)) {
-      Log("connection closed for another: phase=" + std::string(phase) +
-          " stall_us=" + std::to_string(stall.count()));
-    }
-  }
-
   void Log(std::string_view line) const {
     if (hooks_.log_) {
       hooks_.log_(line);
@@ -327,7 +319,6 @@
   bool stopping_ = false;
   uint64_t dropped_reported_ = 0;
   std::atomic<bool> aborted_{false};
-  std::atomic<TimePoint> place_lost_logged_{TimePoint()};
 };
 
 Gateway::Gateway(GatewayOptions options, GatewayHooks hooks)
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -56,7 +56,7 @@
   events.on_unread_ = [this](RefusalReason reason) {
     metrics_->Count(kConnectionsClosedTotal, {ToString(reason)});
   };
-  events.on_place_lost_ = [this](std::string_view phase, Duration) {
+  events.on_place_lost_ = [this](std::string_view phase) {
     metrics_->Count(kPlacesLostTotal, {"callers", phase});
   };
   return events;
--- a/src/net/frame_listener.cc
+++ b/src/net/frame_listener.cc
@@ -38,8 +38,14 @@
 }
 
 void FrameListener::Accept(boost::asio::ip::tcp::socket socket) {
-  if (channels_.size() >= max_channels_ && !CloseSilent()) {
-    return;
+  if (channels_.size() >= max_channels_) {
+    const bool closed_silent = CloseSilent();
+    if (hooks_.full_) {
+      hooks_.full_(closed_silent);
+    }
+    if (!closed_silent) {
+      return;
+    }
   }
   SetSocketOptions(socket.native_handle(), kAckTimeoutMs);
   const auto channel = std::make_shared<FrameChannel>(std::move(socket));
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -43,6 +43,7 @@
       budget_options_{settings_.repeat_ratio_, settings_.repeat_extra_,
                       settings_.repeat_window_},
       metrics_(Metrics::kDefaultMaxSeries, 1),
+      listener_events_("relay", log, &metrics_),
       client_(&io_, ServerCallLimits(settings_.memory_mb_)),
       list_reader_(&client_, dialect, settings_.server_list_address_),
       owners_(
@@ -91,6 +92,9 @@
                     [this](const FrameChannel* channel) {
                       owners_.Closed(channel);
                       engines_.Closed(channel);
+                    },
+                    [this](bool closed_silent) {
+                      listener_events_.OnPeersFull(closed_silent);
                     }},
                 limits_of_vm_.peers()),
       callers_({&io_}, limits_of_vm_.Callers(CallerLimits()), CallerHooks()),
--- a/src/relay/gateway_host_hooks.cc
+++ b/src/relay/gateway_host_hooks.cc
@@ -3,7 +3,6 @@
 #include <functional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "citronlane/base/refusal_reason.h"
@@ -52,38 +51,37 @@
                         HttpExchange* exchange) {
     relay_.Serve(request, exchange);
   };
-  hooks.refuse_ = [this](RefusalReason reason) {
-    NoteUnread(reason);
-    return RefusalReply(reason, Verdict::kNotRun);
-  };
+  SetRefusalHooks("callers", &hooks);
   hooks.may_read_ = [this](const std::function<bool()>& close_stalled) {
     const bool may_read = relay_.MayTakeFirst(callers_.open_requests() +
                                               forwarded_.open_requests()) ||
                           close_stalled();
     if (!may_read) {
-      NoteUnread(RefusalReason::kConcurrencyLimit);
+      NoteUnread("callers", RefusalReason::kConcurrencyLimit);
     }
     return may_read;
   };
-  hooks.place_lost_ = PlaceLostHook("callers");
   return hooks;
 }
 
-std::function<void(std::string_view phase, Duration stall)>
-GatewayHost::Impl::PlaceLostHook(std::string listener) {
-  return [this, listener = std::move(listener)](std::string_view phase,
-                                                Duration stall) {
-    metrics_.Count(kPlacesLostTotal, {listener, phase});
-    log_->Write(
-        "relay", "connection closed for another",
-        {{"listener", listener}, {"phase", phase}, {"stall_ms", stall}});
+void GatewayHost::Impl::SetRefusalHooks(const std::string& listener,
+                                        HttpListenerHooks* hooks) {
+  hooks->refuse_ = [this, listener](RefusalReason reason) {
+    NoteUnread(listener, reason);
+    return RefusalReply(reason, Verdict::kNotRun);
+  };
+  hooks->place_lost_ = [this, listener](std::string_view phase,
+                                        Duration stall) {
+    listener_events_.OnPlaceLost(listener, phase, stall);
   };
 }
 
-void GatewayHost::Impl::NoteUnread(RefusalReason reason) {
+void GatewayHost::Impl::NoteUnread(std::string_view listener,
+                                   RefusalReason reason) {
   metrics_.Count(kRefusalsTotal, {ToString(reason), "", ""});
   log_->Write("relay", "request not read",
-              {{"reason", ToString(reason)},
+              {{"listener", listener},
+               {"reason", ToString(reason)},
                {"in_hand", static_cast<uint64_t>(relay_.requests_in_flight())},
                {"connections", static_cast<uint64_t>(callers_.connections())}});
 }
@@ -92,7 +90,7 @@
   HttpListenerHooks hooks = CallerHooks();
   // MayServe() refuses these; the other gateways know such a refusal.
   hooks.may_read_ = nullptr;
-  hooks.place_lost_ = PlaceLostHook("forwarded");
+  SetRefusalHooks("forwarded", &hooks);
   hooks.serve_ = [this](size_t, const HttpRequest& request,
                         HttpExchange* exchange) {
     relay_.ServeForwarded(request, exchange);
@@ -109,10 +107,7 @@
     reply.status_ = !is_ours ? kNotFound : IsReady() ? kOk : kUnavailable;
     exchange->Reply(reply);
   };
-  hooks.refuse_ = [](RefusalReason reason) {
-    return RefusalReply(reason, Verdict::kNotRun);
-  };
-  hooks.place_lost_ = PlaceLostHook("ready");
+  SetRefusalHooks("ready", &hooks);
   return hooks;
 }
 
@@ -152,10 +147,7 @@
     reply.body_ = metrics_.Text();
     exchange->Reply(reply);
   };
-  hooks.refuse_ = [](RefusalReason reason) {
-    return RefusalReply(reason, Verdict::kNotRun);
-  };
-  hooks.place_lost_ = PlaceLostHook("metrics");
+  SetRefusalHooks("metrics", &hooks);
   return hooks;
 }
 
--- a/src/relay/gateway_limits.cc
+++ b/src/relay/gateway_limits.cc
@@ -19,8 +19,6 @@
 constexpr double kForwardedDescriptors = 0.1;
 constexpr double kRequestDescriptors = 0.25;
 constexpr double kPeerDescriptors = 0.12;
-/// Connections that are served, per connection that receives a refusal.
-constexpr size_t kServedPerRefused = 8;
 
 /// Requests in flight per megabyte of memory: each takes two stacks and its
 /// body.
@@ -41,15 +39,12 @@
 
 HttpLimits LimitsOf(const CallerLimits& callers,
                     size_t descriptors,
-                    size_t memory) {
+                    uint64_t memory_bytes) {
   HttpLimits limits;
   limits.header_bytes_ = static_cast<uint32_t>(callers.header_bytes_);
   limits.body_bytes_ = callers.body_bytes_;
-  limits.memory_bytes_ = memory;
-  limits.refused_connections_ =
-      std::max<size_t>(1, descriptors / (kServedPerRefused + 1));
-  limits.connections_ =
-      std::max<size_t>(1, descriptors - limits.refused_connections_);
+  limits.memory_bytes_ = memory_bytes;
+  limits.SetConnections(descriptors);
   limits.read_timeout_ = callers.header_time_ + kBodyTime;
   limits.idle_timeout_ = callers.idle_time_;
   return limits;
--- a/src/relay/relay_service.cc
+++ b/src/relay/relay_service.cc
@@ -5,6 +5,7 @@
 #include <numeric>
 #include <string>
 
+#include "absl/types/span.h"
 #include "citronlane/base/steady_now.h"
 #include "citronlane/observe/event_log.h"
 #include "citronlane/observe/metric_names.h"
@@ -38,10 +39,8 @@
   return has_port ? host.substr(0, colon) : host;
 }
 
-// Pieces of all stages of a request's route.
-uint64_t PiecesOf(const RelayJob& job) {
-  const auto& counts = job.head_.stage_pieces_;
-  const size_t stages = std::min(counts.size(), job.route_->stages_.size());
+uint64_t CountPieces(absl::Span<const uint32_t> counts, const Route& route) {
+  const size_t stages = std::min(counts.size(), route.stages_.size());
   return std::accumulate(counts.begin(),
                          counts.begin() + static_cast<std::ptrdiff_t>(stages),
                          uint64_t{0});
@@ -104,16 +103,15 @@
   if (!Await(has_list, job->arrived_, request, exchange)) {
     return;
   }
-  const uint64_t pieces = PiecesOf(*job);
-  if (pieces > max_pieces_ - pieces_in_flight_) {
+  if (job->pieces_ > max_pieces_ - pieces_in_flight_) {
     Refuse(*job, RefusalReason::kConcurrencyLimit, exchange);
     return;
   }
   RelayRequest relay(context_, job, &request, exchange);
   in_flight_[&relay] = job;
-  pieces_in_flight_ += pieces;
+  pieces_in_flight_ += job->pieces_;
   relay.Run();
-  pieces_in_flight_ -= pieces;
+  pieces_in_flight_ -= job->pieces_;
   in_flight_.erase(&relay);
 }
 
@@ -191,7 +189,8 @@
           ? std::min(job->deadline_, job->arrived_ + route.caller_patience_)
           : job->deadline_;
   job->target_ = job->arrived_ + route.target_latency_;
-  if (PiecesOf(*job) > max_pieces_) {
+  job->pieces_ = CountPieces(job->head_.stage_pieces_, route);
+  if (job->pieces_ > max_pieces_) {
     return RefusalReason::kTooManyPieces;
   }
   if (in_flight_.size() >= max_requests_) {
--- a/src/transport/admin_server.cc
+++ b/src/transport/admin_server.cc
@@ -15,6 +15,8 @@
 #include <boost/asio/thread_pool.hpp>
 
 #include "citronlane/base/refusal_reason.h"
+#include "citronlane/process/machine_limits.h"
+#include "citronlane/transport/fit_http_limits.h"
 #include "citronlane/transport/http_exchange.h"
 #include "citronlane/transport/http_listener.h"
 #include "citronlane/transport/http_request.h"
@@ -142,11 +144,11 @@
 
 class AdminServer::Impl {
  public:
-  Impl(std::string listen, TlsFiles tls, Handler handler, HeadHandler refuse)
+  Impl(std::string listen, TlsFiles tls, Handler handler, Hooks hooks)
       : listen_(std::move(listen)),
         tls_(std::move(tls)),
         gate_(std::move(handler)),
-        refuse_(std::move(refuse)) {}
+        hooks_(std::move(hooks)) {}
   ~Impl() { Stop(); }
 
   bool Start(Error* error) {
@@ -170,9 +172,10 @@
         return false;
       }
     }
-    listener_ =
-        std::make_unique<HttpListener>(std::vector<asio::io_context*>{&io_},
-                                       AdminLimits(), Hooks(), std::move(tls));
+    listener_ = std::make_unique<HttpListener>(
+        std::vector<asio::io_context*>{&io_},
+        FitHttpLimits(AdminLimits(), ReadMachineLimits()), ListenerHooks(),
+        std::move(tls));
     if (!listener_->Listen(host, port, error)) {
       return false;
     }
@@ -191,15 +194,21 @@
   }
 
  private:
-  HttpListenerHooks Hooks() {
+  HttpListenerHooks ListenerHooks() {
     HttpListenerHooks hooks;
     hooks.serve_ = [this](size_t, const HttpRequest& request,
                           HttpExchange* exchange) { Serve(request, exchange); };
-    hooks.refuse_ = RefuseUnreadable;
-    if (refuse_) {
+    hooks.refuse_ = [this](RefusalReason reason) {
+      if (hooks_.unread_) {
+        hooks_.unread_(reason);
+      }
+      return RefuseUnreadable(reason);
+    };
+    hooks.place_lost_ = hooks_.place_lost_;
+    if (hooks_.refuse_) {
       hooks.refuse_head_ =
           [this](const HttpRequest& head) -> std::optional<HttpReply> {
-        auto response = refuse_(ToAdminRequest(head));
+        auto response = hooks_.refuse_(ToAdminRequest(head));
         return response ? std::optional(ToHttpReply(std::move(*response)))
                         : std::nullopt;
       };
@@ -240,7 +249,7 @@
   const std::string listen_;
   const TlsFiles tls_;
   HandlerGate gate_;
-  const HeadHandler refuse_;
+  const Hooks hooks_;
   asio::io_context io_{1};
   asio::executor_work_guard<asio::io_context::executor_type> work_{
       io_.get_executor()};
@@ -252,11 +261,17 @@
 AdminServer::AdminServer(std::string listen,
                          TlsFiles tls,
                          Handler handler,
-                         HeadHandler refuse)
+                         Hooks hooks)
     : impl_(std::make_unique<Impl>(std::move(listen),
                                    std::move(tls),
                                    std::move(handler),
-                                   std::move(refuse))) {}
+                                   std::move(hooks))) {}
+
+AdminServer::AdminServer(std::string listen, TlsFiles tls, Handler handler)
+    : AdminServer(std::move(listen),
+                  std::move(tls),
+                  std::move(handler),
+                  Hooks()) {}
 
 AdminServer::~AdminServer() = default;
 
--- a/src/gateway/fit_http_limits.cc
+++ b/src/transport/fit_http_limits.cc
@@ -1,4 +1,4 @@
-#include "citronlane/gateway/fit_http_limits.h"
+#include "citronlane/transport/fit_http_limits.h"
 
 #include <algorithm>
 
@@ -7,7 +7,8 @@
 
 // Shares of the machine, as divisors of the whole.
 constexpr uint64_t kMemoryDivisor = 8;
-constexpr size_t kServedTenths = 4;
+constexpr size_t kServedDivisor = 5;
+constexpr size_t kServedMultiple = 2;
 constexpr size_t kRefusedDivisor = 20;
 
 }  // namespace
@@ -16,7 +17,8 @@
   limits.memory_bytes_ =
       std::min(limits.memory_bytes_, machine.memory_bytes_ / kMemoryDivisor);
   limits.connections_ = std::clamp<size_t>(
-      machine.descriptors_ / 10 * kServedTenths, 1, limits.connections_);
+      machine.descriptors_ / kServedDivisor * kServedMultiple, 1,
+      limits.connections_);
   limits.refused_connections_ = std::clamp<size_t>(
       machine.descriptors_ / kRefusedDivisor, 1, limits.refused_connections_);
   return limits;
--- a/src/transport/http_connection_wait.cc
+++ b/src/transport/http_connection_wait.cc
@@ -3,8 +3,6 @@
 
 #include "citronlane/transport/detail/http_connection.h"
 
-#include "citronlane/base/steady_now.h"
-
 namespace citronlane::detail {
 namespace {
 
@@ -15,33 +13,16 @@
 }  // namespace
 
 void HttpConnection::CloseIfIdle() {
-  if (idle_ && !HasReceived()) {
+  if (IsWaiting() && !HasReceived()) {
     stream_.Close();
   }
 }
 
-bool HttpConnection::IsCloseable() {
-  error_code error;
-  // Bytes that wait to be read show that the caller doesn't stall.
-  return !lost_place_ && (activity_.phase_ == Phase::kClosing ||
-                          stream_.socket().available(error) == 0);
-}
-
-void HttpConnection::CloseForOther() {
-  lost_place_ = true;
-  if (state_->hooks_.place_lost_) {
-    state_->hooks_.place_lost_(
-        ToString(activity_.phase_),
-        StallOf(activity_, state_->MinReadRate(), SteadyNow()));
-  }
-  stream_.Close();
-}
-
 void HttpConnection::UpdateIdleTimeout() {
-  if (!idle_) {
+  if (!IsWaiting()) {
     return;
   }
-  idle_timer_.expires_at(idle_since_ + state_->limits_.idle_timeout_);
+  idle_timer_.expires_at(activity_.since_ + state_->limits_.idle_timeout_);
   auto self = shared_from_this();
   idle_timer_.async_wait([self](const error_code& error) {
     // A timer that expired before it was cancelled reports no error.
@@ -67,8 +48,6 @@
   }
   // The bytes stay in the socket until the connection is no longer idle, so
   // that HasReceived finds every request that has arrived.
-  idle_ = true;
-  idle_since_ = asio::steady_timer::clock_type::now();
   UpdateIdleTimeout();
   error_code error;
   size_t got = 0;
@@ -82,7 +61,6 @@
   }
   buffer_.commit(got);
   is_first_ = false;
-  idle_ = false;
   idle_timer_.cancel();
   EnterPhase(Phase::kReading);
   return !error;
--- a/src/transport/stage_client.cc
+++ b/src/transport/stage_client.cc
@@ -1,7 +1,6 @@
 #include "citronlane/transport/stage_client.h"
 
 #include <algorithm>
-#include <array>
 #include <optional>
 #include <string>
 #include <utility>
@@ -18,6 +17,7 @@
 #include "citronlane/net/traffic_count.h"
 #include "citronlane/transport/detail/connection_pool.h"
 #include "citronlane/transport/detail/coroutine.h"
+#include "citronlane/transport/detail/message_buffers.h"
 #include "citronlane/transport/detail/reply_reading.h"
 #include "citronlane/transport/detail/stage_connection.h"
 #include "citronlane/transport/detail/stage_messages.h"
@@ -130,16 +130,15 @@
       return false;
     }
     const std::string head = detail::RequestHeadText(spec_);
-    const std::array<asio::const_buffer, 2> message = {
-        asio::buffer(head), asio::buffer(spec_.body_.view())};
     error_code error;
     if (spec_.replies_immediately_) {
       ExtendForRead();
     } else {
       connection_->stream_.expires_at(spec_.deadline_);
     }
-    CountTraffic(
-        asio::async_write(connection_->stream_, message, yield[error]));
+    CountTraffic(asio::async_write(connection_->stream_,
+                                   detail::MessageBuffers(head, spec_.body_),
+                                   yield[error]));
     if (error) {
       Done(detail::OutcomeOf(error));
     }
--- a/tests/unit-caller-input.cc
+++ b/tests/unit-caller-input.cc
@@ -62,6 +62,8 @@
     return sent;
   }
 
+  size_t connections() const { return listener_.connections(); }
+
   asio::io_context io_;
   std::vector<RefusalReason> refused_;
   std::vector<std::string> lost_;
@@ -180,6 +182,20 @@
           std::vector<RefusalReason>{RefusalReason::kBodyMemoryExhausted});
     CHECK(listener.lost_.empty());
   }
+  SECTION("its memory is given back when it has ended") {
+    send_first();
+    first->close();
+    listener.RunUntil([&] { return listener.connections() == 1; });
+    Send(second.get(), HeldRequest(1000));
+    listener.RunUntil([&] { return listener.served_.size() == 2; });
+    const auto third = listener.Connect();
+    Send(third.get(),
+         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n"
+         "Expect: 100-continue\r\n\r\n");
+    // The interim response shows that the body is reserved.
+    listener.RunUntil([&] { return third->available() > 0; });
+    CHECK(listener.refused_.empty());
+  }
   SECTION("a small request is accepted beside it") {
     send_first();
     Send(second.get(), kCall);
--- a/tests/unit-fit-http-limits.cc
+++ b/tests/unit-fit-http-limits.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "citronlane/gateway/fit_http_limits.h"
+#include "citronlane/transport/fit_http_limits.h"
 
 namespace citronlane {
 
--- a/tests/unit-relay-service.cc
+++ b/tests/unit-relay-service.cc
@@ -30,6 +30,24 @@
 constexpr size_t kMostRequests = 10;
 constexpr uint64_t kMostPieces = 1000;
 
+/// A configuration with the route of the requests, which has `stages` stages.
+std::shared_ptr<const ServingConfig> ConfigWithRoute(size_t stages) {
+  ServingConfig::Parts parts;
+  parts.version_ = 1;
+  Service service;
+  service.name_ = "s";
+  parts.services_ = {service};
+  Route route;
+  route.name_ = "r";
+  route.host_ = "h";
+  route.prefix_ = "/nowhere/";
+  route.is_public_ = true;
+  route.split_ = {{"s", 1}};
+  route.stages_.resize(stages);
+  parts.routes_ = {std::make_shared<const Route>(route)};
+  return std::make_shared<const ServingConfig>(parts);
+}
+
 }  // namespace
 
 // After a power loss of all VMs callers reach gateways before any control VM
@@ -78,19 +96,7 @@
   }
   SECTION("wait for the first server list") {
     // Without the list no server is known, and the request would be refused.
-    ServingConfig::Parts parts;
-    parts.version_ = 1;
-    Service service_declared;
-    service_declared.name_ = "s";
-    parts.services_ = {service_declared};
-    Route route;
-    route.name_ = "r";
-    route.host_ = "h";
-    route.prefix_ = "/nowhere/";
-    route.is_public_ = true;
-    route.split_ = {{"s", 1}};
-    parts.routes_ = {std::make_shared<const Route>(route)};
-    view.SetConfig(std::make_shared<const ServingConfig>(parts));
+    view.SetConfig(ConfigWithRoute(0));
     bool has_left = false;
     boost::asio::post(io, [&] {
       CHECK_FALSE(caller.reply_);
@@ -102,20 +108,7 @@
     CHECK_FALSE(caller.reply_);
   }
   SECTION("are refused at once with more pieces than a gateway holds") {
-    ServingConfig::Parts parts;
-    parts.version_ = 1;
-    Service declared;
-    declared.name_ = "s";
-    parts.services_ = {declared};
-    Route route;
-    route.name_ = "r";
-    route.host_ = "h";
-    route.prefix_ = "/nowhere/";
-    route.is_public_ = true;
-    route.split_ = {{"s", 1}};
-    route.stages_.resize(2);
-    parts.routes_ = {std::make_shared<const Route>(route)};
-    view.SetConfig(std::make_shared<const ServingConfig>(parts));
+    view.SetConfig(ConfigWithRoute(2));
     pieces = GENERATE(std::vector<uint32_t>{600, 401},
                       std::vector<uint32_t>{1, 4294967295},
                       std::vector<uint32_t>{4294967295, 4294967295});
