Bound the bytes that peers' incomplete frames take

By reading, whole frames of up to 64 MiB on many connections exceeded a VM's memory. 24 connections that send frames of 60 MB took a gateway of 96 MB to 401 MB and control to 263 MB, where the crowd stops.

The input of all connections of a listener has a budget, 0.05 of a gateway's memory and an eighth of control's; a connection that needs more is closed.

--- a/include/citronlane/net/frame_channel.h
+++ b/include/citronlane/net/frame_channel.h
@@ -34,6 +34,9 @@
     std::function<void(wire::fleet::Frame*)> received_;
     /// Called once, when the connection ends for any reason, including Close.
     std::function<void()> closed_;
+    /// Whether the bytes received may take `bytes`, more than for usual frames.
+    /// If not, the connection is closed. Optional.
+    std::function<bool(size_t bytes)> may_keep_;
   };
 
   /// `socket` must be connected.
@@ -52,6 +55,8 @@
   bool is_open() const { return is_open_; }
   /// Number of bytes that were not yet written to the socket.
   size_t queued_bytes() const { return queued_bytes_; }
+  /// Memory for the bytes received.
+  size_t input_bytes() const { return input_.size(); }
   /// Time at which bytes of a frame were last received; at first the time of
   /// construction.
   TimePoint last_received() const { return last_received_; }
@@ -63,8 +68,9 @@
   /// Size of the first frame received, with its length field; 0 until the field
   /// is complete, nullopt if it is too large.
   std::optional<size_t> FirstFrameBytes() const;
-  /// Moves the incomplete frame to the front and makes room for the rest of it.
-  void MakeRoom(size_t frame_bytes);
+  /// Moves the incomplete frame to the front and makes room for more of it.
+  /// Returns false if that is not allowed.
+  bool MakeRoom(size_t frame_bytes);
   void HandleFrame(const char* data, size_t size);
   void WriteNext();
 
--- a/include/citronlane/net/frame_listener.h
+++ b/include/citronlane/net/frame_listener.h
@@ -38,15 +38,23 @@
     std::function<void(bool closed_silent)> full_;
   };
 
-  static constexpr size_t kDefaultMaxChannels = 1024;
+  struct Limits {
+    /// Open connections.
+    size_t channels_ = 1024;
+    /// Memory for what all connections have received of incomplete frames. A
+    /// connection that needs more is closed.
+    size_t input_bytes_ = size_t{64} << 20;
+  };
 
-  /// received_ and closed_ must be set. `io` must outlive the listener. At most
-  /// `max_channels` connections are open; a further one takes the place of one
-  /// whose peer is silent, or is closed.
+  /// received_ and closed_ must be set. `io` must outlive the listener. A
+  /// connection over the limit takes the place of one whose peer is silent, or
+  /// is closed.
   FrameListener(boost::asio::io_context* io,
                 std::string address,
                 Hooks hooks,
-                size_t max_channels = kDefaultMaxChannels);
+                const Limits& limits);
+  /// With the default limits.
+  FrameListener(boost::asio::io_context* io, std::string address, Hooks hooks);
   ~FrameListener();
   FrameListener(const FrameListener&) = delete;
   FrameListener& operator=(const FrameListener&) = delete;
@@ -61,8 +69,11 @@
   /// false if none has been silent for long.
   bool CloseSilent();
 
+  /// Whether the channel may keep that many bytes of an incomplete frame.
+  bool MayKeep(const FrameChannel* channel, size_t bytes) const;
+
   const Hooks hooks_;
-  const size_t max_channels_;
+  const Limits limits_;
   TcpListener listener_;
   std::set<std::shared_ptr<FrameChannel>> channels_;
 };
--- a/include/citronlane/relay/gateway_limits.h
+++ b/include/citronlane/relay/gateway_limits.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "citronlane/net/frame_listener.h"
 #include "citronlane/serving/caller_limits.h"
 #include "citronlane/transport/http_limits.h"
 
@@ -27,8 +28,8 @@
   size_t requests() const;
   /// Maximum number of pieces of stages that all requests in flight have.
   uint64_t pieces() const;
-  /// Maximum number of connections from other processes of the fleet.
-  size_t peers() const;
+  /// Limits of the listener of the fleet's other processes.
+  FrameListener::Limits Peers() const;
 
  private:
   const uint64_t memory_bytes_;
--- a/src/control/control_host.cc
+++ b/src/control/control_host.cc
@@ -47,8 +47,9 @@
 /// Shares of the VM for operators, as divisors of the whole.
 constexpr uint64_t kOperatorMemoryDivisor = 8;
 constexpr size_t kOperatorDescriptorDivisor = 6;
-/// Share of the descriptors for other processes of the fleet.
+/// Shares for other processes of the fleet.
 constexpr uint32_t kPeerDescriptorDivisor = 2;
+constexpr uint64_t kPeerMemoryDivisor = 8;
 
 HttpLimits OperatorLimits(const NodeSettings& settings) {
   HttpLimits limits;
@@ -61,6 +62,11 @@
   return limits;
 }
 
+FrameListener::Limits PeerLimits(const NodeSettings& settings) {
+  return {settings.UsableDescriptors() / kPeerDescriptorDivisor,
+          (uint64_t{settings.memory_mb_} << 20) / kPeerMemoryDivisor};
+}
+
 }  // namespace
 
 ControlHost::Impl::Impl(NodeSettings settings,
@@ -99,7 +105,7 @@
               [this](bool closed_silent) {
                 listener_events_.OnPeersFull(closed_silent);
               }},
-          settings_.UsableDescriptors() / kPeerDescriptorDivisor),
+          PeerLimits(settings_)),
       operators_({&io_}, OperatorLimits(settings_), OperatorHooks()) {}
 
 bool ControlHost::Impl::Run(Error* error) {
--- a/src/net/frame_channel.cc
+++ b/src/net/frame_channel.cc
@@ -126,8 +126,11 @@
       return;
     }
     if (*bytes == 0 || input_end_ - input_begin_ < *bytes) {
-      MakeRoom(*bytes);
-      ReadSome();
+      if (MakeRoom(*bytes)) {
+        ReadSome();
+      } else {
+        Close();
+      }
       return;
     }
     const char* const data = input_.data() + input_begin_ + kLengthBytes;
@@ -139,7 +142,7 @@
   }
 }
 
-void FrameChannel::MakeRoom(size_t frame_bytes) {
+bool FrameChannel::MakeRoom(size_t frame_bytes) {
   std::copy(input_.begin() + static_cast<std::ptrdiff_t>(input_begin_),
             input_.begin() + static_cast<std::ptrdiff_t>(input_end_),
             input_.begin());
@@ -149,11 +152,18 @@
   const size_t size = std::min(std::max(kInputBytes, frame_bytes),
                                kInputBytes + 2 * input_end_);
   const bool is_smaller = size < input_.size();
+  if (size > std::max(input_.size(), kInputBytes) && hooks_.may_keep_ &&
+      !hooks_.may_keep_(size)) {
+    return false;
+  }
+  // Without it the vector could allocate twice as much.
+  input_.reserve(size);
   input_.resize(size);
   if (is_smaller) {
     // The memory of a large frame is not kept for each connection.
     input_.shrink_to_fit();
   }
+  return true;
 }
 
 void FrameChannel::HandleFrame(const char* data, size_t size) {
--- a/src/net/frame_listener.cc
+++ b/src/net/frame_listener.cc
@@ -22,15 +22,20 @@
 FrameListener::FrameListener(boost::asio::io_context* io,
                              std::string address,
                              Hooks hooks,
-                             size_t max_channels)
+                             const Limits& limits)
     : hooks_(std::move(hooks)),
-      max_channels_(max_channels),
+      limits_(limits),
       listener_(io,
                 std::move(address),
                 [this](boost::asio::ip::tcp::socket socket) {
                   Accept(std::move(socket));
                 }) {}
 
+FrameListener::FrameListener(boost::asio::io_context* io,
+                             std::string address,
+                             Hooks hooks)
+    : FrameListener(io, std::move(address), std::move(hooks), Limits()) {}
+
 FrameListener::~FrameListener() = default;
 
 bool FrameListener::Start(Error* error) {
@@ -38,7 +43,7 @@
 }
 
 void FrameListener::Accept(boost::asio::ip::tcp::socket socket) {
-  if (channels_.size() >= max_channels_) {
+  if (channels_.size() >= limits_.channels_) {
     const bool closed_silent = CloseSilent();
     if (hooks_.full_) {
       hooks_.full_(closed_silent);
@@ -63,9 +68,21 @@
       channels_.erase(closed);
     }
   };
+  // The channel owns the hook and calls it only while it exists.
+  hooks.may_keep_ = [this, raw = channel.get()](size_t bytes) {
+    return MayKeep(raw, bytes);
+  };
   channel->Start(std::move(hooks));
 }
 
+bool FrameListener::MayKeep(const FrameChannel* channel, size_t bytes) const {
+  size_t kept = bytes;
+  for (const auto& other : channels_) {
+    kept += other.get() == channel ? 0 : other->input_bytes();
+  }
+  return kept <= limits_.input_bytes_;
+}
+
 bool FrameListener::CloseSilent() {
   const auto silent =
       std::min_element(channels_.begin(), channels_.end(),
--- a/src/relay/gateway_host.cc
+++ b/src/relay/gateway_host.cc
@@ -96,7 +96,7 @@
                     [this](bool closed_silent) {
                       listener_events_.OnPeersFull(closed_silent);
                     }},
-                limits_of_vm_.peers()),
+                limits_of_vm_.Peers()),
       callers_({&io_}, limits_of_vm_.Callers(CallerLimits()), CallerHooks()),
       forwarded_({&io_},
                  limits_of_vm_.Forwarded(CallerLimits()),
--- a/src/relay/gateway_limits.cc
+++ b/src/relay/gateway_limits.cc
@@ -10,6 +10,7 @@
 // of backend servers; see server_call_limits.cc.
 constexpr double kCallerMemory = 0.3;
 constexpr double kForwardedMemory = 0.1;
+constexpr double kPeerMemory = 0.05;
 /// Each piece takes a record and the handle of its result.
 constexpr uint64_t kMemoryPerPiece = 4096;
 
@@ -85,8 +86,9 @@
   return memory_bytes_ / kMemoryPerPiece;
 }
 
-size_t GatewayLimits::peers() const {
-  return ShareOf(descriptors_, kPeerDescriptors);
+FrameListener::Limits GatewayLimits::Peers() const {
+  return {ShareOf(descriptors_, kPeerDescriptors),
+          ShareOf(memory_bytes_, kPeerMemory)};
 }
 
 }  // namespace citronlane
--- a/tests/process/misbehaving_callers_test.py
+++ b/tests/process/misbehaving_callers_test.py
@@ -31,7 +31,7 @@
     ]
 
 
-class MisbehavingCallersTest(ClusterTestCase):
+class MisbehavingCase(ClusterTestCase):
     controls = 1
     gateways = 1
 
@@ -45,15 +45,18 @@
         self.assertGreater(watch.peak_bytes, 0)
         self.assertLessEqual(watch.peak_bytes, MAX_BYTES)
 
+    def check_crowd(self, process, port, head, block, is_served):
+        with self.watch(process) as watch:
+            with Crowd((LOOPBACK, port), CALLERS, head, block,
+                       watch.exceeded):
+                watch.exceeded.wait(SECONDS)
+        self.check(watch, process)
+        wait_until(is_served, "an ordinary request is served")
+
     def check_endless(self, process, port, chunked, is_served):
         for name, head, block in endless(chunked):
             with self.subTest(name):
-                with self.watch(process) as watch:
-                    with Crowd((LOOPBACK, port), CALLERS, head, block,
-                               watch.exceeded):
-                        watch.exceeded.wait(SECONDS)
-                self.check(watch, process)
-                wait_until(is_served, "an ordinary request is served")
+                self.check_crowd(process, port, head, block, is_served)
 
     def gateway(self):
         return self.cluster.gateways[0]
@@ -74,6 +77,16 @@
         except OSError:
             return False
 
+    def check_port_of_peers(self, part, head, block):
+        """A crowd at a port for the system's own processes."""
+        control = self.cluster.controls[0]
+        self.check_crowd(control, self.cluster.ports[control.name][part],
+                         head, block, self.is_operator_served)
+        wait_until(self.is_caller_served, "an ordinary request is served")
+
+
+class MisbehavingCallersTest(MisbehavingCase):
+
     def test_callers(self):
         self.check_endless(self.gateway(), self.caller_port(), CHUNKED,
                            self.is_caller_served)
@@ -84,14 +97,13 @@
                            self.is_operator_served)
 
     def test_operators_bodies_of_any_length(self):
-        control = self.cluster.controls[0]
-        with self.watch(control) as watch:
-            with Crowd((LOOPBACK, self.admin_port()), CALLERS,
-                       CHANGE + b"Content-Length: 1000000000000\r\n\r\n",
-                       BLOCK, watch.exceeded):
-                watch.exceeded.wait(SECONDS)
-        self.check(watch, control)
-        wait_until(self.is_operator_served, "an operator's call is served")
+        self.check_crowd(
+            self.cluster.controls[0], self.admin_port(),
+            CHANGE + b"Content-Length: 1000000000000\r\n\r\n", BLOCK,
+            self.is_operator_served)
+
+    def test_no_protocol_at_the_port_of_gateways(self):
+        self.check_port_of_peers("control", b"GET /", BLOCK)
 
     def test_idle_operators(self):
         control = self.cluster.controls[0]
--- a/tests/process/platform_misbehaving_callers_test.py
+++ b/tests/process/platform_misbehaving_callers_test.py
@@ -274,18 +274,60 @@
         self.assertEqual(self.fleet.ask("POST", "/chat/x").status, 200)
 
 
+class SmallestFleet(LimitedFleet):
+    """The smallest VMs that any deployment of the platform names."""
+
+    memory_mb = 120
+    max_descriptors = 3075
+
+
+class BothListenersTest(MisbehavingCase):
+    """Callers and forwarded requests take all that they may at once."""
+
+    fleet_class = SmallestFleet
+
+    def test_both_full(self):
+        body = b"x" * MAX_BODY_BYTES
+        forwarded = (self.gateway, self.fleet.ports["inner"] + 2)
+        large = self.fleet.head("POST", "/look/slow", "1", body)
+        passed_on = self.fleet.head("POST", "/look/slow", "1", body,
+                                    Gateway_Peer_Age_Ms="0",
+                                    Gateway_Peer_Config="1")
+        stalled = b"GET /look/x HTTP/1.1\r\nHost: "
+        with self.watch(self.gateway) as watch:
+            with IdleCrowd(self.callers, 700), \
+                    IdleCrowd(self.callers, 700, stalled), \
+                    IdleCrowd(forwarded, 400, stalled), \
+                    Crowd(self.callers, CALLERS, large + body, b"",
+                          watch.exceeded, True), \
+                    Crowd(forwarded, CALLERS, passed_on + body, b"",
+                          watch.exceeded, True):
+                watch.exceeded.wait(SECONDS)
+                self.check_served_meanwhile()
+        self.check(watch)
+        self.check_served_after()
+
+
 class FramesTest(MisbehavingCase):
-    """Frames at the port of the fleet's own processes that announce more than
-    is sent."""
+    """Large frames at the port of the fleet's own processes, of which little or
+    almost all is sent."""
+
+    HEAD = struct.pack(">I", 60 << 20) + b"x"
 
     def check_frames(self, ip, port):
         with self.watch(ip) as watch:
-            with IdleCrowd((ip, port), CALLERS,
-                           struct.pack(">I", 60 << 20) + b"x"):
+            with IdleCrowd((ip, port), CALLERS, self.HEAD):
                 time.sleep(1)
         self.check(watch, ip)
         self.check_served_after()
 
+    def check_whole_frames(self, ip, port):
+        with self.watch(ip) as watch:
+            with Crowd((ip, port), CALLERS, self.HEAD, BLOCK, watch.exceeded):
+                watch.exceeded.wait(SECONDS)
+        self.check(watch, ip)
+        self.check_served_after()
+
     def test_gateway(self):
         self.check_frames(self.gateway, self.fleet.ports["inner"] + 1)
 
@@ -293,6 +335,13 @@
         self.check_frames(self.fleet.control_ips[0],
                           self.fleet.ports["inner"])
 
+    def test_whole_frames_at_a_gateway(self):
+        self.check_whole_frames(self.gateway, self.fleet.ports["inner"] + 1)
+
+    def test_whole_frames_at_control(self):
+        self.check_whole_frames(self.fleet.control_ips[0],
+                                self.fleet.ports["inner"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit-gateway-limits.cc
+++ b/tests/unit-gateway-limits.cc
@@ -29,8 +29,8 @@
 
   SECTION("leave descriptors for calls to backend servers") {
     const size_t used =
-        AllConnections(callers) + AllConnections(forwarded) + limits.peers() +
-        limits.requests() +
+        AllConnections(callers) + AllConnections(forwarded) +
+        limits.Peers().channels_ + limits.requests() +
         std::min<size_t>(2 * AllConnections(monitoring), descriptors / 8);
     CHECK(used < descriptors);
   }
@@ -38,6 +38,7 @@
   SECTION("leave memory for the process and for replies") {
     const uint64_t memory = uint64_t{memory_mb} << 20;
     const uint64_t used = callers.memory_bytes_ + forwarded.memory_bytes_ +
+                          limits.Peers().input_bytes_ +
                           2 * monitoring.memory_bytes_ +
                           2 * ServerCallLimits(memory_mb).total_reply_bytes_;
     CHECK(used < memory * 3 / 4);
