--- a/include/citronlane/control/detail/control_admin.h
+++ b/include/citronlane/control/detail/control_admin.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "citronlane/control/detail/admin_context.h"
+#include "citronlane/control/detail/admin_replies.h"
 #include "citronlane/control/detail/config_routes.h"
 #include "citronlane/control/detail/fleet_routes.h"
 #include "citronlane/control/operator_key.h"
@@ -46,6 +47,11 @@
   };
 
   void AddRoutes();
+  /// Returns the route of a call and sets `argument`, or returns null and sets
+  /// `missing` to the status of the response.
+  const Route* FindRoute(const AdminRequest& request,
+                         std::string* argument,
+                         AdminStatus* missing) const;
   AdminResponse RunRoute(const Route& route,
                          const AdminRequest& request,
                          const std::string& argument) const;
--- a/src/control/control_admin.cc
+++ b/src/control/control_admin.cc
@@ -20,6 +20,8 @@
 constexpr Duration kLeaderPoll = std::chrono::milliseconds(20);
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::string_view kWildcard = "*";
+constexpr std::string_view kHealthPath = "/healthz";
+constexpr std::string_view kMetricsPath = "/metrics";
 
 // Returns whether the path matches the pattern; sets `argument` to the segment
 // at '*'.
@@ -50,25 +52,46 @@
 }
 
 AdminResponse ControlAdmin::Handle(const AdminRequest& request) const {
-  if (request.path_ == "/healthz" && request.method_ == "GET") {
+  if (request.path_ == kHealthPath && request.method_ == "GET") {
     return Health();
   }
-  if (request.path_ == "/metrics" && request.method_ == "GET") {
+  if (request.path_ == kMetricsPath && request.method_ == "GET") {
     return Metrics();
   }
-  bool path_known = false;
+  std::string argument;
+  AdminStatus missing{};
+  const Route* const route = FindRoute(request, &argument, &missing);
+  return route == nullptr ? ProblemReply(missing, "")
+                          : RunRoute(*route, request, argument);
+}
+
+std::optional<AdminResponse> ControlAdmin::RefuseHead(
+    const AdminRequest& head) const {
+  const bool is_open = head.path_ == kHealthPath || head.path_ == kMetricsPath;
+  if (is_open || OperatorOf(head) != nullptr) {
+    return std::nullopt;
+  }
+  std::string argument;
+  AdminStatus missing{};
+  const Route* const route = FindRoute(head, &argument, &missing);
+  return ProblemReply(route == nullptr ? missing : AdminStatus::kUnauthorized,
+                      "");
+}
+
+const ControlAdmin::Route* ControlAdmin::FindRoute(const AdminRequest& request,
+                                                   std::string* argument,
+                                                   AdminStatus* missing) const {
+  *missing = AdminStatus::kNotFound;
   for (const Route& route : routes_) {
-    std::string argument;
-    if (!Matches(route.path_, request.path_, &argument)) {
+    if (!Matches(route.path_, request.path_, argument)) {
       continue;
     }
-    path_known = true;
     if (route.method_ == request.method_) {
-      return RunRoute(route, request, argument);
+      return &route;
     }
+    *missing = AdminStatus::kMethodNotAllowed;
   }
-  return path_known ? ProblemReply(AdminStatus::kMethodNotAllowed, "")
-                    : ProblemReply(AdminStatus::kNotFound, "");
+  return nullptr;
 }
 
 void ControlAdmin::AddRoutes() {
@@ -133,26 +156,6 @@
       });
 }
 
-std::optional<AdminResponse> ControlAdmin::RefuseHead(
-    const AdminRequest& head) const {
-  const bool is_open = head.path_ == "/healthz" || head.path_ == "/metrics";
-  if (is_open || OperatorOf(head) != nullptr) {
-    return std::nullopt;
-  }
-  bool path_known = false;
-  std::string argument;
-  for (const Route& route : routes_) {
-    if (Matches(route.path_, head.path_, &argument)) {
-      path_known = true;
-      if (route.method_ == head.method_) {
-        return ProblemReply(AdminStatus::kUnauthorized, "");
-      }
-    }
-  }
-  return ProblemReply(
-      path_known ? AdminStatus::kMethodNotAllowed : AdminStatus::kNotFound, "");
-}
-
 AdminResponse ControlAdmin::RunRoute(const Route& route,
                                      const AdminRequest& request,
                                      const std::string& argument) const {
--- a/src/relay/gateway_limits.cc
+++ b/src/relay/gateway_limits.cc
@@ -12,7 +12,7 @@
 constexpr double kForwardedMemory = 0.1;
 constexpr double kPeerMemory = 0.05;
 /// Each piece takes a record and the handle of its result.
-constexpr uint64_t kMemoryPerPiece = 4096;
+constexpr uint64_t kBytesPerPiece = 4096;
 
 // Shares of the descriptors. The remainder is for the fleet's own connections
 // and idle connections to backend servers.
@@ -30,7 +30,7 @@
 constexpr size_t kMonitoringConnections = 12;
 constexpr size_t kMonitoringRefused = 4;
 constexpr uint64_t kMonitoringBodyBytes = 1024;
-constexpr uint64_t kMonitoringMemory = uint64_t{1} << 20;
+constexpr uint64_t kMonitoringMemoryBytes = uint64_t{1} << 20;
 constexpr Duration kMonitoringReadTimeout = std::chrono::seconds(3);
 
 size_t ShareOf(size_t whole, double share) {
@@ -69,7 +69,7 @@
 HttpLimits GatewayLimits::Monitoring() const {
   HttpLimits limits;
   limits.body_bytes_ = kMonitoringBodyBytes;
-  limits.memory_bytes_ = kMonitoringMemory;
+  limits.memory_bytes_ = kMonitoringMemoryBytes;
   limits.connections_ = kMonitoringConnections;
   limits.refused_connections_ = kMonitoringRefused;
   limits.read_timeout_ = kMonitoringReadTimeout;
@@ -83,7 +83,7 @@
 }
 
 uint64_t GatewayLimits::pieces() const {
-  return memory_bytes_ / kMemoryPerPiece;
+  return memory_bytes_ / kBytesPerPiece;
 }
 
 FrameListener::Limits GatewayLimits::Peers() const {
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -18,10 +18,10 @@
 constexpr uint64_t kMinLeaseMs = 500;
 constexpr uint64_t kMaxLeaseMs = 4000;
 constexpr uint64_t kMaxConnections = 1'000'000;
-constexpr uint64_t kMinCallerMemory = 4ULL * 1024 * 1024;
-constexpr uint64_t kMaxCallerMemory = 1ULL << 40;
-constexpr uint64_t kMinReceiveBuffer = 4096;
-constexpr uint64_t kMaxReceiveBuffer = 64ULL * 1024 * 1024;
+constexpr uint64_t kMinCallerMemoryBytes = 4ULL * 1024 * 1024;
+constexpr uint64_t kMaxCallerMemoryBytes = 1ULL << 40;
+constexpr uint64_t kMinReceiveBufferBytes = 4096;
+constexpr uint64_t kMaxReceiveBufferBytes = 64ULL * 1024 * 1024;
 constexpr uint64_t kMinHeaderBytes = 1024;
 constexpr uint64_t kMaxHeaderBytes = 1024ULL * 1024;
 constexpr uint64_t kMinBodyBytes = 1024;
@@ -39,10 +39,10 @@
                &limits->connections_);
   reader.Whole("refused_connections", Need::kOptional, 1, kMaxConnections,
                &limits->refused_connections_);
-  reader.Whole("memory_bytes", Need::kOptional, kMinCallerMemory,
-               kMaxCallerMemory, &limits->memory_bytes_);
-  reader.Whole("receive_buffer_bytes", Need::kOptional, kMinReceiveBuffer,
-               kMaxReceiveBuffer, &limits->receive_buffer_bytes_);
+  reader.Whole("memory_bytes", Need::kOptional, kMinCallerMemoryBytes,
+               kMaxCallerMemoryBytes, &limits->memory_bytes_);
+  reader.Whole("receive_buffer_bytes", Need::kOptional, kMinReceiveBufferBytes,
+               kMaxReceiveBufferBytes, &limits->receive_buffer_bytes_);
   reader.Milliseconds("read_timeout_ms", Need::kOptional, 1, kMaxMilliseconds,
                       &limits->read_timeout_);
   reader.Milliseconds("idle_timeout_ms", Need::kOptional, 1, kMaxMilliseconds,
--- a/src/transport/http_connection_place.cc
+++ b/src/transport/http_connection_place.cc
@@ -23,7 +23,7 @@
 /// Turns of the event loop until a closed connection has ended.
 constexpr int kTurnsToClose = 8;
 /// Memory that is always available besides one body of the maximum size.
-constexpr uint64_t kMinMemory = uint64_t{2} << 20;
+constexpr uint64_t kMinMemoryBytes = uint64_t{2} << 20;
 
 }  // namespace
 
@@ -39,7 +39,7 @@
   // lower.
   const HttpLimits& limits = state_->limits_;
   const uint64_t limit =
-      std::max(limits.memory_bytes_, limits.body_bytes_ + kMinMemory);
+      std::max(limits.memory_bytes_, limits.body_bytes_ + kMinMemoryBytes);
   bool has_room = charge_.Resize(OwnBytes() + bytes, limit);
   while (!has_room && peers_->CloseOne(needed, state_->MinReadRate(), this)) {
     // The closed connection gives its memory back in its own coroutine.
