--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -132,7 +132,8 @@
         for text in breaks:
             record.write(f"broken: {text}")
     except BaseException:  # Also at the time limit: all processes must end.
-        record.write("the case could not run: " + traceback.format_exc())
+        record.write("the case could not run: " +
+                     traceback.format_exc().replace(ROOT, "."))
     finally:
         signal.alarm(0)
         if fleet is not None:
