Keep the trial of a suspended content that no server has run

A trial that a full server refused, or that found no server, was used up: all requests with the content waited for the next one, two seconds later. It is now sent again by the next request of the gateway. The refusal after a wait in vain has a reason of its own in the log, and the sources are formatted.

--- a/src/net/crash_codec.cc
+++ b/src/net/crash_codec.cc
@@ -41,8 +41,7 @@
   out->set_gateway(std::string(gateway));
 }
 
-std::optional<RequestFeature> DecodeTrial(
-    const wire::fleet::CrashReports& in) {
+std::optional<RequestFeature> DecodeTrial(const wire::fleet::CrashReports& in) {
   if (in.has_trial_content()) {
     return ContentFeature(DecodeContent(in.trial_content()));
   }
--- a/src/relay/crash_watch.cc
+++ b/src/relay/crash_watch.cc
@@ -270,9 +270,9 @@
   const TimePoint now = hooks_.now_();
   for (auto it = tried_.begin(); it != tried_.end();) {
     const SuspectRequest* listed = FindListed(it->first);
-    const bool is_open = listed != nullptr &&
-                         listed->trial_gateway_ == hooks_.gateway_ &&
-                         now - it->second.at_ < CrashLedger::TrialTime(it->first);
+    const bool is_open =
+        listed != nullptr && listed->trial_gateway_ == hooks_.gateway_ &&
+        now - it->second.at_ < CrashLedger::TrialTime(it->first);
     it = is_open ? std::next(it) : tried_.erase(it);
   }
 }
--- a/src/relay/relay_request.cc
+++ b/src/relay/relay_request.cc
@@ -286,6 +286,7 @@
       ServerAttempt::Names{job_->head_.request_id_, service_->name_, id},
       &*sends_);
   const ServerAttempt& attempt = *call;
+  const bool is_trial = is_trial_;
   NoteStart(id);
   const AttemptResult ended = Relay(call.get());
   const bool is_cancelled =
@@ -294,6 +295,9 @@
                               : is_cancelled    ? CallOutcome::kCancelled
                                                 : CallOutcome::kTimeout;
   const bool refused = attempt.has_head() && attempt.reply().not_run_;
+  if (!attempt.was_sent() || refused) {
+    ReturnTrial();
+  }
   const bool failed =
       attempt.has_head() && attempt.status() >= kFirstServerError && !refused;
   const CallOutcome counted = refused  ? CallOutcome::kRejected
@@ -305,10 +309,7 @@
   }
   context_->metrics_->Count(kAttemptsTotal,
                             {service_->name_, ToString(counted)});
-  CalledServer called{called_, had_first_event_, first_event_at_, is_trial_};
-  if (!attempt.was_sent()) {
-    ReturnTrial();
-  }
+  CalledServer called{called_, had_first_event_, first_event_at_, is_trial};
   if (ended.step_ == Step::kSilent) {
     silent_.emplace(std::move(call), std::move(called), events_);
   } else {
--- a/src/relay/relay_request_guards.cc
+++ b/src/relay/relay_request_guards.cc
@@ -53,8 +53,8 @@
   const TimePoint begun = SteadyNow();
   const TimePoint until =
       begun + std::min(kMaxTrialWait,
-                       std::max(Duration(), (job_->deadline_ - begun) /
-                                                kTrialWaitDivisor));
+                       std::max(Duration(),
+                                (job_->deadline_ - begun) / kTrialWaitDivisor));
   while (true) {
     const CrashWatch::Pass pass = context_->crashes_->PassOf(
         request_->body_.size(), FingerprintHook(), is_call);
@@ -80,7 +80,7 @@
 
 bool RelayRequest::RefuseIfBlocked(bool is_call) {
   if (!AwaitTrial(is_call)) {
-    last_failure_ = "crashes servers";
+    last_failure_ = "content suspended";
     Refuse(RefusalReason::kCrashesServers, kSuspendedRetryAfter);
     return true;
   }
--- a/src/routing/crash_features.cc
+++ b/src/routing/crash_features.cc
@@ -40,7 +40,8 @@
             });
   const ServerCrash* last = nullptr;
   const auto is_joint = [&last](const ServerCrash* crash) {
-    if (last != nullptr && crash->at_ - last->at_ < CrashLedger::kIndependentDelay) {
+    if (last != nullptr &&
+        crash->at_ - last->at_ < CrashLedger::kIndependentDelay) {
       return true;
     }
     last = crash;
--- a/src/routing/crash_ledger.cc
+++ b/src/routing/crash_ledger.cc
@@ -65,8 +65,8 @@
       Suspend(feature, now);
     }
   }
-  const bool has_changed =
-      DropExplainedSuspensions() || has_listed || !blocked.empty() || !suspended_.empty();
+  const bool has_changed = DropExplainedSuspensions() || has_listed ||
+                           !blocked.empty() || !suspended_.empty();
   number_ += has_changed ? 1 : 0;
   return blocked;
 }
@@ -172,8 +172,8 @@
     return CrashesUnder(feature);
   }
   const auto settled = settled_.find(feature);
-  return CrashesSince(feature, settled == settled_.end() ? TimePoint::min()
-                                                         : settled->second);
+  return CrashesSince(
+      feature, settled == settled_.end() ? TimePoint::min() : settled->second);
 }
 
 size_t CrashLedger::CountUnsettled(const RequestFeature& feature) const {
@@ -230,8 +230,8 @@
     const RequestFeature& blocked = entry.first;
     const auto numbers = crashes_of_.find(blocked);
     return !(blocked == feature) && !IsSuspended(blocked) &&
-           blocked.kind_ >= feature.kind_ &&
-           numbers != crashes_of_.end() && Contains(numbers->second, crash);
+           blocked.kind_ >= feature.kind_ && numbers != crashes_of_.end() &&
+           Contains(numbers->second, crash);
   });
 }
 
--- a/src/routing/crash_ledger_blocks.cc
+++ b/src/routing/crash_ledger_blocks.cc
@@ -64,24 +64,21 @@
     }
   }
   const size_t crashes = count(feature);
-  return std::all_of(others.begin(), others.end(),
-                     [&](const RequestFeature& other) {
-                       return count(other) < crashes;
-                     });
+  return std::all_of(
+      others.begin(), others.end(),
+      [&](const RequestFeature& other) { return count(other) < crashes; });
 }
 
 bool CrashLedger::LeadsInMost(const RequestFeature& feature,
                               const Evidence& crashes,
                               const CountHook& count) const {
-  const auto leading = std::count_if(crashes.begin(), crashes.end(),
-                                     [&](const ServerCrash* crash) {
-                                       return Leads(feature, *crash, count);
-                                     });
+  const auto leading = std::count_if(
+      crashes.begin(), crashes.end(),
+      [&](const ServerCrash* crash) { return Leads(feature, *crash, count); });
   return static_cast<size_t>(leading) >=
          std::min(kMinLeadingCrashes, crashes.size());
 }
 
-
 bool CrashLedger::HasBackground(const RequestFeature& feature,
                                 const Evidence& evidence) const {
   if (evidence.empty()) {
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -286,8 +286,8 @@
         leader_back_ > kStart && now_ < leader_back_ + kGatheringTime;
     Gateway& gateway = *gateways_[index];
     // The first update makes a gateway ready, and is no other's successor.
-    const bool is_connected = gateway.has_leader_ &&
-                              (gateway.is_ready_ || !is_delayed);
+    const bool is_connected =
+        gateway.has_leader_ && (gateway.is_ready_ || !is_delayed);
     if (!leader_ || is_gathering || !is_connected) {
       return;
     }
--- a/tests/unit-relay-crashes.cc
+++ b/tests/unit-relay-crashes.cc
@@ -273,6 +273,20 @@
     REQUIRE(caller.reply_);
     CHECK(caller.reply_->status_ == 200);
   }
+  SECTION("is sent later if the server refused the trial without running it") {
+    ScriptedServer full(
+        {"HTTP/1.1 503 Full\r\nX-Citronlane-Request-Id: a\r\n"
+         "X-Citronlane-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+         ReplyTo("b", "")});
+    gateway.view()->SetServers(DeskServer(full.port()), SteadyNow());
+    list(true, gateway.crashes()->gateway());
+    const RecordedCaller refused = gateway.Ask("a");
+    REQUIRE(refused.reply_);
+    CHECK(refused.reply_->status_ == 503);
+    const RecordedCaller caller = gateway.Ask("b");
+    REQUIRE(caller.reply_);
+    CHECK(caller.reply_->status_ == 200);
+  }
   SECTION("is sent as the trial that the leader has granted") {
     list(true, gateway.crashes()->gateway());
     const RecordedCaller caller = gateway.Ask("a");
