--- a/scripts/prove.py
+++ b/scripts/prove.py
@@ -57,7 +57,9 @@
     ("a cold server gets no more requests than it tolerates", [
         "unit-cold-servers"]),
     ("a request that crashes each server is stopped", [
-        "unit-crash-ledger", "unit-crash-fleet",
+        "unit-crash-ledger", "unit-crash-fleet", "unit-crash-fleet-small",
+        "platform_crashes_small_test.SmallServiceTest."
+        "test_request_that_ends_a_small_service_is_stopped",
         "crashes_test.CrashingRequestTest."
         "test_request_that_ends_engines_is_stopped",
         "crashes_test.CrashingRequestInFleetTest."
--- a/tests/process/platform_crashes_small_test.py
+++ b/tests/process/platform_crashes_small_test.py
@@ -6,16 +6,13 @@
 import time
 import unittest
 
+from process.platform_crashes_test import (
+    MAX_LATER_RUNS, REASON, RECOGNITION_SECONDS, CrashFleet)
 from process.platform_fleet import ask_at_intervals, new_id
 from process.platform_stand_in import PlainServer
 from process.platform_test import FleetTestCase, SettledFleet
 
 CRASHING_PATH = "/look/ends-every-server"
-# Time for the fleet to recognise a request after the third crash, and how often
-# the request may reach a server afterwards.
-RECOGNITION_SECONDS = 3
-MAX_LATER_ARRIVALS = 3
-REASON = b"crashes_servers"
 
 
 class CrashingServer(PlainServer):
@@ -36,46 +33,13 @@
         raise ConnectionError
 
 
-class SmallService(SettledFleet):
+class SmallService(CrashFleet, SettledFleet):
     """A fleet with a plain service of four servers that crash."""
 
+    KIND = "plain"
+    SERVICE = "shop"
     SERVERS = 4
-
-    def _make_servers(self, stages):
-        super()._make_servers(stages)
-        for server in self.plain:
-            server.close()
-        self.lock = threading.Lock()
-        self.crashes = []
-        self.arrivals = []
-        self.plain = [
-            self.prepare(CrashingServer(f"{self.net}.200", "shop", f"p{i}",
-                                        "ab"[i % 2]))
-            for i in range(self.SERVERS)]
-        self.list.servers = self.engines + self.plain + self.stages
-
-    def prepare(self, server):
-        server.fleet = self
-        return server
-
-    def note_crash(self, server):
-        with self.lock:
-            if any(crashed is server for _, crashed in self.crashes):
-                return
-            self.crashes.append((time.monotonic(), server))
-        server.stop_listening()
-        server.cut_connections()
-        threading.Thread(target=self._restart, args=(server,),
-                         daemon=True).start()
-
-    def _restart(self, server):
-        time.sleep(server.down_seconds)
-        ip, port = server.address.split(":")
-        started = self.prepare(CrashingServer(
-            ip, "shop", f"{server.id}+", server.domain, int(port)))
-        with self.lock:
-            self.plain[self.plain.index(server)] = started
-            self.list.servers = self.engines + self.plain + self.stages
+    engine_class = CrashingServer
 
 
 class SmallServiceTest(FleetTestCase):
@@ -117,7 +81,7 @@
         later = sum(when > late for when in self.fleet.arrivals)
         print(f"{len(crashes)} servers ended; {later} arrivals later than "
               f"{RECOGNITION_SECONDS} s after the third", flush=True)
-        self.assertLessEqual(later, MAX_LATER_ARRIVALS)
+        self.assertLessEqual(later, MAX_LATER_RUNS)
         last_sent = crashing[-1][1]
         self.assertEqual(last_sent.status, 503)
         self.assertIn(REASON, last_sent.body)
--- a/tests/process/platform_crashes_test.py
+++ b/tests/process/platform_crashes_test.py
@@ -37,22 +37,25 @@
 
 
 class CrashFleet(Fleet):
-    """A fleet with engines that crash."""
+    """A fleet with servers of one service that crash. `KIND` is the attribute
+    that has them."""
 
-    ENGINES = 6
+    KIND = "engines"
+    SERVICE = "models"
+    SERVERS = 6
     engine_class = CrashingEngine
 
     def _make_servers(self, stages):
         super()._make_servers(stages)
-        for engine in self.engines:
-            engine.close()
+        for server in getattr(self, self.KIND):
+            server.close()
         self.lock = threading.Lock()
         self.crashes = []
         self.arrivals = []
-        self.engines = [
-            self.prepare(self.engine_class(f"{self.net}.200", "models", f"e{i}",
-                                           "ab"[i % 2]))
-            for i in range(self.ENGINES)]
+        setattr(self, self.KIND, [
+            self.prepare(self.engine_class(f"{self.net}.200", self.SERVICE,
+                                           f"e{i}", "ab"[i % 2]))
+            for i in range(self.SERVERS)])
         self.list.servers = self.engines + self.plain + self.stages
 
     def prepare(self, engine):
@@ -73,10 +76,10 @@
         time.sleep(engine.down_seconds)
         ip, port = engine.address.split(":")
         started = self.prepare(self.engine_class(
-            ip, "models", f"{engine.id}+", engine.domain, int(port)))
+            ip, self.SERVICE, f"{engine.id}+", engine.domain, int(port)))
         with self.lock:
-            index = self.engines.index(engine)
-            self.engines[index] = started
+            servers = getattr(self, self.KIND)
+            servers[servers.index(engine)] = started
             self.list.servers = self.engines + self.plain + self.stages
 
 
--- a/tests/process/platform_crashing_segments_test.py
+++ b/tests/process/platform_crashing_segments_test.py
@@ -66,7 +66,7 @@
 class SegmentCrashFleet(CrashFleet):
     """A fleet with SegmentCrashingEngines."""
 
-    ENGINES = 8
+    SERVERS = 8
     engine_class = SegmentCrashingEngine
 
     def _make_servers(self, stages):
