Send the list of suspects at once only when a suspension changes

Each survival of a listed segment or content sent a list to all gateways at once, since a first survival of a suspended content looked the same as the end of a suspicion. The two are told apart now. Memory of contents whose crashes have been made up for is bounded.

--- a/include/citronlane/routing/crash_ledger.h
+++ b/include/citronlane/routing/crash_ledger.h
@@ -59,9 +59,10 @@
   /// What a survival has changed.
   enum class Cleared {
     kNothing,
-    /// The feature was not blocked, and is no longer listed or needs one more
-    /// survival.
+    /// The feature is no longer listed, but was not blocked.
     kSuspicion,
+    /// The feature stays suspended until one more server survives it.
+    kTrial,
     kBlock,
   };
 
--- a/src/control/suspect_feed.cc
+++ b/src/control/suspect_feed.cc
@@ -18,7 +18,8 @@
   for (const auto& report : reports.survivals()) {
     const CrashLedger::Survival survival = DecodeSurvival(report, now);
     const auto cleared = crashes_.OnSurvived(survival.feature_, survival.at_);
-    has_changed_blocks |= cleared != CrashLedger::Cleared::kNothing;
+    has_changed_blocks |= cleared == CrashLedger::Cleared::kBlock ||
+                          cleared == CrashLedger::Cleared::kTrial;
     if (cleared != CrashLedger::Cleared::kNothing) {
       log_->Write("control", "request survived",
                   {{"content", survival.feature_.id_},
--- a/src/routing/crash_ledger.cc
+++ b/src/routing/crash_ledger.cc
@@ -245,7 +245,9 @@
   if (survivals.size() > kMaxSurvivals) {
     survivals.erase(survivals.begin());
   }
-  if (CountUnsettled(feature) == 0) {
+  const bool has_room =
+      settled_.size() < kMaxSurvived || settled_.count(feature) != 0;
+  if (has_room && CountUnsettled(feature) == 0) {
     settled_[feature] = *std::max_element(survivals.begin(), survivals.end());
     survivals_.erase(feature);
   }
@@ -269,7 +271,7 @@
       block->second.trial_until_ = TimePoint();
       block->second.open_trials_ = 0;
       ++number_;
-      return Cleared::kSuspicion;
+      return Cleared::kTrial;
     }
     blocks_.erase(block);
     ++number_;
